--- /dev/null
+++ b/internal/agent/gate.go
@@ -0,0 +1,368 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/attempt"
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/protocol"
+)
+
+const entryRole = string(platform.RoleEntry)
+
+// answersKept is how many answers of non-repeatable calls are remembered, for
+// entries that lost their link and for callers that send a key again.
+const answersKept = 4096
+
+// running is one attempt under way.
+type running struct {
+	cancel     context.CancelFunc
+	link       *peering.Link
+	repeatable bool
+	model      string
+	version    string
+}
+
+// gate admits attempts to the machine's engine or plain service.
+type gate struct {
+	node    *node.Node
+	options Options
+	engine  platform.Engine
+	service platform.Service
+
+	mutex    sync.Mutex
+	ledger   *attempt.Ledger
+	sessions map[*peering.Link]uint64
+	running  map[attempt.ID]*running
+	keys     *keyLedger
+}
+
+func newGate(base *node.Node, options Options, engine platform.Engine, service platform.Service) *gate {
+	g := &gate{
+		node: base, options: options, engine: engine, service: service,
+		ledger:   attempt.NewLedger(base.Incarnation()),
+		sessions: map[*peering.Link]uint64{},
+		running:  map[attempt.ID]*running{},
+		keys:     newKeyLedger(answersKept),
+	}
+	base.Hub.OnOpen(g.openSession)
+	base.Hub.OnLost(g.closeSession)
+	base.Hub.Handle(protocol.TopicSubmit, g.handleSubmit)
+	base.Hub.Handle(protocol.TopicCancel, g.handleCancel)
+	base.Hub.Handle(protocol.TopicInquire, g.handleInquire)
+	return g
+}
+
+// open returns how many attempts run.
+func (g *gate) open() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return len(g.running)
+}
+
+// openOn returns how many attempts run on one version of a model.
+func (g *gate) openOn(model, version string) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	count := 0
+	for _, work := range g.running {
+		if work.model == model && work.version == version {
+			count++
+		}
+	}
+	return count
+}
+
+func (g *gate) openSession(link *peering.Link) {
+	if link.Remote().Role != entryRole {
+		return
+	}
+	g.mutex.Lock()
+	session := g.ledger.Open()
+	g.sessions[link] = session
+	g.mutex.Unlock()
+	_ = peering.Send(link, protocol.TopicSession, "", protocol.Session{Incarnation: g.node.Incarnation(), Session: session})
+}
+
+// closeSession ends a link's session. Work that may be repeated is cancelled,
+// because nobody can receive it; other work runs to its end.
+func (g *gate) closeSession(link *peering.Link) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	session, held := g.sessions[link]
+	if !held {
+		return
+	}
+	delete(g.sessions, link)
+	g.ledger.Close(session)
+	for _, work := range g.running {
+		if work.link == link && work.repeatable {
+			work.cancel()
+		}
+	}
+}
+
+func (g *gate) handleSubmit(link *peering.Link, received *message.Message) {
+	submit, err := peering.Decode[protocol.Submit](received)
+	if err != nil {
+		g.node.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	ctx, refusal := g.admit(link, submit)
+	if ctx == nil && refusal == nil {
+		// The first submission of this attempt answers.
+		return
+	}
+	if refusal != nil {
+		g.send(link, protocol.Event{ID: submit.ID, Kind: protocol.Refused, Reason: refusal.Reason, Detail: refusal.Detail})
+		return
+	}
+	go g.run(ctx, link, submit)
+}
+
+// admit decides under one lock whether an attempt starts. A refusal is proof
+// that it never will; an attempt that was submitted before gets neither.
+func (g *gate) admit(link *peering.Link, submit protocol.Submit) (context.Context, *fault.Refusal) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known := g.ledger.Inquire(submit.ID); known == attempt.Running || known == attempt.Ran {
+		return nil, nil
+	}
+	if refusal := g.refuse(submit); refusal != nil {
+		g.ledger.Revoke(submit.ID)
+		return nil, refusal
+	}
+	switch g.ledger.Submit(submit.ID) {
+	case attempt.Start:
+	case attempt.WrongIncarnation:
+		return nil, fault.NotRun(fault.ReasonIncarnation, "the agent has restarted")
+	case attempt.Revoked:
+		return nil, fault.NotRun(fault.ReasonRevoked, "the attempt was revoked")
+	case attempt.OutsideWindow:
+		return nil, fault.NotRun(fault.ReasonWindow, "the attempt is too old")
+	default:
+		return nil, fault.NotRun(fault.ReasonLinkLost, "the session is closed")
+	}
+	remaining := time.Duration(submit.RemainingMilliseconds) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	work := &running{cancel: cancel, link: link, repeatable: submit.Repeatable}
+	if submit.Generate != nil {
+		work.model, work.version = submit.Generate.Model, submit.Generate.Version
+	}
+	g.running[submit.ID] = work
+	return ctx, nil
+}
+
+// refuse returns why work can't be taken now, or nil.
+func (g *gate) refuse(submit protocol.Submit) *fault.Refusal {
+	switch {
+	case g.node.Leaving():
+		return fault.NotRun(fault.ReasonLeaving, "the back end is leaving")
+	case len(g.running) >= g.options.MaximumOpen:
+		return fault.NotRun(fault.ReasonOverloaded, "the back end has too much open work")
+	case submit.RemainingMilliseconds <= 0:
+		return fault.NotRun(fault.ReasonDeadline, "no time is left")
+	case submit.Generate != nil:
+		return g.refuseGenerate(submit.Generate)
+	case submit.Call != nil && submit.Call.Service == g.options.Service && g.service != nil:
+		return nil
+	}
+	return fault.NotRun(fault.ReasonUnknownService, "the back end does not serve this")
+}
+
+func (g *gate) refuseGenerate(work *protocol.Generate) *fault.Refusal {
+	served, _ := blackboard.Read(g.node.Board, ServedKey)
+	serves := func(v protocol.ServedVersion) bool {
+		return v.Model == work.Model && v.Version == work.Version &&
+			(work.Adapter == "" || slices.Contains(v.Adapters, work.Adapter))
+	}
+	if g.engine == nil || !slices.ContainsFunc(served, serves) {
+		return fault.NotRun(fault.ReasonVersionChanged, "the back end does not serve this version")
+	}
+	return nil
+}
+
+// finish takes an attempt out of the running set; it never runs again.
+func (g *gate) finish(id attempt.ID) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.ledger.Finish(id)
+	if work, held := g.running[id]; held {
+		work.cancel()
+		delete(g.running, id)
+	}
+}
+
+func (g *gate) run(ctx context.Context, link *peering.Link, submit protocol.Submit) {
+	defer g.finish(submit.ID)
+	if submit.Generate != nil {
+		g.generate(ctx, link, submit)
+		return
+	}
+	g.call(ctx, link, submit)
+}
+
+// generate streams an engine's answer, checking on each token that it comes
+// from the pinned version and one engine life.
+func (g *gate) generate(ctx context.Context, link *peering.Link, submit protocol.Submit) {
+	work := submit.Generate
+	generation := platform.Generation{
+		ID: submit.RequestID, Model: work.Model, Version: work.Version, Adapter: work.Adapter,
+		Prompt: work.Prompt, MaximumTokens: work.MaximumTokens, Priority: submit.Priority, ResumeFrom: work.ResumeFrom,
+	}
+	next := work.ResumeFrom
+	var incarnation uint64
+	err := g.engine.Generate(ctx, generation, func(event platform.GenerationEvent) error {
+		if incarnation == 0 {
+			incarnation = event.Incarnation
+		}
+		if event.Version != work.Version || event.Incarnation != incarnation || event.Index != next {
+			g.node.Log.Log(logging.WrongVersion, zap.String("request", submit.RequestID),
+				zap.String("pinned", work.Version), zap.String("answered", event.Version))
+			return fault.Unknown(fault.ReasonWrongVersion, "the engine answered out of version or order")
+		}
+		if event.Finish != "" {
+			return g.deliver(link, protocol.Event{ID: submit.ID, Kind: protocol.Finished, Index: next, Finish: event.Finish, Version: event.Version})
+		}
+		next++
+		return g.deliver(link, protocol.Event{ID: submit.ID, Kind: protocol.Token, Index: event.Index, Token: event.Token, Version: event.Version})
+	})
+	if err != nil {
+		g.fail(ctx, link, submit.ID, err)
+	}
+}
+
+// fail reports an attempt that did not end well. Only a failure to connect, or
+// the engine's own refusal before the first token, proves that it did not run.
+func (g *gate) fail(ctx context.Context, link *peering.Link, id attempt.ID, err error) {
+	event := protocol.Event{ID: id, Kind: protocol.Failed, Reason: fault.ReasonBackendFailed, Detail: err.Error()}
+	var refusal *fault.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		event.Reason = refusal.Reason
+	case neverSent(err):
+		event.Kind = protocol.Refused
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		event.Reason = fault.ReasonDeadline
+	case ctx.Err() != nil:
+		event.Reason = fault.ReasonCanceled
+	}
+	g.send(link, event)
+}
+
+// neverSent reports whether an error proves that the back end never got the
+// request or refused it whole.
+func neverSent(err error) bool {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return true
+	}
+	var unavailable *fault.Unavailable
+	return errors.As(err, &unavailable) && unavailable.Operation == "generate" && unavailable.Status == http.StatusConflict
+}
+
+func (g *gate) call(ctx context.Context, link *peering.Link, submit protocol.Submit) {
+	work := submit.Call
+	if !submit.Repeatable && submit.Key != "" {
+		if done := g.answerKnownKey(link, submit); done {
+			return
+		}
+	}
+	answer, err := g.service.Call(ctx, platform.ServiceCall{
+		ID: submit.RequestID, Method: work.Method, Path: work.Path,
+		ContentType: work.ContentType, Body: work.Body, Repeatable: submit.Repeatable,
+	})
+	if err != nil {
+		g.forgetKeyIfUnsent(submit, err)
+		g.fail(ctx, link, submit.ID, err)
+		return
+	}
+	recorded := &protocol.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
+	if !submit.Repeatable {
+		g.mutex.Lock()
+		g.keys.record(submit, recorded)
+		g.mutex.Unlock()
+	}
+	g.send(link, protocol.Event{ID: submit.ID, Kind: protocol.Answered, Answer: recorded})
+}
+
+// answerKnownKey replays the answer of a caller's key that was used before, or
+// claims the key.
+func (g *gate) answerKnownKey(link *peering.Link, submit protocol.Submit) bool {
+	g.mutex.Lock()
+	answer, known := g.keys.claim(submit)
+	g.mutex.Unlock()
+	if !known {
+		return false
+	}
+	event := protocol.Event{ID: submit.ID, Kind: protocol.Answered, Answer: answer}
+	if answer == nil {
+		event = protocol.Event{ID: submit.ID, Kind: protocol.Failed, Reason: fault.ReasonDuplicate, Detail: "the key is in use or its outcome is unknown"}
+	}
+	g.send(link, event)
+	return true
+}
+
+func (g *gate) forgetKeyIfUnsent(submit protocol.Submit, err error) {
+	if !neverSent(err) {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.keys.release(submit)
+}
+
+func (g *gate) handleCancel(link *peering.Link, received *message.Message) {
+	reference, err := peering.Decode[protocol.Reference](received)
+	if err != nil {
+		return
+	}
+	g.mutex.Lock()
+	outcome := g.ledger.Revoke(reference.ID)
+	work := g.running[reference.ID]
+	g.mutex.Unlock()
+	if outcome == attempt.Running && work != nil {
+		work.cancel()
+	}
+	if outcome == attempt.NotRun {
+		g.send(link, protocol.Event{ID: reference.ID, Kind: protocol.Refused, Reason: fault.ReasonRevoked})
+	}
+}
+
+func (g *gate) handleInquire(link *peering.Link, received *message.Message) {
+	reference, err := peering.Decode[protocol.Reference](received)
+	if err != nil {
+		return
+	}
+	g.mutex.Lock()
+	resolved := protocol.Resolved{ID: reference.ID, Outcome: g.ledger.Revoke(reference.ID)}
+	if resolved.Outcome == attempt.Ran {
+		resolved.Answer = g.keys.answerOf(reference.ID)
+	}
+	g.mutex.Unlock()
+	_ = peering.Send(link, protocol.TopicResolved, "", resolved)
+}
+
+// deliver sends an event and fails when the link is lost, which ends the work.
+func (g *gate) deliver(link *peering.Link, event protocol.Event) error {
+	return peering.Send(link, protocol.TopicEvent, "", event)
+}
+
+func (g *gate) send(link *peering.Link, event protocol.Event) {
+	// When the link is lost the entry inquires over a new one.
+	_ = g.deliver(link, event)
+}
--- /dev/null
+++ b/internal/agent/status.go
@@ -0,0 +1,71 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/protocol"
+)
+
+// statusHeartbeat is the period of statuses when nothing changes.
+const statusHeartbeat = 2 * time.Second
+
+// statusController tells every linked entry of this agent: on each change, and
+// as a heartbeat.
+type statusController struct {
+	node      *node.Node
+	service   string
+	openCount func() int
+	sequence  atomic.Uint64
+}
+
+func newStatusController(base *node.Node, service string) *statusController {
+	controller := &statusController{node: base, service: service}
+	base.Hub.OnOpen(controller.send)
+	return controller
+}
+
+func (c *statusController) run(ctx context.Context) {
+	changed := c.node.Board.Watch(ctx, ServedKey.Name())
+	ticker := time.NewTicker(statusHeartbeat)
+	defer ticker.Stop()
+	for {
+		c.sendAll()
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *statusController) current() protocol.Status {
+	served, _ := blackboard.Read(c.node.Board, ServedKey)
+	return protocol.Status{
+		Sequence: c.sequence.Add(1),
+		Leaving:  c.node.Leaving(),
+		Served:   served,
+		Service:  c.service,
+		Open:     c.openCount(),
+	}
+}
+
+func (c *statusController) sendAll() {
+	for _, link := range c.node.Hub.Accepted() {
+		c.send(link)
+	}
+}
+
+// send tells one process if it is an entry; others don't route.
+func (c *statusController) send(link *peering.Link) {
+	if link.Remote().Role != entryRole || c.openCount == nil {
+		return
+	}
+	// A failed send loses the link; the entry notices.
+	_ = peering.Send(link, protocol.TopicStatus, "", c.current())
+}
--- /dev/null
+++ b/internal/agent/weights.go
@@ -0,0 +1,364 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/weights"
+)
+
+// RolloutProgress is how far one version has come on this machine. Times are
+// zero until the phase is reached.
+type RolloutProgress struct {
+	Model      string         `json:"model"`
+	Version    string         `json:"version"`
+	Manifest   weights.Digest `json:"manifest"`
+	Chunks     int            `json:"chunks"`
+	Missing    int            `json:"missing"`
+	NoticedAt  time.Time      `json:"noticed_at"`
+	ManifestAt time.Time      `json:"manifest_at"`
+	FirstAt    time.Time      `json:"first_chunk_at"`
+	StagedAt   time.Time      `json:"staged_at"`
+	// PeerBytes and OriginBytes are what was received, failed transfers included.
+	PeerBytes   int64 `json:"peer_bytes"`
+	OriginBytes int64 `json:"origin_bytes"`
+}
+
+// StagedVersion is a version whose weights are complete and verified.
+type StagedVersion struct {
+	Model    string            `json:"model"`
+	Version  string            `json:"version"`
+	Digest   weights.Digest    `json:"manifest"`
+	Manifest *weights.Manifest `json:"-"`
+	// ZoneOrder is the order in which the zone's machines activate the version.
+	ZoneOrder []string `json:"zone_order"`
+}
+
+// Limits of an agent's transfers.
+const (
+	// maximumUploads is how many chunks are sent to peers at once.
+	maximumUploads = 8
+	// maximumEarlyOffers bounds offers for manifests not known yet.
+	maximumEarlyOffers = 64 << 10
+	// maximumOfferBytes bounds the body of an offer.
+	maximumOfferBytes = 1 << 20
+	// progressPeriod is how often progress is written to the blackboard.
+	progressPeriod = 250 * time.Millisecond
+)
+
+// offer is the body of POST /v1/offers between agents.
+type offer struct {
+	From     dissemination.MachineID `cbor:"1,keyasint"`
+	Manifest weights.Digest          `cbor:"2,keyasint"`
+	// Chunks are indexes into the manifest.
+	Chunks []int `cbor:"3,keyasint"`
+	// Ask is set when the sender wants the chunks instead of offering them.
+	Ask bool `cbor:"4,keyasint,omitempty"`
+}
+
+// offerAnswer tells which of the asked chunks are held.
+type offerAnswer struct {
+	Held []int `cbor:"1,keyasint"`
+}
+
+const offerPath = "/v1/offers"
+
+// weightsController brings the weights of assigned models to this machine.
+type weightsController struct {
+	node    *node.Node
+	options Options
+	origin  platform.Origin
+	store   platform.Store
+	peers   *platform.HTTPPeerStore
+	// downlink and uplink hold weights to their share of the machine's link.
+	downlink *rate.Limiter
+	uplink   *rate.Limiter
+	uploads  chan struct{}
+	received *prometheus.CounterVec
+
+	mutex     sync.Mutex
+	fleet     fleet
+	transfers map[weights.Digest]*transfer
+	manifests map[weights.Digest][]byte
+	staged    map[weights.Digest]StagedVersion
+	// early holds offers for manifests that are not known yet.
+	early      map[weights.Digest][]offer
+	earlyCount int
+}
+
+func newWeightsController(base *node.Node, options Options) *weightsController {
+	controller := &weightsController{
+		node: base, options: options,
+		origin:    platform.NewHTTPOrigin(options.OriginAddress),
+		store:     platform.NewHTTPStore(options.StoreAddress),
+		peers:     platform.NewHTTPPeerStore(),
+		downlink:  newLinkLimiter(options.LinkBytesPerSecond, 1),
+		uplink:    newLinkLimiter(options.LinkBytesPerSecond, 1),
+		uploads:   make(chan struct{}, maximumUploads),
+		transfers: map[weights.Digest]*transfer{},
+		manifests: map[weights.Digest][]byte{},
+		staged:    map[weights.Digest]StagedVersion{},
+		early:     map[weights.Digest][]offer{},
+		received: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pinevane_weights_received_bytes_total",
+			Help: "Weight bytes received, by source (peer or origin).",
+		}, []string{"source"}),
+	}
+	base.Registry.MustRegister(controller.received)
+	base.Router.Post(offerPath, controller.handleOffer)
+	base.Router.Get("/v1/manifests/{digest}", controller.serveManifest)
+	base.Router.Get("/v1/chunks/{digest}", controller.serveChunk)
+	return controller
+}
+
+// transferBlock is the unit in which transfers are shaped, in bytes.
+const transferBlock = 16 << 10
+
+func newLinkLimiter(bytesPerSecond int64, share float64) *rate.Limiter {
+	if bytesPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, transferBlock)
+	}
+	return rate.NewLimiter(rate.Limit(float64(bytesPerSecond)*share), 4*transferBlock)
+}
+
+func (c *weightsController) run(ctx context.Context) {
+	changed := c.node.Board.Watch(ctx, node.SnapshotKey.Name(), node.MembersKey.Name())
+	for {
+		c.reconcile(ctx)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reconcile starts the transfers that the snapshot asks for, ends those that
+// it no longer names, and gives the others the newest membership list.
+func (c *weightsController) reconcile(ctx context.Context) {
+	snapshot, configured := blackboard.Read(c.node.Board, node.SnapshotKey)
+	members, listed := blackboard.Read(c.node.Board, node.MembersKey)
+	if !configured || !listed {
+		return
+	}
+	c.setLinkShare(snapshot.Rollout)
+	fleet := newFleet(members)
+	wanted := assignmentsFor(c.node.ID(), c.node.Zone(), c.options.ModelSlots, snapshot, fleet)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.fleet = fleet
+	digests := map[weights.Digest]bool{}
+	for _, assigned := range wanted {
+		digests[assigned.digest] = true
+		if existing, running := c.transfers[assigned.digest]; running {
+			existing.reassign(assigned)
+			continue
+		}
+		c.start(ctx, assigned)
+	}
+	for digest, existing := range c.transfers {
+		if !digests[digest] {
+			c.abandon(digest, existing)
+		}
+	}
+}
+
+func (c *weightsController) setLinkShare(rollout configuration.Rollout) {
+	if c.options.LinkBytesPerSecond <= 0 {
+		return
+	}
+	limit := rate.Limit(float64(c.options.LinkBytesPerSecond) * rollout.LinkShare)
+	c.downlink.SetLimit(limit)
+	c.uplink.SetLimit(limit)
+}
+
+// start begins a transfer; the mutex is held.
+func (c *weightsController) start(ctx context.Context, assigned assignment) {
+	c.node.Log.Log(logging.RolloutNoticed, zap.String("model", assigned.model.Name),
+		zap.String("version", assigned.model.Version), zap.Int("machines", len(assigned.machines)))
+	transferContext, cancel := context.WithCancel(ctx)
+	started := newTransfer(c, assigned, cancel)
+	c.transfers[assigned.digest] = started
+	go started.run(transferContext)
+}
+
+// abandon ends a transfer whose version is no longer wanted; chunks that the
+// next version shares stay in the store. The mutex is held.
+func (c *weightsController) abandon(digest weights.Digest, existing *transfer) {
+	existing.cancel()
+	delete(c.transfers, digest)
+	delete(c.staged, digest)
+	c.publishStaged()
+	if existing.missingChunks() > 0 {
+		c.node.Log.Log(logging.RolloutAborted, zap.String("manifest", string(digest)))
+	}
+}
+
+// publishStaged writes the staged versions to the blackboard; the mutex is held.
+func (c *weightsController) publishStaged() {
+	staged := make([]StagedVersion, 0, len(c.staged))
+	for _, version := range c.staged {
+		staged = append(staged, version)
+	}
+	slices.SortFunc(staged, func(a, b StagedVersion) int {
+		if a.Model < b.Model {
+			return -1
+		}
+		return 1
+	})
+	blackboard.Write(c.node.Board, StagedKey, staged)
+}
+
+// publishProgress writes the progress of all transfers to the blackboard.
+func (c *weightsController) publishProgress() {
+	c.mutex.Lock()
+	transfers := make([]*transfer, 0, len(c.transfers))
+	for _, existing := range c.transfers {
+		transfers = append(transfers, existing)
+	}
+	c.mutex.Unlock()
+	progress := make([]RolloutProgress, 0, len(transfers))
+	for _, existing := range transfers {
+		progress = append(progress, existing.progressNow())
+	}
+	blackboard.Write(c.node.Board, RolloutKey, progress)
+}
+
+// addressOf returns the address of a machine on the membership list.
+func (c *weightsController) addressOf(machine dissemination.MachineID) (string, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	member, known := c.fleet.machine[string(machine)]
+	return member.Address, known
+}
+
+// manifestKnown stores a verified manifest and hands over early offers.
+func (c *weightsController) manifestKnown(digest weights.Digest, data []byte) []offer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.manifests[digest] = data
+	early := c.early[digest]
+	delete(c.early, digest)
+	for _, pending := range early {
+		c.earlyCount -= len(pending.Chunks)
+	}
+	return early
+}
+
+func (c *weightsController) handleOffer(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maximumOfferBytes))
+	if err != nil {
+		http.Error(writer, "body too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	var incoming offer
+	if err := cbor.Unmarshal(body, &incoming); err != nil {
+		http.Error(writer, "not a valid offer", http.StatusBadRequest)
+		return
+	}
+	answer := offerAnswer{Held: c.takeOffer(incoming)}
+	data, err := cbor.Marshal(answer)
+	if err != nil {
+		http.Error(writer, "can't encode the answer", http.StatusInternalServerError)
+		return
+	}
+	c.node.Counters.CountRequest("weights", len(data), len(body))
+	_, _ = writer.Write(data)
+}
+
+// takeOffer gives an offer to its transfer, or keeps it until the manifest is
+// known, and returns the asked chunks that are held.
+func (c *weightsController) takeOffer(incoming offer) []int {
+	c.mutex.Lock()
+	existing, running := c.transfers[incoming.Manifest]
+	_, manifestHere := c.manifests[incoming.Manifest]
+	if !running || !manifestHere {
+		if c.earlyCount+len(incoming.Chunks) <= maximumEarlyOffers {
+			c.early[incoming.Manifest] = append(c.early[incoming.Manifest], incoming)
+			c.earlyCount += len(incoming.Chunks)
+		}
+		c.mutex.Unlock()
+		return nil
+	}
+	c.mutex.Unlock()
+	return existing.take(incoming)
+}
+
+func (c *weightsController) serveManifest(writer http.ResponseWriter, request *http.Request) {
+	c.mutex.Lock()
+	data, held := c.manifests[weights.Digest(chi.URLParam(request, "digest"))]
+	c.mutex.Unlock()
+	if !held {
+		http.Error(writer, "no such manifest", http.StatusNotFound)
+		return
+	}
+	_, _ = writer.Write(data)
+}
+
+// serveChunk streams a chunk from the store to a peer at the uplink's share.
+func (c *weightsController) serveChunk(writer http.ResponseWriter, request *http.Request) {
+	select {
+	case c.uploads <- struct{}{}:
+		defer func() { <-c.uploads }()
+	case <-request.Context().Done():
+		return
+	}
+	digest := weights.Digest(chi.URLParam(request, "digest"))
+	if !digest.Valid() {
+		http.Error(writer, "not a digest", http.StatusBadRequest)
+		return
+	}
+	content, err := c.store.Open(request.Context(), digest)
+	if err != nil {
+		http.Error(writer, "no such chunk", http.StatusNotFound)
+		return
+	}
+	defer func() { _ = content.Close() }()
+	shaped := &shapedReader{ctx: request.Context(), reader: content, limiter: c.uplink}
+	_, _ = io.CopyBuffer(struct{ io.Writer }{writer}, shaped, make([]byte, transferBlock))
+}
+
+// collectGarbage deletes chunks that no kept manifest names.
+func (c *weightsController) collectGarbage(ctx context.Context, kept []weights.Digest) {
+	wanted := map[weights.Digest]bool{}
+	c.mutex.Lock()
+	for digest := range c.transfers {
+		kept = append(kept, digest)
+	}
+	for digest, data := range c.manifests {
+		if !slices.Contains(kept, digest) {
+			delete(c.manifests, digest)
+			continue
+		}
+		manifest, err := weights.Parse(data)
+		if err != nil {
+			continue
+		}
+		for _, chunk := range manifest.Chunks {
+			wanted[chunk.Digest] = true
+		}
+	}
+	c.mutex.Unlock()
+	held, err := c.store.List(ctx)
+	if err != nil {
+		return
+	}
+	unwanted := slices.DeleteFunc(held, func(digest weights.Digest) bool { return wanted[digest] })
+	_ = c.store.Delete(ctx, unwanted)
+}
--- /dev/null
+++ b/internal/command/experiment.go
@@ -0,0 +1,3 @@
+package command
+
+type experimentCommand struct{}
--- /dev/null
+++ b/internal/configuration/schema.go
@@ -0,0 +1,75 @@
+package configuration
+
+import (
+	"bytes"
+	"embed"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema/*.json
+var schemaFiles embed.FS
+
+var compiledSchemas = sync.OnceValue(compileSchemas)
+
+// compileSchemas panics on a broken embedded schema, which is a build fault
+// that every test of this package would show.
+func compileSchemas() map[Kind]*jsonschema.Schema {
+	compiler := jsonschema.NewCompiler()
+	result := map[Kind]*jsonschema.Schema{}
+	for _, kind := range []Kind{KindModel, KindService, KindTenant, KindRollout} {
+		name := "schema/" + string(kind) + ".json"
+		data, err := schemaFiles.ReadFile(name)
+		if err != nil {
+			panic(err)
+		}
+		parsed, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+		if err != nil {
+			panic(err)
+		}
+		if err := compiler.AddResource(name, parsed); err != nil {
+			panic(err)
+		}
+		result[kind] = compiler.MustCompile(name)
+	}
+	return result
+}
+
+// matchesSchema reports each leaf violation of the kind's JSON schema.
+func (b *builder) matchesSchema(kind Kind, document string, data []byte) bool {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		b.found.add(document, "body", err.Error())
+		return false
+	}
+	err = compiledSchemas()[kind].Validate(value)
+	if err == nil {
+		return true
+	}
+	violation, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		b.found.add(document, "body", err.Error())
+		return false
+	}
+	b.addLeaves(document, violation)
+	return false
+}
+
+func (b *builder) addLeaves(document string, violation *jsonschema.ValidationError) {
+	if len(violation.Causes) > 0 {
+		for _, cause := range violation.Causes {
+			b.addLeaves(document, cause)
+		}
+		return
+	}
+	path := strings.Join(violation.InstanceLocation, ".")
+	if path == "" {
+		path = "body"
+	}
+	printer := message.NewPrinter(language.English)
+	b.found.add(document, path, violation.ErrorKind.LocalizedString(printer))
+}
--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,285 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"pinevane.example/pinevane/coordination/monotonic"
+	"pinevane.example/pinevane/internal/fault"
+)
+
+// Adapter is a small addition to a model's weights, chosen by request.
+type Adapter struct {
+	Name string `json:"name"`
+}
+
+// Model names one version of a model and where it is to be served.
+type Model struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	// Manifest is the BLAKE3 digest of the manifest, 64 hexadecimal digits.
+	Manifest string `json:"manifest"`
+	// ReplicasPerZone is how many machines of each zone serve the model.
+	ReplicasPerZone int       `json:"replicasPerZone"`
+	Adapters        []Adapter `json:"adapters,omitempty"`
+}
+
+// Service is a plain back end reached under /apps/{name}/.
+type Service struct {
+	Name string `json:"name"`
+	// Repeatable says whether calls may be run more than once.
+	Repeatable bool `json:"repeatable"`
+}
+
+// Tenant is a caller's account with its limits.
+type Tenant struct {
+	Name string `json:"name"`
+	// KeyDigests are the SHA-256 digests of the tenant's keys, in hexadecimal.
+	KeyDigests []string `json:"keyDigests"`
+	// Priority orders work at engines; higher goes first. 0 to 9.
+	Priority          int     `json:"priority"`
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	// TokensPerSecond limits generated tokens.
+	TokensPerSecond float64 `json:"tokensPerSecond"`
+	// Concurrency limits requests open at once.
+	Concurrency int      `json:"concurrency"`
+	Models      []string `json:"models,omitempty"`
+	Services    []string `json:"services,omitempty"`
+}
+
+// Rollout bounds the resources that carrying weights may take.
+type Rollout struct {
+	Name string `json:"name"`
+	// OriginCopies is how many copies of a model may be drawn from the origin.
+	OriginCopies float64 `json:"originCopies"`
+	// LinkShare is the part of a machine's link that weights may use, 0 to 1.
+	LinkShare float64 `json:"linkShare"`
+}
+
+// Snapshot is one configuration revision, checked whole. It is immutable.
+type Snapshot struct {
+	Version  monotonic.Version  `json:"version"`
+	Models   map[string]Model   `json:"models"`
+	Services map[string]Service `json:"services"`
+	Tenants  map[string]Tenant  `json:"tenants"`
+	Rollout  Rollout            `json:"rollout"`
+
+	// keyOwner maps a key digest to the name of its tenant.
+	keyOwner map[string]string
+}
+
+// TenantByKeyDigest returns the tenant that owns a key digest. Only digests are
+// compared, so that the time taken tells nothing of a key.
+func (s *Snapshot) TenantByKeyDigest(digest string) (Tenant, bool) {
+	tenant, known := s.Tenants[s.keyOwner[digest]]
+	return tenant, known
+}
+
+// DefaultRollout is in force when no rollout instance is published.
+var DefaultRollout = Rollout{Name: "default", OriginCopies: 4, LinkShare: 0.5}
+
+// Parse checks a whole set of documents, keyed by path, and renders them to a
+// Snapshot. The error is a *fault.InvalidConfiguration that lists every fault.
+func Parse(version monotonic.Version, documents map[string][]byte) (*Snapshot, error) {
+	found := &faults{}
+	templates, instances := parseAll(documents, found)
+	builder := newBuilder(version, found)
+	for _, instance := range instances {
+		builder.add(instance, templates)
+	}
+	builder.checkReferences()
+	if len(found.list) > 0 {
+		return nil, &fault.InvalidConfiguration{Faults: found.list}
+	}
+	builder.snapshot.keyOwner = builder.keyOwner
+	return builder.snapshot, nil
+}
+
+func parseAll(documents map[string][]byte, found *faults) (map[string]*Template, []*Instance) {
+	templates := map[string]*Template{}
+	var instances []*Instance
+	for _, key := range slices.Sorted(maps.Keys(documents)) {
+		template, instance := parseDocument(key, documents[key], found)
+		if template != nil {
+			if earlier, twice := templates[template.Template]; twice {
+				found.add(key, "template", "name is already used by "+earlier.document)
+				continue
+			}
+			templates[template.Template] = template
+		}
+		if instance != nil {
+			instances = append(instances, instance)
+		}
+	}
+	return templates, instances
+}
+
+type builder struct {
+	snapshot *Snapshot
+	found    *faults
+	// documentOf maps "kind/name" to the document that declared it.
+	documentOf map[string]string
+	keyOwner   map[string]string
+	hasRollout bool
+}
+
+func newBuilder(version monotonic.Version, found *faults) *builder {
+	return &builder{
+		snapshot: &Snapshot{
+			Version:  version,
+			Models:   map[string]Model{},
+			Services: map[string]Service{},
+			Tenants:  map[string]Tenant{},
+			Rollout:  DefaultRollout,
+		},
+		found:      found,
+		documentOf: map[string]string{},
+		keyOwner:   map[string]string{},
+	}
+}
+
+func (b *builder) add(instance *Instance, templates map[string]*Template) {
+	template, known := templates[instance.Template]
+	if !known {
+		b.found.add(instance.document, "from", "no template is named "+strconv.Quote(instance.Template))
+		return
+	}
+	body, ok := render(template, instance, b.found)
+	if !ok {
+		return
+	}
+	identity := string(template.Kind) + "/" + instance.Instance
+	if earlier, twice := b.documentOf[identity]; twice {
+		b.found.add(instance.document, "instance", "name is already used by "+earlier)
+		return
+	}
+	b.documentOf[identity] = instance.document
+	b.decode(template.Kind, instance, body)
+}
+
+// render fills a template's body with an instance's parameters.
+func render(template *Template, instance *Instance, found *faults) (map[string]any, bool) {
+	before := len(found.list)
+	values := map[string]any{}
+	for _, name := range slices.Sorted(maps.Keys(instance.Parameters)) {
+		parameter, declared := template.Parameters[name]
+		if !declared {
+			found.add(instance.document, "parameters."+name, "is not declared by template "+template.Template)
+			continue
+		}
+		if reason := parameter.reject(instance.Parameters[name]); reason != "" {
+			found.add(instance.document, "parameters."+name, reason)
+			continue
+		}
+		values[name] = instance.Parameters[name]
+	}
+	for _, name := range slices.Sorted(maps.Keys(template.Parameters)) {
+		if _, set := instance.Parameters[name]; set {
+			continue
+		}
+		if template.Parameters[name].Default == nil {
+			found.add(instance.document, "parameters."+name, "is required by template "+template.Template)
+			continue
+		}
+		values[name] = template.Parameters[name].Default
+	}
+	if len(found.list) > before {
+		return nil, false
+	}
+	body, _ := substitute(template.Body, values).(map[string]any)
+	return body, true
+}
+
+func (b *builder) decode(kind Kind, instance *Instance, body map[string]any) {
+	if body == nil {
+		body = map[string]any{}
+	}
+	body["name"] = instance.Instance
+	data, err := json.Marshal(body)
+	if err != nil {
+		b.found.add(instance.document, "body", err.Error())
+		return
+	}
+	if !b.matchesSchema(kind, instance.document, data) {
+		return
+	}
+	switch kind {
+	case KindModel:
+		decodeInto(b, instance, data, b.snapshot.Models)
+	case KindService:
+		decodeInto(b, instance, data, b.snapshot.Services)
+	case KindTenant:
+		decodeInto(b, instance, data, b.snapshot.Tenants)
+		b.checkKeys(instance)
+	case KindRollout:
+		b.decodeRollout(instance, data)
+	}
+}
+
+func decodeInto[T any](b *builder, instance *Instance, data []byte, into map[string]T) {
+	var value T
+	if err := json.Unmarshal(data, &value); err != nil {
+		b.found.add(instance.document, "body", err.Error())
+		return
+	}
+	into[instance.Instance] = value
+}
+
+func (b *builder) decodeRollout(instance *Instance, data []byte) {
+	if b.hasRollout {
+		b.found.add(instance.document, "instance", "only one rollout may be published")
+		return
+	}
+	b.hasRollout = true
+	if err := json.Unmarshal(data, &b.snapshot.Rollout); err != nil {
+		b.found.add(instance.document, "body", err.Error())
+	}
+}
+
+func (b *builder) checkKeys(instance *Instance) {
+	for _, digest := range b.snapshot.Tenants[instance.Instance].KeyDigests {
+		if owner, taken := b.keyOwner[digest]; taken {
+			b.found.add(instance.document, "keyDigests", "key is already used by tenant "+owner)
+		}
+		b.keyOwner[digest] = instance.Instance
+	}
+}
+
+// checkReferences reports tenants that name models or services nobody declares.
+func (b *builder) checkReferences() {
+	for _, name := range slices.Sorted(maps.Keys(b.snapshot.Tenants)) {
+		tenant := b.snapshot.Tenants[name]
+		document := b.documentOf["tenant/"+name]
+		for i, model := range tenant.Models {
+			if _, declared := b.snapshot.Models[model]; !declared {
+				b.found.add(document, fmt.Sprintf("models[%d]", i), "no model is named "+strconv.Quote(model))
+			}
+		}
+		for i, service := range tenant.Services {
+			if _, declared := b.snapshot.Services[service]; !declared {
+				b.found.add(document, fmt.Sprintf("services[%d]", i), "no service is named "+strconv.Quote(service))
+			}
+		}
+	}
+}
+
+func asNumber(value any) (float64, bool) {
+	switch number := value.(type) {
+	case int:
+		return float64(number), true
+	case int64:
+		return float64(number), true
+	case uint64:
+		return float64(number), true
+	case float64:
+		return number, true
+	}
+	return 0, false
+}
+
+func formatNumber(number float64) string {
+	return strconv.FormatFloat(number, 'g', -1, 64)
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,409 @@
+// Package demo runs a whole small fleet on one machine, as plain processes on
+// loopback addresses: it brings a first version live, answers requests, rolls a
+// second version out meanwhile, stops machines as planned, and checks from the
+// stand-ins' own records that the promises held.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/deployment"
+	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/launch"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/promise"
+	"pinevane.example/pinevane/internal/weights"
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// Options sets up a demo.
+type Options struct {
+	Executable   string
+	Directory    string
+	LogDirectory string
+	// Hold keeps the fleet up until Stop is closed.
+	Hold bool
+	Stop <-chan struct{}
+	// Output gets the progress and the report.
+	Output io.Writer
+}
+
+// Rates and times of the demo, in bytes a second and seconds.
+const (
+	linkRate     = 16 << 20
+	originRate   = 32 << 20
+	workers      = 24
+	steadyTime   = 4 * time.Second
+	readyTimeout = 45 * time.Second
+	liveTimeout  = 45 * time.Second
+	stopTimeout  = 30 * time.Second
+)
+
+// demo is one run.
+type demo struct {
+	options    Options
+	deployment *deployment.Deployment
+	snapshot   *configuration.Snapshot
+	fleet      *launch.Fleet
+	client     *workload.Client
+	recorder   *workload.Recorder
+	began      time.Time
+	model      string
+	versions   []weights.Synthetic
+	manifests  map[string]*weights.Manifest
+	// stopped holds the entries that callers no longer use.
+	stopped sync.Map
+}
+
+// Run runs the demo and returns a *fault.PromiseBroken when a promise did not
+// hold.
+func Run(options Options) error {
+	d, err := prepare(options)
+	if err != nil {
+		return err
+	}
+	defer d.fleet.Stop()
+	if err := d.bringUp(); err != nil {
+		return err
+	}
+	if options.Hold {
+		d.hold()
+		return nil
+	}
+	return d.perform()
+}
+
+func prepare(options Options) (*demo, error) {
+	described, err := deployment.Read(options.Directory)
+	if err != nil {
+		return nil, err
+	}
+	if len(described.Weights) < 2 {
+		return nil, &fault.InvalidDocument{Document: options.Directory, Path: "weights", Reason: "the demo needs two versions"}
+	}
+	snapshot, err := configuration.ParseDirectory(options.Directory)
+	if err != nil {
+		return nil, err
+	}
+	d := &demo{
+		options: options, deployment: described, snapshot: snapshot, recorder: &workload.Recorder{}, began: time.Now(),
+		model: described.Weights[0].Model, versions: described.Weights, manifests: map[string]*weights.Manifest{},
+	}
+	identities := workload.Identities{}
+	for _, synthetic := range described.Weights {
+		manifest := synthetic.Manifest()
+		identities.Add(manifest)
+		d.manifests[synthetic.Version] = manifest
+	}
+	d.client = workload.NewClient(identities)
+	d.fleet = launch.New(launch.Options{
+		Executable: options.Executable, Deployment: described, LogDirectory: options.LogDirectory,
+		LinkRate: linkRate, OriginRate: originRate,
+		AgentFlags: []string{"--retire-grace", "2s"},
+	})
+	return d, nil
+}
+
+func (d *demo) say(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(d.options.Output, "%6.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+func (d *demo) machines(role platform.Role, engines bool) []deployment.Machine {
+	var result []deployment.Machine
+	for _, machine := range d.fleet.Machines {
+		if machine.Role == role && (role == platform.RoleEntry || (machine.Service == "") == engines) {
+			result = append(result, machine)
+		}
+	}
+	return result
+}
+
+// bringUp starts the fleet and waits until the first version answers everywhere.
+func (d *demo) bringUp() error {
+	d.say("starting %d machines of %s", len(d.fleet.Machines), d.deployment.Name)
+	if err := d.fleet.Start(); err != nil {
+		return err
+	}
+	d.say("%d processes run; waiting for version %s", d.fleet.Count(), d.versions[0].Version)
+	if _, err := d.waitLive(d.versions[0].Version, time.Now()); err != nil {
+		return err
+	}
+	for _, machine := range d.machines(platform.RoleEntry, false) {
+		if err := launch.WaitFor(readyTimeout, machine.ID+" to be ready", func() bool { return d.entryReady(machine) }); err != nil {
+			return err
+		}
+	}
+	d.say("every entry is ready")
+	return nil
+}
+
+// entryReady reports whether an entry has a configuration and a link to every
+// back end of the fleet.
+func (d *demo) entryReady(machine deployment.Machine) bool {
+	dump, err := d.fleet.Dump(machine)
+	if err != nil || !dump.Ready {
+		return false
+	}
+	var views []struct {
+		Linked bool `json:"linked"`
+	}
+	if !dump.Entry("routing.replicas", &views) || len(views) < len(d.fleet.Machines)-len(d.machines(platform.RoleEntry, false)) {
+		return false
+	}
+	for _, view := range views {
+		if !view.Linked {
+			return false
+		}
+	}
+	return true
+}
+
+// waitLive waits until every engine serves a version and returns when each did,
+// counted from a moment.
+func (d *demo) waitLive(version string, from time.Time) ([]time.Duration, error) {
+	engines := d.machines(platform.RoleAgent, true)
+	live := map[string]time.Duration{}
+	reported := 0
+	err := launch.WaitFor(liveTimeout, "version "+version+" to be live on every replica", func() bool {
+		for _, machine := range engines {
+			if _, done := live[machine.ID]; done {
+				continue
+			}
+			if dump, err := d.fleet.Dump(machine); err == nil && dump.Serves(d.model, version) {
+				live[machine.ID] = time.Since(from)
+			}
+		}
+		if len(live) != reported {
+			reported = len(live)
+			d.say("version %s is live on %d of %d replicas", version, reported, len(engines))
+		}
+		return len(live) == len(engines)
+	})
+	times := make([]time.Duration, 0, len(live))
+	for _, after := range live {
+		times = append(times, after)
+	}
+	slices.Sort(times)
+	return times, err
+}
+
+func (d *demo) hold() {
+	entries := d.machines(platform.RoleEntry, false)
+	tenant := d.tenants()[0]
+	_, _ = fmt.Fprintf(d.options.Output, `
+The fleet is up. Try:
+
+  curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' -d '{"model":"%[3]s","messages":[{"role":"user","content":"hello"}],"max_tokens":16}'
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' -d '{"model":"%[3]s","messages":[{"role":"user","content":"hello"}],"max_tokens":16,"stream":true}'
+
+address: %[1]s
+key: %[2]s
+state dump: pinevane dump %[4]s
+
+Interrupt to stop.
+`, entries[0].Address, deployment.DemoKey(tenant), d.model, entries[0].AdminAddress())
+	<-d.options.Stop
+	d.say("stopping")
+	d.stopAll()
+}
+
+// stopAll stops every process as planned: entries first, then agents.
+func (d *demo) stopAll() {
+	for _, role := range []platform.Role{platform.RoleEntry, platform.RoleAgent} {
+		for _, machine := range d.fleet.Machines {
+			if machine.Role == role {
+				_ = d.fleet.Signal(machine.ID, syscall.SIGTERM)
+			}
+		}
+		for _, machine := range d.fleet.Machines {
+			if machine.Role == role {
+				d.fleet.WaitExit(machine.ID, stopTimeout)
+			}
+		}
+	}
+}
+
+// perform runs the load through a rollout and a planned stop, and reports.
+func (d *demo) perform() error {
+	before, err := d.originBytes()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	load := d.startLoad(ctx)
+	time.Sleep(steadyTime)
+	d.say("%d requests answered on version %s", workload.Summarize(d.recorder.Results()).Answered, d.versions[0].Version)
+	times, err := d.rollOut(d.versions[1])
+	if err != nil {
+		return err
+	}
+	after, err := d.originBytes()
+	if err != nil {
+		return err
+	}
+	if err := d.plannedStops(); err != nil {
+		return err
+	}
+	time.Sleep(steadyTime / 2)
+	cancel()
+	load.Wait()
+	return d.report(times, after-before)
+}
+
+func (d *demo) rollOut(next weights.Synthetic) ([]time.Duration, error) {
+	_, digest, err := d.manifests[next.Version].Encode()
+	if err != nil {
+		return nil, err
+	}
+	documents, err := d.fleet.ModelDocument(d.model, next.Version, string(digest))
+	if err != nil {
+		return nil, err
+	}
+	d.say("publishing version %s: %.1f MB in %d chunks, %.0f MB/s a link, %.0f MB/s at the origin", next.Version,
+		megabytes(next.Bytes), next.ChunkCount(), megabytes(linkRate), megabytes(originRate))
+	published := time.Now()
+	if err := d.fleet.Publish(documents); err != nil {
+		return nil, err
+	}
+	return d.waitLive(next.Version, published)
+}
+
+// plannedStops stops an agent and an entry under load.
+func (d *demo) plannedStops() error {
+	agent := d.machines(platform.RoleAgent, true)[0]
+	entry := d.machines(platform.RoleEntry, false)[0]
+	d.say("planned stop of agent %s and entry %s", agent.ID, entry.ID)
+	// The balancer stops sending to an entry that is not ready.
+	d.stopped.Store(entry.Address, true)
+	for _, machine := range []deployment.Machine{agent, entry} {
+		if err := d.fleet.Signal(machine.ID, syscall.SIGTERM); err != nil {
+			return err
+		}
+	}
+	for _, machine := range []deployment.Machine{agent, entry} {
+		if !d.fleet.WaitExit(machine.ID, stopTimeout) {
+			return &fault.Timeout{Waiting: "planned stop of " + machine.ID, After: stopTimeout}
+		}
+	}
+	d.say("both have finished their open work and ended")
+	return nil
+}
+
+func (d *demo) originBytes() (int64, error) {
+	var record emulator.OriginRecord
+	err := d.fleet.Get(context.Background(), "http://"+d.fleet.PlatformAddress()+"/records", &record)
+	return record.DrawnBytes, err
+}
+
+// startLoad runs callers against every entry until the context ends; requests
+// under way then are finished.
+func (d *demo) startLoad(ctx context.Context) *sync.WaitGroup {
+	var load sync.WaitGroup
+	var sequence atomic.Int64
+	for worker := range workers {
+		load.Go(func() {
+			generator := rand.New(rand.NewPCG(uint64(worker), 1))
+			for ctx.Err() == nil {
+				request := d.nextRequest(generator, sequence.Add(1))
+				d.recorder.Add(d.client.Do(context.Background(), d.pickEntry(generator), request))
+			}
+		})
+	}
+	return &load
+}
+
+func (d *demo) pickEntry(generator *rand.Rand) string {
+	entries := d.machines(platform.RoleEntry, false)
+	for {
+		address := entries[generator.IntN(len(entries))].Address
+		if _, stopped := d.stopped.Load(address); !stopped {
+			return address
+		}
+	}
+}
+
+// report prints what happened and checks the promises.
+func (d *demo) report(times []time.Duration, originBytes int64) error {
+	results := d.recorder.Results()
+	summary := workload.Summarize(results)
+	calls, generations, err := d.records()
+	if err != nil {
+		return err
+	}
+	violations := promise.Judge(results, calls, generations)
+	for _, result := range results {
+		if !result.Answered && result.Execution == fault.ExecutionUnknown {
+			violations = append(violations, promise.Violation{
+				Promise: promise.PlannedStopCutsNothing, Request: result.ID, Detail: "ended as " + string(result.Reason),
+			})
+		}
+	}
+	next := d.versions[1]
+	lowerBound := float64(next.Bytes) / (linkRate * d.linkShare())
+	out := d.options.Output
+	_, _ = fmt.Fprintf(out, "\nrollout of %s %s to %d replicas\n", d.model, next.Version, len(times))
+	_, _ = fmt.Fprintf(out, "  time until live: first %.2f s, half %.2f s, all %.2f s (a link needs %.2f s for one copy)\n",
+		times[0].Seconds(), times[len(times)/2].Seconds(), times[len(times)-1].Seconds(), lowerBound)
+	_, _ = fmt.Fprintf(out, "  origin: %.1f MB drawn, %.2f copies\n", megabytes(originBytes), float64(originBytes)/float64(next.Bytes))
+	_, _ = fmt.Fprintf(out, "requests: %d, answered %d, not-run %d, unknown %d, wrong %d\n",
+		summary.Requests, summary.Answered, summary.NotRun, summary.Unknown, summary.Wrong)
+	for _, version := range []string{d.versions[0].Version, next.Version} {
+		_, _ = fmt.Fprintf(out, "  answers by version %s: %d\n", version, summary.Versions[version])
+	}
+	for reason, count := range summary.Reasons {
+		_, _ = fmt.Fprintf(out, "  refused as %s: %d\n", reason, count)
+	}
+	_, _ = fmt.Fprintf(out, "promises checked from the stand-ins' records: %d violations\n", len(violations))
+	for _, violation := range violations[:min(len(violations), 10)] {
+		_, _ = fmt.Fprintf(out, "  %s: request %s: %s\n", violation.Promise, violation.Request, violation.Detail)
+	}
+	if len(violations) > 0 {
+		return &fault.PromiseBroken{Promise: string(violations[0].Promise), Detail: violations[0].Detail}
+	}
+	if summary.Versions[d.versions[0].Version] == 0 || summary.Versions[next.Version] == 0 {
+		return &fault.PromiseBroken{Promise: "rollout", Detail: "a version answered no request"}
+	}
+	return nil
+}
+
+func megabytes[T int64 | int](bytes T) float64 { return float64(bytes) / (1 << 20) }
+
+// records reads how often each back end ran each request.
+func (d *demo) records() (calls, generations promise.Runs, err error) {
+	calls, generations = promise.Runs{}, promise.Runs{}
+	for _, machine := range d.fleet.Machines {
+		if machine.Role != platform.RoleAgent {
+			continue
+		}
+		url := "http://" + machine.BackEndAddress() + "/records"
+		if machine.Service != "" {
+			var runs map[string]int
+			if err := d.fleet.Get(context.Background(), url, &runs); err != nil {
+				return nil, nil, err
+			}
+			for id, count := range runs {
+				calls[id] += count
+			}
+			continue
+		}
+		var started []emulator.GenerationRecord
+		if err := d.fleet.Get(context.Background(), url, &started); err != nil {
+			return nil, nil, err
+		}
+		for _, record := range started {
+			generations[record.ID]++
+		}
+	}
+	return calls, generations, nil
+}
--- /dev/null
+++ b/internal/demo/requests.go
@@ -0,0 +1,62 @@
+package demo
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/deployment"
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// Shapes of the demo's requests.
+const (
+	shortTokens = 24
+	longTokens  = 160
+	// longShare, wholeShare and callShare are shares of the requests.
+	longShare  = 0.1
+	wholeShare = 0.3
+	callShare  = 0.4
+)
+
+func (d *demo) linkShare() float64 { return d.snapshot.Rollout.LinkShare }
+
+func (d *demo) tenants() []string { return slices.Sorted(maps.Keys(d.snapshot.Tenants)) }
+
+// nextRequest draws a request of some tenant: short and long streams, whole
+// answers, and calls of plain services.
+func (d *demo) nextRequest(generator *rand.Rand, sequence int64) workload.Request {
+	names := d.tenants()
+	tenant := d.snapshot.Tenants[names[generator.IntN(len(names))]]
+	request := workload.Request{
+		Kind: workload.KindStream, Key: deployment.DemoKey(tenant.Name), Model: d.model,
+		Prompt: fmt.Sprintf("request %d", sequence), MaximumTokens: shortTokens,
+	}
+	draw := generator.Float64()
+	switch {
+	case draw < callShare && len(tenant.Services) > 0:
+		return d.serviceCall(generator, tenant, request)
+	case draw < callShare+wholeShare:
+		request.Kind = workload.KindWhole
+	case draw < callShare+wholeShare+longShare:
+		request.MaximumTokens = longTokens
+	}
+	if adapters := d.snapshot.Models[d.model].Adapters; len(adapters) > 0 && generator.IntN(3) == 0 {
+		request.Adapter = adapters[generator.IntN(len(adapters))].Name
+	}
+	return request
+}
+
+func (d *demo) serviceCall(generator *rand.Rand, tenant configuration.Tenant, request workload.Request) workload.Request {
+	request.Kind = workload.KindCall
+	request.Service = tenant.Services[generator.IntN(len(tenant.Services))]
+	request.Path = "/items"
+	request.Body = request.Prompt
+	request.NotRepeatable = !d.snapshot.Services[request.Service].Repeatable
+	if request.NotRepeatable && generator.IntN(2) == 0 {
+		request.CallerKey = request.Prompt
+	}
+	return request
+}
--- /dev/null
+++ b/internal/emulator/engine.go
@@ -0,0 +1,431 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/weights"
+)
+
+// EngineOptions is the timing and size model of the stand-in engine.
+type EngineOptions struct {
+	// FirstToken is the prefill time of a prompt that is not in the prefix cache.
+	FirstToken time.Duration
+	// BetweenTokens is the time of one decoding step with a single sequence.
+	BetweenTokens time.Duration
+	// BatchSlowdown lengthens a step by this share for each further sequence.
+	BatchSlowdown float64
+	// MaximumBatch is how many sequences decode together; others wait.
+	MaximumBatch int
+	// LoadTime is the time to load one version.
+	LoadTime time.Duration
+	// CheckFences makes the engine refuse orders with a fence that is not higher
+	// than the last.
+	CheckFences bool
+	// ReportLag is how old the load figures of a status are.
+	ReportLag time.Duration
+	// PrefixCacheEntries is how many prompt prefixes the cache holds.
+	PrefixCacheEntries int
+}
+
+// DefaultEngineOptions returns the model used by the demo.
+func DefaultEngineOptions() EngineOptions {
+	return EngineOptions{
+		FirstToken:         40 * time.Millisecond,
+		BetweenTokens:      8 * time.Millisecond,
+		BatchSlowdown:      0.02,
+		MaximumBatch:       32,
+		LoadTime:           300 * time.Millisecond,
+		CheckFences:        true,
+		ReportLag:          500 * time.Millisecond,
+		PrefixCacheEntries: 256,
+	}
+}
+
+type loadedWeights struct {
+	version  platform.LoadedVersion
+	identity weights.Digest
+}
+
+// sequence is one request in the engine.
+type sequence struct {
+	ctx        context.Context
+	generation platform.Generation
+	weights    loadedWeights
+	next       int
+	// skipSteps is how many steps the prefill still takes.
+	prefill time.Duration
+	events  chan platform.GenerationEvent
+}
+
+// Engine is the stand-in of a model engine with continuous batching.
+type Engine struct {
+	options EngineOptions
+	store   *Store
+	faults  faultState
+
+	mutex       sync.Mutex
+	incarnation uint64
+	fence       platform.Fence
+	loaded      []loadedWeights
+	waiting     []*sequence
+	running     []*sequence
+	stepping    bool
+	cache       prefixCache
+	reported    platform.EngineStatus
+	reportedAt  time.Time
+	records     []GenerationRecord
+	orders      []OrderRecord
+}
+
+// GenerationRecord is the engine's own note of a request that it started.
+type GenerationRecord struct {
+	ID      string `json:"id"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	// ResumeFrom is the position the engine started at.
+	ResumeFrom int       `json:"resume_from"`
+	Started    time.Time `json:"started"`
+}
+
+// OrderRecord is the engine's own note of an order.
+type OrderRecord struct {
+	Order    platform.Order `json:"order"`
+	Accepted bool           `json:"accepted"`
+	At       time.Time      `json:"at"`
+}
+
+// maximumRecords bounds the records of a stand-in.
+const maximumRecords = 1 << 20
+
+// NewEngine returns an engine that loads weights from a store.
+func NewEngine(options EngineOptions, store *Store) *Engine {
+	return &Engine{
+		options:     options,
+		store:       store,
+		incarnation: uint64(time.Now().UnixNano()),
+		cache:       newPrefixCache(options.PrefixCacheEntries),
+	}
+}
+
+// Restart drops what is loaded and every request, as a crash would.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.incarnation++
+	e.loaded = nil
+	e.fence = platform.Fence{}
+	for _, open := range slices.Concat(e.running, e.waiting) {
+		close(open.events)
+	}
+	e.running, e.waiting = nil, nil
+}
+
+// Handler serves the engine and its machine's store.
+func (e *Engine) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(e.faults.refuseWhenDown)
+	e.faults.mount(router)
+	e.store.mount(router)
+	router.Get("/v1/status", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, e.Status()) })
+	router.Post("/v1/orders", e.order)
+	router.Post("/v1/generate", e.generate)
+	router.Post("/restart", func(writer http.ResponseWriter, _ *http.Request) {
+		e.Restart()
+		writer.WriteHeader(http.StatusNoContent)
+	})
+	router.Get("/records", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, e.Records())
+	})
+	router.Get("/orders", func(writer http.ResponseWriter, _ *http.Request) {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		writeJSON(writer, e.orders)
+	})
+	return router
+}
+
+// Records returns a copy of the engine's own records.
+func (e *Engine) Records() []GenerationRecord {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.records)
+}
+
+// Status returns the loaded versions as they are and the load with its lag.
+func (e *Engine) Status() platform.EngineStatus {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if now := time.Now(); now.Sub(e.reportedAt) >= e.options.ReportLag {
+		e.reported = platform.EngineStatus{Running: len(e.running), Waiting: len(e.waiting)}
+		e.reportedAt = now
+	}
+	status := e.reported
+	status.Incarnation = e.incarnation
+	status.Loaded = make([]platform.LoadedVersion, 0, len(e.loaded))
+	for _, loaded := range e.loaded {
+		status.Loaded = append(status.Loaded, loaded.version)
+	}
+	return status
+}
+
+// Give carries out an order.
+func (e *Engine) Give(order platform.Order) error {
+	err := e.accept(order)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if len(e.orders) < maximumRecords {
+		e.orders = append(e.orders, OrderRecord{Order: order, Accepted: err == nil, At: time.Now()})
+	}
+	return err
+}
+
+func (e *Engine) accept(order platform.Order) error {
+	if reason := e.checkFence(order.Fence); reason != "" {
+		return &fault.OrderRejected{Action: string(order.Action), Reason: reason}
+	}
+	switch order.Action {
+	case platform.ActionLoad:
+		return e.load(order)
+	case platform.ActionUnload:
+		e.unload(order)
+		return nil
+	}
+	return &fault.OrderRejected{Action: string(order.Action), Reason: "unknown action"}
+}
+
+func (e *Engine) checkFence(fence platform.Fence) string {
+	if !e.options.CheckFences {
+		return ""
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if fence.Compare(e.fence) <= 0 {
+		return "fence is not higher than the last"
+	}
+	e.fence = fence
+	return ""
+}
+
+// load reads the chunks as the store holds them, without checking them: that
+// is the agent's duty, and a failure shows in the answers.
+func (e *Engine) load(order platform.Order) error {
+	if refused := e.faults.get().RefusedVersion; refused != "" && refused == order.Version {
+		return &fault.OrderRejected{Action: string(order.Action), Reason: "engine can't run version " + order.Version}
+	}
+	contents := make([]weights.Digest, 0, len(order.Chunks))
+	for _, digest := range order.Chunks {
+		content, held := e.store.Content(digest)
+		if !held {
+			return &fault.OrderRejected{Action: string(order.Action), Reason: "store lacks chunk " + string(digest)}
+		}
+		contents = append(contents, weights.Sum(content))
+	}
+	time.Sleep(e.options.LoadTime)
+	version := platform.LoadedVersion{Model: order.Model, Version: order.Version, Adapters: order.Adapters}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.removeLoaded(order.Model, order.Version)
+	e.loaded = append(e.loaded, loadedWeights{version: version, identity: weights.Identity(contents)})
+	return nil
+}
+
+func (e *Engine) unload(order platform.Order) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.removeLoaded(order.Model, order.Version)
+}
+
+func (e *Engine) removeLoaded(model, version string) {
+	e.loaded = slices.DeleteFunc(e.loaded, func(loaded loadedWeights) bool {
+		return loaded.version.Model == model && loaded.version.Version == version
+	})
+}
+
+func (e *Engine) order(writer http.ResponseWriter, request *http.Request) {
+	var order platform.Order
+	if !readJSON(writer, request, &order) {
+		return
+	}
+	if err := e.Give(order); err != nil {
+		http.Error(writer, err.Error(), http.StatusConflict)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) generate(writer http.ResponseWriter, request *http.Request) {
+	var generation platform.Generation
+	if !readJSON(writer, request, &generation) {
+		return
+	}
+	if e.faults.get().Stalled {
+		<-request.Context().Done()
+		return
+	}
+	events, ok := e.Submit(request.Context(), generation)
+	if !ok {
+		http.Error(writer, "version is not loaded", http.StatusConflict)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(writer)
+	flusher := http.NewResponseController(writer)
+	for event := range events {
+		if e.faults.get().Stalled {
+			<-request.Context().Done()
+			return
+		}
+		if encoder.Encode(event) != nil || flusher.Flush() != nil {
+			return
+		}
+	}
+}
+
+// Submit queues a request; the channel closes after the last event, or early
+// when the engine restarts. The bool is false when the version is not loaded.
+func (e *Engine) Submit(ctx context.Context, generation platform.Generation) (<-chan platform.GenerationEvent, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	index := slices.IndexFunc(e.loaded, func(loaded loadedWeights) bool {
+		return loaded.version.Model == generation.Model && loaded.version.Version == generation.Version
+	})
+	if index < 0 {
+		return nil, false
+	}
+	generation.MaximumTokens = min(generation.MaximumTokens, naturalTokens)
+	queued := &sequence{
+		ctx:        ctx,
+		generation: generation,
+		weights:    e.loaded[index],
+		next:       generation.ResumeFrom,
+		events:     make(chan platform.GenerationEvent, max(0, generation.MaximumTokens-generation.ResumeFrom)+2),
+	}
+	if len(e.records) < maximumRecords {
+		e.records = append(e.records, GenerationRecord{
+			ID: generation.ID, Model: generation.Model, Version: generation.Version,
+			ResumeFrom: generation.ResumeFrom, Started: time.Now(),
+		})
+	}
+	e.enqueue(queued)
+	if !e.stepping {
+		e.stepping = true
+		go e.decode()
+	}
+	return queued.events, true
+}
+
+// enqueue keeps the queue in order of priority, first come first within one.
+func (e *Engine) enqueue(queued *sequence) {
+	position := len(e.waiting)
+	for position > 0 && e.waiting[position-1].generation.Priority < queued.generation.Priority {
+		position--
+	}
+	e.waiting = slices.Insert(e.waiting, position, queued)
+}
+
+// decode runs steps until nothing is left to do.
+func (e *Engine) decode() {
+	for {
+		pause, busy := e.beginStep()
+		if !busy {
+			return
+		}
+		time.Sleep(pause)
+		e.endStep(pause)
+	}
+}
+
+func (e *Engine) beginStep() (time.Duration, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for len(e.waiting) > 0 && len(e.running) < e.options.MaximumBatch {
+		admitted := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		admitted.prefill = e.options.FirstToken
+		if e.cache.touch(admitted.generation.Prompt) {
+			admitted.prefill /= 4
+		}
+		e.running = append(e.running, admitted)
+	}
+	if len(e.running) == 0 {
+		e.stepping = false
+		return 0, false
+	}
+	slowdown := 1 + e.options.BatchSlowdown*float64(len(e.running)-1)
+	return time.Duration(float64(e.options.BetweenTokens) * slowdown), true
+}
+
+func (e *Engine) endStep(elapsed time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	kept := e.running[:0]
+	for _, active := range e.running {
+		if e.advance(active, elapsed) {
+			kept = append(kept, active)
+		} else {
+			close(active.events)
+		}
+	}
+	e.running = kept
+}
+
+// advance gives a sequence its next token and reports whether it goes on.
+func (e *Engine) advance(active *sequence, elapsed time.Duration) bool {
+	if active.ctx.Err() != nil {
+		return false
+	}
+	if active.prefill > 0 {
+		active.prefill -= elapsed
+		return true
+	}
+	event := platform.GenerationEvent{Index: active.next, Version: active.weights.version.Version, Incarnation: e.incarnation}
+	if active.next >= active.generation.MaximumTokens {
+		event.Finish = platform.FinishLength
+		active.events <- event
+		return false
+	}
+	event.Token = Token(active.weights.identity, active.generation.Adapter, active.generation.Prompt, active.next)
+	active.next++
+	if active.next >= active.generation.MaximumTokens {
+		active.events <- event
+		active.events <- platform.GenerationEvent{Index: active.next, Finish: platform.FinishLength, Version: event.Version, Incarnation: event.Incarnation}
+		return false
+	}
+	active.events <- event
+	return true
+}
+
+// prefixCache remembers the most recently used prompt prefixes.
+type prefixCache struct {
+	limit  int
+	recent []string
+}
+
+// cachedPrefixBytes is how much of a prompt counts as its prefix.
+const cachedPrefixBytes = 64
+
+func newPrefixCache(limit int) prefixCache { return prefixCache{limit: limit} }
+
+// touch records a prompt and reports whether its prefix was held.
+func (c *prefixCache) touch(prompt string) bool {
+	prefix := prompt[:min(len(prompt), cachedPrefixBytes)]
+	position := slices.Index(c.recent, prefix)
+	held := position >= 0
+	if held {
+		c.recent = slices.Delete(c.recent, position, position+1)
+	}
+	c.recent = append(c.recent, prefix)
+	if len(c.recent) > c.limit {
+		c.recent = slices.Delete(c.recent, 0, len(c.recent)-c.limit)
+	}
+	return held
+}
--- /dev/null
+++ b/internal/emulator/origin.go
@@ -0,0 +1,243 @@
+package emulator
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/weights"
+)
+
+// writeBlock is how many bytes a shaped transfer writes at a time.
+const writeBlock = 16 << 10
+
+// Shaper limits the bytes a second of one link; a zero rate means no limit.
+type Shaper struct{ limiter *rate.Limiter }
+
+// NewShaper returns a shaper of bytes a second.
+func NewShaper(bytesPerSecond int64) *Shaper {
+	if bytesPerSecond <= 0 {
+		return &Shaper{limiter: rate.NewLimiter(rate.Inf, 0)}
+	}
+	return &Shaper{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), 4*writeBlock)}
+}
+
+// write sends content at the shaped rate; stallAt is the byte at which the
+// transfer hangs until the caller leaves, or a negative number.
+func (s *Shaper) write(writer http.ResponseWriter, request *http.Request, content []byte, stallAt int) {
+	for offset := 0; offset < len(content); offset += writeBlock {
+		if stallAt >= 0 && offset >= stallAt {
+			<-request.Context().Done()
+			return
+		}
+		block := content[offset:min(offset+writeBlock, len(content))]
+		if err := s.limiter.WaitN(request.Context(), len(block)); err != nil {
+			return
+		}
+		if _, err := writer.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// Origin is the stand-in of the weight origin. It makes up the weights it is
+// told of and counts the bytes drawn from it.
+type Origin struct {
+	faults faultState
+	shaper *Shaper
+	drawn  atomic.Int64
+
+	mutex     sync.RWMutex
+	manifests map[weights.Digest][]byte
+	chunks    map[weights.Digest]chunkSource
+}
+
+type chunkSource struct {
+	synthetic weights.Synthetic
+	index     int
+}
+
+// NewOrigin returns an origin with a link of bytes a second.
+func NewOrigin(bytesPerSecond int64) *Origin {
+	return &Origin{
+		shaper:    NewShaper(bytesPerSecond),
+		manifests: map[weights.Digest][]byte{},
+		chunks:    map[weights.Digest]chunkSource{},
+	}
+}
+
+// Add publishes made-up weights and returns their manifest and its digest.
+func (o *Origin) Add(synthetic weights.Synthetic) (*weights.Manifest, weights.Digest, error) {
+	manifest := synthetic.Manifest()
+	data, digest, err := manifest.Encode()
+	if err != nil {
+		return nil, "", err
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.manifests[digest] = data
+	for index, chunk := range manifest.Chunks {
+		o.chunks[chunk.Digest] = chunkSource{synthetic: synthetic, index: index}
+	}
+	return manifest, digest, nil
+}
+
+// Drawn returns how many chunk bytes were drawn from the origin.
+func (o *Origin) Drawn() int64 { return o.drawn.Load() }
+
+// OriginRecord is the origin's own count.
+type OriginRecord struct {
+	// DrawnBytes counts chunk bytes that left the origin, cut transfers included.
+	DrawnBytes int64 `json:"drawn_bytes"`
+}
+
+// Handler serves the origin.
+func (o *Origin) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(o.faults.refuseWhenDown)
+	o.faults.mount(router)
+	router.Get("/records", func(writer http.ResponseWriter, _ *http.Request) {
+		writeJSON(writer, OriginRecord{DrawnBytes: o.Drawn()})
+	})
+	router.Get("/v1/manifests/{digest}", o.manifest)
+	router.Get("/v1/chunks/{digest}", o.chunk)
+	return router
+}
+
+func (o *Origin) manifest(writer http.ResponseWriter, request *http.Request) {
+	o.mutex.RLock()
+	data, held := o.manifests[weights.Digest(chi.URLParam(request, "digest"))]
+	o.mutex.RUnlock()
+	if !held {
+		http.Error(writer, "no such manifest", http.StatusNotFound)
+		return
+	}
+	_, _ = writer.Write(data)
+}
+
+func (o *Origin) chunk(writer http.ResponseWriter, request *http.Request) {
+	o.mutex.RLock()
+	source, held := o.chunks[weights.Digest(chi.URLParam(request, "digest"))]
+	o.mutex.RUnlock()
+	if !held {
+		http.Error(writer, "no such chunk", http.StatusNotFound)
+		return
+	}
+	faults := o.faults.get()
+	content := source.synthetic.Content(source.index)
+	corruptShare(content, faults.CorruptShare)
+	stallAt := -1
+	if faults.Stalled {
+		stallAt = len(content) / 2
+	}
+	counted := &countingWriter{ResponseWriter: writer, count: &o.drawn}
+	o.shaper.write(counted, request, content, stallAt)
+}
+
+func corruptShare(content []byte, share float64) {
+	if share > 0 && rand.Float64() < share {
+		content[len(content)/2] ^= 0xff
+	}
+}
+
+type countingWriter struct {
+	http.ResponseWriter
+	count *atomic.Int64
+}
+
+func (w *countingWriter) Write(data []byte) (int, error) {
+	written, err := w.ResponseWriter.Write(data)
+	w.count.Add(int64(written))
+	return written, err
+}
+
+// Store is the stand-in of a machine's weight store, held in memory.
+type Store struct {
+	shaper *Shaper
+
+	mutex  sync.RWMutex
+	chunks map[weights.Digest][]byte
+}
+
+// NewStore returns a store that takes bytes a second in writes.
+func NewStore(bytesPerSecond int64) *Store {
+	return &Store{shaper: NewShaper(bytesPerSecond), chunks: map[weights.Digest][]byte{}}
+}
+
+// Content returns a held chunk.
+func (s *Store) Content(digest weights.Digest) ([]byte, bool) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	content, held := s.chunks[digest]
+	return content, held
+}
+
+// Wipe drops every chunk, as when the machine is replaced.
+func (s *Store) Wipe() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.chunks = map[weights.Digest][]byte{}
+}
+
+func (s *Store) list() []weights.Digest {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	digests := make([]weights.Digest, 0, len(s.chunks))
+	for digest := range s.chunks {
+		digests = append(digests, digest)
+	}
+	return digests
+}
+
+func (s *Store) mount(router chi.Router) {
+	router.Get("/v1/chunks", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, s.list()) })
+	router.Put("/v1/chunks/{digest}", s.put)
+	router.Get("/v1/chunks/{digest}", s.get)
+	router.Delete("/v1/chunks/{digest}", func(writer http.ResponseWriter, request *http.Request) {
+		s.mutex.Lock()
+		delete(s.chunks, weights.Digest(chi.URLParam(request, "digest")))
+		s.mutex.Unlock()
+		writer.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// put stores a body that ended properly; a cut body is discarded.
+func (s *Store) put(writer http.ResponseWriter, request *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, weights.MaximumChunkBytes))
+	if err != nil {
+		http.Error(writer, "body was cut", http.StatusBadRequest)
+		return
+	}
+	if err := s.waitToStore(request, len(content)); err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	s.mutex.Lock()
+	s.chunks[weights.Digest(chi.URLParam(request, "digest"))] = content
+	s.mutex.Unlock()
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) waitToStore(request *http.Request, size int) error {
+	for remaining := size; remaining > 0; remaining -= writeBlock {
+		if err := s.shaper.limiter.WaitN(request.Context(), min(remaining, writeBlock)); err != nil {
+			return &fault.Unavailable{Target: "weight store", Operation: "put", Cause: err}
+		}
+	}
+	return nil
+}
+
+func (s *Store) get(writer http.ResponseWriter, request *http.Request) {
+	content, held := s.Content(weights.Digest(chi.URLParam(request, "digest")))
+	if !held {
+		http.Error(writer, "no such chunk", http.StatusNotFound)
+		return
+	}
+	_, _ = writer.Write(content)
+}
--- /dev/null
+++ b/internal/emulator/publication.go
@@ -0,0 +1,189 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"pinevane.example/pinevane/coordination/monotonic"
+)
+
+// PublicationLimit is how many calls a second the configuration service takes,
+// a waiting watch counting as one.
+const PublicationLimit = 2000
+
+// Publication is the stand-in of a published set of documents: the
+// configuration service, or the membership list with a lag.
+type Publication struct {
+	faults  faultState
+	lag     time.Duration
+	limiter *rate.Limiter
+	calls   atomic.Int64
+	refused atomic.Int64
+
+	mutex   sync.Mutex
+	feed    *monotonic.Feed
+	visible *monotonic.Feed
+	changed chan struct{}
+}
+
+// NewPublication returns an empty publication of an epoch. Changes become
+// visible to readers after the lag.
+func NewPublication(epoch uint64, lag time.Duration) *Publication {
+	publication := &Publication{
+		lag:     lag,
+		limiter: rate.NewLimiter(PublicationLimit, PublicationLimit),
+		feed:    monotonic.NewFeed(),
+		visible: monotonic.NewFeed(),
+		changed: make(chan struct{}),
+	}
+	publication.feed.Apply(monotonic.Update{Version: monotonic.Version{Epoch: epoch}})
+	return publication
+}
+
+// Change publishes changed and removed documents as one revision.
+func (p *Publication) Change(changed map[string][]byte, removed ...string) monotonic.Version {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	base := p.feed.Version()
+	next := monotonic.Version{Epoch: base.Epoch, Revision: base.Revision + 1}
+	update := monotonic.Update{Base: base, Version: next, Removed: removed}
+	for key, data := range changed {
+		update.Changed = append(update.Changed, monotonic.Document{Key: key, Data: data})
+	}
+	if base.IsZero() || base.Revision == 0 {
+		update.Base = monotonic.Version{}
+	}
+	p.feed.Apply(update)
+	if p.lag == 0 {
+		p.reveal()
+		return next
+	}
+	time.AfterFunc(p.lag, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.reveal()
+	})
+	return next
+}
+
+// reveal shows the newest state to readers, unless the publication is frozen.
+func (p *Publication) reveal() {
+	if p.faults.get().Frozen {
+		return
+	}
+	update, newer := p.feed.Since(p.visible.Version())
+	if !newer {
+		return
+	}
+	p.visible.Apply(update)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Calls returns how many calls were taken and how many were over the limit.
+func (p *Publication) Calls() (taken, refused int64) {
+	return p.calls.Load(), p.refused.Load()
+}
+
+// Handler serves the publication at a path, with the stand-in's own controls.
+func (p *Publication) Handler(path string) http.Handler {
+	router := chi.NewRouter()
+	p.Mount(router, path)
+	return router
+}
+
+// Mount adds the publication's routes to a router.
+func (p *Publication) Mount(router chi.Router, path string) {
+	router.Group(func(group chi.Router) {
+		group.Use(p.faults.refuseWhenDown)
+		group.Get(path, p.watch)
+	})
+	router.Route(path+"/control", func(control chi.Router) {
+		p.faults.mount(control)
+		control.Post("/change", p.change)
+		control.Get("/calls", func(writer http.ResponseWriter, _ *http.Request) {
+			taken, refused := p.Calls()
+			writeJSON(writer, CallCount{Taken: taken, Refused: refused})
+		})
+	})
+}
+
+// CallCount is the record of calls on a publication.
+type CallCount struct {
+	Taken   int64 `json:"taken"`
+	Refused int64 `json:"refused"`
+}
+
+// ChangeRequest is the body of POST {path}/control/change.
+type ChangeRequest struct {
+	Changed map[string][]byte `json:"changed"`
+	Removed []string          `json:"removed"`
+}
+
+func (p *Publication) change(writer http.ResponseWriter, request *http.Request) {
+	var change ChangeRequest
+	if !readJSON(writer, request, &change) {
+		return
+	}
+	writeJSON(writer, p.Change(change.Changed, change.Removed...))
+}
+
+func (p *Publication) watch(writer http.ResponseWriter, request *http.Request) {
+	p.calls.Add(1)
+	if !p.limiter.Allow() {
+		p.refused.Add(1)
+		http.Error(writer, "rate limit", http.StatusTooManyRequests)
+		return
+	}
+	query := request.URL.Query()
+	since := monotonic.Version{Epoch: parseNumber(query.Get("epoch")), Revision: parseNumber(query.Get("revision"))}
+	wait := time.Duration(parseNumber(query.Get("wait_ms"))) * time.Millisecond
+	ctx, cancel := context.WithTimeout(request.Context(), wait)
+	defer cancel()
+	update, newer := p.waitNewer(ctx, since)
+	if !newer {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(writer, update)
+}
+
+func (p *Publication) waitNewer(ctx context.Context, since monotonic.Version) (monotonic.Update, bool) {
+	for {
+		p.mutex.Lock()
+		p.catchUp()
+		update, newer := p.visible.Since(since)
+		changed := p.changed
+		p.mutex.Unlock()
+		if newer {
+			return update, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return monotonic.Update{}, false
+		}
+	}
+}
+
+// catchUp catches up with changes made while the publication was frozen.
+func (p *Publication) catchUp() {
+	if p.lag == 0 {
+		p.reveal()
+	}
+}
+
+func parseNumber(text string) uint64 {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
--- /dev/null
+++ b/internal/emulator/service.go
@@ -0,0 +1,75 @@
+package emulator
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pinevane.example/pinevane/internal/platform"
+)
+
+// Service is the stand-in of a plain service. It counts how often each request
+// identifier ran.
+type Service struct {
+	name   string
+	delay  time.Duration
+	faults faultState
+
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+// NewService returns a service whose calls take a delay.
+func NewService(name string, delay time.Duration) *Service {
+	return &Service{name: name, delay: delay, runs: map[string]int{}}
+}
+
+// Runs returns how often each request identifier ran.
+func (s *Service) Runs() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// Handler serves the service.
+func (s *Service) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(s.faults.refuseWhenDown)
+	s.faults.mount(router)
+	router.Get("/records", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, s.Runs()) })
+	router.HandleFunc("/*", s.call)
+	return router
+}
+
+// ServiceEcho is the answer of the stand-in service: a function of the request.
+type ServiceEcho struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Body    string `json:"body"`
+}
+
+func (s *Service) call(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maximumBodyBytes))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := request.Header.Get(platform.HeaderRequestID)
+	s.mutex.Lock()
+	s.runs[id]++
+	s.mutex.Unlock()
+	if s.faults.get().Stalled {
+		<-request.Context().Done()
+		return
+	}
+	if !sleep(request, s.delay) {
+		return
+	}
+	writeJSON(writer, ServiceEcho{Service: s.name, ID: id, Method: request.Method, Path: request.URL.Path, Body: string(body)})
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/node"
+)
+
+// Headers between callers and an entry.
+const (
+	HeaderRequestID    = "X-Request-Id"
+	HeaderModelVersion = "X-Pinevane-Model-Version"
+	// HeaderDeadline is the time a request may take, in milliseconds.
+	HeaderDeadline = "X-Pinevane-Deadline-Ms"
+	// HeaderRepeatable is "false" on a request that may run at most once.
+	HeaderRepeatable = "X-Pinevane-Repeatable"
+	// HeaderExecution is set on refusals: not-run or unknown.
+	HeaderExecution = "X-Pinevane-Execution"
+	// HeaderKey is the caller's own name for a request.
+	HeaderKey = "Idempotency-Key"
+)
+
+// maximumKeyBytes bounds a caller's own name for a request.
+const maximumKeyBytes = 256
+
+func (e *Entry) mount(router chi.Router) {
+	router.Post("/v1/chat/completions", e.authenticated(e.chatCompletions))
+	router.Post("/v1/completions", e.authenticated(e.completions))
+	router.Get("/v1/models", e.authenticated(e.models))
+	router.HandleFunc("/apps/{service}", e.authenticated(e.callService))
+	router.HandleFunc("/apps/{service}/*", e.authenticated(e.callService))
+	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
+		e.refuse(writer, newRequestID(), fault.NotRun(fault.ReasonUnknownService, "no such path: "+request.URL.Path))
+	})
+}
+
+// call is one caller's request with what every kind of request has.
+type call struct {
+	id         string
+	tenant     configuration.Tenant
+	snapshot   *configuration.Snapshot
+	key        string
+	repeatable bool
+	arrived    time.Time
+	// begun is set once a streamed answer has started.
+	begun bool
+}
+
+type handler func(ctx context.Context, writer http.ResponseWriter, request *http.Request, c *call) *fault.Refusal
+
+func newRequestID() string { return watermill.NewUUID() }
+
+// authenticated finds the caller's tenant, applies the deadline, and turns a
+// refusal into its answer.
+func (e *Entry) authenticated(next handler) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		e.requests.add(1)
+		defer e.requests.add(-1)
+		c := &call{id: newRequestID(), arrived: time.Now()}
+		writer.Header().Set(HeaderRequestID, c.id)
+		refusal := e.identify(request, c)
+		if refusal == nil {
+			refusal = e.withDeadline(writer, request, c, next)
+		}
+		e.metrics.observe(c, refusal)
+		if refusal != nil && !c.begun {
+			e.refuse(writer, c.id, refusal)
+		}
+	}
+}
+
+func (e *Entry) withDeadline(writer http.ResponseWriter, request *http.Request, c *call, next handler) *fault.Refusal {
+	deadline := e.options.DefaultDeadline
+	if text := request.Header.Get(HeaderDeadline); text != "" {
+		milliseconds, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || milliseconds <= 0 || milliseconds > e.options.MaximumDeadline.Milliseconds() {
+			return badRequest(HeaderDeadline, "must be 1 to "+strconv.FormatInt(e.options.MaximumDeadline.Milliseconds(), 10)+" milliseconds")
+		}
+		deadline = time.Duration(milliseconds) * time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), deadline)
+	defer cancel()
+	return next(ctx, writer, request, c)
+}
+
+// identify reads what every request has: tenant, key, repeatability.
+func (e *Entry) identify(request *http.Request, c *call) *fault.Refusal {
+	snapshot, configured := blackboard.Read(e.node.Board, node.SnapshotKey)
+	if !configured {
+		refusal := fault.NotRun(fault.ReasonNotReady, "no configuration has arrived yet")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	c.snapshot = snapshot
+	key, found := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	tenant, known := snapshot.TenantByKeyDigest(hex.EncodeToString(sum[:]))
+	if !found || !known {
+		return fault.NotRun(fault.ReasonUnauthorized, "the Authorization header names no tenant's key")
+	}
+	c.tenant = tenant
+	c.key = request.Header.Get(HeaderKey)
+	if len(c.key) > maximumKeyBytes {
+		return badRequest(HeaderKey, "must be at most 256 bytes")
+	}
+	switch request.Header.Get(HeaderRepeatable) {
+	case "", "true":
+		c.repeatable = true
+	case "false":
+	default:
+		return badRequest(HeaderRepeatable, "must be true or false")
+	}
+	return nil
+}
+
+func badRequest(field, detail string) *fault.Refusal {
+	refusal := fault.NotRun(fault.ReasonBadRequest, field+" "+detail)
+	refusal.Field = field
+	return refusal
+}
+
+// readBody reads a bounded body whole.
+func (e *Entry) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, *fault.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, e.options.MaximumBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, badRequest("body", "must be at most "+strconv.FormatInt(e.options.MaximumBodyBytes, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, badRequest("body", "could not be read whole")
+	}
+	return body, nil
+}
+
+// errorBody is the answer to a refused request, in the shape OpenAI clients know.
+type errorBody struct {
+	Error     errorDetail     `json:"error"`
+	Execution fault.Execution `json:"execution"`
+	RequestID string          `json:"request_id"`
+	// RetryAfterMilliseconds is present when waiting helps.
+	RetryAfterMilliseconds int64 `json:"retry_after_ms,omitempty"`
+}
+
+type errorDetail struct {
+	Message string       `json:"message"`
+	Type    string       `json:"type"`
+	Code    fault.Reason `json:"code"`
+	Param   string       `json:"param,omitempty"`
+}
+
+func newErrorBody(requestID string, refusal *fault.Refusal) errorBody {
+	return errorBody{
+		Error:                  errorDetail{Message: refusal.Detail, Type: "pinevane_refusal", Code: refusal.Reason, Param: refusal.Field},
+		Execution:              refusal.Execution,
+		RequestID:              requestID,
+		RetryAfterMilliseconds: refusal.RetryAfter.Milliseconds(),
+	}
+}
+
+var statusOfReason = map[fault.Reason]int{
+	fault.ReasonBadRequest:       http.StatusBadRequest,
+	fault.ReasonUnauthorized:     http.StatusUnauthorized,
+	fault.ReasonForbidden:        http.StatusForbidden,
+	fault.ReasonUnknownModel:     http.StatusNotFound,
+	fault.ReasonUnknownService:   http.StatusNotFound,
+	fault.ReasonLimitRequests:    http.StatusTooManyRequests,
+	fault.ReasonLimitTokens:      http.StatusTooManyRequests,
+	fault.ReasonLimitConcurrency: http.StatusTooManyRequests,
+	fault.ReasonDuplicate:        http.StatusConflict,
+	fault.ReasonDeadline:         http.StatusGatewayTimeout,
+	fault.ReasonBackendFailed:    http.StatusBadGateway,
+	fault.ReasonWrongVersion:     http.StatusBadGateway,
+	fault.ReasonLinkLost:         http.StatusBadGateway,
+}
+
+// refuse writes a refusal as the whole answer.
+func (e *Entry) refuse(writer http.ResponseWriter, requestID string, refusal *fault.Refusal) {
+	e.node.Log.Log(logging.RequestRefused, zap.String("request", requestID),
+		zap.String("reason", string(refusal.Reason)), zap.String("execution", string(refusal.Execution)))
+	status, listed := statusOfReason[refusal.Reason]
+	if !listed {
+		status = http.StatusServiceUnavailable
+	}
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderExecution, string(refusal.Execution))
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(newErrorBody(requestID, refusal))
+}
+
+// requestCounter counts the callers' requests that are open.
+type requestCounter struct{ count atomic.Int64 }
+
+func (c *requestCounter) add(delta int64) { c.count.Add(delta) }
+
+func (c *requestCounter) open() int { return int(c.count.Load()) }
--- /dev/null
+++ b/internal/entry/openai.go
@@ -0,0 +1,350 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/platform"
+)
+
+// Bounds of a generation request.
+const (
+	defaultMaximumTokens = 256
+	largestMaximumTokens = 1 << 20
+	maximumMessages      = 1024
+)
+
+// chatMessage is one turn of a conversation.
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// completionRequest covers both OpenAI endpoints; fields that the engines do
+// not know are accepted and ignored, as clients send many.
+type completionRequest struct {
+	// Model is a model's name, with ":adapter" behind it for an adapter.
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Prompt              string        `json:"prompt"`
+	MaximumTokens       *int          `json:"max_tokens"`
+	MaximumOutputTokens *int          `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+}
+
+// generationRequest is a checked request for a model.
+type generationRequest struct {
+	model         string
+	adapter       string
+	prompt        string
+	maximumTokens int
+	stream        bool
+	chat          bool
+}
+
+func (e *Entry) chatCompletions(ctx context.Context, writer http.ResponseWriter, request *http.Request, c *call) *fault.Refusal {
+	return e.completion(ctx, writer, request, c, true)
+}
+
+func (e *Entry) completions(ctx context.Context, writer http.ResponseWriter, request *http.Request, c *call) *fault.Refusal {
+	return e.completion(ctx, writer, request, c, false)
+}
+
+func (e *Entry) completion(ctx context.Context, writer http.ResponseWriter, request *http.Request, c *call, chat bool) *fault.Refusal {
+	body, refusal := e.readBody(writer, request)
+	if refusal != nil {
+		return refusal
+	}
+	wanted, refusal := parseCompletion(body, chat)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal := checkModel(c, wanted); refusal != nil {
+		return refusal
+	}
+	release, refusal := e.limits.admit(c.tenant.Name, wanted.maximumTokens)
+	if refusal != nil {
+		return refusal
+	}
+	defer release()
+	if wanted.stream {
+		out := &streamingAnswer{writer: writer, call: c, request: wanted, created: time.Now().Unix()}
+		refusal := e.generate(ctx, c, wanted, out)
+		return out.close(refusal)
+	}
+	out := &wholeAnswer{}
+	if refusal := e.generate(ctx, c, wanted, out); refusal != nil {
+		return refusal
+	}
+	out.write(writer, c, wanted)
+	return nil
+}
+
+func parseCompletion(body []byte, chat bool) (generationRequest, *fault.Refusal) {
+	var parsed completionRequest
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&parsed); err != nil {
+		return generationRequest{}, badRequest("body", "is not valid JSON: "+err.Error())
+	}
+	model, adapter, _ := strings.Cut(parsed.Model, ":")
+	wanted := generationRequest{model: model, adapter: adapter, prompt: parsed.Prompt, stream: parsed.Stream, chat: chat, maximumTokens: defaultMaximumTokens}
+	if model == "" {
+		return wanted, badRequest("model", "must be set")
+	}
+	for _, given := range []*int{parsed.MaximumTokens, parsed.MaximumOutputTokens} {
+		if given == nil {
+			continue
+		}
+		if *given < 1 || *given > largestMaximumTokens {
+			return wanted, badRequest("max_tokens", "must be 1 to 1048576 tokens")
+		}
+		wanted.maximumTokens = *given
+	}
+	if chat {
+		if len(parsed.Messages) == 0 || len(parsed.Messages) > maximumMessages {
+			return wanted, badRequest("messages", "must have 1 to 1024 entries")
+		}
+		wanted.prompt = PromptOf(parsed.Messages)
+	}
+	if wanted.prompt == "" {
+		return wanted, badRequest("prompt", "must not be empty")
+	}
+	return wanted, nil
+}
+
+// PromptOf is the prompt that a conversation becomes.
+func PromptOf(messages []chatMessage) string {
+	var prompt strings.Builder
+	for _, message := range messages {
+		prompt.WriteString(message.Role + ": " + message.Content + "\n")
+	}
+	return prompt.String()
+}
+
+func checkModel(c *call, wanted generationRequest) *fault.Refusal {
+	model, known := c.snapshot.Models[wanted.model]
+	if !known {
+		return fault.NotRun(fault.ReasonUnknownModel, "no model is named "+wanted.model)
+	}
+	if !slices.Contains(c.tenant.Models, wanted.model) {
+		return fault.NotRun(fault.ReasonForbidden, "the tenant may not use model "+wanted.model)
+	}
+	for _, adapter := range model.Adapters {
+		if adapter.Name == wanted.adapter {
+			return nil
+		}
+	}
+	if wanted.adapter != "" {
+		return fault.NotRun(fault.ReasonUnknownModel, "model "+wanted.model+" has no adapter "+wanted.adapter)
+	}
+	return nil
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+func (e *Entry) models(_ context.Context, writer http.ResponseWriter, _ *http.Request, c *call) *fault.Refusal {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range slices.Sorted(maps.Keys(c.snapshot.Models)) {
+		if !slices.Contains(c.tenant.Models, name) {
+			continue
+		}
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "pinevane"})
+		for _, adapter := range c.snapshot.Models[name].Adapters {
+			list.Data = append(list.Data, modelEntry{ID: name + ":" + adapter.Name, Object: "model", OwnedBy: "pinevane"})
+		}
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(list)
+	return nil
+}
+
+// answer receives the tokens of a generation.
+type answer interface {
+	token(text, version string) error
+	finish(reason platform.FinishReason, version string) error
+	// restart discards what was received, when the caller has seen none of it.
+	restart() bool
+}
+
+// usage counts an answer's tokens.
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completionChoice struct {
+	Index        int                   `json:"index"`
+	Message      *chatMessage          `json:"message,omitempty"`
+	Delta        *chatMessage          `json:"delta,omitempty"`
+	Text         *string               `json:"text,omitempty"`
+	FinishReason platform.FinishReason `json:"finish_reason,omitempty"`
+}
+
+type completionAnswer struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   string             `json:"model"`
+	Version string             `json:"system_fingerprint,omitempty"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *usage             `json:"usage,omitempty"`
+}
+
+func modelName(wanted generationRequest) string {
+	if wanted.adapter == "" {
+		return wanted.model
+	}
+	return wanted.model + ":" + wanted.adapter
+}
+
+// wholeAnswer collects an answer that is sent in one piece.
+type wholeAnswer struct {
+	text    strings.Builder
+	tokens  int
+	version string
+	reason  platform.FinishReason
+}
+
+func (a *wholeAnswer) token(text, version string) error {
+	a.text.WriteString(text)
+	a.tokens++
+	a.version = version
+	return nil
+}
+
+func (a *wholeAnswer) finish(reason platform.FinishReason, version string) error {
+	a.reason, a.version = reason, version
+	return nil
+}
+
+func (a *wholeAnswer) restart() bool {
+	a.text.Reset()
+	a.tokens = 0
+	return true
+}
+
+func (a *wholeAnswer) write(writer http.ResponseWriter, c *call, wanted generationRequest) {
+	text := a.text.String()
+	result := completionAnswer{
+		ID: c.id, Object: "text_completion", Created: c.arrived.Unix(), Model: modelName(wanted), Version: a.version,
+		Choices: []completionChoice{{Text: &text, FinishReason: a.reason}},
+		Usage:   &usage{CompletionTokens: a.tokens, TotalTokens: a.tokens},
+	}
+	if wanted.chat {
+		result.Object = "chat.completion"
+		result.Choices = []completionChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: a.reason}}
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set(HeaderModelVersion, a.version)
+	_ = json.NewEncoder(writer).Encode(result)
+}
+
+// streamWriteTimeout bounds the time that a slow caller may block a token.
+const streamWriteTimeout = 10 * time.Second
+
+// streamingAnswer passes each token on as a server-sent event.
+type streamingAnswer struct {
+	writer  http.ResponseWriter
+	call    *call
+	request generationRequest
+	created int64
+}
+
+func (a *streamingAnswer) begin(version string) {
+	if a.call.begun {
+		return
+	}
+	a.call.begun = true
+	header := a.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set(HeaderModelVersion, version)
+	a.writer.WriteHeader(http.StatusOK)
+}
+
+func (a *streamingAnswer) chunk(version string, choice completionChoice) completionAnswer {
+	object := "text_completion"
+	if a.request.chat {
+		object = "chat.completion.chunk"
+	}
+	return completionAnswer{
+		ID: a.call.id, Object: object, Created: a.created, Model: modelName(a.request),
+		Version: version, Choices: []completionChoice{choice},
+	}
+}
+
+func (a *streamingAnswer) token(text, version string) error {
+	a.begin(version)
+	choice := completionChoice{Text: &text}
+	if a.request.chat {
+		choice = completionChoice{Delta: &chatMessage{Role: "assistant", Content: text}}
+	}
+	return a.event(a.chunk(version, choice))
+}
+
+func (a *streamingAnswer) finish(reason platform.FinishReason, version string) error {
+	a.begin(version)
+	choice := completionChoice{FinishReason: reason}
+	if a.request.chat {
+		choice.Delta = &chatMessage{}
+	}
+	if err := a.event(a.chunk(version, choice)); err != nil {
+		return err
+	}
+	return a.raw([]byte("[DONE]"))
+}
+
+func (a *streamingAnswer) restart() bool { return !a.call.begun }
+
+func (a *streamingAnswer) event(value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return &fault.InvalidFrame{Field: "event", Reason: err.Error()}
+	}
+	return a.raw(data)
+}
+
+// raw writes one event and flushes it, so that tokens are not held back.
+func (a *streamingAnswer) raw(data []byte) error {
+	controller := http.NewResponseController(a.writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+	line := make([]byte, 0, len(data)+8)
+	line = append(line, "data: "...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	if _, err := a.writer.Write(line); err != nil {
+		return &fault.Unavailable{Target: "caller", Operation: "write", Cause: err}
+	}
+	if err := controller.Flush(); err != nil {
+		return &fault.Unavailable{Target: "caller", Operation: "flush", Cause: err}
+	}
+	return nil
+}
+
+// close ends a stream that failed after it had begun with an error event and no
+// end marker, so that a cut answer never looks whole. A refusal before the first
+// token is left to the plain answer.
+func (a *streamingAnswer) close(refusal *fault.Refusal) *fault.Refusal {
+	if a.call.begun {
+		defer func() { _ = http.NewResponseController(a.writer).SetWriteDeadline(time.Time{}) }()
+	}
+	if refusal != nil && a.call.begun {
+		_ = a.event(newErrorBody(a.call.id, refusal))
+	}
+	return refusal
+}
--- /dev/null
+++ b/internal/launch/launch.go
@@ -0,0 +1,391 @@
+// Package launch starts a whole fleet of plain processes on one machine, for
+// the desk commands (demo, experiment) and their scenarios. Daemons never start
+// processes: no other package of the project may import os/exec, which a test
+// holds them to.
+package launch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/deployment"
+	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/platform"
+)
+
+// Options sets up a fleet.
+type Options struct {
+	// Executable is the path of the pinevane binary.
+	Executable string
+	Deployment *deployment.Deployment
+	// LogDirectory gets a file a process; empty discards the logs.
+	LogDirectory string
+	// LinkRate and OriginRate are in bytes a second; zero means no limit.
+	LinkRate   int64
+	OriginRate int64
+	// AgentFlags and MachineFlags are given to every agent and machine stand-in.
+	AgentFlags   []string
+	MachineFlags []string
+}
+
+// Process is one running process.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options  Options
+	network  int
+	Machines []deployment.Machine
+	client   *http.Client
+
+	mutex     sync.Mutex
+	processes map[string]*Process
+}
+
+// firstNetwork and networks bound the second octet of a fleet's addresses.
+const (
+	firstNetwork = 32
+	networks     = 200
+	platformZone = 250
+)
+
+// New lays out a fleet without starting anything.
+func New(options Options) *Fleet {
+	network := firstNetwork + os.Getpid()%networks
+	return &Fleet{
+		options:   options,
+		network:   network,
+		Machines:  options.Deployment.Machines(network),
+		client:    &http.Client{Timeout: 10 * time.Second},
+		processes: map[string]*Process{},
+	}
+}
+
+// PlatformAddress is where the stand-ins of the platform's services listen.
+func (f *Fleet) PlatformAddress() string {
+	return fmt.Sprintf("127.%d.%d.1:%d", f.network, platformZone, deployment.ProcessPort)
+}
+
+// Start starts the platform, every machine and every process, and publishes the
+// documents and the membership list.
+func (f *Fleet) Start() error {
+	platformArguments := []string{
+		"emulate", "platform", "--listen", f.PlatformAddress(), "--documents", f.options.Deployment.Directory,
+		"--origin-rate", fmt.Sprint(f.options.OriginRate),
+	}
+	if err := f.run("platform", platformArguments); err != nil {
+		return err
+	}
+	if err := f.waitListening("http://" + f.PlatformAddress() + emulator.FaultPath); err != nil {
+		return err
+	}
+	if err := f.PublishMembers(f.Machines); err != nil {
+		return err
+	}
+	for _, machine := range f.Machines {
+		if err := f.StartBackEnd(machine); err != nil {
+			return err
+		}
+	}
+	for _, machine := range f.Machines {
+		if err := f.StartProcess(machine); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartBackEnd starts the stand-in of a machine's engine or plain service.
+func (f *Fleet) StartBackEnd(machine deployment.Machine) error {
+	if machine.Role != platform.RoleAgent {
+		return nil
+	}
+	arguments := append([]string{"emulate", "machine", "--listen", machine.BackEndAddress()}, f.options.MachineFlags...)
+	if machine.Service != "" {
+		arguments = []string{"emulate", "service", "--listen", machine.BackEndAddress(), "--name", machine.Service}
+	}
+	return f.run(machine.ID+"-back-end", arguments)
+}
+
+// StartProcess starts a machine's entry or agent.
+func (f *Fleet) StartProcess(machine deployment.Machine) error {
+	arguments := []string{
+		string(machine.Role), "--id", machine.ID, "--zone", machine.Zone, "--region", machine.Region,
+		"--listen", machine.Address, "--admin-listen", machine.AdminAddress(),
+		"--configuration", f.PlatformAddress(), "--membership", f.PlatformAddress(),
+	}
+	if machine.Role == platform.RoleAgent {
+		arguments = append(arguments, "--back-end", machine.BackEndAddress())
+		arguments = append(arguments, f.options.AgentFlags...)
+		if machine.Service != "" {
+			arguments = append(arguments, "--service", machine.Service)
+		} else {
+			arguments = append(arguments, "--store", machine.BackEndAddress(), "--origin", f.PlatformAddress(),
+				"--link-rate", fmt.Sprint(f.options.LinkRate))
+		}
+	}
+	return f.run(machine.ID, arguments)
+}
+
+func (f *Fleet) run(name string, arguments []string) error {
+	command := exec.Command(f.options.Executable, arguments...)
+	command.Stdout, command.Stderr = io.Discard, io.Discard
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if f.options.LogDirectory != "" {
+		file, err := os.OpenFile(filepath.Join(f.options.LogDirectory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return &fault.Unavailable{Target: name, Operation: "open log", Cause: err}
+		}
+		defer func() { _ = file.Close() }()
+		command.Stderr = file
+	}
+	if err := command.Start(); err != nil {
+		return &fault.Unavailable{Target: name, Operation: "start", Cause: err}
+	}
+	process := &Process{Name: name, command: command, exited: make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		close(process.exited)
+	}()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.processes[name] = process
+	return nil
+}
+
+// startTimeout bounds the wait for a process to listen.
+const startTimeout = 15 * time.Second
+
+func (f *Fleet) waitListening(url string) error {
+	return WaitFor(startTimeout, "answer from "+url, func() bool {
+		response, err := f.client.Get(url)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return true
+	})
+}
+
+// WaitFor polls a condition until it holds or time is over.
+func WaitFor(limit time.Duration, what string, condition func() bool) error {
+	const poll = 25 * time.Millisecond
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(poll) {
+		if condition() {
+			return nil
+		}
+	}
+	return &fault.Timeout{Waiting: what, After: limit}
+}
+
+// Signal sends a signal to a process; what has ended is left alone.
+func (f *Fleet) Signal(name string, signal os.Signal) error {
+	f.mutex.Lock()
+	process := f.processes[name]
+	f.mutex.Unlock()
+	if process == nil {
+		return &fault.Unavailable{Target: name, Operation: "signal"}
+	}
+	if err := process.command.Process.Signal(signal); err != nil {
+		return &fault.Unavailable{Target: name, Operation: "signal", Cause: err}
+	}
+	return nil
+}
+
+// WaitExit waits until a process has ended and reports whether it did in time.
+func (f *Fleet) WaitExit(name string, limit time.Duration) bool {
+	f.mutex.Lock()
+	process := f.processes[name]
+	f.mutex.Unlock()
+	if process == nil {
+		return true
+	}
+	select {
+	case <-process.exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Count returns how many processes were started.
+func (f *Fleet) Count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.processes)
+}
+
+// Stop kills every process of the fleet that still runs.
+func (f *Fleet) Stop() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, process := range f.processes {
+		_ = process.command.Process.Kill()
+	}
+	for _, process := range f.processes {
+		<-process.exited
+	}
+}
+
+// PublishMembers adds or replaces lines of the membership list.
+func (f *Fleet) PublishMembers(machines []deployment.Machine, removed ...string) error {
+	changed := map[string][]byte{}
+	for _, machine := range machines {
+		data, err := json.Marshal(machine.Member)
+		if err != nil {
+			return &fault.InvalidFrame{Field: "member", Reason: err.Error()}
+		}
+		changed[machine.ID] = data
+	}
+	return f.change(platform.MembershipPath, emulator.ChangeRequest{Changed: changed, Removed: removed})
+}
+
+// Publish changes documents of the configuration.
+func (f *Fleet) Publish(changed map[string][]byte) error {
+	return f.change(platform.ConfigurationPath, emulator.ChangeRequest{Changed: changed})
+}
+
+func (f *Fleet) change(path string, request emulator.ChangeRequest) error {
+	return f.send(http.MethodPost, "http://"+f.PlatformAddress()+path+"/control/change", request)
+}
+
+// InjectFault sets the fault state of the stand-in at an address; the prefix is
+// empty but for publications, where it is their path and "/control".
+func (f *Fleet) InjectFault(address, prefix string, faults emulator.Faults) error {
+	return f.send(http.MethodPut, "http://"+address+prefix+emulator.FaultPath, faults)
+}
+
+func (f *Fleet) send(method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return &fault.InvalidFrame{Field: "body", Reason: err.Error()}
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return &fault.Unavailable{Target: url, Operation: method, Cause: err}
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return &fault.Unavailable{Target: url, Operation: method, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		return &fault.Unavailable{Target: url, Operation: method, Status: response.StatusCode}
+	}
+	return nil
+}
+
+// Get reads a JSON answer.
+func (f *Fleet) Get(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return &fault.Unavailable{Target: url, Operation: "GET", Status: response.StatusCode}
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
+	}
+	return nil
+}
+
+// Dump reads a process's state, with its blackboard left raw.
+func (f *Fleet) Dump(machine deployment.Machine) (*Dump, error) {
+	dump := &Dump{}
+	err := f.Get(context.Background(), "http://"+machine.AdminAddress()+node.DumpPath, dump)
+	return dump, err
+}
+
+// Dump is a state dump as read from another process.
+type Dump struct {
+	node.Dump
+	Blackboard []RawEntry `json:"blackboard"`
+}
+
+// RawEntry is one blackboard entry with its value undecoded.
+type RawEntry struct {
+	Name  string          `json:"name"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Entry decodes a blackboard entry and reports whether it is there.
+func (d *Dump) Entry(name string, into any) bool {
+	for _, entry := range d.Blackboard {
+		if entry.Name == name {
+			return json.Unmarshal(entry.Value, into) == nil
+		}
+	}
+	return false
+}
+
+// Serves reports whether an agent admits requests to a version that it is not
+// about to retire.
+func (d *Dump) Serves(model, version string) bool {
+	var versions []servedVersion
+	if !d.Entry("engine.served", &versions) {
+		return false
+	}
+	for _, served := range versions {
+		if served.Model == model && served.Version == version && !served.Retiring {
+			return true
+		}
+	}
+	return false
+}
+
+type servedVersion struct {
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	Retiring bool   `json:"retiring"`
+}
+
+// ModelDocument returns the key and content of the instance document that sets
+// a model, with its version and manifest replaced.
+func (f *Fleet) ModelDocument(model, version, manifest string) (map[string][]byte, error) {
+	documents, err := configuration.ReadDirectory(f.options.Deployment.Directory)
+	if err != nil {
+		return nil, err
+	}
+	for key, data := range documents {
+		if !strings.Contains(string(data), "instance: "+model+"\n") {
+			continue
+		}
+		lines := strings.Split(string(data), "\n")
+		for i, line := range lines {
+			trimmed := strings.TrimSpace(line)
+			indent := line[:len(line)-len(strings.TrimLeft(line, " "))]
+			switch {
+			case strings.HasPrefix(trimmed, "version:"):
+				lines[i] = indent + "version: \"" + version + "\""
+			case strings.HasPrefix(trimmed, "manifest:"):
+				lines[i] = indent + "manifest: " + manifest
+			}
+		}
+		return map[string][]byte{key: []byte(strings.Join(lines, "\n"))}, nil
+	}
+	return nil, &fault.InvalidDocument{Document: f.options.Deployment.Directory, Path: "instance", Reason: "no document sets model " + model}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,359 @@
+// Package node is the part that every pinevane process shares: the blackboard,
+// the links to other processes, the publications, the administration endpoints,
+// and the planned stop.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/liveness"
+	"pinevane.example/pinevane/coordination/monotonic"
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/relay"
+)
+
+// The blackboard entries that every process has.
+var (
+	// SnapshotKey is the configuration in force.
+	SnapshotKey = blackboard.NewKey[*configuration.Snapshot]("configuration.snapshot")
+	// RejectedKey is the newest configuration that was refused.
+	RejectedKey = blackboard.NewKey[Rejected]("configuration.rejected")
+	// MembersKey is the membership list.
+	MembersKey = blackboard.NewKey[[]platform.Member]("membership.members")
+)
+
+// Rejected is a configuration revision that was refused, and why.
+type Rejected struct {
+	Version monotonic.Version `json:"version"`
+	Reason  string            `json:"reason"`
+}
+
+// Options are the settings of a process.
+type Options struct {
+	ID     string
+	Role   platform.Role
+	Zone   string
+	Region string
+	// Listen is the IP address and port that peers and callers reach.
+	Listen string
+	// AdminListen is the address of metrics and state dump; empty means none.
+	AdminListen string
+	// ConfigurationAddress and MembershipAddress are the platform's services.
+	ConfigurationAddress string
+	MembershipAddress    string
+	Seeds                []string
+	StartJitter          time.Duration
+	// Profile serves pprof on the administration address.
+	Profile bool
+	// SettleTime is how long a stopping process stays after readiness is off.
+	SettleTime time.Duration
+}
+
+// Node is one process.
+type Node struct {
+	options     Options
+	incarnation uint64
+	started     time.Time
+
+	Board    *blackboard.Board
+	Hub      *peering.Hub
+	Log      *logging.Logger
+	Registry *prometheus.Registry
+	Counters *peering.Counters
+	Relay    *relay.Relay
+	// Router serves the process's own address.
+	Router chi.Router
+
+	leaving  atomic.Bool
+	ready    func() bool
+	open     func() int
+	onLeave  []func()
+	server   *http.Server
+	admin    *http.Server
+	listener net.Listener
+}
+
+// New builds a process that is not running yet.
+func New(options Options, log *logging.Logger) *Node {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return NewShared(options, log, registry)
+}
+
+// NewShared builds a process whose metrics go to a given registry. Hollow
+// processes, many in one operating-system process, use it.
+func NewShared(options Options, log *logging.Logger, registry *prometheus.Registry) *Node {
+	node := &Node{
+		options:     options,
+		incarnation: uint64(time.Now().UnixNano()),
+		started:     time.Now(),
+		Board:       blackboard.New(time.Now),
+		Log:         log,
+		Registry:    registry,
+		Counters:    peering.NewCounters(registry),
+		Router:      chi.NewRouter(),
+		ready:       func() bool { return true },
+		open:        func() int { return 0 },
+	}
+	hello := peering.Hello{ID: options.ID, Incarnation: node.incarnation, Role: string(options.Role), Zone: options.Zone}
+	node.Hub = peering.NewHub(hello, log, node.Counters)
+	node.Relay = relay.New(relay.Options{
+		SelfID: options.ID,
+		Zone:   options.Zone,
+		Seeds:  options.Seeds,
+		Publications: map[relay.Kind]platform.Publication{
+			relay.Configuration: node.publication(options.ConfigurationAddress, platform.ConfigurationPath),
+			relay.Membership:    node.publication(options.MembershipAddress, platform.MembershipPath),
+		},
+		Hub:         node.Hub,
+		Log:         log,
+		OnChange:    node.published,
+		StartJitter: options.StartJitter,
+	})
+	node.Router.Handle(peering.Path, node.Hub)
+	node.mountHealth(node.Router)
+	return node
+}
+
+func (n *Node) publication(address, path string) platform.Publication {
+	return platform.NewHTTPPublication(address, path, func(answerBytes int) {
+		n.Counters.CountRequest("platform", len(path), answerBytes)
+	})
+}
+
+// ID returns the process's name.
+func (n *Node) ID() string { return n.options.ID }
+
+// Zone returns the process's zone.
+func (n *Node) Zone() string { return n.options.Zone }
+
+// Region returns the process's region.
+func (n *Node) Region() string { return n.options.Region }
+
+// Incarnation differs between lives of a process.
+func (n *Node) Incarnation() uint64 { return n.incarnation }
+
+// Leaving reports whether a planned stop has begun.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
+
+// Address returns the address that the process listens on.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// SetReady replaces the readiness check.
+func (n *Node) SetReady(ready func() bool) { n.ready = ready }
+
+// SetOpen replaces the count of open work that a planned stop waits for.
+func (n *Node) SetOpen(open func() int) { n.open = open }
+
+// OnLeave registers a function called when a planned stop begins.
+func (n *Node) OnLeave(function func()) { n.onLeave = append(n.onLeave, function) }
+
+// published takes each new state of a publication to the blackboard.
+func (n *Node) published(kind relay.Kind, version monotonic.Version, documents map[string][]byte) {
+	if kind == relay.Membership {
+		members := relay.DecodeMembers(documents)
+		n.Log.Log(logging.MembershipChanged, zap.Stringer("version", version), zap.Int("members", len(members)))
+		blackboard.Write(n.Board, MembersKey, members)
+		return
+	}
+	snapshot, err := configuration.Parse(version, documents)
+	if err != nil {
+		n.Log.Log(logging.SnapshotRejected, zap.Stringer("version", version), zap.Error(err))
+		blackboard.Write(n.Board, RejectedKey, Rejected{Version: version, Reason: err.Error()})
+		return
+	}
+	n.Log.Log(logging.SnapshotAccepted, zap.Stringer("version", version))
+	blackboard.Write(n.Board, SnapshotKey, snapshot)
+}
+
+func (n *Node) isReady() bool {
+	_, configured := blackboard.Read(n.Board, SnapshotKey)
+	return configured && !n.Leaving() && n.ready()
+}
+
+func (n *Node) mountHealth(router chi.Router) {
+	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
+	router.Get("/readyz", func(writer http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writer.WriteHeader(http.StatusOK)
+	})
+}
+
+// Dump is the whole state of a process.
+type Dump struct {
+	ID            string                     `json:"id"`
+	Role          platform.Role              `json:"role"`
+	Zone          string                     `json:"zone"`
+	Region        string                     `json:"region"`
+	Incarnation   uint64                     `json:"incarnation"`
+	UptimeSeconds float64                    `json:"uptime_seconds"`
+	Ready         bool                       `json:"ready"`
+	Leaving       bool                       `json:"leaving"`
+	OpenWork      int                        `json:"open_work"`
+	Relay         relay.Status               `json:"relay"`
+	Traffic       map[string]peering.Traffic `json:"control_traffic"`
+	Resources     Resources                  `json:"resources"`
+	Blackboard    []blackboard.DumpedEntry   `json:"blackboard"`
+}
+
+// Dump returns the state of the process.
+func (n *Node) Dump() Dump {
+	return Dump{
+		ID: n.options.ID, Role: n.options.Role, Zone: n.options.Zone, Region: n.options.Region,
+		Incarnation: n.incarnation, UptimeSeconds: time.Since(n.started).Seconds(),
+		Ready: n.isReady(), Leaving: n.Leaving(), OpenWork: n.open(),
+		Relay: n.Relay.Status(), Traffic: n.Counters.Snapshot(), Resources: ReadResources(),
+		Blackboard: n.Board.Dump(),
+	}
+}
+
+// DumpPath is where the administration address serves the state dump.
+const DumpPath = "/dump"
+
+func (n *Node) adminRouter() chi.Router {
+	router := chi.NewRouter()
+	n.mountHealth(router)
+	router.Handle("/metrics", promhttp.HandlerFor(n.Registry, promhttp.HandlerOpts{}))
+	router.Get(DumpPath, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(writer)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(n.Dump())
+	})
+	if n.options.Profile {
+		router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		router.HandleFunc("/debug/pprof/*", pprof.Index)
+	}
+	return router
+}
+
+// Limits on the HTTP servers. There is no write timeout, because streams last.
+const (
+	readHeaderTimeout  = 5 * time.Second
+	idleTimeout        = 90 * time.Second
+	maximumHeaderBytes = 32 << 10
+)
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maximumHeaderBytes,
+	}
+}
+
+// Listen opens the process's addresses.
+func (n *Node) Listen() error {
+	listener, err := net.Listen("tcp", n.options.Listen)
+	if err != nil {
+		return &fault.Unavailable{Target: n.options.Listen, Operation: "listen", Cause: err}
+	}
+	n.listener = listener
+	n.server = newServer(n.Router)
+	go func() { _ = n.server.Serve(listener) }()
+	if n.options.AdminListen == "" {
+		return nil
+	}
+	adminListener, err := net.Listen("tcp", n.options.AdminListen)
+	if err != nil {
+		return &fault.Unavailable{Target: n.options.AdminListen, Operation: "listen", Cause: err}
+	}
+	n.admin = newServer(n.adminRouter())
+	go func() { _ = n.admin.Serve(adminListener) }()
+	return nil
+}
+
+// drainReport is the period of log events while a stopping process drains.
+const drainReport = 2 * time.Second
+
+// Run serves until stop is closed, then leaves: readiness goes off, open work
+// finishes, and the process keeps answering until the settle time has passed.
+// The controllers are functions that run until their context ends.
+func (n *Node) Run(stop <-chan struct{}, controllers ...func(context.Context)) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if n.listener == nil {
+		if err := n.Listen(); err != nil {
+			return err
+		}
+	}
+	n.Log.Log(logging.ProcessStarted, zap.String("listen", n.Address()), zap.Uint64("incarnation", n.incarnation))
+	go n.Relay.Run(ctx)
+	go n.watchPauses(ctx)
+	for _, controller := range controllers {
+		go controller(ctx)
+	}
+	<-stop
+	n.leave()
+	cancel()
+	n.Close()
+	n.Log.Log(logging.ProcessStopped)
+	return nil
+}
+
+// leave begins the planned stop and returns when nothing is open.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.Log.Log(logging.ProcessStopping, zap.Int("open", n.open()))
+	for _, function := range n.onLeave {
+		function()
+	}
+	began := time.Now()
+	reported := began
+	for n.open() > 0 || time.Since(began) < n.options.SettleTime {
+		time.Sleep(50 * time.Millisecond)
+		if time.Since(reported) >= drainReport {
+			reported = time.Now()
+			n.Log.Log(logging.ProcessDraining, zap.Int("open", n.open()))
+		}
+	}
+}
+
+// Close ends the servers and links at once.
+func (n *Node) Close() {
+	n.Hub.Close()
+	if n.server != nil {
+		_ = n.server.Close()
+	}
+	if n.admin != nil {
+		_ = n.admin.Close()
+	}
+	n.Board.Close()
+}
+
+// watchPauses logs when the process itself stood still.
+func (n *Node) watchPauses(ctx context.Context) {
+	const period = 500 * time.Millisecond
+	detector := liveness.NewDetector(liveness.Options{})
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if _, paused := detector.Tick(time.Since(n.started)); paused {
+				n.Log.Log(logging.ProcessPaused)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peering/hub.go
@@ -0,0 +1,260 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Path is the HTTP path at which a process accepts links.
+const Path = "/v1/peer"
+
+// HandshakeTimeout bounds dialling and the exchange of Hello messages.
+const HandshakeTimeout = 3 * time.Second
+
+// MaximumAcceptedLinks bounds the links that a process accepts at once.
+const MaximumAcceptedLinks = 4096
+
+// Hub owns the links of one process.
+type Hub struct {
+	self     Hello
+	log      *logging.Logger
+	client   *http.Client
+	handlers map[string]Handler
+	onLost   []func(*Link)
+	onOpen   []func(*Link)
+	counters *Counters
+
+	mutex    sync.Mutex
+	accepted map[*Link]struct{}
+	dialled  map[string]*dialling
+	closed   bool
+}
+
+// dialling is one outbound link, being made or up.
+type dialling struct {
+	ready chan struct{}
+	link  *Link
+	err   error
+}
+
+// NewHub returns a hub that introduces itself with self.
+func NewHub(self Hello, log *logging.Logger, counters *Counters) *Hub {
+	return &Hub{
+		self:     self,
+		log:      log,
+		client:   &http.Client{Transport: &http.Transport{ReadBufferSize: 2048, WriteBufferSize: 2048}},
+		handlers: map[string]Handler{},
+		counters: counters,
+		accepted: map[*Link]struct{}{},
+		dialled:  map[string]*dialling{},
+	}
+}
+
+// Handle registers the handler of a topic. It must be called before the hub
+// accepts or dials links.
+func (h *Hub) Handle(topic string, handler Handler) { h.handlers[topic] = handler }
+
+// OnOpen registers a function called when a link is up, in either direction.
+func (h *Hub) OnOpen(function func(*Link)) { h.onOpen = append(h.onOpen, function) }
+
+// OnLost registers a function called after a link is lost.
+func (h *Hub) OnLost(function func(*Link)) { h.onLost = append(h.onLost, function) }
+
+// ServeHTTP accepts one link and serves it until it is lost.
+func (h *Hub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if h.acceptedCount() >= MaximumAcceptedLinks {
+		http.Error(writer, "too many links", http.StatusServiceUnavailable)
+		return
+	}
+	connection, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	// The request's context ends when the handler returns, which is when the
+	// link is lost; a hijacked connection is not bound to it otherwise.
+	link := h.newLink(context.WithoutCancel(request.Context()), connection, "")
+	remote, err := h.handshake(link)
+	if err != nil {
+		link.lose(err)
+		return
+	}
+	link.remote = remote
+	h.mutex.Lock()
+	h.accepted[link] = struct{}{}
+	h.mutex.Unlock()
+	h.serve(link)
+	h.mutex.Lock()
+	delete(h.accepted, link)
+	h.mutex.Unlock()
+}
+
+func (h *Hub) acceptedCount() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.accepted)
+}
+
+// Accepted returns the links that other processes opened.
+func (h *Hub) Accepted() []*Link {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	links := make([]*Link, 0, len(h.accepted))
+	for link := range h.accepted {
+		links = append(links, link)
+	}
+	return links
+}
+
+// Link returns the outbound link to an address, dialling when there is none.
+func (h *Hub) Link(ctx context.Context, address string) (*Link, error) {
+	h.mutex.Lock()
+	if h.closed {
+		h.mutex.Unlock()
+		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: context.Canceled}
+	}
+	attempt, exists := h.dialled[address]
+	if !exists {
+		attempt = &dialling{ready: make(chan struct{})}
+		h.dialled[address] = attempt
+		go h.dial(address, attempt)
+	}
+	h.mutex.Unlock()
+	select {
+	case <-attempt.ready:
+		return attempt.link, attempt.err
+	case <-ctx.Done():
+		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: ctx.Err()}
+	}
+}
+
+// Established returns the outbound link to an address if it is up now.
+func (h *Hub) Established(address string) (*Link, bool) {
+	h.mutex.Lock()
+	attempt, exists := h.dialled[address]
+	h.mutex.Unlock()
+	if !exists {
+		return nil, false
+	}
+	select {
+	case <-attempt.ready:
+		return attempt.link, attempt.link != nil
+	default:
+		return nil, false
+	}
+}
+
+func (h *Hub) dial(address string, attempt *dialling) {
+	link, err := h.connect(address)
+	attempt.link, attempt.err = link, err
+	close(attempt.ready)
+	if err == nil {
+		h.serve(link)
+	}
+	h.mutex.Lock()
+	if h.dialled[address] == attempt {
+		delete(h.dialled, address)
+	}
+	h.mutex.Unlock()
+}
+
+func (h *Hub) connect(address string) (*Link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), HandshakeTimeout)
+	defer cancel()
+	options := &websocket.DialOptions{HTTPClient: h.client, CompressionMode: websocket.CompressionDisabled}
+	connection, _, err := websocket.Dial(ctx, "ws://"+address+Path, options)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: err}
+	}
+	link := h.newLink(context.Background(), connection, address)
+	remote, err := h.handshake(link)
+	if err != nil {
+		link.lose(err)
+		return nil, err
+	}
+	link.remote = remote
+	return link, nil
+}
+
+func (h *Hub) newLink(parent context.Context, connection *websocket.Conn, address string) *Link {
+	connection.SetReadLimit(MaximumFrameBytes)
+	ctx, cancel := context.WithCancel(parent)
+	link := &Link{connection: connection, hub: h, address: address, ctx: ctx, cancel: cancel}
+	link.subscriptions = map[string][]chan *message.Message{}
+	link.lastHeard.Store(time.Now().UnixNano())
+	return link
+}
+
+func (h *Hub) handshake(link *Link) (Hello, error) {
+	payload, err := cbor.Marshal(h.self)
+	if err != nil {
+		return Hello{}, &fault.InvalidFrame{Field: helloTopic, Reason: err.Error()}
+	}
+	if err := link.send(frame{Topic: helloTopic, Payload: payload}); err != nil {
+		return Hello{}, err
+	}
+	ctx, cancel := context.WithTimeout(link.ctx, HandshakeTimeout)
+	defer cancel()
+	_, data, err := link.connection.Read(ctx)
+	if err != nil {
+		return Hello{}, &fault.Unavailable{Target: link.address, Operation: "handshake", Cause: err}
+	}
+	var incoming frame
+	if err := cbor.Unmarshal(data, &incoming); err != nil || incoming.Topic != helloTopic {
+		return Hello{}, &fault.InvalidFrame{Field: "topic", Reason: "first message is not a hello"}
+	}
+	var remote Hello
+	if err := cbor.Unmarshal(incoming.Payload, &remote); err != nil {
+		return Hello{}, &fault.InvalidFrame{Field: helloTopic, Reason: err.Error()}
+	}
+	return remote, nil
+}
+
+func (h *Hub) serve(link *Link) {
+	h.log.Log(logging.PeerConnected, zap.String("peer", link.remote.ID))
+	for _, opened := range h.onOpen {
+		opened(link)
+	}
+	link.read()
+	h.log.Log(logging.PeerLost, zap.String("peer", link.remote.ID), zap.Error(link.CloseCause()))
+	for _, lost := range h.onLost {
+		lost(link)
+	}
+}
+
+func (h *Hub) rejected(link *Link, reason string) {
+	h.log.Log(logging.FrameRejected, zap.String("peer", link.remote.ID), zap.String("reason", reason))
+}
+
+// Close ends every link and refuses new ones.
+func (h *Hub) Close() {
+	h.mutex.Lock()
+	h.closed = true
+	var links []*Link
+	for link := range h.accepted {
+		links = append(links, link)
+	}
+	for _, attempt := range h.dialled {
+		select {
+		case <-attempt.ready:
+			if attempt.link != nil {
+				links = append(links, attempt.link)
+			}
+		default:
+		}
+	}
+	h.mutex.Unlock()
+	for _, link := range links {
+		_ = link.Close()
+	}
+	h.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,420 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"pinevane.example/pinevane/coordination/monotonic"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/weights"
+)
+
+// Limits on what is read from the platform.
+const (
+	maximumAnswerBytes = 64 << 20
+	maximumErrorBytes  = 4 << 10
+	maximumLineBytes   = 1 << 20
+)
+
+// watchSlack is how long past the asked wait a watch may take to answer.
+const watchSlack = 5 * time.Second
+
+// NewTransport returns a transport that never resends a request on its own:
+// requests are given without GetBody, and callers that must not repeat use
+// NewOneShotTransport.
+func NewTransport(idlePerHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		MaxIdleConns:        idlePerHost * 4,
+		IdleConnTimeout:     30 * time.Second,
+		ReadBufferSize:      16 << 10,
+		DisableCompression:  true,
+	}
+}
+
+// NewOneShotTransport returns a transport that opens a connection for each
+// request. net/http resends a request only when a reused connection breaks, so
+// that this transport sends each request at most once.
+func NewOneShotTransport() *http.Transport {
+	transport := NewTransport(1)
+	transport.DisableKeepAlives = true
+	return transport
+}
+
+type endpoint struct {
+	name   string
+	base   string
+	client *http.Client
+}
+
+func newEndpoint(name, address string, transport http.RoundTripper) endpoint {
+	return endpoint{name: name, base: "http://" + address, client: &http.Client{Transport: transport}}
+}
+
+func (e endpoint) do(ctx context.Context, method, path string, body io.Reader) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, e.base+path, body)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: e.name, Operation: method + " " + path, Cause: err}
+	}
+	// Without GetBody net/http can't replay the request.
+	request.GetBody = nil
+	response, err := e.client.Do(request)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: e.name, Operation: method + " " + path, Cause: err}
+	}
+	return response, nil
+}
+
+func (e endpoint) failure(operation string, response *http.Response) error {
+	defer drain(response)
+	return &fault.Unavailable{Target: e.name, Operation: operation, Status: response.StatusCode}
+}
+
+func drain(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maximumErrorBytes))
+	_ = response.Body.Close()
+}
+
+func (e endpoint) getJSON(ctx context.Context, path string, into any) error {
+	response, err := e.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return e.failure("GET "+path, response)
+	}
+	defer drain(response)
+	if err := json.NewDecoder(io.LimitReader(response.Body, maximumAnswerBytes)).Decode(into); err != nil {
+		return &fault.Unavailable{Target: e.name, Operation: "GET " + path, Cause: err}
+	}
+	return nil
+}
+
+// HTTPPublication watches a publication by long polling.
+type HTTPPublication struct {
+	endpoint endpoint
+	path     string
+	// onCall is told the size of each answer, for the count of control bytes.
+	onCall func(answerBytes int)
+}
+
+// Paths of the published sets of documents.
+const (
+	ConfigurationPath = "/v1/configuration"
+	MembershipPath    = "/v1/membership"
+)
+
+// NewHTTPPublication watches the publication at a path of a service.
+func NewHTTPPublication(address, path string, onCall func(answerBytes int)) *HTTPPublication {
+	return &HTTPPublication{
+		endpoint: newEndpoint("publication "+address+path, address, NewTransport(2)),
+		path:     path,
+		onCall:   onCall,
+	}
+}
+
+// Watch implements Publication.
+func (p *HTTPPublication) Watch(ctx context.Context, since monotonic.Version, wait time.Duration) (monotonic.Update, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	query := url.Values{}
+	query.Set("epoch", strconv.FormatUint(since.Epoch, 10))
+	query.Set("revision", strconv.FormatUint(since.Revision, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	response, err := p.endpoint.do(ctx, http.MethodGet, p.path+"?"+query.Encode(), nil)
+	if err != nil {
+		return monotonic.Update{}, false, err
+	}
+	defer drain(response)
+	if response.StatusCode == http.StatusNotModified {
+		p.onCall(0)
+		return monotonic.Update{}, false, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return monotonic.Update{}, false, p.endpoint.failure("watch", response)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
+	if err != nil {
+		return monotonic.Update{}, false, &fault.Unavailable{Target: p.endpoint.name, Operation: "watch", Cause: err}
+	}
+	p.onCall(len(data))
+	var update monotonic.Update
+	if err := json.Unmarshal(data, &update); err != nil {
+		return monotonic.Update{}, false, &fault.Unavailable{Target: p.endpoint.name, Operation: "watch", Cause: err}
+	}
+	return update, true, nil
+}
+
+// HTTPOrigin reads manifests and chunks by ranged GET.
+type HTTPOrigin struct{ endpoint endpoint }
+
+// NewHTTPOrigin returns the client of an origin.
+func NewHTTPOrigin(address string) *HTTPOrigin {
+	return &HTTPOrigin{endpoint: newEndpoint("origin", address, NewTransport(4))}
+}
+
+// Manifest implements Origin.
+func (o *HTTPOrigin) Manifest(ctx context.Context, digest weights.Digest) ([]byte, error) {
+	return readBlob(ctx, o.endpoint, "/v1/manifests/"+string(digest), weights.MaximumManifestBytes)
+}
+
+// Chunk implements Origin.
+func (o *HTTPOrigin) Chunk(ctx context.Context, chunk weights.Chunk) (io.ReadCloser, error) {
+	return openBlob(ctx, o.endpoint, "/v1/chunks/"+string(chunk.Digest))
+}
+
+func readBlob(ctx context.Context, e endpoint, path string, limit int64) ([]byte, error) {
+	body, err := openBlob(ctx, e, path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = body.Close() }()
+	data, err := readBounded(body, limit)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: e.name, Operation: "read " + path, Cause: err}
+	}
+	return data, nil
+}
+
+// readBounded reads a whole body, and fails on one that is over the limit
+// instead of cutting it.
+func readBounded(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, io.ErrShortBuffer
+	}
+	return data, nil
+}
+
+func openBlob(ctx context.Context, e endpoint, path string) (io.ReadCloser, error) {
+	response, err := e.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusPartialContent {
+		return nil, e.failure("GET "+path, response)
+	}
+	return response.Body, nil
+}
+
+// HTTPPeerStore reads manifests and chunks from another agent.
+type HTTPPeerStore struct{ transport *http.Transport }
+
+// NewHTTPPeerStore returns a client whose connections serve every peer.
+func NewHTTPPeerStore() *HTTPPeerStore {
+	transport := NewTransport(2)
+	transport.MaxIdleConns = 64
+	transport.IdleConnTimeout = 5 * time.Second
+	return &HTTPPeerStore{transport: transport}
+}
+
+// Manifest reads a manifest from the agent at an address.
+func (p *HTTPPeerStore) Manifest(ctx context.Context, address string, digest weights.Digest) ([]byte, error) {
+	return readBlob(ctx, newEndpoint("agent "+address, address, p.transport), "/v1/manifests/"+string(digest), weights.MaximumManifestBytes)
+}
+
+// Chunk opens a chunk held by the agent at an address.
+func (p *HTTPPeerStore) Chunk(ctx context.Context, address string, digest weights.Digest) (io.ReadCloser, error) {
+	return openBlob(ctx, newEndpoint("agent "+address, address, p.transport), "/v1/chunks/"+string(digest))
+}
+
+// Get reads a small answer from a path of the agent at an address.
+func (p *HTTPPeerStore) Get(ctx context.Context, address, path string) ([]byte, error) {
+	return readBlob(ctx, newEndpoint("agent "+address, address, p.transport), path, maximumLineBytes)
+}
+
+// Post sends a small body to a path of the agent at an address and returns the
+// answer's body.
+func (p *HTTPPeerStore) Post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	e := newEndpoint("agent "+address, address, p.transport)
+	response, err := e.do(ctx, http.MethodPost, path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, e.failure("POST "+path, response)
+	}
+	defer drain(response)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maximumLineBytes))
+	if err != nil {
+		return nil, &fault.Unavailable{Target: e.name, Operation: "POST " + path, Cause: err}
+	}
+	return data, nil
+}
+
+// HTTPStore is the client of a machine's weight store.
+type HTTPStore struct{ endpoint endpoint }
+
+// NewHTTPStore returns the client of the store at an address.
+func NewHTTPStore(address string) *HTTPStore {
+	return &HTTPStore{endpoint: newEndpoint("weight store", address, NewTransport(8))}
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context) ([]weights.Digest, error) {
+	var digests []weights.Digest
+	err := s.endpoint.getJSON(ctx, "/v1/chunks", &digests)
+	return digests, err
+}
+
+// Put implements Store.
+func (s *HTTPStore) Put(ctx context.Context, chunk weights.Chunk, content io.Reader) error {
+	response, err := s.endpoint.do(ctx, http.MethodPut, "/v1/chunks/"+string(chunk.Digest), content)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusNoContent {
+		return s.endpoint.failure("PUT chunk", response)
+	}
+	drain(response)
+	return nil
+}
+
+// Open implements Store.
+func (s *HTTPStore) Open(ctx context.Context, digest weights.Digest) (io.ReadCloser, error) {
+	return openBlob(ctx, s.endpoint, "/v1/chunks/"+string(digest))
+}
+
+// Delete implements Store.
+func (s *HTTPStore) Delete(ctx context.Context, digests []weights.Digest) error {
+	for _, digest := range digests {
+		response, err := s.endpoint.do(ctx, http.MethodDelete, "/v1/chunks/"+string(digest), nil)
+		if err != nil {
+			return err
+		}
+		drain(response)
+	}
+	return nil
+}
+
+// HTTPEngine is the client of a model engine.
+type HTTPEngine struct{ endpoint endpoint }
+
+// NewHTTPEngine returns the client of the engine at an address.
+func NewHTTPEngine(address string) *HTTPEngine {
+	return &HTTPEngine{endpoint: newEndpoint("engine", address, NewTransport(64))}
+}
+
+// Status implements Engine.
+func (e *HTTPEngine) Status(ctx context.Context) (EngineStatus, error) {
+	var status EngineStatus
+	err := e.endpoint.getJSON(ctx, "/v1/status", &status)
+	return status, err
+}
+
+// Give implements Engine.
+func (e *HTTPEngine) Give(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &fault.OrderRejected{Action: string(order.Action), Reason: err.Error()}
+	}
+	response, err := e.endpoint.do(ctx, http.MethodPost, "/v1/orders", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer drain(response)
+	if response.StatusCode == http.StatusOK {
+		return nil
+	}
+	reason, _ := io.ReadAll(io.LimitReader(response.Body, maximumErrorBytes))
+	if response.StatusCode == http.StatusConflict || response.StatusCode == http.StatusUnprocessableEntity {
+		return &fault.OrderRejected{Action: string(order.Action), Reason: string(bytes.TrimSpace(reason))}
+	}
+	return &fault.Unavailable{Target: e.endpoint.name, Operation: "order", Status: response.StatusCode}
+}
+
+// Generate implements Engine.
+func (e *HTTPEngine) Generate(ctx context.Context, generation Generation, emit func(GenerationEvent) error) error {
+	body, err := json.Marshal(generation)
+	if err != nil {
+		return &fault.Unavailable{Target: e.endpoint.name, Operation: "generate", Cause: err}
+	}
+	response, err := e.endpoint.do(ctx, http.MethodPost, "/v1/generate", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return e.endpoint.failure("generate", response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(make([]byte, 0, 4<<10), maximumLineBytes)
+	for lines.Scan() {
+		var event GenerationEvent
+		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+			return &fault.Unavailable{Target: e.endpoint.name, Operation: "generate", Cause: err}
+		}
+		if err := emit(event); err != nil {
+			return err
+		}
+		if event.Finish != "" {
+			return nil
+		}
+	}
+	cause := lines.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return &fault.Unavailable{Target: e.endpoint.name, Operation: "generate", Cause: cause}
+}
+
+// Headers between an agent and a plain service.
+const (
+	HeaderRequestID = "X-Request-Id"
+)
+
+// HTTPService is the client of a plain service.
+type HTTPService struct {
+	repeatable endpoint
+	oneShot    endpoint
+}
+
+// NewHTTPService returns the client of the service at an address.
+func NewHTTPService(address string) *HTTPService {
+	return &HTTPService{
+		repeatable: newEndpoint("service", address, NewTransport(32)),
+		oneShot:    newEndpoint("service", address, NewOneShotTransport()),
+	}
+}
+
+// Call implements Service. A call that is not repeatable is sent at most once.
+func (s *HTTPService) Call(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
+	e := s.oneShot
+	if call.Repeatable {
+		e = s.repeatable
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, e.base+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return ServiceAnswer{}, &fault.Unavailable{Target: e.name, Operation: call.Method + " " + call.Path, Cause: err}
+	}
+	request.GetBody = nil
+	request.Header.Set(HeaderRequestID, call.ID)
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return ServiceAnswer{}, &fault.Unavailable{Target: e.name, Operation: call.Method + " " + call.Path, Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readBounded(response.Body, maximumServiceAnswerBytes)
+	if err != nil {
+		return ServiceAnswer{}, &fault.Unavailable{Target: e.name, Operation: "read answer", Cause: err}
+	}
+	return ServiceAnswer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// maximumServiceAnswerBytes bounds a plain service's answer.
+const maximumServiceAnswerBytes = 8 << 20
--- /dev/null
+++ b/internal/promise/promise.go
@@ -0,0 +1,94 @@
+// Package promise judges, from the stand-ins' own records and what callers saw,
+// whether the system kept what it promises. It asks the system itself nothing.
+package promise
+
+import (
+	"fmt"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// Name is one of the promises.
+type Name string
+
+// The promises that records and answers can show.
+const (
+	// WholeVersion: no answer from partial weights or a mix of versions.
+	WholeVersion Name = "whole-version"
+	// OwnAnswer: every answer whole and of its own request.
+	OwnAnswer Name = "own-answer"
+	// NotRunIsTrue: what is refused as not-run did not run.
+	NotRunIsTrue Name = "not-run-is-true"
+	// AtMostOnce: what may not be repeated runs at most once.
+	AtMostOnce Name = "at-most-once"
+	// AnsweredRan: what was answered did run.
+	AnsweredRan Name = "answered-ran"
+	// PlannedStopCutsNothing: a planned stop cuts off no request.
+	PlannedStopCutsNothing Name = "planned-stop-cuts-nothing"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Promise Name   `json:"promise"`
+	Request string `json:"request"`
+	Detail  string `json:"detail"`
+}
+
+// Runs counts how often the back ends ran each request identifier.
+type Runs map[string]int
+
+// Judge checks results against the back ends' records.
+func Judge(results []workload.Result, calls, generations Runs) []Violation {
+	var violations []Violation
+	add := func(name Name, result workload.Result, detail string) {
+		violations = append(violations, Violation{Promise: name, Request: result.ID, Detail: detail})
+	}
+	for _, result := range results {
+		if result.Fault != "" {
+			name := OwnAnswer
+			if result.Request.Kind != workload.KindCall {
+				name = WholeVersion
+			}
+			add(name, result, result.Fault)
+		}
+		runs := generations[result.ID]
+		if result.Request.Kind == workload.KindCall {
+			runs = calls[result.ID]
+		}
+		if result.ID == "" {
+			continue
+		}
+		if result.Execution == fault.ExecutionNotRun && runs > 0 {
+			add(NotRunIsTrue, result, fmt.Sprintf("refused as not-run (%s), ran %d times", result.Reason, runs))
+		}
+		if mayNotRepeat(result.Request) && runs > 1 {
+			add(AtMostOnce, result, fmt.Sprintf("ran %d times", runs))
+		}
+		if result.Answered && runs == 0 && result.Request.CallerKey == "" {
+			add(AnsweredRan, result, "answered without a run")
+		}
+	}
+	return append(violations, judgeKeys(results, calls)...)
+}
+
+func mayNotRepeat(request workload.Request) bool {
+	return request.NotRepeatable
+}
+
+// judgeKeys checks that a caller's key ran at most once over all its requests.
+func judgeKeys(results []workload.Result, calls Runs) []Violation {
+	total := map[string]int{}
+	for _, result := range results {
+		if result.Request.CallerKey != "" && result.Request.NotRepeatable {
+			total[result.Request.Key+"/"+result.Request.CallerKey] += calls[result.ID]
+		}
+	}
+	var violations []Violation
+	for key, runs := range total {
+		if runs > 1 {
+			violations = append(violations, Violation{Promise: AtMostOnce, Request: key, Detail: fmt.Sprintf("key ran %d times", runs)})
+		}
+	}
+	return violations
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,500 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/monotonic"
+	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/platform"
+)
+
+// RelaysPerZone is how many processes of a zone watch the platform.
+const RelaysPerZone = 3
+
+// Options wires a Relay.
+type Options struct {
+	SelfID string
+	Zone   string
+	// Seeds are addresses of peers to follow when the platform can't be read at
+	// start.
+	Seeds        []string
+	Publications map[Kind]platform.Publication
+	Hub          *peering.Hub
+	Log          *logging.Logger
+	// OnChange is called with each new state of a publication, in order.
+	OnChange func(kind Kind, version monotonic.Version, documents map[string][]byte)
+	// Heartbeat is the period of signs of life to followers.
+	Heartbeat time.Duration
+	// Silence is how long a follower waits for a sign of life.
+	Silence time.Duration
+	// WatchWait is how long one watch waits at the platform.
+	WatchWait time.Duration
+	// StartJitter spreads the first read of the platform.
+	StartJitter time.Duration
+}
+
+func (o Options) applyDefaults() Options {
+	if o.Heartbeat == 0 {
+		o.Heartbeat = 2 * time.Second
+	}
+	if o.Silence == 0 {
+		o.Silence = 5 * time.Second
+	}
+	if o.WatchWait == 0 {
+		o.WatchWait = 25 * time.Second
+	}
+	return o
+}
+
+// Relay holds the publications of one process.
+type Relay struct {
+	options Options
+
+	mutex     sync.Mutex
+	feeds     map[Kind]*monotonic.Feed
+	members   []platform.Member
+	followers map[*peering.Link]*follower
+	// upstream is the link that this process follows, if any.
+	upstream *peering.Link
+	// direct is whether this process watches the platform.
+	direct bool
+	// skipped counts the relays that were passed over since the last success.
+	skipped    int
+	failedAt   map[Kind]time.Time
+	readAt     map[Kind]time.Time
+	directKick chan struct{}
+	// notify serialises OnChange.
+	notify sync.Mutex
+}
+
+type follower struct {
+	sent  map[Kind]monotonic.Version
+	dirty chan struct{}
+}
+
+// New returns a relay and registers its handlers with the hub.
+func New(options Options) *Relay {
+	relay := &Relay{
+		options:    options.applyDefaults(),
+		feeds:      map[Kind]*monotonic.Feed{},
+		followers:  map[*peering.Link]*follower{},
+		failedAt:   map[Kind]time.Time{},
+		readAt:     map[Kind]time.Time{},
+		directKick: make(chan struct{}),
+	}
+	for _, kind := range Kinds {
+		relay.feeds[kind] = monotonic.NewFeed()
+		options.Hub.Handle(string(kind)+topicUpdateSuffix, relay.updateHandler(kind))
+	}
+	options.Hub.Handle(topicFollow, relay.handleFollow)
+	options.Hub.Handle(topicAlive, func(*peering.Link, *message.Message) {})
+	options.Hub.OnLost(relay.linkLost)
+	return relay
+}
+
+// Status is the relay's part of a state dump.
+type Status struct {
+	Direct    bool   `json:"direct"`
+	Upstream  string `json:"upstream,omitempty"`
+	Followers int    `json:"followers"`
+	// ReadAgeSeconds is the time since the platform last answered a watch.
+	ReadAgeSeconds map[Kind]float64           `json:"read_age_seconds,omitempty"`
+	Versions       map[Kind]monotonic.Version `json:"versions"`
+}
+
+// Status describes the relay's present role.
+func (r *Relay) Status() Status {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	status := Status{
+		Direct: r.direct, Followers: len(r.followers),
+		Versions: map[Kind]monotonic.Version{}, ReadAgeSeconds: map[Kind]float64{},
+	}
+	if r.upstream != nil {
+		status.Upstream = r.upstream.Remote().ID
+	}
+	for kind, feed := range r.feeds {
+		status.Versions[kind] = feed.Version()
+	}
+	for kind, at := range r.readAt {
+		status.ReadAgeSeconds[kind] = time.Since(at).Seconds()
+	}
+	return status
+}
+
+// Version returns the version held of a publication.
+func (r *Relay) Version(kind Kind) monotonic.Version {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.feeds[kind].Version()
+}
+
+// Run keeps the publications up to date until the context ends.
+func (r *Relay) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	if r.options.StartJitter > 0 && !pause(ctx, rand.N(r.options.StartJitter)) {
+		return
+	}
+	r.readOnce(ctx, Membership)
+	for _, kind := range Kinds {
+		work.Go(func() { r.watch(ctx, kind) })
+	}
+	work.Go(func() { r.supervise(ctx) })
+	work.Wait()
+}
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readOnce reads a publication without waiting for a change.
+func (r *Relay) readOnce(ctx context.Context, kind Kind) {
+	update, newer, err := r.options.Publications[kind].Watch(ctx, r.Version(kind), 0)
+	r.noteRead(kind, err)
+	if err == nil && newer {
+		r.apply(kind, update)
+	}
+}
+
+func (r *Relay) noteRead(kind Kind, err error) {
+	r.mutex.Lock()
+	_, failing := r.failedAt[kind]
+	if err == nil {
+		delete(r.failedAt, kind)
+		r.readAt[kind] = time.Now()
+	} else if !failing {
+		r.failedAt[kind] = time.Now()
+	}
+	r.mutex.Unlock()
+	if err != nil && !failing {
+		r.options.Log.Log(logging.ServiceUnreached, zap.String("publication", string(kind)), zap.Error(err))
+	}
+}
+
+// watchRetry is the pause after a failed watch, with as much jitter again.
+const watchRetry = time.Second
+
+// watch reads the platform while this process is a direct reader.
+func (r *Relay) watch(ctx context.Context, kind Kind) {
+	for ctx.Err() == nil {
+		if !r.waitDirect(ctx) {
+			return
+		}
+		update, newer, err := r.options.Publications[kind].Watch(ctx, r.Version(kind), r.options.WatchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		r.noteRead(kind, err)
+		if err != nil {
+			pause(ctx, watchRetry+rand.N(watchRetry))
+			continue
+		}
+		if newer {
+			r.apply(kind, update)
+		}
+	}
+}
+
+// waitDirect blocks until this process is to read the platform.
+func (r *Relay) waitDirect(ctx context.Context) bool {
+	for {
+		r.mutex.Lock()
+		direct, kick := r.direct, r.directKick
+		r.mutex.Unlock()
+		if direct {
+			return true
+		}
+		select {
+		case <-kick:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// supervise decides again and again whom to follow.
+func (r *Relay) supervise(ctx context.Context) {
+	ticker := time.NewTicker(r.options.Heartbeat / 2)
+	defer ticker.Stop()
+	for beat := 0; ; beat++ {
+		r.chooseUpstream(ctx)
+		if beat%2 == 0 {
+			r.sendAlive()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) chooseUpstream(ctx context.Context) {
+	if r.upstreamHealthy() {
+		return
+	}
+	own, candidates := r.candidates()
+	r.mutex.Lock()
+	skipped := r.skipped
+	failing := len(r.failedAt) > 0
+	r.mutex.Unlock()
+	if own && !failing {
+		r.setDirect(true)
+		return
+	}
+	// A process that is no relay reads the platform itself only after it has
+	// tried every relay once.
+	r.setDirect(own || skipped >= len(candidates))
+	if len(candidates) == 0 {
+		return
+	}
+	r.followAddress(ctx, candidates[skipped%len(candidates)])
+}
+
+// upstreamHealthy drops a silent upstream and reports whether one is left.
+func (r *Relay) upstreamHealthy() bool {
+	r.mutex.Lock()
+	upstream := r.upstream
+	direct := r.direct
+	failing := len(r.failedAt) > 0
+	r.mutex.Unlock()
+	if upstream == nil {
+		return false
+	}
+	if time.Since(upstream.LastHeard()) > r.options.Silence {
+		_ = upstream.Close()
+		return false
+	}
+	return !direct || failing
+}
+
+// candidates returns whether this process is a relay of its zone, and the
+// addresses to follow in order of preference.
+func (r *Relay) candidates() (own bool, addresses []string) {
+	r.mutex.Lock()
+	members := r.members
+	r.mutex.Unlock()
+	byZone := map[string][]string{}
+	addressOf := map[string]string{}
+	for _, member := range members {
+		if member.Leaving {
+			continue
+		}
+		byZone[member.Zone] = append(byZone[member.Zone], member.ID)
+		addressOf[member.ID] = member.Address
+	}
+	relays := placement.Top("relay/"+r.options.Zone, byZone[r.options.Zone], RelaysPerZone)
+	own = slices.Contains(relays, r.options.SelfID)
+	if own {
+		// A relay that can't read the platform turns to other zones.
+		relays = nil
+		for zone, ids := range byZone {
+			if zone != r.options.Zone {
+				relays = append(relays, placement.Top("relay/"+zone, ids, 1)...)
+			}
+		}
+	}
+	for _, id := range placement.Rank(r.options.SelfID, relays) {
+		addresses = append(addresses, addressOf[id])
+	}
+	return own, append(addresses, r.options.Seeds...)
+}
+
+func (r *Relay) setDirect(direct bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.direct == direct {
+		return
+	}
+	r.direct = direct
+	close(r.directKick)
+	r.directKick = make(chan struct{})
+	r.options.Log.Log(logging.RelayElected, zap.Bool("direct", direct))
+}
+
+func (r *Relay) followAddress(ctx context.Context, address string) {
+	link, err := r.options.Hub.Link(ctx, address)
+	r.mutex.Lock()
+	request := follow{Configuration: r.feeds[Configuration].Version(), Membership: r.feeds[Membership].Version()}
+	r.mutex.Unlock()
+	if err == nil {
+		err = peering.Send(link, topicFollow, "", request)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if err != nil {
+		r.skipped++
+		return
+	}
+	r.skipped = 0
+	r.upstream = link
+}
+
+func (r *Relay) linkLost(link *peering.Link) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if lost, held := r.followers[link]; held {
+		close(lost.dirty)
+		delete(r.followers, link)
+	}
+	if r.upstream == link {
+		r.upstream = nil
+		r.skipped++
+	}
+}
+
+// sendAlive tells the followers that this process lives.
+func (r *Relay) sendAlive() {
+	r.mutex.Lock()
+	links := make([]*peering.Link, 0, len(r.followers))
+	for link := range r.followers {
+		links = append(links, link)
+	}
+	r.mutex.Unlock()
+	for _, link := range links {
+		// A failed send loses the link, which linkLost handles.
+		_ = peering.Send(link, topicAlive, "", alive{})
+	}
+}
+
+func (r *Relay) handleFollow(link *peering.Link, received *message.Message) {
+	request, err := peering.Decode[follow](received)
+	if err != nil {
+		r.options.Log.Log(logging.FrameRejected, zap.Error(err))
+		return
+	}
+	r.mutex.Lock()
+	current, exists := r.followers[link]
+	if !exists {
+		current = &follower{dirty: make(chan struct{}, 1)}
+		r.followers[link] = current
+		go r.push(link, current)
+	}
+	current.sent = map[Kind]monotonic.Version{Configuration: request.Configuration, Membership: request.Membership}
+	current.mark()
+	r.mutex.Unlock()
+}
+
+// mark asks for a push; the relay's mutex is held.
+func (f *follower) mark() {
+	select {
+	case f.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// push sends a follower what it lacks whenever something changed, so that a
+// slow follower delays nobody else.
+func (r *Relay) push(link *peering.Link, to *follower) {
+	for range to.dirty {
+		for _, kind := range Kinds {
+			r.mutex.Lock()
+			update, newer := r.feeds[kind].Since(to.sent[kind])
+			if newer {
+				to.sent[kind] = update.Version
+			}
+			r.mutex.Unlock()
+			if !newer {
+				continue
+			}
+			payload, err := encodeUpdate(update)
+			if err != nil {
+				continue
+			}
+			if link.Publish(string(kind)+topicUpdateSuffix, message.NewMessage("", payload)) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (r *Relay) updateHandler(kind Kind) peering.Handler {
+	return func(link *peering.Link, received *message.Message) {
+		update, err := decodeUpdate(received.Payload)
+		if err != nil {
+			r.options.Log.Log(logging.FrameRejected, zap.Error(err))
+			return
+		}
+		if r.apply(kind, update) != monotonic.Gap {
+			return
+		}
+		r.mutex.Lock()
+		request := follow{Configuration: r.feeds[Configuration].Version(), Membership: r.feeds[Membership].Version()}
+		r.mutex.Unlock()
+		_ = peering.Send(link, topicFollow, "", request)
+	}
+}
+
+func (r *Relay) apply(kind Kind, update monotonic.Update) monotonic.Outcome {
+	r.notify.Lock()
+	defer r.notify.Unlock()
+	r.mutex.Lock()
+	outcome := r.feeds[kind].Apply(update)
+	version := r.feeds[kind].Version()
+	var documents map[string][]byte
+	if outcome == monotonic.Applied {
+		documents = r.feeds[kind].Documents()
+		for _, current := range r.followers {
+			current.mark()
+		}
+	}
+	r.mutex.Unlock()
+	switch outcome {
+	case monotonic.Applied:
+		if kind == Membership {
+			r.setMembers(documents)
+		}
+		r.options.OnChange(kind, version, documents)
+	case monotonic.Stale:
+		if update.Version.Compare(version) < 0 {
+			r.options.Log.Log(logging.SnapshotStale, zap.String("publication", string(kind)),
+				zap.Stringer("offered", update.Version), zap.Stringer("current", version))
+		}
+	}
+	return outcome
+}
+
+func (r *Relay) setMembers(documents map[string][]byte) {
+	members := DecodeMembers(documents)
+	r.mutex.Lock()
+	r.members = members
+	r.mutex.Unlock()
+}
+
+// DecodeMembers reads a membership list; entries that can't be read are left out.
+func DecodeMembers(documents map[string][]byte) []platform.Member {
+	members := make([]platform.Member, 0, len(documents))
+	for _, data := range documents {
+		var member platform.Member
+		if json.Unmarshal(data, &member) == nil && member.ID != "" {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b platform.Member) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return members
+}
--- /dev/null
+++ b/internal/weights/manifest.go
@@ -0,0 +1,177 @@
+// Package weights describes model weights as a manifest of content-addressed
+// chunks. The manifest's digest is the only thing that a configuration names
+// and the only thing that is trusted; all else is checked against it.
+package weights
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"hash"
+	"io"
+
+	"github.com/zeebo/blake3"
+
+	"pinevane.example/pinevane/internal/fault"
+)
+
+// Limits on manifests, checked before anything is allocated for the weights.
+const (
+	MaximumManifestBytes = 64 << 20
+	MaximumChunkBytes    = 256 << 20
+	MaximumChunks        = 1 << 18
+)
+
+// Digest is a BLAKE3-256 digest in lower-case hexadecimal.
+type Digest string
+
+// digestLength is the number of hexadecimal digits of a Digest.
+const digestLength = 64
+
+// Valid reports whether the digest has the right form.
+func (d Digest) Valid() bool {
+	if len(d) != digestLength {
+		return false
+	}
+	_, err := hex.DecodeString(string(d))
+	return err == nil
+}
+
+// Sum returns the digest of data.
+func Sum(data []byte) Digest {
+	sum := blake3.Sum256(data)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Chunk is one piece of the weights.
+type Chunk struct {
+	Digest Digest `json:"digest"`
+	// Size is in bytes.
+	Size int64 `json:"size"`
+}
+
+// File is one file of a directory that a manifest was made from.
+type File struct {
+	Name string `json:"name"`
+	// Size is in bytes; files follow each other in the chunks' byte stream.
+	Size int64 `json:"size"`
+}
+
+// Manifest lists the chunks of one version of a model, in order.
+type Manifest struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	// TotalBytes is the sum of the chunks' sizes.
+	TotalBytes int64    `json:"total_bytes"`
+	Files      []File   `json:"files,omitempty"`
+	Chunks     []Chunk  `json:"chunks"`
+	Adapters   []string `json:"adapters,omitempty"`
+}
+
+// Encode returns the manifest's canonical bytes and their digest.
+func (m *Manifest) Encode() ([]byte, Digest, error) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, "", &fault.InvalidManifest{Field: "manifest", Reason: err.Error()}
+	}
+	return data, Sum(data), nil
+}
+
+// Decode checks bytes against the digest they were asked by and the manifest
+// against its own bounds.
+func Decode(data []byte, expected Digest) (*Manifest, error) {
+	if actual := Sum(data); actual != expected {
+		return nil, &fault.Corrupt{Expected: string(expected), Actual: string(actual), Source: "manifest"}
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks a manifest whose digest is not known.
+func Parse(data []byte) (*Manifest, error) {
+	if len(data) > MaximumManifestBytes {
+		return nil, &fault.InvalidManifest{Field: "manifest", Reason: "larger than 64 MiB"}
+	}
+	manifest := &Manifest{}
+	if err := json.Unmarshal(data, manifest); err != nil {
+		return nil, &fault.InvalidManifest{Field: "manifest", Reason: err.Error()}
+	}
+	if err := manifest.check(); err != nil {
+		return nil, err
+	}
+	return manifest, nil
+}
+
+func (m *Manifest) check() error {
+	if m.Model == "" || m.Version == "" {
+		return &fault.InvalidManifest{Field: "model, version", Reason: "must not be empty"}
+	}
+	if len(m.Chunks) == 0 || len(m.Chunks) > MaximumChunks {
+		return &fault.InvalidManifest{Field: "chunks", Reason: "count must be 1 to 262144"}
+	}
+	var total int64
+	for _, chunk := range m.Chunks {
+		if !chunk.Digest.Valid() {
+			return &fault.InvalidManifest{Field: "chunks.digest", Reason: "must be 64 hexadecimal digits"}
+		}
+		if chunk.Size <= 0 || chunk.Size > MaximumChunkBytes {
+			return &fault.InvalidManifest{Field: "chunks.size", Reason: "must be 1 byte to 256 MiB"}
+		}
+		total += chunk.Size
+	}
+	if total != m.TotalBytes {
+		return &fault.InvalidManifest{Field: "total_bytes", Reason: "is not the sum of the chunk sizes"}
+	}
+	return nil
+}
+
+// Verifier passes bytes through while computing their digest and refusing more
+// than the expected size.
+type Verifier struct {
+	reader   io.Reader
+	hash     hash.Hash
+	expected Chunk
+	source   string
+	received int64
+}
+
+// NewVerifier reads one chunk from a source named for error messages.
+func NewVerifier(reader io.Reader, expected Chunk, source string) *Verifier {
+	return &Verifier{reader: reader, hash: blake3.New(), expected: expected, source: source}
+}
+
+// Read implements io.Reader. At the end of the stream it returns a
+// *fault.Corrupt instead of io.EOF when size or digest differ.
+func (v *Verifier) Read(buffer []byte) (int, error) {
+	count, err := v.reader.Read(buffer)
+	v.received += int64(count)
+	_, _ = v.hash.Write(buffer[:count])
+	if v.received > v.expected.Size {
+		return 0, &fault.Corrupt{Expected: string(v.expected.Digest), Actual: "more bytes than declared", Source: v.source}
+	}
+	if err != io.EOF {
+		return count, err
+	}
+	actual := Digest(hex.EncodeToString(v.hash.Sum(nil)))
+	if v.received != v.expected.Size || actual != v.expected.Digest {
+		return 0, &fault.Corrupt{Expected: string(v.expected.Digest), Actual: string(actual), Source: v.source}
+	}
+	return count, io.EOF
+}
+
+// Identity condenses the contents of all chunks, in order, to one digest. An
+// engine that loaded other bytes than the manifest's has another identity.
+func Identity(contents []Digest) Digest {
+	hasher := blake3.New()
+	for _, digest := range contents {
+		_, _ = hasher.Write([]byte(digest))
+	}
+	return Digest(hex.EncodeToString(hasher.Sum(nil)))
+}
+
+// Identity returns the identity that correctly loaded weights have.
+func (m *Manifest) Identity() Digest {
+	digests := make([]Digest, 0, len(m.Chunks))
+	for _, chunk := range m.Chunks {
+		digests = append(digests, chunk.Digest)
+	}
+	return Identity(digests)
+}
