--- a/coordination/dissemination/plan.go
+++ b/coordination/dissemination/plan.go
@@ -3,8 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pinevane.example/pinevane/coordination/placement"
 )
 
 // Strategy names a way to arrange the machines.
@@ -37,13 +40,47 @@
 	Parent(chunk int, self MachineID) (MachineID, bool)
 	// Children returns the machines that this machine is to offer the chunk to.
 	Children(chunk int, self MachineID) []MachineID
-	// OriginRank orders the machines of a zone for reading the chunk from the
-	// origin when no holder can be reached; 0 goes first.
-	OriginRank(chunk int, self MachineID) int
+	// Providers returns the machines to ask for a late chunk, nearest first:
+	// ancestors, then others that stand before this machine in the chunk's order.
+	Providers(chunk int, self MachineID) []MachineID
+	// OriginReaders returns the few machines that may read a chunk from the origin
+	// when it does not come, in the order of their turns.
+	OriginReaders(chunk int, self MachineID) []MachineID
+	// Zone returns the zone of a machine, or "" when it is not known.
+	Zone(machine MachineID) string
+	// Mates returns the machines that are near, the machine itself included.
+	Mates(self MachineID) []MachineID
+	// Height is how many levels of machines get the chunk through this one.
+	Height(chunk int, self MachineID) int
+}
+
+// maximumAncestors bounds the walk up a tree that is not a line.
+const maximumAncestors = 64
+
+// ancestorsOf walks up a plan.
+func ancestorsOf(plan Plan, chunk int, self MachineID) []MachineID {
+	var ancestors []MachineID
+	current := self
+	for range maximumAncestors {
+		parent, exists := plan.Parent(chunk, current)
+		if !exists || parent == self {
+			break
+		}
+		ancestors = append(ancestors, parent)
+		current = parent
+	}
+	return ancestors
 }
 
-// NewPlan arranges the machines of a roster.
+// NewPlan arranges the machines of a roster, with each chunk read from the
+// origin once.
 func NewPlan(strategy Strategy, roster *Roster) Plan {
+	return NewPlanWithCopies(strategy, roster, 1)
+}
+
+// NewPlanWithCopies arranges the machines so that up to a number of zones read
+// each chunk from the origin; strategies without zones read it once.
+func NewPlanWithCopies(strategy Strategy, roster *Roster, copies int) Plan {
 	switch strategy {
 	case StrategyStar:
 		return starPlan{}
@@ -54,7 +91,7 @@
 	case StrategyPull:
 		return newPullPlan(roster)
 	}
-	return rotatedPlan{roster: roster}
+	return rotatedPlan{roster: roster, copies: max(1, copies)}
 }
 
 // arity is the number of children of an inner node within a zone.
@@ -64,7 +101,11 @@
 // golden section spreads the heads of neighbouring chunks evenly.
 const goldenStride = 0.6180339887498949
 
-type rotatedPlan struct{ roster *Roster }
+type rotatedPlan struct {
+	roster *Roster
+	// copies is how many zones read a chunk from the origin.
+	copies int
+}
 
 // head returns the index of the machine that brings a chunk into a zone.
 func (p rotatedPlan) head(chunk, zoneIndex int) int {
@@ -93,9 +134,26 @@
 	return machines[(p.head(chunk, zoneIndex)+position)%len(machines)]
 }
 
-// rootZone is the zone that reads a chunk from the origin.
+// rootZone is the first zone that reads a chunk from the origin.
 func (p rotatedPlan) rootZone(chunk int) int { return chunk % len(p.roster.zones) }
 
+// zoneRank orders the zones for a chunk, the root zone first. The zones after
+// it are taken from as many regions as possible.
+func (p rotatedPlan) zoneRank(chunk, zoneIndex int) int {
+	root := p.rootZone(chunk)
+	regions := len(p.roster.regions)
+	regionRank := (p.roster.zones[zoneIndex].region - p.roster.zones[root].region + regions) % regions
+	siblings := p.roster.regions[p.roster.zones[zoneIndex].region]
+	gate := p.gateZone(chunk, p.roster.zones[zoneIndex].region)
+	siblingRank := (zoneIndex - gate + len(siblings)) % len(siblings)
+	return siblingRank*regions + regionRank
+}
+
+// readsOrigin reports whether the head of a zone reads a chunk from the origin.
+func (p rotatedPlan) readsOrigin(chunk, zoneIndex int) bool {
+	return zoneIndex == p.rootZone(chunk) || p.zoneRank(chunk, zoneIndex) < p.copies
+}
+
 // gateZone is the zone through which a chunk enters a region.
 func (p rotatedPlan) gateZone(chunk, region int) int {
 	root := p.rootZone(chunk)
@@ -115,10 +173,10 @@
 	if position := p.position(chunk, at); position > 0 {
 		return p.machineAt(chunk, at.zone, (position-1)/arity), true
 	}
-	root := p.rootZone(chunk)
-	if at.zone == root {
+	if p.readsOrigin(chunk, at.zone) {
 		return "", false
 	}
+	root := p.rootZone(chunk)
 	if gate := p.gateZone(chunk, p.roster.zones[at.zone].region); at.zone != gate {
 		return p.machineAt(chunk, gate, 0), true
 	}
@@ -150,14 +208,15 @@
 	region := p.roster.zones[from].region
 	if from == p.rootZone(chunk) {
 		for other := range p.roster.regions {
-			if other != region {
-				heads = append(heads, p.machineAt(chunk, p.gateZone(chunk, other), 0))
+			gate := p.gateZone(chunk, other)
+			if other != region && !p.readsOrigin(chunk, gate) {
+				heads = append(heads, p.machineAt(chunk, gate, 0))
 			}
 		}
 	}
 	if from == p.gateZone(chunk, region) {
 		for _, sibling := range p.roster.regions[region] {
-			if sibling != from {
+			if sibling != from && !p.readsOrigin(chunk, sibling) {
 				heads = append(heads, p.machineAt(chunk, sibling, 0))
 			}
 		}
@@ -165,22 +224,116 @@
 	return heads
 }
 
-// OriginRank implements Plan: the zone's order for the chunk, zones that come
-// later for the chunk standing behind.
-func (p rotatedPlan) OriginRank(chunk int, self MachineID) int {
+// originReaders is how many machines of a zone may in turn read a late chunk
+// from the origin.
+const originReaders = 6
+
+// OriginReaders implements Plan.
+func (p rotatedPlan) OriginReaders(chunk int, self MachineID) []MachineID {
+	at, known := p.roster.places[self]
+	if !known {
+		return nil
+	}
+	return topReaders(chunk, p.roster.zones[at.zone].machines)
+}
+
+// Zone implements Plan.
+func (p rotatedPlan) Zone(machine MachineID) string { return p.roster.Zone(machine) }
+
+// Mates implements Plan.
+func (p rotatedPlan) Mates(self MachineID) []MachineID { return p.roster.ZoneMates(self) }
+
+// topReaders ranks machines for a chunk by rendezvous hashing.
+func topReaders(chunk int, machines []MachineID) []MachineID {
+	names := make([]string, 0, len(machines))
+	for _, machine := range machines {
+		names = append(names, string(machine))
+	}
+	top := placement.Top("origin-reader/"+strconv.Itoa(chunk), names, originReaders)
+	readers := make([]MachineID, 0, len(top))
+	for _, name := range top {
+		readers = append(readers, MachineID(name))
+	}
+	return readers
+}
+
+// maximumElders bounds the machines of the own zone that are asked after the
+// ancestors.
+const maximumElders = 8
+
+// Providers implements Plan: ancestors, then the machines before this one in
+// the zone, or the heads of the zones before this one for a head.
+func (p rotatedPlan) Providers(chunk int, self MachineID) []MachineID {
+	providers := ancestorsOf(p, chunk, self)
+	at, known := p.roster.places[self]
+	if !known {
+		return providers
+	}
+	position := p.position(chunk, at)
+	for elder := max(0, position-maximumElders); elder < position; elder++ {
+		providers = append(providers, p.machineAt(chunk, at.zone, elder))
+	}
+	if position == 0 {
+		providers = append(providers, p.earlierHeads(chunk, at.zone)...)
+	}
+	return providers
+}
+
+// maximumHeads bounds the other zones whose heads are asked, because a zone that
+// is cut off finds none of them.
+const maximumHeads = 2
+
+// earlierHeads returns heads of the zones that stand before one for a chunk.
+func (p rotatedPlan) earlierHeads(chunk, zoneIndex int) []MachineID {
+	var heads []MachineID
+	own := p.zoneRank(chunk, zoneIndex)
+	for other := range p.roster.zones {
+		if p.zoneRank(chunk, other) < own && len(heads) < maximumHeads {
+			heads = append(heads, p.machineAt(chunk, other, 0))
+		}
+	}
+	return heads
+}
+
+// Height implements Plan.
+func (p rotatedPlan) Height(chunk int, self MachineID) int {
 	at, known := p.roster.places[self]
 	if !known {
-		return p.roster.Len()
+		return 0
+	}
+	position := p.position(chunk, at)
+	height := heapHeight(position, len(p.roster.zones[at.zone].machines), arity)
+	if position > 0 {
+		return height
+	}
+	region := p.roster.zones[at.zone].region
+	if at.zone == p.gateZone(chunk, region) && len(p.roster.regions[region]) > 1 {
+		height++
+	}
+	if at.zone == p.rootZone(chunk) && len(p.roster.regions) > 1 {
+		height++
 	}
-	zoneRank := (at.zone - p.rootZone(chunk) + len(p.roster.zones)) % len(p.roster.zones)
-	return p.position(chunk, at) + zoneRank
+	return height
+}
+
+// heapHeight is the number of levels below a position of a heap-shaped tree.
+func heapHeight(position, size, children int) int {
+	height := 0
+	for next := position*children + 1; next < size; next = next*children + 1 {
+		height++
+	}
+	return height
 }
 
 type starPlan struct{}
 
-func (starPlan) Parent(int, MachineID) (MachineID, bool) { return "", false }
-func (starPlan) Children(int, MachineID) []MachineID     { return nil }
-func (starPlan) OriginRank(int, MachineID) int           { return 0 }
+func (starPlan) Parent(int, MachineID) (MachineID, bool)  { return "", false }
+func (starPlan) Children(int, MachineID) []MachineID      { return nil }
+func (starPlan) Providers(int, MachineID) []MachineID     { return nil }
+func (starPlan) OriginReaders(int, MachineID) []MachineID { return nil }
+func (starPlan) Zone(MachineID) string                    { return "" }
+func (starPlan) Mates(MachineID) []MachineID              { return nil }
+func (starPlan) Height(int, MachineID) int                { return 0 }
 
 // linePlan arranges all machines as one heap-shaped tree over an order that
 // may differ from chunk to chunk.
@@ -268,13 +421,29 @@
 	return children
 }
 
-// OriginRank implements Plan.
-func (p *linePlan) OriginRank(chunk int, self MachineID) int {
+// OriginReaders implements Plan.
+func (p *linePlan) OriginReaders(chunk int, _ MachineID) []MachineID {
+	return topReaders(chunk, p.machines)
+}
+
+// Providers implements Plan.
+func (p *linePlan) Providers(chunk int, self MachineID) []MachineID {
+	return ancestorsOf(p, chunk, self)
+}
+
+// Zone implements Plan.
+func (p *linePlan) Zone(MachineID) string { return "" }
+
+// Mates implements Plan.
+func (p *linePlan) Mates(MachineID) []MachineID { return p.machines }
+
+// Height implements Plan.
+func (p *linePlan) Height(chunk int, self MachineID) int {
 	position, known := p.position(chunk, self)
-	if !known {
-		return len(p.machines)
+	if !known || p.arity == 1 {
+		return 0
 	}
-	return position
+	return heapHeight(position, len(p.machines), p.arity)
 }
 
 // pullPeers is how many peers a machine announces its chunks to.
@@ -316,5 +485,19 @@
 // Children implements Plan.
 func (p *pullPlan) Children(_ int, self MachineID) []MachineID { return p.peers[self] }
 
-// OriginRank implements Plan.
-func (p *pullPlan) OriginRank(chunk int, self MachineID) int { return p.line.OriginRank(chunk, self) }
+// OriginReaders implements Plan.
+func (p *pullPlan) OriginReaders(chunk int, self MachineID) []MachineID {
+	return p.line.OriginReaders(chunk, self)
+}
+
+// Providers implements Plan.
+func (p *pullPlan) Providers(_ int, self MachineID) []MachineID { return p.peers[self] }
+
+// Zone implements Plan.
+func (p *pullPlan) Zone(MachineID) string { return "" }
+
+// Mates implements Plan.
+func (p *pullPlan) Mates(MachineID) []MachineID { return p.line.machines }
+
+// Height implements Plan: a graph has no levels.
+func (*pullPlan) Height(int, MachineID) int { return 0 }
--- a/coordination/dissemination/roster.go
+++ b/coordination/dissemination/roster.go
@@ -22,6 +22,7 @@
 
 // zone is a maximal run of machines that share a zone, in order of ID.
 type zone struct {
+	name     string
 	region   int
 	machines []MachineID
 }
@@ -47,6 +48,7 @@
 	slices.SortFunc(ordered, func(a, b Machine) int {
 		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
 	})
+	ordered = slices.CompactFunc(ordered, func(a, b Machine) bool { return a.ID == b.ID })
 	roster := &Roster{places: make(map[MachineID]place, len(ordered))}
 	for i, machine := range ordered {
 		if i == 0 || machine.Region != ordered[i-1].Region {
@@ -55,7 +57,7 @@
 		if i == 0 || machine.Zone != ordered[i-1].Zone || machine.Region != ordered[i-1].Region {
 			region := len(roster.regions) - 1
 			roster.regions[region] = append(roster.regions[region], len(roster.zones))
-			roster.zones = append(roster.zones, zone{region: region})
+			roster.zones = append(roster.zones, zone{name: machine.Zone, region: region})
 		}
 		current := &roster.zones[len(roster.zones)-1]
 		roster.places[machine.ID] = place{zone: len(roster.zones) - 1, index: len(current.machines)}
@@ -67,12 +69,6 @@
 // Len returns the number of machines.
 func (r *Roster) Len() int { return len(r.places) }
 
-// Contains reports whether a machine is on the roster.
-func (r *Roster) Contains(machine MachineID) bool {
-	_, known := r.places[machine]
-	return known
-}
-
 // ZoneMates returns the machines in the same zone, the machine itself included.
 func (r *Roster) ZoneMates(machine MachineID) []MachineID {
 	at, known := r.places[machine]
@@ -81,3 +77,12 @@
 	}
 	return r.zones[at.zone].machines
 }
+
+// Zone returns the zone of a machine, or "" when it is not on the roster.
+func (r *Roster) Zone(machine MachineID) string {
+	at, known := r.places[machine]
+	if !known {
+		return ""
+	}
+	return r.zones[at.zone].name
+}
--- a/internal/agent/transfer.go
+++ b/internal/agent/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,6 @@
 
 	mutex      sync.Mutex
 	assigned   assignment
-	roster     *dissemination.Roster
 	plan       dissemination.Plan
 	manifest   *weights.Manifest
 	fetcher    *dissemination.Fetcher
@@ -66,8 +66,8 @@
 
 // arrange computes the plan from the assignment; the mutex is held or not needed.
 func (t *transfer) arrange() {
-	t.roster = dissemination.NewRoster(t.assigned.machines)
-	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, t.roster)
+	roster := dissemination.NewRoster(t.assigned.machines)
+	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, roster)
 }
 
 func (t *transfer) self() dissemination.MachineID {
@@ -83,7 +83,7 @@
 	t.assigned = assigned
 	t.arrange()
 	if t.fetcher != nil {
-		t.fetcher.SetPlan(t.plan, t.roster, t.now())
+		t.fetcher.SetPlan(t.plan, t.now())
 	}
 	t.poke()
 }
@@ -155,13 +155,14 @@
 	for ctx.Err() == nil {
 		t.mutex.Lock()
 		plan, digest := t.plan, t.assigned.digest
-		rank := plan.OriginRank(0, t.self())
+		turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
 		t.mutex.Unlock()
 		if data, manifest := t.manifestFromAncestors(ctx, plan, digest); manifest != nil {
 			return data, manifest
 		}
 		_, hasParent := plan.Parent(0, t.self())
-		if !hasParent || t.now() > time.Duration(rank+1)*t.owner.options.RepairPatience {
+		myTurn := turn >= 0 && t.now() > time.Duration(turn+1)*t.owner.options.RepairPatience
+		if !hasParent || myTurn {
 			data, err := t.owner.origin.Manifest(ctx, digest)
 			if manifest := t.acceptManifest(data, digest, err); manifest != nil {
 				return data, manifest
@@ -235,7 +236,7 @@
 	t.progress.ManifestAt = time.Now()
 	t.progress.Chunks = len(manifest.Chunks)
 	t.fetcher = dissemination.NewFetcher(dissemination.Options{
-		Self: t.self(), Plan: t.plan, Roster: t.roster, Chunks: len(manifest.Chunks), Held: held,
+		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Chunks), Held: held,
 		Patience: t.owner.options.RepairPatience,
 	})
 	t.fetcher.Start(t.now())
@@ -243,26 +244,32 @@
 		zap.String("version", manifest.Version), zap.Int("chunks", len(manifest.Chunks)), zap.Int("missing", t.fetcher.Missing()))
 }
 
-// take feeds an offer or a question to the fetcher and returns the asked chunks
-// that are held.
-func (t *transfer) take(incoming offer) []int {
+// take feeds an offer or a question to the fetcher and answers which of the
+// asked chunks can be had here.
+func (t *transfer) take(incoming offer) offerAnswer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	var answer offerAnswer
 	if t.fetcher == nil {
-		return nil
+		return answer
 	}
-	var held []int
+	backlog := int(t.owner.waitingUploads.Load())
 	for _, chunk := range incoming.Chunks {
 		if !incoming.Ask {
 			t.fetcher.Offered(incoming.From, chunk, t.now())
 			continue
 		}
-		if t.fetcher.Asked(incoming.From, chunk, t.now()) {
-			held = append(held, chunk)
+		switch {
+		case t.fetcher.Asked(incoming.From, chunk, backlog, t.now()):
+			answer.Held = append(answer.Held, chunk)
+		case t.fetcher.Expects(chunk):
+			answer.Pending = append(answer.Pending, chunk)
+		default:
+			answer.Lacked = append(answer.Lacked, chunk)
 		}
 	}
 	t.poke()
-	return held
+	return answer
 }
 
 // carryOut starts the fetcher's actions; offers and questions to one peer go
@@ -305,6 +312,12 @@
 	for _, chunk := range answer.Held {
 		t.fetcher.Offered(peer, chunk, t.now())
 	}
+	for _, chunk := range answer.Pending {
+		t.fetcher.AskPending(peer, chunk)
+	}
+	for _, chunk := range answer.Lacked {
+		t.fetcher.AskDenied(peer, chunk)
+	}
 	t.poke()
 }
 
@@ -470,14 +483,24 @@
 	done     atomic.Bool
 }
 
+// busyWindows is how many windows a source may take to begin: it sends few
+// chunks at once and lets others wait.
+const busyWindows = 5
+
 func newStallGuard(source string, window time.Duration, cancel context.CancelCauseFunc) *stallGuard {
 	guard := &stallGuard{}
 	var before int64
+	windows := 0
 	guard.timer = time.AfterFunc(window, func() {
 		received := guard.received.Load()
 		if guard.done.Load() {
 			return
 		}
+		windows++
+		if received == 0 && windows < busyWindows {
+			guard.timer.Reset(window)
+			return
+		}
 		if received-before < minimumBytesPerWindow {
 			cancel(&fault.Stalled{Source: source, Received: received, Window: window})
 			return
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -72,9 +73,12 @@
 	Ask bool `cbor:"4,keyasint,omitempty"`
 }
 
-// offerAnswer tells which of the asked chunks are held.
+// offerAnswer tells of the asked chunks which can be had from the answering
+// machine now, which it expects or is too busy to send, and which it lacks.
 type offerAnswer struct {
-	Held []int `cbor:"1,keyasint"`
+	Held    []int `cbor:"1,keyasint,omitempty"`
+	Pending []int `cbor:"2,keyasint,omitempty"`
+	Lacked  []int `cbor:"3,keyasint,omitempty"`
 }
 
 const offerPath = "/v1/offers"
@@ -90,7 +94,9 @@
 	downlink *rate.Limiter
 	uplink   *rate.Limiter
 	uploads  chan struct{}
-	received *prometheus.CounterVec
+	// waitingUploads counts the uploads that wait for their turn.
+	waitingUploads atomic.Int64
+	received       *prometheus.CounterVec
 
 	mutex     sync.Mutex
 	fleet     fleet
@@ -272,8 +278,7 @@
 		http.Error(writer, "not a valid offer", http.StatusBadRequest)
 		return
 	}
-	answer := offerAnswer{Held: c.takeOffer(incoming)}
-	data, err := cbor.Marshal(answer)
+	data, err := cbor.Marshal(c.takeOffer(incoming))
 	if err != nil {
 		http.Error(writer, "can't encode the answer", http.StatusInternalServerError)
 		return
@@ -283,8 +288,8 @@
 }
 
 // takeOffer gives an offer to its transfer, or keeps it until the manifest is
-// known, and returns the asked chunks that are held.
-func (c *weightsController) takeOffer(incoming offer) []int {
+// known.
+func (c *weightsController) takeOffer(incoming offer) offerAnswer {
 	c.mutex.Lock()
 	existing, running := c.transfers[incoming.Manifest]
 	_, manifestHere := c.manifests[incoming.Manifest]
@@ -294,7 +299,7 @@
 			c.earlyCount += len(incoming.Chunks)
 		}
 		c.mutex.Unlock()
-		return nil
+		return offerAnswer{}
 	}
 	c.mutex.Unlock()
 	return existing.take(incoming)
@@ -313,10 +318,13 @@
 
 // serveChunk streams a chunk from the store to a peer at the uplink's share.
 func (c *weightsController) serveChunk(writer http.ResponseWriter, request *http.Request) {
+	c.waitingUploads.Add(1)
 	select {
 	case c.uploads <- struct{}{}:
+		c.waitingUploads.Add(-1)
 		defer func() { <-c.uploads }()
 	case <-request.Context().Done():
+		c.waitingUploads.Add(-1)
 		return
 	}
 	digest := weights.Digest(chi.URLParam(request, "digest"))
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -18,8 +18,9 @@
 	if err != nil {
 		return err
 	}
-	return demo.Run(demo.Options{
+	_, err = demo.Run(demo.Options{
 		Executable: executable, Directory: c.Deployment, LogDirectory: c.Logs,
 		Hold: c.Hold, Stop: stopSignal(), Output: os.Stdout,
 	})
+	return err
 }
--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -1,3 +1,230 @@
 package command
 
-type experimentCommand struct{}
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/demo"
+	"pinevane.example/pinevane/internal/experiment/rollout"
+	"pinevane.example/pinevane/internal/experiment/scale"
+	"pinevane.example/pinevane/internal/fault"
+)
+
+type experimentCommand struct {
+	Rollout rolloutCommand `command:"rollout" description:"Measure how weights reach a fleet, in virtual time or with --real over processes"`
+	Scale   scaleCommand   `command:"scale" description:"Measure what control costs with hollow processes beside real ones"`
+	Hollow  hollowCommand  `command:"hollow" hidden:"true" description:"Hold hollow processes for experiment scale"`
+}
+
+type hollowCommand struct {
+	Entries int64 `long:"entries"`
+	Agents  int64 `long:"agents"`
+	Zones   int64 `long:"zones"`
+	Regions int64 `long:"regions"`
+	Network int64 `long:"network"`
+	First   int64 `long:"first"`
+	Count   int64 `long:"count"`
+	Host    int64 `long:"host"`
+}
+
+// Execute runs the command.
+func (c *hollowCommand) Execute([]string) error {
+	return scale.RunHost(scale.HostOptions{
+		Layout:  scale.Options{Entries: int(c.Entries), Agents: int(c.Agents), Zones: int(c.Zones), Regions: int(c.Regions)},
+		Network: int(c.Network), First: int(c.First), Count: int(c.Count), Host: int(c.Host),
+	}, stopSignal())
+}
+
+type rolloutCommand struct {
+	Machines     int64   `long:"machines" default:"233" description:"number of machines, 2 to 20000"`
+	Zones        int64   `long:"zones" default:"1" description:"number of zones, 1 to 64"`
+	Regions      int64   `long:"regions" default:"1" description:"number of regions, 1 to the number of zones"`
+	Chunks       int64   `long:"chunks" default:"256" description:"number of chunks, 1 to 8192"`
+	Strategy     string  `long:"strategy" default:"rotated" description:"star, chain, tree, rotated or pull"`
+	Duplex       string  `long:"duplex" default:"full" description:"full or half"`
+	Dead         float64 `long:"dead" default:"0" description:"share of machines that die meanwhile, 0 to 0.5"`
+	Stalled      float64 `long:"stalled" default:"0" description:"share of machines whose uplink hangs, 0 to 0.5"`
+	Corrupt      float64 `long:"corrupt" default:"0" description:"share of transfers that arrive corrupt, 0 to 0.5"`
+	StaleList    float64 `long:"stale-list" default:"0" description:"share of machines with a wrong membership list, 0 to 1"`
+	Partition    bool    `long:"partition" description:"cut one zone off from the others in the middle"`
+	OriginCopies int64   `long:"origin-copies" default:"1" description:"zones that read each chunk from the origin, 1 to 4"`
+	Held         float64 `long:"held" default:"0" description:"share of chunks that the machines hold already, 0 to 0.99"`
+	NoVerify     bool    `long:"no-verify" description:"accept corrupt chunks, to see the check notice it"`
+	Seed         int64   `long:"seed" default:"1" description:"seed of every random choice, 0 to 2^53"`
+	Real         bool    `long:"real" description:"run real processes on loopback with shaped rates; machines 3 to 48"`
+	Deployment   string  `long:"deployment" default:"examples/yaad-voices" description:"deployment directory for --real"`
+	JSON         bool    `long:"json" description:"print one JSON object"`
+	Report       string  `long:"report" description:"directory for plots and results of every strategy"`
+}
+
+func (c *rolloutCommand) check() error {
+	integers := []struct {
+		flag      string
+		value     int64
+		low, high int64
+	}{
+		{"--machines", c.Machines, 2, 20000}, {"--zones", c.Zones, 1, min(64, c.Machines)}, {"--regions", c.Regions, 1, c.Zones},
+		{"--chunks", c.Chunks, 1, 8192}, {"--origin-copies", c.OriginCopies, 1, 4}, {"--seed", c.Seed, 0, 1 << 53},
+	}
+	for _, integer := range integers {
+		if err := checkInteger(integer.flag, integer.value, integer.low, integer.high, ""); err != nil {
+			return err
+		}
+	}
+	shares := []struct {
+		flag        string
+		value, high float64
+	}{
+		{"--dead", c.Dead, 0.5}, {"--stalled", c.Stalled, 0.5}, {"--corrupt", c.Corrupt, 0.5}, {"--stale-list", c.StaleList, 1}, {"--held", c.Held, 0.99},
+	}
+	for _, share := range shares {
+		if err := checkShare(share.flag, share.value, 0, share.high); err != nil {
+			return err
+		}
+	}
+	if !slices.Contains(dissemination.Strategies, dissemination.Strategy(c.Strategy)) {
+		return &fault.InvalidSetting{Flag: "--strategy", Value: c.Strategy, Allowed: "star, chain, tree, rotated or pull"}
+	}
+	if c.Duplex != string(rollout.DuplexFull) && c.Duplex != string(rollout.DuplexHalf) {
+		return &fault.InvalidSetting{Flag: "--duplex", Value: c.Duplex, Allowed: "full or half"}
+	}
+	return nil
+}
+
+func (c *rolloutCommand) options() rollout.Options {
+	return rollout.Options{
+		Machines: int(c.Machines), Zones: int(c.Zones), Regions: int(c.Regions), Chunks: int(c.Chunks),
+		Strategy: dissemination.Strategy(c.Strategy), Duplex: rollout.Duplex(c.Duplex), Seed: uint64(c.Seed),
+		Dead: c.Dead, Stalled: c.Stalled, Corrupt: c.Corrupt, StaleList: c.StaleList, Partition: c.Partition,
+		OriginCopies: int(c.OriginCopies), HeldShare: c.Held, SkipVerification: c.NoVerify,
+	}
+}
+
+// Execute runs the command.
+func (c *rolloutCommand) Execute([]string) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	if c.Real {
+		return c.real()
+	}
+	result := rollout.Simulate(c.options())
+	if c.Report != "" {
+		if err := rollout.WriteReport(c.Report, c.options()); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return printJSON(result)
+	}
+	fmt.Printf("%s: %d of %d machines live after %.1f slots, %.3f of the lower bound, %.3f origin copies\n",
+		result.Strategy, result.Live, result.Machines, result.CompletionSlots, result.Ratio, result.OriginCopies)
+	return nil
+}
+
+// realZones is the number of zones of the example deployments.
+const realZones = 3
+
+func (c *rolloutCommand) real() error {
+	if err := checkInteger("--machines", c.Machines, realZones, 48, "machines with --real"); err != nil {
+		return err
+	}
+	executable, err := executablePath()
+	if err != nil {
+		return err
+	}
+	output := os.Stdout
+	if c.JSON {
+		output = os.Stderr
+	}
+	perZone := int(math.Ceil(float64(c.Machines) / realZones))
+	report, err := demo.Run(demo.Options{Executable: executable, Directory: c.Deployment, Output: output, EnginesPerZone: perZone})
+	if report != nil && c.JSON {
+		if err := printJSON(realResult{Report: report, Strategy: dissemination.StrategyRotated, Seed: c.Seed}); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+type realResult struct {
+	*demo.Report
+	Strategy dissemination.Strategy `json:"strategy"`
+	Seed     int64                  `json:"seed"`
+}
+
+type scaleCommand struct {
+	Entries  int64         `long:"entries" default:"46" description:"number of entries, 1 to 2000"`
+	Agents   int64         `long:"agents" default:"262" description:"number of agents, 1 to 10000"`
+	Zones    int64         `long:"zones" default:"9" description:"number of zones, 1 to 64"`
+	Regions  int64         `long:"regions" default:"3" description:"number of regions, 1 to the number of zones"`
+	Duration time.Duration `long:"duration" default:"20s" description:"time of the measurement, 5s to 1h"`
+	Changes  int64         `long:"changes-per-hour" default:"720" description:"configuration changes an hour, 0 to 36000"`
+	Restarts int64         `long:"restarts" default:"2" description:"hollow processes that are restarted meanwhile, 0 to 1000"`
+	Tenants  int64         `long:"tenants" default:"100" description:"number of tenants, 1 to 5000"`
+	Real     int64         `long:"real" default:"2" description:"real entries and agents beside the hollow ones, 0 to 16"`
+	JSON     bool          `long:"json" description:"print one JSON object"`
+	Sweep    bool          `long:"sweep" description:"run 1/16, 1/8, 1/4, 1/2 and the whole of the size, and fit slopes"`
+	Report   string        `long:"report" description:"directory for results and plots"`
+}
+
+func (c *scaleCommand) options() (scale.Options, error) {
+	integers := []struct {
+		flag      string
+		value     int64
+		low, high int64
+	}{
+		{"--entries", c.Entries, 1, 2000}, {"--agents", c.Agents, 1, 10000}, {"--zones", c.Zones, 1, 64}, {"--regions", c.Regions, 1, c.Zones},
+		{"--changes-per-hour", c.Changes, 0, 36000}, {"--restarts", c.Restarts, 0, 1000}, {"--tenants", c.Tenants, 1, 5000}, {"--real", c.Real, 0, 16},
+	}
+	for _, integer := range integers {
+		if err := checkInteger(integer.flag, integer.value, integer.low, integer.high, ""); err != nil {
+			return scale.Options{}, err
+		}
+	}
+	if err := checkDuration("--duration", c.Duration, 5*time.Second, time.Hour); err != nil {
+		return scale.Options{}, err
+	}
+	executable, err := executablePath()
+	return scale.Options{
+		Executable: executable, Entries: int(c.Entries), Agents: int(c.Agents), Zones: int(c.Zones), Regions: int(c.Regions),
+		Tenants: int(c.Tenants), DurationSeconds: c.Duration.Seconds(), ChangesPerHour: int(c.Changes), Restarts: int(c.Restarts), Real: int(c.Real),
+	}, err
+}
+
+// Execute runs the command.
+func (c *scaleCommand) Execute([]string) error {
+	options, err := c.options()
+	if err != nil {
+		return err
+	}
+	if c.Sweep {
+		sweep, err := scale.Sweep(options, os.Stderr)
+		if err != nil {
+			return err
+		}
+		if c.Report != "" {
+			if err := scale.WriteReport(c.Report, sweep); err != nil {
+				return err
+			}
+		}
+		return printJSON(sweep)
+	}
+	result, err := scale.Run(options)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(result)
+	}
+	fmt.Printf("entry: %.2f%% of a core, %.1f MB, %.0f B/s; agent: %.2f%%, %.1f MB, %.0f B/s; spread %.2f s; %s calls/s\n",
+		result.Roles.Entry.CPU, result.Roles.Entry.Memory, result.Roles.Entry.Bytes,
+		result.Roles.Agent.CPU, result.Roles.Agent.Memory, result.Roles.Agent.Bytes,
+		result.Configuration.SpreadMax, strconv.FormatFloat(result.Configuration.CallsPerSecond, 'f', 1, 64))
+	return nil
+}
--- a/internal/configuration/schema.go
+++ b/internal/configuration/schema.go
@@ -40,10 +40,10 @@
 }
 
 // matchesSchema reports each leaf violation of the kind's JSON schema.
-func (b *builder) matchesSchema(kind Kind, document string, data []byte) bool {
+func matchesSchema(kind Kind, document string, data []byte, found *faults) bool {
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
-		b.found.add(document, "body", err.Error())
+		found.add(document, "body", err.Error())
 		return false
 	}
 	err = compiledSchemas()[kind].Validate(value)
@@ -52,17 +52,17 @@
 	}
 	violation, ok := err.(*jsonschema.ValidationError)
 	if !ok {
-		b.found.add(document, "body", err.Error())
+		found.add(document, "body", err.Error())
 		return false
 	}
-	b.addLeaves(document, violation)
+	addLeaves(document, violation, found)
 	return false
 }
 
-func (b *builder) addLeaves(document string, violation *jsonschema.ValidationError) {
+func addLeaves(document string, violation *jsonschema.ValidationError, found *faults) {
 	if len(violation.Causes) > 0 {
 		for _, cause := range violation.Causes {
-			b.addLeaves(document, cause)
+			addLeaves(document, cause, found)
 		}
 		return
 	}
@@ -71,5 +71,5 @@
 		path = "body"
 	}
 	printer := message.NewPrinter(language.English)
-	b.found.add(document, path, violation.ErrorKind.LocalizedString(printer))
+	found.add(document, path, violation.ErrorKind.LocalizedString(printer))
 }
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"pinevane.example/pinevane/coordination/monotonic"
-	"pinevane.example/pinevane/internal/fault"
 )
 
 // Adapter is a small addition to a model's weights, chosen by request.
@@ -84,37 +83,7 @@
 // Parse checks a whole set of documents, keyed by path, and renders them to a
 // Snapshot. The error is a *fault.InvalidConfiguration that lists every fault.
 func Parse(version monotonic.Version, documents map[string][]byte) (*Snapshot, error) {
-	found := &faults{}
-	templates, instances := parseAll(documents, found)
-	builder := newBuilder(version, found)
-	for _, instance := range instances {
-		builder.add(instance, templates)
-	}
-	builder.checkReferences()
-	if len(found.list) > 0 {
-		return nil, &fault.InvalidConfiguration{Faults: found.list}
-	}
-	builder.snapshot.keyOwner = builder.keyOwner
-	return builder.snapshot, nil
-}
-
-func parseAll(documents map[string][]byte, found *faults) (map[string]*Template, []*Instance) {
-	templates := map[string]*Template{}
-	var instances []*Instance
-	for _, key := range slices.Sorted(maps.Keys(documents)) {
-		template, instance := parseDocument(key, documents[key], found)
-		if template != nil {
-			if earlier, twice := templates[template.Template]; twice {
-				found.add(key, "template", "name is already used by "+earlier.document)
-				continue
-			}
-			templates[template.Template] = template
-		}
-		if instance != nil {
-			instances = append(instances, instance)
-		}
-	}
-	return templates, instances
+	return NewParser().Parse(version, documents)
 }
 
 type builder struct {
@@ -122,7 +91,6 @@
 	found    *faults
 	// documentOf maps "kind/name" to the document that declared it.
 	documentOf map[string]string
-	keyOwner   map[string]string
 	hasRollout bool
 }
 
@@ -134,30 +102,47 @@
 			Services: map[string]Service{},
 			Tenants:  map[string]Tenant{},
 			Rollout:  DefaultRollout,
+			keyOwner: map[string]string{},
 		},
 		found:      found,
 		documentOf: map[string]string{},
-		keyOwner:   map[string]string{},
 	}
 }
 
-func (b *builder) add(instance *Instance, templates map[string]*Template) {
-	template, known := templates[instance.Template]
-	if !known {
-		b.found.add(instance.document, "from", "no template is named "+strconv.Quote(instance.Template))
+// add puts one rendered instance into the snapshot.
+func (b *builder) add(item rendered) {
+	document, name := item.instance.document, item.instance.Instance
+	identity := string(item.template.Kind) + "/" + name
+	if earlier, twice := b.documentOf[identity]; twice {
+		b.found.add(document, "instance", "name is already used by "+earlier)
 		return
 	}
-	body, ok := render(template, instance, b.found)
-	if !ok {
-		return
+	b.documentOf[identity] = document
+	switch value := item.value.(type) {
+	case Model:
+		b.snapshot.Models[name] = value
+	case Service:
+		b.snapshot.Services[name] = value
+	case Tenant:
+		b.snapshot.Tenants[name] = value
+		b.addKeys(document, value)
+	case Rollout:
+		if b.hasRollout {
+			b.found.add(document, "instance", "only one rollout may be published")
+			return
+		}
+		b.hasRollout = true
+		b.snapshot.Rollout = value
 	}
-	identity := string(template.Kind) + "/" + instance.Instance
-	if earlier, twice := b.documentOf[identity]; twice {
-		b.found.add(instance.document, "instance", "name is already used by "+earlier)
-		return
+}
+
+func (b *builder) addKeys(document string, tenant Tenant) {
+	for _, digest := range tenant.KeyDigests {
+		if owner, taken := b.snapshot.keyOwner[digest]; taken {
+			b.found.add(document, "keyDigests", "key is already used by tenant "+owner)
+		}
+		b.snapshot.keyOwner[digest] = tenant.Name
 	}
-	b.documentOf[identity] = instance.document
-	b.decode(template.Kind, instance, body)
 }
 
 // render fills a template's body with an instance's parameters.
@@ -193,59 +178,39 @@
 	return body, true
 }
 
-func (b *builder) decode(kind Kind, instance *Instance, body map[string]any) {
+// decode turns a rendered body into the value of its kind, or nil when it has
+// faults.
+func decode(kind Kind, instance *Instance, body map[string]any, found *faults) any {
 	if body == nil {
 		body = map[string]any{}
 	}
 	body["name"] = instance.Instance
 	data, err := json.Marshal(body)
 	if err != nil {
-		b.found.add(instance.document, "body", err.Error())
-		return
+		found.add(instance.document, "body", err.Error())
+		return nil
 	}
-	if !b.matchesSchema(kind, instance.document, data) {
-		return
+	if !matchesSchema(kind, instance.document, data, found) {
+		return nil
 	}
 	switch kind {
 	case KindModel:
-		decodeInto(b, instance, data, b.snapshot.Models)
+		return decodeAs[Model](instance, data, found)
 	case KindService:
-		decodeInto(b, instance, data, b.snapshot.Services)
+		return decodeAs[Service](instance, data, found)
 	case KindTenant:
-		decodeInto(b, instance, data, b.snapshot.Tenants)
-		b.checkKeys(instance)
-	case KindRollout:
-		b.decodeRollout(instance, data)
+		return decodeAs[Tenant](instance, data, found)
 	}
+	return decodeAs[Rollout](instance, data, found)
 }
 
-func decodeInto[T any](b *builder, instance *Instance, data []byte, into map[string]T) {
+func decodeAs[T any](instance *Instance, data []byte, found *faults) any {
 	var value T
 	if err := json.Unmarshal(data, &value); err != nil {
-		b.found.add(instance.document, "body", err.Error())
-		return
-	}
-	into[instance.Instance] = value
-}
-
-func (b *builder) decodeRollout(instance *Instance, data []byte) {
-	if b.hasRollout {
-		b.found.add(instance.document, "instance", "only one rollout may be published")
-		return
-	}
-	b.hasRollout = true
-	if err := json.Unmarshal(data, &b.snapshot.Rollout); err != nil {
-		b.found.add(instance.document, "body", err.Error())
-	}
-}
-
-func (b *builder) checkKeys(instance *Instance) {
-	for _, digest := range b.snapshot.Tenants[instance.Instance].KeyDigests {
-		if owner, taken := b.keyOwner[digest]; taken {
-			b.found.add(instance.document, "keyDigests", "key is already used by tenant "+owner)
-		}
-		b.keyOwner[digest] = instance.Instance
+		found.add(instance.document, "body", err.Error())
+		return nil
 	}
+	return value
 }
 
 // checkReferences reports tenants that name models or services nobody declares.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,6 +37,29 @@
 	Stop <-chan struct{}
 	// Output gets the progress and the report.
 	Output io.Writer
+	// EnginesPerZone replaces the deployment's number of engines when not zero.
+	EnginesPerZone int
+}
+
+// Report is what a run came to.
+type Report struct {
+	Deployment string `json:"deployment"`
+	Machines   int    `json:"machines"`
+	Live       int    `json:"live"`
+	Chunks     int    `json:"chunks"`
+	// FirstLive, HalfLive and AllLive are seconds from publishing to live.
+	FirstLive float64 `json:"first_live_seconds"`
+	HalfLive  float64 `json:"half_live_seconds"`
+	AllLive   float64 `json:"all_live_seconds"`
+	// LowerBound is the time that a link needs for one copy, in seconds.
+	LowerBound   float64 `json:"lower_bound_seconds"`
+	Ratio        float64 `json:"ratio_to_lower_bound"`
+	OriginBytes  int64   `json:"origin_bytes"`
+	OriginCopies float64 `json:"origin_copies"`
+	// MixedOrPartial counts answers from partial weights or a mix of versions.
+	MixedOrPartial int                 `json:"mixed_or_partial_served"`
+	Requests       workload.Summary    `json:"requests"`
+	Violations     []promise.Violation `json:"violations"`
 }
 
 // Rates and times of the demo, in bytes a second and seconds.
@@ -65,22 +89,27 @@
 	stopped sync.Map
 }
 
-// Run runs the demo and returns a *fault.PromiseBroken when a promise did not
-// hold.
-func Run(options Options) error {
+// Run runs the demo. The report is nil when the fleet was held; the error is a
+// *fault.PromiseBroken when a promise did not hold.
+func Run(options Options) (*Report, error) {
 	d, err := prepare(options)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer d.fleet.Stop()
 	if err := d.bringUp(); err != nil {
-		return err
+		return nil, err
 	}
 	if options.Hold {
 		d.hold()
-		return nil
+		return nil, nil
 	}
-	return d.perform()
+	report, err := d.perform()
+	if err != nil {
+		return nil, err
+	}
+	report.print(options.Output, d.versions)
+	return report, report.verdict(d.versions)
 }
 
 func prepare(options Options) (*demo, error) {
@@ -91,6 +120,11 @@
 	if len(described.Weights) < 2 {
 		return nil, &fault.InvalidDocument{Document: options.Directory, Path: "weights", Reason: "the demo needs two versions"}
 	}
+	if options.EnginesPerZone > 0 {
+		for i := range described.Zones {
+			described.Zones[i].Engines = options.EnginesPerZone
+		}
+	}
 	snapshot, err := configuration.ParseDirectory(options.Directory)
 	if err != nil {
 		return nil, err
@@ -134,6 +168,9 @@
 	if err := d.fleet.Start(); err != nil {
 		return err
 	}
+	if err := d.publishVersion(d.versions[0].Version); err != nil {
+		return err
+	}
 	d.say("%d processes run; waiting for version %s", d.fleet.Count(), d.versions[0].Version)
 	if _, err := d.waitLive(d.versions[0].Version, time.Now()); err != nil {
 		return err
@@ -234,10 +271,10 @@
 }
 
 // perform runs the load through a rollout and a planned stop, and reports.
-func (d *demo) perform() error {
+func (d *demo) perform() (*Report, error) {
 	before, err := d.originBytes()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -246,14 +283,14 @@
 	d.say("%d requests answered on version %s", workload.Summarize(d.recorder.Results()).Answered, d.versions[0].Version)
 	times, err := d.rollOut(d.versions[1])
 	if err != nil {
-		return err
+		return nil, err
 	}
 	after, err := d.originBytes()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := d.plannedStops(); err != nil {
-		return err
+		return nil, err
 	}
 	time.Sleep(steadyTime / 2)
 	cancel()
@@ -261,19 +298,28 @@
 	return d.report(times, after-before)
 }
 
-func (d *demo) rollOut(next weights.Synthetic) ([]time.Duration, error) {
-	_, digest, err := d.manifests[next.Version].Encode()
+// publishVersion publishes the model's document with a version.
+func (d *demo) publishVersion(version string) error {
+	_, digest, err := d.manifests[version].Encode()
 	if err != nil {
-		return nil, err
+		return err
 	}
-	documents, err := d.fleet.ModelDocument(d.model, next.Version, string(digest))
+	parameters := map[string]string{"version": strconv.Quote(version), "manifest": string(digest)}
+	if d.options.EnginesPerZone > 0 {
+		parameters["replicasPerZone"] = strconv.Itoa(d.options.EnginesPerZone)
+	}
+	documents, err := d.fleet.ModelDocument(d.model, parameters)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	return d.fleet.Publish(documents)
+}
+
+func (d *demo) rollOut(next weights.Synthetic) ([]time.Duration, error) {
 	d.say("publishing version %s: %.1f MB in %d chunks, %.0f MB/s a link, %.0f MB/s at the origin", next.Version,
 		megabytes(next.Bytes), next.ChunkCount(), megabytes(linkRate), megabytes(originRate))
 	published := time.Now()
-	if err := d.fleet.Publish(documents); err != nil {
+	if err := d.publishVersion(next.Version); err != nil {
 		return nil, err
 	}
 	return d.waitLive(next.Version, published)
@@ -333,13 +379,12 @@
 	}
 }
 
-// report prints what happened and checks the promises.
-func (d *demo) report(times []time.Duration, originBytes int64) error {
+// report judges the run.
+func (d *demo) report(times []time.Duration, originBytes int64) (*Report, error) {
 	results := d.recorder.Results()
-	summary := workload.Summarize(results)
 	calls, generations, err := d.records()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	violations := promise.Judge(results, calls, generations)
 	for _, result := range results {
@@ -350,29 +395,53 @@
 		}
 	}
 	next := d.versions[1]
-	lowerBound := float64(next.Bytes) / (linkRate * d.linkShare())
-	out := d.options.Output
-	_, _ = fmt.Fprintf(out, "\nrollout of %s %s to %d replicas\n", d.model, next.Version, len(times))
-	_, _ = fmt.Fprintf(out, "  time until live: first %.2f s, half %.2f s, all %.2f s (a link needs %.2f s for one copy)\n",
-		times[0].Seconds(), times[len(times)/2].Seconds(), times[len(times)-1].Seconds(), lowerBound)
-	_, _ = fmt.Fprintf(out, "  origin: %.1f MB drawn, %.2f copies\n", megabytes(originBytes), float64(originBytes)/float64(next.Bytes))
-	_, _ = fmt.Fprintf(out, "requests: %d, answered %d, not-run %d, unknown %d, wrong %d\n",
-		summary.Requests, summary.Answered, summary.NotRun, summary.Unknown, summary.Wrong)
-	for _, version := range []string{d.versions[0].Version, next.Version} {
-		_, _ = fmt.Fprintf(out, "  answers by version %s: %d\n", version, summary.Versions[version])
-	}
-	for reason, count := range summary.Reasons {
-		_, _ = fmt.Fprintf(out, "  refused as %s: %d\n", reason, count)
-	}
-	_, _ = fmt.Fprintf(out, "promises checked from the stand-ins' records: %d violations\n", len(violations))
-	for _, violation := range violations[:min(len(violations), 10)] {
-		_, _ = fmt.Fprintf(out, "  %s: request %s: %s\n", violation.Promise, violation.Request, violation.Detail)
-	}
-	if len(violations) > 0 {
-		return &fault.PromiseBroken{Promise: string(violations[0].Promise), Detail: violations[0].Detail}
-	}
-	if summary.Versions[d.versions[0].Version] == 0 || summary.Versions[next.Version] == 0 {
-		return &fault.PromiseBroken{Promise: "rollout", Detail: "a version answered no request"}
+	report := &Report{
+		Deployment: d.deployment.Name, Machines: len(d.machines(platform.RoleAgent, true)), Live: len(times), Chunks: next.ChunkCount(),
+		FirstLive: times[0].Seconds(), HalfLive: times[len(times)/2].Seconds(), AllLive: times[len(times)-1].Seconds(),
+		LowerBound:  float64(next.Bytes) / (linkRate * d.linkShare()),
+		OriginBytes: originBytes, OriginCopies: float64(originBytes) / float64(next.Bytes),
+		Requests: workload.Summarize(results), Violations: violations,
+	}
+	report.Ratio = report.AllLive / report.LowerBound
+	for _, violation := range violations {
+		if violation.Promise == promise.WholeVersion {
+			report.MixedOrPartial++
+		}
+	}
+	return report, nil
+}
+
+// maximumListed bounds the violations that are printed.
+const maximumListed = 10
+
+func (r *Report) print(out io.Writer, versions []weights.Synthetic) {
+	line := func(format string, arguments ...any) { _, _ = fmt.Fprintf(out, format+"\n", arguments...) }
+	line("\nrollout of %s %s to %d replicas", versions[1].Model, versions[1].Version, r.Live)
+	line("  time until live: first %.2f s, half %.2f s, all %.2f s (a link needs %.2f s for one copy)", r.FirstLive, r.HalfLive, r.AllLive, r.LowerBound)
+	line("  origin: %.1f MB drawn, %.2f copies", megabytes(r.OriginBytes), r.OriginCopies)
+	line("requests: %d, answered %d, not-run %d, unknown %d, wrong %d",
+		r.Requests.Requests, r.Requests.Answered, r.Requests.NotRun, r.Requests.Unknown, r.Requests.Wrong)
+	for _, version := range versions[:2] {
+		line("  answers by version %s: %d", version.Version, r.Requests.Versions[version.Version])
+	}
+	for reason, count := range r.Requests.Reasons {
+		line("  refused as %s: %d", reason, count)
+	}
+	line("promises checked from the stand-ins' records: %d violations", len(r.Violations))
+	for _, violation := range r.Violations[:min(len(r.Violations), maximumListed)] {
+		line("  %s: request %s: %s", violation.Promise, violation.Request, violation.Detail)
+	}
+}
+
+// verdict returns a *fault.PromiseBroken unless everything held.
+func (r *Report) verdict(versions []weights.Synthetic) error {
+	if len(r.Violations) > 0 {
+		return &fault.PromiseBroken{Promise: string(r.Violations[0].Promise), Detail: r.Violations[0].Detail}
+	}
+	for _, version := range versions[:2] {
+		if r.Requests.Versions[version.Version] == 0 {
+			return &fault.PromiseBroken{Promise: "rollout", Detail: "version " + version.Version + " answered no request"}
+		}
 	}
 	return nil
 }
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -9,14 +9,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"pinevane.example/pinevane/internal/configuration"
@@ -42,22 +37,13 @@
 	MachineFlags []string
 }
 
-// Process is one running process.
-type Process struct {
-	Name    string
-	command *exec.Cmd
-	exited  chan struct{}
-}
-
 // Fleet is a running fleet.
 type Fleet struct {
 	options  Options
 	network  int
 	Machines []deployment.Machine
 	client   *http.Client
-
-	mutex     sync.Mutex
-	processes map[string]*Process
+	*Group
 }
 
 // firstNetwork and networks bound the second octet of a fleet's addresses.
@@ -71,11 +57,11 @@
 func New(options Options) *Fleet {
 	network := firstNetwork + os.Getpid()%networks
 	return &Fleet{
-		options:   options,
-		network:   network,
-		Machines:  options.Deployment.Machines(network),
-		client:    &http.Client{Timeout: 10 * time.Second},
-		processes: map[string]*Process{},
+		options:  options,
+		network:  network,
+		Machines: options.Deployment.Machines(network),
+		client:   &http.Client{Timeout: 10 * time.Second},
+		Group:    NewGroup(options.Executable, options.LogDirectory),
 	}
 }
 
@@ -91,7 +77,7 @@
 		"emulate", "platform", "--listen", f.PlatformAddress(), "--documents", f.options.Deployment.Directory,
 		"--origin-rate", fmt.Sprint(f.options.OriginRate),
 	}
-	if err := f.run("platform", platformArguments); err != nil {
+	if err := f.Run("platform", platformArguments); err != nil {
 		return err
 	}
 	if err := f.waitListening("http://" + f.PlatformAddress() + emulator.FaultPath); err != nil {
@@ -122,7 +108,7 @@
 	if machine.Service != "" {
 		arguments = []string{"emulate", "service", "--listen", machine.BackEndAddress(), "--name", machine.Service}
 	}
-	return f.run(machine.ID+"-back-end", arguments)
+	return f.Run(machine.ID+"-back-end", arguments)
 }
 
 // StartProcess starts a machine's entry or agent.
@@ -142,33 +128,7 @@
 				"--link-rate", fmt.Sprint(f.options.LinkRate))
 		}
 	}
-	return f.run(machine.ID, arguments)
-}
-
-func (f *Fleet) run(name string, arguments []string) error {
-	command := exec.Command(f.options.Executable, arguments...)
-	command.Stdout, command.Stderr = io.Discard, io.Discard
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if f.options.LogDirectory != "" {
-		file, err := os.OpenFile(filepath.Join(f.options.LogDirectory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			return &fault.Unavailable{Target: name, Operation: "open log", Cause: err}
-		}
-		defer func() { _ = file.Close() }()
-		command.Stderr = file
-	}
-	if err := command.Start(); err != nil {
-		return &fault.Unavailable{Target: name, Operation: "start", Cause: err}
-	}
-	process := &Process{Name: name, command: command, exited: make(chan struct{})}
-	go func() {
-		_ = command.Wait()
-		close(process.exited)
-	}()
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.processes[name] = process
-	return nil
+	return f.Run(machine.ID, arguments)
 }
 
 // startTimeout bounds the wait for a process to listen.
@@ -196,55 +156,6 @@
 	return &fault.Timeout{Waiting: what, After: limit}
 }
 
-// Signal sends a signal to a process; what has ended is left alone.
-func (f *Fleet) Signal(name string, signal os.Signal) error {
-	f.mutex.Lock()
-	process := f.processes[name]
-	f.mutex.Unlock()
-	if process == nil {
-		return &fault.Unavailable{Target: name, Operation: "signal"}
-	}
-	if err := process.command.Process.Signal(signal); err != nil {
-		return &fault.Unavailable{Target: name, Operation: "signal", Cause: err}
-	}
-	return nil
-}
-
-// WaitExit waits until a process has ended and reports whether it did in time.
-func (f *Fleet) WaitExit(name string, limit time.Duration) bool {
-	f.mutex.Lock()
-	process := f.processes[name]
-	f.mutex.Unlock()
-	if process == nil {
-		return true
-	}
-	select {
-	case <-process.exited:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
-// Count returns how many processes were started.
-func (f *Fleet) Count() int {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return len(f.processes)
-}
-
-// Stop kills every process of the fleet that still runs.
-func (f *Fleet) Stop() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, process := range f.processes {
-		_ = process.command.Process.Kill()
-	}
-	for _, process := range f.processes {
-		<-process.exited
-	}
-}
-
 // PublishMembers adds or replaces lines of the membership list.
 func (f *Fleet) PublishMembers(machines []deployment.Machine, removed ...string) error {
 	changed := map[string][]byte{}
@@ -364,28 +275,31 @@
 }
 
 // ModelDocument returns the key and content of the instance document that sets
-// a model, with its version and manifest replaced.
-func (f *Fleet) ModelDocument(model, version, manifest string) (map[string][]byte, error) {
+// a model, with some of its scalar parameters replaced.
+func (f *Fleet) ModelDocument(model string, parameters map[string]string) (map[string][]byte, error) {
 	documents, err := configuration.ReadDirectory(f.options.Deployment.Directory)
 	if err != nil {
 		return nil, err
 	}
 	for key, data := range documents {
-		if !strings.Contains(string(data), "instance: "+model+"\n") {
-			continue
+		if strings.Contains(string(data), "instance: "+model+"\n") {
+			return map[string][]byte{key: []byte(replaceScalars(string(data), parameters))}, nil
 		}
-		lines := strings.Split(string(data), "\n")
-		for i, line := range lines {
-			trimmed := strings.TrimSpace(line)
-			indent := line[:len(line)-len(strings.TrimLeft(line, " "))]
-			switch {
-			case strings.HasPrefix(trimmed, "version:"):
-				lines[i] = indent + "version: \"" + version + "\""
-			case strings.HasPrefix(trimmed, "manifest:"):
-				lines[i] = indent + "manifest: " + manifest
-			}
-		}
-		return map[string][]byte{key: []byte(strings.Join(lines, "\n"))}, nil
 	}
 	return nil, &fault.InvalidDocument{Document: f.options.Deployment.Directory, Path: "instance", Reason: "no document sets model " + model}
 }
+
+// replaceScalars replaces the values of "name: value" lines, keeping indents.
+func replaceScalars(document string, values map[string]string) string {
+	lines := strings.Split(document, "\n")
+	for i, line := range lines {
+		name, _, found := strings.Cut(strings.TrimSpace(line), ":")
+		value, replaced := values[name]
+		if !found || !replaced {
+			continue
+		}
+		indent := line[:len(line)-len(strings.TrimLeft(line, " "))]
+		lines[i] = indent + name + ": " + value
+	}
+	return strings.Join(lines, "\n")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,8 @@
 	MembershipAddress    string
 	Seeds                []string
 	StartJitter          time.Duration
+	// OnSnapshot, when set, is called with each configuration in force.
+	OnSnapshot func(*configuration.Snapshot)
 	// Profile serves pprof on the administration address.
 	Profile bool
 	// SettleTime is how long a stopping process stays after readiness is off.
@@ -81,6 +83,8 @@
 	// Router serves the process's own address.
 	Router chi.Router
 
+	// parser is used by published only, whose calls do not overlap.
+	parser   *configuration.Parser
 	leaving  atomic.Bool
 	ready    func() bool
 	open     func() int
@@ -94,12 +98,6 @@
 func New(options Options, log *logging.Logger) *Node {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return NewShared(options, log, registry)
-}
-
-// NewShared builds a process whose metrics go to a given registry. Hollow
-// processes, many in one operating-system process, use it.
-func NewShared(options Options, log *logging.Logger, registry *prometheus.Registry) *Node {
 	node := &Node{
 		options:     options,
 		incarnation: uint64(time.Now().UnixNano()),
@@ -109,6 +107,7 @@
 		Registry:    registry,
 		Counters:    peering.NewCounters(registry),
 		Router:      chi.NewRouter(),
+		parser:      configuration.NewParser(),
 		ready:       func() bool { return true },
 		open:        func() int { return 0 },
 	}
@@ -150,6 +149,11 @@
 // Incarnation differs between lives of a process.
 func (n *Node) Incarnation() uint64 { return n.incarnation }
 
+// Snapshot returns the configuration in force.
+func (n *Node) Snapshot() (*configuration.Snapshot, bool) {
+	return blackboard.Read(n.Board, SnapshotKey)
+}
+
 // Leaving reports whether a planned stop has begun.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
@@ -173,7 +177,7 @@
 		blackboard.Write(n.Board, MembersKey, members)
 		return
 	}
-	snapshot, err := configuration.Parse(version, documents)
+	snapshot, err := n.parser.Parse(version, documents)
 	if err != nil {
 		n.Log.Log(logging.SnapshotRejected, zap.Stringer("version", version), zap.Error(err))
 		blackboard.Write(n.Board, RejectedKey, Rejected{Version: version, Reason: err.Error()})
@@ -181,6 +185,9 @@
 	}
 	n.Log.Log(logging.SnapshotAccepted, zap.Stringer("version", version))
 	blackboard.Write(n.Board, SnapshotKey, snapshot)
+	if n.options.OnSnapshot != nil {
+		n.options.OnSnapshot(snapshot)
+	}
 }
 
 func (n *Node) isReady() bool {
--- a/internal/peering/counters.go
+++ b/internal/peering/counters.go
@@ -20,6 +20,28 @@
 	BytesOut    uint64 `json:"bytes_out"`
 }
 
+// Plus returns the sum of two counts.
+func (t Traffic) Plus(other Traffic) Traffic {
+	return Traffic{
+		MessagesIn:  t.MessagesIn + other.MessagesIn,
+		MessagesOut: t.MessagesOut + other.MessagesOut,
+		BytesIn:     t.BytesIn + other.BytesIn,
+		BytesOut:    t.BytesOut + other.BytesOut,
+	}
+}
+
+// Minus returns what was added since an earlier count; a count that started
+// anew meanwhile gives nothing.
+func (t Traffic) Minus(earlier Traffic) Traffic {
+	since := func(now, before uint64) uint64 { return now - min(now, before) }
+	return Traffic{
+		MessagesIn:  since(t.MessagesIn, earlier.MessagesIn),
+		MessagesOut: since(t.MessagesOut, earlier.MessagesOut),
+		BytesIn:     since(t.BytesIn, earlier.BytesIn),
+		BytesOut:    since(t.BytesOut, earlier.BytesOut),
+	}
+}
+
 // Counters counts the traffic of a process by kind, which is the part of a
 // topic before its first dot ("attempt", "configuration", "liveness" ...).
 type Counters struct {
@@ -79,12 +101,7 @@
 func (c *Counters) add(kind string, delta Traffic) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	total := c.traffic[kind]
-	total.MessagesIn += delta.MessagesIn
-	total.MessagesOut += delta.MessagesOut
-	total.BytesIn += delta.BytesIn
-	total.BytesOut += delta.BytesOut
-	c.traffic[kind] = total
+	c.traffic[kind] = c.traffic[kind].Plus(delta)
 }
 
 // Snapshot returns the totals by kind.
