--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -304,7 +304,7 @@
 	if err != nil {
 		return err
 	}
-	parameters := map[string]string{"version": strconv.Quote(version), "manifest": string(digest)}
+	parameters := map[string]string{"version": strconv.Quote(version), "manifest": strconv.Quote(string(digest))}
 	if d.options.EnginesPerZone > 0 {
 		parameters["replicasPerZone"] = strconv.Itoa(d.options.EnginesPerZone)
 	}
--- a/internal/experiment/scale/layout.go
+++ b/internal/experiment/scale/layout.go
@@ -124,12 +124,12 @@
 from: model-standard
 parameters:
   version: "1"
-  manifest: 0000000000000000000000000000000000000000000000000000000000000000
+  manifest: "0000000000000000000000000000000000000000000000000000000000000000"
 `
 
 // tenantDocument is the document of one tenant with a limit that changes.
 func tenantDocument(tenant, limit int) []byte {
-	return fmt.Appendf(nil, "instance: tenant-%d\nfrom: tenant-standard\nparameters:\n  keyDigests: [%064x]\n  requestsPerSecond: %d\n", tenant, tenant+1, limit)
+	return fmt.Appendf(nil, "instance: tenant-%d\nfrom: tenant-standard\nparameters:\n  keyDigests: [\"%064x\"]\n  requestsPerSecond: %d\n", tenant, tenant+1, limit)
 }
 
 // configuration returns the documents of the first revision.
