--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -53,7 +53,7 @@
 	// MaximumFetches is how many transfers from peers, and how many from the
 	// origin, run at once.
 	MaximumFetches int
-	// OriginWindow is how many chunks past the number held may be requested from
+	// OriginWindow is how many chunks past the number received may be requested from
 	// the origin, so that a fast origin is read at the pace of the fleet's links.
 	OriginWindow int
 	// LagChunks is how far a chunk may be behind the highest one heard of before
@@ -95,6 +95,8 @@
 
 // chunkState is what a Fetcher knows of one chunk.
 type chunkState struct {
+	// ordinal counts the chunks before this one that were missing at the start.
+	ordinal  int
 	held     bool
 	fetching bool
 	queued   bool
@@ -134,9 +136,12 @@
 	options Options
 	chunks  []chunkState
 	missing int
-	active  int
+	// wanted is how many chunks were missing at the start.
+	wanted int
+	active int
 	// origin counts transfers from the origin under way.
-	origin  int
+	origin int
+	// highest is the highest ordinal heard of.
 	highest int
 	// queue lists chunks with a source that are not being fetched.
 	queue        []int
@@ -159,12 +164,14 @@
 		highest: -1,
 	}
 	for chunk := range fetcher.chunks {
+		fetcher.chunks[chunk].ordinal = fetcher.missing
 		if options.Held != nil && options.Held[chunk] {
 			fetcher.chunks[chunk].held = true
 			continue
 		}
 		fetcher.missing++
 	}
+	fetcher.wanted = fetcher.missing
 	return fetcher
 }
 
@@ -247,6 +254,10 @@
 	if !state.held && !slices.Contains(state.interested, from) {
 		state.interested = append(state.interested, from)
 	}
+	if !f.Expects(chunk) {
+		// Pass the question on: the next tick asks this machine's own provider.
+		f.makeLate(state, now)
+	}
 	if !state.held && !state.fetching && f.isRoot(chunk) {
 		f.fetchOrigin(chunk)
 	}
@@ -366,7 +377,7 @@
 		if f.hasTrustedSource(state, now) {
 			continue
 		}
-		if !state.late && quiet == 0 && !(idle && chunk < f.highest) && f.highest-chunk <= f.lagOf(chunk) && !f.parentLost(chunk, now) {
+		if !state.late && quiet == 0 && !(idle && state.ordinal < f.highest) && f.highest-state.ordinal <= f.lagOf(chunk) && !f.parentLost(chunk, now) {
 			continue
 		}
 		quiet = max(0, quiet-1)
@@ -392,7 +403,7 @@
 
 func (f *Fetcher) valid(chunk int) bool { return chunk >= 0 && chunk < len(f.chunks) }
 
-func (f *Fetcher) hear(chunk int) { f.highest = max(f.highest, chunk) }
+func (f *Fetcher) hear(chunk int) { f.highest = max(f.highest, f.chunks[chunk].ordinal) }
 
 func (f *Fetcher) ended(from MachineID) {
 	if from == "" {
@@ -446,7 +457,7 @@
 // parentLost reports whether the machine that is to bring a chunk, which is due,
 // can't be reached.
 func (f *Fetcher) parentLost(chunk int, now time.Duration) bool {
-	if len(f.peers) == 0 || chunk > f.originLimit() {
+	if len(f.peers) == 0 || f.chunks[chunk].ordinal > f.originLimit() {
 		return false
 	}
 	parent, exists := f.options.Plan.Parent(chunk, f.options.Self)
@@ -601,7 +612,7 @@
 		if state.held || state.fetching || state.late {
 			continue
 		}
-		if f.origin >= f.options.MaximumFetches || chunk > f.originLimit() {
+		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() {
 			kept = append(kept, f.rootChunks[i:]...)
 			break
 		}
@@ -610,16 +621,16 @@
 	f.rootChunks = kept
 }
 
-// The origin is read ahead of the number of chunks held, first by a few.
+// The origin is read ahead of the number of chunks received, first by a few.
 const (
 	startWindow  = 16
 	windowGrowth = 4
 )
 
-// originLimit is the highest chunk that may be read from the origin now.
+// originLimit is the highest ordinal that may be read from the origin now.
 func (f *Fetcher) originLimit() int {
-	held := len(f.chunks) - f.missing
-	return held + min(f.options.OriginWindow, startWindow+windowGrowth*held)
+	received := f.wanted - f.missing
+	return received + min(f.options.OriginWindow, startWindow+windowGrowth*received)
 }
 
 // isRoot reports whether this machine is to read a chunk from the origin.
@@ -667,7 +678,7 @@
 
 // deniedEnough is how many machines must lack a chunk, for each turn, until a
 // reader takes it that the zone lacks it.
-const deniedEnough = 12
+const deniedEnough = 24
 
 // escalate deals with a chunk that the machines waited for do not bring, perhaps
 // because lists differ and they wait for this one. Other machines of the zone
--- /dev/null
+++ b/coordination/dissemination/plan_test.go
@@ -0,0 +1,129 @@
+package dissemination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func machines(zones, perZone int) []Machine {
+	var list []Machine
+	for zone := range zones {
+		for index := range perZone {
+			list = append(list, Machine{
+				ID: MachineID(fmt.Sprintf("z%d-m%d", zone, index)), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("r", zone/2),
+			})
+		}
+	}
+	return list
+}
+
+// Every plan is a tree over all machines: each machine has one parent or reads
+// the origin, is its parent's child, and is reached from a root.
+func TestPlansReachEveryMachineOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := machines(rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 20).Draw(t, "machines"))
+		chunk := rapid.IntRange(0, 500).Draw(t, "chunk")
+		strategy := rapid.SampledFrom([]Strategy{StrategyChain, StrategyTree, StrategyRotated}).Draw(t, "strategy")
+		copies := rapid.IntRange(1, 4).Draw(t, "copies")
+		plan := NewPlanWithCopies(strategy, NewRoster(list), copies)
+		reached := map[MachineID]int{}
+		var walk func(MachineID)
+		walk = func(machine MachineID) {
+			reached[machine]++
+			if reached[machine] > 1 {
+				return
+			}
+			for _, child := range plan.Children(chunk, machine) {
+				if parent, has := plan.Parent(chunk, child); !has || parent != machine {
+					t.Fatalf("%s is a child of %s, but has the parent %s", child, machine, parent)
+				}
+				walk(child)
+			}
+		}
+		roots := 0
+		for _, machine := range list {
+			if _, has := plan.Parent(chunk, machine.ID); !has {
+				roots++
+				walk(machine.ID)
+			}
+		}
+		if strategy == StrategyRotated && roots > copies {
+			t.Fatalf("%d machines read the origin, %d may", roots, copies)
+		}
+		for _, machine := range list {
+			if reached[machine.ID] != 1 {
+				t.Fatalf("%s is reached %d times", machine.ID, reached[machine.ID])
+			}
+		}
+	})
+}
+
+func TestRotationSharesTheWork(t *testing.T) {
+	list := machines(1, 50)
+	plan := NewPlan(StrategyRotated, NewRoster(list))
+	const chunks = 500
+	for _, machine := range list {
+		uploads := 0
+		for chunk := range chunks {
+			uploads += len(plan.Children(chunk, machine.ID))
+		}
+		assert.InDelta(t, chunks, uploads, chunks/20, string(machine.ID))
+	}
+}
+
+func TestRostersDoNotDependOnOrder(t *testing.T) {
+	list := machines(3, 7)
+	reversed := make([]Machine, 0, len(list))
+	for i := range list {
+		reversed = append(reversed, list[len(list)-1-i])
+	}
+	assert.Equal(t, NewRoster(list), NewRoster(reversed))
+}
+
+// A fetcher survives any message about any chunk, from anybody, twice or late.
+func TestFetcherTakesAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := machines(2, 4)
+		plan := NewPlan(StrategyRotated, NewRoster(list))
+		const chunks = 8
+		fetcher := NewFetcher(Options{Self: list[0].ID, Plan: plan, Chunks: chunks, Patience: 1})
+		fetcher.Start(0)
+		running := map[Action]bool{}
+		now := time.Duration(0)
+		collect := func() {
+			for _, action := range fetcher.Take() {
+				if action.Kind != Fetch && action.Kind != FetchOrigin {
+					continue
+				}
+				if fetcher.Holds(action.Chunk) {
+					t.Fatalf("fetches chunk %d, which it holds", action.Chunk)
+				}
+				running[action] = true
+			}
+		}
+		peer := func() MachineID { return list[rapid.IntRange(0, len(list)-1).Draw(t, "peer")].ID }
+		chunk := func() int { return rapid.IntRange(-1, chunks).Draw(t, "chunk") }
+		t.Repeat(map[string]func(*rapid.T){
+			"offered": func(*rapid.T) { fetcher.Offered(peer(), chunk(), now); collect() },
+			"asked":   func(*rapid.T) { fetcher.Asked(peer(), chunk(), 0, now); collect() },
+			"failed":  func(*rapid.T) { fetcher.AskFailed(peer(), chunk(), now); fetcher.OfferFailed(peer(), chunk(), now) },
+			"tick":    func(*rapid.T) { now += 3; fetcher.Tick(now); collect() },
+			"ended": func(t *rapid.T) {
+				for action := range running {
+					delete(running, action)
+					if rapid.Bool().Draw(t, "good") {
+						fetcher.Fetched(action.Peer, action.Chunk, now)
+					} else {
+						fetcher.FetchFailed(action.Peer, action.Chunk, Stalled, now)
+					}
+					break
+				}
+				collect()
+			},
+		})
+	})
+}
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -12,14 +12,24 @@
 	"pinevane.example/pinevane/internal/platform"
 )
 
-// memoryLimitBytes is the soft memory limit of a daemon unless GOMEMLIMIT is set.
-const memoryLimitBytes = 28 << 20
+// Memory of a daemon. The binary's own mapped pages take about 17 MiB of what
+// counts as resident, so that the heap must stay small.
+const (
+	// memoryLimitBytes is the soft limit of Go's memory unless GOMEMLIMIT is set.
+	memoryLimitBytes = 24 << 20
+	// garbagePercent lets the heap grow by this much between collections unless
+	// GOGC is set; a daemon has processor time to spare for it.
+	garbagePercent = 40
+)
 
 // limitMemory keeps a daemon under its part of a machine.
 func limitMemory() {
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimitBytes)
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(garbagePercent)
+	}
 }
 
 type entryCommand struct {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -129,6 +129,9 @@
 	e.running, e.waiting = nil, nil
 }
 
+// SetFaults sets the fault state.
+func (e *Engine) SetFaults(faults Faults) { e.faults.set(faults) }
+
 // Handler serves the engine and its machine's store.
 func (e *Engine) Handler() http.Handler {
 	router := chi.NewRouter()
--- a/internal/emulator/origin.go
+++ b/internal/emulator/origin.go
@@ -88,6 +88,9 @@
 	return manifest, digest, nil
 }
 
+// SetFaults sets the fault state.
+func (o *Origin) SetFaults(faults Faults) { o.faults.set(faults) }
+
 // Drawn returns how many chunk bytes were drawn from the origin.
 func (o *Origin) Drawn() int64 { return o.drawn.Load() }
 
--- a/internal/emulator/publication.go
+++ b/internal/emulator/publication.go
@@ -87,6 +87,23 @@
 	p.changed = make(chan struct{})
 }
 
+// Reset starts the publication over with an epoch and one revision of documents,
+// as a restarted service would.
+func (p *Publication) Reset(epoch uint64, documents map[string][]byte) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	update := monotonic.Update{Version: monotonic.Version{Epoch: epoch, Revision: 1}}
+	for key, data := range documents {
+		update.Changed = append(update.Changed, monotonic.Document{Key: key, Data: data})
+	}
+	p.feed, p.visible = monotonic.NewFeed(), monotonic.NewFeed()
+	p.feed.Apply(update)
+	p.reveal()
+}
+
+// SetFaults sets the fault state.
+func (p *Publication) SetFaults(faults Faults) { p.faults.set(faults) }
+
 // Calls returns how many calls were taken and how many were over the limit.
 func (p *Publication) Calls() (taken, refused int64) {
 	return p.calls.Load(), p.refused.Load()
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -28,6 +28,9 @@
 	return &Service{name: name, delay: delay, runs: map[string]int{}}
 }
 
+// SetFaults sets the fault state.
+func (s *Service) SetFaults(faults Faults) { s.faults.set(faults) }
+
 // Runs returns how often each request identifier ran.
 func (s *Service) Runs() map[string]int {
 	s.mutex.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,6 +75,8 @@
 	}
 	entry.router = newRouter(entry.replicas, base.Zone())
 	base.SetOpen(entry.requests.open)
+	base.SetReady(entry.limits.settled)
+	entry.handleBorrowing()
 	entry.mount(base.Router)
 	return entry
 }
@@ -84,7 +86,7 @@
 
 // Run serves until stop is closed and open work has finished.
 func (e *Entry) Run(stop <-chan struct{}) error {
-	return e.node.Run(stop, e.replicas.run, e.runLimits)
+	return e.node.Run(stop, e.replicas.run, e.runLimits, e.runBorrowing)
 }
 
 // runLimits keeps the entry's shares of the tenants' limits in step with the
--- /dev/null
+++ b/internal/experiment/rollout/simulation_test.go
@@ -0,0 +1,72 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+)
+
+func base() Options {
+	return Options{
+		Machines: 120, Zones: 3, Regions: 3, Chunks: 96, Strategy: dissemination.StrategyRotated,
+		Duplex: DuplexFull, Seed: 1, OriginCopies: 1,
+	}
+}
+
+func TestUndisturbedRolloutIsNearTheBound(t *testing.T) {
+	result := Simulate(base())
+	assert.Equal(t, 120, result.Live)
+	assert.LessOrEqual(t, result.Ratio, 1.35)
+	assert.LessOrEqual(t, result.OriginCopies, 1.05)
+	assert.InDelta(t, 2.0, result.ZoneCrossings, 0.2, "each zone is entered once")
+}
+
+func TestTheSameSeedGivesTheSameResult(t *testing.T) {
+	options := base()
+	options.Dead, options.Stalled, options.Corrupt, options.StaleList = 0.02, 0.02, 0.01, 0.05
+	assert.Equal(t, Simulate(options), Simulate(options))
+}
+
+func TestEveryFaultMixConvergesWithinTheOriginBudget(t *testing.T) {
+	for seed := range uint64(8) {
+		options := base()
+		options.Seed = seed
+		options.Dead, options.Stalled, options.Corrupt, options.StaleList = 0.04, 0.04, 0.01, 0.1
+		options.Partition = seed%2 == 1
+		result := Simulate(options)
+		assert.True(t, result.Converged, "seed %d: %d live, %d dead", seed, result.Live, result.Dead)
+		assert.LessOrEqual(t, result.OriginCopies, 4.0, "seed %d", seed)
+		assert.Zero(t, result.MixedOrPartial, "seed %d", seed)
+	}
+}
+
+func TestEveryStrategyCompletes(t *testing.T) {
+	for _, strategy := range dissemination.Strategies {
+		options := base()
+		options.Machines, options.Chunks, options.Strategy = 24, 32, strategy
+		result := Simulate(options)
+		assert.True(t, result.Converged, string(strategy))
+	}
+}
+
+func TestSharedChunksAreNotDrawnAgain(t *testing.T) {
+	options := base()
+	options.HeldShare = 0.6
+	result := Simulate(options)
+	assert.True(t, result.Converged)
+	assert.LessOrEqual(t, result.OriginCopies, 0.5, "about 40 of 100 chunks are missing")
+}
+
+func TestHalfDuplexCompletes(t *testing.T) {
+	options := base()
+	options.Duplex = DuplexHalf
+	assert.True(t, Simulate(options).Converged)
+}
+
+func TestWithoutVerificationWrongWeightsAreNoticed(t *testing.T) {
+	options := base()
+	options.Corrupt, options.SkipVerification = 0.01, true
+	assert.Positive(t, Simulate(options).MixedOrPartial)
+}
--- /dev/null
+++ b/internal/fleettest/fleet.go
@@ -0,0 +1,314 @@
+// Package fleettest runs a small fleet inside a test: the real entries and agents
+// over loopback, before stand-ins in the same process.
+package fleettest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/agent"
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/entry"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/promise"
+	"pinevane.example/pinevane/internal/weights"
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// Limit is how long a test waits for a condition. Only a broken fleet takes it.
+const Limit = 20 * time.Second
+
+// Names used by every test fleet.
+const (
+	Model   = "model"
+	Service = "ledger"
+	Key     = "test-key"
+	keySum  = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef"
+)
+
+// Fleet is a running fleet.
+type Fleet struct {
+	t             *testing.T
+	Configuration *emulator.Publication
+	Membership    *emulator.Publication
+	Origin        *emulator.Origin
+	Client        *workload.Client
+	Recorder      *workload.Recorder
+
+	Engines  []*Machine
+	Services []*Machine
+	Entries  []*Process
+
+	configurationAddress string
+	membershipAddress    string
+	originAddress        string
+	identities           workload.Identities
+}
+
+// Process is a running entry or agent.
+type Process struct {
+	Node    *node.Node
+	Address string
+	stop    chan struct{}
+	ended   chan struct{}
+	stopped bool
+}
+
+// Machine is a back end with its agent.
+type Machine struct {
+	*Process
+	Engine  *emulator.Engine
+	Service *emulator.Service
+}
+
+// New starts a fleet of one zone with a number of engines, plain services and
+// entries, and publishes version "1" of the model.
+func New(t *testing.T, engines, services, entries int) *Fleet {
+	f := &Fleet{
+		t:             t,
+		Configuration: emulator.NewPublication(1, 0),
+		Membership:    emulator.NewPublication(1, 0),
+		Origin:        emulator.NewOrigin(0),
+		Recorder:      &workload.Recorder{},
+		identities:    workload.Identities{},
+	}
+	f.Client = workload.NewClient(f.identities)
+	f.configurationAddress = f.serve(httptest.NewServer(f.Configuration.Handler(platform.ConfigurationPath)))
+	f.membershipAddress = f.serve(httptest.NewServer(f.Membership.Handler(platform.MembershipPath)))
+	f.originAddress = f.serve(httptest.NewServer(f.Origin.Handler()))
+	f.PublishVersion("1")
+	for i := range engines {
+		f.Engines = append(f.Engines, f.startEngine(fmt.Sprintf("engine-%d", i)))
+	}
+	for i := range services {
+		f.Services = append(f.Services, f.startService(fmt.Sprintf("service-%d", i)))
+	}
+	for i := range entries {
+		f.Entries = append(f.Entries, f.StartEntry(fmt.Sprintf("entry-%d", i)))
+	}
+	t.Cleanup(f.stopAll)
+	f.WaitServed("1")
+	f.waitEntries()
+	return f
+}
+
+func (f *Fleet) serve(server *httptest.Server) string {
+	f.t.Cleanup(server.CloseClientConnections)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// engineOptions makes a stand-in engine quick.
+func engineOptions() emulator.EngineOptions {
+	options := emulator.DefaultEngineOptions()
+	options.FirstToken, options.BetweenTokens, options.LoadTime = 2*time.Millisecond, 2*time.Millisecond, 10*time.Millisecond
+	return options
+}
+
+// NodeOptions are the settings of a process of this fleet.
+func (f *Fleet) NodeOptions(id string, role platform.Role) node.Options {
+	return node.Options{
+		ID: id, Role: role, Zone: "zone", Region: "region", Listen: "127.0.0.1:0",
+		ConfigurationAddress: f.configurationAddress, MembershipAddress: f.membershipAddress,
+	}
+}
+
+func (f *Fleet) startEngine(id string) *Machine {
+	engine := emulator.NewEngine(engineOptions(), emulator.NewStore(0))
+	address := f.serve(httptest.NewServer(engine.Handler()))
+	process := agent.New(agent.Options{
+		Node: f.NodeOptions(id, platform.RoleAgent), BackEndAddress: address, StoreAddress: address,
+		OriginAddress: f.originAddress, RetireGrace: 100 * time.Millisecond,
+	}, logging.Nop())
+	return &Machine{Process: f.start(process.Node(), process.Run, ""), Engine: engine}
+}
+
+func (f *Fleet) startService(id string) *Machine {
+	service := emulator.NewService(Service, 50*time.Millisecond)
+	address := f.serve(httptest.NewServer(service.Handler()))
+	process := agent.New(agent.Options{
+		Node: f.NodeOptions(id, platform.RoleAgent), Service: Service, BackEndAddress: address,
+	}, logging.Nop())
+	return &Machine{Process: f.start(process.Node(), process.Run, Service), Service: service}
+}
+
+// StartEntry starts one more entry.
+func (f *Fleet) StartEntry(id string, seeds ...string) *Process {
+	options := f.NodeOptions(id, platform.RoleEntry)
+	options.Seeds = seeds
+	process := entry.New(entry.Options{Node: options}, logging.Nop())
+	return f.start(process.Node(), process.Run, "")
+}
+
+func (f *Fleet) start(base *node.Node, run func(<-chan struct{}) error, service string) *Process {
+	require.NoError(f.t, base.Listen())
+	started := &Process{Node: base, Address: base.Address(), stop: make(chan struct{}), ended: make(chan struct{})}
+	member := platform.Member{
+		ID: base.ID(), Role: platform.RoleAgent, Zone: base.Zone(), Region: base.Region(),
+		Address: started.Address, Service: service,
+	}
+	if strings.HasPrefix(base.ID(), "entry") {
+		member.Role = platform.RoleEntry
+	}
+	data, err := json.Marshal(member)
+	require.NoError(f.t, err)
+	f.Membership.Change(map[string][]byte{member.ID: data})
+	go func() {
+		defer close(started.ended)
+		_ = run(started.stop)
+	}()
+	return started
+}
+
+// BeginStop starts a planned stop.
+func (p *Process) BeginStop() {
+	if !p.stopped {
+		p.stopped = true
+		close(p.stop)
+	}
+}
+
+// WaitStopped waits until a planned stop has ended.
+func (f *Fleet) WaitStopped(p *Process) {
+	select {
+	case <-p.ended:
+	case <-time.After(Limit):
+		f.t.Fatal("the planned stop does not end")
+	}
+}
+
+func (f *Fleet) stopAll() {
+	var all []*Process
+	all = append(all, f.Entries...)
+	for _, machine := range append(append([]*Machine(nil), f.Engines...), f.Services...) {
+		all = append(all, machine.Process)
+	}
+	for _, process := range all {
+		process.BeginStop()
+	}
+	for _, process := range all {
+		f.WaitStopped(process)
+	}
+}
+
+// Synthetic is the made-up weights of a version.
+func Synthetic(version string) weights.Synthetic {
+	return weights.Synthetic{Model: Model, Version: version, Bytes: 1 << 20, ChunkBytes: 64 << 10, ChangedShare: 1}
+}
+
+// PublishVersion puts a version into the origin and publishes it.
+func (f *Fleet) PublishVersion(version string) {
+	manifest, digest, err := f.Origin.Add(Synthetic(version))
+	require.NoError(f.t, err)
+	f.identities.Add(manifest)
+	f.Configuration.Change(Documents(version, string(digest)))
+}
+
+// Documents is the whole configuration with a version of the model.
+func Documents(version, manifest string) map[string][]byte {
+	return map[string][]byte{
+		"model.template":   []byte("template: model\nkind: model\nparameters:\n  version: {type: string}\n  manifest: {type: string}\nbody:\n  version: ${version}\n  manifest: ${manifest}\n  replicasPerZone: 16\n"),
+		"service.template": []byte("template: service\nkind: service\nbody:\n  repeatable: false\n"),
+		"tenant.template":  []byte("template: tenant\nkind: tenant\nbody:\n  keyDigests: [\"" + keySum + "\"]\n  priority: 5\n  requestsPerSecond: 10000\n  tokensPerSecond: 1000000\n  concurrency: 1000\n  models: [" + Model + "]\n  services: [" + Service + "]\n"),
+		"model":            []byte("instance: " + Model + "\nfrom: model\nparameters: {version: \"" + version + "\", manifest: \"" + manifest + "\"}\n"),
+		"service":          []byte("instance: " + Service + "\nfrom: service\n"),
+		"tenant":           []byte("instance: tenant\nfrom: tenant\n"),
+	}
+}
+
+// Wait polls a condition.
+func (f *Fleet) Wait(what string, condition func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, condition, Limit, 10*time.Millisecond, what)
+}
+
+// Serves reports whether a machine admits new requests to a version.
+func (m *Machine) Serves(version string) bool {
+	served, _ := blackboard.Read(m.Node.Board, agent.ServedKey)
+	for _, candidate := range served {
+		if candidate.Version == version && !candidate.Retiring {
+			return true
+		}
+	}
+	return false
+}
+
+// WaitServed waits until every engine serves a version.
+func (f *Fleet) WaitServed(version string) {
+	f.t.Helper()
+	f.Wait("version "+version+" on every replica", func() bool {
+		for _, machine := range f.Engines {
+			if !machine.Serves(version) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// waitEntries waits until every entry sees every back end.
+func (f *Fleet) waitEntries() {
+	f.Wait("every entry to see every back end", func() bool {
+		for _, process := range f.Entries {
+			if !f.Ready(process) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Ready reports whether an entry is ready and linked to every back end.
+func (f *Fleet) Ready(process *Process) bool {
+	views, _ := blackboard.Read(process.Node.Board, entry.ReplicasKey)
+	linked := 0
+	for _, view := range views {
+		if view.Linked && view.Status.Sequence > 0 {
+			linked++
+		}
+	}
+	return linked >= len(f.Engines)+len(f.Services) && process.Node.Dump().Ready
+}
+
+// Do sends a request through an entry and records the result.
+func (f *Fleet) Do(process *Process, request workload.Request) workload.Result {
+	request.Key = Key
+	result := f.Client.Do(context.Background(), process.Address, request)
+	f.Recorder.Add(result)
+	return result
+}
+
+// Stream is a streamed generation of a number of tokens.
+func Stream(prompt string, tokens int) workload.Request {
+	return workload.Request{Kind: workload.KindStream, Model: Model, Prompt: prompt, MaximumTokens: tokens}
+}
+
+// Call is a non-repeatable call of the plain service.
+func Call(body string) workload.Request {
+	return workload.Request{Kind: workload.KindCall, Service: Service, Path: "/items", Body: body, NotRepeatable: true}
+}
+
+// Violations judges every recorded result.
+func (f *Fleet) Violations() []promise.Violation {
+	calls, generations := promise.Runs{}, promise.Runs{}
+	for _, machine := range f.Services {
+		for id, runs := range machine.Service.Runs() {
+			calls[id] += runs
+		}
+	}
+	for _, machine := range f.Engines {
+		for _, record := range machine.Engine.Records() {
+			generations[record.ID]++
+		}
+	}
+	return promise.Judge(f.Recorder.Results(), calls, generations)
+}
--- /dev/null
+++ b/internal/fleettest/fleet_test.go
@@ -0,0 +1,342 @@
+package fleettest
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/agent"
+	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/node"
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// load sends streams and calls until done is closed, and waits for their ends.
+func load(f *Fleet, workers int, done <-chan struct{}) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				process := f.Entries[i%len(f.Entries)]
+				if i%4 == 3 {
+					f.Do(process, Call(fmt.Sprintf("call %d %d", worker, i)))
+					continue
+				}
+				f.Do(process, Stream(fmt.Sprintf("prompt %d %d", worker, i), 12))
+			}
+		})
+	}
+	return &group
+}
+
+func TestARolloutUnderLoadServesNoMix(t *testing.T) {
+	t.Parallel()
+	f := New(t, 3, 1, 2)
+	done := make(chan struct{})
+	group := load(f, 8, done)
+	before := f.Origin.Drawn()
+	f.PublishVersion("2")
+	f.WaitServed("2")
+	f.Wait("an answer of the new version", func() bool {
+		return workload.Summarize(f.Recorder.Results()).Versions["2"] > 0
+	})
+	close(done)
+	group.Wait()
+	summary := workload.Summarize(f.Recorder.Results())
+	assert.Empty(t, f.Violations())
+	assert.Zero(t, summary.Wrong)
+	assert.Equal(t, summary.Requests, summary.Answered, "%+v", summary)
+	assert.LessOrEqual(t, f.Origin.Drawn()-before, int64(4<<20), "more than four copies")
+}
+
+func TestARefusedVersionStopsAndTheOldOneGoesOn(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	for _, machine := range f.Engines {
+		machine.Engine.SetFaults(emulator.Faults{RefusedVersion: "2"})
+	}
+	f.PublishVersion("2")
+	f.Wait("the refusal on every machine", func() bool {
+		for _, machine := range f.Engines {
+			if refused, _ := blackboard.Read(machine.Node.Board, agent.RefusedKey); len(refused) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	result := f.Do(f.Entries[0], Stream("after the refusal", 8))
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Equal(t, "1", result.Version)
+
+	for _, machine := range f.Engines {
+		machine.Engine.SetFaults(emulator.Faults{})
+	}
+	f.PublishVersion("3")
+	f.WaitServed("3")
+}
+
+func TestGoingBackToTheOldVersionDrawsNothing(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.PublishVersion("2")
+	f.WaitServed("2")
+	drawn := f.Origin.Drawn()
+	f.PublishVersion("1")
+	f.WaitServed("1")
+	assert.Equal(t, drawn, f.Origin.Drawn())
+}
+
+func TestAPlannedStopOfAnAgentCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	const streams = 8
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() { f.Do(f.Entries[0], Stream(fmt.Sprint("long ", i), 400)) })
+	}
+	leaving := f.Engines[0]
+	f.Wait("work on the machine that leaves", func() bool { return leaving.Node.Dump().OpenWork > 0 })
+	leaving.BeginStop()
+	f.WaitStopped(leaving.Process)
+	before := len(leaving.Engine.Records())
+	for i := range streams {
+		assert.True(t, f.Do(f.Entries[0], Stream(fmt.Sprint("after ", i), 8)).Answered)
+	}
+	group.Wait()
+	assert.Len(t, leaving.Engine.Records(), before, "work came after the stop")
+	summary := workload.Summarize(f.Recorder.Results())
+	assert.Equal(t, 2*streams, summary.Answered, "%+v", summary)
+	assert.Empty(t, f.Violations())
+}
+
+func TestAPlannedStopOfAnEntryCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 0, 1)
+	var group sync.WaitGroup
+	group.Go(func() { f.Do(f.Entries[0], Stream("long", 300)) })
+	f.Wait("the stream to be open", func() bool { return f.Entries[0].Node.Dump().OpenWork > 0 })
+	f.Entries[0].BeginStop()
+	group.Wait()
+	f.WaitStopped(f.Entries[0])
+	assert.Equal(t, 1, workload.Summarize(f.Recorder.Results()).Answered)
+}
+
+func TestAStreamResumesWhenItsEngineRestarts(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	results := make(chan workload.Result, 1)
+	go func() { results <- f.Do(f.Entries[0], Stream("resumed", 500)) }()
+	var broken *Machine
+	f.Wait("the stream to be under way", func() bool {
+		for _, machine := range f.Engines {
+			if machine.Engine.Status().Running > 0 && machine.Node.Dump().OpenWork > 0 {
+				broken = machine
+			}
+		}
+		return broken != nil
+	})
+	broken.Engine.Restart()
+	result := <-results
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Empty(t, f.Violations())
+}
+
+func TestANonRepeatableGenerationIsNotTriedAgain(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	request := Stream("once", 500)
+	request.NotRepeatable = true
+	results := make(chan workload.Result, 1)
+	go func() { results <- f.Do(f.Entries[0], request) }()
+	f.Wait("the stream to be under way", func() bool {
+		for _, machine := range f.Engines {
+			if machine.Engine.Status().Running > 0 {
+				machine.Engine.Restart()
+				return true
+			}
+		}
+		return false
+	})
+	result := <-results
+	assert.False(t, result.Answered)
+	assert.Equal(t, fault.ExecutionUnknown, result.Execution)
+	assert.Empty(t, f.Violations())
+}
+
+func TestACallWhoseLinkIsLostIsAnsweredAndRanOnce(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 2, 1)
+	results := make(chan workload.Result, 1)
+	go func() { results <- f.Do(f.Entries[0], Call("lost link")) }()
+	f.Wait("the call to run", func() bool {
+		for _, machine := range f.Services {
+			if len(machine.Service.Runs()) > 0 {
+				for _, link := range machine.Node.Hub.Accepted() {
+					_ = link.Close()
+				}
+				return true
+			}
+		}
+		return false
+	})
+	result := <-results
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Empty(t, f.Violations())
+}
+
+func TestOneKeyThroughTwoEntriesRunsOnce(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 3, 2)
+	request := Call("save")
+	request.CallerKey = "candidate-1-answer-7"
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() { f.Do(f.Entries[i%2], request) })
+	}
+	group.Wait()
+	total := 0
+	for _, machine := range f.Services {
+		for _, runs := range machine.Service.Runs() {
+			total += runs
+		}
+	}
+	assert.Equal(t, 1, total)
+	again := f.Do(f.Entries[1], request)
+	assert.True(t, again.Answered, "the answer is replayed: %+v", again)
+	assert.Empty(t, f.Violations())
+}
+
+func TestARefusalIsProofThatNothingRan(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 1, 1)
+	f.Services[0].Service.SetFaults(emulator.Faults{})
+	f.Services[0].BeginStop()
+	f.WaitStopped(f.Services[0].Process)
+	result := f.Do(f.Entries[0], Call("nobody is there"))
+	assert.Equal(t, fault.ExecutionNotRun, result.Execution)
+	assert.NotEmpty(t, result.Reason)
+	assert.Empty(t, f.Services[0].Service.Runs())
+}
+
+func TestAnOutageOfTheConfigurationServiceStopsNothing(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.Configuration.SetFaults(emulator.Faults{Down: true})
+	f.Membership.SetFaults(emulator.Faults{Down: true})
+	assert.True(t, f.Do(f.Entries[0], Stream("during the outage", 8)).Answered)
+
+	late := f.StartEntry("entry-late", f.Engines[0].Address)
+	f.Entries = append(f.Entries, late)
+	f.Wait("an entry that starts in the outage to learn from a peer", func() bool { return f.Ready(late) })
+	assert.True(t, f.Do(late, Stream("through the late entry", 8)).Answered)
+}
+
+func TestAnInvalidRevisionLeavesTheLastGoodOneInForce(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 0, 1)
+	f.Configuration.Change(map[string][]byte{"tenant": []byte("instance: tenant\nfrom: nowhere\n")})
+	f.Wait("the rejection to show", func() bool {
+		rejected, found := blackboard.Read(f.Entries[0].Node.Board, node.RejectedKey)
+		return found && rejected.Version.Revision == 2
+	})
+	snapshot, _ := f.Entries[0].Node.Snapshot()
+	assert.Equal(t, uint64(1), snapshot.Version.Revision)
+	assert.True(t, f.Do(f.Entries[0], Stream("still served", 4)).Answered)
+}
+
+func TestARestartedServiceWithOlderRevisionsDoesNotTakeUsBack(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 0, 1)
+	f.PublishVersion("2")
+	f.WaitServed("2")
+	// The service starts over with an old state of the same epoch.
+	f.Configuration.Reset(1, Documents("1", string(manifestOf(t, "1"))))
+	time.Sleep(300 * time.Millisecond)
+	snapshot, _ := f.Entries[0].Node.Snapshot()
+	assert.Equal(t, "2", snapshot.Models[Model].Version)
+	// With a higher epoch its word counts again.
+	f.Configuration.Reset(2, Documents("1", string(manifestOf(t, "1"))))
+	f.WaitServed("1")
+}
+
+func manifestOf(t *testing.T, version string) string {
+	t.Helper()
+	_, digest, err := Synthetic(version).Manifest().Encode()
+	require.NoError(t, err)
+	return string(digest)
+}
+
+func TestCorruptChunksAreNeverServed(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.Origin.SetFaults(emulator.Faults{CorruptShare: 0.3})
+	f.PublishVersion("2")
+	f.WaitServed("2")
+	result := f.Do(f.Entries[0], Stream("clean", 16))
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Equal(t, "2", result.Version)
+}
+
+func TestAStalledOriginIsWaitedOutAndTheOldVersionServes(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.Origin.SetFaults(emulator.Faults{Stalled: true})
+	f.PublishVersion("2")
+	for i := range 5 {
+		result := f.Do(f.Entries[0], Stream(fmt.Sprint("meanwhile ", i), 8))
+		assert.Equal(t, "1", result.Version)
+	}
+	f.Origin.SetFaults(emulator.Faults{})
+	f.WaitServed("2")
+}
+
+func TestAVersionReplacedInMidFlightIsAbandoned(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.Origin.SetFaults(emulator.Faults{Stalled: true})
+	f.PublishVersion("2")
+	f.Origin.SetFaults(emulator.Faults{})
+	f.PublishVersion("3")
+	f.WaitServed("3")
+	for _, machine := range f.Engines {
+		for _, loaded := range machine.Engine.Status().Loaded {
+			assert.NotEqual(t, "2", loaded.Version)
+		}
+	}
+}
+
+func TestSimultaneousFaultsKeepThePromises(t *testing.T) {
+	t.Parallel()
+	f := New(t, 3, 2, 2)
+	done := make(chan struct{})
+	group := load(f, 6, done)
+	// A new version, a configuration outage, an engine crash, lost links and a
+	// planned stop, all at once.
+	f.PublishVersion("2")
+	f.Configuration.SetFaults(emulator.Faults{Down: true})
+	f.Engines[0].Engine.Restart()
+	for _, link := range f.Services[0].Node.Hub.Accepted() {
+		_ = link.Close()
+	}
+	f.Engines[2].BeginStop()
+	f.WaitStopped(f.Engines[2].Process)
+	f.Configuration.SetFaults(emulator.Faults{})
+	for _, machine := range f.Engines[:2] {
+		f.Wait("version 2 on the machines that stay", func() bool { return machine.Serves("2") })
+	}
+	close(done)
+	group.Wait()
+	assert.Empty(t, f.Violations())
+	assert.Zero(t, workload.Summarize(f.Recorder.Results()).Wrong)
+}
