Fault schedules in virtual time, load experiment, routing policies; smaller files

Cause: promises were proved for single faults only, and added latency was not measured. Ruled out as faults of the system: a wake-up that reordered messages and a count of engine switches as orders, both in the model, mended.

--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -84,15 +84,6 @@
 	return o
 }
 
-// Bounds of repair.
-const (
-	// maximumAsks is how many chunks are asked for in one tick.
-	maximumAsks = 16
-	// quietChunks is how many of the earliest missing chunks are taken for late
-	// when nothing at all arrives.
-	quietChunks = 4
-)
-
 // chunkState is what a Fetcher knows of one chunk.
 type chunkState struct {
 	// ordinal counts the chunks before this one that were missing at the start.
@@ -112,25 +103,6 @@
 	interested []MachineID
 }
 
-// peerState is why a peer is avoided, and until when.
-type peerState struct {
-	// unreachable peers are sent nothing.
-	unreachable time.Duration
-	// distrusted peers are not fetched from while there is another source.
-	distrusted time.Duration
-}
-
-// zoneState is what the failures of its machines say of a zone.
-type zoneState struct {
-	failures int
-	// until is when the failures are forgotten.
-	until time.Duration
-}
-
-// cutZoneFailures is how many machines of a zone must fail, with none answering,
-// until the whole zone is taken for unreachable.
-const cutZoneFailures = 3
-
 // Fetcher is the state machine of one machine for one manifest.
 type Fetcher struct {
 	options Options
@@ -265,19 +237,6 @@
 	return state.held && backlog <= maximumBacklog
 }
 
-// noteBypass draws a conclusion from a question of a grandchild: it has passed
-// over its parent, which therefore does not send. What that parent is to pass
-// on is offered to its children from here for a while.
-func (f *Fetcher) noteBypass(from MachineID, chunk int, now time.Duration) {
-	parent, exists := f.options.Plan.Parent(chunk, from)
-	if !exists || parent == f.options.Self {
-		return
-	}
-	if grandparent, _ := f.options.Plan.Parent(chunk, parent); grandparent == f.options.Self {
-		f.distrust(parent, now)
-	}
-}
-
 // AskDenied records that a peer answered a question and neither has nor expects
 // the chunk.
 func (f *Fetcher) AskDenied(peer MachineID, chunk int) {
@@ -355,52 +314,6 @@
 	f.schedule(now)
 }
 
-// Tick looks for chunks that are late and asks for them.
-func (f *Fetcher) Tick(now time.Duration) {
-	if f.missing == 0 {
-		return
-	}
-	idle := f.active == 0 && len(f.queue) == 0 && now-f.lastProgress >= f.options.Patience
-	quiet := 0
-	if now-f.lastProgress > 2*f.options.Patience {
-		quiet = quietChunks
-	}
-	asked := 0
-	for chunk := range f.chunks {
-		state := &f.chunks[chunk]
-		if state.held || state.fetching {
-			continue
-		}
-		if len(state.sources) > 0 {
-			f.enqueue(chunk)
-		}
-		if f.hasTrustedSource(state, now) {
-			continue
-		}
-		if !state.late && quiet == 0 && !(idle && state.ordinal < f.highest) && f.highest-state.ordinal <= f.lagOf(chunk) && !f.parentLost(chunk, now) {
-			continue
-		}
-		quiet = max(0, quiet-1)
-		f.makeLate(state, now)
-		if now >= state.nextAsk && asked < maximumAsks {
-			asked++
-			f.repair(chunk, now)
-		}
-	}
-	f.schedule(now)
-}
-
-// Each level of machines that waits behind this one makes a chunk count as late
-// some chunks earlier, because it is to come here earlier.
-const (
-	lagPerLevel = 8
-	minimumLag  = 16
-)
-
-func (f *Fetcher) lagOf(chunk int) int {
-	return max(minimumLag, f.options.LagChunks-lagPerLevel*f.Height(chunk))
-}
-
 func (f *Fetcher) valid(chunk int) bool { return chunk >= 0 && chunk < len(f.chunks) }
 
 func (f *Fetcher) hear(chunk int) { f.highest = max(f.highest, f.chunks[chunk].ordinal) }
@@ -417,57 +330,6 @@
 	f.actions = append(f.actions, Action{Kind: kind, Peer: peer, Chunk: chunk})
 }
 
-func (f *Fetcher) reached(peer MachineID) {
-	delete(f.zones, f.options.Plan.Zone(peer))
-	if state, known := f.peers[peer]; known {
-		state.unreachable = 0
-		f.peers[peer] = state
-	}
-}
-
-func (f *Fetcher) unreached(peer MachineID, now time.Duration) {
-	state := f.peers[peer]
-	if now >= state.unreachable {
-		zone := f.options.Plan.Zone(peer)
-		failed := f.zones[zone]
-		failed.failures++
-		failed.until = now + f.options.Distrust
-		f.zones[zone] = failed
-	}
-	state.unreachable = now + f.options.Distrust
-	f.peers[peer] = state
-}
-
-func (f *Fetcher) distrust(peer MachineID, now time.Duration) {
-	state := f.peers[peer]
-	state.distrusted = now + f.options.Distrust
-	f.peers[peer] = state
-}
-
-func (f *Fetcher) isUnreachable(peer MachineID, now time.Duration) bool {
-	return now < f.peers[peer].unreachable || f.isCutOff(f.options.Plan.Zone(peer), now)
-}
-
-// isCutOff reports whether another zone seems unreachable as a whole.
-func (f *Fetcher) isCutOff(zone string, now time.Duration) bool {
-	state, failing := f.zones[zone]
-	return failing && state.failures >= cutZoneFailures && now < state.until && zone != f.options.Plan.Zone(f.options.Self)
-}
-
-// parentLost reports whether the machine that is to bring a chunk, which is due,
-// can't be reached.
-func (f *Fetcher) parentLost(chunk int, now time.Duration) bool {
-	if len(f.peers) == 0 || f.chunks[chunk].ordinal > f.originLimit() {
-		return false
-	}
-	parent, exists := f.options.Plan.Parent(chunk, f.options.Self)
-	return exists && f.isUnreachable(parent, now)
-}
-
-func (f *Fetcher) isDistrusted(peer MachineID, now time.Duration) bool {
-	return now < f.peers[peer].distrusted || f.isUnreachable(peer, now)
-}
-
 func (f *Fetcher) offer(peer MachineID, chunk int) { f.act(Offer, peer, chunk) }
 
 func (f *Fetcher) offerToChildren(chunk int, now time.Duration) {
@@ -508,216 +370,3 @@
 		f.offerTo(grandchild, chunk, now)
 	}
 }
-
-func (f *Fetcher) enqueue(chunk int) {
-	state := &f.chunks[chunk]
-	if state.fetching || state.queued {
-		return
-	}
-	state.queued = true
-	f.queue = append(f.queue, chunk)
-}
-
-// schedule starts the transfers that the limits allow: first the chunks that
-// most machines wait for behind this one, then the earliest.
-func (f *Fetcher) schedule(now time.Duration) {
-	f.scheduleRoots(now)
-	for f.active < f.options.MaximumFetches && len(f.queue) > 0 {
-		chunk := f.takeUrgent()
-		state := &f.chunks[chunk]
-		state.queued = false
-		if state.held || state.fetching || len(state.sources) == 0 {
-			continue
-		}
-		source, trusted := f.bestSource(state, now)
-		if !trusted && !f.desperate(state, now) {
-			f.makeLate(state, now)
-			continue
-		}
-		state.fetching = true
-		f.active++
-		f.act(Fetch, source, chunk)
-	}
-}
-
-func (f *Fetcher) takeUrgent() int {
-	best := 0
-	for i := 1; i < len(f.queue); i++ {
-		if f.moreUrgent(f.queue[i], f.queue[best]) {
-			best = i
-		}
-	}
-	chunk := f.queue[best]
-	f.queue = slices.Delete(f.queue, best, best+1)
-	return chunk
-}
-
-func (f *Fetcher) moreUrgent(a, b int) bool {
-	return MoreUrgent(f.Height(a), a, f.Height(b), b)
-}
-
-// Height returns how many levels of machines wait for a chunk behind this one.
-func (f *Fetcher) Height(chunk int) int {
-	return f.options.Plan.Height(chunk, f.options.Self)
-}
-
-// levelChunks is how many chunks of age one level of waiting machines outweighs.
-const levelChunks = 16
-
-// MoreUrgent orders transfers: each level of machines that waits behind the
-// receiver counts as much as a number of chunks of age, so that inner machines go
-// first but nothing waits for ever.
-func MoreUrgent(heightA, chunkA, heightB, chunkB int) bool {
-	urgencyA, urgencyB := heightA*levelChunks-chunkA, heightB*levelChunks-chunkB
-	if urgencyA != urgencyB {
-		return urgencyA > urgencyB
-	}
-	return chunkA < chunkB
-}
-
-func (f *Fetcher) hasTrustedSource(state *chunkState, now time.Duration) bool {
-	for _, source := range state.sources {
-		if !f.isDistrusted(source, now) {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *Fetcher) bestSource(state *chunkState, now time.Duration) (MachineID, bool) {
-	for _, source := range state.sources {
-		if !f.isDistrusted(source, now) {
-			return source, true
-		}
-	}
-	return state.sources[0], false
-}
-
-// desperateRounds is how many rounds of asking come before a source that failed
-// is tried again.
-const desperateRounds = 4
-
-// desperate reports whether a chunk has been late for so long that a source
-// that failed before is tried again.
-func (f *Fetcher) desperate(state *chunkState, now time.Duration) bool {
-	return state.late && now-state.lateSince > desperateRounds*f.options.Patience
-}
-
-// scheduleRoots reads from the origin the chunks that this machine is the root
-// of, not far ahead of what this machine has reached.
-func (f *Fetcher) scheduleRoots(now time.Duration) {
-	kept := f.rootChunks[:0]
-	for i, chunk := range f.rootChunks {
-		state := &f.chunks[chunk]
-		if state.held || state.fetching || state.late {
-			continue
-		}
-		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() {
-			kept = append(kept, f.rootChunks[i:]...)
-			break
-		}
-		f.fetchOrigin(chunk)
-	}
-	f.rootChunks = kept
-}
-
-// The origin is read ahead of the number of chunks received, first by a few.
-const (
-	startWindow  = 16
-	windowGrowth = 4
-)
-
-// originLimit is the highest ordinal that may be read from the origin now.
-func (f *Fetcher) originLimit() int {
-	received := f.wanted - f.missing
-	return received + min(f.options.OriginWindow, startWindow+windowGrowth*received)
-}
-
-// isRoot reports whether this machine is to read a chunk from the origin.
-func (f *Fetcher) isRoot(chunk int) bool {
-	_, hasParent := f.options.Plan.Parent(chunk, f.options.Self)
-	return !hasParent
-}
-
-func (f *Fetcher) fetchOrigin(chunk int) {
-	f.chunks[chunk].fetching = true
-	f.origin++
-	f.act(FetchOrigin, "", chunk)
-}
-
-func (f *Fetcher) makeLate(state *chunkState, now time.Duration) {
-	if !state.late {
-		state.late = true
-		state.lateSince = now
-		state.nextAsk = now
-	}
-}
-
-// repair asks for a late chunk the nearest machine that is to bring it and
-// lives; that machine is then waited for. When there is none, this machine is
-// the one to read the origin.
-func (f *Fetcher) repair(chunk int, now time.Duration) {
-	state := &f.chunks[chunk]
-	state.nextAsk = now + f.options.Patience
-	for _, peer := range f.options.Plan.Providers(chunk, f.options.Self) {
-		if !f.isUnreachable(peer, now) && !f.failedSource(state, peer, now) {
-			f.act(Ask, peer, chunk)
-			f.escalate(chunk, now)
-			return
-		}
-	}
-	if f.origin < f.options.MaximumFetches {
-		f.fetchOrigin(chunk)
-	}
-}
-
-// failedSource reports whether a peer holds the chunk but could not send it.
-func (f *Fetcher) failedSource(state *chunkState, peer MachineID, now time.Duration) bool {
-	return f.isDistrusted(peer, now) && !f.desperate(state, now)
-}
-
-// deniedEnough is how many machines must lack a chunk, for each turn, until a
-// reader takes it that the zone lacks it.
-const deniedEnough = 24
-
-// escalate deals with a chunk that the machines waited for do not bring, perhaps
-// because lists differ and they wait for this one. Other machines of the zone
-// are asked, a few at a time. When all of them lack it the zone's readers for
-// the chunk read it from the origin in turn; they are picked by rendezvous
-// hashing, on which differing lists almost agree, so that the origin's copies
-// are bounded without anyone counting them.
-func (f *Fetcher) escalate(chunk int, now time.Duration) {
-	waited := now - f.chunks[chunk].lateSince
-	if waited < f.options.Patience {
-		return
-	}
-	f.askMates(chunk, int(waited/f.options.Patience), now)
-	turns := f.chunks[chunk].denials / deniedEnough
-	if turns == 0 {
-		return
-	}
-	rank := slices.Index(f.options.Plan.OriginReaders(chunk, f.options.Self), f.options.Self)
-	if rank >= 0 && turns > rank && f.origin < f.options.MaximumFetches {
-		f.fetchOrigin(chunk)
-	}
-}
-
-// matesAsked is how many machines of the zone are asked in a round.
-const matesAsked = 2
-
-// mateStride spreads the rounds of different chunks over the zone.
-const mateStride = 7
-
-func (f *Fetcher) askMates(chunk, round int, now time.Duration) {
-	mates := f.options.Plan.Mates(f.options.Self)
-	if len(mates) == 0 {
-		return
-	}
-	start := (chunk*mateStride + round*matesAsked) % len(mates)
-	for offset := range matesAsked {
-		mate := mates[(start+offset)%len(mates)]
-		if mate != f.options.Self && !f.isDistrusted(mate, now) {
-			f.act(Ask, mate, chunk)
-		}
-	}
-}
--- /dev/null
+++ b/coordination/dissemination/schedule.go
@@ -0,0 +1,132 @@
+package dissemination
+
+import (
+	"slices"
+	"time"
+)
+
+func (f *Fetcher) enqueue(chunk int) {
+	state := &f.chunks[chunk]
+	if state.fetching || state.queued {
+		return
+	}
+	state.queued = true
+	f.queue = append(f.queue, chunk)
+}
+
+// schedule starts the transfers that the limits allow: first the chunks that
+// most machines wait for behind this one, then the earliest.
+func (f *Fetcher) schedule(now time.Duration) {
+	f.scheduleRoots(now)
+	for f.active < f.options.MaximumFetches && len(f.queue) > 0 {
+		chunk := f.takeUrgent()
+		state := &f.chunks[chunk]
+		state.queued = false
+		if state.held || state.fetching || len(state.sources) == 0 {
+			continue
+		}
+		source, trusted := f.bestSource(state, now)
+		if !trusted && !f.desperate(state, now) {
+			f.makeLate(state, now)
+			continue
+		}
+		state.fetching = true
+		f.active++
+		f.act(Fetch, source, chunk)
+	}
+}
+
+func (f *Fetcher) takeUrgent() int {
+	best := 0
+	for i := 1; i < len(f.queue); i++ {
+		if f.moreUrgent(f.queue[i], f.queue[best]) {
+			best = i
+		}
+	}
+	chunk := f.queue[best]
+	f.queue = slices.Delete(f.queue, best, best+1)
+	return chunk
+}
+
+func (f *Fetcher) moreUrgent(a, b int) bool {
+	return MoreUrgent(f.Height(a), a, f.Height(b), b)
+}
+
+// Height returns how many levels of machines wait for a chunk behind this one.
+func (f *Fetcher) Height(chunk int) int {
+	return f.options.Plan.Height(chunk, f.options.Self)
+}
+
+// levelChunks is how many chunks of age one level of waiting machines outweighs.
+const levelChunks = 16
+
+// MoreUrgent orders transfers: each level of machines that waits behind the
+// receiver counts as much as a number of chunks of age, so that inner machines go
+// first but nothing waits for ever.
+func MoreUrgent(heightA, chunkA, heightB, chunkB int) bool {
+	urgencyA, urgencyB := heightA*levelChunks-chunkA, heightB*levelChunks-chunkB
+	if urgencyA != urgencyB {
+		return urgencyA > urgencyB
+	}
+	return chunkA < chunkB
+}
+
+func (f *Fetcher) hasTrustedSource(state *chunkState, now time.Duration) bool {
+	for _, source := range state.sources {
+		if !f.isDistrusted(source, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fetcher) bestSource(state *chunkState, now time.Duration) (MachineID, bool) {
+	for _, source := range state.sources {
+		if !f.isDistrusted(source, now) {
+			return source, true
+		}
+	}
+	return state.sources[0], false
+}
+
+// scheduleRoots reads from the origin the chunks that this machine is the root
+// of, not far ahead of what this machine has reached.
+func (f *Fetcher) scheduleRoots(now time.Duration) {
+	kept := f.rootChunks[:0]
+	for i, chunk := range f.rootChunks {
+		state := &f.chunks[chunk]
+		if state.held || state.fetching || state.late {
+			continue
+		}
+		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() {
+			kept = append(kept, f.rootChunks[i:]...)
+			break
+		}
+		f.fetchOrigin(chunk)
+	}
+	f.rootChunks = kept
+}
+
+// The origin is read ahead of the number of chunks received, first by a few.
+const (
+	startWindow  = 16
+	windowGrowth = 4
+)
+
+// originLimit is the highest ordinal that may be read from the origin now.
+func (f *Fetcher) originLimit() int {
+	received := f.wanted - f.missing
+	return received + min(f.options.OriginWindow, startWindow+windowGrowth*received)
+}
+
+// isRoot reports whether this machine is to read a chunk from the origin.
+func (f *Fetcher) isRoot(chunk int) bool {
+	_, hasParent := f.options.Plan.Parent(chunk, f.options.Self)
+	return !hasParent
+}
+
+func (f *Fetcher) fetchOrigin(chunk int) {
+	f.chunks[chunk].fetching = true
+	f.origin++
+	f.act(FetchOrigin, "", chunk)
+}
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -4,6 +4,7 @@
 	"math"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"pinevane.example/pinevane/internal/agent"
@@ -36,6 +37,7 @@
 	processFlags
 	DefaultDeadline time.Duration `long:"default-deadline" env:"PINEVANE_DEFAULT_DEADLINE" default:"60s" description:"time of a request that names none, 1s to 24h"`
 	MaximumBody     int64         `long:"maximum-body" env:"PINEVANE_MAXIMUM_BODY" default:"1048576" description:"largest request body, 1024 to 67108864 bytes"`
+	Policy          string        `long:"policy" env:"PINEVANE_POLICY" default:"two-choices" description:"two-choices, random, round-robin, least-loaded or affinity"`
 	MaximumAttempts int64         `long:"maximum-attempts" env:"PINEVANE_MAXIMUM_ATTEMPTS" default:"4" description:"most attempts at one request, 1 to 16"`
 }
 
@@ -49,6 +51,9 @@
 	if err := checkInteger("--maximum-body", c.MaximumBody, 1<<10, 64<<20, "bytes"); err != nil {
 		return err
 	}
+	if !slices.Contains(entry.Policies, entry.Policy(c.Policy)) {
+		return &fault.InvalidSetting{Flag: "--policy", Value: c.Policy, Allowed: "two-choices, random, round-robin, least-loaded or affinity"}
+	}
 	return checkInteger("--maximum-attempts", c.MaximumAttempts, 1, 16, "attempts")
 }
 
@@ -68,6 +73,7 @@
 		DefaultDeadline:  c.DefaultDeadline,
 		MaximumBodyBytes: c.MaximumBody,
 		MaximumAttempts:  int(c.MaximumAttempts),
+		Policy:           entry.Policy(c.Policy),
 	}, log)
 	return process.Run(stopSignal())
 }
--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -17,6 +17,8 @@
 
 type experimentCommand struct {
 	Rollout rolloutCommand `command:"rollout" description:"Measure how weights reach a fleet, in virtual time or with --real over processes"`
+	Faults  faultsCommand  `command:"faults" description:"Run seeded fault schedules in virtual time and judge the promises"`
+	Load    loadCommand    `command:"load" description:"Load a small fleet over real sockets and compare with calling its back ends directly"`
 	Scale   scaleCommand   `command:"scale" description:"Measure what control costs with hollow processes beside real ones"`
 	Hollow  hollowCommand  `command:"hollow" hidden:"true" description:"Hold hollow processes for experiment scale"`
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -39,6 +39,8 @@
 	Output io.Writer
 	// EnginesPerZone replaces the deployment's number of engines when not zero.
 	EnginesPerZone int
+	// EntryFlags are given to every entry.
+	EntryFlags []string
 }
 
 // Report is what a run came to.
@@ -143,7 +145,7 @@
 	d.fleet = launch.New(launch.Options{
 		Executable: options.Executable, Deployment: described, LogDirectory: options.LogDirectory,
 		LinkRate: linkRate, OriginRate: originRate,
-		AgentFlags: []string{"--retire-grace", "2s"},
+		EntryFlags: options.EntryFlags, AgentFlags: []string{"--retire-grace", "2s"},
 	})
 	return d, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,8 @@
 	MaximumBodyBytes int64
 	// MaximumAttempts bounds the attempts at one request.
 	MaximumAttempts int
+	// Policy chooses among replicas.
+	Policy Policy
 	// SubsetPerZone is how many agents of each other zone, and how many times
 	// eight of the own zone, an entry keeps links to.
 	SubsetPerZone int
@@ -44,6 +46,9 @@
 	if o.MaximumAttempts == 0 {
 		o.MaximumAttempts = 4
 	}
+	if o.Policy == "" {
+		o.Policy = PolicyTwoChoices
+	}
 	if o.SubsetPerZone == 0 {
 		o.SubsetPerZone = 4
 	}
@@ -73,7 +78,7 @@
 		metrics:  newMetrics(base.Registry),
 		requests: &requestCounter{},
 	}
-	entry.router = newRouter(entry.replicas, base.Zone())
+	entry.router = newRouter(entry.replicas, base.Zone(), options.Policy)
 	base.SetOpen(entry.requests.open)
 	base.SetReady(entry.limits.settled)
 	entry.handleBorrowing()
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -35,7 +35,7 @@
 func (e *Entry) generate(ctx context.Context, c *call, wanted generationRequest, out answer) *fault.Refusal {
 	g := &generation{entry: e, call: c, request: wanted, out: out}
 	for attempts := 1; ; attempts++ {
-		chosen, found := e.router.choose(need{model: wanted.model, adapter: wanted.adapter, version: g.pinned, excluded: g.tried})
+		chosen, found := e.router.choose(need{model: wanted.model, adapter: wanted.adapter, version: g.pinned, prefix: prefixOf(wanted.prompt), excluded: g.tried})
 		if !found {
 			if attempts < e.options.MaximumAttempts && g.startOver() {
 				continue
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -11,11 +11,14 @@
 
 // router chooses a back end for an attempt.
 type router struct {
-	set  *replicaSet
-	zone string
+	set     *replicaSet
+	zone    string
+	chooser chooser
 }
 
-func newRouter(set *replicaSet, zone string) *router { return &router{set: set, zone: zone} }
+func newRouter(set *replicaSet, zone string, policy Policy) *router {
+	return &router{set: set, zone: zone, chooser: chooser{policy: policy}}
+}
 
 // choice is a back end and the version that the attempt is pinned to.
 type choice struct {
@@ -30,6 +33,8 @@
 	// version pins the attempt; empty means any version that takes new requests.
 	version string
 	service string
+	// prefix is the beginning of the prompt, for engines that cache it.
+	prefix string
 	// excluded back ends have been tried.
 	excluded []*replica
 	// homeKey, when set, allows one back end only: the key's home.
@@ -40,8 +45,7 @@
 // from which the next zone is used too.
 const spillLoad = 48
 
-// choose returns the better of two random back ends of the nearest zone that
-// has room.
+// choose picks a back end of the nearest zone that has room.
 func (r *router) choose(wanted need) (choice, bool) {
 	r.set.mutex.Lock()
 	defer r.set.mutex.Unlock()
@@ -59,9 +63,9 @@
 	}
 	near := slices.DeleteFunc(slices.Clone(usable), func(c choice) bool { return c.target.member.Zone != r.zone })
 	if len(near) > 0 && leastLoaded(near) < spillLoad {
-		return betterOfTwo(near), true
+		return r.chooser.pick(near, wanted.prefix), true
 	}
-	return betterOfTwo(usable), true
+	return r.chooser.pick(usable, wanted.prefix), true
 }
 
 func leastLoaded(choices []choice) int {
--- a/internal/experiment/scale/run.go
+++ b/internal/experiment/scale/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -201,18 +202,7 @@
 }
 
 func (m *measurement) get(url string, into any) error {
-	response, err := m.client.Get(url)
-	if err != nil {
-		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return &fault.Unavailable{Target: url, Operation: "GET", Status: response.StatusCode}
-	}
-	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
-		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
-	}
-	return nil
+	return launch.GetJSON(context.Background(), m.client, url, into)
 }
 
 func (m *measurement) change(path string, documents map[string][]byte) error {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -32,7 +32,9 @@
 	// LinkRate and OriginRate are in bytes a second; zero means no limit.
 	LinkRate   int64
 	OriginRate int64
-	// AgentFlags and MachineFlags are given to every agent and machine stand-in.
+	// EntryFlags, AgentFlags and MachineFlags are given to every entry, agent and
+	// machine stand-in.
+	EntryFlags   []string
 	AgentFlags   []string
 	MachineFlags []string
 }
@@ -118,6 +120,9 @@
 		"--listen", machine.Address, "--admin-listen", machine.AdminAddress(),
 		"--configuration", f.PlatformAddress(), "--membership", f.PlatformAddress(),
 	}
+	if machine.Role == platform.RoleEntry {
+		arguments = append(arguments, f.options.EntryFlags...)
+	}
 	if machine.Role == platform.RoleAgent {
 		arguments = append(arguments, "--back-end", machine.BackEndAddress())
 		arguments = append(arguments, f.options.AgentFlags...)
@@ -206,11 +211,16 @@
 
 // Get reads a JSON answer.
 func (f *Fleet) Get(ctx context.Context, url string, into any) error {
+	return GetJSON(ctx, f.client, url, into)
+}
+
+// GetJSON reads a JSON answer with a client.
+func GetJSON(ctx context.Context, client *http.Client, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
 	}
-	response, err := f.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return &fault.Unavailable{Target: url, Operation: "GET", Cause: err}
 	}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -149,6 +149,23 @@
 	return result
 }
 
+// CallDirectly makes a call to a plain service's own address, past the system.
+func (c *Client) CallDirectly(ctx context.Context, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/items", strings.NewReader("direct"))
+	if err != nil {
+		return &fault.Unavailable{Target: address, Operation: "build", Cause: err}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return &fault.Unavailable{Target: address, Operation: "call", Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return &fault.Unavailable{Target: address, Operation: "read", Cause: err}
+	}
+	return nil
+}
+
 func (c *Client) build(ctx context.Context, address string, request Request) (*http.Request, error) {
 	path, body := "/apps/"+request.Service+request.Path, []byte(request.Body)
 	if request.Kind != KindCall {
