Tests of links and limits; spread counts only processes that moved to a revision

Cause: the spread of 2 to 4 s was that of restarted processes, which join at a revision published before. Change: joins are counted apart.

--- a/internal/experiment/scale/hollow.go
+++ b/internal/experiment/scale/hollow.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -40,6 +41,7 @@
 
 	mutex   sync.Mutex
 	applied map[uint64][]time.Time
+	joined  map[uint64]int
 	running map[int]*hollow
 	// restarted holds the times from a restart to a configuration in force.
 	restarted []float64
@@ -56,9 +58,11 @@
 type HostReport struct {
 	Count     int            `json:"count"`
 	Resources node.Resources `json:"resources"`
-	// Applied lists, for each configuration revision, when each process put it in
-	// force, in nanoseconds since 1970 on this machine's clock.
+	// Applied lists, for each configuration revision, when each process moved to
+	// it, in nanoseconds since 1970 on this machine's clock. Joined counts those
+	// that started with it.
 	Applied map[uint64][]int64 `json:"applied"`
+	Joined  map[uint64]int     `json:"joined"`
 	// Traffic sums the control traffic by kind; MaximumBytes is that of the
 	// process with the most.
 	Traffic      map[string]peering.Traffic `json:"traffic"`
@@ -73,6 +77,7 @@
 		options: options,
 		layout:  layout{options: options.Layout, network: options.Network},
 		applied: map[uint64][]time.Time{},
+		joined:  map[uint64]int{},
 		running: map[int]*hollow{},
 	}
 	listener, err := net.Listen("tcp", h.layout.controlAddress(options.Host))
@@ -95,14 +100,14 @@
 
 func (h *host) start(index int, configured func()) error {
 	member := h.layout.member(index)
+	joining := true
 	options := node.Options{
 		ID: member.ID, Role: member.Role, Zone: member.Zone, Region: member.Region, Listen: member.Address,
 		ConfigurationAddress: h.layout.platformAddress(), MembershipAddress: h.layout.platformAddress(),
 		StartJitter: startJitter,
 		OnSnapshot: func(snapshot *configuration.Snapshot) {
-			h.mutex.Lock()
-			h.applied[snapshot.Version.Revision] = append(h.applied[snapshot.Version.Revision], time.Now())
-			h.mutex.Unlock()
+			h.noteSnapshot(snapshot.Version.Revision, joining)
+			joining = false
 			if configured != nil {
 				configured()
 			}
@@ -131,6 +136,16 @@
 	return nil
 }
 
+func (h *host) noteSnapshot(revision uint64, joining bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if joining {
+		h.joined[revision]++
+		return
+	}
+	h.applied[revision] = append(h.applied[revision], time.Now())
+}
+
 // restart ends the first of the host's processes that was not restarted yet, and
 // starts it anew.
 func (h *host) restart(writer http.ResponseWriter, _ *http.Request) {
@@ -158,7 +173,7 @@
 	h.mutex.Lock()
 	report := HostReport{
 		Count: h.options.Count, Resources: node.ReadResources(), Applied: map[uint64][]int64{},
-		Traffic: map[string]peering.Traffic{}, Restarted: append([]float64(nil), h.restarted...),
+		Joined: maps.Clone(h.joined), Traffic: map[string]peering.Traffic{}, Restarted: append([]float64(nil), h.restarted...),
 	}
 	for revision, times := range h.applied {
 		for _, at := range times {
--- a/internal/experiment/scale/run.go
+++ b/internal/experiment/scale/run.go
@@ -21,8 +21,10 @@
 const (
 	hollowPerHost = 160
 	readyTimeout  = 3 * time.Minute
-	// settleTime lets links and first statuses pass before the measurement.
-	settleTime = 8 * time.Second
+	// settleTime lets links and first statuses pass before the measurement, with
+	// a second more for each settleProcesses processes.
+	settleTime      = 8 * time.Second
+	settleProcesses = 100
 	// tailTime is how long the last change is waited for.
 	tailTime = 8 * time.Second
 	pollTime = 500 * time.Millisecond
@@ -120,7 +122,7 @@
 		return nil, err
 	}
 	ready := time.Since(began)
-	time.Sleep(settleTime)
+	time.Sleep(settleTime + time.Second*time.Duration(m.layout.count()/settleProcesses))
 	result, err := m.measure()
 	if err != nil {
 		return nil, err
@@ -375,7 +377,7 @@
 		reached := 0
 		for _, report := range reports {
 			times := report.Applied[change.revision]
-			reached += len(times)
+			reached += len(times) + report.Joined[change.revision]
 			for _, at := range times {
 				delay := time.Unix(0, at).Sub(change.at).Seconds()
 				delays = append(delays, delay)
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,114 @@
+package peering
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/logging"
+)
+
+func newTestHub(id string) *Hub {
+	return NewHub(Hello{ID: id, Incarnation: 1, Role: "test"}, logging.Nop(), NewCounters(prometheus.NewRegistry()))
+}
+
+// connect returns a hub that accepts links, and a link to it from another hub.
+func connect(t *testing.T, prepare func(accepting *Hub)) (*Hub, *Link) {
+	t.Helper()
+	accepting, dialling := newTestHub("accepting"), newTestHub("dialling")
+	prepare(accepting)
+	server := httptest.NewServer(accepting)
+	t.Cleanup(server.Close)
+	t.Cleanup(accepting.Close)
+	t.Cleanup(dialling.Close)
+	link, err := dialling.Link(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	return accepting, link
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	const count = 500
+	received := make(chan string, count)
+	_, link := connect(t, func(accepting *Hub) {
+		accepting.Handle("test.topic", func(_ *Link, m *message.Message) { received <- m.UUID })
+	})
+	assert.Equal(t, "accepting", link.Remote().ID)
+	for i := range count {
+		require.NoError(t, link.Publish("test.topic", message.NewMessage(strings.Repeat("x", i), []byte{1})))
+	}
+	for i := range count {
+		assert.Len(t, <-received, i)
+	}
+}
+
+func TestOneLinkServesAllCallers(t *testing.T) {
+	_, link := connect(t, func(*Hub) {})
+	again, err := link.hub.Link(context.Background(), link.Address())
+	require.NoError(t, err)
+	assert.Same(t, link, again)
+}
+
+func TestALostLinkIsToldToBothSides(t *testing.T) {
+	lost := make(chan *Link, 1)
+	accepting, link := connect(t, func(accepting *Hub) {
+		accepting.OnLost(func(gone *Link) { lost <- gone })
+	})
+	subscription, err := link.Subscribe(context.Background(), "anything")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(accepting.Accepted()) == 1 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, accepting.Accepted()[0].Close())
+	<-lost
+	<-link.Done()
+	_, open := <-subscription
+	assert.False(t, open)
+	assert.Error(t, link.Publish("test.topic", message.NewMessage("", nil)))
+}
+
+func TestAnInvalidFrameIsDroppedAndTheLinkGoesOn(t *testing.T) {
+	received := make(chan struct{}, 1)
+	_, link := connect(t, func(accepting *Hub) {
+		accepting.Handle("test.topic", func(*Link, *message.Message) { received <- struct{}{} })
+	})
+	require.NoError(t, link.connection.Write(context.Background(), websocket.MessageBinary, []byte{0xff, 0x00}))
+	require.NoError(t, link.connection.Write(context.Background(), websocket.MessageText, []byte("text")))
+	require.NoError(t, link.Publish("test.topic", message.NewMessage("", nil)))
+	<-received
+}
+
+func TestTrafficIsCountedByKind(t *testing.T) {
+	_, link := connect(t, func(*Hub) {})
+	require.NoError(t, link.Publish("liveness.status", message.NewMessage("", make([]byte, 100))))
+	require.NoError(t, link.Publish("liveness.other", message.NewMessage("", make([]byte, 100))))
+	counted := link.hub.counters.Snapshot()["liveness"]
+	assert.Equal(t, uint64(2), counted.MessagesOut)
+	assert.Greater(t, counted.BytesOut, uint64(200))
+}
+
+func FuzzFrame(f *testing.F) {
+	valid, err := cbor.Marshal(frame{Topic: "a.b", ID: "1", Payload: []byte{1, 2}})
+	require.NoError(f, err)
+	f.Add(valid)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var decoded frame
+		if cbor.Unmarshal(data, &decoded) != nil {
+			return
+		}
+		again, err := cbor.Marshal(decoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var twice frame
+		if err := cbor.Unmarshal(again, &twice); err != nil || twice.Topic != decoded.Topic {
+			t.Fatal("a decoded frame does not survive its encoding")
+		}
+	})
+}
