--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -268,7 +268,7 @@
 func (f *Fetcher) OfferFailed(peer MachineID, chunk int, now time.Duration) {
 	f.unreached(peer, now)
 	if f.valid(chunk) {
-		f.adopt(peer, chunk, now)
+		f.offerBelow(peer, chunk, now)
 	}
 }
 
@@ -333,9 +333,7 @@
 func (f *Fetcher) offer(peer MachineID, chunk int) { f.act(Offer, peer, chunk) }
 
 func (f *Fetcher) offerToChildren(chunk int, now time.Duration) {
-	for _, child := range f.options.Plan.Children(chunk, f.options.Self) {
-		f.offerTo(child, chunk, now)
-	}
+	f.offerBelow(f.options.Self, chunk, now)
 }
 
 // offerToInterested offers a chunk to those who asked before it was here and are
@@ -353,20 +351,24 @@
 	state.interested = nil
 }
 
-// offerTo offers a chunk to a machine. The children of one that can't pass it on
-// get it from here.
-func (f *Fetcher) offerTo(peer MachineID, chunk int, now time.Duration) {
-	if !f.isUnreachable(peer, now) {
-		f.offer(peer, chunk)
-	}
-	if f.isDistrusted(peer, now) {
-		f.adopt(peer, chunk, now)
-	}
-}
-
-// adopt offers a chunk to the children of a machine.
-func (f *Fetcher) adopt(peer MachineID, chunk int, now time.Duration) {
-	for _, grandchild := range f.options.Plan.Children(chunk, peer) {
-		f.offerTo(grandchild, chunk, now)
+// offerBelow offers a chunk to the children of a machine. The children of one
+// that can't pass it on get it from here. No machine is offered it twice, also in
+// plans that are no trees.
+func (f *Fetcher) offerBelow(machine MachineID, chunk int, now time.Duration) {
+	seen := map[MachineID]bool{f.options.Self: true, machine: true}
+	below := slices.Clone(f.options.Plan.Children(chunk, machine))
+	for len(below) > 0 {
+		peer := below[0]
+		below = below[1:]
+		if seen[peer] {
+			continue
+		}
+		seen[peer] = true
+		if !f.isUnreachable(peer, now) {
+			f.offer(peer, chunk)
+		}
+		if f.isDistrusted(peer, now) {
+			below = append(below, f.options.Plan.Children(chunk, peer)...)
+		}
 	}
 }
--- a/internal/experiment/rollout/simulation_test.go
+++ b/internal/experiment/rollout/simulation_test.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// A plan that is no tree once sent a fetcher round in circles.
+func TestPullCompletesWhenMachinesAvoidEachOther(t *testing.T) {
+	options := base()
+	options.Strategy, options.Stalled, options.Dead = dissemination.StrategyPull, 0.05, 0.05
+	assert.True(t, Simulate(options).Converged)
+}
+
 func TestSharedChunksAreNotDrawnAgain(t *testing.T) {
 	options := base()
 	options.HeldShare = 0.6
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -38,7 +38,7 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	t             *testing.T
+	t             testing.TB
 	Configuration *emulator.Publication
 	Membership    *emulator.Publication
 	Origin        *emulator.Origin
@@ -74,6 +74,10 @@
 // New starts a fleet of one zone with a number of engines, plain services and
 // entries, and publishes version "1" of the model.
 func New(t *testing.T, engines, services, entries int) *Fleet {
+	return newFleet(t, engines, services, entries)
+}
+
+func newFleet(t testing.TB, engines, services, entries int) *Fleet {
 	f := &Fleet{
 		t:             t,
 		Configuration: emulator.NewPublication(1, 0),
