--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -226,10 +226,6 @@
 	if !state.held && !slices.Contains(state.interested, from) {
 		state.interested = append(state.interested, from)
 	}
-	if !f.Expects(chunk) {
-		// Pass the question on: the next tick asks this machine's own provider.
-		f.makeLate(state, now)
-	}
 	if !state.held && !state.fetching && f.isRoot(chunk) {
 		f.fetchOrigin(chunk)
 	}
--- a/coordination/dissemination/repair.go
+++ b/coordination/dissemination/repair.go
@@ -78,6 +78,7 @@
 	minimumLag  = 16
 )
 
+// lagOf is how far a chunk may be behind before it counts as late.
 func (f *Fetcher) lagOf(chunk int) int {
 	return max(minimumLag, f.options.LagChunks-lagPerLevel*f.Height(chunk))
 }
@@ -124,8 +125,20 @@
 }
 
 // deniedEnough is how many machines must lack a chunk, for each turn, until a
-// reader takes it that the zone lacks it.
-const deniedEnough = 24
+// reader takes it that the zone lacks it. For the last few chunks fewer will do:
+// the whole zone waits, and reading one twice costs little.
+const (
+	deniedEnough     = 24
+	deniedEnoughLast = 6
+	lastChunks       = 4
+)
+
+func (f *Fetcher) deniedEnough() int {
+	if f.missing <= lastChunks {
+		return deniedEnoughLast
+	}
+	return deniedEnough
+}
 
 // escalate deals with a chunk that the machines waited for do not bring, perhaps
 // because lists differ and they wait for this one. Other machines of the zone
@@ -139,7 +152,7 @@
 		return
 	}
 	f.askMates(chunk, int(waited/f.options.Patience), now)
-	turns := f.chunks[chunk].denials / deniedEnough
+	turns := f.chunks[chunk].denials / f.deniedEnough()
 	if turns == 0 {
 		return
 	}
@@ -150,7 +163,7 @@
 }
 
 // matesAsked is how many machines of the zone are asked in a round.
-const matesAsked = 2
+const matesAsked = 4
 
 // mateStride spreads the rounds of different chunks over the zone.
 const mateStride = 7
