Engine stand-in: cache events, KV export and import, cancel; fewer last chunks read twice

Cause: the stand-in lacked what the platform gives; with 4 last chunks read on 6 answers the origin's two slots filled at the end. Change: cache.go with tests in virtual time; lastChunks 2.

--- a/coordination/dissemination/repair.go
+++ b/coordination/dissemination/repair.go
@@ -130,7 +130,7 @@
 const (
 	deniedEnough     = 24
 	deniedEnoughLast = 6
-	lastChunks       = 4
+	lastChunks       = 2
 )
 
 func (f *Fetcher) deniedEnough() int {
--- /dev/null
+++ b/internal/emulator/cache.go
@@ -0,0 +1,169 @@
+package emulator
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"pinevane.example/pinevane/internal/platform"
+)
+
+// CacheEventKind says what happened to a prompt prefix in an engine's cache.
+type CacheEventKind string
+
+// The kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent is an engine's word on its prefix cache. Events are published late,
+// and some never: their numbers then have a gap.
+type CacheEvent struct {
+	Sequence uint64         `json:"sequence"`
+	Kind     CacheEventKind `json:"kind"`
+	Prefix   string         `json:"prefix"`
+	at       time.Time
+}
+
+// Shape of the published cache events.
+const (
+	cacheEventLag = 300 * time.Millisecond
+	// lostEventEvery is which of the events is never published.
+	lostEventEvery     = 17
+	maximumCacheEvents = 1024
+)
+
+// prefixCache remembers the most recently used prompt prefixes.
+type prefixCache struct {
+	limit    int
+	recent   []string
+	sequence uint64
+	events   []CacheEvent
+}
+
+// cachedPrefixBytes is how much of a prompt counts as its prefix.
+const cachedPrefixBytes = 64
+
+func newPrefixCache(limit int) prefixCache { return prefixCache{limit: limit} }
+
+// touch records a prompt and reports whether its prefix was held.
+func (c *prefixCache) touch(prompt string) bool {
+	prefix := prompt[:min(len(prompt), cachedPrefixBytes)]
+	position := slices.Index(c.recent, prefix)
+	held := position >= 0
+	if held {
+		c.recent = slices.Delete(c.recent, position, position+1)
+	} else {
+		c.note(CacheStored, prefix)
+	}
+	c.recent = append(c.recent, prefix)
+	if len(c.recent) > c.limit {
+		c.note(CacheEvicted, c.recent[0])
+		c.recent = slices.Delete(c.recent, 0, 1)
+	}
+	return held
+}
+
+func (c *prefixCache) note(kind CacheEventKind, prefix string) {
+	c.sequence++
+	if c.sequence%lostEventEvery == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Sequence: c.sequence, Kind: kind, Prefix: prefix, at: time.Now()})
+	if len(c.events) > maximumCacheEvents {
+		c.events = slices.Delete(c.events, 0, 1)
+	}
+}
+
+// published returns the events after a number that are old enough to be out.
+func (c *prefixCache) published(since uint64) []CacheEvent {
+	events := []CacheEvent{}
+	for _, event := range c.events {
+		if event.Sequence > since && time.Since(event.at) >= cacheEventLag {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+// CacheEvents returns the published events after a number.
+func (e *Engine) CacheEvents(since uint64) []CacheEvent {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.cache.published(since)
+}
+
+// KeyValueState is what an engine exports of a sequence under way, so that another
+// engine with the same version can go on without a prefill.
+type KeyValueState struct {
+	Generation platform.Generation `json:"generation"`
+	// Next is the position of the next token.
+	Next int `json:"next"`
+}
+
+// Export returns the state of a running sequence; false when there is none.
+func (e *Engine) Export(id string) (KeyValueState, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, active := range e.running {
+		if active.generation.ID == id {
+			return KeyValueState{Generation: active.generation, Next: active.next}, true
+		}
+	}
+	return KeyValueState{}, false
+}
+
+// Import takes over an exported state: a generation that resumes it has its
+// prompt in the cache.
+func (e *Engine) Import(state KeyValueState) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.cache.touch(state.Generation.Prompt)
+}
+
+// Cancel ends a sequence and reports whether it was there.
+func (e *Engine) Cancel(id string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	found := false
+	drop := func(s *sequence) bool {
+		if s.generation.ID != id {
+			return false
+		}
+		found = true
+		close(s.events)
+		return true
+	}
+	e.running = slices.DeleteFunc(e.running, drop)
+	e.waiting = slices.DeleteFunc(e.waiting, drop)
+	return found
+}
+
+// mountCache serves cache events, export, import and cancelling.
+func (e *Engine) mountCache(router chi.Router) {
+	router.Get("/v1/cache-events", func(writer http.ResponseWriter, request *http.Request) {
+		writeJSON(writer, e.CacheEvents(parseNumber(request.URL.Query().Get("since"))))
+	})
+	router.Get("/v1/kv/{id}", func(writer http.ResponseWriter, request *http.Request) {
+		state, running := e.Export(chi.URLParam(request, "id"))
+		if !running {
+			http.Error(writer, "no such sequence", http.StatusNotFound)
+			return
+		}
+		writeJSON(writer, state)
+	})
+	router.Post("/v1/kv", func(writer http.ResponseWriter, request *http.Request) {
+		var state KeyValueState
+		if readJSON(writer, request, &state) {
+			e.Import(state)
+			writer.WriteHeader(http.StatusNoContent)
+		}
+	})
+	router.Post("/v1/cancel/{id}", func(writer http.ResponseWriter, request *http.Request) {
+		writeJSON(writer, strconv.FormatBool(e.Cancel(chi.URLParam(request, "id"))))
+	})
+}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -138,6 +138,7 @@
 	router.Use(e.faults.refuseWhenDown)
 	e.faults.mount(router)
 	e.store.mount(router)
+	e.mountCache(router)
 	router.Get("/v1/status", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, e.Status()) })
 	router.Post("/v1/orders", e.order)
 	router.Post("/v1/generate", e.generate)
@@ -406,29 +407,3 @@
 	active.events <- event
 	return true
 }
-
-// prefixCache remembers the most recently used prompt prefixes.
-type prefixCache struct {
-	limit  int
-	recent []string
-}
-
-// cachedPrefixBytes is how much of a prompt counts as its prefix.
-const cachedPrefixBytes = 64
-
-func newPrefixCache(limit int) prefixCache { return prefixCache{limit: limit} }
-
-// touch records a prompt and reports whether its prefix was held.
-func (c *prefixCache) touch(prompt string) bool {
-	prefix := prompt[:min(len(prompt), cachedPrefixBytes)]
-	position := slices.Index(c.recent, prefix)
-	held := position >= 0
-	if held {
-		c.recent = slices.Delete(c.recent, position, position+1)
-	}
-	c.recent = append(c.recent, prefix)
-	if len(c.recent) > c.limit {
-		c.recent = slices.Delete(c.recent, 0, len(c.recent)-c.limit)
-	}
-	return held
-}
--- /dev/null
+++ b/internal/emulator/engine_test.go
@@ -0,0 +1,132 @@
+package emulator
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/weights"
+)
+
+// loadedEngine returns an engine that serves version 1, and its weights' identity.
+func loadedEngine(t *testing.T) (*Engine, weights.Digest) {
+	t.Helper()
+	synthetic := weights.Synthetic{Model: "m", Version: "1", Bytes: 8192, ChunkBytes: 4096}
+	manifest := synthetic.Manifest()
+	store := NewStore(0)
+	order := platform.Order{Action: platform.ActionLoad, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 1}}
+	for index, chunk := range manifest.Chunks {
+		store.chunks[chunk.Digest] = synthetic.Content(index)
+		order.Chunks = append(order.Chunks, chunk.Digest)
+	}
+	engine := NewEngine(DefaultEngineOptions(), store)
+	require.NoError(t, engine.Give(order))
+	return engine, manifest.Identity()
+}
+
+func generation(id, prompt string, tokens int) platform.Generation {
+	return platform.Generation{ID: id, Model: "m", Version: "1", Prompt: prompt, MaximumTokens: tokens}
+}
+
+func collect(events <-chan platform.GenerationEvent) (text string, finished bool) {
+	var all strings.Builder
+	for event := range events {
+		all.WriteString(event.Token)
+		finished = event.Finish != ""
+	}
+	return all.String(), finished
+}
+
+func TestAnswersAreAFunctionOfRequestAndVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine, identity := loadedEngine(t)
+		first, ok := engine.Submit(context.Background(), generation("a", "one", 10))
+		require.True(t, ok)
+		second, _ := engine.Submit(context.Background(), generation("b", "two", 10))
+		text, finished := collect(first)
+		assert.True(t, finished)
+		assert.Equal(t, Answer(identity, "", "one", 10), text)
+		text, _ = collect(second)
+		assert.Equal(t, Answer(identity, "", "two", 10), text)
+	})
+}
+
+func TestALowerFenceIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine, _ := loadedEngine(t)
+		assert.Error(t, engine.Give(platform.Order{Action: platform.ActionUnload, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 1}}))
+		assert.NoError(t, engine.Give(platform.Order{Action: platform.ActionUnload, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 2}}))
+		_, ok := engine.Submit(context.Background(), generation("a", "one", 1))
+		assert.False(t, ok)
+	})
+}
+
+func TestAnExportedSequenceGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, identity := loadedEngine(t)
+		target, _ := loadedEngine(t)
+		events, _ := source.Submit(context.Background(), generation("a", "moved", 40))
+		time.Sleep(200 * time.Millisecond)
+		state, running := source.Export("a")
+		require.True(t, running)
+		assert.True(t, source.Cancel("a"))
+		begun, finished := collect(events)
+		assert.False(t, finished)
+		target.Import(state)
+		resumed := state.Generation
+		resumed.ResumeFrom = state.Next
+		rest, _ := target.Submit(context.Background(), resumed)
+		ended, finished := collect(rest)
+		assert.True(t, finished)
+		assert.Equal(t, Answer(identity, "", "moved", 40), begun+ended)
+	})
+}
+
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine, _ := loadedEngine(t)
+		for i := range lostEventEvery + 3 {
+			events, _ := engine.Submit(context.Background(), generation("a", strings.Repeat("x", i+1), 1))
+			collect(events)
+		}
+		time.Sleep(cacheEventLag)
+		published := engine.CacheEvents(0)
+		assert.Len(t, published, lostEventEvery+2)
+		events, _ := engine.Submit(context.Background(), generation("b", "fresh", 1))
+		collect(events)
+		assert.Len(t, engine.CacheEvents(0), lostEventEvery+2, "the newest event is not out yet")
+	})
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine, _ := loadedEngine(t)
+		engine.options.MaximumBatch = 1
+		var order []string
+		var streams []<-chan platform.GenerationEvent
+		for i, priority := range []int{1, 1, 9} {
+			request := generation(string(rune('a'+i)), "p", 2)
+			request.Priority = priority
+			events, _ := engine.Submit(context.Background(), request)
+			streams = append(streams, events)
+			synctest.Wait()
+		}
+		ended := make(chan string, 3)
+		for i, events := range streams {
+			go func() {
+				collect(events)
+				ended <- string(rune('a' + i))
+			}()
+		}
+		for range 3 {
+			order = append(order, <-ended)
+		}
+		assert.Equal(t, []string{"a", "c", "b"}, order)
+	})
+}
