--- a/internal/experiment/faults/inject.go
+++ b/internal/experiment/faults/inject.go
@@ -8,7 +8,7 @@
 	switch fault.Kind {
 	case AgentDies:
 		w.kill(agent)
-		w.after(fault.Length, func() { w.revive(agent) })
+		w.After(fault.Length, func() { w.revive(agent) })
 	case AgentRestarts:
 		w.kill(agent)
 		w.revive(agent)
@@ -25,7 +25,7 @@
 	case ProcessPauses:
 		all := append(append([]*process(nil), w.entries...), w.agents...)
 		paused := all[fault.Target%len(all)]
-		paused.pausedUntil = max(paused.pausedUntil, w.now+fault.Length)
+		paused.pausedUntil = max(paused.pausedUntil, w.Now()+fault.Length)
 	case LinkLost:
 		w.lose(w.entries[fault.Target%entryCount].links[fault.Target/entryCount%agentCount])
 	case LinkStalls:
@@ -33,18 +33,18 @@
 	case Partition:
 		w.cutZone = true
 		w.loseCrossing()
-		w.after(fault.Length, func() { w.cutZone = false })
+		w.After(fault.Length, func() { w.cutZone = false })
 	case ServiceDown:
 		w.serviceOK = false
-		w.after(fault.Length, func() { w.serviceOK = true })
+		w.After(fault.Length, func() { w.serviceOK = true })
 	case ServiceStale:
 		w.stale = true
-		w.after(fault.Length, func() { w.stale = false })
+		w.After(fault.Length, func() { w.stale = false })
 	case VersionChange:
 		w.published.Revision++
 	case ChunkCorrupt:
 		agent.corrupt = true
-		w.after(fault.Length, func() { agent.corrupt = false })
+		w.After(fault.Length, func() { agent.corrupt = false })
 	case PlannedStop:
 		w.stop(agent)
 	}
@@ -62,8 +62,8 @@
 			continue
 		}
 		const part = 8
-		stalled.next[0] = w.now + giveUpStalled + fault.Length/part
-		w.after(giveUpStalled, func() { w.lose(stalled) })
+		stalled.next[0] = w.Now() + giveUpStalled + fault.Length/part
+		w.After(giveUpStalled, func() { w.lose(stalled) })
 	}
 }
 
@@ -90,7 +90,7 @@
 	if broken.entry.links[broken.agent.index] == broken {
 		delete(broken.entry.links, broken.agent.index)
 	}
-	w.after(w.randomTime(noticeRange), func() { w.notice(broken) })
+	w.After(w.randomTime(noticeRange), func() { w.notice(broken) })
 	for _, open := range w.requests {
 		if open.flight != nil && open.flight.link == broken {
 			w.on(broken.entry, func() { open.linkLost(broken) })
@@ -124,13 +124,13 @@
 	if agent.dead || agent.leaving {
 		return
 	}
-	agent.leaving, agent.leavingSince = true, w.now
+	agent.leaving, agent.leavingSince = true, w.Now()
 	if w.broken == SafeguardDrain {
 		for _, cut := range agent.open {
 			cut.request.cutByStop = true
 		}
 		w.kill(agent)
-		w.after(longestTime, func() { w.revive(agent) })
+		w.After(longestTime, func() { w.revive(agent) })
 		return
 	}
 	w.finishStop(agent, agent.incarnation)
@@ -141,9 +141,9 @@
 		return
 	}
 	if len(agent.open) > 0 {
-		w.after(tokenTime, func() { w.finishStop(agent, incarnation) })
+		w.After(tokenTime, func() { w.finishStop(agent, incarnation) })
 		return
 	}
 	w.kill(agent)
-	w.after(longestTime, func() { w.revive(agent) })
+	w.After(longestTime, func() { w.revive(agent) })
 }
--- a/internal/experiment/faults/request.go
+++ b/internal/experiment/faults/request.go
@@ -56,12 +56,12 @@
 func (w *world) arrive(id int) {
 	r := &request{
 		world: w, id: id, entry: w.entries[w.random.IntN(entryCount)],
-		stream: w.random.IntN(2) == 0, deadline: w.now + requestTime,
+		stream: w.random.IntN(2) == 0, deadline: w.Now() + requestTime,
 	}
 	r.repeatable = r.stream && w.random.IntN(3) > 0
 	w.requests = append(w.requests, r)
 	w.on(r.entry, r.attempt)
-	w.after(requestTime, func() { r.tell(unknown) })
+	w.After(requestTime, func() { r.tell(unknown) })
 }
 
 // tell ends a request once.
@@ -82,7 +82,7 @@
 	if r.outcome != pending {
 		return
 	}
-	if w.now >= r.deadline {
+	if w.Now() >= r.deadline {
 		r.tell(notRun)
 		return
 	}
@@ -145,9 +145,9 @@
 
 // toAgent delivers a message in order, as long as the agent holds the link.
 func (w *world) toAgent(l *link, do func()) {
-	at := max(l.next[0], w.now+minimumDelay+w.randomTime(delayRange))
+	at := max(l.next[0], w.Now()+minimumDelay+w.randomTime(delayRange))
 	l.next[0] = at
-	w.after(at-w.now, func() {
+	w.After(at-w.Now(), func() {
 		w.on(l.agent, func() {
 			if l.agentUp && l.agent.incarnation == l.incarnation {
 				do()
@@ -158,9 +158,9 @@
 
 // toEntry delivers a message in order, as long as the entry holds the link.
 func (w *world) toEntry(l *link, do func()) {
-	at := max(l.next[1], w.now+minimumDelay+w.randomTime(delayRange))
+	at := max(l.next[1], w.Now()+minimumDelay+w.randomTime(delayRange))
 	l.next[1] = at
-	w.after(at-w.now, func() {
+	w.After(at-w.Now(), func() {
 		w.on(l.entry, func() {
 			if l.entryUp {
 				do()
@@ -182,17 +182,17 @@
 		w.toEntry(l, func() { r.refused(l, id) })
 		return
 	}
-	if agent.leaving && w.now > agent.leavingSince+quietAfter {
-		w.violate(LeavingIsQuiet, "request %d started %.1fs after the agent began to leave", r.id, (w.now - agent.leavingSince).Seconds())
+	if agent.leaving && w.Now() > agent.leavingSince+quietAfter {
+		w.violate(LeavingIsQuiet, "request %d started %.1fs after the agent began to leave", r.id, (w.Now() - agent.leavingSince).Seconds())
 	}
 	r.runs++
 	started := &work{request: r, link: l, version: version, token: len(r.received), engine: agent.engine.incarnation}
 	agent.open[id] = started
 	if r.stream {
-		w.after(tokenTime, func() { w.nextToken(agent, id, started, agent.incarnation) })
+		w.After(tokenTime, func() { w.nextToken(agent, id, started, agent.incarnation) })
 		return
 	}
-	w.after(callTime, func() { w.endCall(agent, id, started, agent.incarnation) })
+	w.After(callTime, func() { w.endCall(agent, id, started, agent.incarnation) })
 }
 
 // nextToken is one step of an engine, passed on by the gate after its checks.
@@ -215,7 +215,7 @@
 	}
 	w.toEntry(started.link, func() { started.request.token(started.link, id, sent, last) })
 	if !last {
-		w.after(tokenTime, func() { w.nextToken(agent, id, started, incarnation) })
+		w.After(tokenTime, func() { w.nextToken(agent, id, started, incarnation) })
 	}
 }
 
@@ -311,7 +311,7 @@
 		r.tell(unknown)
 		return
 	}
-	w.after(inquiryPeriod, func() { w.on(r.entry, func() { r.inquire(about) }) })
+	w.After(inquiryPeriod, func() { w.on(r.entry, func() { r.inquire(about) }) })
 	if agent.dead || !w.connected(r.entry, agent) {
 		return
 	}
--- a/internal/experiment/faults/world.go
+++ b/internal/experiment/faults/world.go
@@ -1,7 +1,6 @@
 package faults
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -9,6 +8,7 @@
 	"pinevane.example/pinevane/coordination/attempt"
 	"pinevane.example/pinevane/coordination/escrow"
 	"pinevane.example/pinevane/coordination/monotonic"
+	"pinevane.example/pinevane/internal/experiment/virtual"
 	"pinevane.example/pinevane/internal/platform"
 )
 
@@ -38,27 +38,6 @@
 	orderDelay   = 100 * time.Millisecond
 )
 
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 type violation struct {
 	promise Promise
 	detail  string
@@ -124,9 +103,7 @@
 }
 
 type world struct {
-	now      time.Duration
-	order    int
-	events   eventQueue
+	virtual.Timeline
 	random   *rand.Rand
 	broken   Safeguard
 	entries  []*process
@@ -151,15 +128,13 @@
 	}
 	w.build()
 	for _, fault := range schedule {
-		w.after(fault.At, func() { w.inject(fault) })
+		w.After(fault.At, func() { w.inject(fault) })
 	}
 	for i := range requestCount {
-		w.after(w.randomTime(horizon*3/4), func() { w.arrive(i) })
+		w.After(w.randomTime(horizon*3/4), func() { w.arrive(i) })
 	}
-	for len(w.events) > 0 && w.now < 2*horizon {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.do()
+	for w.Pending() && w.Now() < 2*horizon {
+		w.Step()
 		w.checkLimit()
 	}
 	w.judge()
@@ -206,23 +181,18 @@
 
 // clock is a process's own monotonic clock, whose zero is its own.
 func (w *world) clock(p *process) time.Duration {
-	return w.now + time.Duration(p.index+1)*time.Hour
+	return w.Now() + time.Duration(p.index+1)*time.Hour
 }
 
 func (w *world) randomTime(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
 
-func (w *world) after(delay time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{at: w.now + delay, order: w.order, do: do})
-}
-
 // on runs a step of a process once it is not paused, in order; a dead one takes
 // no step.
 func (w *world) on(p *process, do func()) {
-	if w.now < p.pausedUntil {
-		w.after(p.pausedUntil-w.now, func() { w.on(p, do) })
+	if w.Now() < p.pausedUntil {
+		w.After(p.pausedUntil-w.Now(), func() { w.on(p, do) })
 		return
 	}
 	if !p.dead {
@@ -231,8 +201,8 @@
 }
 
 func (w *world) every(p *process, period time.Duration, do func()) {
-	w.after(period/2+w.randomTime(period), func() {
-		if w.now > horizon+requestTime {
+	w.After(period/2+w.randomTime(period), func() {
+		if w.Now() > horizon+requestTime {
 			return
 		}
 		w.on(p, do)
@@ -284,10 +254,10 @@
 	fence := platform.Fence{Revision: wanted, Incarnation: agent.incarnation, Sequence: agent.sequence}
 	wrong, target := agent.wrong, agent.engine
 	delay := orderDelay
-	if w.now < agent.pausedUntil || w.random.IntN(8) == 0 {
+	if w.Now() < agent.pausedUntil || w.random.IntN(8) == 0 {
 		delay += w.randomTime(3 * time.Second)
 	}
-	w.after(delay, func() { w.carryOutOrder(target, fence, wrong) })
+	w.After(delay, func() { w.carryOutOrder(target, fence, wrong) })
 }
 
 // carryOutOrder is the engine's handling of one load order.
@@ -311,14 +281,14 @@
 	}
 	request := entry.account.Ask(w.random.Float64()/entryCount, w.clock(entry))
 	const lossOneIn = 10
-	w.after(minimumDelay+w.randomTime(delayRange), func() {
+	w.After(minimumDelay+w.randomTime(delayRange), func() {
 		w.on(donor, func() {
 			grant := donor.account.Answer(request, 0, w.clock(donor))
 			if w.random.IntN(lossOneIn) == 0 {
 				return
 			}
 			// A grant may come very late.
-			w.after(minimumDelay+w.randomTime(5*time.Second), func() {
+			w.After(minimumDelay+w.randomTime(5*time.Second), func() {
 				w.on(entry, func() { entry.account.Receive(grant, w.clock(entry)) })
 			})
 		})
@@ -330,7 +300,7 @@
 func (w *world) checkLimit() {
 	total := 0.0
 	for _, entry := range w.entries {
-		if w.now >= entry.pausedUntil {
+		if w.Now() >= entry.pausedUntil {
 			total += entry.account.Usable(w.clock(entry))
 		}
 	}
--- a/internal/experiment/rollout/simulation.go
+++ b/internal/experiment/rollout/simulation.go
@@ -4,13 +4,13 @@
 package rollout
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/experiment/virtual"
 )
 
 // Duplex says whether a machine's link carries both directions at once.
@@ -106,31 +106,6 @@
 	Curve []float64 `json:"-"`
 }
 
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // request is a chunk that a machine waits for at a source.
 type request struct {
 	from  *machine
@@ -157,11 +132,9 @@
 }
 
 type simulation struct {
+	virtual.Timeline
 	options  Options
 	random   *rand.Rand
-	now      time.Duration
-	events   eventQueue
-	order    int
 	machines []*machine
 	byID     map[dissemination.MachineID]*machine
 	// originQueue holds requests at the origin; originBusy counts its transfers.
@@ -182,15 +155,13 @@
 	s.plan()
 	s.scheduleFaults()
 	for _, m := range s.machines {
-		s.after(s.randomTime(tickPeriod), func() { s.tick(m) })
+		s.After(s.randomTime(tickPeriod), func() { s.tick(m) })
 		m.fetcher.Start(0)
 		s.carryOut(m)
 	}
 	limit := s.timeLimit()
-	for len(s.events) > 0 && s.done < s.alive && s.now < limit {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.do()
+	for s.Pending() && s.done < s.alive && s.Now() < limit {
+		s.Step()
 	}
 	return s.summarize()
 }
@@ -290,14 +261,14 @@
 	expected := time.Duration(s.lowerBound() * float64(slot))
 	for _, m := range s.machines {
 		if s.random.Float64() < s.options.Dead {
-			s.after(s.randomTime(expected), func() { s.kill(m) })
+			s.After(s.randomTime(expected), func() { s.kill(m) })
 		}
 		if s.random.Float64() < s.options.Stalled {
-			s.after(s.randomTime(expected), func() { s.hang(m) })
+			s.After(s.randomTime(expected), func() { s.hang(m) })
 		}
 	}
 	if s.options.Partition {
-		s.after(expected*2/5, func() { s.partitioned = true })
+		s.After(expected*2/5, func() { s.partitioned = true })
 	}
 }
 
@@ -317,11 +288,6 @@
 	return time.Duration(s.random.Int64N(int64(limit)))
 }
 
-func (s *simulation) after(delay time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.events, event{at: s.now + delay, order: s.order, do: do})
-}
-
 func (s *simulation) kill(m *machine) {
 	if m.dead {
 		return
@@ -351,9 +317,9 @@
 	if m.dead || m.complete >= 0 {
 		return
 	}
-	m.fetcher.Tick(s.now)
+	m.fetcher.Tick(s.Now())
 	s.carryOut(m)
-	s.after(tickPeriod, func() { s.tick(m) })
+	s.After(tickPeriod, func() { s.tick(m) })
 }
 
 // reachable reports whether a message between two machines arrives.
@@ -384,15 +350,15 @@
 
 func (s *simulation) sendOffer(m *machine, action dissemination.Action) {
 	s.result.Messages++
-	s.after(controlDelay, func() {
+	s.After(controlDelay, func() {
 		peer := s.byID[action.Peer]
 		if s.reachable(m, peer) {
-			peer.fetcher.Offered(m.ID, action.Chunk, s.now)
+			peer.fetcher.Offered(m.ID, action.Chunk, s.Now())
 			s.carryOut(peer)
 			return
 		}
-		s.after(silenceTimeout, func() {
-			m.fetcher.OfferFailed(action.Peer, action.Chunk, s.now)
+		s.After(silenceTimeout, func() {
+			m.fetcher.OfferFailed(action.Peer, action.Chunk, s.Now())
 			s.carryOut(m)
 		})
 	})
@@ -400,20 +366,20 @@
 
 func (s *simulation) sendAsk(m *machine, action dissemination.Action) {
 	s.result.Messages++
-	s.after(controlDelay, func() {
+	s.After(controlDelay, func() {
 		peer := s.byID[action.Peer]
 		if !s.reachable(m, peer) {
-			s.after(silenceTimeout, func() {
-				m.fetcher.AskFailed(action.Peer, action.Chunk, s.now)
+			s.After(silenceTimeout, func() {
+				m.fetcher.AskFailed(action.Peer, action.Chunk, s.Now())
 				s.carryOut(m)
 			})
 			return
 		}
-		held := peer.fetcher.Asked(m.ID, action.Chunk, len(peer.queue), s.now)
-		s.after(controlDelay, func() {
+		held := peer.fetcher.Asked(m.ID, action.Chunk, len(peer.queue), s.Now())
+		s.After(controlDelay, func() {
 			switch {
 			case held:
-				m.fetcher.Offered(peer.ID, action.Chunk, s.now)
+				m.fetcher.Offered(peer.ID, action.Chunk, s.Now())
 			case peer.fetcher.Expects(action.Chunk):
 				m.fetcher.AskPending(peer.ID, action.Chunk)
 			default:
@@ -426,9 +392,9 @@
 
 func (s *simulation) sendFetch(m *machine, action dissemination.Action) {
 	wanted := &request{from: s.byID[action.Peer], to: m, chunk: action.Chunk, height: m.fetcher.Height(action.Chunk)}
-	s.after(controlDelay, func() {
+	s.After(controlDelay, func() {
 		if !s.reachable(m, wanted.from) {
-			s.after(silenceTimeout, func() { s.report(wanted, action.Peer, dissemination.Unreachable) })
+			s.After(silenceTimeout, func() { s.report(wanted, action.Peer, dissemination.Unreachable) })
 			return
 		}
 		if wanted.from.stalled {
@@ -525,12 +491,12 @@
 		started.to.getting = true
 		s.originBusy++
 		s.originSent++
-		s.after(duration, func() { s.end(started, corrupt) })
+		s.After(duration, func() { s.end(started, corrupt) })
 		return
 	}
 	started.from.sending = true
 	started.to.getting = true
-	s.after(duration, func() { s.end(started, corrupt) })
+	s.After(duration, func() { s.end(started, corrupt) })
 }
 
 func (s *simulation) end(ended *request, corrupt bool) {
@@ -572,10 +538,10 @@
 	}
 	// A copy is right when its source's copy was and nothing happened on the way.
 	ended.to.good[ended.chunk] = !corrupt && (ended.from == nil || ended.from.good[ended.chunk])
-	ended.to.fetcher.Fetched(source, ended.chunk, s.now)
+	ended.to.fetcher.Fetched(source, ended.chunk, s.Now())
 	s.carryOut(ended.to)
 	if ended.to.fetcher.Missing() == 0 && ended.to.complete < 0 {
-		ended.to.complete = s.now
+		ended.to.complete = s.Now()
 		s.done++
 	}
 }
@@ -595,7 +561,7 @@
 	if failed.from != nil {
 		source = failed.from.ID
 	}
-	s.after(delay, func() { s.report(failed, source, reason) })
+	s.After(delay, func() { s.report(failed, source, reason) })
 }
 
 var reasonNames = map[dissemination.FailureReason]string{
@@ -610,7 +576,7 @@
 		return
 	}
 	s.result.Failed[reasonNames[reason]]++
-	failed.to.fetcher.FetchFailed(source, failed.chunk, reason, s.now)
+	failed.to.fetcher.FetchFailed(source, failed.chunk, reason, s.Now())
 	s.carryOut(failed.to)
 }
 
