--- a/internal/agent/activation.go
+++ b/internal/agent/activation.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/protocol"
 	"pinevane.example/pinevane/internal/weights"
 )
@@ -67,9 +67,9 @@
 type activationController struct {
 	node    *node.Node
 	options Options
-	engine  platform.Engine
+	engine  external.Engine
 	gate    *gate
-	client  *platform.HTTPPeerStore
+	client  *external.HTTPPeerStore
 	// onRetired is told which manifests are still needed after one was unloaded.
 	onRetired func(ctx context.Context, kept []weights.Digest)
 	// sequence is the last part of the fence; only run uses it.
@@ -86,10 +86,10 @@
 	previous map[string]weights.Digest
 }
 
-func newActivationController(base *node.Node, options Options, engine platform.Engine, g *gate) *activationController {
+func newActivationController(base *node.Node, options Options, engine external.Engine, g *gate) *activationController {
 	controller := &activationController{
 		node: base, options: options, engine: engine, gate: g,
-		client:           platform.NewHTTPPeerStore(),
+		client:           external.NewHTTPPeerStore(),
 		unreachableSince: map[weights.Digest]time.Time{},
 		previous:         map[string]weights.Digest{},
 	}
@@ -140,7 +140,7 @@
 }
 
 // noteStatus forgets what was loaded when the engine has restarted.
-func (c *activationController) noteStatus(status platform.EngineStatus) {
+func (c *activationController) noteStatus(status external.EngineStatus) {
 	blackboard.Write(c.node.Board, EngineKey, status)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -225,7 +225,7 @@
 
 func (c *activationController) askState(ctx context.Context, machine string, digest weights.Digest) (ActivationState, error) {
 	members, _ := blackboard.Read(c.node.Board, node.MembersKey)
-	index := slices.IndexFunc(members, func(member platform.Member) bool { return member.ID == machine })
+	index := slices.IndexFunc(members, func(member external.Member) bool { return member.ID == machine })
 	if index < 0 {
 		return "", &fault.Unavailable{Target: machine, Operation: "activation state"}
 	}
@@ -246,13 +246,13 @@
 // nextFence numbers an order. The agent's own listening address, which only one
 // process can hold, keeps a second agent from giving orders to an engine that
 // does not check fences.
-func (c *activationController) nextFence() platform.Fence {
+func (c *activationController) nextFence() external.Fence {
 	snapshot, _ := blackboard.Read(c.node.Board, node.SnapshotKey)
 	c.sequence++
-	return platform.Fence{Revision: snapshot.Version, Incarnation: c.node.Incarnation(), Sequence: c.sequence}
+	return external.Fence{Revision: snapshot.Version, Incarnation: c.node.Incarnation(), Sequence: c.sequence}
 }
 
-func (c *activationController) give(ctx context.Context, order platform.Order) error {
+func (c *activationController) give(ctx context.Context, order external.Order) error {
 	order.Fence = c.nextFence()
 	c.node.Log.Log(logging.OrderSent, zap.String("action", string(order.Action)), zap.String("model", order.Model), zap.String("version", order.Version))
 	return c.engine.Give(ctx, order)
@@ -260,7 +260,7 @@
 
 // activate loads a version beside the old one, probes it, and admits requests.
 func (c *activationController) activate(ctx context.Context, version StagedVersion) {
-	order := platform.Order{Action: platform.ActionLoad, Model: version.Model, Version: version.Version, Adapters: c.adaptersOf(version)}
+	order := external.Order{Action: external.ActionLoad, Model: version.Model, Version: version.Version, Adapters: c.adaptersOf(version)}
 	for _, chunk := range version.Manifest.Chunks {
 		order.Chunks = append(order.Chunks, chunk.Digest)
 	}
@@ -295,11 +295,11 @@
 func (c *activationController) probe(ctx context.Context, version StagedVersion) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	generation := platform.Generation{
+	generation := external.Generation{
 		ID: "probe/" + c.node.ID(), Model: version.Model, Version: version.Version,
 		Prompt: "probe", MaximumTokens: probeTokens, Priority: probePriority,
 	}
-	return c.engine.Generate(ctx, generation, func(event platform.GenerationEvent) error {
+	return c.engine.Generate(ctx, generation, func(event external.GenerationEvent) error {
 		if event.Version != version.Version {
 			return &fault.OrderRejected{Action: "probe", Reason: "engine answered with version " + event.Version}
 		}
@@ -345,7 +345,7 @@
 		if c.gate.openOn(version.Model, version.Version) > 0 {
 			continue
 		}
-		order := platform.Order{Action: platform.ActionUnload, Model: version.Model, Version: version.Version}
+		order := external.Order{Action: external.ActionUnload, Model: version.Model, Version: version.Version}
 		if c.give(ctx, order) != nil {
 			continue
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/protocol"
 )
 
@@ -23,7 +23,7 @@
 	// ServedKey lists the versions that requests are admitted to.
 	ServedKey = blackboard.NewKey[[]protocol.ServedVersion]("engine.served")
 	// EngineKey is the engine's last word on itself.
-	EngineKey = blackboard.NewKey[platform.EngineStatus]("engine.status")
+	EngineKey = blackboard.NewKey[external.EngineStatus]("engine.status")
 	// RefusedKey lists versions that the engine would not load.
 	RefusedKey = blackboard.NewKey[[]RefusedVersion]("engine.refused")
 )
@@ -92,9 +92,9 @@
 	agent := &Agent{options: options, node: base}
 	agent.status = newStatusController(base, options.Service)
 	if options.Service != "" {
-		agent.gate = newGate(base, options, nil, platform.NewHTTPService(options.BackEndAddress))
+		agent.gate = newGate(base, options, nil, external.NewHTTPService(options.BackEndAddress))
 	} else {
-		engine := platform.NewHTTPEngine(options.BackEndAddress)
+		engine := external.NewHTTPEngine(options.BackEndAddress)
 		agent.gate = newGate(base, options, engine, nil)
 		agent.weights = newWeightsController(base, options)
 		agent.activator = newActivationController(base, options, engine, agent.gate)
--- a/internal/agent/assignment.go
+++ b/internal/agent/assignment.go
@@ -7,7 +7,7 @@
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/coordination/placement"
 	"pinevane.example/pinevane/internal/configuration"
-	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -24,13 +24,13 @@
 // fleet is the membership list as placement needs it.
 type fleet struct {
 	byZone  map[string][]string
-	machine map[string]platform.Member
+	machine map[string]external.Member
 }
 
-func newFleet(members []platform.Member) fleet {
-	result := fleet{byZone: map[string][]string{}, machine: map[string]platform.Member{}}
+func newFleet(members []external.Member) fleet {
+	result := fleet{byZone: map[string][]string{}, machine: map[string]external.Member{}}
 	for _, member := range members {
-		if member.Role != platform.RoleAgent {
+		if member.Role != external.RoleAgent {
 			continue
 		}
 		result.machine[member.ID] = member
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -14,15 +14,15 @@
 
 	"pinevane.example/pinevane/coordination/attempt"
 	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/protocol"
 )
 
-const entryRole = string(platform.RoleEntry)
+const entryRole = string(external.RoleEntry)
 
 // answersKept is how many answers of non-repeatable calls are remembered, for
 // entries that lost their link and for callers that send a key again.
@@ -41,8 +41,8 @@
 type gate struct {
 	node    *node.Node
 	options Options
-	engine  platform.Engine
-	service platform.Service
+	engine  external.Engine
+	service external.Service
 
 	mutex    sync.Mutex
 	ledger   *attempt.Ledger
@@ -51,7 +51,7 @@
 	keys     *keyLedger
 }
 
-func newGate(base *node.Node, options Options, engine platform.Engine, service platform.Service) *gate {
+func newGate(base *node.Node, options Options, engine external.Engine, service external.Service) *gate {
 	g := &gate{
 		node: base, options: options, engine: engine, service: service,
 		ledger:   attempt.NewLedger(base.Incarnation()),
@@ -220,13 +220,13 @@
 // from the pinned version and one engine life.
 func (g *gate) generate(ctx context.Context, link *peering.Link, submit protocol.Submit) {
 	work := submit.Generate
-	generation := platform.Generation{
+	generation := external.Generation{
 		ID: submit.RequestID, Model: work.Model, Version: work.Version, Adapter: work.Adapter,
 		Prompt: work.Prompt, MaximumTokens: work.MaximumTokens, Priority: submit.Priority, ResumeFrom: work.ResumeFrom,
 	}
 	next := work.ResumeFrom
 	var incarnation uint64
-	err := g.engine.Generate(ctx, generation, func(event platform.GenerationEvent) error {
+	err := g.engine.Generate(ctx, generation, func(event external.GenerationEvent) error {
 		if incarnation == 0 {
 			incarnation = event.Incarnation
 		}
@@ -282,7 +282,7 @@
 			return
 		}
 	}
-	answer, err := g.service.Call(ctx, platform.ServiceCall{
+	answer, err := g.service.Call(ctx, external.ServiceCall{
 		ID: submit.RequestID, Method: work.Method, Path: work.Path,
 		ContentType: work.ContentType, Body: work.Body, Repeatable: submit.Repeatable,
 	})
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -18,9 +18,9 @@
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/internal/blackboard"
 	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -87,9 +87,9 @@
 type weightsController struct {
 	node    *node.Node
 	options Options
-	origin  platform.Origin
-	store   platform.Store
-	peers   *platform.HTTPPeerStore
+	origin  external.Origin
+	store   external.Store
+	peers   *external.HTTPPeerStore
 	// downlink and uplink hold weights to their share of the machine's link.
 	downlink *rate.Limiter
 	uplink   *rate.Limiter
@@ -111,9 +111,9 @@
 func newWeightsController(base *node.Node, options Options) *weightsController {
 	controller := &weightsController{
 		node: base, options: options,
-		origin:    platform.NewHTTPOrigin(options.OriginAddress),
-		store:     platform.NewHTTPStore(options.StoreAddress),
-		peers:     platform.NewHTTPPeerStore(),
+		origin:    external.NewHTTPOrigin(options.OriginAddress),
+		store:     external.NewHTTPStore(options.StoreAddress),
+		peers:     external.NewHTTPPeerStore(),
 		downlink:  newLinkLimiter(options.LinkBytesPerSecond, 1),
 		uplink:    newLinkLimiter(options.LinkBytesPerSecond, 1),
 		uploads:   make(chan struct{}, maximumUploads),
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -9,8 +9,8 @@
 
 	"pinevane.example/pinevane/internal/agent"
 	"pinevane.example/pinevane/internal/entry"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Memory of a daemon. The binary's own mapped pages take about 17 MiB of what
@@ -69,7 +69,7 @@
 	defer log.Sync()
 	limitMemory()
 	process := entry.New(entry.Options{
-		Node:             c.nodeOptions(platform.RoleEntry),
+		Node:             c.nodeOptions(external.RoleEntry),
 		DefaultDeadline:  c.DefaultDeadline,
 		MaximumBodyBytes: c.MaximumBody,
 		MaximumAttempts:  int(c.MaximumAttempts),
@@ -146,7 +146,7 @@
 	defer log.Sync()
 	limitMemory()
 	process := agent.New(agent.Options{
-		Node: c.nodeOptions(platform.RoleAgent), Service: c.Service,
+		Node: c.nodeOptions(external.RoleAgent), Service: c.Service,
 		BackEndAddress: c.BackEnd, StoreAddress: c.Store, OriginAddress: c.Origin,
 		ModelSlots: int(c.ModelSlots), MaximumOpen: int(c.MaximumOpen), LinkBytesPerSecond: c.LinkRate,
 		StallWindow: c.StallWindow, RepairPatience: c.RepairPatience, RetireGrace: c.RetireGrace,
--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -13,9 +13,9 @@
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/deployment"
 	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 type emulateCommand struct {
@@ -77,8 +77,8 @@
 		}
 	}
 	router := chi.NewRouter()
-	published.Mount(router, platform.ConfigurationPath)
-	members.Mount(router, platform.MembershipPath)
+	published.Mount(router, external.ConfigurationPath)
+	members.Mount(router, external.MembershipPath)
 	router.Mount("/", origin.Handler())
 	return serveUntilStopped("emulate-platform", map[string]http.Handler{c.Listen: router})
 }
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -9,10 +9,10 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // processFlags are the settings that entries and agents share.
@@ -66,7 +66,7 @@
 	return logging.New(level, f.ID)
 }
 
-func (f *processFlags) nodeOptions(role platform.Role) node.Options {
+func (f *processFlags) nodeOptions(role external.Role) node.Options {
 	return node.Options{
 		ID: f.ID, Role: role, Zone: f.Zone, Region: f.Region, Listen: f.Listen, AdminListen: f.AdminListen,
 		ConfigurationAddress: f.Configuration, MembershipAddress: f.Membership, Seeds: f.Seeds,
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,9 +19,9 @@
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/deployment"
 	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/launch"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/promise"
 	"pinevane.example/pinevane/internal/weights"
 	"pinevane.example/pinevane/internal/workload"
@@ -154,10 +154,10 @@
 	_, _ = fmt.Fprintf(d.options.Output, "%6.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
-func (d *demo) machines(role platform.Role, engines bool) []deployment.Machine {
+func (d *demo) machines(role external.Role, engines bool) []deployment.Machine {
 	var result []deployment.Machine
 	for _, machine := range d.fleet.Machines {
-		if machine.Role == role && (role == platform.RoleEntry || (machine.Service == "") == engines) {
+		if machine.Role == role && (role == external.RoleEntry || (machine.Service == "") == engines) {
 			result = append(result, machine)
 		}
 	}
@@ -177,7 +177,7 @@
 	if _, err := d.waitLive(d.versions[0].Version, time.Now()); err != nil {
 		return err
 	}
-	for _, machine := range d.machines(platform.RoleEntry, false) {
+	for _, machine := range d.machines(external.RoleEntry, false) {
 		if err := launch.WaitFor(readyTimeout, machine.ID+" to be ready", func() bool { return d.entryReady(machine) }); err != nil {
 			return err
 		}
@@ -210,7 +210,7 @@
 // waitLive waits until every engine serves a version and returns when each did,
 // counted from a moment.
 func (d *demo) waitLive(version string, from time.Time) ([]time.Duration, error) {
-	engines := d.machines(platform.RoleAgent, true)
+	engines := d.machines(external.RoleAgent, true)
 	live := map[string]time.Duration{}
 	reported := 0
 	err := launch.WaitFor(liveTimeout, "version "+version+" to be live on every replica", func() bool {
@@ -237,7 +237,7 @@
 }
 
 func (d *demo) hold() {
-	entries := d.machines(platform.RoleEntry, false)
+	entries := d.machines(external.RoleEntry, false)
 	tenant := d.tenants()[0]
 	_, _ = fmt.Fprintf(d.options.Output, `
 The fleet is up. Try:
@@ -258,7 +258,7 @@
 
 // stopAll stops every process as planned: entries first, then agents.
 func (d *demo) stopAll() {
-	for _, role := range []platform.Role{platform.RoleEntry, platform.RoleAgent} {
+	for _, role := range []external.Role{external.RoleEntry, external.RoleAgent} {
 		for _, machine := range d.fleet.Machines {
 			if machine.Role == role {
 				_ = d.fleet.Signal(machine.ID, syscall.SIGTERM)
@@ -329,8 +329,8 @@
 
 // plannedStops stops an agent and an entry under load.
 func (d *demo) plannedStops() error {
-	agent := d.machines(platform.RoleAgent, true)[0]
-	entry := d.machines(platform.RoleEntry, false)[0]
+	agent := d.machines(external.RoleAgent, true)[0]
+	entry := d.machines(external.RoleEntry, false)[0]
 	d.say("planned stop of agent %s and entry %s", agent.ID, entry.ID)
 	// The balancer stops sending to an entry that is not ready.
 	d.stopped.Store(entry.Address, true)
@@ -372,7 +372,7 @@
 }
 
 func (d *demo) pickEntry(generator *rand.Rand) string {
-	entries := d.machines(platform.RoleEntry, false)
+	entries := d.machines(external.RoleEntry, false)
 	for {
 		address := entries[generator.IntN(len(entries))].Address
 		if _, stopped := d.stopped.Load(address); !stopped {
@@ -398,7 +398,7 @@
 	}
 	next := d.versions[1]
 	report := &Report{
-		Deployment: d.deployment.Name, Machines: len(d.machines(platform.RoleAgent, true)), Live: len(times), Chunks: next.ChunkCount(),
+		Deployment: d.deployment.Name, Machines: len(d.machines(external.RoleAgent, true)), Live: len(times), Chunks: next.ChunkCount(),
 		FirstLive: times[0].Seconds(), HalfLive: times[len(times)/2].Seconds(), AllLive: times[len(times)-1].Seconds(),
 		LowerBound:  float64(next.Bytes) / (linkRate * d.linkShare()),
 		OriginBytes: originBytes, OriginCopies: float64(originBytes) / float64(next.Bytes),
@@ -454,7 +454,7 @@
 func (d *demo) records() (calls, generations promise.Runs, err error) {
 	calls, generations = promise.Runs{}, promise.Runs{}
 	for _, machine := range d.fleet.Machines {
-		if machine.Role != platform.RoleAgent {
+		if machine.Role != external.RoleAgent {
 			continue
 		}
 		url := "http://" + machine.BackEndAddress() + "/records"
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -11,8 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"pinevane.example/pinevane/internal/deployment"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/promise"
 	"pinevane.example/pinevane/internal/workload"
 )
@@ -161,7 +161,7 @@
 
 // directCall calls a plain service of the fleet without the system.
 func (r *loadRun) directCall(generator *rand.Rand, due time.Time) {
-	services := r.machines(platform.RoleAgent, false)
+	services := r.machines(external.RoleAgent, false)
 	machine := services[generator.IntN(len(services))]
 	if _, killed := r.stopped.Load(machine.BackEndAddress()); killed {
 		return
@@ -195,7 +195,7 @@
 		if machine.Zone != zone {
 			continue
 		}
-		if machine.Role == platform.RoleEntry {
+		if machine.Role == external.RoleEntry {
 			r.stopped.Store(machine.Address, true)
 		} else {
 			r.stopped.Store(machine.BackEndAddress(), true)
@@ -215,7 +215,7 @@
 }
 
 func processNames(machine deployment.Machine) []string {
-	if machine.Role == platform.RoleEntry {
+	if machine.Role == external.RoleEntry {
 		return []string{machine.ID}
 	}
 	return []string{machine.ID, machine.ID + "-back-end"}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -14,8 +14,8 @@
 	"github.com/goccy/go-yaml"
 
 	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -88,7 +88,7 @@
 
 // Machine is one machine of the fleet with its addresses.
 type Machine struct {
-	platform.Member
+	external.Member
 	IP string
 }
 
@@ -103,23 +103,23 @@
 	var machines []Machine
 	for zoneIndex, zone := range d.Zones {
 		next := 1
-		add := func(role platform.Role, service, name string) {
+		add := func(role external.Role, service, name string) {
 			ip := fmt.Sprintf("127.%d.%d.%d", network, zoneIndex+1, next)
 			next++
-			machines = append(machines, Machine{IP: ip, Member: platform.Member{
+			machines = append(machines, Machine{IP: ip, Member: external.Member{
 				ID: name, Role: role, Zone: zone.Name, Region: zone.Region, Service: service,
 				Address: fmt.Sprintf("%s:%d", ip, ProcessPort),
 			}})
 		}
 		for i := range zone.Entries {
-			add(platform.RoleEntry, "", fmt.Sprintf("%s-entry-%d", zone.Name, i+1))
+			add(external.RoleEntry, "", fmt.Sprintf("%s-entry-%d", zone.Name, i+1))
 		}
 		for i := range zone.Engines {
-			add(platform.RoleAgent, "", fmt.Sprintf("%s-engine-%d", zone.Name, i+1))
+			add(external.RoleAgent, "", fmt.Sprintf("%s-engine-%d", zone.Name, i+1))
 		}
 		for _, service := range slices.Sorted(maps.Keys(zone.Services)) {
 			for i := range zone.Services[service] {
-				add(platform.RoleAgent, service, fmt.Sprintf("%s-%s-%d", zone.Name, service, i+1))
+				add(external.RoleAgent, service, fmt.Sprintf("%s-%s-%d", zone.Name, service, i+1))
 			}
 		}
 	}
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/external"
 )
 
 // CacheEventKind says what happened to a prompt prefix in an engine's cache.
@@ -100,7 +100,7 @@
 // KeyValueState is what an engine exports of a sequence under way, so that another
 // engine with the same version can go on without a prefill.
 type KeyValueState struct {
-	Generation platform.Generation `json:"generation"`
+	Generation external.Generation `json:"generation"`
 	// Next is the position of the next token.
 	Next int `json:"next"`
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -51,19 +51,19 @@
 }
 
 type loadedWeights struct {
-	version  platform.LoadedVersion
+	version  external.LoadedVersion
 	identity weights.Digest
 }
 
 // sequence is one request in the engine.
 type sequence struct {
 	ctx        context.Context
-	generation platform.Generation
+	generation external.Generation
 	weights    loadedWeights
 	next       int
 	// skipSteps is how many steps the prefill still takes.
 	prefill time.Duration
-	events  chan platform.GenerationEvent
+	events  chan external.GenerationEvent
 }
 
 // Engine is the stand-in of a model engine with continuous batching.
@@ -74,13 +74,13 @@
 
 	mutex       sync.Mutex
 	incarnation uint64
-	fence       platform.Fence
+	fence       external.Fence
 	loaded      []loadedWeights
 	waiting     []*sequence
 	running     []*sequence
 	stepping    bool
 	cache       prefixCache
-	reported    platform.EngineStatus
+	reported    external.EngineStatus
 	reportedAt  time.Time
 	records     []GenerationRecord
 	orders      []OrderRecord
@@ -98,7 +98,7 @@
 
 // OrderRecord is the engine's own note of an order.
 type OrderRecord struct {
-	Order    platform.Order `json:"order"`
+	Order    external.Order `json:"order"`
 	Accepted bool           `json:"accepted"`
 	At       time.Time      `json:"at"`
 }
@@ -122,7 +122,7 @@
 	defer e.mutex.Unlock()
 	e.incarnation++
 	e.loaded = nil
-	e.fence = platform.Fence{}
+	e.fence = external.Fence{}
 	for _, open := range slices.Concat(e.running, e.waiting) {
 		close(open.events)
 	}
@@ -165,16 +165,16 @@
 }
 
 // Status returns the loaded versions as they are and the load with its lag.
-func (e *Engine) Status() platform.EngineStatus {
+func (e *Engine) Status() external.EngineStatus {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if now := time.Now(); now.Sub(e.reportedAt) >= e.options.ReportLag {
-		e.reported = platform.EngineStatus{Running: len(e.running), Waiting: len(e.waiting)}
+		e.reported = external.EngineStatus{Running: len(e.running), Waiting: len(e.waiting)}
 		e.reportedAt = now
 	}
 	status := e.reported
 	status.Incarnation = e.incarnation
-	status.Loaded = make([]platform.LoadedVersion, 0, len(e.loaded))
+	status.Loaded = make([]external.LoadedVersion, 0, len(e.loaded))
 	for _, loaded := range e.loaded {
 		status.Loaded = append(status.Loaded, loaded.version)
 	}
@@ -182,7 +182,7 @@
 }
 
 // Give carries out an order.
-func (e *Engine) Give(order platform.Order) error {
+func (e *Engine) Give(order external.Order) error {
 	err := e.accept(order)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -192,21 +192,21 @@
 	return err
 }
 
-func (e *Engine) accept(order platform.Order) error {
+func (e *Engine) accept(order external.Order) error {
 	if reason := e.checkFence(order.Fence); reason != "" {
 		return &fault.OrderRejected{Action: string(order.Action), Reason: reason}
 	}
 	switch order.Action {
-	case platform.ActionLoad:
+	case external.ActionLoad:
 		return e.load(order)
-	case platform.ActionUnload:
+	case external.ActionUnload:
 		e.unload(order)
 		return nil
 	}
 	return &fault.OrderRejected{Action: string(order.Action), Reason: "unknown action"}
 }
 
-func (e *Engine) checkFence(fence platform.Fence) string {
+func (e *Engine) checkFence(fence external.Fence) string {
 	if !e.options.CheckFences {
 		return ""
 	}
@@ -221,7 +221,7 @@
 
 // load reads the chunks as the store holds them, without checking them: that
 // is the agent's duty, and a failure shows in the answers.
-func (e *Engine) load(order platform.Order) error {
+func (e *Engine) load(order external.Order) error {
 	if refused := e.faults.get().RefusedVersion; refused != "" && refused == order.Version {
 		return &fault.OrderRejected{Action: string(order.Action), Reason: "engine can't run version " + order.Version}
 	}
@@ -234,7 +234,7 @@
 		contents = append(contents, weights.Sum(content))
 	}
 	time.Sleep(e.options.LoadTime)
-	version := platform.LoadedVersion{Model: order.Model, Version: order.Version, Adapters: order.Adapters}
+	version := external.LoadedVersion{Model: order.Model, Version: order.Version, Adapters: order.Adapters}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.removeLoaded(order.Model, order.Version)
@@ -242,7 +242,7 @@
 	return nil
 }
 
-func (e *Engine) unload(order platform.Order) {
+func (e *Engine) unload(order external.Order) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.removeLoaded(order.Model, order.Version)
@@ -255,7 +255,7 @@
 }
 
 func (e *Engine) order(writer http.ResponseWriter, request *http.Request) {
-	var order platform.Order
+	var order external.Order
 	if !readJSON(writer, request, &order) {
 		return
 	}
@@ -267,7 +267,7 @@
 }
 
 func (e *Engine) generate(writer http.ResponseWriter, request *http.Request) {
-	var generation platform.Generation
+	var generation external.Generation
 	if !readJSON(writer, request, &generation) {
 		return
 	}
@@ -296,7 +296,7 @@
 
 // Submit queues a request; the channel closes after the last event, or early
 // when the engine restarts. The bool is false when the version is not loaded.
-func (e *Engine) Submit(ctx context.Context, generation platform.Generation) (<-chan platform.GenerationEvent, bool) {
+func (e *Engine) Submit(ctx context.Context, generation external.Generation) (<-chan external.GenerationEvent, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	index := slices.IndexFunc(e.loaded, func(loaded loadedWeights) bool {
@@ -311,7 +311,7 @@
 		generation: generation,
 		weights:    e.loaded[index],
 		next:       generation.ResumeFrom,
-		events:     make(chan platform.GenerationEvent, max(0, generation.MaximumTokens-generation.ResumeFrom)+2),
+		events:     make(chan external.GenerationEvent, max(0, generation.MaximumTokens-generation.ResumeFrom)+2),
 	}
 	if len(e.records) < maximumRecords {
 		e.records = append(e.records, GenerationRecord{
@@ -391,9 +391,9 @@
 		active.prefill -= elapsed
 		return true
 	}
-	event := platform.GenerationEvent{Index: active.next, Version: active.weights.version.Version, Incarnation: e.incarnation}
+	event := external.GenerationEvent{Index: active.next, Version: active.weights.version.Version, Incarnation: e.incarnation}
 	if active.next >= active.generation.MaximumTokens {
-		event.Finish = platform.FinishLength
+		event.Finish = external.FinishLength
 		active.events <- event
 		return false
 	}
@@ -401,7 +401,7 @@
 	active.next++
 	if active.next >= active.generation.MaximumTokens {
 		active.events <- event
-		active.events <- platform.GenerationEvent{Index: active.next, Finish: platform.FinishLength, Version: event.Version, Incarnation: event.Incarnation}
+		active.events <- external.GenerationEvent{Index: active.next, Finish: external.FinishLength, Version: event.Version, Incarnation: event.Incarnation}
 		return false
 	}
 	active.events <- event
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -20,7 +20,7 @@
 	synthetic := weights.Synthetic{Model: "m", Version: "1", Bytes: 8192, ChunkBytes: 4096}
 	manifest := synthetic.Manifest()
 	store := NewStore(0)
-	order := platform.Order{Action: platform.ActionLoad, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 1}}
+	order := external.Order{Action: external.ActionLoad, Model: "m", Version: "1", Fence: external.Fence{Sequence: 1}}
 	for index, chunk := range manifest.Chunks {
 		store.chunks[chunk.Digest] = synthetic.Content(index)
 		order.Chunks = append(order.Chunks, chunk.Digest)
@@ -30,11 +30,11 @@
 	return engine, manifest.Identity()
 }
 
-func generation(id, prompt string, tokens int) platform.Generation {
-	return platform.Generation{ID: id, Model: "m", Version: "1", Prompt: prompt, MaximumTokens: tokens}
+func generation(id, prompt string, tokens int) external.Generation {
+	return external.Generation{ID: id, Model: "m", Version: "1", Prompt: prompt, MaximumTokens: tokens}
 }
 
-func collect(events <-chan platform.GenerationEvent) (text string, finished bool) {
+func collect(events <-chan external.GenerationEvent) (text string, finished bool) {
 	var all strings.Builder
 	for event := range events {
 		all.WriteString(event.Token)
@@ -60,8 +60,8 @@
 func TestALowerFenceIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		engine, _ := loadedEngine(t)
-		assert.Error(t, engine.Give(platform.Order{Action: platform.ActionUnload, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 1}}))
-		assert.NoError(t, engine.Give(platform.Order{Action: platform.ActionUnload, Model: "m", Version: "1", Fence: platform.Fence{Sequence: 2}}))
+		assert.Error(t, engine.Give(external.Order{Action: external.ActionUnload, Model: "m", Version: "1", Fence: external.Fence{Sequence: 1}}))
+		assert.NoError(t, engine.Give(external.Order{Action: external.ActionUnload, Model: "m", Version: "1", Fence: external.Fence{Sequence: 2}}))
 		_, ok := engine.Submit(context.Background(), generation("a", "one", 1))
 		assert.False(t, ok)
 	})
@@ -109,7 +109,7 @@
 		engine, _ := loadedEngine(t)
 		engine.options.MaximumBatch = 1
 		var order []string
-		var streams []<-chan platform.GenerationEvent
+		var streams []<-chan external.GenerationEvent
 		for i, priority := range []int{1, 1, 9} {
 			request := generation(string(rune('a'+i)), "p", 2)
 			request.Priority = priority
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/external"
 )
 
 // Service is the stand-in of a plain service. It counts how often each request
@@ -63,7 +63,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
-	id := request.Header.Get(platform.HeaderRequestID)
+	id := request.Header.Get(external.HeaderRequestID)
 	s.mutex.Lock()
 	s.runs[id]++
 	s.mutex.Unlock()
--- a/internal/entry/borrowing.go
+++ b/internal/entry/borrowing.go
@@ -9,9 +9,9 @@
 
 	"pinevane.example/pinevane/coordination/escrow"
 	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Topics between entries.
@@ -82,11 +82,11 @@
 // sameZoneShare is how often a donor of the own zone is asked.
 const sameZoneShare = 0.75
 
-func (e *Entry) pickDonor() (platform.Member, bool) {
+func (e *Entry) pickDonor() (external.Member, bool) {
 	members, _ := blackboard.Read(e.node.Board, node.MembersKey)
-	var near, all []platform.Member
+	var near, all []external.Member
 	for _, member := range members {
-		if member.Role != platform.RoleEntry || member.ID == e.node.ID() || member.Leaving {
+		if member.Role != external.RoleEntry || member.ID == e.node.ID() || member.Leaving {
 			continue
 		}
 		all = append(all, member)
@@ -98,12 +98,12 @@
 		return near[rand.IntN(len(near))], true
 	}
 	if len(all) == 0 {
-		return platform.Member{}, false
+		return external.Member{}, false
 	}
 	return all[rand.IntN(len(all))], true
 }
 
-func (e *Entry) ask(ctx context.Context, donor platform.Member, wanted wish) {
+func (e *Entry) ask(ctx context.Context, donor external.Member, wanted wish) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	link, err := e.node.Hub.Link(ctx, donor.Address)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -9,17 +9,17 @@
 
 	"pinevane.example/pinevane/coordination/escrow"
 	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // countEntries returns how many entries share the tenants' limits: every one on
 // the membership list, leaving or not, so that the sum of the shares stays at
 // or under each limit.
-func countEntries(members []platform.Member) int {
+func countEntries(members []external.Member) int {
 	count := 0
 	for _, member := range members {
-		if member.Role == platform.RoleEntry {
+		if member.Role == external.RoleEntry {
 			count++
 		}
 	}
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Bounds of a generation request.
@@ -176,7 +176,7 @@
 // answer receives the tokens of a generation.
 type answer interface {
 	token(text, version string) error
-	finish(reason platform.FinishReason, version string) error
+	finish(reason external.FinishReason, version string) error
 	// restart discards what was received, when the caller has seen none of it.
 	restart() bool
 }
@@ -192,7 +192,7 @@
 	Message      *chatMessage          `json:"message,omitempty"`
 	Delta        *chatMessage          `json:"delta,omitempty"`
 	Text         *string               `json:"text,omitempty"`
-	FinishReason platform.FinishReason `json:"finish_reason,omitempty"`
+	FinishReason external.FinishReason `json:"finish_reason,omitempty"`
 }
 
 type completionAnswer struct {
@@ -217,7 +217,7 @@
 	text    strings.Builder
 	tokens  int
 	version string
-	reason  platform.FinishReason
+	reason  external.FinishReason
 }
 
 func (a *wholeAnswer) token(text, version string) error {
@@ -227,7 +227,7 @@
 	return nil
 }
 
-func (a *wholeAnswer) finish(reason platform.FinishReason, version string) error {
+func (a *wholeAnswer) finish(reason external.FinishReason, version string) error {
 	a.reason, a.version = reason, version
 	return nil
 }
@@ -297,7 +297,7 @@
 	return a.event(a.chunk(version, choice))
 }
 
-func (a *streamingAnswer) finish(reason platform.FinishReason, version string) error {
+func (a *streamingAnswer) finish(reason external.FinishReason, version string) error {
 	a.begin(version)
 	choice := completionChoice{FinishReason: reason}
 	if a.request.chat {
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -13,11 +13,11 @@
 	"pinevane.example/pinevane/coordination/attempt"
 	"pinevane.example/pinevane/coordination/placement"
 	"pinevane.example/pinevane/internal/blackboard"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/protocol"
 )
 
@@ -39,7 +39,7 @@
 
 // replica is one back end as this entry sees it.
 type replica struct {
-	member platform.Member
+	member external.Member
 
 	// The fields below are guarded by the set's mutex.
 	link        *peering.Link
@@ -154,12 +154,12 @@
 
 // subset picks the agents that this entry keeps links to: of the engines more in
 // its own zone and some in every other, of each plain service one common pool.
-func (s *replicaSet) subset(members []platform.Member) map[string]platform.Member {
+func (s *replicaSet) subset(members []external.Member) map[string]external.Member {
 	engines := map[string][]string{}
 	services := map[string][]string{}
-	byID := map[string]platform.Member{}
+	byID := map[string]external.Member{}
 	for _, member := range members {
-		if member.Role != platform.RoleAgent {
+		if member.Role != external.RoleAgent {
 			continue
 		}
 		byID[member.ID] = member
@@ -169,7 +169,7 @@
 		}
 		engines[member.Zone] = append(engines[member.Zone], member.ID)
 	}
-	wanted := map[string]platform.Member{}
+	wanted := map[string]external.Member{}
 	for zone, ids := range engines {
 		count := s.options.SubsetPerZone
 		if zone == s.node.Zone() {
--- a/internal/experiment/faults/world.go
+++ b/internal/experiment/faults/world.go
@@ -9,7 +9,7 @@
 	"pinevane.example/pinevane/coordination/escrow"
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/experiment/virtual"
-	"pinevane.example/pinevane/internal/platform"
+	"pinevane.example/pinevane/internal/external"
 )
 
 // Size of the modelled fleet: two zones with as many processes each.
@@ -88,7 +88,7 @@
 	version     uint64
 	// highest is the newest version that an order was carried out for.
 	highest uint64
-	fence   platform.Fence
+	fence   external.Fence
 	// wrongWeights is set when what was loaded differs from its manifest.
 	wrongWeights bool
 }
@@ -251,7 +251,7 @@
 		agent.staged = wanted.Revision
 	}
 	agent.sequence++
-	fence := platform.Fence{Revision: wanted, Incarnation: agent.incarnation, Sequence: agent.sequence}
+	fence := external.Fence{Revision: wanted, Incarnation: agent.incarnation, Sequence: agent.sequence}
 	wrong, target := agent.wrong, agent.engine
 	delay := orderDelay
 	if w.Now() < agent.pausedUntil || w.random.IntN(8) == 0 {
@@ -261,7 +261,7 @@
 }
 
 // carryOutOrder is the engine's handling of one load order.
-func (w *world) carryOutOrder(target *engine, fence platform.Fence, wrong bool) {
+func (w *world) carryOutOrder(target *engine, fence external.Fence, wrong bool) {
 	if w.broken != SafeguardFence && fence.Compare(target.fence) <= 0 {
 		return
 	}
--- a/internal/experiment/scale/hollow.go
+++ b/internal/experiment/scale/hollow.go
@@ -13,11 +13,11 @@
 	"pinevane.example/pinevane/internal/agent"
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/entry"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/protocol"
 )
 
@@ -115,7 +115,7 @@
 	}
 	started := &hollow{stop: make(chan struct{}), ended: make(chan struct{})}
 	var run func(<-chan struct{}) error
-	if member.Role == platform.RoleEntry {
+	if member.Role == external.RoleEntry {
 		process := entry.New(entry.Options{Node: options}, logging.Nop())
 		started.node, run = process.Node(), process.Run
 	} else {
--- a/internal/experiment/scale/layout.go
+++ b/internal/experiment/scale/layout.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"fmt"
 
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Options sets up a measurement.
@@ -64,13 +64,13 @@
 
 // member returns the line of the membership list of an entry (index below
 // Entries) or an agent (from there on).
-func (l layout) member(index int) platform.Member {
-	role, name, ordinal := platform.RoleEntry, "entry", index
+func (l layout) member(index int) external.Member {
+	role, name, ordinal := external.RoleEntry, "entry", index
 	if index >= l.options.Entries {
-		role, name, ordinal = platform.RoleAgent, "agent", index-l.options.Entries
+		role, name, ordinal = external.RoleAgent, "agent", index-l.options.Entries
 	}
 	zone := ordinal % l.options.Zones
-	return platform.Member{
+	return external.Member{
 		ID: fmt.Sprintf("%s-%05d", name, ordinal), Role: role,
 		Zone:    fmt.Sprintf("zone-%d", zone),
 		Region:  fmt.Sprintf("region-%d", zone*l.options.Regions/l.options.Zones),
--- a/internal/experiment/scale/run.go
+++ b/internal/experiment/scale/run.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/launch"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Times and sizes of a measurement.
@@ -85,7 +85,7 @@
 
 // hostProcess is one process of hollow ones.
 type hostProcess struct {
-	role  platform.Role
+	role  external.Role
 	first int
 	count int
 	index int
@@ -147,21 +147,21 @@
 	if err != nil {
 		return err
 	}
-	if err := m.change(platform.MembershipPath, members); err != nil {
+	if err := m.change(external.MembershipPath, members); err != nil {
 		return err
 	}
-	if err := m.change(platform.ConfigurationPath, m.layout.configuration()); err != nil {
+	if err := m.change(external.ConfigurationPath, m.layout.configuration()); err != nil {
 		return err
 	}
 	options := m.layout.options
-	if err := m.startRole(platform.RoleAgent, options.Entries, options.Agents); err != nil {
+	if err := m.startRole(external.RoleAgent, options.Entries, options.Agents); err != nil {
 		return err
 	}
-	return m.startRole(platform.RoleEntry, 0, options.Entries)
+	return m.startRole(external.RoleEntry, 0, options.Entries)
 }
 
 // startRole starts the real processes of a role, then hosts for the hollow ones.
-func (m *measurement) startRole(role platform.Role, first, count int) error {
+func (m *measurement) startRole(role external.Role, first, count int) error {
 	real := min(m.layout.options.Real, count)
 	for index := first; index < first+real; index++ {
 		if err := m.startReal(index); err != nil {
@@ -195,7 +195,7 @@
 		"--listen", member.Address, "--admin-listen", m.layout.adminAddress(index),
 		"--configuration", m.layout.platformAddress(), "--membership", m.layout.platformAddress(),
 	}
-	if member.Role == platform.RoleAgent {
+	if member.Role == external.RoleAgent {
 		// A real agent of the measurement stands before a plain service that takes no
 		// calls: weights and engine orders are measured elsewhere.
 		arguments = append(arguments, "--service", "measured", "--back-end", member.Address)
@@ -271,7 +271,7 @@
 		}
 		taken.real = append(taken.real, dump)
 	}
-	err = m.get("http://"+m.layout.platformAddress()+platform.ConfigurationPath+"/control/calls", &taken.calls)
+	err = m.get("http://"+m.layout.platformAddress()+external.ConfigurationPath+"/control/calls", &taken.calls)
 	return taken, err
 }
 
@@ -304,8 +304,8 @@
 		Entries: o.Entries, Agents: o.Agents, Zones: o.Zones, Regions: o.Regions, Tenants: o.Tenants,
 		Seconds: after.at.Sub(before.at).Seconds(), Processes: m.group.Count(),
 		Roles: Roles{
-			Entry: m.cost(platform.RoleEntry, before, after),
-			Agent: m.cost(platform.RoleAgent, before, after),
+			Entry: m.cost(external.RoleEntry, before, after),
+			Agent: m.cost(external.RoleAgent, before, after),
 		},
 		Configuration: spread(changes, last.reports),
 	}
@@ -349,7 +349,7 @@
 			revision++
 			tenant := int(revision) % o.Tenants
 			changes = append(changes, published{revision: revision, at: time.Now()})
-			if err := m.change(platform.ConfigurationPath, map[string][]byte{tenantKey(tenant): tenantDocument(tenant, int(revision%1000)+1)}); err != nil {
+			if err := m.change(external.ConfigurationPath, map[string][]byte{tenantKey(tenant): tenantDocument(tenant, int(revision%1000)+1)}); err != nil {
 				return nil, err
 			}
 		}
@@ -394,7 +394,7 @@
 }
 
 // cost compares two samples for one role.
-func (m *measurement) cost(role platform.Role, before, after sample) RoleCost {
+func (m *measurement) cost(role external.Role, before, after sample) RoleCost {
 	seconds := after.at.Sub(before.at).Seconds()
 	cost := RoleCost{ByKind: map[string]float64{}}
 	hollowCount := 0
@@ -430,7 +430,7 @@
 }
 
 // addReal takes processor time and memory from the real processes of a role.
-func (m *measurement) addReal(role platform.Role, before, after sample, cost *RoleCost) {
+func (m *measurement) addReal(role external.Role, before, after sample, cost *RoleCost) {
 	seconds := after.at.Sub(before.at).Seconds()
 	var processor, memory float64
 	count := 0
--- a/internal/platform/platform.go
+++ b/internal/external/platform.go
@@ -1,8 +1,8 @@
-// Package platform holds all that touches the platform around pinevane: the
+// Package external holds all that touches the platform around pinevane: the
 // configuration and membership services, the weight origin, a machine's weight
 // store, its engine and plain services. Each is a small interface with one HTTP
 // implementation, so that another published API is one new file.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -17,9 +17,9 @@
 	"pinevane.example/pinevane/internal/blackboard"
 	"pinevane.example/pinevane/internal/emulator"
 	"pinevane.example/pinevane/internal/entry"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/promise"
 	"pinevane.example/pinevane/internal/weights"
 	"pinevane.example/pinevane/internal/workload"
@@ -87,8 +87,8 @@
 		identities:    workload.Identities{},
 	}
 	f.Client = workload.NewClient(f.identities)
-	f.configurationAddress = f.serve(httptest.NewServer(f.Configuration.Handler(platform.ConfigurationPath)))
-	f.membershipAddress = f.serve(httptest.NewServer(f.Membership.Handler(platform.MembershipPath)))
+	f.configurationAddress = f.serve(httptest.NewServer(f.Configuration.Handler(external.ConfigurationPath)))
+	f.membershipAddress = f.serve(httptest.NewServer(f.Membership.Handler(external.MembershipPath)))
 	f.originAddress = f.serve(httptest.NewServer(f.Origin.Handler()))
 	f.PublishVersion("1")
 	for i := range engines {
@@ -119,7 +119,7 @@
 }
 
 // NodeOptions are the settings of a process of this fleet.
-func (f *Fleet) NodeOptions(id string, role platform.Role) node.Options {
+func (f *Fleet) NodeOptions(id string, role external.Role) node.Options {
 	return node.Options{
 		ID: id, Role: role, Zone: "zone", Region: "region", Listen: "127.0.0.1:0",
 		ConfigurationAddress: f.configurationAddress, MembershipAddress: f.membershipAddress,
@@ -130,7 +130,7 @@
 	engine := emulator.NewEngine(engineOptions(), emulator.NewStore(0))
 	address := f.serve(httptest.NewServer(engine.Handler()))
 	process := agent.New(agent.Options{
-		Node: f.NodeOptions(id, platform.RoleAgent), BackEndAddress: address, StoreAddress: address,
+		Node: f.NodeOptions(id, external.RoleAgent), BackEndAddress: address, StoreAddress: address,
 		OriginAddress: f.originAddress, RetireGrace: 100 * time.Millisecond,
 	}, logging.Nop())
 	return &Machine{Process: f.start(process.Node(), process.Run, ""), Engine: engine}
@@ -140,14 +140,14 @@
 	service := emulator.NewService(Service, 50*time.Millisecond)
 	address := f.serve(httptest.NewServer(service.Handler()))
 	process := agent.New(agent.Options{
-		Node: f.NodeOptions(id, platform.RoleAgent), Service: Service, BackEndAddress: address,
+		Node: f.NodeOptions(id, external.RoleAgent), Service: Service, BackEndAddress: address,
 	}, logging.Nop())
 	return &Machine{Process: f.start(process.Node(), process.Run, Service), Service: service}
 }
 
 // StartEntry starts one more entry.
 func (f *Fleet) StartEntry(id string, seeds ...string) *Process {
-	options := f.NodeOptions(id, platform.RoleEntry)
+	options := f.NodeOptions(id, external.RoleEntry)
 	options.Seeds = seeds
 	process := entry.New(entry.Options{Node: options}, logging.Nop())
 	return f.start(process.Node(), process.Run, "")
@@ -156,12 +156,12 @@
 func (f *Fleet) start(base *node.Node, run func(<-chan struct{}) error, service string) *Process {
 	require.NoError(f.t, base.Listen())
 	started := &Process{Node: base, Address: base.Address(), stop: make(chan struct{}), ended: make(chan struct{})}
-	member := platform.Member{
-		ID: base.ID(), Role: platform.RoleAgent, Zone: base.Zone(), Region: base.Region(),
+	member := external.Member{
+		ID: base.ID(), Role: external.RoleAgent, Zone: base.Zone(), Region: base.Region(),
 		Address: started.Address, Service: service,
 	}
 	if strings.HasPrefix(base.ID(), "entry") {
-		member.Role = platform.RoleEntry
+		member.Role = external.RoleEntry
 	}
 	data, err := json.Marshal(member)
 	require.NoError(f.t, err)
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -17,9 +17,9 @@
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/deployment"
 	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/node"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Options sets up a fleet.
@@ -103,7 +103,7 @@
 
 // StartBackEnd starts the stand-in of a machine's engine or plain service.
 func (f *Fleet) StartBackEnd(machine deployment.Machine) error {
-	if machine.Role != platform.RoleAgent {
+	if machine.Role != external.RoleAgent {
 		return nil
 	}
 	arguments := append([]string{"emulate", "machine", "--listen", machine.BackEndAddress()}, f.options.MachineFlags...)
@@ -120,10 +120,10 @@
 		"--listen", machine.Address, "--admin-listen", machine.AdminAddress(),
 		"--configuration", f.PlatformAddress(), "--membership", f.PlatformAddress(),
 	}
-	if machine.Role == platform.RoleEntry {
+	if machine.Role == external.RoleEntry {
 		arguments = append(arguments, f.options.EntryFlags...)
 	}
-	if machine.Role == platform.RoleAgent {
+	if machine.Role == external.RoleAgent {
 		arguments = append(arguments, "--back-end", machine.BackEndAddress())
 		arguments = append(arguments, f.options.AgentFlags...)
 		if machine.Service != "" {
@@ -171,12 +171,12 @@
 		}
 		changed[machine.ID] = data
 	}
-	return f.change(platform.MembershipPath, emulator.ChangeRequest{Changed: changed, Removed: removed})
+	return f.change(external.MembershipPath, emulator.ChangeRequest{Changed: changed, Removed: removed})
 }
 
 // Publish changes documents of the configuration.
 func (f *Fleet) Publish(changed map[string][]byte) error {
-	return f.change(platform.ConfigurationPath, emulator.ChangeRequest{Changed: changed})
+	return f.change(external.ConfigurationPath, emulator.ChangeRequest{Changed: changed})
 }
 
 func (f *Fleet) change(path string, request emulator.ChangeRequest) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,10 +22,10 @@
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/blackboard"
 	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 	"pinevane.example/pinevane/internal/relay"
 )
 
@@ -36,7 +36,7 @@
 	// RejectedKey is the newest configuration that was refused.
 	RejectedKey = blackboard.NewKey[Rejected]("configuration.rejected")
 	// MembersKey is the membership list.
-	MembersKey = blackboard.NewKey[[]platform.Member]("membership.members")
+	MembersKey = blackboard.NewKey[[]external.Member]("membership.members")
 )
 
 // Rejected is a configuration revision that was refused, and why.
@@ -48,7 +48,7 @@
 // Options are the settings of a process.
 type Options struct {
 	ID     string
-	Role   platform.Role
+	Role   external.Role
 	Zone   string
 	Region string
 	// Listen is the IP address and port that peers and callers reach.
@@ -117,9 +117,9 @@
 		SelfID: options.ID,
 		Zone:   options.Zone,
 		Seeds:  options.Seeds,
-		Publications: map[relay.Kind]platform.Publication{
-			relay.Configuration: node.publication(options.ConfigurationAddress, platform.ConfigurationPath),
-			relay.Membership:    node.publication(options.MembershipAddress, platform.MembershipPath),
+		Publications: map[relay.Kind]external.Publication{
+			relay.Configuration: node.publication(options.ConfigurationAddress, external.ConfigurationPath),
+			relay.Membership:    node.publication(options.MembershipAddress, external.MembershipPath),
 		},
 		Hub:         node.Hub,
 		Log:         log,
@@ -131,8 +131,8 @@
 	return node
 }
 
-func (n *Node) publication(address, path string) platform.Publication {
-	return platform.NewHTTPPublication(address, path, func(answerBytes int) {
+func (n *Node) publication(address, path string) external.Publication {
+	return external.NewHTTPPublication(address, path, func(answerBytes int) {
 		n.Counters.CountRequest("platform", len(path), answerBytes)
 	})
 }
@@ -209,7 +209,7 @@
 // Dump is the whole state of a process.
 type Dump struct {
 	ID            string                     `json:"id"`
-	Role          platform.Role              `json:"role"`
+	Role          external.Role              `json:"role"`
 	Zone          string                     `json:"zone"`
 	Region        string                     `json:"region"`
 	Incarnation   uint64                     `json:"incarnation"`
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -3,8 +3,8 @@
 
 import (
 	"pinevane.example/pinevane/coordination/attempt"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // Topics of the messages. The part before the dot is the kind under which the
@@ -99,7 +99,7 @@
 	Index   int                   `cbor:"3,keyasint,omitempty"`
 	Token   string                `cbor:"4,keyasint,omitempty"`
 	Version string                `cbor:"5,keyasint,omitempty"`
-	Finish  platform.FinishReason `cbor:"6,keyasint,omitempty"`
+	Finish  external.FinishReason `cbor:"6,keyasint,omitempty"`
 	Answer  *Answer               `cbor:"7,keyasint,omitempty"`
 	Reason  fault.Reason          `cbor:"8,keyasint,omitempty"`
 	Detail  string                `cbor:"9,keyasint,omitempty"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,9 +13,9 @@
 
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
-	"pinevane.example/pinevane/internal/platform"
 )
 
 // RelaysPerZone is how many processes of a zone watch the platform.
@@ -28,7 +28,7 @@
 	// Seeds are addresses of peers to follow when the platform can't be read at
 	// start.
 	Seeds        []string
-	Publications map[Kind]platform.Publication
+	Publications map[Kind]external.Publication
 	Hub          *peering.Hub
 	Log          *logging.Logger
 	// OnChange is called with each new state of a publication, in order.
@@ -62,7 +62,7 @@
 
 	mutex     sync.Mutex
 	feeds     map[Kind]*monotonic.Feed
-	members   []platform.Member
+	members   []external.Member
 	followers map[*peering.Link]*follower
 	// upstream is the link that this process follows, if any.
 	upstream *peering.Link
@@ -479,15 +479,15 @@
 }
 
 // DecodeMembers reads a membership list; entries that can't be read are left out.
-func DecodeMembers(documents map[string][]byte) []platform.Member {
-	members := make([]platform.Member, 0, len(documents))
+func DecodeMembers(documents map[string][]byte) []external.Member {
+	members := make([]external.Member, 0, len(documents))
 	for _, data := range documents {
-		var member platform.Member
+		var member external.Member
 		if json.Unmarshal(data, &member) == nil && member.ID != "" {
 			members = append(members, member)
 		}
 	}
-	slices.SortFunc(members, func(a, b platform.Member) int {
+	slices.SortFunc(members, func(a, b external.Member) int {
 		switch {
 		case a.ID < b.ID:
 			return -1
