--- /dev/null
+++ b/coordination/budget/budget.go
@@ -0,0 +1,84 @@
+// Package budget holds the repeats that a service receives to a share of the
+// requests for it. The bound holds over a whole fleet without shared state: each
+// member spends a share of its own requests, and a fixed part of the slack. It
+// does no I/O and reads no clock.
+package budget
+
+import "time"
+
+// buckets is how finely the window is counted.
+const buckets = 20
+
+// Options tunes a Budget.
+type Options struct {
+	// Ratio is how many repeats each request allows.
+	Ratio float64
+	// Window is the time over which requests and repeats are counted.
+	Window time.Duration
+}
+
+// Budget counts the requests and repeats of one service at one member.
+type Budget struct {
+	options  Options
+	requests [buckets]int
+	repeats  [buckets]int
+	// newest is the number of the newest bucket since the clock's zero.
+	newest int64
+}
+
+// New returns an empty budget.
+func New(options Options) *Budget { return &Budget{options: options} }
+
+// Request counts a caller's request.
+func (b *Budget) Request(now time.Duration) {
+	b.advance(now)
+	b.requests[b.newest%buckets]++
+}
+
+// Take spends one repeat, if there is one: the repeats of the window must stay
+// within the ratio of its requests and this member's part of the slack.
+func (b *Budget) Take(now time.Duration, slackPart float64) bool {
+	if b.Left(now, slackPart) < 1 {
+		return false
+	}
+	b.repeats[b.newest%buckets]++
+	return true
+}
+
+// Left returns how many repeats may be spent now.
+func (b *Budget) Left(now time.Duration, slackPart float64) float64 {
+	b.advance(now)
+	requests, repeats := 0, 0
+	for index := range buckets {
+		requests += b.requests[index]
+		repeats += b.repeats[index]
+	}
+	return b.options.Ratio*float64(requests) + slackPart - float64(repeats)
+}
+
+// advance empties the buckets that have left the window.
+func (b *Budget) advance(now time.Duration) {
+	current := int64(now / (b.options.Window / buckets))
+	if current-b.newest >= buckets {
+		b.requests, b.repeats = [buckets]int{}, [buckets]int{}
+		b.newest = current
+		return
+	}
+	for b.newest < current {
+		b.newest++
+		b.requests[b.newest%buckets], b.repeats[b.newest%buckets] = 0, 0
+	}
+}
+
+// cautiousMembers is how many members are assumed until the others are known.
+const cautiousMembers = 16
+
+// SlackPart is a member's part of a slack that all members share. Members that
+// join must find their part unspent, so that one more than seen is reckoned with.
+func SlackPart(slack, mostSeen int, settled bool) float64 {
+	members := mostSeen + 1
+	if !settled {
+		members = max(members, cautiousMembers)
+	}
+	return float64(slack) / float64(members)
+}
--- /dev/null
+++ b/coordination/mirror/mirror.go
@@ -0,0 +1,110 @@
+// Package mirror keeps a copy of a store's records from many sources. Every
+// record carries the store's revision of its last change, and the newer revision
+// wins, so that copies converge whatever the order in which updates arrive, and
+// no key ever goes back. It does no I/O and reads no clock.
+package mirror
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Record is one key of the store as of a revision.
+type Record struct {
+	Key      string `cbor:"1,keyasint" json:"key"`
+	Value    []byte `cbor:"2,keyasint,omitempty" json:"value,omitempty"`
+	Revision uint64 `cbor:"3,keyasint" json:"revision"`
+	// Gone marks a key that was deleted at the revision.
+	Gone bool `cbor:"4,keyasint,omitempty" json:"gone,omitempty"`
+}
+
+// maximumGone bounds the deleted keys that are remembered.
+const maximumGone = 4096
+
+// Mirror is the copy. It is not safe for concurrent use.
+type Mirror struct {
+	records map[string]Record
+	gone    int
+}
+
+// New returns an empty mirror.
+func New() *Mirror { return &Mirror{records: map[string]Record{}} }
+
+// Merge takes in records and returns those that were news, in the order given.
+func (m *Mirror) Merge(records []Record) []Record {
+	var news []Record
+	for _, record := range records {
+		held, known := m.records[record.Key]
+		if known && held.Revision >= record.Revision {
+			continue
+		}
+		m.put(held, known, record)
+		news = append(news, record)
+	}
+	m.forget()
+	return news
+}
+
+// Replace takes in a listing of every key under a prefix that began at a
+// revision. Keys that it lacks and that did not change later are gone.
+func (m *Mirror) Replace(prefix string, listed []Record, at uint64) []Record {
+	present := make(map[string]bool, len(listed))
+	for _, record := range listed {
+		present[record.Key] = true
+	}
+	update := slices.Clone(listed)
+	for _, held := range m.Select(prefix) {
+		if !present[held.Key] && held.Revision < at {
+			update = append(update, Record{Key: held.Key, Revision: at, Gone: true})
+		}
+	}
+	return m.Merge(update)
+}
+
+// Get returns a record that is not gone.
+func (m *Mirror) Get(key string) (Record, bool) {
+	record, known := m.records[key]
+	return record, known && !record.Gone
+}
+
+// Select returns the records under a prefix that are not gone, in order of key.
+func (m *Mirror) Select(prefix string) []Record {
+	return slices.DeleteFunc(m.All(prefix), func(record Record) bool { return record.Gone })
+}
+
+// All returns the records under a prefix, deleted ones included, in order of key.
+func (m *Mirror) All(prefix string) []Record {
+	var selected []Record
+	for key, record := range m.records {
+		if strings.HasPrefix(key, prefix) {
+			selected = append(selected, record)
+		}
+	}
+	slices.SortFunc(selected, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
+	return selected
+}
+
+func (m *Mirror) put(held Record, known bool, record Record) {
+	if known && held.Gone {
+		m.gone--
+	}
+	if record.Gone {
+		m.gone++
+	}
+	m.records[record.Key] = record
+}
+
+// forget drops the oldest half of the deleted keys when there are too many.
+func (m *Mirror) forget() {
+	if m.gone <= maximumGone {
+		return
+	}
+	deleted := slices.DeleteFunc(slices.Collect(maps.Values(m.records)), func(record Record) bool { return !record.Gone })
+	slices.SortFunc(deleted, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, record := range deleted[:len(deleted)/2] {
+		delete(m.records, record.Key)
+		m.gone--
+	}
+}
--- /dev/null
+++ b/coordination/turnover/turnover_test.go
@@ -0,0 +1,58 @@
+package turnover
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func members(counts ...int) []Member {
+	var all []Member
+	for zone, count := range counts {
+		for index := range count {
+			all = append(all, Member{ID: fmt.Sprintf("s%d-%d", zone, index), Zone: fmt.Sprintf("z%d", zone)})
+		}
+	}
+	return all
+}
+
+func TestEveryListGivesTheSameOrder(t *testing.T) {
+	all := members(4, 7, 3)
+	shuffled := members(4, 7, 3)
+	rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	assert.Equal(t, Order("m/2", all), Order("m/2", shuffled))
+	assert.Len(t, Order("m/2", all), 14)
+}
+
+// At every point of the order each zone has given up its fair part, give or take
+// one server.
+func TestZonesTakeTurns(t *testing.T) {
+	all := members(4, 8, 4)
+	zoneOf := map[string]string{}
+	size := map[string]int{}
+	for _, member := range all {
+		zoneOf[member.ID] = member.Zone
+		size[member.Zone]++
+	}
+	done := map[string]int{}
+	for index, id := range Order("m/2", all) {
+		done[zoneOf[id]]++
+		for zone, count := range done {
+			fair := float64(index+1) / float64(len(all)) * float64(size[zone])
+			assert.InDelta(t, fair, count, 1.01, "after %d of %d", index+1, len(all))
+		}
+	}
+}
+
+func TestTurnsFillTheWindow(t *testing.T) {
+	window := Window{Start: 3 * time.Second, End: 7 * time.Second}
+	ordered := []string{"a", "b", "c", "d", "e"}
+	assert.Equal(t, 3*time.Second, Turn(ordered, "a", window))
+	assert.Equal(t, 5*time.Second, Turn(ordered, "c", window))
+	assert.Equal(t, 7*time.Second, Turn(ordered, "e", window))
+	assert.Equal(t, 7*time.Second, Turn(ordered, "unknown", window), "one that is not listed still goes in time")
+	assert.Equal(t, time.Second, Turn(ordered, "a", Window{Start: 3 * time.Second, End: time.Second}), "a late start shortens nothing below the end")
+}
--- /dev/null
+++ b/internal/catalog/exchange.go
@@ -0,0 +1,421 @@
+package catalog
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// Topics between processes.
+const (
+	topicUpdate = "catalog.update"
+	topicPull   = "catalog.pull"
+)
+
+// Times of the exchange.
+const (
+	// updatePeriod is the pace of signs of life; changes are sent at once.
+	updatePeriod = 300 * time.Millisecond
+	// linkSilence is the silence after which a link is taken for broken.
+	linkSilence = 1500 * time.Millisecond
+	// entryMemory is how long an entry that nobody hears is remembered.
+	entryMemory = 12 * time.Second
+	// dialTimeout and dialPause bound the making of links.
+	dialTimeout = 1200 * time.Millisecond
+	dialPause   = 700 * time.Millisecond
+	// pullAfter is how long the store is given to bring what a peer already has.
+	pullAfter = 250 * time.Millisecond
+	// feedersPerAgent is how many entries tell each agent the news.
+	feedersPerAgent = 2
+)
+
+// update is the news of one process. Large records (configurations) are only
+// announced, with Heads; whoever lacks one asks for it.
+type update struct {
+	Records []mirror.Record `cbor:"1,keyasint,omitempty"`
+	// AgesMilliseconds tells since when the versions among the records are known.
+	AgesMilliseconds map[string]int64 `cbor:"2,keyasint,omitempty"`
+	// FreshMilliseconds is the age of the sender's list of servers.
+	FreshMilliseconds int64 `cbor:"3,keyasint"`
+	// Heads maps the keys of large records to the revision held.
+	Heads map[string]uint64 `cbor:"4,keyasint,omitempty"`
+	// Entries maps the entries heard of to the zone and the age of their last sign.
+	Entries map[string]entrySign `cbor:"5,keyasint,omitempty"`
+}
+
+type entrySign struct {
+	Zone            string `cbor:"1,keyasint"`
+	AgeMilliseconds int64  `cbor:"2,keyasint"`
+}
+
+// entryPeer is another entry.
+type entryPeer struct {
+	zone  string
+	heard time.Time
+}
+
+// outLink is a link to another process that this one makes and sends on.
+type outLink struct {
+	address string
+	// sequence is the catalog's sequence up to which the other was told.
+	sequence uint64
+	link     *peering.Link
+	dialling bool
+	nextDial time.Time
+	sending  bool
+}
+
+// peerAddress is where a machine accepts links.
+func (c *Catalog) peerAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(c.options.InternalPort))
+}
+
+// Entries lists the other entries heard of lately.
+func (c *Catalog) Entries() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var entries []string
+	for ip := range c.entries {
+		entries = append(entries, ip)
+	}
+	slices.Sort(entries)
+	return entries
+}
+
+// entriesOf lists the other entries of a zone whose signs are recent.
+func (c *Catalog) entriesOf(zone string) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.recentEntries(zone)
+}
+
+func (c *Catalog) recentEntries(zone string) []string {
+	var entries []string
+	for ip, peer := range c.entries {
+		if peer.zone == zone && time.Since(peer.heard) < linkSilence {
+			entries = append(entries, ip)
+		}
+	}
+	slices.Sort(entries)
+	return entries
+}
+
+// exchange keeps the links and sends the news. Agents only listen.
+func (c *Catalog) exchange(ctx context.Context) {
+	if c.options.Role == RoleAgent {
+		return
+	}
+	c.mutex.Lock()
+	for _, seed := range c.options.Seeds {
+		c.entries[seed] = &entryPeer{heard: time.Now()}
+	}
+	c.mutex.Unlock()
+	ticker := time.NewTicker(updatePeriod)
+	defer ticker.Stop()
+	for {
+		c.keepLinks(ctx)
+		c.sendAll()
+		select {
+		case <-ticker.C:
+		case <-c.kick:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// keepLinks dials the entries and agents that have no link.
+func (c *Catalog) keepLinks(ctx context.Context) {
+	agents := c.View().Agents()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	wanted := map[string]bool{}
+	for ip, peer := range c.entries {
+		if time.Since(peer.heard) > entryMemory {
+			delete(c.entries, ip)
+			continue
+		}
+		wanted[ip] = true
+	}
+	for ip := range agents {
+		wanted[ip] = true
+	}
+	delete(wanted, c.options.Self)
+	for ip := range wanted {
+		if _, exists := c.links[ip]; !exists {
+			c.links[ip] = &outLink{address: c.peerAddress(ip)}
+		}
+	}
+	for ip, out := range c.links {
+		if !wanted[ip] && out.link == nil && !out.dialling {
+			delete(c.links, ip)
+			continue
+		}
+		c.keepLink(ctx, ip, out, wanted[ip])
+	}
+}
+
+// keepLink drops a silent link and dials a missing one; the mutex is held.
+func (c *Catalog) keepLink(ctx context.Context, ip string, out *outLink, wanted bool) {
+	if out.link != nil {
+		lost := false
+		select {
+		case <-out.link.Done():
+			lost = true
+		default:
+		}
+		if lost || !wanted || time.Since(out.link.LastHeard()) > linkSilence {
+			link := out.link
+			out.link = nil
+			go func() { _ = link.Close() }()
+		}
+		return
+	}
+	if !wanted || out.dialling || time.Now().Before(out.nextDial) {
+		return
+	}
+	out.dialling = true
+	go c.dial(ctx, ip, out)
+}
+
+func (c *Catalog) dial(ctx context.Context, ip string, out *outLink) {
+	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	link, err := c.options.Hub.Link(dialContext, out.address)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	out.dialling = false
+	if err != nil {
+		out.nextDial = time.Now().Add(dialPause)
+		return
+	}
+	out.link, out.sequence = link, 0
+	if remote := link.Remote(); remote.Role == RoleEntry {
+		c.heardEntry(ip, remote.Zone, 0)
+	}
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// heardEntry notes a sign of an entry; the mutex is held.
+func (c *Catalog) heardEntry(ip, zone string, age time.Duration) {
+	if ip == c.options.Self || ip == "" {
+		return
+	}
+	heard := time.Now().Add(-age)
+	peer, known := c.entries[ip]
+	if !known {
+		if age > entryMemory {
+			return
+		}
+		peer = &entryPeer{}
+		c.entries[ip] = peer
+	}
+	if zone != "" {
+		peer.zone = zone
+	}
+	if heard.After(peer.heard) {
+		peer.heard = heard
+	}
+}
+
+// sendAll sends each link what it lacks, or a sign of life.
+func (c *Catalog) sendAll() {
+	agents := c.View().Agents()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for ip, out := range c.links {
+		if out.link == nil || out.sending {
+			continue
+		}
+		zone, isAgent := agents[ip]
+		if isAgent && !c.feeds(ip, zone) {
+			continue
+		}
+		message := c.compose(out.sequence, isAgent)
+		out.sequence = c.sequence
+		out.sending = true
+		go c.send(out, out.link, message)
+	}
+}
+
+// feeds reports whether this entry is one of those that tell an agent the news;
+// the mutex is held.
+func (c *Catalog) feeds(agent, zone string) bool {
+	near := c.recentEntries(zone)
+	if zone == c.options.Zone {
+		near = append(near, c.options.Self)
+	}
+	if len(near) == 0 {
+		for ip, peer := range c.entries {
+			if time.Since(peer.heard) < linkSilence {
+				near = append(near, ip)
+			}
+		}
+		near = append(near, c.options.Self)
+	}
+	return slices.Contains(placement.Top("feed/"+agent, near, feedersPerAgent), c.options.Self)
+}
+
+func (c *Catalog) send(out *outLink, link *peering.Link, message update) {
+	err := peering.Send(link, topicUpdate, "", message)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	out.sending = false
+	if err != nil && out.link == link {
+		out.link = nil
+	}
+}
+
+// compose builds an update with every change after a sequence; the mutex is held.
+func (c *Catalog) compose(after uint64, toAgent bool) update {
+	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: map[string]uint64{}}
+	if c.fresh.IsZero() {
+		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
+	}
+	control, servers := c.options.Decoder.Prefixes()
+	for _, record := range c.mirror.All(control) {
+		if c.options.Decoder.Kind(record.Key) == fleet.RecordConfiguration {
+			message.Heads[record.Key] = record.Revision
+		}
+	}
+	if c.sequence > after {
+		c.addChanges(&message, control, after)
+		c.addChanges(&message, servers, after)
+	}
+	if !toAgent {
+		message.Entries = map[string]entrySign{}
+		for ip, peer := range c.entries {
+			message.Entries[ip] = entrySign{Zone: peer.zone, AgeMilliseconds: time.Since(peer.heard).Milliseconds()}
+		}
+	}
+	return message
+}
+
+func (c *Catalog) addChanges(message *update, prefix string, after uint64) {
+	for _, record := range c.mirror.All(prefix) {
+		kind := c.options.Decoder.Kind(record.Key)
+		if c.changedAt[record.Key] <= after || kind == fleet.RecordConfiguration {
+			continue
+		}
+		message.Records = append(message.Records, record)
+		if kind == fleet.RecordVersion {
+			c.addAge(message, record)
+		}
+	}
+}
+
+func (c *Catalog) addAge(message *update, record mirror.Record) {
+	named, err := c.options.Decoder.Version(record)
+	if err != nil {
+		return
+	}
+	if message.AgesMilliseconds == nil {
+		message.AgesMilliseconds = map[string]int64{}
+	}
+	if notice, known := c.View().Newest(named.Model); known {
+		message.AgesMilliseconds[record.Key] = time.Since(notice.Since).Milliseconds()
+	}
+}
+
+func (c *Catalog) handleUpdate(link *peering.Link, received *message.Message) {
+	news, err := peering.Decode[update](received)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	ages := map[string]time.Duration{}
+	for key, age := range news.AgesMilliseconds {
+		ages[key] = time.Duration(age) * time.Millisecond
+	}
+	c.mutex.Lock()
+	c.heardEntry(link.Remote().ID, link.Remote().Zone, 0)
+	for ip, sign := range news.Entries {
+		c.heardEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
+	}
+	fresh := time.Now().Add(-time.Duration(news.FreshMilliseconds) * time.Millisecond)
+	if fresh.After(c.fresh) {
+		c.fresh = fresh
+	}
+	lacking := c.lacking(news.Heads)
+	c.mutex.Unlock()
+	if len(news.Records) > 0 {
+		c.take(news.Records, ages)
+	}
+	if len(lacking) > 0 {
+		time.AfterFunc(c.pullDelay(), func() { c.pullFrom(link, lacking) })
+	}
+}
+
+// pullDelay leaves the store time to bring a record first, once one is held.
+func (c *Catalog) pullDelay() time.Duration {
+	if c.View().Configuration == nil {
+		return 0
+	}
+	return pullAfter
+}
+
+// lacking returns the keys of large records that a peer has newer; the mutex is
+// held. An agent takes only its first configuration from peers.
+func (c *Catalog) lacking(heads map[string]uint64) []string {
+	if c.options.Role == RoleAgent && c.view.Load().Configuration != nil {
+		return nil
+	}
+	var keys []string
+	for key, revision := range heads {
+		if held, _ := c.mirror.Get(key); held.Revision < revision {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func (c *Catalog) pullFrom(link *peering.Link, keys []string) {
+	c.mutex.Lock()
+	wanted := map[string]uint64{}
+	for _, key := range keys {
+		held, _ := c.mirror.Get(key)
+		wanted[key] = held.Revision
+	}
+	c.mutex.Unlock()
+	_ = peering.Send(link, topicPull, "", pullSince{Held: wanted})
+}
+
+// pullSince asks for records that are newer than those held.
+type pullSince struct {
+	Held map[string]uint64 `cbor:"1,keyasint"`
+}
+
+func (c *Catalog) handlePull(link *peering.Link, received *message.Message) {
+	request, err := peering.Decode[pullSince](received)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	var answer update
+	c.mutex.Lock()
+	answer.FreshMilliseconds = int64(time.Hour / time.Millisecond)
+	for key, revision := range request.Held {
+		if held, present := c.mirror.Get(key); present && held.Revision > revision {
+			answer.Records = append(answer.Records, held)
+		}
+	}
+	c.mutex.Unlock()
+	if len(answer.Records) == 0 {
+		return
+	}
+	go func() { _ = peering.Send(link, topicUpdate, "", answer) }()
+}
--- /dev/null
+++ b/internal/catalog/reader.go
@@ -0,0 +1,192 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Times of reading the store.
+const (
+	// controlWait is how long one watch of the operator's records waits.
+	controlWait = 8 * time.Second
+	// serversWait and serversPace: one watch of the list of servers waits that
+	// long, and the next begins no sooner than the pace after the one before.
+	serversWait = 600 * time.Millisecond
+	serversPace = 300 * time.Millisecond
+	// readRetry is the first pause after a failed call; it doubles up to
+	// maximumReadRetry, each with jitter.
+	readRetry        = 100 * time.Millisecond
+	maximumReadRetry = 800 * time.Millisecond
+	// staleAfter is the age of the list of servers at which a process that is not
+	// its zone's reader reads for itself, and staleStep adds to it with its rank.
+	staleAfter = 900 * time.Millisecond
+	staleStep  = 200 * time.Millisecond
+	// agentStaleAfter is the same for agents, which need the list less.
+	agentStaleAfter = 2500 * time.Millisecond
+	// idleCheck is how often a process that does not read looks whether it must.
+	idleCheck = 100 * time.Millisecond
+)
+
+// position is where a watch of a prefix stands.
+type position struct {
+	prefix string
+	at     uint64
+	retry  time.Duration
+	failed bool
+}
+
+// readControl follows the operator's records. Entries wait at the store for
+// them, because a change must be in force everywhere at once; agents learn them
+// from entries and read only while they hear from none.
+func (c *Catalog) readControl(ctx context.Context) {
+	control, _ := c.options.Decoder.Prefixes()
+	at := &position{prefix: control}
+	for ctx.Err() == nil {
+		if at.at != 0 && c.options.Role == RoleAgent && !c.isStale(agentStaleAfter) {
+			pause(ctx, idleCheck)
+			continue
+		}
+		wait := controlWait
+		if c.options.Role == RoleAgent {
+			wait = serversWait
+		}
+		c.read(ctx, at, wait)
+	}
+}
+
+// readServers follows the list of servers.
+func (c *Catalog) readServers(ctx context.Context) {
+	_, servers := c.options.Decoder.Prefixes()
+	at := &position{prefix: servers}
+	for ctx.Err() == nil {
+		if at.at != 0 && !c.isReader() {
+			pause(ctx, idleCheck)
+			continue
+		}
+		began := time.Now()
+		if c.read(ctx, at, serversWait) {
+			c.mutex.Lock()
+			c.fresh = time.Now()
+			c.mutex.Unlock()
+		}
+		pause(ctx, serversPace-time.Since(began))
+	}
+}
+
+// isReader reports whether this process is to read the list of servers now: the
+// first entry of its zone always, the others when nobody told them for a while.
+func (c *Catalog) isReader() bool {
+	if c.options.Role == RoleAgent {
+		return c.isStale(agentStaleAfter)
+	}
+	rank := c.zoneRank()
+	return rank == 0 || c.isStale(staleAfter+time.Duration(rank)*staleStep)
+}
+
+func (c *Catalog) isStale(after time.Duration) bool {
+	return time.Since(c.Fresh()) > after
+}
+
+// zoneRank is this entry's place among the entries of its zone.
+func (c *Catalog) zoneRank() int {
+	mates := append(c.entriesOf(c.options.Zone), c.options.Self)
+	for rank, entry := range placement.Rank("reader/"+c.options.Zone, mates) {
+		if entry == c.options.Self {
+			return rank
+		}
+	}
+	return 0
+}
+
+// read makes one call and reports whether the store answered.
+func (c *Catalog) read(ctx context.Context, at *position, wait time.Duration) bool {
+	c.calls.Add(1)
+	var err error
+	if at.at == 0 {
+		err = c.list(ctx, at)
+	} else {
+		var changes fleet.Listing
+		changes, err = c.options.Store.Watch(ctx, at.prefix, at.at, wait)
+		if err == nil {
+			c.take(changes.Records, nil)
+			at.at = max(at.at, changes.At)
+		}
+	}
+	var historyGone *fault.HistoryGone
+	switch {
+	case err == nil:
+		c.noteAnswer(at)
+		return true
+	case errors.As(err, &historyGone):
+		c.options.Log.Log(logging.HistoryForgotten, zap.String("prefix", at.prefix), zap.Uint64("after", at.at))
+		at.at = 0
+		return false
+	case ctx.Err() == nil:
+		c.noteFailure(ctx, at, err)
+	}
+	return false
+}
+
+func (c *Catalog) list(ctx context.Context, at *position) error {
+	listing, err := c.options.Store.List(ctx, at.prefix)
+	if err != nil {
+		return err
+	}
+	c.mutex.Lock()
+	first := c.view.Load().Configuration == nil
+	c.mutex.Unlock()
+	if first {
+		c.assumeAges(listing)
+	}
+	c.replace(at.prefix, listing)
+	at.at = listing.At
+	return nil
+}
+
+// assumeAges guesses how long versions met at the start have been named.
+func (c *Catalog) assumeAges(listing fleet.Listing) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, record := range listing.Records {
+		if _, told := c.ages[record.Key]; !told && c.options.Decoder.Kind(record.Key) == fleet.RecordVersion {
+			c.ages[record.Key] = c.options.VersionApply / 2
+		}
+	}
+}
+
+func (c *Catalog) noteAnswer(at *position) {
+	if at.failed {
+		c.options.Log.Log(logging.ServiceReached, zap.String("prefix", at.prefix))
+	}
+	at.failed, at.retry = false, 0
+}
+
+func (c *Catalog) noteFailure(ctx context.Context, at *position, err error) {
+	if !at.failed {
+		c.options.Log.Log(logging.ServiceUnreached, zap.String("prefix", at.prefix), zap.Error(err))
+	}
+	at.failed = true
+	at.retry = min(max(2*at.retry, readRetry), maximumReadRetry)
+	pause(ctx, at.retry/2+rand.N(at.retry))
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/catalog/view.go
@@ -0,0 +1,168 @@
+// Package catalog keeps a process's copy of what the platform publishes:
+// configuration, servers, and named versions of weights. Entries read the
+// platform's store and tell each other and the agents; what a process holds
+// never goes back to an older revision within its life.
+package catalog
+
+import (
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Notice is a named version and the time since which it is known.
+type Notice struct {
+	Version  uint64    `json:"version"`
+	Revision uint64    `json:"revision"`
+	Since    time.Time `json:"since"`
+}
+
+// View is an immutable picture of everything known.
+type View struct {
+	// Configuration is nil until one is known.
+	Configuration *fleet.Configuration
+	// ConfigurationSince is when this process took the configuration over.
+	ConfigurationSince time.Time
+	// Servers lists every listed server by its service.
+	Servers map[string][]fleet.Server
+	// Versions holds the named versions of each model, the newest last.
+	Versions map[string][]Notice
+}
+
+// maximumNotices is how many named versions of a model are remembered.
+const maximumNotices = 4
+
+// Newest returns the newest named version of a model.
+func (v *View) Newest(model string) (Notice, bool) {
+	notices := v.Versions[model]
+	if len(notices) == 0 {
+		return Notice{}, false
+	}
+	return notices[len(notices)-1], true
+}
+
+// Due returns the newest version of a model that was named longer ago than an
+// age, or 0.
+func (v *View) Due(model string, age time.Duration, now time.Time) uint64 {
+	due := uint64(0)
+	for _, notice := range v.Versions[model] {
+		if now.Sub(notice.Since) > age {
+			due = max(due, notice.Version)
+		}
+	}
+	return due
+}
+
+// FirstAfter returns the earliest remembered notice of a version newer than one.
+func (v *View) FirstAfter(model string, version uint64) (Notice, bool) {
+	for _, notice := range v.Versions[model] {
+		if notice.Version > version {
+			return notice, true
+		}
+	}
+	return Notice{}, false
+}
+
+// Agents returns the IP addresses and zones of the machines whose model servers
+// are listed; each has an agent.
+func (v *View) Agents() map[string]string {
+	agents := map[string]string{}
+	for name, servers := range v.Servers {
+		if !v.hasEngine(name) {
+			continue
+		}
+		for _, server := range servers {
+			if host, _, err := net.SplitHostPort(server.Address); err == nil {
+				agents[host] = server.Zone
+			}
+		}
+	}
+	return agents
+}
+
+func (v *View) hasEngine(service string) bool {
+	return v.Configuration != nil && v.Configuration.Services[service].Engine != nil
+}
+
+// rebuild makes a new view after news and publishes it; the mutex is held.
+func (c *Catalog) rebuild(news []mirror.Record) {
+	old := c.view.Load()
+	next := &View{
+		Configuration: old.Configuration, ConfigurationSince: old.ConfigurationSince,
+		Servers: old.Servers, Versions: old.Versions,
+	}
+	var serversChanged bool
+	for _, record := range news {
+		switch c.options.Decoder.Kind(record.Key) {
+		case fleet.RecordConfiguration:
+			c.takeConfiguration(next, record)
+		case fleet.RecordVersion:
+			c.takeVersion(next, record)
+		case fleet.RecordServer:
+			serversChanged = true
+		}
+	}
+	if serversChanged {
+		c.rebuildServers(next)
+	}
+	c.view.Store(next)
+}
+
+func (c *Catalog) takeConfiguration(next *View, record mirror.Record) {
+	if record.Gone {
+		return
+	}
+	configuration, err := c.options.Decoder.Configuration(record.Value)
+	if err != nil {
+		c.options.Log.Log(logging.SnapshotRejected, zap.String("key", record.Key), zap.Uint64("revision", record.Revision), zap.Error(err))
+		return
+	}
+	if next.Configuration != nil && configuration.Version < next.Configuration.Version {
+		c.options.Log.Log(logging.SnapshotStale, zap.Uint64("offered", configuration.Version), zap.Uint64("current", next.Configuration.Version))
+		return
+	}
+	next.Configuration, next.ConfigurationSince = configuration, time.Now()
+	c.options.Log.Log(logging.SnapshotAccepted, zap.Uint64("version", configuration.Version), zap.Uint64("revision", record.Revision),
+		zap.Int("routes", len(configuration.Routes)), zap.Int("tenants", len(configuration.Tenants)))
+}
+
+func (c *Catalog) takeVersion(next *View, record mirror.Record) {
+	named, err := c.options.Decoder.Version(record)
+	if record.Gone || err != nil {
+		return
+	}
+	if held, known := next.Newest(named.Model); known && held.Version >= named.Version {
+		return
+	}
+	notice := Notice{Version: named.Version, Revision: record.Revision, Since: time.Now().Add(-c.ages[record.Key])}
+	delete(c.ages, record.Key)
+	notices := append(slices.Clone(next.Versions[named.Model]), notice)
+	notices = notices[max(0, len(notices)-maximumNotices):]
+	next.Versions = maps.Clone(next.Versions)
+	next.Versions[named.Model] = notices
+	c.options.Log.Log(logging.VersionNamed, zap.String("model", named.Model), zap.Uint64("version", named.Version),
+		zap.Uint64("revision", record.Revision), zap.Duration("age", time.Since(notice.Since)))
+}
+
+func (c *Catalog) rebuildServers(next *View) {
+	_, prefix := c.options.Decoder.Prefixes()
+	next.Servers = map[string][]fleet.Server{}
+	count := 0
+	for _, record := range c.mirror.Select(prefix) {
+		server, err := c.options.Decoder.Server(record)
+		if err != nil {
+			c.options.Log.Log(logging.FrameRejected, zap.Error(err))
+			continue
+		}
+		next.Servers[server.Service] = append(next.Servers[server.Service], server)
+		count++
+	}
+	c.options.Log.Log(logging.MembershipChanged, zap.Int("servers", count))
+}
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinevane.example/pinevane/internal/agent"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/entry"
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
@@ -59,6 +60,9 @@
 
 // Execute runs the command.
 func (c *entryCommand) Execute([]string) error {
+	if c.Settings != "" {
+		return c.runOnPlatform(catalog.RoleEntry)
+	}
 	if err := c.check(); err != nil {
 		return err
 	}
@@ -136,6 +140,9 @@
 
 // Execute runs the command.
 func (c *agentCommand) Execute([]string) error {
+	if c.Settings != "" {
+		return c.runOnPlatform(catalog.RoleAgent)
+	}
 	if err := c.check(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/command/platform.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/daemon"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/gateway"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/rollout"
+	"pinevane.example/pinevane/platform"
+)
+
+// settingsCheckPeriod is how often the settings file is looked at for changes.
+const settingsCheckPeriod = 2 * time.Second
+
+// runOnPlatform runs a role with the settings file of the users' platform.
+func (f *processFlags) runOnPlatform(role string) error {
+	level, err := zapcore.ParseLevel(f.LogLevel)
+	if err != nil || level > zapcore.ErrorLevel {
+		return &fault.InvalidSetting{Flag: "--log-level", Value: f.LogLevel, Allowed: "debug, info, warn or error"}
+	}
+	settings, err := platform.ReadSettings(f.Settings)
+	if err != nil {
+		return err
+	}
+	if err := checkRole(role, settings); err != nil {
+		return err
+	}
+	limitMemory()
+	log := logging.NewBounded(level, settings.Name, os.Stdout)
+	defer log.Sync()
+	base := daemon.New(daemon.Options{
+		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
+		Reload: func() (fleet.Settings, error) { return platform.ReadSettings(f.Settings) },
+	})
+	go reloadOnChange(f.Settings, base)
+	if role == catalog.RoleEntry {
+		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}}).Run(stopSignal())
+	}
+	return rollout.New(rollout.Options{
+		Daemon: base, Server: platform.NewModelServer(settings.ServerAddress), Origin: platform.NewOrigin(),
+	}).Run(stopSignal())
+}
+
+// checkRole checks what the settings must hold for a role.
+func checkRole(role string, settings fleet.Settings) error {
+	required := []struct{ field, value string }{{"app", settings.ServerAddress}, {"service", settings.Service}}
+	if role == catalog.RoleEntry {
+		required = []struct{ field, value string }{{"listen.front", settings.Callers}, {"listen.ready", settings.Ready}}
+	}
+	for _, one := range required {
+		if one.value == "" {
+			return &fault.InvalidSetting{Flag: "settings field " + one.field, Allowed: "a value, for the role " + role}
+		}
+	}
+	return nil
+}
+
+// reloadOnChange reads the settings again on the hang-up signal, and when the
+// file has changed.
+func reloadOnChange(path string, base *daemon.Daemon) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsCheckPeriod)
+	defer ticker.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-hangUp:
+			last = modified(path)
+			base.Reload()
+		case <-ticker.C:
+			if now := modified(path); now != last {
+				last = now
+				base.Reload()
+			}
+		}
+	}
+}
+
+// modified tells one state of a file from another.
+func modified(path string) string {
+	info, err := os.Stat(filepath.Clean(path))
+	if err != nil {
+		return ""
+	}
+	return info.ModTime().String()
+}
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -17,6 +17,7 @@
 
 // processFlags are the settings that entries and agents share.
 type processFlags struct {
+	Settings      string        `long:"settings" env:"PINEVANE_CONFIG" description:"settings file of the platform; every other flag but the log level is then left out"`
 	ID            string        `long:"id" env:"PINEVANE_ID" description:"name of this process on the membership list, unique in the fleet"`
 	Zone          string        `long:"zone" env:"PINEVANE_ZONE" description:"zone that this process is in"`
 	Region        string        `long:"region" env:"PINEVANE_REGION" description:"region that the zone is in"`
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,209 @@
+// Package daemon is the part that the processes on the users' machines share:
+// settings and their reload, links to other processes, the catalog, and the
+// administration endpoints. Nothing of a process outlasts it.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/liveness"
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// MetricsPort is where every process serves its metrics and state dump.
+const MetricsPort = 9464
+
+// Paths of the administration endpoints.
+const (
+	MetricsPath = "/metrics"
+	DumpPath    = "/dump"
+)
+
+// Options are what a process is started with.
+type Options struct {
+	Settings fleet.Settings
+	// Reload reads the settings again; nil when they can't change.
+	Reload  func() (fleet.Settings, error)
+	Role    string
+	Store   fleet.Store
+	Decoder fleet.Decoder
+	Log     *logging.Logger
+	// AdminListen replaces the machine's address and MetricsPort when it is set.
+	AdminListen string
+}
+
+// Daemon is one process.
+type Daemon struct {
+	options  Options
+	settings atomic.Pointer[fleet.Settings]
+	started  time.Time
+
+	Log      *logging.Logger
+	Registry *prometheus.Registry
+	Hub      *peering.Hub
+	Catalog  *catalog.Catalog
+	// Router serves the internal port: links and what a role adds.
+	Router chi.Router
+
+	mutex    sync.Mutex
+	servers  []*http.Server
+	sections map[string]func() any
+}
+
+// New builds a process that does not listen yet.
+func New(options Options) *Daemon {
+	d := &Daemon{
+		options: options, started: time.Now(), Log: options.Log, Registry: prometheus.NewRegistry(),
+		Router: chi.NewRouter(), sections: map[string]func() any{},
+	}
+	settings := options.Settings
+	d.settings.Store(&settings)
+	hello := peering.Hello{ID: settings.IP, Incarnation: uint64(d.started.UnixNano()), Role: options.Role, Zone: settings.Zone}
+	d.Hub = peering.NewHub(hello, options.Log, peering.NewCounters(d.Registry))
+	d.Catalog = catalog.New(catalog.Options{
+		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds,
+		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, VersionApply: settings.Bounds.VersionApply,
+	})
+	d.Router.Handle(peering.Path, d.Hub)
+	d.Section("catalog", func() any { return d.Catalog.Status() })
+	return d
+}
+
+// Settings returns the settings in force.
+func (d *Daemon) Settings() fleet.Settings { return *d.settings.Load() }
+
+// Section adds a part to the state dump.
+func (d *Daemon) Section(name string, describe func() any) { d.sections[name] = describe }
+
+// Limits on the HTTP servers of a process. There is no write timeout, because
+// streams last.
+const (
+	readHeaderTimeout  = 5 * time.Second
+	maximumHeaderBytes = 64 << 10
+)
+
+// Serve listens on an address and serves a handler there until Close.
+func (d *Daemon) Serve(address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: address, Operation: "listen", Cause: err}
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes,
+		ErrorLog: d.Log.Standard(logging.ServerComplained),
+	}
+	d.mutex.Lock()
+	d.servers = append(d.servers, server)
+	d.mutex.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// Start listens for links and administration, and begins to learn.
+func (d *Daemon) Start(ctx context.Context) error {
+	settings := d.Settings()
+	if _, err := d.Serve(net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPort)), d.Router); err != nil {
+		return err
+	}
+	admin := d.options.AdminListen
+	if admin == "" {
+		admin = net.JoinHostPort(settings.IP, strconv.Itoa(MetricsPort))
+	}
+	addresses := []string{admin}
+	if settings.Control != "" {
+		addresses = append(addresses, settings.Control)
+	}
+	for _, address := range addresses {
+		if _, err := d.Serve(address, d.adminRouter()); err != nil {
+			d.Log.Log(logging.ListenFailed, zap.String("address", address), zap.Error(err))
+		}
+	}
+	d.Log.Log(logging.ProcessStarted, zap.String("role", d.options.Role), zap.String("ip", settings.IP), zap.String("zone", settings.Zone),
+		zap.Int("seeds", len(settings.Seeds)))
+	go d.Catalog.Run(ctx)
+	go d.watchPauses(ctx)
+	return nil
+}
+
+// Close ends every server and link at once.
+func (d *Daemon) Close() {
+	d.Hub.Close()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+}
+
+func (d *Daemon) adminRouter() chi.Router {
+	router := chi.NewRouter()
+	router.Handle(MetricsPath, promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{}))
+	router.Get(DumpPath, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(writer)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(d.Dump())
+	})
+	return router
+}
+
+// Dump returns the state of the process by section.
+func (d *Daemon) Dump() map[string]any {
+	settings := d.Settings()
+	dump := map[string]any{
+		"name": settings.Name, "role": d.options.Role, "zone": settings.Zone, "ip": settings.IP,
+		"uptime_seconds": time.Since(d.started).Seconds(),
+	}
+	for name, describe := range d.sections {
+		dump[name] = describe()
+	}
+	return dump
+}
+
+// Reload reads the settings again. Faulty ones change nothing.
+func (d *Daemon) Reload() {
+	if d.options.Reload == nil {
+		return
+	}
+	fresh, err := d.options.Reload()
+	if err != nil {
+		d.Log.Log(logging.ReloadRefused, zap.Error(err))
+		return
+	}
+	d.settings.Store(&fresh)
+	d.Log.Log(logging.SettingsReloaded)
+}
+
+// watchPauses logs when the process itself stood still.
+func (d *Daemon) watchPauses(ctx context.Context) {
+	const period = 500 * time.Millisecond
+	detector := liveness.NewDetector(liveness.Options{})
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if _, paused := detector.Tick(time.Since(d.started)); paused {
+				d.Log.Log(logging.ProcessPaused)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -95,7 +95,9 @@
 	ReasonWrongVersion     Reason = "wrong-version"
 	ReasonDeadline         Reason = "deadline-exceeded"
 	ReasonCanceled         Reason = "canceled"
+	ReasonStalled          Reason = "stalled"
 	ReasonNotReady         Reason = "not-ready"
+	ReasonTooLarge         Reason = "too-large"
 )
 
 // Refusal is the failure of a caller's request.
@@ -146,6 +148,35 @@
 // Unwrap returns the underlying failure.
 func (e *Unavailable) Unwrap() error { return e.Cause }
 
+// HistoryGone reports a watch that asked for changes the store has forgotten; the
+// records must be listed anew.
+type HistoryGone struct {
+	Prefix string
+	After  uint64
+}
+
+func (e *HistoryGone) Error() string {
+	return fmt.Sprintf("the store has forgotten the changes of %q after %d", e.Prefix, e.After)
+}
+
+// InvalidRecord reports a published record that can't be read.
+type InvalidRecord struct {
+	Key    string
+	Reason string
+}
+
+func (e *InvalidRecord) Error() string { return fmt.Sprintf("record %s: %s", e.Key, e.Reason) }
+
+// InvalidHeader reports a header of a request that can't be read.
+type InvalidHeader struct {
+	Header string
+	Value  string
+}
+
+func (e *InvalidHeader) Error() string {
+	return fmt.Sprintf("header %s: invalid value %q", e.Header, e.Value)
+}
+
 // Corrupt reports bytes that do not match the digest they were asked by.
 type Corrupt struct {
 	Expected string
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"pinevane.example/pinevane/coordination/mirror"
+)
+
+// HeldModel is a model that a server holds, wholly or in part.
+type HeldModel struct {
+	Name    string
+	Version uint64
+	// FromLayer and ToLayer (exclusive) bound the layers held; both are zero when
+	// the server does not say, which means all of them.
+	FromLayer int
+	ToLayer   int
+}
+
+// Holds reports whether the model is here whole, of layers in all.
+func (h HeldModel) Holds(layers int) bool {
+	if h.FromLayer == 0 && h.ToLayer == 0 {
+		return true
+	}
+	return h.FromLayer == 0 && h.ToLayer >= layers
+}
+
+// Server is one line of the published list of servers.
+type Server struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	Models   []HeldModel
+	// Revision is the store's revision of the line.
+	Revision uint64
+}
+
+// NamedVersion is the newest published version of a model's weights.
+type NamedVersion struct {
+	Model    string
+	Version  uint64
+	Revision uint64
+}
+
+// RecordKind tells what a published record holds.
+type RecordKind int
+
+// The kinds of published records.
+const (
+	RecordOther RecordKind = iota
+	RecordConfiguration
+	RecordServer
+	RecordVersion
+)
+
+// Decoder reads published records.
+type Decoder interface {
+	// Prefixes names the records to read, in the store's keys.
+	Prefixes() (control, servers string)
+	Kind(key string) RecordKind
+	Configuration(value []byte) (*Configuration, error)
+	Server(record mirror.Record) (Server, error)
+	Version(record mirror.Record) (NamedVersion, error)
+}
+
+// Listing is a read of all records under a prefix.
+type Listing struct {
+	Records []mirror.Record
+	// At is the revision from which a watch continues.
+	At uint64
+}
+
+// Store reads the platform's published records. Errors are *fault.Unavailable
+// and, from Watch, *fault.HistoryGone.
+type Store interface {
+	List(ctx context.Context, prefix string) (Listing, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
+}
+
+// Report is a model server's word on itself.
+type Report struct {
+	Models   []HeldModel
+	Busy     bool
+	Sequence uint64
+	Running  int
+	Waiting  int
+	// CacheUsed and CacheTotal count tokens.
+	CacheUsed  int
+	CacheTotal int
+	// Pace is over 1 when the server is slow.
+	Pace float64
+}
+
+// StartOrder asks a server to take a staged version into service.
+type StartOrder struct {
+	Model   string
+	Version uint64
+	// Sequence is the number of orders taken that the giver has seen.
+	Sequence uint64
+}
+
+// OrderOutcome is a server's answer to an order.
+type OrderOutcome int
+
+// The outcomes of orders.
+const (
+	// OrderBegun means that the server has taken the order.
+	OrderBegun OrderOutcome = iota + 1
+	// OrderHolds means that there is nothing left to do.
+	OrderHolds
+	// OrderConflict means that the order does not fit the server's state.
+	OrderConflict
+)
+
+// ModelServer is the model server of the process's own machine.
+type ModelServer interface {
+	Report(ctx context.Context) (Report, error)
+	// Start gives the order; an error means that it may have been taken.
+	Start(ctx context.Context, order StartOrder) (OrderOutcome, error)
+	// HeldPieces lists the staged pieces, unverified and of any version.
+	HeldPieces(ctx context.Context, model string) ([]int, error)
+	Piece(ctx context.Context, model string, index int) ([]byte, error)
+	Stage(ctx context.Context, model string, index int, content []byte) error
+}
+
+// Manifest names the pieces of a version by their digests.
+type Manifest struct {
+	Model   string
+	Version uint64
+	Layers  int
+	// PieceBytes is the size of every piece.
+	PieceBytes int
+	// Digests are SHA-256 sums, raw.
+	Digests [][32]byte
+}
+
+// WeightOrigin hands out the weights of every version.
+type WeightOrigin interface {
+	// Manifest reads a version's manifest; version 0 asks for the newest.
+	Manifest(ctx context.Context, address, model string, version uint64) (Manifest, error)
+	Piece(ctx context.Context, address, model string, version uint64, index int) ([]byte, error)
+}
+
+// CallHeader is what a caller's request says of itself besides its target.
+type CallHeader struct {
+	RequestID string
+	// Deadline is the time that the caller waits; zero when it does not say.
+	Deadline time.Duration
+	// Key is the caller's API key; empty when there is none.
+	Key   string
+	Model string
+	// PromptTokens and AnswerTokens size a generation; zero when not said.
+	PromptTokens int
+	AnswerTokens int
+	// LengthHint guesses the tokens of the answer; zero when not said.
+	LengthHint  int
+	LastEventID string
+}
+
+// SendHeader is what the system itself tells a server with a request.
+type SendHeader struct {
+	Deadline time.Duration
+	Instance string
+	// Version is zero when any version will do.
+	Version  uint64
+	Tenant   string
+	Priority int
+	// LastEventID continues a stream; empty leaves the caller's own.
+	LastEventID string
+}
+
+// AnswerHeader is what a server's answer says of itself.
+type AnswerHeader struct {
+	RequestID string
+	// NotRun is the server's word that it has not run the request.
+	NotRun bool
+	// Signed is set when the answer carries the server's signature.
+	Signed bool
+	// Version is that of the weights; zero when not said.
+	Version uint64
+}
+
+// Dialect reads and writes the platform's headers.
+type Dialect interface {
+	ReadCall(header http.Header) (CallHeader, error)
+	// WriteSend turns a caller's header into the one for a server, in place.
+	WriteSend(header http.Header, send SendHeader)
+	ReadAnswer(status int, header http.Header) AnswerHeader
+	// RefusalHeader adds to the header of an answer of our own.
+	RefusalHeader(header http.Header, requestID string, retryAfter time.Duration)
+	ReadyPath() string
+}
--- /dev/null
+++ b/internal/fleet/settings.go
@@ -0,0 +1,62 @@
+// Package fleet holds the types that describe the fleet which pinevane runs in:
+// a process's settings, the published configuration, the servers behind it, and
+// the interfaces to the platform that publishes them. It knows no wire format;
+// package platform translates.
+package fleet
+
+import (
+	"time"
+)
+
+// Settings are what the platform tells a process about itself at start.
+type Settings struct {
+	// Name is the machine's name; Zone and Region are where it stands.
+	Name   string
+	Zone   string
+	Region string
+	// Regions maps every zone of the fleet to its region.
+	Regions map[string]string
+	// IP is the machine's address, without a port.
+	IP string
+	// Callers, Ready and Control are the addresses to listen on; an empty one is
+	// not served by this role.
+	Callers string
+	Ready   string
+	Control string
+	// InternalPort is the first of the ports kept free for pinevane's own links;
+	// it is the same on all machines.
+	InternalPort int
+	// Seeds are IP addresses of machines to learn from at start; they may be down.
+	Seeds []string
+	// StoreAddress is the platform's store of published records.
+	StoreAddress string
+	// ServerAddress and Service name the model server of this machine, if any.
+	ServerAddress string
+	Service       string
+	// LinkBytesPerSecond is the capacity of the machine's link.
+	LinkBytesPerSecond float64
+	// MemoryBytes is what the process may use.
+	MemoryBytes int64
+	Bounds      Bounds
+}
+
+// Bounds are the times and shares that the users hold the system to.
+type Bounds struct {
+	// Drain is how long a leaving server may still be sent requests.
+	Drain time.Duration
+	// Grace is the time between the stop signal and the kill.
+	Grace time.Duration
+	// ConfigurationApply is the time until a configuration is in force everywhere.
+	ConfigurationApply time.Duration
+	// VersionApply is the time until no request begins on an older version.
+	VersionApply time.Duration
+	// Recover is the time until service after a loss of everything.
+	Recover time.Duration
+	// AddressReuse is the time after which an ended server's address is given anew.
+	AddressReuse time.Duration
+	// RetryRatio and RetrySlack bound the repeats that a service receives in a
+	// RetryWindow, over the whole fleet: ratio x requests + slack.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
+}
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,350 @@
+// Package forward takes a caller's request to a server and the server's answer
+// back. It chooses the server, holds the retries to their budget, never sends
+// again what may have run and may not repeat, and continues a broken stream at
+// another server inside the same answer.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/budget"
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Options wires a Forwarder.
+type Options struct {
+	Zone    string
+	Regions map[string]string
+	Bounds  fleet.Bounds
+	Dialect fleet.Dialect
+	Log     *logging.Logger
+	// Peers returns the number of other entries known.
+	Peers    func() int
+	Registry prometheus.Registerer
+}
+
+// Forwarder is the forwarding core of an entry.
+type Forwarder struct {
+	options Options
+	dialect fleet.Dialect
+	log     *logging.Logger
+	targets *targets
+	metrics *metrics
+	started time.Time
+
+	mutex   sync.Mutex
+	budgets map[string]*budget.Budget
+	// mostPeers is the most other entries seen at once.
+	mostPeers int
+}
+
+// New returns a forwarder that knows no servers yet.
+func New(options Options) *Forwarder {
+	return &Forwarder{
+		options: options, dialect: options.Dialect, log: options.Log, started: time.Now(),
+		targets: newTargets(options.Zone, options.Regions, options.Log),
+		metrics: newMetrics(options.Registry), budgets: map[string]*budget.Budget{},
+	}
+}
+
+// Update takes over a new view of the fleet.
+func (f *Forwarder) Update(view *catalog.View) { f.targets.update(view) }
+
+// TakeStatus notes an agent's word on its server.
+func (f *Forwarder) TakeStatus(status fleet.MachineStatus) { f.targets.takeStatus(status) }
+
+// sweepPeriod is how often idle connections are looked through.
+const sweepPeriod = time.Second
+
+// Run does the upkeep until the context ends.
+func (f *Forwarder) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.targets.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Shares of the users' retry bound that are used, because their windows and ours
+// do not begin at the same moments.
+const (
+	ratioShare = 0.8
+	slackShare = 0.8
+	// settleTime is how long after the start the number of entries is uncertain.
+	settleTime = 3 * time.Second
+)
+
+func (f *Forwarder) budgetOf(service string) *budget.Budget {
+	held := f.budgets[service]
+	if held == nil {
+		held = budget.New(budget.Options{Ratio: ratioShare * f.options.Bounds.RetryRatio, Window: f.options.Bounds.RetryWindow})
+		f.budgets[service] = held
+	}
+	return held
+}
+
+func (f *Forwarder) countRequest(service string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.budgetOf(service).Request(time.Since(f.started))
+}
+
+// takeRetry spends one repeat of a service's budget.
+func (f *Forwarder) takeRetry(service string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.mostPeers = max(f.mostPeers, f.options.Peers())
+	now := time.Since(f.started)
+	slack := budget.SlackPart(int(slackShare*float64(f.options.Bounds.RetrySlack)), f.mostPeers+1, now > settleTime)
+	return f.budgetOf(service).Take(now, slack)
+}
+
+// work is one request being forwarded.
+type work struct {
+	*Forwarder
+	request *Request
+	writer  http.ResponseWriter
+	wanted  need
+	// sent counts the servers that the request was sent to.
+	sent int
+	// mayHaveRun is set once a server may have run the request.
+	mayHaveRun bool
+	lastEvent  string
+	// begun is set once the head of an answer has gone to the caller.
+	begun   bool
+	events  int
+	version uint64
+}
+
+// Serve forwards a request and writes the whole answer. A refusal means that
+// nothing was written; after errors in mid answer it panics with
+// http.ErrAbortHandler, so that the answer does not look complete.
+func (f *Forwarder) Serve(ctx context.Context, writer http.ResponseWriter, request *Request) *fault.Refusal {
+	view := f.targets.currentView()
+	service := pickService(request.Route.Services)
+	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
+	w.wanted = need{service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: request.Call.AnswerTokens}
+	if view.Configuration != nil {
+		w.wanted.engine = view.Configuration.Services[service].Engine
+	}
+	f.countRequest(service)
+	if request.Route.Kind == fleet.Streaming {
+		return w.stream(ctx)
+	}
+	return w.whole(ctx)
+}
+
+// pickService draws one of a route's services by weight.
+func pickService(services []fleet.WeightedService) string {
+	total := 0
+	for _, one := range services {
+		total += max(0, one.Weight)
+	}
+	if total == 0 {
+		return services[0].Service
+	}
+	drawn := rand.IntN(total)
+	for _, one := range services {
+		drawn -= max(0, one.Weight)
+		if drawn < 0 {
+			return one.Service
+		}
+	}
+	return services[len(services)-1].Service
+}
+
+func (t *targets) currentView() *catalog.View {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.view
+}
+
+// versionMargin is how long before the bound no older version is asked for.
+const versionMargin = 900 * time.Millisecond
+
+// bindVersion sets which version the next attempt needs.
+func (w *work) bindVersion() {
+	if w.wanted.engine == nil {
+		return
+	}
+	w.wanted.atLeast = w.targets.currentView().Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
+}
+
+// attempt sends the request to one server. The failure's execution says whether
+// it may have run there.
+func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
+	w.bindVersion()
+	chosen, refusal := w.targets.choose(w.wanted)
+	if refusal != nil {
+		return nil, refusal, nil
+	}
+	target := chosen.target
+	send := fleet.SendHeader{
+		Deadline: time.Until(w.request.Deadline), Instance: target.server.ID, Version: max(w.wanted.exactly, w.wanted.atLeast),
+		Tenant: w.request.Tenant, Priority: w.request.Priority,
+	}
+	if w.lastEvent != w.request.Call.LastEventID {
+		send.LastEventID = w.lastEvent
+	}
+	w.sent++
+	w.wanted.tried = append(w.wanted.tried, target)
+	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
+		zap.String("server", target.server.ID), zap.String("zone", target.server.Zone), zap.Int("outstanding", chosen.outstanding),
+		zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.String("resume_after", send.LastEventID))
+	began := time.Now()
+	started, failed := w.open(ctx, w.request, send, target, w.silence(target))
+	if failed == nil {
+		failed = w.judge(started, send.Version)
+	}
+	if failed != nil {
+		w.unsent(target)
+		w.noteFailure(target, failed, time.Since(began))
+		return nil, nil, failed
+	}
+	w.targets.sawVersion(target, started.head.Version)
+	return started, nil, nil
+}
+
+// unsent takes an attempt that gave nothing off the server's counts.
+func (w *work) unsent(target *target) {
+	w.targets.release(target)
+	w.targets.readPrompt(target, w.wanted.prompt)
+}
+
+// judge turns an answer that is no answer to the request into a failure.
+func (w *work) judge(started *exchange, version uint64) *failure {
+	status := started.response.StatusCode
+	switch {
+	case started.head.NotRun:
+		started.drain()
+		if status == http.StatusMisdirectedRequest {
+			return &failure{reason: fault.ReasonWrongVersion, execution: fault.ExecutionNotRun, cause: statusError(status)}
+		}
+		return &failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun, cause: statusError(status)}
+	case status/100 == 2 && !started.head.Signed:
+		started.abort()
+		return &failure{reason: fault.ReasonBackendFailed, execution: fault.ExecutionUnknown, cause: errUnsigned}
+	case version != 0 && started.head.Version != 0 && started.head.Version < version:
+		started.abort()
+		return &failure{reason: fault.ReasonWrongVersion, execution: fault.ExecutionUnknown}
+	}
+	return nil
+}
+
+var errUnsigned = errors.New("the answer bears no signature")
+
+type statusError int
+
+func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
+
+// maximumDrained bounds what is read of an answer that is of no use.
+const maximumDrained = 64 << 10
+
+// drain reads a useless answer to its end, so that its connection can be kept.
+func (x *exchange) drain() {
+	count, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maximumDrained))
+	if err != nil || count == maximumDrained {
+		x.abort()
+		return
+	}
+	x.finish()
+}
+
+// noteFailure logs a failed attempt and draws the conclusion on the server.
+func (w *work) noteFailure(target *target, failed *failure, took time.Duration) {
+	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
+	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
+		zap.String("server", target.server.ID), zap.String("reason", string(failed.reason)),
+		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
+	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
+	switch failed.reason {
+	case fault.ReasonCanceled, fault.ReasonDeadline:
+	case fault.ReasonLinkLost, fault.ReasonStalled:
+		w.targets.fail(target, string(failed.reason), true)
+	default:
+		w.targets.fail(target, string(failed.reason), false)
+	}
+}
+
+// silence decides when a server that sends nothing is given up. Slowness alone is
+// no reason: the agent beside it must have lost it, or fallen silent too.
+func (w *work) silence(target *target) func(time.Duration) bool {
+	if !w.request.Route.MayRepeat() {
+		return nil
+	}
+	return func(silent time.Duration) bool {
+		return silent > suspectSilence && w.targets.suspect(target)
+	}
+}
+
+// suspectSilence is the silence after which a suspect server is given up.
+const suspectSilence = 350 * time.Millisecond
+
+// suspect reports whether there is evidence against a server.
+func (t *targets) suspect(k *target) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	return k.silentAgent(now) || (k.current(now) && !k.status.Reachable)
+}
+
+// mayTryAgain decides whether a failed attempt is followed by another, and says
+// why not.
+func (w *work) mayTryAgain(ctx context.Context, failed *failure) bool {
+	withheld := ""
+	switch {
+	case ctx.Err() != nil || failed.reason == fault.ReasonCanceled:
+		withheld = "caller left"
+	case w.mayHaveRun && !w.request.Route.MayRepeat():
+		withheld = "may have run"
+	case w.sent >= w.request.Route.Attempts:
+		withheld = "attempts"
+	case time.Until(w.request.Deadline) < minimumTime:
+		withheld = "time"
+	case !w.takeRetry(w.wanted.service):
+		withheld = "budget"
+	}
+	if withheld == "" {
+		w.metrics.retries.Inc()
+		return true
+	}
+	w.log.Log(logging.RetryWithheld, zap.String("request", w.request.Call.RequestID), zap.String("because", withheld),
+		zap.Int("attempts", w.sent), zap.Int("most_attempts", w.request.Route.Attempts))
+	return false
+}
+
+// minimumTime is the least time for which an attempt is worth while.
+const minimumTime = 30 * time.Millisecond
+
+// giveUp is the answer to a request whose last attempt failed.
+func (w *work) giveUp(failed *failure) *fault.Refusal {
+	if !w.mayHaveRun {
+		refusal := fault.NotRun(failed.reason, "no server took the request")
+		refusal.RetryAfter = noServerRetry
+		return refusal
+	}
+	reason := failed.reason
+	if failed.execution == fault.ExecutionNotRun {
+		reason = fault.ReasonBackendFailed
+	}
+	return fault.Unknown(reason, "a server may have run the request, and no answer came")
+}
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,33 @@
+package forward
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	answers     *prometheus.HistogramVec
+	firstEvent  prometheus.Histogram
+	attempts    *prometheus.CounterVec
+	retries     prometheus.Counter
+	connections prometheus.Counter
+	cut         *prometheus.CounterVec
+}
+
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pinevane_answer_seconds", Help: "Time to a server's whole answer.", Buckets: latencyBuckets}, []string{"kind", "status"}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "pinevane_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pinevane_failed_attempts_total", Help: "Attempts without a usable answer, by reason."}, []string{"reason"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pinevane_repeats_total", Help: "Requests sent to a further server."}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pinevane_server_connections_total", Help: "Connections made to servers."}),
+		cut: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
+	}
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut)
+	return m
+}
--- /dev/null
+++ b/internal/forward/targets.go
@@ -0,0 +1,228 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Times of ejection and of agents' words.
+const (
+	// ejectAfter is how many failures in a row eject a server.
+	ejectAfter = 2
+	// ejectTime is the first ejection; it doubles up to maximumEjectTime.
+	ejectTime        = 500 * time.Millisecond
+	maximumEjectTime = 4 * time.Second
+	// statusCurrent is the age up to which an agent's word is trusted.
+	statusCurrent = 1200 * time.Millisecond
+	// switchMargin is how long before its switch a server is sent nothing more.
+	switchMargin = 150 * time.Millisecond
+)
+
+// target is one server as this entry sees it. The fields below the pool are
+// guarded by the mutex of the set.
+type target struct {
+	server fleet.Server
+	pool   pool
+
+	inFlight int
+	// unread counts the prompt tokens sent whose first event has not come.
+	unread      int
+	failures    int
+	ejections   int
+	ejectedTill time.Time
+	status      fleet.MachineStatus
+	statusAt    time.Time
+	// inFlightThen is this entry's own part of the status's load.
+	inFlightThen int
+	// version is the newest that the server itself has told, in an answer or on the
+	// list of servers; versionSince is when that was.
+	version      uint64
+	versionSince time.Time
+	// meanMilliseconds is the moving mean time of whole answers.
+	meanMilliseconds float64
+	// gone servers are kept until their last request has ended.
+	gone bool
+}
+
+// targets is the set of servers.
+type targets struct {
+	zone    string
+	regions map[string]string
+	log     *logging.Logger
+	random  func() float64
+
+	mutex     sync.Mutex
+	byID      map[string]*target
+	byService map[string][]*target
+	byAddress map[string]*target
+	// statuses keeps the agents' words by the address of their server.
+	statuses map[string]statusAt
+	// counts of load measurements by service.
+	view *catalog.View
+}
+
+type statusAt struct {
+	status fleet.MachineStatus
+	at     time.Time
+}
+
+func newTargets(zone string, regions map[string]string, log *logging.Logger) *targets {
+	return &targets{
+		zone: zone, regions: regions, log: log, random: rand.Float64,
+		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
+		view: &catalog.View{},
+	}
+}
+
+// update takes over a new list of servers.
+func (t *targets) update(view *catalog.View) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.view = view
+	present := map[string]bool{}
+	t.byService = map[string][]*target{}
+	t.byAddress = map[string]*target{}
+	for service, servers := range view.Servers {
+		for _, server := range servers {
+			present[server.ID] = true
+			known := t.byID[server.ID]
+			if known == nil {
+				known = &target{}
+				t.byID[server.ID] = known
+				if told, heard := t.statuses[server.Address]; heard {
+					known.status, known.statusAt = told.status, told.at
+				}
+			}
+			if known.server.Draining != server.Draining && server.Draining {
+				t.log.Log(logging.ServerLeaving, zap.String("server", server.ID), zap.Int("in_flight", known.inFlight))
+				known.pool.close()
+			}
+			known.server = server
+			known.listed(server)
+			t.byService[service] = append(t.byService[service], known)
+			t.byAddress[server.Address] = known
+		}
+	}
+	for id, known := range t.byID {
+		if !present[id] {
+			t.log.Log(logging.ServerGone, zap.String("server", id), zap.Int("in_flight", known.inFlight))
+			known.gone = true
+			known.pool.close()
+			delete(t.byID, id)
+		}
+	}
+}
+
+// listed takes over the version that the list of servers tells.
+func (k *target) listed(server fleet.Server) {
+	for _, model := range server.Models {
+		if model.Version > k.version {
+			k.version, k.versionSince = model.Version, time.Now()
+		}
+	}
+}
+
+// takeStatus notes an agent's word on its server.
+func (t *targets) takeStatus(status fleet.MachineStatus) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	t.statuses[status.Address] = statusAt{status: status, at: now}
+	known := t.byAddress[status.Address]
+	if known == nil {
+		return
+	}
+	if known.status.Reachable != status.Reachable || known.status.Version != status.Version {
+		t.log.Log(logging.ServerStatus, zap.String("server", known.server.ID), zap.Bool("reachable", status.Reachable),
+			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
+	}
+	known.status, known.statusAt = status, now
+	known.inFlightThen = known.inFlight
+	known.version = max(known.version, status.Version)
+}
+
+// current reports whether the agent's word is recent.
+func (k *target) current(now time.Time) bool {
+	return !k.statusAt.IsZero() && now.Sub(k.statusAt) < statusCurrent
+}
+
+// silentAgent reports whether the server has an agent that has fallen silent.
+func (k *target) silentAgent(now time.Time) bool {
+	return !k.statusAt.IsZero() && now.Sub(k.statusAt) >= statusCurrent
+}
+
+// outstanding estimates how many requests the server holds.
+func (k *target) outstanding(now time.Time) int {
+	if !k.current(now) {
+		return k.inFlight
+	}
+	others := max(0, k.status.Running+k.status.Waiting-k.inFlightThen)
+	return others + k.inFlight
+}
+
+// fail notes an attempt that the server spoilt.
+func (t *targets) fail(k *target, reason string, hard bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	k.failures++
+	if hard {
+		k.failures = max(k.failures, ejectAfter)
+	}
+	if k.failures < ejectAfter {
+		return
+	}
+	k.failures = 0
+	pauseTime := min(ejectTime<<min(k.ejections, 6), maximumEjectTime)
+	k.ejections++
+	k.ejectedTill = time.Now().Add(pauseTime)
+	t.log.Log(logging.ServerEjected, zap.String("server", k.server.ID), zap.String("reason", reason), zap.Duration("for", pauseTime))
+}
+
+// succeed notes an attempt that the server carried out.
+func (t *targets) succeed(k *target, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if k.ejections > 0 {
+		t.log.Log(logging.ServerReturned, zap.String("server", k.server.ID))
+	}
+	k.failures, k.ejections = 0, 0
+	const weight = 0.1
+	value := float64(took) / float64(time.Millisecond)
+	if k.meanMilliseconds == 0 {
+		k.meanMilliseconds = value
+	}
+	k.meanMilliseconds += weight * (value - k.meanMilliseconds)
+}
+
+// sawVersion notes the version that an answer named.
+func (t *targets) sawVersion(k *target, version uint64) {
+	if version == 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if version > k.version {
+		k.version, k.versionSince = version, time.Now()
+	}
+}
+
+// sweep ends idle connections that are too old.
+func (t *targets) sweep() {
+	t.mutex.Lock()
+	all := make([]*target, 0, len(t.byID))
+	for _, known := range t.byID {
+		all = append(all, known)
+	}
+	t.mutex.Unlock()
+	now := time.Now()
+	for _, known := range all {
+		known.pool.sweep(now)
+	}
+}
--- /dev/null
+++ b/internal/gateway/callers.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/forward"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Times that refused callers are told to wait.
+const (
+	unconfiguredRetry = 500 * time.Millisecond
+	stoppingRetry     = 50 * time.Millisecond
+)
+
+// take serves one request of a caller.
+func (g *Gateway) take(writer http.ResponseWriter, incoming *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	if _, stopping := g.stoppingFor(); stopping {
+		writer.Header().Set("Connection", "close")
+	}
+	request, refusal := g.read(writer, incoming)
+	if refusal == nil {
+		refusal = g.forwarder.Serve(incoming.Context(), writer, request)
+	}
+	if refusal != nil {
+		g.refuse(writer, request, refusal)
+	}
+}
+
+// read turns an incoming request into one to forward. The request is returned
+// with what is known of it also beside a refusal.
+func (g *Gateway) read(writer http.ResponseWriter, incoming *http.Request) (*forward.Request, *fault.Refusal) {
+	call, err := g.dialect.ReadCall(incoming.Header)
+	request := &forward.Request{
+		Call: call, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: incoming.Header, Arrived: time.Now(),
+	}
+	if err != nil {
+		return request, fault.NotRun(fault.ReasonBadRequest, err.Error())
+	}
+	if !strings.HasPrefix(request.Target, "/") || strings.HasPrefix(request.Target, "//") {
+		return request, fault.NotRun(fault.ReasonUnknownService, "the request's target is no path")
+	}
+	if since, stopping := g.stoppingFor(); stopping && since > noticeTime {
+		refusal := fault.NotRun(fault.ReasonLeaving, "the process is stopping")
+		refusal.RetryAfter = stoppingRetry
+		return request, refusal
+	}
+	configuration := g.daemon.Catalog.View().Configuration
+	if configuration == nil {
+		refusal := fault.NotRun(fault.ReasonNotReady, "no configuration is known yet")
+		refusal.RetryAfter = unconfiguredRetry
+		return request, refusal
+	}
+	if refusal := admit(configuration, request); refusal != nil {
+		return request, refusal
+	}
+	limit := request.Route.Timeout
+	if call.Deadline > 0 && (limit == 0 || call.Deadline < limit) {
+		limit = call.Deadline
+	}
+	request.Deadline = request.Arrived.Add(limit)
+	return request, readBody(writer, incoming, configuration.Limits, request)
+}
+
+// admit finds the request's route and the tenant of its key.
+func admit(configuration *fleet.Configuration, request *forward.Request) *fault.Refusal {
+	path, _, _ := strings.Cut(request.Target, "?")
+	route, found := configuration.RouteOf(request.Host, path)
+	if !found {
+		return fault.NotRun(fault.ReasonUnknownService, "no route leads there")
+	}
+	request.Route = route
+	request.Priority = route.Priority
+	if !configuration.NeedsKeys() {
+		return nil
+	}
+	tenant, known := configuration.TenantOf(request.Call.Key)
+	switch {
+	case known:
+		request.Tenant = tenant.Name
+		if tenant.Priority != nil {
+			request.Priority = *tenant.Priority
+		}
+	case !route.Anonymous:
+		return fault.NotRun(fault.ReasonUnauthorized, "the key is not known")
+	}
+	return nil
+}
+
+// readBody reads a request's body whole.
+func readBody(writer http.ResponseWriter, incoming *http.Request, limits fleet.Limits, request *forward.Request) *fault.Refusal {
+	if incoming.ContentLength == 0 {
+		return nil
+	}
+	source := incoming.Body
+	if limits.BodyBytes > 0 {
+		source = http.MaxBytesReader(writer, source, limits.BodyBytes)
+	}
+	body, err := io.ReadAll(source)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fault.NotRun(fault.ReasonTooLarge, "the body is too large")
+	}
+	if err != nil {
+		// The caller has broken off; there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	request.Body = body
+	return nil
+}
+
+// statuses of refusals that are certain not to have run; others are 503.
+var statuses = map[fault.Reason]int{
+	fault.ReasonBadRequest:     http.StatusBadRequest,
+	fault.ReasonUnauthorized:   http.StatusUnauthorized,
+	fault.ReasonUnknownService: http.StatusNotFound,
+	fault.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
+}
+
+func statusOf(refusal *fault.Refusal) int {
+	if refusal.Execution == fault.ExecutionNotRun {
+		if status, listed := statuses[refusal.Reason]; listed {
+			return status
+		}
+		return http.StatusServiceUnavailable
+	}
+	if refusal.Reason == fault.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// refusalBody tells a caller why there is no answer.
+type refusalBody struct {
+	Reason    fault.Reason    `json:"reason"`
+	Execution fault.Execution `json:"execution"`
+	Detail    string          `json:"detail"`
+}
+
+// refuse answers a request that no server's answer came for.
+func (g *Gateway) refuse(writer http.ResponseWriter, request *forward.Request, refusal *fault.Refusal) {
+	status := statusOf(refusal)
+	event := logging.RequestGivenUp
+	if status == http.StatusUnauthorized || status == http.StatusNotFound {
+		event = logging.RequestDenied
+	}
+	if refusal.Reason == fault.ReasonCanceled {
+		event = logging.CallerLeft
+	}
+	route := ""
+	if request.Route != nil {
+		route = request.Route.Name
+	}
+	view := g.daemon.Catalog.View()
+	configured := uint64(0)
+	if view.Configuration != nil {
+		configured = view.Configuration.Version
+	}
+	g.log.Log(event, zap.String("request", request.Call.RequestID), zap.String("route", route), zap.String("host", request.Host),
+		zap.String("tenant", request.Tenant), zap.Int("status", status), zap.String("reason", string(refusal.Reason)),
+		zap.String("execution", string(refusal.Execution)), zap.Duration("retry_after", refusal.RetryAfter),
+		zap.Duration("took", time.Since(request.Arrived)), zap.Uint64("configuration", configured),
+		zap.Duration("configuration_age", time.Since(view.ConfigurationSince)))
+	g.metrics.refusals.WithLabelValues(string(refusal.Reason), string(refusal.Execution)).Inc()
+	header := writer.Header()
+	g.dialect.RefusalHeader(header, request.Call.RequestID, refusal.RetryAfter)
+	header.Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(refusalBody{Reason: refusal.Reason, Execution: refusal.Execution, Detail: refusal.Detail})
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,137 @@
+// Package gateway is the entry process on the users' machines: it takes callers'
+// requests on the published routes and hands them to the forwarding core.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/daemon"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/forward"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// Options wires a Gateway.
+type Options struct {
+	Daemon  *daemon.Daemon
+	Dialect fleet.Dialect
+}
+
+// Gateway is one entry process.
+type Gateway struct {
+	daemon    *daemon.Daemon
+	dialect   fleet.Dialect
+	log       *logging.Logger
+	forwarder *forward.Forwarder
+	metrics   *metrics
+	open      atomic.Int64
+	// stopping is the time of the stop signal in nanoseconds, 0 before it.
+	stopping atomic.Int64
+}
+
+// New builds an entry that does not listen yet.
+func New(options Options) *Gateway {
+	base := options.Daemon
+	settings := base.Settings()
+	g := &Gateway{daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry)}
+	g.forwarder = forward.New(forward.Options{
+		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
+		Peers:    func() int { return len(base.Catalog.Entries()) },
+		Registry: base.Registry,
+	})
+	base.Catalog.OnChange(g.forwarder.Update)
+	base.Hub.Handle(fleet.TopicMachineStatus, g.handleStatus)
+	base.Section("servers", func() any { return g.forwarder.Servers() })
+	return g
+}
+
+func (g *Gateway) handleStatus(link *peering.Link, received *message.Message) {
+	status, err := peering.Decode[fleet.MachineStatus](received)
+	if err != nil {
+		g.log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	g.forwarder.TakeStatus(status)
+}
+
+// Times of a planned stop.
+const (
+	// noticeTime is how long the platform may go on sending new connections.
+	noticeTime = 3200 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 400 * time.Millisecond
+	stopLook   = 20 * time.Millisecond
+)
+
+// Run serves until stop is closed, then finishes what is open within the grace.
+func (g *Gateway) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := g.daemon.Start(ctx); err != nil {
+		return err
+	}
+	settings := g.daemon.Settings()
+	if _, err := g.daemon.Serve(settings.Ready, http.HandlerFunc(g.answerReady)); err != nil {
+		return err
+	}
+	if _, err := g.daemon.Serve(settings.Callers, http.HandlerFunc(g.take)); err != nil {
+		return err
+	}
+	go g.forwarder.Run(ctx)
+	<-stop
+	g.drain()
+	cancel()
+	g.daemon.Close()
+	g.log.Log(logging.ProcessStopped)
+	return nil
+}
+
+// drain takes readiness back, goes on serving until the platform has surely
+// noticed, and waits for what is open.
+func (g *Gateway) drain() {
+	began := time.Now()
+	g.stopping.Store(began.UnixNano())
+	g.log.Log(logging.ProcessStopping, zap.Int64("open", g.open.Load()))
+	grace := g.daemon.Settings().Bounds.Grace - stopMargin
+	for time.Since(began) < grace {
+		if time.Since(began) > noticeTime && g.open.Load() == 0 {
+			return
+		}
+		time.Sleep(stopLook)
+	}
+	g.log.Log(logging.ProcessDraining, zap.Int64("open", g.open.Load()))
+}
+
+// stoppingFor returns for how long the process has been stopping.
+func (g *Gateway) stoppingFor() (time.Duration, bool) {
+	at := g.stopping.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Since(time.Unix(0, at)), true
+}
+
+func (g *Gateway) ready() bool {
+	view := g.daemon.Catalog.View()
+	_, stopping := g.stoppingFor()
+	return !stopping && view.Configuration != nil && len(view.Servers) > 0
+}
+
+func (g *Gateway) answerReady(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != g.dialect.ReadyPath() {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !g.ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -3,6 +3,11 @@
 package logging
 
 import (
+	"io"
+	"log"
+	"os"
+	"strings"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -29,13 +34,19 @@
 }
 
 // The events of pinevane: 1xxx processes, 2xxx configuration and membership,
-// 3xxx weights and activation, 4xxx requests, 5xxx stand-ins.
+// 3xxx weights and activation, 4xxx requests
+// (41xx decisions on a request, 42xx beliefs about servers), 5xxx stand-ins.
 var (
 	ProcessStarted    = declare("PV1001", zap.InfoLevel, "process started", "The process has read its settings and listens.")
 	ProcessStopping   = declare("PV1002", zap.InfoLevel, "process stopping", "A stop signal arrived; readiness is off, open work continues.")
 	ProcessDraining   = declare("PV1003", zap.InfoLevel, "work still open", "Written every few seconds while a stopping process finishes its open work.")
 	ProcessStopped    = declare("PV1004", zap.InfoLevel, "process stopped", "All open work is finished; the process ends.")
 	ProcessPaused     = declare("PV1005", zap.WarnLevel, "process was paused", "The clock jumped; leases are void and views are read again before acting.")
+	SettingsReloaded  = declare("PV1006", zap.InfoLevel, "settings reloaded", "The settings were read again and are in force.")
+	ReloadRefused     = declare("PV1007", zap.ErrorLevel, "settings refused", "The settings were read again and have a fault; those before stay in force.")
+	ListenFailed      = declare("PV1008", zap.WarnLevel, "address not available", "An administration address can't be listened on; the process goes on without it.")
+	ServerComplained  = declare("PV1009", zap.DebugLevel, "connection trouble", "The HTTP library met a broken connection.")
+	LinesDropped      = declare("PV1010", zap.WarnLevel, "log lines dropped", "The log's buffer was full; the field tells how many lines were dropped.")
 	PeerConnected     = declare("PV1101", zap.DebugLevel, "peer connected", "A link to another process is up.")
 	PeerLost          = declare("PV1102", zap.InfoLevel, "peer lost", "A link to another process closed; the reason is in the field error.")
 	FrameRejected     = declare("PV1103", zap.WarnLevel, "frame rejected", "A message from another process could not be decoded and was dropped.")
@@ -43,8 +54,11 @@
 	SnapshotRejected  = declare("PV2002", zap.ErrorLevel, "configuration rejected", "A revision has faults; the last good one stays in force.")
 	SnapshotStale     = declare("PV2003", zap.WarnLevel, "stale configuration ignored", "A source offered an older revision than the one in force.")
 	ServiceUnreached  = declare("PV2004", zap.WarnLevel, "platform service unreachable", "The configuration or membership service did not answer; the last known state is used.")
+	ServiceReached    = declare("PV2005", zap.InfoLevel, "platform service reached again", "A service that did not answer answers again.")
+	HistoryForgotten  = declare("PV2006", zap.WarnLevel, "history forgotten", "The store no longer knows the changes that a watch asked for; its records are listed anew.")
 	MembershipChanged = declare("PV2101", zap.DebugLevel, "membership changed", "A new membership list arrived.")
 	RelayElected      = declare("PV2102", zap.InfoLevel, "relay role changed", "This process began or ceased to read the platform for its zone.")
+	VersionNamed      = declare("PV3000", zap.InfoLevel, "weights named", "The operator has named a newer version of a model's weights.")
 	RolloutNoticed    = declare("PV3001", zap.InfoLevel, "model version noticed", "The configuration names a manifest that this machine does not serve yet.")
 	ManifestFetched   = declare("PV3002", zap.InfoLevel, "manifest verified", "The manifest of the version is here and matches the digest in the configuration.")
 	ChunkCorrupt      = declare("PV3003", zap.WarnLevel, "corrupt chunk discarded", "Received bytes do not match their digest; the source is distrusted for a while.")
@@ -55,34 +69,66 @@
 	VersionLive       = declare("PV3008", zap.InfoLevel, "version live", "The engine answered a probe with the new version; requests are admitted to it.")
 	RolloutAborted    = declare("PV3009", zap.WarnLevel, "rollout replaced", "The configuration names another version; the transfer is abandoned and shared chunks are kept.")
 	EngineRestarted   = declare("PV3010", zap.WarnLevel, "engine restarted", "The engine reports a new incarnation; its models are loaded again.")
+	TransferBegun     = declare("PV3101", zap.InfoLevel, "transfer begun", "The manifest is known and what lies at the server has been verified; the rest is being fetched.")
+	OriginFailed      = declare("PV3102", zap.WarnLevel, "origin failed", "The origin of weights gave no manifest; it is asked again.")
+	ManifestDoubted   = declare("PV3103", zap.WarnLevel, "manifest doubted", "The origin's pieces do not match the manifest; it is fetched anew.")
+	PiecesSpoilt      = declare("PV3104", zap.WarnLevel, "staged pieces spoilt", "Pieces at the server do not match their digests any more; they are fetched again before the order.")
+	OrderTaken        = declare("PV3105", zap.InfoLevel, "order taken", "The server has taken the order.")
+	OrderUnanswered   = declare("PV3106", zap.WarnLevel, "order unanswered", "The order's answer was lost; the server's state is read again.")
+	OrderFate         = declare("PV3107", zap.InfoLevel, "order's fate known", "The server's count of orders tells whether the unanswered order was taken.")
+	EngineLost        = declare("PV3108", zap.WarnLevel, "model server lost", "The machine's own server does not answer.")
+	EngineReached     = declare("PV3109", zap.InfoLevel, "model server reached", "The machine's own server answers.")
 	RequestRefused    = declare("PV4001", zap.DebugLevel, "request refused", "A request was refused; the reason code and execution are in the fields.")
 	RequestRetried    = declare("PV4002", zap.DebugLevel, "request retried", "An attempt provably did not run and was sent to another replica.")
 	StreamResumed     = declare("PV4003", zap.InfoLevel, "stream resumed", "A stream continues on another replica of the same version after its last delivered token.")
 	OutcomeUnknown    = declare("PV4004", zap.WarnLevel, "outcome unknown", "A non-repeatable attempt may have run; it is not tried again.")
 	WrongVersion      = declare("PV4005", zap.ErrorLevel, "engine answered with another version", "An answer carried another version than the attempt was pinned to; it was withheld.")
+	RequestSent       = declare("PV4101", zap.InfoLevel, "request sent", "A request was sent to a server; the fields tell the choice's inputs with their ages.")
+	RequestAnswered   = declare("PV4102", zap.InfoLevel, "request answered", "A request ended with a server's answer.")
+	RequestDenied     = declare("PV4103", zap.InfoLevel, "request denied", "A request has no route or no known key in the configuration in force.")
+	RequestGivenUp    = declare("PV4104", zap.InfoLevel, "request given up", "A request was answered by the entry itself; reason and execution are in the fields.")
+	AttemptFailed     = declare("PV4105", zap.InfoLevel, "attempt failed", "A server gave no usable answer to an attempt; the fields tell whether it may have run.")
+	RetryWithheld     = declare("PV4106", zap.InfoLevel, "retry withheld", "A request was not sent again: attempts, budget or time are used up, or it may have run.")
+	StreamCut         = declare("PV4107", zap.WarnLevel, "stream cut", "A stream ended before its last event and could not be resumed.")
+	CallerLeft        = declare("PV4108", zap.InfoLevel, "caller left", "The caller closed its connection; the work at the server is stopped.")
+	ServerLeaving     = declare("PV4201", zap.InfoLevel, "server leaving", "The list of servers says that a server drains; it is sent nothing more.")
+	ServerGone        = declare("PV4202", zap.InfoLevel, "server gone", "A server has left the list; it is sent nothing more.")
+	ServerStatus      = declare("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server.")
+	ServerEjected     = declare("PV4204", zap.WarnLevel, "server ejected", "A server failed and is avoided for a while.")
+	ServerReturned    = declare("PV4205", zap.InfoLevel, "server returned", "A server that was ejected has answered again.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
 
 // Logger writes catalogued events.
 type Logger struct {
-	zap *zap.Logger
+	zap    *zap.Logger
+	output *boundedWriter
 }
 
 // New returns a logger that writes JSON lines to standard error.
 // The level is one of debug, info, warn, error.
 func New(level zapcore.Level, process string) (*Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(level)
-	config.Sampling = nil
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	base, err := config.Build()
-	if err != nil {
-		return nil, err
-	}
-	return &Logger{zap: base.With(zap.String("process", process))}, nil
+	return newLogger(level, process, zapcore.Lock(os.Stderr)), nil
+}
+
+// NewBounded returns a logger that writes JSON lines through a bounded buffer: a
+// slow reader never holds up the process, and lines that find the buffer full are
+// dropped and counted.
+func NewBounded(level zapcore.Level, process string, output io.Writer) *Logger {
+	bounded := newBoundedWriter(output)
+	logger := newLogger(level, process, bounded)
+	logger.output = bounded
+	bounded.onDropped = func(lines int64) { logger.Log(LinesDropped, zap.Int64("lines", lines)) }
+	return logger
+}
+
+func newLogger(level zapcore.Level, process string, output zapcore.WriteSyncer) *Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.SecondsDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), output, level)
+	return &Logger{zap: zap.New(core).With(zap.String("process", process))}
 }
 
 // Nop returns a logger that discards everything.
@@ -95,5 +141,26 @@
 	}
 }
 
+// Standard returns a logger of the standard library whose lines become events.
+func (l *Logger) Standard(event Event) *log.Logger {
+	return log.New(lineLogger{logger: l, event: event}, "", 0)
+}
+
+type lineLogger struct {
+	logger *Logger
+	event  Event
+}
+
+// Write implements io.Writer.
+func (w lineLogger) Write(line []byte) (int, error) {
+	w.logger.Log(w.event, zap.String("detail", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // Sync flushes buffered entries; its error is of no use at exit and is dropped.
-func (l *Logger) Sync() { _ = l.zap.Sync() }
+func (l *Logger) Sync() {
+	_ = l.zap.Sync()
+	if l.output != nil {
+		l.output.flush()
+	}
+}
--- /dev/null
+++ b/internal/rollout/agent.go
@@ -0,0 +1,241 @@
+// Package rollout is the agent process on the users' machines: it brings new
+// weights to its machine's model server, hands them on to other agents, orders
+// the server to change over in its turn, and tells entries how the server does.
+package rollout
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/coordination/turnover"
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/daemon"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Options wires an Agent.
+type Options struct {
+	Daemon *daemon.Daemon
+	Server fleet.ModelServer
+	Origin fleet.WeightOrigin
+}
+
+// Agent is one agent process.
+type Agent struct {
+	daemon *daemon.Daemon
+	log    *logging.Logger
+	server fleet.ModelServer
+	origin fleet.WeightOrigin
+	self   dissemination.MachineID
+	peers  *peerClient
+
+	uploads        chan struct{}
+	waitingUploads atomic.Int64
+	woken          chan struct{}
+	// staging is held for reading while a piece is laid down, and for writing while
+	// an order is given, so that the server takes exactly what was verified.
+	staging sync.RWMutex
+
+	mutex   sync.Mutex
+	current *transfer
+	report  fleet.Report
+	// reportAt is when the server last answered; reachable is whether it did at the
+	// last try.
+	reportAt  time.Time
+	reachable bool
+	misses    int
+	switchAt  time.Time
+	ordering  bool
+	// refusedTill delays the next order after one that did not fit.
+	refusedTill time.Time
+}
+
+// New builds an agent that does not listen yet.
+func New(options Options) *Agent {
+	settings := options.Daemon.Settings()
+	a := &Agent{
+		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
+		self: dissemination.MachineID(settings.IP), peers: newPeerClient(settings.InternalPort),
+		uploads: make(chan struct{}, maximumUploads), woken: make(chan struct{}, 1),
+	}
+	a.mount(options.Daemon.Router)
+	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
+	options.Daemon.Section("rollout", func() any { return a.status(time.Now()) })
+	return a
+}
+
+// Run serves until stop is closed.
+func (a *Agent) Run(stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := a.daemon.Start(ctx); err != nil {
+		return err
+	}
+	var work sync.WaitGroup
+	work.Go(func() { a.watchServer(ctx) })
+	work.Go(func() { a.keep(ctx) })
+	<-stop
+	a.log.Log(logging.ProcessStopping)
+	// An order that is being given is waited for, so that its fate is known.
+	a.staging.Lock()
+	cancel()
+	a.staging.Unlock()
+	work.Wait()
+	a.daemon.Close()
+	a.log.Log(logging.ProcessStopped)
+	return nil
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func itoa(number int) string { return strconv.Itoa(number) }
+
+// wake asks the keeper to look again.
+func (a *Agent) wake() {
+	select {
+	case a.woken <- struct{}{}:
+	default:
+	}
+}
+
+// engine returns the engine of this machine's service, and its model's name.
+func (a *Agent) engine() (*fleet.Engine, string) {
+	view := a.daemon.Catalog.View()
+	if view.Configuration == nil {
+		return nil, ""
+	}
+	engine := view.Configuration.Services[a.daemon.Settings().Service].Engine
+	if engine == nil || len(engine.Models) == 0 {
+		return nil, ""
+	}
+	return engine, engine.Models[0]
+}
+
+func (a *Agent) originAddress() (string, bool) {
+	view := a.daemon.Catalog.View()
+	if view.Configuration == nil {
+		return "", false
+	}
+	origin, known := view.Configuration.Origin()
+	return origin.OriginAddress, known
+}
+
+// members lists the machines of this machine's service, by IP address.
+func (a *Agent) members() []turnover.Member {
+	settings := a.daemon.Settings()
+	members := []turnover.Member{{ID: settings.IP, Zone: settings.Zone}}
+	for _, server := range a.daemon.Catalog.View().Servers[settings.Service] {
+		host, _, err := net.SplitHostPort(server.Address)
+		if err != nil || server.Draining || host == settings.IP {
+			continue
+		}
+		members = append(members, turnover.Member{ID: host, Zone: server.Zone})
+	}
+	return members
+}
+
+func (a *Agent) roster() *dissemination.Roster {
+	settings := a.daemon.Settings()
+	var machines []dissemination.Machine
+	for _, member := range a.members() {
+		machines = append(machines, dissemination.Machine{
+			ID: dissemination.MachineID(member.ID), Zone: member.Zone, Region: settings.Regions[member.Zone],
+		})
+	}
+	return dissemination.NewRoster(machines)
+}
+
+// inventoryPeers picks, in each zone, a few machines to ask what they hold; the
+// own zone is first.
+func (a *Agent) inventoryPeers(plan dissemination.Plan) [][]dissemination.MachineID {
+	byZone := map[string][]dissemination.MachineID{}
+	for _, member := range a.members() {
+		if machine := dissemination.MachineID(member.ID); machine != a.self {
+			byZone[member.Zone] = append(byZone[member.Zone], machine)
+		}
+	}
+	own := plan.Zone(a.self)
+	if near := byZone[own]; len(near) > 0 {
+		byZone = map[string][]dissemination.MachineID{own: near}
+	}
+	var picked [][]dissemination.MachineID
+	for _, machines := range byZone {
+		slices.Sort(machines)
+		offset := int(a.self[len(a.self)-1]) % len(machines)
+		rotated := append(slices.Clone(machines[offset:]), machines[:offset]...)
+		picked = append(picked, rotated[:min(inventoriesPerZone, len(rotated))])
+	}
+	return picked
+}
+
+// fleetChanged follows a new view.
+func (a *Agent) fleetChanged() {
+	a.mutex.Lock()
+	current := a.current
+	a.mutex.Unlock()
+	if current != nil {
+		current.rearrange()
+	}
+	a.wake()
+}
+
+func (a *Agent) transferOf(model string, version uint64) *transfer {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.current == nil || a.current.model != model || (version != 0 && a.current.version() != version) {
+		return nil
+	}
+	return a.current
+}
+
+func (a *Agent) takeOffer(incoming offer) offerAnswer {
+	found := a.transferOf(incoming.Model, incoming.Version)
+	if found == nil {
+		return offerAnswer{Lacked: incoming.Pieces}
+	}
+	return found.take(incoming)
+}
+
+// stage lays a verified piece at the server, unless the transfer was replaced.
+func (a *Agent) stage(ctx context.Context, t *transfer, index int, content []byte) error {
+	a.staging.RLock()
+	defer a.staging.RUnlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return a.server.Stage(ctx, t.model, index, content)
+}
+
+// doubt gives up a manifest whose pieces the origin itself does not match.
+func (a *Agent) doubt(t *transfer) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.current == t {
+		a.log.Log(logging.ManifestDoubted, zap.String("model", t.model), zap.Uint64("version", t.version()))
+		t.cancel()
+		a.current = nil
+	}
+	a.wake()
+}
+
+func (a *Agent) serverSound() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.reachable
+}
--- /dev/null
+++ b/internal/rollout/keeper.go
@@ -0,0 +1,182 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/turnover"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Times of changing over.
+const (
+	keepPeriod = 100 * time.Millisecond
+	// copySlack multiplies the time of one copy over the link to the time after
+	// which turns begin.
+	copySlack = 1.25
+	// dueMargin is how long before the bound the last turn is.
+	dueMargin = 1100 * time.Millisecond
+	// orderPause is the time after an order that did not fit.
+	orderPause = 300 * time.Millisecond
+	// orderSettle bounds the wait for the fate of an order without an answer.
+	orderSettle = 2 * time.Second
+)
+
+// keep brings the server to the newest named version again and again.
+func (a *Agent) keep(ctx context.Context) {
+	ticker := time.NewTicker(keepPeriod)
+	defer ticker.Stop()
+	for {
+		a.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-a.woken:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step makes one decision from all that is known now.
+func (a *Agent) step(ctx context.Context) {
+	engine, model := a.engine()
+	if engine == nil {
+		return
+	}
+	wanted := uint64(0)
+	if newest, named := a.daemon.Catalog.View().Newest(model); named {
+		wanted = newest.Version
+	}
+	current := a.follow(ctx, model, wanted)
+	wanted = max(wanted, current.version())
+	complete, _ := current.state()
+	a.mutex.Lock()
+	report, reachable := a.report, a.reachable
+	a.mutex.Unlock()
+	serving := servedVersion(report, model, engine.Layers)
+	switchAt := a.planSwitch(model, engine, serving, wanted)
+	if !reachable || report.Busy || !complete || serving >= wanted || time.Now().Before(switchAt) {
+		return
+	}
+	a.changeOver(ctx, current, serving)
+}
+
+// follow makes the transfer of the wanted version the present one. A version that
+// has been replaced is dropped at once; what both share stays at the server.
+func (a *Agent) follow(ctx context.Context, model string, wanted uint64) *transfer {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.current != nil && a.current.model == model && (a.current.version() == wanted || wanted == 0) {
+		return a.current
+	}
+	if a.current != nil {
+		a.log.Log(logging.RolloutAborted, zap.String("model", model), zap.Uint64("version", a.current.version()), zap.Uint64("wanted", wanted))
+		a.current.cancel()
+	}
+	transferContext, cancel := context.WithCancel(ctx)
+	a.current = newTransfer(a, model, wanted, cancel)
+	a.log.Log(logging.RolloutNoticed, zap.String("model", model), zap.Uint64("version", wanted))
+	go a.current.run(transferContext)
+	return a.current
+}
+
+// servedVersion is the version that a server holds whole, or 0.
+func servedVersion(report fleet.Report, model string, layers int) uint64 {
+	for _, held := range report.Models {
+		if held.Name == model && held.Holds(layers) {
+			return held.Version
+		}
+	}
+	return 0
+}
+
+// planSwitch computes when the server changes over: at once when it serves
+// nothing, else in its turn, counted from the first version that it lacks.
+func (a *Agent) planSwitch(model string, engine *fleet.Engine, serving, wanted uint64) time.Time {
+	var planned time.Time
+	notice, lacking := a.daemon.Catalog.View().FirstAfter(model, serving)
+	if lacking && serving != 0 && serving < wanted {
+		settings := a.daemon.Settings()
+		ordered := turnover.Order(model+"/"+itoa(int(wanted)), a.members())
+		turn := turnover.Turn(ordered, settings.IP, a.window(engine, settings))
+		planned = notice.Since.Add(turn)
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.switchAt = planned
+	return planned
+}
+
+// window is the time in which the servers change over: from when one copy has
+// surely arrived until shortly before the bound.
+func (a *Agent) window(engine *fleet.Engine, settings fleet.Settings) turnover.Window {
+	copyTime := time.Duration(0)
+	if settings.LinkBytesPerSecond > 0 {
+		copyTime = time.Duration(float64(engine.Pieces*engine.PieceBytes) / settings.LinkBytesPerSecond * float64(time.Second))
+	}
+	end := settings.Bounds.VersionApply - dueMargin
+	return turnover.Window{Start: min(time.Duration(copySlack*float64(copyTime)), end), End: end}
+}
+
+// changeOver verifies what lies at the server and orders it into service. Nothing
+// is laid down meanwhile.
+func (a *Agent) changeOver(ctx context.Context, current *transfer, serving uint64) {
+	a.staging.Lock()
+	defer a.staging.Unlock()
+	if a.transferOf(current.model, current.version()) != current || ctx.Err() != nil {
+		return
+	}
+	began := time.Now()
+	if bad := current.verifyAll(ctx); len(bad) > 0 {
+		a.log.Log(logging.PiecesSpoilt, zap.String("model", current.model), zap.Uint64("version", current.version()), zap.Ints("pieces", bad))
+		current.restart(bad)
+		return
+	}
+	fresh, err := a.server.Report(ctx)
+	if err != nil || fresh.Busy {
+		return
+	}
+	a.setOrdering(true)
+	defer a.setOrdering(false)
+	order := fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}
+	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
+		zap.Uint64("sequence", order.Sequence), zap.Duration("verified_in", time.Since(began)))
+	outcome, err := a.server.Start(ctx, order)
+	switch {
+	case err != nil:
+		a.log.Log(logging.OrderUnanswered, zap.Uint64("version", order.Version), zap.Error(err))
+		a.settle(ctx, order)
+	case outcome == fleet.OrderConflict:
+		a.log.Log(logging.OrderRefused, zap.Uint64("version", order.Version), zap.Uint64("sequence", order.Sequence))
+		pause(ctx, orderPause)
+	default:
+		a.log.Log(logging.OrderTaken, zap.Uint64("version", order.Version), zap.Bool("holds_already", outcome == fleet.OrderHolds))
+	}
+	a.readReport(ctx)
+}
+
+// settle waits until the server answers again after an order without an answer,
+// so that the order's fate shows before anything else is laid down.
+func (a *Agent) settle(ctx context.Context, order fleet.StartOrder) {
+	deadline := time.Now().Add(orderSettle)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		report, err := a.server.Report(ctx)
+		if err == nil {
+			a.log.Log(logging.OrderFate, zap.Uint64("version", order.Version), zap.Bool("taken", report.Sequence > order.Sequence))
+			return
+		}
+		pause(ctx, keepPeriod)
+	}
+}
+
+func (a *Agent) setOrdering(ordering bool) {
+	a.mutex.Lock()
+	a.ordering = ordering
+	a.mutex.Unlock()
+	if ordering {
+		a.pushStatus()
+	}
+}
--- /dev/null
+++ b/internal/rollout/status.go
@@ -0,0 +1,137 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// Times of watching the server.
+const (
+	// reportPeriod is the pace at which the own server is asked.
+	reportPeriod = 150 * time.Millisecond
+	// missesUnreachable is how many questions in a row must fail until the server
+	// counts as unreachable.
+	missesUnreachable = 2
+	reportTimeout     = 250 * time.Millisecond
+	// statusPeriod is the longest time between two words to entries.
+	statusPeriod = 300 * time.Millisecond
+)
+
+// watchServer asks the own server how it does, and tells the entries.
+func (a *Agent) watchServer(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	var last fleet.MachineStatus
+	var lastAt time.Time
+	for {
+		a.readReport(ctx)
+		now := time.Now()
+		status := a.status(now)
+		if !sameStatus(status, last) || now.Sub(lastAt) >= statusPeriod {
+			a.send(status)
+			last, lastAt = status, now
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sameStatus compares all that an entry would act on.
+func sameStatus(a, b fleet.MachineStatus) bool {
+	a.SwitchMilliseconds, b.SwitchMilliseconds = min(a.SwitchMilliseconds, 1), min(b.SwitchMilliseconds, 1)
+	a.Missing, b.Missing = 0, 0
+	a.CacheUsed, b.CacheUsed = 0, 0
+	return a == b
+}
+
+func (a *Agent) readReport(ctx context.Context) {
+	timed, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := a.server.Report(timed)
+	if ctx.Err() != nil {
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if err != nil {
+		a.misses++
+		if a.misses >= missesUnreachable && a.reachable {
+			a.reachable = false
+			a.log.Log(logging.EngineLost, zap.Error(err))
+		}
+		return
+	}
+	if !a.reachable {
+		a.log.Log(logging.EngineReached, zap.Int("models", len(report.Models)), zap.Uint64("sequence", report.Sequence))
+		a.wake()
+	}
+	a.logVersion(report)
+	a.misses, a.reachable = 0, true
+	a.report, a.reportAt = report, time.Now()
+}
+
+// logVersion logs a version that has come into service; the mutex is held.
+func (a *Agent) logVersion(report fleet.Report) {
+	if len(report.Models) == 0 {
+		return
+	}
+	if len(a.report.Models) == 0 || a.report.Models[0] != report.Models[0] {
+		held := report.Models[0]
+		a.log.Log(logging.VersionLive, zap.String("model", held.Name), zap.Uint64("version", held.Version),
+			zap.Int("from_layer", held.FromLayer), zap.Int("to_layer", held.ToLayer))
+	}
+}
+
+// status describes the machine as entries are told.
+func (a *Agent) status(now time.Time) fleet.MachineStatus {
+	engine, model := a.engine()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	status := fleet.MachineStatus{
+		Address: a.daemon.Settings().ServerAddress, Reachable: a.reachable, Model: model,
+		Running: a.report.Running, Waiting: a.report.Waiting, CacheUsed: a.report.CacheUsed, CacheTotal: a.report.CacheTotal,
+		Pace: a.report.Pace, SwitchMilliseconds: fleet.NoSwitch,
+	}
+	if engine != nil {
+		status.Version = servedVersion(a.report, model, engine.Layers)
+	}
+	if a.current != nil {
+		status.Wanted = a.current.version()
+		_, status.Missing = a.current.state()
+	}
+	switch {
+	case a.ordering || a.report.Busy:
+		status.SwitchMilliseconds = 0
+	case !a.switchAt.IsZero() && status.Version != 0 && status.Version < status.Wanted:
+		// While pieces are missing the turn can't come before they are there.
+		status.SwitchMilliseconds = max(0, a.switchAt.Sub(now).Milliseconds())
+		if status.Missing > 0 {
+			status.SwitchMilliseconds = max(status.SwitchMilliseconds, missingSwitch.Milliseconds())
+		}
+	}
+	return status
+}
+
+// missingSwitch is the least time to a switch whose pieces are not all there.
+const missingSwitch = 500 * time.Millisecond
+
+// pushStatus tells the entries at once.
+func (a *Agent) pushStatus() { a.send(a.status(time.Now())) }
+
+func (a *Agent) send(status fleet.MachineStatus) {
+	for _, link := range a.daemon.Hub.Accepted() {
+		if link.Remote().Role == catalog.RoleEntry {
+			go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", status) }()
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/transfer.go
@@ -0,0 +1,509 @@
+package rollout
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Tuning of a transfer.
+const (
+	transferTick = 50 * time.Millisecond
+	// patience is how long progress is waited for before asking around.
+	patience = 300 * time.Millisecond
+	// distrust is how long a peer that failed is avoided.
+	distrust = 2 * time.Second
+	// maximumFetches is how many pieces are fetched at once.
+	maximumFetches = 6
+	// lagPieces is how far behind the newest a piece may be before it is asked for.
+	lagPieces = 24
+	// originFetches is how many pieces are read from the origin at once.
+	originFetches = 2
+	pieceTimeout  = 3 * time.Second
+	manifestRetry = 100 * time.Millisecond
+	// manifestTurn is the time after which the next in turn asks the origin itself.
+	manifestTurn = 400 * time.Millisecond
+	// inventoriesPerZone is how many machines of each zone are asked what they hold.
+	inventoriesPerZone = 3
+	// manifestDoubts is how many pieces from the origin must fail their digests
+	// until the manifest itself is doubted.
+	manifestDoubts = 3
+)
+
+// transfer brings one version's pieces to the machine's server, and goes on
+// answering peers once they are all there.
+type transfer struct {
+	agent *Agent
+	model string
+	// number is the version; 0 until the manifest tells it.
+	number  atomic.Uint64
+	began   time.Time
+	cancel  context.CancelFunc
+	kick    chan struct{}
+	origins chan struct{}
+
+	mutex    sync.Mutex
+	plan     dissemination.Plan
+	manifest *fleet.Manifest
+	fetcher  *dissemination.Fetcher
+	// early keeps offers that came before the manifest.
+	early      []offer
+	doubts     int
+	complete   bool
+	fromOrigin int
+	fromPeers  int
+}
+
+func newTransfer(agent *Agent, model string, version uint64, cancel context.CancelFunc) *transfer {
+	t := &transfer{
+		agent: agent, model: model, began: time.Now(), cancel: cancel,
+		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches),
+	}
+	t.number.Store(version)
+	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, agent.roster())
+	return t
+}
+
+func (t *transfer) self() dissemination.MachineID { return t.agent.self }
+
+func (t *transfer) version() uint64 { return t.number.Load() }
+
+func (t *transfer) now() time.Duration { return time.Since(t.began) }
+
+func (t *transfer) poke() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+// rearrange takes over a new list of machines.
+func (t *transfer) rearrange() {
+	roster := t.agent.roster()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, roster)
+	if t.fetcher != nil {
+		t.fetcher.SetPlan(t.plan, t.now())
+	}
+	t.poke()
+}
+
+// run transfers until the context ends.
+func (t *transfer) run(ctx context.Context) {
+	manifest, found := t.findManifest(ctx)
+	if !found {
+		return
+	}
+	held := t.verifyHeld(ctx, manifest)
+	t.begin(manifest, held)
+	t.askInventories(ctx)
+	ticker := time.NewTicker(transferTick)
+	defer ticker.Stop()
+	for {
+		t.carryOut(ctx)
+		t.noteComplete()
+		select {
+		case <-t.kick:
+		case <-ticker.C:
+			t.mutex.Lock()
+			t.fetcher.Tick(t.now())
+			t.mutex.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// findManifest asks peers, nearest in the plan first, and the origin when it is
+// this machine's turn.
+func (t *transfer) findManifest(ctx context.Context) (fleet.Manifest, bool) {
+	for ctx.Err() == nil {
+		t.mutex.Lock()
+		plan := t.plan
+		t.mutex.Unlock()
+		_, hasParent := plan.Parent(0, t.self())
+		if hasParent {
+			if manifest, found := t.manifestFromPeers(ctx, plan); found {
+				return manifest, true
+			}
+		}
+		turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
+		if !hasParent || (turn >= 0 && t.now() > time.Duration(turn+1)*manifestTurn) || t.now() > 4*manifestTurn {
+			if manifest, found := t.manifestFromOrigin(ctx); found {
+				return manifest, true
+			}
+		}
+		pause(ctx, manifestRetry)
+	}
+	return fleet.Manifest{}, false
+}
+
+// manifestPeers is how many peers are asked for the manifest in a round.
+const manifestPeers = 3
+
+func (t *transfer) manifestFromPeers(ctx context.Context, plan dissemination.Plan) (fleet.Manifest, bool) {
+	providers := plan.Providers(0, t.self())
+	for _, peer := range providers[:min(manifestPeers, len(providers))] {
+		message, err := ask[manifestMessage](ctx, t.agent.peers, peer, versionPath(manifestPath, t.model, t.version()))
+		if err != nil || message.Model != t.model || len(message.Digests) == 0 || (t.version() != 0 && message.Version != t.version()) {
+			continue
+		}
+		t.agent.log.Log(logging.ManifestFetched, zap.String("model", t.model), zap.Uint64("version", message.Version), zap.String("source", string(peer)))
+		return fleet.Manifest{
+			Model: message.Model, Version: message.Version, Layers: message.Layers, PieceBytes: message.PieceBytes, Digests: message.Digests,
+		}, true
+	}
+	return fleet.Manifest{}, false
+}
+
+func (t *transfer) manifestFromOrigin(ctx context.Context) (fleet.Manifest, bool) {
+	address, known := t.agent.originAddress()
+	if !known {
+		return fleet.Manifest{}, false
+	}
+	manifest, err := t.agent.origin.Manifest(ctx, address, t.model, t.version())
+	if err != nil {
+		t.agent.log.Log(logging.OriginFailed, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Error(err))
+		return fleet.Manifest{}, false
+	}
+	t.agent.log.Log(logging.ManifestFetched, zap.String("model", t.model), zap.Uint64("version", manifest.Version), zap.String("source", "origin"))
+	return manifest, true
+}
+
+// verifyHeld reads back what lies at the server and marks the pieces that match.
+func (t *transfer) verifyHeld(ctx context.Context, manifest fleet.Manifest) []bool {
+	held := make([]bool, len(manifest.Digests))
+	for ctx.Err() == nil {
+		indexes, err := t.agent.server.HeldPieces(ctx, t.model)
+		if err != nil {
+			pause(ctx, manifestRetry)
+			continue
+		}
+		for _, index := range indexes {
+			if index < 0 || index >= len(held) {
+				continue
+			}
+			content, err := t.agent.server.Piece(ctx, t.model, index)
+			held[index] = err == nil && sha256.Sum256(content) == manifest.Digests[index]
+		}
+		return held
+	}
+	return held
+}
+
+func (t *transfer) begin(manifest fleet.Manifest, held []bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.manifest = &manifest
+	t.number.Store(manifest.Version)
+	t.fetcher = dissemination.NewFetcher(dissemination.Options{
+		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held,
+		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+	})
+	t.fetcher.Start(t.now())
+	t.agent.log.Log(logging.TransferBegun, zap.String("model", t.model), zap.Uint64("version", t.version()),
+		zap.Int("pieces", len(held)), zap.Int("missing", t.fetcher.Missing()), zap.Duration("after", t.now()))
+	for _, pending := range t.early {
+		t.takeLocked(pending)
+	}
+	t.early = nil
+}
+
+// askInventories learns what peers already hold, which they do not offer to a
+// machine that has come later.
+func (t *transfer) askInventories(ctx context.Context) {
+	t.mutex.Lock()
+	missing, plan := t.fetcher.Missing(), t.plan
+	t.mutex.Unlock()
+	if missing == 0 {
+		return
+	}
+	for _, peers := range t.agent.inventoryPeers(plan) {
+		go t.askZone(ctx, peers)
+	}
+}
+
+// askZone asks the machines of one zone, and takes what they hold in turns, so
+// that no one of them has to send everything.
+func (t *transfer) askZone(ctx context.Context, peers []dissemination.MachineID) {
+	holders := map[int][]dissemination.MachineID{}
+	for _, peer := range peers {
+		held, err := ask[inventory](ctx, t.agent.peers, peer, versionPath(inventoryPath, t.model, t.version()))
+		if err != nil {
+			continue
+		}
+		for _, index := range held.Pieces {
+			holders[index] = append(holders[index], peer)
+		}
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for index, machines := range holders {
+		for turn := range machines {
+			t.fetcher.Offered(machines[(index+turn)%len(machines)], index, t.now())
+		}
+	}
+	t.poke()
+}
+
+// take feeds an offer or a question to the fetcher.
+func (t *transfer) take(incoming offer) offerAnswer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.fetcher == nil {
+		if len(t.early) < maximumEarlyOffers {
+			t.early = append(t.early, incoming)
+		}
+		return offerAnswer{}
+	}
+	return t.takeLocked(incoming)
+}
+
+// maximumEarlyOffers bounds the offers kept until the manifest is known.
+const maximumEarlyOffers = 512
+
+func (t *transfer) takeLocked(incoming offer) offerAnswer {
+	var answer offerAnswer
+	backlog := int(t.agent.waitingUploads.Load())
+	for _, piece := range incoming.Pieces {
+		switch {
+		case !incoming.Ask:
+			t.fetcher.Offered(incoming.From, piece, t.now())
+		case t.fetcher.Asked(incoming.From, piece, backlog, t.now()):
+			answer.Held = append(answer.Held, piece)
+		case t.fetcher.Expects(piece):
+			answer.Pending = append(answer.Pending, piece)
+		default:
+			answer.Lacked = append(answer.Lacked, piece)
+		}
+	}
+	t.poke()
+	return answer
+}
+
+// carryOut starts what the fetcher wants done; offers and questions to one peer
+// go together.
+func (t *transfer) carryOut(ctx context.Context) {
+	t.mutex.Lock()
+	actions := t.fetcher.Take()
+	t.mutex.Unlock()
+	type batchKey struct {
+		peer dissemination.MachineID
+		ask  bool
+	}
+	batches := map[batchKey][]int{}
+	for _, action := range actions {
+		switch action.Kind {
+		case dissemination.Offer, dissemination.Ask:
+			key := batchKey{peer: action.Peer, ask: action.Kind == dissemination.Ask}
+			batches[key] = append(batches[key], action.Chunk)
+		case dissemination.Fetch, dissemination.FetchOrigin:
+			go t.fetch(ctx, action)
+		}
+	}
+	for key, pieces := range batches {
+		go t.sendOffer(ctx, key.peer, pieces, key.ask)
+	}
+}
+
+func (t *transfer) sendOffer(ctx context.Context, peer dissemination.MachineID, pieces []int, isQuestion bool) {
+	body := offer{From: t.self(), Model: t.model, Version: t.version(), Pieces: pieces, Ask: isQuestion}
+	answer, err := t.agent.peers.offer(ctx, peer, body)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, piece := range pieces {
+		switch {
+		case err != nil && isQuestion:
+			t.fetcher.AskFailed(peer, piece, t.now())
+		case err != nil:
+			t.fetcher.OfferFailed(peer, piece, t.now())
+		}
+	}
+	for _, piece := range answer.Held {
+		t.fetcher.Offered(peer, piece, t.now())
+	}
+	for _, piece := range answer.Pending {
+		t.fetcher.AskPending(peer, piece)
+	}
+	for _, piece := range answer.Lacked {
+		t.fetcher.AskDenied(peer, piece)
+	}
+	t.poke()
+}
+
+// fetch brings one piece to the server and reports how it went.
+func (t *transfer) fetch(ctx context.Context, action dissemination.Action) {
+	content, err := t.readFrom(ctx, action)
+	if err == nil && sha256.Sum256(content) != t.manifest.Digests[action.Chunk] {
+		err = &fault.Corrupt{Source: string(action.Peer)}
+	}
+	if err == nil {
+		err = t.agent.stage(ctx, t, action.Chunk, content)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	defer t.poke()
+	if err != nil {
+		t.fetcher.FetchFailed(action.Peer, action.Chunk, t.judge(err, action), t.now())
+		return
+	}
+	if action.Kind == dissemination.FetchOrigin {
+		t.fromOrigin += len(content)
+	} else {
+		t.fromPeers += len(content)
+	}
+	t.fetcher.Fetched(action.Peer, action.Chunk, t.now())
+}
+
+func (t *transfer) readFrom(ctx context.Context, action dissemination.Action) ([]byte, error) {
+	if action.Kind == dissemination.Fetch {
+		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk)
+		return t.agent.peers.call(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
+	}
+	select {
+	case t.origins <- struct{}{}:
+		defer func() { <-t.origins }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	address, known := t.agent.originAddress()
+	if !known {
+		return nil, &fault.Unavailable{Target: "origin", Operation: "piece"}
+	}
+	return t.agent.origin.Piece(ctx, address, t.model, t.version(), action.Chunk)
+}
+
+// judge turns an error into the fetcher's reason; the mutex is held.
+func (t *transfer) judge(err error, action dissemination.Action) dissemination.FailureReason {
+	var corrupt *fault.Corrupt
+	var unavailable *fault.Unavailable
+	source := string(action.Peer)
+	if action.Kind == dissemination.FetchOrigin {
+		source = "origin"
+	}
+	switch {
+	case errors.As(err, &corrupt):
+		t.agent.log.Log(logging.ChunkCorrupt, zap.String("source", source), zap.Int("piece", action.Chunk), zap.Uint64("version", t.version()))
+		if source == "origin" {
+			t.doubts++
+		}
+		return dissemination.Corrupted
+	case errors.Is(err, context.DeadlineExceeded):
+		t.agent.log.Log(logging.ChunkStalled, zap.String("source", source), zap.Int("piece", action.Chunk), zap.Uint64("version", t.version()))
+		return dissemination.Stalled
+	case errors.As(err, &unavailable) && unavailable.Status != 0:
+		return dissemination.NotHeld
+	}
+	return dissemination.Unreachable
+}
+
+// noteComplete announces that every piece lies at the server.
+func (t *transfer) noteComplete() {
+	t.mutex.Lock()
+	changed := !t.complete && t.fetcher.Missing() == 0
+	t.complete = t.fetcher.Missing() == 0
+	doubtful := t.doubts > manifestDoubts && !t.complete
+	t.mutex.Unlock()
+	if changed {
+		t.agent.log.Log(logging.WeightsStaged, zap.String("model", t.model), zap.Uint64("version", t.version()),
+			zap.Duration("took", t.now()), zap.Int("origin_bytes", t.fromOrigin), zap.Int("peer_bytes", t.fromPeers))
+		t.agent.wake()
+	}
+	if doubtful {
+		t.agent.doubt(t)
+	}
+}
+
+// state returns whether all pieces are there and how many are missing.
+func (t *transfer) state() (complete bool, missing int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.fetcher == nil {
+		return false, 1
+	}
+	return t.fetcher.Missing() == 0, t.fetcher.Missing()
+}
+
+func (t *transfer) knownManifest() (fleet.Manifest, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.manifest == nil {
+		return fleet.Manifest{}, false
+	}
+	return *t.manifest, true
+}
+
+func (t *transfer) heldPieces() []int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var held []int
+	if t.fetcher == nil {
+		return held
+	}
+	for index := range t.manifest.Digests {
+		if t.fetcher.Holds(index) {
+			held = append(held, index)
+		}
+	}
+	return held
+}
+
+// readPiece reads a piece back and verifies it once more.
+func (t *transfer) readPiece(ctx context.Context, index int) ([]byte, bool) {
+	manifest, known := t.knownManifest()
+	if !known || index < 0 || index >= len(manifest.Digests) {
+		return nil, false
+	}
+	content, err := t.agent.server.Piece(ctx, t.model, index)
+	if err != nil || sha256.Sum256(content) != manifest.Digests[index] {
+		return nil, false
+	}
+	return content, true
+}
+
+// verifyAll reads every piece back and returns those that do not match.
+func (t *transfer) verifyAll(ctx context.Context) []int {
+	manifest, known := t.knownManifest()
+	if !known {
+		return nil
+	}
+	var bad []int
+	for index := range manifest.Digests {
+		if _, sound := t.readPiece(ctx, index); !sound {
+			bad = append(bad, index)
+		}
+	}
+	return bad
+}
+
+// restart begins anew with what is sound, after pieces have turned bad.
+func (t *transfer) restart(bad []int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held := make([]bool, len(t.manifest.Digests))
+	for index := range held {
+		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
+	}
+	t.fetcher = dissemination.NewFetcher(dissemination.Options{
+		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held,
+		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+	})
+	t.complete = false
+	t.fetcher.Start(t.now())
+	t.poke()
+}
