Uploads of pieces are paced; a late machine asks its peers first

Cause: streams were late between 18 and 20 s, before any server changed over: 4 uploads at once fill a 7.3 Mbit/s link for more than the 120 ms that an event may take. The origin sent 1.7 copies, 0.6 of them to the eight new machines, which are roots in their plan although their peers hold every piece. Change: a limiter at 0.85 of the link paces uploads; a transfer asks for inventories before it starts, and a root piece with a holder is not read from the origin.

--- a/coordination/dissemination/schedule.go
+++ b/coordination/dissemination/schedule.go
@@ -95,7 +95,8 @@
 	kept := f.rootChunks[:0]
 	for i, chunk := range f.rootChunks {
 		state := &f.chunks[chunk]
-		if state.held || state.fetching || state.late {
+		// What a peer holds already need not come from the origin once more.
+		if state.held || state.fetching || state.late || f.hasTrustedSource(state, now) {
 			continue
 		}
 		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -6,15 +6,16 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/coordination/placement"
 	"pinevane.example/pinevane/coordination/turnover"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
@@ -38,7 +39,8 @@
 	self   dissemination.MachineID
 	peers  *peerClient
 
-	uploads        chan struct{}
+	// uplink paces what is sent to peers.
+	uplink         *rate.Limiter
 	waitingUploads atomic.Int64
 	woken          chan struct{}
 	// staging is held for reading while a piece is laid down, and for writing while
@@ -65,7 +67,7 @@
 	a := &Agent{
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
 		self: dissemination.MachineID(settings.IP), peers: newPeerClient(settings.InternalPort),
-		uploads: make(chan struct{}, maximumUploads), woken: make(chan struct{}, 1),
+		uplink: newUplink(settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
 	}
 	a.mount(options.Daemon.Router)
 	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
@@ -73,6 +75,22 @@
 	return a
 }
 
+// Pace of uploads.
+const (
+	// uplinkShare of the machine's link carries pieces; the server's own answers,
+	// which must not wait behind them, have the rest.
+	uplinkShare = 0.85
+	// uplinkBurst is the most bytes sent at once; a piece is counted as no more.
+	uplinkBurst = 32 << 10
+)
+
+func newUplink(linkBytesPerSecond float64) *rate.Limiter {
+	if linkBytesPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, uplinkBurst)
+	}
+	return rate.NewLimiter(rate.Limit(uplinkShare*linkBytesPerSecond), uplinkBurst)
+}
+
 // Run serves until stop is closed.
 func (a *Agent) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -161,25 +179,25 @@
 	return dissemination.NewRoster(machines)
 }
 
-// inventoryPeers picks, in each zone, a few machines to ask what they hold; the
-// own zone is first.
-func (a *Agent) inventoryPeers(plan dissemination.Plan) [][]dissemination.MachineID {
-	byZone := map[string][]dissemination.MachineID{}
+// inventoryPeers picks a few machines of the own zone, and of the others if there
+// is none, to ask what they hold.
+func (a *Agent) inventoryPeers() []dissemination.MachineID {
+	var near, far []string
 	for _, member := range a.members() {
-		if machine := dissemination.MachineID(member.ID); machine != a.self {
-			byZone[member.Zone] = append(byZone[member.Zone], machine)
+		switch {
+		case member.ID == string(a.self):
+		case member.Zone == a.daemon.Settings().Zone:
+			near = append(near, member.ID)
+		default:
+			far = append(far, member.ID)
 		}
 	}
-	own := plan.Zone(a.self)
-	if near := byZone[own]; len(near) > 0 {
-		byZone = map[string][]dissemination.MachineID{own: near}
+	if len(near) == 0 {
+		near = far
 	}
-	var picked [][]dissemination.MachineID
-	for _, machines := range byZone {
-		slices.Sort(machines)
-		offset := int(a.self[len(a.self)-1]) % len(machines)
-		rotated := append(slices.Clone(machines[offset:]), machines[:offset]...)
-		picked = append(picked, rotated[:min(inventoriesPerZone, len(rotated))])
+	var picked []dissemination.MachineID
+	for _, id := range placement.Top("inventory/"+string(a.self), near, inventoriesPerZone) {
+		picked = append(picked, dissemination.MachineID(id))
 	}
 	return picked
 }
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -202,23 +202,24 @@
 	})
 }
 
-// maximumUploads is how many pieces are sent to peers at once.
-const maximumUploads = 4
-
-// servePiece sends a piece to a peer, verified again as it leaves.
+// servePiece sends a piece to a peer, verified again as it leaves, at the pace
+// that the machine's link leaves beside the server's own answers.
 func (a *Agent) servePiece(writer http.ResponseWriter, request *http.Request, t *transfer) {
 	index, err := strconv.Atoi(chi.URLParam(request, "index"))
 	if err != nil {
 		http.Error(writer, "not a piece", http.StatusBadRequest)
 		return
 	}
+	manifest, known := t.knownManifest()
+	if !known {
+		http.Error(writer, "not here yet", http.StatusNotFound)
+		return
+	}
 	a.waitingUploads.Add(1)
-	select {
-	case a.uploads <- struct{}{}:
-		a.waitingUploads.Add(-1)
-		defer func() { <-a.uploads }()
-	case <-request.Context().Done():
-		a.waitingUploads.Add(-1)
+	err = a.uplink.WaitN(request.Context(), min(manifest.PieceBytes, a.uplink.Burst()))
+	a.waitingUploads.Add(-1)
+	if err != nil {
+		http.Error(writer, "too many pieces are asked for", http.StatusServiceUnavailable)
 		return
 	}
 	content, held := t.readPiece(request.Context(), index)
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -25,7 +25,7 @@
 	// distrust is how long a peer that failed is avoided.
 	distrust = 2 * time.Second
 	// maximumFetches is how many pieces are fetched at once.
-	maximumFetches = 6
+	maximumFetches = 4
 	// lagPieces is how far behind the newest a piece may be before it is asked for.
 	lagPieces = 24
 	// originFetches is how many pieces are read from the origin at once.
@@ -35,7 +35,7 @@
 	// manifestTurn is the time after which the next in turn asks the origin itself.
 	manifestTurn = 400 * time.Millisecond
 	// inventoriesPerZone is how many machines of each zone are asked what they hold.
-	inventoriesPerZone = 3
+	inventoriesPerZone = 4
 	// manifestDoubts is how many pieces from the origin must fail their digests
 	// until the manifest itself is doubted.
 	manifestDoubts = 3
@@ -107,8 +107,7 @@
 		return
 	}
 	held := t.verifyHeld(ctx, manifest)
-	t.begin(manifest, held)
-	t.askInventories(ctx)
+	t.begin(manifest, held, t.askInventories(ctx, manifest, held))
 	ticker := time.NewTicker(transferTick)
 	defer ticker.Stop()
 	for {
@@ -203,7 +202,7 @@
 	return held
 }
 
-func (t *transfer) begin(manifest fleet.Manifest, held []bool) {
+func (t *transfer) begin(manifest fleet.Manifest, held []bool, holders map[int][]dissemination.MachineID) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.manifest = &manifest
@@ -212,50 +211,57 @@
 		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held,
 		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	})
+	t.takeHolders(holders)
 	t.fetcher.Start(t.now())
 	t.agent.log.Log(logging.TransferBegun, zap.String("model", t.model), zap.Uint64("version", t.version()),
-		zap.Int("pieces", len(held)), zap.Int("missing", t.fetcher.Missing()), zap.Duration("after", t.now()))
+		zap.Int("pieces", len(held)), zap.Int("missing", t.fetcher.Missing()),
+		zap.Int("held_by_peers", len(holders)), zap.Duration("after", t.now()))
 	for _, pending := range t.early {
 		t.takeLocked(pending)
 	}
 	t.early = nil
 }
 
+// inventoryTimeout bounds the questions what peers hold.
+const inventoryTimeout = 300 * time.Millisecond
+
 // askInventories learns what peers already hold, which they do not offer to a
 // machine that has come later.
-func (t *transfer) askInventories(ctx context.Context) {
-	t.mutex.Lock()
-	missing, plan := t.fetcher.Missing(), t.plan
-	t.mutex.Unlock()
-	if missing == 0 {
-		return
-	}
-	for _, peers := range t.agent.inventoryPeers(plan) {
-		go t.askZone(ctx, peers)
-	}
-}
-
-// askZone asks the machines of one zone, and takes what they hold in turns, so
-// that no one of them has to send everything.
-func (t *transfer) askZone(ctx context.Context, peers []dissemination.MachineID) {
+func (t *transfer) askInventories(ctx context.Context, manifest fleet.Manifest, held []bool) map[int][]dissemination.MachineID {
 	holders := map[int][]dissemination.MachineID{}
-	for _, peer := range peers {
-		held, err := ask[inventory](ctx, t.agent.peers, peer, versionPath(inventoryPath, t.model, t.version()))
-		if err != nil {
-			continue
-		}
-		for _, index := range held.Pieces {
-			holders[index] = append(holders[index], peer)
+	if !slices.Contains(held, false) {
+		return holders
+	}
+	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	defer cancel()
+	peers := t.agent.inventoryPeers()
+	answers := make([]inventory, len(peers))
+	var questions sync.WaitGroup
+	for at, peer := range peers {
+		questions.Go(func() {
+			// A peer that does not answer holds nothing for us.
+			answers[at], _ = ask[inventory](ctx, t.agent.peers, peer, versionPath(inventoryPath, t.model, manifest.Version))
+		})
+	}
+	questions.Wait()
+	for at, answer := range answers {
+		for _, index := range answer.Pieces {
+			if index >= 0 && index < len(held) && !held[index] {
+				holders[index] = append(holders[index], peers[at])
+			}
 		}
 	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
+	return holders
+}
+
+// takeHolders offers the fetcher what peers hold, each piece from another of them
+// first, so that no one has to send everything; the mutex is held.
+func (t *transfer) takeHolders(holders map[int][]dissemination.MachineID) {
 	for index, machines := range holders {
 		for turn := range machines {
 			t.fetcher.Offered(machines[(index+turn)%len(machines)], index, t.now())
 		}
 	}
-	t.poke()
 }
 
 // take feeds an offer or a question to the fetcher.
