Heads of zones shift after each cycle, so that all machines pass on alike

Cause: a machine is the head of the zone that reads a chunk from the origin when two counters meet; where a zone's size shares a divisor with the number of zones (6 and 3) they meet for two machines only: 129 and 127 pieces sent against 63 to 101 by the others, and a tail of 0.6 s. Change: the head shifts by one after each common cycle.

--- a/coordination/dissemination/plan.go
+++ b/coordination/dissemination/plan.go
@@ -111,7 +111,10 @@
 	for gcd(stride, size) != 1 {
 		stride++
 	}
-	return (chunk % size) * stride % size
+	// A shift after each cycle of zones and machines makes every machine the head of
+	// a root zone in its turn, also when the two numbers share a divisor.
+	cycle := size * len(p.roster.zones) / gcd(size, len(p.roster.zones))
+	return ((chunk + chunk/cycle) % size) * stride % size
 }
 
 func gcd(a, b int) int {
--- a/coordination/dissemination/plan_test.go
+++ b/coordination/dissemination/plan_test.go
@@ -127,3 +127,30 @@
 		})
 	})
 }
+
+// Every machine passes on about as many chunks as every other, also when the
+// size of a zone shares a divisor with the number of zones.
+func TestRotatedPlanLoadsMachinesEvenly(t *testing.T) {
+	const chunks = 96
+	for _, sizes := range [][]int{{7, 6, 7}, {6, 6, 6}, {4, 4, 4}, {9, 15, 9}, {11, 12, 11, 11}} {
+		var machines []Machine
+		for zone, size := range sizes {
+			for index := range size {
+				name := fmt.Sprintf("z%d", zone)
+				machines = append(machines, Machine{ID: MachineID(fmt.Sprintf("%s-%02d", name, index)), Zone: name, Region: "r" + name})
+			}
+		}
+		plan := NewPlan(StrategyRotated, NewRoster(machines))
+		most, total := 0, 0
+		for _, machine := range machines {
+			sends := 0
+			for chunk := range chunks {
+				sends += len(plan.Children(chunk, machine.ID))
+			}
+			most = max(most, sends)
+			total += sends
+		}
+		mean := float64(total) / float64(len(machines))
+		assert.LessOrEqual(t, float64(most), 1.2*mean, "zones of %v", sizes)
+	}
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -79,7 +79,7 @@
 const (
 	// uplinkShare of the machine's link carries pieces; the server's own answers,
 	// which must not wait behind them, have the rest.
-	uplinkShare = 0.85
+	uplinkShare = 0.92
 	// uplinkBurst is the most bytes sent at once; a piece is counted as no more.
 	uplinkBurst = 32 << 10
 )
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -25,7 +25,7 @@
 	// distrust is how long a peer that failed is avoided.
 	distrust = 2 * time.Second
 	// maximumFetches is how many pieces are fetched at once.
-	maximumFetches = 4
+	maximumFetches = 10
 	// lagPieces is how far behind the newest a piece may be before it is asked for.
 	lagPieces = 24
 	// originFetches is how many pieces are read from the origin at once.
