The server that would begin a request soonest is chosen, out of four drawn

Cause: two thirds of the late first events belonged to servers with 0 to 3 requests in hand: a server that has just changed over looks idle, every entry sends to it until the next word of its agent, and the prompts are read one after the other (50 ms each). The number in flight is not what a request waits for. Ruled out: too long queues at full servers (outstanding over 14 in under 1%). Change: coordination/balance predicts the time to the first event from waiting prompts, running requests and the engine's figures; entries compare four servers drawn at random, half from their own zone; agents report each 75 ms; requests that no server would begin within 1.1 of the target are refused.

--- /dev/null
+++ b/coordination/balance/balance.go
@@ -0,0 +1,90 @@
+// Package balance predicts how long a server will take to begin a request, so
+// that requests go where they begin soonest and those that can't begin in time
+// are refused at once. It does no I/O and reads no clock.
+package balance
+
+import "time"
+
+// Server is the speed and size of a server. Times are in milliseconds.
+type Server struct {
+	Slots int
+	// A step that writes one token for each running request takes StepMilliseconds,
+	// PerSequence for each request, and ContextPerThousand for each thousand tokens
+	// of context; Stride steps make a pass.
+	StepMilliseconds   float64
+	PerSequence        float64
+	ContextPerThousand float64
+	Stride             int
+	// ReadPerSecond is how many tokens of prompts are read in a second.
+	ReadPerSecond float64
+	// UsualPrompt and UsualAnswer are mean sizes in tokens.
+	UsualPrompt float64
+	UsualAnswer float64
+	// WholeMilliseconds is the mean time of a whole request at a server that reads
+	// no prompts.
+	WholeMilliseconds float64
+}
+
+// Load is what is known of a server's work.
+type Load struct {
+	// Running requests have begun; Waiting ones have not.
+	Running int
+	Waiting int
+	// Unread is the number of prompt tokens of the waiting requests.
+	Unread float64
+	// Pace is over 1 when the server is slow; 0 stands for 1.
+	Pace float64
+}
+
+// reads reports whether the server reads prompts.
+func (s Server) reads() bool { return s.ReadPerSecond > 0 }
+
+// step is the time of one step with a number of requests running.
+func (s Server) step(running float64) float64 {
+	return s.StepMilliseconds + running*(s.PerSequence+s.ContextPerThousand*s.UsualPrompt/1000)
+}
+
+// ServiceTime is the mean time between two places becoming free at a full server.
+func (s Server) ServiceTime() time.Duration {
+	slots := float64(max(1, s.Slots))
+	if !s.reads() {
+		return milliseconds(s.WholeMilliseconds / slots)
+	}
+	return milliseconds(s.step(slots)*s.UsualAnswer/slots + 1000*s.UsualPrompt/s.ReadPerSecond)
+}
+
+// passesBefore is how many passes go by, in the mean, until a new prompt's first
+// event is out, besides the reading.
+const passesBefore = 1.5
+
+// FirstEvent predicts the time until a request that is sent now begins to be
+// answered.
+func (s Server) FirstEvent(load Load, prompt int) time.Duration {
+	held := load.Running + load.Waiting
+	full := max(0, held+1-s.Slots)
+	delay := float64(full) * float64(s.ServiceTime()) / float64(time.Millisecond)
+	if s.reads() {
+		delay += 1000 * (load.Unread + float64(prompt)) / s.ReadPerSecond
+		if load.Running > 0 {
+			delay += passesBefore * float64(s.Stride) * s.step(float64(load.Running))
+		}
+	} else {
+		delay += s.WholeMilliseconds
+	}
+	if load.Pace > 1 {
+		delay *= load.Pace
+	}
+	return milliseconds(delay)
+}
+
+// Duration predicts the time in which an answer of a number of tokens is written.
+func (s Server) Duration(load Load, prompt, answer int) time.Duration {
+	step := s.step(float64(load.Running+1)) * max(1, load.Pace)
+	// Prompts of others are read between the steps.
+	const reading = 1.25
+	return s.FirstEvent(load, prompt) + milliseconds(reading*step*float64(answer))
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
--- /dev/null
+++ b/coordination/balance/balance_test.go
@@ -0,0 +1,43 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var engine = Server{
+	Slots: 16, StepMilliseconds: 9.27, PerSequence: 0.0232, ContextPerThousand: 0.0322, Stride: 5,
+	ReadPerSecond: 20700, UsualPrompt: 979, UsualAnswer: 92,
+}
+
+// A server that has just come back holds few requests, yet a row of unread prompts
+// makes it slower to begin than a busy one.
+func TestUnreadPromptsOutweighRunningRequests(t *testing.T) {
+	stormed := Load{Running: 0, Waiting: 6, Unread: 6 * 979}
+	busy := Load{Running: 9}
+	assert.Greater(t, engine.FirstEvent(stormed, 979), engine.FirstEvent(busy, 979))
+}
+
+func TestIdleServerOnlyReadsThePrompt(t *testing.T) {
+	assert.InDelta(t, 47, float64(engine.FirstEvent(Load{}, 979))/float64(time.Millisecond), 1)
+}
+
+func TestFullServerWaitsForAPlace(t *testing.T) {
+	almost := engine.FirstEvent(Load{Running: 15}, 979)
+	full := engine.FirstEvent(Load{Running: 16}, 979)
+	assert.InDelta(t, float64(engine.ServiceTime()), float64(full-almost), float64(2*time.Millisecond))
+	assert.InDelta(t, 108, float64(engine.ServiceTime())/float64(time.Millisecond), 5)
+}
+
+func TestSlowServersCountAsSlow(t *testing.T) {
+	even := float64(engine.FirstEvent(Load{Running: 4}, 500))
+	assert.InDelta(t, 3*even, float64(engine.FirstEvent(Load{Running: 4, Pace: 3}, 500)), float64(time.Microsecond))
+}
+
+func TestPlainServersQueue(t *testing.T) {
+	plain := Server{Slots: 6, WholeMilliseconds: 60}
+	assert.Equal(t, 60*time.Millisecond, plain.FirstEvent(Load{Running: 5}, 0))
+	assert.Equal(t, 90*time.Millisecond, plain.FirstEvent(Load{Running: 8}, 0))
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -1,29 +1,38 @@
 package forward
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
+	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
-// Weights of the choice, in requests in flight.
+// Weights of the choice.
 const (
-	otherZoneWeight   = 1.0
-	otherRegionWeight = 2.0
-	// jitterWeight spreads the choices of entries that see the same figures.
-	jitterWeight = 0.8
-	// silentWeight keeps requests from servers whose agent has fallen silent.
-	silentWeight = 40.0
+	// otherZoneCost and otherRegionCost are what a longer way is worth.
+	otherZoneCost   = 20 * time.Millisecond
+	otherRegionCost = 45 * time.Millisecond
+	// runningCost spreads requests over servers that would begin them equally soon.
+	runningCost = 3 * time.Millisecond
+	// jitterCost spreads the choices of entries that see the same figures.
+	jitterCost = 15 * time.Millisecond
+	// silentCost keeps requests from servers whose agent has fallen silent.
+	silentCost = 2 * time.Second
+	// sampleSize is how many servers are compared for a request. Figures are some
+	// hundred milliseconds old; were all compared, all entries would send to the
+	// same server until the next figures come.
+	sampleSize = 4
 )
 
-// Shares of the target within which a request must be expected to be answered.
+// Bounds of refusals.
 const (
-	// baseShare of the target goes by without any queue.
-	baseShare = 0.35
-	// refusalRetryFloor is the least time that a refused caller is told to wait.
+	// refusalShare of the target is the expected time to begin from which requests
+	// are refused.
+	refusalShare      = 1.1
 	refusalRetryFloor = 100 * time.Millisecond
 	refusalRetryCap   = 1500 * time.Millisecond
 	// noServerRetry is told when there is no server at all.
@@ -52,7 +61,9 @@
 	outstanding int
 	statusAge   time.Duration
 	candidates  int
-	score       float64
+	score       time.Duration
+	// expected is the predicted time until the request begins to be answered.
+	expected time.Duration
 }
 
 // choose picks the server for a request and counts the request as in flight. A
@@ -67,29 +78,57 @@
 		refusal.RetryAfter = noServerRetry
 		return choice{}, refusal
 	}
-	best := choice{score: math.Inf(1), candidates: len(usable)}
-	roomiest := math.Inf(1)
-	for _, candidate := range usable {
-		load := candidate.load(wanted, now)
-		roomiest = min(roomiest, load)
-		score := load + t.distance(candidate) + jitterWeight*t.random()
-		if candidate.silentAgent(now) {
-			score += silentWeight
-		}
+	best := choice{score: math.MaxInt64, candidates: len(usable)}
+	for _, candidate := range t.sample(usable) {
+		score := t.score(candidate, wanted, now)
 		if score < best.score {
 			best.target, best.score = candidate, score
 		}
 	}
-	if refusal := wanted.overload(best.target, roomiest); refusal != nil {
+	if refusal := t.overload(&best, usable, wanted, now); refusal != nil {
 		return choice{}, refusal
 	}
 	best.outstanding = best.target.outstanding(now)
+	best.expected = best.target.firstEvent(wanted, now)
 	best.statusAge = now.Sub(best.target.statusAt)
 	best.target.inFlight++
-	best.target.unread += wanted.prompt
+	if wanted.engine != nil {
+		best.target.unread++
+		best.target.unreadTokens += wanted.prompt
+	}
 	return best, nil
 }
 
+// sample draws the servers to compare: half of them from the own zone, as long as
+// it has some.
+func (t *targets) sample(usable []*target) []*target {
+	if len(usable) <= sampleSize {
+		return usable
+	}
+	t.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	var near, far []*target
+	for _, candidate := range usable {
+		if candidate.server.Zone == t.zone {
+			near = append(near, candidate)
+		} else {
+			far = append(far, candidate)
+		}
+	}
+	fromNear := min(len(near), max(sampleSize/2, sampleSize-len(far)))
+	return append(near[:fromNear:fromNear], far[:sampleSize-fromNear]...)
+}
+
+// score is the cost of sending the request to a server.
+func (t *targets) score(candidate *target, wanted need, now time.Time) time.Duration {
+	score := candidate.firstEvent(wanted, now) + t.distance(candidate)
+	score += time.Duration(candidate.outstanding(now)) * runningCost
+	score += time.Duration(t.random() * float64(jitterCost))
+	if candidate.silentAgent(now) {
+		score += silentCost
+	}
+	return score
+}
+
 // usable lists the servers that may be sent the request: ejected ones only when
 // there is no other.
 func (t *targets) usable(wanted need, now time.Time) []*target {
@@ -135,69 +174,83 @@
 	return version >= wanted.atLeast
 }
 
-// load is how busy the server is, in requests: those it holds, and the prompts
-// that are still to be read.
-func (k *target) load(wanted need, now time.Time) float64 {
-	held := float64(k.outstanding(now))
-	if wanted.engine == nil || wanted.engine.UsualPrompt <= 0 {
-		return held
+// load is what is known of the server's work now.
+func (k *target) load(wanted need, now time.Time) balance.Load {
+	if wanted.engine == nil {
+		return balance.Load{Running: k.inFlight}
+	}
+	load := balance.Load{Running: k.inFlight - k.unread, Waiting: k.unread, Unread: float64(k.unreadTokens)}
+	if !k.current(now) {
+		return load
 	}
-	pace := 1.0
-	if k.current(now) && k.status.Pace > 1 {
-		pace = k.status.Pace
+	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
+	load.Waiting += othersWaiting
+	load.Unread += float64(othersWaiting) * wanted.engine.UsualPrompt
+	load.Running = max(0, k.outstanding(now)-load.Waiting)
+	load.Pace = k.status.Pace
+	return load
+}
+
+// model describes the server to the predictions.
+func (k *target) model(wanted need) balance.Server {
+	server := balance.Server{Slots: max(1, k.server.Slots), WholeMilliseconds: max(k.meanMilliseconds, leastMilliseconds)}
+	if engine := wanted.engine; engine != nil {
+		server.StepMilliseconds, server.PerSequence = engine.StepMilliseconds, engine.PerSequenceMilliseconds
+		server.ContextPerThousand, server.Stride = engine.ContextPerThousand, engine.Stride
+		server.ReadPerSecond, server.UsualPrompt, server.UsualAnswer = engine.ReadPerSecond, engine.UsualPrompt, engine.UsualAnswer
 	}
-	return pace * (held + float64(k.unread)/wanted.engine.UsualPrompt)
+	return server
 }
 
-func (t *targets) distance(candidate *target) float64 {
+// leastMilliseconds is assumed of a plain server that has answered nothing yet.
+const leastMilliseconds = 20
+
+// firstEvent predicts when the server would begin the request.
+func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
+	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt)
+}
+
+func (t *targets) distance(candidate *target) time.Duration {
 	switch {
 	case candidate.server.Zone == t.zone:
 		return 0
 	case t.regions[candidate.server.Zone] == t.regions[t.zone]:
-		return otherZoneWeight
+		return otherZoneCost
 	}
-	return otherRegionWeight
+	return otherRegionCost
 }
 
-// overload refuses a request that even the roomiest server could not begin
-// within its target.
-func (wanted need) overload(best *target, load float64) *fault.Refusal {
-	if wanted.resumed || best.server.Slots == 0 {
+// overload refuses a request that no server would begin within its target. When
+// only the drawn ones would not, the soonest of all is taken.
+func (t *targets) overload(best *choice, usable []*target, wanted need, now time.Time) *fault.Refusal {
+	limit := time.Duration(refusalShare * float64(wanted.route.Target))
+	if wanted.resumed || limit <= 0 || best.target.firstEvent(wanted, now) <= limit {
 		return nil
 	}
-	place := wanted.placeTime(best)
-	room := (1 - baseShare) * float64(wanted.route.Target) / float64(place)
-	excess := load - float64(best.server.Slots) - room
-	if excess <= 0 {
+	best.target = slices.MinFunc(usable, func(a, b *target) int {
+		return cmp.Compare(a.firstEvent(wanted, now), b.firstEvent(wanted, now))
+	})
+	soonest := best.target.firstEvent(wanted, now)
+	if soonest <= limit {
 		return nil
 	}
 	refusal := fault.NotRun(fault.ReasonOverloaded, "no server could begin the request within its target")
-	refusal.RetryAfter = min(max(time.Duration((excess+1)*float64(place)), refusalRetryFloor), refusalRetryCap)
+	refusal.RetryAfter = min(max(soonest-limit/2, refusalRetryFloor), refusalRetryCap)
 	return refusal
 }
 
-// placeTime is the mean time between two places becoming free at a server.
-func (wanted need) placeTime(best *target) time.Duration {
-	slots := float64(max(1, best.server.Slots))
-	if engine := wanted.engine; engine != nil && engine.ReadPerSecond > 0 {
-		step := engine.StepMilliseconds + engine.PerSequenceMilliseconds*slots + engine.ContextPerThousand*slots*engine.UsualPrompt/1000
-		service := step*engine.UsualAnswer/slots + 1000*engine.UsualPrompt/engine.ReadPerSecond
-		return time.Duration(service * float64(time.Millisecond))
-	}
-	mean := max(best.meanMilliseconds, 20)
-	return time.Duration(mean / slots * float64(time.Millisecond))
-}
-
-// release takes a request off a server's count. The prompt counts as read once
-// the first event has come, which readPrompt notes.
+// release takes a request off a server's count. Its prompt counts as read once the
+// first event has come, which readPrompt notes.
 func (t *targets) release(k *target) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	k.inFlight--
 }
 
+// readPrompt takes a prompt off the server's unread ones.
 func (t *targets) readPrompt(k *target, tokens int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	k.unread -= tokens
+	k.unread--
+	k.unreadTokens -= tokens
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -132,6 +132,11 @@
 	begun   bool
 	events  int
 	version uint64
+	// firstAfter is the time to the first event, longestPause the longest one
+	// between two, eventAt when the last one was passed on.
+	firstAfter   time.Duration
+	longestPause time.Duration
+	eventAt      time.Time
 }
 
 // Serve forwards a request and writes the whole answer. A refusal means that
@@ -208,7 +213,7 @@
 	w.wanted.tried = append(w.wanted.tried, target)
 	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
 		zap.String("server", target.server.ID), zap.String("zone", target.server.Zone), zap.Int("outstanding", chosen.outstanding),
-		zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target))
@@ -227,7 +232,9 @@
 // unsent takes an attempt that gave nothing off the server's counts.
 func (w *work) unsent(target *target) {
 	w.targets.release(target)
-	w.targets.readPrompt(target, w.wanted.prompt)
+	if w.wanted.engine != nil {
+		w.targets.readPrompt(target, w.wanted.prompt)
+	}
 }
 
 // judge turns an answer that is no answer to the request into a failure.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,11 +70,11 @@
 	if status != http.StatusOK {
 		return w.passOther(started)
 	}
-	prompt := w.wanted.prompt
-	settle := func() {
-		w.targets.readPrompt(started.target, prompt)
-		prompt = 0
-	}
+	settle := sync.OnceFunc(func() {
+		if w.wanted.engine != nil {
+			w.targets.readPrompt(started.target, w.wanted.prompt)
+		}
+	})
 	defer func() {
 		settle()
 		w.targets.release(started.target)
@@ -149,8 +150,19 @@
 		flusher.Flush()
 	}
 	w.events++
+	w.noteTimes(time.Now())
 	if event.id != "" {
 		w.lastEvent = event.id
 	}
 	return true
 }
+
+// noteTimes keeps what decides whether the stream was in time.
+func (w *work) noteTimes(now time.Time) {
+	if w.events == 1 {
+		w.firstAfter = now.Sub(w.request.Arrived)
+	} else {
+		w.longestPause = max(w.longestPause, now.Sub(w.eventAt))
+	}
+	w.eventAt = now
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -32,15 +32,18 @@
 	pool   pool
 
 	inFlight int
-	// unread counts the prompt tokens sent whose first event has not come.
-	unread      int
-	failures    int
-	ejections   int
-	ejectedTill time.Time
-	status      fleet.MachineStatus
-	statusAt    time.Time
-	// inFlightThen is this entry's own part of the status's load.
+	// unread counts the requests sent to a model server whose first event has not
+	// come, unreadTokens their prompts.
+	unread       int
+	unreadTokens int
+	failures     int
+	ejections    int
+	ejectedTill  time.Time
+	status       fleet.MachineStatus
+	statusAt     time.Time
+	// inFlightThen and unreadThen are this entry's own part of the status's load.
 	inFlightThen int
+	unreadThen   int
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers; versionSince is when that was.
 	version      uint64
@@ -57,6 +60,7 @@
 	regions map[string]string
 	log     *logging.Logger
 	random  func() float64
+	shuffle func(count int, swap func(i, j int))
 
 	mutex     sync.Mutex
 	byID      map[string]*target
@@ -75,7 +79,7 @@
 
 func newTargets(zone string, regions map[string]string, log *logging.Logger) *targets {
 	return &targets{
-		zone: zone, regions: regions, log: log, random: rand.Float64,
+		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle,
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
 		view: &catalog.View{},
 	}
@@ -144,7 +148,7 @@
 			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
 	}
 	known.status, known.statusAt = status, now
-	known.inFlightThen = known.inFlight
+	known.inFlightThen, known.unreadThen = known.inFlight, known.unread
 	known.version = max(known.version, status.Version)
 }
 
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -15,7 +15,7 @@
 // Times of watching the server.
 const (
 	// reportPeriod is the pace at which the own server is asked.
-	reportPeriod = 150 * time.Millisecond
+	reportPeriod = 75 * time.Millisecond
 	// missesUnreachable is how many questions in a row must fail until the server
 	// counts as unreachable.
 	missesUnreachable = 2
