One short watch of all records; one reader a zone, the others told

Change: one watch of all records with a wait of 0.5 s by the first entry of each zone; the others are told at once, take large records from their own zone, and read for themselves when their copy is older than 0.8 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,7 +49,7 @@
 	changedAt map[string]uint64
 	// ages tells for how long a version had been known when it was learnt here.
 	ages map[string]time.Duration
-	// fresh is when the copy of the list of servers was last known to be current.
+	// fresh is when the copy was last known to be current.
 	fresh time.Time
 	// calls counts the calls to the store.
 	calls atomic.Int64
@@ -83,7 +83,7 @@
 // Calls returns how many calls the store was sent.
 func (c *Catalog) Calls() int64 { return c.calls.Load() }
 
-// Fresh returns when the list of servers was last known to be current.
+// Fresh returns when the copy was last known to be current.
 func (c *Catalog) Fresh() time.Time {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -93,8 +93,7 @@
 // Run reads the store and exchanges records until the context ends.
 func (c *Catalog) Run(ctx context.Context) {
 	var work sync.WaitGroup
-	work.Go(func() { c.readControl(ctx) })
-	work.Go(func() { c.readServers(ctx) })
+	work.Go(func() { c.followStore(ctx) })
 	work.Go(func() { c.exchange(ctx) })
 	work.Wait()
 }
@@ -188,7 +187,7 @@
 type Status struct {
 	ConfigurationVersion uint64              `json:"configuration_version"`
 	ConfigurationAge     float64             `json:"configuration_age_seconds"`
-	ServersFreshAge      float64             `json:"servers_fresh_age_seconds"`
+	FreshAge             float64             `json:"fresh_age_seconds"`
 	Servers              int                 `json:"servers"`
 	Versions             map[string][]Notice `json:"versions"`
 	Entries              []string            `json:"entries"`
@@ -198,7 +197,7 @@
 // Status describes what is held and how old it is.
 func (c *Catalog) Status() Status {
 	view := c.View()
-	status := Status{Versions: maps.Clone(view.Versions), StoreCalls: c.Calls(), ServersFreshAge: time.Since(c.Fresh()).Seconds()}
+	status := Status{Versions: maps.Clone(view.Versions), StoreCalls: c.Calls(), FreshAge: time.Since(c.Fresh()).Seconds()}
 	if view.Configuration != nil {
 		status.ConfigurationVersion = view.Configuration.Version
 		status.ConfigurationAge = time.Since(view.ConfigurationSince).Seconds()
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -46,7 +46,7 @@
 	Records []mirror.Record `cbor:"1,keyasint,omitempty"`
 	// AgesMilliseconds tells since when the versions among the records are known.
 	AgesMilliseconds map[string]int64 `cbor:"2,keyasint,omitempty"`
-	// FreshMilliseconds is the age of the sender's list of servers.
+	// FreshMilliseconds is the age of the sender's copy.
 	FreshMilliseconds int64 `cbor:"3,keyasint"`
 	// Heads maps the keys of large records to the revision held.
 	Heads map[string]uint64 `cbor:"4,keyasint,omitempty"`
@@ -286,16 +286,18 @@
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
-	control, servers := c.options.Decoder.Prefixes()
-	for _, record := range c.mirror.All(control) {
-		if c.options.Decoder.Kind(record.Key) == fleet.RecordConfiguration {
+	for _, record := range c.mirror.All(c.options.Decoder.Prefix()) {
+		kind := c.options.Decoder.Kind(record.Key)
+		switch {
+		case kind == fleet.RecordConfiguration:
 			message.Heads[record.Key] = record.Revision
+		case c.changedAt[record.Key] > after:
+			message.Records = append(message.Records, record)
+			if kind == fleet.RecordVersion {
+				c.addAge(&message, record)
+			}
 		}
 	}
-	if c.sequence > after {
-		c.addChanges(&message, control, after)
-		c.addChanges(&message, servers, after)
-	}
 	if !toAgent {
 		message.Entries = map[string]entrySign{}
 		for ip, peer := range c.entries {
@@ -305,19 +307,6 @@
 	return message
 }
 
-func (c *Catalog) addChanges(message *update, prefix string, after uint64) {
-	for _, record := range c.mirror.All(prefix) {
-		kind := c.options.Decoder.Kind(record.Key)
-		if c.changedAt[record.Key] <= after || kind == fleet.RecordConfiguration {
-			continue
-		}
-		message.Records = append(message.Records, record)
-		if kind == fleet.RecordVersion {
-			c.addAge(message, record)
-		}
-	}
-}
-
 func (c *Catalog) addAge(message *update, record mirror.Record) {
 	named, err := c.options.Decoder.Version(record)
 	if err != nil {
@@ -356,42 +345,46 @@
 		c.take(news.Records, ages)
 	}
 	if len(lacking) > 0 {
-		time.AfterFunc(c.pullDelay(), func() { c.pullFrom(link, lacking) })
+		time.AfterFunc(c.pullDelay(link), func() { c.pullFrom(link, lacking) })
 	}
 }
 
-// pullDelay leaves the store time to bring a record first, once one is held.
-func (c *Catalog) pullDelay() time.Duration {
-	if c.View().Configuration == nil {
+// pullDelay leaves the store time to bring a record first where this process
+// reads it, and the own zone where another does.
+func (c *Catalog) pullDelay(link *peering.Link) time.Duration {
+	if c.View().Configuration == nil || (link.Remote().Zone == c.options.Zone && c.zoneRank() > 0) {
 		return 0
 	}
 	return pullAfter
 }
 
-// lacking returns the keys of large records that a peer has newer; the mutex is
+// lacking returns the large records that a peer has newer; the mutex is
 // held. An agent takes only its first configuration from peers.
-func (c *Catalog) lacking(heads map[string]uint64) []string {
+func (c *Catalog) lacking(heads map[string]uint64) map[string]uint64 {
 	if c.options.Role == RoleAgent && c.view.Load().Configuration != nil {
 		return nil
 	}
-	var keys []string
+	lacking := map[string]uint64{}
 	for key, revision := range heads {
 		if held, _ := c.mirror.Get(key); held.Revision < revision {
-			keys = append(keys, key)
+			lacking[key] = revision
 		}
 	}
-	return keys
+	return lacking
 }
 
-func (c *Catalog) pullFrom(link *peering.Link, keys []string) {
+func (c *Catalog) pullFrom(link *peering.Link, heads map[string]uint64) {
 	c.mutex.Lock()
 	wanted := map[string]uint64{}
-	for _, key := range keys {
-		held, _ := c.mirror.Get(key)
-		wanted[key] = held.Revision
+	for key, revision := range heads {
+		if held, _ := c.mirror.Get(key); held.Revision < revision {
+			wanted[key] = held.Revision
+		}
 	}
 	c.mutex.Unlock()
-	_ = peering.Send(link, topicPull, "", pullSince{Held: wanted})
+	if len(wanted) > 0 {
+		_ = peering.Send(link, topicPull, "", pullSince{Held: wanted})
+	}
 }
 
 // pullSince asks for records that are newer than those held.
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -16,24 +16,23 @@
 
 // Times of reading the store.
 const (
-	// controlWait is how long one watch of the operator's records waits.
-	controlWait = 8 * time.Second
-	// serversWait and serversPace: one watch of the list of servers waits that
-	// long, and the next begins no sooner than the pace after the one before.
-	serversWait = 600 * time.Millisecond
-	serversPace = 300 * time.Millisecond
+	// watchWait is how long one watch waits. A watch whose store has forgotten its
+	// history may hear nothing at all, so that the next one must follow soon.
+	watchWait = 500 * time.Millisecond
+	// watchPace is the least time between the beginnings of two watches.
+	watchPace = 200 * time.Millisecond
 	// readRetry is the first pause after a failed call; it doubles up to
 	// maximumReadRetry, each with jitter.
 	readRetry        = 100 * time.Millisecond
-	maximumReadRetry = 800 * time.Millisecond
-	// staleAfter is the age of the list of servers at which a process that is not
-	// its zone's reader reads for itself, and staleStep adds to it with its rank.
-	staleAfter = 900 * time.Millisecond
-	staleStep  = 200 * time.Millisecond
-	// agentStaleAfter is the same for agents, which need the list less.
-	agentStaleAfter = 2500 * time.Millisecond
+	maximumReadRetry = 600 * time.Millisecond
+	// staleAfter is the age of the copy at which an entry that is not its zone's
+	// reader reads for itself, and staleStep adds to it with its rank.
+	staleAfter = 800 * time.Millisecond
+	staleStep  = 100 * time.Millisecond
+	// agentStaleAfter is the same for agents, which can wait longer.
+	agentStaleAfter = 2 * time.Second
 	// idleCheck is how often a process that does not read looks whether it must.
-	idleCheck = 100 * time.Millisecond
+	idleCheck = 50 * time.Millisecond
 )
 
 // position is where a watch of a prefix stands.
@@ -44,46 +43,28 @@
 	failed bool
 }
 
-// readControl follows the operator's records. Entries wait at the store for
-// them, because a change must be in force everywhere at once; agents learn them
-// from entries and read only while they hear from none.
-func (c *Catalog) readControl(ctx context.Context) {
-	control, _ := c.options.Decoder.Prefixes()
-	at := &position{prefix: control}
-	for ctx.Err() == nil {
-		if at.at != 0 && c.options.Role == RoleAgent && !c.isStale(agentStaleAfter) {
-			pause(ctx, idleCheck)
-			continue
-		}
-		wait := controlWait
-		if c.options.Role == RoleAgent {
-			wait = serversWait
-		}
-		c.read(ctx, at, wait)
-	}
-}
-
-// readServers follows the list of servers.
-func (c *Catalog) readServers(ctx context.Context) {
-	_, servers := c.options.Decoder.Prefixes()
-	at := &position{prefix: servers}
+// followStore lists the store's records once, and then watches them while this
+// process is to read. A process that begins to read again goes on from what it
+// had read last; the store says when that is too long ago.
+func (c *Catalog) followStore(ctx context.Context) {
+	at := &position{prefix: c.options.Decoder.Prefix()}
 	for ctx.Err() == nil {
 		if at.at != 0 && !c.isReader() {
 			pause(ctx, idleCheck)
 			continue
 		}
 		began := time.Now()
-		if c.read(ctx, at, serversWait) {
+		if c.read(ctx, at, watchWait) {
 			c.mutex.Lock()
 			c.fresh = time.Now()
 			c.mutex.Unlock()
 		}
-		pause(ctx, serversPace-time.Since(began))
+		pause(ctx, watchPace-time.Since(began))
 	}
 }
 
-// isReader reports whether this process is to read the list of servers now: the
-// first entry of its zone always, the others when nobody told them for a while.
+// isReader reports whether this process is to read the store now: the first entry
+// of its zone always, the others when nobody has told them for a while.
 func (c *Catalog) isReader() bool {
 	if c.options.Role == RoleAgent {
 		return c.isStale(agentStaleAfter)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -152,10 +152,12 @@
 }
 
 func (c *Catalog) rebuildServers(next *View) {
-	_, prefix := c.options.Decoder.Prefixes()
 	next.Servers = map[string][]fleet.Server{}
 	count := 0
-	for _, record := range c.mirror.Select(prefix) {
+	for _, record := range c.mirror.Select(c.options.Decoder.Prefix()) {
+		if c.options.Decoder.Kind(record.Key) != fleet.RecordServer {
+			continue
+		}
 		server, err := c.options.Decoder.Server(record)
 		if err != nil {
 			c.options.Log.Log(logging.FrameRejected, zap.Error(err))
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -59,8 +59,8 @@
 
 // Decoder reads published records.
 type Decoder interface {
-	// Prefixes names the records to read, in the store's keys.
-	Prefixes() (control, servers string)
+	// Prefix covers all records to read.
+	Prefix() string
 	Kind(key string) RecordKind
 	Configuration(value []byte) (*Configuration, error)
 	Server(record mirror.Record) (Server, error)
