--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -53,6 +53,11 @@
 	answer  int
 	// resumed requests are not refused for load: they have been admitted before.
 	resumed bool
+	// newest is the version that servers are being brought to; a server
+	// with an older one must begin the request before the bound.
+	newest uint64
+	bound  time.Time
+	work   *work
 }
 
 // choice is a server and what was known of it.
@@ -95,6 +100,7 @@
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
+		best.target.expected[wanted.work] = now.Add(best.expected)
 	}
 	return best, nil
 }
@@ -171,6 +177,9 @@
 	if wanted.exactly != 0 && version != wanted.exactly {
 		return false
 	}
+	if version < wanted.newest && now.Add(k.firstEvent(wanted, now)+boundMargin).After(wanted.bound) {
+		return false
+	}
 	return version >= wanted.atLeast
 }
 
@@ -205,9 +214,56 @@
 // leastMilliseconds is assumed of a plain server that has answered nothing yet.
 const leastMilliseconds = 20
 
-// firstEvent predicts when the server would begin the request.
+// boundMargin is kept between the expected beginning of a request at a server
+// with an older version and the time from which it must not begin there.
+const boundMargin = 800 * time.Millisecond
+
+// firstEvent predicts when the server would begin the request: what its load
+// says, and how much later than that it has lately begun others.
 func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
-	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt)
+	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt) + k.lateness(now)
+}
+
+// Lateness of servers.
+const (
+	// latenessGrace is the lateness that the prediction's own error explains.
+	latenessGrace = 150 * time.Millisecond
+	// latenessHalfLife is the time in which half of a past lateness is forgotten.
+	latenessHalfLife = 1500 * time.Millisecond
+	latenessWeight   = 0.4
+)
+
+// lateness is how much later than predicted the server begins requests: the
+// longest delay of one that is still waited for, or the faded mean of past ones.
+func (k *target) lateness(now time.Time) time.Duration {
+	late := time.Duration(0)
+	if !k.excessAt.IsZero() {
+		faded := float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
+		late = time.Duration(faded)
+	}
+	for _, due := range k.expected {
+		late = max(late, now.Sub(due))
+	}
+	if late < latenessGrace {
+		return 0
+	}
+	return late
+}
+
+// noteBegun takes a request off those whose first event is waited for; the mutex
+// is held.
+func (k *target) noteBegun(w *work, now time.Time) {
+	due, waited := k.expected[w]
+	if !waited {
+		return
+	}
+	delete(k.expected, w)
+	past := float64(0)
+	if !k.excessAt.IsZero() {
+		past = float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
+	}
+	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(due))))
+	k.excessAt = now
 }
 
 func (t *targets) distance(candidate *target) time.Duration {
@@ -247,10 +303,11 @@
 	k.inFlight--
 }
 
-// readPrompt takes a prompt off the server's unread ones.
-func (t *targets) readPrompt(k *target, tokens int) {
+// readPrompt takes a request's prompt off the server's unread ones.
+func (t *targets) readPrompt(k *target, w *work) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	k.unread--
-	k.unreadTokens -= tokens
+	k.unreadTokens -= w.wanted.prompt
+	k.noteBegun(w, time.Now())
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -146,7 +146,7 @@
 	view := f.targets.currentView()
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
-	w.wanted = need{service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: request.Call.AnswerTokens}
+	w.wanted = need{work: w, service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: request.Call.AnswerTokens}
 	if view.Configuration != nil {
 		w.wanted.engine = view.Configuration.Services[service].Engine
 	}
@@ -190,7 +190,11 @@
 	if w.wanted.engine == nil {
 		return
 	}
-	w.wanted.atLeast = w.targets.currentView().Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
+	view := w.targets.currentView()
+	if newest, named := view.Newest(w.request.Call.Model); named {
+		w.wanted.newest, w.wanted.bound = newest.Version, newest.Since.Add(w.options.Bounds.VersionApply)
+	}
+	w.wanted.atLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
 }
 
 // attempt sends the request to one server. The failure's execution says whether
@@ -233,7 +237,7 @@
 func (w *work) unsent(target *target) {
 	w.targets.release(target)
 	if w.wanted.engine != nil {
-		w.targets.readPrompt(target, w.wanted.prompt)
+		w.targets.readPrompt(target, w)
 	}
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,7 +72,7 @@
 	}
 	settle := sync.OnceFunc(func() {
 		if w.wanted.engine != nil {
-			w.targets.readPrompt(started.target, w.wanted.prompt)
+			w.targets.readPrompt(started.target, w)
 		}
 	})
 	defer func() {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -36,11 +36,17 @@
 	// come, unreadTokens their prompts.
 	unread       int
 	unreadTokens int
-	failures     int
-	ejections    int
-	ejectedTill  time.Time
-	status       fleet.MachineStatus
-	statusAt     time.Time
+	// expected holds, for each of these requests, when its first event is due.
+	expected map[*work]time.Time
+	// excess is the moving mean of how much later than expected first events come,
+	// as of excessAt.
+	excess      time.Duration
+	excessAt    time.Time
+	failures    int
+	ejections   int
+	ejectedTill time.Time
+	status      fleet.MachineStatus
+	statusAt    time.Time
 	// inFlightThen and unreadThen are this entry's own part of the status's load.
 	inFlightThen int
 	unreadThen   int
@@ -98,7 +104,7 @@
 			present[server.ID] = true
 			known := t.byID[server.ID]
 			if known == nil {
-				known = &target{}
+				known = &target{expected: map[*work]time.Time{}}
 				t.byID[server.ID] = known
 				if told, heard := t.statuses[server.Address]; heard {
 					known.status, known.statusAt = told.status, told.at
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -52,6 +52,7 @@
 	cancel  context.CancelFunc
 	kick    chan struct{}
 	origins chan struct{}
+	pace    *fetchPace
 
 	mutex    sync.Mutex
 	plan     dissemination.Plan
@@ -68,7 +69,7 @@
 func newTransfer(agent *Agent, model string, version uint64, cancel context.CancelFunc) *transfer {
 	t := &transfer{
 		agent: agent, model: model, began: time.Now(), cancel: cancel,
-		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches),
+		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), pace: newFetchPace(),
 	}
 	t.number.Store(version)
 	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, agent.roster())
@@ -377,6 +378,11 @@
 }
 
 func (t *transfer) readFrom(ctx context.Context, action dissemination.Action) ([]byte, error) {
+	if err := t.pace.acquire(ctx); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	defer func() { t.pace.release(time.Since(began)) }()
 	if action.Kind == dissemination.Fetch {
 		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk)
 		return t.agent.peers.call(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
