Urgent pieces leave first; short requests before a change-over; wider turns

Cause: in the window of a version 10 of 20 servers were away at once, each 2.0 s in the mean, most of it waiting for the longest of its streams. Change: the turns fill the time from 1.4 copies to 0.7 s before the bound; entries count a request that would outlast its server's turn as costly; the margin to the bound depends on whether the agent has all pieces; uploads are ordered by the dissemination's own urgency; manifests are asked for each 40 ms.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -132,7 +132,7 @@
 	if candidate.silentAgent(now) {
 		score += silentCost
 	}
-	return score
+	return score + candidate.delayedSwitch(wanted, now)
 }
 
 // usable lists the servers that may be sent the request: ejected ones only when
@@ -177,7 +177,7 @@
 	if wanted.exactly != 0 && version != wanted.exactly {
 		return false
 	}
-	if version < wanted.newest && now.Add(k.firstEvent(wanted, now)+boundMargin).After(wanted.bound) {
+	if version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(now)).After(wanted.bound) {
 		return false
 	}
 	return version >= wanted.atLeast
@@ -214,9 +214,20 @@
 // leastMilliseconds is assumed of a plain server that has answered nothing yet.
 const leastMilliseconds = 20
 
-// boundMargin is kept between the expected beginning of a request at a server
-// with an older version and the time from which it must not begin there.
-const boundMargin = 800 * time.Millisecond
+// Margins between the expected beginning of a request at a server with an older
+// version and the time from which it must not begin there. A server whose agent has
+// every piece will be ordered over in time in any case.
+const (
+	preparedMargin   = 350 * time.Millisecond
+	unpreparedMargin = 1500 * time.Millisecond
+)
+
+func (k *target) boundMargin(now time.Time) time.Duration {
+	if k.current(now) && k.status.Missing == 0 {
+		return preparedMargin
+	}
+	return unpreparedMargin
+}
 
 // firstEvent predicts when the server would begin the request: what its load
 // says, and how much later than that it has lately begun others.
@@ -266,6 +277,21 @@
 	k.excessAt = now
 }
 
+// switchWeight is what each moment is worth by which a request puts off the change
+// of its server to another version, while the server does nothing else.
+const switchWeight = 0.5
+
+// delayedSwitch is the cost of a request that would still run when its server is
+// to change over.
+func (k *target) delayedSwitch(wanted need, now time.Time) time.Duration {
+	if wanted.engine == nil || !k.current(now) || k.status.SwitchMilliseconds == fleet.NoSwitch {
+		return 0
+	}
+	left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
+	needed := k.model(wanted).Duration(k.load(wanted, now), wanted.prompt, wanted.answer)
+	return time.Duration(switchWeight * float64(max(0, needed-left)))
+}
+
 func (t *targets) distance(candidate *target) time.Duration {
 	switch {
 	case candidate.server.Zone == t.zone:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -146,7 +146,7 @@
 	view := f.targets.currentView()
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
-	w.wanted = need{work: w, service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: request.Call.AnswerTokens}
+	w.wanted = need{work: w, service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
 	if view.Configuration != nil {
 		w.wanted.engine = view.Configuration.Services[service].Engine
 	}
@@ -157,6 +157,15 @@
 	return w.whole(ctx)
 }
 
+// expectedAnswer is the caller's guess of the answer's tokens, at most what it may
+// be.
+func expectedAnswer(call fleet.CallHeader) int {
+	if call.LengthHint > 0 && (call.AnswerTokens == 0 || call.LengthHint < call.AnswerTokens) {
+		return call.LengthHint
+	}
+	return call.AnswerTokens
+}
+
 // pickService draws one of a route's services by weight.
 func pickService(services []fleet.WeightedService) string {
 	total := 0
@@ -183,7 +192,7 @@
 }
 
 // versionMargin is how long before the bound no older version is asked for.
-const versionMargin = 900 * time.Millisecond
+const versionMargin = 500 * time.Millisecond
 
 // bindVersion sets which version the next attempt needs.
 func (w *work) bindVersion() {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -8,11 +8,9 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/coordination/placement"
@@ -39,10 +37,8 @@
 	self   dissemination.MachineID
 	peers  *peerClient
 
-	// uplink paces what is sent to peers.
-	uplink         *rate.Limiter
-	waitingUploads atomic.Int64
-	woken          chan struct{}
+	uploads *uploads
+	woken   chan struct{}
 	// staging is held for reading while a piece is laid down, and for writing while
 	// an order is given, so that the server takes exactly what was verified.
 	staging sync.RWMutex
@@ -67,7 +63,7 @@
 	a := &Agent{
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
 		self: dissemination.MachineID(settings.IP), peers: newPeerClient(settings.InternalPort),
-		uplink: newUplink(settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
+		uploads: newUploads(uplinkShare * settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
 	}
 	a.mount(options.Daemon.Router)
 	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
@@ -75,21 +71,9 @@
 	return a
 }
 
-// Pace of uploads.
-const (
-	// uplinkShare of the machine's link carries pieces; the server's own answers,
-	// which must not wait behind them, have the rest.
-	uplinkShare = 0.92
-	// uplinkBurst is the most bytes sent at once; a piece is counted as no more.
-	uplinkBurst = 32 << 10
-)
-
-func newUplink(linkBytesPerSecond float64) *rate.Limiter {
-	if linkBytesPerSecond <= 0 {
-		return rate.NewLimiter(rate.Inf, uplinkBurst)
-	}
-	return rate.NewLimiter(rate.Limit(uplinkShare*linkBytesPerSecond), uplinkBurst)
-}
+// uplinkShare of the machine's link carries pieces; the server's own answers,
+// which must not wait behind them, have the rest.
+const uplinkShare = 0.92
 
 // Run serves until stop is closed.
 func (a *Agent) Run(stop <-chan struct{}) error {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -16,9 +16,9 @@
 	keepPeriod = 100 * time.Millisecond
 	// copySlack multiplies the time of one copy over the link to the time after
 	// which turns begin.
-	copySlack = 1.25
+	copySlack = 1.4
 	// dueMargin is how long before the bound the last turn is.
-	dueMargin = 1100 * time.Millisecond
+	dueMargin = 700 * time.Millisecond
 	// orderPause is the time after an order that did not fit.
 	orderPause = 300 * time.Millisecond
 	// orderSettle bounds the wait for the fate of an order without an answer.
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -25,6 +25,9 @@
 	piecePath     = "/v1/weights/piece"
 )
 
+// heightParameter tells how many levels of machines wait behind the one that asks.
+const heightParameter = "height"
+
 // Bounds of what agents send each other.
 const (
 	maximumOfferBytes    = 64 << 10
@@ -215,11 +218,10 @@
 		http.Error(writer, "not here yet", http.StatusNotFound)
 		return
 	}
-	a.waitingUploads.Add(1)
-	err = a.uplink.WaitN(request.Context(), min(manifest.PieceBytes, a.uplink.Burst()))
-	a.waitingUploads.Add(-1)
-	if err != nil {
-		http.Error(writer, "too many pieces are asked for", http.StatusServiceUnavailable)
+	// A height that can't be read is that of a machine nobody waits behind.
+	height, _ := strconv.Atoi(request.URL.Query().Get(heightParameter))
+	if err := a.uploads.wait(request.Context(), height, index, manifest.PieceBytes); err != nil {
+		http.Error(writer, "the wait was given up", http.StatusServiceUnavailable)
 		return
 	}
 	content, held := t.readPiece(request.Context(), index)
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -31,7 +31,7 @@
 	// originFetches is how many pieces are read from the origin at once.
 	originFetches = 2
 	pieceTimeout  = 3 * time.Second
-	manifestRetry = 100 * time.Millisecond
+	manifestRetry = 40 * time.Millisecond
 	// manifestTurn is the time after which the next in turn asks the origin itself.
 	manifestTurn = 400 * time.Millisecond
 	// inventoriesPerZone is how many machines of each zone are asked what they hold.
@@ -283,7 +283,7 @@
 
 func (t *transfer) takeLocked(incoming offer) offerAnswer {
 	var answer offerAnswer
-	backlog := int(t.agent.waitingUploads.Load())
+	backlog := t.agent.uploads.backlog()
 	for _, piece := range incoming.Pieces {
 		switch {
 		case !incoming.Ask:
@@ -384,7 +384,7 @@
 	began := time.Now()
 	defer func() { t.pace.release(time.Since(began)) }()
 	if action.Kind == dissemination.Fetch {
-		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk)
+		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk) + "?" + heightParameter + "=" + itoa(t.height(action.Chunk))
 		return t.agent.peers.call(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
 	}
 	select {
@@ -400,6 +400,12 @@
 	return t.agent.origin.Piece(ctx, address, t.model, t.version(), action.Chunk)
 }
 
+func (t *transfer) height(index int) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.fetcher.Height(index)
+}
+
 // judge turns an error into the fetcher's reason; the mutex is held.
 func (t *transfer) judge(err error, action dissemination.Action) dissemination.FailureReason {
 	var corrupt *fault.Corrupt
