--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -8,10 +8,10 @@
 
 // Bounds of the pace of fetches.
 const (
-	// slowPiece is the time of a piece from which fewer are fetched at once, and
+	// slowPiece is the time of a piece's bytes from which fewer are fetched at once, and
 	// quickPiece the time under which more are.
-	slowPiece  = 800 * time.Millisecond
-	quickPiece = 400 * time.Millisecond
+	slowPiece  = 400 * time.Millisecond
+	quickPiece = 250 * time.Millisecond
 	// quickPieces in a row allow one more fetch.
 	quickPieces = 4
 )
@@ -53,7 +53,7 @@
 	}
 }
 
-// release notes the end of a fetch and the time it took.
+// release notes the end of a fetch and the time that its bytes took.
 func (p *fetchPace) release(took time.Duration) {
 	p.mutex.Lock()
 	p.active--
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -81,26 +81,34 @@
 }
 
 func (p *peerClient) call(ctx context.Context, timeout time.Duration, machine dissemination.MachineID, method, path string, body []byte, limit int64) ([]byte, error) {
+	data, _, err := p.timedCall(ctx, timeout, machine, method, path, body, limit)
+	return data, err
+}
+
+// timedCall also returns how long the answer's body took, without the time that
+// the peer let the call wait.
+func (p *peerClient) timedCall(ctx context.Context, timeout time.Duration, machine dissemination.MachineID, method, path string, body []byte, limit int64) ([]byte, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	target := net.JoinHostPort(string(machine), strconv.Itoa(p.port))
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
+		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return nil, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
+		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
 	}
+	began := time.Now()
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
 	if err != nil {
-		return nil, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
+		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, &fault.Unavailable{Target: target, Operation: method + " " + path, Status: response.StatusCode}
+		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Status: response.StatusCode}
 	}
-	return data, nil
+	return data, time.Since(began), nil
 }
 
 func ask[T any](ctx context.Context, p *peerClient, machine dissemination.MachineID, path string) (T, error) {
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -381,11 +381,16 @@
 	if err := t.pace.acquire(ctx); err != nil {
 		return nil, err
 	}
-	began := time.Now()
-	defer func() { t.pace.release(time.Since(began)) }()
+	took := time.Duration(0)
+	defer func() { t.pace.release(took) }()
 	if action.Kind == dissemination.Fetch {
 		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk) + "?" + heightParameter + "=" + itoa(t.height(action.Chunk))
-		return t.agent.peers.call(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
+		content, bodyTime, err := t.agent.peers.timedCall(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
+		took = bodyTime
+		if errors.Is(err, context.DeadlineExceeded) {
+			took = pieceTimeout
+		}
+		return content, err
 	}
 	select {
 	case t.origins <- struct{}{}:
