--- a/internal/command/documents.go
+++ b/internal/command/documents.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net/http"
 	"os"
+	"path/filepath"
 	"runtime"
 	"time"
 
@@ -13,6 +16,7 @@
 	"github.com/vbauerster/mpb/v8/decor"
 
 	"pinevane.example/pinevane/internal/configuration"
+	"pinevane.example/pinevane/internal/deployment"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/weights"
@@ -30,10 +34,23 @@
 	if err != nil {
 		return err
 	}
+	if err := checkDeployment(c.Arguments.Directory); err != nil {
+		return err
+	}
 	fmt.Printf("ok: %d models, %d services, %d tenants\n", len(snapshot.Models), len(snapshot.Services), len(snapshot.Tenants))
 	return nil
 }
 
+// checkDeployment checks the description of a deployment's places, where there is
+// one.
+func checkDeployment(directory string) error {
+	if _, err := os.Stat(filepath.Join(directory, configuration.DeploymentFile)); errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	_, err := deployment.Read(directory)
+	return err
+}
+
 type renderCommand struct {
 	Arguments struct {
 		Directory string `positional-arg-name:"DIR" description:"directory of templates and instances"`
