A stand-in of the users' platform, and tests that run entries and agents on it

Cause: the daemons on the platform had no tests that run without the bench. What they found: a data race on a server's line in the list (identity is fixed now); spoilt pieces at every machine at once were offered on for ever (a piece that fails on its way out is fetched again); results of a transfer that has begun anew were counted twice.

--- /dev/null
+++ b/internal/emulator/site/origin.go
@@ -0,0 +1,138 @@
+package site
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Weights make up the pieces of every version of a model.
+type Weights struct {
+	Model      string
+	Pieces     int
+	PieceBytes int
+	Layers     int
+}
+
+// Piece returns a made-up piece.
+func (w Weights) Piece(version uint64, index int) []byte {
+	random := rand.New(rand.NewPCG(version, uint64(index)))
+	content := make([]byte, w.PieceBytes)
+	for at := range content {
+		content[at] = byte(random.Uint32())
+	}
+	return content
+}
+
+// Digest returns the sum of a piece.
+func (w Weights) Digest(version uint64, index int) [32]byte {
+	return sha256.Sum256(w.Piece(version, index))
+}
+
+// Origin is the stand-in of the origin of weights.
+type Origin struct {
+	weights Weights
+
+	mutex sync.Mutex
+	// newest is the newest named version.
+	newest uint64
+	bytes  int64
+	// spoil is how many of the next pieces are handed out with a wrong byte.
+	spoil int
+	// spoilManifest makes the next manifest name a wrong digest.
+	spoilManifest bool
+}
+
+// NewOrigin returns an origin whose newest version is 1.
+func NewOrigin(weights Weights) *Origin { return &Origin{weights: weights, newest: 1} }
+
+// Name makes a version the newest.
+func (o *Origin) Name(version uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.newest = version
+}
+
+// Spoil hands out a number of pieces with a wrong byte.
+func (o *Origin) Spoil(pieces int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.spoil = pieces
+}
+
+// SpoilManifest makes the next manifest name a wrong digest.
+func (o *Origin) SpoilManifest() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.spoilManifest = true
+}
+
+// Copies returns how many whole copies were sent.
+func (o *Origin) Copies() float64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return float64(o.bytes) / float64(o.weights.Pieces*o.weights.PieceBytes)
+}
+
+// Handler serves the origin.
+func (o *Origin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/manifest/{model}", o.serveManifest)
+	mux.HandleFunc("GET /-/piece/{model}", o.servePiece)
+	return mux
+}
+
+// versionOf reads the version asked for; two behind the newest are gone.
+func (o *Origin) versionOf(request *http.Request) (uint64, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	version := o.newest
+	if text := request.URL.Query().Get("version"); text != "" {
+		version, _ = strconv.ParseUint(text, 10, 64)
+	}
+	return version, version > 0 && version <= o.newest && version+2 > o.newest
+}
+
+func (o *Origin) serveManifest(writer http.ResponseWriter, request *http.Request) {
+	version, present := o.versionOf(request)
+	if !present || request.PathValue("model") != o.weights.Model {
+		writer.WriteHeader(http.StatusGone)
+		return
+	}
+	digests := make([]string, o.weights.Pieces)
+	for index := range digests {
+		sum := o.weights.Digest(version, index)
+		digests[index] = hex.EncodeToString(sum[:])
+	}
+	o.mutex.Lock()
+	if o.spoilManifest {
+		o.spoilManifest = false
+		digests[0] = strings.Repeat("0", len(digests[0]))
+	}
+	o.mutex.Unlock()
+	writeJSON(writer, map[string]any{
+		"model": o.weights.Model, "version": version, "chunkBytes": o.weights.PieceBytes, "layers": o.weights.Layers, "digests": digests,
+	})
+}
+
+func (o *Origin) servePiece(writer http.ResponseWriter, request *http.Request) {
+	version, present := o.versionOf(request)
+	index, err := strconv.Atoi(request.URL.Query().Get("numItems"))
+	if !present || err != nil || index < 0 || index >= o.weights.Pieces {
+		writer.WriteHeader(http.StatusGone)
+		return
+	}
+	content := o.weights.Piece(version, index)
+	o.mutex.Lock()
+	o.bytes += int64(len(content))
+	if o.spoil > 0 {
+		o.spoil--
+		content[len(content)/2] ^= 1
+	}
+	o.mutex.Unlock()
+	_, _ = writer.Write(content)
+}
--- /dev/null
+++ b/internal/emulator/site/site.go
@@ -0,0 +1,309 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Options describe a small fleet on loopback addresses.
+type Options struct {
+	// Network is the second octet of the fleet's addresses.
+	Network int
+	Zones   int
+	// Entries and ModelServers are counts in each zone.
+	Entries      int
+	ModelServers int
+	PlainServers int
+	Weights      Weights
+	EventTime    time.Duration
+	Slots        int
+	// Bounds in milliseconds and seconds, as the platform names them.
+	VersionMs     int
+	ConfigApplyMs int
+	DrainMs       int
+	GraceS        float64
+	BudgetSlack   int
+	TimeoutMs     int
+}
+
+// Names of the stand-in's services, routes and keys.
+const (
+	ModelService  = "language"
+	PlainService  = "records"
+	OriginService = "weights"
+	Host          = "users.example"
+	StreamPrefix  = "/stream/"
+	OncePrefix    = "/once/"
+	SafePrefix    = "/safe/"
+	Key           = "key-one"
+	Tenant        = "tenant-one"
+)
+
+// Ports of the machines.
+const (
+	serverPort  = 8001
+	callersPort = 8005
+	readyPort   = 8002
+	controlPort = 8000
+	firstPort   = 7700
+	lastPort    = 7715
+	storePort   = 8007
+	originPort  = 8006
+)
+
+// Site is the running stand-in of a whole platform.
+type Site struct {
+	Options Options
+	Store   *Store
+	Origin  *Origin
+	Ledger  *Ledger
+	// Models and Plain are the servers by IP address.
+	Models map[string]*Server
+	Plain  map[string]*Server
+
+	version       uint64
+	configuration map[string]any
+	servers       []*http.Server
+	starts        int
+}
+
+func (o Options) ip(zone, machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", o.Network, zone+1, machine)
+}
+
+// ZoneName names a zone.
+func ZoneName(zone int) string { return fmt.Sprintf("hall-%d", zone) }
+
+// Machine numbers of the kinds, within a zone.
+const (
+	firstEntry = 10
+	firstModel = 100
+	firstPlain = 200
+)
+
+// EntryIP returns the address of an entry machine.
+func (o Options) EntryIP(zone, index int) string { return o.ip(zone, firstEntry+index) }
+
+// ModelIP returns the address of a model server's machine.
+func (o Options) ModelIP(zone, index int) string { return o.ip(zone, firstModel+index) }
+
+// Start starts the store, the origin and the servers.
+func Start(options Options) (*Site, error) {
+	s := &Site{
+		Options: options, Store: NewStore(), Origin: NewOrigin(options.Weights), Ledger: &Ledger{},
+		Models: map[string]*Server{}, Plain: map[string]*Server{},
+	}
+	if err := s.listen(s.originAddress(), s.Origin.Handler()); err != nil {
+		return nil, err
+	}
+	s.Configure(nil)
+	for zone := range options.Zones {
+		for index := range options.ModelServers {
+			if _, err := s.StartModel(zone, index, 1); err != nil {
+				return nil, err
+			}
+		}
+		for index := range options.PlainServers {
+			if err := s.startPlain(zone, index); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, nil
+}
+
+func (s *Site) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	for _, all := range []map[string]*Server{s.Models, s.Plain} {
+		for _, server := range all {
+			server.Crash()
+		}
+	}
+}
+
+// storeAddress is the store's address for one machine.
+func (s *Site) storeAddress(role string, zone, index int) string {
+	machine := firstEntry + index
+	if role == RoleAgent {
+		machine = firstModel + index
+	}
+	return fmt.Sprintf("%s:%d", s.Options.ip(100+zone, machine), storePort)
+}
+
+func (s *Site) originAddress() string { return fmt.Sprintf("%s:%d", s.Options.ip(200, 2), originPort) }
+
+// ModelAddress is the address of a model server.
+func (s *Site) ModelAddress(zone, index int) string {
+	return fmt.Sprintf("%s:%d", s.Options.ModelIP(zone, index), serverPort)
+}
+
+// StartModel starts a model server, empty when the version is 0.
+func (s *Site) StartModel(zone, index int, version uint64) (*Server, error) {
+	s.starts++
+	weights := s.Options.Weights
+	server := NewServer(ServerOptions{
+		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone),
+		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
+		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
+	})
+	return server, s.adopt(s.Models, server)
+}
+
+// RestartModel crashes a model server and starts it anew, with nothing in service
+// and what was staged still there.
+func (s *Site) RestartModel(zone, index int) error {
+	old := s.Models[s.Options.ModelIP(zone, index)]
+	staged := old.Crash()
+	s.Store.Delete("servers/" + old.options.ID)
+	s.starts++
+	options := old.options
+	options.ID, options.Version = fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), 0
+	fresh := NewServer(options)
+	fresh.Restage(staged)
+	return s.adopt(s.Models, fresh)
+}
+
+func (s *Site) startPlain(zone, index int) error {
+	s.starts++
+	return s.adopt(s.Plain, NewServer(ServerOptions{
+		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone),
+		Address: fmt.Sprintf("%s:%d", s.Options.ip(zone, firstPlain+index), serverPort), Slots: s.Options.Slots,
+		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
+	}))
+}
+
+func (s *Site) adopt(all map[string]*Server, server *Server) error {
+	if err := server.Start(); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(server.options.Address)
+	all[host] = server
+	return nil
+}
+
+// Configure publishes the next configuration, changed by a function.
+func (s *Site) Configure(change func(configuration map[string]any)) uint64 {
+	s.version += 3
+	if s.configuration == nil {
+		s.configuration = s.firstConfiguration()
+	}
+	s.configuration["version"] = s.version
+	if change != nil {
+		change(s.configuration)
+	}
+	s.Store.Put("op/config", s.configuration)
+	return s.version
+}
+
+func (s *Site) firstConfiguration() map[string]any {
+	route := func(name, prefix, kind, service string, resume bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": Host, "pathPrefix": prefix, "routeType": kind, "service": service, "timeoutMs": s.Options.TimeoutMs,
+			"targetLatencyMs": 1000, "targetGapMs": 400, "priority": 1, "maxAttempts": 2, "streamResume": resume,
+		}
+	}
+	w := s.Options.Weights
+	return map[string]any{
+		"routes": []any{
+			route("stream", StreamPrefix, "streaming", ModelService, true),
+			route("once", OncePrefix, "non_idempotent", PlainService, false),
+			route("safe", SafePrefix, "idempotent", PlainService, false),
+		},
+		"services": []any{
+			map[string]any{"name": ModelService, "healthPath": "/healthz", "maxConnections": 400, "engine": map[string]any{
+				"slots": s.Options.Slots, "stride": 1, "step_ms": 1.0, "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
+				"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
+				"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
+			}},
+			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConnections": 400},
+			map[string]any{"name": OriginService, "origin": s.originAddress(), "linkMbps": 100.0, "maxConnections": 48},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": Tenant, "apiKeys": []string{Key}}},
+	}
+}
+
+// NameVersion publishes a new version of the model's weights.
+func (s *Site) NameVersion(version uint64) {
+	s.Origin.Name(version)
+	s.Store.Put("op/version/"+s.Options.Weights.Model, map[string]any{"model": s.Options.Weights.Model, "version": version})
+}
+
+// Roles of the machines.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// OpenStore makes the store reachable for a machine.
+func (s *Site) OpenStore(role string, zone, index int) error {
+	ip := s.Options.EntryIP(zone, index)
+	if role == RoleAgent {
+		ip = s.Options.ModelIP(zone, index)
+	}
+	return s.listen(s.storeAddress(role, zone, index), s.Store.HandlerFor(ip))
+}
+
+// Settings returns the settings file of a machine.
+func (s *Site) Settings(role string, zone, index int) []byte {
+	zones := map[string]string{}
+	var seeds []string
+	for one := range s.Options.Zones {
+		zones[ZoneName(one)] = "region-" + fmt.Sprint(one)
+		seeds = append(seeds, fmt.Sprintf("%s:%d", s.Options.EntryIP(one, 0), controlPort))
+	}
+	settings := map[string]any{
+		"nodeName": fmt.Sprintf("%s-%d-%d", role, zone, index), "zone": ZoneName(zone), "region": zones[ZoneName(zone)], "zones": zones,
+		"internalPorts": []int{firstPort, lastPort}, "seeds": seeds, "unknownField": true,
+		"limits": map[string]any{"memoryMb": 150, "linkMbps": 80.0},
+		"bounds": map[string]any{
+			"drainMs": s.Options.DrainMs, "graceS": s.Options.GraceS, "configApplyMs": s.Options.ConfigApplyMs,
+			"version_ms": s.Options.VersionMs, "recoverS": 12, "reuseAfterS": 2, "retryBudgetRatio": 0.2, "retryWindowS": 10,
+			"budgetSlack": s.Options.BudgetSlack,
+		},
+		"platform": map[string]any{"address": s.storeAddress(role, zone, index)},
+	}
+	if role == RoleAgent {
+		ip := s.Options.ModelIP(zone, index)
+		settings["ip"], settings["app"], settings["service"] = ip, fmt.Sprintf("%s:%d", ip, serverPort), ModelService
+		settings["listen"] = map[string]any{}
+	} else {
+		ip := s.Options.EntryIP(zone, index)
+		settings["ip"] = ip
+		settings["listen"] = map[string]any{
+			"front": fmt.Sprintf("%s:%d", ip, callersPort), "ready": fmt.Sprintf("%s:%d", ip, readyPort), "control": fmt.Sprintf("%s:%d", ip, controlPort),
+		}
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// EntryURL is where callers reach an entry.
+func (s *Site) EntryURL(zone, index int) string {
+	return fmt.Sprintf("http://%s:%d", s.Options.EntryIP(zone, index), callersPort)
+}
+
+// ReadyURL is where the platform asks an entry whether it takes callers.
+func (s *Site) ReadyURL(zone, index int) string {
+	return fmt.Sprintf("http://%s:%d/-/readyz", s.Options.EntryIP(zone, index), readyPort)
+}
--- /dev/null
+++ b/internal/emulator/site/store.go
@@ -0,0 +1,235 @@
+// Package site is a stand-in of the users' platform for tests and the demo: its
+// store of records, its model servers and plain services, and its origin of
+// weights, written from their published protocol. It keeps records of what ran,
+// from which the promises are checked, and takes injected faults.
+package site
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is a record as the store tells it.
+type item struct {
+	Key      string `json:"keyFile"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// Store is the stand-in of the platform's store.
+type Store struct {
+	mutex    sync.Mutex
+	revision uint64
+	items    map[string]item
+	history  []item
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	// refused are the IP addresses that are turned away.
+	refused map[string]bool
+	down    bool
+	// deaf makes watches hear nothing.
+	deaf  bool
+	delay time.Duration
+	// pageSize bounds one page of a listing.
+	pageSize int
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]item{}, changed: make(chan struct{}), refused: map[string]bool{}, pageSize: 500}
+}
+
+// Put writes a record as JSON and returns its revision.
+func (s *Store) Put(key string, value any) uint64 {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return s.write(item{Key: key, Value: data})
+}
+
+// Delete removes a record.
+func (s *Store) Delete(key string) { s.write(item{Key: key, Gone: true}) }
+
+func (s *Store) write(one item) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	one.Revision = s.revision
+	s.history = append(s.history, one)
+	if one.Gone {
+		delete(s.items, one.Key)
+	} else {
+		s.items[one.Key] = one
+	}
+	s.wake()
+	return s.revision
+}
+
+// wake lets waiting watches look again; the mutex is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history and cuts the waiting watches.
+func (s *Store) Compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forgotten = s.revision
+	s.history = nil
+	s.deaf = false
+	s.wake()
+}
+
+// SetDeaf makes watches hear nothing until Compact.
+func (s *Store) SetDeaf() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.deaf = true
+}
+
+// SetDown makes every call fail.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// machineKey is the context's key for the machine that calls: each is given an
+// address of the store of its own, because on loopback all come from one.
+type machineKey struct{}
+
+// HandlerFor serves the store to one machine.
+func (s *Store) HandlerFor(machine string) http.Handler {
+	next := s.Handler()
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		next.ServeHTTP(writer, request.WithContext(context.WithValue(request.Context(), machineKey{}, machine)))
+	})
+}
+
+// Refuse turns the calls of some machines away.
+func (s *Store) Refuse(addresses ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.refused = map[string]bool{}
+	for _, address := range addresses {
+		s.refused[address] = true
+	}
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// turnsAway reports whether a caller gets 503; the mutex is held.
+func (s *Store) turnsAway(request *http.Request) bool {
+	machine, _ := request.Context().Value(machineKey{}).(string)
+	return s.down || s.refused[machine]
+}
+
+// Handler serves the store.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-range", s.serveRange)
+	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
+	return mux
+}
+
+func (s *Store) serveRange(writer http.ResponseWriter, request *http.Request) {
+	prefix, after := request.URL.Query().Get("pathPrefix"), request.URL.Query().Get("after")
+	s.mutex.Lock()
+	s.calls++
+	if s.turnsAway(request) {
+		s.mutex.Unlock()
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var items []item
+	for key, one := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, one)
+		}
+	}
+	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.Key, b.Key) })
+	more := len(items) > s.pageSize
+	items = items[:min(len(items), s.pageSize)]
+	answer := map[string]any{"items": items, "more": more, "at": s.revision}
+	delay := s.delay
+	s.mutex.Unlock()
+	time.Sleep(delay)
+	writeJSON(writer, answer)
+}
+
+func (s *Store) serveWatch(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		s.mutex.Lock()
+		if first {
+			s.calls++
+		}
+		status, events := s.look(request, query.Get("pathPrefix"), after)
+		at, changed, deaf := s.revision, s.changed, s.deaf
+		s.mutex.Unlock()
+		if status != http.StatusOK {
+			writer.WriteHeader(status)
+			return
+		}
+		if len(events) > 0 && !deaf {
+			writeJSON(writer, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if deaf {
+				at = after
+			}
+			writeJSON(writer, map[string]any{"events": []item{}, "at": at})
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+// look finds the changes after a revision; the mutex is held.
+func (s *Store) look(request *http.Request, prefix string, after uint64) (int, []item) {
+	if s.turnsAway(request) {
+		return http.StatusServiceUnavailable, nil
+	}
+	if after < s.forgotten {
+		return http.StatusGone, nil
+	}
+	var events []item
+	for _, one := range s.history {
+		if one.Revision > after && strings.HasPrefix(one.Key, prefix) {
+			events = append(events, one)
+		}
+	}
+	return http.StatusOK, events
+}
+
+func writeJSON(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(value)
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -114,7 +114,7 @@
 	t.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	var near, far []*target
 	for _, candidate := range usable {
-		if candidate.server.Zone == t.zone {
+		if candidate.zone == t.zone {
 			near = append(near, candidate)
 		} else {
 			far = append(far, candidate)
@@ -294,9 +294,9 @@
 
 func (t *targets) distance(candidate *target) time.Duration {
 	switch {
-	case candidate.server.Zone == t.zone:
+	case candidate.zone == t.zone:
 		return 0
-	case t.regions[candidate.server.Zone] == t.regions[t.zone]:
+	case t.regions[candidate.zone] == t.regions[t.zone]:
 		return otherZoneCost
 	}
 	return otherRegionCost
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -33,7 +33,7 @@
 	views := make([]ServerView, 0, len(t.byID))
 	for id, known := range t.byID {
 		views = append(views, ServerView{
-			ID: id, Service: known.server.Service, Address: known.server.Address, Zone: known.server.Zone,
+			ID: id, Service: known.server.Service, Address: known.address, Zone: known.zone,
 			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
 			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: now.Sub(known.statusAt).Seconds(),
 			MeanMillisecond: known.meanMilliseconds,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -72,7 +72,7 @@
 func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence func(time.Duration) bool) (*exchange, *failure) {
 	carrier := chosen.pool.take()
 	if carrier == nil {
-		fresh, err := dial(ctx, chosen.server.Address, request.Deadline)
+		fresh, err := dial(ctx, chosen.address, request.Deadline)
 		if err != nil {
 			return nil, &failure{reason: reasonOf(err, fault.ReasonLinkLost), execution: fault.ExecutionNotRun, cause: err}
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -216,7 +216,7 @@
 	}
 	target := chosen.target
 	send := fleet.SendHeader{
-		Deadline: time.Until(w.request.Deadline), Instance: target.server.ID, Version: max(w.wanted.exactly, w.wanted.atLeast),
+		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: max(w.wanted.exactly, w.wanted.atLeast),
 		Tenant: w.request.Tenant, Priority: w.request.Priority,
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
@@ -225,7 +225,7 @@
 	w.sent++
 	w.wanted.tried = append(w.wanted.tried, target)
 	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
-		zap.String("server", target.server.ID), zap.String("zone", target.server.Zone), zap.Int("outstanding", chosen.outstanding),
+		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
 		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
@@ -293,7 +293,7 @@
 func (w *work) noteFailure(target *target, failed *failure, took time.Duration) {
 	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
 	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
-		zap.String("server", target.server.ID), zap.String("reason", string(failed.reason)),
+		zap.String("server", target.id), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -28,8 +28,12 @@
 // target is one server as this entry sees it. The fields below the pool are
 // guarded by the mutex of the set.
 type target struct {
+	id      string
+	address string
+	zone    string
+	pool    pool
+
 	server fleet.Server
-	pool   pool
 
 	inFlight int
 	// unread counts the requests sent to a model server whose first event has not
@@ -104,7 +108,7 @@
 			present[server.ID] = true
 			known := t.byID[server.ID]
 			if known == nil {
-				known = &target{expected: map[*work]time.Time{}}
+				known = &target{id: server.ID, address: server.Address, zone: server.Zone, expected: map[*work]time.Time{}}
 				t.byID[server.ID] = known
 				if told, heard := t.statuses[server.Address]; heard {
 					known.status, known.statusAt = told.status, told.at
@@ -150,7 +154,7 @@
 		return
 	}
 	if known.status.Reachable != status.Reachable || known.status.Version != status.Version {
-		t.log.Log(logging.ServerStatus, zap.String("server", known.server.ID), zap.Bool("reachable", status.Reachable),
+		t.log.Log(logging.ServerStatus, zap.String("server", known.id), zap.Bool("reachable", status.Reachable),
 			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
 	}
 	known.status, known.statusAt = status, now
@@ -192,7 +196,7 @@
 	pauseTime := min(ejectTime<<min(k.ejections, 6), maximumEjectTime)
 	k.ejections++
 	k.ejectedTill = time.Now().Add(pauseTime)
-	t.log.Log(logging.ServerEjected, zap.String("server", k.server.ID), zap.String("reason", reason), zap.Duration("for", pauseTime))
+	t.log.Log(logging.ServerEjected, zap.String("server", k.id), zap.String("reason", reason), zap.Duration("for", pauseTime))
 }
 
 // succeed notes an attempt that the server carried out.
@@ -200,7 +204,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if k.ejections > 0 {
-		t.log.Log(logging.ServerReturned, zap.String("server", k.server.ID))
+		t.log.Log(logging.ServerReturned, zap.String("server", k.id))
 	}
 	k.failures, k.ejections = 0, 0
 	const weight = 0.1
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -234,6 +234,7 @@
 	}
 	content, held := t.readPiece(request.Context(), index)
 	if !held {
+		t.noteSpoilt(request.Context(), index)
 		http.Error(writer, "no such piece", http.StatusNotFound)
 		return
 	}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -304,7 +304,8 @@
 // go together.
 func (t *transfer) carryOut(ctx context.Context) {
 	t.mutex.Lock()
-	actions := t.fetcher.Take()
+	fetcher := t.fetcher
+	actions := fetcher.Take()
 	t.mutex.Unlock()
 	type batchKey struct {
 		peer dissemination.MachineID
@@ -317,7 +318,7 @@
 			key := batchKey{peer: action.Peer, ask: action.Kind == dissemination.Ask}
 			batches[key] = append(batches[key], action.Chunk)
 		case dissemination.Fetch, dissemination.FetchOrigin:
-			go t.fetch(ctx, action)
+			go t.fetch(ctx, fetcher, action)
 		}
 	}
 	for key, pieces := range batches {
@@ -351,7 +352,7 @@
 }
 
 // fetch brings one piece to the server and reports how it went.
-func (t *transfer) fetch(ctx context.Context, action dissemination.Action) {
+func (t *transfer) fetch(ctx context.Context, fetcher *dissemination.Fetcher, action dissemination.Action) {
 	content, err := t.readFrom(ctx, action)
 	if err == nil && sha256.Sum256(content) != t.manifest.Digests[action.Chunk] {
 		err = &fault.Corrupt{Source: string(action.Peer)}
@@ -365,6 +366,10 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	defer t.poke()
+	if t.fetcher != fetcher {
+		// The transfer has begun anew meanwhile and will see for itself.
+		return
+	}
 	if err != nil {
 		t.fetcher.FetchFailed(action.Peer, action.Chunk, t.judge(err, action), t.now())
 		return
@@ -514,10 +519,26 @@
 	return bad
 }
 
+// noteSpoilt fetches a piece again that was thought to be here and is not sound, so
+// that peers are not sent to it in vain.
+func (t *transfer) noteSpoilt(ctx context.Context, index int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if ctx.Err() != nil || t.fetcher == nil || index < 0 || index >= len(t.manifest.Digests) || !t.fetcher.Holds(index) {
+		return
+	}
+	t.agent.log.Log(logging.PiecesSpoilt, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Ints("pieces", []int{index}))
+	t.restartLocked([]int{index})
+}
+
 // restart begins anew with what is sound, after pieces have turned bad.
 func (t *transfer) restart(bad []int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.restartLocked(bad)
+}
+
+func (t *transfer) restartLocked(bad []int) {
 	held := make([]bool, len(t.manifest.Digests))
 	for index := range held {
 		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
--- /dev/null
+++ b/internal/sitetest/fleet.go
@@ -0,0 +1,282 @@
+// Package sitetest runs real entries and agents, inside a test, against the
+// stand-in of the users' platform.
+package sitetest
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/daemon"
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/gateway"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/rollout"
+	"pinevane.example/pinevane/platform"
+)
+
+// Fleet is the processes of a test.
+type Fleet struct {
+	t    *testing.T
+	Site *site.Site
+	// Log collects the lines of all processes.
+	Log *Lines
+
+	mutex     sync.Mutex
+	processes map[string]*process
+	opened    map[string]bool
+}
+
+type process struct {
+	daemon *daemon.Daemon
+	stop   chan struct{}
+	done   chan struct{}
+}
+
+// Lines is a log that tests read.
+type Lines struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *Lines) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+// String returns all lines.
+func (l *Lines) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
+var (
+	networkMutex sync.Mutex
+	nextNetwork  = 60
+)
+
+// DefaultOptions is a fleet of two zones with bounds that suit a test.
+func DefaultOptions() site.Options {
+	networkMutex.Lock()
+	defer networkMutex.Unlock()
+	nextNetwork++
+	return site.Options{
+		Network: nextNetwork, Zones: 2, Entries: 2, ModelServers: 2, PlainServers: 1,
+		Weights:   site.Weights{Model: "m", Pieces: 24, PieceBytes: 4096, Layers: 4},
+		EventTime: 5 * time.Millisecond, Slots: 8,
+		VersionMs: 4000, ConfigApplyMs: 2000, DrainMs: 2000, GraceS: 6, BudgetSlack: 40, TimeoutMs: 4000,
+	}
+}
+
+// Start starts the stand-in and every process, and waits until the entries are
+// ready.
+func Start(t *testing.T, options site.Options) *Fleet {
+	t.Helper()
+	running, err := site.Start(options)
+	require.NoError(t, err)
+	f := &Fleet{t: t, Site: running, Log: &Lines{}, processes: map[string]*process{}, opened: map[string]bool{}}
+	t.Cleanup(f.close)
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			f.StartEntry(zone, index)
+		}
+		for index := range options.ModelServers {
+			f.StartAgent(zone, index)
+		}
+	}
+	f.WaitReady()
+	return f
+}
+
+func (f *Fleet) close() {
+	f.mutex.Lock()
+	names := make([]string, 0, len(f.processes))
+	for name := range f.processes {
+		names = append(names, name)
+	}
+	f.mutex.Unlock()
+	for _, name := range names {
+		f.Kill(name)
+	}
+	f.Site.Close()
+}
+
+// Name names a process.
+func Name(role string, zone, index int) string { return fmt.Sprintf("%s-%d-%d", role, zone, index) }
+
+func (f *Fleet) build(role string, zone, index int) *daemon.Daemon {
+	settings, err := platform.ParseSettings(f.Site.Settings(role, zone, index))
+	require.NoError(f.t, err)
+	f.mutex.Lock()
+	opened := f.opened[settings.StoreAddress]
+	f.opened[settings.StoreAddress] = true
+	f.mutex.Unlock()
+	if !opened {
+		require.NoError(f.t, f.Site.OpenStore(role, zone, index))
+	}
+	log := logging.NewBounded(zapcore.InfoLevel, settings.Name, f.Log)
+	return daemon.New(daemon.Options{
+		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
+		AdminListen: settings.IP + ":0",
+	})
+}
+
+func (f *Fleet) run(name string, base *daemon.Daemon, run func(<-chan struct{}) error) {
+	started := &process{daemon: base, stop: make(chan struct{}), done: make(chan struct{})}
+	f.mutex.Lock()
+	f.processes[name] = started
+	f.mutex.Unlock()
+	go func() {
+		defer close(started.done)
+		if err := run(started.stop); err != nil {
+			f.t.Errorf("%s: %v", name, err)
+		}
+	}()
+}
+
+// StartEntry starts an entry.
+func (f *Fleet) StartEntry(zone, index int) {
+	base := f.build(catalog.RoleEntry, zone, index)
+	f.run(Name(catalog.RoleEntry, zone, index), base, gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}}).Run)
+}
+
+// StartAgent starts the agent of a model server's machine.
+func (f *Fleet) StartAgent(zone, index int) {
+	base := f.build(catalog.RoleAgent, zone, index)
+	agent := rollout.New(rollout.Options{
+		Daemon: base, Server: platform.NewModelServer(f.Site.ModelAddress(zone, index)), Origin: platform.NewOrigin(),
+	})
+	f.run(Name(catalog.RoleAgent, zone, index), base, agent.Run)
+}
+
+// Stop stops a process as planned and waits for its end.
+func (f *Fleet) Stop(name string) {
+	f.mutex.Lock()
+	stopping := f.processes[name]
+	delete(f.processes, name)
+	f.mutex.Unlock()
+	close(stopping.stop)
+	<-stopping.done
+}
+
+// Kill ends a process's servers and links at once.
+func (f *Fleet) Kill(name string) {
+	f.mutex.Lock()
+	killed := f.processes[name]
+	delete(f.processes, name)
+	f.mutex.Unlock()
+	if killed == nil {
+		return
+	}
+	killed.daemon.Close()
+	close(killed.stop)
+}
+
+// Process returns the shared part of a running process.
+func (f *Fleet) Process(name string) *daemon.Daemon {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.processes[name].daemon
+}
+
+// Eventually waits for a condition.
+func (f *Fleet) Eventually(what string, limit time.Duration, condition func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, condition, limit, 10*time.Millisecond, what)
+}
+
+// WaitReady waits until every entry is ready and every model server is seen.
+func (f *Fleet) WaitReady() {
+	f.t.Helper()
+	options := f.Site.Options
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			f.Eventually("an entry is ready", 10*time.Second, func() bool { return f.ready(zone, index) && f.seesAgents(zone, index) })
+		}
+	}
+}
+
+func (f *Fleet) ready(zone, index int) bool {
+	response, err := http.Get(f.Site.ReadyURL(zone, index))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// seesAgents reports whether an entry has heard from the agent of each model
+// server that serves.
+func (f *Fleet) seesAgents(zone, index int) bool {
+	dump := f.Process(Name(catalog.RoleEntry, zone, index)).Dump()
+	return strings.Count(fmt.Sprintf("%+v", dump["servers"]), "Reachable:true") >= f.Site.Options.Zones*f.Site.Options.ModelServers
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Whole is false when the answer broke off.
+	Whole bool
+	// Closes is set when the entry ends the connection after the answer.
+	Closes bool
+	// Events are the ids of a stream's events.
+	Events []int
+}
+
+// client keeps no connection for long, so that none goes to a process that has
+// been started anew on the same address.
+var client = &http.Client{Transport: &http.Transport{IdleConnTimeout: 50 * time.Millisecond, DisableCompression: true}}
+
+// Call sends one request to an entry as a caller would.
+func (f *Fleet) Call(ctx context.Context, zone, index int, method, path, id string, header map[string]string, body string) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, f.Site.EntryURL(zone, index)+path, strings.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	request.Host = site.Host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Authorization", "Token "+site.Key)
+	request.Header.Set("Deadline-Ms", "4000")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer := Answer{Status: response.StatusCode, Header: response.Header, Closes: response.Close}
+	data, err := io.ReadAll(response.Body)
+	answer.Body, answer.Whole = string(data), err == nil
+	scanner := bufio.NewScanner(strings.NewReader(answer.Body))
+	for scanner.Scan() {
+		if text, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			if number, err := strconv.Atoi(text); err == nil {
+				answer.Events = append(answer.Events, number)
+			}
+		}
+	}
+	return answer, nil
+}
+
+// Stream asks for a stream of a number of events.
+func (f *Fleet) Stream(ctx context.Context, zone, index int, id string, events int) (Answer, error) {
+	header := map[string]string{"Model": f.Site.Options.Weights.Model, "Token-Usage": "10," + strconv.Itoa(events)}
+	return f.Call(ctx, zone, index, http.MethodPost, site.StreamPrefix+"a", id, header, "prompt")
+}
--- /dev/null
+++ b/internal/sitetest/fleet_test.go
@@ -0,0 +1,151 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// countEvents counts the log lines with an event's number and some more text.
+func countEvents(f *Fleet, number, with string) int {
+	count := 0
+	for line := range strings.SplitSeq(f.Log.String(), "\n") {
+		if strings.Contains(line, `"event":"`+number+`"`) && strings.Contains(line, with) {
+			count++
+		}
+	}
+	return count
+}
+
+// inForce reports whether every entry has a configuration version.
+func (f *Fleet) inForce(version uint64) bool {
+	for zone := range f.Site.Options.Zones {
+		for index := range f.Site.Options.Entries {
+			view := f.Process(Name(catalog.RoleEntry, zone, index)).Catalog.View()
+			if view.Configuration == nil || view.Configuration.Version < version {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func revoke(configuration map[string]any) {
+	configuration["tenants"] = []any{map[string]any{"name": site.Tenant, "apiKeys": []string{"another-key"}}}
+}
+
+// CONFIG: a change is in force everywhere in time, also when the store's watches
+// hear nothing and its history is then forgotten.
+func TestChangeInForceWhileTheStoreForgets(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.Store.SetDeaf()
+	time.Sleep(200 * time.Millisecond)
+	acknowledged := time.Now()
+	version := f.Site.Configure(revoke)
+	time.AfterFunc(800*time.Millisecond, f.Site.Store.Compact)
+	f.Eventually("the change is in force", 2*time.Second, func() bool { return f.inForce(version) })
+	t.Logf("in force after %s", time.Since(acknowledged))
+	answer, err := f.Call(context.Background(), 0, 1, http.MethodGet, site.SafePrefix, "revoked", nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusUnauthorized, answer.Status)
+}
+
+// CONFIG: entries that the store turns away learn from the others.
+func TestChangeReachesEntriesThatTheStoreTurnsAway(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	options := f.Site.Options
+	f.Site.Store.Refuse(options.EntryIP(0, 0), options.EntryIP(0, 1), options.EntryIP(1, 1))
+	time.Sleep(200 * time.Millisecond)
+	version := f.Site.Configure(revoke)
+	f.Eventually("the change is in force", 2*time.Second, func() bool { return f.inForce(version) })
+}
+
+// CONFIG: an entry that starts while the store is down learns from its peers, and
+// answers 503 until then.
+func TestEntryThatStartsWhileTheStoreIsDown(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Kill(Name(catalog.RoleEntry, 1, 1))
+	version := f.Site.Configure(nil)
+	f.Eventually("the change is in force at another", 2*time.Second, func() bool {
+		return f.Process(Name(catalog.RoleEntry, 0, 0)).Catalog.View().Configuration.Version >= version
+	})
+	f.Site.Store.SetDown(true)
+	f.StartEntry(1, 1)
+	f.Eventually("the entry is ready", 3*time.Second, func() bool { return f.ready(1, 1) })
+	answer, err := f.Call(context.Background(), 1, 1, http.MethodGet, site.SafePrefix, "learnt", nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status)
+}
+
+// Few processes read the store: one entry of each zone.
+func TestFewProcessesReadTheStore(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	time.Sleep(time.Second)
+	before := f.Site.Store.Calls()
+	time.Sleep(2 * time.Second)
+	perSecond := float64(f.Site.Store.Calls()-before) / 2
+	t.Logf("%.1f calls a second", perSecond)
+	assert.LessOrEqual(t, perSecond, float64(5*f.Site.Options.Zones)+1)
+}
+
+// DRAIN: a server that announces its end gets nothing more after a moment.
+func TestLeavingServerGetsNothingMore(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	leaving := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
+	stop := load(f, t)
+	time.Sleep(300 * time.Millisecond)
+	leaving.Leave()
+	said := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.At.After(said.Add(time.Second)) {
+			assert.NotEqual(t, leaving.ID(), run.Server)
+		}
+	}
+}
+
+// LOST, DRAIN: a planned stop of an entry takes readiness back at once, cuts no
+// stream, and answers what still comes.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	options := DefaultOptions()
+	options.EventTime = 100 * time.Millisecond
+	f := Start(t, options)
+	var streams sync.WaitGroup
+	for number := range 6 {
+		streams.Go(func() {
+			answer, err := f.Stream(context.Background(), 0, 0, fmt.Sprintf("long-%d", number), 25)
+			assert.NoError(t, err)
+			assert.True(t, answer.Whole)
+			assert.Len(t, answer.Events, 25)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		f.Stop(Name(catalog.RoleEntry, 0, 0))
+		close(stopped)
+	}()
+	f.Eventually("the entry is not ready", time.Second, func() bool { return !f.ready(0, 0) })
+	answer, err := f.Call(context.Background(), 0, 0, http.MethodGet, site.SafePrefix, "late", nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status)
+	assert.True(t, answer.Closes, "a stopping entry asks its callers to connect anew")
+	streams.Wait()
+	select {
+	case <-stopped:
+	case <-time.After(time.Duration(options.GraceS * float64(time.Second))):
+		t.Fatal("the entry did not end within its grace")
+	}
+}
--- /dev/null
+++ b/internal/sitetest/versions_test.go
@@ -0,0 +1,150 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// load sends streams until the function returned is called, which waits for the
+// last and returns how many were not answered whole.
+func load(f *Fleet, t *testing.T) (stop func() (sent, spoilt int)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	var mutex sync.Mutex
+	sent, spoilt := 0, 0
+	for caller := range 6 {
+		callers.Go(func() {
+			for number := 0; ctx.Err() == nil; number++ {
+				answer, err := f.Stream(context.Background(), caller%2, caller/2%2, fmt.Sprintf("load-%d-%d", caller, number), 8)
+				mutex.Lock()
+				sent++
+				if err != nil || answer.Status != 200 || !answer.Whole || len(answer.Events) != 8 {
+					spoilt++
+					t.Logf("stream %d-%d: %v %d %v", caller, number, err, answer.Status, answer.Events)
+				}
+				mutex.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	return func() (int, int) {
+		cancel()
+		callers.Wait()
+		return sent, spoilt
+	}
+}
+
+func (f *Fleet) allServe(version uint64) bool {
+	for _, server := range f.Site.Models {
+		if server.Version() != version {
+			return false
+		}
+	}
+	return true
+}
+
+// WHOLE, VERSION: under load, a new version comes into service everywhere in time,
+// from about one copy of the origin; no stream is lost, none begins too late on the
+// old version, none on spoilt weights.
+func TestNewVersionUnderLoad(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	stop := load(f, t)
+	time.Sleep(300 * time.Millisecond)
+	named := time.Now()
+	f.Site.NameVersion(2)
+	bound := time.Duration(f.Site.Options.VersionMs) * time.Millisecond
+	f.Eventually("every server serves version 2", bound, func() bool { return f.allServe(2) })
+	time.Sleep(time.Until(named.Add(bound + 300*time.Millisecond)))
+	sent, spoilt := stop()
+	assert.Greater(t, sent, 100)
+	assert.Zero(t, spoilt)
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+		if run.Service == site.ModelService && run.At.After(named.Add(bound)) {
+			assert.Equal(t, uint64(2), run.Version)
+		}
+	}
+	assert.LessOrEqual(t, f.Site.Origin.Copies(), 1.3)
+}
+
+// A version that is replaced while its pieces are still moving is dropped, and the
+// newest is served in time, counted from the first.
+func TestTwoVersionsInQuickSuccession(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.NameVersion(2)
+	time.Sleep(400 * time.Millisecond)
+	f.Site.NameVersion(3)
+	f.Eventually("every server serves version 3", time.Duration(f.Site.Options.VersionMs)*time.Millisecond, func() bool { return f.allServe(3) })
+}
+
+// WHOLE: pieces that turn bad after they were staged are noticed before the order.
+func TestPiecesThatTurnBadAreFetchedAgain(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.NameVersion(2)
+	f.Eventually("pieces are staged", 3*time.Second, func() bool { return countEvents(f, "PV3005", `"version":2`) >= 4 })
+	for _, server := range f.Site.Models {
+		server.Rot(3)
+		server.Rot(17)
+	}
+	f.Eventually("every server serves version 2", 6*time.Second, func() bool { return f.allServe(2) })
+	_, err := f.Stream(context.Background(), 0, 0, "after", 3)
+	assert.NoError(t, err)
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
+
+// WHOLE: what the origin hands out is checked, and a manifest that its own pieces do
+// not match is not believed for long.
+func TestOriginThatHandsOutWrongBytes(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.Origin.Spoil(5)
+	f.Site.Origin.SpoilManifest()
+	f.Site.NameVersion(2)
+	f.Eventually("every server serves version 2", 10*time.Second, func() bool { return f.allServe(2) })
+	_, err := f.Stream(context.Background(), 0, 0, "after", 3)
+	assert.NoError(t, err)
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
+
+// A server that has crashed is served again from what lies at it, without the
+// origin; one that comes empty gets its pieces from its peers.
+func TestRestartedAndEmptyServersComeBack(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Eventually("pieces are verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	before := f.Site.Origin.Copies()
+	assert.NoError(t, f.Site.RestartModel(0, 0))
+	f.Eventually("the restarted server serves", 3*time.Second, func() bool { return f.allServe(1) })
+	_, err := f.Site.StartModel(1, 5, 0)
+	assert.NoError(t, err)
+	f.StartAgent(1, 5)
+	f.Eventually("the new server serves", 4*time.Second, func() bool { return f.allServe(1) })
+	assert.LessOrEqual(t, f.Site.Origin.Copies()-before, 0.05)
+}
+
+// RECOVER: after a loss of power no server holds anything; the pieces come from the
+// origin once more.
+func TestEverythingEmpty(t *testing.T) {
+	options := DefaultOptions()
+	options.ModelServers = 0
+	f := Start(t, options)
+	f.Site.NameVersion(4)
+	for zone := range options.Zones {
+		for index := range 3 {
+			_, err := f.Site.StartModel(zone, index, 0)
+			assert.NoError(t, err)
+			f.StartAgent(zone, index)
+		}
+	}
+	f.Eventually("every server serves version 4", 6*time.Second, func() bool { return f.allServe(4) })
+	assert.LessOrEqual(t, f.Site.Origin.Copies(), 2.0)
+}
