explain: a request's story from the logs of all processes; a demo on the platform's stand-in

Cause: nobody could get from a failed request's id to its cause without reading every log; the demo did not run what the users' machines run.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Commands of the project; each installs what it needs.
 DEPLOYMENT ?= yaad-voices
+PLATFORM ?= product
 HOLD ?=
 BINARY := bin/pinevane
 PACKAGES := ./...
@@ -14,7 +15,7 @@
 	go build -o $(BINARY) ./cmd/pinevane
 
 demo: build
-	$(BINARY) demo --deployment examples/$(DEPLOYMENT) $(if $(HOLD),--hold)
+	$(BINARY) demo --platform $(PLATFORM) --deployment examples/$(DEPLOYMENT) $(if $(HOLD),--hold)
 
 test: setup format-check lint build
 	go test -race -count=1 -timeout 20m $(PACKAGES)
--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -4,9 +4,11 @@
 	"os"
 
 	"pinevane.example/pinevane/internal/demo"
+	"pinevane.example/pinevane/internal/fault"
 )
 
 type demoCommand struct {
+	Platform   string `long:"platform" env:"PINEVANE_DEMO_PLATFORM" default:"product" description:"product (the product's own stand-ins) or system (the stand-in of the users' platform)"`
 	Deployment string `long:"deployment" env:"PINEVANE_DEMO_DEPLOYMENT" default:"examples/yaad-voices" description:"directory of a deployment"`
 	Hold       bool   `long:"hold" env:"PINEVANE_DEMO_HOLD" description:"leave the fleet up until an interrupt"`
 	Logs       string `long:"logs" env:"PINEVANE_DEMO_LOGS" description:"directory for a log file a process; discarded when left out"`
@@ -18,6 +20,13 @@
 	if err != nil {
 		return err
 	}
+	switch c.Platform {
+	case "product":
+	case "system":
+		return demo.RunSystem(demo.SystemOptions{Executable: executable, LogDirectory: c.Logs, Output: os.Stdout})
+	default:
+		return &fault.InvalidSetting{Flag: "--platform", Value: c.Platform, Allowed: "product or system"}
+	}
 	_, err = demo.Run(demo.Options{
 		Executable: executable, Directory: c.Deployment, LogDirectory: c.Logs,
 		Hold: c.Hold, Stop: stopSignal(), Output: os.Stdout,
--- /dev/null
+++ b/internal/demo/system.go
@@ -0,0 +1,296 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/launch"
+)
+
+// SystemOptions set up a demo on the stand-in of the users' platform.
+type SystemOptions struct {
+	Executable   string
+	LogDirectory string
+	Output       io.Writer
+}
+
+// Times and sizes of the demo on the platform's stand-in.
+const (
+	systemNetwork     = 140
+	systemWarmUp      = 2 * time.Second
+	systemVersionTime = 8 * time.Second
+	systemCallers     = 18
+	systemEvents      = 12
+	systemReady       = 20 * time.Second
+)
+
+func systemFleet() site.Options {
+	return site.Options{
+		Network: systemNetwork + os.Getpid()%50, Zones: 3, Entries: 2, ModelServers: 3, PlainServers: 1,
+		Weights:   site.Weights{Model: "dialect", Pieces: 96, PieceBytes: 24576, Layers: 16},
+		EventTime: 10 * time.Millisecond, Slots: 16,
+		VersionMs: int(systemVersionTime.Milliseconds()), ConfigApplyMs: 2000, DrainMs: 2000, GraceS: 8, BudgetSlack: 100, TimeoutMs: 6000,
+	}
+}
+
+// systemDemo is one run.
+type systemDemo struct {
+	options SystemOptions
+	site    *site.Site
+	group   *launch.Group
+	folder  string
+
+	answered atomic.Int64
+	refused  atomic.Int64
+	failed   atomic.Int64
+	mutex    sync.Mutex
+	broken   []string
+}
+
+// RunSystem runs entries and agents as processes against the stand-in of the
+// users' platform: it answers requests, brings a version into service everywhere,
+// adds an empty server, changes the configuration, stops an entry as planned, and
+// checks from the servers' own ledger that the promises held.
+func RunSystem(options SystemOptions) error {
+	folder, err := os.MkdirTemp("", "pinevane-demo")
+	if err != nil {
+		return &fault.Unavailable{Target: "temporary folder", Operation: "make", Cause: err}
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	running, err := site.Start(systemFleet())
+	if err != nil {
+		return &fault.Unavailable{Target: "stand-in", Operation: "start", Cause: err}
+	}
+	defer running.Close()
+	d := &systemDemo{options: options, site: running, folder: folder, group: launch.NewGroup(options.Executable, options.LogDirectory)}
+	defer d.group.Stop()
+	return d.run()
+}
+
+func (d *systemDemo) printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(d.options.Output, format+"\n", values...)
+}
+
+func (d *systemDemo) run() error {
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for caller := range systemCallers {
+		callers.Go(func() { d.call(ctx, caller) })
+	}
+	time.Sleep(systemWarmUp)
+	err := d.changes()
+	cancel()
+	callers.Wait()
+	if err != nil {
+		return err
+	}
+	return d.report()
+}
+
+// startAll starts every entry and agent and waits until the entries are ready.
+func (d *systemDemo) startAll() error {
+	options := d.site.Options
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			if err := d.start(site.RoleEntry, zone, index); err != nil {
+				return err
+			}
+		}
+		for index := range options.ModelServers {
+			if err := d.start(site.RoleAgent, zone, index); err != nil {
+				return err
+			}
+		}
+	}
+	err := d.wait("entries ready", systemReady, func() bool {
+		for zone := range options.Zones {
+			for index := range options.Entries {
+				if !d.ready(zone, index) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	d.printf("%d entries and %d agents run, as processes, in %d zones", options.Zones*options.Entries, options.Zones*options.ModelServers, options.Zones)
+	return err
+}
+
+func (d *systemDemo) start(role string, zone, index int) error {
+	if err := d.site.OpenStore(role, zone, index); err != nil {
+		return &fault.Unavailable{Target: "stand-in", Operation: "listen", Cause: err}
+	}
+	name := fmt.Sprintf("%s-%d-%d", role, zone, index)
+	path := filepath.Join(d.folder, name+".json")
+	if err := os.WriteFile(path, d.site.Settings(role, zone, index), 0o600); err != nil {
+		return &fault.Unavailable{Target: path, Operation: "write", Cause: err}
+	}
+	return d.group.Run(name, []string{role, "--settings", path})
+}
+
+func (d *systemDemo) ready(zone, index int) bool {
+	response, err := http.Get(d.site.ReadyURL(zone, index))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *systemDemo) wait(what string, limit time.Duration, condition func() bool) error {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		if condition() {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return &fault.Timeout{Waiting: what, After: limit}
+}
+
+// changes does what operators do, under load.
+func (d *systemDemo) changes() error {
+	named := time.Now()
+	d.site.NameVersion(2)
+	if err := d.wait("version 2 everywhere", systemVersionTime, func() bool { return d.allServe(2) }); err != nil {
+		return err
+	}
+	d.printf("version 2 is in service everywhere %.1f s after its naming; the origin sent %.2f copies", time.Since(named).Seconds(), d.site.Origin.Copies())
+	const late = 7
+	if _, err := d.site.StartModel(1, late, 0); err != nil {
+		return &fault.Unavailable{Target: "stand-in", Operation: "start", Cause: err}
+	}
+	came := time.Now()
+	if err := d.start(site.RoleAgent, 1, late); err != nil {
+		return err
+	}
+	if err := d.wait("the empty server serves", systemVersionTime, func() bool { return d.allServe(2) }); err != nil {
+		return err
+	}
+	d.printf("an empty server serves %.1f s after it came; the origin has sent %.2f copies", time.Since(came).Seconds(), d.site.Origin.Copies())
+	d.site.Configure(nil)
+	stopped := time.Now()
+	if err := d.group.Signal("entry-0-0", syscall.SIGTERM); err != nil {
+		return err
+	}
+	if !d.group.WaitExit("entry-0-0", systemVersionTime) {
+		return &fault.Timeout{Waiting: "the stopped entry ends", After: systemVersionTime}
+	}
+	d.printf("an entry stopped as planned within %.1f s", time.Since(stopped).Seconds())
+	return nil
+}
+
+func (d *systemDemo) allServe(version uint64) bool {
+	for _, server := range d.site.Models {
+		if server.Version() != version {
+			return false
+		}
+	}
+	return true
+}
+
+// call sends requests of every kind, one after the other, to an entry of one zone,
+// and to the next when that one refuses the connection.
+func (d *systemDemo) call(ctx context.Context, caller int) {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	for number := 0; ctx.Err() == nil; number++ {
+		id := fmt.Sprintf("demo-%d-%d", caller, number)
+		entry := (caller + number) % d.site.Options.Entries
+		switch number % 4 {
+		case 0:
+			d.send(client, caller, entry, http.MethodPost, site.OncePrefix+"save", id, 0)
+		case 1:
+			d.send(client, caller, entry, http.MethodGet, site.SafePrefix+"card", id, 0)
+		default:
+			d.send(client, caller, entry, http.MethodPost, site.StreamPrefix+"gloss", id, systemEvents)
+		}
+	}
+}
+
+func (d *systemDemo) send(client *http.Client, caller, entry int, method, path, id string, events int) {
+	request, err := http.NewRequest(method, d.site.EntryURL(caller%d.site.Options.Zones, entry)+path, strings.NewReader("words"))
+	if err != nil {
+		d.violation("%s: %v", id, err)
+		return
+	}
+	request.Host = site.Host
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Authorization", "Token "+site.Key)
+	request.Header.Set("Deadline-Ms", "6000")
+	if events > 0 {
+		request.Header.Set("Model", d.site.Options.Weights.Model)
+		request.Header.Set("Token-Usage", fmt.Sprintf("10,%d", events))
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		// An entry that has stopped takes no connections; the platform would not send
+		// any there.
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	switch {
+	case err != nil:
+		d.failed.Add(1)
+		d.violation("%s: the answer was cut: %v", id, err)
+	case response.StatusCode == http.StatusServiceUnavailable:
+		d.refused.Add(1)
+	case response.StatusCode != http.StatusOK:
+		d.failed.Add(1)
+	case events > 0 && strings.Count(string(body), "data: "+id+"/") != events:
+		d.violation("%s: not the whole own answer", id)
+	default:
+		d.answered.Add(1)
+	}
+}
+
+func (d *systemDemo) violation(format string, values ...any) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.broken = append(d.broken, fmt.Sprintf(format, values...))
+}
+
+// report judges from the servers' ledger and prints what was found.
+func (d *systemDemo) report() error {
+	runs := map[string]int{}
+	for _, run := range d.site.Ledger.Runs() {
+		if run.Spoilt {
+			d.violation("%s ran on spoilt weights at %s", run.RequestID, run.Server)
+		}
+		if run.KeySeen || run.Tenant != site.Tenant {
+			d.violation("%s reached %s with the caller's key or another tenant", run.RequestID, run.Server)
+		}
+		if run.Service == site.PlainService {
+			runs[run.RequestID]++
+		}
+	}
+	for id, count := range runs {
+		if count > 1 {
+			d.violation("%s ran %d times", id, count)
+		}
+	}
+	d.printf("requests: %d answered, %d refused, %d failed", d.answered.Load(), d.refused.Load(), d.failed.Load())
+	d.printf("violations: %d", len(d.broken))
+	for _, one := range d.broken {
+		d.printf("  %s", one)
+	}
+	if len(d.broken) > 0 {
+		return &fault.PromiseBroken{Promise: "demo", Detail: d.broken[0]}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,117 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+)
+
+// last returns the newest line with one of the events.
+func last(lines []Line, events ...string) (Line, bool) {
+	for index := len(lines) - 1; index >= 0; index-- {
+		for _, event := range events {
+			if lines[index].Event == event {
+				return lines[index], true
+			}
+		}
+	}
+	return Line{}, false
+}
+
+// cause names what decided the end of a request, from its own lines and those that
+// bear on it.
+func cause(own, all []Line) string {
+	end, ended := last(own, answered, denied, givenUp, streamCut, callerLeft)
+	if !ended {
+		return "the request has no end in the logs: its process stopped, or lines are missing"
+	}
+	switch end.Event {
+	case answered:
+		return answeredCause(own, end)
+	case denied:
+		return deniedCause(all, end)
+	case callerLeft:
+		return fmt.Sprintf("the caller closed its connection after %.3f s", end.number("took"))
+	case streamCut:
+		return "the stream was cut after event " + end.text("last_event") + ": " + failureCause(own, all)
+	}
+	if end.text("execution") == "not-run" {
+		return "refused, and certain not to have run: " + refusalCause(own, all, end)
+	}
+	return "given up, and it may have run: " + failureCause(own, all)
+}
+
+func answeredCause(own []Line, end Line) string {
+	text := fmt.Sprintf("answered with status %s by server %s after %.3f s", end.text("status"), end.text("server"), end.number("took"))
+	if first, target := end.number("first_event"), end.number("target"); target > 0 && first > target {
+		text += fmt.Sprintf("; late: the first event came after %.3f s, the target is %.3f s", first, target)
+		if choice, found := last(own, sent); found {
+			text += fmt.Sprintf("; %.3f s had been expected of the server, on figures %.3f s old", choice.number("expected"), choice.number("status_age"))
+		}
+	}
+	if failure, found := last(own, failed); found {
+		text += "; an attempt before failed: " + failure.text("reason") + " at " + failure.text("server")
+	}
+	return text
+}
+
+func deniedCause(all []Line, end Line) string {
+	text := fmt.Sprintf("denied with %s by configuration %s, in force for %.3f s", end.text("status"), end.text("configuration"), end.number("configuration_age"))
+	if newest, found := last(all, accepted); found && newest.text("version") != end.text("configuration") {
+		text += "; version " + newest.text("version") + " came in force at " + newest.Time.Format("15:04:05.000")
+	}
+	return text
+}
+
+// refusalCause explains a request that was sent to no server that ran it.
+func refusalCause(own, all []Line, end Line) string {
+	if line, found := last(own, noServer); found {
+		text := "no server was chosen; servers by reason: " + line.text("servers")
+		if line.number("limit") > 0 {
+			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
+		}
+		return text + versionCause(all, line)
+	}
+	if _, found := last(own, failed); found {
+		return failureCause(own, all)
+	}
+	return end.text("reason")
+}
+
+// failureCause explains the last attempt that failed, and why no other followed.
+func failureCause(own, all []Line) string {
+	failure, found := last(own, failed)
+	if !found {
+		return "no failed attempt is in the logs; lines are missing"
+	}
+	text := fmt.Sprintf("attempt %s at server %s failed (%s", failure.text("attempt"), failure.text("server"), failure.text("reason"))
+	if detail := failure.text("cause"); detail != "" {
+		text += ": " + detail
+	}
+	text += ")"
+	if line, kept := last(own, withheld); kept && !line.Time.Before(failure.Time) {
+		text += "; it was not tried again because of: " + line.text("because")
+	} else if line, none := last(own, noServer); none && !line.Time.Before(failure.Time) {
+		text += "; no other server was chosen, servers by reason: " + line.text("servers")
+	}
+	return text + versionCause(all, failure)
+}
+
+// versionCause tells of a change of version that was under way.
+func versionCause(all []Line, at Line) string {
+	named, found := last(all, versionNamed)
+	if !found || named.Time.After(at.Time) {
+		return ""
+	}
+	orders := 0
+	for _, line := range all {
+		if line.Event == orderSent && line.text("version") == named.text("version") && !line.Time.After(at.Time) {
+			orders++
+		}
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "; version %s had been named %.3f s before", named.text("version"), at.Time.Sub(named.Time).Seconds())
+	if orders > 0 {
+		fmt.Fprintf(&text, ", and %d servers had been ordered over", orders)
+	}
+	return text.String()
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -6,9 +6,12 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
 )
 
 // Weights of the choice.
@@ -81,6 +84,7 @@
 	if len(usable) == 0 {
 		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
 		refusal.RetryAfter = noServerRetry
+		t.logNoChoice(wanted, now, 0, 0)
 		return choice{}, refusal
 	}
 	best := choice{score: math.MaxInt64, candidates: len(usable)}
@@ -135,19 +139,65 @@
 	return score + candidate.delayedSwitch(wanted, now)
 }
 
+// logNoChoice logs why no server was chosen: how many servers fall out for which
+// reason, and how soon the soonest of the others would begin the request.
+func (t *targets) logNoChoice(wanted need, now time.Time, soonest, limit time.Duration) {
+	counts := map[string]int{}
+	var oldest time.Duration
+	for _, candidate := range t.byService[wanted.service] {
+		counts[candidate.unfit(wanted, now)]++
+		if !candidate.statusAt.IsZero() {
+			oldest = max(oldest, now.Sub(candidate.statusAt))
+		}
+	}
+	t.log.Log(logging.NoServerChosen, zap.String("request", wanted.work.request.Call.RequestID), zap.String("service", wanted.service),
+		zap.Any("servers", counts), zap.Duration("soonest", soonest), zap.Duration("limit", limit), zap.Duration("oldest_status", oldest),
+		zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly))
+}
+
+// Reasons for which a server is not sent a request.
+const (
+	unfitNot         = "usable"
+	unfitLeaving     = "leaving"
+	unfitTried       = "tried before"
+	unfitUnreachable = "unreachable"
+	unfitEmpty       = "serves nothing"
+	unfitChanging    = "changing over"
+	unfitVersion     = "other version"
+	unfitBound       = "would begin after the version's bound"
+	unfitEjected     = "ejected"
+)
+
+// unfit returns why a server is not sent the request.
+func (k *target) unfit(wanted need, now time.Time) string {
+	switch {
+	case k.server.Draining || k.gone:
+		return unfitLeaving
+	case slices.Contains(wanted.tried, k):
+		return unfitTried
+	}
+	if wanted.engine != nil {
+		if reason := k.unfitModel(wanted, now); reason != unfitNot {
+			return reason
+		}
+	}
+	if now.Before(k.ejectedTill) {
+		return unfitEjected
+	}
+	return unfitNot
+}
+
 // usable lists the servers that may be sent the request: ejected ones only when
 // there is no other.
 func (t *targets) usable(wanted need, now time.Time) []*target {
 	var sound, ejected []*target
 	for _, candidate := range t.byService[wanted.service] {
-		if candidate.server.Draining || candidate.gone || slices.Contains(wanted.tried, candidate) || !candidate.fits(wanted, now) {
-			continue
-		}
-		if now.Before(candidate.ejectedTill) {
+		switch candidate.unfit(wanted, now) {
+		case unfitNot:
+			sound = append(sound, candidate)
+		case unfitEjected:
 			ejected = append(ejected, candidate)
-			continue
 		}
-		sound = append(sound, candidate)
 	}
 	if len(sound) == 0 {
 		return ejected
@@ -155,32 +205,30 @@
 	return sound
 }
 
-// fits reports whether a model server serves a fitting version now; servers of
-// plain services always do.
-func (k *target) fits(wanted need, now time.Time) bool {
-	if wanted.engine == nil {
-		return true
-	}
+// unfitModel returns why a model server does not serve a fitting version now.
+func (k *target) unfitModel(wanted need, now time.Time) string {
 	version := k.version
 	if k.current(now) {
-		if !k.status.Reachable || k.status.Version == 0 {
-			return false
-		}
-		version = k.status.Version
 		left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
-		if k.status.SwitchMilliseconds != fleet.NoSwitch && left < switchMargin {
-			return false
+		switch {
+		case !k.status.Reachable:
+			return unfitUnreachable
+		case k.status.SwitchMilliseconds != fleet.NoSwitch && left < switchMargin:
+			return unfitChanging
+		case k.status.Version == 0:
+			return unfitEmpty
 		}
+		version = k.status.Version
 	} else if len(k.server.Models) == 0 {
-		return false
-	}
-	if wanted.exactly != 0 && version != wanted.exactly {
-		return false
+		return unfitEmpty
 	}
-	if version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(now)).After(wanted.bound) {
-		return false
+	switch {
+	case wanted.exactly != 0 && version != wanted.exactly, version < wanted.atLeast:
+		return unfitVersion
+	case version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(now)).After(wanted.bound):
+		return unfitBound
 	}
-	return version >= wanted.atLeast
+	return unfitNot
 }
 
 // load is what is known of the server's work now.
@@ -316,6 +364,7 @@
 	if soonest <= limit {
 		return nil
 	}
+	t.logNoChoice(wanted, now, soonest, limit)
 	refusal := fault.NotRun(fault.ReasonOverloaded, "no server could begin the request within its target")
 	refusal.RetryAfter = min(max(soonest-limit/2, refusalRetryFloor), refusalRetryCap)
 	return refusal
--- a/internal/launch/group.go
+++ b/internal/launch/group.go
@@ -44,7 +44,7 @@
 			return &fault.Unavailable{Target: name, Operation: "open log", Cause: err}
 		}
 		defer func() { _ = file.Close() }()
-		command.Stderr = file
+		command.Stdout, command.Stderr = file, file
 	}
 	if err := command.Start(); err != nil {
 		return &fault.Unavailable{Target: name, Operation: "start", Cause: err}
