--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -99,7 +99,7 @@
 	}
 	best.outstanding = best.target.outstanding(now)
 	best.expected = best.target.firstEvent(wanted, now)
-	best.statusAge = now.Sub(best.target.statusAt)
+	best.statusAge = best.target.statusAge(now)
 	best.target.inFlight++
 	if wanted.engine != nil {
 		best.target.unread++
@@ -109,6 +109,16 @@
 	return best, nil
 }
 
+// noStatus is the age of an agent's word that never came.
+const noStatus = -time.Second
+
+func (k *target) statusAge(now time.Time) time.Duration {
+	if k.statusAt.IsZero() {
+		return noStatus
+	}
+	return now.Sub(k.statusAt)
+}
+
 // sample draws the servers to compare: half of them from the own zone, as long as
 // it has some.
 func (t *targets) sample(usable []*target) []*target {
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -35,7 +35,7 @@
 		views = append(views, ServerView{
 			ID: id, Service: known.server.Service, Address: known.address, Zone: known.zone,
 			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
-			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: now.Sub(known.statusAt).Seconds(),
+			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
 			MeanMillisecond: known.meanMilliseconds,
 		})
 	}
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -102,7 +104,16 @@
 	return f
 }
 
+// logFolderVariable names a folder that gets the logs of every test's fleet.
+const logFolderVariable = "PINEVANE_TEST_LOGS"
+
 func (f *Fleet) close() {
+	if folder := os.Getenv(logFolderVariable); folder != "" {
+		path := filepath.Join(folder, f.t.Name()+".log")
+		if err := os.WriteFile(path, []byte(f.Log.String()), 0o600); err != nil {
+			f.t.Log(err)
+		}
+	}
 	f.mutex.Lock()
 	names := make([]string, 0, len(f.processes))
 	for name := range f.processes {
