A server that started anew is sent requests under its new name only

Change: of several servers listed with one address only the newest is used; an answer 421 that names another instance marks the asked one as ended for good.

--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -169,9 +169,15 @@
 // RestartModel crashes a model server and starts it anew, with nothing in service
 // and what was staged still there.
 func (s *Site) RestartModel(zone, index int) error {
+	s.Store.Delete("servers/" + s.Models[s.Options.ModelIP(zone, index)].options.ID)
+	return s.RestartModelUnnoticed(zone, index)
+}
+
+// RestartModelUnnoticed does the same while the list goes on naming the old server
+// beside the new one, as it does until it has missed three heartbeats.
+func (s *Site) RestartModelUnnoticed(zone, index int) error {
 	old := s.Models[s.Options.ModelIP(zone, index)]
 	staged := old.Crash()
-	s.Store.Delete("servers/" + old.options.ID)
 	s.starts++
 	options := old.options
 	options.ID, options.Version = fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), 0
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -176,6 +176,8 @@
 // AnswerHeader is what a server's answer says of itself.
 type AnswerHeader struct {
 	RequestID string
+	// Instance is the server's own name; empty when not said.
+	Instance string
 	// NotRun is the server's word that it has not run the request.
 	NotRun bool
 	// Signed is set when the answer carries the server's signature.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -256,6 +256,10 @@
 	switch {
 	case started.head.NotRun:
 		started.drain()
+		if instance := started.head.Instance; instance != "" && instance != started.target.id {
+			w.targets.supersede(started.target, instance)
+			return &failure{reason: fault.ReasonIncarnation, execution: fault.ExecutionNotRun, cause: statusError(status)}
+		}
 		if status == http.StatusMisdirectedRequest {
 			return &failure{reason: fault.ReasonWrongVersion, execution: fault.ExecutionNotRun, cause: statusError(status)}
 		}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -62,6 +62,8 @@
 	meanMilliseconds float64
 	// gone servers are kept until their last request has ended.
 	gone bool
+	// superseded servers have ended for good: another has answered at their address.
+	superseded bool
 }
 
 // targets is the set of servers.
@@ -121,7 +123,7 @@
 			known.server = server
 			known.listed(server)
 			t.byService[service] = append(t.byService[service], known)
-			t.byAddress[server.Address] = known
+			t.holdAddress(known)
 		}
 	}
 	for id, known := range t.byID {
@@ -134,6 +136,37 @@
 	}
 }
 
+// holdAddress notes who has an address now: of several servers that are listed with
+// it, the one whose line is the newest. The others have ended, and the list will
+// drop them; the mutex is held.
+func (t *targets) holdAddress(known *target) {
+	holder := t.byAddress[known.address]
+	if holder == nil || holder.server.Revision < known.server.Revision {
+		t.byAddress[known.address] = known
+		known.gone = known.superseded
+		holder, known = known, holder
+	}
+	if known == nil {
+		return
+	}
+	known.gone = true
+	known.pool.close()
+	if told, heard := t.statuses[holder.address]; heard && holder.statusAt.IsZero() {
+		holder.status, holder.statusAt = told.status, told.at
+	}
+}
+
+// supersede notes that another server has answered at a server's address.
+func (t *targets) supersede(k *target, instance string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !k.gone {
+		t.log.Log(logging.ServerSuperseded, zap.String("server", k.id), zap.String("instance", instance))
+	}
+	k.gone, k.superseded = true, true
+	k.pool.close()
+}
+
 // listed takes over the version that the list of servers tells.
 func (k *target) listed(server fleet.Server) {
 	for _, model := range server.Models {
--- a/internal/sitetest/versions_test.go
+++ b/internal/sitetest/versions_test.go
@@ -148,3 +148,23 @@
 	f.Eventually("every server serves version 4", 6*time.Second, func() bool { return f.allServe(4) })
 	assert.LessOrEqual(t, f.Site.Origin.Copies(), 2.0)
 }
+
+// A server that has started anew on its old address is sent requests under its new
+// name only, also while the list still names the old one.
+func TestRestartedServerIsKnownByItsNewName(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Eventually("pieces are verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	for zone := range f.Site.Options.Zones {
+		for index := range f.Site.Options.ModelServers {
+			assert.NoError(t, f.Site.RestartModelUnnoticed(zone, index))
+		}
+	}
+	f.Eventually("the restarted servers serve", 3*time.Second, func() bool { return f.allServe(1) })
+	time.Sleep(500 * time.Millisecond)
+	for number := range 24 {
+		answer, err := f.Stream(context.Background(), number%2, number/2%2, fmt.Sprintf("after-%d", number), 3)
+		assert.NoError(t, err)
+		assert.Equal(t, 200, answer.Status)
+	}
+	assert.LessOrEqual(t, countEvents(f, "PV4105", "wrong-version"), 0)
+}
