A stopping entry closes resting connections; a frozen peer holds no fetch for long; a true time to come back

New machines waited 3 s for each piece from a frozen peer, ten at a time. Callers that found no server with weights were told 0.7 s, too soon, and were refused again. Change: resting connections are closed 2.2 s after the signal (test, failing first); a piece from a peer may take 1.5 s; the time to come back is worked out from what the agents say of their transfers.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -83,7 +83,7 @@
 	usable := t.usable(wanted, now)
 	if len(usable) == 0 {
 		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
-		refusal.RetryAfter = noServerRetry
+		refusal.RetryAfter = t.soonestReady(wanted, now)
 		t.logNoChoice(wanted, now, 0, 0)
 		return choice{}, refusal
 	}
@@ -165,6 +165,37 @@
 		zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly))
 }
 
+// Times until servers serve again.
+const (
+	// changeTime is how long a server takes to change over, as long as nobody knows
+	// better.
+	changeTime = 800 * time.Millisecond
+	// emptyTime is told while no agent has said how its transfer goes.
+	emptyTime = 1500 * time.Millisecond
+)
+
+// soonestReady estimates when a server will be able to take the request, from what
+// the agents say of their transfers.
+func (t *targets) soonestReady(wanted need, now time.Time) time.Duration {
+	if wanted.engine == nil || wanted.engine.Pieces == 0 {
+		return noServerRetry
+	}
+	copyTime := time.Duration(0)
+	if origin, known := t.view.Configuration.Origin(); known && origin.OriginLinkBytesPerSecond > 0 {
+		bytes := float64(wanted.engine.Pieces * wanted.engine.PieceBytes)
+		copyTime = time.Duration(bytes / origin.OriginLinkBytesPerSecond * float64(time.Second))
+	}
+	soonest := emptyTime + copyTime/2
+	for _, told := range t.statuses {
+		if !told.status.Reachable || now.Sub(told.at) > statusCurrent {
+			continue
+		}
+		left := copyTime * time.Duration(told.status.Missing) / time.Duration(wanted.engine.Pieces)
+		soonest = min(soonest, left+wanted.engine.Warm+changeTime/2)
+	}
+	return max(soonest, refusalRetryFloor)
+}
+
 // Reasons for which a server is not sent a request.
 const (
 	unfitNot         = "usable"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,9 @@
 const (
 	// noticeTime is how long the platform may go on sending new connections.
 	noticeTime = 3200 * time.Millisecond
+	// closeIdleTime is when the callers' resting connections are closed, so that
+	// their next requests go to another entry.
+	closeIdleTime = 2200 * time.Millisecond
 	// stopMargin is left of the grace for the end of the process.
 	stopMargin = 400 * time.Millisecond
 	stopLook   = 20 * time.Millisecond
@@ -81,11 +84,14 @@
 	if _, err := g.daemon.Serve(settings.Ready, http.HandlerFunc(g.answerReady)); err != nil {
 		return err
 	}
-	if _, err := g.daemon.Serve(settings.Callers, http.HandlerFunc(g.take)); err != nil {
+	callers, err := g.daemon.Serve(settings.Callers, http.HandlerFunc(g.take))
+	if err != nil {
 		return err
 	}
 	go g.forwarder.Run(ctx)
 	<-stop
+	closeIdle := time.AfterFunc(closeIdleTime, func() { callers.SetKeepAlivesEnabled(false) })
+	defer closeIdle.Stop()
 	g.drain()
 	cancel()
 	g.daemon.Close()
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -30,7 +30,9 @@
 	lagPieces = 24
 	// originFetches is how many pieces are read from the origin at once.
 	originFetches = 2
-	pieceTimeout  = 3 * time.Second
+	// pieceTimeout bounds one piece from a peer, its waiting there included; a peer
+	// that stands still must not hold the fetches up.
+	pieceTimeout  = 1500 * time.Millisecond
 	manifestRetry = 40 * time.Millisecond
 	// manifestTurn is the time after which the next in turn asks the origin itself.
 	manifestTurn = 400 * time.Millisecond
--- a/internal/sitetest/fleet_test.go
+++ b/internal/sitetest/fleet_test.go
@@ -1,8 +1,11 @@
 package sitetest
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -149,3 +152,23 @@
 		t.Fatal("the entry did not end within its grace")
 	}
 }
+
+// LOST: a caller's resting connection is closed while the entry still listens, so
+// that the caller's next request is not refused by a process that is about to end.
+func TestPlannedStopClosesRestingConnections(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	connection, err := net.Dial("tcp", strings.TrimPrefix(f.Site.EntryURL(0, 0), "http://"))
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, err = fmt.Fprintf(connection, "GET %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: resting\r\nAuthorization: Token %s\r\n\r\n", site.SafePrefix, site.Host, site.Key)
+	require.NoError(t, err)
+	reader := bufio.NewReader(connection)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	go f.Stop(Name(catalog.RoleEntry, 0, 0))
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(2800*time.Millisecond)))
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
