--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,26 +99,32 @@
 )
 
 // Serve listens on an address and serves a handler there until Close.
-func (d *Daemon) Serve(address string, handler http.Handler) (*http.Server, error) {
+func (d *Daemon) Serve(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, &fault.Unavailable{Target: address, Operation: "listen", Cause: err}
+		return &fault.Unavailable{Target: address, Operation: "listen", Cause: err}
 	}
+	d.ServeOn(listener, handler, nil)
+	return nil
+}
+
+// ServeOn serves a handler on a listener until Close. The function, when it is not
+// nil, is told of each change of a connection's state.
+func (d *Daemon) ServeOn(listener net.Listener, handler http.Handler, follow func(net.Conn, http.ConnState)) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maximumHeaderBytes,
-		ErrorLog: d.Log.Standard(logging.ServerComplained),
+		ErrorLog: d.Log.Standard(logging.ServerComplained), ConnState: follow,
 	}
 	d.mutex.Lock()
 	d.servers = append(d.servers, server)
 	d.mutex.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	return server, nil
 }
 
 // Start listens for links and administration, and begins to learn.
 func (d *Daemon) Start(ctx context.Context) error {
 	settings := d.Settings()
-	if _, err := d.Serve(net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPort)), d.Router); err != nil {
+	if err := d.Serve(net.JoinHostPort(settings.IP, strconv.Itoa(settings.InternalPort)), d.Router); err != nil {
 		return err
 	}
 	admin := d.options.AdminListen
@@ -130,7 +136,7 @@
 		addresses = append(addresses, settings.Control)
 	}
 	for _, address := range addresses {
-		if _, err := d.Serve(address, d.adminRouter()); err != nil {
+		if err := d.Serve(address, d.adminRouter()); err != nil {
 			d.Log.Log(logging.ListenFailed, zap.String("address", address), zap.Error(err))
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/internal/daemon"
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/logging"
@@ -81,18 +83,18 @@
 		return err
 	}
 	settings := g.daemon.Settings()
-	if _, err := g.daemon.Serve(settings.Ready, http.HandlerFunc(g.answerReady)); err != nil {
+	if err := g.daemon.Serve(settings.Ready, http.HandlerFunc(g.answerReady)); err != nil {
 		return err
 	}
-	callers, err := g.daemon.Serve(settings.Callers, http.HandlerFunc(g.take))
+	plain, err := net.Listen("tcp", settings.Callers)
 	if err != nil {
-		return err
+		return &fault.Unavailable{Target: settings.Callers, Operation: "listen", Cause: err}
 	}
+	callers := newCallerListener(plain)
+	g.daemon.ServeOn(callers, http.HandlerFunc(g.take), callers.follow)
 	go g.forwarder.Run(ctx)
 	<-stop
-	closeIdle := time.AfterFunc(closeIdleTime, func() { callers.SetKeepAlivesEnabled(false) })
-	defer closeIdle.Stop()
-	g.drain()
+	g.drain(callers)
 	cancel()
 	g.daemon.Close()
 	g.log.Log(logging.ProcessStopped)
@@ -101,12 +103,15 @@
 
 // drain takes readiness back, goes on serving until the platform has surely
 // noticed, and waits for what is open.
-func (g *Gateway) drain() {
+func (g *Gateway) drain(callers *callerListener) {
 	began := time.Now()
 	g.stopping.Store(began.UnixNano())
 	g.log.Log(logging.ProcessStopping, zap.Int64("open", g.open.Load()))
 	grace := g.daemon.Settings().Bounds.Grace - stopMargin
 	for time.Since(began) < grace {
+		if time.Since(began) > closeIdleTime {
+			callers.closeResting()
+		}
 		if time.Since(began) > noticeTime && g.open.Load() == 0 {
 			return
 		}
