Agents tell two entries of their zone; entries pass it on, zones through gates

Change: an entry links to the entries of its zone and to the agents it feeds; two gates a zone speak with the gates of others; words of agents travel in batches each 60 ms with their age; the list of entries goes out each 0.9 s only.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,10 @@
 	// calls counts the calls to the store.
 	calls atomic.Int64
 
+	statuses       map[string]heldStatus
+	statusSequence uint64
+	onStatus       func(fleet.MachineStatus, time.Time)
+
 	entries   map[string]*entryPeer
 	links     map[string]*outLink
 	callbacks []func(*View)
@@ -65,11 +69,13 @@
 func New(options Options) *Catalog {
 	c := &Catalog{
 		options: options, mirror: mirror.New(), changedAt: map[string]uint64{}, ages: map[string]time.Duration{},
-		entries: map[string]*entryPeer{}, links: map[string]*outLink{}, kick: make(chan struct{}, 1),
+		statuses: map[string]heldStatus{}, entries: map[string]*entryPeer{}, links: map[string]*outLink{}, kick: make(chan struct{}, 1),
 	}
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
 	options.Hub.Handle(topicPull, c.handlePull)
+	options.Hub.Handle(fleet.TopicMachineStatus, c.handleStatus)
+	options.Hub.Handle(topicStatuses, c.handleStatuses)
 	return c
 }
 
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -31,6 +31,13 @@
 	linkSilence = 1500 * time.Millisecond
 	// entryMemory is how long an entry that nobody hears is remembered.
 	entryMemory = 12 * time.Second
+	// listPeriod is how often the list of entries is sent on a link, and farRecent
+	// the age up to which an entry of another zone, of which only the list tells,
+	// counts as alive.
+	listPeriod = 900 * time.Millisecond
+	farRecent  = 4 * time.Second
+	// gatesPerZone is how many entries of a zone speak with those of others.
+	gatesPerZone = 2
 	// dialTimeout and dialPause bound the making of links.
 	dialTimeout = 1200 * time.Millisecond
 	dialPause   = 700 * time.Millisecond
@@ -50,7 +57,8 @@
 	FreshMilliseconds int64 `cbor:"3,keyasint"`
 	// Heads maps the keys of large records to the revision held.
 	Heads map[string]uint64 `cbor:"4,keyasint,omitempty"`
-	// Entries maps the entries heard of to the zone and the age of their last sign.
+	// Entries maps the entries heard of to the zone and the age of their last sign;
+	// it is not in every update.
 	Entries map[string]entrySign `cbor:"5,keyasint,omitempty"`
 }
 
@@ -74,6 +82,12 @@
 	dialling bool
 	nextDial time.Time
 	sending  bool
+	// statusSequence is up to which the other was told of agents; passing is set
+	// while it is being told.
+	statusSequence uint64
+	passing        bool
+	// listedAt is when the other was last sent the list of entries.
+	listedAt time.Time
 }
 
 // peerAddress is where a machine accepts links.
@@ -101,9 +115,13 @@
 }
 
 func (c *Catalog) recentEntries(zone string) []string {
+	recent := farRecent
+	if zone == c.options.Zone {
+		recent = linkSilence
+	}
 	var entries []string
 	for ip, peer := range c.entries {
-		if peer.zone == zone && time.Since(peer.heard) < linkSilence {
+		if peer.zone == zone && time.Since(peer.heard) < recent {
 			entries = append(entries, ip)
 		}
 	}
@@ -123,14 +141,22 @@
 	c.mutex.Unlock()
 	ticker := time.NewTicker(updatePeriod)
 	defer ticker.Stop()
+	statusTicker := time.NewTicker(statusPace)
+	defer statusTicker.Stop()
 	for {
 		c.keepLinks(ctx)
 		c.sendAll()
-		select {
-		case <-ticker.C:
-		case <-c.kick:
-		case <-ctx.Done():
-			return
+		for waiting := true; waiting; {
+			select {
+			case <-statusTicker.C:
+				c.passStatuses()
+			case <-ticker.C:
+				waiting = false
+			case <-c.kick:
+				waiting = false
+			case <-ctx.Done():
+				return
+			}
 		}
 	}
 }
@@ -140,18 +166,7 @@
 	agents := c.View().Agents()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	wanted := map[string]bool{}
-	for ip, peer := range c.entries {
-		if time.Since(peer.heard) > entryMemory {
-			delete(c.entries, ip)
-			continue
-		}
-		wanted[ip] = true
-	}
-	for ip := range agents {
-		wanted[ip] = true
-	}
-	delete(wanted, c.options.Self)
+	wanted := c.wantedPeers(agents)
 	for ip := range wanted {
 		if _, exists := c.links[ip]; !exists {
 			c.links[ip] = &outLink{address: c.peerAddress(ip)}
@@ -166,6 +181,52 @@
 	}
 }
 
+// wantedPeers lists whom this entry speaks with: the entries of its zone, the gates
+// of the others if it is one itself, and the agents that it feeds; the mutex is
+// held.
+func (c *Catalog) wantedPeers(agents map[string]string) map[string]bool {
+	wanted := map[string]bool{}
+	zones := map[string]bool{}
+	for ip, peer := range c.entries {
+		if time.Since(peer.heard) > entryMemory {
+			delete(c.entries, ip)
+			continue
+		}
+		zones[peer.zone] = true
+		if peer.zone == c.options.Zone || peer.zone == "" {
+			wanted[ip] = true
+		}
+	}
+	if c.isGate() {
+		for zone := range zones {
+			for _, ip := range c.gates(zone) {
+				wanted[ip] = true
+			}
+		}
+	}
+	for ip, zone := range agents {
+		if c.feeds(ip, zone) {
+			wanted[ip] = true
+		}
+	}
+	delete(wanted, c.options.Self)
+	return wanted
+}
+
+// gates are the entries of a zone that speak with those of other zones; the mutex
+// is held.
+func (c *Catalog) gates(zone string) []string {
+	entries := c.recentEntries(zone)
+	if zone == c.options.Zone {
+		entries = append(entries, c.options.Self)
+	}
+	return placement.Top("reader/"+zone, entries, gatesPerZone)
+}
+
+func (c *Catalog) isGate() bool {
+	return slices.Contains(c.gates(c.options.Zone), c.options.Self)
+}
+
 // keepLink drops a silent link and dials a missing one; the mutex is held.
 func (c *Catalog) keepLink(ctx context.Context, ip string, out *outLink, wanted bool) {
 	if out.link != nil {
@@ -200,7 +261,7 @@
 		out.nextDial = time.Now().Add(dialPause)
 		return
 	}
-	out.link, out.sequence = link, 0
+	out.link, out.sequence, out.statusSequence, out.listedAt = link, 0, 0, time.Time{}
 	if remote := link.Remote(); remote.Role == RoleEntry {
 		c.heardEntry(ip, remote.Zone, 0)
 	}
@@ -241,11 +302,12 @@
 		if out.link == nil || out.sending {
 			continue
 		}
-		zone, isAgent := agents[ip]
-		if isAgent && !c.feeds(ip, zone) {
-			continue
+		_, isAgent := agents[ip]
+		withList := !isAgent && time.Since(out.listedAt) > listPeriod
+		if withList {
+			out.listedAt = time.Now()
 		}
-		message := c.compose(out.sequence, isAgent)
+		message := c.compose(out.sequence, withList)
 		out.sequence = c.sequence
 		out.sending = true
 		go c.send(out, out.link, message)
@@ -281,7 +343,7 @@
 }
 
 // compose builds an update with every change after a sequence; the mutex is held.
-func (c *Catalog) compose(after uint64, toAgent bool) update {
+func (c *Catalog) compose(after uint64, withList bool) update {
 	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: map[string]uint64{}}
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
@@ -298,7 +360,7 @@
 			}
 		}
 	}
-	if !toAgent {
+	if withList {
 		message.Entries = map[string]entrySign{}
 		for ip, peer := range c.entries {
 			message.Entries[ip] = entrySign{Zone: peer.zone, AgeMilliseconds: time.Since(peer.heard).Milliseconds()}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -63,8 +63,10 @@
 // Update takes over a new view of the fleet.
 func (f *Forwarder) Update(view *catalog.View) { f.targets.update(view) }
 
-// TakeStatus notes an agent's word on its server.
-func (f *Forwarder) TakeStatus(status fleet.MachineStatus) { f.targets.takeStatus(status) }
+// TakeStatus notes an agent's word on its server, and when that was said.
+func (f *Forwarder) TakeStatus(status fleet.MachineStatus, at time.Time) {
+	f.targets.takeStatus(status, at)
+}
 
 // sweepPeriod is how often idle connections are looked through.
 const sweepPeriod = time.Second
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -177,11 +177,10 @@
 }
 
 // takeStatus notes an agent's word on its server.
-func (t *targets) takeStatus(status fleet.MachineStatus) {
+func (t *targets) takeStatus(status fleet.MachineStatus, at time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	t.statuses[status.Address] = statusAt{status: status, at: now}
+	t.statuses[status.Address] = statusAt{status: status, at: at}
 	known := t.byAddress[status.Address]
 	if known == nil {
 		return
@@ -190,7 +189,7 @@
 		t.log.Log(logging.ServerStatus, zap.String("server", known.id), zap.Bool("reachable", status.Reachable),
 			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
 	}
-	known.status, known.statusAt = status, now
+	known.status, known.statusAt = status, at
 	known.inFlightThen, known.unreadThen = known.inFlight, known.unread
 	known.version = max(known.version, status.Version)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/internal/daemon"
@@ -17,7 +16,6 @@
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/logging"
-	"pinevane.example/pinevane/internal/peering"
 )
 
 // Options wires a Gateway.
@@ -49,20 +47,11 @@
 		Registry: base.Registry,
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
-	base.Hub.Handle(fleet.TopicMachineStatus, g.handleStatus)
+	base.Catalog.OnStatus(g.forwarder.TakeStatus)
 	base.Section("servers", func() any { return g.forwarder.Servers() })
 	return g
 }
 
-func (g *Gateway) handleStatus(link *peering.Link, received *message.Message) {
-	status, err := peering.Decode[fleet.MachineStatus](received)
-	if err != nil {
-		g.log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
-		return
-	}
-	g.forwarder.TakeStatus(status)
-}
-
 // Times of a planned stop.
 const (
 	// noticeTime is how long the platform may go on sending new connections.
