--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,9 +82,25 @@
 	})
 	d.Router.Handle(peering.Path, d.Hub)
 	d.Section("catalog", func() any { return d.Catalog.Status() })
+	d.registerCatalog()
 	return d
 }
 
+// registerCatalog tells the catalog's ages and the store's calls as metrics.
+func (d *Daemon) registerCatalog() {
+	gauge := func(name, help string, value func(catalog.Status) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(d.Catalog.Status()) })
+	}
+	d.Registry.MustRegister(
+		gauge("pinevane_configuration_age_seconds", "Time since the configuration in force came in force.",
+			func(s catalog.Status) float64 { return s.ConfigurationAge }),
+		gauge("pinevane_catalog_age_seconds", "Time since the copy of the store was last known to be current.",
+			func(s catalog.Status) float64 { return s.FreshAge }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_store_calls_total", Help: "Calls to the platform's store."},
+			func() float64 { return float64(d.Catalog.Calls()) }),
+	)
+}
+
 // Settings returns the settings in force.
 func (d *Daemon) Settings() fleet.Settings { return *d.settings.Load() }
 
--- /dev/null
+++ b/internal/forward/exchange_test.go
@@ -0,0 +1,202 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/platform"
+)
+
+// scripted is a server that answers each request of a connection by a function,
+// which writes raw bytes.
+func scripted(t *testing.T, answer func(connection net.Conn, request *http.Request, number int)) *target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(connection)
+			for {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					break
+				}
+				answer(connection, request, number)
+				number++
+			}
+			_ = connection.Close()
+		}
+	}()
+	return &target{id: "i-1", address: listener.Addr().String(), expected: map[*work]time.Time{}}
+}
+
+func testForwarder() *Forwarder {
+	return New(Options{Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(), Peers: func() int { return 0 }})
+}
+
+func testRequest(id string, body string) *Request {
+	return &Request{
+		Call: fleet.CallHeader{RequestID: id}, Method: http.MethodPost, Target: "/x/?a=%20b", Host: "h.example",
+		Header: http.Header{"Request-Id": {id}}, Body: []byte(body), Arrived: time.Now(), Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+func exchangeOnce(t *testing.T, f *Forwarder, server *target, request *Request) (string, *failure) {
+	t.Helper()
+	started, failed := f.open(context.Background(), request, fleet.SendHeader{Deadline: time.Second, Instance: "i-1"}, server, nil)
+	if failed != nil {
+		return "", failed
+	}
+	body, err := io.ReadAll(started.response.Body)
+	if err != nil {
+		started.abort()
+		return string(body), &failure{reason: fault.ReasonBackendFailed, execution: fault.ExecutionUnknown, cause: err}
+	}
+	started.finish()
+	return string(body), nil
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// MIXED: a late answer to the request before, in the place of the next one's, is
+// given to nobody.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	server := scripted(t, func(connection net.Conn, request *http.Request, number int) {
+		id := request.Header.Get("Request-Id")
+		if number == 1 {
+			_, _ = io.WriteString(connection, whole("first", "late"))
+		}
+		_, _ = io.WriteString(connection, whole(id, "answer to "+id))
+	})
+	f := testForwarder()
+	for _, id := range []string{"first", "second", "third"} {
+		body, failed := exchangeOnce(t, f, server, testRequest(id, "b"))
+		require.Nil(t, failed)
+		assert.Equal(t, "answer to "+id, body)
+	}
+}
+
+// MIXED: bytes after a whole answer belong to no request; the connection is not used
+// again.
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	server := scripted(t, func(connection net.Conn, request *http.Request, number int) {
+		id := request.Header.Get("Request-Id")
+		_, _ = io.WriteString(connection, whole(id, "answer to "+id)+whole(id, "again"))
+	})
+	f := testForwarder()
+	for _, id := range []string{"first", "second"} {
+		body, failed := exchangeOnce(t, f, server, testRequest(id, "b"))
+		require.Nil(t, failed)
+		assert.Equal(t, "answer to "+id, body)
+		time.Sleep(20 * time.Millisecond)
+		assert.Nil(t, server.pool.take())
+	}
+}
+
+// MIXED, TWICE: an answer to another request only, or none, leaves it open whether
+// the request ran; it is not sent again here.
+func TestOutcomeIsUnknownWithoutAnAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"another's answer": whole("other", "x"), "no answer": "", "no HTTP": "garbage\r\n\r\n",
+		"cut in the body": "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 10\r\n\r\nabc",
+	} {
+		seen := 0
+		server := scripted(t, func(connection net.Conn, _ *http.Request, _ int) {
+			seen++
+			_, _ = io.WriteString(connection, text)
+			_ = connection.Close()
+		})
+		_, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", "b"))
+		require.NotNil(t, failed, name)
+		assert.Equal(t, fault.ExecutionUnknown, failed.execution, name)
+		assert.Equal(t, 1, seen, name)
+	}
+}
+
+// REFUSED: a server that can't be reached has run nothing.
+func TestUnreachableServerRanNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, failed := exchangeOnce(t, testForwarder(), &target{id: "i-1", address: address}, testRequest("r", "b"))
+	require.NotNil(t, failed)
+	assert.Equal(t, fault.ExecutionNotRun, failed.execution)
+}
+
+// UNASKED: a server that answers before it has read a long body is sent nothing else
+// where the rest of that body is due.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(connection))
+			if err != nil {
+				continue
+			}
+			_, _ = io.WriteString(connection, whole(request.Header.Get("Request-Id"), "early"))
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+	server := &target{id: "i-1", address: listener.Addr().String()}
+	body, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", strings.Repeat("x", 8<<20)))
+	require.Nil(t, failed)
+	assert.Equal(t, "early", body)
+	assert.Nil(t, server.pool.take())
+}
+
+// The path and query, the body and the method go on byte for byte.
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	server := scripted(t, func(connection net.Conn, request *http.Request, _ int) {
+		body, _ := io.ReadAll(request.Body)
+		_, _ = io.WriteString(connection, whole(request.Header.Get("Request-Id"), request.Method+" "+request.RequestURI+" "+request.Host+" "+string(body)))
+	})
+	body, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", "words"))
+	require.Nil(t, failed)
+	assert.Equal(t, "POST /x/?a=%20b h.example words", body)
+}
+
+func TestEventsAreCutWhole(t *testing.T) {
+	read, write := io.Pipe()
+	go func() {
+		for _, part := range []string{"id: 1\ndata: a", "\n\nid: 2\nda", "ta: b\n\n", "id: 3\r\ndata: c\r\n\r\nid: 4\nda"} {
+			_, _ = io.WriteString(write, part)
+		}
+		_ = write.Close()
+	}()
+	splitter := &eventSplitter{source: read}
+	for _, id := range []string{"1", "2", "3"} {
+		next, err := splitter.next()
+		require.NoError(t, err)
+		assert.Equal(t, id, next.id)
+	}
+	_, err := splitter.next()
+	assert.ErrorIs(t, err, errTornEvent, "a stream that ends in the middle of an event is not complete")
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -36,6 +36,8 @@
 	origin fleet.WeightOrigin
 	self   dissemination.MachineID
 	peers  *peerClient
+	// metrics are counted by the transfers too.
+	metrics *metrics
 
 	uploads *uploads
 	woken   chan struct{}
@@ -62,7 +64,7 @@
 	settings := options.Daemon.Settings()
 	a := &Agent{
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
-		self: dissemination.MachineID(settings.IP), peers: newPeerClient(settings.InternalPort),
+		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort),
 		uploads: newUploads(uplinkShare * settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
 	}
 	a.mount(options.Daemon.Router)
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -147,12 +147,15 @@
 	outcome, err := a.server.Start(ctx, order)
 	switch {
 	case err != nil:
+		a.metrics.orders.WithLabelValues(outcomeUnanswered).Inc()
 		a.log.Log(logging.OrderUnanswered, zap.Uint64("version", order.Version), zap.Error(err))
 		a.settle(ctx, order)
 	case outcome == fleet.OrderConflict:
+		a.metrics.orders.WithLabelValues(outcomeRefused).Inc()
 		a.log.Log(logging.OrderRefused, zap.Uint64("version", order.Version), zap.Uint64("sequence", order.Sequence))
 		pause(ctx, orderPause)
 	default:
+		a.metrics.orders.WithLabelValues(outcomeTaken).Inc()
 		a.log.Log(logging.OrderTaken, zap.Uint64("version", order.Version), zap.Bool("holds_already", outcome == fleet.OrderHolds))
 	}
 	a.readReport(ctx)
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -378,8 +378,10 @@
 	}
 	if action.Kind == dissemination.FetchOrigin {
 		t.fromOrigin += len(content)
+		t.agent.metrics.bytes.WithLabelValues(sourceOrigin).Add(float64(len(content)))
 	} else {
 		t.fromPeers += len(content)
+		t.agent.metrics.bytes.WithLabelValues(sourcePeer).Add(float64(len(content)))
 	}
 	t.fetcher.Fetched(action.Peer, action.Chunk, t.now())
 }
@@ -450,6 +452,7 @@
 	doubtful := t.doubts > manifestDoubts && !t.complete
 	t.mutex.Unlock()
 	if changed {
+		t.agent.metrics.staged.Observe(t.now().Seconds())
 		t.agent.log.Log(logging.WeightsStaged, zap.String("model", t.model), zap.Uint64("version", t.version()),
 			zap.Duration("took", t.now()), zap.Int("origin_bytes", t.fromOrigin), zap.Int("peer_bytes", t.fromPeers))
 		t.agent.wake()
@@ -541,6 +544,7 @@
 }
 
 func (t *transfer) restartLocked(bad []int) {
+	t.agent.metrics.spoilt.Add(float64(len(bad)))
 	held := make([]bool, len(t.manifest.Digests))
 	for index := range held {
 		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
