A closed hub accepts no link; answers about chunks stand once

Change: a closed hub refuses; test, failing before. The two transfers' handling of questions and answers moved into the dissemination package.

--- a/internal/agent/transfer.go
+++ b/internal/agent/transfer.go
@@ -246,30 +246,20 @@
 
 // take feeds an offer or a question to the fetcher and answers which of the
 // asked chunks can be had here.
-func (t *transfer) take(incoming offer) offerAnswer {
+func (t *transfer) take(incoming offer) dissemination.Answer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var answer offerAnswer
 	if t.fetcher == nil {
-		return answer
+		return dissemination.Answer{}
+	}
+	defer t.poke()
+	if incoming.Ask {
+		return t.fetcher.AskedFor(incoming.From, incoming.Chunks, int(t.owner.waitingUploads.Load()), t.now())
 	}
-	backlog := int(t.owner.waitingUploads.Load())
 	for _, chunk := range incoming.Chunks {
-		if !incoming.Ask {
-			t.fetcher.Offered(incoming.From, chunk, t.now())
-			continue
-		}
-		switch {
-		case t.fetcher.Asked(incoming.From, chunk, backlog, t.now()):
-			answer.Held = append(answer.Held, chunk)
-		case t.fetcher.Expects(chunk):
-			answer.Pending = append(answer.Pending, chunk)
-		default:
-			answer.Lacked = append(answer.Lacked, chunk)
-		}
+		t.fetcher.Offered(incoming.From, chunk, t.now())
 	}
-	t.poke()
-	return answer
+	return dissemination.Answer{}
 }
 
 // carryOut starts the fetcher's actions; offers and questions to one peer go
@@ -301,28 +291,12 @@
 	answer, err := t.postOffer(ctx, peer, offer{From: t.self(), Manifest: t.progress.Manifest, Chunks: chunks, Ask: ask})
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, chunk := range chunks {
-		switch {
-		case err != nil && ask:
-			t.fetcher.AskFailed(peer, chunk, t.now())
-		case err != nil:
-			t.fetcher.OfferFailed(peer, chunk, t.now())
-		}
-	}
-	for _, chunk := range answer.Held {
-		t.fetcher.Offered(peer, chunk, t.now())
-	}
-	for _, chunk := range answer.Pending {
-		t.fetcher.AskPending(peer, chunk)
-	}
-	for _, chunk := range answer.Lacked {
-		t.fetcher.AskDenied(peer, chunk)
-	}
+	t.fetcher.Delivered(peer, chunks, ask, err != nil, answer, t.now())
 	t.poke()
 }
 
-func (t *transfer) postOffer(ctx context.Context, peer dissemination.MachineID, body offer) (offerAnswer, error) {
-	var answer offerAnswer
+func (t *transfer) postOffer(ctx context.Context, peer dissemination.MachineID, body offer) (dissemination.Answer, error) {
+	var answer dissemination.Answer
 	address, known := t.owner.addressOf(peer)
 	if !known {
 		return answer, &fault.Unavailable{Target: string(peer), Operation: "offer"}
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -73,14 +73,6 @@
 	Ask bool `cbor:"4,keyasint,omitempty"`
 }
 
-// offerAnswer tells of the asked chunks which can be had from the answering
-// machine now, which it expects or is too busy to send, and which it lacks.
-type offerAnswer struct {
-	Held    []int `cbor:"1,keyasint,omitempty"`
-	Pending []int `cbor:"2,keyasint,omitempty"`
-	Lacked  []int `cbor:"3,keyasint,omitempty"`
-}
-
 const offerPath = "/v1/offers"
 
 // weightsController brings the weights of assigned models to this machine.
@@ -289,7 +281,7 @@
 
 // takeOffer gives an offer to its transfer, or keeps it until the manifest is
 // known.
-func (c *weightsController) takeOffer(incoming offer) offerAnswer {
+func (c *weightsController) takeOffer(incoming offer) dissemination.Answer {
 	c.mutex.Lock()
 	existing, running := c.transfers[incoming.Manifest]
 	_, manifestHere := c.manifests[incoming.Manifest]
@@ -299,7 +291,7 @@
 			c.earlyCount += len(incoming.Chunks)
 		}
 		c.mutex.Unlock()
-		return offerAnswer{}
+		return dissemination.Answer{}
 	}
 	c.mutex.Unlock()
 	return existing.take(incoming)
--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -89,15 +90,30 @@
 		return
 	}
 	link.remote = remote
-	h.mutex.Lock()
-	h.accepted[link] = struct{}{}
-	h.mutex.Unlock()
+	if !h.accept(link) {
+		link.lose(errClosed)
+		return
+	}
 	h.serve(link)
 	h.mutex.Lock()
 	delete(h.accepted, link)
 	h.mutex.Unlock()
 }
 
+var errClosed = errors.New("the hub is closed")
+
+// accept notes a link that another process opened, unless the hub is closed: such a
+// link would outlive it, and the other would take this process for alive.
+func (h *Hub) accept(link *Link) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return false
+	}
+	h.accepted[link] = struct{}{}
+	return true
+}
+
 func (h *Hub) acceptedCount() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -112,3 +112,21 @@
 		}
 	})
 }
+
+// A link that is accepted while the process ends would make it look alive.
+func TestAClosedHubAcceptsNoLink(t *testing.T) {
+	accepting, dialling := newTestHub("accepting"), newTestHub("dialling")
+	server := httptest.NewServer(accepting)
+	defer server.Close()
+	defer dialling.Close()
+	accepting.Close()
+	link, err := dialling.Link(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+	if err == nil {
+		select {
+		case <-link.Done():
+		case <-time.After(2 * time.Second):
+			t.Fatal("the link stays up")
+		}
+	}
+	assert.Empty(t, accepting.Accepted())
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -208,10 +208,10 @@
 	return a.current
 }
 
-func (a *Agent) takeOffer(incoming offer) offerAnswer {
+func (a *Agent) takeOffer(incoming offer) dissemination.Answer {
 	found := a.transferOf(incoming.Model, incoming.Version)
 	if found == nil {
-		return offerAnswer{Lacked: incoming.Pieces}
+		return dissemination.Answer{Lacked: incoming.Pieces}
 	}
 	return found.take(incoming)
 }
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -45,13 +45,6 @@
 	Ask     bool                    `cbor:"5,keyasint,omitempty"`
 }
 
-// offerAnswer says which of the asked pieces can be had.
-type offerAnswer struct {
-	Held    []int `cbor:"1,keyasint,omitempty"`
-	Pending []int `cbor:"2,keyasint,omitempty"`
-	Lacked  []int `cbor:"3,keyasint,omitempty"`
-}
-
 // inventory lists the verified pieces of a version at an agent.
 type inventory struct {
 	Pieces []int `cbor:"1,keyasint"`
@@ -123,8 +116,8 @@
 	return answer, nil
 }
 
-func (p *peerClient) offer(ctx context.Context, machine dissemination.MachineID, body offer) (offerAnswer, error) {
-	var answer offerAnswer
+func (p *peerClient) offer(ctx context.Context, machine dissemination.MachineID, body offer) (dissemination.Answer, error) {
+	var answer dissemination.Answer
 	data, err := cbor.Marshal(body)
 	if err != nil {
 		return answer, &fault.InvalidFrame{Field: "offer", Reason: err.Error()}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -268,14 +268,14 @@
 }
 
 // take feeds an offer or a question to the fetcher.
-func (t *transfer) take(incoming offer) offerAnswer {
+func (t *transfer) take(incoming offer) dissemination.Answer {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.fetcher == nil {
 		if len(t.early) < maximumEarlyOffers {
 			t.early = append(t.early, incoming)
 		}
-		return offerAnswer{}
+		return dissemination.Answer{}
 	}
 	return t.takeLocked(incoming)
 }
@@ -283,23 +283,15 @@
 // maximumEarlyOffers bounds the offers kept until the manifest is known.
 const maximumEarlyOffers = 512
 
-func (t *transfer) takeLocked(incoming offer) offerAnswer {
-	var answer offerAnswer
-	backlog := t.agent.uploads.backlog()
+func (t *transfer) takeLocked(incoming offer) dissemination.Answer {
+	defer t.poke()
+	if incoming.Ask {
+		return t.fetcher.AskedFor(incoming.From, incoming.Pieces, t.agent.uploads.backlog(), t.now())
+	}
 	for _, piece := range incoming.Pieces {
-		switch {
-		case !incoming.Ask:
-			t.fetcher.Offered(incoming.From, piece, t.now())
-		case t.fetcher.Asked(incoming.From, piece, backlog, t.now()):
-			answer.Held = append(answer.Held, piece)
-		case t.fetcher.Expects(piece):
-			answer.Pending = append(answer.Pending, piece)
-		default:
-			answer.Lacked = append(answer.Lacked, piece)
-		}
+		t.fetcher.Offered(incoming.From, piece, t.now())
 	}
-	t.poke()
-	return answer
+	return dissemination.Answer{}
 }
 
 // carryOut starts what the fetcher wants done; offers and questions to one peer
@@ -333,23 +325,7 @@
 	answer, err := t.agent.peers.offer(ctx, peer, body)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, piece := range pieces {
-		switch {
-		case err != nil && isQuestion:
-			t.fetcher.AskFailed(peer, piece, t.now())
-		case err != nil:
-			t.fetcher.OfferFailed(peer, piece, t.now())
-		}
-	}
-	for _, piece := range answer.Held {
-		t.fetcher.Offered(peer, piece, t.now())
-	}
-	for _, piece := range answer.Pending {
-		t.fetcher.AskPending(peer, piece)
-	}
-	for _, piece := range answer.Lacked {
-		t.fetcher.AskDenied(peer, piece)
-	}
+	t.fetcher.Delivered(peer, pieces, isQuestion, err != nil, answer, t.now())
 	t.poke()
 }
 
