--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,11 +18,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/liveness"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/pauses"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -159,7 +159,7 @@
 	d.Log.Log(logging.ProcessStarted, zap.String("role", d.options.Role), zap.String("ip", settings.IP), zap.String("zone", settings.Zone),
 		zap.Int("seeds", len(settings.Seeds)))
 	go d.Catalog.Run(ctx)
-	go d.watchPauses(ctx)
+	go pauses.Watch(ctx, d.Log)
 	return nil
 }
 
@@ -211,21 +211,3 @@
 	d.settings.Store(&fresh)
 	d.Log.Log(logging.SettingsReloaded)
 }
-
-// watchPauses logs when the process itself stood still.
-func (d *Daemon) watchPauses(ctx context.Context) {
-	const period = 500 * time.Millisecond
-	detector := liveness.NewDetector(liveness.Options{})
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if _, paused := detector.Tick(time.Since(d.started)); paused {
-				d.Log.Log(logging.ProcessPaused)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,13 +18,13 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/liveness"
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/blackboard"
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/pauses"
 	"pinevane.example/pinevane/internal/peering"
 	"pinevane.example/pinevane/internal/relay"
 )
@@ -305,7 +305,7 @@
 	}
 	n.Log.Log(logging.ProcessStarted, zap.String("listen", n.Address()), zap.Uint64("incarnation", n.incarnation))
 	go n.Relay.Run(ctx)
-	go n.watchPauses(ctx)
+	go pauses.Watch(ctx, n.Log)
 	for _, controller := range controllers {
 		go controller(ctx)
 	}
@@ -346,21 +346,3 @@
 	}
 	n.Board.Close()
 }
-
-// watchPauses logs when the process itself stood still.
-func (n *Node) watchPauses(ctx context.Context) {
-	const period = 500 * time.Millisecond
-	detector := liveness.NewDetector(liveness.Options{})
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if _, paused := detector.Tick(time.Since(n.started)); paused {
-				n.Log.Log(logging.ProcessPaused)
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -55,8 +55,6 @@
 	misses    int
 	switchAt  time.Time
 	ordering  bool
-	// refusedTill delays the next order after one that did not fit.
-	refusedTill time.Time
 }
 
 // New builds an agent that does not listen yet.
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,83 +127,6 @@
 	}
 }
 
-// findManifest asks peers, nearest in the plan first, and the origin when it is
-// this machine's turn.
-func (t *transfer) findManifest(ctx context.Context) (fleet.Manifest, bool) {
-	for ctx.Err() == nil {
-		t.mutex.Lock()
-		plan := t.plan
-		t.mutex.Unlock()
-		_, hasParent := plan.Parent(0, t.self())
-		if hasParent {
-			if manifest, found := t.manifestFromPeers(ctx, plan); found {
-				return manifest, true
-			}
-		}
-		turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
-		if !hasParent || (turn >= 0 && t.now() > time.Duration(turn+1)*manifestTurn) || t.now() > 4*manifestTurn {
-			if manifest, found := t.manifestFromOrigin(ctx); found {
-				return manifest, true
-			}
-		}
-		pause(ctx, manifestRetry)
-	}
-	return fleet.Manifest{}, false
-}
-
-// manifestPeers is how many peers are asked for the manifest in a round.
-const manifestPeers = 3
-
-func (t *transfer) manifestFromPeers(ctx context.Context, plan dissemination.Plan) (fleet.Manifest, bool) {
-	providers := plan.Providers(0, t.self())
-	for _, peer := range providers[:min(manifestPeers, len(providers))] {
-		message, err := ask[manifestMessage](ctx, t.agent.peers, peer, versionPath(manifestPath, t.model, t.version()))
-		if err != nil || message.Model != t.model || len(message.Digests) == 0 || (t.version() != 0 && message.Version != t.version()) {
-			continue
-		}
-		t.agent.log.Log(logging.ManifestFetched, zap.String("model", t.model), zap.Uint64("version", message.Version), zap.String("source", string(peer)))
-		return fleet.Manifest{
-			Model: message.Model, Version: message.Version, Layers: message.Layers, PieceBytes: message.PieceBytes, Digests: message.Digests,
-		}, true
-	}
-	return fleet.Manifest{}, false
-}
-
-func (t *transfer) manifestFromOrigin(ctx context.Context) (fleet.Manifest, bool) {
-	address, known := t.agent.originAddress()
-	if !known {
-		return fleet.Manifest{}, false
-	}
-	manifest, err := t.agent.origin.Manifest(ctx, address, t.model, t.version())
-	if err != nil {
-		t.agent.log.Log(logging.OriginFailed, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Error(err))
-		return fleet.Manifest{}, false
-	}
-	t.agent.log.Log(logging.ManifestFetched, zap.String("model", t.model), zap.Uint64("version", manifest.Version), zap.String("source", "origin"))
-	return manifest, true
-}
-
-// verifyHeld reads back what lies at the server and marks the pieces that match.
-func (t *transfer) verifyHeld(ctx context.Context, manifest fleet.Manifest) []bool {
-	held := make([]bool, len(manifest.Digests))
-	for ctx.Err() == nil {
-		indexes, err := t.agent.server.HeldPieces(ctx, t.model)
-		if err != nil {
-			pause(ctx, manifestRetry)
-			continue
-		}
-		for _, index := range indexes {
-			if index < 0 || index >= len(held) {
-				continue
-			}
-			content, err := t.agent.server.Piece(ctx, t.model, index)
-			held[index] = err == nil && sha256.Sum256(content) == manifest.Digests[index]
-		}
-		return held
-	}
-	return held
-}
-
 func (t *transfer) begin(manifest fleet.Manifest, held []bool, holders map[int][]dissemination.MachineID) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -225,38 +147,6 @@
 	t.early = nil
 }
 
-// inventoryTimeout bounds the questions what peers hold.
-const inventoryTimeout = 300 * time.Millisecond
-
-// askInventories learns what peers already hold, which they do not offer to a
-// machine that has come later.
-func (t *transfer) askInventories(ctx context.Context, manifest fleet.Manifest, held []bool) map[int][]dissemination.MachineID {
-	holders := map[int][]dissemination.MachineID{}
-	if !slices.Contains(held, false) {
-		return holders
-	}
-	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
-	defer cancel()
-	peers := t.agent.inventoryPeers()
-	answers := make([]inventory, len(peers))
-	var questions sync.WaitGroup
-	for at, peer := range peers {
-		questions.Go(func() {
-			// A peer that does not answer holds nothing for us.
-			answers[at], _ = ask[inventory](ctx, t.agent.peers, peer, versionPath(inventoryPath, t.model, manifest.Version))
-		})
-	}
-	questions.Wait()
-	for at, answer := range answers {
-		for _, index := range answer.Pieces {
-			if index >= 0 && index < len(held) && !held[index] {
-				holders[index] = append(holders[index], peers[at])
-			}
-		}
-	}
-	return holders
-}
-
 // takeHolders offers the fetcher what peers hold, each piece from another of them
 // first, so that no one has to send everything; the mutex is held.
 func (t *transfer) takeHolders(holders map[int][]dissemination.MachineID) {
@@ -448,15 +338,6 @@
 	return t.fetcher.Missing() == 0, t.fetcher.Missing()
 }
 
-func (t *transfer) knownManifest() (fleet.Manifest, bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.manifest == nil {
-		return fleet.Manifest{}, false
-	}
-	return *t.manifest, true
-}
-
 func (t *transfer) heldPieces() []int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -471,65 +352,3 @@
 	}
 	return held
 }
-
-// readPiece reads a piece back and verifies it once more.
-func (t *transfer) readPiece(ctx context.Context, index int) ([]byte, bool) {
-	manifest, known := t.knownManifest()
-	if !known || index < 0 || index >= len(manifest.Digests) {
-		return nil, false
-	}
-	content, err := t.agent.server.Piece(ctx, t.model, index)
-	if err != nil || sha256.Sum256(content) != manifest.Digests[index] {
-		return nil, false
-	}
-	return content, true
-}
-
-// verifyAll reads every piece back and returns those that do not match.
-func (t *transfer) verifyAll(ctx context.Context) []int {
-	manifest, known := t.knownManifest()
-	if !known {
-		return nil
-	}
-	var bad []int
-	for index := range manifest.Digests {
-		if _, sound := t.readPiece(ctx, index); !sound {
-			bad = append(bad, index)
-		}
-	}
-	return bad
-}
-
-// noteSpoilt fetches a piece again that was thought to be here and is not sound, so
-// that peers are not sent to it in vain.
-func (t *transfer) noteSpoilt(ctx context.Context, index int) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if ctx.Err() != nil || t.fetcher == nil || index < 0 || index >= len(t.manifest.Digests) || !t.fetcher.Holds(index) {
-		return
-	}
-	t.agent.log.Log(logging.PiecesSpoilt, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Ints("pieces", []int{index}))
-	t.restartLocked([]int{index})
-}
-
-// restart begins anew with what is sound, after pieces have turned bad.
-func (t *transfer) restart(bad []int) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.restartLocked(bad)
-}
-
-func (t *transfer) restartLocked(bad []int) {
-	t.agent.metrics.spoilt.Add(float64(len(bad)))
-	held := make([]bool, len(t.manifest.Digests))
-	for index := range held {
-		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
-	}
-	t.fetcher = dissemination.NewFetcher(dissemination.Options{
-		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held,
-		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
-	})
-	t.complete = false
-	t.fetcher.Start(t.now())
-	t.poke()
-}
--- /dev/null
+++ b/internal/rollout/verify.go
@@ -0,0 +1,96 @@
+package rollout
+
+import (
+	"context"
+	"crypto/sha256"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// verifyHeld reads back what lies at the server and marks the pieces that match.
+func (t *transfer) verifyHeld(ctx context.Context, manifest fleet.Manifest) []bool {
+	held := make([]bool, len(manifest.Digests))
+	for ctx.Err() == nil {
+		indexes, err := t.agent.server.HeldPieces(ctx, t.model)
+		if err != nil {
+			pause(ctx, manifestRetry)
+			continue
+		}
+		for _, index := range indexes {
+			if index < 0 || index >= len(held) {
+				continue
+			}
+			content, err := t.agent.server.Piece(ctx, t.model, index)
+			held[index] = err == nil && sha256.Sum256(content) == manifest.Digests[index]
+		}
+		return held
+	}
+	return held
+}
+
+// readPiece reads a piece back and verifies it once more.
+func (t *transfer) readPiece(ctx context.Context, index int) ([]byte, bool) {
+	manifest, known := t.knownManifest()
+	if !known || index < 0 || index >= len(manifest.Digests) {
+		return nil, false
+	}
+	content, err := t.agent.server.Piece(ctx, t.model, index)
+	if err != nil || sha256.Sum256(content) != manifest.Digests[index] {
+		return nil, false
+	}
+	return content, true
+}
+
+// verifyAll reads every piece back and returns those that do not match.
+func (t *transfer) verifyAll(ctx context.Context) []int {
+	manifest, known := t.knownManifest()
+	if !known {
+		return nil
+	}
+	var bad []int
+	for index := range manifest.Digests {
+		if _, sound := t.readPiece(ctx, index); !sound {
+			bad = append(bad, index)
+		}
+	}
+	return bad
+}
+
+// noteSpoilt fetches a piece again that was thought to be here and is not sound, so
+// that peers are not sent to it in vain.
+func (t *transfer) noteSpoilt(ctx context.Context, index int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if ctx.Err() != nil || t.fetcher == nil || index < 0 || index >= len(t.manifest.Digests) || !t.fetcher.Holds(index) {
+		return
+	}
+	t.agent.log.Log(logging.PiecesSpoilt, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Ints("pieces", []int{index}))
+	t.restartLocked([]int{index})
+}
+
+// restart begins anew with what is sound, after pieces have turned bad.
+func (t *transfer) restart(bad []int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.restartLocked(bad)
+}
+
+func (t *transfer) restartLocked(bad []int) {
+	t.agent.metrics.spoilt.Add(float64(len(bad)))
+	held := make([]bool, len(t.manifest.Digests))
+	for index := range held {
+		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
+	}
+	t.fetcher = dissemination.NewFetcher(dissemination.Options{
+		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held,
+		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+	})
+	t.complete = false
+	t.fetcher.Start(t.now())
+	t.poke()
+}
