--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -25,12 +25,14 @@
 )
 
 // limitMemory keeps a daemon under its part of a machine.
-func limitMemory() {
+func limitMemory() { limitMemoryAt(garbagePercent) }
+
+func limitMemoryAt(percent int) {
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(memoryLimitBytes)
 	}
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(garbagePercent)
+		debug.SetGCPercent(percent)
 	}
 }
 
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -19,6 +19,10 @@
 	"pinevane.example/pinevane/platform"
 )
 
+// platformGarbagePercent lets the heap grow further between collections than
+// elsewhere: the users' machines have the memory, and price processor time.
+const platformGarbagePercent = 100
+
 // settingsCheckPeriod is how often the settings file is looked at for changes.
 const settingsCheckPeriod = 2 * time.Second
 
@@ -35,7 +39,7 @@
 	if err := checkRole(role, settings); err != nil {
 		return err
 	}
-	limitMemory()
+	limitMemoryAt(platformGarbagePercent)
 	log := logging.NewBounded(level, settings.Name, os.Stdout)
 	defer log.Sync()
 	base := daemon.New(daemon.Options{
