--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -18,7 +18,7 @@
 const (
 	// otherZoneCost and otherRegionCost are what a longer way is worth.
 	otherZoneCost   = 20 * time.Millisecond
-	otherRegionCost = 45 * time.Millisecond
+	otherRegionCost = 100 * time.Millisecond
 	// runningCost spreads requests over servers that would begin them equally soon.
 	runningCost = 3 * time.Millisecond
 	// jitterCost spreads the choices of entries that see the same figures.
