--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -179,6 +179,12 @@
 // feeds reports whether this entry is one of those that tell an agent the news;
 // the mutex is held.
 func (c *Catalog) feeds(agent, zone string) bool {
+	return slices.Contains(c.feedersOf(agent, zone), c.options.Self)
+}
+
+// feedersOf are the entries that speak with an agent: of its zone, or of all when
+// none of its zone is heard; the mutex is held.
+func (c *Catalog) feedersOf(agent, zone string) []string {
 	near := c.recentEntries(zone)
 	if zone == c.options.Zone {
 		near = append(near, c.options.Self)
@@ -191,7 +197,7 @@
 		}
 		near = append(near, c.options.Self)
 	}
-	return slices.Contains(placement.Top("feed/"+agent, near, feedersPerAgent), c.options.Self)
+	return placement.Top("feed/"+agent, near, feedersPerAgent)
 }
 
 // peerAddress is where a machine accepts links.
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"net"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -102,6 +103,7 @@
 			delete(c.statuses, address)
 		}
 	}
+	firstGate := c.gates(c.options.Zone)[0] == c.options.Self
 	for ip, out := range c.links {
 		peer, isEntry := c.entries[ip]
 		if !isEntry || out.link == nil || out.passing || out.statusSequence == c.statusSequence {
@@ -109,7 +111,7 @@
 		}
 		var batch statusBatch
 		for _, held := range c.statuses {
-			if held.sequence > out.statusSequence && c.passes(held, peer.zone) {
+			if held.sequence > out.statusSequence && c.passes(held, peer.zone, firstGate) {
 				batch.Statuses = append(batch.Statuses, toldStatus{Status: held.status, Zone: held.zone, AgeMilliseconds: now.Sub(held.at).Milliseconds()})
 			}
 		}
@@ -123,11 +125,23 @@
 }
 
 // passes reports whether an agent's word is to be passed on to an entry of a zone.
-func (c *Catalog) passes(held heldStatus, zone string) bool {
-	if zone == c.options.Zone {
-		return held.direct || held.zone != c.options.Zone
+// Of the entries that could do it, the first does; when it falls silent another is
+// first. The mutex is held.
+func (c *Catalog) passes(held heldStatus, zone string, firstGate bool) bool {
+	switch {
+	case held.zone != c.options.Zone:
+		return zone == c.options.Zone && firstGate
+	case zone != c.options.Zone:
+		return firstGate
 	}
-	return held.zone == c.options.Zone
+	return held.direct && c.isFirstFeeder(held)
+}
+
+// isFirstFeeder reports whether this entry is the first of those that an agent
+// speaks with; the mutex is held.
+func (c *Catalog) isFirstFeeder(held heldStatus) bool {
+	agent, _, err := net.SplitHostPort(held.status.Address)
+	return err == nil && c.feedersOf(agent, held.zone)[0] == c.options.Self
 }
 
 func (c *Catalog) pass(out *outLink, link *peering.Link, batch statusBatch) {
