A manifest that one piece contradicts twice is fetched anew, from the origin

Change: the second failure of one piece, from whatever source, raises the doubt; the new transfer asks the origin only.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -47,6 +47,8 @@
 
 	mutex   sync.Mutex
 	current *transfer
+	// doubted is the version whose manifest was doubted last.
+	doubted uint64
 	report  fleet.Report
 	// reportAt is when the server last answered; reachable is whether it did at the
 	// last try.
@@ -231,7 +233,7 @@
 	if a.current == t {
 		a.log.Log(logging.ManifestDoubted, zap.String("model", t.model), zap.Uint64("version", t.version()))
 		t.cancel()
-		a.current = nil
+		a.current, a.doubted = nil, t.version()
 	}
 	a.wake()
 }
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -78,6 +78,7 @@
 	}
 	transferContext, cancel := context.WithCancel(ctx)
 	a.current = newTransfer(a, model, wanted, cancel)
+	a.current.distrustful = wanted != 0 && wanted == a.doubted
 	a.log.Log(logging.RolloutNoticed, zap.String("model", model), zap.Uint64("version", wanted))
 	go a.current.run(transferContext)
 	return a.current
--- a/internal/rollout/manifest.go
+++ b/internal/rollout/manifest.go
@@ -28,13 +28,13 @@
 		plan := t.plan
 		t.mutex.Unlock()
 		_, hasParent := plan.Parent(0, t.self())
-		if hasParent {
+		if hasParent && !t.distrustful {
 			if manifest, found := t.manifestFromPeers(ctx, plan); found {
 				return manifest, true
 			}
 		}
 		turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
-		if !hasParent || (turn >= 0 && t.now() > time.Duration(turn+1)*manifestTurn) || t.now() > 4*manifestTurn {
+		if !hasParent || t.distrustful || (turn >= 0 && t.now() > time.Duration(turn+1)*manifestTurn) || t.now() > 4*manifestTurn {
 			if manifest, found := t.manifestFromOrigin(ctx); found {
 				return manifest, true
 			}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -37,9 +37,9 @@
 	manifestTurn = 400 * time.Millisecond
 	// inventoriesPerZone is how many machines of each zone are asked what they hold.
 	inventoriesPerZone = 4
-	// manifestDoubts is how many pieces from the origin must fail their digests
-	// until the manifest itself is doubted.
-	manifestDoubts = 3
+	// manifestDoubts is how often one piece must fail its digest until the manifest
+	// itself is doubted.
+	manifestDoubts = 2
 )
 
 // transfer brings one version's pieces to the machine's server, and goes on
@@ -47,6 +47,9 @@
 type transfer struct {
 	agent *Agent
 	model string
+	// distrustful transfers take the manifest from the origin only: another has been
+	// doubted, and peers may hold the same one.
+	distrustful bool
 	// number is the version; 0 until the manifest tells it.
 	number  atomic.Uint64
 	began   time.Time
@@ -60,8 +63,10 @@
 	manifest *fleet.Manifest
 	fetcher  *dissemination.Fetcher
 	// early keeps offers that came before the manifest.
-	early      []offer
-	doubts     int
+	early []offer
+	// corrupt counts how often each piece has failed its digest.
+	corrupt    map[int]int
+	doubtful   bool
 	complete   bool
 	fromOrigin int
 	fromPeers  int
@@ -70,7 +75,7 @@
 func newTransfer(agent *Agent, model string, version uint64, cancel context.CancelFunc) *transfer {
 	t := &transfer{
 		agent: agent, model: model, began: time.Now(), cancel: cancel,
-		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), pace: newFetchPace(),
+		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), corrupt: map[int]int{}, pace: newFetchPace(),
 	}
 	t.number.Store(version)
 	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, agent.roster())
@@ -297,9 +302,8 @@
 	switch {
 	case errors.As(err, &corrupt):
 		t.agent.log.Log(logging.ChunkCorrupt, zap.String("source", source), zap.Int("piece", action.Chunk), zap.Uint64("version", t.version()))
-		if source == "origin" {
-			t.doubts++
-		}
+		t.corrupt[action.Chunk]++
+		t.doubtful = t.doubtful || t.corrupt[action.Chunk] >= manifestDoubts
 		return dissemination.Corrupted
 	case errors.Is(err, context.DeadlineExceeded):
 		t.agent.log.Log(logging.ChunkStalled, zap.String("source", source), zap.Int("piece", action.Chunk), zap.Uint64("version", t.version()))
@@ -315,7 +319,7 @@
 	t.mutex.Lock()
 	changed := !t.complete && t.fetcher.Missing() == 0
 	t.complete = t.fetcher.Missing() == 0
-	doubtful := t.doubts > manifestDoubts && !t.complete
+	doubtful := t.doubtful && !t.complete
 	t.mutex.Unlock()
 	if changed {
 		t.agent.metrics.staged.Observe(t.now().Seconds())
