TestARefusalIsProofThatNothingRan waits until the loss of the link shows

Cause: the test asked an entry for a proof in the moment between the end of a back end's process and the entry's noticing; what is sent then may have left, and the entry rightly calls the outcome unknown. Ruled out: a request that was refused and ran (the ledger was empty each time). Change: the test waits for the entry's own view of the lost link, then demands the same proof as before; the rest is unchanged. Conclusion: the promise holds; the test was too early.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"pinevane.example/pinevane/internal/agent"
 	"pinevane.example/pinevane/internal/blackboard"
 	"pinevane.example/pinevane/internal/emulator"
+	"pinevane.example/pinevane/internal/entry"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/workload"
@@ -223,8 +225,16 @@
 	f.Services[0].Service.SetFaults(emulator.Faults{})
 	f.Services[0].BeginStop()
 	f.WaitStopped(f.Services[0].Process)
+	// Until the entry has noticed that the link is lost, what it sends may have left:
+	// the outcome is unknown then, and rightly called so.
+	f.Wait("the entry to notice that the link is lost", func() bool {
+		views, _ := blackboard.Read(f.Entries[0].Node.Board, entry.ReplicasKey)
+		return len(views) > 0 && !slices.ContainsFunc(views, func(view entry.ReplicaView) bool {
+			return view.ID == f.Services[0].Node.ID() && view.Linked
+		})
+	})
 	result := f.Do(f.Entries[0], Call("nobody is there"))
-	assert.Equal(t, fault.ExecutionNotRun, result.Execution)
+	assert.Equal(t, fault.ExecutionNotRun, result.Execution, "%+v", result)
 	assert.NotEmpty(t, result.Reason)
 	assert.Empty(t, f.Services[0].Service.Runs())
 }
