--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -60,7 +60,9 @@
 	// with an older one must begin the request before the bound.
 	newest uint64
 	bound  time.Time
-	work   *work
+	// versionApply is the time between the naming of a version and its bound.
+	versionApply time.Duration
+	work         *work
 }
 
 // choice is a server and what was known of it.
@@ -266,7 +268,7 @@
 	switch {
 	case wanted.exactly != 0 && version != wanted.exactly, version < wanted.atLeast:
 		return unfitVersion
-	case version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(now)).After(wanted.bound):
+	case version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(wanted, now)).After(wanted.bound):
 		return unfitBound
 	}
 	return unfitNot
@@ -307,15 +309,18 @@
 // version and the time from which it must not begin there. A server whose agent has
 // every piece will be ordered over in time in any case.
 const (
-	preparedMargin   = 350 * time.Millisecond
-	unpreparedMargin = 1500 * time.Millisecond
+	preparedMargin = 350 * time.Millisecond
+	// unpreparedShare of the time that the users give is kept from a server whose
+	// agent lacks pieces: when they should long be there, its link is narrow or cut,
+	// and requests queue up on it that no figure shows.
+	unpreparedShare = 0.4
 )
 
-func (k *target) boundMargin(now time.Time) time.Duration {
+func (k *target) boundMargin(wanted need, now time.Time) time.Duration {
 	if k.current(now) && k.status.Missing == 0 {
 		return preparedMargin
 	}
-	return unpreparedMargin
+	return time.Duration(unpreparedShare * float64(wanted.versionApply))
 }
 
 // firstEvent predicts when the server would begin the request: what its load
