Unprepared servers are left out by what can come in time; a second's margin for the others

Change: a server is left out when its missing pieces can't come in time over a link like the origin's; the margin of prepared servers is 1 s; turns end 1.1 s before the bound.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -60,9 +60,7 @@
 	// with an older one must begin the request before the bound.
 	newest uint64
 	bound  time.Time
-	// versionApply is the time between the naming of a version and its bound.
-	versionApply time.Duration
-	work         *work
+	work   *work
 }
 
 // choice is a server and what was known of it.
@@ -157,7 +155,7 @@
 	counts := map[string]int{}
 	var oldest time.Duration
 	for _, candidate := range t.byService[wanted.service] {
-		counts[candidate.unfit(wanted, now)]++
+		counts[t.unfit(candidate, wanted, now)]++
 		if !candidate.statusAt.IsZero() {
 			oldest = max(oldest, now.Sub(candidate.statusAt))
 		}
@@ -182,11 +180,7 @@
 	if wanted.engine == nil || wanted.engine.Pieces == 0 {
 		return noServerRetry
 	}
-	copyTime := time.Duration(0)
-	if origin, known := t.view.Configuration.Origin(); known && origin.OriginLinkBytesPerSecond > 0 {
-		bytes := float64(wanted.engine.Pieces * wanted.engine.PieceBytes)
-		copyTime = time.Duration(bytes / origin.OriginLinkBytesPerSecond * float64(time.Second))
-	}
+	copyTime := t.copyTime(wanted.engine)
 	soonest := emptyTime + copyTime/2
 	for _, told := range t.statuses {
 		if !told.status.Reachable || now.Sub(told.at) > statusCurrent {
@@ -212,7 +206,7 @@
 )
 
 // unfit returns why a server is not sent the request.
-func (k *target) unfit(wanted need, now time.Time) string {
+func (t *targets) unfit(k *target, wanted need, now time.Time) string {
 	switch {
 	case k.server.Draining || k.gone:
 		return unfitLeaving
@@ -220,7 +214,7 @@
 		return unfitTried
 	}
 	if wanted.engine != nil {
-		if reason := k.unfitModel(wanted, now); reason != unfitNot {
+		if reason := t.unfitModel(k, wanted, now); reason != unfitNot {
 			return reason
 		}
 	}
@@ -235,7 +229,7 @@
 func (t *targets) usable(wanted need, now time.Time) []*target {
 	var sound, ejected []*target
 	for _, candidate := range t.byService[wanted.service] {
-		switch candidate.unfit(wanted, now) {
+		switch t.unfit(candidate, wanted, now) {
 		case unfitNot:
 			sound = append(sound, candidate)
 		case unfitEjected:
@@ -249,7 +243,7 @@
 }
 
 // unfitModel returns why a model server does not serve a fitting version now.
-func (k *target) unfitModel(wanted need, now time.Time) string {
+func (t *targets) unfitModel(k *target, wanted need, now time.Time) string {
 	version := k.version
 	if k.current(now) {
 		left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
@@ -268,7 +262,7 @@
 	switch {
 	case wanted.exactly != 0 && version != wanted.exactly, version < wanted.atLeast:
 		return unfitVersion
-	case version < wanted.newest && now.Add(k.firstEvent(wanted, now)+k.boundMargin(wanted, now)).After(wanted.bound):
+	case version < wanted.newest && t.beyondBound(k, wanted, now):
 		return unfitBound
 	}
 	return unfitNot
@@ -309,18 +303,40 @@
 // version and the time from which it must not begin there. A server whose agent has
 // every piece will be ordered over in time in any case.
 const (
-	preparedMargin = 350 * time.Millisecond
-	// unpreparedShare of the time that the users give is kept from a server whose
-	// agent lacks pieces: when they should long be there, its link is narrow or cut,
-	// and requests queue up on it that no figure shows.
-	unpreparedShare = 0.4
+	preparedMargin   = time.Second
+	unpreparedMargin = 1500 * time.Millisecond
+	// orderTime is what a server needs from its last piece to its order, generously.
+	orderTime = 900 * time.Millisecond
 )
 
-func (k *target) boundMargin(wanted need, now time.Time) time.Duration {
-	if k.current(now) && k.status.Missing == 0 {
-		return preparedMargin
+// beyondBound reports whether a server with an older version might begin the
+// request after the bound. One whose agent lacks more pieces than can come in time
+// is on a narrow link, on which requests queue up that no figure shows.
+func (t *targets) beyondBound(k *target, wanted need, now time.Time) bool {
+	margin := preparedMargin
+	if !k.current(now) || k.status.Missing > 0 {
+		margin = unpreparedMargin
+	}
+	if now.Add(k.firstEvent(wanted, now) + margin).After(wanted.bound) {
+		return true
+	}
+	if wanted.engine.Pieces == 0 || k.status.Missing == 0 {
+		return false
+	}
+	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
+	return now.Add(left + orderTime + preparedMargin).After(wanted.bound)
+}
+
+// copyTime is how long one copy of a model takes over a link like the origin's.
+func (t *targets) copyTime(engine *fleet.Engine) time.Duration {
+	if t.view.Configuration == nil {
+		return 0
+	}
+	origin, known := t.view.Configuration.Origin()
+	if !known || origin.OriginLinkBytesPerSecond <= 0 {
+		return 0
 	}
-	return time.Duration(unpreparedShare * float64(wanted.versionApply))
+	return time.Duration(float64(engine.Pieces*engine.PieceBytes) / origin.OriginLinkBytesPerSecond * float64(time.Second))
 }
 
 // firstEvent predicts when the server would begin the request: what its load
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -202,7 +202,6 @@
 		return
 	}
 	view := w.targets.currentView()
-	w.wanted.versionApply = w.options.Bounds.VersionApply
 	if newest, named := view.Newest(w.request.Call.Model); named {
 		w.wanted.newest, w.wanted.bound = newest.Version, newest.Since.Add(w.options.Bounds.VersionApply)
 	}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -18,7 +18,7 @@
 	// which turns begin.
 	copySlack = 1.4
 	// dueMargin is how long before the bound the last turn is.
-	dueMargin = 700 * time.Millisecond
+	dueMargin = 1100 * time.Millisecond
 	// orderPause is the time after an order that did not fit.
 	orderPause = 300 * time.Millisecond
 	// orderSettle bounds the wait for the fate of an order without an answer.
