The age of a version belongs to the record that it was told with

Cause: an age that a peer tells with the record of a version was kept even when the record was no news, and taken for the age of the next version. On a link made anew the first update holds the old record, so that the next version counted as named long ago: every agent changed over at once, and every entry refused each server on the old version.

Change: an age is kept only for a record that is newer than the one held, with its revision. What nobody has seen named is marked as assumed, is not passed on as known, and is corrected by a peer that knows better; before, a guess travelled as a fact.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -33,7 +33,8 @@
 	Decoder fleet.Decoder
 	Hub     *peering.Hub
 	Log     *logging.Logger
-	// VersionApply is half-assumed as the age of a version met at start.
+	// VersionApply is the time until a named version is in force. Half of it is
+	// assumed as the age of a version of which nobody says how old it is.
 	VersionApply time.Duration
 }
 
@@ -47,8 +48,8 @@
 	// sequence counts the changes; changedAt is the sequence of each key's last.
 	sequence  uint64
 	changedAt map[string]uint64
-	// ages tells for how long a version had been known when it was learnt here.
-	ages map[string]time.Duration
+	// ages tells how long ago records of versions were named, by key.
+	ages map[string]versionAge
 	// fresh is when the copy was last known to be current.
 	fresh time.Time
 	// calls counts the calls to the store.
@@ -68,7 +69,7 @@
 // New returns an empty catalog and registers its handlers with the hub.
 func New(options Options) *Catalog {
 	c := &Catalog{
-		options: options, mirror: mirror.New(), changedAt: map[string]uint64{}, ages: map[string]time.Duration{},
+		options: options, mirror: mirror.New(), changedAt: map[string]uint64{}, ages: map[string]versionAge{},
 		statuses: map[string]heldStatus{}, entries: map[string]*entryPeer{}, links: map[string]*outLink{}, kick: make(chan struct{}, 1),
 	}
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
@@ -104,20 +105,43 @@
 	work.Wait()
 }
 
-// take merges records from the store or a peer. The ages belong to records of
-// versions.
-func (c *Catalog) take(records []mirror.Record, ages map[string]time.Duration) {
+// takeWatched merges records that the store has just written; versions among them
+// have just been named.
+func (c *Catalog) takeWatched(records []mirror.Record) {
 	c.apply(func() []mirror.Record {
-		for key, age := range ages {
-			c.ages[key] = age
-		}
+		c.noteAges(records, func(mirror.Record) versionAge { return versionAge{} })
 		return c.mirror.Merge(records)
 	})
 }
 
-// replace takes in a whole listing.
+// takeTold merges records from a peer, which says how long ago the versions among
+// them were named, if it knows that.
+func (c *Catalog) takeTold(records []mirror.Record, ages map[string]time.Duration) {
+	c.apply(func() []mirror.Record {
+		c.noteAges(records, func(record mirror.Record) versionAge {
+			age, told := ages[record.Key]
+			if !told {
+				return versionAge{age: c.options.VersionApply / 2, assumed: true}
+			}
+			return versionAge{age: age}
+		})
+		news := c.mirror.Merge(records)
+		c.correctAges(records, ages)
+		return news
+	})
+}
+
+// replace takes in a whole listing. It does not tell how old the versions are that a
+// process meets in its first one; later, what is new to it was named lately.
 func (c *Catalog) replace(prefix string, listing fleet.Listing) {
-	c.apply(func() []mirror.Record { return c.mirror.Replace(prefix, listing.Records, listing.At) })
+	c.apply(func() []mirror.Record {
+		age := versionAge{}
+		if c.view.Load().Configuration == nil {
+			age = versionAge{age: c.options.VersionApply / 2, assumed: true}
+		}
+		c.noteAges(listing.Records, func(mirror.Record) versionAge { return age })
+		return c.mirror.Replace(prefix, listing.Records, listing.At)
+	})
 }
 
 // apply changes the mirror and tells everyone when that made a difference.
@@ -125,6 +149,7 @@
 	c.notify.Lock()
 	defer c.notify.Unlock()
 	c.mutex.Lock()
+	old := c.View()
 	before := c.snapshotServers()
 	news := c.relevant(before, change())
 	for _, record := range news {
@@ -134,8 +159,9 @@
 	if len(news) > 0 {
 		c.rebuild(news)
 	}
+	unchanged := c.View() == old
 	c.mutex.Unlock()
-	if len(news) == 0 {
+	if unchanged {
 		return
 	}
 	select {
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -176,17 +176,21 @@
 	return message
 }
 
+// addAge adds how long ago the version of a record was named, unless that is only
+// assumed; the mutex is held.
 func (c *Catalog) addAge(message *update, record mirror.Record) {
 	named, err := c.options.Decoder.Version(record)
 	if err != nil {
 		return
 	}
+	notice, known := c.View().Newest(named.Model)
+	if !known || notice.Revision != record.Revision || notice.Assumed {
+		return
+	}
 	if message.AgesMilliseconds == nil {
 		message.AgesMilliseconds = map[string]int64{}
 	}
-	if notice, known := c.View().Newest(named.Model); known {
-		message.AgesMilliseconds[record.Key] = time.Since(notice.Since).Milliseconds()
-	}
+	message.AgesMilliseconds[record.Key] = time.Since(notice.Since).Milliseconds()
 }
 
 func (c *Catalog) handleUpdate(link *peering.Link, received *message.Message) {
@@ -211,7 +215,7 @@
 	lacking := c.lacking(news.Heads)
 	c.mutex.Unlock()
 	if len(news.Records) > 0 {
-		c.take(news.Records, ages)
+		c.takeTold(news.Records, ages)
 	}
 	if len(lacking) > 0 {
 		time.AfterFunc(c.pullDelay(link), func() { c.pullFrom(link, lacking) })
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -98,7 +98,7 @@
 		var changes fleet.Listing
 		changes, err = c.options.Store.Watch(ctx, at.prefix, at.at, wait)
 		if err == nil {
-			c.take(changes.Records, nil)
+			c.takeWatched(changes.Records)
 			at.at = max(at.at, changes.At)
 		}
 	}
@@ -122,28 +122,11 @@
 	if err != nil {
 		return err
 	}
-	c.mutex.Lock()
-	first := c.view.Load().Configuration == nil
-	c.mutex.Unlock()
-	if first {
-		c.assumeAges(listing)
-	}
 	c.replace(at.prefix, listing)
 	at.at = listing.At
 	return nil
 }
 
-// assumeAges guesses how long versions met at the start have been named.
-func (c *Catalog) assumeAges(listing fleet.Listing) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for _, record := range listing.Records {
-		if _, told := c.ages[record.Key]; !told && c.options.Decoder.Kind(record.Key) == fleet.RecordVersion {
-			c.ages[record.Key] = c.options.VersionApply / 2
-		}
-	}
-}
-
 func (c *Catalog) noteAnswer(at *position) {
 	if at.failed {
 		c.options.Log.Log(logging.ServiceReached, zap.String("prefix", at.prefix))
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -22,6 +22,9 @@
 	Version  uint64    `json:"version"`
 	Revision uint64    `json:"revision"`
 	Since    time.Time `json:"since"`
+	// Assumed is set while Since is a guess, because nobody who has seen the naming
+	// has told of it.
+	Assumed bool `json:"assumed,omitempty"`
 }
 
 // View is an immutable picture of everything known.
@@ -141,14 +144,14 @@
 	if held, known := next.Newest(named.Model); known && held.Version >= named.Version {
 		return
 	}
-	notice := Notice{Version: named.Version, Revision: record.Revision, Since: time.Now().Add(-c.ages[record.Key])}
-	delete(c.ages, record.Key)
+	age := c.ages[record.Key]
+	notice := Notice{Version: named.Version, Revision: record.Revision, Since: time.Now().Add(-age.age), Assumed: age.assumed}
 	notices := append(slices.Clone(next.Versions[named.Model]), notice)
 	notices = notices[max(0, len(notices)-maximumNotices):]
 	next.Versions = maps.Clone(next.Versions)
 	next.Versions[named.Model] = notices
 	c.options.Log.Log(logging.VersionNamed, zap.String("model", named.Model), zap.Uint64("version", named.Version),
-		zap.Uint64("revision", record.Revision), zap.Duration("age", time.Since(notice.Since)))
+		zap.Uint64("revision", record.Revision), zap.Duration("age", time.Since(notice.Since)), zap.Bool("assumed", notice.Assumed))
 }
 
 func (c *Catalog) rebuildServers(next *View) {
--- a/internal/sitetest/versions_test.go
+++ b/internal/sitetest/versions_test.go
@@ -84,6 +84,24 @@
 	f.Eventually("every server serves version 3", time.Duration(f.Site.Options.VersionMs)*time.Millisecond, func() bool { return f.allServe(3) })
 }
 
+// BUDGET: a version that is named long after the last one comes into service without
+// servers turning requests away: an entry does not ask those that have changed over for
+// the version before.
+func TestLaterVersionIsNotTurnedAway(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	bound := time.Duration(f.Site.Options.VersionMs) * time.Millisecond
+	f.Site.NameVersion(2)
+	f.Eventually("every server serves version 2", bound, func() bool { return f.allServe(2) })
+	time.Sleep(bound)
+	stop := load(f, t)
+	f.Site.NameVersion(3)
+	f.Eventually("every server serves version 3", bound, func() bool { return f.allServe(3) })
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	turnedAway := countEvents(f, "PV4105", `"reason":"wrong-version"`)
+	assert.LessOrEqual(t, turnedAway, 3, "requests that a server turned away for its version")
+}
+
 // WHOLE: pieces that turn bad after they were staged are noticed before the order.
 func TestPiecesThatTurnBadAreFetchedAgain(t *testing.T) {
 	f := Start(t, DefaultOptions())
