Each server is bound by the first version it lacks, and asked for the one it has

Apart from it, once the bound of a version had passed every request asked for just that version, which servers with a newer one turn away with 421.

Change: the bound comes from the first notice newer than the version that the server has; once a bound has passed, a request asks for the version that its server is known to have.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -56,11 +57,23 @@
 	answer  int
 	// resumed requests are not refused for load: they have been admitted before.
 	resumed bool
-	// newest is the version that servers are being brought to; a server
-	// with an older one must begin the request before the bound.
-	newest uint64
-	bound  time.Time
-	work   *work
+	// notices are the named versions of the model, the newest last. A server that has
+	// an older one than a notice names must begin the request within versionApply of
+	// that notice.
+	notices      []catalog.Notice
+	versionApply time.Duration
+	work         *work
+}
+
+// boundOf returns until when a server with a version may begin requests; false when
+// no newer version is named.
+func (n need) boundOf(version uint64) (time.Time, bool) {
+	for _, notice := range n.notices {
+		if notice.Version > version {
+			return notice.Since.Add(n.versionApply), true
+		}
+	}
+	return time.Time{}, false
 }
 
 // choice is a server and what was known of it.
@@ -72,6 +85,8 @@
 	score       time.Duration
 	// expected is the predicted time until the request begins to be answered.
 	expected time.Duration
+	// version is the one that the server is known to have; 0 when none is.
+	version uint64
 }
 
 // choose picks the server for a request and counts the request as in flight. A
@@ -100,6 +115,7 @@
 	best.outstanding = best.target.outstanding(now)
 	best.expected = best.target.firstEvent(wanted, now)
 	best.statusAge = best.target.statusAge(now)
+	best.version = best.target.servedVersion(now)
 	best.target.inFlight++
 	if wanted.engine != nil {
 		best.target.unread++
@@ -244,7 +260,7 @@
 
 // unfitModel returns why a model server does not serve a fitting version now.
 func (t *targets) unfitModel(k *target, wanted need, now time.Time) string {
-	version := k.version
+	version := k.servedVersion(now)
 	if k.current(now) {
 		left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
 		switch {
@@ -255,19 +271,28 @@
 		case k.status.Version == 0:
 			return unfitEmpty
 		}
-		version = k.status.Version
 	} else if len(k.server.Models) == 0 {
 		return unfitEmpty
 	}
 	switch {
 	case wanted.exactly != 0 && version != wanted.exactly, version < wanted.atLeast:
 		return unfitVersion
-	case version < wanted.newest && t.beyondBound(k, wanted, now):
+	}
+	if bound, limited := wanted.boundOf(version); limited && t.beyondBound(k, wanted, now, bound) {
 		return unfitBound
 	}
 	return unfitNot
 }
 
+// servedVersion is the version that a server is known to have: by its agent's word,
+// or else by what it has told itself.
+func (k *target) servedVersion(now time.Time) uint64 {
+	if k.current(now) {
+		return k.status.Version
+	}
+	return k.version
+}
+
 // load is what is known of the server's work now.
 func (k *target) load(wanted need, now time.Time) balance.Load {
 	if wanted.engine == nil {
@@ -310,21 +335,21 @@
 )
 
 // beyondBound reports whether a server with an older version might begin the
-// request after the bound. One whose agent lacks more pieces than can come in time
+// request after that version's bound. One whose agent lacks more pieces than can come in time
 // is on a narrow link, on which requests queue up that no figure shows.
-func (t *targets) beyondBound(k *target, wanted need, now time.Time) bool {
+func (t *targets) beyondBound(k *target, wanted need, now, bound time.Time) bool {
 	margin := preparedMargin
 	if !k.current(now) || k.status.Missing > 0 {
 		margin = unpreparedMargin
 	}
-	if now.Add(k.firstEvent(wanted, now) + margin).After(wanted.bound) {
+	if now.Add(k.firstEvent(wanted, now) + margin).After(bound) {
 		return true
 	}
 	if wanted.engine.Pieces == 0 || k.status.Missing == 0 {
 		return false
 	}
 	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
-	return now.Add(left + orderTime + preparedMargin).After(wanted.bound)
+	return now.Add(left + orderTime + preparedMargin).After(bound)
 }
 
 // copyTime is how long one copy of a model takes over a link like the origin's.
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -30,7 +30,7 @@
 	// One copy takes 2.5 s over a link like the origin's.
 	engine := &fleet.Engine{Pieces: 100, PieceBytes: 25_000, StepMilliseconds: 9, Stride: 5, ReadPerSecond: 20000, UsualPrompt: 1000, UsualAnswer: 100}
 	at := func(left time.Duration) need {
-		return need{engine: engine, route: &fleet.Route{}, newest: 2, bound: now.Add(left), prompt: 1000}
+		return need{engine: engine, route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: left, prompt: 1000}
 	}
 	for _, one := range []struct {
 		missing int
@@ -48,6 +48,34 @@
 	}
 }
 
+// VERSION: after two versions in quick succession a server on the oldest is bound by the
+// first of them, one on the second by the third.
+func TestEachServerIsBoundByTheFirstVersionItLacks(t *testing.T) {
+	now := time.Now()
+	fleetOf := newTargets("z", nil, logging.Nop())
+	const apply = 8 * time.Second
+	wanted := need{
+		engine: &fleet.Engine{}, route: &fleet.Route{}, versionApply: apply,
+		notices: []catalog.Notice{{Version: 2, Since: now.Add(-apply + 900*time.Millisecond)}, {Version: 3, Since: now.Add(-apply + 2900*time.Millisecond)}},
+	}
+	oldest, middle, newest := modelServer(now, 0), modelServer(now, 0), modelServer(now, 0)
+	middle.status.Version, newest.status.Version = 2, 3
+	assert.Equal(t, unfitBound, fleetOf.unfit(oldest, wanted, now))
+	assert.Equal(t, unfitNot, fleetOf.unfit(middle, wanted, now))
+	assert.Equal(t, unfitNot, fleetOf.unfit(newest, wanted, now))
+}
+
+// BUDGET: after a version's bound a server that has a newer one is not asked for the
+// older, which it would turn away.
+func TestServerIsAskedForTheVersionItHas(t *testing.T) {
+	for _, one := range []struct{ exactly, atLeast, serving, want uint64 }{
+		{want: 0, serving: 2}, {atLeast: 2, serving: 2, want: 2}, {atLeast: 2, serving: 3, want: 3}, {exactly: 2, atLeast: 2, serving: 3, want: 2},
+	} {
+		w := &work{wanted: need{exactly: one.exactly, atLeast: one.atLeast}}
+		assert.Equal(t, one.want, w.expectedVersion(one.serving))
+	}
+}
+
 // A server that changes over, serves nothing or has not answered its agent is left
 // out, and the log tells which.
 func TestWhyAServerIsLeftOut(t *testing.T) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -196,18 +196,31 @@
 // versionMargin is how long before the bound no older version is asked for.
 const versionMargin = 500 * time.Millisecond
 
-// bindVersion sets which version the next attempt needs.
+// bindVersion sets which version the next attempt needs, and until when older ones
+// may begin it.
 func (w *work) bindVersion() {
 	if w.wanted.engine == nil {
 		return
 	}
 	view := w.targets.currentView()
-	if newest, named := view.Newest(w.request.Call.Model); named {
-		w.wanted.newest, w.wanted.bound = newest.Version, newest.Since.Add(w.options.Bounds.VersionApply)
-	}
+	w.wanted.notices = view.Versions[w.request.Call.Model]
+	w.wanted.versionApply = w.options.Bounds.VersionApply
 	w.wanted.atLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
 }
 
+// expectedVersion is the version that a server is asked to check. Once the bound of
+// some version has passed that is the one which the server is known to have, so that
+// it is not turned away for having a newer one.
+func (w *work) expectedVersion(serving uint64) uint64 {
+	switch {
+	case w.wanted.exactly != 0:
+		return w.wanted.exactly
+	case w.wanted.atLeast != 0:
+		return max(serving, w.wanted.atLeast)
+	}
+	return 0
+}
+
 // attempt sends the request to one server. The failure's execution says whether
 // it may have run there.
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
@@ -218,7 +231,7 @@
 	}
 	target := chosen.target
 	send := fleet.SendHeader{
-		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: max(w.wanted.exactly, w.wanted.atLeast),
+		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: w.expectedVersion(chosen.version),
 		Tenant: w.request.Tenant, Priority: w.request.Priority,
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
