Connections to servers are used again after resting

Change: the limits are lifted when a connection is put to rest. One is used again up to 1.5 s later, or 0.5 s for a request that must not run twice, because a server may forget it sooner than it says. TestRestedConnectionIsUsedAgain fails before.

--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -19,6 +19,13 @@
 	dialTimeout = 600 * time.Millisecond
 	// idleWithoutWord is how long a connection rests when the server names no time.
 	idleWithoutWord = 2 * time.Second
+	// trustedRest is how long a connection may have rested to be used again. Servers
+	// may forget one sooner than they say; what is sent on it then must be sent again.
+	trustedRest = 1500 * time.Millisecond
+	// riskedRest is how long a connection may have rested that carries a request which
+	// must not run twice: a server may have forgotten it without a word, and what is
+	// lost with it can't be sent again.
+	riskedRest = 500 * time.Millisecond
 	// maximumIdle bounds the connections kept for each server.
 	maximumIdle = 24
 	// lookPeriod is how often a silent server's answer is looked at again.
@@ -39,7 +46,9 @@
 	net     net.Conn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	expires time.Time
+	// restedSince is when the last request ended; expires is until when it may rest.
+	restedSince time.Time
+	expires     time.Time
 	// used counts the requests carried before.
 	used int
 
@@ -121,8 +130,9 @@
 	closed bool
 }
 
-// take returns the newest idle connection that is sound, or nil.
-func (p *pool) take() *connection {
+// take returns the newest idle connection that is sound and has rested for less than
+// a time, or nil.
+func (p *pool) take(restedAtMost time.Duration) *connection {
 	for {
 		p.mutex.Lock()
 		count := len(p.idle)
@@ -131,6 +141,10 @@
 			return nil
 		}
 		candidate := p.idle[count-1]
+		if time.Since(candidate.restedSince) > restedAtMost {
+			p.mutex.Unlock()
+			return nil
+		}
 		p.idle = p.idle[:count-1]
 		p.mutex.Unlock()
 		if time.Now().Before(candidate.expires) && candidate.reader.Buffered() == 0 && network.CheckIdle(candidate.net) == nil {
@@ -142,8 +156,11 @@
 
 // put keeps a connection for later, for as long as the server allows.
 func (p *pool) put(c *connection, rest time.Duration) {
-	c.expires = time.Now().Add(rest)
+	c.restedSince = time.Now()
+	c.expires = c.restedSince.Add(rest)
 	c.used++
+	// The last request's time limits would fail the check of the resting connection.
+	_ = c.net.SetDeadline(time.Time{})
 	c.ctx, c.silence = context.Background(), nil
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -70,7 +70,7 @@
 
 // open sends a request to a server and reads the head of its answer.
 func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence func(time.Duration) bool) (*exchange, *failure) {
-	carrier := chosen.pool.take()
+	carrier := chosen.pool.take(restAllowed(request.Route))
 	if carrier == nil {
 		fresh, err := dial(ctx, chosen.address, request.Deadline)
 		if err != nil {
@@ -93,6 +93,14 @@
 	return started, nil
 }
 
+// restAllowed is how long a connection may have rested to carry a request of a route.
+func restAllowed(route *fleet.Route) time.Duration {
+	if route.MayRepeat() {
+		return trustedRest
+	}
+	return riskedRest
+}
+
 func reasonOf(err error, other fault.Reason) fault.Reason {
 	switch {
 	case errors.Is(err, errLeft), errors.Is(err, context.Canceled):
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,22 +29,25 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
+	var answered atomic.Int64
+	serve := func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			answer(connection, request, int(answered.Add(1)-1))
+		}
+	}
 	go func() {
-		for number := 0; ; {
+		for {
 			connection, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			reader := bufio.NewReader(connection)
-			for {
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					break
-				}
-				answer(connection, request, number)
-				number++
-			}
-			_ = connection.Close()
+			go serve(connection)
 		}
 	}()
 	return &target{id: "i-1", address: listener.Addr().String(), expected: map[*work]time.Time{}}
@@ -55,7 +59,7 @@
 
 func testRequest(id string, body string) *Request {
 	return &Request{
-		Call: fleet.CallHeader{RequestID: id}, Method: http.MethodPost, Target: "/x/?a=%20b", Host: "h.example",
+		Call: fleet.CallHeader{RequestID: id}, Route: &fleet.Route{Kind: fleet.Repeatable}, Method: http.MethodPost, Target: "/x/?a=%20b", Host: "h.example",
 		Header: http.Header{"Request-Id": {id}}, Body: []byte(body), Arrived: time.Now(), Deadline: time.Now().Add(2 * time.Second),
 	}
 }
@@ -97,6 +101,27 @@
 	}
 }
 
+// A connection that has rested for longer than a look at a silent server takes is used
+// again, but not for a request that must not be sent twice.
+func TestRestedConnectionIsUsedAgain(t *testing.T) {
+	server := scripted(t, func(connection net.Conn, request *http.Request, _ int) {
+		id := request.Header.Get("Request-Id")
+		_, _ = io.WriteString(connection, whole(id, "from "+connection.RemoteAddr().String()))
+	})
+	f := testForwarder()
+	var callers []string
+	for number, kind := range []fleet.RouteKind{fleet.Repeatable, fleet.Repeatable, fleet.AtMostOnce} {
+		request := testRequest(fmt.Sprint("request-", number), "b")
+		request.Route = &fleet.Route{Kind: kind}
+		body, failed := exchangeOnce(t, f, server, request)
+		require.Nil(t, failed)
+		callers = append(callers, body)
+		time.Sleep(max(lookPeriod, riskedRest) + 50*time.Millisecond)
+	}
+	assert.Equal(t, callers[0], callers[1])
+	assert.NotEqual(t, callers[1], callers[2])
+}
+
 // MIXED: bytes after a whole answer belong to no request; the connection is not used
 // again.
 func TestSurplusBytesEndTheConnection(t *testing.T) {
@@ -110,7 +135,7 @@
 		require.Nil(t, failed)
 		assert.Equal(t, "answer to "+id, body)
 		time.Sleep(20 * time.Millisecond)
-		assert.Nil(t, server.pool.take())
+		assert.Nil(t, server.pool.take(time.Minute))
 	}
 }
 
@@ -169,7 +194,7 @@
 	body, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", strings.Repeat("x", 8<<20)))
 	require.Nil(t, failed)
 	assert.Equal(t, "early", body)
-	assert.Nil(t, server.pool.take())
+	assert.Nil(t, server.pool.take(time.Minute))
 }
 
 // The path and query, the body and the method go on byte for byte.
