A change-over is announced before the order

Cause looked for: first events late by 0.1 to 1 s while servers change over. A server takes nothing new from its order until its last stream is done; what entries sent in the moment before they heard of it waited for all of that, most of all where the pieces came after the turn.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -56,7 +56,9 @@
 	reachable bool
 	misses    int
 	switchAt  time.Time
-	ordering  bool
+	// announcement is the notice to entries of the change-over that is due.
+	announcement turnover.Announcement
+	ordering     bool
 }
 
 // New builds an agent that does not listen yet.
@@ -140,6 +142,20 @@
 	return origin.OriginAddress, known
 }
 
+// originInterval is how long the origin's link takes for a piece; 0 when its
+// capacity is not published.
+func (a *Agent) originInterval(pieceBytes int) time.Duration {
+	view := a.daemon.Catalog.View()
+	if view.Configuration == nil {
+		return 0
+	}
+	origin, known := view.Configuration.Origin()
+	if !known || origin.OriginLinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(pieceBytes) / origin.OriginLinkBytesPerSecond * float64(time.Second))
+}
+
 // members lists the machines of this machine's service, by IP address.
 func (a *Agent) members() []turnover.Member {
 	settings := a.daemon.Settings()
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -58,12 +58,37 @@
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
 	switchAt := a.planSwitch(model, engine, serving, wanted)
-	if !reachable || report.Busy || !complete || serving >= wanted || time.Now().Before(switchAt) {
+	due := !time.Now().Before(switchAt.Add(-turnover.NoticeTime))
+	if !reachable || report.Busy || !complete || serving >= wanted || !due {
+		a.withdraw()
+		return
+	}
+	if serving != 0 && !a.announce(report.Waiting) {
 		return
 	}
 	a.changeOver(ctx, current, serving)
 }
 
+// announce tells entries that the server is about to change over, and reports
+// whether the order may be given.
+func (a *Agent) announce(waiting int) bool {
+	a.mutex.Lock()
+	first := !a.announcement.Given()
+	ready := a.announcement.Ready(time.Now(), waiting)
+	a.mutex.Unlock()
+	if first {
+		a.pushStatus()
+	}
+	return ready
+}
+
+// withdraw takes the announcement of a change-over back, or notes that it is done.
+func (a *Agent) withdraw() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.announcement.Withdraw()
+}
+
 // follow makes the transfer of the wanted version the present one. A version that
 // has been replaced is dropped at once; what both share stays at the server.
 func (a *Agent) follow(ctx context.Context, model string, wanted uint64) *transfer {
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -110,7 +110,7 @@
 		_, status.Missing = a.current.state()
 	}
 	switch {
-	case a.ordering || a.report.Busy:
+	case a.ordering || a.report.Busy || a.announcement.Given():
 		status.SwitchMilliseconds = 0
 	case !a.switchAt.IsZero() && status.Version != 0 && status.Version < status.Wanted:
 		// While pieces are missing the turn can't come before they are there.
