--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -56,6 +56,10 @@
 	// OriginWindow is how many chunks past the number received may be requested from
 	// the origin, so that a fast origin is read at the pace of the fleet's links.
 	OriginWindow int
+	// OriginInterval is how long the origin takes for a chunk; 0 when that is not
+	// known. The machines then read their chunks one after the other, so that the
+	// first ones come soon and few connections stand at the origin at a time.
+	OriginInterval time.Duration
 	// LagChunks is how far a chunk may be behind the highest one heard of before
 	// it counts as late.
 	LagChunks int
@@ -118,6 +122,7 @@
 	// queue lists chunks with a source that are not being fetched.
 	queue        []int
 	lastProgress time.Duration
+	started      time.Duration
 	peers        map[MachineID]peerState
 	// zones counts, for each zone, the machines that failed since one answered.
 	zones map[string]zoneState
@@ -172,7 +177,7 @@
 
 // Start begins the transfer. Chunks that are already here are offered at once.
 func (f *Fetcher) Start(now time.Duration) {
-	f.lastProgress = now
+	f.lastProgress, f.started = now, now
 	f.SetPlan(f.options.Plan, now)
 	for chunk := range f.chunks {
 		if f.chunks[chunk].held {
--- a/coordination/dissemination/schedule.go
+++ b/coordination/dissemination/schedule.go
@@ -99,7 +99,7 @@
 		if state.held || state.fetching || state.late || f.hasTrustedSource(state, now) {
 			continue
 		}
-		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() {
+		if f.origin >= f.options.MaximumFetches || f.chunks[chunk].ordinal > f.originLimit() || now < f.originTurn(chunk) {
 			kept = append(kept, f.rootChunks[i:]...)
 			break
 		}
@@ -120,6 +120,16 @@
 	return received + min(f.options.OriginWindow, startWindow+windowGrowth*received)
 }
 
+// originAhead is how many chunks before its turn a chunk is asked for, so that the
+// origin is never idle though the machines' clocks of the transfer differ.
+const originAhead = 10
+
+// originTurn is when a chunk is to be asked of the origin.
+func (f *Fetcher) originTurn(chunk int) time.Duration {
+	before := max(0, f.chunks[chunk].ordinal-originAhead)
+	return f.started + time.Duration(before)*f.options.OriginInterval
+}
+
 // isRoot reports whether this machine is to read a chunk from the origin.
 func (f *Fetcher) isRoot(chunk int) bool {
 	_, hasParent := f.options.Plan.Parent(chunk, f.options.Self)
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -139,7 +139,7 @@
 	t.number.Store(manifest.Version)
 	t.fetcher = dissemination.NewFetcher(dissemination.Options{
 		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held,
-		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+		MaximumFetches: maximumFetches, OriginInterval: t.agent.originInterval(manifest.PieceBytes), LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	})
 	t.takeHolders(holders)
 	t.fetcher.Start(t.now())
