Agents measure their links, and every entry knows of a narrow one

Change: an agent's word carries a probe that the entry returns; the quickest round trip (coordination/liveness.RoundTrips) goes into the word, and so to all entries, which add it to the prediction. Only a server on a narrow link is left out for the pieces that it lacks. Tests: TestRoundTrips, TestNarrowLinkIsKnownBeforeTheFirstRequest. TestUnpreparedServerIsLeftOutInTime is as strict for narrow links and now asks that the others are served until their margin.

--- /dev/null
+++ b/coordination/liveness/roundtrips.go
@@ -0,0 +1,91 @@
+package liveness
+
+import "time"
+
+// maximumProbes bounds the probes of one peer that are waited for.
+const maximumProbes = 8
+
+// RoundTrips measures how long probes to a set of peers take to be answered, which
+// shows queues on the own link that no other figure shows.
+type RoundTrips struct {
+	period time.Duration
+	next   uint64
+	peers  map[string]*roundTrip
+}
+
+// roundTrip is what is known of one peer.
+type roundTrip struct {
+	// sent holds when each probe that is waited for was sent.
+	sent map[uint64]time.Duration
+	// asked is when the newest probe was sent; took is the last time measured.
+	asked    time.Duration
+	took     time.Duration
+	measured bool
+}
+
+// NewRoundTrips returns a measurement that probes each peer once in a period.
+func NewRoundTrips(period time.Duration) *RoundTrips {
+	return &RoundTrips{period: period, peers: map[string]*roundTrip{}}
+}
+
+// Probe returns the number to send to a peer now; 0 means that none is due.
+func (r *RoundTrips) Probe(peer string, now time.Duration) uint64 {
+	known := r.peers[peer]
+	if known == nil {
+		known = &roundTrip{sent: map[uint64]time.Duration{}, asked: now - r.period}
+		r.peers[peer] = known
+	}
+	if now-known.asked < r.period || len(known.sent) >= maximumProbes {
+		return 0
+	}
+	r.next++
+	known.sent[r.next], known.asked = now, now
+	return r.next
+}
+
+// Answered notes the answer to a probe. Earlier probes are not waited for any more.
+func (r *RoundTrips) Answered(peer string, probe uint64, now time.Duration) {
+	known := r.peers[peer]
+	if known == nil {
+		return
+	}
+	at, waited := known.sent[probe]
+	if !waited {
+		return
+	}
+	known.took, known.measured = now-at, true
+	for earlier := range known.sent {
+		if earlier <= probe {
+			delete(known.sent, earlier)
+		}
+	}
+}
+
+// Keep drops every peer but those given.
+func (r *RoundTrips) Keep(peers map[string]bool) {
+	for peer := range r.peers {
+		if !peers[peer] {
+			delete(r.peers, peer)
+		}
+	}
+}
+
+// Least returns the time of the quickest peer: the last time measured, or that for
+// which a probe has been waited for when it is longer. Slow peers do not show in
+// it, a slow own link does. It is 0 while nothing was measured.
+func (r *RoundTrips) Least(now time.Duration) time.Duration {
+	least, found := time.Duration(0), false
+	for _, known := range r.peers {
+		if !known.measured {
+			continue
+		}
+		took := known.took
+		for _, at := range known.sent {
+			took = max(took, now-at)
+		}
+		if !found || took < least {
+			least, found = took, true
+		}
+	}
+	return least
+}
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -53,6 +53,10 @@
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		return
 	}
+	if probe := status.Probe; probe != 0 {
+		status.Probe = 0
+		go func() { _ = peering.Send(link, fleet.TopicStatusEcho, "", fleet.StatusEcho{Probe: probe}) }()
+	}
 	c.takeStatus(heldStatus{status: status, zone: link.Remote().Zone, at: time.Now(), direct: true})
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,6 +4,14 @@
 // machine does.
 const TopicMachineStatus = "machine.status"
 
+// TopicStatusEcho is the topic under which an entry returns the probe of a status.
+const TopicStatusEcho = "machine.echo"
+
+// StatusEcho answers a MachineStatus that carries a probe.
+type StatusEcho struct {
+	Probe uint64 `cbor:"1,keyasint"`
+}
+
 // NoSwitch is the value of SwitchMilliseconds when no switch is planned.
 const NoSwitch = -1
 
@@ -28,4 +36,9 @@
 	// Wanted and Missing tell of the version being fetched, and its pieces to come.
 	Wanted  uint64 `cbor:"11,keyasint" json:"wanted"`
 	Missing int    `cbor:"12,keyasint" json:"missing"`
+	// LinkMilliseconds is how long a message to an entry and back takes over the
+	// machine's link, queues included; 0 while that is not known.
+	LinkMilliseconds int64 `cbor:"13,keyasint,omitempty" json:"link_milliseconds"`
+	// Probe is returned at once by the entry that is told directly; 0 asks for none.
+	Probe uint64 `cbor:"14,keyasint,omitempty" json:"-"`
 }
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -334,9 +334,14 @@
 	orderTime = 900 * time.Millisecond
 )
 
+// narrowLink is the time to an entry and back from which a machine's link counts as
+// narrow.
+const narrowLink = 250 * time.Millisecond
+
 // beyondBound reports whether a server with an older version might begin the
-// request after that version's bound. One whose agent lacks more pieces than can come in time
-// is on a narrow link, on which requests queue up that no figure shows.
+// request after that version's bound. Requests queue up on a narrow link: a server
+// on one whose pieces can't come in time any more gets nothing at all. Where the
+// link is sound the origin is what is slow, and the server serves on meanwhile.
 func (t *targets) beyondBound(k *target, wanted need, now, bound time.Time) bool {
 	margin := preparedMargin
 	if !k.current(now) || k.status.Missing > 0 {
@@ -345,7 +350,7 @@
 	if now.Add(k.firstEvent(wanted, now) + margin).After(bound) {
 		return true
 	}
-	if wanted.engine.Pieces == 0 || k.status.Missing == 0 {
+	if wanted.engine.Pieces == 0 || k.status.Missing == 0 || k.linkTime() < narrowLink {
 		return false
 	}
 	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
@@ -367,7 +372,17 @@
 // firstEvent predicts when the server would begin the request: what its load
 // says, and how much later than that it has lately begun others.
 func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
-	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt) + k.lateness(now)
+	late := k.lateness(now)
+	if k.current(now) {
+		late = max(late, k.linkTime())
+	}
+	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt) + late
+}
+
+// linkTime is how long a message over the server's link and back takes, by its
+// agent's word.
+func (k *target) linkTime() time.Duration {
+	return time.Duration(k.status.LinkMilliseconds) * time.Millisecond
 }
 
 // Lateness of servers.
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -18,8 +18,9 @@
 	}
 }
 
-// VERSION: a server whose agent lacks more pieces than can come in time is sent nothing
-// more on the old version; one that will be prepared is, also after two versions in
+// VERSION: a server on a narrow link whose agent lacks more pieces than can come in time
+// is sent nothing more on the old version; one that will be prepared, and one whose
+// pieces are late for another reason, is, also after two versions in
 // quick succession, until shortly before the bound.
 func TestUnpreparedServerIsLeftOutInTime(t *testing.T) {
 	now := time.Now()
@@ -34,17 +35,22 @@
 	}
 	for _, one := range []struct {
 		missing int
+		link    time.Duration
 		left    time.Duration
 		want    string
 	}{
-		{missing: 80, left: 5 * time.Second, want: unfitNot},
-		{missing: 80, left: 3200 * time.Millisecond, want: unfitBound},
-		{missing: 20, left: 3200 * time.Millisecond, want: unfitNot},
-		{missing: 20, left: 1400 * time.Millisecond, want: unfitBound},
+		{missing: 80, link: narrowLink, left: 5 * time.Second, want: unfitNot},
+		{missing: 80, link: narrowLink, left: 3200 * time.Millisecond, want: unfitBound},
+		{missing: 20, link: narrowLink, left: 3200 * time.Millisecond, want: unfitNot},
+		{missing: 20, link: narrowLink, left: 1400 * time.Millisecond, want: unfitBound},
+		{missing: 96, link: 20 * time.Millisecond, left: 2 * time.Second, want: unfitNot},
+		{missing: 96, link: 20 * time.Millisecond, left: 1400 * time.Millisecond, want: unfitBound},
 		{missing: 0, left: 1400 * time.Millisecond, want: unfitNot},
 		{missing: 0, left: 900 * time.Millisecond, want: unfitBound},
 	} {
-		assert.Equal(t, one.want, fleetOf.unfit(modelServer(now, one.missing), at(one.left), now), "%d missing, %s left", one.missing, one.left)
+		server := modelServer(now, one.missing)
+		server.status.LinkMilliseconds = one.link.Milliseconds()
+		assert.Equal(t, one.want, fleetOf.unfit(server, at(one.left), now), "%d missing, link %s, %s left", one.missing, one.link, one.left)
 	}
 }
 
@@ -94,6 +100,16 @@
 	}
 }
 
+// What a machine's agent tells of its link counts at every entry, also at one that has
+// sent nothing there yet.
+func TestNarrowLinkIsKnownBeforeTheFirstRequest(t *testing.T) {
+	now := time.Now()
+	wanted := need{engine: &fleet.Engine{ReadPerSecond: 20000}, route: &fleet.Route{}}
+	sound, narrow := modelServer(now, 0), modelServer(now, 0)
+	narrow.status.LinkMilliseconds = 900
+	assert.Equal(t, 900*time.Millisecond, narrow.firstEvent(wanted, now)-sound.firstEvent(wanted, now))
+}
+
 // A server that has begun requests later than predicted is expected to go on so for a
 // while, and is trusted again when that was long ago.
 func TestLatenessFades(t *testing.T) {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -43,9 +43,9 @@
 // connection is one kept connection to a server. It carries one request at a
 // time; nothing is ever sent twice on it.
 type connection struct {
-	net     net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	net    net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// restedSince is when the last request ended; expires is until when it may rest.
 	restedSince time.Time
 	expires     time.Time
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/coordination/liveness"
 	"pinevane.example/pinevane/coordination/placement"
 	"pinevane.example/pinevane/coordination/turnover"
 	"pinevane.example/pinevane/internal/catalog"
@@ -55,7 +56,10 @@
 	reportAt  time.Time
 	reachable bool
 	misses    int
-	switchAt  time.Time
+	// roundTrips measures the way to the entries, since started.
+	roundTrips *liveness.RoundTrips
+	started    time.Time
+	switchAt   time.Time
 	// announcement is the notice to entries of the change-over that is due.
 	announcement turnover.Announcement
 	ordering     bool
@@ -68,7 +72,9 @@
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
 		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort),
 		uploads: newUploads(uplinkShare * settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
+		roundTrips: liveness.NewRoundTrips(probePeriod), started: time.Now(),
 	}
+	options.Daemon.Hub.Handle(fleet.TopicStatusEcho, a.handleEcho)
 	a.mount(options.Daemon.Router)
 	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
 	options.Daemon.Section("rollout", func() any { return a.status(time.Now()) })
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/internal/catalog"
@@ -22,6 +23,10 @@
 	reportTimeout     = 250 * time.Millisecond
 	// statusPeriod is the longest time between two words to entries.
 	statusPeriod = 300 * time.Millisecond
+	// probePeriod is how often the way to an entry and back is measured.
+	probePeriod = 150 * time.Millisecond
+	// linkStep is the change of that time, in milliseconds, which entries are told of.
+	linkStep = 100
 )
 
 // watchServer asks the own server how it does, and tells the entries.
@@ -51,6 +56,7 @@
 	a.SwitchMilliseconds, b.SwitchMilliseconds = min(a.SwitchMilliseconds, 1), min(b.SwitchMilliseconds, 1)
 	a.Missing, b.Missing = 0, 0
 	a.CacheUsed, b.CacheUsed = 0, 0
+	a.LinkMilliseconds, b.LinkMilliseconds = a.LinkMilliseconds/linkStep, b.LinkMilliseconds/linkStep
 	return a == b
 }
 
@@ -101,6 +107,7 @@
 		Address: a.daemon.Settings().ServerAddress, Reachable: a.reachable, Model: model,
 		Running: a.report.Running, Waiting: a.report.Waiting, CacheUsed: a.report.CacheUsed, CacheTotal: a.report.CacheTotal,
 		Pace: a.report.Pace, SwitchMilliseconds: fleet.NoSwitch,
+		LinkMilliseconds: a.roundTrips.Least(now.Sub(a.started)).Milliseconds(),
 	}
 	if engine != nil {
 		status.Version = servedVersion(a.report, model, engine.Layers)
@@ -128,10 +135,37 @@
 // pushStatus tells the entries at once.
 func (a *Agent) pushStatus() { a.send(a.status(time.Now())) }
 
+// send tells the entries that speak with this agent, and probes the way to them.
 func (a *Agent) send(status fleet.MachineStatus) {
+	told := map[string]bool{}
 	for _, link := range a.daemon.Hub.Accepted() {
-		if link.Remote().Role == catalog.RoleEntry {
-			go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", status) }()
+		if link.Remote().Role != catalog.RoleEntry {
+			continue
 		}
+		told[link.Remote().ID] = true
+		probed := status
+		probed.Probe = a.probe(link.Remote().ID)
+		go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", probed) }()
 	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.roundTrips.Keep(told)
+}
+
+func (a *Agent) probe(entry string) uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.roundTrips.Probe(entry, time.Since(a.started))
+}
+
+// handleEcho notes that a probe has come back.
+func (a *Agent) handleEcho(link *peering.Link, received *message.Message) {
+	echo, err := peering.Decode[fleet.StatusEcho](received)
+	if err != nil {
+		a.log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.roundTrips.Answered(link.Remote().ID, echo.Probe, time.Since(a.started))
 }
