A request that has not begun on an old version is taken back before its bound

Change: an attempt that has brought no event 0.4 s before the bound of its server's version is given up, the connection closed, so that the server drops it, and the request goes to another server within the budget of retries; its outcome counts as unknown. New reason: version-bound. Test: TestRequestIsTakenBackBeforeTheVersionsBound.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -93,11 +93,14 @@
 	ReasonLinkLost         Reason = "link-lost"
 	ReasonBackendFailed    Reason = "backend-failed"
 	ReasonWrongVersion     Reason = "wrong-version"
-	ReasonDeadline         Reason = "deadline-exceeded"
-	ReasonCanceled         Reason = "canceled"
-	ReasonStalled          Reason = "stalled"
-	ReasonNotReady         Reason = "not-ready"
-	ReasonTooLarge         Reason = "too-large"
+	// ReasonVersionBound is why a request is taken back that has not begun on an old
+	// version of the weights before that version's time was over.
+	ReasonVersionBound Reason = "version-bound"
+	ReasonDeadline     Reason = "deadline-exceeded"
+	ReasonCanceled     Reason = "canceled"
+	ReasonStalled      Reason = "stalled"
+	ReasonNotReady     Reason = "not-ready"
+	ReasonTooLarge     Reason = "too-large"
 )
 
 // Refusal is the failure of a caller's request.
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -38,8 +38,13 @@
 	errStalled  = errors.New("the server fell silent")
 	errDeadline = errors.New("the time of the request is over")
 	errLeft     = errors.New("the caller has left")
+	errBound    = errors.New("the time of the server's version is over")
 )
 
+// silenceJudge says why a server that has sent nothing for a while is given up; nil
+// while it is not.
+type silenceJudge func(silent time.Duration) error
+
 // connection is one kept connection to a server. It carries one request at a
 // time; nothing is ever sent twice on it.
 type connection struct {
@@ -55,7 +60,7 @@
 	// The fields below belong to the request being carried.
 	ctx      context.Context
 	deadline time.Time
-	silence  func(silent time.Duration) bool
+	silence  silenceJudge
 	heard    time.Time
 	received atomic.Int64
 }
@@ -77,7 +82,7 @@
 
 // begin binds the connection to a request. The silence function is asked, from
 // time to time, whether a server that has sent nothing for a while is given up.
-func (c *connection) begin(ctx context.Context, deadline time.Time, silence func(time.Duration) bool) (release func()) {
+func (c *connection) begin(ctx context.Context, deadline time.Time, silence silenceJudge) (release func()) {
 	c.ctx, c.deadline, c.silence = ctx, deadline, silence
 	c.heard = time.Now()
 	c.received.Store(0)
@@ -108,8 +113,10 @@
 			return 0, errLeft
 		case !now.Before(c.deadline):
 			return 0, errDeadline
-		case c.silence != nil && c.silence(now.Sub(c.heard)):
-			return 0, errStalled
+		case c.silence != nil:
+			if err := c.silence(now.Sub(c.heard)); err != nil {
+				return 0, err
+			}
 		}
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -69,7 +69,7 @@
 const maximumSurplus = 3
 
 // open sends a request to a server and reads the head of its answer.
-func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence func(time.Duration) bool) (*exchange, *failure) {
+func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence silenceJudge) (*exchange, *failure) {
 	carrier := chosen.pool.take(restAllowed(request.Route))
 	if carrier == nil {
 		fresh, err := dial(ctx, chosen.address, request.Deadline)
@@ -109,6 +109,8 @@
 		return fault.ReasonDeadline
 	case errors.Is(err, errStalled):
 		return fault.ReasonStalled
+	case errors.Is(err, errBound):
+		return fault.ReasonVersionBound
 	}
 	return other
 }
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -225,3 +226,29 @@
 	_, err := splitter.next()
 	assert.ErrorIs(t, err, errTornEvent, "a stream that ends in the middle of an event is not complete")
 }
+
+// VERSION: a request that a server has not begun is taken back shortly before the time
+// of the server's version is over; one that has begun goes on.
+func TestRequestIsTakenBackBeforeTheVersionsBound(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		server := scripted(t, func(net.Conn, *http.Request, int) { time.Sleep(3 * time.Second) })
+		f := testForwarder()
+		request := testRequest("late", "b")
+		w := &work{Forwarder: f, request: request, wanted: need{
+			engine: &fleet.Engine{}, versionApply: 8 * time.Second,
+			notices: []catalog.Notice{{Version: 2, Since: time.Now().Add(-7 * time.Second)}},
+		}}
+		judge := w.silence(server, 1)
+		w.attemptBegun = begun
+		began := time.Now()
+		_, failed := f.open(context.Background(), request, fleet.SendHeader{Deadline: time.Second, Instance: "i-1"}, server, judge)
+		require.NotNil(t, failed)
+		if begun {
+			assert.Equal(t, fault.ReasonDeadline, failed.reason)
+			continue
+		}
+		assert.Equal(t, fault.ReasonVersionBound, failed.reason)
+		assert.Equal(t, fault.ExecutionUnknown, failed.execution)
+		assert.Less(t, time.Since(began), time.Second, "the bound")
+	}
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -130,6 +130,8 @@
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	lastEvent  string
+	// attemptBegun is set once the present attempt has brought an event.
+	attemptBegun bool
 	// begun is set once the head of an answer has gone to the caller.
 	begun   bool
 	events  int
@@ -244,7 +246,7 @@
 		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
-	started, failed := w.open(ctx, w.request, send, target, w.silence(target))
+	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
 	}
@@ -316,7 +318,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline:
+	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
 	case fault.ReasonLinkLost, fault.ReasonStalled:
 		w.targets.fail(target, string(failed.reason), true)
 	default:
@@ -325,16 +327,28 @@
 }
 
 // silence decides when a server that sends nothing is given up. Slowness alone is
-// no reason: the agent beside it must have lost it, or fallen silent too.
-func (w *work) silence(target *target) func(time.Duration) bool {
-	if !w.request.Route.MayRepeat() {
+// no reason: the agent beside it must have lost it, or fallen silent too. A request
+// that has not begun is taken back before the time of the server's version is over.
+func (w *work) silence(target *target, version uint64) silenceJudge {
+	bound, bounded := w.wanted.boundOf(version)
+	bounded = bounded && w.wanted.engine != nil
+	w.attemptBegun = false
+	return func(silent time.Duration) error {
+		switch {
+		case bounded && !w.attemptBegun && time.Until(bound) < takeBackMargin:
+			return errBound
+		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target):
+			return errStalled
+		}
 		return nil
 	}
-	return func(silent time.Duration) bool {
-		return silent > suspectSilence && w.targets.suspect(target)
-	}
 }
 
+// takeBackMargin is how long before the bound of an old version a request is taken
+// back from a server that has not begun it. A silent connection is looked at each
+// lookPeriod.
+const takeBackMargin = 2 * lookPeriod
+
 // suspectSilence is the silence after which a suspect server is given up.
 const suspectSilence = 350 * time.Millisecond
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -83,6 +83,7 @@
 	for {
 		event, err := splitter.next()
 		if len(event.bytes) > 0 {
+			w.attemptBegun = true
 			settle()
 			if !w.passEvent(event, first) {
 				started.abort()
