Old versions serve until a second before their bound; one piece at a time from the origin

When the origin was back, up to two pieces for each machine shared its link, so that the first came late; and servers past their bound, to which nobody sends, announced their change for 0.25 s.

Change: the longer margin is for narrow links and unknown servers; an agent reads one piece at a time from the origin; a server past its bound changes over at once.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -325,11 +325,11 @@
 const leastMilliseconds = 20
 
 // Margins between the expected beginning of a request at a server with an older
-// version and the time from which it must not begin there. A server whose agent has
-// every piece will be ordered over in time in any case.
+// version and the time from which it must not begin there: over a sound link, and over
+// one that is narrow or of which nothing is known.
 const (
-	preparedMargin   = time.Second
-	unpreparedMargin = 1500 * time.Millisecond
+	soundLinkMargin  = time.Second
+	narrowLinkMargin = 1500 * time.Millisecond
 	// orderTime is what a server needs from its last piece to its order, generously.
 	orderTime = 900 * time.Millisecond
 )
@@ -343,9 +343,9 @@
 // on one whose pieces can't come in time any more gets nothing at all. Where the
 // link is sound the origin is what is slow, and the server serves on meanwhile.
 func (t *targets) beyondBound(k *target, wanted need, now, bound time.Time) bool {
-	margin := preparedMargin
-	if !k.current(now) || k.status.Missing > 0 {
-		margin = unpreparedMargin
+	margin := soundLinkMargin
+	if !k.current(now) || k.linkTime() >= narrowLink {
+		margin = narrowLinkMargin
 	}
 	if now.Add(k.firstEvent(wanted, now) + margin).After(bound) {
 		return true
@@ -354,7 +354,7 @@
 		return false
 	}
 	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
-	return now.Add(left + orderTime + preparedMargin).After(bound)
+	return now.Add(left + orderTime + soundLinkMargin).After(bound)
 }
 
 // copyTime is how long one copy of a model takes over a link like the origin's.
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -63,12 +63,19 @@
 		a.withdraw()
 		return
 	}
-	if serving != 0 && !a.announce(report.Waiting) {
+	if serving != 0 && !a.pastBound(model, serving) && !a.announce(report.Waiting) {
 		return
 	}
 	a.changeOver(ctx, current, serving)
 }
 
+// pastBound reports whether no entry sends the server anything any more, because a
+// version that it lacks is in force.
+func (a *Agent) pastBound(model string, serving uint64) bool {
+	notice, lacking := a.daemon.Catalog.View().FirstAfter(model, serving)
+	return lacking && time.Since(notice.Since) > a.daemon.Settings().Bounds.VersionApply
+}
+
 // announce tells entries that the server is about to change over, and reports
 // whether the order may be given.
 func (a *Agent) announce(waiting int) bool {
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -27,8 +27,9 @@
 	maximumFetches = 10
 	// lagPieces is how far behind the newest a piece may be before it is asked for.
 	lagPieces = 24
-	// originFetches is how many pieces are read from the origin at once.
-	originFetches = 2
+	// originFetches is how many pieces are read from the origin at once: the machines
+	// share its link, and many pieces at a time only make the first ones come late.
+	originFetches = 1
 	// pieceTimeout bounds one piece from a peer, its waiting there included; a peer
 	// that stands still must not hold the fetches up.
 	pieceTimeout  = 1500 * time.Millisecond
