One wait under a context, one time of a copy, one list of connection headers

Cause: four packages had a pause of their own under a context, the time of one copy over a link was worked out in three places, the headers that concern one connection stood twice, and a target kept a time that nobody read. Change: internal/waiting.For; fleet.Engine.CopyTime and PieceTime with Configuration.OriginRate; network.RemoveConnectionHeaders and IsConnectionHeader. No behaviour changes.

--- a/internal/agent/transfer.go
+++ b/internal/agent/transfer.go
@@ -16,6 +16,7 @@
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -168,7 +169,7 @@
 				return data, manifest
 			}
 		}
-		sleepContext(ctx, manifestRetry)
+		waiting.For(ctx, manifestRetry)
 	}
 	return nil, nil
 }
@@ -214,7 +215,7 @@
 	for ctx.Err() == nil {
 		digests, err := t.owner.store.List(ctx)
 		if err != nil {
-			sleepContext(ctx, manifestRetry)
+			waiting.For(ctx, manifestRetry)
 			continue
 		}
 		present := make(map[weights.Digest]bool, len(digests))
@@ -421,15 +422,6 @@
 	}
 }
 
-func sleepContext(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // shapedReader reads no faster than a limiter allows.
 type shapedReader struct {
 	ctx     context.Context
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -12,6 +12,7 @@
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // Times of reading the store.
@@ -50,7 +51,7 @@
 	at := &position{prefix: c.options.Decoder.Prefix()}
 	for ctx.Err() == nil {
 		if at.at != 0 && !c.isReader() {
-			pause(ctx, idleCheck)
+			waiting.For(ctx, idleCheck)
 			continue
 		}
 		began := time.Now()
@@ -59,7 +60,7 @@
 			c.fresh = time.Now()
 			c.mutex.Unlock()
 		}
-		pause(ctx, watchPace-time.Since(began))
+		waiting.For(ctx, watchPace-time.Since(began))
 	}
 }
 
@@ -140,17 +141,5 @@
 	}
 	at.failed = true
 	at.retry = min(max(2*at.retry, readRetry), maximumReadRetry)
-	pause(ctx, at.retry/2+rand.N(at.retry))
-}
-
-func pause(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	waiting.For(ctx, at.retry/2+rand.N(at.retry))
 }
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -73,6 +73,24 @@
 	Warm time.Duration
 }
 
+// CopyTime is how long one copy of the weights takes over a link; 0 when the link's
+// capacity is not known.
+func (e *Engine) CopyTime(bytesPerSecond float64) time.Duration {
+	return transferTime(e.Pieces*e.PieceBytes, bytesPerSecond)
+}
+
+// PieceTime is the same for one piece.
+func (e *Engine) PieceTime(bytesPerSecond float64) time.Duration {
+	return transferTime(e.PieceBytes, bytesPerSecond)
+}
+
+func transferTime(bytes int, bytesPerSecond float64) time.Duration {
+	if bytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
+}
+
 // Service is a set of servers that answer alike.
 type Service struct {
 	Name               string
@@ -156,6 +174,16 @@
 // NeedsKeys reports whether requests must bear a key.
 func (c *Configuration) NeedsKeys() bool { return c.Tenants != nil }
 
+// OriginRate is the capacity of the origin's link in bytes a second; 0 when it is not
+// published.
+func (c *Configuration) OriginRate() float64 {
+	if c == nil {
+		return 0
+	}
+	origin, _ := c.Origin()
+	return origin.OriginLinkBytesPerSecond
+}
+
 // Origin returns the service that hands out weights.
 func (c *Configuration) Origin() (Service, bool) {
 	for _, service := range c.Services {
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -359,14 +359,7 @@
 
 // copyTime is how long one copy of a model takes over a link like the origin's.
 func (t *targets) copyTime(engine *fleet.Engine) time.Duration {
-	if t.view.Configuration == nil {
-		return 0
-	}
-	origin, known := t.view.Configuration.Origin()
-	if !known || origin.OriginLinkBytesPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(engine.Pieces*engine.PieceBytes) / origin.OriginLinkBytesPerSecond * float64(time.Second))
+	return engine.CopyTime(t.view.Configuration.OriginRate())
 }
 
 // firstEvent predicts when the server would begin the request: what its load
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -55,9 +55,8 @@
 	inFlightThen int
 	unreadThen   int
 	// version is the newest that the server itself has told, in an answer or on the
-	// list of servers; versionSince is when that was.
-	version      uint64
-	versionSince time.Time
+	// list of servers.
+	version uint64
 	// meanMilliseconds is the moving mean time of whole answers.
 	meanMilliseconds float64
 	// gone servers are kept until their last request has ended.
@@ -80,8 +79,7 @@
 	byAddress map[string]*target
 	// statuses keeps the agents' words by the address of their server.
 	statuses map[string]statusAt
-	// counts of load measurements by service.
-	view *catalog.View
+	view     *catalog.View
 }
 
 type statusAt struct {
@@ -170,9 +168,7 @@
 // listed takes over the version that the list of servers tells.
 func (k *target) listed(server fleet.Server) {
 	for _, model := range server.Models {
-		if model.Version > k.version {
-			k.version, k.versionSince = model.Version, time.Now()
-		}
+		k.version = max(k.version, model.Version)
 	}
 }
 
@@ -254,9 +250,7 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if version > k.version {
-		k.version, k.versionSince = version, time.Now()
-	}
+	k.version = max(k.version, version)
 }
 
 // sweep ends idle connections that are too old.
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -12,6 +12,7 @@
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/network"
 )
 
 // maximumBuffered is the largest answer that is read whole before any of it is
@@ -106,7 +107,7 @@
 func (w *work) copyHead(started *exchange) {
 	header := w.writer.Header()
 	for name, values := range started.response.Header {
-		if _, hop := hopHeaders[name]; !hop {
+		if !network.IsConnectionHeader(name) {
 			header[name] = values
 		}
 	}
@@ -116,11 +117,6 @@
 	}
 }
 
-// hopHeaders concern one connection only.
-var hopHeaders = map[string]struct{}{
-	"Connection": {}, "Keep-Alive": {}, "Transfer-Encoding": {}, "Trailer": {}, "Upgrade": {}, "Proxy-Connection": {},
-}
-
 func (w *work) answered(started *exchange, err error) {
 	took := time.Since(w.request.Arrived)
 	kind := "whole"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // RelaysPerZone is how many processes of a zone watch the platform.
@@ -142,7 +143,7 @@
 // Run keeps the publications up to date until the context ends.
 func (r *Relay) Run(ctx context.Context) {
 	var work sync.WaitGroup
-	if r.options.StartJitter > 0 && !pause(ctx, rand.N(r.options.StartJitter)) {
+	if r.options.StartJitter > 0 && !waiting.For(ctx, rand.N(r.options.StartJitter)) {
 		return
 	}
 	r.readOnce(ctx, Membership)
@@ -153,17 +154,6 @@
 	work.Wait()
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // readOnce reads a publication without waiting for a change.
 func (r *Relay) readOnce(ctx context.Context, kind Kind) {
 	update, newer, err := r.options.Publications[kind].Watch(ctx, r.Version(kind), 0)
@@ -203,7 +193,7 @@
 		}
 		r.noteRead(kind, err)
 		if err != nil {
-			pause(ctx, watchRetry+rand.N(watchRetry))
+			waiting.For(ctx, watchRetry+rand.N(watchRetry))
 			continue
 		}
 		if newer {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -107,15 +107,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func itoa(number int) string { return strconv.Itoa(number) }
 
 // wake asks the keeper to look again.
@@ -148,20 +139,6 @@
 	return origin.OriginAddress, known
 }
 
-// originInterval is how long the origin's link takes for a piece; 0 when its
-// capacity is not published.
-func (a *Agent) originInterval(pieceBytes int) time.Duration {
-	view := a.daemon.Catalog.View()
-	if view.Configuration == nil {
-		return 0
-	}
-	origin, known := view.Configuration.Origin()
-	if !known || origin.OriginLinkBytesPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(pieceBytes) / origin.OriginLinkBytesPerSecond * float64(time.Second))
-}
-
 // members lists the machines of this machine's service, by IP address.
 func (a *Agent) members() []turnover.Member {
 	settings := a.daemon.Settings()
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -9,6 +9,7 @@
 	"pinevane.example/pinevane/coordination/turnover"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // Times of changing over.
@@ -146,10 +147,7 @@
 // window is the time in which the servers change over: from when one copy has
 // surely arrived until shortly before the bound.
 func (a *Agent) window(engine *fleet.Engine, settings fleet.Settings) turnover.Window {
-	copyTime := time.Duration(0)
-	if settings.LinkBytesPerSecond > 0 {
-		copyTime = time.Duration(float64(engine.Pieces*engine.PieceBytes) / settings.LinkBytesPerSecond * float64(time.Second))
-	}
+	copyTime := engine.CopyTime(settings.LinkBytesPerSecond)
 	end := settings.Bounds.VersionApply - dueMargin
 	return turnover.Window{Start: min(time.Duration(copySlack*float64(copyTime)), end), End: end}
 }
@@ -186,7 +184,7 @@
 	case outcome == fleet.OrderConflict:
 		a.metrics.orders.WithLabelValues(outcomeRefused).Inc()
 		a.log.Log(logging.OrderRefused, zap.Uint64("version", order.Version), zap.Uint64("sequence", order.Sequence))
-		pause(ctx, orderPause)
+		waiting.For(ctx, orderPause)
 	default:
 		a.metrics.orders.WithLabelValues(outcomeTaken).Inc()
 		a.log.Log(logging.OrderTaken, zap.Uint64("version", order.Version), zap.Bool("holds_already", outcome == fleet.OrderHolds))
@@ -204,7 +202,7 @@
 			a.log.Log(logging.OrderFate, zap.Uint64("version", order.Version), zap.Bool("taken", report.Sequence > order.Sequence))
 			return
 		}
-		pause(ctx, keepPeriod)
+		waiting.For(ctx, keepPeriod)
 	}
 }
 
--- a/internal/rollout/manifest.go
+++ b/internal/rollout/manifest.go
@@ -11,6 +11,7 @@
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 const (
@@ -39,7 +40,7 @@
 				return manifest, true
 			}
 		}
-		pause(ctx, manifestRetry)
+		waiting.For(ctx, manifestRetry)
 	}
 	return fleet.Manifest{}, false
 }
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -140,7 +140,7 @@
 	t.number.Store(manifest.Version)
 	t.fetcher = dissemination.NewFetcher(dissemination.Options{
 		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held,
-		MaximumFetches: maximumFetches, OriginInterval: t.agent.originInterval(manifest.PieceBytes), LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+		MaximumFetches: maximumFetches, OriginInterval: t.originInterval(), LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	})
 	t.takeHolders(holders)
 	t.fetcher.Start(t.now())
@@ -153,6 +153,16 @@
 	t.early = nil
 }
 
+// originInterval is how long the origin's link takes for a piece; 0 when that is not
+// known.
+func (t *transfer) originInterval() time.Duration {
+	engine, _ := t.agent.engine()
+	if engine == nil {
+		return 0
+	}
+	return engine.PieceTime(t.agent.daemon.Catalog.View().Configuration.OriginRate())
+}
+
 // takeHolders offers the fetcher what peers hold, each piece from another of them
 // first, so that no one has to send everything; the mutex is held.
 func (t *transfer) takeHolders(holders map[int][]dissemination.MachineID) {
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -10,6 +10,7 @@
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // verifyHeld reads back what lies at the server and marks the pieces that match.
@@ -18,7 +19,7 @@
 	for ctx.Err() == nil {
 		indexes, err := t.agent.server.HeldPieces(ctx, t.model)
 		if err != nil {
-			pause(ctx, manifestRetry)
+			waiting.For(ctx, manifestRetry)
 			continue
 		}
 		for _, index := range indexes {
