Servers that lapse in an outage of the store serve on; lagging pieces show a narrow link

Change: the catalog keeps a server whose line goes within two seconds after the copy was out for 1.2 s, up to two seconds and less than the drain bound; not one that leaves, does not answer its agent, or whose address another has. Event PV4207. Test: TestServersThatLapseInAnOutageServeOn, failing before.

Change: a server that lacks 16 pieces more than the best prepared one counts as on a narrow link too. Test: TestServerThatLagsBehindTheOthersIsOnANarrowLink.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -36,6 +36,8 @@
 	// VersionApply is the time until a named version is in force. Half of it is
 	// assumed as the age of a version of which nobody says how old it is.
 	VersionApply time.Duration
+	// Drain is how long a server that has left may still be sent requests.
+	Drain time.Duration
 }
 
 // Catalog is the copy. It is safe for concurrent use.
@@ -50,8 +52,12 @@
 	changedAt map[string]uint64
 	// ages tells how long ago records of versions were named, by key.
 	ages map[string]versionAge
-	// fresh is when the copy was last known to be current.
-	fresh time.Time
+	// fresh is when the copy was last known to be current; regained is when that was
+	// known again after an outage of the store.
+	fresh    time.Time
+	regained time.Time
+	// lapsed holds servers that were lost from the list around an outage, by ID.
+	lapsed map[string]lapsedServer
 	// calls counts the calls to the store.
 	calls atomic.Int64
 
@@ -70,7 +76,7 @@
 func New(options Options) *Catalog {
 	c := &Catalog{
 		options: options, mirror: mirror.New(), changedAt: map[string]uint64{}, ages: map[string]versionAge{},
-		statuses: map[string]heldStatus{}, entries: map[string]*entryPeer{}, links: map[string]*outLink{}, kick: make(chan struct{}, 1),
+		statuses: map[string]heldStatus{}, entries: map[string]*entryPeer{}, links: map[string]*outLink{}, lapsed: map[string]lapsedServer{}, kick: make(chan struct{}, 1),
 	}
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -209,9 +209,7 @@
 		c.heardEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
 	}
 	fresh := time.Now().Add(-time.Duration(news.FreshMilliseconds) * time.Millisecond)
-	if fresh.After(c.fresh) {
-		c.fresh = fresh
-	}
+	c.noteFresh(fresh)
 	lacking := c.lacking(news.Heads)
 	c.mutex.Unlock()
 	if len(news.Records) > 0 {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -55,11 +55,7 @@
 			continue
 		}
 		began := time.Now()
-		if c.read(ctx, at, watchWait) {
-			c.mutex.Lock()
-			c.fresh = time.Now()
-			c.mutex.Unlock()
-		}
+		c.read(ctx, at, watchWait)
 		waiting.For(ctx, watchPace-time.Since(began))
 	}
 }
@@ -89,8 +85,15 @@
 	return 0
 }
 
-// read makes one call and reports whether the store answered.
-func (c *Catalog) read(ctx context.Context, at *position, wait time.Duration) bool {
+// noteAnswered notes that the store has answered, before its answer is taken in.
+func (c *Catalog) noteAnswered() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.noteFresh(time.Now())
+}
+
+// read makes one call and takes in what the store answers.
+func (c *Catalog) read(ctx context.Context, at *position, wait time.Duration) {
 	c.calls.Add(1)
 	var err error
 	if at.at == 0 {
@@ -99,6 +102,7 @@
 		var changes fleet.Listing
 		changes, err = c.options.Store.Watch(ctx, at.prefix, at.at, wait)
 		if err == nil {
+			c.noteAnswered()
 			c.takeWatched(changes.Records)
 			at.at = max(at.at, changes.At)
 		}
@@ -107,15 +111,12 @@
 	switch {
 	case err == nil:
 		c.noteAnswer(at)
-		return true
 	case errors.As(err, &historyGone):
 		c.options.Log.Log(logging.HistoryForgotten, zap.String("prefix", at.prefix), zap.Uint64("after", at.at))
 		at.at = 0
-		return false
 	case ctx.Err() == nil:
 		c.noteFailure(ctx, at, err)
 	}
-	return false
 }
 
 func (c *Catalog) list(ctx context.Context, at *position) error {
@@ -123,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	c.noteAnswered()
 	c.replace(at.prefix, listing)
 	at.at = listing.At
 	return nil
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -167,7 +167,9 @@
 			continue
 		}
 		next.Servers[server.Service] = append(next.Servers[server.Service], server)
+		delete(c.lapsed, server.ID)
 		count++
 	}
+	count += c.keepLapsed(next)
 	c.options.Log.Log(logging.MembershipChanged, zap.Int("servers", count))
 }
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -95,13 +95,15 @@
 	sequence int
 	beats    int
 	draining bool
-	staged   map[int][]byte
-	running  int
-	waiting  int
-	freed    chan struct{}
-	faults   Faults
-	server   *http.Server
-	stop     context.CancelFunc
+	// lapsed servers write no record any more.
+	lapsed  bool
+	staged  map[int][]byte
+	running int
+	waiting int
+	freed   chan struct{}
+	faults  Faults
+	server  *http.Server
+	stop    context.CancelFunc
 }
 
 // NewServer returns a server that does not listen yet; one that serves a version
@@ -163,6 +165,15 @@
 	s.beat()
 }
 
+// Lapse ends the server's heartbeats and its record, as an outage of the store does;
+// it serves on.
+func (s *Server) Lapse() {
+	s.mutex.Lock()
+	s.lapsed = true
+	s.mutex.Unlock()
+	s.options.Store.Delete("servers/" + s.options.ID)
+}
+
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mutex.Lock()
@@ -210,8 +221,11 @@
 		"service": s.options.Service, "address": s.options.Address, "zone": s.options.Zone, "version": "v1", "slots": s.options.Slots,
 		"state": state, "coldRemainingMs": 0, "stage": "both", "models": s.models(), "sequence": s.beats,
 	}
+	lapsed := s.lapsed
 	s.mutex.Unlock()
-	s.options.Store.Put("servers/"+s.options.ID, record)
+	if !lapsed {
+		s.options.Store.Put("servers/"+s.options.ID, record)
+	}
 }
 
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -95,6 +95,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
+	t.findLeastMissing(now)
 	usable := t.usable(wanted, now)
 	if len(usable) == 0 {
 		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
@@ -338,19 +339,44 @@
 // narrow.
 const narrowLink = 250 * time.Millisecond
 
+// laggingPieces is how many more pieces than the best prepared machine one must lack
+// to be taken for one on a narrow link.
+const laggingPieces = 16
+
+// narrow reports whether a server's link seems narrow: messages take long over it,
+// or its pieces come much later than others'. The mutex is held.
+func (t *targets) narrow(k *target) bool {
+	least, known := t.leastMissing[k.status.Wanted]
+	return k.linkTime() >= narrowLink || (known && k.status.Missing-least >= laggingPieces)
+}
+
+// findLeastMissing looks how far the best prepared machines are; the mutex is held.
+func (t *targets) findLeastMissing(now time.Time) {
+	t.leastMissing = map[uint64]int{}
+	for _, told := range t.statuses {
+		if !told.status.Reachable || now.Sub(told.at) >= statusCurrent {
+			continue
+		}
+		least, known := t.leastMissing[told.status.Wanted]
+		if !known || told.status.Missing < least {
+			t.leastMissing[told.status.Wanted] = told.status.Missing
+		}
+	}
+}
+
 // beyondBound reports whether a server with an older version might begin the
 // request after that version's bound. Requests queue up on a narrow link: a server
 // on one whose pieces can't come in time any more gets nothing at all. Where the
 // link is sound the origin is what is slow, and the server serves on meanwhile.
 func (t *targets) beyondBound(k *target, wanted need, now, bound time.Time) bool {
 	margin := soundLinkMargin
-	if !k.current(now) || k.linkTime() >= narrowLink {
+	if !k.current(now) || t.narrow(k) {
 		margin = narrowLinkMargin
 	}
 	if now.Add(k.firstEvent(wanted, now) + margin).After(bound) {
 		return true
 	}
-	if wanted.engine.Pieces == 0 || k.status.Missing == 0 || k.linkTime() < narrowLink {
+	if wanted.engine.Pieces == 0 || k.status.Missing == 0 || !t.narrow(k) {
 		return false
 	}
 	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// VERSION: a server whose pieces come much later than others' is on a narrow link, also
+// while messages pass it quickly; where nobody has them the origin is what is slow.
+func TestServerThatLagsBehindTheOthersIsOnANarrowLink(t *testing.T) {
+	now := time.Now()
+	fleetOf := newTargets("z", nil, logging.Nop())
+	fleetOf.view = &catalog.View{Configuration: &fleet.Configuration{Services: map[string]fleet.Service{
+		"o": {OriginAddress: "10.0.0.1:1", OriginLinkBytesPerSecond: 1e6},
+	}}}
+	engine := &fleet.Engine{Pieces: 100, PieceBytes: 25_000, StepMilliseconds: 9, Stride: 5, ReadPerSecond: 20000, UsualPrompt: 1000, UsualAnswer: 100}
+	wanted := need{engine: engine, route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: 3 * time.Second, prompt: 1000}
+	lagging := modelServer(now, 80)
+	for othersMissing, want := range map[int]string{70: unfitNot, 0: unfitBound} {
+		fleetOf.statuses["10.0.0.9:1"] = statusAt{status: fleet.MachineStatus{Reachable: true, Missing: othersMissing}, at: now}
+		fleetOf.findLeastMissing(now)
+		assert.Equal(t, want, fleetOf.unfit(lagging, wanted, now), "others lack %d", othersMissing)
+	}
+}
+
 // A server that changes over, serves nothing or has not answered its agent is left
 // out, and the log tells which.
 func TestWhyAServerIsLeftOut(t *testing.T) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -79,7 +79,10 @@
 	byAddress map[string]*target
 	// statuses keeps the agents' words by the address of their server.
 	statuses map[string]statusAt
-	view     *catalog.View
+	// leastMissing is how many pieces the best prepared machine lacks of each version
+	// that is being fetched, as of the last choice.
+	leastMissing map[uint64]int
+	view         *catalog.View
 }
 
 type statusAt struct {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -98,6 +98,7 @@
 	ServerEjected     = declare("PV4204", zap.WarnLevel, "server ejected", "A server failed and is avoided for a while.")
 	ServerReturned    = declare("PV4205", zap.InfoLevel, "server returned", "A server that was ejected has answered again.")
 	ServerSuperseded  = declare("PV4206", zap.InfoLevel, "server superseded", "Another server has answered at a server's address; the old one has ended.")
+	ServerLapsed      = declare("PV4207", zap.InfoLevel, "server lapsed", "The list lost a server around an outage of the store; it is kept until servers have written their lines anew.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
--- a/internal/sitetest/fleet_test.go
+++ b/internal/sitetest/fleet_test.go
@@ -172,3 +172,26 @@
 	_, err = reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// A server whose line is lost in an outage of the store serves on after it; one that has
+// not written its line anew after two seconds is taken as gone.
+func TestServersThatLapseInAnOutageServeOn(t *testing.T) {
+	options := DefaultOptions()
+	options.DrainMs = 3000
+	f := Start(t, options)
+	f.Site.Store.SetDown(true)
+	time.Sleep(2500 * time.Millisecond)
+	for _, server := range f.Site.Models {
+		server.Lapse()
+	}
+	f.Site.Store.SetDown(false)
+	f.Eventually("an entry has heard of the lapse", 2*time.Second, func() bool { return countEvents(f, "PV4207", "") > 0 })
+	for number := range 12 {
+		answer, err := f.Stream(context.Background(), number%2, number/2%2, fmt.Sprintf("lapsed-%d", number), 2)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.Status)
+	}
+	f.Eventually("they are taken as gone", 4*time.Second, func() bool {
+		return len(f.Process(Name(catalog.RoleEntry, 0, 0)).Catalog.View().Servers[site.ModelService]) == 0
+	})
+}
