--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -65,17 +64,6 @@
 	work         *work
 }
 
-// boundOf returns until when a server with a version may begin requests; false when
-// no newer version is named.
-func (n need) boundOf(version uint64) (time.Time, bool) {
-	for _, notice := range n.notices {
-		if notice.Version > version {
-			return notice.Since.Add(n.versionApply), true
-		}
-	}
-	return time.Time{}, false
-}
-
 // choice is a server and what was known of it.
 type choice struct {
 	target      *target
@@ -294,158 +282,6 @@
 	return k.version
 }
 
-// load is what is known of the server's work now.
-func (k *target) load(wanted need, now time.Time) balance.Load {
-	if wanted.engine == nil {
-		return balance.Load{Running: k.inFlight}
-	}
-	load := balance.Load{Running: k.inFlight - k.unread, Waiting: k.unread, Unread: float64(k.unreadTokens)}
-	if !k.current(now) {
-		return load
-	}
-	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
-	load.Waiting += othersWaiting
-	load.Unread += float64(othersWaiting) * wanted.engine.UsualPrompt
-	load.Running = max(0, k.outstanding(now)-load.Waiting)
-	load.Pace = k.status.Pace
-	return load
-}
-
-// model describes the server to the predictions.
-func (k *target) model(wanted need) balance.Server {
-	server := balance.Server{Slots: max(1, k.server.Slots), WholeMilliseconds: max(k.meanMilliseconds, leastMilliseconds)}
-	if engine := wanted.engine; engine != nil {
-		server.StepMilliseconds, server.PerSequence = engine.StepMilliseconds, engine.PerSequenceMilliseconds
-		server.ContextPerThousand, server.Stride = engine.ContextPerThousand, engine.Stride
-		server.ReadPerSecond, server.UsualPrompt, server.UsualAnswer = engine.ReadPerSecond, engine.UsualPrompt, engine.UsualAnswer
-	}
-	return server
-}
-
-// leastMilliseconds is assumed of a plain server that has answered nothing yet.
-const leastMilliseconds = 20
-
-// Margins between the expected beginning of a request at a server with an older
-// version and the time from which it must not begin there: over a sound link, and over
-// one that is narrow or of which nothing is known.
-const (
-	soundLinkMargin  = time.Second
-	narrowLinkMargin = 1500 * time.Millisecond
-	// orderTime is what a server needs from its last piece to its order, generously.
-	orderTime = 900 * time.Millisecond
-)
-
-// narrowLink is the time to an entry and back from which a machine's link counts as
-// narrow.
-const narrowLink = 250 * time.Millisecond
-
-// laggingPieces is how many more pieces than the best prepared machine one must lack
-// to be taken for one on a narrow link.
-const laggingPieces = 16
-
-// narrow reports whether a server's link seems narrow: messages take long over it,
-// or its pieces come much later than others'. The mutex is held.
-func (t *targets) narrow(k *target) bool {
-	least, known := t.leastMissing[k.status.Wanted]
-	return k.linkTime() >= narrowLink || (known && k.status.Missing-least >= laggingPieces)
-}
-
-// findLeastMissing looks how far the best prepared machines are; the mutex is held.
-func (t *targets) findLeastMissing(now time.Time) {
-	t.leastMissing = map[uint64]int{}
-	for _, told := range t.statuses {
-		if !told.status.Reachable || now.Sub(told.at) >= statusCurrent {
-			continue
-		}
-		least, known := t.leastMissing[told.status.Wanted]
-		if !known || told.status.Missing < least {
-			t.leastMissing[told.status.Wanted] = told.status.Missing
-		}
-	}
-}
-
-// beyondBound reports whether a server with an older version might begin the
-// request after that version's bound. Requests queue up on a narrow link: a server
-// on one whose pieces can't come in time any more gets nothing at all. Where the
-// link is sound the origin is what is slow, and the server serves on meanwhile.
-func (t *targets) beyondBound(k *target, wanted need, now, bound time.Time) bool {
-	margin := soundLinkMargin
-	if !k.current(now) || t.narrow(k) {
-		margin = narrowLinkMargin
-	}
-	if now.Add(k.firstEvent(wanted, now) + margin).After(bound) {
-		return true
-	}
-	if wanted.engine.Pieces == 0 || k.status.Missing == 0 || !t.narrow(k) {
-		return false
-	}
-	left := t.copyTime(wanted.engine) * time.Duration(k.status.Missing) / time.Duration(wanted.engine.Pieces)
-	return now.Add(left + orderTime + soundLinkMargin).After(bound)
-}
-
-// copyTime is how long one copy of a model takes over a link like the origin's.
-func (t *targets) copyTime(engine *fleet.Engine) time.Duration {
-	return engine.CopyTime(t.view.Configuration.OriginRate())
-}
-
-// firstEvent predicts when the server would begin the request: what its load
-// says, and how much later than that it has lately begun others.
-func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
-	late := k.lateness(now)
-	if k.current(now) {
-		late = max(late, k.linkTime())
-	}
-	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt) + late
-}
-
-// linkTime is how long a message over the server's link and back takes, by its
-// agent's word.
-func (k *target) linkTime() time.Duration {
-	return time.Duration(k.status.LinkMilliseconds) * time.Millisecond
-}
-
-// Lateness of servers.
-const (
-	// latenessGrace is the lateness that the prediction's own error explains.
-	latenessGrace = 150 * time.Millisecond
-	// latenessHalfLife is the time in which half of a past lateness is forgotten.
-	latenessHalfLife = 1500 * time.Millisecond
-	latenessWeight   = 0.4
-)
-
-// lateness is how much later than predicted the server begins requests: the
-// longest delay of one that is still waited for, or the faded mean of past ones.
-func (k *target) lateness(now time.Time) time.Duration {
-	late := time.Duration(0)
-	if !k.excessAt.IsZero() {
-		faded := float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
-		late = time.Duration(faded)
-	}
-	for _, due := range k.expected {
-		late = max(late, now.Sub(due))
-	}
-	if late < latenessGrace {
-		return 0
-	}
-	return late
-}
-
-// noteBegun takes a request off those whose first event is waited for; the mutex
-// is held.
-func (k *target) noteBegun(w *work, now time.Time) {
-	due, waited := k.expected[w]
-	if !waited {
-		return
-	}
-	delete(k.expected, w)
-	past := float64(0)
-	if !k.excessAt.IsZero() {
-		past = float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
-	}
-	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(due))))
-	k.excessAt = now
-}
-
 // switchWeight is what each moment is worth by which a request puts off the change
 // of its server to another version, while the server does nothing else.
 const switchWeight = 0.5
--- /dev/null
+++ b/internal/forward/prediction.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+)
+
+// load is what is known of the server's work now.
+func (k *target) load(wanted need, now time.Time) balance.Load {
+	if wanted.engine == nil {
+		return balance.Load{Running: k.inFlight}
+	}
+	load := balance.Load{Running: k.inFlight - k.unread, Waiting: k.unread, Unread: float64(k.unreadTokens)}
+	if !k.current(now) {
+		return load
+	}
+	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
+	load.Waiting += othersWaiting
+	load.Unread += float64(othersWaiting) * wanted.engine.UsualPrompt
+	load.Running = max(0, k.outstanding(now)-load.Waiting)
+	load.Pace = k.status.Pace
+	return load
+}
+
+// model describes the server to the predictions.
+func (k *target) model(wanted need) balance.Server {
+	server := balance.Server{Slots: max(1, k.server.Slots), WholeMilliseconds: max(k.meanMilliseconds, leastMilliseconds)}
+	if engine := wanted.engine; engine != nil {
+		server.StepMilliseconds, server.PerSequence = engine.StepMilliseconds, engine.PerSequenceMilliseconds
+		server.ContextPerThousand, server.Stride = engine.ContextPerThousand, engine.Stride
+		server.ReadPerSecond, server.UsualPrompt, server.UsualAnswer = engine.ReadPerSecond, engine.UsualPrompt, engine.UsualAnswer
+	}
+	return server
+}
+
+// leastMilliseconds is assumed of a plain server that has answered nothing yet.
+const leastMilliseconds = 20
+
+// firstEvent predicts when the server would begin the request: what its load
+// says, and how much later than that it has lately begun others.
+func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
+	late := k.lateness(now)
+	if k.current(now) {
+		late = max(late, k.linkTime())
+	}
+	return k.model(wanted).FirstEvent(k.load(wanted, now), wanted.prompt) + late
+}
+
+// linkTime is how long a message over the server's link and back takes, by its
+// agent's word.
+func (k *target) linkTime() time.Duration {
+	return time.Duration(k.status.LinkMilliseconds) * time.Millisecond
+}
+
+// Lateness of servers.
+const (
+	// latenessGrace is the lateness that the prediction's own error explains.
+	latenessGrace = 150 * time.Millisecond
+	// latenessHalfLife is the time in which half of a past lateness is forgotten.
+	latenessHalfLife = 1500 * time.Millisecond
+	latenessWeight   = 0.4
+)
+
+// lateness is how much later than predicted the server begins requests: the
+// longest delay of one that is still waited for, or the faded mean of past ones.
+func (k *target) lateness(now time.Time) time.Duration {
+	late := time.Duration(0)
+	if !k.excessAt.IsZero() {
+		faded := float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
+		late = time.Duration(faded)
+	}
+	for _, due := range k.expected {
+		late = max(late, now.Sub(due))
+	}
+	if late < latenessGrace {
+		return 0
+	}
+	return late
+}
+
+// noteBegun takes a request off those whose first event is waited for; the mutex
+// is held.
+func (k *target) noteBegun(w *work, now time.Time) {
+	due, waited := k.expected[w]
+	if !waited {
+		return
+	}
+	delete(k.expected, w)
+	past := float64(0)
+	if !k.excessAt.IsZero() {
+		past = float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
+	}
+	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(due))))
+	k.excessAt = now
+}
