--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BINARY := bin/pinevane
 PACKAGES := ./...
 
-.PHONY: setup build demo test lint format-check scenarios model-check bench clean
+.PHONY: setup build demo test lint format-check scenarios model-check regression bench clean
 
 setup:
 	go mod download
@@ -31,6 +31,9 @@
 model-check:
 	@bash spec/check.sh
 
+regression:
+	BENCH="$(BENCH)" SITE="$(SITE)" bash scenarios/days/play.sh
+
 bench:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
 
