One search for the first newer version, one fading, one assumed age

Cause, from reading the change again: need.boundOf looped over notices as View.FirstAfter does; the fading of a server's lateness and the assumed age of a version stood twice; each choice, also for plain services, looked how far all machines are with their pieces, which only model servers are asked about. Change: catalog.FirstAfter serves both; target.fadedExcess; Catalog.assumedAge; findLeastMissing runs for model servers only. Behaviour and tests are as before.

--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -18,6 +18,11 @@
 	assumed bool
 }
 
+// assumedAge is the age of a version of which nobody says how old it is.
+func (c *Catalog) assumedAge() versionAge {
+	return versionAge{age: c.options.VersionApply / 2, assumed: true}
+}
+
 // noteAges keeps the ages of those versions among records that are newer than what
 // is held, for takeVersion; the mutex is held. An age of a record that is not news
 // must not be kept: it would be taken for that of the next version.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -127,7 +127,7 @@
 		c.noteAges(records, func(record mirror.Record) versionAge {
 			age, told := ages[record.Key]
 			if !told {
-				return versionAge{age: c.options.VersionApply / 2, assumed: true}
+				return c.assumedAge()
 			}
 			return versionAge{age: age}
 		})
@@ -143,7 +143,7 @@
 	c.apply(func() []mirror.Record {
 		age := versionAge{}
 		if c.view.Load().Configuration == nil {
-			age = versionAge{age: c.options.VersionApply / 2, assumed: true}
+			age = c.assumedAge()
 		}
 		c.noteAges(listing.Records, func(mirror.Record) versionAge { return age })
 		return c.mirror.Replace(prefix, listing.Records, listing.At)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -65,7 +65,12 @@
 
 // FirstAfter returns the earliest remembered notice of a version newer than one.
 func (v *View) FirstAfter(model string, version uint64) (Notice, bool) {
-	for _, notice := range v.Versions[model] {
+	return FirstAfter(v.Versions[model], version)
+}
+
+// FirstAfter returns the earliest notice of a version newer than one.
+func FirstAfter(notices []Notice, version uint64) (Notice, bool) {
+	for _, notice := range notices {
 		if notice.Version > version {
 			return notice, true
 		}
--- a/internal/forward/bounds.go
+++ b/internal/forward/bounds.go
@@ -3,18 +3,15 @@
 import (
 	"time"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
 // boundOf returns until when a server with a version may begin requests; false when
 // no newer version is named.
 func (n need) boundOf(version uint64) (time.Time, bool) {
-	for _, notice := range n.notices {
-		if notice.Version > version {
-			return notice.Since.Add(n.versionApply), true
-		}
-	}
-	return time.Time{}, false
+	notice, lacking := catalog.FirstAfter(n.notices, version)
+	return notice.Since.Add(n.versionApply), lacking
 }
 
 // Margins between the expected beginning of a request at a server with an older
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -83,7 +83,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	t.findLeastMissing(now)
+	if wanted.engine != nil {
+		t.findLeastMissing(now)
+	}
 	usable := t.usable(wanted, now)
 	if len(usable) == 0 {
 		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -66,11 +66,7 @@
 // lateness is how much later than predicted the server begins requests: the
 // longest delay of one that is still waited for, or the faded mean of past ones.
 func (k *target) lateness(now time.Time) time.Duration {
-	late := time.Duration(0)
-	if !k.excessAt.IsZero() {
-		faded := float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
-		late = time.Duration(faded)
-	}
+	late := time.Duration(k.fadedExcess(now))
 	for _, due := range k.expected {
 		late = max(late, now.Sub(due))
 	}
@@ -80,6 +76,14 @@
 	return late
 }
 
+// fadedExcess is what is left of the past lateness, in nanoseconds.
+func (k *target) fadedExcess(now time.Time) float64 {
+	if k.excessAt.IsZero() {
+		return 0
+	}
+	return float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
+}
+
 // noteBegun takes a request off those whose first event is waited for; the mutex
 // is held.
 func (k *target) noteBegun(w *work, now time.Time) {
@@ -88,10 +92,7 @@
 		return
 	}
 	delete(k.expected, w)
-	past := float64(0)
-	if !k.excessAt.IsZero() {
-		past = float64(k.excess) * math.Exp2(-float64(now.Sub(k.excessAt))/float64(latenessHalfLife))
-	}
+	past := k.fadedExcess(now)
 	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(due))))
 	k.excessAt = now
 }
