Links between entries last while nothing fails

Cause: an entry sends on the links that it dialled, and its peer answers on its own. Each time the whole state was sent again, and agents' words in between were lost. Change: a link that was silent for half that time is probed (WebSocket ping); the answer counts as heard.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -25,6 +25,9 @@
 	updatePeriod = 300 * time.Millisecond
 	// linkSilence is the silence after which a link is taken for broken.
 	linkSilence = 1500 * time.Millisecond
+	// probeAfter is the silence after which a link is probed: early enough for an
+	// answer over a slow link to come within linkSilence.
+	probeAfter = linkSilence / 2
 	// entryMemory is how long an entry that nobody hears is remembered.
 	entryMemory = 12 * time.Second
 	// listPeriod is how often the list of entries is sent on a link, and farRecent
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -76,7 +76,9 @@
 	return slices.Contains(c.gates(c.options.Zone), c.options.Self)
 }
 
-// keepLink drops a silent link and dials a missing one; the mutex is held.
+// keepLink drops a silent link and dials a missing one; the mutex is held. The other
+// process sends its own news on the link that it dialled itself, so that a link may be
+// silent and sound: it is probed before it is taken for broken.
 func (c *Catalog) keepLink(ctx context.Context, ip string, out *outLink, wanted bool) {
 	if out.link != nil {
 		lost := false
@@ -89,6 +91,10 @@
 			link := out.link
 			out.link = nil
 			go func() { _ = link.Close() }()
+			return
+		}
+		if time.Since(out.link.LastHeard()) > probeAfter {
+			go out.link.Probe(linkSilence - probeAfter)
 		}
 		return
 	}
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -58,6 +58,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	lastHeard  atomic.Int64
+	// probing is set while an answer to a probe is waited for.
+	probing atomic.Bool
 
 	mutex         sync.Mutex
 	closeError    error
@@ -81,6 +83,22 @@
 // LastHeard returns when the last frame arrived.
 func (l *Link) LastHeard() time.Time { return time.Unix(0, l.lastHeard.Load()) }
 
+// Probe asks the other process for a sign of life and waits for it, at most for a
+// timeout; the answer counts as heard. Without an answer nothing happens: how much
+// silence means a broken link is for the caller to say. A second probe at the same
+// time is dropped.
+func (l *Link) Probe(timeout time.Duration) {
+	if !l.probing.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.probing.Store(false)
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	defer cancel()
+	if err := l.connection.Ping(ctx); err == nil {
+		l.lastHeard.Store(time.Now().UnixNano())
+	}
+}
+
 // Publish sends messages under a topic. An error means that the message may or
 // may not have left; the link is then lost.
 func (l *Link) Publish(topic string, messages ...*message.Message) error {
