Figures of model servers that are missing or wrong are learned from answers

Cause: a figure that the configuration lacks was taken for zero without a word, and the predictions of all servers were wrong. PV2007 names the figures that are missing, pinevane_missing_figures counts them.

--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -73,6 +73,25 @@
 	Warm time.Duration
 }
 
+// MissingFigures names the figures of speed and size that are not published, or can't
+// be right.
+func (e *Engine) MissingFigures() []string {
+	var missing []string
+	for _, figure := range []struct {
+		name  string
+		value float64
+	}{
+		{"slots", float64(e.Slots)}, {"stride", float64(e.Stride)}, {"step_milliseconds", e.StepMilliseconds},
+		{"read_per_second", e.ReadPerSecond}, {"usual_prompt", e.UsualPrompt}, {"usual_answer", e.UsualAnswer},
+		{"pieces", float64(e.Pieces)}, {"piece_bytes", float64(e.PieceBytes)}, {"layers", float64(e.Layers)},
+	} {
+		if figure.value <= 0 {
+			missing = append(missing, figure.name)
+		}
+	}
+	return missing
+}
+
 // CopyTime is how long one copy of the weights takes over a link; 0 when the link's
 // capacity is not known.
 func (e *Engine) CopyTime(bytesPerSecond float64) time.Duration {
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -46,6 +47,8 @@
 type need struct {
 	service string
 	engine  *fleet.Engine
+	// figures describe the service's model servers to the predictions.
+	figures balance.Server
 	route   *fleet.Route
 	// tried are the servers that the request was sent to before.
 	tried []*target
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -49,6 +49,9 @@
 	budgets map[string]*budget.Budget
 	// mostPeers is the most other entries seen at once.
 	mostPeers int
+	// checkedVersion is the configuration whose figures were last looked through; only
+	// Update reads it.
+	checkedVersion uint64
 }
 
 // New returns a forwarder that knows no servers yet.
@@ -61,7 +64,10 @@
 }
 
 // Update takes over a new view of the fleet.
-func (f *Forwarder) Update(view *catalog.View) { f.targets.update(view) }
+func (f *Forwarder) Update(view *catalog.View) {
+	f.checkFigures(view.Configuration)
+	f.targets.update(view)
+}
 
 // TakeStatus notes an agent's word on its server, and when that was said.
 func (f *Forwarder) TakeStatus(status fleet.MachineStatus, at time.Time) {
@@ -132,6 +138,10 @@
 	lastEvent  string
 	// attemptBegun is set once the present attempt has brought an event.
 	attemptBegun bool
+	// sentAt is when the present attempt was sent, sentIdle whether its server was known
+	// to have nothing else to do.
+	sentAt   time.Time
+	sentIdle bool
 	// begun is set once the head of an answer has gone to the caller.
 	begun   bool
 	events  int
@@ -154,6 +164,9 @@
 	if view.Configuration != nil {
 		w.wanted.engine = view.Configuration.Services[service].Engine
 	}
+	if w.wanted.engine != nil {
+		w.wanted.figures = f.targets.figuresOf(service, w.wanted.engine)
+	}
 	f.countRequest(service)
 	if request.Route.Kind == fleet.Streaming {
 		return w.stream(ctx)
@@ -246,6 +259,7 @@
 		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
+	w.sentAt, w.sentIdle = began, chosen.outstanding == 0 && chosen.statusAge != noStatus
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
--- /dev/null
+++ b/internal/forward/learning.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// figuresOf returns the figures to predict a service's model servers with: the
+// published ones, completed and corrected by what its answers have shown.
+func (t *targets) figuresOf(service string, engine *fleet.Engine) balance.Server {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.learnedOf(service).Complete(publishedFigures(engine))
+}
+
+// learnedOf returns what is learned of a service; the mutex is held.
+func (t *targets) learnedOf(service string) *balance.Learned {
+	learned := t.learned[service]
+	if learned == nil {
+		learned = &balance.Learned{}
+		t.learned[service] = learned
+	}
+	return learned
+}
+
+func publishedFigures(engine *fleet.Engine) balance.Server {
+	return balance.Server{
+		Slots: engine.Slots, Stride: engine.Stride,
+		StepMilliseconds: engine.StepMilliseconds, PerSequence: engine.PerSequenceMilliseconds, ContextPerThousand: engine.ContextPerThousand,
+		ReadPerSecond: engine.ReadPerSecond, UsualPrompt: engine.UsualPrompt, UsualAnswer: engine.UsualAnswer,
+	}
+}
+
+// learnFirstEvent notes when an attempt's first event came, if the server had nothing
+// else to do.
+func (w *work) learnFirstEvent(now time.Time) {
+	if w.wanted.engine == nil || !w.sentIdle {
+		return
+	}
+	w.targets.mutex.Lock()
+	defer w.targets.mutex.Unlock()
+	w.targets.learnedOf(w.wanted.service).IdleFirstEvent(w.wanted.prompt, now.Sub(w.sentAt))
+}
+
+// learnStream notes a stream that one server has written from its first event to its
+// last.
+func (w *work) learnStream() {
+	if w.wanted.engine == nil || w.sent != 1 {
+		return
+	}
+	writing := w.eventAt.Sub(w.request.Arrived.Add(w.firstAfter))
+	w.targets.mutex.Lock()
+	defer w.targets.mutex.Unlock()
+	w.targets.learnedOf(w.wanted.service).Stream(w.wanted.prompt, w.events, writing)
+}
+
+// checkFigures logs and counts the figures that a new configuration lacks.
+func (f *Forwarder) checkFigures(configuration *fleet.Configuration) {
+	if configuration == nil || configuration.Version == f.checkedVersion {
+		return
+	}
+	f.checkedVersion = configuration.Version
+	count := 0
+	for name, service := range configuration.Services {
+		if service.Engine == nil {
+			continue
+		}
+		missing := service.Engine.MissingFigures()
+		count += len(missing)
+		if len(missing) > 0 {
+			f.log.Log(logging.FiguresMissing, zap.String("service", name), zap.Strings("figures", missing),
+				zap.Uint64("configuration", configuration.Version))
+		}
+	}
+	f.metrics.missingFigures.Set(float64(count))
+}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,6 +9,8 @@
 	retries     prometheus.Counter
 	connections prometheus.Counter
 	cut         *prometheus.CounterVec
+	// missingFigures counts what the configuration in force does not tell of model servers.
+	missingFigures prometheus.Gauge
 }
 
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8}
@@ -28,6 +30,8 @@
 		cut: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut)
+	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.missingFigures)
 	return m
 }
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -18,7 +18,7 @@
 	}
 	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
 	load.Waiting += othersWaiting
-	load.Unread += float64(othersWaiting) * wanted.engine.UsualPrompt
+	load.Unread += float64(othersWaiting) * wanted.figures.UsualPrompt
 	load.Running = max(0, k.outstanding(now)-load.Waiting)
 	load.Pace = k.status.Pace
 	return load
@@ -26,11 +26,12 @@
 
 // model describes the server to the predictions.
 func (k *target) model(wanted need) balance.Server {
-	server := balance.Server{Slots: max(1, k.server.Slots), WholeMilliseconds: max(k.meanMilliseconds, leastMilliseconds)}
-	if engine := wanted.engine; engine != nil {
-		server.StepMilliseconds, server.PerSequence = engine.StepMilliseconds, engine.PerSequenceMilliseconds
-		server.ContextPerThousand, server.Stride = engine.ContextPerThousand, engine.Stride
-		server.ReadPerSecond, server.UsualPrompt, server.UsualAnswer = engine.ReadPerSecond, engine.UsualPrompt, engine.UsualAnswer
+	if wanted.engine == nil {
+		return balance.Server{Slots: max(1, k.server.Slots), WholeMilliseconds: max(k.meanMilliseconds, leastMilliseconds)}
+	}
+	server := wanted.figures
+	if k.server.Slots > 0 {
+		server.Slots = k.server.Slots
 	}
 	return server
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,6 +74,9 @@
 		if w.wanted.engine != nil {
 			w.targets.readPrompt(started.target, w)
 		}
+		if w.attemptBegun {
+			w.learnFirstEvent(time.Now())
+		}
 	})
 	defer func() {
 		settle()
@@ -99,6 +102,7 @@
 				w.beginStream(first)
 			}
 			w.targets.succeed(started.target, time.Since(began))
+			w.learnStream()
 			return nil
 		}
 		started.abort()
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -83,6 +84,8 @@
 	// that is being fetched, as of the last choice.
 	leastMissing map[uint64]int
 	view         *catalog.View
+	// learned is what the answers of each service of model servers have shown.
+	learned map[string]*balance.Learned
 }
 
 type statusAt struct {
@@ -94,7 +97,7 @@
 	return &targets{
 		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle,
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
-		view: &catalog.View{},
+		view: &catalog.View{}, learned: map[string]*balance.Learned{},
 	}
 }
 
