--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -59,6 +59,7 @@
 		{"render", "Show what a tenant renders to", "Renders a directory's templates and prints one tenant as JSON.", &renderCommand{}},
 		{"manifest", "Make a manifest from a directory of weight files", "Cuts the files into chunks and prints the manifest's digest.", &manifestCommand{}},
 		{"explain", "Explain a request from logs", "Joins the log lines of all processes into the story of one request and names its cause.", &explainCommand{}},
+		{"losses", "Count lost requests from logs", "Counts how requests ended, in the logs of all processes: by time, route and process, with the reasons.", &lossesCommand{}},
 		{"dump", "Show a process's state", "Reads the state dump of the process at an administration address.", &dumpCommand{}},
 		{"version", "Show the build", "Prints the version of pinevane and of Go.", &versionCommand{}},
 	}
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 
 	"pinevane.example/pinevane/internal/explain"
 	"pinevane.example/pinevane/internal/fault"
@@ -17,18 +16,9 @@
 
 // Execute runs the command.
 func (c *explainCommand) Execute([]string) error {
-	var lines []explain.Line
-	for _, path := range c.Arguments.Files {
-		file, err := os.Open(path)
-		if err != nil {
-			return &fault.InvalidSetting{Flag: "LOGFILE", Value: path, Allowed: "a readable file"}
-		}
-		read, err := explain.Read(file)
-		_ = file.Close()
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(c.Arguments.Files)
+	if err != nil {
+		return err
 	}
 	story := explain.Tell(lines, c.Arguments.Request)
 	for _, line := range story.Lines {
--- /dev/null
+++ b/internal/explain/losses_test.go
@@ -0,0 +1,29 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const lossLines = `{"ts":"2026-12-02T10:00:01.2Z","process":"entry-1","event":"PV4102","msg":"x","status":200,"took":1.2,"first_event":0.1,"target":0.4,"target_gap":0.3,"longest_pause":0.2,"route":"a"}
+{"ts":"2026-12-02T10:00:01.3Z","process":"entry-1","event":"PV4102","msg":"x","status":200,"took":1.2,"first_event":0.5,"target":0.4,"target_gap":0.3,"longest_pause":0.2,"route":"a"}
+{"ts":"2026-12-02T10:00:03.4Z","process":"entry-2","event":"PV4102","msg":"x","status":200,"took":1,"first_event":0.1,"target":0.4,"target_gap":0.3,"longest_pause":0.6,"route":"b"}
+{"ts":"2026-12-02T10:00:03.5Z","process":"entry-2","event":"PV4104","msg":"x","execution":"not-run","reason":"overloaded","took":0,"route":"b"}
+{"ts":"2026-12-02T10:00:03.6Z","process":"entry-2","event":"PV4101","msg":"x"}
+`
+
+// A request counts where it began, and its loss under its reason.
+func TestLossesAreCountedByTimeRouteAndProcess(t *testing.T) {
+	lines, err := Read(strings.NewReader(lossLines))
+	require.NoError(t, err)
+	var text strings.Builder
+	require.NoError(t, CountLosses(lines).Write(&text, 2*time.Second))
+	assert.Regexp(t, `0\.0 +2 +0\.50 +1 late\n`, text.String())
+	assert.Regexp(t, `2\.0 +2 +0\.00 +1 paused, 1 refused: overloaded\n`, text.String())
+	assert.Regexp(t, `\na +2 +0\.50 +1 late\n`, text.String())
+	assert.Regexp(t, `entry-2 +2 +0\.00`, text.String())
+}
