A server that is listed again after an outage is news everywhere

Cause: in the second after an outage of the store the list has lost its servers and keeps them as lapsed; when a server wrote the same line anew, the reader of a zone took it for unchanged and told nobody. Change: lapsed servers do not count as listed before. Test: TestServersThatReturnAfterAnOutageAreKnownEverywhere, failing first (0 of 4 servers at the entries that are told).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -179,12 +179,16 @@
 	}
 }
 
-// snapshotServers remembers what the servers said of themselves before a change.
+// snapshotServers remembers what the listed servers said of themselves before a
+// change; the mutex is held. Lapsed ones are not among them: that one of them is
+// listed again is news, also where its line is the same.
 func (c *Catalog) snapshotServers() map[string]fleet.Server {
 	before := map[string]fleet.Server{}
 	for _, servers := range c.view.Load().Servers {
 		for _, server := range servers {
-			before[server.ID] = server
+			if _, lapsed := c.lapsed[server.ID]; !lapsed {
+				before[server.ID] = server
+			}
 		}
 	}
 	return before
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -174,6 +174,15 @@
 	s.options.Store.Delete("servers/" + s.options.ID)
 }
 
+// Return writes the record of a lapsed server anew, as the next heartbeat that the
+// store takes does.
+func (s *Server) Return() {
+	s.mutex.Lock()
+	s.lapsed = false
+	s.mutex.Unlock()
+	s.beat()
+}
+
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mutex.Lock()
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -71,6 +71,7 @@
 type choice struct {
 	target      *target
 	outstanding int
+	load        balance.Load
 	statusAge   time.Duration
 	candidates  int
 	score       time.Duration
@@ -107,6 +108,7 @@
 		return choice{}, refusal
 	}
 	best.outstanding = best.target.outstanding(now)
+	best.load = best.target.load(wanted, now)
 	best.expected = best.target.firstEvent(wanted, now)
 	best.statusAge = best.target.statusAge(now)
 	best.version = best.target.servedVersion(now)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -256,6 +256,8 @@
 	w.wanted.tried = append(w.wanted.tried, target)
 	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
 		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
+		zap.Int("running", chosen.load.Running), zap.Int("waiting", chosen.load.Waiting), zap.Int("unread_tokens", int(chosen.load.Unread)),
+		zap.Int("prompt_tokens", w.wanted.prompt),
 		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
--- a/internal/sitetest/fleet_test.go
+++ b/internal/sitetest/fleet_test.go
@@ -195,3 +195,29 @@
 		return len(f.Process(Name(catalog.RoleEntry, 0, 0)).Catalog.View().Servers[site.ModelService]) == 0
 	})
 }
+
+// A server that lapsed in an outage and wrote the same line anew is a server again at
+// every entry, also at those that hear of it from others.
+func TestServersThatReturnAfterAnOutageAreKnownEverywhere(t *testing.T) {
+	options := DefaultOptions()
+	options.DrainMs = 3000
+	f := Start(t, options)
+	f.Site.Store.SetDown(true)
+	time.Sleep(2500 * time.Millisecond)
+	for _, server := range f.Site.Models {
+		server.Lapse()
+	}
+	f.Site.Store.SetDown(false)
+	f.Eventually("an entry has heard of the lapse", 2*time.Second, func() bool { return countEvents(f, "PV4207", "") > 0 })
+	time.Sleep(time.Second)
+	for _, server := range f.Site.Models {
+		server.Return()
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			known := f.Process(Name(catalog.RoleEntry, zone, index)).Catalog.View().Servers[site.ModelService]
+			assert.Len(t, known, options.Zones*options.ModelServers, "entry %d of zone %d", index, zone)
+		}
+	}
+}
