--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -36,6 +36,15 @@
 	Pace float64
 }
 
+// Times is the load when each of a number of callers has brought as much.
+func (l Load) Times(callers int) Load {
+	factor := max(1, callers)
+	l.Running *= factor
+	l.Waiting *= factor
+	l.Unread *= float64(factor)
+	return l
+}
+
 // reads reports whether the server reads prompts.
 func (s Server) reads() bool { return s.ReadPerSecond > 0 }
 
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -50,6 +50,9 @@
 	// figures describe the service's model servers to the predictions.
 	figures balance.Server
 	route   *fleet.Route
+	// senders is how many entries may be sending to the service's servers, this one
+	// included.
+	senders int
 	// tried are the servers that the request was sent to before.
 	tried []*target
 	// atLeast and exactly bound the version; zero does not.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -160,7 +160,7 @@
 	view := f.targets.currentView()
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
-	w.wanted = need{work: w, service: service, route: request.Route, prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
+	w.wanted = need{work: w, service: service, route: request.Route, senders: 1 + f.options.Peers(), prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
 	if view.Configuration != nil {
 		w.wanted.engine = view.Configuration.Services[service].Engine
 	}
