The first event takes a pass of its own

Cause: calm seconds predicted 0.098 s to the first event and had 0.138 s. Change: one pass for the event itself, one more where others run, in place of 1.5 where others run.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -62,9 +62,13 @@
 	return milliseconds(s.step(slots)*s.UsualAnswer/slots + 1000*s.UsualPrompt/s.ReadPerSecond)
 }
 
-// passesBefore is how many passes go by, in the mean, until a new prompt's first
-// event is out, besides the reading.
-const passesBefore = 1.5
+// Passes that go by until a new prompt's first event is out, besides the reading: the
+// one that writes the event, and where others run the one under way and its rest.
+// Measured: with 0.098 s predicted at 1.5 passes, calm days had 0.138 s.
+const (
+	ownPasses    = 1.0
+	passesBefore = 1.0
+)
 
 // FirstEvent predicts the time until a request that is sent now begins to be
 // answered.
@@ -74,9 +78,11 @@
 	delay := float64(full) * float64(s.ServiceTime()) / float64(time.Millisecond)
 	if s.reads() {
 		delay += 1000 * (load.Unread + float64(prompt)) / s.ReadPerSecond
+		passes := ownPasses
 		if load.Running > 0 {
-			delay += passesBefore * float64(s.Stride) * s.step(float64(load.Running))
+			passes += passesBefore
 		}
+		delay += passes * float64(s.Stride) * s.step(float64(load.Running))
 	} else {
 		delay += s.WholeMilliseconds
 	}
