Plain servers with a free place are never overloaded

Cause: the prediction for a plain server is the mean time of its answers. A few answers that were held up on a cut or lossy link raised it over the target; then every request was refused beside idle servers, and nothing brought it down again. A request whose first server failed was refused at its second for load. Change: a free place is no overload, and a request that was sent before is not refused for load. Test: TestSlowAnswersOfAnIdlePlainServerAreNoOverload.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -317,11 +317,19 @@
 	return otherRegionCost
 }
 
+// hasFreePlace reports whether a plain server could begin the request now. That its
+// last answers came late is then no reason to refuse: they may have been held up on
+// the way, and without further requests nothing would show that it is past.
+func (k *target) hasFreePlace(wanted need) bool {
+	return wanted.engine == nil && k.inFlight < k.server.Slots
+}
+
 // overload refuses a request that no server would begin within its target. When
-// only the drawn ones would not, the soonest of all is taken.
+// only the drawn ones would not, the soonest of all is taken. One that was sent to a
+// server before has been admitted: it is not refused any more.
 func (t *targets) overload(best *choice, usable []*target, wanted need, now time.Time) *fault.Refusal {
 	limit := time.Duration(refusalShare * float64(wanted.route.Target))
-	if wanted.resumed || limit <= 0 || best.target.firstEvent(wanted, now) <= limit {
+	if wanted.resumed || len(wanted.tried) > 0 || limit <= 0 || best.target.hasFreePlace(wanted) || best.target.firstEvent(wanted, now) <= limit {
 		return nil
 	}
 	best.target = slices.MinFunc(usable, func(a, b *target) int {
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -144,3 +144,20 @@
 	assert.InDelta(t, first.Seconds()/2, server.lateness(now.Add(latenessHalfLife)).Seconds(), 0.01)
 	assert.Zero(t, server.lateness(now.Add(10*latenessHalfLife)))
 }
+
+// A plain server whose answers were held up for a while is not refused for that as long
+// as it has a free place: without requests nothing would show that the delay is past.
+func TestSlowAnswersOfAnIdlePlainServerAreNoOverload(t *testing.T) {
+	fleetOf := newTargets("z", nil, logging.Nop())
+	server := &target{id: "p-1", server: fleet.Server{Slots: 6}, meanMilliseconds: 900, expected: map[*work]time.Time{}}
+	fleetOf.byService["plain"] = []*target{server}
+	wanted := need{service: "plain", route: &fleet.Route{Target: 120 * time.Millisecond}, work: &work{request: &Request{}}}
+	_, refusal := fleetOf.choose(wanted)
+	assert.Nil(t, refusal)
+	server.inFlight = 7
+	_, refusal = fleetOf.choose(wanted)
+	assert.NotNil(t, refusal, "a full one is overloaded")
+	wanted.tried = []*target{{}}
+	_, refusal = fleetOf.choose(wanted)
+	assert.Nil(t, refusal, "a request that was admitted once is not refused for load")
+}
