Entries count what others may have sent since an agent's word

Also, requests that were on their way when the agent looked counted as seen by it, so that others' load came out too small. Change: of a word's load, the entry's own part is what it had sent before the word; what it has sent since counts once for each entry. The weights of the decisions are flags of the entry (forward.Policy), for measuring each by switching it off. balance.Places predicts when places come free; off by default.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -3,7 +3,10 @@
 // are refused at once. It does no I/O and reads no clock.
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Server is the speed and size of a server. Times are in milliseconds.
 type Server struct {
@@ -32,16 +35,20 @@
 	Waiting int
 	// Unread is the number of prompt tokens of the waiting requests.
 	Unread float64
+	// PlaceWait predicts how long it takes until a number of places have come free; nil
+	// leaves it to the mean.
+	PlaceWait func(places int, hold time.Duration) time.Duration
 	// Pace is over 1 when the server is slow; 0 stands for 1.
 	Pace float64
 }
 
-// Times is the load when each of a number of callers has brought as much.
-func (l Load) Times(callers int) Load {
-	factor := max(1, callers)
-	l.Running *= factor
-	l.Waiting *= factor
-	l.Unread *= float64(factor)
+// Times is the load when it is known in part only, and the whole is a number of times
+// as much.
+func (l Load) Times(factor float64) Load {
+	factor = max(1, factor)
+	l.Running = int(math.Round(factor * float64(l.Running)))
+	l.Waiting = int(math.Round(factor * float64(l.Waiting)))
+	l.Unread *= factor
 	return l
 }
 
@@ -75,7 +82,11 @@
 func (s Server) FirstEvent(load Load, prompt int) time.Duration {
 	held := load.Running + load.Waiting
 	full := max(0, held+1-s.Slots)
-	delay := float64(full) * float64(s.ServiceTime()) / float64(time.Millisecond)
+	wait := time.Duration(full) * s.ServiceTime()
+	if load.PlaceWait != nil && full > 0 {
+		wait = max(wait, load.PlaceWait(full, time.Duration(s.Slots)*s.ServiceTime()))
+	}
+	delay := float64(wait) / float64(time.Millisecond)
 	if s.reads() {
 		delay += 1000 * (load.Unread + float64(prompt)) / s.ReadPerSecond
 		passes := ownPasses
--- a/internal/command/daemons.go
+++ b/internal/command/daemons.go
@@ -12,6 +12,7 @@
 	"pinevane.example/pinevane/internal/entry"
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/forward"
 )
 
 // Memory of a daemon. The binary's own mapped pages take about 17 MiB of what
@@ -38,10 +39,11 @@
 
 type entryCommand struct {
 	processFlags
-	DefaultDeadline time.Duration `long:"default-deadline" env:"PINEVANE_DEFAULT_DEADLINE" default:"60s" description:"time of a request that names none, 1s to 24h"`
-	MaximumBody     int64         `long:"maximum-body" env:"PINEVANE_MAXIMUM_BODY" default:"1048576" description:"largest request body, 1024 to 67108864 bytes"`
-	Policy          string        `long:"policy" env:"PINEVANE_POLICY" default:"two-choices" description:"two-choices, random, round-robin, least-loaded or affinity"`
-	MaximumAttempts int64         `long:"maximum-attempts" env:"PINEVANE_MAXIMUM_ATTEMPTS" default:"4" description:"most attempts at one request, 1 to 16"`
+	DefaultDeadline time.Duration  `long:"default-deadline" env:"PINEVANE_DEFAULT_DEADLINE" default:"60s" description:"time of a request that names none, 1s to 24h"`
+	MaximumBody     int64          `long:"maximum-body" env:"PINEVANE_MAXIMUM_BODY" default:"1048576" description:"largest request body, 1024 to 67108864 bytes"`
+	Policy          string         `long:"policy" env:"PINEVANE_POLICY" default:"two-choices" description:"two-choices, random, round-robin, least-loaded or affinity"`
+	Decisions       forward.Policy `group:"Decisions on the users' machines"`
+	MaximumAttempts int64          `long:"maximum-attempts" env:"PINEVANE_MAXIMUM_ATTEMPTS" default:"4" description:"most attempts at one request, 1 to 16"`
 }
 
 func (c *entryCommand) check() error {
@@ -63,7 +65,10 @@
 // Execute runs the command.
 func (c *entryCommand) Execute([]string) error {
 	if c.Settings != "" {
-		return c.runOnPlatform(catalog.RoleEntry)
+		if err := c.Decisions.Check(); err != nil {
+			return err
+		}
+		return c.runOnPlatform(catalog.RoleEntry, c.Decisions)
 	}
 	if err := c.check(); err != nil {
 		return err
@@ -143,7 +148,7 @@
 // Execute runs the command.
 func (c *agentCommand) Execute([]string) error {
 	if c.Settings != "" {
-		return c.runOnPlatform(catalog.RoleAgent)
+		return c.runOnPlatform(catalog.RoleAgent, forward.DefaultPolicy())
 	}
 	if err := c.check(); err != nil {
 		return err
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -13,6 +13,7 @@
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/gateway"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/rollout"
@@ -26,8 +27,9 @@
 // settingsCheckPeriod is how often the settings file is looked at for changes.
 const settingsCheckPeriod = 2 * time.Second
 
-// runOnPlatform runs a role with the settings file of the users' platform.
-func (f *processFlags) runOnPlatform(role string) error {
+// runOnPlatform runs a role with the settings file of the users' platform; entries
+// decide by the policy.
+func (f *processFlags) runOnPlatform(role string, policy forward.Policy) error {
 	level, err := zapcore.ParseLevel(f.LogLevel)
 	if err != nil || level > zapcore.ErrorLevel {
 		return &fault.InvalidSetting{Flag: "--log-level", Value: f.LogLevel, Allowed: "debug, info, warn or error"}
@@ -48,7 +50,7 @@
 	})
 	go reloadOnChange(f.Settings, base)
 	if role == catalog.RoleEntry {
-		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}}).Run(stopSignal())
+		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: policy}).Run(stopSignal())
 	}
 	return rollout.New(rollout.Options{
 		Daemon: base, Server: platform.NewModelServer(settings.ServerAddress), Origin: platform.NewOrigin(),
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -26,17 +26,10 @@
 	jitterCost = 15 * time.Millisecond
 	// silentCost keeps requests from servers whose agent has fallen silent.
 	silentCost = 2 * time.Second
-	// sampleSize is how many servers are compared for a request. Figures are some
-	// hundred milliseconds old; were all compared, all entries would send to the
-	// same server until the next figures come.
-	sampleSize = 4
 )
 
 // Bounds of refusals.
 const (
-	// refusalShare of the target is the expected time to begin from which requests
-	// are refused.
-	refusalShare      = 1.1
 	refusalRetryFloor = 100 * time.Millisecond
 	refusalRetryCap   = 1500 * time.Millisecond
 	// noServerRetry is told when there is no server at all.
@@ -50,9 +43,9 @@
 	// figures describe the service's model servers to the predictions.
 	figures balance.Server
 	route   *fleet.Route
-	// senders is how many entries may be sending to the service's servers, this one
-	// included.
-	senders int
+	// others is how many other entries may be sending to the service's servers.
+	others int
+	policy *Policy
 	// tried are the servers that the request was sent to before.
 	tried []*target
 	// atLeast and exactly bound the version; zero does not.
@@ -70,6 +63,14 @@
 	work         *work
 }
 
+// rules returns the policy to decide by.
+func (n need) rules() Policy {
+	if n.policy == nil {
+		return DefaultPolicy()
+	}
+	return *n.policy
+}
+
 // choice is a server and what was known of it.
 type choice struct {
 	target      *target
@@ -101,7 +102,7 @@
 		return choice{}, refusal
 	}
 	best := choice{score: math.MaxInt64, candidates: len(usable)}
-	for _, candidate := range t.sample(usable) {
+	for _, candidate := range t.sample(usable, wanted.rules().SampleSize) {
 		score := t.score(candidate, wanted, now)
 		if score < best.score {
 			best.target, best.score = candidate, score
@@ -119,7 +120,7 @@
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
-		best.target.expected[wanted.work] = now.Add(best.expected)
+		best.target.unbegun[wanted.work] = unbegun{sentAt: now, due: now.Add(best.expected), prompt: wanted.prompt}
 	}
 	return best, nil
 }
@@ -135,8 +136,9 @@
 }
 
 // sample draws the servers to compare: half of them from the own zone, as long as
-// it has some.
-func (t *targets) sample(usable []*target) []*target {
+// it has some. Figures are some hundred milliseconds old; were all compared, all
+// entries would send to the same server until the next figures come.
+func (t *targets) sample(usable []*target, sampleSize int) []*target {
 	if len(usable) <= sampleSize {
 		return usable
 	}
@@ -292,19 +294,15 @@
 	return k.version
 }
 
-// switchWeight is what each moment is worth by which a request puts off the change
-// of its server to another version, while the server does nothing else.
-const switchWeight = 0.5
-
-// delayedSwitch is the cost of a request that would still run when its server is
-// to change over.
+// delayedSwitch is the cost of a request that would still run when its server is to
+// change over: while it puts that off, the server does nothing else.
 func (k *target) delayedSwitch(wanted need, now time.Time) time.Duration {
 	if wanted.engine == nil || !k.current(now) || k.status.SwitchMilliseconds == fleet.NoSwitch {
 		return 0
 	}
 	left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
 	needed := k.model(wanted).Duration(k.load(wanted, now), wanted.prompt, wanted.answer)
-	return time.Duration(switchWeight * float64(max(0, needed-left)))
+	return time.Duration(wanted.rules().SwitchWeight * float64(max(0, needed-left)))
 }
 
 func (t *targets) distance(candidate *target) time.Duration {
@@ -328,7 +326,7 @@
 // only the drawn ones would not, the soonest of all is taken. One that was sent to a
 // server before has been admitted: it is not refused any more.
 func (t *targets) overload(best *choice, usable []*target, wanted need, now time.Time) *fault.Refusal {
-	limit := time.Duration(refusalShare * float64(wanted.route.Target))
+	limit := time.Duration(wanted.rules().RefusalShare * float64(wanted.route.Target))
 	if wanted.resumed || len(wanted.tried) > 0 || limit <= 0 || best.target.hasFreePlace(wanted) || best.target.firstEvent(wanted, now) <= limit {
 		return nil
 	}
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -13,7 +13,7 @@
 
 func modelServer(now time.Time, missing int) *target {
 	return &target{
-		id: "i-1", server: fleet.Server{Slots: 16}, expected: map[*work]time.Time{}, statusAt: now,
+		id: "i-1", server: fleet.Server{Slots: 16}, unbegun: map[*work]unbegun{}, statusAt: now,
 		status: fleet.MachineStatus{Reachable: true, Version: 1, Missing: missing, SwitchMilliseconds: fleet.NoSwitch},
 	}
 }
@@ -136,7 +136,7 @@
 	now := time.Now()
 	server := modelServer(now, 0)
 	waiting := &work{}
-	server.expected[waiting] = now.Add(-2 * time.Second)
+	server.unbegun[waiting] = unbegun{due: now.Add(-2 * time.Second)}
 	assert.InDelta(t, 2, server.lateness(now).Seconds(), 0.01)
 	server.noteBegun(waiting, now)
 	first := server.lateness(now)
@@ -149,7 +149,7 @@
 // as it has a free place: without requests nothing would show that the delay is past.
 func TestSlowAnswersOfAnIdlePlainServerAreNoOverload(t *testing.T) {
 	fleetOf := newTargets("z", nil, logging.Nop())
-	server := &target{id: "p-1", server: fleet.Server{Slots: 6}, meanMilliseconds: 900, expected: map[*work]time.Time{}}
+	server := &target{id: "p-1", server: fleet.Server{Slots: 6}, meanMilliseconds: 900, unbegun: map[*work]unbegun{}}
 	fleetOf.byService["plain"] = []*target{server}
 	wanted := need{service: "plain", route: &fleet.Route{Target: 120 * time.Millisecond}, work: &work{request: &Request{}}}
 	_, refusal := fleetOf.choose(wanted)
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -51,7 +51,7 @@
 			go serve(connection)
 		}
 	}()
-	return &target{id: "i-1", address: listener.Addr().String(), expected: map[*work]time.Time{}}
+	return &target{id: "i-1", address: listener.Addr().String(), unbegun: map[*work]unbegun{}}
 }
 
 func testForwarder() *Forwarder {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -34,6 +34,7 @@
 	// Peers returns the number of other entries known.
 	Peers    func() int
 	Registry prometheus.Registerer
+	Policy   Policy
 }
 
 // Forwarder is the forwarding core of an entry.
@@ -160,7 +161,7 @@
 	view := f.targets.currentView()
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
-	w.wanted = need{work: w, service: service, route: request.Route, senders: 1 + f.options.Peers(), prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
+	w.wanted = need{work: w, service: service, route: request.Route, others: f.options.Peers(), policy: &f.options.Policy, prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
 	if view.Configuration != nil {
 		w.wanted.engine = view.Configuration.Services[service].Engine
 	}
--- /dev/null
+++ b/internal/forward/policy.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"strconv"
+
+	"pinevane.example/pinevane/internal/fault"
+)
+
+// Policy holds the mechanisms by which an entry decides, so that each can be measured
+// by switching it off. The tags make flags of the entry command of the fields.
+type Policy struct {
+	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1.1" description:"share of a request's target beyond which the predicted beginning is a refusal, 0 (never refuse) to 10"`
+	UnheardLoad  float64 `long:"unheard-load" env:"PINEVANE_UNHEARD_LOAD" default:"1" description:"weight of the load that other entries may bring to a server of which no agent tells, 0 to 2"`
+	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
+	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
+	SwitchWeight float64 `long:"switch-weight" env:"PINEVANE_SWITCH_WEIGHT" default:"0.5" description:"weight of the time by which a request would put off its server's change-over, 0 to 2"`
+	PlaceWait    float64 `long:"place-wait" env:"PINEVANE_PLACE_WAIT" default:"0" description:"weight of the time until the places of a full server come free, by when they were taken, 0 to 2"`
+	SampleSize   int     `long:"sample-size" env:"PINEVANE_SAMPLE_SIZE" default:"4" description:"servers that are compared for a request, 1 to 64"`
+}
+
+// DefaultPolicy is what the flags' defaults say.
+func DefaultPolicy() Policy {
+	return Policy{RefusalShare: 1.1, UnheardLoad: 1, UnseenLoad: 1, Lateness: 1, SwitchWeight: 0.5, SampleSize: 4}
+}
+
+// Bounds of the policy's figures.
+const (
+	mostWeight       = 2
+	mostRefusalShare = 10
+	mostSampleSize   = 64
+)
+
+// Check returns a *fault.InvalidSetting for a figure that is out of its range.
+func (p Policy) Check() error {
+	for _, one := range []struct {
+		flag  string
+		value float64
+		most  float64
+	}{
+		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--unheard-load", p.UnheardLoad, mostWeight}, {"--unseen-load", p.UnseenLoad, mostWeight},
+		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight}, {"--place-wait", p.PlaceWait, mostWeight},
+	} {
+		if !(one.value >= 0 && one.value <= one.most) {
+			return &fault.InvalidSetting{Flag: one.flag, Value: strconv.FormatFloat(one.value, 'g', -1, 64), Allowed: "0 to " + strconv.FormatFloat(one.most, 'g', -1, 64)}
+		}
+	}
+	if p.SampleSize < 1 || p.SampleSize > mostSampleSize {
+		return &fault.InvalidSetting{Flag: "--sample-size", Value: strconv.Itoa(p.SampleSize), Allowed: "1 to " + strconv.Itoa(mostSampleSize)}
+	}
+	return nil
+}
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -14,16 +14,41 @@
 	}
 	load := balance.Load{Running: k.inFlight - k.unread, Waiting: k.unread, Unread: float64(k.unreadTokens)}
 	if !k.current(now) {
-		return load.Times(wanted.senders)
+		return load.Times(1 + wanted.rules().UnheardLoad*float64(wanted.others))
 	}
 	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
 	load.Waiting += othersWaiting
 	load.Unread += float64(othersWaiting) * wanted.figures.UsualPrompt
 	load.Running = max(0, k.outstanding(now)-load.Waiting)
 	load.Pace = k.status.Pace
+	k.addUnseen(&load, wanted)
+	if weight := wanted.rules().PlaceWait; weight > 0 {
+		load.PlaceWait = func(places int, hold time.Duration) time.Duration {
+			return time.Duration(weight * float64(k.places.Wait(places, now, hold)))
+		}
+	}
 	return load
 }
 
+// addUnseen adds what other entries may have sent since the agent's word: as much each
+// as this one has. A server that has just become idle draws all entries at the same
+// time, and none sees the others' requests before the next word.
+func (k *target) addUnseen(load *balance.Load, wanted need) {
+	weight := wanted.rules().UnseenLoad * float64(wanted.others)
+	if weight == 0 {
+		return
+	}
+	count, tokens := 0, 0
+	for _, one := range k.unbegun {
+		if one.sentAt.After(k.statusAt) {
+			count++
+			tokens += one.prompt
+		}
+	}
+	load.Waiting += int(math.Round(weight * float64(count)))
+	load.Unread += weight * float64(tokens)
+}
+
 // model describes the server to the predictions.
 func (k *target) model(wanted need) balance.Server {
 	if wanted.engine == nil {
@@ -42,7 +67,7 @@
 // firstEvent predicts when the server would begin the request: what its load
 // says, and how much later than that it has lately begun others.
 func (k *target) firstEvent(wanted need, now time.Time) time.Duration {
-	late := k.lateness(now)
+	late := time.Duration(wanted.rules().Lateness * float64(k.lateness(now)))
 	if k.current(now) {
 		late = max(late, k.linkTime())
 	}
@@ -68,8 +93,8 @@
 // longest delay of one that is still waited for, or the faded mean of past ones.
 func (k *target) lateness(now time.Time) time.Duration {
 	late := time.Duration(k.fadedExcess(now))
-	for _, due := range k.expected {
-		late = max(late, now.Sub(due))
+	for _, one := range k.unbegun {
+		late = max(late, now.Sub(one.due))
 	}
 	if late < latenessGrace {
 		return 0
@@ -88,12 +113,12 @@
 // noteBegun takes a request off those whose first event is waited for; the mutex
 // is held.
 func (k *target) noteBegun(w *work, now time.Time) {
-	due, waited := k.expected[w]
+	request, waited := k.unbegun[w]
 	if !waited {
 		return
 	}
-	delete(k.expected, w)
+	delete(k.unbegun, w)
 	past := k.fadedExcess(now)
-	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(due))))
+	k.excess = time.Duration((1-latenessWeight)*past + latenessWeight*float64(max(0, now.Sub(request.due))))
 	k.excessAt = now
 }
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -41,8 +41,8 @@
 	// come, unreadTokens their prompts.
 	unread       int
 	unreadTokens int
-	// expected holds, for each of these requests, when its first event is due.
-	expected map[*work]time.Time
+	// unbegun holds these requests.
+	unbegun map[*work]unbegun
 	// excess is the moving mean of how much later than expected first events come,
 	// as of excessAt.
 	excess      time.Duration
@@ -52,9 +52,11 @@
 	ejectedTill time.Time
 	status      fleet.MachineStatus
 	statusAt    time.Time
-	// inFlightThen and unreadThen are this entry's own part of the status's load.
+	// inFlightThen and unreadThen are this entry's own part of the status's load, places
+	// what the statuses tell of when the server's places were taken.
 	inFlightThen int
 	unreadThen   int
+	places       balance.Places
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers.
 	version uint64
@@ -66,6 +68,14 @@
 	superseded bool
 }
 
+// unbegun is a request at a model server whose first event has not come.
+type unbegun struct {
+	sentAt time.Time
+	// due is when the first event was expected to come.
+	due    time.Time
+	prompt int
+}
+
 // targets is the set of servers.
 type targets struct {
 	zone    string
@@ -114,7 +124,7 @@
 			present[server.ID] = true
 			known := t.byID[server.ID]
 			if known == nil {
-				known = &target{id: server.ID, address: server.Address, zone: server.Zone, expected: map[*work]time.Time{}}
+				known = &target{id: server.ID, address: server.Address, zone: server.Zone, unbegun: map[*work]unbegun{}}
 				t.byID[server.ID] = known
 				if told, heard := t.statuses[server.Address]; heard {
 					known.status, known.statusAt = told.status, told.at
@@ -193,6 +203,13 @@
 	}
 	known.status, known.statusAt = status, at
 	known.inFlightThen, known.unreadThen = known.inFlight, known.unread
+	for _, one := range known.unbegun {
+		if one.sentAt.After(at) {
+			known.inFlightThen--
+			known.unreadThen--
+		}
+	}
+	known.places.Observe(status.Running, at)
 	known.version = max(known.version, status.Version)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Daemon  *daemon.Daemon
 	Dialect fleet.Dialect
+	Policy  forward.Policy
 }
 
 // Gateway is one entry process.
@@ -44,7 +45,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
 		Peers:    func() int { return len(base.Catalog.Entries()) },
-		Registry: base.Registry,
+		Registry: base.Registry, Policy: options.Policy,
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
 	base.Catalog.OnStatus(g.forwarder.TakeStatus)
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -22,6 +22,7 @@
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/gateway"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/rollout"
@@ -162,7 +163,7 @@
 // StartEntry starts an entry.
 func (f *Fleet) StartEntry(zone, index int) {
 	base := f.build(catalog.RoleEntry, zone, index)
-	f.run(Name(catalog.RoleEntry, zone, index), base, gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}}).Run)
+	f.run(Name(catalog.RoleEntry, zone, index), base, gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: forward.DefaultPolicy()}).Run)
 }
 
 // StartAgent starts the agent of a model server's machine.
