Predictions of places are removed; tests of the counted load

Lengths of answers spread so much that places taken together do not come free together. Change: Places and its flag go.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -35,9 +35,6 @@
 	Waiting int
 	// Unread is the number of prompt tokens of the waiting requests.
 	Unread float64
-	// PlaceWait predicts how long it takes until a number of places have come free; nil
-	// leaves it to the mean.
-	PlaceWait func(places int, hold time.Duration) time.Duration
 	// Pace is over 1 when the server is slow; 0 stands for 1.
 	Pace float64
 }
@@ -82,11 +79,7 @@
 func (s Server) FirstEvent(load Load, prompt int) time.Duration {
 	held := load.Running + load.Waiting
 	full := max(0, held+1-s.Slots)
-	wait := time.Duration(full) * s.ServiceTime()
-	if load.PlaceWait != nil && full > 0 {
-		wait = max(wait, load.PlaceWait(full, time.Duration(s.Slots)*s.ServiceTime()))
-	}
-	delay := float64(wait) / float64(time.Millisecond)
+	delay := float64(full) * float64(s.ServiceTime()) / float64(time.Millisecond)
 	if s.reads() {
 		delay += 1000 * (load.Unread + float64(prompt)) / s.ReadPerSecond
 		passes := ownPasses
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -38,7 +38,7 @@
 		most  float64
 	}{
 		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--unheard-load", p.UnheardLoad, mostWeight}, {"--unseen-load", p.UnseenLoad, mostWeight},
-		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight}, {"--place-wait", p.PlaceWait, mostWeight},
+		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight},
 	} {
 		if !(one.value >= 0 && one.value <= one.most) {
 			return &fault.InvalidSetting{Flag: one.flag, Value: strconv.FormatFloat(one.value, 'g', -1, 64), Allowed: "0 to " + strconv.FormatFloat(one.most, 'g', -1, 64)}
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -22,11 +22,6 @@
 	load.Running = max(0, k.outstanding(now)-load.Waiting)
 	load.Pace = k.status.Pace
 	k.addUnseen(&load, wanted)
-	if weight := wanted.rules().PlaceWait; weight > 0 {
-		load.PlaceWait = func(places int, hold time.Duration) time.Duration {
-			return time.Duration(weight * float64(k.places.Wait(places, now, hold)))
-		}
-	}
 	return load
 }
 
--- /dev/null
+++ b/internal/forward/prediction_test.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// idleServer is a set with one model server that its agent has just called idle, and
+// what a request wants while other entries send too.
+func idleServer(now time.Time, others int) (*targets, *target, need) {
+	fleetOf := newTargets("z", nil, logging.Nop())
+	server := modelServer(now.Add(-20*time.Millisecond), 0)
+	fleetOf.byService["s"] = []*target{server}
+	fleetOf.byAddress["10.0.0.1:1"] = server
+	engine := &fleet.Engine{Slots: 16, StepMilliseconds: 7, Stride: 6, ReadPerSecond: 30000, UsualPrompt: 1000, UsualAnswer: 100}
+	return fleetOf, server, need{
+		service: "s", engine: engine, figures: publishedFigures(engine), others: others, prompt: 1000, work: &work{request: &Request{}},
+		route: &fleet.Route{Target: 400 * time.Millisecond},
+	}
+}
+
+// A server that has just become idle draws all entries at the same time: what this one
+// has sent since the agent's word, each other may have sent as well.
+func TestOthersMayHaveSentAsMuchSinceTheWord(t *testing.T) {
+	now := time.Now()
+	fleetOf, server, wanted := idleServer(now, 8)
+	sent := 0
+	for range 10 {
+		wanted.work = &work{request: &Request{}}
+		if _, refusal := fleetOf.choose(wanted); refusal == nil {
+			sent++
+		}
+	}
+	assert.Equal(t, 2, sent, "nine entries with two requests each make 600 ms of reading")
+	fleetOf.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1, Running: 2, SwitchMilliseconds: fleet.NoSwitch}, time.Now())
+	require.Equal(t, server.statusAt, fleetOf.byAddress["10.0.0.1:1"].statusAt)
+	_, refusal := fleetOf.choose(wanted)
+	assert.Nil(t, refusal, "the next word tells how much it was")
+}
+
+// Of a server that no agent tells of, all entries' load is estimated by the own.
+func TestServerThatNobodyTellsOfIsNotTakenForIdle(t *testing.T) {
+	now := time.Now()
+	_, server, wanted := idleServer(now, 8)
+	server.statusAt = time.Time{}
+	server.inFlight = 2
+	assert.Equal(t, 18, server.load(wanted, now).Running)
+	policy := DefaultPolicy()
+	policy.UnheardLoad = 0
+	wanted.policy = &policy
+	assert.Equal(t, 2, server.load(wanted, now).Running)
+}
+
+// Requests that were sent after the agent looked are no part of what it saw: all that
+// it saw beyond those before is others'.
+func TestRequestsOnTheirWayAreNotTakenForSeen(t *testing.T) {
+	now := time.Now()
+	fleetOf, server, wanted := idleServer(now, 0)
+	_, refusal := fleetOf.choose(wanted)
+	require.Nil(t, refusal)
+	fleetOf.takeStatus(fleet.MachineStatus{
+		Address: "10.0.0.1:1", Reachable: true, Version: 1, Waiting: 3, SwitchMilliseconds: fleet.NoSwitch,
+	}, now.Add(-10*time.Millisecond))
+	assert.Equal(t, 4, server.load(wanted, time.Now()).Waiting, "three of others and the own one")
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -52,11 +52,9 @@
 	ejectedTill time.Time
 	status      fleet.MachineStatus
 	statusAt    time.Time
-	// inFlightThen and unreadThen are this entry's own part of the status's load, places
-	// what the statuses tell of when the server's places were taken.
+	// inFlightThen and unreadThen are this entry's own part of the status's load.
 	inFlightThen int
 	unreadThen   int
-	places       balance.Places
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers.
 	version uint64
@@ -209,7 +207,6 @@
 			known.unreadThen--
 		}
 	}
-	known.places.Observe(status.Running, at)
 	known.version = max(known.version, status.Version)
 }
 
