--- a/coordination/turnover/turnover.go
+++ b/coordination/turnover/turnover.go
@@ -61,14 +61,6 @@
 	End   time.Duration
 }
 
-// StartingAt is the window when the pieces are only there at a time. Turns that lie
-// before it would all be taken at once: what is left of the window is divided anew.
-// Members have their pieces at about the same time, and so agree roughly.
-func (w Window) StartingAt(staged time.Duration) Window {
-	w.Start = min(max(w.Start, staged), w.End)
-	return w
-}
-
 // Turn returns when a member's turn is. A member that is not among those ordered
 // goes last.
 func Turn(ordered []string, id string, window Window) time.Duration {
--- a/coordination/turnover/turnover_test.go
+++ b/coordination/turnover/turnover_test.go
@@ -56,26 +56,3 @@
 	assert.Equal(t, 7*time.Second, Turn(ordered, "unknown", window), "one that is not listed still goes in time")
 	assert.Equal(t, time.Second, Turn(ordered, "a", Window{Start: 3 * time.Second, End: time.Second}), "a late start shortens nothing below the end")
 }
-
-// Where the pieces come late, the turns that are over by then are not taken all at once:
-// the members are spread over what is left of the window.
-func TestTurnsAreDividedAnewWhenPiecesComeLate(t *testing.T) {
-	var members []Member
-	for index := range 20 {
-		members = append(members, Member{ID: string(rune('a' + index)), Zone: "z"})
-	}
-	ordered := Order("m/2", members)
-	window := Window{Start: 3 * time.Second, End: 7 * time.Second}.StartingAt(5 * time.Second)
-	within := 0
-	for _, id := range ordered {
-		turn := Turn(ordered, id, window)
-		assert.GreaterOrEqual(t, turn, 5*time.Second)
-		assert.LessOrEqual(t, turn, 7*time.Second)
-		if turn < 6*time.Second {
-			within++
-		}
-	}
-	assert.Equal(t, 10, within, "half of the members in half of the time")
-	assert.Equal(t, Window{Start: 3 * time.Second, End: 7 * time.Second}, Window{Start: 3 * time.Second, End: 7 * time.Second}.StartingAt(time.Second))
-	assert.Equal(t, 7*time.Second, Turn(ordered, ordered[0], window.StartingAt(9*time.Second)))
-}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -58,7 +58,7 @@
 	report, reachable := a.report, a.reachable
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
-	switchAt := a.planSwitch(current, engine, serving, wanted)
+	switchAt := a.planSwitch(model, engine, serving, wanted)
 	due := !time.Now().Before(switchAt.Add(-turnover.NoticeTime))
 	if !reachable || report.Busy || !complete || serving >= wanted || !due {
 		a.withdraw()
@@ -129,18 +129,14 @@
 
 // planSwitch computes when the server changes over: at once when it serves
 // nothing, else in its turn, counted from the first version that it lacks.
-func (a *Agent) planSwitch(current *transfer, engine *fleet.Engine, serving, wanted uint64) time.Time {
+func (a *Agent) planSwitch(model string, engine *fleet.Engine, serving, wanted uint64) time.Time {
 	var planned time.Time
-	model := current.model
 	notice, lacking := a.daemon.Catalog.View().FirstAfter(model, serving)
 	if lacking && serving != 0 && serving < wanted {
 		settings := a.daemon.Settings()
 		ordered := turnover.Order(model+"/"+itoa(int(wanted)), a.members())
-		window := a.window(engine, settings)
-		if stagedAt, staged := current.stagedSince(); staged {
-			window = window.StartingAt(stagedAt.Sub(notice.Since))
-		}
-		planned = notice.Since.Add(turnover.Turn(ordered, settings.IP, window))
+		turn := turnover.Turn(ordered, settings.IP, a.window(engine, settings))
+		planned = notice.Since.Add(turn)
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -66,11 +66,9 @@
 	// early keeps offers that came before the manifest.
 	early []offer
 	// corrupt counts how often each piece has failed its digest.
-	corrupt  map[int]int
-	doubtful bool
-	complete bool
-	// completeAt is when the last piece was laid down.
-	completeAt time.Time
+	corrupt    map[int]int
+	doubtful   bool
+	complete   bool
 	fromOrigin int
 	fromPeers  int
 }
@@ -342,9 +340,6 @@
 	t.mutex.Lock()
 	changed := !t.complete && t.fetcher.Missing() == 0
 	t.complete = t.fetcher.Missing() == 0
-	if changed {
-		t.completeAt = time.Now()
-	}
 	doubtful := t.doubtful && !t.complete
 	t.mutex.Unlock()
 	if changed {
@@ -358,13 +353,6 @@
 	}
 }
 
-// stagedSince returns since when all pieces are there.
-func (t *transfer) stagedSince() (time.Time, bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.completeAt, t.complete
-}
-
 // state returns whether all pieces are there and how many are missing.
 func (t *transfer) state() (complete bool, missing int) {
 	t.mutex.Lock()
