--- a/internal/rollout/pace_test.go
+++ b/internal/rollout/pace_test.go
@@ -12,7 +12,7 @@
 // On a link that has become narrow, pieces must not queue up before the requests
 // to the machine's server.
 func TestSlowPiecesLeaveOneAtATime(t *testing.T) {
-	pace := newFetchPace(0)
+	pace := newFetchPace()
 	for range maximumFetches {
 		require.NoError(t, pace.acquire(context.Background()))
 	}
@@ -27,7 +27,7 @@
 }
 
 func TestQuickPiecesBringThePaceBack(t *testing.T) {
-	pace := newFetchPace(0)
+	pace := newFetchPace()
 	pace.limit = 1
 	for range quickPieces * maximumFetches {
 		require.NoError(t, pace.acquire(context.Background()))
@@ -35,13 +35,3 @@
 	}
 	assert.Equal(t, maximumFetches, pace.limit)
 }
-
-// What stands in the link is bounded by the link's own time for a piece.
-func TestPaceFollowsTheLink(t *testing.T) {
-	pace := newFetchPace(30 * time.Millisecond)
-	for range maximumFetches {
-		require.NoError(t, pace.acquire(context.Background()))
-	}
-	pace.release(200 * time.Millisecond)
-	assert.Equal(t, maximumFetches/2, pace.limit, "six pieces stood before this one")
-}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -76,23 +76,13 @@
 func newTransfer(agent *Agent, model string, version uint64, cancel context.CancelFunc) *transfer {
 	t := &transfer{
 		agent: agent, model: model, began: time.Now(), cancel: cancel,
-		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), corrupt: map[int]int{}, pace: newFetchPace(agent.linkPieceTime()),
+		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), corrupt: map[int]int{}, pace: newFetchPace(),
 	}
 	t.number.Store(version)
 	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, agent.roster())
 	return t
 }
 
-// linkPieceTime is how long the machine's own link takes for a piece; 0 when that is not
-// known.
-func (a *Agent) linkPieceTime() time.Duration {
-	engine, _ := a.engine()
-	if engine == nil {
-		return 0
-	}
-	return engine.PieceTime(a.daemon.Settings().LinkBytesPerSecond)
-}
-
 func (t *transfer) self() dissemination.MachineID { return t.agent.self }
 
 func (t *transfer) version() uint64 { return t.number.Load() }
