Entries that start together find each other in 0.3 s

Change: an entry that is new is told on every link at once; the first pause after a failed dial is 0.1 s, doubling to 0.7 s. Besides, published reading rates are corrected only where idle servers' whole first events contradict them by a factor of four: reading alone made 135 ms of 31 ms in calm seconds. Own test fleet of 9 entries: all known after 1.2 s before, 0.3 to 0.5 s after. Tests: TestNewEntriesAreToldSoon, TestDialsAreRepeatedSoonAtFirst, TestWrongFiguresAreCorrected.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -57,6 +57,9 @@
 	return s.StepMilliseconds + running*(s.PerSequence+s.ContextPerThousand*s.UsualPrompt/1000)
 }
 
+// pass is the time of a pass with a number of requests running.
+func (s Server) pass(running float64) float64 { return float64(s.Stride) * s.step(running) }
+
 // ServiceTime is the mean time between two places becoming free at a full server.
 func (s Server) ServiceTime() time.Duration {
 	slots := float64(max(1, s.Slots))
@@ -86,7 +89,7 @@
 		if load.Running > 0 {
 			passes += passesBefore
 		}
-		delay += passes * float64(s.Stride) * s.step(float64(load.Running))
+		delay += passes * s.pass(float64(load.Running))
 	} else {
 		delay += s.WholeMilliseconds
 	}
--- a/coordination/balance/learned.go
+++ b/coordination/balance/learned.go
@@ -15,6 +15,14 @@
 	// for a factor of about two.
 	enoughToCorrect = 50
 	contradiction   = 4.0
+	// outlier times its prediction is the most that one sample counts for: single
+	// requests are held up for seconds by lost packets and cut links.
+	outlier = 8
+	// leastReadingShare of the time until the first event is taken for reading, however
+	// long a pass seems.
+	leastReadingShare = 0.25
+
+	millisecondsASecond = 1000.0
 )
 
 // Figures that are assumed until a few requests have been answered: of a middling
@@ -30,9 +38,11 @@
 // Learned is what the answers of a service's servers show of their speed. Its zero
 // value knows nothing yet.
 type Learned struct {
-	// reading holds prompt tokens over the seconds until the first event, at servers
-	// that had nothing else to do.
+	// reading holds prompt tokens over the seconds until the first event less the pass
+	// that writes it, at servers that had nothing else to do; idle holds the whole time
+	// over the one that the published figures predict.
 	reading mean
+	idle    mean
 	// pass holds the milliseconds between two events, prompt and events the sizes of
 	// requests.
 	pass   mean
@@ -56,10 +66,17 @@
 func (m *mean) value() float64 { return m.sum / m.weight }
 
 // IdleFirstEvent notes how long a server that had nothing else to do took until the
-// first event of a request.
-func (l *Learned) IdleFirstEvent(prompt int, delay time.Duration) {
-	if prompt > 0 && delay > 0 {
-		l.reading.add(float64(prompt), delay.Seconds())
+// first event of a request, where the published figures are those given.
+func (l *Learned) IdleFirstEvent(published Server, prompt int, delay time.Duration) {
+	if prompt <= 0 || delay <= 0 {
+		return
+	}
+	pass := published.pass(0)
+	reading := max(delay.Seconds()-pass/millisecondsASecond, leastReadingShare*delay.Seconds())
+	l.reading.add(float64(prompt), reading)
+	if published.ReadPerSecond > 0 {
+		predicted := published.FirstEvent(Load{}, prompt)
+		l.idle.add(float64(min(delay, outlier*predicted)), float64(predicted))
 	}
 }
 
@@ -86,13 +103,25 @@
 		server.Stride = 1
 	}
 	stride := float64(server.Stride)
-	server.ReadPerSecond = l.reading.orElse(published.ReadPerSecond, 1, assumedReadPerSecond)
+	if published.ReadPerSecond <= 0 || l.idleContradicts() {
+		server.ReadPerSecond = l.reading.orElse(0, 1, assumedReadPerSecond)
+	}
 	server.StepMilliseconds = l.pass.orElse(published.StepMilliseconds, 1/stride, assumedStepMilliseconds)
 	server.UsualPrompt = l.prompt.orElse(published.UsualPrompt, 1, assumedPrompt)
 	server.UsualAnswer = l.events.orElse(published.UsualAnswer, stride, assumedAnswer)
 	return server
 }
 
+// idleContradicts reports whether idle servers begin requests so much sooner or later
+// than the published figures say that the reading rate can't be right.
+func (l *Learned) idleContradicts() bool {
+	if l.idle.samples < enoughToCorrect {
+		return false
+	}
+	ratio := l.idle.value()
+	return ratio > contradiction || ratio < 1/contradiction
+}
+
 // orElse returns the published figure unless it is missing or contradicted by the mean
 // times a scale; assumed is returned where there is neither.
 func (m *mean) orElse(published, scale, assumed float64) float64 {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -65,11 +65,13 @@
 	statusSequence uint64
 	onStatus       func(fleet.MachineStatus, time.Time)
 
-	entries   map[string]*entryPeer
-	links     map[string]*outLink
-	callbacks []func(*View)
-	notify    sync.Mutex
-	kick      chan struct{}
+	entries map[string]*entryPeer
+	// entriesSequence counts the entries that were new.
+	entriesSequence uint64
+	links           map[string]*outLink
+	callbacks       []func(*View)
+	notify          sync.Mutex
+	kick            chan struct{}
 }
 
 // New returns an empty catalog and registers its handlers with the hub.
@@ -170,10 +172,7 @@
 	if unchanged {
 		return
 	}
-	select {
-	case c.kick <- struct{}{}:
-	default:
-	}
+	c.kickExchange()
 	for _, callback := range c.callbacks {
 		callback(c.View())
 	}
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -34,12 +34,18 @@
 	// the age up to which an entry of another zone, of which only the list tells,
 	// counts as alive.
 	listPeriod = 900 * time.Millisecond
-	farRecent  = 4 * time.Second
+	// newListPause is the least time between two lists on a link while entries are new.
+	newListPause = 100 * time.Millisecond
+	farRecent    = 4 * time.Second
 	// gatesPerZone is how many entries of a zone speak with those of others.
 	gatesPerZone = 2
-	// dialTimeout and dialPause bound the making of links.
-	dialTimeout = 1200 * time.Millisecond
-	dialPause   = 700 * time.Millisecond
+	// dialTimeout bounds the making of a link. After the first failure, which at the
+	// start means that the other does not listen yet, firstDialPause goes by until the
+	// next try; it doubles up to dialPause.
+	dialTimeout          = 1200 * time.Millisecond
+	firstDialPause       = 100 * time.Millisecond
+	dialPause            = 700 * time.Millisecond
+	maximumDialDoublings = 3
 	// pullAfter is how long the store is given to bring what a peer already has.
 	pullAfter = 250 * time.Millisecond
 	// feedersPerAgent is how many entries tell each agent the news.
@@ -85,8 +91,12 @@
 	// while it is being told.
 	statusSequence uint64
 	passing        bool
-	// listedAt is when the other was last sent the list of entries.
-	listedAt time.Time
+	// listedAt is when the other was last sent the list of entries, listedSequence how
+	// many entries had been new by then.
+	listedAt       time.Time
+	listedSequence uint64
+	// failures counts the dials in a row that failed.
+	failures int
 }
 
 // exchange keeps the links and sends the news. Agents only listen.
@@ -131,9 +141,9 @@
 			continue
 		}
 		_, isAgent := agents[ip]
-		withList := !isAgent && time.Since(out.listedAt) > listPeriod
+		withList := !isAgent && c.listDue(out)
 		if withList {
-			out.listedAt = time.Now()
+			out.listedAt, out.listedSequence = time.Now(), c.entriesSequence
 		}
 		message := c.compose(out.sequence, withList)
 		out.sequence = c.sequence
@@ -142,6 +152,14 @@
 	}
 }
 
+// listDue reports whether a link is to be sent the list of entries: from time to time,
+// and soon after an entry was new, so that entries that start together know each other
+// quickly; the mutex is held.
+func (c *Catalog) listDue(out *outLink) bool {
+	since := time.Since(out.listedAt)
+	return since > listPeriod || (out.listedSequence != c.entriesSequence && since > newListPause)
+}
+
 func (c *Catalog) send(out *outLink, link *peering.Link, message update) {
 	err := peering.Send(link, topicUpdate, "", message)
 	c.mutex.Lock()
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -113,13 +113,26 @@
 	defer c.mutex.Unlock()
 	out.dialling = false
 	if err != nil {
-		out.nextDial = time.Now().Add(dialPause)
+		out.nextDial = time.Now().Add(pauseAfter(out.failures))
+		out.failures++
 		return
 	}
+	out.failures = 0
 	out.link, out.sequence, out.statusSequence, out.listedAt = link, 0, 0, time.Time{}
 	if remote := link.Remote(); remote.Role == RoleEntry {
 		c.heardEntry(ip, remote.Zone, 0)
 	}
+	c.kickExchange()
+}
+
+// pauseAfter is how long a dial waits after it has failed once more than a number of
+// times in a row.
+func pauseAfter(failures int) time.Duration {
+	return min(firstDialPause<<min(failures, maximumDialDoublings), dialPause)
+}
+
+// kickExchange has the links looked after and the news sent at once.
+func (c *Catalog) kickExchange() {
 	select {
 	case c.kick <- struct{}{}:
 	default:
@@ -139,6 +152,8 @@
 		}
 		peer = &entryPeer{}
 		c.entries[ip] = peer
+		c.entriesSequence++
+		c.kickExchange()
 	}
 	if zone != "" {
 		peer.zone = zone
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -44,7 +44,7 @@
 	}
 	w.targets.mutex.Lock()
 	defer w.targets.mutex.Unlock()
-	w.targets.learnedOf(w.wanted.service).IdleFirstEvent(w.wanted.prompt, now.Sub(w.sentAt))
+	w.targets.learnedOf(w.wanted.service).IdleFirstEvent(publishedFigures(w.wanted.engine), w.wanted.prompt, now.Sub(w.sentAt))
 }
 
 // learnStream notes a stream that one server has written from its first event to its
