A soak of real processes under seeded faults

pinevane experiment soak runs entries and agents as processes on the stand-in of the users' platform, strikes them with 22 kinds of faults drawn from a seed, in series that overlap, and judges nine promises from what callers and servers saw. What the demo and the soak share stands once, in launch.SiteFleet. The judge has a test for each promise: a record spoilt in one way gives that violation alone. Not built: a proxy on the links between processes, clocks that jump.

--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -20,6 +20,7 @@
 	Faults  faultsCommand  `command:"faults" description:"Run seeded fault schedules in virtual time and judge the promises"`
 	Load    loadCommand    `command:"load" description:"Load a small fleet over real sockets and compare with calling its back ends directly"`
 	Scale   scaleCommand   `command:"scale" description:"Measure what control costs with hollow processes beside real ones"`
+	Soak    soakCommand    `command:"soak" description:"Run real processes under faults drawn from a seed and check the promises"`
 	Hollow  hollowCommand  `command:"hollow" hidden:"true" description:"Hold hollow processes for experiment scale"`
 }
 
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,9 +46,9 @@
 // systemDemo is one run.
 type systemDemo struct {
 	options SystemOptions
+	fleet   *launch.SiteFleet
 	site    *site.Site
 	group   *launch.Group
-	folder  string
 
 	answered atomic.Int64
 	refused  atomic.Int64
@@ -63,18 +62,12 @@
 // adds an empty server, changes the configuration, stops an entry as planned, and
 // checks from the servers' own ledger that the promises held.
 func RunSystem(options SystemOptions) error {
-	folder, err := os.MkdirTemp("", "pinevane-demo")
+	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, systemFleet())
 	if err != nil {
-		return &fault.Unavailable{Target: "temporary folder", Operation: "make", Cause: err}
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	running, err := site.Start(systemFleet())
-	if err != nil {
-		return &fault.Unavailable{Target: "stand-in", Operation: "start", Cause: err}
+		return err
 	}
-	defer running.Close()
-	d := &systemDemo{options: options, site: running, folder: folder, group: launch.NewGroup(options.Executable, options.LogDirectory)}
-	defer d.group.Stop()
+	defer fleet.Close()
+	d := &systemDemo{options: options, fleet: fleet, site: fleet.Site, group: fleet.Group}
 	return d.run()
 }
 
@@ -83,9 +76,11 @@
 }
 
 func (d *systemDemo) run() error {
-	if err := d.startAll(); err != nil {
+	if err := d.fleet.StartAll(systemReady); err != nil {
 		return err
 	}
+	shape := d.site.Options
+	d.printf("%d entries and %d agents run, as processes, in %d zones", shape.Zones*shape.Entries, shape.Zones*shape.ModelServers, shape.Zones)
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for caller := range systemCallers {
@@ -101,72 +96,11 @@
 	return d.report()
 }
 
-// startAll starts every entry and agent and waits until the entries are ready.
-func (d *systemDemo) startAll() error {
-	options := d.site.Options
-	for zone := range options.Zones {
-		for index := range options.Entries {
-			if err := d.start(site.RoleEntry, zone, index); err != nil {
-				return err
-			}
-		}
-		for index := range options.ModelServers {
-			if err := d.start(site.RoleAgent, zone, index); err != nil {
-				return err
-			}
-		}
-	}
-	err := d.wait("entries ready", systemReady, func() bool {
-		for zone := range options.Zones {
-			for index := range options.Entries {
-				if !d.ready(zone, index) {
-					return false
-				}
-			}
-		}
-		return true
-	})
-	d.printf("%d entries and %d agents run, as processes, in %d zones", options.Zones*options.Entries, options.Zones*options.ModelServers, options.Zones)
-	return err
-}
-
-func (d *systemDemo) start(role string, zone, index int) error {
-	if err := d.site.OpenStore(role, zone, index); err != nil {
-		return &fault.Unavailable{Target: "stand-in", Operation: "listen", Cause: err}
-	}
-	name := fmt.Sprintf("%s-%d-%d", role, zone, index)
-	path := filepath.Join(d.folder, name+".json")
-	if err := os.WriteFile(path, d.site.Settings(role, zone, index), 0o600); err != nil {
-		return &fault.Unavailable{Target: path, Operation: "write", Cause: err}
-	}
-	return d.group.Run(name, []string{role, "--settings", path})
-}
-
-func (d *systemDemo) ready(zone, index int) bool {
-	response, err := http.Get(d.site.ReadyURL(zone, index))
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-func (d *systemDemo) wait(what string, limit time.Duration, condition func() bool) error {
-	deadline := time.Now().Add(limit)
-	for time.Now().Before(deadline) {
-		if condition() {
-			return nil
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return &fault.Timeout{Waiting: what, After: limit}
-}
-
 // changes does what operators do, under load.
 func (d *systemDemo) changes() error {
 	named := time.Now()
 	d.site.NameVersion(2)
-	if err := d.wait("version 2 everywhere", systemVersionTime, func() bool { return d.allServe(2) }); err != nil {
+	if err := launch.WaitFor(systemVersionTime, "version 2 everywhere", func() bool { return d.allServe(2) }); err != nil {
 		return err
 	}
 	d.printf("version 2 is in service everywhere %.1f s after its naming; the origin sent %.2f copies", time.Since(named).Seconds(), d.site.Origin.Copies())
@@ -175,22 +109,23 @@
 		return &fault.Unavailable{Target: "stand-in", Operation: "start", Cause: err}
 	}
 	came := time.Now()
-	if err := d.start(site.RoleAgent, 1, late); err != nil {
+	if err := d.fleet.Start(site.RoleAgent, 1, late); err != nil {
 		return err
 	}
-	if err := d.wait("the empty server serves", systemVersionTime, func() bool { return d.allServe(2) }); err != nil {
+	if err := launch.WaitFor(systemVersionTime, "the empty server serves", func() bool { return d.allServe(2) }); err != nil {
 		return err
 	}
 	d.printf("an empty server serves %.1f s after it came; the origin has sent %.2f copies", time.Since(came).Seconds(), d.site.Origin.Copies())
 	d.site.Configure(nil)
-	stopped := time.Now()
-	if err := d.group.Signal("entry-0-0", syscall.SIGTERM); err != nil {
+	stopped := launch.SiteProcess(site.RoleEntry, 0, 0)
+	began := time.Now()
+	if err := d.group.Signal(stopped, syscall.SIGTERM); err != nil {
 		return err
 	}
-	if !d.group.WaitExit("entry-0-0", systemVersionTime) {
+	if !d.group.WaitExit(stopped, systemVersionTime) {
 		return &fault.Timeout{Waiting: "the stopped entry ends", After: systemVersionTime}
 	}
-	d.printf("an entry stopped as planned within %.1f s", time.Since(stopped).Seconds())
+	d.printf("an entry stopped as planned within %.1f s", time.Since(began).Seconds())
 	return nil
 }
 
--- /dev/null
+++ b/internal/experiment/soak/callers.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/launch"
+)
+
+// Shape of the load.
+const (
+	callersPerZone = 6
+	mostEvents     = 40
+	callTimeout    = 7 * time.Second
+	// reconnectPause follows a connection that an entry did not take.
+	reconnectPause = 50 * time.Millisecond
+	pauseBetween   = 15 * time.Millisecond
+)
+
+// callers send requests of every kind and record what came of them.
+type callers struct {
+	site *site.Site
+
+	mutex    sync.Mutex
+	attempts []Attempt
+}
+
+func (c *callers) note(attempt Attempt) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.attempts = append(c.attempts, attempt)
+}
+
+// all returns what was recorded so far.
+func (c *callers) all() []Attempt {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return append([]Attempt(nil), c.attempts...)
+}
+
+// run calls the entries of one zone until the context ends, over kept connections.
+func (c *callers) run(ctx context.Context, zone, caller int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
+	defer client.CloseIdleConnections()
+	for number := 0; ctx.Err() == nil; number++ {
+		attempt := Attempt{ID: fmt.Sprintf("soak-%d-%d-%d", zone, caller, number)}
+		index := (caller + number/8) % c.site.Options.Entries
+		attempt.Entry = launch.SiteProcess(site.RoleEntry, zone, index)
+		events := 1 + random.IntN(mostEvents)
+		switch number % 4 {
+		case 0:
+			attempt.Kind = CallOnce
+		case 1:
+			attempt.Kind = CallSafe
+		default:
+			attempt.Kind = CallStream
+		}
+		if c.send(client, zone, index, &attempt, events) {
+			c.note(attempt)
+			time.Sleep(pauseBetween)
+		} else {
+			time.Sleep(reconnectPause)
+		}
+	}
+}
+
+// send makes one request. It returns false when the entry took no connection, so that
+// nothing was sent.
+func (c *callers) send(client *http.Client, zone, index int, attempt *Attempt, events int) bool {
+	method, path := http.MethodPost, site.OncePrefix+"save"
+	body := "words of " + attempt.ID
+	switch attempt.Kind {
+	case CallSafe:
+		method, path = http.MethodGet, site.SafePrefix+attempt.ID
+	case CallStream:
+		path = site.StreamPrefix + "gloss"
+	}
+	request, err := http.NewRequest(method, c.site.EntryURL(zone, index)+path, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Host = site.Host
+	request.Header.Set("Request-Id", attempt.ID)
+	request.Header.Set("Authorization", "Token "+site.Key)
+	request.Header.Set("Deadline-Ms", "6000")
+	if attempt.Kind == CallStream {
+		request.Header.Set("Model", c.site.Options.Weights.Model)
+		request.Header.Set("Token-Usage", fmt.Sprintf("10,%d", events))
+	}
+	attempt.Sent = time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		attempt.Ended = time.Now()
+		return !strings.Contains(err.Error(), "connection refused")
+	}
+	answer, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	attempt.Ended, attempt.Status, attempt.Whole = time.Now(), response.StatusCode, err == nil
+	attempt.Own = isOwn(*attempt, string(answer), method, path, body, events)
+	return true
+}
+
+// isOwn reports whether an answer is the whole one to the request.
+func isOwn(attempt Attempt, answer, method, path, body string, events int) bool {
+	if attempt.Kind != CallStream {
+		if method == http.MethodGet {
+			return strings.HasPrefix(answer, method+" "+path+" ")
+		}
+		return answer == method+" "+path+" "+body
+	}
+	var want strings.Builder
+	for event := 1; event <= events; event++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s/%d\n\n", event, attempt.ID, event)
+	}
+	return answer == want.String()
+}
--- /dev/null
+++ b/internal/experiment/soak/faults.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/launch"
+)
+
+// Times of faults that are not drawn.
+const (
+	// restartPause is how long the platform takes to start a process that has ended.
+	restartPause = 700 * time.Millisecond
+	// storeKeepsQuiet is how long the store is away around lapsed servers, and
+	// returnPause how long they take to write their lines anew.
+	storeKeepsQuiet = 2 * time.Second
+	returnPause     = 900 * time.Millisecond
+	// secondVersion follows the first of two.
+	secondVersion = 2 * time.Second
+	// stopLimit is when a stopped entry must have ended.
+	stopLimit = 10 * time.Second
+	// serverFaultTime is how long a server's own faults, which requests use up, may
+	// still show.
+	serverFaultTime = 3 * time.Second
+)
+
+// strike carries a fault out. What ends it is queued on the run's timeline.
+func (r *run) strike(fault Fault) error {
+	zone, now := fault.Zone, time.Now()
+	entry, agent := fault.Index%r.site.Options.Entries, fault.Index%r.site.Options.ModelServers
+	server := r.site.Models[r.site.Options.ModelIP(zone, agent)]
+	switch fault.Kind {
+	case KillEntry:
+		return r.kill(site.RoleEntry, zone, entry)
+	case KillAgent:
+		return r.kill(site.RoleAgent, zone, agent)
+	case KillMany:
+		return r.killMany(zone)
+	case FreezeEntry:
+		return r.freeze(launch.SiteProcess(site.RoleEntry, zone, entry), fault.For)
+	case FreezeAgent:
+		return r.freeze(launch.SiteProcess(site.RoleAgent, zone, agent), fault.For)
+	case StopEntry:
+		return r.stop(zone, entry)
+	case StoreDown:
+		r.site.Store.SetDown(true)
+		r.disturb(fault.Kind, fault.For)
+		r.after(fault.For, func() error { r.site.Store.SetDown(false); return nil })
+	case StoreForgets:
+		r.site.Store.SetDeaf()
+		r.disturb(fault.Kind, fault.For)
+		r.after(fault.For, func() error { r.site.Store.Compact(); return nil })
+	case StoreRefuses:
+		r.site.Store.Refuse(r.site.Options.EntryIP(zone, entry), r.site.Options.ModelIP(zone, agent))
+		r.disturb(fault.Kind, fault.For)
+		r.after(fault.For, func() error { r.site.Store.Refuse(); return nil })
+	case ServersLapse:
+		r.lapse()
+	case ServerCrash, ServerUnlisted:
+		r.disturb(fault.Kind, serverFaultTime)
+		if fault.Kind == ServerCrash {
+			return r.site.RestartModel(zone, agent)
+		}
+		return r.site.RestartModelUnnoticed(zone, agent)
+	case ServerLeaves:
+		return r.leave(zone, agent, server)
+	case PiecesRot:
+		r.disturb(fault.Kind, serverFaultTime)
+		for piece := range fault.Count {
+			server.Rot(piece)
+		}
+	case OriginSpoils:
+		r.site.Origin.Spoil(fault.Count)
+	case CutStreams:
+		r.spoilServer(fault.Kind, server, site.Faults{CutAfter: fault.Count, CutCount: fault.Count})
+	case LoseAnswers:
+		r.spoilServer(fault.Kind, server, site.Faults{LoseAnswers: fault.Count})
+	case Shed:
+		r.spoilServer(fault.Kind, server, site.Faults{Shed: fault.Count})
+	case SurplusAnswers:
+		r.spoilServer(fault.Kind, server, site.Faults{Surplus: fault.Count})
+	case NewVersion:
+		r.nameVersion(now)
+	case TwoVersions:
+		r.nameVersion(now)
+		r.after(secondVersion, func() error { r.nameVersion(time.Now()); return nil })
+	case Reconfigure:
+		r.site.Configure(nil)
+	}
+	return nil
+}
+
+// disturb notes that something is disturbed for a time from now on.
+func (r *run) disturb(kind Kind, lasts time.Duration) {
+	now := time.Now()
+	r.record.Disturbed = append(r.record.Disturbed, Span{Kind: kind, From: now, To: now.Add(lasts)})
+}
+
+func (r *run) spoilServer(kind Kind, server *site.Server, faults site.Faults) {
+	server.SetFaults(faults)
+	r.disturb(kind, serverFaultTime)
+	r.after(serverFaultTime, func() error { server.SetFaults(site.Faults{}); return nil })
+}
+
+func (r *run) nameVersion(now time.Time) {
+	r.version++
+	r.site.NameVersion(r.version)
+	r.record.Namings = append(r.record.Namings, Naming{Version: r.version, At: now})
+}
+
+// kill ends a process without warning and starts it again.
+func (r *run) kill(role string, zone, index int) error {
+	name := launch.SiteProcess(role, zone, index)
+	if r.busy[name] {
+		return nil
+	}
+	r.busy[name] = true
+	r.disturb(KillEntry, restartPause)
+	if err := r.fleet.Group.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	r.after(restartPause, func() error {
+		r.busy[name] = false
+		_ = r.fleet.Group.WaitExit(name, stopLimit)
+		return r.fleet.Restart(role, zone, index)
+	})
+	return nil
+}
+
+// killMany ends every process of a zone at the same time.
+func (r *run) killMany(zone int) error {
+	for index := range r.site.Options.Entries {
+		if err := r.kill(site.RoleEntry, zone, index); err != nil {
+			return err
+		}
+	}
+	for index := range r.site.Options.ModelServers {
+		if err := r.kill(site.RoleAgent, zone, index); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeze stops a process for a while; it wakes believing its old view of the world.
+func (r *run) freeze(name string, lasts time.Duration) error {
+	if r.busy[name] {
+		return nil
+	}
+	r.busy[name] = true
+	r.disturb(FreezeEntry, lasts)
+	r.after(lasts, func() error {
+		r.busy[name] = false
+		return r.fleet.Group.Signal(name, syscall.SIGCONT)
+	})
+	return r.fleet.Group.Signal(name, syscall.SIGSTOP)
+}
+
+// stop ends an entry as planned and starts it again once it has ended.
+func (r *run) stop(zone, index int) error {
+	name := launch.SiteProcess(site.RoleEntry, zone, index)
+	if r.busy[name] {
+		return nil
+	}
+	r.busy[name] = true
+	now := time.Now()
+	r.record.Stops = append(r.record.Stops, Span{Kind: StopEntry, From: now, To: now.Add(r.record.Grace), Process: name})
+	r.after(r.record.Grace, func() error {
+		r.busy[name] = false
+		if !r.fleet.Group.WaitExit(name, stopLimit) {
+			r.found = append(r.found, Violation{Promise: StopCutsNothing, At: time.Now(), Detail: name + " did not end within its grace"})
+			return nil
+		}
+		return r.fleet.Restart(site.RoleEntry, zone, index)
+	})
+	return r.fleet.Group.Signal(name, syscall.SIGTERM)
+}
+
+// lapse has the store lose every model server's line while it is away; the servers write
+// them anew after it.
+func (r *run) lapse() {
+	r.site.Store.SetDown(true)
+	r.disturb(ServersLapse, storeKeepsQuiet+returnPause)
+	var lapsed []*site.Server
+	for _, server := range r.site.Models {
+		server.Lapse()
+		lapsed = append(lapsed, server)
+	}
+	r.after(storeKeepsQuiet, func() error { r.site.Store.SetDown(false); return nil })
+	r.after(storeKeepsQuiet+returnPause, func() error {
+		for _, server := range lapsed {
+			server.Return()
+		}
+		return nil
+	})
+}
+
+// leave has a server announce its end, and puts an empty one in its place after it.
+func (r *run) leave(zone, index int, server *site.Server) error {
+	if r.busy[server.ID()] {
+		return nil
+	}
+	r.busy[server.ID()] = true
+	server.Leave()
+	r.record.Departures = append(r.record.Departures, Departure{Server: server.ID(), At: time.Now()})
+	r.after(r.record.Drain+2*time.Second, func() error {
+		if r.site.Models[r.site.Options.ModelIP(zone, index)] != server {
+			return nil
+		}
+		r.disturb(ServerLeaves, serverFaultTime)
+		return r.site.RestartModel(zone, index)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/soak/judge.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// Promise names what a violation breaks.
+type Promise string
+
+// The promises that are checked.
+const (
+	WholeOwnAnswer  Promise = "whole own answer"
+	AtMostOnce      Promise = "at most once"
+	TrueRefusal     Promise = "a refusal is true"
+	SoundWeights    Promise = "no partial or mixed weights"
+	CallerIsolation Promise = "the caller's key stays here"
+	VersionInTime   Promise = "versions in time"
+	LeavingIsLeft   Promise = "a leaving server gets no new work"
+	StopCutsNothing Promise = "a planned stop cuts nothing"
+	RecoveryInTime  Promise = "recovery in time"
+)
+
+// RequestKind tells how often a request may run.
+type RequestKind int
+
+// The kinds of requests.
+const (
+	// CallOnce may run at most once, CallSafe more often; CallStream is a stream that may
+	// be continued.
+	CallOnce RequestKind = iota + 1
+	CallSafe
+	CallStream
+)
+
+// Attempt is one request as its caller saw it.
+type Attempt struct {
+	ID   string
+	Kind RequestKind
+	// Entry is the process that it was sent to.
+	Entry string
+	Sent  time.Time
+	Ended time.Time
+	// Status is 0 when no head of an answer came.
+	Status int
+	// Whole is set when the answer came to its end, Own when it is the answer to this
+	// request with nothing missing.
+	Whole bool
+	Own   bool
+}
+
+// Span is a time in which something was disturbed.
+type Span struct {
+	Kind Kind
+	From time.Time
+	To   time.Time
+	// Process is the one that a planned stop concerns; empty otherwise.
+	Process string
+}
+
+// Departure is a server that has announced its end.
+type Departure struct {
+	Server string
+	At     time.Time
+}
+
+// Naming is a named version of the weights.
+type Naming struct {
+	Version uint64
+	At      time.Time
+}
+
+// Record is everything that a run has seen.
+type Record struct {
+	Attempts   []Attempt
+	Runs       []site.Run
+	Disturbed  []Span
+	Stops      []Span
+	Departures []Departure
+	Namings    []Naming
+	// VersionApply, Drain and Grace are the bounds of the platform.
+	VersionApply time.Duration
+	Drain        time.Duration
+	Grace        time.Duration
+}
+
+// Violation is one broken promise.
+type Violation struct {
+	Promise Promise
+	At      time.Time
+	Request string
+	Detail  string
+}
+
+// Margins of the judge.
+const (
+	// contact is how long after a disturbance bounds of time do not hold yet.
+	contact = 3 * time.Second
+	// slack is allowed on bounds of time for what is on its way.
+	slack = 300 * time.Millisecond
+)
+
+// Judge finds every broken promise in a record.
+func Judge(record Record) []Violation {
+	var found []Violation
+	runs := map[string][]site.Run{}
+	for _, run := range record.Runs {
+		runs[run.RequestID] = append(runs[run.RequestID], run)
+	}
+	for _, attempt := range record.Attempts {
+		found = append(found, judgeAttempt(attempt, runs[attempt.ID])...)
+		found = append(found, record.judgeStop(attempt)...)
+	}
+	for _, run := range record.Runs {
+		found = append(found, record.judgeRun(run)...)
+	}
+	return found
+}
+
+func judgeAttempt(attempt Attempt, runs []site.Run) []Violation {
+	var found []Violation
+	add := func(promise Promise, detail string) {
+		found = append(found, Violation{Promise: promise, At: attempt.Ended, Request: attempt.ID, Detail: detail})
+	}
+	if attempt.Status == http.StatusOK && attempt.Whole && !attempt.Own {
+		add(WholeOwnAnswer, "a complete answer lacks something, or is another's, from "+attempt.Entry)
+	}
+	if attempt.Kind == CallOnce && len(runs) > 1 {
+		add(AtMostOnce, fmt.Sprintf("ran %d times", len(runs)))
+	}
+	if saysNotRun(attempt.Status) && len(runs) > 0 {
+		add(TrueRefusal, fmt.Sprintf("%s answered %d, and it ran at %s", attempt.Entry, attempt.Status, runs[0].Server))
+	}
+	return found
+}
+
+// saysNotRun reports whether a status promises that the request has not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// judgeRun judges what one server has begun.
+func (r Record) judgeRun(run site.Run) []Violation {
+	var found []Violation
+	add := func(promise Promise, detail string) {
+		found = append(found, Violation{Promise: promise, At: run.At, Request: run.RequestID, Detail: run.Server + ": " + detail})
+	}
+	if run.Spoilt {
+		add(SoundWeights, "it ran on missing or wrong pieces")
+	}
+	if run.KeySeen || run.Tenant != site.Tenant {
+		add(CallerIsolation, "it came with the caller's key or another tenant")
+	}
+	for _, naming := range r.Namings {
+		due := naming.At.Add(r.VersionApply + slack)
+		if run.Version != 0 && run.Version < naming.Version && run.At.After(due) && r.calm(naming.At, run.At) {
+			add(VersionInTime, fmt.Sprintf("it ran on version %d, %s after %d was named", run.Version, run.At.Sub(naming.At), naming.Version))
+		}
+	}
+	for _, departure := range r.Departures {
+		if run.Server == departure.Server && run.At.After(departure.At.Add(r.Drain+slack)) && r.calm(departure.At, run.At) {
+			add(LeavingIsLeft, fmt.Sprintf("it ran %s after the server said that it leaves", run.At.Sub(departure.At)))
+		}
+	}
+	return found
+}
+
+// judgeStop judges a request that was under way at an entry when it was stopped as
+// planned, while nothing else was disturbed.
+func (r Record) judgeStop(attempt Attempt) []Violation {
+	if attempt.Status == 0 || attempt.Whole {
+		return nil
+	}
+	for _, stop := range r.Stops {
+		under := attempt.Entry == stop.Process && attempt.Sent.Before(stop.From) && attempt.Ended.After(stop.From) && attempt.Ended.Before(stop.From.Add(r.Grace))
+		if under && r.calm(attempt.Sent, attempt.Ended) {
+			return []Violation{{Promise: StopCutsNothing, At: attempt.Ended, Request: attempt.ID, Detail: attempt.Entry + " cut it " + attempt.Ended.Sub(stop.From).String() + " after its stop"}}
+		}
+	}
+	return nil
+}
+
+// calm reports whether nothing was disturbed from a while before one moment to another.
+func (r Record) calm(from, to time.Time) bool {
+	for _, span := range r.Disturbed {
+		if span.From.Before(to) && span.To.Add(contact).After(from) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/experiment/soak/soak.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/launch"
+)
+
+// Options set up a soak.
+type Options struct {
+	Executable string
+	// LogDirectory gets a log file a process; it is kept.
+	LogDirectory string
+	Seed         uint64
+	Duration     time.Duration
+	Output       io.Writer
+}
+
+// Times and sizes of a run.
+const (
+	firstNetwork  = 200
+	networks      = 50
+	readyLimit    = 20 * time.Second
+	progressPause = 30 * time.Second
+	// settleTime follows the last fault; then the fleet must serve again.
+	settleTime = 12 * time.Second
+	// finalTime is how long requests are counted then, finalShare the part of them that
+	// must be answered.
+	finalTime  = 3 * time.Second
+	finalShare = 0.95
+)
+
+func shape() site.Options {
+	return site.Options{
+		Network: firstNetwork + os.Getpid()%networks, Zones: 3, Entries: 2, ModelServers: 3, PlainServers: 1,
+		Weights:   site.Weights{Model: "dialect", Pieces: 48, PieceBytes: 24576, Layers: 16},
+		EventTime: 10 * time.Millisecond, Slots: 16,
+		VersionMs: 8000, ConfigApplyMs: 2000, DrainMs: 3000, GraceS: 8, BudgetSlack: 100, TimeoutMs: 6000,
+	}
+}
+
+// run is one soak.
+type run struct {
+	options Options
+	fleet   *launch.SiteFleet
+	site    *site.Site
+	callers *callers
+
+	// timeline holds what is still to be done; only the run's own goroutine touches it
+	// and what is below.
+	timeline []step
+	busy     map[string]bool
+	version  uint64
+	record   Record
+	found    []Violation
+	struck   map[Kind]int
+}
+
+// step is something to do at a time.
+type step struct {
+	at time.Time
+	do func() error
+}
+
+// after queues something to be done a while from now.
+func (r *run) after(pause time.Duration, do func() error) {
+	r.timeline = append(r.timeline, step{at: time.Now().Add(pause), do: do})
+	slices.SortStableFunc(r.timeline, func(a, b step) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+}
+
+// Run plays the schedule of a seed and reports what it found. A broken promise is a
+// *fault.PromiseBroken.
+func Run(options Options) error {
+	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, shape())
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	bounds := fleet.Site.Options
+	r := &run{
+		options: options, fleet: fleet, site: fleet.Site, callers: &callers{site: fleet.Site},
+		busy: map[string]bool{}, version: 1, struck: map[Kind]int{},
+		record: Record{
+			VersionApply: time.Duration(bounds.VersionMs) * time.Millisecond, Drain: time.Duration(bounds.DrainMs) * time.Millisecond,
+			Grace: time.Duration(bounds.GraceS * float64(time.Second)),
+		},
+	}
+	if err := fleet.StartAll(readyLimit); err != nil {
+		return err
+	}
+	r.printf("seed %d: %d entries and %d agents run, as processes, in %d zones; logs in %s", options.Seed,
+		bounds.Zones*bounds.Entries, bounds.Zones*bounds.ModelServers, bounds.Zones, options.LogDirectory)
+	return r.play()
+}
+
+func (r *run) printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(r.options.Output, format+"\n", values...)
+}
+
+func (r *run) play() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var calling sync.WaitGroup
+	for zone := range r.site.Options.Zones {
+		for caller := range callersPerZone {
+			random := rand.New(rand.NewPCG(r.options.Seed, uint64(100+zone*callersPerZone+caller)))
+			calling.Go(func() { r.callers.run(ctx, zone, caller, random) })
+		}
+	}
+	err := r.follow()
+	cancel()
+	calling.Wait()
+	if err != nil {
+		return err
+	}
+	return r.report()
+}
+
+// follow plays the schedule, lets the fleet settle, and counts what it then serves.
+func (r *run) follow() error {
+	began := time.Now()
+	for _, one := range Draw(r.options.Seed, r.options.Duration, r.site.Options.Zones, r.site.Options.ModelServers) {
+		r.timeline = append(r.timeline, step{at: began.Add(one.At), do: func() error {
+			r.struck[one.Kind]++
+			return r.strike(one)
+		}})
+	}
+	r.after(r.options.Duration, func() error { return nil })
+	for pause := progressPause; pause < r.options.Duration; pause += progressPause {
+		r.after(pause, func() error { r.progress(began); return nil })
+	}
+	if err := r.work(); err != nil {
+		return err
+	}
+	r.after(settleTime, func() error { return nil })
+	if err := r.work(); err != nil {
+		return err
+	}
+	counted := time.Now()
+	time.Sleep(finalTime)
+	r.judgeRecovery(counted)
+	return nil
+}
+
+// work does what is on the timeline until nothing is left.
+func (r *run) work() error {
+	for len(r.timeline) > 0 {
+		next := r.timeline[0]
+		r.timeline = r.timeline[1:]
+		time.Sleep(time.Until(next.at))
+		if err := next.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) progress(began time.Time) {
+	struck := 0
+	for _, count := range r.struck {
+		struck += count
+	}
+	r.printf("%4.0f s: %d faults, %d requests", time.Since(began).Seconds(), struck, len(r.callers.all()))
+}
+
+// judgeRecovery counts the requests since a moment at which all faults are long over.
+func (r *run) judgeRecovery(since time.Time) {
+	total, served := 0, 0
+	for _, attempt := range r.callers.all() {
+		if attempt.Sent.After(since) {
+			total++
+			if attempt.Status == 200 && attempt.Own {
+				served++
+			}
+		}
+	}
+	if total == 0 || float64(served) < finalShare*float64(total) {
+		r.found = append(r.found, Violation{Promise: RecoveryInTime, At: since, Detail: fmt.Sprintf("%d of %d requests served after all faults", served, total)})
+	}
+}
+
+// report judges the whole run and prints it.
+func (r *run) report() error {
+	r.record.Attempts, r.record.Runs = r.callers.all(), r.site.Ledger.Runs()
+	found := append(r.found, Judge(r.record)...)
+	answered, refused := 0, 0
+	for _, attempt := range r.record.Attempts {
+		switch {
+		case attempt.Status == 200 && attempt.Own:
+			answered++
+		case saysNotRun(attempt.Status):
+			refused++
+		}
+	}
+	for _, kind := range Kinds {
+		if count := r.struck[kind]; count > 0 {
+			r.printf("  %-24s %d", kind, count)
+		}
+	}
+	r.printf("requests checked: %d answered, %d refused, %d failed; %d runs at servers", answered, refused,
+		len(r.record.Attempts)-answered-refused, len(r.record.Runs))
+	r.printf("violations: %d", len(found))
+	for _, one := range found {
+		r.printf("  seed %d, %s: %s, request %q: %s", r.options.Seed, one.At.Format("15:04:05.000"), one.Promise, one.Request, one.Detail)
+	}
+	if len(found) > 0 {
+		return &fault.PromiseBroken{Promise: string(found[0].Promise), Detail: found[0].Detail}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/soak/soak_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// soundRecord is a run in which every promise held: one request of each kind, a version
+// that was named and a server that left.
+func soundRecord(began time.Time) Record {
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	run := func(id, server string, version uint64, seconds float64) site.Run {
+		return site.Run{RequestID: id, Server: server, Version: version, Tenant: site.Tenant, At: at(seconds)}
+	}
+	return Record{
+		Attempts: []Attempt{
+			{ID: "once", Kind: CallOnce, Entry: "entry-0-0", Sent: at(1), Ended: at(1.1), Status: 200, Whole: true, Own: true},
+			{ID: "stream", Kind: CallStream, Entry: "entry-0-0", Sent: at(40), Ended: at(41), Status: 200, Whole: true, Own: true},
+			{ID: "refused", Kind: CallSafe, Entry: "entry-0-0", Sent: at(2), Ended: at(2.1), Status: 503, Whole: true},
+		},
+		Runs:         []site.Run{run("once", "p-1", 0, 1), run("stream", "i-1", 2, 40)},
+		Namings:      []Naming{{Version: 2, At: at(20)}},
+		Departures:   []Departure{{Server: "i-2", At: at(30)}},
+		Stops:        []Span{{Kind: StopEntry, From: at(40.5), To: at(48.5), Process: "entry-0-0"}},
+		VersionApply: 8 * time.Second, Drain: 3 * time.Second, Grace: 8 * time.Second,
+	}
+}
+
+// The check of each promise finds what breaks it, and only that.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	began := time.Now()
+	require.Empty(t, Judge(soundRecord(began)))
+	for _, one := range []struct {
+		promise Promise
+		spoil   func(*Record)
+	}{
+		{WholeOwnAnswer, func(r *Record) { r.Attempts[1].Own = false }},
+		{AtMostOnce, func(r *Record) { r.Runs = append(r.Runs, r.Runs[0]) }},
+		{TrueRefusal, func(r *Record) { r.Attempts[0].Status = 503 }},
+		{SoundWeights, func(r *Record) { r.Runs[1].Spoilt = true }},
+		{CallerIsolation, func(r *Record) { r.Runs[0].KeySeen = true }},
+		{CallerIsolation, func(r *Record) { r.Runs[0].Tenant = "another" }},
+		{VersionInTime, func(r *Record) { r.Runs[1].Version = 1 }},
+		{LeavingIsLeft, func(r *Record) { r.Runs[1].Server = "i-2" }},
+		{StopCutsNothing, func(r *Record) { r.Attempts[1].Whole, r.Attempts[1].Own = false, false }},
+	} {
+		record := soundRecord(began)
+		one.spoil(&record)
+		found := Judge(record)
+		if assert.Len(t, found, 1, one.promise) {
+			assert.Equal(t, one.promise, found[0].Promise)
+		}
+	}
+}
+
+// Bounds of time hold only where nothing was disturbed shortly before.
+func TestBoundsOfTimeWaitForCalm(t *testing.T) {
+	began := time.Now()
+	record := soundRecord(began)
+	record.Runs[1].Version = 1
+	record.Disturbed = []Span{{Kind: StoreDown, From: began.Add(15 * time.Second), To: began.Add(18 * time.Second)}}
+	assert.Empty(t, Judge(record), "the version was named 2 s after the store was back")
+	record.Disturbed[0].To = began.Add(16 * time.Second)
+	assert.Len(t, Judge(record), 1)
+}
+
+// A seed always gives the same schedule, and many seeds give every kind of fault.
+func TestSchedulesComeFromTheSeed(t *testing.T) {
+	assert.Equal(t, Draw(7, time.Minute, 3, 3), Draw(7, time.Minute, 3, 3))
+	struck := map[Kind]bool{}
+	for seed := range uint64(30) {
+		for _, fault := range Draw(seed, time.Minute, 3, 3) {
+			struck[fault.Kind] = true
+			assert.Less(t, fault.At, time.Minute-4*time.Second)
+			assert.GreaterOrEqual(t, fault.For, shortest)
+		}
+	}
+	assert.Len(t, struck, len(Kinds))
+}
+
+// A stream's answer is its own only when every event is there once and in order.
+func TestOwnAnswers(t *testing.T) {
+	stream := Attempt{ID: "a", Kind: CallStream}
+	assert.True(t, isOwn(stream, "id: 1\ndata: a/1\n\nid: 2\ndata: a/2\n\n", "POST", "/stream/gloss", "", 2))
+	assert.False(t, isOwn(stream, "id: 1\ndata: a/1\n\n", "POST", "/stream/gloss", "", 2), "one is missing")
+	assert.False(t, isOwn(stream, "id: 1\ndata: a/1\n\nid: 1\ndata: a/1\n\n", "POST", "/stream/gloss", "", 2), "one comes twice")
+	assert.False(t, isOwn(stream, "id: 1\ndata: b/1\n\nid: 2\ndata: b/2\n\n", "POST", "/stream/gloss", "", 2), "another's")
+	assert.True(t, isOwn(Attempt{ID: "c", Kind: CallOnce}, "POST /once/save words of c", "POST", "/once/save", "words of c", 0))
+	assert.False(t, isOwn(Attempt{ID: "c", Kind: CallOnce}, "POST /once/save words of d", "POST", "/once/save", "words of c", 0))
+}
--- /dev/null
+++ b/internal/launch/site.go
@@ -0,0 +1,106 @@
+package launch
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/fault"
+)
+
+// SiteFleet is entries and agents as processes, on the stand-in of the users' platform.
+type SiteFleet struct {
+	Site  *site.Site
+	Group *Group
+
+	folder string
+}
+
+// NewSiteFleet starts the stand-in and no process yet. With a log directory each process
+// writes its log to a file there.
+func NewSiteFleet(executable, logDirectory string, options site.Options) (*SiteFleet, error) {
+	folder, err := os.MkdirTemp("", "pinevane-fleet")
+	if err != nil {
+		return nil, &fault.Unavailable{Target: "temporary folder", Operation: "make", Cause: err}
+	}
+	running, err := site.Start(options)
+	if err != nil {
+		return nil, &fault.Unavailable{Target: "stand-in", Operation: "start", Cause: err}
+	}
+	return &SiteFleet{Site: running, Group: NewGroup(executable, logDirectory), folder: folder}, nil
+}
+
+// Close ends every process and the stand-in.
+func (f *SiteFleet) Close() {
+	f.Group.Stop()
+	f.Site.Close()
+	_ = os.RemoveAll(f.folder)
+}
+
+// SiteProcess names a process by its role and place.
+func SiteProcess(role string, zone, index int) string {
+	return fmt.Sprintf("%s-%d-%d", role, zone, index)
+}
+
+// Start starts a process on a machine for the first time.
+func (f *SiteFleet) Start(role string, zone, index int) error {
+	if err := f.Site.OpenStore(role, zone, index); err != nil {
+		return &fault.Unavailable{Target: "stand-in", Operation: "listen", Cause: err}
+	}
+	return f.Restart(role, zone, index)
+}
+
+// Restart starts a process on a machine on which one has run.
+func (f *SiteFleet) Restart(role string, zone, index int) error {
+	name := SiteProcess(role, zone, index)
+	path := filepath.Join(f.folder, name+".json")
+	if err := os.WriteFile(path, f.Site.Settings(role, zone, index), 0o600); err != nil {
+		return &fault.Unavailable{Target: path, Operation: "write", Cause: err}
+	}
+	return f.Group.Run(name, []string{role, "--settings", path})
+}
+
+// StartAll starts every entry and agent and waits until the entries are ready.
+func (f *SiteFleet) StartAll(limit time.Duration) error {
+	options := f.Site.Options
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			if err := f.Start(site.RoleEntry, zone, index); err != nil {
+				return err
+			}
+		}
+		for index := range options.ModelServers {
+			if err := f.Start(site.RoleAgent, zone, index); err != nil {
+				return err
+			}
+		}
+	}
+	return f.WaitReady(limit)
+}
+
+// WaitReady waits until every entry calls itself ready.
+func (f *SiteFleet) WaitReady(limit time.Duration) error {
+	options := f.Site.Options
+	return WaitFor(limit, "entries ready", func() bool {
+		for zone := range options.Zones {
+			for index := range options.Entries {
+				if !f.ready(zone, index) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func (f *SiteFleet) ready(zone, index int) bool {
+	response, err := http.Get(f.Site.ReadyURL(zone, index))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
