The limit of refusals is learned: seven in ten near it begin in time

All that is admitted is then expected just within the fixed limit of 1.1 targets, and half of it begins late, although shorter queues keep the servers as busy. Change: balance.Margin learns, from requests that were expected in the second half of their target, how much earlier than the target a request must be expected so that 0.7 of them begin in time.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -120,7 +120,9 @@
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
-		best.target.unbegun[wanted.work] = unbegun{sentAt: now, due: now.Add(best.expected), prompt: wanted.prompt}
+		best.target.unbegun[wanted.work] = unbegun{
+			sentAt: now, due: now.Add(best.expected), prompt: wanted.prompt, nearLimit: best.expected > wanted.route.Target/2,
+		}
 	}
 	return best, nil
 }
@@ -326,7 +328,7 @@
 // only the drawn ones would not, the soonest of all is taken. One that was sent to a
 // server before has been admitted: it is not refused any more.
 func (t *targets) overload(best *choice, usable []*target, wanted need, now time.Time) *fault.Refusal {
-	limit := time.Duration(wanted.rules().RefusalShare * float64(wanted.route.Target))
+	limit := time.Duration(wanted.rules().RefusalShare * float64(t.marginOf(wanted.service).Limit(wanted.route.Target)))
 	if wanted.resumed || len(wanted.tried) > 0 || limit <= 0 || best.target.hasFreePlace(wanted) || best.target.firstEvent(wanted, now) <= limit {
 		return nil
 	}
@@ -357,5 +359,9 @@
 	defer t.mutex.Unlock()
 	k.unread--
 	k.unreadTokens -= w.wanted.prompt
-	k.noteBegun(w, time.Now())
+	now := time.Now()
+	if request, waited := k.unbegun[w]; waited && w.attemptBegun {
+		t.learnMargin(w, request, now)
+	}
+	k.noteBegun(w, now)
 }
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -28,6 +28,24 @@
 	return learned
 }
 
+// marginOf returns the margin of a service's refusals; the mutex is held.
+func (t *targets) marginOf(service string) *balance.Margin {
+	margin := t.margins[service]
+	if margin == nil {
+		margin = &balance.Margin{}
+		t.margins[service] = margin
+	}
+	return margin
+}
+
+// learnMargin notes how much later than expected a request has begun, if it was expected
+// near the limit; the mutex is held.
+func (t *targets) learnMargin(w *work, request unbegun, now time.Time) {
+	if share := w.wanted.rules().InTimeShare; share > 0 && request.nearLimit {
+		t.marginOf(w.wanted.service).Observe(now.Sub(request.due), w.request.Route.Target, share)
+	}
+}
+
 func publishedFigures(engine *fleet.Engine) balance.Server {
 	return balance.Server{
 		Slots: engine.Slots, Stride: engine.Stride,
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -9,7 +9,8 @@
 // Policy holds the mechanisms by which an entry decides, so that each can be measured
 // by switching it off. The tags make flags of the entry command of the fields.
 type Policy struct {
-	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1.1" description:"share of a request's target beyond which the predicted beginning is a refusal, 0 (never refuse) to 10"`
+	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1" description:"weight of the limit beyond which the predicted beginning of a request is a refusal, 0 (never refuse) to 10"`
+	InTimeShare  float64 `long:"in-time-share" env:"PINEVANE_IN_TIME_SHARE" default:"0.7" description:"share of the requests expected just within the limit that are to begin in time, 0 (a fixed limit of 1.1 targets) to 0.99"`
 	UnheardLoad  float64 `long:"unheard-load" env:"PINEVANE_UNHEARD_LOAD" default:"1" description:"weight of the load that other entries may bring to a server of which no agent tells, 0 to 2"`
 	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
 	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
@@ -20,13 +21,14 @@
 
 // DefaultPolicy is what the flags' defaults say.
 func DefaultPolicy() Policy {
-	return Policy{RefusalShare: 1.1, UnheardLoad: 1, UnseenLoad: 1, Lateness: 1, SwitchWeight: 0.5, SampleSize: 4}
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, UnheardLoad: 1, UnseenLoad: 1, Lateness: 1, SwitchWeight: 0.5, SampleSize: 4}
 }
 
 // Bounds of the policy's figures.
 const (
 	mostWeight       = 2
 	mostRefusalShare = 10
+	mostInTimeShare  = 0.99
 	mostSampleSize   = 64
 )
 
@@ -37,7 +39,7 @@
 		value float64
 		most  float64
 	}{
-		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--unheard-load", p.UnheardLoad, mostWeight}, {"--unseen-load", p.UnseenLoad, mostWeight},
+		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--unheard-load", p.UnheardLoad, mostWeight}, {"--unseen-load", p.UnseenLoad, mostWeight},
 		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight},
 	} {
 		if !(one.value >= 0 && one.value <= one.most) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -72,6 +72,8 @@
 	// due is when the first event was expected to come.
 	due    time.Time
 	prompt int
+	// nearLimit is set when it was expected so late that the limit of refusals matters.
+	nearLimit bool
 }
 
 // targets is the set of servers.
@@ -94,6 +96,8 @@
 	view         *catalog.View
 	// learned is what the answers of each service of model servers have shown.
 	learned map[string]*balance.Learned
+	// margins learn the limit of refusals of each service.
+	margins map[string]*balance.Margin
 }
 
 type statusAt struct {
@@ -105,7 +109,7 @@
 	return &targets{
 		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle,
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
-		view: &catalog.View{}, learned: map[string]*balance.Learned{},
+		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 	}
 }
 
