--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -157,19 +157,11 @@
 }
 
 func (d *systemDemo) send(client *http.Client, caller, entry int, method, path, id string, events int) {
-	request, err := http.NewRequest(method, d.site.EntryURL(caller%d.site.Options.Zones, entry)+path, strings.NewReader("words"))
+	request, err := d.site.NewRequest(caller%d.site.Options.Zones, entry, method, path, id, "words", events)
 	if err != nil {
 		d.violation("%s: %v", id, err)
 		return
 	}
-	request.Host = site.Host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Authorization", "Token "+site.Key)
-	request.Header.Set("Deadline-Ms", "6000")
-	if events > 0 {
-		request.Header.Set("Model", d.site.Options.Weights.Model)
-		request.Header.Set("Token-Usage", fmt.Sprintf("10,%d", events))
-	}
 	response, err := client.Do(request)
 	if err != nil {
 		// An entry that has stopped takes no connections; the platform would not send
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -147,7 +147,23 @@
 	return fmt.Sprintf("%s:%d", s.Options.ip(100+zone, machine), storePort)
 }
 
-func (s *Site) originAddress() string { return fmt.Sprintf("%s:%d", s.Options.ip(200, 2), originPort) }
+func (s *Site) originAddress() string { return s.Options.originAddress() }
+
+func (o Options) originAddress() string { return fmt.Sprintf("%s:%d", o.ip(200, 2), originPort) }
+
+// FreeNetwork returns a network of a range, from one of them on, on which no other
+// stand-in runs; when there is none, the one to begin with.
+func FreeNetwork(first, count, begin int) int {
+	for offset := range count {
+		network := first + (begin+offset)%count
+		listener, err := net.Listen("tcp", Options{Network: network}.originAddress())
+		if err == nil {
+			_ = listener.Close()
+			return network
+		}
+	}
+	return first + begin%count
+}
 
 // ModelAddress is the address of a model server.
 func (s *Site) ModelAddress(zone, index int) string {
--- a/internal/experiment/soak/callers.go
+++ b/internal/experiment/soak/callers.go
@@ -82,18 +82,13 @@
 	case CallStream:
 		path = site.StreamPrefix + "gloss"
 	}
-	request, err := http.NewRequest(method, c.site.EntryURL(zone, index)+path, strings.NewReader(body))
+	if attempt.Kind != CallStream {
+		events = 0
+	}
+	request, err := c.site.NewRequest(zone, index, method, path, attempt.ID, body, events)
 	if err != nil {
 		return false
 	}
-	request.Host = site.Host
-	request.Header.Set("Request-Id", attempt.ID)
-	request.Header.Set("Authorization", "Token "+site.Key)
-	request.Header.Set("Deadline-Ms", "6000")
-	if attempt.Kind == CallStream {
-		request.Header.Set("Model", c.site.Options.Weights.Model)
-		request.Header.Set("Token-Usage", fmt.Sprintf("10,%d", events))
-	}
 	attempt.Sent = time.Now()
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -42,7 +42,7 @@
 
 func shape() site.Options {
 	return site.Options{
-		Network: firstNetwork + os.Getpid()%networks, Zones: 3, Entries: 2, ModelServers: 3, PlainServers: 1,
+		Network: site.FreeNetwork(firstNetwork, networks, os.Getpid()), Zones: 3, Entries: 2, ModelServers: 3, PlainServers: 1,
 		Weights:   site.Weights{Model: "dialect", Pieces: 48, PieceBytes: 24576, Layers: 16},
 		EventTime: 10 * time.Millisecond, Slots: 16,
 		VersionMs: 8000, ConfigApplyMs: 2000, DrainMs: 3000, GraceS: 8, BudgetSlack: 100, TimeoutMs: 6000,
