--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -135,7 +135,7 @@
 		options: options, deployment: described, snapshot: snapshot, recorder: &workload.Recorder{}, began: time.Now(),
 		model: described.Weights[0].Model, versions: described.Weights, manifests: map[string]*weights.Manifest{},
 	}
-	identities := workload.Identities{}
+	identities := workload.NewIdentities()
 	for _, synthetic := range described.Weights {
 		manifest := synthetic.Manifest()
 		identities.Add(manifest)
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -52,7 +52,7 @@
 	configurationAddress string
 	membershipAddress    string
 	originAddress        string
-	identities           workload.Identities
+	identities           *workload.Identities
 }
 
 // Process is a running entry or agent.
@@ -84,7 +84,7 @@
 		Membership:    emulator.NewPublication(1, 0),
 		Origin:        emulator.NewOrigin(0),
 		Recorder:      &workload.Recorder{},
-		identities:    workload.Identities{},
+		identities:    workload.NewIdentities(),
 	}
 	f.Client = workload.NewClient(f.identities)
 	f.configurationAddress = f.serve(httptest.NewServer(f.Configuration.Handler(external.ConfigurationPath)))
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -72,22 +72,38 @@
 	Duration time.Duration
 }
 
-// Identities maps "model@version" to the identity of its weights.
-type Identities map[string]weights.Digest
+// Identities holds the identity of the weights of each model and version. Versions are
+// added while clients look others up.
+type Identities struct {
+	mutex sync.RWMutex
+	known map[string]weights.Digest
+}
+
+// NewIdentities returns a set that knows no version.
+func NewIdentities() *Identities { return &Identities{known: map[string]weights.Digest{}} }
 
 // Add registers the weights of a version.
-func (i Identities) Add(manifest *weights.Manifest) {
-	i[manifest.Model+"@"+manifest.Version] = manifest.Identity()
+func (i *Identities) Add(manifest *weights.Manifest) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.known[manifest.Model+"@"+manifest.Version] = manifest.Identity()
+}
+
+func (i *Identities) of(model, version string) (weights.Digest, bool) {
+	i.mutex.RLock()
+	defer i.mutex.RUnlock()
+	identity, known := i.known[model+"@"+version]
+	return identity, known
 }
 
 // Client sends requests and checks answers.
 type Client struct {
 	http       *http.Client
-	identities Identities
+	identities *Identities
 }
 
 // NewClient returns a client that knows the right answers of some versions.
-func NewClient(identities Identities) *Client {
+func NewClient(identities *Identities) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 512, MaxIdleConns: 4096}
 	return &Client{http: &http.Client{Transport: transport}, identities: identities}
 }
@@ -213,7 +229,7 @@
 
 // expected is the right answer to a generation.
 func (c *Client) expected(request Request, version string) (string, bool) {
-	identity, known := c.identities[request.Model+"@"+version]
+	identity, known := c.identities.of(request.Model, version)
 	prompt := "user: " + request.Prompt + "\n"
 	return emulator.Answer(identity, request.Adapter, prompt, request.MaximumTokens), known
 }
