What a first event teaches is learned in one place

Cause: a request kept when it was sent, and that its server was idle, in its work and again in the account of unbegun requests, and took the servers' lock a second time at each first event. Change: the unbegun request holds both; margin and reading rate are learned where it is taken off the counts, under the lock that is held there anyway. No decision changes. Checks: go vet, staticcheck and the tests of internal/forward under the race detector.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -122,6 +122,7 @@
 		best.target.unreadTokens += wanted.prompt
 		best.target.unbegun[wanted.work] = unbegun{
 			sentAt: now, due: now.Add(best.expected), prompt: wanted.prompt, nearLimit: best.expected > wanted.route.Target/2,
+			idle: best.outstanding == 0 && best.statusAge != noStatus,
 		}
 	}
 	return best, nil
@@ -362,6 +363,7 @@
 	now := time.Now()
 	if request, waited := k.unbegun[w]; waited && w.attemptBegun {
 		t.learnMargin(w, request, now)
+		t.learnFirstEvent(w, request, now)
 	}
 	k.noteBegun(w, now)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -139,10 +139,6 @@
 	lastEvent  string
 	// attemptBegun is set once the present attempt has brought an event.
 	attemptBegun bool
-	// sentAt is when the present attempt was sent, sentIdle whether its server was known
-	// to have nothing else to do.
-	sentAt   time.Time
-	sentIdle bool
 	// begun is set once the head of an answer has gone to the caller.
 	begun   bool
 	events  int
@@ -262,7 +258,6 @@
 		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
-	w.sentAt, w.sentIdle = began, chosen.outstanding == 0 && chosen.statusAge != noStatus
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -54,15 +54,12 @@
 	}
 }
 
-// learnFirstEvent notes when an attempt's first event came, if the server had nothing
-// else to do.
-func (w *work) learnFirstEvent(now time.Time) {
-	if w.wanted.engine == nil || !w.sentIdle {
-		return
+// learnFirstEvent notes when a request's first event came, if the server had nothing
+// else to do; the mutex is held.
+func (t *targets) learnFirstEvent(w *work, request unbegun, now time.Time) {
+	if request.idle {
+		t.learnedOf(w.wanted.service).IdleFirstEvent(publishedFigures(w.wanted.engine), request.prompt, now.Sub(request.sentAt))
 	}
-	w.targets.mutex.Lock()
-	defer w.targets.mutex.Unlock()
-	w.targets.learnedOf(w.wanted.service).IdleFirstEvent(publishedFigures(w.wanted.engine), w.wanted.prompt, now.Sub(w.sentAt))
 }
 
 // learnStream notes a stream that one server has written from its first event to its
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -74,9 +74,6 @@
 		if w.wanted.engine != nil {
 			w.targets.readPrompt(started.target, w)
 		}
-		if w.attemptBegun {
-			w.learnFirstEvent(time.Now())
-		}
 	})
 	defer func() {
 		settle()
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -74,6 +74,8 @@
 	prompt int
 	// nearLimit is set when it was expected so late that the limit of refusals matters.
 	nearLimit bool
+	// idle is set when the server was known to have nothing else to do.
+	idle bool
 }
 
 // targets is the set of servers.
