One name of a process of the stand-in; spans of the soak without a kind

Cause: sitetest named processes with a copy of launch.SiteProcess; the kind in a span of disturbance was written and never read, and wrong for agents; a comment of the schedule described a constant that does not exist. Change: the copy calls the piece, the kind goes, the comment says what there is.

--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -45,20 +45,20 @@
 		return r.stop(zone, entry)
 	case StoreDown:
 		r.site.Store.SetDown(true)
-		r.disturb(fault.Kind, fault.For)
+		r.disturb(fault.For)
 		r.after(fault.For, func() error { r.site.Store.SetDown(false); return nil })
 	case StoreForgets:
 		r.site.Store.SetDeaf()
-		r.disturb(fault.Kind, fault.For)
+		r.disturb(fault.For)
 		r.after(fault.For, func() error { r.site.Store.Compact(); return nil })
 	case StoreRefuses:
 		r.site.Store.Refuse(r.site.Options.EntryIP(zone, entry), r.site.Options.ModelIP(zone, agent))
-		r.disturb(fault.Kind, fault.For)
+		r.disturb(fault.For)
 		r.after(fault.For, func() error { r.site.Store.Refuse(); return nil })
 	case ServersLapse:
 		r.lapse()
 	case ServerCrash, ServerUnlisted:
-		r.disturb(fault.Kind, serverFaultTime)
+		r.disturb(serverFaultTime)
 		if fault.Kind == ServerCrash {
 			return r.site.RestartModel(zone, agent)
 		}
@@ -66,20 +66,20 @@
 	case ServerLeaves:
 		return r.leave(zone, agent, server)
 	case PiecesRot:
-		r.disturb(fault.Kind, serverFaultTime)
+		r.disturb(serverFaultTime)
 		for piece := range fault.Count {
 			server.Rot(piece)
 		}
 	case OriginSpoils:
 		r.site.Origin.Spoil(fault.Count)
 	case CutStreams:
-		r.spoilServer(fault.Kind, server, site.Faults{CutAfter: fault.Count, CutCount: fault.Count})
+		r.spoilServer(server, site.Faults{CutAfter: fault.Count, CutCount: fault.Count})
 	case LoseAnswers:
-		r.spoilServer(fault.Kind, server, site.Faults{LoseAnswers: fault.Count})
+		r.spoilServer(server, site.Faults{LoseAnswers: fault.Count})
 	case Shed:
-		r.spoilServer(fault.Kind, server, site.Faults{Shed: fault.Count})
+		r.spoilServer(server, site.Faults{Shed: fault.Count})
 	case SurplusAnswers:
-		r.spoilServer(fault.Kind, server, site.Faults{Surplus: fault.Count})
+		r.spoilServer(server, site.Faults{Surplus: fault.Count})
 	case NewVersion:
 		r.nameVersion(now)
 	case TwoVersions:
@@ -92,14 +92,14 @@
 }
 
 // disturb notes that something is disturbed for a time from now on.
-func (r *run) disturb(kind Kind, lasts time.Duration) {
+func (r *run) disturb(lasts time.Duration) {
 	now := time.Now()
-	r.record.Disturbed = append(r.record.Disturbed, Span{Kind: kind, From: now, To: now.Add(lasts)})
+	r.record.Disturbed = append(r.record.Disturbed, Span{From: now, To: now.Add(lasts)})
 }
 
-func (r *run) spoilServer(kind Kind, server *site.Server, faults site.Faults) {
+func (r *run) spoilServer(server *site.Server, faults site.Faults) {
 	server.SetFaults(faults)
-	r.disturb(kind, serverFaultTime)
+	r.disturb(serverFaultTime)
 	r.after(serverFaultTime, func() error { server.SetFaults(site.Faults{}); return nil })
 }
 
@@ -116,7 +116,7 @@
 		return nil
 	}
 	r.busy[name] = true
-	r.disturb(KillEntry, restartPause)
+	r.disturb(restartPause)
 	if err := r.fleet.Group.Signal(name, syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 		return nil
 	}
 	r.busy[name] = true
-	r.disturb(FreezeEntry, lasts)
+	r.disturb(lasts)
 	r.after(lasts, func() error {
 		r.busy[name] = false
 		return r.fleet.Group.Signal(name, syscall.SIGCONT)
@@ -165,7 +165,7 @@
 	}
 	r.busy[name] = true
 	now := time.Now()
-	r.record.Stops = append(r.record.Stops, Span{Kind: StopEntry, From: now, To: now.Add(r.record.Grace), Process: name})
+	r.record.Stops = append(r.record.Stops, Span{From: now, To: now.Add(r.record.Grace), Process: name})
 	r.after(r.record.Grace, func() error {
 		r.busy[name] = false
 		if !r.fleet.Group.WaitExit(name, stopLimit) {
@@ -181,7 +181,7 @@
 // them anew after it.
 func (r *run) lapse() {
 	r.site.Store.SetDown(true)
-	r.disturb(ServersLapse, storeKeepsQuiet+returnPause)
+	r.disturb(storeKeepsQuiet + returnPause)
 	var lapsed []*site.Server
 	for _, server := range r.site.Models {
 		server.Lapse()
@@ -208,7 +208,7 @@
 		if r.site.Models[r.site.Options.ModelIP(zone, index)] != server {
 			return nil
 		}
-		r.disturb(ServerLeaves, serverFaultTime)
+		r.disturb(serverFaultTime)
 		return r.site.RestartModel(zone, index)
 	})
 	return nil
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -54,7 +54,6 @@
 
 // Span is a time in which something was disturbed.
 type Span struct {
-	Kind Kind
 	From time.Time
 	To   time.Time
 	// Process is the one that a planned stop concerns; empty otherwise.
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -61,8 +61,8 @@
 
 // Shape of schedules.
 const (
-	// seriesPeriod is how often a series of faults begins, quietShare the part of it at
-	// whose end nothing strikes, so that some time is calm.
+	// seriesPeriod is how often a series of faults begins, seriesSpread the time in which
+	// its faults strike; after that it is calm.
 	seriesPeriod = 9 * time.Second
 	seriesSpread = 4 * time.Second
 	mostInSeries = 4
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -26,7 +26,7 @@
 		Runs:         []site.Run{run("once", "p-1", 0, 1), run("stream", "i-1", 2, 40)},
 		Namings:      []Naming{{Version: 2, At: at(20)}},
 		Departures:   []Departure{{Server: "i-2", At: at(30)}},
-		Stops:        []Span{{Kind: StopEntry, From: at(40.5), To: at(48.5), Process: "entry-0-0"}},
+		Stops:        []Span{{From: at(40.5), To: at(48.5), Process: "entry-0-0"}},
 		VersionApply: 8 * time.Second, Drain: 3 * time.Second, Grace: 8 * time.Second,
 	}
 }
@@ -63,7 +63,7 @@
 	began := time.Now()
 	record := soundRecord(began)
 	record.Runs[1].Version = 1
-	record.Disturbed = []Span{{Kind: StoreDown, From: began.Add(15 * time.Second), To: began.Add(18 * time.Second)}}
+	record.Disturbed = []Span{{From: began.Add(15 * time.Second), To: began.Add(18 * time.Second)}}
 	assert.Empty(t, Judge(record), "the version was named 2 s after the store was back")
 	record.Disturbed[0].To = began.Add(16 * time.Second)
 	assert.Len(t, Judge(record), 1)
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -24,6 +24,7 @@
 	"pinevane.example/pinevane/internal/emulator/site"
 	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/gateway"
+	"pinevane.example/pinevane/internal/launch"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/rollout"
 	"pinevane.example/pinevane/platform"
@@ -128,7 +129,7 @@
 }
 
 // Name names a process.
-func Name(role string, zone, index int) string { return fmt.Sprintf("%s-%d-%d", role, zone, index) }
+func Name(role string, zone, index int) string { return launch.SiteProcess(role, zone, index) }
 
 func (f *Fleet) build(role string, zone, index int) *daemon.Daemon {
 	settings, err := platform.ParseSettings(f.Site.Settings(role, zone, index))
