--- /dev/null
+++ b/coordination/mirror/changes_test.go
@@ -0,0 +1,41 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func TestChangesAreListedByTheirLast(t *testing.T) {
+	changes := NewChanges()
+	for revision, key := range []string{"a", "b", "a", "c"} {
+		changes.Note(Record{Key: key, Revision: uint64(revision + 1)})
+	}
+	assert.Equal(t, []string{"b", "a", "c"}, changes.After(0))
+	assert.Equal(t, []string{"a", "c"}, changes.After(2))
+	assert.Empty(t, changes.After(changes.Sequence()))
+}
+
+// Copies that hold the same have the same digest, whatever came before; others differ.
+func TestDigestTellsCopiesApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, other := NewChanges(), NewChanges()
+		final := map[string]Record{}
+		steps := rapid.IntRange(1, 600).Draw(t, "steps")
+		for revision := range steps {
+			key := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "key"))
+			record := Record{Key: key, Revision: uint64(revision + 1), Gone: rapid.Bool().Draw(t, "gone")}
+			one.Note(record)
+			final[key] = record
+		}
+		for _, record := range final {
+			other.Note(record)
+		}
+		assert.Equal(t, one.Digest(), other.Digest())
+		assert.Len(t, one.After(0), len(final))
+		other.Note(Record{Key: "new", Revision: uint64(steps + 1)})
+		assert.NotEqual(t, one.Digest(), other.Digest())
+	})
+}
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -69,6 +69,12 @@
 	return record, known && !record.Gone
 }
 
+// Held returns a record as it is held, which may say that the key is gone.
+func (m *Mirror) Held(key string) (Record, bool) {
+	record, known := m.records[key]
+	return record, known
+}
+
 // Select returns the records under a prefix that are not gone, in order of key.
 func (m *Mirror) Select(prefix string) []Record {
 	return slices.DeleteFunc(m.All(prefix), func(record Record) bool { return record.Gone })
--- /dev/null
+++ b/coordination/overlay/overlay.go
@@ -0,0 +1,256 @@
+// Package overlay decides which processes of a fleet speak with each other. Each
+// zone has a few relays, picked by rendezvous hashing among the members that are
+// alive: every member links to the relays of its zone, some of the relays link to
+// those of other zones, and each follower (a process that only listens) is fed by
+// some of the relays of its zone. The number of links of a member that is no relay
+// does not grow with the fleet. Nobody leads: each process works from the signs of
+// life that it has heard. The package does no I/O and reads no clock.
+package overlay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pinevane.example/pinevane/coordination/placement"
+)
+
+// Options describes a member and its overlay.
+type Options struct {
+	// Self and Zone are this member's.
+	Self string
+	Zone string
+	// Relays is how many members of each zone relay what its members say; Gates is how
+	// many of these link to the gates of other zones.
+	Relays int
+	Gates  int
+	// Feeders is how many relays feed each follower.
+	Feeders int
+	// Recent is the age of its last sign up to which a member counts as alive, unless
+	// it is suspected.
+	Recent time.Duration
+	// Memory is how long a member without signs is remembered.
+	Memory time.Duration
+}
+
+// Sign is what is known of a member: its zone, which is empty for one of which only
+// the address is known, and when it was last heard.
+type Sign struct {
+	Zone  string
+	Heard time.Time
+}
+
+type member struct {
+	Sign
+	// suspectedAt is when the member last failed to answer this process.
+	suspectedAt time.Time
+	// alive is whether it counted as alive at the last Advance.
+	alive bool
+}
+
+// Overlay is one member's picture. It is not safe for concurrent use.
+type Overlay struct {
+	options Options
+	members map[string]*member
+	// arrivals counts the members that were new.
+	arrivals uint64
+	// moved is set when the zone of a member has become known since the last Advance.
+	moved bool
+	// zones holds the members alive of each zone, in the order of their ranks; this
+	// member is always among those of its own.
+	zones map[string][]string
+	// all holds those that are remembered, dead or alive, in the same way.
+	all map[string][]string
+	// feeders keeps the feeders of each follower until the members alive change.
+	feeders map[string][]string
+}
+
+// New returns the overlay of a member that knows nobody.
+func New(options Options) *Overlay {
+	o := &Overlay{options: options, members: map[string]*member{}}
+	o.rank()
+	return o
+}
+
+// Hear notes a sign of a member at a time, and reports whether the member was not
+// known before. An empty zone leaves the one that is known.
+func (o *Overlay) Hear(id, zone string, at, now time.Time) bool {
+	if id == o.options.Self || id == "" {
+		return false
+	}
+	known, exists := o.members[id]
+	if !exists {
+		if now.Sub(at) > o.options.Memory {
+			return false
+		}
+		known = &member{}
+		o.members[id] = known
+		o.arrivals++
+	}
+	if zone != "" && zone != known.Zone {
+		known.Zone = zone
+		o.moved = true
+	}
+	if at.After(known.Heard) {
+		known.Heard = at
+	}
+	return !exists
+}
+
+// Suspect notes that a member has not answered this process. It does not count as
+// alive until a later sign of it is heard.
+func (o *Overlay) Suspect(id string, now time.Time) {
+	if known, exists := o.members[id]; exists {
+		known.suspectedAt = now
+	}
+}
+
+// Advance forgets the members that were not heard for long, and takes those that are
+// alive anew. Between two calls the answers below change with nothing.
+func (o *Overlay) Advance(now time.Time) {
+	changed := o.moved
+	o.moved = false
+	for id, known := range o.members {
+		if now.Sub(known.Heard) > o.options.Memory {
+			delete(o.members, id)
+			changed = true
+			continue
+		}
+		alive := known.Zone != "" && now.Sub(known.Heard) < o.options.Recent && known.Heard.After(known.suspectedAt)
+		changed = changed || alive != known.alive
+		known.alive = alive
+	}
+	if changed {
+		o.rank()
+	}
+}
+
+// rank orders the members alive of each zone.
+func (o *Overlay) rank() {
+	o.feeders = map[string][]string{}
+	o.zones = o.ranked(func(known *member) bool { return known.alive })
+	o.all = o.ranked(func(known *member) bool { return known.Zone != "" })
+}
+
+// ranked orders this member and those that are to be counted, zone by zone.
+func (o *Overlay) ranked(counts func(*member) bool) map[string][]string {
+	byZone := map[string][]string{o.options.Zone: {o.options.Self}}
+	for id, known := range o.members {
+		if counts(known) {
+			byZone[known.Zone] = append(byZone[known.Zone], id)
+		}
+	}
+	for zone, ids := range byZone {
+		byZone[zone] = placement.Rank("relay/"+zone, ids)
+	}
+	return byZone
+}
+
+// Rank is this member's place among those of its zone; the first is 0.
+func (o *Overlay) Rank() int { return slices.Index(o.zones[o.options.Zone], o.options.Self) }
+
+// IsGate reports whether this member links to other zones.
+func (o *Overlay) IsGate() bool { return o.Rank() < o.options.Gates }
+
+// relays are those of a zone.
+func (o *Overlay) relays(zone string) []string { return first(o.zones[zone], o.options.Relays) }
+
+func first(ids []string, count int) []string { return ids[:min(count, len(ids))] }
+
+// Peers lists the members that this one is to have a link with: the relays of its
+// zone, members of unknown zone, and, if it is a gate, those of the other zones. Those
+// that would be relays if they were alive are among them, so that two halves that have
+// lost each other try to meet again.
+func (o *Overlay) Peers() map[string]bool {
+	wanted := map[string]bool{}
+	for id, known := range o.members {
+		if known.Zone == "" {
+			wanted[id] = true
+		}
+	}
+	for _, ranked := range []map[string][]string{o.zones, o.all} {
+		o.addPeers(wanted, ranked)
+	}
+	delete(wanted, o.options.Self)
+	return wanted
+}
+
+// addPeers adds the relays of the own zone and, for a gate, the gates of others, by the
+// ranks given.
+func (o *Overlay) addPeers(wanted map[string]bool, zones map[string][]string) {
+	for zone, ranked := range zones {
+		count := o.options.Relays
+		if zone != o.options.Zone {
+			if !o.IsGate() {
+				continue
+			}
+			count = o.options.Gates
+		}
+		for _, id := range first(ranked, count) {
+			wanted[id] = true
+		}
+	}
+}
+
+// Mutual reports whether another member wants a link with this one as this one does
+// with it, as far as is known here.
+func (o *Overlay) Mutual(id string) bool {
+	known, exists := o.members[id]
+	if !exists {
+		return false
+	}
+	if known.Zone == o.options.Zone {
+		return o.Rank() < o.options.Relays
+	}
+	return o.IsGate()
+}
+
+// Feeders are the members that feed a follower of a zone, the main one first: relays
+// of that zone, or gates of all others when none of the zone is alive.
+func (o *Overlay) Feeders(follower, zone string) []string {
+	if known, exists := o.feeders[follower]; exists {
+		return known
+	}
+	candidates := o.relays(zone)
+	if len(candidates) == 0 {
+		for _, ranked := range o.zones {
+			candidates = append(candidates, first(ranked, o.options.Gates)...)
+		}
+	}
+	picked := placement.Top("feed/"+follower, candidates, o.options.Feeders)
+	o.feeders[follower] = picked
+	return picked
+}
+
+// Feeds reports whether this member feeds a follower, and whether as the main one.
+func (o *Overlay) Feeds(follower, zone string) (feeds, main bool) {
+	index := slices.Index(o.Feeders(follower, zone), o.options.Self)
+	return index >= 0, index == 0
+}
+
+// Zone returns the zone of a member; false when it is not known.
+func (o *Overlay) Zone(id string) (string, bool) {
+	known, exists := o.members[id]
+	if !exists {
+		return "", false
+	}
+	return known.Zone, true
+}
+
+// Arrivals counts the members that were new so far.
+func (o *Overlay) Arrivals() uint64 { return o.arrivals }
+
+// Members returns the signs of all members that are remembered, without this one.
+func (o *Overlay) Members() map[string]Sign {
+	signs := make(map[string]Sign, len(o.members))
+	for id, known := range o.members {
+		signs[id] = known.Sign
+	}
+	return signs
+}
+
+// IDs lists the members that are remembered, without this one, in order.
+func (o *Overlay) IDs() []string { return slices.Sorted(maps.Keys(o.members)) }
+
+// Count returns how many members are remembered, without this one.
+func (o *Overlay) Count() int { return len(o.members) }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/overlay"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
@@ -47,9 +51,15 @@
 
 	mutex  sync.Mutex
 	mirror *mirror.Mirror
-	// sequence counts the changes; changedAt is the sequence of each key's last.
-	sequence  uint64
-	changedAt map[string]uint64
+	// changes orders the records that are passed on to others.
+	changes *mirror.Changes
+	// urgent is the sequence of the last change that others are told of at once.
+	urgent uint64
+	// heads are the revisions held of large records, which others ask for.
+	heads map[string]uint64
+	// servers are the listed servers by the keys of their records, in order of key.
+	servers    map[string]fleet.Server
+	serverKeys []string
 	// ages tells how long ago records of versions were named, by key.
 	ages map[string]versionAge
 	// fresh is when the copy was last known to be current; regained is when that was
@@ -63,28 +73,36 @@
 
 	statuses       map[string]heldStatus
 	statusSequence uint64
-	onStatus       func(fleet.MachineStatus, time.Time)
+	onStatus       StatusFunction
 
-	entries map[string]*entryPeer
-	// entriesSequence counts the entries that were new.
-	entriesSequence uint64
-	links           map[string]*outLink
-	callbacks       []func(*View)
-	notify          sync.Mutex
-	kick            chan struct{}
+	// overlay tells whom this entry speaks with; links are what it has of that, and
+	// those that others made, by IP address.
+	overlay *overlay.Overlay
+	links   map[string]*peerLink
+	// backupOf are the entries that have this agent's words from another one too.
+	backupOf  map[string]bool
+	callbacks []func(*View)
+	notify    sync.Mutex
+	kick      chan struct{}
 }
 
 // New returns an empty catalog and registers its handlers with the hub.
 func New(options Options) *Catalog {
 	c := &Catalog{
-		options: options, mirror: mirror.New(), changedAt: map[string]uint64{}, ages: map[string]versionAge{},
-		statuses: map[string]heldStatus{}, entries: map[string]*entryPeer{}, links: map[string]*outLink{}, lapsed: map[string]lapsedServer{}, kick: make(chan struct{}, 1),
+		options: options, mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{},
+		servers: map[string]fleet.Server{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
+		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1),
+		overlay: overlay.New(overlay.Options{
+			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
+			Recent: entryRecent, Memory: entryMemory,
+		}),
 	}
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
 	options.Hub.Handle(topicPull, c.handlePull)
 	options.Hub.Handle(fleet.TopicMachineStatus, c.handleStatus)
 	options.Hub.Handle(topicStatuses, c.handleStatuses)
+	options.Hub.OnOpen(c.linkOpened)
 	return c
 }
 
@@ -116,7 +134,7 @@
 // takeWatched merges records that the store has just written; versions among them
 // have just been named.
 func (c *Catalog) takeWatched(records []mirror.Record) {
-	c.apply(func() []mirror.Record {
+	c.apply(fromStore, func() []mirror.Record {
 		c.noteAges(records, func(mirror.Record) versionAge { return versionAge{} })
 		return c.mirror.Merge(records)
 	})
@@ -125,7 +143,7 @@
 // takeTold merges records from a peer, which says how long ago the versions among
 // them were named, if it knows that.
 func (c *Catalog) takeTold(records []mirror.Record, ages map[string]time.Duration) {
-	c.apply(func() []mirror.Record {
+	c.apply(fromPeer, func() []mirror.Record {
 		c.noteAges(records, func(record mirror.Record) versionAge {
 			age, told := ages[record.Key]
 			if !told {
@@ -142,7 +160,7 @@
 // replace takes in a whole listing. It does not tell how old the versions are that a
 // process meets in its first one; later, what is new to it was named lately.
 func (c *Catalog) replace(prefix string, listing fleet.Listing) {
-	c.apply(func() []mirror.Record {
+	c.apply(fromStore, func() []mirror.Record {
 		age := versionAge{}
 		if c.view.Load().Configuration == nil {
 			age = c.assumedAge()
@@ -152,18 +170,23 @@
 	})
 }
 
+// source is where records come from.
+type source int
+
+// The sources.
+const (
+	fromStore source = iota + 1
+	fromPeer
+)
+
 // apply changes the mirror and tells everyone when that made a difference.
-func (c *Catalog) apply(change func() []mirror.Record) {
+func (c *Catalog) apply(from source, change func() []mirror.Record) {
 	c.notify.Lock()
 	defer c.notify.Unlock()
 	c.mutex.Lock()
 	old := c.View()
-	before := c.snapshotServers()
-	news := c.relevant(before, change())
-	for _, record := range news {
-		c.sequence++
-		c.changedAt[record.Key] = c.sequence
-	}
+	news := c.relevant(change())
+	c.noteChanges(from, news)
 	if len(news) > 0 {
 		c.rebuild(news)
 	}
@@ -178,37 +201,68 @@
 	}
 }
 
-// snapshotServers remembers what the listed servers said of themselves before a
-// change; the mutex is held. Lapsed ones are not among them: that one of them is
-// listed again is news, also where its line is the same.
-func (c *Catalog) snapshotServers() map[string]fleet.Server {
-	before := map[string]fleet.Server{}
-	for _, servers := range c.view.Load().Servers {
-		for _, server := range servers {
-			if _, lapsed := c.lapsed[server.ID]; !lapsed {
-				before[server.ID] = server
-			}
+// noteChanges notes what others are to be told. What the store has told this process
+// is urgent, since others depend on it; what a peer has told goes on with the next
+// update, unless it names weights. The mutex is held.
+func (c *Catalog) noteChanges(from source, news []mirror.Record) {
+	for _, record := range news {
+		kind := c.options.Decoder.Kind(record.Key)
+		switch kind {
+		case fleet.RecordConfiguration:
+			c.heads[record.Key] = record.Revision
+		case fleet.RecordServer, fleet.RecordVersion:
+			c.changes.Note(record)
+		case fleet.RecordOther:
+			continue
+		}
+		if from == fromStore || kind == fleet.RecordVersion {
+			c.urgent = c.changes.Sequence()
 		}
 	}
-	return before
 }
 
-// relevant drops the records of servers that changed nothing but their counter.
-func (c *Catalog) relevant(before map[string]fleet.Server, news []mirror.Record) []mirror.Record {
+// relevant takes over what records say of servers, and drops the records of those
+// that changed nothing but their counter; the mutex is held.
+func (c *Catalog) relevant(news []mirror.Record) []mirror.Record {
 	kept := news[:0]
 	for _, record := range news {
-		if c.options.Decoder.Kind(record.Key) == fleet.RecordServer && !record.Gone {
-			server, err := c.options.Decoder.Server(record)
-			old, known := before[server.ID]
-			if err == nil && known && sameServer(old, server) {
-				continue
-			}
+		if c.options.Decoder.Kind(record.Key) != fleet.RecordServer || c.takeServer(record) {
+			kept = append(kept, record)
 		}
-		kept = append(kept, record)
 	}
 	return kept
 }
 
+// takeServer takes over the record of a server, and reports whether it says anything
+// new. That a lapsed server is listed again is news, also where its line is the same:
+// it is not among the listed ones meanwhile.
+func (c *Catalog) takeServer(record mirror.Record) bool {
+	old, known := c.servers[record.Key]
+	if record.Gone {
+		c.dropServer(record.Key)
+		return true
+	}
+	server, err := c.options.Decoder.Server(record)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.Error(err))
+		c.dropServer(record.Key)
+		return true
+	}
+	c.servers[record.Key] = server
+	if !known {
+		index, _ := slices.BinarySearch(c.serverKeys, record.Key)
+		c.serverKeys = slices.Insert(c.serverKeys, index, record.Key)
+	}
+	return !known || !sameServer(old, server)
+}
+
+func (c *Catalog) dropServer(key string) {
+	if index, listed := slices.BinarySearch(c.serverKeys, key); listed {
+		c.serverKeys = slices.Delete(c.serverKeys, index, index+1)
+		delete(c.servers, key)
+	}
+}
+
 func sameServer(a, b fleet.Server) bool {
 	if a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone || a.Slots != b.Slots || a.Draining != b.Draining {
 		return false
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -21,35 +21,17 @@
 
 // Times of the exchange.
 const (
-	// updatePeriod is the pace of signs of life; changes are sent at once.
-	updatePeriod = 300 * time.Millisecond
-	// linkSilence is the silence after which a link is taken for broken.
-	linkSilence = 1500 * time.Millisecond
-	// probeAfter is the silence after which a link is probed: early enough for an
-	// answer over a slow link to come within linkSilence.
-	probeAfter = linkSilence / 2
-	// entryMemory is how long an entry that nobody hears is remembered.
-	entryMemory = 12 * time.Second
-	// listPeriod is how often the list of entries is sent on a link, and farRecent
-	// the age up to which an entry of another zone, of which only the list tells,
-	// counts as alive.
+	// updatePeriod is the pace of updates between entries, which are signs of life too;
+	// agentUpdatePeriod that of updates to agents, which need to know of silence later.
+	// Urgent changes are sent at once.
+	updatePeriod      = 300 * time.Millisecond
+	agentUpdatePeriod = 600 * time.Millisecond
+	// listPeriod is how often the list of entries is sent on a link.
 	listPeriod = 900 * time.Millisecond
 	// newListPause is the least time between two lists on a link while entries are new.
 	newListPause = 100 * time.Millisecond
-	farRecent    = 4 * time.Second
-	// gatesPerZone is how many entries of a zone speak with those of others.
-	gatesPerZone = 2
-	// dialTimeout bounds the making of a link. After the first failure, which at the
-	// start means that the other does not listen yet, firstDialPause goes by until the
-	// next try; it doubles up to dialPause.
-	dialTimeout          = 1200 * time.Millisecond
-	firstDialPause       = 100 * time.Millisecond
-	dialPause            = 700 * time.Millisecond
-	maximumDialDoublings = 3
 	// pullAfter is how long the store is given to bring what a peer already has.
 	pullAfter = 250 * time.Millisecond
-	// feedersPerAgent is how many entries tell each agent the news.
-	feedersPerAgent = 2
 )
 
 // update is the news of one process. Large records (configurations) are only
@@ -65,6 +47,12 @@
 	// Entries maps the entries heard of to the zone and the age of their last sign;
 	// it is not in every update.
 	Entries map[string]entrySign `cbor:"5,keyasint,omitempty"`
+	// Digest sums up the sender's records without the large ones; 0 when it does not
+	// say. A receiver whose own is the same need not send any.
+	Digest uint64 `cbor:"6,keyasint,omitempty"`
+	// Backup tells an agent that another entry passes on its words, so that this one
+	// need not hear every one of them.
+	Backup bool `cbor:"7,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -72,33 +60,6 @@
 	AgeMilliseconds int64  `cbor:"2,keyasint"`
 }
 
-// entryPeer is another entry.
-type entryPeer struct {
-	zone  string
-	heard time.Time
-}
-
-// outLink is a link to another process that this one makes and sends on.
-type outLink struct {
-	address string
-	// sequence is the catalog's sequence up to which the other was told.
-	sequence uint64
-	link     *peering.Link
-	dialling bool
-	nextDial time.Time
-	sending  bool
-	// statusSequence is up to which the other was told of agents; passing is set
-	// while it is being told.
-	statusSequence uint64
-	passing        bool
-	// listedAt is when the other was last sent the list of entries, listedSequence how
-	// many entries had been new by then.
-	listedAt       time.Time
-	listedSequence uint64
-	// failures counts the dials in a row that failed.
-	failures int
-}
-
 // exchange keeps the links and sends the news. Agents only listen.
 func (c *Catalog) exchange(ctx context.Context) {
 	if c.options.Role == RoleAgent {
@@ -106,7 +67,7 @@
 	}
 	c.mutex.Lock()
 	for _, seed := range c.options.Seeds {
-		c.entries[seed] = &entryPeer{heard: time.Now()}
+		c.hearEntry(seed, "", 0)
 	}
 	c.mutex.Unlock()
 	ticker := time.NewTicker(updatePeriod)
@@ -115,7 +76,7 @@
 	defer statusTicker.Stop()
 	for {
 		c.keepLinks(ctx)
-		c.sendAll()
+		c.sendUpdates()
 		for waiting := true; waiting; {
 			select {
 			case <-statusTicker.C:
@@ -131,72 +92,124 @@
 	}
 }
 
-// sendAll sends each link what it lacks, or a sign of life.
-func (c *Catalog) sendAll() {
-	agents := c.View().Agents()
+// kickExchange has the links looked after and the urgent news sent at once.
+func (c *Catalog) kickExchange() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// sendUpdates sends each link that is due what it lacks, or a sign of life.
+func (c *Catalog) sendUpdates() {
+	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for ip, out := range c.links {
-		if out.link == nil || out.sending {
+	for ip, peer := range c.links {
+		if peer.link == nil || peer.sending || !c.updateDue(peer, now) {
 			continue
 		}
-		_, isAgent := agents[ip]
-		withList := !isAgent && c.listDue(out)
+		withList := peer.isEntry() && c.listDue(peer, now)
 		if withList {
-			out.listedAt, out.listedSequence = time.Now(), c.entriesSequence
+			peer.listedAt, peer.listedArrivals = now, c.overlay.Arrivals()
+		}
+		message := c.compose(peer, withList)
+		if !peer.isEntry() {
+			_, main := c.overlay.Feeds(ip, peer.zone())
+			message.Backup = !main
+		}
+		if peer.compared {
+			peer.sequence = c.changes.Sequence()
 		}
-		message := c.compose(out.sequence, withList)
-		out.sequence = c.sequence
-		out.sending = true
-		go c.send(out, out.link, message)
+		peer.sending, peer.updatedAt = true, now
+		go c.send(peer, peer.link, message)
 	}
 }
 
+// updateDue reports whether a link is to be sent an update now: at its pace, and at
+// once when there are urgent changes or new entries to tell of. Entries of other zones
+// hear of changes from the store, and here only of what they lack by the next update.
+// The mutex is held.
+func (c *Catalog) updateDue(peer *peerLink, now time.Time) bool {
+	period := updatePeriod
+	if !peer.isEntry() {
+		period = agentUpdatePeriod
+	}
+	// An update of which the timer is a little early is not put off by a whole tick.
+	if now.Sub(peer.updatedAt) >= period-updatePeriod/4 {
+		return true
+	}
+	far := peer.isEntry() && peer.zone() != c.options.Zone
+	if peer.compared && c.urgent > peer.sequence && !far {
+		return true
+	}
+	return peer.isEntry() && c.newEntriesDue(peer, now)
+}
+
 // listDue reports whether a link is to be sent the list of entries: from time to time,
 // and soon after an entry was new, so that entries that start together know each other
 // quickly; the mutex is held.
-func (c *Catalog) listDue(out *outLink) bool {
-	since := time.Since(out.listedAt)
-	return since > listPeriod || (out.listedSequence != c.entriesSequence && since > newListPause)
+func (c *Catalog) listDue(peer *peerLink, now time.Time) bool {
+	return now.Sub(peer.listedAt) > listPeriod || c.newEntriesDue(peer, now)
+}
+
+func (c *Catalog) newEntriesDue(peer *peerLink, now time.Time) bool {
+	return peer.listedArrivals != c.overlay.Arrivals() && now.Sub(peer.listedAt) > newListPause
 }
 
-func (c *Catalog) send(out *outLink, link *peering.Link, message update) {
+func (c *Catalog) send(peer *peerLink, link *peering.Link, message update) {
 	err := peering.Send(link, topicUpdate, "", message)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	out.sending = false
-	if err != nil && out.link == link {
-		out.link = nil
+	peer.sending = false
+	if err != nil && peer.link == link {
+		peer.link = nil
+		c.kickExchange()
 	}
 }
 
-// compose builds an update with every change after a sequence; the mutex is held.
-func (c *Catalog) compose(after uint64, withList bool) update {
-	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: map[string]uint64{}}
+// compose builds an update with every change that a link was not told, once it is
+// known how far the other process's records differ; the mutex is held.
+func (c *Catalog) compose(peer *peerLink, withList bool) update {
+	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: c.copyHeads(), Digest: c.changes.Digest()}
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
-	for _, record := range c.mirror.All(c.options.Decoder.Prefix()) {
-		kind := c.options.Decoder.Kind(record.Key)
-		switch {
-		case kind == fleet.RecordConfiguration:
-			message.Heads[record.Key] = record.Revision
-		case c.changedAt[record.Key] > after:
-			message.Records = append(message.Records, record)
-			if kind == fleet.RecordVersion {
-				c.addAge(&message, record)
-			}
-		}
+	if peer.compared {
+		c.addChanges(&message, peer.sequence)
 	}
 	if withList {
 		message.Entries = map[string]entrySign{}
-		for ip, peer := range c.entries {
-			message.Entries[ip] = entrySign{Zone: peer.zone, AgeMilliseconds: time.Since(peer.heard).Milliseconds()}
+		for ip, sign := range c.overlay.Members() {
+			message.Entries[ip] = entrySign{Zone: sign.Zone, AgeMilliseconds: time.Since(sign.Heard).Milliseconds()}
 		}
 	}
 	return message
 }
 
+// copyHeads copies what is still read while the update is sent; the mutex is held.
+func (c *Catalog) copyHeads() map[string]uint64 {
+	heads := make(map[string]uint64, len(c.heads))
+	for key, revision := range c.heads {
+		heads[key] = revision
+	}
+	return heads
+}
+
+// addChanges adds the records that have changed after a sequence; the mutex is held.
+func (c *Catalog) addChanges(message *update, after uint64) {
+	for _, key := range c.changes.After(after) {
+		record, known := c.mirror.Held(key)
+		if !known {
+			continue
+		}
+		message.Records = append(message.Records, record)
+		if c.options.Decoder.Kind(key) == fleet.RecordVersion {
+			c.addAge(message, record)
+		}
+	}
+}
+
 // addAge adds how long ago the version of a record was named, unless that is only
 // assumed; the mutex is held.
 func (c *Catalog) addAge(message *update, record mirror.Record) {
@@ -225,9 +238,10 @@
 		ages[key] = time.Duration(age) * time.Millisecond
 	}
 	c.mutex.Lock()
-	c.heardEntry(link.Remote().ID, link.Remote().Zone, 0)
+	c.backupOf[link.Remote().ID] = news.Backup
+	c.hearEntry(link.Remote().ID, link.Remote().Zone, 0)
 	for ip, sign := range news.Entries {
-		c.heardEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
+		c.hearEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
 	}
 	fresh := time.Now().Add(-time.Duration(news.FreshMilliseconds) * time.Millisecond)
 	c.noteFresh(fresh)
@@ -236,11 +250,30 @@
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
+	c.compare(link.Remote().ID, news.Digest)
 	if len(lacking) > 0 {
 		time.AfterFunc(c.pullDelay(link), func() { c.pullFrom(link, lacking) })
 	}
 }
 
+// compare notes whether another entry holds the same records. If it does, it need not
+// be told what has changed; the first time that it does not, it is told everything.
+func (c *Catalog) compare(ip string, digest uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	peer, linked := c.links[ip]
+	if !linked {
+		return
+	}
+	if digest == c.changes.Digest() {
+		peer.sequence = c.changes.Sequence()
+	} else if !peer.compared {
+		peer.updatedAt = time.Time{}
+		c.kickExchange()
+	}
+	peer.compared = true
+}
+
 // pullDelay leaves the store time to bring a record first where this process
 // reads it, and the own zone where another does.
 func (c *Catalog) pullDelay(link *peering.Link) time.Duration {
--- a/internal/catalog/lapsed.go
+++ b/internal/catalog/lapsed.go
@@ -94,6 +94,7 @@
 	c.mutex.Lock()
 	next := *c.view.Load()
 	c.rebuildServers(&next)
+	next.findAgents()
 	c.view.Store(&next)
 	c.mutex.Unlock()
 	for _, callback := range c.callbacks {
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -1,25 +1,41 @@
 package catalog
 
 import (
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/platform"
 )
 
+// newTestCatalog is the catalog of an entry that is not run.
+func newTestCatalog() *Catalog {
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.1", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	return New(Options{Self: "10.0.0.1", Role: RoleEntry, Zone: "z", InternalPort: 1, Decoder: platform.Decoder{}, Hub: hub, Log: logging.Nop(), VersionApply: 8 * time.Second, Drain: 2 * time.Second})
+}
+
 // An entry that is new is told on every link soon, not only with the next list that is
 // due anyway: entries that start together know each other within a few hops.
 func TestNewEntriesAreToldSoon(t *testing.T) {
-	c := &Catalog{options: Options{Self: "10.0.0.1"}, entries: map[string]*entryPeer{}, kick: make(chan struct{}, 1)}
-	listed := &outLink{listedAt: time.Now().Add(-2 * newListPause)}
-	assert.False(t, c.listDue(listed), "nothing is new")
-	c.heardEntry("10.0.0.2", "z", 0)
-	assert.True(t, c.listDue(listed))
+	c := newTestCatalog()
+	now := time.Now()
+	listed := &peerLink{listedAt: now.Add(-2 * newListPause)}
+	assert.False(t, c.listDue(listed, now), "nothing is new")
+	c.hearEntry("10.0.0.2", "z", 0)
+	assert.True(t, c.listDue(listed, now))
 	assert.Len(t, c.kick, 1, "it is told at once")
-	listed.listedSequence = c.entriesSequence
-	c.heardEntry("10.0.0.2", "z", 0)
-	assert.False(t, c.listDue(listed), "it is known")
-	assert.False(t, c.listDue(&outLink{listedAt: time.Now()}), "lists do not follow each other closely")
+	listed.listedArrivals = c.overlay.Arrivals()
+	c.hearEntry("10.0.0.2", "z", 0)
+	assert.False(t, c.listDue(listed, now), "it is known")
+	assert.False(t, c.listDue(&peerLink{listedAt: now}, now), "lists do not follow each other closely")
 }
 
 // A process that does not listen yet is dialled again soon, one that is away ever later.
@@ -29,3 +45,109 @@
 	assert.Equal(t, dialPause, pauseAfter(3))
 	assert.Equal(t, dialPause, pauseAfter(1000))
 }
+
+func serverRecord(index int, revision uint64) mirror.Record {
+	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
+	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
+}
+
+// What an entry has read from the store is passed on at once, what it was told with the
+// next update; a server whose line says nothing new is not passed on at all.
+func TestOwnNewsAreUrgent(t *testing.T) {
+	c := newTestCatalog()
+	c.takeTold([]mirror.Record{serverRecord(1, 1)}, nil)
+	assert.Zero(t, c.urgent)
+	c.takeWatched([]mirror.Record{serverRecord(2, 2)})
+	assert.Equal(t, c.changes.Sequence(), c.urgent)
+	same := serverRecord(2, 2)
+	same.Revision = 3
+	before := c.changes.Sequence()
+	c.takeWatched([]mirror.Record{same})
+	assert.Equal(t, before, c.changes.Sequence())
+	c.takeTold([]mirror.Record{{Key: "op/version/m", Value: []byte(`{"model":"m","version":2}`), Revision: 4}}, nil)
+	assert.Equal(t, c.changes.Sequence(), c.urgent, "the naming of weights is passed on at once by everyone")
+}
+
+// Peers that hold the same tell each other nothing; one that differs is told all, once.
+func TestRecordsAreSentWhereTheyDiffer(t *testing.T) {
+	c := newTestCatalog()
+	c.takeWatched([]mirror.Record{serverRecord(1, 1), serverRecord(2, 2)})
+	peer := c.peerLink("10.0.0.2")
+	assert.Empty(t, c.compose(peer, false).Records, "nothing is sent before records were compared")
+	c.compare("10.0.0.2", c.changes.Digest())
+	assert.Empty(t, c.compose(peer, false).Records, "it holds the same")
+	c.takeWatched([]mirror.Record{serverRecord(3, 3)})
+	assert.Len(t, c.compose(peer, false).Records, 1, "it lacks one")
+
+	other := c.peerLink("10.0.0.3")
+	c.compare("10.0.0.3", 0)
+	assert.Len(t, c.compose(other, false).Records, 3, "it holds nothing")
+}
+
+// The backup of an agent's main feeder passes its words on when nobody else does.
+func TestBackupPassesOnWhatTheMainFeederDoesNot(t *testing.T) {
+	c := newTestCatalog()
+	for index := 2; index <= 3; index++ {
+		c.hearEntry(fmt.Sprintf("10.0.0.%d", index), "z", 0)
+	}
+	now := time.Now()
+	c.overlay.Advance(now)
+	// One agent of each kind: the main feeder, the backup, and neither is this entry.
+	held := map[string]heldStatus{}
+	for index := range 200 {
+		agent := fmt.Sprintf("10.1.0.%d", index)
+		feeds, main := c.overlay.Feeds(agent, "z")
+		held[fmt.Sprint(feeds, main)] = heldStatus{status: fleet.MachineStatus{Address: net.JoinHostPort(agent, "80")}, zone: "z", at: now, direct: true, passedAt: now}
+	}
+	later := now.Add(backupPause + time.Millisecond)
+	assert.True(t, c.passesOn(held["true true"], now))
+	assert.False(t, c.passesOn(held["true false"], now))
+	assert.True(t, c.passesOn(held["true false"], later))
+	assert.False(t, c.passesOn(held["false false"], later))
+}
+
+// The cost of one server's record must not grow with the number of servers, but for
+// the list of them.
+func BenchmarkTakeServer(b *testing.B) {
+	for _, servers := range []int{40, 200, 1000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			c := newTestCatalog()
+			revision := uint64(0)
+			for index := range servers {
+				revision++
+				c.takeWatched([]mirror.Record{serverRecord(index, revision)})
+			}
+			records := make([]mirror.Record, b.N)
+			for index := range records {
+				revision++
+				records[index] = serverRecord(index%servers, revision)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for _, record := range records {
+				c.takeWatched([]mirror.Record{record})
+			}
+		})
+	}
+}
+
+// The cost of passing on the word of one agent must not grow with the fleet.
+func BenchmarkPassStatuses(b *testing.B) {
+	for _, entries := range []int{30, 150, 400} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			c := newTestCatalog()
+			for index := range entries {
+				c.hearEntry(fmt.Sprintf("10.2.%d.%d", index/250, index%250), fmt.Sprintf("z%d", index%5), 0)
+			}
+			now := time.Now()
+			c.overlay.Advance(now)
+			word := heldStatus{status: fleet.MachineStatus{Address: "10.1.0.1:80", Model: "m", Reachable: true}, zone: "z", direct: true}
+			b.ReportAllocs()
+			for b.Loop() {
+				word.at = word.at.Add(time.Second)
+				c.takeStatus(word)
+				c.encodeBatch(batchKey{near: true, nearAfter: c.statusSequence - 1}, now)
+			}
+		})
+	}
+}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/placement"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -32,8 +31,11 @@
 	staleStep  = 100 * time.Millisecond
 	// agentStaleAfter is the same for agents, which can wait longer.
 	agentStaleAfter = 2 * time.Second
-	// idleCheck is how often a process that does not read looks whether it must.
-	idleCheck = 50 * time.Millisecond
+	// leastIdle is the least time between two looks of a process that does not read
+	// whether it must, and rankCheck the most for an entry, which may have become the
+	// first of its zone.
+	leastIdle = 50 * time.Millisecond
+	rankCheck = 200 * time.Millisecond
 )
 
 // position is where a watch of a prefix stands.
@@ -50,8 +52,8 @@
 func (c *Catalog) followStore(ctx context.Context) {
 	at := &position{prefix: c.options.Decoder.Prefix()}
 	for ctx.Err() == nil {
-		if at.at != 0 && !c.isReader() {
-			waiting.For(ctx, idleCheck)
+		if idle := c.untilReading(); at.at != 0 && idle > 0 {
+			waiting.For(ctx, max(idle, leastIdle))
 			continue
 		}
 		began := time.Now()
@@ -60,29 +62,27 @@
 	}
 }
 
-// isReader reports whether this process is to read the store now: the first entry
-// of its zone always, the others when nobody has told them for a while.
-func (c *Catalog) isReader() bool {
+// untilReading is how long this process has not to read the store, unless it is told
+// something meanwhile: the first entry of its zone reads always, the others when nobody
+// has told them for a while.
+func (c *Catalog) untilReading() time.Duration {
 	if c.options.Role == RoleAgent {
-		return c.isStale(agentStaleAfter)
+		return agentStaleAfter - time.Since(c.Fresh())
 	}
 	rank := c.zoneRank()
-	return rank == 0 || c.isStale(staleAfter+time.Duration(rank)*staleStep)
-}
-
-func (c *Catalog) isStale(after time.Duration) bool {
-	return time.Since(c.Fresh()) > after
+	if rank == 0 {
+		return 0
+	}
+	left := staleAfter + time.Duration(rank)*staleStep - time.Since(c.Fresh())
+	return min(left, rankCheck)
 }
 
 // zoneRank is this entry's place among the entries of its zone.
 func (c *Catalog) zoneRank() int {
-	mates := append(c.entriesOf(c.options.Zone), c.options.Self)
-	for rank, entry := range placement.Rank("reader/"+c.options.Zone, mates) {
-		if entry == c.options.Self {
-			return rank
-		}
-	}
-	return 0
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.overlay.Advance(time.Now())
+	return c.overlay.Rank()
 }
 
 // noteAnswered notes that the store has answered, before its answer is taken in.
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
@@ -15,8 +17,19 @@
 // topicStatuses carries what agents have said from entry to entry.
 const topicStatuses = "machine.statuses"
 
-// statusPace is how often entries pass on what agents have said.
-const statusPace = 60 * time.Millisecond
+// Times of passing on what agents have said.
+const (
+	// statusPace is how often entries of a zone are told of its agents, farStatusPace
+	// how often of those of other zones, which they choose less often.
+	statusPace    = 60 * time.Millisecond
+	farStatusPace = 240 * time.Millisecond
+	// statusMemory is how long the word of an agent that says no more is kept.
+	statusMemory = 10 * time.Second
+	// backupPause is how long a word that this entry has from the agent itself may be
+	// passed on by nobody until it does that in the main feeder's place: longer than an
+	// agent's longest time between two words.
+	backupPause = 400 * time.Millisecond
+)
 
 // toldStatus is an agent's word as it is passed on.
 type toldStatus struct {
@@ -39,13 +52,17 @@
 	direct bool
 	// sequence orders the changes, for the links.
 	sequence uint64
+	// passedAt is when another entry of the zone last passed on a word of the agent.
+	passedAt time.Time
 }
 
-// OnStatus registers a function that is called with each newer word of an agent
-// and the time of that word. It must be registered before Run.
-func (c *Catalog) OnStatus(function func(status fleet.MachineStatus, at time.Time)) {
-	c.onStatus = function
-}
+// StatusFunction is told an agent's word, when the agent said it, and whether it said
+// so to this process itself.
+type StatusFunction func(status fleet.MachineStatus, at time.Time, direct bool)
+
+// OnStatus registers a function that is called with each newer word of an agent. It
+// must be registered before Run.
+func (c *Catalog) OnStatus(function StatusFunction) { c.onStatus = function }
 
 func (c *Catalog) handleStatus(link *peering.Link, received *message.Message) {
 	status, err := peering.Decode[fleet.MachineStatus](received)
@@ -67,8 +84,13 @@
 		return
 	}
 	now := time.Now()
+	near := link.Remote().Zone == c.options.Zone
 	for _, told := range batch.Statuses {
-		c.takeStatus(heldStatus{status: told.Status, zone: told.Zone, at: now.Add(-time.Duration(told.AgeMilliseconds) * time.Millisecond)})
+		passed := heldStatus{status: told.Status, zone: told.Zone, at: now.Add(-time.Duration(told.AgeMilliseconds) * time.Millisecond)}
+		if near {
+			passed.passedAt = now
+		}
+		c.takeStatus(passed)
 	}
 }
 
@@ -79,7 +101,12 @@
 func (c *Catalog) takeStatus(fresh heldStatus) {
 	c.mutex.Lock()
 	held, known := c.statuses[fresh.status.Address]
+	if fresh.passedAt.IsZero() {
+		fresh.passedAt = held.passedAt
+	}
 	if known && !fresh.at.After(held.at.Add(sameMoment)) && !(fresh.direct && !held.direct) {
+		held.passedAt = fresh.passedAt
+		c.statuses[fresh.status.Address] = held
 		c.mutex.Unlock()
 		return
 	}
@@ -88,72 +115,153 @@
 	c.statuses[fresh.status.Address] = fresh
 	c.mutex.Unlock()
 	if c.onStatus != nil {
-		c.onStatus(fresh.status, fresh.at)
+		c.onStatus(fresh.status, fresh.at, fresh.direct)
 	}
 }
 
-// statusMemory is how long the word of an agent that says no more is kept.
-const statusMemory = 10 * time.Second
-
 // passStatuses sends each entry what it has not heard of agents: those of the own
-// zone what the agents have said here, and as a gate what other zones' have; the
-// gates of other zones everything of the own zone.
+// zone what the agents have said here, and as the first gate what other zones' have;
+// the gates of other zones everything of the own zone.
 func (c *Catalog) passStatuses() {
+	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	now := time.Now()
+	c.forgetStatuses(now)
+	c.overlay.Advance(now)
+	firstGate := c.overlay.Rank() == 0
+	batches := map[batchKey][]byte{}
+	for _, peer := range c.links {
+		if !peer.isEntry() || peer.passing {
+			continue
+		}
+		key, due := c.nextBatch(peer, firstGate, now)
+		if !due {
+			continue
+		}
+		payload, made := batches[key]
+		if !made {
+			payload = c.encodeBatch(key, now)
+			batches[key] = payload
+		}
+		if payload == nil {
+			continue
+		}
+		peer.passing = true
+		go c.pass(peer, peer.link, payload)
+	}
+}
+
+func (c *Catalog) forgetStatuses(now time.Time) {
 	for address, held := range c.statuses {
 		if now.Sub(held.at) > statusMemory {
 			delete(c.statuses, address)
 		}
 	}
-	firstGate := c.gates(c.options.Zone)[0] == c.options.Self
-	for ip, out := range c.links {
-		peer, isEntry := c.entries[ip]
-		if !isEntry || out.link == nil || out.passing || out.statusSequence == c.statusSequence {
-			continue
+}
+
+// batchKey tells which statuses a link is to be sent. Links with the same one are sent
+// the same bytes.
+type batchKey struct {
+	// near asks for what this entry passes on to its zone, after nearAfter; ofZone for
+	// all statuses of the own zone, which another zone is sent, after the same.
+	near      bool
+	ofZone    bool
+	nearAfter uint64
+	// far asks for those of other zones after farAfter.
+	far      bool
+	farAfter uint64
+}
+
+// nextBatch takes the next batch of a link, and reports whether there is one; the
+// mutex is held.
+func (c *Catalog) nextBatch(peer *peerLink, firstGate bool, now time.Time) (batchKey, bool) {
+	isNear := peer.zone() == c.options.Zone
+	farDue := firstGate && now.Sub(peer.farToldAt) >= farStatusPace
+	var key batchKey
+	switch {
+	case isNear:
+		key = batchKey{near: true, nearAfter: peer.nearTold, far: farDue}
+		if farDue {
+			key.farAfter = peer.farTold
 		}
-		var batch statusBatch
-		for _, held := range c.statuses {
-			if held.sequence > out.statusSequence && c.passes(held, peer.zone, firstGate) {
-				batch.Statuses = append(batch.Statuses, toldStatus{Status: held.status, Zone: held.zone, AgeMilliseconds: now.Sub(held.at).Milliseconds()})
-			}
+	case farDue:
+		key = batchKey{ofZone: true, nearAfter: peer.nearTold}
+	default:
+		return key, false
+	}
+	if c.statusSequence == key.nearAfter && (!key.far || c.statusSequence == key.farAfter) {
+		return key, false
+	}
+	peer.nearTold = c.statusSequence
+	if farDue {
+		peer.farToldAt = now
+		if isNear {
+			peer.farTold = c.statusSequence
 		}
-		out.statusSequence = c.statusSequence
-		if len(batch.Statuses) == 0 {
-			continue
+	}
+	return key, true
+}
+
+// encodeBatch encodes the statuses of a batch, or returns nil if there are none; the
+// mutex is held.
+func (c *Catalog) encodeBatch(key batchKey, now time.Time) []byte {
+	var batch statusBatch
+	for _, held := range c.statuses {
+		if c.belongs(held, key, now) {
+			batch.Statuses = append(batch.Statuses, toldStatus{Status: held.status, Zone: held.zone, AgeMilliseconds: now.Sub(held.at).Milliseconds()})
 		}
-		out.passing = true
-		go c.pass(out, out.link, batch)
 	}
+	if len(batch.Statuses) == 0 {
+		return nil
+	}
+	payload, err := cbor.Marshal(batch)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.Error(&fault.InvalidFrame{Field: topicStatuses, Reason: err.Error()}))
+		return nil
+	}
+	return payload
 }
 
-// passes reports whether an agent's word is to be passed on to an entry of a zone.
-// Of the entries that could do it, the first does; when it falls silent another is
-// first. The mutex is held.
-func (c *Catalog) passes(held heldStatus, zone string, firstGate bool) bool {
-	switch {
-	case held.zone != c.options.Zone:
-		return zone == c.options.Zone && firstGate
-	case zone != c.options.Zone:
-		return firstGate
+// belongs reports whether an agent's word is part of a batch; the mutex is held.
+func (c *Catalog) belongs(held heldStatus, key batchKey, now time.Time) bool {
+	if held.zone != c.options.Zone {
+		return key.far && held.sequence > key.farAfter
+	}
+	if held.sequence <= key.nearAfter {
+		return false
 	}
-	return held.direct && c.isFirstFeeder(held)
+	return key.ofZone || (key.near && c.passesOn(held, now))
 }
 
-// isFirstFeeder reports whether this entry is the first of those that an agent
-// speaks with; the mutex is held.
-func (c *Catalog) isFirstFeeder(held heldStatus) bool {
+// passesOn reports whether this entry passes an agent's word on to its zone: as the
+// main feeder of that agent, or in the place of one that does not. The mutex is held.
+func (c *Catalog) passesOn(held heldStatus, now time.Time) bool {
+	if !held.direct {
+		return false
+	}
 	agent, _, err := net.SplitHostPort(held.status.Address)
-	return err == nil && c.feedersOf(agent, held.zone)[0] == c.options.Self
+	if err != nil {
+		return false
+	}
+	feeds, main := c.overlay.Feeds(agent, held.zone)
+	return main || (feeds && now.Sub(held.passedAt) > backupPause)
 }
 
-func (c *Catalog) pass(out *outLink, link *peering.Link, batch statusBatch) {
-	err := peering.Send(link, topicStatuses, "", batch)
+func (c *Catalog) pass(peer *peerLink, link *peering.Link, payload []byte) {
+	err := link.Publish(topicStatuses, message.NewMessage("", payload))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	out.passing = false
-	if err != nil && out.link == link {
-		out.link = nil
+	peer.passing = false
+	if err != nil && peer.link == link {
+		peer.link = nil
+		c.kickExchange()
 	}
 }
+
+// IsBackup reports whether an entry has said that another one passes on this agent's
+// words.
+func (c *Catalog) IsBackup(entry string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.backupOf[entry]
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -37,6 +37,8 @@
 	Servers map[string][]fleet.Server
 	// Versions holds the named versions of each model, the newest last.
 	Versions map[string][]Notice
+	// agents are the zones of the machines with model servers, by IP address.
+	agents map[string]string
 }
 
 // maximumNotices is how many named versions of a model are remembered.
@@ -79,20 +81,22 @@
 }
 
 // Agents returns the IP addresses and zones of the machines whose model servers
-// are listed; each has an agent.
-func (v *View) Agents() map[string]string {
-	agents := map[string]string{}
+// are listed; each has an agent. The map is not to be changed.
+func (v *View) Agents() map[string]string { return v.agents }
+
+// findAgents fills in the agents of a view that is being made.
+func (v *View) findAgents() {
+	v.agents = map[string]string{}
 	for name, servers := range v.Servers {
 		if !v.hasEngine(name) {
 			continue
 		}
 		for _, server := range servers {
 			if host, _, err := net.SplitHostPort(server.Address); err == nil {
-				agents[host] = server.Zone
+				v.agents[host] = server.Zone
 			}
 		}
 	}
-	return agents
 }
 
 func (v *View) hasEngine(service string) bool {
@@ -104,7 +108,7 @@
 	old := c.view.Load()
 	next := &View{
 		Configuration: old.Configuration, ConfigurationSince: old.ConfigurationSince,
-		Servers: old.Servers, Versions: old.Versions,
+		Servers: old.Servers, Versions: old.Versions, agents: old.agents,
 	}
 	var serversChanged bool
 	for _, record := range news {
@@ -120,6 +124,9 @@
 	if serversChanged {
 		c.rebuildServers(next)
 	}
+	if serversChanged || next.Configuration != old.Configuration {
+		next.findAgents()
+	}
 	c.view.Store(next)
 }
 
@@ -159,22 +166,15 @@
 		zap.Uint64("revision", record.Revision), zap.Duration("age", time.Since(notice.Since)), zap.Bool("assumed", notice.Assumed))
 }
 
+// rebuildServers lists the servers anew, from what their records have been decoded
+// to; the mutex is held.
 func (c *Catalog) rebuildServers(next *View) {
 	next.Servers = map[string][]fleet.Server{}
-	count := 0
-	for _, record := range c.mirror.Select(c.options.Decoder.Prefix()) {
-		if c.options.Decoder.Kind(record.Key) != fleet.RecordServer {
-			continue
-		}
-		server, err := c.options.Decoder.Server(record)
-		if err != nil {
-			c.options.Log.Log(logging.FrameRejected, zap.Error(err))
-			continue
-		}
+	for _, key := range c.serverKeys {
+		server := c.servers[key]
 		next.Servers[server.Service] = append(next.Servers[server.Service], server)
 		delete(c.lapsed, server.ID)
-		count++
 	}
-	count += c.keepLapsed(next)
+	count := len(c.serverKeys) + c.keepLapsed(next)
 	c.options.Log.Log(logging.MembershipChanged, zap.Int("servers", count))
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -70,9 +70,10 @@
 	f.targets.update(view)
 }
 
-// TakeStatus notes an agent's word on its server, and when that was said.
-func (f *Forwarder) TakeStatus(status fleet.MachineStatus, at time.Time) {
-	f.targets.takeStatus(status, at)
+// TakeStatus notes an agent's word on its server, when that was said, and whether it was
+// said to this process itself.
+func (f *Forwarder) TakeStatus(status fleet.MachineStatus, at time.Time, direct bool) {
+	f.targets.takeStatus(status, at, direct)
 }
 
 // sweepPeriod is how often idle connections are looked through.
--- a/internal/forward/prediction_test.go
+++ b/internal/forward/prediction_test.go
@@ -38,7 +38,7 @@
 		}
 	}
 	assert.Equal(t, 2, sent, "nine entries with two requests each make 600 ms of reading")
-	fleetOf.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1, Running: 2, SwitchMilliseconds: fleet.NoSwitch}, time.Now())
+	fleetOf.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1, Running: 2, SwitchMilliseconds: fleet.NoSwitch}, time.Now(), true)
 	require.Equal(t, server.statusAt, fleetOf.byAddress["10.0.0.1:1"].statusAt)
 	_, refusal := fleetOf.choose(wanted)
 	assert.Nil(t, refusal, "the next word tells how much it was")
@@ -66,6 +66,6 @@
 	require.Nil(t, refusal)
 	fleetOf.takeStatus(fleet.MachineStatus{
 		Address: "10.0.0.1:1", Reachable: true, Version: 1, Waiting: 3, SwitchMilliseconds: fleet.NoSwitch,
-	}, now.Add(-10*time.Millisecond))
+	}, now.Add(-10*time.Millisecond), true)
 	assert.Equal(t, 4, server.load(wanted, time.Now()).Waiting, "three of others and the own one")
 }
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -192,8 +192,9 @@
 	}
 }
 
-// takeStatus notes an agent's word on its server.
-func (t *targets) takeStatus(status fleet.MachineStatus, at time.Time) {
+// takeStatus notes an agent's word on its server. Only an entry that has it from the
+// agent itself logs what it changes: the log of the fleet tells it once or twice.
+func (t *targets) takeStatus(status fleet.MachineStatus, at time.Time, direct bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.statuses[status.Address] = statusAt{status: status, at: at}
@@ -201,7 +202,7 @@
 	if known == nil {
 		return
 	}
-	if known.status.Reachable != status.Reachable || known.status.Version != status.Version {
+	if direct && (known.status.Reachable != status.Reachable || known.status.Version != status.Version) {
 		t.log.Log(logging.ServerStatus, zap.String("server", known.id), zap.Bool("reachable", status.Reachable),
 			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 	g := &Gateway{daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry)}
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
-		Peers:    func() int { return len(base.Catalog.Entries()) },
+		Peers:    base.Catalog.Peers,
 		Registry: base.Registry, Policy: options.Policy,
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -34,13 +34,17 @@
 	ticker := time.NewTicker(reportPeriod)
 	defer ticker.Stop()
 	var last fleet.MachineStatus
-	var lastAt time.Time
+	var lastAt, lastToAllAt time.Time
 	for {
 		a.readReport(ctx)
 		now := time.Now()
 		status := a.status(now)
-		if !sameStatus(status, last) || now.Sub(lastAt) >= statusPeriod {
-			a.send(status)
+		switch {
+		case now.Sub(lastToAllAt) >= statusPeriod || !sameState(status, last):
+			a.send(status, toAll)
+			last, lastAt, lastToAllAt = status, now, now
+		case !sameStatus(status, last) || now.Sub(lastAt) >= statusPeriod:
+			a.send(status, toMain)
 			last, lastAt = status, now
 		}
 		select {
@@ -60,6 +64,11 @@
 	return a == b
 }
 
+// sameState compares what decides whether the server may be chosen at all.
+func sameState(a, b fleet.MachineStatus) bool {
+	return a.Reachable == b.Reachable && a.Version == b.Version && (a.SwitchMilliseconds == 0) == (b.SwitchMilliseconds == 0)
+}
+
 func (a *Agent) readReport(ctx context.Context) {
 	timed, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -133,23 +142,37 @@
 const missingSwitch = 500 * time.Millisecond
 
 // pushStatus tells the entries at once.
-func (a *Agent) pushStatus() { a.send(a.status(time.Now())) }
+func (a *Agent) pushStatus() { a.send(a.status(time.Now()), toAll) }
+
+// recipients is which entries are told.
+type recipients int
+
+// The recipients: every entry that has a link to this agent, or only those of which no
+// other one passes the words on. A change of load need not be told to a backup.
+const (
+	toAll recipients = iota + 1
+	toMain
+)
 
-// send tells the entries that speak with this agent, and probes the way to them.
-func (a *Agent) send(status fleet.MachineStatus) {
-	told := map[string]bool{}
+// send tells entries that speak with this agent, and probes the way to them.
+func (a *Agent) send(status fleet.MachineStatus, to recipients) {
+	linked := map[string]bool{}
 	for _, link := range a.daemon.Hub.Accepted() {
-		if link.Remote().Role != catalog.RoleEntry {
+		entry := link.Remote()
+		if entry.Role != catalog.RoleEntry {
+			continue
+		}
+		linked[entry.ID] = true
+		if to == toMain && a.daemon.Catalog.IsBackup(entry.ID) {
 			continue
 		}
-		told[link.Remote().ID] = true
 		probed := status
-		probed.Probe = a.probe(link.Remote().ID)
+		probed.Probe = a.probe(entry.ID)
 		go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", probed) }()
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.roundTrips.Keep(told)
+	a.roundTrips.Keep(linked)
 }
 
 func (a *Agent) probe(entry string) uint64 {
