Few processes list the store; the others go on from what they were told

Cause: a process that had been told by others went on from its own last reading, often its first one, when it began to read again: after an outage the store's history was gone for all of them, each listed everything, over one link between regions, within 1.5 s or not at all. Change: updates say up to which revision the sender is complete, which holds for a receiver with the same digest; entries that must list wait by rank; processes that start wait 250 ms to be told; agents read only when they hear no entry; an answer that goes on coming is not cut.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,13 @@
 	// known again after an outage of the store.
 	fresh    time.Time
 	regained time.Time
+	// complete is the store's revision up to which every change has been heard of;
+	// toldAt is when another process last said anything.
+	complete uint64
+	toldAt   time.Time
+	started  time.Time
+	// agentOffset spreads the agents that begin to read for themselves.
+	agentOffset time.Duration
 	// lapsed holds servers that were lost from the list around an outage, by ID.
 	lapsed map[string]lapsedServer
 	// calls counts the calls to the store.
@@ -89,7 +97,7 @@
 // New returns an empty catalog and registers its handlers with the hub.
 func New(options Options) *Catalog {
 	c := &Catalog{
-		options: options, mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{},
+		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{},
 		servers: map[string]fleet.Server{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -53,6 +53,9 @@
 	// Backup tells an agent that another entry passes on its words, so that this one
 	// need not hear every one of them.
 	Backup bool `cbor:"7,keyasint,omitempty"`
+	// Complete is the store's revision up to which the sender has heard of every change;
+	// 0 when it does not know.
+	Complete uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -171,7 +174,7 @@
 // compose builds an update with every change that a link was not told, once it is
 // known how far the other process's records differ; the mutex is held.
 func (c *Catalog) compose(peer *peerLink, withList bool) update {
-	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: c.copyHeads(), Digest: c.changes.Digest()}
+	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: c.copyHeads(), Digest: c.changes.Digest(), Complete: c.complete}
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
@@ -243,29 +246,34 @@
 	for ip, sign := range news.Entries {
 		c.hearEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
 	}
-	fresh := time.Now().Add(-time.Duration(news.FreshMilliseconds) * time.Millisecond)
-	c.noteFresh(fresh)
+	c.toldAt = time.Now()
+	c.noteFresh(c.toldAt.Add(-time.Duration(news.FreshMilliseconds) * time.Millisecond))
 	lacking := c.lacking(news.Heads)
 	c.mutex.Unlock()
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
-	c.compare(link.Remote().ID, news.Digest)
+	c.compare(link.Remote().ID, news)
 	if len(lacking) > 0 {
 		time.AfterFunc(c.pullDelay(link), func() { c.pullFrom(link, lacking) })
 	}
 }
 
-// compare notes whether another entry holds the same records. If it does, it need not
-// be told what has changed; the first time that it does not, it is told everything.
-func (c *Catalog) compare(ip string, digest uint64) {
+// compare notes whether another process holds the same records. If it does, it need
+// not be told what has changed, and this process has heard of every change that the
+// other has; the first time that it does not, it is told everything.
+func (c *Catalog) compare(ip string, news update) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	same := news.Digest == c.changes.Digest()
+	if same && len(c.newerHeads(news.Heads)) == 0 {
+		c.complete = max(c.complete, news.Complete)
+	}
 	peer, linked := c.links[ip]
 	if !linked {
 		return
 	}
-	if digest == c.changes.Digest() {
+	if same {
 		peer.sequence = c.changes.Sequence()
 	} else if !peer.compared {
 		peer.updatedAt = time.Time{}
@@ -283,19 +291,24 @@
 	return pullAfter
 }
 
-// lacking returns the large records that a peer has newer; the mutex is
-// held. An agent takes only its first configuration from peers.
+// lacking returns the large records that are to be asked for; the mutex is held. An agent takes only its first configuration from peers.
 func (c *Catalog) lacking(heads map[string]uint64) map[string]uint64 {
 	if c.options.Role == RoleAgent && c.view.Load().Configuration != nil {
 		return nil
 	}
-	lacking := map[string]uint64{}
+	return c.newerHeads(heads)
+}
+
+// newerHeads returns the large records of which a peer has newer revisions; the mutex
+// is held.
+func (c *Catalog) newerHeads(heads map[string]uint64) map[string]uint64 {
+	newer := map[string]uint64{}
 	for key, revision := range heads {
 		if held, _ := c.mirror.Get(key); held.Revision < revision {
-			lacking[key] = revision
+			newer[key] = revision
 		}
 	}
-	return lacking
+	return newer
 }
 
 func (c *Catalog) pullFrom(link *peering.Link, heads map[string]uint64) {
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -74,13 +74,13 @@
 	c.takeWatched([]mirror.Record{serverRecord(1, 1), serverRecord(2, 2)})
 	peer := c.peerLink("10.0.0.2")
 	assert.Empty(t, c.compose(peer, false).Records, "nothing is sent before records were compared")
-	c.compare("10.0.0.2", c.changes.Digest())
+	c.compare("10.0.0.2", update{Digest: c.changes.Digest()})
 	assert.Empty(t, c.compose(peer, false).Records, "it holds the same")
 	c.takeWatched([]mirror.Record{serverRecord(3, 3)})
 	assert.Len(t, c.compose(peer, false).Records, 1, "it lacks one")
 
 	other := c.peerLink("10.0.0.3")
-	c.compare("10.0.0.3", 0)
+	c.compare("10.0.0.3", update{})
 	assert.Len(t, c.compose(other, false).Records, 3, "it holds nothing")
 }
 
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,8 +30,18 @@
 	// reader reads for itself, and staleStep adds to it with its rank.
 	staleAfter = 800 * time.Millisecond
 	staleStep  = 100 * time.Millisecond
-	// agentStaleAfter is the same for agents, which can wait longer.
-	agentStaleAfter = 2 * time.Second
+	// startGrace is how long a process that starts waits to be told by others what the
+	// store holds: dialling a seed and hearing from it takes some round trips.
+	startGrace = 250 * time.Millisecond
+	// agentSilence is how long an agent hears of no entry before it reads for itself. That
+	// entries hear nothing new is no reason: they read as soon as the store lets them.
+	agentSilence = 2 * time.Second
+	// agentSpread is the time over which agents that lose their entries together begin.
+	agentSpread = time.Second
+	// listStep adds with the rank to the time that an entry waits before it lists
+	// everything anew, since the first ones tell the others; mostListWait bounds it.
+	listStep     = 300 * time.Millisecond
+	mostListWait = 2 * time.Second
 	// leastIdle is the least time between two looks of a process that does not read
 	// whether it must, and rankCheck the most for an entry, which may have become the
 	// first of its zone.
@@ -41,18 +52,25 @@
 // position is where a watch of a prefix stands.
 type position struct {
 	prefix string
-	at     uint64
-	retry  time.Duration
-	failed bool
+	// at is the revision up to which everything was heard; 0 when all is to be listed.
+	at uint64
+	// forgotten is the revision from which on the store has forgotten its history, and
+	// listAt when this process lists everything if nobody has told it more by then.
+	forgotten uint64
+	listAt    time.Time
+	retry     time.Duration
+	failed    bool
 }
 
-// followStore lists the store's records once, and then watches them while this
-// process is to read. A process that begins to read again goes on from what it
-// had read last; the store says when that is too long ago.
+// followStore lists the store's records unless another process has told them, and then
+// watches them while this process is to read. A process that begins to read again goes
+// on from what it has heard last, be it from the store or from others; the store says
+// when that is too long ago.
 func (c *Catalog) followStore(ctx context.Context) {
 	at := &position{prefix: c.options.Decoder.Prefix()}
 	for ctx.Err() == nil {
-		if idle := c.untilReading(); at.at != 0 && idle > 0 {
+		c.advance(at)
+		if idle := c.untilReading(at); idle > 0 {
 			waiting.For(ctx, max(idle, leastIdle))
 			continue
 		}
@@ -62,19 +80,53 @@
 	}
 }
 
+// advance moves a position to what others have told.
+func (c *Catalog) advance(at *position) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.complete > at.forgotten {
+		at.at = max(at.at, c.complete)
+	}
+}
+
 // untilReading is how long this process has not to read the store, unless it is told
-// something meanwhile: the first entry of its zone reads always, the others when nobody
-// has told them for a while.
-func (c *Catalog) untilReading() time.Duration {
+// something meanwhile.
+func (c *Catalog) untilReading(at *position) time.Duration {
 	if c.options.Role == RoleAgent {
-		return agentStaleAfter - time.Since(c.Fresh())
+		return c.untilAgentReads()
 	}
 	rank := c.zoneRank()
+	if at.at == 0 {
+		return min(time.Until(c.listTime(at, rank)), rankCheck)
+	}
 	if rank == 0 {
 		return 0
 	}
-	left := staleAfter + time.Duration(rank)*staleStep - time.Since(c.Fresh())
-	return min(left, rankCheck)
+	return min(staleAfter+time.Duration(rank)*staleStep-time.Since(c.Fresh()), rankCheck)
+}
+
+// listTime is when an entry that knows of nothing, or of too little, lists everything.
+// A seed begins at once, because others ask it.
+func (c *Catalog) listTime(at *position, rank int) time.Time {
+	switch {
+	case at.forgotten != 0:
+		return at.listAt.Add(min(time.Duration(rank)*listStep, mostListWait))
+	case len(c.options.Seeds) == 0 || slices.Contains(c.options.Seeds, c.options.Self):
+		return c.started
+	}
+	return c.started.Add(startGrace + min(time.Duration(rank)*staleStep, mostListWait))
+}
+
+// untilAgentReads is how long an agent has not to read the store, if it hears nothing
+// of any entry meanwhile.
+func (c *Catalog) untilAgentReads() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	heard := c.started
+	if c.toldAt.After(heard) {
+		heard = c.toldAt
+	}
+	return agentSilence + c.agentOffset - time.Since(heard)
 }
 
 // zoneRank is this entry's place among the entries of its zone.
@@ -105,6 +157,7 @@
 			c.noteAnswered()
 			c.takeWatched(changes.Records)
 			at.at = max(at.at, changes.At)
+			c.noteComplete(at.at)
 		}
 	}
 	var historyGone *fault.HistoryGone
@@ -113,6 +166,7 @@
 		c.noteAnswer(at)
 	case errors.As(err, &historyGone):
 		c.options.Log.Log(logging.HistoryForgotten, zap.String("prefix", at.prefix), zap.Uint64("after", at.at))
+		at.forgotten, at.listAt = max(at.at, 1), time.Now()
 		at.at = 0
 	case ctx.Err() == nil:
 		c.noteFailure(ctx, at, err)
@@ -126,10 +180,18 @@
 	}
 	c.noteAnswered()
 	c.replace(at.prefix, listing)
-	at.at = listing.At
+	at.at, at.forgotten = listing.At, 0
+	c.noteComplete(at.at)
 	return nil
 }
 
+// noteComplete notes that every change up to a revision has been heard of.
+func (c *Catalog) noteComplete(revision uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.complete = max(c.complete, revision)
+}
+
 func (c *Catalog) noteAnswer(at *position) {
 	if at.failed {
 		c.options.Log.Log(logging.ServiceReached, zap.String("prefix", at.prefix))
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // item is a record as the store tells it.
@@ -42,6 +44,10 @@
 	// pageSize bounds one page of a listing.
 	pageSize int
 	calls    int
+	// bandwidth is that of the store's link in bytes a second, 0 for no bound; linkFree
+	// is when the link has sent what it was given.
+	bandwidth float64
+	linkFree  time.Time
 }
 
 // NewStore returns an empty store.
@@ -107,6 +113,49 @@
 	s.wake()
 }
 
+// SetBandwidth bounds what the store sends to all callers together, in bytes a second;
+// 0 lifts the bound.
+func (s *Store) SetBandwidth(bytesPerSecond float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.bandwidth = bytesPerSecond
+}
+
+// linkPart is how many bytes of an answer the store's link carries at a time.
+const linkPart = 16 << 10
+
+// take waits until the link has carried some bytes, behind those of all other callers.
+func (s *Store) take(ctx context.Context, size int) {
+	s.mutex.Lock()
+	if s.bandwidth == 0 {
+		s.mutex.Unlock()
+		return
+	}
+	now := time.Now()
+	if s.linkFree.Before(now) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(time.Duration(float64(size) / s.bandwidth * float64(time.Second)))
+	wait := s.linkFree.Sub(now)
+	s.mutex.Unlock()
+	waiting.For(ctx, wait)
+}
+
+// writeJSON answers with a value, over the store's link.
+func (s *Store) writeJSON(writer http.ResponseWriter, request *http.Request, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	for len(data) > 0 && request.Context().Err() == nil {
+		part := data[:min(linkPart, len(data))]
+		data = data[len(part):]
+		s.take(request.Context(), len(part))
+		_, _ = writer.Write(part)
+	}
+}
+
 // machineKey is the context's key for the machine that calls: each is given an
 // address of the store of its own, because on loopback all come from one.
 type machineKey struct{}
@@ -173,7 +222,7 @@
 	delay := s.delay
 	s.mutex.Unlock()
 	time.Sleep(delay)
-	writeJSON(writer, answer)
+	s.writeJSON(writer, request, answer)
 }
 
 func (s *Store) serveWatch(writer http.ResponseWriter, request *http.Request) {
@@ -195,7 +244,7 @@
 			return
 		}
 		if len(events) > 0 && !deaf {
-			writeJSON(writer, map[string]any{"events": events, "at": at})
+			s.writeJSON(writer, request, map[string]any{"events": events, "at": at})
 			return
 		}
 		select {
@@ -204,7 +253,7 @@
 			if deaf {
 				at = after
 			}
-			writeJSON(writer, map[string]any{"events": []item{}, "at": at})
+			s.writeJSON(writer, request, map[string]any{"events": []item{}, "at": at})
 			return
 		case <-request.Context().Done():
 			return
--- /dev/null
+++ b/internal/sitetest/store_test.go
@@ -0,0 +1,52 @@
+package sitetest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// manyRoutes makes the configuration large: about 300 KB.
+func manyRoutes(configuration map[string]any) {
+	routes := configuration["routes"].([]any)
+	first := routes[0].(map[string]any)
+	for index := range 1400 {
+		route := map[string]any{}
+		for name, value := range first {
+			route[name] = value
+		}
+		route["name"], route["pathPrefix"] = fmt.Sprintf("added-%d", index), fmt.Sprintf("/added/%d/", index)
+		routes = append(routes, route)
+	}
+	configuration["routes"] = routes
+}
+
+// CONFIG: an outage of the store after which its history is forgotten, at a store whose
+// link carries a few listings a second: not every process of a zone may read everything
+// at the same time.
+func TestAFullZoneLearnsAfterAnOutageOverANarrowLink(t *testing.T) {
+	options := DefaultOptions()
+	options.Entries, options.ModelServers = 6, 6
+	f := Start(t, options)
+	version := f.Site.Configure(manyRoutes)
+	f.Eventually("the large configuration is in force", 3*time.Second, func() bool { return f.inForce(version) })
+	f.Site.Store.SetDown(true)
+	time.Sleep(2500 * time.Millisecond)
+	version = f.Site.Configure(func(configuration map[string]any) {
+		configuration["tenants"] = []any{map[string]any{"name": site.Tenant, "apiKeys": []string{site.Key, "second-key"}}}
+	})
+	f.Site.Store.Compact()
+	const narrowLink = 1.5e6
+	f.Site.Store.SetBandwidth(narrowLink)
+	calls := f.Site.Store.Calls()
+	f.Site.Store.SetDown(false)
+	back := time.Now()
+	f.Eventually("the change is in force", 10*time.Second, func() bool { return f.inForce(version) })
+	took := time.Since(back)
+	t.Logf("in force %s after the store's return, after %d calls", took, f.Site.Store.Calls()-calls)
+	assert.Less(t, took, time.Duration(options.ConfigApplyMs)*time.Millisecond)
+}
