--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -18,8 +18,10 @@
 	PerSequence        float64
 	ContextPerThousand float64
 	Stride             int
-	// ReadPerSecond is how many tokens of prompts are read in a second.
+	// ReadPerSecond is how many tokens of prompts are read in a second, ReadChunk how many
+	// at most in one pass; 0 stands for no bound.
 	ReadPerSecond float64
+	ReadChunk     int
 	// UsualPrompt and UsualAnswer are mean sizes in tokens.
 	UsualPrompt float64
 	UsualAnswer float64
@@ -77,6 +79,15 @@
 	passesBefore = 1.0
 )
 
+// readingPasses is how many passes the reading of prompts takes: each reads a chunk at
+// most, and writes for the running requests as well.
+func (s Server) readingPasses(tokens float64) float64 {
+	if s.ReadChunk <= 0 {
+		return 0
+	}
+	return tokens / float64(s.ReadChunk)
+}
+
 // FirstEvent predicts the time until a request that is sent now begins to be
 // answered.
 func (s Server) FirstEvent(load Load, prompt int) time.Duration {
@@ -84,8 +95,9 @@
 	full := max(0, held+1-s.Slots)
 	delay := float64(full) * float64(s.ServiceTime()) / float64(time.Millisecond)
 	if s.reads() {
-		delay += 1000 * (load.Unread + float64(prompt)) / s.ReadPerSecond
-		passes := ownPasses
+		unread := load.Unread + float64(prompt)
+		delay += 1000 * unread / s.ReadPerSecond
+		passes := max(ownPasses, s.readingPasses(unread))
 		if load.Running > 0 {
 			passes += passesBefore
 		}
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -41,3 +41,14 @@
 	assert.Equal(t, 60*time.Millisecond, plain.FirstEvent(Load{Running: 5}, 0))
 	assert.Equal(t, 90*time.Millisecond, plain.FirstEvent(Load{Running: 8}, 0))
 }
+
+// Prompts are read in chunks, and between two of them the server writes for those that
+// run: a long queue of prompts takes a pass for each chunk.
+func TestEachChunkOfReadingTakesAPass(t *testing.T) {
+	server := Server{Slots: 16, StepMilliseconds: 10, Stride: 6, ReadPerSecond: 30000, ReadChunk: 2000}
+	load := Load{Running: 10, Waiting: 5, Unread: 5000}
+	reading, passes := 200*time.Millisecond, 1+3
+	assert.Equal(t, reading+time.Duration(passes)*60*time.Millisecond, server.FirstEvent(load, 1000))
+	server.ReadChunk = 0
+	assert.Equal(t, reading+2*60*time.Millisecond, server.FirstEvent(load, 1000), "as long as no chunk is published")
+}
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -50,7 +50,7 @@
 	return balance.Server{
 		Slots: engine.Slots, Stride: engine.Stride,
 		StepMilliseconds: engine.StepMilliseconds, PerSequence: engine.PerSequenceMilliseconds, ContextPerThousand: engine.ContextPerThousand,
-		ReadPerSecond: engine.ReadPerSecond, UsualPrompt: engine.UsualPrompt, UsualAnswer: engine.UsualAnswer,
+		ReadPerSecond: engine.ReadPerSecond, ReadChunk: engine.ReadChunk, UsualPrompt: engine.UsualPrompt, UsualAnswer: engine.UsualAnswer,
 	}
 }
 
