Large records travel compressed, and are asked for once

Cause: a configuration of 1,560 routes is some 300 KB, and a storm of them crossed between regions to two gates of each other zone, uncompressed; several peers were asked for the same record at a time. Change: answers carry records packed with flate, compressed once for all that ask; a question that is under way is not repeated for 0.3 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,8 +56,11 @@
 	changes *mirror.Changes
 	// urgent is the sequence of the last change that others are told of at once.
 	urgent uint64
-	// heads are the revisions held of large records, which others ask for.
+	// heads are the revisions held of large records, which others ask for; pulls are the
+	// last questions of this process for them.
 	heads map[string]uint64
+	pulls map[string]pull
+	packs packs
 	// servers are the listed servers by the keys of their records, in order of key.
 	servers    map[string]fleet.Server
 	serverKeys []string
@@ -101,7 +104,7 @@
 // New returns an empty catalog and registers its handlers with the hub.
 func New(options Options) *Catalog {
 	c := &Catalog{
-		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{},
+		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{}, pulls: map[string]pull{},
 		servers: map[string]fleet.Server{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -56,6 +56,8 @@
 	// Complete is the store's revision up to which the sender has heard of every change;
 	// 0 when it does not know.
 	Complete uint64 `cbor:"8,keyasint,omitempty"`
+	// Packed are large records, encoded as CBOR and compressed.
+	Packed [][]byte `cbor:"9,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -252,6 +254,14 @@
 	c.noteToldFresh(link.Remote().Zone, c.toldAt.Add(-time.Duration(news.FreshMilliseconds)*time.Millisecond))
 	lacking := c.lacking(news.Heads)
 	c.mutex.Unlock()
+	for _, packed := range news.Packed {
+		record, err := unpack(packed)
+		if err != nil {
+			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			continue
+		}
+		news.Records = append(news.Records, record)
+	}
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
@@ -334,13 +344,30 @@
 	return newer
 }
 
+// pullPause is how long the answer to a question for a large record is waited for before
+// another process is asked for the same one.
+const pullPause = 300 * time.Millisecond
+
+// pull is a question for a large record.
+type pull struct {
+	revision uint64
+	at       time.Time
+}
+
+// pullFrom asks a peer for the large records that are still older here, unless another
+// one was just asked for them.
 func (c *Catalog) pullFrom(link *peering.Link, heads map[string]uint64) {
+	now := time.Now()
 	c.mutex.Lock()
 	wanted := map[string]uint64{}
 	for key, revision := range heads {
-		if held, _ := c.mirror.Get(key); held.Revision < revision {
-			wanted[key] = held.Revision
+		held, _ := c.mirror.Get(key)
+		asked := c.pulls[key]
+		if held.Revision >= revision || (asked.revision >= revision && now.Sub(asked.at) < pullPause) {
+			continue
 		}
+		wanted[key] = held.Revision
+		c.pulls[key] = pull{revision: revision, at: now}
 	}
 	c.mutex.Unlock()
 	if len(wanted) > 0 {
@@ -359,17 +386,30 @@
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		return
 	}
-	var answer update
+	go c.answerPull(link, request)
+}
+
+// answerPull sends the records that a peer has asked for, without holding up the link's
+// reader for their compression.
+func (c *Catalog) answerPull(link *peering.Link, request pullSince) {
+	var records []mirror.Record
 	c.mutex.Lock()
-	answer.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	for key, revision := range request.Held {
 		if held, present := c.mirror.Get(key); present && held.Revision > revision {
-			answer.Records = append(answer.Records, held)
+			records = append(records, held)
 		}
 	}
 	c.mutex.Unlock()
-	if len(answer.Records) == 0 {
-		return
+	answer := update{FreshMilliseconds: int64(time.Hour / time.Millisecond)}
+	for _, record := range records {
+		packed, err := c.packs.pack(record)
+		if err != nil {
+			c.options.Log.Log(logging.FrameRejected, zap.String("key", record.Key), zap.Error(err))
+			continue
+		}
+		answer.Packed = append(answer.Packed, packed)
+	}
+	if len(answer.Packed) > 0 {
+		_ = peering.Send(link, topicUpdate, "", answer)
 	}
-	go func() { _ = peering.Send(link, topicUpdate, "", answer) }()
 }
--- /dev/null
+++ b/internal/catalog/pack_test.go
@@ -0,0 +1,48 @@
+package catalog
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+func TestLargeRecordsTravelCompressed(t *testing.T) {
+	var value strings.Builder
+	for index := range 1400 {
+		fmt.Fprintf(&value, `{"name":"r-%d","host":"a.example","pathPrefix":"/p%d/","timeoutMs":6000,"maxAttempts":2},`, index, index)
+	}
+	record := mirror.Record{Key: "op/config", Value: []byte(value.String()), Revision: 7}
+	var one packs
+	packed, err := one.pack(record)
+	require.NoError(t, err)
+	assert.Less(t, len(packed), len(record.Value)/5)
+	again, err := one.pack(record)
+	require.NoError(t, err)
+	assert.Same(t, &packed[0], &again[0], "it is compressed once for all that ask")
+	back, err := unpack(packed)
+	require.NoError(t, err)
+	assert.Equal(t, record, back)
+}
+
+func TestUnpackRefusesWhatIsNoRecord(t *testing.T) {
+	var bomb bytes.Buffer
+	writer, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	require.NoError(t, err)
+	_, err = writer.Write(make([]byte, peering.MaximumFrameBytes+2))
+	require.NoError(t, err)
+	require.NoError(t, writer.Close())
+	for name, data := range map[string][]byte{"noise": {1, 2, 3}, "nothing": nil, "too large": bomb.Bytes()} {
+		_, err := unpack(data)
+		var invalid *fault.InvalidFrame
+		assert.ErrorAs(t, err, &invalid, name)
+	}
+}
