--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/compression"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
@@ -56,7 +57,7 @@
 	// Complete is the store's revision up to which the sender has heard of every change;
 	// 0 when it does not know.
 	Complete uint64 `cbor:"8,keyasint,omitempty"`
-	// Packed are large records, encoded as CBOR and compressed.
+	// Packed are large records, compressed one by one.
 	Packed [][]byte `cbor:"9,keyasint,omitempty"`
 }
 
@@ -255,7 +256,7 @@
 	lacking := c.lacking(news.Heads)
 	c.mutex.Unlock()
 	for _, packed := range news.Packed {
-		record, err := unpack(packed)
+		record, err := compression.Decode[mirror.Record](packed)
 		if err != nil {
 			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 			continue
--- a/internal/catalog/pack_test.go
+++ b/internal/catalog/pack_test.go
@@ -1,8 +1,6 @@
 package catalog
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
 	"strings"
 	"testing"
@@ -11,8 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/mirror"
-	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/compression"
 )
 
 func TestLargeRecordsTravelCompressed(t *testing.T) {
@@ -28,21 +25,7 @@
 	again, err := one.pack(record)
 	require.NoError(t, err)
 	assert.Same(t, &packed[0], &again[0], "it is compressed once for all that ask")
-	back, err := unpack(packed)
+	back, err := compression.Decode[mirror.Record](packed)
 	require.NoError(t, err)
 	assert.Equal(t, record, back)
 }
-
-func TestUnpackRefusesWhatIsNoRecord(t *testing.T) {
-	var bomb bytes.Buffer
-	writer, err := flate.NewWriter(&bomb, flate.BestSpeed)
-	require.NoError(t, err)
-	_, err = writer.Write(make([]byte, peering.MaximumFrameBytes+2))
-	require.NoError(t, err)
-	require.NoError(t, writer.Close())
-	for name, data := range map[string][]byte{"noise": {1, 2, 3}, "nothing": nil, "too large": bomb.Bytes()} {
-		_, err := unpack(data)
-		var invalid *fault.InvalidFrame
-		assert.ErrorAs(t, err, &invalid, name)
-	}
-}
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -5,11 +5,7 @@
 package relay
 
 import (
-	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
-
 	"pinevane.example/pinevane/coordination/monotonic"
-	"pinevane.example/pinevane/internal/fault"
 )
 
 // Kind names a publication.
@@ -40,32 +36,3 @@
 
 // alive is the sign of life of a followed process.
 type alive struct{}
-
-// maximumUpdateBytes bounds an update after decompression.
-const maximumUpdateBytes = 64 << 20
-
-// The coders of package zstd are safe for concurrent use by EncodeAll and DecodeAll.
-var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(128<<10))
-	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maximumUpdateBytes), zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
-)
-
-func encodeUpdate(update monotonic.Update) ([]byte, error) {
-	plain, err := cbor.Marshal(update)
-	if err != nil {
-		return nil, &fault.InvalidFrame{Field: "update", Reason: err.Error()}
-	}
-	return encoder.EncodeAll(plain, nil), nil
-}
-
-func decodeUpdate(payload []byte) (monotonic.Update, error) {
-	var update monotonic.Update
-	plain, err := decoder.DecodeAll(payload, nil)
-	if err != nil {
-		return update, &fault.InvalidFrame{Field: "update", Reason: err.Error()}
-	}
-	if err := cbor.Unmarshal(plain, &update); err != nil {
-		return update, &fault.InvalidFrame{Field: "update", Reason: err.Error()}
-	}
-	return update, nil
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/internal/compression"
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
@@ -404,7 +405,7 @@
 			if !newer {
 				continue
 			}
-			payload, err := encodeUpdate(update)
+			payload, err := compression.Encode(update)
 			if err != nil {
 				continue
 			}
@@ -417,7 +418,7 @@
 
 func (r *Relay) updateHandler(kind Kind) peering.Handler {
 	return func(link *peering.Link, received *message.Message) {
-		update, err := decodeUpdate(received.Payload)
+		update, err := compression.Decode[monotonic.Update](received.Payload)
 		if err != nil {
 			r.options.Log.Log(logging.FrameRejected, zap.Error(err))
 			return
