A model of the spread of records between entries

Cause: the mirror and its digests had property tests only. Change: spec/spread.pml, wired into make model-check, with two broken variants: a first comparison taken for a telling, and what was told on a lost link kept. With one lost link and three entries the second variant is not caught, because the third entry makes up for it: it is explored with two.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -52,4 +52,7 @@
 broken configuration monotonic BROKEN_ORDERING
 check escrow never_above
 broken escrow never_above BROKEN_ESCROW
+check spread all_hold_the_newest
+broken spread all_hold_the_newest BROKEN_COMPARE
+broken spread all_hold_the_newest BROKEN_RESET
 exit "$failed"
