--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -95,7 +95,7 @@
 	NoServerChosen    = declare("PV4109", zap.InfoLevel, "no server chosen", "No server was sent a request; the fields count the servers by why not, and tell how soon the soonest would have begun.")
 	ServerLeaving     = declare("PV4201", zap.InfoLevel, "server leaving", "The list of servers says that a server drains; it is sent nothing more.")
 	ServerGone        = declare("PV4202", zap.InfoLevel, "server gone", "A server has left the list; it is sent nothing more.")
-	ServerStatus      = declare("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server.")
+	ServerStatus      = declare("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server; written by the entries that the agent speaks with.")
 	ServerEjected     = declare("PV4204", zap.WarnLevel, "server ejected", "A server failed and is avoided for a while.")
 	ServerReturned    = declare("PV4205", zap.InfoLevel, "server returned", "A server that was ejected has answered again.")
 	ServerSuperseded  = declare("PV4206", zap.InfoLevel, "server superseded", "Another server has answered at a server's address; the old one has ended.")
