--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -83,7 +83,7 @@
 
 // open begins anew with a link.
 func (p *peerLink) open(link *peering.Link, accepted bool) {
-	fresh := peerLink{ip: p.ip, address: p.address, wantedSince: p.wantedSince, link: link, accepted: accepted}
+	fresh := peerLink{ip: p.ip, address: p.address, wantedSince: p.wantedSince, dialling: p.dialling, link: link, accepted: accepted}
 	// Agents hold nothing of their own: they are told everything at once.
 	fresh.compared = link.Remote().Role == RoleAgent
 	*p = fresh
@@ -158,7 +158,7 @@
 	if peer.link == nil {
 		if wanted && !peer.dialling && !now.Before(peer.nextDial) && !c.waitsForOther(peer, now) {
 			peer.dialling = true
-			go c.dial(ctx, peer)
+			go c.dial(ctx, peer, peer.address)
 		}
 		return
 	}
@@ -185,10 +185,10 @@
 	return peer.ip < c.options.Self && c.overlay.Mutual(peer.ip) && now.Sub(peer.wantedSince) < mutualPause
 }
 
-func (c *Catalog) dial(ctx context.Context, peer *peerLink) {
+func (c *Catalog) dial(ctx context.Context, peer *peerLink, address string) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	link, err := c.options.Hub.Link(dialContext, peer.address)
+	link, err := c.options.Hub.Link(dialContext, address)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	peer.dialling = false
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -46,6 +46,14 @@
 	assert.Equal(t, dialPause, pauseAfter(1000))
 }
 
+// A link that the other has made while this process dials does not have it dial twice.
+func TestAcceptedLinkLeavesADialUnderWay(t *testing.T) {
+	peer := &peerLink{ip: "10.0.0.2", dialling: true, nearTold: 7}
+	peer.open(&peering.Link{}, true)
+	assert.True(t, peer.dialling)
+	assert.Zero(t, peer.nearTold, "the new link is told everything")
+}
+
 func serverRecord(index int, revision uint64) mirror.Record {
 	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
 	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
