--- /dev/null
+++ b/internal/catalog/pulls.go
@@ -0,0 +1,155 @@
+package catalog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/compression"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// Large records, which are configurations, are announced by their revisions; who lacks
+// one asks one of those that announce it.
+
+// pullAfter is how long the store is given to bring what a peer already has.
+const pullAfter = 250 * time.Millisecond
+
+// isFirst reports whether this entry is the first of its zone.
+func (c *Catalog) isFirst() bool {
+	rank, _ := c.ranks()
+	return rank == 0
+}
+
+// pullDelay leaves the store time to bring a record first where this process
+// reads it, and the own zone where another does.
+func (c *Catalog) pullDelay(link *peering.Link) time.Duration {
+	if c.View().Configuration == nil || (link.Remote().Zone == c.options.Zone && !c.isFirst()) {
+		return 0
+	}
+	return pullAfter
+}
+
+// lacking returns the large records that are to be asked for; the mutex is held. An agent takes only its first configuration from peers.
+func (c *Catalog) lacking(heads map[string]uint64) map[string]uint64 {
+	if c.options.Role == RoleAgent && c.view.Load().Configuration != nil {
+		return nil
+	}
+	return c.newerHeads(heads)
+}
+
+// newerHeads returns the large records of which a peer has newer revisions; the mutex
+// is held.
+func (c *Catalog) newerHeads(heads map[string]uint64) map[string]uint64 {
+	newer := map[string]uint64{}
+	for key, revision := range heads {
+		if held, _ := c.mirror.Get(key); held.Revision < revision {
+			newer[key] = revision
+		}
+	}
+	return newer
+}
+
+// pullPause is how long the answer to a question for a large record is waited for before
+// another process is asked for the same one.
+const pullPause = 300 * time.Millisecond
+
+// pull is a question for a large record.
+type pull struct {
+	revision uint64
+	at       time.Time
+}
+
+// pullFrom asks a peer for the large records that are still older here, unless another
+// one was just asked for them.
+func (c *Catalog) pullFrom(link *peering.Link, heads map[string]uint64) {
+	now := time.Now()
+	c.mutex.Lock()
+	wanted := map[string]uint64{}
+	for key, revision := range heads {
+		held, _ := c.mirror.Get(key)
+		asked := c.pulls[key]
+		if held.Revision >= revision || (asked.revision >= revision && now.Sub(asked.at) < pullPause) {
+			continue
+		}
+		wanted[key] = held.Revision
+		c.pulls[key] = pull{revision: revision, at: now}
+	}
+	c.mutex.Unlock()
+	if len(wanted) > 0 {
+		_ = peering.Send(link, topicPull, "", pullSince{Held: wanted})
+	}
+}
+
+// pullSince asks for records that are newer than those held.
+type pullSince struct {
+	Held map[string]uint64 `cbor:"1,keyasint"`
+}
+
+func (c *Catalog) handlePull(link *peering.Link, received *message.Message) {
+	request, err := peering.Decode[pullSince](received)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	go c.answerPull(link, request)
+}
+
+// answerPull sends the records that a peer has asked for, without holding up the link's
+// reader for their compression.
+func (c *Catalog) answerPull(link *peering.Link, request pullSince) {
+	var records []mirror.Record
+	c.mutex.Lock()
+	for key, revision := range request.Held {
+		if held, present := c.mirror.Get(key); present && held.Revision > revision {
+			records = append(records, held)
+		}
+	}
+	c.mutex.Unlock()
+	answer := update{FreshMilliseconds: int64(time.Hour / time.Millisecond)}
+	for _, record := range records {
+		packed, err := c.packs.pack(record)
+		if err != nil {
+			c.options.Log.Log(logging.FrameRejected, zap.String("key", record.Key), zap.Error(err))
+			continue
+		}
+		answer.Packed = append(answer.Packed, packed)
+	}
+	if len(answer.Packed) > 0 {
+		_ = peering.Send(link, topicUpdate, "", answer)
+	}
+}
+
+// packs compresses large records. The newest form of each key is kept, because a record
+// that has changed is asked for by many at the same time.
+type packs struct {
+	mutex  sync.Mutex
+	newest map[string]packedRecord
+}
+
+type packedRecord struct {
+	revision uint64
+	data     []byte
+}
+
+// pack encodes and compresses a record; compression.Decode reads it.
+func (p *packs) pack(record mirror.Record) ([]byte, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known, held := p.newest[record.Key]; held && known.revision == record.Revision {
+		return known.data, nil
+	}
+	data, err := compression.Encode(record)
+	if err != nil {
+		return nil, err
+	}
+	if p.newest == nil {
+		p.newest = map[string]packedRecord{}
+	}
+	p.newest[record.Key] = packedRecord{revision: record.Revision, data: data}
+	return data, nil
+}
