Dead code, a clone by hand and a rank computed at each look are gone

Cause: reading the change once more: Overlay.Zone was called by nobody, the heads of records and a test's routes were copied by loops where maps.Clone does it, the rank of the zone was computed at every look of the reader although it changes only with the members alive, and Get repeated Held. Change: these; no behaviour.

--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -65,7 +65,7 @@
 
 // Get returns a record that is not gone.
 func (m *Mirror) Get(key string) (Record, bool) {
-	record, known := m.records[key]
+	record, known := m.Held(key)
 	return record, known && !record.Gone
 }
 
--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -61,6 +61,8 @@
 	zones map[string][]string
 	// all holds those that are remembered, dead or alive, in the same way.
 	all map[string][]string
+	// zoneRank is the place of the own zone among zones.
+	zoneRank int
 	// feeders keeps the feeders of each follower until the members alive change.
 	feeders map[string][]string
 }
@@ -130,6 +132,7 @@
 	o.feeders = map[string][]string{}
 	o.zones = o.ranked(func(known *member) bool { return known.alive })
 	o.all = o.ranked(func(known *member) bool { return known.Zone != "" })
+	o.zoneRank = slices.Index(placement.Rank("zone", slices.Collect(maps.Keys(o.zones))), o.options.Zone)
 }
 
 // ranked orders this member and those that are to be counted, zone by zone.
@@ -151,9 +154,7 @@
 
 // ZoneRank is the place of this member's zone among those with members alive; the first
 // is 0.
-func (o *Overlay) ZoneRank() int {
-	return slices.Index(placement.Rank("zone", slices.Collect(maps.Keys(o.zones))), o.options.Zone)
-}
+func (o *Overlay) ZoneRank() int { return o.zoneRank }
 
 // IsGate reports whether this member links to other zones.
 func (o *Overlay) IsGate() bool { return o.Rank() < o.options.Gates }
@@ -234,15 +235,6 @@
 	return index >= 0, index == 0
 }
 
-// Zone returns the zone of a member; false when it is not known.
-func (o *Overlay) Zone(id string) (string, bool) {
-	known, exists := o.members[id]
-	if !exists {
-		return "", false
-	}
-	return known.Zone, true
-}
-
 // Arrivals counts the members that were new so far.
 func (o *Overlay) Arrivals() uint64 { return o.arrivals }
 
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -177,7 +178,7 @@
 // compose builds an update with every change that a link was not told, once it is
 // known how far the other process's records differ; the mutex is held.
 func (c *Catalog) compose(peer *peerLink, withList bool) update {
-	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: c.copyHeads(), Digest: c.changes.Digest(), Complete: c.complete}
+	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: maps.Clone(c.heads), Digest: c.changes.Digest(), Complete: c.complete}
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
@@ -193,15 +194,6 @@
 	return message
 }
 
-// copyHeads copies what is still read while the update is sent; the mutex is held.
-func (c *Catalog) copyHeads() map[string]uint64 {
-	heads := make(map[string]uint64, len(c.heads))
-	for key, revision := range c.heads {
-		heads[key] = revision
-	}
-	return heads
-}
-
 // addChanges adds the records that have changed after a sequence; the mutex is held.
 func (c *Catalog) addChanges(message *update, after uint64) {
 	for _, key := range c.changes.After(after) {
--- a/internal/catalog/pulls.go
+++ b/internal/catalog/pulls.go
@@ -34,7 +34,8 @@
 	return pullAfter
 }
 
-// lacking returns the large records that are to be asked for; the mutex is held. An agent takes only its first configuration from peers.
+// lacking returns the large records that are to be asked for; the mutex is held. An
+// agent takes only its first configuration from peers.
 func (c *Catalog) lacking(heads map[string]uint64) map[string]uint64 {
 	if c.options.Role == RoleAgent && c.view.Load().Configuration != nil {
 		return nil
--- a/internal/sitetest/store_test.go
+++ b/internal/sitetest/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -15,10 +16,7 @@
 	routes := configuration["routes"].([]any)
 	first := routes[0].(map[string]any)
 	for index := range 350 {
-		route := map[string]any{}
-		for name, value := range first {
-			route[name] = value
-		}
+		route := maps.Clone(first)
 		route["name"], route["pathPrefix"] = fmt.Sprintf("added-%d", index), fmt.Sprintf("/added/%d/", index)
 		routes = append(routes, route)
 	}
