Entries ask agents how their servers do right before they send

Cause: 40 entries choose by words that are 0.1 s old (0.3 s from other zones), in which as many requests reach a busy server as it begins. Change: three agents of eight drawn servers are asked by datagram, three others when none of those servers would begin the request in time; the chosen server's agent is told of the request. Weighed: today's words; rates guessed from the own sends (tried before, not kept); subsets of servers an entry (words stay as old); grants handed out by agents (idle at entries without demand). What is late now is the spread of the places' coming free, not stale knowledge.

--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -39,6 +39,9 @@
 	// LinkMilliseconds is how long a message to an entry and back takes over the
 	// machine's link, queues included; 0 while that is not known.
 	LinkMilliseconds int64 `cbor:"13,keyasint,omitempty" json:"link_milliseconds"`
+	// UnreadTokens are the prompts of the requests that wait, where the agent answers an
+	// entry's question; 0 when it does not know them.
+	UnreadTokens int `cbor:"15,keyasint,omitempty" json:"unread_tokens"`
 	// Probe is returned at once by the entry that is told directly; 0 asks for none.
 	Probe uint64 `cbor:"14,keyasint,omitempty" json:"-"`
 }
--- /dev/null
+++ b/internal/forward/asking_test.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// agentsOfTest answer for servers by their addresses; the others are silent.
+type agentsOfTest struct {
+	answers   map[string]fleet.MachineStatus
+	asked     []string
+	announced map[string]int
+}
+
+func (a *agentsOfTest) Ask(_ context.Context, servers []string) []fleet.MachineStatus {
+	a.asked = append(a.asked, servers...)
+	var answers []fleet.MachineStatus
+	for _, server := range servers {
+		if status, answered := a.answers[server]; answered {
+			status.Address, status.Reachable, status.Version, status.SwitchMilliseconds = server, true, 1, fleet.NoSwitch
+			answers = append(answers, status)
+		}
+	}
+	return answers
+}
+
+func (a *agentsOfTest) Announce(server string, promptTokens int) {
+	if a.announced == nil {
+		a.announced = map[string]int{}
+	}
+	a.announced[server] += promptTokens
+}
+
+// asking is a request at an entry that knows a few servers, all idle by their agents' words.
+func asking(agents *agentsOfTest, servers ...string) *work {
+	now := time.Now()
+	f := New(Options{Zone: "z", Log: logging.Nop(), Registry: prometheus.NewRegistry(), Loads: agents, Peers: func() int { return 0 }})
+	for _, address := range servers {
+		server := modelServer(now.Add(-50*time.Millisecond), 0)
+		server.id, server.address, server.zone = address, address, "z"
+		f.targets.byService["s"] = append(f.targets.byService["s"], server)
+		f.targets.byAddress[address] = server
+	}
+	_, _, wanted := idleServer(now, 0)
+	w := &work{Forwarder: f, request: &Request{}, wanted: wanted}
+	w.wanted.work = w
+	return w
+}
+
+var (
+	idle = fleet.MachineStatus{}
+	full = fleet.MachineStatus{Running: 16, Waiting: 6, UnreadTokens: 6000}
+)
+
+// A server that was idle by its agent's last word, and has filled up since, is not chosen.
+func TestAnswersOvertakeOlderWords(t *testing.T) {
+	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.1:1": full, "10.0.0.2:1": idle, "10.0.0.3:1": full}}
+	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+	w.askLoads(context.Background())
+	chosen, refusal := w.targets.choose(w.wanted)
+	require.Nil(t, refusal)
+	assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+	w.announce(chosen.target)
+	assert.Equal(t, map[string]int{"10.0.0.2:1": 1000}, agents.announced)
+}
+
+// When none of the first would begin the request in time others are asked, and when those
+// would not either the request is refused at once.
+func TestOthersAreAskedBeforeARefusal(t *testing.T) {
+	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{}}
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"}
+	for _, address := range addresses {
+		agents.answers[address] = full
+	}
+	w := asking(agents, addresses...)
+	w.askLoads(context.Background())
+	assert.ElementsMatch(t, addresses, agents.asked)
+	_, refusal := w.targets.choose(w.wanted)
+	assert.NotNil(t, refusal)
+}
+
+// A server whose agent does not answer, as behind a cut, gets nothing while others answer,
+// and is asked last for a while.
+func TestServerOfASilentAgentIsLeftOut(t *testing.T) {
+	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.2:1": {Running: 10}}}
+	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1")
+	for range 3 {
+		w.askLoads(context.Background())
+		chosen, refusal := w.targets.choose(w.wanted)
+		require.Nil(t, refusal)
+		assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+	}
+	next := w.targets.toAsk(w.wanted, nil)
+	assert.Equal(t, "10.0.0.1:1", next[len(next)-1].address)
+}
+
+// Without any answer the choice goes by what agents have told before.
+func TestWithoutAnswersTheLastWordsDecide(t *testing.T) {
+	w := asking(&agentsOfTest{}, "10.0.0.1:1", "10.0.0.2:1")
+	w.askLoads(context.Background())
+	_, refusal := w.targets.choose(w.wanted)
+	assert.Nil(t, refusal)
+}
+
+// A word that was said before an answer, and comes after it by way of others, changes nothing.
+func TestOlderWordDoesNotReplaceAnAnswer(t *testing.T) {
+	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.1:1": full}}
+	w := asking(agents, "10.0.0.1:1")
+	w.askLoads(context.Background())
+	w.targets.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1}, time.Now().Add(-time.Second), false)
+	assert.Equal(t, full.Running, w.targets.byAddress["10.0.0.1:1"].status.Running)
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -48,6 +48,8 @@
 	policy *Policy
 	// tried are the servers that the request was sent to before.
 	tried []*target
+	// candidates are the servers whose agents have just been asked; without any, all are.
+	candidates []*target
 	// atLeast and exactly bound the version; zero does not.
 	atLeast uint64
 	exactly uint64
@@ -94,7 +96,7 @@
 	if wanted.engine != nil {
 		t.findLeastMissing(now)
 	}
-	usable := t.usable(wanted, now)
+	usable := t.askedOf(t.usable(wanted, now), wanted)
 	if len(usable) == 0 {
 		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
 		refusal.RetryAfter = t.soonestReady(wanted, now)
@@ -102,7 +104,7 @@
 		return choice{}, refusal
 	}
 	best := choice{score: math.MaxInt64, candidates: len(usable)}
-	for _, candidate := range t.sample(usable, wanted.rules().SampleSize) {
+	for _, candidate := range t.sample(usable, max(wanted.rules().SampleSize, len(wanted.candidates))) {
 		score := t.score(candidate, wanted, now)
 		if score < best.score {
 			best.target, best.score = candidate, score
@@ -128,6 +130,20 @@
 	return best, nil
 }
 
+// askedOf keeps the candidates of the usable servers, as long as one of them is usable.
+func (t *targets) askedOf(usable []*target, wanted need) []*target {
+	var asked []*target
+	for _, candidate := range usable {
+		if slices.Contains(wanted.candidates, candidate) {
+			asked = append(asked, candidate)
+		}
+	}
+	if len(asked) == 0 {
+		return usable
+	}
+	return asked
+}
+
 // noStatus is the age of an agent's word that never came.
 const noStatus = -time.Second
 
@@ -325,11 +341,17 @@
 	return wanted.engine == nil && k.inFlight < k.server.Slots
 }
 
+// refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
+// admits every one.
+func (t *targets) refusalLimit(wanted need) time.Duration {
+	return time.Duration(wanted.rules().RefusalShare * float64(t.marginOf(wanted.service).Limit(wanted.route.Target)))
+}
+
 // overload refuses a request that no server would begin within its target. When
 // only the drawn ones would not, the soonest of all is taken. One that was sent to a
 // server before has been admitted: it is not refused any more.
 func (t *targets) overload(best *choice, usable []*target, wanted need, now time.Time) *fault.Refusal {
-	limit := time.Duration(wanted.rules().RefusalShare * float64(t.marginOf(wanted.service).Limit(wanted.route.Target)))
+	limit := t.refusalLimit(wanted)
 	if wanted.resumed || len(wanted.tried) > 0 || limit <= 0 || best.target.hasFreePlace(wanted) || best.target.firstEvent(wanted, now) <= limit {
 		return nil
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -32,7 +32,9 @@
 	Dialect fleet.Dialect
 	Log     *logging.Logger
 	// Peers returns the number of other entries known.
-	Peers    func() int
+	Peers func() int
+	// Loads asks agents before requests are sent; nil asks nobody.
+	Loads    LoadSource
 	Registry prometheus.Registerer
 	Policy   Policy
 }
@@ -238,11 +240,13 @@
 // it may have run there.
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
+	w.askLoads(ctx)
 	chosen, refusal := w.targets.choose(w.wanted)
 	if refusal != nil {
 		return nil, refusal, nil
 	}
 	target := chosen.target
+	w.announce(target)
 	send := fleet.SendHeader{
 		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: w.expectedVersion(chosen.version),
 		Tenant: w.request.Tenant, Priority: w.request.Priority,
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,10 +9,17 @@
 	retries     prometheus.Counter
 	connections prometheus.Counter
 	cut         *prometheus.CounterVec
+	loadQueries *prometheus.CounterVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
 }
 
+// Outcomes of load queries, as labels.
+const (
+	queryAnswered = "answered"
+	queryMissed   = "missed"
+)
+
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8}
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -30,8 +37,10 @@
 		cut: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
+	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.missingFigures)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.loadQueries, m.missingFigures)
 	return m
 }
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -18,10 +18,16 @@
 	}
 	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
 	load.Waiting += othersWaiting
-	load.Unread += float64(othersWaiting) * wanted.figures.UsualPrompt
+	if k.status.UnreadTokens > 0 {
+		load.Unread += max(0, float64(k.status.UnreadTokens-k.unreadTokensThen))
+	} else {
+		load.Unread += float64(othersWaiting) * wanted.figures.UsualPrompt
+	}
 	load.Running = max(0, k.outstanding(now)-load.Waiting)
 	load.Pace = k.status.Pace
-	k.addUnseen(&load, wanted)
+	if now.Sub(k.answeredAt) >= answerCurrent {
+		k.addUnseen(&load, wanted)
+	}
 	return load
 }
 
@@ -44,6 +50,10 @@
 	load.Unread += weight * float64(tokens)
 }
 
+// answerCurrent is the age up to which an agent's answer to a question shows what all
+// entries have sent: in it, one of the questions of others reaches a busy server.
+const answerCurrent = 20 * time.Millisecond
+
 // model describes the server to the predictions.
 func (k *target) model(wanted need) balance.Server {
 	if wanted.engine == nil {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -52,14 +52,20 @@
 	ejectedTill time.Time
 	status      fleet.MachineStatus
 	statusAt    time.Time
-	// inFlightThen and unreadThen are this entry's own part of the status's load.
-	inFlightThen int
-	unreadThen   int
+	// inFlightThen, unreadThen and unreadTokensThen are this entry's own part of the
+	// status's load.
+	inFlightThen     int
+	unreadThen       int
+	unreadTokensThen int
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers.
 	version uint64
 	// meanMilliseconds is the moving mean time of whole answers.
 	meanMilliseconds float64
+	// answeredAt is when the server's agent last answered a question of this entry.
+	answeredAt time.Time
+	// unansweredAt is when the server's agent last did not answer a question.
+	unansweredAt time.Time
 	// gone servers are kept until their last request has ended.
 	gone bool
 	// superseded servers have ended for good: another has answered at their address.
@@ -197,6 +203,10 @@
 func (t *targets) takeStatus(status fleet.MachineStatus, at time.Time, direct bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.statuses[status.Address].at.After(at) {
+		// An answer to a question overtakes what is told all the time.
+		return
+	}
 	t.statuses[status.Address] = statusAt{status: status, at: at}
 	known := t.byAddress[status.Address]
 	if known == nil {
@@ -207,11 +217,12 @@
 			zap.Uint64("version", status.Version), zap.Int64("switch_ms", status.SwitchMilliseconds))
 	}
 	known.status, known.statusAt = status, at
-	known.inFlightThen, known.unreadThen = known.inFlight, known.unread
+	known.inFlightThen, known.unreadThen, known.unreadTokensThen = known.inFlight, known.unread, known.unreadTokens
 	for _, one := range known.unbegun {
 		if one.sentAt.After(at) {
 			known.inFlightThen--
 			known.unreadThen--
+			known.unreadTokensThen -= one.prompt
 		}
 	}
 	known.version = max(known.version, status.Version)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
+	"pinevane.example/pinevane/internal/loadquery"
 	"pinevane.example/pinevane/internal/logging"
 )
 
@@ -31,6 +32,7 @@
 	dialect   fleet.Dialect
 	log       *logging.Logger
 	forwarder *forward.Forwarder
+	loads     *loadquery.Client
 	metrics   *metrics
 	open      atomic.Int64
 	// stopping is the time of the stop signal in nanoseconds, 0 before it.
@@ -41,10 +43,13 @@
 func New(options Options) *Gateway {
 	base := options.Daemon
 	settings := base.Settings()
-	g := &Gateway{daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry)}
+	g := &Gateway{
+		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
+		loads: loadquery.NewClient(settings.InternalPort, base.Log),
+	}
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
-		Peers:    base.Catalog.Peers,
+		Peers: base.Catalog.Peers, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy,
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
@@ -73,6 +78,10 @@
 		return err
 	}
 	settings := g.daemon.Settings()
+	if err := g.loads.Open(settings.IP); err != nil {
+		return err
+	}
+	defer g.loads.Close()
 	if err := g.daemon.Serve(settings.Ready, http.HandlerFunc(g.answerReady)); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/loadquery/loadquery.go
@@ -0,0 +1,49 @@
+// Package loadquery lets an entry ask agents how their servers do right now, before it
+// sends a request to one of them, and announce the request to the agent of the server
+// that it has chosen. What agents tell all the time is some hundred milliseconds old, in
+// which as many requests reach a busy server as it begins; an answer is one way old.
+//
+// Questions, answers and announcements are single datagrams in CBOR. A lost one costs a
+// short wait or leaves one request uncounted; no process keeps any state of another, and
+// the cost of a request does not grow with the fleet.
+package loadquery
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// maximumDatagram bounds a message; an answer takes about 100 bytes.
+const maximumDatagram = 1200
+
+// question asks an agent for the load of its server, or announces a request to it when
+// the number is 0.
+type question struct {
+	// Number tells which question an answer belongs to.
+	Number uint64 `cbor:"1,keyasint,omitempty"`
+	// Prompt is the size of an announced request's prompt in tokens.
+	Prompt int `cbor:"2,keyasint,omitempty"`
+}
+
+// answer tells how the agent's server does.
+type answer struct {
+	Number uint64              `cbor:"1,keyasint"`
+	Status fleet.MachineStatus `cbor:"2,keyasint"`
+}
+
+func encode(message any) ([]byte, error) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, &fault.InvalidFrame{Field: "load query", Reason: err.Error()}
+	}
+	return data, nil
+}
+
+func decode(data []byte, message any) error {
+	if err := cbor.Unmarshal(data, message); err != nil {
+		return &fault.InvalidFrame{Field: "load query", Reason: err.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loadquery/loadquery_test.go
@@ -0,0 +1,126 @@
+package loadquery
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// loadedServer is a server of a test, with a count of what was announced.
+type loadedServer struct {
+	address string
+	waiting int
+
+	mutex     sync.Mutex
+	announced []int
+}
+
+func (s *loadedServer) LoadNow() fleet.MachineStatus {
+	return fleet.MachineStatus{Address: s.address, Reachable: true, Waiting: s.waiting}
+}
+
+func (s *loadedServer) Announce(promptTokens int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.announced = append(s.announced, promptTokens)
+}
+
+func (s *loadedServer) told() []int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]int(nil), s.announced...)
+}
+
+// respond starts agents on one port of several loopback addresses.
+func respond(t *testing.T, servers ...*loadedServer) int {
+	t.Helper()
+	port := 0
+	for _, server := range servers {
+		host, _, err := net.SplitHostPort(server.address)
+		require.NoError(t, err)
+		responder, err := NewResponder(net.JoinHostPort(host, strconv.Itoa(port)), server, logging.Nop())
+		require.NoError(t, err)
+		t.Cleanup(responder.Close)
+		go responder.Run()
+		_, text, err := net.SplitHostPort(responder.Address())
+		require.NoError(t, err)
+		port, err = strconv.Atoi(text)
+		require.NoError(t, err)
+	}
+	return port
+}
+
+func openClient(t *testing.T, port int) *Client {
+	t.Helper()
+	client := NewClient(port, logging.Nop())
+	require.NoError(t, client.Open("127.0.0.1"))
+	t.Cleanup(client.Close)
+	return client
+}
+
+func TestEveryAgentAnswersForItsServer(t *testing.T) {
+	one, two := &loadedServer{address: "127.0.31.1:8001", waiting: 3}, &loadedServer{address: "127.0.31.2:8001", waiting: 5}
+	client := openClient(t, respond(t, one, two))
+	answers := client.Ask(context.Background(), []string{one.address, two.address})
+	require.Len(t, answers, 2)
+	waiting := map[string]int{}
+	for _, status := range answers {
+		waiting[status.Address] = status.Waiting
+	}
+	assert.Equal(t, map[string]int{one.address: 3, two.address: 5}, waiting)
+}
+
+// A machine that says nothing, as behind a cut, costs a short wait and no answer of others.
+func TestSilentAgentIsNotWaitedForLong(t *testing.T) {
+	one := &loadedServer{address: "127.0.32.1:8001"}
+	client := openClient(t, respond(t, one))
+	silent, err := net.ListenPacket("udp4", net.JoinHostPort("127.0.32.2", strconv.Itoa(client.port)))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	began := time.Now()
+	assert.Len(t, client.Ask(context.Background(), []string{"127.0.32.2:8001", one.address}), 1)
+	assert.Empty(t, client.Ask(context.Background(), []string{"127.0.32.2:8001"}))
+	assert.Less(t, time.Since(began), time.Second)
+	assert.Empty(t, client.waiting, "questions without an answer are forgotten")
+}
+
+func TestAnnouncementsReachTheAgent(t *testing.T) {
+	one := &loadedServer{address: "127.0.33.1:8001"}
+	client := openClient(t, respond(t, one))
+	client.Announce(one.address, 800)
+	require.Eventually(t, func() bool { return len(one.told()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	assert.Equal(t, []int{800}, one.told())
+}
+
+// Datagrams that are no questions, or come late, change nothing.
+func TestOtherDatagramsAreDropped(t *testing.T) {
+	one := &loadedServer{address: "127.0.34.1:8001"}
+	client := openClient(t, respond(t, one))
+	client.take([]byte("no answer"))
+	late, err := encode(answer{Number: 77})
+	require.NoError(t, err)
+	client.take(late)
+	socket, err := net.Dial("udp4", net.JoinHostPort("127.0.34.1", strconv.Itoa(client.port)))
+	require.NoError(t, err)
+	_, err = socket.Write([]byte("no question"))
+	require.NoError(t, err)
+	assert.Len(t, client.Ask(context.Background(), []string{one.address}), 1)
+	assert.Empty(t, one.told())
+}
+
+// Before the socket is open, and for what is no address, nobody is asked.
+func TestClientWithoutASocketAsksNobody(t *testing.T) {
+	client := NewClient(1, logging.Nop())
+	assert.Empty(t, client.Ask(context.Background(), []string{"127.0.0.1:8001", "no address"}))
+	client.Announce("127.0.0.1:8001", 1)
+	client.Close()
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/coordination/liveness"
 	"pinevane.example/pinevane/coordination/placement"
@@ -19,6 +20,7 @@
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/loadquery"
 	"pinevane.example/pinevane/internal/logging"
 )
 
@@ -63,6 +65,8 @@
 	// announcement is the notice to entries of the change-over that is due.
 	announcement turnover.Announcement
 	ordering     bool
+	// announced are the requests that entries have told to be on their way.
+	announced balance.Announced
 }
 
 // New builds an agent that does not listen yet.
@@ -92,6 +96,13 @@
 	if err := a.daemon.Start(ctx); err != nil {
 		return err
 	}
+	settings := a.daemon.Settings()
+	responder, err := loadquery.NewResponder(net.JoinHostPort(settings.IP, itoa(settings.InternalPort)), a, a.log)
+	if err != nil {
+		return err
+	}
+	defer responder.Close()
+	go responder.Run()
 	var work sync.WaitGroup
 	work.Go(func() { a.watchServer(ctx) })
 	work.Go(func() { a.keep(ctx) })
--- /dev/null
+++ b/internal/rollout/load.go
@@ -0,0 +1,31 @@
+package rollout
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// LoadNow implements loadquery.Server: the machine's status, with the requests that were
+// announced since the server's last report.
+func (a *Agent) LoadNow() fleet.MachineStatus {
+	now := time.Now()
+	status := a.status(now)
+	usualPrompt := 0.0
+	if engine, _ := a.engine(); engine != nil {
+		usualPrompt = engine.UsualPrompt
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	load := a.announced.Load(balance.Load{Running: status.Running, Waiting: status.Waiting}, a.reportAt.Sub(a.started), now.Sub(a.started), usualPrompt)
+	status.Waiting, status.UnreadTokens = load.Waiting, int(load.Unread)
+	return status
+}
+
+// Announce implements loadquery.Server.
+func (a *Agent) Announce(promptTokens int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.announced.Add(time.Since(a.started), promptTokens)
+}
