An older version in force is the fallback; an origin that is away is asked in turns

Cause: (1) a machine has room for one staged copy, and pieces of the next version overwrote the one in service: a server that crashed, or came empty, during a transfer waited for the newest version. (3) 1,800 calls a second for a manifest. Change: the next version waits in the agent's memory until its turn (an eighth of the memory at most, else as before); an empty server takes the older version from its peers when the newest is long in coming (turnover.TakesOlder); machines tell each other with its age that the root of a piece lives, and leave the origin to it; after a failure the origin is asked in a cycle of turns, at the pace of its link, spread over machines; manifests are asked for less often after a second.

--- a/coordination/dissemination/fetcher.go
+++ b/coordination/dissemination/fetcher.go
@@ -50,6 +50,8 @@
 	Chunks int
 	// Held marks the chunks that are already here; nil means none.
 	Held []bool
+	// PeersOnly leaves the origin to others: chunks come from machines that offer them.
+	PeersOnly bool
 	// MaximumFetches is how many transfers from peers, and how many from the
 	// origin, run at once.
 	MaximumFetches int
@@ -99,6 +101,10 @@
 	late      bool
 	lateSince time.Duration
 	nextAsk   time.Duration
+	// nextOrigin is when the origin may be asked for the chunk again after it has failed.
+	nextOrigin time.Duration
+	// pendingAt is when a machine last knew at first hand that the chunk is to come.
+	pendingAt time.Duration
 	// denials counts the answers that the chunk is not there, since one that it is.
 	denials int
 	// sources have offered the chunk.
@@ -155,17 +161,51 @@
 // Missing returns how many chunks are not here yet.
 func (f *Fetcher) Missing() int { return f.missing }
 
+// HasSource reports whether a peer has offered a chunk that is not here.
+func (f *Fetcher) HasSource(chunk int) bool { return len(f.chunks[chunk].sources) > 0 }
+
+// Unsourced returns how many of the missing chunks are offered by nobody.
+func (f *Fetcher) Unsourced() int {
+	count := 0
+	for chunk := range f.chunks {
+		if !f.chunks[chunk].held && len(f.chunks[chunk].sources) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// LastProgress returns when a chunk last came, or the transfer began.
+func (f *Fetcher) LastProgress() time.Duration { return f.lastProgress }
+
 // Holds reports whether a chunk is here.
 func (f *Fetcher) Holds(chunk int) bool { return f.chunks[chunk].held }
 
-// Expects reports whether a chunk is here, has a source, or is this machine's to
-// read from the origin.
-func (f *Fetcher) Expects(chunk int) bool {
+// pendingRounds is for how many rounds of asking the word counts that the root of a chunk lives:
+// as many as it takes to reach the last machine of a zone, and some lost answers.
+const pendingRounds = 8
+
+// trustedRounds is for how many rounds a late chunk is left to a root that lives: for an
+// origin's usual absence of some seconds. One that does not bring it for longer is taken for
+// stuck.
+const trustedRounds = 24
+
+// Expects reports whether a chunk is here, has a source, or is to be read from the origin by
+// this machine or by one that has said so; and how long ago that was known at first hand. So
+// the whole zone knows that the root of a chunk lives while the origin is away, and leaves the
+// origin to it. Ages only grow on the way, so that machines whose lists differ can't keep each
+// other believing.
+func (f *Fetcher) Expects(chunk int, now time.Duration) (age time.Duration, expected bool) {
 	if !f.valid(chunk) {
-		return false
+		return 0, false
 	}
 	state := &f.chunks[chunk]
-	return state.held || state.fetching || len(state.sources) > 0 || f.isRoot(chunk)
+	if state.held || state.fetching || len(state.sources) > 0 || f.isRoot(chunk) {
+		return 0, true
+	}
+	age = now - state.pendingAt
+	trusted := !state.late || now-state.lateSince < trustedRounds*f.options.Patience
+	return age, trusted && state.pendingAt > 0 && age < pendingRounds*f.options.Patience
 }
 
 // Take returns the actions since the last call.
@@ -232,7 +272,7 @@
 		state.interested = append(state.interested, from)
 	}
 	if !state.held && !state.fetching && f.isRoot(chunk) {
-		f.fetchOrigin(chunk)
+		f.fetchOrigin(chunk, now)
 	}
 	f.noteBypass(from, chunk, now)
 	return state.held && backlog <= maximumBacklog
@@ -247,12 +287,14 @@
 	}
 }
 
-// AskPending records that a peer answered a question and has the chunk or
-// expects it.
-func (f *Fetcher) AskPending(peer MachineID, chunk int) {
+// AskPending records that a peer answered a question and has the chunk or expects it, by what
+// was known at first hand an age ago.
+func (f *Fetcher) AskPending(peer MachineID, chunk int, age, now time.Duration) {
 	f.reached(peer)
 	if f.valid(chunk) {
-		f.chunks[chunk].denials = 0
+		state := &f.chunks[chunk]
+		state.denials = 0
+		state.pendingAt = max(state.pendingAt, now-age)
 	}
 }
 
@@ -301,6 +343,7 @@
 	switch {
 	case from == "":
 		f.makeLate(state, now)
+		state.nextOrigin = f.originTurnAfterFailure(chunk, reason, now)
 		state.nextAsk = now + f.options.Patience
 	case reason == Unreachable:
 		f.unreached(from, now)
--- a/coordination/dissemination/repair.go
+++ b/coordination/dissemination/repair.go
@@ -115,8 +115,9 @@
 		}
 	}
 	if f.origin < f.options.MaximumFetches {
-		f.fetchOrigin(chunk)
+		f.fetchOrigin(chunk, now)
 	}
+	state.nextAsk = min(state.nextAsk, max(now, state.nextOrigin))
 }
 
 // failedSource reports whether a peer holds the chunk but could not send it.
@@ -157,8 +158,10 @@
 		return
 	}
 	rank := slices.Index(f.options.Plan.OriginReaders(chunk, f.options.Self), f.options.Self)
-	if rank >= 0 && turns > rank && f.origin < f.options.MaximumFetches {
-		f.fetchOrigin(chunk)
+	// One at a time: while the origin is away every reader finds that its zone lacks every
+	// chunk, and what they had queued up would fill its link on its return.
+	if rank >= 0 && turns > rank && f.origin == 0 {
+		f.fetchOrigin(chunk, now)
 	}
 }
 
--- a/coordination/dissemination/schedule.go
+++ b/coordination/dissemination/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 func (f *Fetcher) enqueue(chunk int) {
@@ -103,7 +105,7 @@
 			kept = append(kept, f.rootChunks[i:]...)
 			break
 		}
-		f.fetchOrigin(chunk)
+		f.fetchOrigin(chunk, now)
 	}
 	f.rootChunks = kept
 }
@@ -130,13 +132,61 @@
 	return f.started + time.Duration(before)*f.options.OriginInterval
 }
 
+// readerCycles is how many turns of a chunk a machine that is not its root leaves out after a
+// failure.
+const readerCycles = 2
+
+// originTurnAfterFailure is when the origin is to be asked again for a chunk that it has not
+// given. A chunk that came spoilt or was refused while others come is asked for soon. When the
+// origin does not answer, or nothing comes from anywhere, it is away or its link is full: the
+// machines then ask in a cycle of turns, at the pace at which the link carries what is missing.
+// Were they all to ask every few hundred milliseconds, it would carry all chunks at once, each
+// so slowly that most are given up and sent again: 16 s and 1.65 copies for what takes 6 s and
+// 1.05, after an absence of 6 s. A machine that is not the chunk's root leaves the next turns to
+// that.
+func (f *Fetcher) originTurnAfterFailure(chunk int, reason FailureReason, now time.Duration) time.Duration {
+	soon := now + f.options.Patience
+	cycle := time.Duration(f.missing) * f.options.OriginInterval
+	comes := now-f.lastProgress <= 2*f.options.Patience
+	if cycle <= 0 || (comes && reason != Stalled) {
+		return soon
+	}
+	if !f.isRoot(chunk) {
+		soon += readerCycles * cycle
+	}
+	turn := f.started + (time.Duration(f.missingBefore(chunk))*f.options.OriginInterval+f.originOffset(cycle))%cycle
+	cycles := max(0, (soon-turn+cycle-1)/cycle)
+	return turn + cycles*cycle
+}
+
+// originOffset spreads the turns of machines that take themselves for the root of the same
+// chunk, because their lists differ: the first of them brings it to the others.
+func (f *Fetcher) originOffset(cycle time.Duration) time.Duration {
+	const steps = 1 << 10
+	return cycle * time.Duration(xxhash.Sum64String(string(f.options.Self))%steps) / steps
+}
+
+// missingBefore counts the missing chunks before one.
+func (f *Fetcher) missingBefore(chunk int) int {
+	count := 0
+	for before := range chunk {
+		if !f.chunks[before].held {
+			count++
+		}
+	}
+	return count
+}
+
 // isRoot reports whether this machine is to read a chunk from the origin.
 func (f *Fetcher) isRoot(chunk int) bool {
 	_, hasParent := f.options.Plan.Parent(chunk, f.options.Self)
-	return !hasParent
+	return !hasParent && !f.options.PeersOnly
 }
 
-func (f *Fetcher) fetchOrigin(chunk int) {
+func (f *Fetcher) fetchOrigin(chunk int, now time.Duration) {
+	if f.options.PeersOnly || now < f.chunks[chunk].nextOrigin {
+		return
+	}
 	f.chunks[chunk].fetching = true
 	f.origin++
 	f.act(FetchOrigin, "", chunk)
--- /dev/null
+++ b/coordination/turnover/fallback.go
@@ -0,0 +1,51 @@
+package turnover
+
+import "time"
+
+// Bounds of taking an older version first.
+const (
+	// stallTime is how long no piece of the newest version may come until its source is
+	// taken for away: many times the pace at which an origin hands them out.
+	stallTime = 600 * time.Millisecond
+	// worthwhileGain is how much sooner a server must serve with the older version: its
+	// change-over to the newest costs it about as much again.
+	worthwhileGain = 2 * time.Second
+	// worthwhileService is the least time for which the older version must then serve.
+	worthwhileService = 1500 * time.Millisecond
+)
+
+// Transfer tells how far a server that serves nothing is with the newest version.
+type Transfer struct {
+	// Pieces are those of one copy; Missing have not come, Unsourced of them are held by no
+	// machine known.
+	Pieces    int
+	Missing   int
+	Unsourced int
+	// Quiet is the time since a piece came, or since the transfer began.
+	Quiet time.Duration
+	// CopyTime is that of one copy over the machine's link, OriginTime over the origin's.
+	CopyTime   time.Duration
+	OriginTime time.Duration
+}
+
+// left estimates the time until the last piece is here; false when nobody can tell, because
+// nothing comes.
+func (t Transfer) left() (time.Duration, bool) {
+	if t.Pieces == 0 || (t.Missing > 0 && t.Quiet > stallTime) {
+		return 0, false
+	}
+	overLink := t.CopyTime * time.Duration(t.Missing) / time.Duration(t.Pieces)
+	fromOrigin := t.OriginTime * time.Duration(t.Unsourced) / time.Duration(t.Pieces)
+	return max(overLink, fromOrigin), true
+}
+
+// TakesOlder decides whether a server that serves nothing first takes an older version, which
+// its peers hold whole, because the newest is long in coming. Older is the time for which the
+// older one may still begin requests, Warm that of taking a version into service.
+func TakesOlder(newest Transfer, older, warm time.Duration) bool {
+	if newest.Missing == 0 || older-newest.CopyTime-warm < worthwhileService {
+		return false
+	}
+	left, known := newest.left()
+	return !known || left-newest.CopyTime > worthwhileGain
+}
--- a/internal/emulator/site/origin.go
+++ b/internal/emulator/site/origin.go
@@ -45,6 +45,8 @@
 	spoil int
 	// spoilManifest makes the next manifest name a wrong digest.
 	spoilManifest bool
+	// away makes the origin close every connection without an answer.
+	away bool
 }
 
 // NewOrigin returns an origin whose newest version is 1.
@@ -71,6 +73,19 @@
 	o.spoilManifest = true
 }
 
+// SetAway makes the origin answer nobody, or come back.
+func (o *Origin) SetAway(away bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.away = away
+}
+
+func (o *Origin) isAway() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.away
+}
+
 // Copies returns how many whole copies were sent.
 func (o *Origin) Copies() float64 {
 	o.mutex.Lock()
@@ -83,7 +98,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/manifest/{model}", o.serveManifest)
 	mux.HandleFunc("GET /-/piece/{model}", o.servePiece)
-	return mux
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if o.isAway() {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(writer, request)
+	})
 }
 
 // versionOf reads the version asked for; two behind the newest are gone.
--- a/internal/experiment/rollout/simulation.go
+++ b/internal/experiment/rollout/simulation.go
@@ -377,11 +377,12 @@
 		}
 		held := peer.fetcher.Asked(m.ID, action.Chunk, len(peer.queue), s.Now())
 		s.After(controlDelay, func() {
+			age, expected := peer.fetcher.Expects(action.Chunk, s.Now())
 			switch {
 			case held:
 				m.fetcher.Offered(peer.ID, action.Chunk, s.Now())
-			case peer.fetcher.Expects(action.Chunk):
-				m.fetcher.AskPending(peer.ID, action.Chunk)
+			case expected:
+				m.fetcher.AskPending(peer.ID, action.Chunk, age, s.Now())
 			default:
 				m.fetcher.AskDenied(peer.ID, action.Chunk)
 			}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -79,6 +79,8 @@
 	OrderFate         = declare("PV3107", zap.InfoLevel, "order's fate known", "The server's count of orders tells whether the unanswered order was taken.")
 	EngineLost        = declare("PV3108", zap.WarnLevel, "model server lost", "The machine's own server does not answer.")
 	EngineReached     = declare("PV3109", zap.InfoLevel, "model server reached", "The machine's own server answers.")
+	FallbackBegun     = declare("PV3110", zap.InfoLevel, "older version fetched first", "The server serves nothing and the newest version is long in coming; an older one that may still begin requests is fetched from peers.")
+	StagingFailed     = declare("PV3111", zap.WarnLevel, "staging failed", "The machine's own server did not take a piece that was kept in memory; it is tried again.")
 	RequestRefused    = declare("PV4001", zap.DebugLevel, "request refused", "A request was refused; the reason code and execution are in the fields.")
 	RequestRetried    = declare("PV4002", zap.DebugLevel, "request retried", "An attempt provably did not run and was sent to another replica.")
 	StreamResumed     = declare("PV4003", zap.InfoLevel, "stream resumed", "A stream continues on another replica of the same version after its last delivered token.")
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -48,8 +48,11 @@
 	// an order is given, so that the server takes exactly what was verified.
 	staging sync.RWMutex
 
-	mutex   sync.Mutex
-	current *transfer
+	mutex sync.Mutex
+	// current brings the newest version; fallback holds, or brings, an older one that may
+	// still begin requests.
+	current  *transfer
+	fallback *transfer
 	// doubted is the version whose manifest was doubted last.
 	doubted uint64
 	report  fleet.Report
@@ -212,10 +215,12 @@
 func (a *Agent) transferOf(model string, version uint64) *transfer {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.current == nil || a.current.model != model || (version != 0 && a.current.version() != version) {
-		return nil
+	for _, one := range []*transfer{a.current, a.fallback} {
+		if one != nil && one.model == model && (version == 0 || one.version() == version) {
+			return one
+		}
 	}
-	return a.current
+	return nil
 }
 
 func (a *Agent) takeOffer(incoming offer) dissemination.Answer {
@@ -226,16 +231,6 @@
 	return found.take(incoming)
 }
 
-// stage lays a verified piece at the server, unless the transfer was replaced.
-func (a *Agent) stage(ctx context.Context, t *transfer, index int, content []byte) error {
-	a.staging.RLock()
-	defer a.staging.RUnlock()
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	return a.server.Stage(ctx, t.model, index, content)
-}
-
 // doubt gives up a manifest whose pieces the origin itself does not match.
 func (a *Agent) doubt(t *transfer) {
 	a.mutex.Lock()
--- /dev/null
+++ b/internal/rollout/fallback.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/coordination/placement"
+	"pinevane.example/pinevane/coordination/turnover"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// bufferable reports whether a version fits into the part of the memory that is for it.
+func (a *Agent) bufferable(engine *fleet.Engine) bool {
+	size := int64(engine.Pieces) * int64(engine.PieceBytes)
+	return size > 0 && float64(size) <= bufferShare*float64(a.daemon.Settings().MemoryBytes)
+}
+
+// inForceFor is how long a version may still begin requests; false without an end in sight.
+func (a *Agent) inForceFor(model string, version uint64) (time.Duration, bool) {
+	notice, superseded := a.daemon.Catalog.View().FirstAfter(model, version)
+	if !superseded {
+		return 0, false
+	}
+	return time.Until(notice.Since.Add(a.daemon.Settings().Bounds.VersionApply)), true
+}
+
+// olderInForce is the newest version before one that listed servers serve.
+func (a *Agent) olderInForce(model string, before uint64) (uint64, bool) {
+	older := uint64(0)
+	for _, server := range a.daemon.Catalog.View().Servers[a.daemon.Settings().Service] {
+		for _, held := range server.Models {
+			if held.Name == model && held.Version < before {
+				older = max(older, held.Version)
+			}
+		}
+	}
+	return older, older != 0
+}
+
+// holdersOf picks a few machines whose servers are listed with a version, near ones first,
+// others at each time of asking.
+func (a *Agent) holdersOf(version uint64, count int) []dissemination.MachineID {
+	settings := a.daemon.Settings()
+	var near, far []string
+	for _, server := range a.daemon.Catalog.View().Servers[settings.Service] {
+		host, _, err := net.SplitHostPort(server.Address)
+		serves := slices.ContainsFunc(server.Models, func(held fleet.HeldModel) bool { return held.Version == version })
+		switch {
+		case err != nil || host == settings.IP || server.Draining || !serves:
+		case server.Zone == settings.Zone:
+			near = append(near, host)
+		default:
+			far = append(far, host)
+		}
+	}
+	key := "holders/" + settings.IP + "/" + itoa(int(time.Since(a.started)/holdersPeriod))
+	picked := placement.Top(key, near, count)
+	picked = append(picked, placement.Top(key, far, count-len(picked))...)
+	holders := make([]dissemination.MachineID, 0, len(picked))
+	for _, id := range picked {
+		holders = append(holders, dissemination.MachineID(id))
+	}
+	return holders
+}
+
+// holdersPeriod is how often a fallback asks machines what they hold, as long as it does not
+// have everything.
+const holdersPeriod = 500 * time.Millisecond
+
+// lookForHolders asks machines what they hold of a fallback that gets nothing any more.
+func (t *transfer) lookForHolders(ctx context.Context, manifest fleet.Manifest) {
+	t.mutex.Lock()
+	lacks := t.fallback.Load() && t.fetcher.Unsourced() > 0 && t.now()-t.askedAt >= holdersPeriod
+	if lacks {
+		t.askedAt = t.now()
+	}
+	held := make([]bool, len(manifest.Digests))
+	for index := range held {
+		held[index] = t.fetcher.Holds(index)
+	}
+	t.mutex.Unlock()
+	if !lacks {
+		return
+	}
+	holders := t.askInventories(ctx, manifest, held, t.agent.holdersOf(t.version(), inventoriesPerZone))
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.takeHolders(holders)
+}
+
+// progress tells how far the transfer is.
+func (t *transfer) progress(engine *fleet.Engine, linkRate, originRate float64) turnover.Transfer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	progress := turnover.Transfer{
+		Pieces: engine.Pieces, Missing: engine.Pieces, Unsourced: engine.Pieces, Quiet: t.now(),
+		CopyTime: engine.CopyTime(linkRate), OriginTime: engine.CopyTime(originRate),
+	}
+	if t.fetcher != nil {
+		progress.Missing, progress.Unsourced = t.fetcher.Missing(), t.fetcher.Unsourced()
+		progress.Quiet = t.now() - t.fetcher.LastProgress()
+	}
+	return progress
+}
+
+// planFallback begins to fetch an older version for a server that serves nothing, when it is
+// worth while: see turnover.TakesOlder.
+func (a *Agent) planFallback(ctx context.Context, current *transfer, engine *fleet.Engine, serving uint64) {
+	a.mutex.Lock()
+	exists := a.fallback != nil
+	a.mutex.Unlock()
+	if exists || serving != 0 || !a.bufferable(engine) {
+		return
+	}
+	version, listed := a.olderInForce(current.model, current.version())
+	if !listed {
+		return
+	}
+	inForce, bounded := a.inForceFor(current.model, version)
+	configuration := a.daemon.Catalog.View().Configuration
+	progress := current.progress(engine, a.daemon.Settings().LinkBytesPerSecond, configuration.OriginRate())
+	if !bounded || !turnover.TakesOlder(progress, inForce, engine.Warm) {
+		return
+	}
+	a.log.Log(logging.FallbackBegun, zap.String("model", current.model), zap.Uint64("version", version), zap.Uint64("newest", current.version()),
+		zap.Int("missing", progress.Missing), zap.Duration("quiet", progress.Quiet), zap.Duration("in_force", inForce))
+	a.staging.Lock()
+	current.takeUp(ctx)
+	a.staging.Unlock()
+	transferContext, cancel := context.WithCancel(ctx)
+	fallback := newTransfer(a, current.model, version, cancel)
+	fallback.fallback.Store(true)
+	fallback.plan = fallback.newPlan()
+	a.mutex.Lock()
+	a.fallback = fallback
+	a.mutex.Unlock()
+	go fallback.run(transferContext)
+}
+
+// dropFallback ends the transfer of the older version; the mutex is held.
+func (a *Agent) dropFallback() {
+	if a.fallback != nil {
+		a.fallback.cancel()
+		a.fallback = nil
+	}
+}
+
+// layDown stages a version that was kept in memory in the place of the older one, and reports
+// whether it lies at the server whole.
+func (a *Agent) layDown(ctx context.Context, t *transfer) bool {
+	if !t.buffer.opened() {
+		return true
+	}
+	a.mutex.Lock()
+	a.dropFallback()
+	a.mutex.Unlock()
+	a.staging.Lock()
+	defer a.staging.Unlock()
+	if err := t.layDown(ctx); err != nil {
+		a.log.Log(logging.StagingFailed, zap.Uint64("version", t.version()), zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// nextInService picks what the server is to change over to: the newest version once it is
+// here whole, else the older one as long as that is in force.
+func (a *Agent) nextInService(current *transfer, serving uint64, warm time.Duration) (*transfer, bool) {
+	if complete, _ := current.state(); complete {
+		return current, true
+	}
+	a.mutex.Lock()
+	fallback := a.fallback
+	a.mutex.Unlock()
+	if fallback == nil || fallback.version() <= serving {
+		return current, false
+	}
+	complete, _ := fallback.state()
+	inForce, bounded := a.inForceFor(fallback.model, fallback.version())
+	return fallback, complete && (!bounded || inForce > warm+dueMargin)
+}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -20,6 +20,9 @@
 	copySlack = 1.4
 	// dueMargin is how long before the bound the last turn is.
 	dueMargin = 1100 * time.Millisecond
+	// fallbackWindow is the time before the bound in which servers change over to a version
+	// that another has replaced already.
+	fallbackWindow = 2 * time.Second
 	// orderPause is the time after an order that did not fit.
 	orderPause = 300 * time.Millisecond
 	// orderSettle bounds the wait for the fate of an order without an answer.
@@ -51,23 +54,29 @@
 	if newest, named := a.daemon.Catalog.View().Newest(model); named {
 		wanted = newest.Version
 	}
-	current := a.follow(ctx, model, wanted)
+	current := a.follow(ctx, engine, model, wanted)
 	wanted = max(wanted, current.version())
-	complete, _ := current.state()
 	a.mutex.Lock()
 	report, reachable := a.report, a.reachable
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
-	switchAt := a.planSwitch(model, engine, serving, wanted)
+	next, complete := a.nextInService(current, serving, engine.Warm)
+	if !complete && reachable {
+		a.planFallback(ctx, current, engine, serving)
+	}
+	switchAt := a.planSwitch(model, engine, serving, wanted, next != current)
 	due := !time.Now().Before(switchAt.Add(-turnover.NoticeTime))
 	if !reachable || report.Busy || !complete || serving >= wanted || !due {
 		a.withdraw()
 		return
 	}
+	if !a.layDown(ctx, next) {
+		return
+	}
 	if serving != 0 && !a.pastBound(model, serving) && !a.announce(report.Waiting) {
 		return
 	}
-	a.changeOver(ctx, current, serving)
+	a.changeOver(ctx, next, serving)
 }
 
 // pastBound reports whether no entry sends the server anything any more, because a
@@ -97,26 +106,61 @@
 	a.announcement.Withdraw()
 }
 
-// follow makes the transfer of the wanted version the present one. A version that
-// has been replaced is dropped at once; what both share stays at the server.
-func (a *Agent) follow(ctx context.Context, model string, wanted uint64) *transfer {
+// follow makes the transfer of the wanted version the present one. One that is here whole
+// stays staged as the fallback; one that is not is dropped, and what both share stays at the
+// server.
+func (a *Agent) follow(ctx context.Context, engine *fleet.Engine, model string, wanted uint64) *transfer {
+	if replaced := a.replacedBy(model, wanted); replaced != nil {
+		a.layDown(ctx, replaced)
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.current != nil && a.current.model == model && (a.current.version() == wanted || wanted == 0) {
 		return a.current
 	}
-	if a.current != nil {
-		a.log.Log(logging.RolloutAborted, zap.String("model", model), zap.Uint64("version", a.current.version()), zap.Uint64("wanted", wanted))
-		a.current.cancel()
-	}
+	a.replaceCurrent(engine, model, wanted)
 	transferContext, cancel := context.WithCancel(ctx)
 	a.current = newTransfer(a, model, wanted, cancel)
+	if a.fallback != nil {
+		a.current.buffer.open()
+	}
 	a.current.distrustful = wanted != 0 && wanted == a.doubted
 	a.log.Log(logging.RolloutNoticed, zap.String("model", model), zap.Uint64("version", wanted))
 	go a.current.run(transferContext)
 	return a.current
 }
 
+// replacedBy returns the present transfer if it is whole and another version is wanted.
+func (a *Agent) replacedBy(model string, wanted uint64) *transfer {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.current == nil || a.current.model != model || wanted == 0 || a.current.version() == wanted {
+		return nil
+	}
+	if complete, _ := a.current.state(); !complete {
+		return nil
+	}
+	return a.current
+}
+
+// replaceCurrent makes a whole version that lies at the server the fallback, and ends the
+// transfer of any other; the mutex is held.
+func (a *Agent) replaceCurrent(engine *fleet.Engine, model string, wanted uint64) {
+	replaced := a.current
+	if replaced == nil {
+		return
+	}
+	complete, _ := replaced.state()
+	if complete && replaced.model == model && !replaced.buffer.opened() && a.bufferable(engine) {
+		a.dropFallback()
+		a.fallback = replaced
+		replaced.fallback.Store(true)
+		return
+	}
+	a.log.Log(logging.RolloutAborted, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Uint64("wanted", wanted))
+	replaced.cancel()
+}
+
 // servedVersion is the version that a server holds whole, or 0.
 func servedVersion(report fleet.Report, model string, layers int) uint64 {
 	for _, held := range report.Models {
@@ -128,14 +172,19 @@
 }
 
 // planSwitch computes when the server changes over: at once when it serves
-// nothing, else in its turn, counted from the first version that it lacks.
-func (a *Agent) planSwitch(model string, engine *fleet.Engine, serving, wanted uint64) time.Time {
+// nothing, else in its turn, counted from the first version that it lacks. To a fallback it
+// changes over late, because the newest version may come before.
+func (a *Agent) planSwitch(model string, engine *fleet.Engine, serving, wanted uint64, toFallback bool) time.Time {
 	var planned time.Time
 	notice, lacking := a.daemon.Catalog.View().FirstAfter(model, serving)
 	if lacking && serving != 0 && serving < wanted {
 		settings := a.daemon.Settings()
 		ordered := turnover.Order(model+"/"+itoa(int(wanted)), a.members())
-		turn := turnover.Turn(ordered, settings.IP, a.window(engine, settings))
+		window := a.window(engine, settings)
+		if toFallback {
+			window.Start = max(window.Start, window.End-fallbackWindow)
+		}
+		turn := turnover.Turn(ordered, settings.IP, window)
 		planned = notice.Since.Add(turn)
 	}
 	a.mutex.Lock()
--- a/internal/rollout/manifest.go
+++ b/internal/rollout/manifest.go
@@ -24,30 +24,69 @@
 // findManifest asks peers, nearest in the plan first, and the origin when it is
 // this machine's turn.
 func (t *transfer) findManifest(ctx context.Context) (fleet.Manifest, bool) {
+	var originAsked time.Duration
 	for ctx.Err() == nil {
-		t.mutex.Lock()
-		plan := t.plan
-		t.mutex.Unlock()
-		_, hasParent := plan.Parent(0, t.self())
-		if hasParent && !t.distrustful {
-			if manifest, found := t.manifestFromPeers(ctx, plan); found {
-				return manifest, true
-			}
+		if manifest, found := t.manifestFromPeers(ctx); found {
+			return manifest, true
 		}
-		turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
-		if !hasParent || t.distrustful || (turn >= 0 && t.now() > time.Duration(turn+1)*manifestTurn) || t.now() > 4*manifestTurn {
+		if t.asksOrigin(t.now(), originAsked) {
+			originAsked = t.now()
 			if manifest, found := t.manifestFromOrigin(ctx); found {
 				return manifest, true
 			}
 		}
-		waiting.For(ctx, manifestRetry)
+		waiting.For(ctx, manifestPause(t.now()))
 	}
 	return fleet.Manifest{}, false
 }
 
-func (t *transfer) manifestFromPeers(ctx context.Context, plan dissemination.Plan) (fleet.Manifest, bool) {
+// manifestPause is the time between two rounds of asking, after a time without success.
+func manifestPause(sought time.Duration) time.Duration {
+	if sought < manifestSoon {
+		return manifestRetry
+	}
+	return manifestLater
+}
+
+// asksOrigin reports whether it is this machine's turn to ask the origin for the manifest: the
+// one that passes it to all others asks in each round, the next in turn one after the other,
+// and everybody, in case that all of those are gone, now and then.
+func (t *transfer) asksOrigin(now, asked time.Duration) bool {
+	if t.fallback.Load() {
+		return false
+	}
+	t.mutex.Lock()
+	plan := t.plan
+	t.mutex.Unlock()
+	if _, hasParent := plan.Parent(0, t.self()); !hasParent || t.distrustful {
+		return true
+	}
+	if asked > 0 && now-asked < manifestOriginPause {
+		return false
+	}
+	turn := slices.Index(plan.OriginReaders(0, t.self()), t.self())
+	return (turn >= 0 && now > time.Duration(turn+1)*manifestTurn) || now > 4*manifestTurn
+}
+
+// manifestFromPeers asks those that stand before this machine in the plan; a fallback asks
+// machines that serve its version.
+func (t *transfer) manifestFromPeers(ctx context.Context) (fleet.Manifest, bool) {
+	if t.fallback.Load() {
+		return t.askManifest(ctx, t.agent.holdersOf(t.version(), manifestPeers))
+	}
+	t.mutex.Lock()
+	plan := t.plan
+	t.mutex.Unlock()
+	if _, hasParent := plan.Parent(0, t.self()); !hasParent || t.distrustful {
+		return fleet.Manifest{}, false
+	}
 	providers := plan.Providers(0, t.self())
-	for _, peer := range providers[:min(manifestPeers, len(providers))] {
+	return t.askManifest(ctx, providers[:min(manifestPeers, len(providers))])
+}
+
+// askManifest asks peers one after the other.
+func (t *transfer) askManifest(ctx context.Context, peers []dissemination.MachineID) (fleet.Manifest, bool) {
+	for _, peer := range peers {
 		message, err := ask[manifestMessage](ctx, t.agent.peers, peer, versionPath(manifestPath, t.model, t.version()))
 		if err != nil || message.Model != t.model || len(message.Digests) == 0 || (t.version() != 0 && message.Version != t.version()) {
 			continue
@@ -76,14 +115,13 @@
 
 // askInventories learns what peers already hold, which they do not offer to a
 // machine that has come later.
-func (t *transfer) askInventories(ctx context.Context, manifest fleet.Manifest, held []bool) map[int][]dissemination.MachineID {
+func (t *transfer) askInventories(ctx context.Context, manifest fleet.Manifest, held []bool, peers []dissemination.MachineID) map[int][]dissemination.MachineID {
 	holders := map[int][]dissemination.MachineID{}
 	if !slices.Contains(held, false) {
 		return holders
 	}
 	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
 	defer cancel()
-	peers := t.agent.inventoryPeers()
 	answers := make([]inventory, len(peers))
 	var questions sync.WaitGroup
 	for at, peer := range peers {
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +33,14 @@
 	originFetches = 1
 	// pieceTimeout bounds one piece from a peer, its waiting there included; a peer
 	// that stands still must not hold the fetches up.
-	pieceTimeout  = 1500 * time.Millisecond
-	manifestRetry = 40 * time.Millisecond
+	pieceTimeout = 1500 * time.Millisecond
+	// A manifest is asked for each manifestRetry, and after manifestSoon each manifestLater: its
+	// source is away then, and 75 agents that went on at the first pace made 1,800 calls a
+	// second to it. Who is not the first to ask the origin asks it each manifestOriginPause.
+	manifestRetry       = 40 * time.Millisecond
+	manifestSoon        = time.Second
+	manifestLater       = 200 * time.Millisecond
+	manifestOriginPause = time.Second
 	// manifestTurn is the time after which the next in turn asks the origin itself.
 	manifestTurn = 400 * time.Millisecond
 	// inventoriesPerZone is how many machines of each zone are asked what they hold.
@@ -48,6 +55,9 @@
 type transfer struct {
 	agent *Agent
 	model string
+	// fallback transfers bring an older version from peers only, while it is in force: the
+	// origin's link is the newest one's.
+	fallback atomic.Bool
 	// distrustful transfers take the manifest from the origin only: another has been
 	// doubted, and peers may hold the same one.
 	distrustful bool
@@ -71,6 +81,11 @@
 	complete   bool
 	fromOrigin int
 	fromPeers  int
+
+	// askedAt is when a fallback last asked machines what they hold.
+	askedAt time.Duration
+	// buffer holds pieces while another version lies at the server.
+	buffer pieceBuffer
 }
 
 func newTransfer(agent *Agent, model string, version uint64, cancel context.CancelFunc) *transfer {
@@ -79,10 +94,19 @@
 		kick: make(chan struct{}, 1), origins: make(chan struct{}, originFetches), corrupt: map[int]int{}, pace: newFetchPace(),
 	}
 	t.number.Store(version)
-	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, agent.roster())
+	t.plan = t.newPlan()
 	return t
 }
 
+// newPlan arranges the machines as they are listed now. A fallback passes nothing on by
+// itself: the others hold it, or do not want it.
+func (t *transfer) newPlan() dissemination.Plan {
+	if t.fallback.Load() {
+		return dissemination.NewPlan(dissemination.StrategyStar, t.agent.roster())
+	}
+	return dissemination.NewPlan(dissemination.StrategyRotated, t.agent.roster())
+}
+
 func (t *transfer) self() dissemination.MachineID { return t.agent.self }
 
 func (t *transfer) version() uint64 { return t.number.Load() }
@@ -98,10 +122,10 @@
 
 // rearrange takes over a new list of machines.
 func (t *transfer) rearrange() {
-	roster := t.agent.roster()
+	plan := t.newPlan()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.plan = dissemination.NewPlan(dissemination.StrategyRotated, roster)
+	t.plan = plan
 	if t.fetcher != nil {
 		t.fetcher.SetPlan(t.plan, t.now())
 	}
@@ -115,7 +139,11 @@
 		return
 	}
 	held := t.verifyHeld(ctx, manifest)
-	t.begin(manifest, held, t.askInventories(ctx, manifest, held))
+	peers := t.agent.inventoryPeers()
+	if t.fallback.Load() {
+		peers = t.agent.holdersOf(t.version(), inventoriesPerZone)
+	}
+	t.begin(manifest, held, t.askInventories(ctx, manifest, held, peers))
 	ticker := time.NewTicker(transferTick)
 	defer ticker.Stop()
 	for {
@@ -127,6 +155,7 @@
 			t.mutex.Lock()
 			t.fetcher.Tick(t.now())
 			t.mutex.Unlock()
+			t.lookForHolders(ctx, manifest)
 		case <-ctx.Done():
 			return
 		}
@@ -139,7 +168,7 @@
 	t.manifest = &manifest
 	t.number.Store(manifest.Version)
 	t.fetcher = dissemination.NewFetcher(dissemination.Options{
-		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held,
+		Self: t.self(), Plan: t.plan, Chunks: len(manifest.Digests), Held: held, PeersOnly: t.fallback.Load(),
 		MaximumFetches: maximumFetches, OriginInterval: t.originInterval(), LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	})
 	t.takeHolders(holders)
@@ -242,7 +271,7 @@
 		err = &fault.Corrupt{Source: string(action.Peer)}
 	}
 	if err == nil {
-		err = t.agent.stage(ctx, t, action.Chunk, content)
+		err = t.keep(ctx, action.Chunk, content)
 	}
 	if ctx.Err() != nil {
 		return
@@ -289,6 +318,10 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	if t.hasSource(action.Chunk) {
+		// It came to a peer while the origin was busy with others.
+		return nil, &fault.Unavailable{Target: "origin", Operation: "piece", Status: http.StatusConflict}
+	}
 	address, known := t.agent.originAddress()
 	if !known {
 		return nil, &fault.Unavailable{Target: "origin", Operation: "piece"}
@@ -296,6 +329,13 @@
 	return t.agent.origin.Piece(ctx, address, t.model, t.version(), action.Chunk)
 }
 
+// hasSource reports whether a peer holds a piece.
+func (t *transfer) hasSource(index int) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.fetcher.HasSource(index)
+}
+
 func (t *transfer) height(index int) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -40,6 +40,9 @@
 	if !known || index < 0 || index >= len(manifest.Digests) {
 		return nil, false
 	}
+	if content, buffered := t.buffer.get(index); buffered {
+		return content, true
+	}
 	content, err := t.agent.server.Piece(ctx, t.model, index)
 	if err != nil || sha256.Sum256(content) != manifest.Digests[index] {
 		return nil, false
@@ -88,7 +91,7 @@
 		held[index] = t.fetcher.Holds(index) && !slices.Contains(bad, index)
 	}
 	t.fetcher = dissemination.NewFetcher(dissemination.Options{
-		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held,
+		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held, PeersOnly: t.fallback.Load(),
 		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	})
 	t.complete = false
--- /dev/null
+++ b/internal/sitetest/fallback_test.go
@@ -0,0 +1,58 @@
+package sitetest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// awayOptions leave time for an older version while the origin is away.
+func startWithoutOrigin(t *testing.T) *Fleet {
+	options := DefaultOptions()
+	options.VersionMs = 12000
+	f := Start(t, options)
+	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	f.Site.Origin.SetAway(true)
+	f.Site.NameVersion(2)
+	f.Eventually("version 2 is noticed", 3*time.Second, func() bool { return countEvents(f, "PV3001", `"version":2`) >= 4 })
+	return f
+}
+
+// An empty server that comes while the newest version can't be had serves the one that is in
+// force still, from its peers' copies, and the newest once the origin is back.
+func TestEmptyServerTakesTheVersionInForce(t *testing.T) {
+	f := startWithoutOrigin(t)
+	fresh, err := f.Site.StartModel(1, 5, 0)
+	require.NoError(t, err)
+	f.StartAgent(1, 5)
+	f.Eventually("the new server serves version 1", 5*time.Second, func() bool { return fresh.Version() == 1 })
+	f.Site.Origin.SetAway(false)
+	f.Eventually("every server serves version 2", 11*time.Second, func() bool { return f.allServe(2) })
+	_, err = f.Stream(context.Background(), 0, 0, "after", 3)
+	assert.NoError(t, err)
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
+
+// A server that crashes while the next version is on its way serves again from what lies at
+// it: pieces of the next one have not taken its place.
+func TestCrashedServerServesTheVersionInForceAgain(t *testing.T) {
+	options := DefaultOptions()
+	options.VersionMs = 12000
+	f := Start(t, options)
+	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	f.Site.NameVersion(2)
+	f.Eventually("version 2 is here", 4*time.Second, func() bool { return countEvents(f, "PV3005", `"version":2`) >= 4 })
+	f.Site.Origin.SetAway(true)
+	f.Site.NameVersion(3)
+	f.Eventually("version 3 is noticed", 3*time.Second, func() bool { return countEvents(f, "PV3001", `"version":3`) >= 4 })
+	require.NoError(t, f.Site.RestartModel(0, 0))
+	f.Eventually("the restarted server serves", 3*time.Second, func() bool { return f.Site.Models[f.Site.Options.ModelIP(0, 0)].Version() == 2 })
+	f.Eventually("the others change over to version 2 before the bound of version 1", 12*time.Second, func() bool { return f.allServe(2) })
+	f.Site.Origin.SetAway(false)
+	f.Eventually("every server serves version 3", 12*time.Second, func() bool { return f.allServe(3) })
+}
