Refused callers come back spread over the time that they heed

Cause: callers of most kinds come back once. An agent that had no manifest yet said that one piece was missing, so that 0.74 s was told where a copy takes seconds. Change: Retry-After lies between the earliest time at which the caller may be served and a third of its time left, which is as long as callers heed it; a late answer is as late after 1 s as after 2 s, and who returns in the first moment takes the place of one that can still be in time. An agent without a manifest says that everything is missing. The time left stands in the log of a send.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -168,7 +168,15 @@
 		w.wanted.figures = f.targets.figuresOf(service, w.wanted.engine)
 	}
 	f.countRequest(service)
-	if request.Route.Kind == fleet.Streaming {
+	refusal := w.forward(ctx)
+	if refusal != nil && refusal.RetryAfter > 0 {
+		refusal.RetryAfter = ReturnAfter(refusal.RetryAfter, time.Until(request.Deadline))
+	}
+	return refusal
+}
+
+func (w *work) forward(ctx context.Context) *fault.Refusal {
+	if w.request.Route.Kind == fleet.Streaming {
 		return w.stream(ctx)
 	}
 	return w.whole(ctx)
@@ -260,7 +268,7 @@
 		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
 		zap.Int("running", chosen.load.Running), zap.Int("waiting", chosen.load.Waiting), zap.Int("unread_tokens", int(chosen.load.Unread)),
 		zap.Int("prompt_tokens", w.wanted.prompt),
-		zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
--- /dev/null
+++ b/internal/forward/returning.go
@@ -0,0 +1,22 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// honouredShare is the part of its time left for which a caller heeds Retry-After.
+const honouredShare = 1.0 / 3
+
+// ReturnAfter is when a refused caller is asked to come back: some time between the earliest
+// at which it may be served and the latest that it heeds. Its answer is late in any case, and
+// most callers come back once only. What refuses them, a loss of many machines or more load
+// than there are places, lasts for seconds; and all who were told the moment of its end would
+// come back in that moment, beside those whose answers can still be in time.
+func ReturnAfter(earliest, left time.Duration) time.Duration {
+	latest := time.Duration(honouredShare * float64(left))
+	if latest <= earliest {
+		return earliest
+	}
+	return earliest + rand.N(latest-earliest)
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -59,7 +59,7 @@
 	configuration := g.daemon.Catalog.View().Configuration
 	if configuration == nil {
 		refusal := fault.NotRun(fault.ReasonNotReady, "no configuration is known yet")
-		refusal.RetryAfter = unconfiguredRetry
+		refusal.RetryAfter = forward.ReturnAfter(unconfiguredRetry, call.Deadline)
 		return request, refusal
 	}
 	if refusal := admit(configuration, request); refusal != nil {
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -124,6 +124,10 @@
 	if a.current != nil {
 		status.Wanted = a.current.version()
 		_, status.Missing = a.current.state()
+		if engine != nil && !a.current.hasManifest() {
+			// Nothing is known to be here: entries tell callers when the server may be ready.
+			status.Missing = engine.Pieces
+		}
 	}
 	switch {
 	case a.ordering || a.report.Busy || a.announcement.Given():
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -393,6 +393,13 @@
 	return t.fetcher.Missing() == 0, t.fetcher.Missing()
 }
 
+// hasManifest reports whether it is known which pieces the version consists of.
+func (t *transfer) hasManifest() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.fetcher != nil
+}
+
 func (t *transfer) heldPieces() []int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
