--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -14,6 +14,7 @@
 
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/network"
 )
 
 // Path is the HTTP path at which a process accepts links.
@@ -53,7 +54,7 @@
 	return &Hub{
 		self:     self,
 		log:      log,
-		client:   &http.Client{Transport: &http.Transport{ReadBufferSize: 2048, WriteBufferSize: 2048}},
+		client:   &http.Client{Transport: &http.Transport{DialContext: network.HedgedDialer(HandshakeTimeout), ReadBufferSize: 2048, WriteBufferSize: 2048}},
 		handlers: map[string]Handler{},
 		counters: counters,
 		accepted: map[*Link]struct{}{},
