Silent connections are probed

Cause: a connection to a server that goes silent for good without a reset, while its entry only reads a stream, was noticed at the end of the request's time only: nothing was sent that could go unacknowledged. Change: connections are probed after a second of silence; unanswered for three seconds they end, and a stream that may be resumed goes on elsewhere. Conclusion: kept for what the users name among their machines' faults.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -11,13 +11,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeout is how long sent bytes may stay unacknowledged.
-const userTimeout = 3 * time.Second
+const (
+	// userTimeout is how long sent bytes, probes among them, may stay unacknowledged.
+	userTimeout = 3 * time.Second
+	// probeIdle is the silence after which a connection is probed, and the time between two
+	// probes: the least that the kernel takes.
+	probeIdle = time.Second
+	// probeCount is told to kernels that do not go by userTimeout.
+	probeCount = 3
+)
 
-// Dialer returns a dialer with a time limit. A peer that acknowledges nothing for
-// a few seconds ends its connections.
+// Dialer returns a dialer with a time limit. A peer that acknowledges nothing for a few
+// seconds ends its connections: also one that only reads, such as a stream whose server can't
+// be reached any more, is noticed after four seconds instead of at the end of its time.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAlive: -1, Control: limitSilence}
+	return &net.Dialer{
+		Timeout: timeout, Control: limitSilence,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeIdle, Count: probeCount},
+	}
 }
 
 func limitSilence(_, _ string, raw syscall.RawConn) error {
