--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -4,7 +4,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 )
 
@@ -41,16 +40,6 @@
 	Pace float64
 }
 
-// Times is the load when it is known in part only, and the whole is a number of times
-// as much.
-func (l Load) Times(factor float64) Load {
-	factor = max(1, factor)
-	l.Running = int(math.Round(factor * float64(l.Running)))
-	l.Waiting = int(math.Round(factor * float64(l.Waiting)))
-	l.Unread *= factor
-	return l
-}
-
 // reads reports whether the server reads prompts.
 func (s Server) reads() bool { return s.ReadPerSecond > 0 }
 
--- a/internal/forward/asking_test.go
+++ b/internal/forward/asking_test.go
@@ -118,3 +118,19 @@
 	w.targets.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1}, time.Now().Add(-time.Second), false)
 	assert.Equal(t, full.Running, w.targets.byAddress["10.0.0.1:1"].status.Running)
 }
+
+// A server of which no agent has told yet is not taken for idle: its agent is asked.
+func TestServerThatNobodyTellsOfIsAsked(t *testing.T) {
+	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.1:1": full, "10.0.0.2:1": {Running: 3}}}
+	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1")
+	unknown := w.targets.byAddress["10.0.0.1:1"]
+	unknown.status, unknown.statusAt = fleet.MachineStatus{}, time.Time{}
+	unknown.server.Models = []fleet.HeldModel{{Name: "m", Version: 1}}
+	for range 5 {
+		w.askLoads(context.Background())
+		assert.Contains(t, agents.asked, "10.0.0.1:1")
+		chosen, refusal := w.targets.choose(w.wanted)
+		require.Nil(t, refusal)
+		assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+	}
+}
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -11,17 +11,15 @@
 type Policy struct {
 	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1" description:"weight of the limit beyond which the predicted beginning of a request is a refusal, 0 (never refuse) to 10"`
 	InTimeShare  float64 `long:"in-time-share" env:"PINEVANE_IN_TIME_SHARE" default:"0.7" description:"share of the requests expected just within the limit that are to begin in time, 0 (a fixed limit of 1.1 targets) to 0.99"`
-	UnheardLoad  float64 `long:"unheard-load" env:"PINEVANE_UNHEARD_LOAD" default:"1" description:"weight of the load that other entries may bring to a server of which no agent tells, 0 to 2"`
 	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
 	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
 	SwitchWeight float64 `long:"switch-weight" env:"PINEVANE_SWITCH_WEIGHT" default:"0.5" description:"weight of the time by which a request would put off its server's change-over, 0 to 2"`
-	PlaceWait    float64 `long:"place-wait" env:"PINEVANE_PLACE_WAIT" default:"0" description:"weight of the time until the places of a full server come free, by when they were taken, 0 to 2"`
 	SampleSize   int     `long:"sample-size" env:"PINEVANE_SAMPLE_SIZE" default:"4" description:"servers that are compared for a request, 1 to 64"`
 }
 
 // DefaultPolicy is what the flags' defaults say.
 func DefaultPolicy() Policy {
-	return Policy{RefusalShare: 1, InTimeShare: 0.7, UnheardLoad: 1, UnseenLoad: 1, Lateness: 1, SwitchWeight: 0.5, SampleSize: 4}
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, UnseenLoad: 1, Lateness: 1, SwitchWeight: 0.5, SampleSize: 4}
 }
 
 // Bounds of the policy's figures.
@@ -39,7 +37,7 @@
 		value float64
 		most  float64
 	}{
-		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--unheard-load", p.UnheardLoad, mostWeight}, {"--unseen-load", p.UnseenLoad, mostWeight},
+		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--unseen-load", p.UnseenLoad, mostWeight},
 		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight},
 	} {
 		if !(one.value >= 0 && one.value <= one.most) {
--- a/internal/forward/prediction.go
+++ b/internal/forward/prediction.go
@@ -14,7 +14,7 @@
 	}
 	load := balance.Load{Running: k.inFlight - k.unread, Waiting: k.unread, Unread: float64(k.unreadTokens)}
 	if !k.current(now) {
-		return load.Times(1 + wanted.rules().UnheardLoad*float64(wanted.others))
+		return load
 	}
 	othersWaiting := max(0, k.status.Waiting-k.unreadThen)
 	load.Waiting += othersWaiting
