The incident, reproduced: open connections go silent, service and a version's bound fail

Cause: reported on one deployment: a request began on a version of the weights after that version's time was over, and service fell to 38% while connections were silent. Change: no logic. internal/silencer makes open connections of the own process go silent without a reset (a socket filter that drops every packet; no privileges).

--- /dev/null
+++ b/internal/silencer/silencer_test.go
@@ -0,0 +1,57 @@
+package silencer
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair makes one connection to a listener and returns both of its ends.
+func pair(t *testing.T, listener net.Listener) (near, far net.Conn) {
+	t.Helper()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = near.Close() })
+	far, err = listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = far.Close() })
+	return near, far
+}
+
+func hears(t *testing.T, near, far net.Conn) bool {
+	t.Helper()
+	_, err := near.Write([]byte("x"))
+	require.NoError(t, err)
+	require.NoError(t, far.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+	_, err = far.Read(make([]byte, 1))
+	if err != nil {
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded, "silent, not reset")
+	}
+	return err == nil
+}
+
+// Open connections go silent both ways without a reset; those made later work, and so do
+// the ones that were not picked.
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	oldNear, oldFar := pair(t, listener)
+	otherNear, otherFar := pair(t, listener)
+	old := oldNear.LocalAddr().(*net.TCPAddr).AddrPort()
+	isOld := func(address netip.AddrPort) bool { return address == old }
+	anywhere := func(netip.AddrPort) bool { return true }
+	count, err := Silence(Between(isOld, anywhere))
+	require.NoError(t, err)
+	assert.Equal(t, 2, count, "both ends")
+	assert.False(t, hears(t, oldNear, oldFar))
+	assert.False(t, hears(t, oldFar, oldNear))
+	assert.True(t, hears(t, otherNear, otherFar))
+	newNear, newFar := pair(t, listener)
+	assert.True(t, hears(t, newNear, newFar))
+}
--- /dev/null
+++ b/internal/sitetest/silence_test.go
@@ -0,0 +1,216 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/silencer"
+)
+
+// The incident: open connections between the system's machines, to the store and to servers
+// went silent for good, without a reset, while new ones worked. The share of requests served
+// fell to 38% while that lasted, and a request began on a version of the weights after
+// the time for that version was over.
+//
+// How it came about: a connection was believed until its own time limit ended it, one to
+// three seconds each, one request at a time; and a version counted as named at the moment
+// at which a process heard of it, however long the connection that would have told it had
+// been silent. What proves it: both tests fail by just that on the code before the mend.
+
+// Ports of the stand-in on which callers and the platform's balancer reach an entry, and
+// that of the store.
+const (
+	callersPort = 8005
+	readyPort   = 8002
+	storePort   = 8007
+)
+
+// ofTheSystem picks the connections of the system's own processes, not its callers'.
+func ofTheSystem(c silencer.Connection) bool {
+	for _, port := range []uint16{c.Local.Port(), c.Remote.Port()} {
+		if port == callersPort || port == readyPort {
+			return false
+		}
+	}
+	return true
+}
+
+// toTheStore picks the connections to the store.
+var toTheStore = silencer.Between(func(one netip.AddrPort) bool { return one.Port() == storePort }, func(netip.AddrPort) bool { return true })
+
+// outcome is what became of one request.
+type outcome struct {
+	id     string
+	begun  time.Time
+	took   time.Duration
+	answer Answer
+	err    error
+}
+
+// served reports whether a request was answered whole within a time.
+func (o outcome) served(within time.Duration) bool {
+	return o.err == nil && o.answer.Status == http.StatusOK && o.answer.Whole && o.took <= within
+}
+
+// traffic sends requests at a pace, each in its own goroutine, whether or not the ones before
+// are answered; stop waits for the last one.
+func traffic(pace time.Duration, send func(ctx context.Context, number int) outcome) (stop func() []outcome) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var mutex sync.Mutex
+	var outcomes []outcome
+	var running, pacer sync.WaitGroup
+	pacer.Go(func() {
+		ticker := time.NewTicker(pace)
+		defer ticker.Stop()
+		for number := 0; ; number++ {
+			running.Go(func() {
+				one := send(context.Background(), number)
+				mutex.Lock()
+				defer mutex.Unlock()
+				outcomes = append(outcomes, one)
+			})
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return func() []outcome {
+		cancel()
+		pacer.Wait()
+		running.Wait()
+		return outcomes
+	}
+}
+
+// shareServed is the share of the requests begun in a span that were served in time.
+func shareServed(outcomes []outcome, from, to time.Time, within time.Duration) float64 {
+	all, served := 0, 0
+	for _, one := range outcomes {
+		if one.begun.Before(from) || !one.begun.Before(to) {
+			continue
+		}
+		all++
+		if one.served(within) {
+			served++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(served) / float64(all)
+}
+
+// Times of the test of service while connections are silent.
+const (
+	calmTime = 2 * time.Second
+	// plainBack and streamsBack are how long after the silence began service is back.
+	plainBack   = time.Second
+	streamsBack = 1500 * time.Millisecond
+	// backShare is the part of the calm share that counts as back.
+	backShare = 0.9
+	// watchedTime is how long service is looked at after it is to be back.
+	watchedTime = 3 * time.Second
+	// inTime is when a request counts as answered in time: the route's target.
+	inTime = time.Second
+	// streamEvents at 20 ms each keep some streams open at any time.
+	streamEvents = 20
+)
+
+// SHORT: all open connections go silent at once, under traffic. Service is back within a
+// second for plain calls and within a second and a half for streams; no stream is cut, and
+// nothing that may run once runs twice.
+func TestServiceIsBackAfterOpenConnectionsGoSilent(t *testing.T) {
+	options := DefaultOptions()
+	options.EventTime = 20 * time.Millisecond
+	options.BudgetSlack = 200
+	f := Start(t, options)
+	call := func(kind, method, path string) func(context.Context, int) outcome {
+		return func(ctx context.Context, number int) outcome {
+			one := outcome{id: fmt.Sprintf("%s-%d", kind, number), begun: time.Now()}
+			one.answer, one.err = f.Call(ctx, number%2, number/2%2, method, path, one.id, nil, "")
+			one.took = time.Since(one.begun)
+			return one
+		}
+	}
+	stopSafe := traffic(20*time.Millisecond, call("safe", http.MethodGet, site.SafePrefix))
+	stopOnce := traffic(50*time.Millisecond, call("once", http.MethodPost, site.OncePrefix))
+	stopStreams := traffic(30*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, streamEvents)
+		one.took = time.Since(one.begun)
+		return one
+	})
+	began := time.Now()
+	time.Sleep(calmTime)
+	silent := time.Now()
+	count, err := silencer.Silence(ofTheSystem)
+	require.NoError(t, err)
+	time.Sleep(streamsBack + watchedTime)
+	safe, once, streams := stopSafe(), stopOnce(), stopStreams()
+	t.Logf("%d ends of connections silenced", count)
+	for name, kind := range map[string]struct {
+		outcomes []outcome
+		back     time.Duration
+	}{"safe": {safe, plainBack}, "once": {once, plainBack}, "streams": {streams, streamsBack}} {
+		const window = 500 * time.Millisecond
+		var line []string
+		for from := silent.Add(-time.Second); from.Before(silent.Add(streamsBack + watchedTime)); from = from.Add(window) {
+			line = append(line, fmt.Sprintf("%.2f", shareServed(kind.outcomes, from, from.Add(window), inTime)))
+		}
+		t.Logf("%s served in time by half seconds, silent from the third on: %s", name, strings.Join(line, " "))
+		calm := shareServed(kind.outcomes, began, silent.Add(-inTime), inTime)
+		after := shareServed(kind.outcomes, silent.Add(kind.back), silent.Add(streamsBack+watchedTime), inTime)
+		assert.GreaterOrEqual(t, after, backShare*calm, "%s: share served after the service is to be back, calm %.2f", name, calm)
+	}
+	for _, one := range streams {
+		assert.True(t, one.err == nil && (one.answer.Status != http.StatusOK || one.answer.Whole), "stream %s: cut after %d events: %v", one.id, len(one.answer.Events), one.err)
+	}
+	for _, one := range once {
+		runs := len(runsOf(f, one.id))
+		assert.LessOrEqual(t, runs, 1, "%s ran more than once", one.id)
+		refused := one.err == nil && one.answer.Status == http.StatusServiceUnavailable
+		assert.False(t, refused && runs > 0, "%s was refused as not run, and ran", one.id)
+	}
+}
+
+// VERSION: the connections to the store go silent just before a version is named, and nobody
+// can fetch it. From the bound of the naming on nothing begins on the old version, whenever the
+// entries heard of the new one.
+func TestVersionIsBoundByItsNamingWhenTheStoresConnectionsAreSilent(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.Origin.SetAway(true)
+	stop := traffic(15*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, 4)
+		return one
+	})
+	time.Sleep(calmTime)
+	_, err := silencer.Silence(toTheStore)
+	require.NoError(t, err)
+	named := time.Now()
+	f.Site.NameVersion(2)
+	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	time.Sleep(time.Until(bound.Add(2 * time.Second)))
+	stop()
+	late := 0
+	latest := time.Duration(0)
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.Service == site.ModelService && run.Version == 1 && run.At.After(bound) {
+			late++
+			latest = max(latest, run.At.Sub(bound))
+		}
+	}
+	assert.Zero(t, late, "requests that began on the old version after its bound, the last one %s after it", latest)
+}
