Files with more than one job are split

Change: declarations move as they are to transport.go, faults.go, upstream.go, transfer_reader.go and report.go.

--- /dev/null
+++ b/internal/experiment/rollout/faults.go
@@ -0,0 +1,53 @@
+package rollout
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/dissemination"
+)
+
+// scheduleFaults draws who dies, whose uplink hangs, and when.
+func (s *simulation) scheduleFaults() {
+	expected := time.Duration(s.lowerBound() * float64(slot))
+	for _, m := range s.machines {
+		if s.random.Float64() < s.options.Dead {
+			s.After(s.randomTime(expected), func() { s.kill(m) })
+		}
+		if s.random.Float64() < s.options.Stalled {
+			s.After(s.randomTime(expected), func() { s.hang(m) })
+		}
+	}
+	if s.options.Partition {
+		s.After(expected*2/5, func() { s.partitioned = true })
+	}
+}
+
+// randomTime draws a time below a limit.
+func (s *simulation) randomTime(limit time.Duration) time.Duration {
+	return time.Duration(s.random.Int64N(int64(limit)))
+}
+
+func (s *simulation) kill(m *machine) {
+	if m.dead {
+		return
+	}
+	m.dead = true
+	s.alive--
+	s.result.Dead++
+	if m.complete >= 0 {
+		s.done--
+	}
+	for _, waiting := range m.queue {
+		s.fail(waiting, silenceTimeout, dissemination.Unreachable)
+	}
+	m.queue = nil
+}
+
+// hang stops a machine's uplink; what waits for it makes no progress.
+func (s *simulation) hang(m *machine) {
+	m.stalled = true
+	for _, waiting := range m.queue {
+		s.fail(waiting, stallWindow, dissemination.Stalled)
+	}
+	m.queue = nil
+}
