Red: an agent whose probes were lost never measures its link again

Cause: eight probes that are lost with a link are waited for for ever, and no ninth is sent. Change: no logic. TestRoundTripsBoundTheirProbes asked for eight probes in all, which is the fault itself; in its place TestRoundTripsGoOnAfterLostProbes bounds those that are waited for, asks for one in each period, and for a true figure after the next answer.

--- a/coordination/liveness/roundtrips_test.go
+++ b/coordination/liveness/roundtrips_test.go
@@ -35,14 +35,23 @@
 	trips.Answered("a", a, 1800*ms)
 }
 
-// Probes that are never answered do not add up.
-func TestRoundTripsBoundTheirProbes(t *testing.T) {
+// Seen: half of the servers of a fleet lost their paths for four seconds, and six of them,
+// idle, got no request until the end of the day (credit 0.33 to 0.56). Their agents told
+// entries of a way to them and back of 17 s. Cause: once as many probes were lost as are waited
+// for, no further one was sent, so that no answer could end the wait.
+//
+// Probes that are never answered do not add up, and do not end the probing.
+func TestRoundTripsGoOnAfterLostProbes(t *testing.T) {
 	trips := NewRoundTrips(ms)
-	sent := 0
-	for now := range 100 {
-		if trips.Probe("a", time.Duration(now)*ms) != 0 {
-			sent++
-		}
+	first := trips.Probe("a", 0)
+	trips.Answered("a", first, ms)
+	now := 2 * ms
+	for ; now < 100*ms; now += ms {
+		assert.NotZero(t, trips.Probe("a", now), "one in each period")
+		assert.LessOrEqual(t, len(trips.peers["a"].sent), maximumProbes, "waited for")
 	}
-	assert.Equal(t, maximumProbes, sent)
+	assert.GreaterOrEqual(t, trips.Least(now), (maximumProbes-1)*ms, "that nothing comes back shows")
+	probe := trips.Probe("a", now)
+	trips.Answered("a", probe, now+3*ms)
+	assert.Equal(t, 3*ms, trips.Least(now+4*ms), "an answer ends the wait for what was lost")
 }
