An agent goes on measuring its link after probes were lost

Change: a further probe takes the place of the oldest one that is waited for. Conclusion: idle servers are used again once their paths are back.

--- a/coordination/liveness/roundtrips.go
+++ b/coordination/liveness/roundtrips.go
@@ -1,8 +1,14 @@
 package liveness
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
-// maximumProbes bounds the probes of one peer that are waited for.
+// maximumProbes bounds the probes of one peer that are waited for. A further one takes the place
+// of the oldest: probes are lost with the connection that carried them, and a measurement that
+// waited for them would never end.
 const maximumProbes = 8
 
 // RoundTrips measures how long probes to a set of peers take to be answered, which
@@ -35,14 +41,23 @@
 		known = &roundTrip{sent: map[uint64]time.Duration{}, asked: now - r.period}
 		r.peers[peer] = known
 	}
-	if now-known.asked < r.period || len(known.sent) >= maximumProbes {
+	if now-known.asked < r.period {
 		return 0
 	}
+	known.forgetOldest()
 	r.next++
 	known.sent[r.next], known.asked = now, now
 	return r.next
 }
 
+// forgetOldest makes room for one more probe to wait for.
+func (k *roundTrip) forgetOldest() {
+	if len(k.sent) < maximumProbes {
+		return
+	}
+	delete(k.sent, slices.Min(slices.Collect(maps.Keys(k.sent))))
+}
+
 // Answered notes the answer to a probe. Earlier probes are not waited for any more.
 func (r *RoundTrips) Answered(peer string, probe uint64, now time.Duration) {
 	known := r.peers[peer]
