A version's age is the longest that it can be, not the time since it was heard of

Cause: a version that a watch brought counted as named at that moment, and one that a listing showed after the first as well. A watch on a silent connection is given up after 1.2 s, and the bound of the older version was that much too late. A peer's word about an age left out its time on the way.

Change: the catalog keeps the moment up to which its copy surely lacks nothing of the store: the sending of a call, or the end of a watch that heard nothing. What is new was named after that. Updates between processes return the receiver's newest stamp, which bounds their time on the way; the tighter of a peer's word and the own copy counts. A process that starts assumes the bound less the contact time of the settings (5 s of 8 s instead of 4 s) until somebody tells it better.

A store that forgets its history may have kept silent about changes before: its answers of the last 1.5 s are doubted then.

--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -18,9 +18,59 @@
 	assumed bool
 }
 
-// assumedAge is the age of a version of which nobody says how old it is.
+// assumedAge is the age of a version that a process meets when it has just started, until
+// somebody says how old it is. The version may be in force already; the process is held to
+// that only once it has run for the contact time, and sends nothing to an older one from
+// then on. Where the settings do not tell that time, half of the bound is assumed.
 func (c *Catalog) assumedAge() versionAge {
-	return versionAge{age: c.options.VersionApply / 2, assumed: true}
+	age := c.options.VersionApply / 2
+	if c.options.Contact > 0 {
+		age = max(age, c.options.VersionApply-c.options.Contact)
+	}
+	return versionAge{age: age, assumed: true}
+}
+
+// lateNaming is the age from which a version counts as heard of late: a watch of the store
+// that goes well tells of it within one time of waiting and one pace.
+const lateNaming = watchWait + watchPace
+
+// ageOfUnseen is the longest age of a version that the copy lacks until now; the mutex is
+// held.
+func (c *Catalog) ageOfUnseen() versionAge {
+	age, bounded := c.known.longest(time.Now())
+	if !bounded {
+		return c.assumedAge()
+	}
+	return versionAge{age: age}
+}
+
+// noteKnown notes up to when an answer of the store shows every change. It is called after
+// the answer was taken in.
+func (c *Catalog) noteKnown(call storeCall) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.known.advance(call.completeUntil())
+}
+
+// forgottenDoubt is how far the store's answers are doubted that came before it had
+// forgotten its history: its watches may have heard nothing for a second before they say so.
+const forgottenDoubt = 1500 * time.Millisecond
+
+// doubtKnown moves back the moment up to which the copy is complete, after the store has
+// forgotten its history.
+func (c *Catalog) doubtKnown() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.known.retreat(forgottenDoubt)
+}
+
+// noteToldKnown notes up to when a peer's copy is complete that is the same as this one; the
+// mutex is held. How long the word was on its way counts against it.
+func (c *Catalog) noteToldKnown(news update, flight time.Duration, flightKnown bool, received time.Time) {
+	if news.KnownMilliseconds == 0 || !flightKnown {
+		return
+	}
+	c.known.advance(received.Add(-flight - time.Duration(news.KnownMilliseconds)*time.Millisecond))
 }
 
 // noteAges keeps the ages of those versions among records that are newer than what
@@ -42,13 +92,14 @@
 
 // correctAges replaces assumed ages by those that a peer knows; the mutex is held.
 // It is called after the records were merged.
-func (c *Catalog) correctAges(records []mirror.Record, ages map[string]time.Duration) {
+func (c *Catalog) correctAges(records []mirror.Record, ages map[string]word) {
 	for _, record := range records {
-		age, told := ages[record.Key]
+		told, known := ages[record.Key]
 		named, err := c.options.Decoder.Version(record)
-		if !told || err != nil {
+		if !known || err != nil {
 			continue
 		}
+		age, _ := told.longest()
 		c.correctAge(named, age)
 	}
 }
@@ -69,3 +120,15 @@
 		return
 	}
 }
+
+// Stamp is this process's stamp of now, for messages whose way back is to be measured.
+func (c *Catalog) Stamp() int64 { return c.stamp(time.Now()) }
+
+func (c *Catalog) stamp(now time.Time) int64 { return stampAt(c.started, now) }
+
+// noteStamp keeps a process's newest stamp, to be returned to it; the mutex is held.
+func (c *Catalog) noteStamp(ip string, stamp int64, now time.Time) {
+	if peer, linked := c.links[ip]; linked {
+		peer.stamps.note(stamp, now)
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -38,9 +38,10 @@
 	Decoder fleet.Decoder
 	Hub     *peering.Hub
 	Log     *logging.Logger
-	// VersionApply is the time until a named version is in force. Half of it is
-	// assumed as the age of a version of which nobody says how old it is.
+	// VersionApply is the time until a named version is in force, Contact how long after
+	// its start a process is held to that: see assumedAge.
 	VersionApply time.Duration
+	Contact      time.Duration
 	// Drain is how long a server that has left may still be sent requests.
 	Drain time.Duration
 }
@@ -70,6 +71,9 @@
 	// known again after an outage of the store.
 	fresh    time.Time
 	regained time.Time
+	// known is up to when the copy surely holds every change of the store. It trails fresh,
+	// which counts an answer of the store from its arrival.
+	known horizon
 	// freshSequence counts how often others were to be told at once that the copy is
 	// fresh, freshFromStore is that of the last answer of the store to this process.
 	freshSequence  uint64
@@ -146,25 +150,26 @@
 	work.Wait()
 }
 
-// takeWatched merges records that the store has just written; versions among them
-// have just been named.
+// takeWatched merges records that a watch has brought. The versions among them were named
+// after the moment up to which the copy was complete, and no later: a watch that was silent,
+// or late at the store, brings them long after that.
 func (c *Catalog) takeWatched(records []mirror.Record) {
 	c.apply(fromStore, func() []mirror.Record {
-		c.noteAges(records, func(mirror.Record) versionAge { return versionAge{} })
+		c.noteAges(records, func(mirror.Record) versionAge { return c.ageOfUnseen() })
 		return c.mirror.Merge(records)
 	})
 }
 
 // takeTold merges records from a peer, which says how long ago the versions among
 // them were named, if it knows that.
-func (c *Catalog) takeTold(records []mirror.Record, ages map[string]time.Duration) {
+func (c *Catalog) takeTold(records []mirror.Record, ages map[string]word) {
 	c.apply(fromPeer, func() []mirror.Record {
 		c.noteAges(records, func(record mirror.Record) versionAge {
-			age, told := ages[record.Key]
-			if !told {
-				return c.assumedAge()
+			told, known := ages[record.Key]
+			if !known {
+				return c.ageOfUnseen()
 			}
-			return versionAge{age: age}
+			return versionAge{age: ageOfNews(told, c.known, time.Now())}
 		})
 		news := c.mirror.Merge(records)
 		c.correctAges(records, ages)
@@ -173,13 +178,11 @@
 }
 
 // replace takes in a whole listing. It does not tell how old the versions are that a
-// process meets in its first one; later, what is new to it was named lately.
+// process meets in its first one; later, what is new to it was named since the copy was
+// last complete.
 func (c *Catalog) replace(prefix string, listing fleet.Listing) {
 	c.apply(fromStore, func() []mirror.Record {
-		age := versionAge{}
-		if c.view.Load().Configuration == nil {
-			age = c.assumedAge()
-		}
+		age := c.ageOfUnseen()
 		c.noteAges(listing.Records, func(mirror.Record) versionAge { return age })
 		return c.mirror.Replace(prefix, listing.Records, listing.At)
 	})
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -58,6 +58,14 @@
 	Complete uint64 `cbor:"8,keyasint,omitempty"`
 	// Packed are large records, compressed one by one.
 	Packed [][]byte `cbor:"9,keyasint,omitempty"`
+	// KnownMilliseconds is the time since the sender's copy was surely complete, cut up to
+	// a whole one; 0 when it does not know.
+	KnownMilliseconds int64 `cbor:"10,keyasint,omitempty"`
+	// Stamp is the sender's stamp of the moment of sending. Echo is the newest stamp that it
+	// has of the receiver, 0 for none, and EchoHeld for how many milliseconds it has had it.
+	Stamp    int64 `cbor:"11,keyasint,omitempty"`
+	Echo     int64 `cbor:"12,keyasint,omitempty"`
+	EchoHeld int64 `cbor:"13,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -178,7 +186,13 @@
 // compose builds an update with every change that a link was not told, once it is
 // known how far the other process's records differ; the mutex is held.
 func (c *Catalog) compose(peer *peerLink, withList bool) update {
-	message := update{FreshMilliseconds: time.Since(c.fresh).Milliseconds(), Heads: maps.Clone(c.heads), Digest: c.changes.Digest(), Complete: c.complete}
+	now := time.Now()
+	message := update{FreshMilliseconds: now.Sub(c.fresh).Milliseconds(), Heads: maps.Clone(c.heads), Digest: c.changes.Digest(), Complete: c.complete}
+	message.Stamp = c.stamp(now)
+	message.Echo, message.EchoHeld = peer.stamps.echo(now)
+	if since, known := c.known.longest(now); known {
+		message.KnownMilliseconds = since.Milliseconds() + 1
+	}
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
@@ -231,11 +245,14 @@
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		return
 	}
-	ages := map[string]time.Duration{}
+	now := time.Now()
+	flight, flightKnown := flightOf(c.started, news.Echo, news.EchoHeld, now)
+	ages := map[string]word{}
 	for key, age := range news.AgesMilliseconds {
-		ages[key] = time.Duration(age) * time.Millisecond
+		ages[key] = word{age: time.Duration(age) * time.Millisecond, flight: flight, flightKnown: flightKnown}
 	}
 	c.mutex.Lock()
+	c.noteStamp(link.Remote().ID, news.Stamp, now)
 	c.backupOf[link.Remote().ID] = news.Backup
 	c.hearEntry(link.Remote().ID, link.Remote().Zone, 0)
 	for ip, sign := range news.Entries {
@@ -256,7 +273,11 @@
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
-	c.compare(link.Remote().ID, news)
+	if c.compare(link.Remote().ID, news) {
+		c.mutex.Lock()
+		c.noteToldKnown(news, flight, flightKnown, now)
+		c.mutex.Unlock()
+	}
 	if len(lacking) > 0 {
 		time.AfterFunc(c.pullDelay(link), func() { c.pullFrom(link, lacking) })
 	}
@@ -279,17 +300,18 @@
 
 // compare notes whether another process holds the same records. If it does, it need
 // not be told what has changed, and this process has heard of every change that the
-// other has; the first time that it does not, it is told everything.
-func (c *Catalog) compare(ip string, news update) {
+// other has, which is reported; the first time that it does not, it is told everything.
+func (c *Catalog) compare(ip string, news update) (complete bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	same := news.Digest == c.changes.Digest()
-	if same && len(c.newerHeads(news.Heads)) == 0 {
+	complete = same && len(c.newerHeads(news.Heads)) == 0
+	if complete {
 		c.complete = max(c.complete, news.Complete)
 	}
 	peer, linked := c.links[ip]
 	if !linked {
-		return
+		return complete
 	}
 	if same {
 		peer.sequence = c.changes.Sequence()
@@ -298,4 +320,5 @@
 		c.kickExchange()
 	}
 	peer.compared = true
+	return complete
 }
--- /dev/null
+++ b/internal/catalog/horizon.go
@@ -0,0 +1,126 @@
+package catalog
+
+import "time"
+
+// horizon is the latest moment up to which a copy is known to hold every change that the
+// store has made. A change that the copy lacks was made after it. The zero value knows of
+// no such moment.
+type horizon struct {
+	at time.Time
+}
+
+// advance moves the horizon on; it never goes back by it.
+func (h *horizon) advance(to time.Time) {
+	if to.After(h.at) {
+		h.at = to
+	}
+}
+
+// retreat moves the horizon back, because what it rests on is in doubt.
+func (h *horizon) retreat(by time.Duration) {
+	if !h.at.IsZero() {
+		h.at = h.at.Add(-by)
+	}
+}
+
+// longest is the longest time since a change that the copy has lacked until now; false when
+// nothing bounds it.
+func (h horizon) longest(now time.Time) (time.Duration, bool) {
+	if h.at.IsZero() {
+		return 0, false
+	}
+	return max(0, now.Sub(h.at)), true
+}
+
+// storeCall is an answered call to the store.
+type storeCall struct {
+	// sent is when the call began, before a connection for it was made.
+	sent time.Time
+	// received is when the whole answer was here.
+	received time.Time
+	// wait is how long the store was to wait for a change; 0 for a listing.
+	wait time.Duration
+	// changes is how many changes the answer held.
+	changes int
+}
+
+// completeUntil is the latest moment up to which the answer surely shows every change. The
+// store has looked after the call was sent; how long the call was on its way is not known. A
+// watch that ended without a change has waited at the store for its whole time, unless it
+// came back earlier. That is wrong by the answer's way, at the most, where the store ended the
+// watch early and the answer was slow; to count each watch from its sending would make every
+// version appear 0.5 s older still.
+func (s storeCall) completeUntil() time.Time {
+	waited := s.sent.Add(s.wait)
+	if s.changes == 0 && !s.received.Before(waited) {
+		return waited
+	}
+	return s.sent
+}
+
+// word is what a peer says of the age of something.
+type word struct {
+	// age is what the peer said when it sent the word.
+	age time.Duration
+	// flight is the longest time that the word can have been on its way; flightKnown is
+	// false when nothing bounds that.
+	flight      time.Duration
+	flightKnown bool
+}
+
+// longest is the longest age that a word allows for now; false when the word does not bound it.
+func (w word) longest() (time.Duration, bool) {
+	return w.age + w.flight, w.flightKnown
+}
+
+// ageOfNews is the longest age of a change that a copy has just heard of by a peer's word: the
+// peer's account and the own horizon bound it both, and the tighter one counts. Where neither
+// does, the process has only just started, and takes the word as if it had come at once.
+func ageOfNews(told word, known horizon, now time.Time) time.Duration {
+	byWord, worded := told.longest()
+	byHorizon, bounded := known.longest(now)
+	switch {
+	case worded && bounded:
+		return min(byWord, byHorizon)
+	case bounded:
+		return max(told.age, byHorizon)
+	}
+	return byWord
+}
+
+// stamps measures the longest time that a message of a peer can have been on its way: the
+// peer returns the newest stamp of this process that it has seen, and for how long it has held
+// it.
+type stamps struct {
+	// heard is the newest stamp of the peer, heardAt when it came.
+	heard   int64
+	heardAt time.Time
+}
+
+// note keeps the peer's newest stamp.
+func (s *stamps) note(stamp int64, now time.Time) {
+	if stamp > s.heard {
+		s.heard, s.heardAt = stamp, now
+	}
+}
+
+// echo is what goes back to the peer: its stamp, and for how long it was held.
+func (s stamps) echo(now time.Time) (stamp, heldMilliseconds int64) {
+	if s.heard == 0 {
+		return 0, 0
+	}
+	return s.heard, now.Sub(s.heardAt).Milliseconds()
+}
+
+// stampAt is this process's stamp of a moment: the milliseconds since it started, from 1 on.
+func stampAt(started, now time.Time) int64 { return now.Sub(started).Milliseconds() + 1 }
+
+// flightOf is the longest time that a message with an echo can have been on its way; false
+// without an echo. Both times are cut to milliseconds towards a longer flight.
+func flightOf(started time.Time, echo, heldMilliseconds int64, now time.Time) (time.Duration, bool) {
+	if echo == 0 {
+		return 0, false
+	}
+	sent := started.Add(time.Duration(echo-1) * time.Millisecond)
+	return max(0, now.Sub(sent)-time.Duration(heldMilliseconds)*time.Millisecond), true
+}
--- /dev/null
+++ b/internal/catalog/horizon_test.go
@@ -0,0 +1,281 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/platform"
+)
+
+// An answer shows the store as it was after the call was sent; a watch that ended without a
+// change, as it was when its time was over.
+func TestUntilWhenAnAnswerIsComplete(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	const wait = 500 * time.Millisecond
+	for _, one := range []struct {
+		name string
+		call storeCall
+		want time.Duration
+	}{
+		{"a listing", storeCall{sent: sent, received: sent.Add(2 * time.Second), changes: 300}, 0},
+		{"an empty listing", storeCall{sent: sent, received: sent.Add(2 * time.Second)}, 0},
+		{"a watch that heard nothing", storeCall{sent: sent, received: sent.Add(wait + 3*time.Millisecond), wait: wait}, wait},
+		{"a watch that heard nothing, answered late", storeCall{sent: sent, received: sent.Add(4 * wait), wait: wait}, wait},
+		{"a watch that came back early without a change", storeCall{sent: sent, received: sent.Add(wait / 2), wait: wait}, 0},
+		{"a watch that heard something at once", storeCall{sent: sent, received: sent.Add(time.Millisecond), wait: wait, changes: 1}, 0},
+		{"a watch that heard something late", storeCall{sent: sent, received: sent.Add(2 * wait), wait: wait, changes: 1}, 0},
+	} {
+		assert.Equal(t, one.want, one.call.completeUntil().Sub(sent), one.name)
+	}
+}
+
+// The horizon goes on only, but for a doubt, and bounds nothing until it is known.
+func TestHorizon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var known horizon
+	known.retreat(time.Second)
+	_, bounded := known.longest(now)
+	assert.False(t, bounded)
+	known.advance(now)
+	known.advance(now.Add(-time.Second))
+	longest, bounded := known.longest(now.Add(300 * time.Millisecond))
+	assert.True(t, bounded)
+	assert.Equal(t, 300*time.Millisecond, longest)
+	longest, _ = known.longest(now.Add(-time.Millisecond))
+	assert.Zero(t, longest, "no age is below zero")
+	known.retreat(time.Second)
+	longest, _ = known.longest(now)
+	assert.Equal(t, time.Second, longest)
+}
+
+// The tighter of two bounds counts; a word whose time on the way is unknown bounds nothing.
+func TestAgeOfNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	complete := horizon{at: now.Add(-2 * time.Second)}
+	for _, one := range []struct {
+		name  string
+		told  word
+		known horizon
+		want  time.Duration
+	}{
+		{"the word is tighter", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, complete, 1100 * time.Millisecond},
+		{"the own copy is tighter", word{age: time.Second, flight: 3 * time.Second, flightKnown: true}, complete, 2 * time.Second},
+		{"the word may have been long on its way", word{age: time.Second}, complete, 2 * time.Second},
+		{"the word is older than the own copy allows", word{age: 5 * time.Second}, complete, 5 * time.Second},
+		{"the process has just started", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, horizon{}, 1100 * time.Millisecond},
+		{"the process has just started and measured nothing", word{age: time.Second}, horizon{}, time.Second},
+	} {
+		assert.Equal(t, one.want, ageOfNews(one.told, one.known, now), one.name)
+	}
+}
+
+// The time that is found for a message's way is never shorter than the true one, and longer
+// only by the way of the stamp that it returns and the cutting to milliseconds.
+func TestFlightIsNeverUnderestimated(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		between := func(most time.Duration) time.Duration { return time.Duration(random.Int64N(int64(most))) }
+		started := time.Unix(1000, 0)
+		var peer stamps
+		now := started
+		for range 50 {
+			stamped := now.Add(between(400 * time.Millisecond))
+			stampWay := between(2 * time.Second)
+			peer.note(stampAt(started, stamped), stamped.Add(stampWay))
+			sent := stamped.Add(stampWay + between(time.Second))
+			// Messages on a link do not overtake each other.
+			now = sent
+			echo, held := peer.echo(sent)
+			flight := between(2 * time.Second)
+			found, known := flightOf(started, echo, held, sent.Add(flight))
+			require.True(t, known)
+			require.GreaterOrEqual(t, found, flight, "seed %d", seed)
+			require.LessOrEqual(t, found, flight+stampWay+2*time.Millisecond, "seed %d", seed)
+		}
+	}
+	_, known := flightOf(time.Unix(1000, 0), 0, 0, time.Unix(1001, 0))
+	assert.False(t, known, "nothing was returned")
+}
+
+// moodyStore is a store whose calls fail, are silent, slow on either way, cut, or tell again
+// what they have told.
+type moodyStore struct {
+	random *rand.Rand
+	// calm is the part of the calls that go well.
+	calm  float64
+	named []time.Time
+	told  []mirror.Record
+	// wayOf is the longest time that an answer which decides on a naming's age has been on
+	// its way: the one that brought it, or the empty one before, emptyWay.
+	wayOf    map[uint64]time.Duration
+	emptyWay time.Duration
+	changed  chan struct{}
+}
+
+const (
+	storeTimeout = 1200 * time.Millisecond
+	calmWay      = 2 * time.Millisecond
+)
+
+func (s *moodyStore) name() {
+	version := uint64(len(s.named)) + 1
+	value, _ := json.Marshal(map[string]any{"model": "m", "version": version})
+	s.named = append(s.named, time.Now())
+	s.told = append(s.told, mirror.Record{Key: "op/version/m", Value: value, Revision: 10 * version})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *moodyStore) after(revision uint64) []mirror.Record {
+	if s.random.Float64() > s.calm && revision > 10 {
+		// A change that was told before comes again.
+		revision -= 10
+	}
+	for index, one := range s.told {
+		if one.Revision > revision {
+			return append([]mirror.Record(nil), s.told[index:]...)
+		}
+	}
+	return nil
+}
+
+// call makes one call; look is what the store does once the call has come to it.
+func (s *moodyStore) call(look func() fleet.Listing) (fleet.Listing, error) {
+	wayThere, wayBack := calmWay, calmWay
+	if s.random.Float64() > s.calm {
+		switch s.random.IntN(4) {
+		case 0:
+			time.Sleep(time.Duration(s.random.Int64N(int64(storeTimeout))))
+			return fleet.Listing{}, errors.New("reset")
+		case 1:
+			time.Sleep(storeTimeout)
+			return fleet.Listing{}, errors.New("silent")
+		case 2:
+			wayThere = time.Duration(s.random.Int64N(int64(time.Second)))
+		case 3:
+			wayBack = time.Duration(s.random.Int64N(int64(time.Second)))
+		}
+	}
+	time.Sleep(wayThere)
+	answer := look()
+	for _, record := range answer.Records {
+		s.wayOf[record.Revision] = max(s.wayOf[record.Revision], wayBack, s.emptyWay)
+	}
+	if len(answer.Records) == 0 {
+		s.emptyWay = wayBack
+	}
+	time.Sleep(wayBack)
+	return answer, nil
+}
+
+func (s *moodyStore) head() uint64 { return 10*uint64(len(s.told)) + 5 }
+
+func (s *moodyStore) List(context.Context, string) (fleet.Listing, error) {
+	return s.call(func() fleet.Listing {
+		return fleet.Listing{Records: append([]mirror.Record(nil), s.told[len(s.told)-1:]...), At: s.head()}
+	})
+}
+
+func (s *moodyStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) (fleet.Listing, error) {
+	return s.call(func() fleet.Listing {
+		if s.random.Float64() > s.calm {
+			wait = time.Duration(s.random.Int64N(int64(wait)))
+		}
+		over := time.After(wait)
+		for {
+			if changes := s.after(after); len(changes) > 0 {
+				return fleet.Listing{Records: changes, At: s.head()}
+			}
+			select {
+			case <-s.changed:
+			case <-over:
+				return fleet.Listing{At: s.head()}
+			}
+		}
+	})
+}
+
+// believe runs a catalog on a store and names versions; it returns how much later than its
+// naming, less the way of the answer, each version was believed to be named at the most, and
+// the most that it was believed earlier.
+func believe(t *testing.T, seed uint64, calm float64) (latest, earliest, meanEarly time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		store := &moodyStore{random: random, calm: calm, wayOf: map[uint64]time.Duration{}, changed: make(chan struct{})}
+		store.name()
+		hub := peering.NewHub(peering.Hello{ID: "10.0.0.1", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+		c := New(Options{Self: "10.0.0.1", Role: RoleEntry, Zone: "z", InternalPort: 1, Decoder: platform.Decoder{}, Hub: hub, Log: logging.Nop(), Store: store, VersionApply: 8 * time.Second, Drain: 2 * time.Second})
+		believed := map[uint64]time.Time{}
+		c.OnChange(func(view *View) {
+			if newest, known := view.Newest("m"); known && believed[newest.Version].IsZero() {
+				believed[newest.Version] = newest.Since
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.followStore(ctx)
+		}()
+		for range 12 {
+			time.Sleep(3*time.Second + time.Duration(random.Int64N(int64(6*time.Second))))
+			store.name()
+		}
+		time.Sleep(20 * time.Second)
+		cancel()
+		<-done
+		count := 0
+		for index, named := range store.named {
+			version := uint64(index) + 1
+			since, known := believed[version]
+			if index == 0 || !known {
+				continue
+			}
+			latest = max(latest, since.Sub(named)-store.wayOf[10*version])
+			earliest = max(earliest, named.Sub(since))
+			meanEarly += named.Sub(since)
+			count++
+		}
+		require.Positive(t, count)
+		meanEarly /= time.Duration(count)
+	})
+	return latest, earliest, meanEarly
+}
+
+// Whatever calls to the store fail, are silent, slow, cut or repeated: no version is believed
+// to be named later than it was, by more than its answer was on the way.
+func TestNoVersionIsBelievedYounger(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			latest, _, _ := believe(t, seed, 0.3+0.1*float64(seed%7))
+			assert.LessOrEqual(t, latest, time.Duration(0))
+		})
+	}
+}
+
+// With a store that is well, a version is believed older by one watch at the most.
+func TestVersionsAreHardlyBelievedOlderInCalm(t *testing.T) {
+	var sum time.Duration
+	const seeds = 20
+	for seed := range uint64(seeds) {
+		latest, earliest, mean := believe(t, seed, 1)
+		assert.LessOrEqual(t, latest, time.Duration(0))
+		assert.LessOrEqual(t, earliest, watchWait+4*calmWay)
+		sum += mean
+	}
+	t.Logf("believed older by %s in the mean", sum/seeds)
+}
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -79,6 +79,9 @@
 	farTold   uint64
 	farToldAt time.Time
 	passing   bool
+
+	// stamps tells how long the other's messages can have been on their way.
+	stamps stamps
 }
 
 // open begins anew with a link.
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -172,11 +172,14 @@
 	if at.at == 0 {
 		err = c.list(ctx, at)
 	} else {
+		call := storeCall{sent: time.Now(), wait: wait}
 		var changes fleet.Listing
 		changes, err = c.options.Store.Watch(ctx, at.prefix, at.at, wait)
 		if err == nil {
+			call.received, call.changes = time.Now(), len(changes.Records)
 			c.noteAnswered()
 			c.takeWatched(changes.Records)
+			c.noteKnown(call)
 			at.at = max(at.at, changes.At)
 			c.noteRead(at.at)
 		}
@@ -187,6 +190,7 @@
 		c.noteAnswer(at)
 	case errors.As(err, &historyGone):
 		c.options.Log.Log(logging.HistoryForgotten, zap.String("prefix", at.prefix), zap.Uint64("after", at.at))
+		c.doubtKnown()
 		at.forgotten, at.listAt = max(at.at, 1), time.Now()
 		at.at = 0
 	case ctx.Err() == nil:
@@ -195,12 +199,15 @@
 }
 
 func (c *Catalog) list(ctx context.Context, at *position) error {
+	call := storeCall{sent: time.Now()}
 	listing, err := c.options.Store.List(ctx, at.prefix)
 	if err != nil {
 		return err
 	}
 	c.noteAnswered()
 	c.replace(at.prefix, listing)
+	call.received, call.changes = time.Now(), len(listing.Records)
+	c.noteKnown(call)
 	at.at, at.forgotten = listing.At, 0
 	c.noteRead(at.at)
 	return nil
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -70,6 +70,10 @@
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		return
 	}
+	c.mutex.Lock()
+	c.noteStamp(link.Remote().ID, status.Stamp, time.Now())
+	c.mutex.Unlock()
+	status.Stamp = 0
 	if probe := status.Probe; probe != 0 {
 		status.Probe = 0
 		go func() { _ = peering.Send(link, fleet.TopicStatusEcho, "", fleet.StatusEcho{Probe: probe}) }()
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -17,11 +17,13 @@
 	"pinevane.example/pinevane/internal/logging"
 )
 
-// Notice is a named version and the time since which it is known.
+// Notice is a named version.
 type Notice struct {
-	Version  uint64    `json:"version"`
-	Revision uint64    `json:"revision"`
-	Since    time.Time `json:"since"`
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+	// Since is the earliest moment at which the version can have been named: the last one
+	// at which this copy, or that of the peer which told of it, surely lacked nothing.
+	Since time.Time `json:"since"`
 	// Assumed is set while Since is a guess, because nobody who has seen the naming
 	// has told of it.
 	Assumed bool `json:"assumed,omitempty"`
@@ -164,6 +166,10 @@
 	next.Versions[named.Model] = notices
 	c.options.Log.Log(logging.VersionNamed, zap.String("model", named.Model), zap.Uint64("version", named.Version),
 		zap.Uint64("revision", record.Revision), zap.Duration("age", time.Since(notice.Since)), zap.Bool("assumed", notice.Assumed))
+	if age.age > lateNaming {
+		c.options.Log.Log(logging.VersionHeardLate, zap.String("model", named.Model), zap.Uint64("version", named.Version),
+			zap.Duration("at_most", age.age), zap.Bool("assumed", age.assumed))
+	}
 }
 
 // rebuildServers lists the servers anew, from what their records have been decoded
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,8 @@
 	d.Catalog = catalog.New(catalog.Options{
 		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds,
 		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, VersionApply: settings.Bounds.VersionApply,
-		Drain: settings.Bounds.Drain,
+		Contact: settings.Bounds.Contact,
+		Drain:   settings.Bounds.Drain,
 	})
 	d.Router.Handle(peering.Path, d.Hub)
 	d.Section("catalog", func() any { return d.Catalog.Status() })
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -50,6 +50,9 @@
 	ConfigurationApply time.Duration
 	// VersionApply is the time until no request begins on an older version.
 	VersionApply time.Duration
+	// Contact is how long a process must have run without a disturbance until the bounds
+	// hold for it; 0 when the settings do not say.
+	Contact time.Duration
 	// Recover is the time until service after a loss of everything.
 	Recover time.Duration
 	// AddressReuse is the time after which an ended server's address is given anew.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -44,4 +44,7 @@
 	UnreadTokens int `cbor:"15,keyasint,omitempty" json:"unread_tokens"`
 	// Probe is returned at once by the entry that is told directly; 0 asks for none.
 	Probe uint64 `cbor:"14,keyasint,omitempty" json:"-"`
+	// Stamp is the machine's stamp of the moment of sending, which the entry that is told
+	// directly returns with its updates; 0 for none.
+	Stamp int64 `cbor:"16,keyasint,omitempty" json:"-"`
 }
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -172,6 +172,7 @@
 		}
 		probed := status
 		probed.Probe = a.probe(entry.ID)
+		probed.Stamp = a.daemon.Catalog.Stamp()
 		go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", probed) }()
 	}
 	a.mutex.Lock()
