Red: requests that wait at a server begin after the bound when their cancelling is lost

Cause: only entries keep a request from a server whose version is over, and they take it back over the connection it was sent on. When that has gone silent, the server begins the request when it gets to it.

Change: a test that silences the connections between entries and servers 0.7 s before the bound, with requests waiting and one piece of the new version withheld, and the same with the new version whole. The stand-in of a server takes orders for some layers and answers 421 while it does not hold all, as published; that of the origin can withhold pieces.

--- a/internal/emulator/site/origin.go
+++ b/internal/emulator/site/origin.go
@@ -47,6 +47,8 @@
 	spoilManifest bool
 	// away makes the origin close every connection without an answer.
 	away bool
+	// withheld are pieces that are handed out to nobody.
+	withheld map[int]bool
 }
 
 // NewOrigin returns an origin whose newest version is 1.
@@ -80,6 +82,22 @@
 	o.away = away
 }
 
+// Withhold makes the origin break off each answer with one of some pieces; none lifts that.
+func (o *Origin) Withhold(pieces ...int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.withheld = map[int]bool{}
+	for _, piece := range pieces {
+		o.withheld[piece] = true
+	}
+}
+
+func (o *Origin) withholds(piece int) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.withheld[piece]
+}
+
 func (o *Origin) isAway() bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -146,6 +164,9 @@
 		writer.WriteHeader(http.StatusGone)
 		return
 	}
+	if o.withholds(index) {
+		panic(http.ErrAbortHandler)
+	}
 	content := o.weights.Piece(version, index)
 	o.mutex.Lock()
 	o.bytes += int64(len(content))
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -88,8 +88,10 @@
 type Server struct {
 	options ServerOptions
 
-	mutex    sync.Mutex
-	version  uint64
+	mutex   sync.Mutex
+	version uint64
+	// held are the layers of the version that are in service.
+	held     layerRange
 	spoilt   bool
 	loading  bool
 	sequence int
@@ -106,11 +108,30 @@
 	stop    context.CancelFunc
 }
 
+// layerRange is a range of a model's layers, to exclusive.
+type layerRange struct {
+	from, to int
+}
+
+func (r layerRange) within(other layerRange) bool { return r.from >= other.from && r.to <= other.to }
+
+// all is the range of all layers of the server's model.
+func (s *Server) all() layerRange {
+	if s.options.Weights == nil {
+		return layerRange{}
+	}
+	return layerRange{to: s.options.Weights.Layers}
+}
+
+// whole reports whether every layer of a version is in service; the mutex is held.
+func (s *Server) whole() bool { return s.version != 0 && s.held == s.all() }
+
 // NewServer returns a server that does not listen yet; one that serves a version
 // has it staged too.
 func NewServer(options ServerOptions) *Server {
 	s := &Server{options: options, version: options.Version, staged: map[int][]byte{}, freed: make(chan struct{})}
 	if options.Weights != nil && options.Version > 0 {
+		s.held = s.all()
 		for index := range options.Weights.Pieces {
 			s.staged[index] = options.Weights.Piece(options.Version, index)
 		}
@@ -205,6 +226,9 @@
 func (s *Server) Version() uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.whole() {
+		return 0
+	}
 	return s.version
 }
 
@@ -212,10 +236,9 @@
 	if s.options.Weights == nil || s.version == 0 {
 		return []map[string]any{}
 	}
-	layers := s.options.Weights.Layers
 	return []map[string]any{{
 		"name": s.options.Weights.Model, "version": s.version, "adapters": []string{},
-		"layers": map[string]any{"from": 0, "targetVersion": layers, "version": s.version},
+		"layers": map[string]any{"from": s.held.from, "targetVersion": s.held.to, "version": s.version},
 	}}
 }
 
@@ -268,37 +291,63 @@
 	writeJSON(writer, report)
 }
 
+// startOrder is an order to take layers of a staged version into service; without a range,
+// all of them.
+type startOrder struct {
+	Op       string `json:"op"`
+	Version  uint64 `json:"version"`
+	From     *int   `json:"from"`
+	To       *int   `json:"targetVersion"`
+	Expected *int   `json:"expectedRevision"`
+}
+
+// layers is the range that the order asks for, of a number in all; false when there is no such
+// range.
+func (o startOrder) layers(all layerRange) (layerRange, bool) {
+	asked := all
+	if o.From != nil {
+		asked.from = *o.From
+	}
+	if o.To != nil {
+		asked.to = *o.To
+	}
+	return asked, asked.within(all) && asked.from < asked.to
+}
+
 // serveOrder takes an order from the own machine.
 func (s *Server) serveOrder(writer http.ResponseWriter, request *http.Request) {
-	var order struct {
-		Op       string `json:"op"`
-		Version  uint64 `json:"version"`
-		Expected *int   `json:"expectedRevision"`
-	}
+	var order startOrder
 	if json.NewDecoder(request.Body).Decode(&order) != nil || order.Op != "start" {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	asked, exists := order.layers(s.all())
+	more := s.version == order.Version
 	switch {
+	case !exists:
+		writer.WriteHeader(http.StatusBadRequest)
 	case s.loading || (order.Expected != nil && *order.Expected != s.sequence):
 		writer.WriteHeader(http.StatusConflict)
-	case s.version == order.Version:
+	case more && asked.within(s.held):
 		writer.WriteHeader(http.StatusOK)
 	default:
 		s.sequence++
 		s.loading = true
-		spoilt := s.stagedWrong(order.Version)
-		go s.load(order.Version, spoilt)
+		spoilt := s.stagedWrong(order.Version, asked) || (more && s.spoilt)
+		go s.load(order.Version, asked, spoilt)
 		writer.WriteHeader(http.StatusAccepted)
 	}
 }
 
-// stagedWrong reports whether what lies here is not the whole version; the mutex
-// is held.
-func (s *Server) stagedWrong(version uint64) bool {
-	for index := range s.options.Weights.Pieces {
+// stagedWrong reports whether what lies here is not what layers of a version consist of; the
+// mutex is held. A piece that two layers share belongs to both.
+func (s *Server) stagedWrong(version uint64, layers layerRange) bool {
+	weights := s.options.Weights
+	first := layers.from * weights.Pieces / weights.Layers
+	end := (layers.to*weights.Pieces + weights.Layers - 1) / weights.Layers
+	for index := first; index < end; index++ {
 		if string(s.staged[index]) != string(s.options.Weights.Piece(version, index)) {
 			return true
 		}
@@ -306,8 +355,8 @@
 	return false
 }
 
-// load takes a version into service after what runs.
-func (s *Server) load(version uint64, spoilt bool) {
+// load takes layers of a version into service after what runs.
+func (s *Server) load(version uint64, layers layerRange, spoilt bool) {
 	for {
 		s.mutex.Lock()
 		running, freed := s.running, s.freed
@@ -319,7 +368,7 @@
 	}
 	time.Sleep(s.options.Warm)
 	s.mutex.Lock()
-	s.version, s.spoilt, s.loading = version, spoilt, false
+	s.version, s.held, s.spoilt, s.loading = version, layers, spoilt, false
 	s.wake()
 	s.mutex.Unlock()
 	s.beat()
@@ -393,6 +442,9 @@
 			return false
 		}
 	}
+	if s.options.Weights != nil && !s.whole() {
+		return refuse(http.StatusMisdirectedRequest)
+	}
 	if expected := request.Header.Get("Expect-Version"); expected != "" && expected != strconv.FormatUint(s.version, 10) {
 		return refuse(http.StatusMisdirectedRequest)
 	}
@@ -485,3 +537,10 @@
 
 // ID returns the server's name on the list.
 func (s *Server) ID() string { return s.options.ID }
+
+// Waiting returns how many requests wait now.
+func (s *Server) Waiting() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.waiting
+}
--- /dev/null
+++ b/internal/sitetest/late_cancel_test.go
@@ -0,0 +1,116 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/silencer"
+)
+
+// modelPort is that of the stand-in's servers.
+const modelPort = 8001
+
+// serverConnections are the open connections to servers, by both ends.
+func serverConnections(t *testing.T) map[silencer.Connection]bool {
+	open := map[silencer.Connection]bool{}
+	_, err := silencer.Silence(func(c silencer.Connection) bool {
+		if c.Local.Port() == modelPort || c.Remote.Port() == modelPort {
+			open[c] = true
+		}
+		return false
+	})
+	require.NoError(t, err)
+	return open
+}
+
+// lateCancelOptions make requests wait at servers: each stream holds one of few places for
+// long, which the published times of a step do not tell.
+func lateCancelOptions() site.Options {
+	options := DefaultOptions()
+	options.Slots = 2
+	options.EventTime = 100 * time.Millisecond
+	options.BudgetSlack = 200
+	return options
+}
+
+const (
+	// heldEvents at 100 ms each are longer than the time from the silence to the bound.
+	heldEvents = 25
+	// silenceBefore is how long before the bound the connections go silent: after the last
+	// request was sent, and before those that wait are taken back.
+	silenceBefore = 700 * time.Millisecond
+	// lookedAfter is how long after the bound the servers' records are looked at: what was
+	// under way is over then, and what waited would have begun.
+	lookedAfter = 4 * time.Second
+)
+
+// lateRuns names version 2 under load, silences the connections between entries and servers
+// while requests wait there, and returns the requests that began on version 1 after its bound
+// and whether any was waiting when the connections went silent.
+func lateRuns(t *testing.T, f *Fleet) (late []time.Duration, waiting int) {
+	agents := serverConnections(t)
+	stop := traffic(120*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, heldEvents)
+		return one
+	})
+	named := time.Now()
+	f.Site.NameVersion(2)
+	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	time.Sleep(time.Until(bound.Add(-silenceBefore)))
+	for _, server := range f.Site.Models {
+		waiting += server.Waiting()
+	}
+	_, err := silencer.Silence(func(c silencer.Connection) bool {
+		return (c.Local.Port() == modelPort || c.Remote.Port() == modelPort) && !agents[c]
+	})
+	require.NoError(t, err)
+	time.Sleep(time.Until(bound.Add(lookedAfter)))
+	stop()
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.Service == site.ModelService && run.Version == 1 && run.At.After(bound) {
+			late = append(late, run.At.Sub(bound))
+		}
+	}
+	return late, waiting
+}
+
+// VERSION: requests wait at servers when the connections to them go silent, so that no
+// cancelling arrives any more, and one piece of the new version is not to be had. No request
+// begins on the old version after its bound, and once the piece is there all serve the new one.
+func TestNothingBeginsLateThoughNoCancellingArrives(t *testing.T) {
+	f := Start(t, lateCancelOptions())
+	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	f.Site.Origin.Withhold(f.Site.Options.Weights.Pieces - 1)
+	late, waiting := lateRuns(t, f)
+	assert.Positive(t, waiting, "requests that waited at servers when the connections went silent")
+	assert.Empty(t, late, "requests that began on the old version, by the time after its bound")
+	f.Site.Origin.Withhold()
+	f.Eventually("every server serves version 2", 5*time.Second, func() bool { return f.allServe(2) })
+	answer, err := f.Stream(context.Background(), 0, 0, "after", 3)
+	assert.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status)
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
+
+// The same with the new version whole: the servers are ordered before the bound, whatever
+// waits at them.
+func TestNothingBeginsLateWhenTheNewVersionIsHere(t *testing.T) {
+	f := Start(t, lateCancelOptions())
+	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	late, _ := lateRuns(t, f)
+	assert.Empty(t, late, "requests that began on the old version, by the time after its bound")
+	f.Eventually("every server serves version 2", 5*time.Second, func() bool { return f.allServe(2) })
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
