Ages of versions are tightened by later words

Cause: a process that hears of a version when it has been out of touch for seconds takes it to be that much older, and keeps that for good. An age that came without a bound of its time on the way was passed on as if it were certain.

Change: updates tell the longest ages of all versions known, by the revisions of their records; the shorter of two bounds counts. What a starting process is told before it has measured anything stays a guess, which nobody else is told.

--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -99,8 +99,9 @@
 		if !known || err != nil {
 			continue
 		}
-		age, _ := told.longest()
-		c.correctAge(named, age)
+		if age, bounded := told.longest(); bounded {
+			c.correctAge(named, age)
+		}
 	}
 }
 
@@ -121,6 +122,50 @@
 	}
 }
 
+// namings tells the ages of the versions that this process knows, but for assumed ones; the
+// mutex is held.
+func (c *Catalog) namings(now time.Time) map[uint64]int64 {
+	var ages map[uint64]int64
+	for _, notices := range c.View().Versions {
+		for _, notice := range notices {
+			if notice.Assumed {
+				continue
+			}
+			if ages == nil {
+				ages = map[uint64]int64{}
+			}
+			ages[notice.Revision] = now.Sub(notice.Since).Milliseconds() + 1
+		}
+	}
+	return ages
+}
+
+// tightenAges takes over a peer's ages of versions where they are shorter than the own ones, or
+// the own ones are assumed: each is an upper bound. Flight is the longest time that the ages
+// were on their way. A process that had lost touch for seconds when it heard of a version would
+// else count it as that much older until its bound.
+func (c *Catalog) tightenAges(told map[uint64]int64, flight time.Duration) {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	old := c.View()
+	next := *old
+	next.Versions = make(map[string][]Notice, len(old.Versions))
+	changed := false
+	for model, notices := range old.Versions {
+		notices = slices.Clone(notices)
+		for index := range notices {
+			age, known := told[notices[index].Revision]
+			longest := flight + time.Duration(age)*time.Millisecond
+			changed = (known && notices[index].tighten(now.Add(-longest))) || changed
+		}
+		next.Versions[model] = notices
+	}
+	if changed {
+		c.view.Store(&next)
+	}
+}
+
 // Stamp is this process's stamp of now, for messages whose way back is to be measured.
 func (c *Catalog) Stamp() int64 { return c.stamp(time.Now()) }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -169,7 +169,8 @@
 			if !known {
 				return c.ageOfUnseen()
 			}
-			return versionAge{age: ageOfNews(told, c.known, time.Now())}
+			age, bounded := ageOfNews(told, c.known, time.Now())
+			return versionAge{age: age, assumed: !bounded}
 		})
 		news := c.mirror.Merge(records)
 		c.correctAges(records, ages)
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -66,6 +66,9 @@
 	Stamp    int64 `cbor:"11,keyasint,omitempty"`
 	Echo     int64 `cbor:"12,keyasint,omitempty"`
 	EchoHeld int64 `cbor:"13,keyasint,omitempty"`
+	// Namings are the longest ages in milliseconds of the versions that the sender knows, by
+	// the revisions of their records.
+	Namings map[uint64]int64 `cbor:"14,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -196,6 +199,7 @@
 	if c.fresh.IsZero() {
 		message.FreshMilliseconds = int64(time.Hour / time.Millisecond)
 	}
+	message.Namings = c.namings(now)
 	if peer.compared {
 		c.addChanges(&message, peer.sequence)
 	}
@@ -273,6 +277,9 @@
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
+	if flightKnown {
+		c.tightenAges(news.Namings, flight)
+	}
 	if c.compare(link.Remote().ID, news) {
 		c.mutex.Lock()
 		c.noteToldKnown(news, flight, flightKnown, now)
--- a/internal/catalog/horizon.go
+++ b/internal/catalog/horizon.go
@@ -75,17 +75,18 @@
 
 // ageOfNews is the longest age of a change that a copy has just heard of by a peer's word: the
 // peer's account and the own horizon bound it both, and the tighter one counts. Where neither
-// does, the process has only just started, and takes the word as if it had come at once.
-func ageOfNews(told word, known horizon, now time.Time) time.Duration {
+// does, the process has only just started: it takes the word as if it had come at once, and
+// false is returned.
+func ageOfNews(told word, known horizon, now time.Time) (age time.Duration, bounded bool) {
 	byWord, worded := told.longest()
-	byHorizon, bounded := known.longest(now)
+	byHorizon, horizoned := known.longest(now)
 	switch {
-	case worded && bounded:
-		return min(byWord, byHorizon)
-	case bounded:
-		return max(told.age, byHorizon)
+	case worded && horizoned:
+		return min(byWord, byHorizon), true
+	case horizoned:
+		return max(told.age, byHorizon), true
 	}
-	return byWord
+	return byWord, worded
 }
 
 // stamps measures the longest time that a message of a peer can have been on its way: the
--- a/internal/catalog/horizon_test.go
+++ b/internal/catalog/horizon_test.go
@@ -68,22 +68,49 @@
 	now := time.Unix(1000, 0)
 	complete := horizon{at: now.Add(-2 * time.Second)}
 	for _, one := range []struct {
-		name  string
-		told  word
-		known horizon
-		want  time.Duration
+		name    string
+		told    word
+		known   horizon
+		want    time.Duration
+		bounded bool
 	}{
-		{"the word is tighter", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, complete, 1100 * time.Millisecond},
-		{"the own copy is tighter", word{age: time.Second, flight: 3 * time.Second, flightKnown: true}, complete, 2 * time.Second},
-		{"the word may have been long on its way", word{age: time.Second}, complete, 2 * time.Second},
-		{"the word is older than the own copy allows", word{age: 5 * time.Second}, complete, 5 * time.Second},
-		{"the process has just started", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, horizon{}, 1100 * time.Millisecond},
-		{"the process has just started and measured nothing", word{age: time.Second}, horizon{}, time.Second},
+		{"the word is tighter", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, complete, 1100 * time.Millisecond, true},
+		{"the own copy is tighter", word{age: time.Second, flight: 3 * time.Second, flightKnown: true}, complete, 2 * time.Second, true},
+		{"the word may have been long on its way", word{age: time.Second}, complete, 2 * time.Second, true},
+		{"the word is older than the own copy allows", word{age: 5 * time.Second}, complete, 5 * time.Second, true},
+		{"the process has just started", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, horizon{}, 1100 * time.Millisecond, true},
+		{"the process has just started and measured nothing", word{age: time.Second}, horizon{}, time.Second, false},
 	} {
-		assert.Equal(t, one.want, ageOfNews(one.told, one.known, now), one.name)
+		age, bounded := ageOfNews(one.told, one.known, now)
+		assert.Equal(t, one.want, age, one.name)
+		assert.Equal(t, one.bounded, bounded, one.name)
 	}
 }
 
+// Of two bounds of an age the tighter one counts, and any bound is better than a guess. What is
+// told of another revision changes nothing.
+func TestAgesAreTightened(t *testing.T) {
+	c := newTestCatalog()
+	sinceOf := func() time.Duration {
+		newest, known := c.View().Newest("m")
+		require.True(t, known)
+		return time.Since(newest.Since).Round(time.Second)
+	}
+	c.takeTold([]mirror.Record{{Key: "op/version/m", Value: []byte(`{"model":"m","version":2}`), Revision: 4}}, nil)
+	assert.Equal(t, 4*time.Second, sinceOf(), "assumed")
+	assert.Empty(t, c.namings(time.Now()), "a guess is not passed on")
+	c.tightenAges(map[uint64]int64{3: 1000}, 0)
+	assert.Equal(t, 4*time.Second, sinceOf(), "another revision")
+	c.tightenAges(map[uint64]int64{4: 5000}, time.Second)
+	assert.Equal(t, 6*time.Second, sinceOf(), "a bound instead of a guess")
+	c.tightenAges(map[uint64]int64{4: 7000}, 0)
+	assert.Equal(t, 6*time.Second, sinceOf(), "a wider bound")
+	c.tightenAges(map[uint64]int64{4: 1000}, time.Second)
+	assert.Equal(t, 2*time.Second, sinceOf(), "a tighter bound")
+	told := c.namings(time.Now())[4]
+	assert.InDelta(t, 2000, told, 100)
+}
+
 // The time that is found for a message's way is never shorter than the true one, and longer
 // only by the way of the stamp that it returns and the cutting to milliseconds.
 func TestFlightIsNeverUnderestimated(t *testing.T) {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -29,6 +29,16 @@
 	Assumed bool `json:"assumed,omitempty"`
 }
 
+// tighten takes over another earliest moment of the naming where that is later, or the one
+// held is a guess, and reports whether it did.
+func (n *Notice) tighten(since time.Time) bool {
+	if !n.Assumed && !since.After(n.Since) {
+		return false
+	}
+	n.Since, n.Assumed = since, false
+	return true
+}
+
 // View is an immutable picture of everything known.
 type View struct {
 	// Configuration is nil until one is known.
