The layers that a server holds are read where it tells them

Cause: servers tell layers beside their models, and the adapter looked for them within each model. A server that held 9 of 16 layers was taken to hold all: its agent ordered nothing more, and entries sent it requests that it turned away.

Change: the report's and the record's own field is read too; the stand-in tells it there. While a server takes an order it tells none, which is not logged as another version in service.

--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -236,10 +236,15 @@
 	if s.options.Weights == nil || s.version == 0 {
 		return []map[string]any{}
 	}
-	return []map[string]any{{
-		"name": s.options.Weights.Model, "version": s.version, "adapters": []string{},
-		"layers": map[string]any{"from": s.held.from, "targetVersion": s.held.to, "version": s.version},
-	}}
+	return []map[string]any{{"name": s.options.Weights.Model, "version": s.version, "adapters": []string{}}}
+}
+
+// layers are told beside the models; none while the server takes an order.
+func (s *Server) layers() map[string]any {
+	if s.options.Weights == nil || s.version == 0 || s.loading {
+		return nil
+	}
+	return map[string]any{"from": s.held.from, "targetVersion": s.held.to, "version": s.version}
 }
 
 func (s *Server) beat() {
@@ -251,7 +256,7 @@
 	}
 	record := map[string]any{
 		"service": s.options.Service, "address": s.options.Address, "zone": s.options.Zone, "version": "v1", "slots": s.options.Slots,
-		"state": state, "coldRemainingMs": 0, "stage": "both", "models": s.models(), "sequence": s.beats,
+		"state": state, "coldRemainingMs": 0, "stage": "both", "models": s.models(), "layers": s.layers(), "sequence": s.beats,
 	}
 	lapsed := s.lapsed
 	s.mutex.Unlock()
@@ -284,7 +289,7 @@
 func (s *Server) serveReport(writer http.ResponseWriter) {
 	s.mutex.Lock()
 	report := map[string]any{
-		"stage": "both", "models": s.models(), "busy": s.loading, "sequence": s.sequence,
+		"stage": "both", "models": s.models(), "layers": s.layers(), "busy": s.loading, "sequence": s.sequence,
 		"numWaiting": s.waiting, "numRunning": s.running, "kvUsed": 0, "kvTotal": 1000, "pace": 1.0,
 	}
 	s.mutex.Unlock()
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -97,7 +97,8 @@
 
 // logVersion logs a version that has come into service; the mutex is held.
 func (a *Agent) logVersion(report fleet.Report) {
-	if len(report.Models) == 0 {
+	if len(report.Models) == 0 || report.Busy {
+		// A server that takes an order does not tell its layers.
 		return
 	}
 	if len(a.report.Models) == 0 || a.report.Models[0] != report.Models[0] {
