An agent ends its server's old version at the bound, from the server's side

Cause: a request that waits at a server whose cancelling is lost on a silent connection began there after the bound of the server's version. Only entries kept requests away, and an agent without the whole new version did nothing; one with it waited up to a second for the queue, also past the bound.

Change: 0.4 s before the bound the agent gives the order whatever waits. Without the whole version it orders the longest range of layers of which every piece is here and verified: from then on the server begins nothing on the old version, and turns away what waits as not run until it has the others, which are taken like before. What runs goes on to its end. An age that is only assumed puts the order off by the whole bound.

--- /dev/null
+++ b/coordination/turnover/layers_test.go
@@ -0,0 +1,69 @@
+package turnover
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func heldBut(pieces int, missing ...int) []bool {
+	held := make([]bool, pieces)
+	for index := range held {
+		held[index] = true
+	}
+	for _, index := range missing {
+		held[index] = false
+	}
+	return held
+}
+
+func TestWholeLayers(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		held   []bool
+		layers int
+		want   Layers
+	}{
+		{"everything", heldBut(24), 4, Layers{0, 4}},
+		{"nothing", make([]bool, 24), 4, Layers{}},
+		{"the last piece is missing", heldBut(24, 23), 4, Layers{0, 3}},
+		{"the first piece is missing", heldBut(24, 0), 4, Layers{1, 4}},
+		{"a piece in the middle is missing", heldBut(24, 7), 4, Layers{2, 4}},
+		{"one piece of each layer is missing", heldBut(24, 0, 6, 12, 18), 4, Layers{}},
+		{"two ranges of the same length", heldBut(24, 6, 18), 4, Layers{0, 1}},
+		{"a piece that two layers share", heldBut(10, 2), 4, Layers{2, 4}},
+		{"fewer pieces than layers", heldBut(2, 0), 4, Layers{2, 4}},
+		{"no pieces at all", nil, 4, Layers{}},
+		{"no layers", heldBut(4), 0, Layers{}},
+	} {
+		assert.Equal(t, one.want, WholeLayers(one.held, one.layers), one.name)
+	}
+}
+
+// Every piece of the layers found is held, and no longer range would do.
+func TestWholeLayersAreWhole(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		pieces, layers := 1+random.IntN(40), 1+random.IntN(12)
+		held := make([]bool, pieces)
+		for index := range held {
+			held[index] = random.Float64() < 0.8
+		}
+		whole := func(one Layers) bool {
+			for _, piece := range one.Pieces(pieces, layers) {
+				if !held[piece] {
+					return false
+				}
+			}
+			return true
+		}
+		found := WholeLayers(held, layers)
+		assert.True(t, found.Count() == 0 || whole(found))
+		for from := range layers {
+			for to := from + found.Count() + 1; to <= layers; to++ {
+				assert.False(t, whole(Layers{from, to}), "%v of %d layers in %v, found %v", Layers{from, to}, layers, held, found)
+			}
+		}
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -101,6 +101,9 @@
 	Version uint64
 	// Sequence is the number of orders taken that the giver has seen.
 	Sequence uint64
+	// FromLayer and ToLayer (exclusive) bound the layers to be taken; both are zero for all.
+	FromLayer int
+	ToLayer   int
 }
 
 // OrderOutcome is a server's answer to an order.
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -68,6 +68,9 @@
 	// announcement is the notice to entries of the change-over that is due.
 	announcement turnover.Announcement
 	ordering     bool
+	// unguarded is the version served of which was last logged that nothing of a newer one is
+	// here to end it at its bound.
+	unguarded uint64
 	// announced are the requests that entries have told to be on their way.
 	announced balance.Announced
 }
--- /dev/null
+++ b/internal/rollout/bound.go
@@ -0,0 +1,108 @@
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/turnover"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Entries send nothing to a server with an old version that it might begin after the bound,
+// and take back what it has not begun in time. Both reach the server over connections, and a
+// request whose cancelling is lost on a silent one would begin whenever the server gets to it.
+// So the agent makes sure from the server's side: from an order on, the server begins nothing
+// more on what it held before. What waits begins on the new version, or is turned away as not
+// run by a server that holds the new version in part.
+
+// boundGuard is how long before the bound the server is ordered, whatever waits at it: entries
+// take back what has not begun from 400 ms before the bound on (takeBackMargin in
+// internal/forward), and one look of the keeper, the reading back of the pieces and the order
+// take up to 200 ms.
+const boundGuard = 400 * time.Millisecond
+
+// boundNear reports whether the version that the server serves must not begin requests much
+// longer, or may not any more, because one that it lacks comes into force. An age that is only
+// assumed, by a process that has just started, may be longer than the true one, by the whole
+// bound at the most.
+func (a *Agent) boundNear(model string, serving uint64) bool {
+	if serving == 0 {
+		return false
+	}
+	notice, superseded := a.daemon.Catalog.View().FirstAfter(model, serving)
+	if !superseded {
+		return false
+	}
+	apply := a.daemon.Settings().Bounds.VersionApply
+	bound := notice.Since.Add(apply)
+	if notice.Assumed {
+		bound = bound.Add(apply)
+	}
+	return time.Until(bound) < boundGuard
+}
+
+// endOldVersion takes the version that the server serves out of service though the newer one is
+// not here whole: it orders as many layers of the newer one as are, which a server turns
+// requests away with until it has the others. It costs no service, because entries send
+// nothing to an old version from a second before its bound, and what runs goes on to its end.
+// Without a single whole layer there is no order that the server could take without mixing
+// weights; then only the entries keep requests away.
+func (a *Agent) endOldVersion(ctx context.Context, newer *transfer, engine *fleet.Engine, serving uint64) {
+	if turnover.WholeLayers(newer.held(), engine.Layers).Count() == 0 {
+		a.noteUnguarded(newer, serving)
+		return
+	}
+	if !a.layDown(ctx, newer) {
+		return
+	}
+	a.staging.Lock()
+	defer a.staging.Unlock()
+	if a.transferOf(newer.model, newer.version()) != newer || ctx.Err() != nil {
+		return
+	}
+	began := time.Now()
+	held := newer.held()
+	layers := turnover.WholeLayers(held, engine.Layers)
+	if layers.Count() == 0 {
+		return
+	}
+	if bad := newer.verify(ctx, layers.Pieces(len(held), engine.Layers)); len(bad) > 0 {
+		newer.reportSpoilt(bad)
+		return
+	}
+	fresh, err := a.server.Report(ctx)
+	if err != nil || fresh.Busy {
+		return
+	}
+	a.log.Log(logging.VersionEnded, zap.String("model", newer.model), zap.Uint64("serving", serving), zap.Uint64("version", newer.version()),
+		zap.Int("from_layer", layers.From), zap.Int("to_layer", layers.To), zap.Int("layers", engine.Layers))
+	order := fleet.StartOrder{Model: newer.model, Version: newer.version(), Sequence: fresh.Sequence, FromLayer: layers.From, ToLayer: layers.To}
+	a.order(ctx, order, serving, time.Since(began))
+}
+
+// noteUnguarded logs, once for a version, that nothing takes it out of service at its bound.
+func (a *Agent) noteUnguarded(newer *transfer, serving uint64) {
+	a.mutex.Lock()
+	noted := a.unguarded == serving
+	a.unguarded = serving
+	a.mutex.Unlock()
+	if noted {
+		return
+	}
+	_, missing := newer.state()
+	a.log.Log(logging.VersionUnguarded, zap.String("model", newer.model), zap.Uint64("serving", serving), zap.Uint64("version", newer.version()),
+		zap.Int("missing", missing))
+}
+
+// held marks the pieces that are here; nil before the manifest is known.
+func (t *transfer) held() []bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.fetcher == nil {
+		return nil
+	}
+	return t.heldMask()
+}
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -61,6 +61,10 @@
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
 	next, complete := a.nextInService(current, serving, engine.Warm)
+	if reachable && !complete && !report.Busy && a.boundNear(model, serving) {
+		a.endOldVersion(ctx, current, engine, serving)
+		return
+	}
 	if !complete && reachable {
 		a.planFallback(ctx, current, engine, serving)
 	}
@@ -73,19 +77,12 @@
 	if !a.layDown(ctx, next) {
 		return
 	}
-	if serving != 0 && !a.pastBound(model, serving) && !a.announce(report.Waiting) {
+	if serving != 0 && !a.boundNear(model, serving) && !a.announce(report.Waiting) {
 		return
 	}
 	a.changeOver(ctx, next, serving)
 }
 
-// pastBound reports whether no entry sends the server anything any more, because a
-// version that it lacks is in force.
-func (a *Agent) pastBound(model string, serving uint64) bool {
-	left, bounded := a.inForceFor(model, serving)
-	return bounded && left < 0
-}
-
 // announce tells entries that the server is about to change over, and reports
 // whether the order may be given.
 func (a *Agent) announce(waiting int) bool {
@@ -211,19 +208,23 @@
 	}
 	began := time.Now()
 	if bad := current.verifyAll(ctx); len(bad) > 0 {
-		a.log.Log(logging.PiecesSpoilt, zap.String("model", current.model), zap.Uint64("version", current.version()), zap.Ints("pieces", bad))
-		current.restart(bad)
+		current.reportSpoilt(bad)
 		return
 	}
 	fresh, err := a.server.Report(ctx)
 	if err != nil || fresh.Busy {
 		return
 	}
+	a.order(ctx, fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}, serving, time.Since(began))
+}
+
+// order gives the server an order whose pieces were just verified, and settles its fate. The
+// staging lock is held for writing.
+func (a *Agent) order(ctx context.Context, order fleet.StartOrder, serving uint64, verifiedIn time.Duration) {
 	a.setOrdering(true)
 	defer a.setOrdering(false)
-	order := fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}
 	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
-		zap.Uint64("sequence", order.Sequence), zap.Duration("verified_in", time.Since(began)))
+		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", verifiedIn))
 	outcome, err := a.server.Start(ctx, order)
 	switch {
 	case err != nil:
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -55,8 +55,17 @@
 	if !known {
 		return nil
 	}
-	var bad []int
+	all := make([]int, 0, len(manifest.Digests))
 	for index := range manifest.Digests {
+		all = append(all, index)
+	}
+	return t.verify(ctx, all)
+}
+
+// verify reads some pieces back and returns those that do not match.
+func (t *transfer) verify(ctx context.Context, pieces []int) []int {
+	var bad []int
+	for _, index := range pieces {
 		if _, sound := t.readPiece(ctx, index); !sound {
 			bad = append(bad, index)
 		}
@@ -64,6 +73,12 @@
 	return bad
 }
 
+// reportSpoilt fetches pieces again that have turned bad at the server.
+func (t *transfer) reportSpoilt(bad []int) {
+	t.agent.log.Log(logging.PiecesSpoilt, zap.String("model", t.model), zap.Uint64("version", t.version()), zap.Ints("pieces", bad))
+	t.restart(bad)
+}
+
 // noteSpoilt fetches a piece again that was thought to be here and is not sound, so
 // that peers are not sent to it in vain.
 func (t *transfer) noteSpoilt(ctx context.Context, index int) {
