--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -18,8 +18,12 @@
 	// copySlack multiplies the time of one copy over the link to the time after
 	// which turns begin.
 	copySlack = 1.4
-	// dueMargin is how long before the bound the last turn is.
-	dueMargin = 1100 * time.Millisecond
+	// dueMargin is how long before the bound the last turn is. A server is away for 2 s in the
+	// mean from its order on, 2.7 s at the most, until its longest stream is done; the bound
+	// itself only needs the order. With 1.1 s the last server serves the new version 0.6 s
+	// after the bound at full traffic, with 1.7 s 0.3 s after it, at the same worth; 2.2 s win
+	// nothing more and have more servers away at a time.
+	dueMargin = 1700 * time.Millisecond
 	// fallbackWindow is the time before the bound in which servers change over to a version
 	// that another has replaced already.
 	fallbackWindow = 2 * time.Second
@@ -61,6 +65,10 @@
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
 	next, complete := a.nextInService(current, serving, engine.Warm)
+	if reachable && !complete && !report.Busy && a.boundNear(model, serving) {
+		a.endOldVersion(ctx, current, engine, serving)
+		return
+	}
 	if !complete && reachable {
 		a.planFallback(ctx, current, engine, serving)
 	}
@@ -73,19 +81,12 @@
 	if !a.layDown(ctx, next) {
 		return
 	}
-	if serving != 0 && !a.pastBound(model, serving) && !a.announce(report.Waiting) {
+	if serving != 0 && !a.boundNear(model, serving) && !a.announce(report.Waiting) {
 		return
 	}
 	a.changeOver(ctx, next, serving)
 }
 
-// pastBound reports whether no entry sends the server anything any more, because a
-// version that it lacks is in force.
-func (a *Agent) pastBound(model string, serving uint64) bool {
-	left, bounded := a.inForceFor(model, serving)
-	return bounded && left < 0
-}
-
 // announce tells entries that the server is about to change over, and reports
 // whether the order may be given.
 func (a *Agent) announce(waiting int) bool {
@@ -211,19 +212,23 @@
 	}
 	began := time.Now()
 	if bad := current.verifyAll(ctx); len(bad) > 0 {
-		a.log.Log(logging.PiecesSpoilt, zap.String("model", current.model), zap.Uint64("version", current.version()), zap.Ints("pieces", bad))
-		current.restart(bad)
+		current.reportSpoilt(bad)
 		return
 	}
 	fresh, err := a.server.Report(ctx)
 	if err != nil || fresh.Busy {
 		return
 	}
+	a.order(ctx, fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}, serving, time.Since(began))
+}
+
+// order gives the server an order whose pieces were just verified, and settles its fate. The
+// staging lock is held for writing.
+func (a *Agent) order(ctx context.Context, order fleet.StartOrder, serving uint64, verifiedIn time.Duration) {
 	a.setOrdering(true)
 	defer a.setOrdering(false)
-	order := fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}
 	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
-		zap.Uint64("sequence", order.Sequence), zap.Duration("verified_in", time.Since(began)))
+		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", verifiedIn))
 	outcome, err := a.server.Start(ctx, order)
 	switch {
 	case err != nil:
