Calls over kept connections are hedged when they stay silent

Cause: an open connection to the store, the own server or another agent that has gone silent held each call up to its own time limit, 0.25 to 3 s, and the next call took another silent one. Two such questions in a row made an agent declare its sound server unreachable.

Change: network.Client makes the calls to store, own server, origin and other agents. A call that hears nothing over a kept connection for longer than answers take (mean and deviation as in RFC 6298, between bounds) is sent once more over a fresh one; when that one answers first, all connections as old are given up, and calls under way on them are hedged at once. An agent that lets another wait for a piece says so each 0.25 s (status 102). Event PV1104, metric pinevane_silent_connections_total.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 	Registry *prometheus.Registry
 	Hub      *peering.Hub
 	Catalog  *catalog.Catalog
+	silences *prometheus.CounterVec
 	// Router serves the internal port: links and what a role adds.
 	Router chi.Router
 
@@ -72,6 +73,10 @@
 		options: options, started: time.Now(), Log: options.Log, Registry: prometheus.NewRegistry(),
 		Router: chi.NewRouter(), sections: map[string]func() any{},
 	}
+	d.silences = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_silent_connections_total", Help: "Open connections that had gone silent while a fresh one worked, by what they led to."}, []string{"target"})
+	d.Registry.MustRegister(d.silences)
+	d.WatchSilence(options.Store)
 	settings := options.Settings
 	d.settings.Store(&settings)
 	hello := peering.Hello{ID: settings.IP, Incarnation: uint64(d.started.UnixNano()), Role: options.Role, Zone: settings.Zone}
@@ -102,6 +107,24 @@
 	)
 }
 
+// WatchSilence has the silent connections of a client that notices them logged and counted.
+func (d *Daemon) WatchSilence(client any) {
+	if reporter, able := client.(fleet.SilenceReporter); able {
+		reporter.OnSilent(d.NoteSilent)
+	}
+}
+
+// NoteSilent logs and counts a connection that has gone silent. Connections to other machines
+// are counted together.
+func (d *Daemon) NoteSilent(target string, silent time.Duration) {
+	kind := target
+	if net.ParseIP(target) != nil {
+		kind = "peer"
+	}
+	d.silences.WithLabelValues(kind).Inc()
+	d.Log.Log(logging.ConnectionSilent, zap.String("target", target), zap.Duration("silent", silent))
+}
+
 // Settings returns the settings in force.
 func (d *Daemon) Settings() fleet.Settings { return *d.settings.Load() }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -81,6 +81,13 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
 }
 
+// SilenceReporter is implemented by clients that notice when connections have gone silent. The
+// function is told the name of the other side and for how long nothing was heard. It is to be
+// registered before the first call.
+type SilenceReporter interface {
+	OnSilent(function func(target string, silent time.Duration))
+}
+
 // Report is a model server's word on itself.
 type Report struct {
 	Models   []HeldModel
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -77,10 +77,12 @@
 	settings := options.Daemon.Settings()
 	a := &Agent{
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
-		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort),
+		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort, options.Daemon.NoteSilent),
 		uploads: newUploads(uplinkShare * settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
 		roundTrips: liveness.NewRoundTrips(probePeriod), started: time.Now(),
 	}
+	options.Daemon.WatchSilence(options.Server)
+	options.Daemon.WatchSilence(options.Origin)
 	options.Daemon.Hub.Handle(fleet.TopicStatusEcho, a.handleEcho)
 	a.mount(options.Daemon.Router)
 	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -1,12 +1,12 @@
 package rollout
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -59,58 +59,88 @@
 	Digests    [][32]byte `cbor:"5,keyasint"`
 }
 
-// peerClient makes calls to other agents.
+// Times after which a call to a peer over a kept connection that stays silent is hedged.
+const (
+	// peerLeastQuiet is half of inventoryTimeout, so that a hedge has the other half.
+	peerLeastQuiet = 150 * time.Millisecond
+	peerMostQuiet  = 600 * time.Millisecond
+	// pieceQuiet is that of a piece, which takes up much of a link: more than the half second
+	// that packets wait while pieces move, and more than two signs of a wait.
+	pieceQuiet = 700 * time.Millisecond
+	// waitSign is the pace at which a peer that lets a call wait for its piece says so.
+	waitSign = 250 * time.Millisecond
+)
+
+// Connections to a peer that are kept.
+const (
+	peerConnections = 2
+	peerIdleTimeout = 10 * time.Second
+	peerBuffer      = 4 << 10
+)
+
+// peerClient makes calls to other agents, with a client for each.
 type peerClient struct {
-	client *http.Client
-	port   int
+	port     int
+	onSilent func(target string, silent time.Duration)
+
+	mutex   sync.Mutex
+	clients map[dissemination.MachineID]*network.Client
 }
 
-func newPeerClient(port int) *peerClient {
-	transport := &http.Transport{
-		DialContext: network.Dialer(peerDialTimeout).DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
-		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-	}
-	return &peerClient{client: &http.Client{Transport: transport}, port: port}
+func newPeerClient(port int, onSilent func(target string, silent time.Duration)) *peerClient {
+	return &peerClient{port: port, onSilent: onSilent, clients: map[dissemination.MachineID]*network.Client{}}
 }
 
-func (p *peerClient) call(ctx context.Context, timeout time.Duration, machine dissemination.MachineID, method, path string, body []byte, limit int64) ([]byte, error) {
-	data, _, err := p.timedCall(ctx, timeout, machine, method, path, body, limit)
-	return data, err
+// client returns the client of a machine.
+func (p *peerClient) client(machine dissemination.MachineID) *network.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, made := p.clients[machine]
+	if !made {
+		known = network.NewClient(network.ClientOptions{
+			Dial: network.Dialer(peerDialTimeout).DialContext, Idle: peerConnections, IdleTimeout: peerIdleTimeout,
+			ReadBuffer: peerBuffer, WriteBuffer: peerBuffer, LeastQuiet: peerLeastQuiet, MostQuiet: peerMostQuiet,
+			OnSilent: func(silent time.Duration) { p.onSilent(string(machine), silent) },
+		})
+		p.clients[machine] = known
+	}
+	return known
 }
 
-// timedCall also returns how long the answer's body took, without the time that
-// the peer let the call wait.
-func (p *peerClient) timedCall(ctx context.Context, timeout time.Duration, machine dissemination.MachineID, method, path string, body []byte, limit int64) ([]byte, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+// call makes a call to a machine. All calls between agents may be made twice.
+func (p *peerClient) call(ctx context.Context, machine dissemination.MachineID, path string, call network.Call) (network.Answer, error) {
 	target := net.JoinHostPort(string(machine), strconv.Itoa(p.port))
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, bytes.NewReader(body))
+	operation := call.Method + " " + path
+	call.URL = "http://" + target + path
+	answer, err := p.client(machine).Do(ctx, call)
 	if err != nil {
-		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
+		return answer, &fault.Unavailable{Target: target, Operation: operation, Cause: err}
 	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
+	if answer.Status != http.StatusOK {
+		return answer, &fault.Unavailable{Target: target, Operation: operation, Status: answer.Status}
 	}
-	began := time.Now()
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	return answer, nil
+}
+
+// piece asks a machine for a piece. It also returns how long the piece itself took to come,
+// without the time for which the machine let the call wait.
+func (p *peerClient) piece(ctx context.Context, machine dissemination.MachineID, path string, size int) ([]byte, time.Duration, error) {
+	answer, err := p.call(ctx, machine, path, network.Call{
+		Method: http.MethodGet, Timeout: pieceTimeout, Limit: int64(size) + 1, LeastQuiet: pieceQuiet,
+	})
 	if err != nil {
-		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Cause: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, 0, &fault.Unavailable{Target: target, Operation: method + " " + path, Status: response.StatusCode}
+		return nil, 0, err
 	}
-	return data, time.Since(began), nil
+	return answer.Body, answer.BodyTime, nil
 }
 
 func ask[T any](ctx context.Context, p *peerClient, machine dissemination.MachineID, path string) (T, error) {
 	var answer T
-	data, err := p.call(ctx, offerTimeout, machine, http.MethodGet, path, nil, maximumManifestBytes)
+	reply, err := p.call(ctx, machine, path, network.Call{Method: http.MethodGet, Timeout: offerTimeout, Limit: maximumManifestBytes})
 	if err != nil {
 		return answer, err
 	}
-	if err := cbor.Unmarshal(data, &answer); err != nil {
+	if err := cbor.Unmarshal(reply.Body, &answer); err != nil {
 		return answer, &fault.InvalidFrame{Field: path, Reason: err.Error()}
 	}
 	return answer, nil
@@ -122,11 +152,11 @@
 	if err != nil {
 		return answer, &fault.InvalidFrame{Field: "offer", Reason: err.Error()}
 	}
-	reply, err := p.call(ctx, offerTimeout, machine, http.MethodPost, offerPath, data, maximumOfferBytes)
+	reply, err := p.call(ctx, machine, offerPath, network.Call{Method: http.MethodPost, Body: data, Timeout: offerTimeout, Limit: maximumOfferBytes})
 	if err != nil {
 		return answer, err
 	}
-	if err := cbor.Unmarshal(reply, &answer); err != nil {
+	if err := cbor.Unmarshal(reply.Body, &answer); err != nil {
 		return answer, &fault.InvalidFrame{Field: "offer answer", Reason: err.Error()}
 	}
 	return answer, nil
@@ -221,7 +251,8 @@
 	}
 	// A height that can't be read is that of a machine nobody waits behind.
 	height, _ := strconv.Atoi(request.URL.Query().Get(heightParameter))
-	if err := a.uploads.wait(request.Context(), height, index, manifest.PieceBytes); err != nil {
+	wait := func() error { return a.uploads.wait(request.Context(), height, index, manifest.PieceBytes) }
+	if err := waitWithSigns(writer, wait); err != nil {
 		http.Error(writer, "the wait was given up", http.StatusServiceUnavailable)
 		return
 	}
@@ -234,3 +265,20 @@
 	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = writer.Write(content)
 }
+
+// waitWithSigns waits, and tells the caller now and then that its call is being worked on, so
+// that it can tell a wait from a connection that has gone silent.
+func waitWithSigns(writer http.ResponseWriter, wait func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- wait() }()
+	ticker := time.NewTicker(waitSign)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-ticker.C:
+			writer.WriteHeader(http.StatusProcessing)
+		}
+	}
+}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -322,7 +322,7 @@
 	defer func() { t.pace.release(took) }()
 	if action.Kind == dissemination.Fetch {
 		path := versionPath(piecePath, t.model, t.version()) + "/" + itoa(action.Chunk) + "?" + heightParameter + "=" + itoa(t.height(action.Chunk))
-		content, bodyTime, err := t.agent.peers.timedCall(ctx, pieceTimeout, action.Peer, "GET", path, nil, int64(t.manifest.PieceBytes)+1)
+		content, bodyTime, err := t.agent.peers.piece(ctx, action.Peer, path, t.manifest.PieceBytes)
 		took = bodyTime
 		if errors.Is(err, context.DeadlineExceeded) {
 			took = pieceTimeout
