A link that stays silent is replaced by a second one beside it

Cause: links counted as broken after 1.5 s of silence and were dialled anew only then. Meanwhile agents' words did not reach entries, which distrust servers after 1.2 s, and changes of the configuration did not travel. The accepting end of a silent link kept sending on it.

Change: a link that is silent for 0.35 s is probed; one that answers no probe and is silent for 0.42 to 0.50 s, spread by chance, gets a second link beside it. When that is up it replaces the first one on both ends, which is read from for another second. If the first one speaks again it was slow: the link's time doubles for 30 s. Nobody is suspected before 1.5 s, as it was. An agent greets a link at once. A word that comes after a gap goes to other zones at once. The first entry of a zone asks for and announces a configuration of another zone at once; it waited 0.25 and up to 0.3 s for a store that it does not read. Connections between agents are kept for 1 s of idleness, not 10.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -38,6 +38,9 @@
 	Decoder fleet.Decoder
 	Hub     *peering.Hub
 	Log     *logging.Logger
+	// OnSilent is told of links that have gone silent while a new one works, by the IP address
+	// of their other end.
+	OnSilent func(target string, silent time.Duration)
 	// VersionApply is the time until a named version is in force. Half of it is
 	// assumed as the age of a version of which nobody says how old it is.
 	VersionApply time.Duration
@@ -103,6 +106,9 @@
 
 // New returns an empty catalog and registers its handlers with the hub.
 func New(options Options) *Catalog {
+	if options.OnSilent == nil {
+		options.OnSilent = func(string, time.Duration) {}
+	}
 	c := &Catalog{
 		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{}, pulls: map[string]pull{},
 		servers: map[string]fleet.Server{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
@@ -225,6 +231,10 @@
 		switch kind {
 		case fleet.RecordConfiguration:
 			c.heads[record.Key] = record.Revision
+			if from == fromPeer && c.overlay.Rank() == 0 {
+				// The zone waits for the announcement of its first entry.
+				c.freshSequence++
+			}
 		case fleet.RecordServer, fleet.RecordVersion:
 			c.changes.Note(record)
 		case fleet.RecordOther:
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -85,6 +85,7 @@
 		for waiting := true; waiting; {
 			select {
 			case <-statusTicker.C:
+				c.checkLinks(ctx)
 				c.passStatuses()
 			case <-ticker.C:
 				waiting = false
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -22,11 +23,23 @@
 
 // Times of links.
 const (
-	// linkSilence is the silence after which a link is taken for broken.
+	// linkSilence is the silence after which a link is taken for broken, and its other end for
+	// gone.
 	linkSilence = 1500 * time.Millisecond
-	// probeAfter is the silence after which a link is probed: early enough for an
-	// answer over a slow link to come within linkSilence.
-	probeAfter = linkSilence / 2
+	// probeAfter is the silence after which a link is probed: somewhat more than the time
+	// between two updates, or two words of an agent.
+	probeAfter = 350 * time.Millisecond
+	// renewAfter is the silence after which a second link is made beside one whose probe is not
+	// answered within probeGrace, a few times the way to another region and back. Each link
+	// adds up to renewSpread, so that links which fall silent together are not made together.
+	renewAfter  = 420 * time.Millisecond
+	renewSpread = 80 * time.Millisecond
+	probeGrace  = 50 * time.Millisecond
+	// judgeAfter is how long a replaced link may still bring something until it is counted as
+	// silent; the hub closes it soon after that.
+	judgeAfter = 900 * time.Millisecond
+	// doubtMemory is how long a link that was slow, not silent, is given more time.
+	doubtMemory = 30 * time.Second
 	// entryRecent is the age of its last sign up to which an entry counts as alive that
 	// has not failed to answer this one: lists of entries bring signs of up to two list
 	// periods and a link's silence.
@@ -57,6 +70,17 @@
 	nextDial time.Time
 	// failures counts the dials in a row that failed.
 	failures int
+	// probedAt is when the link was last probed.
+	probedAt time.Time
+	// patience is the silence after which a second link is made, by which it is doubled until
+	// patientTill if the first one was only slow.
+	patience    time.Duration
+	patientTill time.Time
+	// replaced is the link that this one has replaced at replacedAt, until it is known
+	// whether it was silent; silent is for how long it was.
+	replaced   *peering.Link
+	replacedAt time.Time
+	silent     time.Duration
 	// wantedSince is since when this process wants the link; zero if it does not.
 	wantedSince time.Time
 
@@ -83,7 +107,13 @@
 
 // open begins anew with a link.
 func (p *peerLink) open(link *peering.Link, accepted bool) {
-	fresh := peerLink{ip: p.ip, address: p.address, wantedSince: p.wantedSince, dialling: p.dialling, link: link, accepted: accepted}
+	fresh := peerLink{
+		ip: p.ip, address: p.address, wantedSince: p.wantedSince, dialling: p.dialling, link: link, accepted: accepted,
+		patience: p.patience, patientTill: p.patientTill,
+	}
+	if now := time.Now(); now.After(fresh.patientTill) {
+		fresh.patience = renewAfter + rand.N(renewSpread)
+	}
 	// Agents hold nothing of their own: they are told everything at once.
 	fresh.compared = link.Remote().Role == RoleAgent
 	*p = fresh
@@ -151,9 +181,8 @@
 	return wanted
 }
 
-// keepLink drops a silent link and dials a missing one; the mutex is held. Of a link
-// that two entries have made at the same time one is silent and sound: it is probed
-// before it is taken for broken. A link that the other has made is left to it to end.
+// keepLink drops a broken link and dials a missing one; the mutex is held. A link that the
+// other has made is left to it to end.
 func (c *Catalog) keepLink(ctx context.Context, peer *peerLink, wanted bool, now time.Time) {
 	if peer.link == nil {
 		if wanted && !peer.dialling && !now.Before(peer.nextDial) && !c.waitsForOther(peer, now) {
@@ -162,8 +191,7 @@
 		}
 		return
 	}
-	silent := now.Sub(peer.link.LastHeard())
-	broken := silent > linkSilence
+	broken := now.Sub(peer.link.LastHeard()) > linkSilence
 	if peer.lost() || broken || (!wanted && !peer.accepted) {
 		link := peer.link
 		peer.link = nil
@@ -172,10 +200,86 @@
 		}
 		go func() { _ = link.Close() }()
 		c.kickExchange()
+	}
+}
+
+// checkLinks looks after links that have been silent for a short time. Of a link that two entries
+// have made at the same time one is silent and sound, which a probe shows. One that does not
+// answer the probe may be silent for good, or slow, or its other end may stand still: the process
+// that made it makes another one beside it, and goes over to that when it is up. Nobody is
+// suspected meanwhile. After a silence of all links words come by new ones 0.9 s sooner than by
+// waiting for linkSilence; with a short linkSilence, which would do the same, links broke half
+// as often again where packets are lost.
+func (c *Catalog) checkLinks(ctx context.Context) {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, peer := range c.links {
+		if peer.link == nil {
+			continue
+		}
+		c.judgeReplaced(peer, now)
+		heard := peer.link.LastHeard()
+		silent := now.Sub(heard)
+		if silent <= probeAfter {
+			continue
+		}
+		if peer.probedAt.Before(heard) {
+			peer.probedAt = now
+			go peer.link.Probe(linkSilence - probeAfter)
+			continue
+		}
+		if silent > peer.patience && now.Sub(peer.probedAt) >= probeGrace && !peer.accepted && !peer.dialling {
+			peer.dialling = true
+			go c.renew(ctx, peer, peer.link)
+		}
+	}
+}
+
+// renew makes a link beside one that is silent.
+func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
+	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	began := time.Now()
+	link, err := c.options.Hub.Renew(dialContext, peer.address)
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	peer.dialling = false
+	if err != nil {
+		// Whether the other process is gone shows at linkSilence.
+		peer.doubt(now)
+		return
+	}
+	peer.open(link, false)
+	c.kickExchange()
+	heard := silent.LastHeard()
+	if heard.After(began) {
+		peer.doubt(now)
 		return
 	}
-	if silent > probeAfter {
-		go peer.link.Probe(linkSilence - probeAfter)
+	peer.replaced, peer.replacedAt, peer.silent = silent, now, now.Sub(heard)
+}
+
+// doubt gives a link more time before it is made anew.
+func (p *peerLink) doubt(now time.Time) {
+	p.patience, p.patientTill = min(2*p.patience, linkSilence), now.Add(doubtMemory)
+}
+
+// judgeReplaced tells whether a link that was replaced had gone silent: until it is closed it
+// may still bring something, and then it was only slow. The mutex is held.
+func (c *Catalog) judgeReplaced(peer *peerLink, now time.Time) {
+	if peer.replaced == nil {
+		return
+	}
+	if peer.replaced.LastHeard().After(peer.replacedAt) {
+		peer.replaced = nil
+		peer.doubt(now)
+		return
+	}
+	if now.Sub(peer.replacedAt) >= judgeAfter {
+		peer.replaced = nil
+		c.options.OnSilent(peer.ip, peer.silent)
 	}
 }
 
@@ -207,7 +311,8 @@
 	c.kickExchange()
 }
 
-// linkOpened takes over a link that another entry has made, unless there is one.
+// linkOpened takes over a link that another entry has made, unless there is one that this entry
+// has made and hears. One that the other has made before is replaced.
 func (c *Catalog) linkOpened(link *peering.Link) {
 	remote := link.Remote()
 	if c.options.Role != RoleEntry || remote.Role != RoleEntry || link.Address() != "" {
@@ -217,9 +322,13 @@
 	defer c.mutex.Unlock()
 	c.hearEntry(remote.ID, remote.Zone, 0)
 	peer := c.peerLink(remote.ID)
-	if peer.link != nil && !peer.lost() {
+	if peer.link != nil && !peer.lost() && !peer.accepted && time.Since(peer.link.LastHeard()) <= probeAfter {
 		return
 	}
+	if peer.link != nil && !peer.accepted {
+		silent := peer.link
+		go func() { _ = silent.Close() }()
+	}
 	peer.open(link, true)
 	c.kickExchange()
 }
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -54,6 +54,36 @@
 	assert.Zero(t, peer.nearTold, "the new link is told everything")
 }
 
+// A link that was made anew though it was only slow gets more time from then on, for a while
+// and never more than until it counts as broken.
+func TestSlowLinksGetMoreTime(t *testing.T) {
+	now := time.Now()
+	peer := &peerLink{}
+	peer.open(&peering.Link{}, false)
+	first := peer.patience
+	assert.GreaterOrEqual(t, first, renewAfter)
+	assert.Less(t, first, renewAfter+renewSpread)
+	peer.doubt(now)
+	assert.Equal(t, 2*first, peer.patience)
+	peer.open(&peering.Link{}, false)
+	assert.Equal(t, 2*first, peer.patience, "a new link to the same process is as slow")
+	peer.doubt(now)
+	peer.doubt(now)
+	assert.Equal(t, linkSilence, peer.patience)
+	peer.patientTill = now.Add(-time.Millisecond)
+	peer.open(&peering.Link{}, false)
+	assert.Less(t, peer.patience, renewAfter+renewSpread, "that is forgotten")
+}
+
+// The first entry of a zone that does not read the store asks for a configuration at once, and
+// announces it to its zone at once.
+func TestConfigurationsOfOtherZonesAreNotWaitedFor(t *testing.T) {
+	c := newTestCatalog()
+	before := c.freshSequence
+	c.takeTold([]mirror.Record{{Key: "op/config", Value: []byte(`{"version":1}`), Revision: 4}}, nil)
+	assert.Greater(t, c.freshSequence, before)
+}
+
 func serverRecord(index int, revision uint64) mirror.Record {
 	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
 	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
--- a/internal/catalog/pulls.go
+++ b/internal/catalog/pulls.go
@@ -19,16 +19,16 @@
 // pullAfter is how long the store is given to bring what a peer already has.
 const pullAfter = 250 * time.Millisecond
 
-// isFirst reports whether this entry is the first of its zone.
-func (c *Catalog) isFirst() bool {
-	rank, _ := c.ranks()
-	return rank == 0
-}
-
-// pullDelay leaves the store time to bring a record first where this process
-// reads it, and the own zone where another does.
+// pullDelay leaves the store time to bring a record first where this process reads it, and the
+// own zone where another does. The first entry of a zone that is not the first waits for nobody:
+// it reads the store only when it hears of none that does.
 func (c *Catalog) pullDelay(link *peering.Link) time.Duration {
-	if c.View().Configuration == nil || (link.Remote().Zone == c.options.Zone && !c.isFirst()) {
+	if c.View().Configuration == nil {
+		return 0
+	}
+	rank, zoneRank := c.ranks()
+	ownZone := link.Remote().Zone == c.options.Zone
+	if (rank > 0 && ownZone) || (rank == 0 && zoneRank > 0) {
 		return 0
 	}
 	return pullAfter
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -113,12 +113,23 @@
 	c.statusSequence++
 	fresh.sequence = c.statusSequence
 	c.statuses[fresh.status.Address] = fresh
+	if fresh.direct && fresh.at.Sub(held.at) > backupPause {
+		c.hastenStatuses()
+	}
 	c.mutex.Unlock()
 	if c.onStatus != nil {
 		c.onStatus(fresh.status, fresh.at, fresh.direct)
 	}
 }
 
+// hastenStatuses has other zones told at the next pace of the own one: they have waited for the
+// word of an agent that had fallen silent. The mutex is held.
+func (c *Catalog) hastenStatuses() {
+	for _, peer := range c.links {
+		peer.farToldAt = time.Time{}
+	}
+}
+
 // passStatuses sends each entry what it has not heard of agents: those of the own
 // zone what the agents have said here, and as the first gate what other zones' have;
 // the gates of other zones everything of the own zone.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 	d.Hub = peering.NewHub(hello, options.Log, peering.NewCounters(d.Registry))
 	d.Catalog = catalog.New(catalog.Options{
 		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds,
-		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, VersionApply: settings.Bounds.VersionApply,
+		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, OnSilent: d.NoteSilent, VersionApply: settings.Bounds.VersionApply,
 		Drain: settings.Bounds.Drain,
 	})
 	d.Router.Handle(peering.Path, d.Hub)
--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -23,6 +24,10 @@
 // HandshakeTimeout bounds dialling and the exchange of Hello messages.
 const HandshakeTimeout = 3 * time.Second
 
+// replacedTime is how long a link that another one replaces is still read from: what is under
+// way on it arrives, and its users learn whether it was silent or only slow.
+const replacedTime = time.Second
+
 // MaximumAcceptedLinks bounds the links that a process accepts at once.
 const MaximumAcceptedLinks = 4096
 
@@ -39,6 +44,8 @@
 	mutex    sync.Mutex
 	accepted map[*Link]struct{}
 	dialled  map[string]*dialling
+	// replaced are the links that others have replaced and that are not closed yet.
+	replaced map[*Link]struct{}
 	closed   bool
 }
 
@@ -59,6 +66,7 @@
 		counters: counters,
 		accepted: map[*Link]struct{}{},
 		dialled:  map[string]*dialling{},
+		replaced: map[*Link]struct{}{},
 	}
 }
 
@@ -104,17 +112,37 @@
 var errClosed = errors.New("the hub is closed")
 
 // accept notes a link that another process opened, unless the hub is closed: such a
-// link would outlive it, and the other would take this process for alive.
+// link would outlive it, and the other would take this process for alive. A process makes a
+// second one when it hears nothing over the first, which the new one then replaces.
 func (h *Hub) accept(link *Link) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.closed {
 		return false
 	}
+	for other := range h.accepted {
+		if other.remote.ID == link.remote.ID && other.remote.Role == link.remote.Role {
+			delete(h.accepted, other)
+			h.replace(other)
+		}
+	}
 	h.accepted[link] = struct{}{}
 	return true
 }
 
+var errReplaced = errors.New("replaced by another link to the same process")
+
+// replace has a link that another one replaces closed in a while; the mutex is held.
+func (h *Hub) replace(link *Link) {
+	h.replaced[link] = struct{}{}
+	time.AfterFunc(replacedTime, func() {
+		link.lose(errReplaced)
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		delete(h.replaced, link)
+	})
+}
+
 func (h *Hub) acceptedCount() int {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -170,22 +198,60 @@
 	}
 }
 
+// Renew makes a second outbound link to an address, which replaces the present one once it is up.
+// The present one is closed a while later.
+func (h *Hub) Renew(ctx context.Context, address string) (*Link, error) {
+	link, err := h.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	attempt := &dialling{ready: make(chan struct{}), link: link}
+	close(attempt.ready)
+	h.mutex.Lock()
+	if h.closed {
+		h.mutex.Unlock()
+		link.lose(errClosed)
+		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: errClosed}
+	}
+	if former, exists := h.dialled[address]; exists && former.up() {
+		h.replace(former.link)
+	}
+	h.dialled[address] = attempt
+	h.mutex.Unlock()
+	go h.serveDialled(address, attempt)
+	return link, nil
+}
+
+// up reports whether the link has been made.
+func (d *dialling) up() bool {
+	select {
+	case <-d.ready:
+		return d.link != nil
+	default:
+		return false
+	}
+}
+
 func (h *Hub) dial(address string, attempt *dialling) {
-	link, err := h.connect(address)
-	attempt.link, attempt.err = link, err
+	attempt.link, attempt.err = h.connect(context.Background(), address)
 	close(attempt.ready)
-	if err == nil {
-		h.serve(link)
+	h.serveDialled(address, attempt)
+}
+
+// serveDialled serves a link that this process has made, if it was made, and forgets it.
+func (h *Hub) serveDialled(address string, attempt *dialling) {
+	if attempt.link != nil {
+		h.serve(attempt.link)
 	}
 	h.mutex.Lock()
+	defer h.mutex.Unlock()
 	if h.dialled[address] == attempt {
 		delete(h.dialled, address)
 	}
-	h.mutex.Unlock()
 }
 
-func (h *Hub) connect(address string) (*Link, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), HandshakeTimeout)
+func (h *Hub) connect(ctx context.Context, address string) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
 	options := &websocket.DialOptions{HTTPClient: h.client, CompressionMode: websocket.CompressionDisabled}
 	connection, _, err := websocket.Dial(ctx, "ws://"+address+Path, options)
@@ -193,10 +259,11 @@
 		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: err}
 	}
 	link := h.newLink(context.Background(), connection, address)
+	stop := context.AfterFunc(ctx, link.cancel)
 	remote, err := h.handshake(link)
-	if err != nil {
+	if err != nil || !stop() {
 		link.lose(err)
-		return nil, err
+		return nil, &fault.Unavailable{Target: address, Operation: "handshake", Cause: cmp.Or(err, ctx.Err())}
 	}
 	link.remote = remote
 	return link, nil
@@ -260,13 +327,12 @@
 	for link := range h.accepted {
 		links = append(links, link)
 	}
+	for link := range h.replaced {
+		links = append(links, link)
+	}
 	for _, attempt := range h.dialled {
-		select {
-		case <-attempt.ready:
-			if attempt.link != nil {
-				links = append(links, attempt.link)
-			}
-		default:
+		if attempt.up() {
+			links = append(links, attempt.link)
 		}
 	}
 	h.mutex.Unlock()
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -130,3 +130,49 @@
 	}
 	assert.Empty(t, accepting.Accepted())
 }
+
+// A second link to the same process takes the place of the first on both sides. The first is
+// still read from, and closed a while later.
+func TestARenewedLinkReplacesTheFormerOne(t *testing.T) {
+	received := make(chan string, 2)
+	accepting, former := connect(t, func(accepting *Hub) {
+		accepting.Handle("test.topic", func(_ *Link, m *message.Message) { received <- m.UUID })
+	})
+	require.Eventually(t, func() bool { return len(accepting.Accepted()) == 1 }, time.Second, time.Millisecond)
+	first := accepting.Accepted()[0]
+	renewed, err := former.hub.Renew(context.Background(), former.Address())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		accepted := accepting.Accepted()
+		return len(accepted) == 1 && accepted[0] != first
+	}, time.Second, time.Millisecond)
+	established, up := former.hub.Established(former.Address())
+	assert.True(t, up)
+	assert.Same(t, renewed, established)
+	require.NoError(t, former.Publish("test.topic", message.NewMessage("by the former", nil)))
+	require.NoError(t, renewed.Publish("test.topic", message.NewMessage("by the renewed", nil)))
+	assert.ElementsMatch(t, []string{"by the former", "by the renewed"}, []string{<-received, <-received})
+	select {
+	case <-former.Done():
+	case <-time.After(2 * replacedTime):
+		t.Fatal("the former link stays open")
+	}
+	select {
+	case <-renewed.Done():
+		t.Fatal("the renewed link was closed")
+	default:
+	}
+}
+
+// A link that can't be made anew leaves the present one as it is.
+func TestALinkThatCantBeRenewedStays(t *testing.T) {
+	_, link := connect(t, func(*Hub) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := link.hub.Renew(ctx, link.Address())
+	require.Error(t, err)
+	established, up := link.hub.Established(link.Address())
+	assert.True(t, up)
+	assert.Same(t, link, established)
+	assert.NoError(t, link.Publish("test.topic", message.NewMessage("", nil)))
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -84,6 +84,7 @@
 	options.Daemon.WatchSilence(options.Server)
 	options.Daemon.WatchSilence(options.Origin)
 	options.Daemon.Hub.Handle(fleet.TopicStatusEcho, a.handleEcho)
+	options.Daemon.Hub.OnOpen(a.greet)
 	a.mount(options.Daemon.Router)
 	options.Daemon.Catalog.OnChange(func(*catalog.View) { a.fleetChanged() })
 	options.Daemon.Section("rollout", func() any { return a.status(time.Now()) })
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -71,10 +71,11 @@
 	waitSign = 250 * time.Millisecond
 )
 
-// Connections to a peer that are kept.
+// Connections to a peer that are kept. In a transfer peers speak all the time; one that has been
+// idle for longer may have gone silent unnoticed, and a new one costs a round trip.
 const (
 	peerConnections = 2
-	peerIdleTimeout = 10 * time.Second
+	peerIdleTimeout = time.Second
 	peerBuffer      = 4 << 10
 )
 
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -21,8 +21,9 @@
 	// counts as unreachable.
 	missesUnreachable = 2
 	reportTimeout     = 250 * time.Millisecond
-	// statusPeriod is the longest time between two words to entries.
-	statusPeriod = 300 * time.Millisecond
+	// statusPeriod is the longest time between two words to entries, which make a link anew on
+	// which none comes for a little longer. A question that is a little early counts as due.
+	statusPeriod = 300*time.Millisecond - reportPeriod/4
 	// probePeriod is how often the way to an entry and back is measured.
 	probePeriod = 150 * time.Millisecond
 	// linkStep is the change of that time, in milliseconds, which entries are told of.
@@ -158,6 +159,16 @@
 	toMain
 )
 
+// greet tells an entry that has just made a link: it may have heard nothing for a while.
+func (a *Agent) greet(link *peering.Link) {
+	if link.Remote().Role != catalog.RoleEntry {
+		return
+	}
+	status := a.status(time.Now())
+	status.Probe = a.probe(link.Remote().ID)
+	go func() { _ = peering.Send(link, fleet.TopicMachineStatus, "", status) }()
+}
+
 // send tells entries that speak with this agent, and probes the way to them.
 func (a *Agent) send(status fleet.MachineStatus, to recipients) {
 	linked := map[string]bool{}
--- a/internal/sitetest/recovery_test.go
+++ b/internal/sitetest/recovery_test.go
@@ -130,7 +130,7 @@
 // testStagingAndSilence names a version, has all connections go silent a time after it, and
 // compares when it is staged with a fleet in which nothing happens.
 func testStagingAndSilence(t *testing.T, after time.Duration) {
-	stage := func(disturb bool) time.Duration {
+	stage := func(t *testing.T, disturb bool) time.Duration {
 		f := startSettled(t)
 		if disturb && after == 0 {
 			silence(t, ofTheSystem)
@@ -143,7 +143,9 @@
 		}
 		return staged(f, 2, named)
 	}
-	calm, disturbed := stage(false), stage(true)
+	var calm, disturbed time.Duration
+	t.Run("calm", func(t *testing.T) { calm = stage(t, false) })
+	t.Run("disturbed", func(t *testing.T) { disturbed = stage(t, true) })
 	t.Logf("staged everywhere after %s, with the silence after %s", calm, disturbed)
 	assert.Less(t, disturbed, calm+stagedLater)
 }
