Words of another zone's agents that come back are passed on in the zone at once

Cause: words of another zone come to a zone's gates and from there to its other entries each 0.24 s. After a silence of all links both waits come on top of it; in a fleet of 3 zones of 8 entries and 16 agents the oldest word at any entry was 1.40 s old then, and entries distrust it after 1.2 s.

Change: a word after a pause that is longer than two words of a far agent are apart hastens the next batch, as a near agent's does.

--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -29,6 +29,9 @@
 	// passed on by nobody until it does that in the main feeder's place: longer than an
 	// agent's longest time between two words.
 	backupPause = 400 * time.Millisecond
+	// farPause is longer than the time between two words of an agent of another zone: its own
+	// longest and farStatusPace.
+	farPause = 600 * time.Millisecond
 )
 
 // toldStatus is an agent's word as it is passed on.
@@ -113,7 +116,7 @@
 	c.statusSequence++
 	fresh.sequence = c.statusSequence
 	c.statuses[fresh.status.Address] = fresh
-	if fresh.direct && fresh.at.Sub(held.at) > backupPause {
+	if c.isBack(fresh, held) {
 		c.hastenStatuses()
 	}
 	c.mutex.Unlock()
@@ -122,6 +125,15 @@
 	}
 }
 
+// isBack reports whether a word ends a silence of its agent, or of what its words come by.
+func (c *Catalog) isBack(fresh, held heldStatus) bool {
+	pause := fresh.at.Sub(held.at)
+	if fresh.zone != c.options.Zone {
+		return pause > farPause
+	}
+	return fresh.direct && pause > backupPause
+}
+
 // hastenStatuses has other zones told at the next pace of the own one: they have waited for the
 // word of an agent that had fallen silent. The mutex is held.
 func (c *Catalog) hastenStatuses() {
