A link that the other entry has made is used when the own one is gone

Cause: of two entries that had each made a link to the other, one dropped its own when it needed the other no more, and forgot that the other's was there. It sent nothing on it; the other took the answers to its probes for signs of life, and heard none of the words that this relay passes on, for as long as the link lasted.

Change: where an entry has no link to another, it takes the one that the other has made, if it hears it.

TestALinkOfTheOtherReplacesTheOwnOne (`go test -race ./internal/catalog`) fails without it.

--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -124,14 +124,7 @@
 func (p *peerLink) zone() string { return p.link.Remote().Zone }
 
 // lost reports whether the link has ended.
-func (p *peerLink) lost() bool {
-	select {
-	case <-p.link.Done():
-		return true
-	default:
-		return false
-	}
-}
+func (p *peerLink) lost() bool { return !p.link.Up() }
 
 // keepLinks makes the links that are missing and ends those that are not wanted.
 func (c *Catalog) keepLinks(ctx context.Context) {
@@ -148,6 +141,9 @@
 		}
 	}
 	for ip, peer := range c.links {
+		if peer.link == nil {
+			c.adopt(peer, now)
+		}
 		if !wanted[ip] {
 			peer.wantedSince = time.Time{}
 			if peer.link == nil && !peer.dialling {
@@ -159,6 +155,20 @@
 	}
 }
 
+// adopt takes over the link that the other entry has made, where the own one is gone. The other
+// listens on it, and takes the answers to its probes for signs of life: without words on it
+// it would hear of nothing, and not know. The mutex is held.
+func (c *Catalog) adopt(peer *peerLink, now time.Time) {
+	for _, link := range c.options.Hub.Accepted() {
+		remote := link.Remote()
+		if remote.ID == peer.ip && remote.Role == RoleEntry && link.Up() && now.Sub(link.LastHeard()) <= linkSilence {
+			peer.open(link, true)
+			c.kickExchange()
+			return
+		}
+	}
+}
+
 // peerLink returns what is kept of the link to a machine; the mutex is held.
 func (c *Catalog) peerLink(ip string) *peerLink {
 	peer, known := c.links[ip]
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/mirror"
 	"pinevane.example/pinevane/internal/fleet"
@@ -84,6 +86,37 @@
 	assert.Greater(t, c.freshSequence, before)
 }
 
+// Of two entries that have each made a link to the other, one may drop its own when it needs the
+// other no more, or lose it. The one that the other has made is then used: the other listens on
+// it, and takes answers to its probes for signs that all is well.
+func TestALinkOfTheOtherReplacesTheOwnOne(t *testing.T) {
+	c := newTestCatalog()
+	own := httptest.NewServer(c.options.Hub)
+	defer own.Close()
+	defer c.options.Hub.Close()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	other := httptest.NewServer(hub)
+	defer other.Close()
+	defer hub.Close()
+	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	c.mutex.Lock()
+	peer := c.peerLink("10.0.0.2")
+	peer.open(made, false)
+	c.mutex.Unlock()
+	_, err = hub.Link(t.Context(), own.Listener.Addr().String())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(c.options.Hub.Accepted()) == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, made.Close())
+	c.keepLinks(t.Context())
+	c.keepLinks(t.Context())
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	assert.Same(t, c.options.Hub.Accepted()[0], peer.link)
+	assert.True(t, peer.accepted)
+	assert.False(t, peer.dialling)
+}
+
 func serverRecord(index int, revision uint64) mirror.Record {
 	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
 	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -80,6 +80,9 @@
 // Done is closed when the link is lost.
 func (l *Link) Done() <-chan struct{} { return l.ctx.Done() }
 
+// Up reports whether the link has not been lost.
+func (l *Link) Up() bool { return l.ctx.Err() == nil }
+
 // LastHeard returns when the last frame arrived.
 func (l *Link) LastHeard() time.Time { return time.Unix(0, l.lastHeard.Load()) }
 
