--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/mirror"
 	"pinevane.example/pinevane/internal/fleet"
@@ -54,6 +56,67 @@
 	assert.Zero(t, peer.nearTold, "the new link is told everything")
 }
 
+// A link that was made anew though it was only slow gets more time from then on, for a while
+// and never more than until it counts as broken.
+func TestSlowLinksGetMoreTime(t *testing.T) {
+	now := time.Now()
+	peer := &peerLink{}
+	peer.open(&peering.Link{}, false)
+	first := peer.patience
+	assert.GreaterOrEqual(t, first, renewAfter)
+	assert.Less(t, first, renewAfter+renewSpread)
+	peer.doubt(now)
+	assert.Equal(t, 2*first, peer.patience)
+	peer.open(&peering.Link{}, false)
+	assert.Equal(t, 2*first, peer.patience, "a new link to the same process is as slow")
+	peer.doubt(now)
+	peer.doubt(now)
+	assert.Equal(t, linkSilence, peer.patience)
+	peer.patientTill = now.Add(-time.Millisecond)
+	peer.open(&peering.Link{}, false)
+	assert.Less(t, peer.patience, renewAfter+renewSpread, "that is forgotten")
+}
+
+// The first entry of a zone that does not read the store asks for a configuration at once, and
+// announces it to its zone at once.
+func TestConfigurationsOfOtherZonesAreNotWaitedFor(t *testing.T) {
+	c := newTestCatalog()
+	before := c.freshSequence
+	c.takeTold([]mirror.Record{{Key: "op/config", Value: []byte(`{"version":1}`), Revision: 4}}, nil)
+	assert.Greater(t, c.freshSequence, before)
+}
+
+// Of two entries that have each made a link to the other, one may drop its own when it needs the
+// other no more, or lose it. The one that the other has made is then used: the other listens on
+// it, and takes answers to its probes for signs that all is well.
+func TestALinkOfTheOtherReplacesTheOwnOne(t *testing.T) {
+	c := newTestCatalog()
+	own := httptest.NewServer(c.options.Hub)
+	defer own.Close()
+	defer c.options.Hub.Close()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	other := httptest.NewServer(hub)
+	defer other.Close()
+	defer hub.Close()
+	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	c.mutex.Lock()
+	peer := c.peerLink("10.0.0.2")
+	peer.open(made, false)
+	c.mutex.Unlock()
+	_, err = hub.Link(t.Context(), own.Listener.Addr().String())
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(c.options.Hub.Accepted()) == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, made.Close())
+	c.keepLinks(t.Context())
+	c.keepLinks(t.Context())
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	assert.Same(t, c.options.Hub.Accepted()[0], peer.link)
+	assert.True(t, peer.accepted)
+	assert.False(t, peer.dialling)
+}
+
 func serverRecord(index int, revision uint64) mirror.Record {
 	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
 	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
