silencer: a proxy whose held connections take bytes and pass nothing on

Cause: the tool silences connections at the level of packets only. A middlebox that answers for a peer it has lost acknowledges everything, so that no kernel ever notices. Change: Proxy stands in front of a server's address; Hold makes its open connections silent, later ones work.

--- /dev/null
+++ b/internal/silencer/proxy_test.go
@@ -0,0 +1,36 @@
+package silencer
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A held connection takes bytes and passes none on, without an end; later ones work.
+func TestHeldConnectionsPassNothingOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	proxy, err := NewProxy(listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	connect := func() (near, far net.Conn) {
+		near, err := net.Dial("tcp", proxy.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = near.Close() })
+		far, err = listener.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = far.Close() })
+		return near, far
+	}
+	oldNear, oldFar := connect()
+	assert.True(t, hears(t, oldNear, oldFar))
+	assert.Equal(t, 1, proxy.Hold())
+	assert.False(t, hears(t, oldNear, oldFar))
+	assert.False(t, hears(t, oldFar, oldNear))
+	newNear, newFar := connect()
+	assert.True(t, hears(t, newNear, newFar))
+	assert.True(t, hears(t, newFar, newNear))
+}
