Tests of requests on connections to servers that go silent

Cause: a kept connection that goes silent holds each request on it until the request's own time or the kernel's limit of 3 to 4 s is over; other connections of that age are believed. Change: tests only, of one repeatable call, one that may run once, a stream before its first event and midway, and all connections under traffic, each with packets dropped and with a proxy that acknowledges all and passes nothing on.

--- /dev/null
+++ b/internal/forward/silence_test.go
@@ -0,0 +1,397 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/silencer"
+	"pinevane.example/pinevane/platform"
+)
+
+// Settings as on a deployment of the users: objectives and times of work.
+const (
+	siteTarget       = 300 * time.Millisecond
+	siteTimeout      = 800 * time.Millisecond
+	siteStreamTarget = 450 * time.Millisecond
+	siteStreamTime   = 6 * time.Second
+	siteGap          = 400 * time.Millisecond
+	siteAttempts     = 3
+	// siteWork is the mean time of a plain answer, siteEvent the time of an event.
+	siteWork  = 60 * time.Millisecond
+	siteEvent = 20 * time.Millisecond
+	// siteFirstEvent is the time to a stream's first event.
+	siteFirstEvent = 100 * time.Millisecond
+)
+
+// standIns are servers that are reached through proxies, and a forwarder that knows them.
+type standIns struct {
+	t         *testing.T
+	forwarder *Forwarder
+	registry  *prometheus.Registry
+	proxies   []*silencer.Proxy
+	targets   []*target
+
+	mutex sync.Mutex
+	// runs counts the runs of each request, slow multiplies the times of a server.
+	runs   map[string]int
+	slow   []time.Duration
+	random *rand.Rand
+}
+
+func startStandIns(t *testing.T, count int) *standIns {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	s := &standIns{t: t, registry: registry, runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 11))}
+	bounds := fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}
+	s.forwarder = New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: registry, Bounds: bounds, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.forwarder.Run(ctx)
+	for index := range count {
+		s.slow = append(s.slow, 1)
+		server := httptest.NewServer(s.handler(index))
+		proxy, err := silencer.NewProxy(server.Listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() {
+			proxy.Close()
+			server.CloseClientConnections()
+			server.Close()
+		})
+		one := &target{id: fmt.Sprint("i-", index), address: proxy.Address(), zone: "z", unbegun: map[*work]unbegun{}, server: fleet.Server{Slots: 64}}
+		s.proxies, s.targets = append(s.proxies, proxy), append(s.targets, one)
+	}
+	s.know(s.targets...)
+	return s
+}
+
+// know makes these the servers that the forwarder knows.
+func (s *standIns) know(servers ...*target) {
+	set := s.forwarder.targets
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	set.byService["s"] = servers
+	for _, one := range servers {
+		set.byID[one.id], set.byAddress[one.address] = one, one
+	}
+}
+
+func (s *standIns) handler(index int) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Request-Id")
+		s.mutex.Lock()
+		s.runs[id]++
+		slow := s.slow[index]
+		work := siteWork/2 + time.Duration(s.random.Int64N(int64(siteWork)))
+		s.mutex.Unlock()
+		writer.Header().Set("Request-Id", id)
+		writer.Header().Set("Response-Seal", "s")
+		writer.Header().Set("Keep-Alive", "timeout=5")
+		if !strings.HasPrefix(request.URL.Path, "/stream/") {
+			time.Sleep(slow * work)
+			_, _ = io.WriteString(writer, "answer to "+id)
+			return
+		}
+		events, _ := strconv.Atoi(strings.TrimPrefix(request.URL.Path, "/stream/"))
+		after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+		time.Sleep(slow * siteFirstEvent)
+		for number := after + 1; number <= events; number++ {
+			_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, id)
+			writer.(http.Flusher).Flush()
+			time.Sleep(slow * siteEvent)
+		}
+	})
+}
+
+func (s *standIns) setSlow(factor int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for index := range s.slow {
+		s.slow[index] = time.Duration(factor)
+	}
+}
+
+func (s *standIns) runsOf(id string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs[id]
+}
+
+// result is what became of one request at the forwarder.
+type result struct {
+	id      string
+	began   time.Time
+	took    time.Duration
+	first   time.Duration
+	gap     time.Duration
+	text    string
+	cut     bool
+	refusal *fault.Refusal
+}
+
+func (r result) served(kind fleet.RouteKind) bool {
+	if r.refusal != nil || r.cut {
+		return false
+	}
+	if kind == fleet.Streaming {
+		return r.first <= siteStreamTarget && r.gap <= siteGap
+	}
+	return r.took <= siteTarget
+}
+
+// recorder notes when events are written.
+type recorder struct {
+	*httptest.ResponseRecorder
+	began, last time.Time
+	first, gap  time.Duration
+}
+
+func (r *recorder) Write(bytes []byte) (int, error) {
+	now := time.Now()
+	if r.last.IsZero() {
+		r.first = now.Sub(r.began)
+	} else {
+		r.gap = max(r.gap, now.Sub(r.last))
+	}
+	r.last = now
+	return r.ResponseRecorder.Write(bytes)
+}
+
+// send forwards one request; events is the length of a stream.
+func (s *standIns) send(kind fleet.RouteKind, id string, events int) (r result) {
+	now := time.Now()
+	request := &Request{
+		Call: fleet.CallHeader{RequestID: id}, Method: http.MethodPost, Target: "/plain", Host: "h.example",
+		Header: http.Header{"Request-Id": {id}}, Body: []byte("b"), Arrived: now, Deadline: now.Add(siteTimeout),
+		Route: &fleet.Route{Kind: kind, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}, Attempts: siteAttempts, Target: siteTarget},
+	}
+	if kind == fleet.Streaming {
+		request.Target, request.Deadline = fmt.Sprintf("/stream/%d", events), now.Add(siteStreamTime)
+		request.Route.Target, request.Route.TargetGap, request.Route.Resumable = siteStreamTarget, siteGap, true
+	}
+	writer := &recorder{ResponseRecorder: httptest.NewRecorder(), began: now}
+	r = result{id: id, began: now}
+	defer func() {
+		r.cut = recover() != nil
+		r.took, r.first, r.gap, r.text = time.Since(now), writer.first, writer.gap, writer.Body.String()
+	}()
+	r.refusal = s.forwarder.Serve(context.Background(), writer, request)
+	return r
+}
+
+// silences are the two ways in which open connections go silent.
+var silences = map[string]func(s *standIns){
+	"nothing is acknowledged": func(s *standIns) {
+		addresses := map[netip.AddrPort]bool{}
+		for _, one := range s.targets {
+			addresses[netip.MustParseAddrPort(one.address)] = true
+		}
+		toServers := func(one netip.AddrPort) bool { return addresses[one] }
+		count, err := silencer.Silence(silencer.Between(toServers, func(netip.AddrPort) bool { return true }))
+		require.NoError(s.t, err)
+		assert.Positive(s.t, count)
+	},
+	"all is acknowledged": func(s *standIns) {
+		count := 0
+		for _, proxy := range s.proxies {
+			count += proxy.Hold()
+		}
+		assert.Positive(s.t, count)
+	},
+}
+
+// Open connections to servers go silent for good while new ones work: the requests on them
+// are answered over new ones, or, where they may run once, end without a promise.
+func TestRequestsSurviveSilentConnections(t *testing.T) {
+	for name, silence := range silences {
+		t.Run(name, func(t *testing.T) {
+			t.Run("one repeatable call", func(t *testing.T) { testSilentRepeatable(t, silence) })
+			t.Run("one call that may run once", func(t *testing.T) { testSilentOnce(t, silence) })
+			t.Run("one stream before its first event", func(t *testing.T) { testSilentFirstEvent(t, silence) })
+			t.Run("one stream midway", func(t *testing.T) { testSilentMidway(t, silence) })
+			t.Run("all connections under traffic", func(t *testing.T) { testSilentTraffic(t, silence) })
+		})
+	}
+}
+
+// warm leaves a kept connection, and a notion of how long answers take.
+func (s *standIns) warm(kind fleet.RouteKind, events int) {
+	for number := range 3 {
+		require.Nil(s.t, s.send(kind, fmt.Sprint("warm-", number), events).refusal)
+	}
+}
+
+func testSilentRepeatable(t *testing.T, silence func(*standIns)) {
+	s := startStandIns(t, 1)
+	s.warm(fleet.Repeatable, 0)
+	silence(s)
+	r := s.send(fleet.Repeatable, "call", 0)
+	assert.Nil(t, r.refusal)
+	assert.Equal(t, "answer to call", r.text)
+	t.Logf("answered after %s", r.took)
+}
+
+func testSilentOnce(t *testing.T, silence func(*standIns)) {
+	s := startStandIns(t, 1)
+	s.warm(fleet.AtMostOnce, 0)
+	silence(s)
+	r := s.send(fleet.AtMostOnce, "call", 0)
+	require.NotNil(t, r.refusal)
+	assert.Equal(t, fault.ExecutionUnknown, r.refusal.Execution)
+	assert.LessOrEqual(t, s.runsOf("call"), 1)
+	assert.Less(t, r.took, siteTimeout+50*time.Millisecond)
+	next := s.send(fleet.AtMostOnce, "next", 0)
+	assert.Nil(t, next.refusal, "the next one takes a new connection")
+	assert.Equal(t, 1, s.runsOf("next"))
+}
+
+func testSilentFirstEvent(t *testing.T, silence func(*standIns)) {
+	s := startStandIns(t, 1)
+	s.warm(fleet.Streaming, 3)
+	silence(s)
+	r := s.send(fleet.Streaming, "stream", 5)
+	assert.Nil(t, r.refusal)
+	assert.False(t, r.cut)
+	assert.Equal(t, 5, strings.Count(r.text, "id: "))
+	assert.Less(t, r.took, 2*time.Second, "callers give up a stream after two seconds at the earliest")
+	t.Logf("first event after %s", r.first)
+}
+
+func testSilentMidway(t *testing.T, silence func(*standIns)) {
+	s := startStandIns(t, 1)
+	time.AfterFunc(siteFirstEvent+10*siteEvent, func() { silence(s) })
+	r := s.send(fleet.Streaming, "stream", 40)
+	assert.Nil(t, r.refusal)
+	assert.False(t, r.cut)
+	assert.Equal(t, 40, strings.Count(r.text, "id: "))
+	assert.Less(t, r.gap, 2*time.Second, "callers give up a stream after two seconds at the earliest")
+	t.Logf("longest pause %s", r.gap)
+}
+
+// load sends requests of a kind at a pace, until stop waits for the last one.
+func (s *standIns) load(kind fleet.RouteKind, name string, pace time.Duration, events int) (stop func() []result) {
+	ended := make(chan struct{})
+	var mutex sync.Mutex
+	var results []result
+	var running, pacer sync.WaitGroup
+	pacer.Go(func() {
+		ticker := time.NewTicker(pace)
+		defer ticker.Stop()
+		for number := 0; ; number++ {
+			running.Go(func() {
+				r := s.send(kind, fmt.Sprintf("%s-%d", name, number), events)
+				mutex.Lock()
+				defer mutex.Unlock()
+				results = append(results, r)
+			})
+			select {
+			case <-ticker.C:
+			case <-ended:
+				return
+			}
+		}
+	})
+	return func() []result {
+		close(ended)
+		pacer.Wait()
+		running.Wait()
+		return results
+	}
+}
+
+// share is the part of the requests begun in a span that were served in time.
+func share(results []result, kind fleet.RouteKind, from, to time.Time) float64 {
+	all, served := 0.0, 0.0
+	for _, r := range results {
+		if r.began.Before(from) || !r.began.Before(to) {
+			continue
+		}
+		all++
+		if r.served(kind) {
+			served++
+		}
+	}
+	return served / max(1, all)
+}
+
+// Times of the test under traffic.
+const (
+	calmTime = 2 * time.Second
+	// plainBack and streamsBack are how long after the silence began service is back.
+	plainBack   = time.Second
+	streamsBack = 1500 * time.Millisecond
+	// backShare is the part of the calm share that counts as back.
+	backShare   = 0.9
+	silenceTime = 4 * time.Second
+)
+
+func testSilentTraffic(t *testing.T, silence func(*standIns)) {
+	s := startStandIns(t, 4)
+	kinds := []struct {
+		name   string
+		kind   fleet.RouteKind
+		pace   time.Duration
+		events int
+		back   time.Duration
+		stop   func() []result
+	}{
+		{name: "safe", kind: fleet.Repeatable, pace: 20 * time.Millisecond, back: plainBack},
+		{name: "once", kind: fleet.AtMostOnce, pace: 50 * time.Millisecond, back: plainBack},
+		{name: "stream", kind: fleet.Streaming, pace: 50 * time.Millisecond, events: 20, back: streamsBack},
+	}
+	began := time.Now()
+	for index := range kinds {
+		kinds[index].stop = s.load(kinds[index].kind, kinds[index].name, kinds[index].pace, kinds[index].events)
+	}
+	time.Sleep(calmTime)
+	silent := time.Now()
+	silence(s)
+	time.Sleep(silenceTime)
+	for _, one := range kinds {
+		results := one.stop()
+		var line []string
+		const window = 500 * time.Millisecond
+		for from := silent.Add(-2 * window); from.Before(silent.Add(silenceTime)); from = from.Add(window) {
+			line = append(line, fmt.Sprintf("%.2f", share(results, one.kind, from, from.Add(window))))
+		}
+		t.Logf("%s served in time by half seconds, silent from the third on: %s", one.name, strings.Join(line, " "))
+		calm := share(results, one.kind, began, silent.Add(-time.Second))
+		after := share(results, one.kind, silent.Add(one.back), silent.Add(silenceTime))
+		assert.GreaterOrEqual(t, after, backShare*calm, "%s: share served after service is to be back, calm %.2f", one.name, calm)
+		s.checkRuns(one.kind, results)
+	}
+}
+
+// checkRuns checks that nothing ran twice that may run once, that no refusal promised wrongly
+// and that no stream was cut.
+func (s *standIns) checkRuns(kind fleet.RouteKind, results []result) {
+	for _, r := range results {
+		runs := s.runsOf(r.id)
+		switch {
+		case kind == fleet.AtMostOnce:
+			assert.LessOrEqual(s.t, runs, 1, "%s ran more than once", r.id)
+		case kind == fleet.Streaming:
+			assert.False(s.t, r.cut, "%s was cut, longest pause %s", r.id, r.gap)
+		}
+		if r.refusal != nil && r.refusal.Execution == fault.ExecutionNotRun {
+			assert.Zero(s.t, runs, "%s was refused as not run, and ran", r.id)
+		}
+	}
+}
