Connections to servers that go silent are found, and others of their age distrusted

Cause: a kept connection that went silent without a reset was believed until a time limit of its own, 3 to 4 s by the kernel or the request's time, and each one anew. Change: coordination/silence, a state machine without clock or I/O, looks at all connections of an entry each 25 ms. Bytes that stay unacknowledged for 0.25 s while a connection made later to the same server comes up show a silent connection; at two servers, or twice at one, all connections that are as old and have shown no sign of life since are given up. Where packets are acknowledged and not passed on, answers that several servers owe on old connections and give on new ones show it. A repeatable request alone on such a connection is given up after ten times the usual time. Repeatable requests are sent again and streams resumed, also at the same server over a new connection, within attempts and retry budget; those that may run once end without a promise.

--- /dev/null
+++ b/coordination/silence/silence.go
@@ -0,0 +1,286 @@
+// Package silence judges which open connections have gone silent for good while new ones
+// work, from what a process sees of all of them. It reads no clock and does no I/O; times
+// are durations on the caller's monotonic clock.
+//
+// A slow server, a full link or a cut network keep connections silent too. What tells them
+// from a connection that is lost is another one to the same server that was made later and
+// is answered while the older one stays mute: behind a full link the older bytes would have
+// come through first, and over a cut no new connection comes up.
+package silence
+
+import (
+	"slices"
+	"time"
+)
+
+// Times and counts of the decision.
+const (
+	// UnacknowledgedLimit is how long bytes stay unacknowledged until a new connection to
+	// the server is tried. The kernel sends a lost packet again after 0.2 s at the earliest,
+	// so that a single loss is made up for before.
+	UnacknowledgedLimit = 250 * time.Millisecond
+	// muteLeast and muteFactor bound how long an answer is awaited until it counts as
+	// overdue, as a time and as a multiple of what is usual.
+	muteLeast  = 250 * time.Millisecond
+	muteFactor = 3
+	// overdueLeast is how many overdue answers, at serversLeast servers, let connections be
+	// suspected without word from the kernel, and freshLeast how many newer connections must
+	// have been answered meanwhile.
+	overdueLeast = 3
+	freshLeast   = 3
+	// serversLeast is at how many servers connections must be silent for those to all
+	// servers to be distrusted: at one, the fault may be the server's or on its way.
+	serversLeast = 2
+	// proofLeast is how many silent connections to one server let those that carry other
+	// requests to it be distrusted too.
+	proofLeast = 2
+	// provenTime is for how long a silent connection counts towards serversLeast.
+	provenTime = 500 * time.Millisecond
+	// tryPause is the time between two tries of a new connection to one server.
+	tryPause = 500 * time.Millisecond
+	// pauseLeast is the time between two ticks after which the process itself was paused or
+	// starved, so that what it has not read proves nothing: several times the period of ticks.
+	pauseLeast = 150 * time.Millisecond
+)
+
+// Observation is what is known of one connection at a tick.
+type Observation struct {
+	ID     uint64
+	Server string
+	// Opened is when its making began.
+	Opened time.Duration
+	// Waiting is set while an answer or a further part of one is awaited, Asked when the
+	// request was sent.
+	Waiting bool
+	Asked   time.Duration
+	// Heard is when the last byte was read, or the time of Opened.
+	Heard time.Duration
+	// Usual is how long the next byte usually takes.
+	Usual time.Duration
+	// Known is set when the kernel has told the next two fields.
+	Known bool
+	// Unacknowledged is how long bytes or a probe have been waiting to be acknowledged; 0
+	// when none are.
+	Unacknowledged time.Duration
+	// Packet is when the last packet came in.
+	Packet time.Duration
+}
+
+// lastSign is when the connection was last known to work.
+func (o Observation) lastSign() time.Duration {
+	if o.Known {
+		return max(o.Heard, o.Packet)
+	}
+	return o.Heard
+}
+
+// mute is how long an answer has been awaited without a byte.
+func (o Observation) mute(now time.Duration) time.Duration { return now - max(o.Asked, o.Heard) }
+
+// Distrust names connections that are not to be believed any more: those that were opened
+// up to a moment and have shown no sign of life since.
+type Distrust struct {
+	// Server limits it to one server; empty for all.
+	Server string
+	Before time.Duration
+	// Proof are the connections that were found silent.
+	Proof []uint64
+	// RestingOnly spares the connections that carry a request, other than the proof: two
+	// packets lost in a row make a single connection look silent.
+	RestingOnly bool
+	// ByAnswers is set when only bytes of answers count as signs of life: packets were
+	// acknowledged and not passed on.
+	ByAnswers bool
+}
+
+// Covers reports whether a connection is distrusted.
+func (d Distrust) Covers(o Observation) bool {
+	if slices.Contains(d.Proof, o.ID) {
+		return true
+	}
+	if (d.Server != "" && d.Server != o.Server) || (d.RestingOnly && o.Waiting) {
+		return false
+	}
+	sign := o.lastSign()
+	if d.ByAnswers {
+		sign = o.Heard
+	}
+	return o.Opened <= d.Before && sign <= d.Before
+}
+
+// Verdict is what follows from a tick.
+type Verdict struct {
+	// Try are the servers to which a new connection is to be made, as a proof.
+	Try []string
+	// FreshOnly is set while connections are suspected: requests are better sent over new
+	// ones, which proves the suspicion right or wrong.
+	FreshOnly bool
+	Distrust  []Distrust
+}
+
+// trial is what new connections to a server have shown.
+type trial struct {
+	tried    time.Duration
+	answered time.Duration
+	under    bool
+}
+
+// Judge keeps what outlasts a tick.
+type Judge struct {
+	ticked  bool
+	last    time.Duration
+	resumed time.Duration
+	trials  map[string]*trial
+	// silentAt is when a connection to a server was last found silent, askedAt when its
+	// request had been sent.
+	silentAt map[string]time.Duration
+	askedAt  map[string]time.Duration
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{trials: map[string]*trial{}, silentAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}}
+}
+
+// Idle notes that nothing is awaited, so that the time until the next tick is no pause.
+func (j *Judge) Idle() { j.ticked = false }
+
+// Connected notes how the try of a new connection has ended that began at some moment.
+func (j *Judge) Connected(server string, began time.Duration, succeeded bool) {
+	one := j.trialOf(server)
+	one.under = false
+	if succeeded {
+		one.answered = max(one.answered, began)
+	}
+}
+
+func (j *Judge) trialOf(server string) *trial {
+	one := j.trials[server]
+	if one == nil {
+		one = &trial{tried: -tryPause}
+		j.trials[server] = one
+	}
+	return one
+}
+
+// Tick looks at all connections, the resting ones among them.
+func (j *Judge) Tick(now time.Duration, all []Observation) Verdict {
+	if j.ticked && now-j.last > pauseLeast {
+		j.resumed = now
+	}
+	j.ticked, j.last = true, now
+	for _, one := range all {
+		fresh := j.trialOf(one.Server)
+		fresh.answered = max(fresh.answered, one.Opened)
+	}
+	var verdict Verdict
+	j.judgeUnacknowledged(now, all, &verdict)
+	j.judgeOverdue(now, all, &verdict)
+	return verdict
+}
+
+// judgeUnacknowledged goes by what the kernel tells: bytes that stay unacknowledged on a
+// connection while a later one to the same server came up.
+func (j *Judge) judgeUnacknowledged(now time.Duration, all []Observation, verdict *Verdict) {
+	found := map[string]*Distrust{}
+	for _, one := range all {
+		waited := min(one.Unacknowledged, now-j.resumed)
+		if !one.Known || !one.Waiting || waited < UnacknowledgedLimit {
+			continue
+		}
+		since := now - one.Unacknowledged
+		known := j.trialOf(one.Server)
+		if known.answered <= since {
+			if !known.under && now-known.tried >= tryPause {
+				known.under, known.tried = true, now
+				verdict.Try = append(verdict.Try, one.Server)
+			}
+			continue
+		}
+		silent := found[one.Server]
+		if silent == nil {
+			silent = &Distrust{Server: one.Server, Before: since}
+			found[one.Server] = silent
+		}
+		silent.Before = min(silent.Before, since)
+		silent.Proof = append(silent.Proof, one.ID)
+	}
+	var common Distrust
+	for server, silent := range found {
+		j.silentAt[server], j.askedAt[server] = now, silent.Before
+		silent.RestingOnly = len(silent.Proof) < proofLeast
+		verdict.Distrust = append(verdict.Distrust, *silent)
+		common.Proof = append(common.Proof, silent.Proof...)
+	}
+	if len(found) == 0 {
+		return
+	}
+	slices.Sort(common.Proof)
+	servers := 0
+	common.Before = now
+	for server, at := range j.silentAt {
+		if now-at <= provenTime {
+			servers++
+			common.Before = min(common.Before, j.askedAt[server])
+		}
+	}
+	if servers >= serversLeast {
+		verdict.Distrust = append(verdict.Distrust, common)
+	}
+}
+
+// judgeOverdue goes by the answers alone, where the kernel tells nothing or the packets are
+// acknowledged by somebody who does not pass them on: several servers owe answers on older
+// connections, none of which has brought a byte, and answer on newer ones.
+func (j *Judge) judgeOverdue(now time.Duration, all []Observation, verdict *Verdict) {
+	overdue := slices.DeleteFunc(slices.Clone(all), func(o Observation) bool { return !j.overdue(o, now) })
+	if !enough(overdue, overdueLeast) {
+		return
+	}
+	var latest, mute, heard time.Duration
+	for _, one := range overdue {
+		latest = max(latest, one.Opened)
+		mute = max(mute, one.Asked, one.Heard)
+	}
+	for _, one := range all {
+		if one.Opened <= latest {
+			heard = max(heard, one.Heard)
+		}
+	}
+	if now-max(heard, j.resumed) < muteLeast {
+		return
+	}
+	verdict.FreshOnly = true
+	var fresh []Observation
+	for _, one := range all {
+		owed := slices.ContainsFunc(overdue, func(old Observation) bool { return old.Server == one.Server })
+		if owed && one.Opened > max(latest, heard) && one.Heard > max(one.Opened, mute) {
+			fresh = append(fresh, one)
+		}
+	}
+	if !enough(fresh, freshLeast) {
+		return
+	}
+	common := Distrust{Before: max(latest, heard), ByAnswers: true}
+	for _, one := range overdue {
+		common.Proof = append(common.Proof, one.ID)
+	}
+	verdict.Distrust = append(verdict.Distrust, common)
+}
+
+func (j *Judge) overdue(o Observation, now time.Duration) bool {
+	if !o.Waiting {
+		return false
+	}
+	mute := min(o.mute(now), now-j.resumed)
+	return mute >= max(muteLeast, muteFactor*o.Usual)
+}
+
+// enough reports whether there are as many connections, at serversLeast servers.
+func enough(some []Observation, least int) bool {
+	servers := map[string]bool{}
+	for _, one := range some {
+		servers[one.Server] = true
+	}
+	return len(some) >= least && len(servers) >= serversLeast
+}
--- /dev/null
+++ b/coordination/silence/silence_test.go
@@ -0,0 +1,207 @@
+package silence
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const (
+	ms   = time.Millisecond
+	tick = 25 * ms
+)
+
+// world is a script's connections, which a judge looks at each tick.
+type world struct {
+	judge *Judge
+	now   time.Duration
+	open  []Observation
+}
+
+func newWorld() *world { return &world{judge: NewJudge(), now: time.Second} }
+
+// kept adds a connection that was opened long ago and has just been heard.
+func (w *world) kept(server string) *Observation {
+	w.open = append(w.open, Observation{ID: uint64(len(w.open) + 1), Server: server, Opened: w.now - 500*ms, Heard: w.now, Known: true, Packet: w.now, Usual: 60 * ms})
+	return &w.open[len(w.open)-1]
+}
+
+// ask sends a request on a connection.
+func (w *world) ask(id int) {
+	w.open[id-1].Waiting, w.open[id-1].Asked = true, w.now
+}
+
+// pass lets time pass, with ticks; unacknowledged connections stay so.
+func (w *world) pass(time time.Duration, unacknowledged ...int) (all []Verdict) {
+	for end := w.now + time; w.now < end; {
+		w.now += tick
+		for _, id := range unacknowledged {
+			w.open[id-1].Unacknowledged = w.now - w.open[id-1].Asked
+		}
+		all = append(all, w.judge.Tick(w.now, w.open))
+	}
+	return all
+}
+
+func tried(all []Verdict) (servers []string) {
+	for _, one := range all {
+		servers = append(servers, one.Try...)
+	}
+	return servers
+}
+
+func distrusts(all []Verdict) (found []Distrust) {
+	for _, one := range all {
+		found = append(found, one.Distrust...)
+	}
+	return found
+}
+
+// One connection whose bytes nobody acknowledges is silent once a later one has come up; the
+// resting ones of the same server go with it, others stay.
+func TestUnacknowledgedConnectionIsSilentOnceALaterOneCameUp(t *testing.T) {
+	w := newWorld()
+	w.kept("a")
+	w.kept("a")
+	w.kept("b")
+	w.ask(1)
+	all := w.pass(300*ms, 1)
+	assert.Equal(t, []string{"a"}, tried(all))
+	assert.Empty(t, distrusts(all))
+	w.judge.Connected("a", w.now, true)
+	found := distrusts(w.pass(tick, 1))
+	assert.Len(t, found, 1)
+	assert.True(t, found[0].Covers(w.open[0]))
+	assert.True(t, found[0].Covers(w.open[1]))
+	assert.False(t, found[0].Covers(w.open[2]), "another server's")
+	w.ask(2)
+	assert.False(t, found[0].Covers(w.open[1]), "one that carries a request may be sound")
+}
+
+// Connections of two servers: all that are as old are distrusted, save those that have shown
+// a sign of life since.
+func TestOldConnectionsOfAllServersAreDistrusted(t *testing.T) {
+	w := newWorld()
+	for _, server := range []string{"a", "b", "c", "d"} {
+		w.kept(server)
+	}
+	w.ask(1)
+	w.ask(2)
+	w.ask(3)
+	w.pass(275*ms, 1, 2)
+	w.judge.Connected("a", w.now, true)
+	w.judge.Connected("b", w.now, true)
+	w.open[3].Packet = w.now
+	found := distrusts(w.pass(tick, 1, 2))
+	common := found[len(found)-1]
+	assert.Empty(t, common.Server)
+	assert.True(t, common.Covers(w.open[2]))
+	assert.False(t, common.Covers(w.open[3]))
+}
+
+// Behind a narrow link or a cut no later connection comes up first: nothing is proven.
+func TestUnansweredTryProvesNothing(t *testing.T) {
+	w := newWorld()
+	w.kept("a")
+	w.kept("b")
+	w.ask(1)
+	w.ask(2)
+	w.pass(300*ms, 1, 2)
+	w.judge.Connected("a", w.now, false)
+	all := w.pass(2*time.Second, 1, 2)
+	assert.Empty(t, distrusts(all))
+	assert.LessOrEqual(t, len(tried(all)), 4, "tries are rare")
+}
+
+// One lost packet is sent again after 0.2 s: nothing is tried.
+func TestSingleLossIsNoReason(t *testing.T) {
+	w := newWorld()
+	w.kept("a")
+	w.ask(1)
+	all := w.pass(225*ms, 1)
+	w.open[0].Unacknowledged, w.open[0].Packet = 0, w.now
+	all = append(all, w.pass(2*time.Second)...)
+	assert.Empty(t, tried(all))
+	assert.Empty(t, distrusts(all))
+}
+
+// After a pause of the process nothing that was not read meanwhile proves anything.
+func TestPauseOfTheProcessIsNoSilence(t *testing.T) {
+	w := newWorld()
+	for _, server := range []string{"a", "b", "c"} {
+		w.kept(server)
+	}
+	for id := 1; id <= 3; id++ {
+		w.ask(id)
+	}
+	w.pass(50 * ms)
+	w.now += 3 * time.Second
+	all := w.pass(100*ms, 1, 2, 3)
+	assert.Empty(t, tried(all))
+	assert.Empty(t, distrusts(all))
+	assert.False(t, all[len(all)-1].FreshOnly)
+}
+
+// Packets are acknowledged and not passed on: overdue answers of several servers let new
+// connections be used, and once these are answered the old ones are distrusted.
+func TestOverdueAnswersOnOldConnectionsOnly(t *testing.T) {
+	w := newWorld()
+	for _, server := range []string{"a", "a", "b", "c"} {
+		w.kept(server)
+	}
+	for id := 1; id <= 3; id++ {
+		w.ask(id)
+	}
+	all := w.pass(300 * ms)
+	assert.Empty(t, distrusts(all))
+	assert.True(t, all[len(all)-1].FreshOnly)
+	for _, server := range []string{"a", "b", "b"} {
+		w.kept(server)
+		w.open[len(w.open)-1].Opened = w.now
+	}
+	w.now += tick
+	for id := 5; id <= 7; id++ {
+		w.open[id-1].Heard = w.now
+	}
+	found := distrusts(w.pass(tick))
+	assert.Len(t, found, 1)
+	for id, distrusted := range []bool{true, true, true, true, false, false, false} {
+		assert.Equal(t, distrusted, found[0].Covers(w.open[id]), "connection %d", id+1)
+	}
+}
+
+// Servers that have become slow together, or hang, answer on new connections no sooner; and
+// while anything comes in on the old ones these are believed.
+func TestSlowServersAreNoSilence(t *testing.T) {
+	w := newWorld()
+	for _, server := range []string{"a", "b", "c", "d"} {
+		w.kept(server)
+	}
+	for id := 1; id <= 3; id++ {
+		w.ask(id)
+	}
+	w.kept("a")
+	w.open[4].Opened = w.now
+	w.ask(5)
+	all := w.pass(2 * time.Second)
+	assert.Empty(t, distrusts(all), "the new connection is mute too")
+	w.open[3].Heard = w.now - 100*ms
+	all = w.pass(tick)
+	assert.False(t, all[0].FreshOnly, "an old connection has been heard")
+}
+
+// The connections of one server that hangs say nothing about those of others.
+func TestOneMuteServerIsNoSilence(t *testing.T) {
+	w := newWorld()
+	for range 5 {
+		w.kept("a")
+	}
+	w.kept("b")
+	for id := 1; id <= 5; id++ {
+		w.ask(id)
+	}
+	all := w.pass(2 * time.Second)
+	assert.Empty(t, distrusts(all))
+	assert.False(t, all[len(all)-1].FreshOnly)
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -99,8 +99,13 @@
 	ReasonDeadline     Reason = "deadline-exceeded"
 	ReasonCanceled     Reason = "canceled"
 	ReasonStalled      Reason = "stalled"
-	ReasonNotReady     Reason = "not-ready"
-	ReasonTooLarge     Reason = "too-large"
+	// ReasonConnectionSilent is why an attempt ended whose connection was found silent or is
+	// distrusted together with others.
+	ReasonConnectionSilent Reason = "connection-silent"
+	// ReasonOverdue is why one ended whose answer took many times as long as usual.
+	ReasonOverdue  Reason = "overdue"
+	ReasonNotReady Reason = "not-ready"
+	ReasonTooLarge Reason = "too-large"
 )
 
 // Refusal is the failure of a caller's request.
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,7 @@
 	// maximumIdle bounds the connections kept for each server.
 	maximumIdle = 24
 	// lookPeriod is how often a silent server's answer is looked at again.
-	lookPeriod       = 200 * time.Millisecond
+	lookPeriod       = 50 * time.Millisecond
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 2 << 10
 )
@@ -39,15 +40,18 @@
 	errDeadline = errors.New("the time of the request is over")
 	errLeft     = errors.New("the caller has left")
 	errBound    = errors.New("the time of the server's version is over")
+	errSilent   = errors.New("the connection has gone silent")
+	errOverdue  = errors.New("the answer takes many times as long as usual")
 )
 
-// silenceJudge says why a server that has sent nothing for a while is given up; nil
-// while it is not.
-type silenceJudge func(silent time.Duration) error
+// silenceJudge says why a server that has sent nothing for a while, where that usually takes
+// some time, is given up; nil while it is not.
+type silenceJudge func(silent, usual time.Duration) error
 
 // connection is one kept connection to a server. It carries one request at a
 // time; nothing is ever sent twice on it.
 type connection struct {
+	watched
 	net    net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -61,8 +65,10 @@
 	ctx      context.Context
 	deadline time.Time
 	silence  silenceJudge
-	heard    time.Time
+	heardAt  time.Time
 	received atomic.Int64
+	// parts counts the reads that brought bytes.
+	parts int
 }
 
 func dial(ctx context.Context, address string, deadline time.Time) (*connection, error) {
@@ -84,8 +90,13 @@
 // time to time, whether a server that has sent nothing for a while is given up.
 func (c *connection) begin(ctx context.Context, deadline time.Time, silence silenceJudge) (release func()) {
 	c.ctx, c.deadline, c.silence = ctx, deadline, silence
-	c.heard = time.Now()
+	c.heardAt = time.Now()
 	c.received.Store(0)
+	c.parts = 0
+	if c.watch != nil {
+		c.asked.Store(int64(c.watch.now()))
+		c.carrying.Store(true)
+	}
 	_ = c.net.SetWriteDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	return func() { stop() }
@@ -99,10 +110,12 @@
 		if c.ctx.Err() != nil {
 			return 0, errLeft
 		}
+		if c.silent.Load() {
+			return 0, errSilent
+		}
 		count, err := c.net.Read(buffer)
 		if count > 0 {
-			c.heard = time.Now()
-			c.received.Add(int64(count))
+			c.hear(count)
 			return count, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -113,14 +126,44 @@
 			return 0, errLeft
 		case !now.Before(c.deadline):
 			return 0, errDeadline
+		case c.silent.Load():
+			return 0, errSilent
 		case c.silence != nil:
-			if err := c.silence(now.Sub(c.heard)); err != nil {
+			if err := c.silence(now.Sub(c.heardAt), time.Duration(c.usual.Load())); err != nil {
 				return 0, err
 			}
 		}
 	}
 }
 
+// hear notes that bytes have come. What is usual from the second part of an answer on is the
+// longest pause so far.
+func (c *connection) hear(count int) {
+	now := time.Now()
+	pause := now.Sub(c.heardAt)
+	switch parts := c.parts; {
+	case parts == 1:
+		c.usual.Store(int64(pause))
+	case parts > 1:
+		c.usual.Store(max(c.usual.Load(), int64(pause)))
+	}
+	c.parts++
+	c.heardAt = now
+	c.received.Add(int64(count))
+	if c.watch != nil {
+		c.heard.Store(int64(c.watch.now()))
+	}
+}
+
+// leastUsual stands for a usual time that is known to be short; 0 is one that is not known.
+const leastUsual = time.Millisecond
+
+// startPauses makes what is usual the longest pause between the parts from now on.
+func (c *connection) startPauses() {
+	c.usual.Store(int64(leastUsual))
+	c.parts = 1
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -128,7 +171,13 @@
 	return b
 }
 
-func (c *connection) close() { _ = c.net.Close() }
+func (c *connection) close() {
+	c.carrying.Store(false)
+	if c.watch != nil {
+		c.watch.remove(c)
+	}
+	_ = c.net.Close()
+}
 
 // pool keeps the idle connections to one server.
 type pool struct {
@@ -137,35 +186,48 @@
 	closed bool
 }
 
-// take returns the newest idle connection that is sound and has rested for less than
-// a time, or nil.
-func (p *pool) take(restedAtMost time.Duration) *connection {
+// take returns the idle connection used last that is sound, has rested for at most a time and
+// was opened after a moment, or nil.
+func (p *pool) take(restedAtMost, openedAfter time.Duration) *connection {
 	for {
-		p.mutex.Lock()
-		count := len(p.idle)
-		if count == 0 {
-			p.mutex.Unlock()
+		candidate := p.pick(restedAtMost, openedAfter)
+		if candidate == nil {
 			return nil
 		}
-		candidate := p.idle[count-1]
+		if !candidate.silent.Load() && time.Now().Before(candidate.expires) && candidate.reader.Buffered() == 0 && network.CheckIdle(candidate.net) == nil {
+			return candidate
+		}
+		candidate.close()
+	}
+}
+
+// pick takes a connection out that fulfils the conditions of take but for its soundness.
+func (p *pool) pick(restedAtMost, openedAfter time.Duration) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for index, candidate := range slices.Backward(p.idle) {
 		if time.Since(candidate.restedSince) > restedAtMost {
-			p.mutex.Unlock()
 			return nil
 		}
-		p.idle = p.idle[:count-1]
-		p.mutex.Unlock()
-		if time.Now().Before(candidate.expires) && candidate.reader.Buffered() == 0 && network.CheckIdle(candidate.net) == nil {
+		if openedAfter == 0 || candidate.opened >= openedAfter {
+			p.idle = slices.Delete(p.idle, index, index+1)
 			return candidate
 		}
-		candidate.close()
 	}
+	return nil
 }
 
-// put keeps a connection for later, for as long as the server allows.
+// put keeps a connection after an answer, for as long as the server allows.
 func (p *pool) put(c *connection, rest time.Duration) {
+	c.used++
+	c.carrying.Store(false)
+	p.add(c, rest)
+}
+
+// add keeps a connection for later.
+func (p *pool) add(c *connection, rest time.Duration) {
 	c.restedSince = time.Now()
 	c.expires = c.restedSince.Add(rest)
-	c.used++
 	// The last request's time limits would fail the check of the resting connection.
 	_ = c.net.SetDeadline(time.Time{})
 	c.ctx, c.silence = context.Background(), nil
@@ -195,7 +257,7 @@
 	defer p.mutex.Unlock()
 	kept := p.idle[:0]
 	for _, idle := range p.idle {
-		if now.After(idle.expires) {
+		if now.After(idle.expires) || idle.silent.Load() {
 			idle.close()
 			continue
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -32,6 +32,12 @@
 	// due at the latest.
 	Arrived  time.Time
 	Deadline time.Time
+
+	// usual is how long the first byte of the answer usually takes at the server chosen.
+	usual time.Duration
+	// freshFrom is set once an attempt has ended on a connection that was silent: others
+	// that were opened before it was sent are not used for this request.
+	freshFrom time.Duration
 }
 
 // failure is why an attempt gave no answer. Execution tells whether the request
@@ -70,15 +76,18 @@
 
 // open sends a request to a server and reads the head of its answer.
 func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence silenceJudge) (*exchange, *failure) {
-	carrier := chosen.pool.take(restAllowed(request.Route))
+	carrier := chosen.pool.take(restAllowed(request.Route), max(request.freshFrom, f.watch.believedFrom()))
 	if carrier == nil {
+		began := f.watch.now()
 		fresh, err := dial(ctx, chosen.address, request.Deadline)
 		if err != nil {
 			return nil, &failure{reason: reasonOf(err, fault.ReasonLinkLost), execution: fault.ExecutionNotRun, cause: err}
 		}
 		f.metrics.connections.Inc()
+		f.watch.add(fresh, chosen, began)
 		carrier = fresh
 	}
+	carrier.usual.Store(int64(request.usual))
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
 	outgoing := f.outgoing(request, send)
@@ -107,6 +116,10 @@
 		return fault.ReasonCanceled
 	case errors.Is(err, errDeadline):
 		return fault.ReasonDeadline
+	case errors.Is(err, errSilent):
+		return fault.ReasonConnectionSilent
+	case errors.Is(err, errOverdue):
+		return fault.ReasonOverdue
 	case errors.Is(err, errStalled):
 		return fault.ReasonStalled
 	case errors.Is(err, errBound):
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -136,7 +136,7 @@
 		require.Nil(t, failed)
 		assert.Equal(t, "answer to "+id, body)
 		time.Sleep(20 * time.Millisecond)
-		assert.Nil(t, server.pool.take(time.Minute))
+		assert.Nil(t, server.pool.take(time.Minute, 0))
 	}
 }
 
@@ -195,7 +195,7 @@
 	body, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", strings.Repeat("x", 8<<20)))
 	require.Nil(t, failed)
 	assert.Equal(t, "early", body)
-	assert.Nil(t, server.pool.take(time.Minute))
+	assert.Nil(t, server.pool.take(time.Minute, 0))
 }
 
 // The path and query, the body and the method go on byte for byte.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,6 +47,7 @@
 	log     *logging.Logger
 	targets *targets
 	metrics *metrics
+	watch   *watch
 	started time.Time
 
 	mutex   sync.Mutex
@@ -59,10 +61,11 @@
 
 // New returns a forwarder that knows no servers yet.
 func New(options Options) *Forwarder {
+	started, figures := time.Now(), newMetrics(options.Registry)
 	return &Forwarder{
-		options: options, dialect: options.Dialect, log: options.Log, started: time.Now(),
+		options: options, dialect: options.Dialect, log: options.Log, started: started,
 		targets: newTargets(options.Zone, options.Regions, options.Log),
-		metrics: newMetrics(options.Registry), budgets: map[string]*budget.Budget{},
+		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
 }
 
@@ -83,6 +86,7 @@
 
 // Run does the upkeep until the context ends.
 func (f *Forwarder) Run(ctx context.Context) {
+	go f.watch.Run(ctx)
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
 	for {
@@ -137,9 +141,13 @@
 	wanted  need
 	// sent counts the servers that the request was sent to.
 	sent int
+	// silentAt are servers that were tried over connections that turned out to be silent.
+	silentAt []*target
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	lastEvent  string
+	// sentAt is when the present attempt was sent.
+	sentAt time.Time
 	// attemptBegun is set once the present attempt has brought an event.
 	attemptBegun bool
 	// begun is set once the head of an answer has gone to the caller.
@@ -176,12 +184,14 @@
 }
 
 func (w *work) forward(ctx context.Context) *fault.Refusal {
-	if w.request.Route.Kind == fleet.Streaming {
+	if w.isStream() {
 		return w.stream(ctx)
 	}
 	return w.whole(ctx)
 }
 
+func (w *work) isStream() bool { return w.request.Route.Kind == fleet.Streaming }
+
 // expectedAnswer is the caller's guess of the answer's tokens, at most what it may
 // be.
 func expectedAnswer(call fleet.CallHeader) int {
@@ -249,7 +259,7 @@
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
 	w.askLoads(ctx)
-	chosen, refusal := w.targets.choose(w.wanted)
+	chosen, refusal := w.choose()
 	if refusal != nil {
 		return nil, refusal, nil
 	}
@@ -271,6 +281,8 @@
 		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
+	w.sentAt = began
+	w.request.usual = w.targets.usualWait(chosen, w.request.Route)
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
@@ -284,6 +296,18 @@
 	return started, nil, nil
 }
 
+// choose picks a server, also one that was tried over a connection that was silent if there
+// is no other.
+func (w *work) choose() (choice, *fault.Refusal) {
+	chosen, refusal := w.targets.choose(w.wanted)
+	if refusal == nil || len(w.silentAt) == 0 {
+		return chosen, refusal
+	}
+	w.wanted.tried = slices.DeleteFunc(w.wanted.tried, func(k *target) bool { return slices.Contains(w.silentAt, k) })
+	w.silentAt = nil
+	return w.targets.choose(w.wanted)
+}
+
 // unsent takes an attempt that gave nothing off the server's counts.
 func (w *work) unsent(target *target) {
 	w.targets.release(target)
@@ -344,6 +368,11 @@
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
 	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
+	case fault.ReasonConnectionSilent:
+		w.renew(target, took)
+	case fault.ReasonOverdue:
+		w.renew(target, took)
+		w.targets.fail(target, string(failed.reason), false)
 	case fault.ReasonLinkLost, fault.ReasonStalled:
 		w.targets.fail(target, string(failed.reason), true)
 	default:
@@ -351,6 +380,13 @@
 	}
 }
 
+// renew lets the next attempt use the same server again, over a connection that was not open
+// when this one was sent.
+func (w *work) renew(target *target, took time.Duration) {
+	w.silentAt = append(w.silentAt, target)
+	w.request.freshFrom = w.watch.now() - took
+}
+
 // silence decides when a server that sends nothing is given up. Slowness alone is
 // no reason: the agent beside it must have lost it, or fallen silent too. A request
 // that has not begun is taken back before the time of the server's version is over.
@@ -358,21 +394,23 @@
 	bound, bounded := w.wanted.boundOf(version)
 	bounded = bounded && w.wanted.engine != nil
 	w.attemptBegun = false
-	return func(silent time.Duration) error {
+	return func(silent, usual time.Duration) error {
 		switch {
 		case bounded && !w.attemptBegun && time.Until(bound) < takeBackMargin:
 			return errBound
 		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target):
 			return errStalled
+		case w.request.Route.MayRepeat() && w.overdue(silent, usual):
+			return errOverdue
 		}
 		return nil
 	}
 }
 
 // takeBackMargin is how long before the bound of an old version a request is taken
-// back from a server that has not begun it. A silent connection is looked at each
-// lookPeriod.
-const takeBackMargin = 2 * lookPeriod
+// back from a server that has not begun it: the look at a silent connection each lookPeriod
+// and the way of the close to the server, on a link that is not quite free.
+const takeBackMargin = 400 * time.Millisecond
 
 // suspectSilence is the silence after which a suspect server is given up.
 const suspectSilence = 350 * time.Millisecond
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -9,6 +9,7 @@
 	retries     prometheus.Counter
 	connections prometheus.Counter
 	cut         *prometheus.CounterVec
+	silent      *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
@@ -37,10 +38,12 @@
 		cut: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
+	m.silent = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_silent_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
 	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.loadQueries, m.missingFigures)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.missingFigures)
 	return m
 }
--- /dev/null
+++ b/internal/forward/silence.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/silence"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/network"
+)
+
+// Times of looking for silent connections.
+const (
+	// watchPeriod is how often connections with open requests are looked at: a tenth of
+	// the time after which silence.Judge tries a new connection.
+	watchPeriod = 25 * time.Millisecond
+	// inspectAfter is the silence from which the kernel is asked about a connection.
+	inspectAfter = 100 * time.Millisecond
+	// suspicionTime is for how long new connections are preferred after a suspicion, which
+	// is renewed at each look while it lasts.
+	suspicionTime = 200 * time.Millisecond
+)
+
+// watch looks after all connections to servers together, because what silences one of them
+// without a word, such as a middlebox that starts anew, silences others of its age too. Found
+// one by one, each costs a request its time limit.
+type watch struct {
+	log     *logging.Logger
+	metrics *metrics
+	started time.Time
+
+	mutex  sync.Mutex
+	judge  *silence.Judge
+	open   map[*connection]bool
+	nextID uint64
+	// suspectedAt is when the present suspicion began, suspectedTill when it lapses; zero
+	// without one. They are offsets from started.
+	suspectedAt   atomic.Int64
+	suspectedTill atomic.Int64
+}
+
+func newWatch(log *logging.Logger, metrics *metrics, started time.Time) *watch {
+	return &watch{log: log, metrics: metrics, started: started, judge: silence.NewJudge(), open: map[*connection]bool{}}
+}
+
+func (v *watch) now() time.Duration { return time.Since(v.started) }
+
+// watched is what a connection's watch reads while a request is carried.
+type watched struct {
+	id     uint64
+	target *target
+	watch  *watch
+	// opened is when its making began, an offset like the others.
+	opened time.Duration
+	asked  atomic.Int64
+	heard  atomic.Int64
+	usual  atomic.Int64
+	// carrying is set while an answer is awaited.
+	carrying atomic.Bool
+	// silent is set once the connection is given up.
+	silent atomic.Bool
+}
+
+// add takes a new connection in.
+func (v *watch) add(c *connection, chosen *target, began time.Duration) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.nextID++
+	c.id, c.target, c.watch, c.opened = v.nextID, chosen, v, began
+	c.heard.Store(int64(began))
+	v.open[c] = true
+}
+
+func (v *watch) remove(c *connection) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	delete(v.open, c)
+}
+
+// believedFrom is from when on connections must have been opened to be used again.
+func (v *watch) believedFrom() time.Duration {
+	if int64(v.now()) >= v.suspectedTill.Load() {
+		return 0
+	}
+	return time.Duration(v.suspectedAt.Load())
+}
+
+// Run looks at the connections until the context ends.
+func (v *watch) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			v.look(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// look takes one look at all connections and does what follows.
+func (v *watch) look(ctx context.Context) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	now := v.now()
+	all, connections, waiting := v.observe(now)
+	if !waiting {
+		v.judge.Idle()
+		return
+	}
+	verdict := v.judge.Tick(now, all)
+	v.suspect(now, verdict.FreshOnly)
+	for _, server := range verdict.Try {
+		for _, one := range connections {
+			if one.target.address == server {
+				go v.try(ctx, one.target)
+				break
+			}
+		}
+	}
+	for _, distrust := range verdict.Distrust {
+		v.giveUp(now, distrust, all, connections)
+	}
+}
+
+func (v *watch) observe(now time.Duration) (all []silence.Observation, connections []*connection, waiting bool) {
+	for one := range v.open {
+		seen := one.observe(now)
+		all, connections = append(all, seen), append(connections, one)
+		waiting = waiting || seen.Waiting
+	}
+	return all, connections, waiting
+}
+
+// suspect notes whether older connections are suspected.
+func (v *watch) suspect(now time.Duration, suspected bool) {
+	if !suspected {
+		return
+	}
+	if int64(now) >= v.suspectedTill.Load() {
+		v.suspectedAt.Store(int64(now))
+	}
+	v.suspectedTill.Store(int64(now + suspicionTime))
+}
+
+// try makes a new connection to a server, as a proof, and keeps it for the next request.
+func (v *watch) try(ctx context.Context, chosen *target) {
+	began := v.now()
+	fresh, err := dial(ctx, chosen.address, time.Now().Add(dialTimeout))
+	if err == nil {
+		v.metrics.connections.Inc()
+		v.add(fresh, chosen, began)
+		chosen.pool.add(fresh, idleWithoutWord)
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.judge.Connected(chosen.address, began, err == nil)
+}
+
+// giveUp ends the connections that are distrusted: resting ones are closed, requests on the
+// others learn of it. The mutex is held.
+func (v *watch) giveUp(now time.Duration, distrust silence.Distrust, all []silence.Observation, connections []*connection) {
+	resting, carrying := 0, 0
+	for index, one := range connections {
+		if !distrust.Covers(all[index]) || one.silent.Swap(true) {
+			continue
+		}
+		if all[index].Waiting {
+			carrying++
+		} else {
+			resting++
+		}
+		_ = one.net.SetDeadline(time.Unix(1, 0))
+	}
+	if resting+carrying == 0 {
+		return
+	}
+	by := "unacknowledged"
+	if distrust.ByAnswers {
+		by = "unanswered"
+	}
+	proof := min(len(distrust.Proof), resting+carrying)
+	v.metrics.silent.WithLabelValues(by).Add(float64(proof))
+	v.metrics.silent.WithLabelValues("distrusted").Add(float64(resting + carrying - proof))
+	v.log.Log(logging.ConnectionsSilent, zap.String("server", distrust.Server), zap.String("by", by), zap.Int("proof", len(distrust.Proof)),
+		zap.Int("with_requests", carrying), zap.Int("resting", resting), zap.Duration("older_than", now-distrust.Before))
+}
+
+// observe tells what the watch sees of the connection.
+func (c *connection) observe(now time.Duration) silence.Observation {
+	seen := silence.Observation{
+		ID: c.id, Server: c.target.address, Opened: c.opened, Waiting: c.carrying.Load() && !c.silent.Load(),
+		Asked: time.Duration(c.asked.Load()), Heard: time.Duration(c.heard.Load()), Usual: time.Duration(c.usual.Load()),
+	}
+	mute := now - max(seen.Asked, seen.Heard)
+	if !seen.Waiting || mute < inspectAfter {
+		return seen
+	}
+	if state, known := network.ReadTransport(c.net); known {
+		seen.Known, seen.Unacknowledged, seen.Packet = true, state.Unacknowledged(mute), now-state.SinceHeard
+	}
+	return seen
+}
+
+// Times after which a repeatable request is given up on a connection that brings nothing,
+// without any other proof: a request for its whole answer, a stream for its next event. They
+// are far beyond what is usual, because a server that was slow has worked in vain.
+const (
+	patienceFactor = 10
+	plainPatience  = 300 * time.Millisecond
+	streamPatience = time.Second
+)
+
+// overdue reports whether a repeatable request is given up after a silence, where the next
+// byte usually takes some time.
+func (w *work) overdue(silent, usual time.Duration) bool {
+	if usual == 0 {
+		return false
+	}
+	least := plainPatience
+	if w.isStream() {
+		least = streamPatience
+	}
+	return silent >= max(least, patienceFactor*usual)
+}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -53,12 +53,14 @@
 	runs   map[string]int
 	slow   []time.Duration
 	random *rand.Rand
+	// stopped is closed at the end, so that no server works on.
+	stopped chan struct{}
 }
 
 func startStandIns(t *testing.T, count int) *standIns {
 	t.Helper()
 	registry := prometheus.NewRegistry()
-	s := &standIns{t: t, registry: registry, runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 11))}
+	s := &standIns{t: t, registry: registry, runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 11)), stopped: make(chan struct{})}
 	bounds := fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}
 	s.forwarder = New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: registry, Bounds: bounds, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,6 +79,7 @@
 		one := &target{id: fmt.Sprint("i-", index), address: proxy.Address(), zone: "z", unbegun: map[*work]unbegun{}, server: fleet.Server{Slots: 64}}
 		s.proxies, s.targets = append(s.proxies, proxy), append(s.targets, one)
 	}
+	t.Cleanup(func() { close(s.stopped) })
 	s.know(s.targets...)
 	return s
 }
@@ -105,25 +108,34 @@
 		writer.Header().Set("Response-Seal", "s")
 		writer.Header().Set("Keep-Alive", "timeout=5")
 		if !strings.HasPrefix(request.URL.Path, "/stream/") {
-			time.Sleep(slow * work)
+			s.spend(slow * work)
 			_, _ = io.WriteString(writer, "answer to "+id)
 			return
 		}
 		events, _ := strconv.Atoi(strings.TrimPrefix(request.URL.Path, "/stream/"))
 		after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-		time.Sleep(slow * siteFirstEvent)
+		s.spend(slow * siteFirstEvent)
 		for number := after + 1; number <= events; number++ {
 			_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, id)
 			writer.(http.Flusher).Flush()
-			time.Sleep(slow * siteEvent)
+			s.spend(slow * siteEvent)
 		}
 	})
 }
 
-func (s *standIns) setSlow(factor int) {
+// spend is a server's work.
+func (s *standIns) spend(work time.Duration) {
+	select {
+	case <-time.After(work):
+	case <-s.stopped:
+	}
+}
+
+// setSlow makes the first few servers take so many times longer.
+func (s *standIns) setSlow(factor, servers int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for index := range s.slow {
+	for index := range servers {
 		s.slow[index] = time.Duration(factor)
 	}
 }
@@ -395,3 +407,89 @@
 		}
 	}
 }
+
+// count is the value of a metric, over all its labels.
+func (s *standIns) count(name string) (total float64) {
+	families, err := s.registry.Gather()
+	require.NoError(s.t, err)
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, one := range family.GetMetric() {
+			total += one.GetCounter().GetValue()
+		}
+	}
+	return total
+}
+
+// Bounds of what slow servers may cost.
+const (
+	// slowFactor is how many times longer a slow server takes.
+	slowFactor = 8
+	// slowRepeats is the most of the requests that may be sent again because they take many
+	// times as long as usual, before that is what is usual.
+	slowRepeats = 0.1
+)
+
+// Servers that become slow, one or all of them, keep their connections, and few requests are
+// sent again.
+func TestSlowServersKeepTheirConnections(t *testing.T) {
+	for name, slowServers := range map[string]int{"one": 1, "all": 4} {
+		t.Run(name, func(t *testing.T) {
+			s := startStandIns(t, 4)
+			stopPlain := s.load(fleet.Repeatable, "safe", 20*time.Millisecond, 0)
+			stopStreams := s.load(fleet.Streaming, "stream", 50*time.Millisecond, 20)
+			time.Sleep(calmTime)
+			s.setSlow(slowFactor, slowServers)
+			time.Sleep(2 * time.Second)
+			plain, streams := stopPlain(), stopStreams()
+			assert.Zero(t, s.count("pinevane_silent_connections_total"), "connections that were given up")
+			again, all := s.count("pinevane_repeats_total"), float64(len(plain)+len(streams))
+			t.Logf("%.0f of %.0f requests sent again", again, all)
+			assert.LessOrEqual(t, again, slowRepeats*all)
+			s.checkRuns(fleet.Streaming, streams)
+		})
+	}
+}
+
+// A server that hangs, new connections to it included, takes no others' connections with it.
+func TestHangingServerCostsOthersNothing(t *testing.T) {
+	s := startStandIns(t, 4)
+	stopPlain := s.load(fleet.Repeatable, "safe", 20*time.Millisecond, 0)
+	stopOnce := s.load(fleet.AtMostOnce, "once", 50*time.Millisecond, 0)
+	time.Sleep(calmTime)
+	s.setSlow(1000, 1)
+	time.Sleep(2 * time.Second)
+	stopPlain()
+	once := stopOnce()
+	s.checkRuns(fleet.AtMostOnce, once)
+	assert.Zero(t, s.count("pinevane_silent_connections_total"), "connections that were given up")
+}
+
+// TWICE, REFUSED: a request is taken back from a server over a connection that passes nothing
+// on, so that the server never hears of it and runs it: it does not count as not run.
+func TestRequestTakenBackOverASilentConnectionMayHaveRun(t *testing.T) {
+	for name, silence := range silences {
+		t.Run(name, func(t *testing.T) {
+			s := startStandIns(t, 1)
+			s.setSlow(4, 1)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() {
+				for s.runsOf("taken-back") == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				silence(s)
+				cancel()
+			}()
+			request := testRequest("taken-back", "b")
+			_, failed := s.forwarder.open(ctx, request, fleet.SendHeader{Deadline: time.Second, Instance: "i-0"}, s.targets[0], nil)
+			require.NotNil(t, failed)
+			assert.Equal(t, fault.ReasonCanceled, failed.reason)
+			assert.Equal(t, fault.ExecutionUnknown, failed.execution)
+			time.Sleep(300 * time.Millisecond)
+			assert.Equal(t, 1, s.runsOf("taken-back"), "the server has run it")
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -83,6 +83,10 @@
 	for {
 		event, err := splitter.next()
 		if len(event.bytes) > 0 {
+			if !w.attemptBegun {
+				w.targets.sawFirst(started.target, time.Since(w.sentAt))
+				started.connection.startPauses()
+			}
 			w.attemptBegun = true
 			settle()
 			if !w.passEvent(event, first) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -62,6 +62,8 @@
 	version uint64
 	// meanMilliseconds is the moving mean time of whole answers.
 	meanMilliseconds float64
+	// firstMean is the moving mean time to the first event of streams.
+	firstMean time.Duration
 	// answeredAt is when the server's agent last answered a question of this entry.
 	answeredAt time.Time
 	// unansweredAt is when the server's agent last did not answer a question.
@@ -281,6 +283,34 @@
 	k.meanMilliseconds += weight * (value - k.meanMilliseconds)
 }
 
+// firstMeanWeight is the weight of one more first event in the mean.
+const firstMeanWeight = 0.1
+
+// sawFirst notes how long a stream's first event took.
+func (t *targets) sawFirst(k *target, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if k.firstMean == 0 {
+		k.firstMean = took
+	}
+	k.firstMean += time.Duration(firstMeanWeight * float64(took-k.firstMean))
+}
+
+// usualWait is how long the first byte of an answer usually takes: as the last ones did, or as
+// predicted, whichever is longer.
+func (t *targets) usualWait(chosen choice, route *fleet.Route) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	usual := time.Duration(chosen.target.meanMilliseconds * float64(time.Millisecond))
+	if route.Kind == fleet.Streaming {
+		usual = chosen.target.firstMean
+	}
+	if usual == 0 {
+		usual = route.Target
+	}
+	return max(usual, chosen.expected)
+}
+
 // sawVersion notes the version that an answer named.
 func (t *targets) sawVersion(k *target, version uint64) {
 	if version == 0 {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -102,6 +102,7 @@
 	ServerReturned    = declare("PV4205", zap.InfoLevel, "server returned", "A server that was ejected has answered again.")
 	ServerSuperseded  = declare("PV4206", zap.InfoLevel, "server superseded", "Another server has answered at a server's address; the old one has ended.")
 	ServerLapsed      = declare("PV4207", zap.InfoLevel, "server lapsed", "The list lost a server around an outage of the store; it is kept until servers have written their lines anew.")
+	ConnectionsSilent = declare("PV4208", zap.WarnLevel, "connections silent", "Connections to servers have gone silent while new ones work; they are given up, and those as old that rest.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
