--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -143,6 +143,8 @@
 	sent int
 	// silentAt are servers that were tried over connections that turned out to be silent.
 	silentAt []*target
+	// retryReserved is set while the retry budget has been drawn on for the next attempt.
+	retryReserved bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	lastEvent  string
@@ -400,7 +402,7 @@
 			return errBound
 		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target):
 			return errStalled
-		case w.request.Route.MayRepeat() && w.overdue(silent, usual):
+		case w.request.Route.MayRepeat() && w.overdue(silent, usual) && w.reserveRetry():
 			return errOverdue
 		}
 		return nil
@@ -436,9 +438,10 @@
 		withheld = "attempts"
 	case time.Until(w.request.Deadline) < minimumTime:
 		withheld = "time"
-	case !w.takeRetry(w.wanted.service):
+	case !w.retryReserved && !w.takeRetry(w.wanted.service):
 		withheld = "budget"
 	}
+	w.retryReserved = false
 	if withheld == "" {
 		w.metrics.retries.Inc()
 		return true
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -216,6 +216,16 @@
 	streamPatience = time.Second
 )
 
+// reserveRetry reports whether the request may be sent again, and draws on the retry budget for
+// it: an answer that is late is not given up for nothing.
+func (w *work) reserveRetry() bool {
+	if w.sent >= w.request.Route.Attempts || time.Until(w.request.Deadline) < max(minimumTime, w.request.usual) {
+		return false
+	}
+	w.retryReserved = w.retryReserved || w.takeRetry(w.wanted.service)
+	return w.retryReserved
+}
+
 // overdue reports whether a repeatable request is given up after a silence, where the next
 // byte usually takes some time.
 func (w *work) overdue(silent, usual time.Duration) bool {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/budget"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -493,3 +494,28 @@
 		})
 	}
 }
+
+// A late answer is not given up when the request can't be sent again.
+func TestLateAnswerIsAwaitedWithoutARetry(t *testing.T) {
+	s := startStandIns(t, 1)
+	s.warm(fleet.Repeatable, 0)
+	s.setSlow(slowFactor, 1)
+	bounds := s.forwarder.options.Bounds
+	for name, limit := range map[string]func(*work){
+		"attempts": func(w *work) { w.request.Route.Attempts = 1 },
+		"budget":   func(w *work) { w.options.Bounds = fleet.Bounds{RetryWindow: time.Second} },
+		"time":     func(w *work) { w.request.Deadline = time.Now().Add(minimumTime / 2) },
+	} {
+		request := testRequest(name, "b")
+		request.Route.Attempts = 2
+		w := &work{Forwarder: s.forwarder, request: request, sent: 1}
+		w.wanted.service = "s"
+		judge := w.silence(s.targets[0], 0)
+		limit(w)
+		assert.NoError(t, judge(time.Minute, time.Millisecond), name)
+		s.forwarder.options.Bounds, s.forwarder.budgets = bounds, map[string]*budget.Budget{}
+	}
+	w := &work{Forwarder: s.forwarder, request: testRequest("again", "b"), sent: 1}
+	w.request.Route.Attempts = 2
+	assert.ErrorIs(t, w.silence(s.targets[0], 0)(time.Minute, time.Millisecond), errOverdue)
+}
