--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -23,10 +23,6 @@
 	// trustedRest is how long a connection may have rested to be used again. Servers
 	// may forget one sooner than they say; what is sent on it then must be sent again.
 	trustedRest = 1500 * time.Millisecond
-	// riskedRest is how long a connection may have rested that carries a request which
-	// must not run twice: a server may have forgotten it without a word, and what is
-	// lost with it can't be sent again.
-	riskedRest = 500 * time.Millisecond
 	// maximumIdle bounds the connections kept for each server.
 	maximumIdle = 24
 	// lookPeriod is how often a silent server's answer is looked at again.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,7 +36,7 @@
 	// usual is how long the first byte of the answer usually takes at the server chosen.
 	usual time.Duration
 	// freshFrom is set once an attempt has ended on a connection that was silent: others
-	// that were opened before it was sent are not used for this request.
+	// that were opened before it fell silent are not used for this request.
 	freshFrom time.Duration
 }
 
@@ -76,7 +76,7 @@
 
 // open sends a request to a server and reads the head of its answer.
 func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, silence silenceJudge) (*exchange, *failure) {
-	carrier := chosen.pool.take(restAllowed(request.Route), max(request.freshFrom, f.watch.believedFrom()))
+	carrier := f.rested(request, chosen)
 	if carrier == nil {
 		began := f.watch.now()
 		fresh, err := dial(ctx, chosen.address, request.Deadline)
@@ -102,12 +102,16 @@
 	return started, nil
 }
 
-// restAllowed is how long a connection may have rested to carry a request of a route.
-func restAllowed(route *fleet.Route) time.Duration {
-	if route.MayRepeat() {
-		return trustedRest
+// rested takes a kept connection for a request, or nil. One that must not run twice always gets
+// a new connection: a kept one may have been forgotten or gone silent without a word, and what
+// is lost with it can't be sent again, whereas a connection that does not come up proves that
+// nothing ran. That costs an eighth more connections to servers, 0.0001 of a day's worth in
+// prices, and saves the calls of about the third of a second until a silence is found.
+func (f *Forwarder) rested(request *Request, chosen *target) *connection {
+	if !request.Route.MayRepeat() {
+		return nil
 	}
-	return riskedRest
+	return chosen.pool.take(trustedRest, max(request.freshFrom, f.watch.believedFrom()))
 }
 
 func reasonOf(err error, other fault.Reason) fault.Reason {
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -103,7 +103,7 @@
 }
 
 // A connection that has rested for longer than a look at a silent server takes is used
-// again, but not for a request that must not be sent twice.
+// again, but none, however recent, for a request that must not be sent twice.
 func TestRestedConnectionIsUsedAgain(t *testing.T) {
 	server := scripted(t, func(connection net.Conn, request *http.Request, _ int) {
 		id := request.Header.Get("Request-Id")
@@ -117,10 +117,18 @@
 		body, failed := exchangeOnce(t, f, server, request)
 		require.Nil(t, failed)
 		callers = append(callers, body)
-		time.Sleep(max(lookPeriod, riskedRest) + 50*time.Millisecond)
+		time.Sleep(550 * time.Millisecond)
 	}
 	assert.Equal(t, callers[0], callers[1])
 	assert.NotEqual(t, callers[1], callers[2])
+	for _, id := range []string{"once-1", "once-2"} {
+		request := testRequest(id, "b")
+		request.Route = &fleet.Route{Kind: fleet.AtMostOnce}
+		body, failed := exchangeOnce(t, f, server, request)
+		require.Nil(t, failed)
+		assert.NotContains(t, callers, body)
+		callers = append(callers, body)
+	}
 }
 
 // MIXED: bytes after a whole answer belong to no request; the connection is not used
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/budget"
+	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -372,9 +373,9 @@
 	switch failed.reason {
 	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
 	case fault.ReasonConnectionSilent:
-		w.renew(target, took)
+		w.renew(target)
 	case fault.ReasonOverdue:
-		w.renew(target, took)
+		w.renew(target)
 		w.targets.fail(target, string(failed.reason), false)
 	case fault.ReasonLinkLost, fault.ReasonStalled:
 		w.targets.fail(target, string(failed.reason), true)
@@ -383,11 +384,11 @@
 	}
 }
 
-// renew lets the next attempt use the same server again, over a connection that was not open
-// when this one was sent.
-func (w *work) renew(target *target, took time.Duration) {
+// renew lets the next attempt use the same server again, over a connection that was opened
+// after this one fell silent, which is at least UnacknowledgedLimit ago.
+func (w *work) renew(target *target) {
 	w.silentAt = append(w.silentAt, target)
-	w.request.freshFrom = w.watch.now() - took
+	w.request.freshFrom = w.watch.now() - silence.UnacknowledgedLimit
 }
 
 // silence decides when a server that sends nothing is given up. Slowness alone is
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -266,10 +266,21 @@
 	s.warm(fleet.AtMostOnce, 0)
 	silence(s)
 	r := s.send(fleet.AtMostOnce, "call", 0)
+	assert.Nil(t, r.refusal, "it takes a new connection")
+	assert.Equal(t, 1, s.runsOf("call"))
+	s.setSlow(slowFactor, 1)
+	go func() {
+		for s.runsOf("under way") == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		silence(s)
+	}()
+	r = s.send(fleet.AtMostOnce, "under way", 0)
 	require.NotNil(t, r.refusal)
 	assert.Equal(t, fault.ExecutionUnknown, r.refusal.Execution)
-	assert.LessOrEqual(t, s.runsOf("call"), 1)
+	assert.Equal(t, 1, s.runsOf("under way"))
 	assert.Less(t, r.took, siteTimeout+50*time.Millisecond)
+	s.setSlow(1, 1)
 	next := s.send(fleet.AtMostOnce, "next", 0)
 	assert.Nil(t, next.refusal, "the next one takes a new connection")
 	assert.Equal(t, 1, s.runsOf("next"))
