Connections are looked at only once an answer has been awaited for 0.2 s

Cause: an entry looked at all of its connections 40 times a second. Change: the look is skipped, but for noticing pauses of the process, until a connection is mute for 0.2 s; the conclusions need 0.25 s.

--- a/coordination/silence/silence.go
+++ b/coordination/silence/silence.go
@@ -142,8 +142,14 @@
 	return &Judge{trials: map[string]*trial{}, silentAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}}
 }
 
-// Idle notes that nothing is awaited, so that the time until the next tick is no pause.
-func (j *Judge) Idle() { j.ticked = false }
+// Skip stands for a tick at which nothing has been awaited for long, so that there is nothing
+// to look at but whether the process itself was paused.
+func (j *Judge) Skip(now time.Duration) {
+	if j.ticked && now-j.last > pauseLeast {
+		j.resumed = now
+	}
+	j.ticked, j.last = true, now
+}
 
 // Connected notes how the try of a new connection has ended that began at some moment.
 func (j *Judge) Connected(server string, began time.Duration, succeeded bool) {
@@ -165,10 +171,7 @@
 
 // Tick looks at all connections, the resting ones among them.
 func (j *Judge) Tick(now time.Duration, all []Observation) Verdict {
-	if j.ticked && now-j.last > pauseLeast {
-		j.resumed = now
-	}
-	j.ticked, j.last = true, now
+	j.Skip(now)
 	for _, one := range all {
 		fresh := j.trialOf(one.Server)
 		fresh.answered = max(fresh.answered, one.Opened)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -18,8 +18,12 @@
 	// watchPeriod is how often connections with open requests are looked at: a tenth of
 	// the time after which silence.Judge tries a new connection.
 	watchPeriod = 25 * time.Millisecond
-	// inspectAfter is the silence from which the kernel is asked about a connection.
-	inspectAfter = 100 * time.Millisecond
+	// lookAfter is the silence of a connection from which all are looked at: shortly before
+	// the least after which silence.Judge draws conclusions.
+	lookAfter = 200 * time.Millisecond
+	// inspectAfter is the silence from which the kernel is asked about a connection then: a
+	// request sent shortly before needs no explanation.
+	inspectAfter = 50 * time.Millisecond
 	// suspicionTime is for how long new connections are preferred after a suspicion, which
 	// is renewed at each look while it lasts.
 	suspicionTime = 200 * time.Millisecond
@@ -124,11 +128,11 @@
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	now := v.now()
-	all, connections, waiting := v.observe(now)
-	if !waiting {
-		v.judge.Idle()
+	if !v.worthALook(now) {
+		v.judge.Skip(now)
 		return
 	}
+	all, connections := v.observe(now)
 	verdict := v.judge.Tick(now, all)
 	v.suspect(now, verdict.FreshOnly)
 	for _, server := range verdict.Try {
@@ -144,13 +148,21 @@
 	}
 }
 
-func (v *watch) observe(now time.Duration) (all []silence.Observation, connections []*connection, waiting bool) {
+// worthALook reports whether an answer has been awaited for long.
+func (v *watch) worthALook(now time.Duration) bool {
 	for one := range v.open {
-		seen := one.observe(now)
-		all, connections = append(all, seen), append(connections, one)
-		waiting = waiting || seen.Waiting
+		if one.carrying.Load() && int64(now)-max(one.asked.Load(), one.heard.Load()) >= int64(lookAfter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *watch) observe(now time.Duration) (all []silence.Observation, connections []*connection) {
+	for one := range v.open {
+		all, connections = append(all, one.observe(now)), append(connections, one)
 	}
-	return all, connections, waiting
+	return all, connections
 }
 
 // suspect notes whether older connections are suspected.
