--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -26,7 +26,7 @@
 	// maximumIdle bounds the connections kept for each server.
 	maximumIdle = 24
 	// lookPeriod is how often a silent server's answer is looked at again.
-	lookPeriod       = 50 * time.Millisecond
+	lookPeriod       = 200 * time.Millisecond
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 2 << 10
 )
@@ -63,6 +63,8 @@
 	silence  silenceJudge
 	heardAt  time.Time
 	received atomic.Int64
+	// patience is the least silence after which the answer can be overdue.
+	patience time.Duration
 	// parts counts the reads that brought bytes.
 	parts int
 }
@@ -102,7 +104,7 @@
 func (c *connection) Read(buffer []byte) (int, error) {
 	for {
 		now := time.Now()
-		_ = c.net.SetReadDeadline(minTime(c.deadline, now.Add(lookPeriod)))
+		_ = c.net.SetReadDeadline(minTime(c.deadline, c.nextLook(now)))
 		if c.ctx.Err() != nil {
 			return 0, errLeft
 		}
@@ -132,6 +134,20 @@
 	}
 }
 
+// nextLook is when a silent server is looked at again: after lookPeriod, or when its answer is
+// overdue, whichever comes first.
+func (c *connection) nextLook(now time.Time) time.Time {
+	next := now.Add(lookPeriod)
+	usual := time.Duration(c.usual.Load())
+	if usual == 0 {
+		return next
+	}
+	if due := c.heardAt.Add(overdueAfter(c.patience, usual)); due.After(now) {
+		return minTime(next, due)
+	}
+	return next
+}
+
 // hear notes that bytes have come. What is usual from the second part of an answer on is the
 // longest pause so far.
 func (c *connection) hear(count int) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -88,6 +88,7 @@
 		carrier = fresh
 	}
 	carrier.usual.Store(int64(request.usual))
+	carrier.patience = patienceOf(request.Route)
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
 	outgoing := f.outgoing(request, send)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -412,9 +412,9 @@
 }
 
 // takeBackMargin is how long before the bound of an old version a request is taken
-// back from a server that has not begun it: the look at a silent connection each lookPeriod
-// and the way of the close to the server, on a link that is not quite free.
-const takeBackMargin = 400 * time.Millisecond
+// back from a server that has not begun it. A silent connection is looked at each
+// lookPeriod.
+const takeBackMargin = 2 * lookPeriod
 
 // suspectSilence is the silence after which a suspect server is given up.
 const suspectSilence = 350 * time.Millisecond
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/silence"
+	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/network"
 )
@@ -257,15 +258,22 @@
 	return w.retryReserved
 }
 
-// overdue reports whether a repeatable request is given up after a silence, where the next
-// byte usually takes some time.
-func (w *work) overdue(silent, usual time.Duration) bool {
-	if usual == 0 {
-		return false
+// patienceOf is the least time after which an answer of a route can be overdue.
+func patienceOf(route *fleet.Route) time.Duration {
+	if route.Kind == fleet.Streaming {
+		return streamPatience
 	}
-	least := plainPatience
-	if w.isStream() {
-		least = streamPatience
-	}
-	return silent >= max(least, patienceFactor*usual)
+	return plainPatience
+}
+
+// overdueAfter is the silence after which an answer is overdue whose next byte usually takes
+// some time.
+func overdueAfter(patience, usual time.Duration) time.Duration {
+	return max(patience, patienceFactor*usual)
+}
+
+// overdue reports whether a repeatable request is given up after a silence; not as long as
+// nothing is known of what is usual.
+func (w *work) overdue(silent, usual time.Duration) bool {
+	return usual > 0 && silent >= overdueAfter(patienceOf(w.request.Route), usual)
 }
