Connections to servers that are found silent have a metric of their own

Cause: two metrics had one name and other labels, so that a process with both could not start. Change: pinevane_silent_server_connections_total, by what showed the silence. Conclusion: both are told.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -39,7 +39,7 @@
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
 	m.silent = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "pinevane_silent_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
+		Name: "pinevane_silent_server_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
 	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -456,7 +456,7 @@
 			s.setSlow(slowFactor, slowServers)
 			time.Sleep(2 * time.Second)
 			plain, streams := stopPlain(), stopStreams()
-			assert.Zero(t, s.count("pinevane_silent_connections_total"), "connections that were given up")
+			assert.Zero(t, s.count("pinevane_silent_server_connections_total"), "connections that were given up")
 			again, all := s.count("pinevane_repeats_total"), float64(len(plain)+len(streams))
 			t.Logf("%.0f of %.0f requests sent again", again, all)
 			assert.LessOrEqual(t, again, slowRepeats*all)
@@ -476,7 +476,7 @@
 	stopPlain()
 	once := stopOnce()
 	s.checkRuns(fleet.AtMostOnce, once)
-	assert.Zero(t, s.count("pinevane_silent_connections_total"), "connections that were given up")
+	assert.Zero(t, s.count("pinevane_silent_server_connections_total"), "connections that were given up")
 }
 
 // TWICE, REFUSED: a request is taken back from a server over a connection that passes nothing
