The stand-in plays allowed regions; a test shows requests leaving them

Cause: routes and tenants say in which regions their requests may be served; nothing in the code reads it. Change: the stand-in publishes allowed regions on demand and records where every request arrives, also one that its server does not run.

--- /dev/null
+++ b/internal/emulator/site/regions.go
@@ -0,0 +1,77 @@
+package site
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// RegionName names the region of a zone; each zone is a region of its own.
+func RegionName(zone int) string { return fmt.Sprintf("region-%d", zone) }
+
+// regionsOfZones maps the name of every zone to its region's.
+func (o Options) regionsOfZones() map[string]string {
+	regions := map[string]string{}
+	for zone := range o.Zones {
+		regions[ZoneName(zone)] = RegionName(zone)
+	}
+	return regions
+}
+
+// allowedRegionsField is how the platform spells the regions of a route or tenant.
+const allowedRegionsField = "allowedRegions"
+
+// AllowRouteRegions sets the regions in which requests of a route may be served. Without
+// any the list is empty, which is how the platform publishes a route without restriction.
+func AllowRouteRegions(configuration map[string]any, route string, regions ...string) {
+	allowRegions(configuration["routes"], route, regions)
+}
+
+// AllowTenantRegions sets the same for the requests of a tenant.
+func AllowTenantRegions(configuration map[string]any, tenant string, regions ...string) {
+	allowRegions(configuration["tenants"], tenant, regions)
+}
+
+func allowRegions(owners any, name string, regions []string) {
+	listed, _ := owners.([]any)
+	for _, one := range listed {
+		if owner, _ := one.(map[string]any); owner["name"] == name {
+			owner[allowedRegionsField] = append([]string{}, regions...)
+		}
+	}
+}
+
+// Arrival is a request that has come to a server, whether or not the server ran it.
+type Arrival struct {
+	RequestID string
+	Server    string
+	Service   string
+	Zone      string
+	// Region is the zone's, and empty for a zone that the fleet does not name.
+	Region string
+	// BodyBytes is how much of a body came with it.
+	BodyBytes int
+	At        time.Time
+}
+
+// arrivals records what has come to servers.
+type arrivals struct {
+	mutex sync.Mutex
+	all   []Arrival
+}
+
+func (a *arrivals) add(arrival Arrival) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.all = append(a.all, arrival)
+}
+
+// Arrivals returns everything that has come to a server.
+func (l *Ledger) Arrivals() []Arrival {
+	l.arrivals.mutex.Lock()
+	defer l.arrivals.mutex.Unlock()
+	return append([]Arrival(nil), l.arrivals.all...)
+}
+
+// Zone returns the name of the server's zone.
+func (s *Server) Zone() string { return s.options.Zone }
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -28,10 +28,11 @@
 	At      time.Time
 }
 
-// Ledger records what ran, over all servers.
+// Ledger records what came to servers and what ran, over all of them.
 type Ledger struct {
-	mutex sync.Mutex
-	runs  []Run
+	mutex    sync.Mutex
+	runs     []Run
+	arrivals arrivals
 }
 
 func (l *Ledger) add(run Run) {
@@ -67,6 +68,8 @@
 	ID      string
 	Service string
 	Zone    string
+	// Region is the zone's.
+	Region string
 	// Address is an IP address and port.
 	Address string
 	Slots   int
@@ -241,11 +244,14 @@
 	s.mutex.Lock()
 	silent := s.faults.Silent
 	s.mutex.Unlock()
+	path := request.URL.Path
 	if silent {
+		if !strings.HasPrefix(path, "/-/") {
+			_, _ = s.receive(request)
+		}
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	path := request.URL.Path
 	switch {
 	case path == "/-/report":
 		s.serveReport(writer)
@@ -400,11 +406,21 @@
 	return true
 }
 
+// receive reads a request's body and records where it came.
+func (s *Server) receive(request *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(request.Body)
+	s.options.Ledger.arrivals.add(Arrival{
+		RequestID: request.Header.Get("Request-Id"), Server: s.options.ID, Service: s.options.Service,
+		Zone: s.options.Zone, Region: s.options.Region, BodyBytes: len(body), At: time.Now(),
+	})
+	return body, err
+}
+
 func (s *Server) run(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Request-Id")
 	writer.Header().Set("Request-Id", id)
 	writer.Header().Set("Instance-Id", s.options.ID)
-	body, err := io.ReadAll(request.Body)
+	body, err := s.receive(request)
 	if err != nil || !s.admit(writer, request) {
 		return
 	}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -182,7 +182,7 @@
 	s.starts++
 	weights := s.Options.Weights
 	server := NewServer(ServerOptions{
-		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone),
+		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
 		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
 	})
@@ -212,7 +212,7 @@
 func (s *Site) startPlain(zone, index int) error {
 	s.starts++
 	return s.adopt(s.Plain, NewServer(ServerOptions{
-		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone),
+		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: fmt.Sprintf("%s:%d", s.Options.ip(zone, firstPlain+index), serverPort), Slots: s.Options.Slots,
 		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
 	}))
@@ -292,10 +292,9 @@
 
 // Settings returns the settings file of a machine.
 func (s *Site) Settings(role string, zone, index int) []byte {
-	zones := map[string]string{}
+	zones := s.Options.regionsOfZones()
 	var seeds []string
 	for one := range s.Options.Zones {
-		zones[ZoneName(one)] = "region-" + fmt.Sprint(one)
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.Options.EntryIP(one, 0), controlPort))
 	}
 	settings := map[string]any{
