Requests stay in the regions that their route and tenant allow

Cause: nothing read the allowed regions of routes and tenants; choice, retries and resumed streams went anywhere. Change: platform/ decodes them into fleet.AllowedRegions; fleet.Residency is every list that binds a request (route and tenant, of the configuration it was admitted under and of the newest known). One check, in targets.unfit, which every way to a server goes through: choice, whom to ask for the load, retries, resumed streams, ejected servers. Asked once more before the request is written, because a connection may be long in the making. A server of an unknown zone is in no region. A refusal that a server elsewhere would have avoided has the reason data-residency and the time that a server of the allowed regions is expected; explain tells of it. Names that no zone has allow nothing and are logged (PV2008) and counted. An empty list restricts nothing: the platform publishes one for every route without restriction. Each run of the site tests looks for networks that no other run uses.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"pinevane.example/pinevane/internal/fault"
 )
 
 // last returns the newest line with one of the events.
@@ -69,7 +71,7 @@
 		if line.number("limit") > 0 {
 			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
 		}
-		return text + versionCause(all, line)
+		return text + regionCause(line, end) + versionCause(all, line)
 	}
 	if _, found := last(own, failed); found {
 		return failureCause(own, all)
@@ -77,6 +79,29 @@
 	return end.text("reason")
 }
 
+// reasonResidency is the reason of a request that a server of another region would have
+// been sent.
+const reasonResidency = string(fault.ReasonResidency)
+
+// noRegions is how the log writes allowed regions that contradict each other.
+const noRegions = "[]"
+
+// regionCause tells of a choice that allowed regions bound, and whether they decided it.
+func regionCause(choice, end Line) string {
+	regions := choice.text("allowed_regions")
+	if regions == "" {
+		return ""
+	}
+	text := "; only servers in the regions " + regions + " were allowed"
+	if regions == noRegions {
+		text = "; the allowed regions of the route and the tenant have none in common"
+	}
+	if end.text("reason") == reasonResidency {
+		text += ", and others would have taken it"
+	}
+	return text
+}
+
 // failureCause explains the last attempt that failed, and why no other followed.
 func failureCause(own, all []Line) string {
 	failure, found := last(own, failed)
@@ -91,7 +116,7 @@
 	if line, kept := last(own, withheld); kept && !line.Time.Before(failure.Time) {
 		text += "; it was not tried again because of: " + line.text("because")
 	} else if line, none := last(own, noServer); none && !line.Time.Before(failure.Time) {
-		text += "; no other server was chosen, servers by reason: " + line.text("servers")
+		text += "; no other server was chosen, servers by reason: " + line.text("servers") + regionCause(line, Line{})
 	}
 	return text + versionCause(all, failure)
 }
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -101,6 +101,9 @@
 	ReasonStalled      Reason = "stalled"
 	ReasonNotReady     Reason = "not-ready"
 	ReasonTooLarge     Reason = "too-large"
+	// ReasonResidency is why a request is refused for which there are servers, but none in
+	// the regions in which it may be served.
+	ReasonResidency Reason = "data-residency"
 )
 
 // Refusal is the failure of a caller's request.
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -45,6 +45,8 @@
 	// Resumable streams may be continued at another server.
 	Resumable bool
 	Services  []WeightedService
+	// AllowedRegions bind every request of the route.
+	AllowedRegions AllowedRegions
 }
 
 // MayRepeat reports whether a request of the route may run more than once.
@@ -136,6 +138,9 @@
 	Keys []string
 	// Priority replaces the route's when it is not nil.
 	Priority *int
+	// AllowedRegions bind every request that bears one of the keys, in addition to the
+	// route's.
+	AllowedRegions AllowedRegions
 }
 
 // Configuration is one published version, immutable once built by Index.
@@ -212,3 +217,11 @@
 	}
 	return Service{}, false
 }
+
+// ResidencyOf is what the configuration binds a request to, by the route of its host and
+// path and the tenant of its key. A route or tenant that it does not have binds nothing.
+func (c *Configuration) ResidencyOf(host, path, key string) Residency {
+	route, _ := c.RouteOf(host, path)
+	tenant, _ := c.TenantOf(key)
+	return ResidencyOf(route, tenant)
+}
--- /dev/null
+++ b/internal/fleet/regions_test.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// An empty list allows every region; a name that no region has allows none, and an unknown
+// region is in no list.
+func TestWhatAListOfRegionsAllows(t *testing.T) {
+	for _, one := range []struct {
+		regions AllowedRegions
+		region  string
+		want    bool
+	}{
+		{nil, "a", true}, {AllowedRegions{}, "a", true}, {AllowedRegions{}, "", true},
+		{AllowedRegions{"a", "b"}, "b", true}, {AllowedRegions{"a", "a"}, "a", true}, {AllowedRegions{"a"}, "b", false},
+		{AllowedRegions{"a"}, "", false}, {AllowedRegions{""}, "", false}, {AllowedRegions{""}, "a", false}, {AllowedRegions{"A"}, "a", false},
+	} {
+		assert.Equal(t, one.want, one.regions.Allow(one.region), "%v, region %q", one.regions, one.region)
+	}
+}
+
+// A route's and a tenant's regions bind both; lists without a common region allow none.
+func TestEveryListOfARequestBinds(t *testing.T) {
+	route, tenant := &Route{AllowedRegions: AllowedRegions{"a", "b"}}, &Tenant{AllowedRegions: AllowedRegions{"b", "c"}}
+	both := ResidencyOf(route, tenant)
+	assert.Equal(t, []string{"b"}, both.Regions())
+	assert.False(t, both.Allow("a"))
+	assert.False(t, both.Allow("c"))
+	assert.True(t, both.Allow("b"))
+	contradiction := both.And(ResidencyOf(nil, &Tenant{AllowedRegions: AllowedRegions{"a"}}))
+	assert.Empty(t, contradiction.Regions())
+	assert.True(t, contradiction.Restrict())
+	assert.Equal(t, []string{"b"}, both.Regions(), "joining changes neither part")
+	assert.False(t, ResidencyOf(&Route{AllowedRegions: AllowedRegions{}}, nil).Restrict())
+}
+
+// What a configuration binds a request to goes by its route and by the tenant of its key.
+func TestResidencyOfARequest(t *testing.T) {
+	configuration := &Configuration{
+		Routes: []Route{
+			{Host: "h", Prefix: "/", AllowedRegions: AllowedRegions{"a"}},
+			{Host: "h", Prefix: "/free/"},
+		},
+		Tenants: []Tenant{{Keys: []string{"k"}, AllowedRegions: AllowedRegions{"b"}}, {Keys: []string{"free"}}},
+	}
+	configuration.Index()
+	assert.Equal(t, Residency{{"a"}, {"b"}}, configuration.ResidencyOf("H:80", "/x", "k"))
+	assert.Equal(t, Residency{{"b"}}, configuration.ResidencyOf("h", "/free/x", "k"))
+	assert.Equal(t, Residency{{"a"}}, configuration.ResidencyOf("h", "/x", "free"))
+	assert.Empty(t, configuration.ResidencyOf("h", "/free/x", "unknown"))
+	assert.Empty(t, configuration.ResidencyOf("other", "/", "unknown"))
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -53,8 +53,10 @@
 	// atLeast and exactly bound the version; zero does not.
 	atLeast uint64
 	exactly uint64
-	prompt  int
-	answer  int
+	// residency bounds the regions of the servers.
+	residency fleet.Residency
+	prompt    int
+	answer    int
 	// resumed requests are not refused for load: they have been admitted before.
 	resumed bool
 	// notices are the named versions of the model, the newest last. A server that has
@@ -98,10 +100,8 @@
 	}
 	usable := t.askedOf(t.usable(wanted, now), wanted)
 	if len(usable) == 0 {
-		refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
-		refusal.RetryAfter = t.soonestReady(wanted, now)
 		t.logNoChoice(wanted, now, 0, 0)
-		return choice{}, refusal
+		return choice{}, t.noServer(wanted, now)
 	}
 	best := choice{score: math.MaxInt64, candidates: len(usable)}
 	for _, candidate := range t.sample(usable, max(wanted.rules().SampleSize, len(wanted.candidates))) {
@@ -198,7 +198,8 @@
 	}
 	t.log.Log(logging.NoServerChosen, zap.String("request", wanted.work.request.Call.RequestID), zap.String("service", wanted.service),
 		zap.Any("servers", counts), zap.Duration("soonest", soonest), zap.Duration("limit", limit), zap.Duration("oldest_status", oldest),
-		zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly))
+		zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly),
+		regionsField(wanted.residency))
 }
 
 // Times until servers serve again.
@@ -219,7 +220,7 @@
 	copyTime := t.copyTime(wanted.engine)
 	soonest := emptyTime + copyTime/2
 	for _, told := range t.statuses {
-		if !told.status.Reachable || now.Sub(told.at) > statusCurrent {
+		if !told.status.Reachable || now.Sub(told.at) > statusCurrent || !t.allowedAt(told.status.Address, wanted.residency) {
 			continue
 		}
 		left := copyTime * time.Duration(told.status.Missing) / time.Duration(wanted.engine.Pieces)
@@ -239,11 +240,14 @@
 	unfitVersion     = "other version"
 	unfitBound       = "would begin after the version's bound"
 	unfitEjected     = "ejected"
+	unfitRegion      = "outside the allowed regions"
 )
 
 // unfit returns why a server is not sent the request.
 func (t *targets) unfit(k *target, wanted need, now time.Time) string {
 	switch {
+	case !t.allowed(k.server, wanted.residency):
+		return unfitRegion
 	case k.server.Draining || k.gone:
 		return unfitLeaving
 	case slices.Contains(wanted.tried, k):
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -20,6 +20,10 @@
 	Call   fleet.CallHeader
 	Route  *fleet.Route
 	Tenant string
+	// Configuration is the one that the request was admitted under, Residency what it
+	// bound the request to.
+	Configuration *fleet.Configuration
+	Residency     fleet.Residency
 	// Priority is the rank told to servers, 0 first.
 	Priority int
 	Method   string
@@ -79,6 +83,10 @@
 		f.metrics.connections.Inc()
 		carrier = fresh
 	}
+	if !f.stillAllowed(request, chosen) {
+		carrier.close()
+		return nil, &failure{reason: fault.ReasonResidency, execution: fault.ExecutionNotRun, cause: errNarrowed}
+	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
 	outgoing := f.outgoing(request, send)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -52,9 +52,8 @@
 	budgets map[string]*budget.Budget
 	// mostPeers is the most other entries seen at once.
 	mostPeers int
-	// checkedVersion is the configuration whose figures were last looked through; only
-	// Update reads it.
-	checkedVersion uint64
+	// checked is the configuration that was last looked through; only Update reads it.
+	checked *fleet.Configuration
 }
 
 // New returns a forwarder that knows no servers yet.
@@ -68,7 +67,7 @@
 
 // Update takes over a new view of the fleet.
 func (f *Forwarder) Update(view *catalog.View) {
-	f.checkFigures(view.Configuration)
+	f.checkConfiguration(view.Configuration)
 	f.targets.update(view)
 }
 
@@ -248,6 +247,7 @@
 // it may have run there.
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
+	w.bindResidency()
 	w.askLoads(ctx)
 	chosen, refusal := w.targets.choose(w.wanted)
 	if refusal != nil {
@@ -343,7 +343,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
+	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonResidency:
 	case fault.ReasonLinkLost, fault.ReasonStalled:
 		w.targets.fail(target, string(failed.reason), true)
 	default:
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -74,12 +74,18 @@
 	w.targets.learnedOf(w.wanted.service).Stream(w.wanted.prompt, w.events, writing)
 }
 
-// checkFigures logs and counts the figures that a new configuration lacks.
-func (f *Forwarder) checkFigures(configuration *fleet.Configuration) {
-	if configuration == nil || configuration.Version == f.checkedVersion {
+// checkConfiguration looks a new configuration through for what it lacks or can't mean.
+func (f *Forwarder) checkConfiguration(configuration *fleet.Configuration) {
+	if configuration == nil || configuration == f.checked {
 		return
 	}
-	f.checkedVersion = configuration.Version
+	f.checked = configuration
+	f.checkFigures(configuration)
+	f.checkRegions(configuration)
+}
+
+// checkFigures logs and counts the figures that a configuration lacks.
+func (f *Forwarder) checkFigures(configuration *fleet.Configuration) {
 	count := 0
 	for name, service := range configuration.Services {
 		if service.Engine == nil {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,6 +12,9 @@
 	loadQueries *prometheus.CounterVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
+	// unservedOwners counts the routes and tenants of the configuration in force whose
+	// allowed regions have no zone.
+	unservedOwners prometheus.Gauge
 }
 
 // Outcomes of load queries, as labels.
@@ -41,6 +44,8 @@
 		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.loadQueries, m.missingFigures)
+	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.loadQueries, m.missingFigures, m.unservedOwners)
 	return m
 }
--- /dev/null
+++ b/internal/forward/residency.go
@@ -0,0 +1,186 @@
+package forward
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Data residency: a request is sent only to servers in the regions that its route and its
+// tenant allow. Every way to a server goes through targets.unfit, which asks here: the
+// choice, whom to ask for the load, what follows a failed attempt, the continuation of a
+// stream, and the ejected servers that are taken when no sound one is left.
+//
+// A request is bound by the configuration that it was admitted under and by the newest one
+// known, by both: an attempt that follows a narrowed configuration must not go by the older
+// one, and one that follows a widened configuration was accepted under the older's promise.
+
+// errNarrowed ends an attempt whose server is no longer in an allowed region.
+var errNarrowed = errors.New("a newer configuration does not allow the server's region")
+
+// bindResidency sets in which regions the next attempt may be served.
+func (w *work) bindResidency() { w.wanted.residency = w.targets.residencyOf(w.request) }
+
+// residencyOf is what binds a request now.
+func (t *targets) residencyOf(request *Request) fleet.Residency {
+	newest := t.currentView().Configuration
+	admitted := request.Configuration
+	if newest == nil || newest == admitted || (admitted != nil && newest.Version < admitted.Version) {
+		return request.Residency
+	}
+	path, _, _ := strings.Cut(request.Target, "?")
+	return request.Residency.And(newest.ResidencyOf(request.Host, path, request.Call.Key))
+}
+
+// stillAllowed is asked right before a request is written: a connection may have been long
+// in the making, and a configuration may have narrowed the regions meanwhile.
+func (f *Forwarder) stillAllowed(request *Request, chosen *target) bool {
+	residency := f.targets.residencyOf(request)
+	f.targets.mutex.Lock()
+	defer f.targets.mutex.Unlock()
+	return f.targets.allowed(chosen.server, residency)
+}
+
+// allowed reports whether a server may be sent a request with a residency. A server whose
+// zone the settings do not name has no region, and is in none that is allowed.
+func (t *targets) allowed(server fleet.Server, residency fleet.Residency) bool {
+	return !residency.Restrict() || residency.Allow(t.regions[server.Zone])
+}
+
+// allowedAt is the same for the server at an address; one that is not listed is nowhere.
+// The mutex is held.
+func (t *targets) allowedAt(address string, residency fleet.Residency) bool {
+	if !residency.Restrict() {
+		return true
+	}
+	holder := t.byAddress[address]
+	return holder != nil && t.allowed(holder.server, residency)
+}
+
+// noRegionRetry is told when no zone of the fleet is in an allowed region: only another
+// configuration helps, which an operator must write first. Callers that come back sooner
+// are refused again.
+const noRegionRetry = 5 * time.Second
+
+// noServer refuses a request that no server may be sent now, with the time until one of
+// the allowed regions is expected; the mutex is held.
+func (t *targets) noServer(wanted need, now time.Time) *fault.Refusal {
+	refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
+	if t.residencyDecides(wanted, now) {
+		refusal = fault.NotRun(fault.ReasonResidency, "no server in the allowed regions can serve the request now")
+	}
+	refusal.RetryAfter = t.soonestReady(wanted, now)
+	if !t.hasZoneFor(wanted.residency) {
+		refusal.RetryAfter = noRegionRetry
+	}
+	return refusal
+}
+
+// residencyDecides reports whether a server of another region would be sent the request;
+// the mutex is held.
+func (t *targets) residencyDecides(wanted need, now time.Time) bool {
+	if !wanted.residency.Restrict() {
+		return false
+	}
+	wanted.residency = nil
+	return len(t.usable(wanted, now)) > 0
+}
+
+// hasZoneFor reports whether the fleet has a zone in a region that a residency allows.
+func (t *targets) hasZoneFor(residency fleet.Residency) bool {
+	if !residency.Restrict() {
+		return true
+	}
+	for _, region := range t.regions {
+		if residency.Allow(region) {
+			return true
+		}
+	}
+	return false
+}
+
+// regionsField tells the log which regions are allowed; it is left out where all are. An
+// empty one means that the lists which bind the request contradict each other.
+func regionsField(residency fleet.Residency) zap.Field {
+	if !residency.Restrict() {
+		return zap.Skip()
+	}
+	return zap.Strings("allowed_regions", residency.Regions())
+}
+
+// Faults of a list of allowed regions.
+const (
+	faultUnknownRegion  = "no zone has the region"
+	faultRepeatedRegion = "the region is named twice"
+	faultNoRegion       = "no zone has any of the regions"
+)
+
+// mostNamed is how many routes and tenants a log line names; a configuration may have a
+// thousand with the same fault.
+const mostNamed = 5
+
+// doubt is a fault with the region that it concerns.
+type doubt struct {
+	fault  string
+	region string
+}
+
+// checkRegions logs what can't be meant in a configuration's lists of allowed regions, one
+// line for each fault and region, and counts the routes and tenants that no server may serve.
+func (f *Forwarder) checkRegions(configuration *fleet.Configuration) {
+	doubts := map[doubt][]string{}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		f.targets.doubtsOf(route.AllowedRegions, "route "+route.Name, doubts)
+	}
+	for i := range configuration.Tenants {
+		tenant := &configuration.Tenants[i]
+		f.targets.doubtsOf(tenant.AllowedRegions, "tenant "+tenant.Name, doubts)
+	}
+	unserved := 0
+	for one, owners := range doubts {
+		if one.fault == faultNoRegion {
+			unserved += len(owners)
+		}
+		f.log.Log(logging.RegionsDoubtful, zap.String("fault", one.fault), zap.String("region", one.region),
+			zap.Strings("owners", owners[:min(mostNamed, len(owners))]), zap.Int("owner_count", len(owners)),
+			zap.Uint64("configuration", configuration.Version))
+	}
+	f.metrics.unservedOwners.Set(float64(unserved))
+}
+
+// doubtsOf adds the faults of one list under the name of its owner.
+func (t *targets) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
+	note := func(fault, region string) {
+		one := doubt{fault: fault, region: region}
+		doubts[one] = append(doubts[one], owner)
+	}
+	for i, region := range regions {
+		switch {
+		case slices.Contains(regions[:i], region):
+			note(faultRepeatedRegion, region)
+		case !t.isRegion(region):
+			note(faultUnknownRegion, region)
+		}
+	}
+	if regions.Restrict() && !t.hasZoneFor(fleet.Residency{regions}) {
+		note(faultNoRegion, strings.Join(regions, " "))
+	}
+}
+
+// isRegion reports whether a zone of the fleet is in a region of that name.
+func (t *targets) isRegion(name string) bool {
+	for _, region := range t.regions {
+		if region == name && name != "" {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -80,8 +80,9 @@
 	if !found {
 		return fault.NotRun(fault.ReasonUnknownService, "no route leads there")
 	}
-	request.Route = route
+	request.Route, request.Configuration = route, configuration
 	request.Priority = route.Priority
+	request.Residency = fleet.ResidencyOf(route, nil)
 	if !configuration.NeedsKeys() {
 		return nil
 	}
@@ -89,6 +90,7 @@
 	switch {
 	case known:
 		request.Tenant = tenant.Name
+		request.Residency = fleet.ResidencyOf(route, tenant)
 		if tenant.Priority != nil {
 			request.Priority = *tenant.Priority
 		}
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -73,11 +73,15 @@
 	nextNetwork  = 60
 )
 
+// networkRange is how many networks are looked at for one on which no other run of these
+// tests has its stand-in. Demos and soaks take theirs from 140 on.
+const networkRange = 20
+
 // DefaultOptions is a fleet of two zones with bounds that suit a test.
 func DefaultOptions() site.Options {
 	networkMutex.Lock()
 	defer networkMutex.Unlock()
-	nextNetwork++
+	nextNetwork = site.FreeNetwork(nextNetwork+1, networkRange, 0)
 	return site.Options{
 		Network: nextNetwork, Zones: 2, Entries: 2, ModelServers: 2, PlainServers: 1,
 		Weights:   site.Weights{Model: "m", Pieces: 24, PieceBytes: 4096, Layers: 4},
--- a/internal/sitetest/regions_test.go
+++ b/internal/sitetest/regions_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/explain"
 )
 
 // Names of the stand-in's routes.
@@ -141,3 +142,172 @@
 		})
 	}
 }
+
+// noServerIn ends every server of a zone and takes it off the list.
+func noServerIn(f *Fleet, zone int) {
+	for _, server := range serversOf(f, zone) {
+		server.Lapse()
+		server.Crash()
+	}
+	f.Eventually("the entry has lost them", 3*time.Second, func() bool {
+		for _, listed := range f.Process(Name(site.RoleEntry, 0, 0)).Catalog.View().Servers {
+			for _, server := range listed {
+				if server.Zone == site.ZoneName(zone) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// HOME, REFUSED: where no server of the allowed regions is left, requests of every kind are
+// refused at once, with a time to return, and have not run; the metrics and the story of the
+// request say that the regions decided.
+func TestRequestIsRefusedWhereNoAllowedRegionHasAServer(t *testing.T) {
+	const home = 1
+	f := Start(t, threeRegions())
+	f.configure(restrictTenant(site.RegionName(home)))
+	noServerIn(f, home)
+	calls := map[string]func(id string) (Answer, error){
+		"stream": func(id string) (Answer, error) { return f.Stream(t.Context(), 0, 0, id, 5) },
+		"once": func(id string) (Answer, error) {
+			return f.Call(t.Context(), 0, 0, http.MethodPost, site.OncePrefix, id, nil, "save")
+		},
+		"safe": func(id string) (Answer, error) {
+			return f.Call(t.Context(), 0, 0, http.MethodGet, site.SafePrefix, id, nil, "")
+		},
+	}
+	for kind, call := range calls {
+		began := time.Now()
+		answer, err := call("nowhere-" + kind)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Status, kind)
+		assert.NotEmpty(t, answer.Header.Get("Retry-After"), kind)
+		assert.Less(t, time.Since(began), 500*time.Millisecond, kind)
+		assert.Contains(t, answer.Body, `"reason":"data-residency","execution":"not-run"`, kind)
+		lines, told := story(f, t, "nowhere-"+kind, "PV4104")
+		const want = `; only servers in the regions ["region-1"] were allowed, and others would have taken it`
+		assert.Contains(t, told.Cause, "refused, and certain not to have run: no server was chosen", kind)
+		assert.Contains(t, told.Cause, want, kind)
+		assert.NotContains(t, explain.Tell(without(lines, "PV4109"), "nowhere-"+kind).Cause, want, kind)
+	}
+	assert.Empty(t, f.Site.Ledger.Arrivals())
+	assert.Equal(t, len(calls), refusalsFor(f, t, "data-residency"))
+	f.configure(restrictTenant())
+	answer, err := calls["safe"]("anywhere")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status, "the restriction is gone")
+}
+
+// refusalsFor reads how many requests an entry says that it has refused for a reason.
+func refusalsFor(f *Fleet, t *testing.T, reason string) int {
+	t.Helper()
+	families, err := f.Process(Name(site.RoleEntry, 0, 0)).Registry.Gather()
+	require.NoError(t, err)
+	count := 0.0
+	for _, family := range families {
+		if family.GetName() != "pinevane_refusals_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetValue() == reason {
+					count += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return int(count)
+}
+
+// Regions of a route and a tenant that have none in common allow no server, and the story
+// says so.
+func TestRegionsWithoutACommonOneAllowNoServer(t *testing.T) {
+	f := Start(t, threeRegions())
+	f.configure(restrictRoutes(site.RegionName(0)), restrictTenant(site.RegionName(1)))
+	answer, err := f.Call(t.Context(), 0, 0, http.MethodGet, site.SafePrefix, "apart", nil, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+	assert.Equal(t, "5", answer.Header.Get("Retry-After"), "only another configuration helps")
+	_, told := story(f, t, "apart", "PV4104")
+	assert.Contains(t, told.Cause, "the allowed regions of the route and the tenant have none in common")
+	assert.Empty(t, f.Site.Ledger.Arrivals())
+}
+
+// HOME: a stream that is under way when the regions change goes on where it is; when it breaks
+// it is continued only in a region that the configuration it was admitted under and the newest
+// one both allow.
+func TestBrokenStreamIsContinuedOnlyInAllowedRegions(t *testing.T) {
+	for name, one := range map[string]struct {
+		admitted, newest []string
+		want             string
+	}{
+		"narrowed": {nil, []string{site.RegionName(2)}, site.RegionName(2)},
+		"widened":  {[]string{site.RegionName(0)}, nil, site.RegionName(0)},
+		"moved":    {[]string{site.RegionName(0)}, []string{site.RegionName(2)}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			options := threeRegions()
+			options.EventTime = 60 * time.Millisecond
+			f := Start(t, options)
+			f.configure(restrictTenant(one.admitted...))
+			const id, events = "moving", 40
+			done := make(chan Answer, 1)
+			go func() {
+				answer, err := f.Stream(context.Background(), 0, 0, id, events)
+				assert.NoError(t, err)
+				done <- answer
+			}()
+			f.Eventually("the stream runs", time.Second, func() bool { return len(runsOf(f, id)) == 1 })
+			f.configure(restrictTenant(one.newest...))
+			serving := runsOf(f, id)[0].Server
+			for _, server := range f.Site.Models {
+				if server.ID() == serving {
+					server.Crash()
+				}
+			}
+			answer := <-done
+			arrivals := slices.DeleteFunc(f.Site.Ledger.Arrivals(), func(arrival site.Arrival) bool { return arrival.RequestID != id })
+			if one.want == "" {
+				assert.False(t, answer.Whole)
+				assert.Len(t, arrivals, 1)
+				return
+			}
+			assert.True(t, answer.Whole)
+			assert.Equal(t, consecutive(events), answer.Events)
+			if assert.Len(t, arrivals, 2) {
+				assert.Equal(t, one.want, arrivals[1].Region)
+			}
+		})
+	}
+}
+
+// Names of regions that no zone has allow no server and are logged with the configuration that
+// brought them; everything else of that configuration is in force.
+func TestUnknownRegionsAllowNoServer(t *testing.T) {
+	f := Start(t, threeRegions())
+	version := f.configure(func(configuration map[string]any) {
+		site.AllowRouteRegions(configuration, "once", "region-9")
+		site.AllowRouteRegions(configuration, "safe", "region-9", site.RegionName(2), site.RegionName(2))
+		site.AllowRouteRegions(configuration, "stream")
+	})
+	answer, err := f.Call(t.Context(), 0, 0, http.MethodPost, site.OncePrefix, "unknown", nil, "save")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+	for number := range 12 {
+		answer, err = f.Call(t.Context(), number%3, 0, http.MethodGet, site.SafePrefix, fmt.Sprintf("partly-%d", number), nil, "")
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.Status)
+	}
+	assert.Empty(t, arrivalsOutside(f, site.RegionName(2)))
+	answer, err = f.Stream(t.Context(), 0, 0, "free", 3)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status, "an empty list restricts nothing")
+	entries := f.Site.Options.Zones * f.Site.Options.Entries
+	ofVersion := fmt.Sprintf(`"configuration":%d`, version)
+	f.Eventually("each entry has logged the doubts", time.Second, func() bool { return countEvents(f, "PV2008", ofVersion) == 3*entries })
+	assert.Equal(t, entries, countEvents(f, "PV2008", `"fault":"no zone has the region","region":"region-9","owners":["route once","route safe"]`))
+	assert.Equal(t, entries, countEvents(f, "PV2008", `"fault":"the region is named twice","region":"region-2"`))
+	assert.Equal(t, entries, countEvents(f, "PV2008", `"fault":"no zone has any of the regions"`))
+}
