Soak and demo check that requests stay in their allowed regions

Change: both restrict streams to two regions and requests that run once to two others before the first process starts, so that every arrival elsewhere is a fault, whatever is disturbed.

--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -49,6 +49,8 @@
 	fleet   *launch.SiteFleet
 	site    *site.Site
 	group   *launch.Group
+	// residencies hold from before the first process starts.
+	residencies site.Residencies
 
 	answered atomic.Int64
 	refused  atomic.Int64
@@ -76,6 +78,7 @@
 }
 
 func (d *systemDemo) run() error {
+	d.residencies = d.site.RestrictTwoRoutes()
 	if err := d.fleet.StartAll(systemReady); err != nil {
 		return err
 	}
@@ -206,6 +209,11 @@
 			runs[run.RequestID]++
 		}
 	}
+	for _, arrival := range d.site.Ledger.Arrivals() {
+		if d.residencies.Outside(arrival) {
+			d.violation("%s came to %s in %s, where its route does not allow it", arrival.RequestID, arrival.Server, arrival.Region)
+		}
+	}
 	for id, count := range runs {
 		if count > 1 {
 			d.violation("%s ran %d times", id, count)
--- a/internal/emulator/site/regions.go
+++ b/internal/emulator/site/regions.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -46,6 +48,7 @@
 	RequestID string
 	Server    string
 	Service   string
+	Path      string
 	Zone      string
 	// Region is the zone's, and empty for a zone that the fleet does not name.
 	Region string
@@ -54,6 +57,32 @@
 	At        time.Time
 }
 
+// Residencies are the regions in which requests under a prefix of the path are allowed.
+type Residencies map[string][]string
+
+// Outside reports whether a request has come to a region that its path's do not contain.
+func (r Residencies) Outside(arrival Arrival) bool {
+	for prefix, regions := range r {
+		if strings.HasPrefix(arrival.Path, prefix) && !slices.Contains(regions, arrival.Region) {
+			return true
+		}
+	}
+	return false
+}
+
+// RestrictTwoRoutes publishes a configuration in which streams are allowed in the first two
+// zones' regions and requests that run once in the last two's. Published before any process
+// starts, it makes every arrival elsewhere a fault, whatever is disturbed.
+func (s *Site) RestrictTwoRoutes() Residencies {
+	last := s.Options.Zones - 1
+	streams, once := []string{RegionName(0), RegionName(1)}, []string{RegionName(last - 1), RegionName(last)}
+	s.Configure(func(configuration map[string]any) {
+		AllowRouteRegions(configuration, streamRoute, streams...)
+		AllowRouteRegions(configuration, onceRoute, once...)
+	})
+	return Residencies{StreamPrefix: streams, OncePrefix: once}
+}
+
 // arrivals records what has come to servers.
 type arrivals struct {
 	mutex sync.Mutex
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -411,7 +411,7 @@
 	body, err := io.ReadAll(request.Body)
 	s.options.Ledger.arrivals.add(Arrival{
 		RequestID: request.Header.Get("Request-Id"), Server: s.options.ID, Service: s.options.Service,
-		Zone: s.options.Zone, Region: s.options.Region, BodyBytes: len(body), At: time.Now(),
+		Path: request.URL.Path, Zone: s.options.Zone, Region: s.options.Region, BodyBytes: len(body), At: time.Now(),
 	})
 	return body, err
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -39,6 +39,8 @@
 	PlainService  = "records"
 	OriginService = "weights"
 	Host          = "users.example"
+	streamRoute   = "stream"
+	onceRoute     = "once"
 	StreamPrefix  = "/stream/"
 	OncePrefix    = "/once/"
 	SafePrefix    = "/safe/"
@@ -251,8 +253,8 @@
 	w := s.Options.Weights
 	return map[string]any{
 		"routes": []any{
-			route("stream", StreamPrefix, "streaming", ModelService, true),
-			route("once", OncePrefix, "non_idempotent", PlainService, false),
+			route(streamRoute, StreamPrefix, "streaming", ModelService, true),
+			route(onceRoute, OncePrefix, "non_idempotent", PlainService, false),
 			route("safe", SafePrefix, "idempotent", PlainService, false),
 		},
 		"services": []any{
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -22,6 +22,7 @@
 	LeavingIsLeft   Promise = "a leaving server gets no new work"
 	StopCutsNothing Promise = "a planned stop cuts nothing"
 	RecoveryInTime  Promise = "recovery in time"
+	AllowedRegions  Promise = "requests stay in their allowed regions"
 )
 
 // RequestKind tells how often a request may run.
@@ -76,10 +77,13 @@
 type Record struct {
 	Attempts   []Attempt
 	Runs       []site.Run
+	Arrivals   []site.Arrival
 	Disturbed  []Span
 	Stops      []Span
 	Departures []Departure
 	Namings    []Naming
+	// Residencies hold from before the first process starts.
+	Residencies site.Residencies
 	// VersionApply, Drain and Grace are the bounds of the platform.
 	VersionApply time.Duration
 	Drain        time.Duration
@@ -116,6 +120,13 @@
 	for _, run := range record.Runs {
 		found = append(found, record.judgeRun(run)...)
 	}
+	for _, arrival := range record.Arrivals {
+		if record.Residencies.Outside(arrival) {
+			found = append(found, Violation{
+				Promise: AllowedRegions, At: arrival.At, Request: arrival.RequestID, Detail: "it came to " + arrival.Server + " in " + arrival.Region,
+			})
+		}
+	}
 	return found
 }
 
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -95,6 +95,7 @@
 			Grace: time.Duration(bounds.GraceS * float64(time.Second)),
 		},
 	}
+	r.record.Residencies = fleet.Site.RestrictTwoRoutes()
 	if err := fleet.StartAll(readyLimit); err != nil {
 		return err
 	}
@@ -191,6 +192,7 @@
 // report judges the whole run and prints it.
 func (r *run) report() error {
 	r.record.Attempts, r.record.Runs = r.callers.all(), r.site.Ledger.Runs()
+	r.record.Arrivals = r.site.Ledger.Arrivals()
 	found := append(r.found, Judge(r.record)...)
 	answered, refused := 0, 0
 	for _, attempt := range r.record.Attempts {
@@ -206,8 +208,8 @@
 			r.printf("  %-24s %d", kind, count)
 		}
 	}
-	r.printf("requests checked: %d answered, %d refused, %d failed; %d runs at servers", answered, refused,
-		len(r.record.Attempts)-answered-refused, len(r.record.Runs))
+	r.printf("requests checked: %d answered, %d refused, %d failed; %d arrivals and %d runs at servers", answered, refused,
+		len(r.record.Attempts)-answered-refused, len(r.record.Arrivals), len(r.record.Runs))
 	r.printf("violations: %d", len(found))
 	for _, one := range found {
 		r.printf("  seed %d, %s: %s, request %q: %s", r.options.Seed, one.At.Format("15:04:05.000"), one.Promise, one.Request, one.Detail)
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -23,7 +23,12 @@
 			{ID: "stream", Kind: CallStream, Entry: "entry-0-0", Sent: at(40), Ended: at(41), Status: 200, Whole: true, Own: true},
 			{ID: "refused", Kind: CallSafe, Entry: "entry-0-0", Sent: at(2), Ended: at(2.1), Status: 503, Whole: true},
 		},
-		Runs:         []site.Run{run("once", "p-1", 0, 1), run("stream", "i-1", 2, 40)},
+		Runs: []site.Run{run("once", "p-1", 0, 1), run("stream", "i-1", 2, 40)},
+		Arrivals: []site.Arrival{
+			{RequestID: "once", Server: "p-1", Path: site.OncePrefix, Region: site.RegionName(1), At: at(1)},
+			{RequestID: "stream", Server: "i-1", Path: site.StreamPrefix, Region: site.RegionName(2), At: at(40)},
+		},
+		Residencies:  site.Residencies{site.OncePrefix: {site.RegionName(0), site.RegionName(1)}},
 		Namings:      []Naming{{Version: 2, At: at(20)}},
 		Departures:   []Departure{{Server: "i-2", At: at(30)}},
 		Stops:        []Span{{From: at(40.5), To: at(48.5), Process: "entry-0-0"}},
@@ -47,6 +52,8 @@
 		{CallerIsolation, func(r *Record) { r.Runs[0].Tenant = "another" }},
 		{VersionInTime, func(r *Record) { r.Runs[1].Version = 1 }},
 		{LeavingIsLeft, func(r *Record) { r.Runs[1].Server = "i-2" }},
+		{AllowedRegions, func(r *Record) { r.Arrivals[0].Region = site.RegionName(2) }},
+		{AllowedRegions, func(r *Record) { r.Arrivals[0].Region = "" }},
 		{StopCutsNothing, func(r *Record) { r.Attempts[1].Whole, r.Attempts[1].Own = false, false }},
 	} {
 		record := soundRecord(began)
