--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -158,8 +158,8 @@
 
 // doubtsOf adds the faults of one list under the name of its owner.
 func (t *targets) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
-	note := func(fault, region string) {
-		one := doubt{fault: fault, region: region}
+	note := func(wrong, region string) {
+		one := doubt{fault: wrong, region: region}
 		doubts[one] = append(doubts[one], owner)
 	}
 	for i, region := range regions {
