--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -65,7 +65,8 @@
 }
 
 // noRegionRetry is told when no zone of the fleet is in an allowed region: only another
-// configuration helps, which an operator must write first. Callers that come back sooner
+// configuration helps. Deployments give a published one 2 to 3 s to be in force everywhere;
+// the rest is for an operator to write it, which is a guess. Callers that come back sooner
 // are refused again.
 const noRegionRetry = 5 * time.Second
 
