--- /dev/null
+++ b/internal/emulator/site/regions.go
@@ -0,0 +1,106 @@
+package site
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// RegionName names the region of a zone; each zone is a region of its own.
+func RegionName(zone int) string { return fmt.Sprintf("region-%d", zone) }
+
+// regionsOfZones maps the name of every zone to its region's.
+func (o Options) regionsOfZones() map[string]string {
+	regions := map[string]string{}
+	for zone := range o.Zones {
+		regions[ZoneName(zone)] = RegionName(zone)
+	}
+	return regions
+}
+
+// allowedRegionsField is how the platform spells the regions of a route or tenant.
+const allowedRegionsField = "allowedRegions"
+
+// AllowRouteRegions sets the regions in which requests of a route may be served. Without
+// any the list is empty, which is how the platform publishes a route without restriction.
+func AllowRouteRegions(configuration map[string]any, route string, regions ...string) {
+	allowRegions(configuration["routes"], route, regions)
+}
+
+// AllowTenantRegions sets the same for the requests of a tenant.
+func AllowTenantRegions(configuration map[string]any, tenant string, regions ...string) {
+	allowRegions(configuration["tenants"], tenant, regions)
+}
+
+func allowRegions(owners any, name string, regions []string) {
+	listed, _ := owners.([]any)
+	for _, one := range listed {
+		if owner, _ := one.(map[string]any); owner["name"] == name {
+			owner[allowedRegionsField] = append([]string{}, regions...)
+		}
+	}
+}
+
+// Arrival is a request that has come to a server, whether or not the server ran it.
+type Arrival struct {
+	RequestID string
+	Server    string
+	Service   string
+	Path      string
+	Zone      string
+	// Region is the zone's, and empty for a zone that the fleet does not name.
+	Region string
+	// BodyBytes is how much of a body came with it.
+	BodyBytes int
+	At        time.Time
+}
+
+// Residencies are the regions in which requests under a prefix of the path are allowed.
+type Residencies map[string][]string
+
+// Outside reports whether a request has come to a region that its path's do not contain.
+func (r Residencies) Outside(arrival Arrival) bool {
+	for prefix, regions := range r {
+		if strings.HasPrefix(arrival.Path, prefix) && !slices.Contains(regions, arrival.Region) {
+			return true
+		}
+	}
+	return false
+}
+
+// RestrictTwoRoutes publishes a configuration in which streams are allowed in the first two
+// zones' regions and requests that run once in the last two's. Published before any process
+// starts, it makes every arrival elsewhere a fault, whatever is disturbed.
+func (s *Site) RestrictTwoRoutes() Residencies {
+	last := s.Options.Zones - 1
+	streams, once := []string{RegionName(0), RegionName(1)}, []string{RegionName(last - 1), RegionName(last)}
+	s.Configure(func(configuration map[string]any) {
+		AllowRouteRegions(configuration, streamRoute, streams...)
+		AllowRouteRegions(configuration, onceRoute, once...)
+	})
+	return Residencies{StreamPrefix: streams, OncePrefix: once}
+}
+
+// arrivals records what has come to servers.
+type arrivals struct {
+	mutex sync.Mutex
+	all   []Arrival
+}
+
+func (a *arrivals) add(arrival Arrival) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.all = append(a.all, arrival)
+}
+
+// Arrivals returns everything that has come to a server.
+func (l *Ledger) Arrivals() []Arrival {
+	l.arrivals.mutex.Lock()
+	defer l.arrivals.mutex.Unlock()
+	return append([]Arrival(nil), l.arrivals.all...)
+}
+
+// Zone returns the name of the server's zone.
+func (s *Server) Zone() string { return s.options.Zone }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -55,9 +55,8 @@
 	budgets map[string]*budget.Budget
 	// mostPeers is the most other entries seen at once.
 	mostPeers int
-	// checkedVersion is the configuration whose figures were last looked through; only
-	// Update reads it.
-	checkedVersion uint64
+	// checked is the configuration that was last looked through; only Update reads it.
+	checked *fleet.Configuration
 }
 
 // New returns a forwarder that knows no servers yet.
@@ -72,7 +71,7 @@
 
 // Update takes over a new view of the fleet.
 func (f *Forwarder) Update(view *catalog.View) {
-	f.checkFigures(view.Configuration)
+	f.checkConfiguration(view.Configuration)
 	f.targets.update(view)
 }
 
@@ -262,6 +261,7 @@
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
 	w.wanted.silenceFound = w.watch.foundLately()
+	w.bindResidency()
 	w.askLoads(ctx)
 	chosen, refusal := w.choose()
 	if refusal != nil {
@@ -371,7 +371,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
+	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonResidency:
 	case fault.ReasonConnectionSilent:
 		w.renew(target)
 	case fault.ReasonOverdue:
