--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -69,6 +69,8 @@
 	// Namings are the longest ages in milliseconds of the versions that the sender knows, by
 	// the revisions of their records.
 	Namings map[uint64]int64 `cbor:"14,keyasint,omitempty"`
+	// Services tell an agent the part of the newest configuration that it acts on.
+	Services *publishedServices `cbor:"15,keyasint,omitempty"`
 }
 
 type entrySign struct {
@@ -134,6 +136,7 @@
 		if !peer.isEntry() {
 			_, main := c.overlay.Feeds(ip, peer.zone())
 			message.Backup = !main
+			message.Services = c.servicesFor(peer)
 		}
 		if peer.compared {
 			peer.sequence = c.changes.Sequence()
@@ -278,6 +281,9 @@
 	if len(news.Records) > 0 {
 		c.takeTold(news.Records, ages)
 	}
+	if news.Services != nil {
+		c.takeServices(link, *news.Services)
+	}
 	if flightKnown {
 		c.tightenAges(news.Namings, flight)
 	}
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -135,9 +135,12 @@
 	return answer.Body, answer.BodyTime, nil
 }
 
-func ask[T any](ctx context.Context, p *peerClient, machine dissemination.MachineID, path string) (T, error) {
+// ask asks a machine for a value, with the time for which it may hold the question.
+func ask[T any](ctx context.Context, p *peerClient, machine dissemination.MachineID, path string, hold time.Duration) (T, error) {
 	var answer T
-	reply, err := p.call(ctx, machine, path, network.Call{Method: http.MethodGet, Timeout: offerTimeout, Limit: maximumManifestBytes})
+	reply, err := p.call(ctx, machine, path, network.Call{
+		Method: http.MethodGet, Timeout: offerTimeout, Limit: maximumManifestBytes, Hold: hold,
+	})
 	if err != nil {
 		return answer, err
 	}
@@ -226,8 +229,8 @@
 	writeCBOR(writer, inventory{Pieces: t.heldPieces()})
 }
 
-func (a *Agent) serveManifest(writer http.ResponseWriter, _ *http.Request, t *transfer) {
-	manifest, known := t.knownManifest()
+func (a *Agent) serveManifest(writer http.ResponseWriter, request *http.Request, t *transfer) {
+	manifest, known := t.awaitManifest(request.Context())
 	if !known {
 		http.Error(writer, "not here yet", http.StatusNotFound)
 		return
