An agent greets a link only when it knows its server's model

Cause: an agent that had no configuration yet told each new link that its server was reachable, of version 0. Entries took the server for one to choose a little sooner, and resumed no stream on it until the next word: TestBrokenStreamGoesOnElsewhere, which begins right then, failed.

Change: no greeting before there is a configuration, as before the greeting existed.

--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -159,9 +159,10 @@
 	toMain
 )
 
-// greet tells an entry that has just made a link: it may have heard nothing for a while.
+// greet tells an entry that has just made a link: it may have heard nothing for a while. An agent
+// that does not know its server's model yet has nothing to say of it that an entry may act on.
 func (a *Agent) greet(link *peering.Link) {
-	if link.Remote().Role != catalog.RoleEntry {
+	if engine, _ := a.engine(); engine == nil || link.Remote().Role != catalog.RoleEntry {
 		return
 	}
 	status := a.status(time.Now())
