All connections silent when a version is named: its bound holds

Change: a test that silences every connection of the system's processes at the naming of a version that nobody can fetch, not only those to the store.

--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -117,3 +117,37 @@
 		assert.False(t, run.Spoilt)
 	}
 }
+
+// VERSION: every connection of the system's processes goes silent when a version is named that
+// nobody can fetch. Whatever process hears of it first, and however late, nothing begins on the
+// old version after its bound.
+func TestVersionIsBoundByItsNamingWhenAllConnectionsAreSilent(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Site.Origin.SetAway(true)
+	stop := traffic(15*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, 4)
+		return one
+	})
+	time.Sleep(calmTime)
+	_, err := silencer.Silence(ofTheSystem)
+	require.NoError(t, err)
+	named := time.Now()
+	f.Site.NameVersion(2)
+	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	time.Sleep(time.Until(bound.Add(2 * time.Second)))
+	stop()
+	before, late, latest := 0, 0, time.Duration(0)
+	for _, run := range f.Site.Ledger.Runs() {
+		switch {
+		case run.Service != site.ModelService || run.Version != 1 || run.At.Before(named):
+		case run.At.After(bound):
+			late++
+			latest = max(latest, run.At.Sub(bound))
+		default:
+			before++
+		}
+	}
+	assert.Positive(t, before, "requests that began on the old version within its bound")
+	assert.Zero(t, late, "requests that began on the old version after its bound, the last one %s after it", latest)
+}
