--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -28,10 +28,54 @@
 	At      time.Time
 }
 
-// Ledger records what ran, over all servers.
+// Arrival is one request that has reached a server and was meant for it: answers that it is
+// not, 421, are left out.
+type Arrival struct {
+	RequestID string
+	Server    string
+	Zone      string
+	// Cold is set when the server was cold.
+	Cold bool
+	At   time.Time
+}
+
+// Ledger records what reached servers and what ran, over all servers.
 type Ledger struct {
-	mutex sync.Mutex
-	runs  []Run
+	mutex    sync.Mutex
+	runs     []Run
+	arrivals []Arrival
+}
+
+func (l *Ledger) arrived(arrival Arrival) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.arrivals = append(l.arrivals, arrival)
+}
+
+// Arrivals returns everything that has reached a server, in order of time.
+func (l *Ledger) Arrivals() []Arrival {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Arrival(nil), l.arrivals...)
+}
+
+// MostWhileCold is the most requests that any one server has received in a second in which
+// it was cold.
+func (l *Ledger) MostWhileCold() int {
+	recent := map[string][]time.Time{}
+	most := 0
+	for _, arrival := range l.Arrivals() {
+		if !arrival.Cold {
+			continue
+		}
+		times := append(recent[arrival.Server], arrival.At)
+		for arrival.At.Sub(times[0]) >= time.Second {
+			times = times[1:]
+		}
+		recent[arrival.Server] = times
+		most = max(most, len(times))
+	}
+	return most
 }
 
 func (l *Ledger) add(run Run) {
@@ -82,6 +126,10 @@
 	Heartbeat time.Duration
 	Store     *Store
 	Ledger    *Ledger
+	// ColdTime is how long SetCold makes the server cold, ColdLimit how many requests a
+	// second it then bears; 0 bears any number.
+	ColdTime  time.Duration
+	ColdLimit float64
 }
 
 // Server is the stand-in of a model server or a plain service.
@@ -102,8 +150,13 @@
 	waiting int
 	freed   chan struct{}
 	faults  Faults
-	server  *http.Server
-	stop    context.CancelFunc
+	// coldUntil is when the server will be warm; coldArrivals are those of the last second.
+	coldUntil    time.Time
+	coldArrivals []time.Time
+	// fallen is set once a cold server has received more than it bears.
+	fallen bool
+	server *http.Server
+	stop   context.CancelFunc
 }
 
 // NewServer returns a server that does not listen yet; one that serves a version
@@ -201,6 +254,44 @@
 	}
 }
 
+// SetCold makes the server cold for its cold time from now on; its line tells it with the
+// next heartbeat, or at once.
+func (s *Server) SetCold(tellNow bool) {
+	s.mutex.Lock()
+	s.coldUntil = time.Now().Add(s.options.ColdTime)
+	s.coldArrivals = nil
+	s.mutex.Unlock()
+	if tellNow {
+		s.beat()
+	}
+}
+
+// Fallen reports whether the server has received more than it bears while it was cold.
+func (s *Server) Fallen() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.fallen
+}
+
+// arrive records a request that has reached the server and is meant for it. A cold server
+// that receives more than it bears in a second falls over: from then on it answers nobody,
+// as a silent one does. The mutex is held.
+func (s *Server) arrive(id string) {
+	now := time.Now()
+	cold := now.Before(s.coldUntil)
+	s.options.Ledger.arrived(Arrival{RequestID: id, Server: s.options.ID, Zone: s.options.Zone, Cold: cold, At: now})
+	if !cold || s.options.ColdLimit == 0 {
+		return
+	}
+	s.coldArrivals = append(s.coldArrivals, now)
+	for now.Sub(s.coldArrivals[0]) >= time.Second {
+		s.coldArrivals = s.coldArrivals[1:]
+	}
+	if float64(len(s.coldArrivals)) > s.options.ColdLimit {
+		s.fallen, s.faults.Silent = true, true
+	}
+}
+
 // Version returns the version served whole, or 0.
 func (s *Server) Version() uint64 {
 	s.mutex.Lock()
@@ -228,7 +319,7 @@
 	}
 	record := map[string]any{
 		"service": s.options.Service, "address": s.options.Address, "zone": s.options.Zone, "version": "v1", "slots": s.options.Slots,
-		"state": state, "coldRemainingMs": 0, "stage": "both", "models": s.models(), "sequence": s.beats,
+		"state": state, "coldRemainingMs": max(0, time.Until(s.coldUntil).Milliseconds()), "stage": "both", "models": s.models(), "sequence": s.beats,
 	}
 	lapsed := s.lapsed
 	s.mutex.Unlock()
@@ -372,6 +463,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.arrive(request.Header.Get("Request-Id"))
 	if s.faults.Shed > 0 {
 		s.faults.Shed--
 		return refuse(http.StatusServiceUnavailable)
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -31,8 +31,20 @@
 	GraceS        float64
 	BudgetSlack   int
 	TimeoutMs     int
+	EvacuateMs    int
+	// ColdPerS is the rate that a cold server is made for, ColdStartS how long one is cold;
+	// ColdPerS x ColdOvershoot + ColdSlack requests in a second are what it bears.
+	ColdPerS      float64
+	ColdStartS    float64
+	ColdOvershoot float64
+	ColdSlack     float64
 }
 
+// coldLimit is how many requests a second a cold server bears.
+func (o Options) coldLimit() float64 { return o.ColdPerS*o.ColdOvershoot + o.ColdSlack }
+
+func (o Options) coldTime() time.Duration { return time.Duration(o.ColdStartS * float64(time.Second)) }
+
 // Names of the stand-in's services, routes and keys.
 const (
 	ModelService  = "language"
@@ -185,6 +197,7 @@
 		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone),
 		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
 		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
+		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.coldLimit(),
 	})
 	return server, s.adopt(s.Models, server)
 }
@@ -256,11 +269,12 @@
 			route("safe", SafePrefix, "idempotent", PlainService, false),
 		},
 		"services": []any{
-			map[string]any{"name": ModelService, "healthPath": "/healthz", "maxConnections": 400, "engine": map[string]any{
-				"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
-				"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
-				"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
-			}},
+			map[string]any{"name": ModelService, "healthPath": "/healthz", "maxConnections": 400,
+				"coldStartS": s.Options.ColdStartS, "coldPerS": s.Options.ColdPerS, "engine": map[string]any{
+					"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
+					"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
+					"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
+				}},
 			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConnections": 400},
 			map[string]any{"name": OriginService, "origin": s.originAddress(), "linkMbps": 100.0, "maxConnections": 48},
 		},
@@ -275,6 +289,23 @@
 	s.Store.Put("op/version/"+s.Options.Weights.Model, map[string]any{"model": s.Options.Weights.Model, "version": version})
 }
 
+// evacuationPrefix precedes the zone in the key of an evacuation.
+const evacuationPrefix = "op/evacuate/"
+
+// Evacuate asks that the servers of a zone are sent nothing new.
+func (s *Site) Evacuate(zone string) { s.Store.Put(evacuationPrefix+zone, map[string]any{}) }
+
+// EndEvacuation takes that back; the zone's model servers have become cold just before, which
+// their lines tell only with the next heartbeat.
+func (s *Site) EndEvacuation(zone string) {
+	for _, server := range s.Models {
+		if server.options.Zone == zone {
+			server.SetCold(false)
+		}
+	}
+	s.Store.Delete(evacuationPrefix + zone)
+}
+
 // Roles of the machines.
 const (
 	RoleEntry = "entry"
@@ -305,7 +336,8 @@
 		"bounds": map[string]any{
 			"drainMs": s.Options.DrainMs, "graceS": s.Options.GraceS, "configApplyMs": s.Options.ConfigApplyMs,
 			"version_ms": s.Options.VersionMs, "recoverS": 12, "reuseAfterS": 2, "retryBudgetRatio": 0.2, "retryWindowS": 10,
-			"budgetSlack": s.Options.BudgetSlack,
+			"budgetSlack": s.Options.BudgetSlack, "evacuateMs": s.Options.EvacuateMs,
+			"coldOvershoot": s.Options.ColdOvershoot, "coldSlack": s.Options.ColdSlack,
 		},
 		"platform": map[string]any{"address": s.storeAddress(role, zone, index)},
 	}
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -64,6 +64,18 @@
 	return s.write(item{Key: key, Value: data})
 }
 
+// PutRaw writes a record byte for byte and returns its revision.
+func (s *Store) PutRaw(key string, value []byte) uint64 {
+	return s.write(item{Key: key, Value: value})
+}
+
+// SetDelay holds every answer back for a time.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay = delay
+}
+
 // Delete removes a record.
 func (s *Store) Delete(key string) { s.write(item{Key: key, Gone: true}) }
 
@@ -237,13 +249,14 @@
 			s.calls++
 		}
 		status, events := s.look(request, query.Get("pathPrefix"), after)
-		at, changed, deaf := s.revision, s.changed, s.deaf
+		at, changed, deaf, delay := s.revision, s.changed, s.deaf, s.delay
 		s.mutex.Unlock()
 		if status != http.StatusOK {
 			writer.WriteHeader(status)
 			return
 		}
 		if len(events) > 0 && !deaf {
+			waiting.For(request.Context(), delay)
 			s.writeJSON(writer, request, map[string]any{"events": events, "at": at})
 			return
 		}
@@ -253,6 +266,7 @@
 			if deaf {
 				at = after
 			}
+			waiting.For(request.Context(), delay)
 			s.writeJSON(writer, request, map[string]any{"events": []item{}, "at": at})
 			return
 		case <-request.Context().Done():
