Evacuated zones are sent nothing new, and cold servers no more than they bear

Cause: entries did not read evacuations, nor that a server is cold. Requests reached an emptied zone until its end. Change: platform decodes evacuations, cold times of servers and services, and their bounds; the catalog holds them in its view and has entries told at once; the choice leaves out servers of evacuated zones, also one that was chosen while its connection was being made. All entries share what a cold server bears in a second: each ranks the entries for it by the same hashing (coordination/admission). Servers of a zone that is taken back count as cold. Events PV2008 to PV2010, metrics, and explain says when an evacuation decided.

--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,56 @@
+// Package admission holds what many senders send to one receiver within a limit on any window
+// of time, without a message between them: each may send a fixed whole share in any window of
+// that length. It does no I/O and reads no clock.
+//
+// A token bucket of rate r and depth d admits up to r + d in its worst second, so that with as
+// many senders as the limit allows requests each would be left a rate of 0. Counting what was
+// sent in the window itself admits the whole limit.
+package admission
+
+import "time"
+
+// Share is how many of a limit's whole events the member of a rank may spend in a window, 0
+// the first. The shares of all members sum to the whole part of the limit: where there are
+// fewer events than members, the last in rank have none.
+func Share(limit float64, rank, members int) int {
+	whole := int(limit)
+	if whole <= 0 || members <= 0 || rank >= members {
+		return 0
+	}
+	share := whole / members
+	if rank < whole%members {
+		share++
+	}
+	return share
+}
+
+// Window counts events over a sliding span.
+type Window struct {
+	span time.Duration
+	// admitted are the times of the events of the last span, in order.
+	admitted []time.Duration
+}
+
+// NewWindow returns a window of a length in which nothing has happened.
+func NewWindow(span time.Duration) *Window { return &Window{span: span} }
+
+// Open reports whether another event would leave at most a number of them in the span that
+// ends now.
+func (w *Window) Open(now time.Duration, most int) bool {
+	w.forget(now)
+	return len(w.admitted) < most
+}
+
+// Add counts an event.
+func (w *Window) Add(now time.Duration) {
+	w.forget(now)
+	w.admitted = append(w.admitted, now)
+}
+
+func (w *Window) forget(now time.Duration) {
+	kept := 0
+	for kept < len(w.admitted) && now-w.admitted[kept] >= w.span {
+		kept++
+	}
+	w.admitted = w.admitted[kept:]
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -43,6 +43,8 @@
 	VersionApply time.Duration
 	// Drain is how long a server that has left may still be sent requests.
 	Drain time.Duration
+	// Zones are the fleet's zones and their regions.
+	Zones map[string]string
 }
 
 // Catalog is the copy. It is safe for concurrent use.
@@ -218,19 +220,19 @@
 
 // noteChanges notes what others are to be told. What the store has told this process
 // is urgent, since others depend on it; what a peer has told goes on with the next
-// update, unless it names weights. The mutex is held.
+// update, unless it names weights or evacuates a zone. The mutex is held.
 func (c *Catalog) noteChanges(from source, news []mirror.Record) {
 	for _, record := range news {
 		kind := c.options.Decoder.Kind(record.Key)
 		switch kind {
 		case fleet.RecordConfiguration:
 			c.heads[record.Key] = record.Revision
-		case fleet.RecordServer, fleet.RecordVersion:
+		case fleet.RecordServer, fleet.RecordVersion, fleet.RecordEvacuation:
 			c.changes.Note(record)
 		case fleet.RecordOther:
 			continue
 		}
-		if from == fromStore || kind == fleet.RecordVersion {
+		if from == fromStore || kind == fleet.RecordVersion || kind == fleet.RecordEvacuation {
 			c.urgent = c.changes.Sequence()
 		}
 	}
@@ -257,12 +259,15 @@
 		c.dropServer(record.Key)
 		return true
 	}
-	server, err := c.options.Decoder.Server(record)
+	server, err := c.options.Decoder.Server(record, time.Now())
 	if err != nil {
 		c.options.Log.Log(logging.FrameRejected, zap.Error(err))
 		c.dropServer(record.Key)
 		return true
 	}
+	if known && sameCold(old.ColdUntil, server.ColdUntil) {
+		server.ColdUntil = old.ColdUntil
+	}
 	c.servers[record.Key] = server
 	if !known {
 		index, _ := slices.BinarySearch(c.serverKeys, record.Key)
@@ -278,8 +283,23 @@
 	}
 }
 
+// coldStep is the difference up to which two words on when a server will be warm count as
+// the same: what a line takes from the server to here varies by less, and each heartbeat of
+// a cold server would make a view otherwise.
+const coldStep = 400 * time.Millisecond
+
+// sameCold reports whether two times until which a server is cold are the same to those who
+// send requests there now.
+func sameCold(a, b time.Time) bool {
+	now := time.Now()
+	if a.Before(now) && b.Before(now) {
+		return true
+	}
+	return !a.IsZero() && !b.IsZero() && a.Sub(b).Abs() < coldStep
+}
+
 func sameServer(a, b fleet.Server) bool {
-	if a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone || a.Slots != b.Slots || a.Draining != b.Draining {
+	if a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone || a.Slots != b.Slots || a.Draining != b.Draining || !a.ColdUntil.Equal(b.ColdUntil) {
 		return false
 	}
 	if len(a.Models) != len(b.Models) {
@@ -300,14 +320,16 @@
 	FreshAge             float64             `json:"fresh_age_seconds"`
 	Servers              int                 `json:"servers"`
 	Versions             map[string][]Notice `json:"versions"`
-	Entries              []string            `json:"entries"`
-	StoreCalls           int64               `json:"store_calls"`
+	// EvacuatedZones are sent nothing new.
+	EvacuatedZones []string `json:"evacuated_zones"`
+	Entries        []string `json:"entries"`
+	StoreCalls     int64    `json:"store_calls"`
 }
 
 // Status describes what is held and how old it is.
 func (c *Catalog) Status() Status {
 	view := c.View()
-	status := Status{Versions: maps.Clone(view.Versions), StoreCalls: c.Calls(), FreshAge: time.Since(c.Fresh()).Seconds()}
+	status := Status{Versions: maps.Clone(view.Versions), EvacuatedZones: slices.Sorted(maps.Keys(view.Evacuations)), StoreCalls: c.Calls(), FreshAge: time.Since(c.Fresh()).Seconds()}
 	if view.Configuration != nil {
 		status.ConfigurationVersion = view.Configuration.Version
 		status.ConfigurationAge = time.Since(view.ConfigurationSince).Seconds()
--- /dev/null
+++ b/internal/catalog/evacuations.go
@@ -0,0 +1,39 @@
+package catalog
+
+import (
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// takeEvacuation takes over that a zone is evacuated, or no more. A record with a fault that
+// names a zone is in force: it can only have been written to empty that zone.
+func (c *Catalog) takeEvacuation(next *View, record mirror.Record) {
+	evacuation, err := c.options.Decoder.Evacuation(record)
+	if err != nil {
+		c.options.Log.Log(logging.EvacuationFaulty, zap.String("key", record.Key), zap.Uint64("revision", record.Revision), zap.Error(err))
+	}
+	if evacuation.Zone == "" {
+		return
+	}
+	evacuations := maps.Clone(next.Evacuations)
+	if evacuations == nil {
+		evacuations = map[string]time.Time{}
+	}
+	next.Evacuations = evacuations
+	if record.Gone {
+		delete(evacuations, evacuation.Zone)
+		return
+	}
+	if _, known := c.options.Zones[evacuation.Zone]; !known {
+		c.options.Log.Log(logging.EvacuationFaulty, zap.String("key", record.Key), zap.Uint64("revision", record.Revision),
+			zap.String("unknown_zone", evacuation.Zone))
+	}
+	if _, known := evacuations[evacuation.Zone]; !known {
+		evacuations[evacuation.Zone] = time.Now()
+	}
+}
--- /dev/null
+++ b/internal/catalog/evacuations_test.go
@@ -0,0 +1,70 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+func evacuationRecord(zone string, revision uint64) mirror.Record {
+	return mirror.Record{Key: "op/evacuate/" + zone, Value: []byte(`{}`), Revision: revision}
+}
+
+// An evacuation is in force from when it is heard, from whomever, until it is taken away; what
+// others tell later of an older revision changes nothing.
+func TestEvacuationsAreTakenAndTakenBack(t *testing.T) {
+	c := newTestCatalog()
+	urgent := c.urgent
+	c.takeTold([]mirror.Record{evacuationRecord("a", 5), evacuationRecord("b", 6)}, nil)
+	assert.Contains(t, c.View().Evacuations, "a")
+	assert.Contains(t, c.View().Evacuations, "b")
+	assert.Greater(t, c.urgent, urgent, "others are told at once, also by one who was told")
+	c.takeWatched([]mirror.Record{{Key: "op/evacuate/a", Revision: 8, Gone: true}})
+	c.takeTold([]mirror.Record{evacuationRecord("a", 5)}, nil)
+	assert.NotContains(t, c.View().Evacuations, "a")
+	c.replace("", fleet.Listing{At: 12})
+	assert.Empty(t, c.View().Evacuations, "a listing without it takes it back")
+}
+
+// An evacuation is passed on to those who lack it, as other records are.
+func TestEvacuationsArePassedOn(t *testing.T) {
+	c := newTestCatalog()
+	c.takeWatched([]mirror.Record{evacuationRecord("a", 5)})
+	c.mutex.Lock()
+	message := c.compose(&peerLink{compared: true}, false)
+	c.mutex.Unlock()
+	assert.True(t, slices.ContainsFunc(message.Records, func(r mirror.Record) bool { return r.Key == "op/evacuate/a" }))
+}
+
+func coldRecord(revision uint64, remaining time.Duration) mirror.Record {
+	value := fmt.Sprintf(`{"service":"m","address":"10.1.0.1:80","zone":"z","state":"ready","coldRemainingMs":%d,"sequence":%d}`, remaining.Milliseconds(), revision)
+	return mirror.Record{Key: "servers/s", Value: []byte(value), Revision: revision}
+}
+
+// A server that becomes cold again is news; that a cold one says the same again is not, and
+// neither is its becoming warm when that was expected.
+func TestColdServersAreNewsOnce(t *testing.T) {
+	c := newTestCatalog()
+	views := 0
+	c.OnChange(func(*View) { views++ })
+	c.takeWatched([]mirror.Record{coldRecord(1, 0)})
+	c.takeWatched([]mirror.Record{coldRecord(2, 0)})
+	assert.Equal(t, 1, views)
+	c.takeWatched([]mirror.Record{coldRecord(3, 3*time.Second)})
+	assert.Equal(t, 2, views)
+	until := c.View().Servers["m"][0].ColdUntil
+	assert.WithinDuration(t, time.Now().Add(3*time.Second), until, time.Second)
+	c.takeWatched([]mirror.Record{coldRecord(4, 2900*time.Millisecond)})
+	assert.Equal(t, 2, views)
+	assert.Equal(t, until, c.servers["servers/s"].ColdUntil, "small differences do not add up")
+	c.takeWatched([]mirror.Record{coldRecord(5, 0)})
+	assert.Equal(t, 3, views, "warm sooner than said")
+	c.takeWatched([]mirror.Record{coldRecord(6, 5*time.Second)})
+	assert.Equal(t, 4, views)
+}
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -37,6 +37,9 @@
 	Servers map[string][]fleet.Server
 	// Versions holds the named versions of each model, the newest last.
 	Versions map[string][]Notice
+	// Evacuations are the evacuated zones, and since when this process knows; the map is
+	// never changed.
+	Evacuations map[string]time.Time
 	// agents are the zones of the machines with model servers, by IP address.
 	agents map[string]string
 }
@@ -108,7 +111,7 @@
 	old := c.view.Load()
 	next := &View{
 		Configuration: old.Configuration, ConfigurationSince: old.ConfigurationSince,
-		Servers: old.Servers, Versions: old.Versions, agents: old.agents,
+		Servers: old.Servers, Versions: old.Versions, Evacuations: old.Evacuations, agents: old.agents,
 	}
 	var serversChanged bool
 	for _, record := range news {
@@ -117,6 +120,8 @@
 			c.takeConfiguration(next, record)
 		case fleet.RecordVersion:
 			c.takeVersion(next, record)
+		case fleet.RecordEvacuation:
+			c.takeEvacuation(next, record)
 		case fleet.RecordServer:
 			serversChanged = true
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 	d.Catalog = catalog.New(catalog.Options{
 		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds,
 		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, VersionApply: settings.Bounds.VersionApply,
-		Drain: settings.Bounds.Drain,
+		Drain: settings.Bounds.Drain, Zones: settings.Regions,
 	})
 	d.Router.Handle(peering.Path, d.Hub)
 	d.Section("catalog", func() any { return d.Catalog.Status() })
@@ -97,6 +97,8 @@
 			func(s catalog.Status) float64 { return s.ConfigurationAge }),
 		gauge("pinevane_catalog_age_seconds", "Time since the copy of the store was last known to be current.",
 			func(s catalog.Status) float64 { return s.FreshAge }),
+		gauge("pinevane_evacuated_zones", "Zones whose servers are sent nothing new, because the operator has evacuated them.",
+			func(s catalog.Status) float64 { return float64(len(s.EvacuatedZones)) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_store_calls_total", Help: "Calls to the platform's store."},
 			func() float64 { return float64(d.Catalog.Calls()) }),
 	)
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -69,7 +69,7 @@
 		if line.number("limit") > 0 {
 			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
 		}
-		return text + versionCause(all, line)
+		return text + evacuationCause(all, line) + versionCause(all, line)
 	}
 	if _, found := last(own, failed); found {
 		return failureCause(own, all)
@@ -91,7 +91,7 @@
 	if line, kept := last(own, withheld); kept && !line.Time.Before(failure.Time) {
 		text += "; it was not tried again because of: " + line.text("because")
 	} else if line, none := last(own, noServer); none && !line.Time.Before(failure.Time) {
-		text += "; no other server was chosen, servers by reason: " + line.text("servers")
+		text += "; no other server was chosen, servers by reason: " + line.text("servers") + evacuationCause(all, line)
 	}
 	return text + versionCause(all, failure)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -147,6 +147,7 @@
 			story.Lines = append(story.Lines, line)
 		}
 	}
+	story.Lines = addEvacuations(story.Lines, lines, processes, own[0].Time)
 	story.Lines = append(story.Lines, own...)
 	sortByTime(story.Lines)
 	story.Cause = cause(own, story.Lines)
@@ -177,19 +178,21 @@
 
 // Numbers of the events that a story turns on.
 const (
-	peerConnected = "PV1101"
-	accepted      = "PV2001"
-	versionNamed  = "PV3000"
-	orderSent     = "PV3006"
-	versionLive   = "PV3008"
-	engineLost    = "PV3108"
-	sent          = "PV4101"
-	answered      = "PV4102"
-	denied        = "PV4103"
-	givenUp       = "PV4104"
-	failed        = "PV4105"
-	withheld      = "PV4106"
-	streamCut     = "PV4107"
-	callerLeft    = "PV4108"
-	noServer      = "PV4109"
+	peerConnected  = "PV1101"
+	accepted       = "PV2001"
+	zoneEvacuated  = "PV2009"
+	zoneReadmitted = "PV2010"
+	versionNamed   = "PV3000"
+	orderSent      = "PV3006"
+	versionLive    = "PV3008"
+	engineLost     = "PV3108"
+	sent           = "PV4101"
+	answered       = "PV4102"
+	denied         = "PV4103"
+	givenUp        = "PV4104"
+	failed         = "PV4105"
+	withheld       = "PV4106"
+	streamCut      = "PV4107"
+	callerLeft     = "PV4108"
+	noServer       = "PV4109"
 )
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -96,11 +96,14 @@
 	// ReasonVersionBound is why a request is taken back that has not begun on an old
 	// version of the weights before that version's time was over.
 	ReasonVersionBound Reason = "version-bound"
-	ReasonDeadline     Reason = "deadline-exceeded"
-	ReasonCanceled     Reason = "canceled"
-	ReasonStalled      Reason = "stalled"
-	ReasonNotReady     Reason = "not-ready"
-	ReasonTooLarge     Reason = "too-large"
+	// ReasonEvacuated is why a request that was about to be sent was not: the zone of its
+	// server has been evacuated meanwhile.
+	ReasonEvacuated Reason = "zone-evacuated"
+	ReasonDeadline  Reason = "deadline-exceeded"
+	ReasonCanceled  Reason = "canceled"
+	ReasonStalled   Reason = "stalled"
+	ReasonNotReady  Reason = "not-ready"
+	ReasonTooLarge  Reason = "too-large"
 )
 
 // Refusal is the failure of a caller's request.
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -116,6 +116,10 @@
 	MaximumConnections int
 	// Engine is set for services of model servers.
 	Engine *Engine
+	// ColdTime is how long a server stays cold after a start, and ColdRate the requests a
+	// second that a cold one is made for; both are 0 where servers are warm from the start.
+	ColdTime time.Duration
+	ColdRate float64
 	// OriginAddress is set for the service that hands out weights.
 	OriginAddress string
 	// OriginLinkBytesPerSecond is the capacity of the origin's link.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -35,6 +35,9 @@
 	Slots    int
 	Draining bool
 	Models   []HeldModel
+	// ColdUntil is when the server will be warm, by its line's word when that was read; a
+	// time that is past, or zero, means that it is warm.
+	ColdUntil time.Time
 	// Revision is the store's revision of the line.
 	Revision uint64
 }
@@ -46,6 +49,13 @@
 	Revision uint64
 }
 
+// Evacuation asks that the servers of a zone are sent nothing new, until its record is
+// taken away.
+type Evacuation struct {
+	Zone     string
+	Revision uint64
+}
+
 // RecordKind tells what a published record holds.
 type RecordKind int
 
@@ -55,6 +65,7 @@
 	RecordConfiguration
 	RecordServer
 	RecordVersion
+	RecordEvacuation
 )
 
 // Decoder reads published records.
@@ -63,8 +74,12 @@
 	Prefix() string
 	Kind(key string) RecordKind
 	Configuration(value []byte) (*Configuration, error)
-	Server(record mirror.Record) (Server, error)
+	// Server reads a server's line as of a time, from which its times count.
+	Server(record mirror.Record, at time.Time) (Server, error)
 	Version(record mirror.Record) (NamedVersion, error)
+	// Evacuation reads an evacuation. Its zone is valid also beside an error about the
+	// rest of the record, unless it is empty.
+	Evacuation(record mirror.Record) (Evacuation, error)
 }
 
 // Listing is a read of all records under a prefix.
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -59,4 +59,21 @@
 	RetryRatio  float64
 	RetrySlack  int
 	RetryWindow time.Duration
+	// Evacuate is how long the servers of a zone that is evacuated may still be sent
+	// requests; 0 when the platform sets no bound.
+	Evacuate time.Duration
+	// ColdOvershoot and ColdSlack bound what a cold server receives in any second, over the
+	// whole fleet: ColdOvershoot x the rate that it is made for + ColdSlack. ColdOvershoot is
+	// 0 when the platform sets no bound.
+	ColdOvershoot float64
+	ColdSlack     float64
+}
+
+// ColdLimit is how many requests a cold server of a service may receive in any second, over
+// the whole fleet; false when there is no bound.
+func (b Bounds) ColdLimit(service Service) (float64, bool) {
+	if service.ColdRate <= 0 || b.ColdOvershoot <= 0 {
+		return 0, false
+	}
+	return b.ColdOvershoot*service.ColdRate + b.ColdSlack, true
 }
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -119,6 +119,7 @@
 	best.statusAge = best.target.statusAge(now)
 	best.version = best.target.servedVersion(now)
 	best.target.inFlight++
+	t.countSent(best.target, now)
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
@@ -246,6 +247,8 @@
 	switch {
 	case k.server.Draining || k.gone:
 		return unfitLeaving
+	case t.evacuated(k):
+		return unfitEvacuated
 	case slices.Contains(wanted.tried, k):
 		return unfitTried
 	}
@@ -257,6 +260,9 @@
 	if now.Before(k.ejectedTill) {
 		return unfitEjected
 	}
+	if t.coldFull(k, now) {
+		return unfitCold
+	}
 	return unfitNot
 }
 
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -22,6 +22,10 @@
 	Status          fleet.MachineStatus `json:"status"`
 	StatusAge       float64             `json:"status_age_seconds"`
 	MeanMillisecond float64             `json:"mean_milliseconds"`
+	// ColdFor is how much longer the server counts as cold; Evacuated servers are sent
+	// nothing new.
+	ColdFor   float64 `json:"cold_for_seconds"`
+	Evacuated bool    `json:"evacuated"`
 }
 
 // Servers lists the servers in view in order of ID.
@@ -37,6 +41,8 @@
 			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
 			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
 			MeanMillisecond: known.meanMilliseconds,
+			ColdFor:         max(0, known.server.ColdUntil.Sub(now).Seconds(), known.readmittedUntil.Sub(now).Seconds()),
+			Evacuated:       t.evacuated(known),
 		})
 	}
 	slices.SortFunc(views, func(a, b ServerView) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -78,6 +78,10 @@
 		}
 		f.metrics.connections.Inc()
 		carrier = fresh
+		if f.targets.evacuatedNow(chosen) {
+			carrier.close()
+			return nil, &failure{reason: fault.ReasonEvacuated, execution: fault.ExecutionNotRun}
+		}
 	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -33,6 +33,10 @@
 	Log     *logging.Logger
 	// Peers returns the number of other entries known.
 	Peers func() int
+	// Self is this entry's name among the entries, and Entries lists the others known; nil
+	// knows of none.
+	Self    string
+	Entries func() []string
 	// Loads asks agents before requests are sent; nil asks nobody.
 	Loads    LoadSource
 	Registry prometheus.Registerer
@@ -59,11 +63,14 @@
 
 // New returns a forwarder that knows no servers yet.
 func New(options Options) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		options: options, dialect: options.Dialect, log: options.Log, started: time.Now(),
 		targets: newTargets(options.Zone, options.Regions, options.Log),
 		metrics: newMetrics(options.Registry), budgets: map[string]*budget.Budget{},
 	}
+	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
+	registerCold(options.Registry, f.targets)
+	return f
 }
 
 // Update takes over a new view of the fleet.
@@ -343,7 +350,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound:
+	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonEvacuated:
 	case fault.ReasonLinkLost, fault.ReasonStalled:
 		w.targets.fail(target, string(failed.reason), true)
 	default:
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -44,3 +44,13 @@
 	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.loadQueries, m.missingFigures)
 	return m
 }
+
+// registerCold tells of cold servers as metrics.
+func registerCold(registry prometheus.Registerer, t *targets) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pinevane_cold_servers", Help: "Servers that are cold, or count as cold."},
+			func() float64 { servers, _ := t.coldCounts(); return float64(servers) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_cold_requests_total", Help: "Requests sent to cold servers."},
+			func() float64 { _, sent := t.coldCounts(); return float64(sent) }),
+	)
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
@@ -68,6 +69,11 @@
 	unansweredAt time.Time
 	// gone servers are kept until their last request has ended.
 	gone bool
+	// received are the requests that this entry has sent here lately.
+	received admission.Window
+	// readmittedUntil is until when the server counts as cold because an evacuation of its
+	// zone was taken back.
+	readmittedUntil time.Time
 	// superseded servers have ended for good: another has answered at their address.
 	superseded bool
 }
@@ -106,6 +112,12 @@
 	learned map[string]*balance.Learned
 	// margins learn the limit of refusals of each service.
 	margins map[string]*balance.Margin
+
+	// bounds are what the platform holds the fleet to; cold are the entries that share what
+	// cold servers may receive, and coldSent counts this entry's requests to such.
+	bounds   fleet.Bounds
+	cold     *coldMembers
+	coldSent uint64
 }
 
 type statusAt struct {
@@ -115,7 +127,7 @@
 
 func newTargets(zone string, regions map[string]string, log *logging.Logger) *targets {
 	return &targets{
-		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle,
+		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle, cold: newColdMembers("", nil),
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
 		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 	}
@@ -125,6 +137,7 @@
 func (t *targets) update(view *catalog.View) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	old := t.view
 	t.view = view
 	present := map[string]bool{}
 	t.byService = map[string][]*target{}
@@ -134,7 +147,7 @@
 			present[server.ID] = true
 			known := t.byID[server.ID]
 			if known == nil {
-				known = &target{id: server.ID, address: server.Address, zone: server.Zone, unbegun: map[*work]unbegun{}}
+				known = &target{id: server.ID, address: server.Address, zone: server.Zone, unbegun: map[*work]unbegun{}, received: *admission.NewWindow(coldSpan)}
 				t.byID[server.ID] = known
 				if told, heard := t.statuses[server.Address]; heard {
 					known.status, known.statusAt = told.status, told.at
@@ -158,6 +171,7 @@
 			delete(t.byID, id)
 		}
 	}
+	t.noteEvacuations(old, view)
 }
 
 // holdAddress notes who has an address now: of several servers that are listed with
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,7 @@
 	}
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
-		Peers: base.Catalog.Peers, Loads: g.loads,
+		Peers: base.Catalog.Peers, Self: settings.IP, Entries: base.Catalog.Entries, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy,
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
--- a/internal/sitetest/evacuation_test.go
+++ b/internal/sitetest/evacuation_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/emulator/site"
 )
 
@@ -122,3 +125,180 @@
 	soon := f.between(done.zone, done.asked.Add(300*time.Millisecond), done.ended)
 	assert.Zero(t, soon, "entries act when they hear of it, long before the bound")
 }
+
+// EVAC: the same while every answer of the store takes 0.3 s.
+func TestEvacuationWhileTheStoreIsSlow(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 6)
+	f.Site.Store.SetDelay(300 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	done := f.evacuateFor(site.ZoneName(0), 2500*time.Millisecond)
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	assert.Zero(t, done.late(f))
+}
+
+// EVAC, VERSION: weights are named at the same moment; the emptied zone's servers take them
+// too, and requests find servers of the right version all the time.
+func TestEvacuationBesideANewVersion(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 6)
+	time.Sleep(300 * time.Millisecond)
+	named := time.Now()
+	f.Site.NameVersion(2)
+	done := f.evacuateFor(site.ZoneName(1), 2500*time.Millisecond)
+	bound := time.Duration(f.Site.Options.VersionMs) * time.Millisecond
+	f.Eventually("every server serves version 2", time.Until(named.Add(bound)), func() bool { return f.allServe(2) })
+	time.Sleep(time.Until(named.Add(bound + 200*time.Millisecond)))
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	assert.Zero(t, done.late(f))
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.Service == site.ModelService && run.At.After(named.Add(bound)) {
+			assert.Equal(t, uint64(2), run.Version)
+		}
+	}
+}
+
+// EVAC: one that is taken back before its bound, and asked for again at once, counts from the
+// second asking, and the zone is in use afterwards.
+func TestEvacuationThatIsTakenBackMidway(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 6)
+	time.Sleep(300 * time.Millisecond)
+	first := f.evacuateFor(site.ZoneName(1), 700*time.Millisecond)
+	second := f.evacuateFor(site.ZoneName(1), 2*time.Second)
+	f.Eventually("the zone serves again", 3*time.Second, func() bool {
+		return f.between(second.zone, second.ended, time.Now()) > 10
+	})
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	assert.Zero(t, first.late(f))
+	assert.Zero(t, second.late(f))
+}
+
+// EVAC: a stream that is open in the zone goes on there to its end.
+func TestOpenStreamsOutlastAnEvacuation(t *testing.T) {
+	options := evacuationOptions()
+	options.EventTime = 50 * time.Millisecond
+	f := Start(t, options)
+	const streams, events = 8, 40
+	var open sync.WaitGroup
+	for number := range streams {
+		open.Go(func() {
+			answer, err := f.Stream(context.Background(), 1, number%options.Entries, "open-"+strconv.Itoa(number), events)
+			assert.NoError(t, err)
+			assert.Len(t, answer.Events, events)
+		})
+	}
+	f.Eventually("the streams are open", time.Second, func() bool { return len(f.Site.Ledger.Runs()) >= streams })
+	done := f.evacuateFor(site.ZoneName(1), 2500*time.Millisecond)
+	open.Wait()
+	assert.Len(t, f.Site.Ledger.Runs(), streams, "no stream was moved")
+	assert.Positive(t, f.between(done.zone, done.asked.Add(-time.Second), done.asked), "some were open in the zone")
+	assert.Zero(t, done.late(f))
+}
+
+// EVAC: an entry that starts meanwhile learns it with everything else.
+func TestEntryThatStartsDuringAnEvacuation(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	zone := site.ZoneName(0)
+	f.Site.Evacuate(zone)
+	asked := time.Now()
+	time.Sleep(evacuateMs * time.Millisecond)
+	f.Kill(Name(catalog.RoleEntry, 0, 2))
+	f.StartEntry(0, 2)
+	f.Eventually("the entry is ready", 5*time.Second, func() bool { return f.ready(0, 2) })
+	for number := range 20 {
+		_, err := f.Stream(context.Background(), 0, 2, "late-"+strconv.Itoa(number), 2)
+		require.NoError(t, err)
+	}
+	assert.Zero(t, evacuation{zone: zone, asked: asked, ended: time.Now()}.late(f))
+}
+
+// EVAC, REFUSED: when the evacuated zone is the only one, requests are refused at once and
+// truly, with a time to come back.
+func TestEvacuationOfTheOnlyZone(t *testing.T) {
+	options := evacuationOptions()
+	options.Zones = 1
+	f := Start(t, options)
+	zone := site.ZoneName(0)
+	f.Site.Evacuate(zone)
+	f.Eventually("the entries know", 2*time.Second, func() bool { return countEvents(f, "PV2009", zone) >= options.Entries })
+	began := time.Now()
+	for number := range options.Entries {
+		answer, err := f.Stream(context.Background(), 0, number, "only-"+strconv.Itoa(number), 2)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+		assert.NotEmpty(t, answer.Header.Get("Retry-After"))
+		assert.Contains(t, answer.Body, "not-run")
+	}
+	assert.Less(t, time.Since(began), 500*time.Millisecond)
+	assert.Empty(t, f.Site.Ledger.Runs())
+	f.Site.EndEvacuation(zone)
+	f.Eventually("service is back", 2*time.Second, func() bool {
+		answer, err := f.Stream(context.Background(), 0, 0, "back-"+strconv.FormatInt(time.Now().UnixNano(), 10), 2)
+		return err == nil && answer.Status == http.StatusOK
+	})
+}
+
+// Bad input: what can't be read or names no zone of the fleet is logged, and the rest is in
+// force.
+func TestFaultyEvacuations(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	f.Site.Store.PutRaw("op/evacuate/", []byte(`{}`))
+	f.Site.Store.PutRaw("op/evacuate/hall-of-nowhere", []byte(`{}`))
+	f.Site.Store.PutRaw("op/evacuate/"+site.ZoneName(1), []byte(`{"unfinished`))
+	f.Eventually("the faults are logged", 2*time.Second, func() bool {
+		return countEvents(f, "PV2008", "names no zone") > 0 && countEvents(f, "PV2008", "hall-of-nowhere") > 0 &&
+			countEvents(f, "PV2008", "op/evacuate/"+site.ZoneName(1)) > 0
+	})
+	f.Eventually("the entries know", 2*time.Second, func() bool {
+		return countEvents(f, "PV2009", site.ZoneName(1)) >= f.Site.Options.Zones*f.Site.Options.Entries
+	})
+	known := time.Now()
+	for number := range 20 {
+		answer, err := f.Stream(context.Background(), 1, number%3, "faulty-"+strconv.Itoa(number), 2)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.Status)
+	}
+	assert.Zero(t, f.between(site.ZoneName(1), known, time.Now()))
+}
+
+// FAILBACK: under load from several entries, the servers of a zone that comes back cold from
+// an evacuation receive what they bear and no more, in any second, and something at all.
+func TestZoneThatComesBackColdIsNotOverrun(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 18)
+	time.Sleep(300 * time.Millisecond)
+	done := f.evacuateFor(site.ZoneName(1), 2*time.Second)
+	time.Sleep(2 * time.Second)
+	_, spoilt := stop()
+	assert.Zero(t, spoilt)
+	assert.Zero(t, done.late(f))
+	most := f.Site.Ledger.MostWhileCold()
+	t.Logf("a cold server received up to %d requests in a second", most)
+	assert.LessOrEqual(t, most, 15)
+	assert.Greater(t, most, 4, "cold servers are used")
+	for _, server := range f.Site.Models {
+		assert.False(t, server.Fallen())
+	}
+}
+
+// FAILBACK: a server becomes cold while it is in use, which its line tells.
+func TestServerThatTurnsColdInUseIsNotOverrun(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 4)
+	time.Sleep(500 * time.Millisecond)
+	for range 2 {
+		for _, server := range f.Site.Models {
+			server.SetCold(true)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	stop()
+	assert.LessOrEqual(t, f.Site.Ledger.MostWhileCold(), 15)
+	for _, server := range f.Site.Models {
+		assert.False(t, server.Fallen())
+	}
+}
