--- a/internal/sitetest/evacuation_test.go
+++ b/internal/sitetest/evacuation_test.go
@@ -199,6 +199,37 @@
 	assert.Zero(t, done.late(f))
 }
 
+// EVAC: a stream that breaks off in an evacuated zone is continued outside it.
+func TestBrokenStreamsAreContinuedOutsideAnEvacuatedZone(t *testing.T) {
+	options := evacuationOptions()
+	options.EventTime = 50 * time.Millisecond
+	// Entries that have just started spend a cautious part of the slack; all break at once here.
+	options.BudgetSlack = 400
+	f := Start(t, options)
+	const streams, events, cutAfter = 8, 40, 20
+	zone := site.ZoneName(1)
+	for index := range options.ModelServers {
+		f.Site.Models[options.ModelIP(1, index)].SetFaults(site.Faults{CutAfter: cutAfter, CutCount: streams})
+	}
+	var open sync.WaitGroup
+	for number := range streams {
+		open.Go(func() {
+			answer, err := f.Stream(context.Background(), 1, number%options.Entries, "broken-"+strconv.Itoa(number), events)
+			assert.NoError(t, err)
+			assert.True(t, answer.Whole)
+			assert.Len(t, answer.Events, events)
+		})
+	}
+	f.Eventually("the streams are open", time.Second, func() bool { return len(f.Site.Ledger.Runs()) >= streams })
+	asked := time.Now()
+	inZone := f.between(zone, asked.Add(-time.Second), asked)
+	f.Site.Evacuate(zone)
+	open.Wait()
+	assert.Positive(t, inZone)
+	assert.Len(t, f.Site.Ledger.Runs(), streams+inZone, "each broken stream was continued once")
+	assert.Zero(t, f.between(zone, asked, time.Now()))
+}
+
 // EVAC: an entry that starts meanwhile learns it with everything else.
 func TestEntryThatStartsDuringAnEvacuation(t *testing.T) {
 	f := Start(t, evacuationOptions())
