--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -123,6 +123,7 @@
 	best.statusAge = best.target.statusAge(now)
 	best.version = best.target.servedVersion(now)
 	best.target.inFlight++
+	t.countSent(best.target, now)
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
@@ -254,6 +255,8 @@
 		return unfitRegion
 	case k.server.Draining || k.gone:
 		return unfitLeaving
+	case t.evacuated(k):
+		return unfitEvacuated
 	case slices.Contains(wanted.tried, k):
 		return unfitTried
 	}
@@ -265,6 +268,9 @@
 	if now.Before(k.ejectedTill) {
 		return unfitEjected
 	}
+	if t.coldFull(k, now) {
+		return unfitCold
+	}
 	return unfitNot
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -90,6 +90,10 @@
 		f.metrics.connections.Inc()
 		f.watch.add(fresh, chosen, began)
 		carrier = fresh
+		if f.targets.evacuatedNow(chosen) {
+			carrier.close()
+			return nil, &failure{reason: fault.ReasonEvacuated, execution: fault.ExecutionNotRun}
+		}
 	}
 	carrier.usual.Store(int64(request.usual))
 	carrier.patience = patienceOf(request.Route)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -35,6 +35,10 @@
 	Log     *logging.Logger
 	// Peers returns the number of other entries known.
 	Peers func() int
+	// Self is this entry's name among the entries, and Entries lists the others known; nil
+	// knows of none.
+	Self    string
+	Entries func() []string
 	// Loads asks agents before requests are sent; nil asks nobody.
 	Loads    LoadSource
 	Registry prometheus.Registerer
@@ -62,11 +66,14 @@
 // New returns a forwarder that knows no servers yet.
 func New(options Options) *Forwarder {
 	started, figures := time.Now(), newMetrics(options.Registry)
-	return &Forwarder{
+	f := &Forwarder{
 		options: options, dialect: options.Dialect, log: options.Log, started: started,
 		targets: newTargets(options.Zone, options.Regions, options.Log),
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
+	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
+	registerCold(options.Registry, f.targets)
+	return f
 }
 
 // Update takes over a new view of the fleet.
@@ -371,7 +378,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonResidency:
+	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonResidency, fault.ReasonEvacuated:
 	case fault.ReasonConnectionSilent:
 		w.renew(target)
 	case fault.ReasonOverdue:
