A renewal is told its address

Cause: it read the address of a link that may be opened anew at the same time (found by the race detector, once in a run of all of ./internal/sitetest).

Change: the address is taken under the mutex, as for a dial.

--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -241,17 +241,17 @@
 		}
 		if silent > peer.patience && now.Sub(peer.probedAt) >= probeGrace && !peer.accepted && !peer.dialling {
 			peer.dialling = true
-			go c.renew(ctx, peer, peer.link)
+			go c.renew(ctx, peer, peer.address, peer.link)
 		}
 	}
 }
 
 // renew makes a link beside one that is silent.
-func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
+func (c *Catalog) renew(ctx context.Context, peer *peerLink, address string, silent *peering.Link) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := time.Now()
-	link, err := c.options.Hub.Renew(dialContext, peer.address)
+	link, err := c.options.Hub.Renew(dialContext, address)
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
