Peers tell every version that binds; ages count from the receipt; slow links are measured

Ages told by peers counted from when they were acted on, not from when they came, and an age that a peer had tightened did not reach the forwarder until something else changed, because nobody was told of the new view. The oldest of five versions was dropped while it was the one that ended version 1's time. Change: an update names each version with its model, revision and longest age, and a receiver adds those that it has missed; ages are moments counted from the receipt; whoever follows the view is told of both; a notice is dropped only once a newer one is in force; 64 probes of a link are waited for instead of 8.

--- a/coordination/liveness/roundtrips.go
+++ b/coordination/liveness/roundtrips.go
@@ -8,8 +8,9 @@
 
 // maximumProbes bounds the probes of one peer that are waited for. A further one takes the place
 // of the oldest: probes are lost with the connection that carried them, and a measurement that
-// waited for them would never end.
-const maximumProbes = 8
+// waited for them would never end. At a probe each 150 ms it is ten seconds' worth, more than
+// messages wait on the narrowest links.
+const maximumProbes = 64
 
 // RoundTrips measures how long probes to a set of peers take to be answered, which
 // shows queues on the own link that no other figure shows.
--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -99,21 +100,21 @@
 		if !known || err != nil {
 			continue
 		}
-		if age, bounded := told.longest(); bounded {
-			c.correctAge(named, age)
+		if since, bounded := told.earliest(); bounded {
+			c.correctAge(named, since)
 		}
 	}
 }
 
 // correctAge sets since when a version is known, if that was assumed.
-func (c *Catalog) correctAge(named fleet.NamedVersion, age time.Duration) {
+func (c *Catalog) correctAge(named fleet.NamedVersion, since time.Time) {
 	old := c.view.Load()
 	notices := slices.Clone(old.Versions[named.Model])
 	for index := range notices {
 		if notices[index].Revision != named.Revision || !notices[index].Assumed {
 			continue
 		}
-		notices[index].Since, notices[index].Assumed = time.Now().Add(-age), false
+		notices[index].Since, notices[index].Assumed = since, false
 		next := *old
 		next.Versions = maps.Clone(old.Versions)
 		next.Versions[named.Model] = notices
@@ -122,48 +123,71 @@
 	}
 }
 
-// namings tells the ages of the versions that this process knows, but for assumed ones; the
+// naming is one named version as peers tell each other. The store and the exchange of records hold
+// the newest of each model only; without the ones before it a process that has missed them would
+// let an old version run until the newest one's bound.
+type naming struct {
+	Model    string `cbor:"1,keyasint"`
+	Version  uint64 `cbor:"2,keyasint"`
+	Revision uint64 `cbor:"3,keyasint"`
+	// AgeMilliseconds is the longest time since the naming, cut up to a whole one.
+	AgeMilliseconds int64 `cbor:"4,keyasint"`
+}
+
+// namings tells the versions that this process knows, but for those of an assumed age; the
 // mutex is held.
-func (c *Catalog) namings(now time.Time) map[uint64]int64 {
-	var ages map[uint64]int64
-	for _, notices := range c.View().Versions {
+func (c *Catalog) namings(now time.Time) []naming {
+	var all []naming
+	for model, notices := range c.View().Versions {
 		for _, notice := range notices {
 			if notice.Assumed {
 				continue
 			}
-			if ages == nil {
-				ages = map[uint64]int64{}
-			}
-			ages[notice.Revision] = now.Sub(notice.Since).Milliseconds() + 1
+			all = append(all, naming{
+				Model: model, Version: notice.Version, Revision: notice.Revision, AgeMilliseconds: now.Sub(notice.Since).Milliseconds() + 1,
+			})
 		}
 	}
-	return ages
+	return all
 }
 
-// tightenAges takes over a peer's ages of versions where they are shorter than the own ones, or
-// the own ones are assumed: each is an upper bound. Flight is the longest time that the ages
-// were on their way. A process that had lost touch for seconds when it heard of a version would
-// else count it as that much older until its bound.
-func (c *Catalog) tightenAges(told map[uint64]int64, flight time.Duration) {
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	old := c.View()
-	next := *old
-	next.Versions = make(map[string][]Notice, len(old.Versions))
+// takeNamings takes over a peer's ages of versions where they are shorter than the own ones, or
+// the own ones are assumed, and the versions that were missed here: each age is an upper bound.
+// Flight is the longest time that the word was on its way until it was received. A process that
+// had lost touch for seconds when it heard of a version would else count it as that much older
+// until its bound.
+func (c *Catalog) takeNamings(told []naming, flight time.Duration, received time.Time) {
+	c.changeView(func(next *View) bool { return next.takeNamings(told, flight, received) })
+}
+
+// takeNamings is the same for a view that is being made; it reports whether that differs.
+func (v *View) takeNamings(told []naming, flight time.Duration, received time.Time) bool {
+	v.Versions = maps.Clone(v.Versions)
 	changed := false
-	for model, notices := range old.Versions {
-		notices = slices.Clone(notices)
-		for index := range notices {
-			age, known := told[notices[index].Revision]
-			longest := flight + time.Duration(age)*time.Millisecond
-			changed = (known && notices[index].tighten(now.Add(-longest))) || changed
-		}
-		next.Versions[model] = notices
+	for _, one := range told {
+		since := received.Add(-flight - time.Duration(one.AgeMilliseconds)*time.Millisecond)
+		notices, differs := withNaming(v.Versions[one.Model], one, since)
+		v.Versions[one.Model] = notices
+		changed = changed || differs
 	}
-	if changed {
-		c.view.Store(&next)
+	return changed
+}
+
+// withNaming returns notices, the newest last, with one that a peer has told, and reports whether
+// they differ. A version newer than all held ones comes with its record and is left to that.
+func withNaming(notices []Notice, told naming, since time.Time) ([]Notice, bool) {
+	index, held := slices.BinarySearchFunc(notices, told.Version, func(notice Notice, version uint64) int {
+		return cmp.Compare(notice.Version, version)
+	})
+	switch {
+	case index == len(notices):
+		return notices, false
+	case held:
+		changed := slices.Clone(notices)
+		differs := changed[index].Revision == told.Revision && changed[index].tighten(since)
+		return changed, differs
 	}
+	return slices.Insert(slices.Clone(notices), index, Notice{Version: told.Version, Revision: told.Revision, Since: since}), true
 }
 
 // Stamp is this process's stamp of now, for messages whose way back is to be measured.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -231,6 +231,26 @@
 	}
 }
 
+// changeView publishes a changed copy of the view and tells everyone of it, unless the function
+// reports that nothing has changed.
+func (c *Catalog) changeView(change func(next *View) bool) {
+	c.notify.Lock()
+	defer c.notify.Unlock()
+	c.mutex.Lock()
+	next := *c.View()
+	changed := change(&next)
+	if changed {
+		c.view.Store(&next)
+	}
+	c.mutex.Unlock()
+	if !changed {
+		return
+	}
+	for _, callback := range c.callbacks {
+		callback(c.View())
+	}
+}
+
 // noteChanges notes what others are to be told. What the store has told this process
 // is urgent, since others depend on it; what a peer has told goes on with the next
 // update, unless it names weights or evacuates a zone. The mutex is held.
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -66,9 +66,8 @@
 	Stamp    int64 `cbor:"11,keyasint,omitempty"`
 	Echo     int64 `cbor:"12,keyasint,omitempty"`
 	EchoHeld int64 `cbor:"13,keyasint,omitempty"`
-	// Namings are the longest ages in milliseconds of the versions that the sender knows, by
-	// the revisions of their records.
-	Namings map[uint64]int64 `cbor:"14,keyasint,omitempty"`
+	// Namings are the named versions that the sender knows.
+	Namings []naming `cbor:"14,keyasint,omitempty"`
 	// Services tell an agent the part of the newest configuration that it acts on.
 	Services *publishedServices `cbor:"15,keyasint,omitempty"`
 }
@@ -244,7 +243,7 @@
 	if message.AgesMilliseconds == nil {
 		message.AgesMilliseconds = map[string]int64{}
 	}
-	message.AgesMilliseconds[record.Key] = time.Since(notice.Since).Milliseconds()
+	message.AgesMilliseconds[record.Key] = time.Since(notice.Since).Milliseconds() + 1
 }
 
 func (c *Catalog) handleUpdate(link *peering.Link, received *message.Message) {
@@ -257,7 +256,7 @@
 	flight, flightKnown := flightOf(c.started, news.Echo, news.EchoHeld, now)
 	ages := map[string]word{}
 	for key, age := range news.AgesMilliseconds {
-		ages[key] = word{age: time.Duration(age) * time.Millisecond, flight: flight, flightKnown: flightKnown}
+		ages[key] = word{age: time.Duration(age) * time.Millisecond, flight: flight, flightKnown: flightKnown, received: now}
 	}
 	c.mutex.Lock()
 	c.noteStamp(link.Remote().ID, news.Stamp, now)
@@ -285,7 +284,7 @@
 		c.takeServices(link, *news.Services)
 	}
 	if flightKnown {
-		c.tightenAges(news.Namings, flight)
+		c.takeNamings(news.Namings, flight, now)
 	}
 	if c.compare(link.Remote().ID, news) {
 		c.mutex.Lock()
--- a/internal/catalog/horizon.go
+++ b/internal/catalog/horizon.go
@@ -66,11 +66,14 @@
 	// false when nothing bounds that.
 	flight      time.Duration
 	flightKnown bool
+	// received is when the word was here. It may be acted on later: its message waits for
+	// others, and the process may be paused.
+	received time.Time
 }
 
-// longest is the longest age that a word allows for now; false when the word does not bound it.
-func (w word) longest() (time.Duration, bool) {
-	return w.age + w.flight, w.flightKnown
+// earliest is the earliest moment that a word allows; false when the word does not bound it.
+func (w word) earliest() (time.Time, bool) {
+	return w.received.Add(-w.age - w.flight), w.flightKnown
 }
 
 // ageOfNews is the longest age of a change that a copy has just heard of by a peer's word: the
@@ -78,13 +81,14 @@
 // does, the process has only just started: it takes the word as if it had come at once, and
 // false is returned.
 func ageOfNews(told word, known horizon, now time.Time) (age time.Duration, bounded bool) {
-	byWord, worded := told.longest()
+	since, worded := told.earliest()
+	byWord := now.Sub(since)
 	byHorizon, horizoned := known.longest(now)
 	switch {
 	case worded && horizoned:
 		return min(byWord, byHorizon), true
 	case horizoned:
-		return max(told.age, byHorizon), true
+		return max(byWord, byHorizon), true
 	}
 	return byWord, worded
 }
--- a/internal/catalog/horizon_test.go
+++ b/internal/catalog/horizon_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -81,6 +83,7 @@
 		{"the process has just started", word{age: time.Second, flight: 100 * time.Millisecond, flightKnown: true}, horizon{}, 1100 * time.Millisecond, true},
 		{"the process has just started and measured nothing", word{age: time.Second}, horizon{}, time.Second, false},
 	} {
+		one.told.received = now
 		age, bounded := ageOfNews(one.told, one.known, now)
 		assert.Equal(t, one.want, age, one.name)
 		assert.Equal(t, one.bounded, bounded, one.name)
@@ -99,16 +102,18 @@
 	c.takeTold([]mirror.Record{{Key: "op/version/m", Value: []byte(`{"model":"m","version":2}`), Revision: 4}}, nil)
 	assert.Equal(t, 4*time.Second, sinceOf(), "assumed")
 	assert.Empty(t, c.namings(time.Now()), "a guess is not passed on")
-	c.tightenAges(map[uint64]int64{3: 1000}, 0)
+	c.takeNamings([]naming{{Model: "m", Version: 2, Revision: 3, AgeMilliseconds: 1000}}, 0, time.Now())
 	assert.Equal(t, 4*time.Second, sinceOf(), "another revision")
-	c.tightenAges(map[uint64]int64{4: 5000}, time.Second)
+	c.takeNamings([]naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 5000}}, time.Second, time.Now())
 	assert.Equal(t, 6*time.Second, sinceOf(), "a bound instead of a guess")
-	c.tightenAges(map[uint64]int64{4: 7000}, 0)
+	c.takeNamings([]naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 7000}}, 0, time.Now())
 	assert.Equal(t, 6*time.Second, sinceOf(), "a wider bound")
-	c.tightenAges(map[uint64]int64{4: 1000}, time.Second)
+	c.takeNamings([]naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 1000}}, time.Second, time.Now())
 	assert.Equal(t, 2*time.Second, sinceOf(), "a tighter bound")
-	told := c.namings(time.Now())[4]
-	assert.InDelta(t, 2000, told, 100)
+	told := c.namings(time.Now())
+	require.Len(t, told, 1)
+	assert.Equal(t, naming{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: told[0].AgeMilliseconds}, told[0])
+	assert.InDelta(t, 2000, told[0].AgeMilliseconds, 100)
 }
 
 // The time that is found for a message's way is never shorter than the true one, and longer
@@ -336,3 +341,74 @@
 	}
 	t.Logf("believed older by %s in the mean", sum/seeds)
 }
+
+func versionRecord(version, revision uint64) mirror.Record {
+	return mirror.Record{Key: "op/version/m", Value: fmt.Appendf(nil, `{"model":"m","version":%d}`, version), Revision: revision}
+}
+
+// receiveUpdate has a catalog take an update as it comes over a link.
+func receiveUpdate(t *testing.T, c *Catalog, sent update) {
+	t.Helper()
+	payload, err := cbor.Marshal(sent)
+	require.NoError(t, err)
+	c.handleUpdate(&peering.Link{}, message.NewMessage("", payload))
+}
+
+// Version 2 was named 6 s ago, version 3 half a second ago. A process that has missed version 2,
+// because it started later or was out of touch over both namings, learns of it from a peer that
+// knows both: version 1 went out of date with version 2.
+func TestMissedVersionsAreToldByPeers(t *testing.T) {
+	peer := newTestCatalog()
+	now := time.Now()
+	peer.known.advance(now.Add(-6 * time.Second))
+	peer.takeWatched([]mirror.Record{versionRecord(2, 4)})
+	peer.known.advance(now.Add(-500 * time.Millisecond))
+	peer.takeWatched([]mirror.Record{versionRecord(3, 5)})
+	peer.mutex.Lock()
+	told := peer.compose(&peerLink{compared: true}, false)
+	peer.mutex.Unlock()
+	for _, missed := range []string{"started later", "out of touch over both"} {
+		t.Run(missed, func(t *testing.T) {
+			c := newTestCatalog()
+			if missed == "out of touch over both" {
+				c.known.advance(now.Add(-6100 * time.Millisecond))
+				c.takeWatched([]mirror.Record{versionRecord(1, 3)})
+			}
+			sent := told
+			sent.Echo = stampAt(c.started, time.Now())
+			receiveUpdate(t, c, sent)
+			first, known := c.View().FirstAfter("m", 1)
+			require.True(t, known)
+			assert.Equal(t, uint64(2), first.Version)
+			assert.GreaterOrEqual(t, time.Since(first.Since), 6*time.Second)
+		})
+	}
+}
+
+// A message that is acted on late, because what came before it took its time, makes no version
+// younger.
+func TestUpdatesThatAreHeldUpMakeNoVersionYounger(t *testing.T) {
+	c := newTestCatalog()
+	c.OnChange(func(*View) { time.Sleep(400 * time.Millisecond) })
+	named := time.Now().Add(-3 * time.Second)
+	receiveUpdate(t, c, update{
+		Records: []mirror.Record{versionRecord(2, 4)}, AgesMilliseconds: map[string]int64{"op/version/m": 3000},
+		Namings: []naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 3000}}, Echo: stampAt(c.started, time.Now()), Stamp: 1,
+	})
+	notice, _ := c.View().Newest("m")
+	assert.LessOrEqual(t, notice.Since.Sub(named), 5*time.Millisecond)
+}
+
+// The oldest notice ends the time of the versions before it: it is kept until a newer one has.
+func TestNoticesAreKeptAsLongAsTheyBind(t *testing.T) {
+	const apply = 8 * time.Second
+	now := time.Unix(1000, 0)
+	var notices []Notice
+	for version := uint64(2); version < 12; version++ {
+		notices = append(notices, Notice{Version: version, Since: now.Add(time.Duration(version) * time.Second)})
+	}
+	kept := stillBinding(notices, apply, now.Add(11*time.Second))
+	assert.Equal(t, uint64(2), kept[0].Version, "version 3 is not in force yet")
+	kept = stillBinding(notices, apply, now.Add(13500*time.Millisecond))
+	assert.Equal(t, uint64(5), kept[0].Version, "version 5 is in force, 6 is not")
+}
--- a/internal/catalog/services.go
+++ b/internal/catalog/services.go
@@ -49,25 +49,17 @@
 	if c.options.Role != RoleAgent {
 		return
 	}
-	c.notify.Lock()
-	defer c.notify.Unlock()
-	c.mutex.Lock()
-	c.servicesRevision = max(c.servicesRevision, told.Revision)
-	old := c.View()
-	if old.Configuration != nil && old.Configuration.Version >= told.Version {
-		c.mutex.Unlock()
-		return
-	}
-	next := *old
-	next.Configuration = &fleet.Configuration{Version: told.Version, Services: told.Services}
-	next.Configuration.Index()
-	next.ConfigurationSince = time.Now()
-	next.findAgents()
-	c.view.Store(&next)
-	c.mutex.Unlock()
-	c.options.Log.Log(logging.ServicesTold, zap.String("peer", link.Remote().ID), zap.Uint64("version", told.Version),
-		zap.Int("services", len(told.Services)))
-	for _, callback := range c.callbacks {
-		callback(c.View())
-	}
+	c.changeView(func(next *View) bool {
+		c.servicesRevision = max(c.servicesRevision, told.Revision)
+		if next.Configuration != nil && next.Configuration.Version >= told.Version {
+			return false
+		}
+		next.Configuration = &fleet.Configuration{Version: told.Version, Services: told.Services}
+		next.Configuration.Index()
+		next.ConfigurationSince = time.Now()
+		next.findAgents()
+		c.options.Log.Log(logging.ServicesTold, zap.String("peer", link.Remote().ID), zap.Uint64("version", told.Version),
+			zap.Int("services", len(told.Services)))
+		return true
+	})
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -56,8 +56,19 @@
 	agents map[string]string
 }
 
-// maximumNotices is how many named versions of a model are remembered.
-const maximumNotices = 4
+// maximumNotices bounds how many named versions of a model are remembered: more than an operator
+// names within the time until a version is in force.
+const maximumNotices = 32
+
+// stillBinding drops the notices of versions that bind nothing any more: the oldest one, for as
+// long as a newer one is in force too. Until then it is the oldest that ends the time of the
+// versions before it.
+func stillBinding(notices []Notice, apply time.Duration, now time.Time) []Notice {
+	for len(notices) > 1 && (len(notices) > maximumNotices || now.Sub(notices[1].Since) > apply) {
+		notices = notices[1:]
+	}
+	return notices
+}
 
 // Newest returns the newest named version of a model.
 func (v *View) Newest(model string) (Notice, bool) {
@@ -182,7 +193,7 @@
 	age := c.ages[record.Key]
 	notice := Notice{Version: named.Version, Revision: record.Revision, Since: time.Now().Add(-age.age), Assumed: age.assumed}
 	notices := append(slices.Clone(next.Versions[named.Model]), notice)
-	notices = notices[max(0, len(notices)-maximumNotices):]
+	notices = stillBinding(notices, c.options.VersionApply, time.Now())
 	next.Versions = maps.Clone(next.Versions)
 	next.Versions[named.Model] = notices
 	c.options.Log.Log(logging.VersionNamed, zap.String("model", named.Model), zap.Uint64("version", named.Version),
