--- /dev/null
+++ b/internal/emulator/site/answers.go
@@ -0,0 +1,140 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// admit waits for a place; it answers itself when there is none.
+func (s *Server) admit(writer http.ResponseWriter, request *http.Request) bool {
+	refuse := func(status int) bool {
+		writer.Header().Set("Not-Executed", "1")
+		writer.WriteHeader(status)
+		return false
+	}
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != s.options.ID {
+		return refuse(http.StatusMisdirectedRequest)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.arrive(request.Header.Get("Request-Id"))
+	if s.faults.Shed > 0 {
+		s.faults.Shed--
+		return refuse(http.StatusServiceUnavailable)
+	}
+	s.waiting++
+	defer func() { s.waiting-- }()
+	for s.loading || s.running >= s.options.Slots || (s.options.Weights != nil && s.version == 0) {
+		if s.options.Weights != nil && s.version == 0 && !s.loading {
+			return refuse(http.StatusServiceUnavailable)
+		}
+		freed := s.freed
+		s.mutex.Unlock()
+		select {
+		case <-freed:
+		case <-request.Context().Done():
+		}
+		s.mutex.Lock()
+		if request.Context().Err() != nil {
+			return false
+		}
+	}
+	if s.options.Weights != nil && !s.whole() {
+		return refuse(http.StatusMisdirectedRequest)
+	}
+	if expected := request.Header.Get("Expect-Version"); expected != "" && expected != strconv.FormatUint(s.version, 10) {
+		return refuse(http.StatusMisdirectedRequest)
+	}
+	s.running++
+	return true
+}
+
+// receive reads a request's body and records where it came.
+func (s *Server) receive(request *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(request.Body)
+	s.options.Ledger.arrivals.add(Arrival{
+		RequestID: request.Header.Get("Request-Id"), Server: s.options.ID, Service: s.options.Service,
+		Path: request.URL.Path, Zone: s.options.Zone, Region: s.options.Region, BodyBytes: len(body), At: time.Now(),
+	})
+	return body, err
+}
+
+func (s *Server) run(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Request-Id")
+	writer.Header().Set("Request-Id", id)
+	writer.Header().Set("Instance-Id", s.options.ID)
+	body, err := s.receive(request)
+	if err != nil || !s.admit(writer, request) {
+		return
+	}
+	defer func() {
+		s.mutex.Lock()
+		s.running--
+		s.wake()
+		s.mutex.Unlock()
+	}()
+	s.mutex.Lock()
+	run := Run{
+		RequestID: id, Server: s.options.ID, Service: s.options.Service, Version: s.version, Spoilt: s.spoilt,
+		Tenant: request.Header.Get("Tenant"), KeySeen: request.Header.Get("Authorization") != "", At: time.Now(),
+	}
+	faults := s.faults
+	if faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+	}
+	if faults.CutCount > 0 {
+		s.faults.CutCount--
+	}
+	s.mutex.Unlock()
+	s.options.Ledger.add(run)
+	if faults.LoseAnswers > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	writer.Header().Set("Response-Seal", "seal-"+id)
+	if s.options.Weights == nil {
+		s.answerPlain(writer, request, body)
+		return
+	}
+	cutAfter := -1
+	if faults.CutCount > 0 {
+		cutAfter = faults.CutAfter
+	}
+	s.answerStream(writer, request, run, cutAfter)
+}
+
+func (s *Server) answerPlain(writer http.ResponseWriter, request *http.Request, body []byte) {
+	time.Sleep(s.options.EventTime)
+	_, _ = fmt.Fprintf(writer, "%s %s %s", request.Method, request.RequestURI, body)
+}
+
+// answerStream writes as many events as the request may have tokens, after the
+// last that the caller has.
+func (s *Server) answerStream(writer http.ResponseWriter, request *http.Request, run Run, cutAfter int) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.Header().Set("Weight-Versions", strconv.FormatUint(run.Version, 10))
+	_, most, _ := strings.Cut(request.Header.Get("Token-Usage"), ",")
+	events, _ := strconv.Atoi(most)
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	writer.WriteHeader(http.StatusOK)
+	flusher, _ := writer.(http.Flusher)
+	sent := 0
+	for event := last + 1; event <= events; event++ {
+		select {
+		case <-time.After(s.options.EventTime):
+		case <-request.Context().Done():
+			return
+		}
+		if cutAfter >= 0 && sent >= cutAfter {
+			_, _ = fmt.Fprintf(writer, "id: %d\nda", event)
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s/%d\n\n", event, run.RequestID, event)
+		flusher.Flush()
+		sent++
+	}
+}
--- /dev/null
+++ b/internal/emulator/site/ledger.go
@@ -0,0 +1,86 @@
+package site
+
+import (
+	"sync"
+	"time"
+)
+
+// Run is one request that a server has begun.
+type Run struct {
+	RequestID string
+	Server    string
+	Service   string
+	// Version is that of the weights, 0 at a plain service.
+	Version uint64
+	// Spoilt is set when a piece of the layers taken was missing or wrong.
+	Spoilt bool
+	Tenant string
+	// KeySeen is set when the caller's key reached the server.
+	KeySeen bool
+	At      time.Time
+}
+
+// Delivery is one request that has reached a server and was meant for it: answers that it is
+// not, 421, are left out.
+type Delivery struct {
+	RequestID string
+	Server    string
+	Zone      string
+	// Cold is set when the server was cold.
+	Cold bool
+	At   time.Time
+}
+
+// Ledger records what came to servers, what was delivered to the one that it was meant for,
+// and what ran, over all of them.
+type Ledger struct {
+	mutex      sync.Mutex
+	runs       []Run
+	deliveries []Delivery
+	arrivals   arrivals
+}
+
+func (l *Ledger) delivered(delivery Delivery) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.deliveries = append(l.deliveries, delivery)
+}
+
+// Deliveries returns everything that has reached a server, in order of time.
+func (l *Ledger) Deliveries() []Delivery {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Delivery(nil), l.deliveries...)
+}
+
+// MostWhileCold is the most requests that any one server has received in a second in which
+// it was cold.
+func (l *Ledger) MostWhileCold() int {
+	recent := map[string][]time.Time{}
+	most := 0
+	for _, delivery := range l.Deliveries() {
+		if !delivery.Cold {
+			continue
+		}
+		times := append(recent[delivery.Server], delivery.At)
+		for delivery.At.Sub(times[0]) >= time.Second {
+			times = times[1:]
+		}
+		recent[delivery.Server] = times
+		most = max(most, len(times))
+	}
+	return most
+}
+
+func (l *Ledger) add(run Run) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.runs = append(l.runs, run)
+}
+
+// Runs returns everything that ran.
+func (l *Ledger) Runs() []Run {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Run(nil), l.runs...)
+}
