A hedged PUT ends with both of its sends

Cause: a hedged call returned with the answer that came first. A PUT of a piece whose first send was held up at a slow server counted as done, and the send could be carried out afterwards, over the piece of a newer version that was laid down meanwhile. The silence is still noted when the hedge is answered, so other calls lose nothing. A hedged PUT over a connection that is silent takes its whole time limit now. A server that carries a send out later than its time limit can still overwrite, as for each PUT that times out. Conclusion: no send outlasts its call within the time limit.

--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -162,19 +162,21 @@
 }
 
 // hedge sends a call once more and returns the result that comes first, unless it is an error
-// and the other one is still to come.
+// and the other one is still to come. A write, a call with PUT, waits for the end of both sends:
+// one that is carried out after the call has returned could overwrite what a later call wrote.
 func (c *Client) hedge(ctx context.Context, call Call, first *attempt) (Answer, error) {
 	url := call.URL
 	if call.HedgeURL != "" {
 		url = call.HedgeURL
 	}
 	second := c.begin(ctx, call, url, c.fresh(first.generation))
+	write := call.Method == http.MethodPut
 	var result callResult
 	select {
 	case result = <-first.done:
 		if result.err == nil {
 			c.noteSlow(call, first)
-			return result.answer, nil
+			return result.afterOther(second, write)
 		}
 		result = <-second.done
 	case result = <-second.done:
@@ -185,10 +187,20 @@
 		if silent := first.silence(); silent >= c.options.LeastQuiet {
 			c.distrust(first.generation, second.generation, silent)
 		}
+		return result.afterOther(first, write)
 	}
 	return result.answer, result.err
 }
 
+// afterOther returns a result at once, or that of a write once the other send has ended too, as
+// it does at the call's time limit at the latest.
+func (r callResult) afterOther(other *attempt, write bool) (Answer, error) {
+	if write {
+		<-other.done
+	}
+	return r.answer, r.err
+}
+
 // fresh is where a hedge of a call goes: over connections made after a generation.
 func (c *Client) fresh(suspected *generation) *generation {
 	c.mutex.Lock()
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -240,3 +240,52 @@
 	times.add(100 * time.Millisecond)
 	assert.Greater(t, times.bound(time.Second), 100*time.Millisecond)
 }
+
+// A PUT that its server takes up late, because it is slow and not silent, is overtaken by its
+// hedge: the call does not end before it has been carried out, so that it can't overwrite what the
+// next call writes.
+func TestHedgedPutDoesNotOutlastItsCall(t *testing.T) {
+	const heldUp = 600 * time.Millisecond
+	var calls atomic.Int32
+	var mutex sync.Mutex
+	stored := ""
+	client, _, _, call := newTestClient(t, func(_ http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		if calls.Add(1) == 2 {
+			time.Sleep(heldUp)
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		stored = string(body)
+	})
+	call.Method = http.MethodPut
+	for _, version := range []string{"version 1", "version 2", "version 3"} {
+		call.Body = []byte(version)
+		answer, err := client.Do(context.Background(), call)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.Status)
+	}
+	assert.EqualValues(t, 4, calls.Load(), "the second is hedged")
+	time.Sleep(heldUp + testQuiet)
+	mutex.Lock()
+	defer mutex.Unlock()
+	assert.Equal(t, "version 3", stored)
+}
+
+// A PUT over a silent connection is done over another one, at its time limit at the latest.
+func TestHedgedPutOverASilentConnectionIsDone(t *testing.T) {
+	client, connections, silences, call := newTestClient(t, func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(writer, request.Body)
+	})
+	call.Method, call.Timeout = http.MethodPut, 500*time.Millisecond
+	_, err := client.Do(context.Background(), call)
+	require.NoError(t, err)
+	connections.silence()
+	began := time.Now()
+	call.Body = []byte("piece")
+	answer, err := client.Do(context.Background(), call)
+	require.NoError(t, err)
+	assert.Equal(t, "piece", string(answer.Body))
+	assert.Less(t, time.Since(began), call.Timeout+testQuiet)
+	assert.EqualValues(t, 1, silences.Load())
+}
