Clients of machines that are gone are forgotten

Cause: an agent kept a client for each machine it ever called. Change: one that has not been used for a minute is forgotten; its connections are closed after a second without use anyway. Figures: go test -race -count=1 ./internal/rollout passes, with TestClientsOfMachinesThatAreGoneAreForgotten. Conclusion: none open.

--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -77,6 +78,9 @@
 	peerConnections = 2
 	peerIdleTimeout = time.Second
 	peerBuffer      = 4 << 10
+	// peerMemory is for how long a machine's client is kept that makes no calls: far longer
+	// than its connections, so that a machine that is gone costs nothing.
+	peerMemory = time.Minute
 )
 
 // peerClient makes calls to other agents, with a client for each.
@@ -85,27 +89,48 @@
 	onSilent func(target string, silent time.Duration)
 
 	mutex   sync.Mutex
-	clients map[dissemination.MachineID]*network.Client
+	clients map[dissemination.MachineID]*keptClient
+	// pruned is when unused clients were last forgotten.
+	pruned time.Time
+}
+
+// keptClient is a machine's client and when it was last used.
+type keptClient struct {
+	client *network.Client
+	used   time.Time
 }
 
 func newPeerClient(port int, onSilent func(target string, silent time.Duration)) *peerClient {
-	return &peerClient{port: port, onSilent: onSilent, clients: map[dissemination.MachineID]*network.Client{}}
+	return &peerClient{port: port, onSilent: onSilent, clients: map[dissemination.MachineID]*keptClient{}}
 }
 
 // client returns the client of a machine.
 func (p *peerClient) client(machine dissemination.MachineID) *network.Client {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	now := time.Now()
+	p.prune(now)
 	known, made := p.clients[machine]
 	if !made {
-		known = network.NewClient(network.ClientOptions{
+		known = &keptClient{client: network.NewClient(network.ClientOptions{
 			Dial: network.Dialer(peerDialTimeout).DialContext, Idle: peerConnections, IdleTimeout: peerIdleTimeout,
 			ReadBuffer: peerBuffer, WriteBuffer: peerBuffer, LeastQuiet: peerLeastQuiet, MostQuiet: peerMostQuiet,
 			OnSilent: func(silent time.Duration) { p.onSilent(string(machine), silent) },
-		})
+		})}
 		p.clients[machine] = known
 	}
-	return known
+	known.used = now
+	return known.client
+}
+
+// prune forgets the clients that have not been used for long; their connections have rested for
+// too long by then and are closed. The mutex is held.
+func (p *peerClient) prune(now time.Time) {
+	if now.Sub(p.pruned) < peerMemory {
+		return
+	}
+	p.pruned = now
+	maps.DeleteFunc(p.clients, func(_ dissemination.MachineID, one *keptClient) bool { return now.Sub(one.used) > peerMemory })
 }
 
 // call makes a call to a machine. All calls between agents may be made twice.
--- a/internal/rollout/peers_test.go
+++ b/internal/rollout/peers_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/coordination/dissemination"
 )
 
 // A call that waits for its turn is told so at a pace that a caller can rely on, and one that
@@ -46,3 +48,14 @@
 	}
 	assert.Less(t, 2*waitSign, pieceQuiet, "a sign may be lost and sent again")
 }
+
+// The client of a machine that has not been called for a minute is forgotten.
+func TestClientsOfMachinesThatAreGoneAreForgotten(t *testing.T) {
+	peers := newPeerClient(1, func(string, time.Duration) {})
+	gone, kept := peers.client("gone"), peers.client("kept")
+	past := time.Now().Add(-2 * peerMemory)
+	peers.pruned, peers.clients["gone"].used = past, past
+	assert.Same(t, kept, peers.client("kept"))
+	assert.NotContains(t, peers.clients, dissemination.MachineID("gone"))
+	assert.NotSame(t, gone, peers.client("gone"))
+}
