Sound requests outlast verdicts on silent connections

Cause: two ways of the judge cut connections whose requests were acknowledged and at work. Three heavy requests at two servers, nothing else on older connections and three light answers on newer ones counted as silence, also for requests that may run once. Two connections that lost two packets in a row at two servers within 0.5 s took all others without a packet since, requests that wait in a queue among them. The judge also kept each server it ever saw. Change: observations tell whether the request may be repeated, whether all that was sent is acknowledged, and how long the answer heard last was expected to take. Overdue answers count only for requests that may be repeated, only these are ended by them, and only answers that were expected to take as long show an answer overdue. Unacknowledged connections take another one that carries a request only if it is unacknowledged itself, or owes a part of an answer that has begun and may be repeated, and is overdue; so does one server's verdict. An acknowledged request whose answer has not begun is left to the keep-alive probe and the patience of its route. Servers not seen for a minute are forgotten. Conclusion: three heavy repeatable requests that were expected to take no longer than three light ones are still sent again.

--- a/coordination/silence/silence.go
+++ b/coordination/silence/silence.go
@@ -9,6 +9,7 @@
 package silence
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,6 +39,9 @@
 	provenTime = 500 * time.Millisecond
 	// tryPause is the time between two tries of a new connection to one server.
 	tryPause = 500 * time.Millisecond
+	// memoryTime is for how long a server is remembered that is not seen any more: far longer
+	// than the other times here, so that what is forgotten decides nothing.
+	memoryTime = time.Minute
 	// pauseLeast is the time between two ticks after which the process itself was paused or
 	// starved, so that what it has not read proves nothing: several times the period of ticks.
 	pauseLeast = 150 * time.Millisecond
@@ -53,15 +57,21 @@
 	// request was sent.
 	Waiting bool
 	Asked   time.Duration
+	// Repeatable is set when the request may be sent again.
+	Repeatable bool
 	// Heard is when the last byte was read, or the time of Opened.
 	Heard time.Duration
 	// Usual is how long the next byte usually takes.
 	Usual time.Duration
-	// Known is set when the kernel has told the next two fields.
+	// Expected is how long the answer heard last was expected to take to begin.
+	Expected time.Duration
+	// Known is set when the kernel has told the next three fields.
 	Known bool
 	// Unacknowledged is how long bytes or a probe have been waiting to be acknowledged; 0
 	// when none are.
 	Unacknowledged time.Duration
+	// Acknowledged is set when all that was sent has been acknowledged.
+	Acknowledged bool
 	// Packet is when the last packet came in.
 	Packet time.Duration
 }
@@ -77,6 +87,18 @@
 // mute is how long an answer has been awaited without a byte.
 func (o Observation) mute(now time.Duration) time.Duration { return now - max(o.Asked, o.Heard) }
 
+// suspect reports whether a connection that carries a request looks silent itself: what was sent
+// is not acknowledged, or the answer to a request that may be repeated is overdue. One that was
+// acknowledged and whose answer has not begun waits at a server that is at work: if the connection
+// goes silent, a probe stays unacknowledged.
+func (j *Judge) suspect(o Observation, now time.Duration) bool {
+	if !o.Waiting {
+		return false
+	}
+	queued := o.Acknowledged && o.Heard <= o.Asked
+	return o.Unacknowledged > 0 || (o.Repeatable && !queued && j.overdue(o, now))
+}
+
 // Distrust names connections that are not to be believed any more: those that were opened
 // up to a moment and have shown no sign of life since.
 type Distrust struct {
@@ -85,11 +107,15 @@
 	Before time.Duration
 	// Proof are the connections that were found silent.
 	Proof []uint64
+	// Suspect are the connections that carry a request and look silent themselves; others
+	// that carry one are spared, but for those of ByAnswers.
+	Suspect []uint64
 	// RestingOnly spares the connections that carry a request, other than the proof: two
 	// packets lost in a row make a single connection look silent.
 	RestingOnly bool
 	// ByAnswers is set when only bytes of answers count as signs of life: packets were
-	// acknowledged and not passed on.
+	// acknowledged and not passed on. Requests that may not be repeated are spared then and
+	// keep waiting: ending one is a loss for certain, and answers prove less than packets.
 	ByAnswers bool
 }
 
@@ -101,6 +127,9 @@
 	if (d.Server != "" && d.Server != o.Server) || (d.RestingOnly && o.Waiting) {
 		return false
 	}
+	if o.Waiting && !d.coversCarrying(o) {
+		return false
+	}
 	sign := o.lastSign()
 	if d.ByAnswers {
 		sign = o.Heard
@@ -108,6 +137,14 @@
 	return o.Opened <= d.Before && sign <= d.Before
 }
 
+// coversCarrying reports whether a connection can be distrusted though it carries a request.
+func (d Distrust) coversCarrying(o Observation) bool {
+	if d.ByAnswers {
+		return o.Repeatable
+	}
+	return slices.Contains(d.Suspect, o.ID)
+}
+
 // Verdict is what follows from a tick.
 type Verdict struct {
 	// Try are the servers to which a new connection is to be made, as a proof.
@@ -123,6 +160,8 @@
 	tried    time.Duration
 	answered time.Duration
 	under    bool
+	// seen is when a connection to the server was last looked at or made.
+	seen time.Duration
 }
 
 // Judge keeps what outlasts a tick.
@@ -135,6 +174,8 @@
 	// request had been sent.
 	silentAt map[string]time.Duration
 	askedAt  map[string]time.Duration
+	// pruned is when servers that are gone were last forgotten.
+	pruned time.Duration
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -155,6 +196,7 @@
 func (j *Judge) Connected(server string, began time.Duration, succeeded bool) {
 	one := j.trialOf(server)
 	one.under = false
+	one.seen = max(one.seen, began)
 	if succeeded {
 		one.answered = max(one.answered, began)
 	}
@@ -174,14 +216,29 @@
 	j.Skip(now)
 	for _, one := range all {
 		fresh := j.trialOf(one.Server)
-		fresh.answered = max(fresh.answered, one.Opened)
+		fresh.answered, fresh.seen = max(fresh.answered, one.Opened), now
 	}
+	j.prune(now)
 	var verdict Verdict
 	j.judgeUnacknowledged(now, all, &verdict)
 	j.judgeOverdue(now, all, &verdict)
 	return verdict
 }
 
+// prune forgets the servers that have not been seen for long.
+func (j *Judge) prune(now time.Duration) {
+	if now-j.pruned < memoryTime {
+		return
+	}
+	j.pruned = now
+	maps.DeleteFunc(j.trials, func(_ string, one *trial) bool { return now-one.seen > memoryTime })
+	maps.DeleteFunc(j.silentAt, func(_ string, at time.Duration) bool { return now-at > memoryTime })
+	maps.DeleteFunc(j.askedAt, func(server string, _ time.Duration) bool {
+		_, known := j.silentAt[server]
+		return !known
+	})
+}
+
 // judgeUnacknowledged goes by what the kernel tells: bytes that stay unacknowledged on a
 // connection while a later one to the same server came up.
 func (j *Judge) judgeUnacknowledged(now time.Duration, all []Observation, verdict *Verdict) {
@@ -208,16 +265,23 @@
 		silent.Before = min(silent.Before, since)
 		silent.Proof = append(silent.Proof, one.ID)
 	}
-	var common Distrust
+	if len(found) == 0 {
+		return
+	}
+	var suspects []uint64
+	for _, one := range all {
+		if j.suspect(one, now) {
+			suspects = append(suspects, one.ID)
+		}
+	}
+	common := Distrust{Suspect: suspects}
 	for server, silent := range found {
+		silent.Suspect = suspects
 		j.silentAt[server], j.askedAt[server] = now, silent.Before
 		silent.RestingOnly = len(silent.Proof) < proofLeast
 		verdict.Distrust = append(verdict.Distrust, *silent)
 		common.Proof = append(common.Proof, silent.Proof...)
 	}
-	if len(found) == 0 {
-		return
-	}
 	slices.Sort(common.Proof)
 	servers := 0
 	common.Before = now
@@ -234,9 +298,10 @@
 
 // judgeOverdue goes by the answers alone, where the kernel tells nothing or the packets are
 // acknowledged by somebody who does not pass them on: several servers owe answers on older
-// connections, none of which has brought a byte, and answer on newer ones.
+// connections, none of which has brought a byte, and answer on newer ones. Only requests that
+// may be repeated count, because only these are ended by it.
 func (j *Judge) judgeOverdue(now time.Duration, all []Observation, verdict *Verdict) {
-	overdue := slices.DeleteFunc(slices.Clone(all), func(o Observation) bool { return !j.overdue(o, now) })
+	overdue := slices.DeleteFunc(slices.Clone(all), func(o Observation) bool { return !o.Repeatable || !j.overdue(o, now) })
 	if !enough(overdue, overdueLeast) {
 		return
 	}
@@ -261,11 +326,12 @@
 			fresh = append(fresh, one)
 		}
 	}
-	if !enough(fresh, freshLeast) {
+	proven := slices.DeleteFunc(overdue, func(o Observation) bool { return !refuted(o, fresh) })
+	if !enough(proven, overdueLeast) {
 		return
 	}
 	common := Distrust{Before: max(latest, heard), ByAnswers: true}
-	for _, one := range overdue {
+	for _, one := range proven {
 		common.Proof = append(common.Proof, one.ID)
 	}
 	verdict.Distrust = append(verdict.Distrust, common)
@@ -279,6 +345,14 @@
 	return mute >= max(muteLeast, muteFactor*o.Usual)
 }
 
+// refuted reports whether newer connections have brought enough answers that were expected to
+// take at least as long as an overdue one: a light request that overtakes a heavy one shows
+// nothing.
+func refuted(overdue Observation, fresh []Observation) bool {
+	as := slices.DeleteFunc(slices.Clone(fresh), func(o Observation) bool { return o.Expected < overdue.Usual })
+	return enough(as, freshLeast)
+}
+
 // enough reports whether there are as many connections, at serversLeast servers.
 func enough(some []Observation, least int) bool {
 	servers := map[string]bool{}
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -65,6 +65,8 @@
 	received atomic.Int64
 	// patience is the least silence after which the answer can be overdue.
 	patience time.Duration
+	// beginning is how long the answer is expected to take to begin.
+	beginning time.Duration
 	// parts counts the reads that brought bytes.
 	parts int
 }
@@ -154,6 +156,8 @@
 	now := time.Now()
 	pause := now.Sub(c.heardAt)
 	switch parts := c.parts; {
+	case parts == 0:
+		c.expected.Store(int64(c.beginning))
 	case parts == 1:
 		c.usual.Store(int64(pause))
 	case parts > 1:
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -96,6 +96,8 @@
 		}
 	}
 	carrier.usual.Store(int64(request.usual))
+	carrier.beginning = request.usual
+	carrier.repeatable.Store(request.Route.MayRepeat())
 	carrier.patience = patienceOf(request.Route)
 	if !f.stillAllowed(request, chosen) {
 		carrier.close()
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -66,6 +66,10 @@
 	asked  atomic.Int64
 	heard  atomic.Int64
 	usual  atomic.Int64
+	// expected is how long the answer heard last was expected to take to begin.
+	expected atomic.Int64
+	// repeatable is set while the request carried may be sent again.
+	repeatable atomic.Bool
 	// carrying is set while an answer is awaited.
 	carrying atomic.Bool
 	// silent is set once the connection is given up.
@@ -228,13 +232,14 @@
 	seen := silence.Observation{
 		ID: c.id, Server: c.target.address, Opened: c.opened, Waiting: c.carrying.Load() && !c.silent.Load(),
 		Asked: time.Duration(c.asked.Load()), Heard: time.Duration(c.heard.Load()), Usual: time.Duration(c.usual.Load()),
+		Expected: time.Duration(c.expected.Load()), Repeatable: c.repeatable.Load(),
 	}
 	mute := now - max(seen.Asked, seen.Heard)
 	if !seen.Waiting || mute < inspectAfter {
 		return seen
 	}
 	if state, known := network.ReadTransport(c.net); known {
-		seen.Known, seen.Unacknowledged, seen.Packet = true, state.Unacknowledged(mute), now-state.SinceHeard
+		seen.Known, seen.Unacknowledged, seen.Acknowledged, seen.Packet = true, state.Unacknowledged(mute), !state.Waiting, now-state.SinceHeard
 	}
 	return seen
 }
