Heavy requests that may run once are tested through the forwarder

Cause: the test of the judge alone does not show that the forwarder tells it which requests may be repeated. Change: a test with eight heavy requests that may run once at two servers, and light ones over newer connections. Conclusion: none open.

--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -479,6 +479,37 @@
 	assert.Zero(t, s.count("pinevane_silent_server_connections_total"), "connections that were given up")
 }
 
+// Heavy requests that may run once, at two sound servers, keep their connections while light ones
+// are answered over newer ones.
+func TestHeavyRequestsThatMayRunOnceKeepTheirConnections(t *testing.T) {
+	const (
+		servers = 2
+		heavy   = 8
+		// heavyFactor makes the work of a heavy request up to 0.63 s, within its time limit.
+		heavyFactor = 7
+	)
+	s := startStandIns(t, servers)
+	for range 5 {
+		s.warm(fleet.AtMostOnce, 0)
+	}
+	time.Sleep(trustedRest) // so that light requests take new connections
+	s.setSlow(heavyFactor, servers)
+	results := make(chan result, heavy)
+	for number := range heavy {
+		go func() { results <- s.send(fleet.AtMostOnce, fmt.Sprint("heavy-", number), 0) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.setSlow(1, servers)
+	stopLight := s.load(fleet.Repeatable, "light", 20*time.Millisecond, 0)
+	for range heavy {
+		r := <-results
+		assert.Nil(t, r.refusal, r.id)
+		assert.Equal(t, 1, s.runsOf(r.id), r.id)
+	}
+	stopLight()
+	assert.Zero(t, s.count("pinevane_silent_server_connections_total"), "connections that were given up")
+}
+
 // TWICE, REFUSED: a request is taken back from a server over a connection that passes nothing
 // on, so that the server never hears of it and runs it: it does not count as not run.
 func TestRequestTakenBackOverASilentConnectionMayHaveRun(t *testing.T) {
