No age of a version counts time in which the store was out for all

Cause: after an outage of the store about as long as version_ms, a version named as it came back counted as old as the outage. Entries refused the old version and agents ended it at once everywhere, though a copy of the new one took seconds. VERSION counts time only within one stretch in which the core is stable.

Change: an entry notes the newest call that the store answered with 503, or its machine with a refused connection, while the entry's copy had been fresh for nobody for commonOutage (2.5 s); no age reaches back before it. A machine that is turned away while others are served does not conclude this, as their words keep its copy fresh; nor does an agent, nor anyone by silence, a reset, 429 or another failure, nor a process that has just started.

Conclusion: an outage for all no longer ends the old version early. One of silence, without 503 or refused connections, or shorter than 2.5 s, still counts whole.

--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -1,11 +1,15 @@
 package catalog
 
 import (
+	"errors"
 	"maps"
+	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -48,7 +52,10 @@
 	return c.ageAfter(c.surelyKnown())
 }
 
+// ageAfter is the longest age that a horizon allows for: no time counts before the store was
+// last out for all.
 func (c *Catalog) ageAfter(known horizon) versionAge {
+	known = known.notBefore(c.outUntil)
 	age, bounded := known.longest(time.Now())
 	if !bounded {
 		return c.assumedAge()
@@ -56,6 +63,39 @@
 	return versionAge{age: age}
 }
 
+// commonOutage is the age of a copy from which a store that refuses this process counts as out
+// for all. An entry that the store serves tells the others at each watchWait, and a link that
+// has gone silent is replaced in some 2 s.
+const commonOutage = 2500 * time.Millisecond
+
+// noteRefused notes that the store has refused a call that was sent at a moment. VERSION counts
+// time within one stretch only in which the store is stable, and so none before this call, by
+// whomever the version is then learnt: ages are told to others as they are counted here. A
+// machine that the store turns away while it serves others must not conclude this: their words
+// keep its copy fresh. An agent hears of the age by entries, and asks the store only when it
+// hears of none. Silence proves nothing, nor does a reset, which may be due to the
+// connection, nor 429, which a store that is well answers to too many calls.
+func (c *Catalog) noteRefused(sent time.Time, err error) {
+	if c.options.Role != RoleEntry || !saysOut(err) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.fresh.IsZero() && time.Since(c.fresh) > commonOutage && sent.After(c.outUntil) {
+		c.outUntil = sent
+	}
+}
+
+// saysOut reports whether a call failed because the store, or its machine, said that it does
+// not serve.
+func saysOut(err error) bool {
+	var unavailable *fault.Unavailable
+	if errors.As(err, &unavailable) && unavailable.Status == http.StatusServiceUnavailable {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // forgottenDoubt is how far a horizon is doubted that no watch has confirmed: before the store
 // forgets its history, its watches may hear nothing for a second, and the horizon moves on by
 // them. Half a second is left over.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -82,6 +82,8 @@
 	// known is up to when the copy surely holds every change of the store. It trails fresh,
 	// which counts an answer of the store from its arrival.
 	known horizon
+	// outUntil is the newest moment at which the store was out for all: see noteRefused.
+	outUntil time.Time
 	// freshSequence counts how often others were to be told at once that the copy is
 	// fresh, freshFromStore is that of the last answer of the store to this process.
 	freshSequence  uint64
@@ -180,7 +182,7 @@
 			if !known {
 				return c.ageOfUnseen()
 			}
-			age, bounded := ageOfNews(told, c.surelyKnown(), time.Now())
+			age, bounded := ageOfNews(told, c.surelyKnown().notBefore(c.outUntil), time.Now())
 			return versionAge{age: age, assumed: !bounded}
 		})
 		news := c.mirror.Merge(records)
--- a/internal/catalog/doubt_test.go
+++ b/internal/catalog/doubt_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +80,68 @@
 	deliver(t, peer, update{Records: []mirror.Record{version2}, AgesMilliseconds: map[string]int64{version2.Key: 300}})
 	assert.Less(t, ageOfNewest(t, peer), 500*time.Millisecond)
 }
+
+// refusingStore refuses every call with an error, until it is back with version 2.
+type refusingStore struct {
+	err error
+}
+
+func (s *refusingStore) List(ctx context.Context, prefix string) (fleet.Listing, error) {
+	return s.Watch(ctx, prefix, 0, 0)
+}
+
+func (s *refusingStore) Watch(context.Context, string, uint64, time.Duration) (fleet.Listing, error) {
+	if s.err != nil {
+		return fleet.Listing{}, s.err
+	}
+	return fleet.Listing{Records: []mirror.Record{version2}, At: version2.Revision}, nil
+}
+
+// VERSION counts no time while the store is out for all. Seen: a version that was named when the
+// store was back after an outage as long as the bound counted as in force alone at once.
+// All that is not surely an outage for all leaves the age as it was: what may be a fault of the
+// way to the store, what a store that is well says, and that others are served.
+func TestAgeOfAVersionAfterAnOutage(t *testing.T) {
+	const outage = 9 * time.Second
+	status := func(code int) error { return &fault.Unavailable{Target: "store", Status: code} }
+	for _, one := range []struct {
+		name string
+		err  error
+		// served is how long ago the store last served somebody who has told.
+		served time.Duration
+		capped bool
+	}{
+		{"503", status(http.StatusServiceUnavailable), outage, true},
+		{"refused", &fault.Unavailable{Target: "store", Cause: syscall.ECONNREFUSED}, outage, true},
+		{"429", status(http.StatusTooManyRequests), outage, false},
+		{"500", status(http.StatusInternalServerError), outage, false},
+		{"reset", &fault.Unavailable{Target: "store", Cause: syscall.ECONNRESET}, outage, false},
+		{"silence", &fault.Unavailable{Target: "store", Cause: context.DeadlineExceeded}, outage, false},
+		{"turned away alone", status(http.StatusServiceUnavailable), commonOutage - time.Second, false},
+	} {
+		for _, at := range []uint64{0, 3} {
+			c := newTestCatalog()
+			store := &refusingStore{err: one.err}
+			c.options.Store = store
+			c.known.advance(time.Now().Add(-outage))
+			c.fresh = time.Now().Add(-one.served)
+			stands := &position{prefix: "op/", at: at}
+			c.read(t.Context(), stands, watchWait)
+			store.err = nil
+			c.read(t.Context(), stands, watchWait)
+			age := ageOfNewest(t, c)
+			if one.capped {
+				assert.Less(t, age, time.Second, one.name)
+			} else {
+				assert.GreaterOrEqual(t, age, outage, one.name)
+			}
+		}
+	}
+}
+
+// A process that has just started does not take the time until its first answer for an outage.
+func TestAStartIsNoOutage(t *testing.T) {
+	c := newTestCatalog()
+	c.noteRefused(time.Now(), &fault.Unavailable{Target: "store", Status: http.StatusServiceUnavailable})
+	assert.Zero(t, c.outUntil)
+}
--- a/internal/catalog/horizon.go
+++ b/internal/catalog/horizon.go
@@ -25,6 +25,15 @@
 	return horizon{at: h.at.Add(-doubt)}
 }
 
+// notBefore is the horizon, or a later moment where there is one; a horizon that knows of no
+// moment stays so.
+func (h horizon) notBefore(moment time.Time) horizon {
+	if !h.at.IsZero() {
+		h.advance(moment)
+	}
+	return h
+}
+
 // longest is the longest time since a change that the copy has lacked until now; false when
 // nothing bounds it.
 func (h horizon) longest(now time.Time) (time.Duration, bool) {
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -168,6 +168,7 @@
 // read makes one call and takes in what the store answers.
 func (c *Catalog) read(ctx context.Context, at *position, wait time.Duration) {
 	c.calls.Add(1)
+	began := time.Now()
 	var err error
 	if at.at == 0 {
 		err = c.list(ctx, at)
@@ -193,6 +194,7 @@
 		at.forgotten, at.listAt = max(at.at, 1), time.Now()
 		at.at = 0
 	case ctx.Err() == nil:
+		c.noteRefused(began, err)
 		c.noteFailure(ctx, at, err)
 	}
 }
--- a/internal/sitetest/deaf_store_test.go
+++ b/internal/sitetest/deaf_store_test.go
@@ -111,3 +111,93 @@
 	}
 	t.Logf("believed older by %s in the mean", (sum / time.Duration(count)).Round(time.Millisecond))
 }
+
+// VERSION counts no time while the store is out for all. The store is out for about the bound,
+// and a version is named as it comes back, which takes a while to copy: the old one serves
+// meanwhile. Seen: the version counted as old as the outage, and the old one ended at once
+// everywhere: 0.00 to 0.45 served by half seconds for 2.5 s.
+func TestVersionNamedAtTheEndOfAnOutage(t *testing.T) {
+	options := DefaultOptions()
+	options.Weights.Pieces = 96
+	f := Start(t, options)
+	stop := traffic(15*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, 4)
+		return one
+	})
+	time.Sleep(time.Second)
+	f.Site.Store.SetDown(true)
+	time.Sleep(4500 * time.Millisecond)
+	f.Site.Origin.Withhold(0)
+	f.Site.NameVersion(2)
+	f.Site.Store.SetDown(false)
+	named := time.Now()
+	const withheld = 2 * time.Second
+	time.AfterFunc(withheld, func() { f.Site.Origin.Withhold() })
+	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	const half = 500 * time.Millisecond
+	time.Sleep(4500 * time.Millisecond)
+	outcomes := stop()
+	for at := -time.Second; at < 3*time.Second; at += half {
+		served := shareServed(outcomes, named.Add(at), named.Add(at+half), time.Second)
+		t.Logf("%5.1f s after the naming: %.2f served", at.Seconds(), served)
+		// Then the servers change over, which takes as much of their time as without an outage.
+		if at+half <= withheld {
+			assert.GreaterOrEqual(t, served, 0.9, "from %s after the naming", at)
+		}
+	}
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.Service == site.ModelService && run.Version == 1 {
+			assert.False(t, run.At.After(bound), "begun %s after the bound", run.At.Sub(bound))
+		}
+	}
+}
+
+// VERSION: a store that turns some machines away is not out for all. Whom it serves changes each
+// few seconds, for longer than a common outage takes, with a naming before and after each change.
+func TestNamedWhileTheStoreTurnsMachinesAway(t *testing.T) {
+	options := DefaultOptions()
+	f := Start(t, options)
+	f.Site.Origin.SetAway(true)
+	time.Sleep(1500 * time.Millisecond)
+	version := uint64(1)
+	name := func() {
+		version++
+		named := time.Now()
+		f.Site.NameVersion(version)
+		time.Sleep(900 * time.Millisecond)
+		for zone := range 2 {
+			for index := range 2 {
+				for _, role := range []string{catalog.RoleEntry, catalog.RoleAgent} {
+					process := Name(role, zone, index)
+					notice, _ := f.Process(process).Catalog.View().Newest("m")
+					if notice.Version == version {
+						assert.False(t, notice.Since.After(named), "%s: version %d %s late", process, version, notice.Since.Sub(named))
+					}
+				}
+			}
+		}
+	}
+	for served := range 4 {
+		var refused []string
+		for entry := range 4 {
+			if entry != served {
+				refused = append(refused, options.EntryIP(entry/2, entry%2))
+			}
+		}
+		f.Site.Store.Refuse(refused...)
+		time.Sleep(3 * time.Second)
+		name()
+	}
+	f.Site.Store.Refuse()
+	name()
+	time.Sleep(time.Second)
+	for zone := range 2 {
+		for index := range 2 {
+			for _, role := range []string{catalog.RoleEntry, catalog.RoleAgent} {
+				notice, _ := f.Process(Name(role, zone, index)).Catalog.View().Newest("m")
+				assert.Equal(t, version, notice.Version, "%s %d-%d", role, zone, index)
+			}
+		}
+	}
+}
