--- a/internal/catalog/doubt_test.go
+++ b/internal/catalog/doubt_test.go
@@ -65,7 +65,7 @@
 	assert.GreaterOrEqual(t, ageOfNewest(t, reader), forgottenDoubt, "listed")
 	deliver(t, peer, update{Records: []mirror.Record{version2}, AgesMilliseconds: map[string]int64{version2.Key: 1500}})
 	assert.GreaterOrEqual(t, ageOfNewest(t, peer), forgottenDoubt, "told")
-	reader.tightenAges(peer.namings(time.Now()), 0)
+	reader.takeNamings(peer.namings(time.Now()), 0, time.Now())
 	assert.GreaterOrEqual(t, ageOfNewest(t, reader), forgottenDoubt, "told back")
 }
 
--- a/internal/catalog/horizon_test.go
+++ b/internal/catalog/horizon_test.go
@@ -11,8 +11,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -344,14 +342,6 @@
 	return mirror.Record{Key: "op/version/m", Value: fmt.Appendf(nil, `{"model":"m","version":%d}`, version), Revision: revision}
 }
 
-// receiveUpdate has a catalog take an update as it comes over a link.
-func receiveUpdate(t *testing.T, c *Catalog, sent update) {
-	t.Helper()
-	payload, err := cbor.Marshal(sent)
-	require.NoError(t, err)
-	c.handleUpdate(&peering.Link{}, message.NewMessage("", payload))
-}
-
 // Version 2 was named 6 s ago, version 3 half a second ago. A process that has missed version 2,
 // because it started later or was out of touch over both namings, learns of it from a peer that
 // knows both: version 1 went out of date with version 2.
@@ -372,9 +362,7 @@
 				c.known.advance(now.Add(-6100 * time.Millisecond))
 				c.takeWatched([]mirror.Record{versionRecord(1, 3)})
 			}
-			sent := told
-			sent.Echo = stampAt(c.started, time.Now())
-			receiveUpdate(t, c, sent)
+			deliver(t, c, told)
 			first, known := c.View().FirstAfter("m", 1)
 			require.True(t, known)
 			assert.Equal(t, uint64(2), first.Version)
@@ -389,9 +377,9 @@
 	c := newTestCatalog()
 	c.OnChange(func(*View) { time.Sleep(400 * time.Millisecond) })
 	named := time.Now().Add(-3 * time.Second)
-	receiveUpdate(t, c, update{
+	deliver(t, c, update{
 		Records: []mirror.Record{versionRecord(2, 4)}, AgesMilliseconds: map[string]int64{"op/version/m": 3000},
-		Namings: []naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 3000}}, Echo: stampAt(c.started, time.Now()), Stamp: 1,
+		Namings: []naming{{Model: "m", Version: 2, Revision: 4, AgeMilliseconds: 3000}}, Stamp: 1,
 	})
 	notice, _ := c.View().Newest("m")
 	assert.LessOrEqual(t, notice.Since.Sub(named), 5*time.Millisecond)
