--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -260,3 +260,18 @@
 		assert.Less(t, time.Since(began), time.Second, "the bound")
 	}
 }
+
+// Seen: with a store whose watches heard nothing for a second, requests that had been sent
+// meanwhile waited at full servers and began on the old version 10 to 133 ms past its bound.
+// Cause: until when a request may wait was settled as it was sent, by the versions known then.
+//
+// VERSION: a request that waits is taken back for a version that is heard of after its send.
+func TestRequestIsTakenBackForAVersionHeardOfLater(t *testing.T) {
+	f := testForwarder()
+	w := &work{Forwarder: f, request: testRequest("early", "b"), wanted: need{engine: &fleet.Engine{}, versionApply: 8 * time.Second}}
+	w.request.Call.Model = "m"
+	judge := w.silence(&target{}, 1)
+	require.NoError(t, judge(time.Millisecond, time.Second))
+	f.targets.update(&catalog.View{Versions: map[string][]catalog.Notice{"m": {{Version: 2, Since: time.Now().Add(-7800 * time.Millisecond)}}}})
+	assert.ErrorIs(t, judge(time.Millisecond, time.Second), errBound)
+}
