--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -402,12 +402,10 @@
 // no reason: the agent beside it must have lost it, or fallen silent too. A request
 // that has not begun is taken back before the time of the server's version is over.
 func (w *work) silence(target *target, version uint64) silenceJudge {
-	bound, bounded := w.wanted.boundOf(version)
-	bounded = bounded && w.wanted.engine != nil
 	w.attemptBegun = false
 	return func(silent, usual time.Duration) error {
 		switch {
-		case bounded && !w.attemptBegun && time.Until(bound) < takeBackMargin:
+		case w.waitsBeyondBound(version):
 			return errBound
 		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target):
 			return errStalled
@@ -418,6 +416,21 @@
 	}
 }
 
+// waitsBeyondBound reports whether a request that has not begun at a server with a version is
+// to be taken back. It goes by the versions known now: one may have been named, or heard of,
+// after the send, and a request may wait for as long as versions take to be in force.
+func (w *work) waitsBeyondBound(version uint64) bool {
+	if w.wanted.engine == nil || w.attemptBegun {
+		return false
+	}
+	wanted := w.wanted
+	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
+		wanted.notices = known
+	}
+	bound, bounded := wanted.boundOf(version)
+	return bounded && time.Until(bound) < takeBackMargin
+}
+
 // takeBackMargin is how long before the bound of an old version a request is taken
 // back from a server that has not begun it. A silent connection is looked at each
 // lookPeriod.
