Tests that need the judge of silent connections

Cause: with the body of watch.look switched off, so that no connection to a server is ever judged, every test with Silen or Mute in its name passed. They ask that service is back after 1.0 to 1.5 s, by when time limits have ended the requests too; and their calls and streams share servers, whose mean answer (0.4 s and more, with streams in it) hides calls that are late.

Change: streams have servers of their own, as on deployments, and three tests ask what the judge buys before those limits: the pause of streams that are under way, the streams begun right after a silence at rest, the first event of a lone stream. standIns has a field for the service of streams; what the tests before send is unchanged.

--- /dev/null
+++ b/internal/forward/silence_judge_test.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// Seen: with the judge of connections switched off every test of silence passed. Cause: they
+// asked that service is back after 1.0 to 1.5 s, by when time limits have ended the requests on
+// silent connections too, and their streams and calls shared servers, whose mean answer then
+// hid that calls were late. The tests here ask what the judge buys until then.
+
+// Bounds of what the judge buys: at most half way to what time limits alone allow.
+const (
+	// pauseLimit bounds the pause of a stream that is under way: 0.37 to 0.55 s with the judge,
+	// 1.10 s without.
+	pauseLimit = 800 * time.Millisecond
+	// firstEventLimit bounds the first event on a resting connection that is silent: 0.39 s
+	// with the judge, 1.1 s and more without, up to ten times what is expected.
+	firstEventLimit = 750 * time.Millisecond
+	// resumedEvents make streams of 0.9 s, so that many are under way.
+	resumedEvents = 40
+	callServers   = 4
+)
+
+// startSeparateStandIns has streams served by other servers than calls, as on deployments.
+func startSeparateStandIns(t *testing.T) *standIns {
+	s := startStandIns(t, 2*callServers)
+	set := s.forwarder.targets
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	set.byService["s"], set.byService["streams"] = s.targets[:callServers], s.targets[callServers:]
+	s.streamsAt = "streams"
+	return s
+}
+
+// loadAll sends calls of both kinds and streams; stop returns the streams.
+func (s *standIns) loadAll(name string) (stop func() []result) {
+	safe := s.load(fleet.Repeatable, "safe-"+name, 20*time.Millisecond, 0)
+	once := s.load(fleet.AtMostOnce, "once-"+name, 50*time.Millisecond, 0)
+	streams := s.load(fleet.Streaming, "stream-"+name, 50*time.Millisecond, resumedEvents)
+	return func() []result {
+		s.checkRuns(fleet.Repeatable, safe())
+		s.checkRuns(fleet.AtMostOnce, once())
+		results := streams()
+		s.checkRuns(fleet.Streaming, results)
+		return results
+	}
+}
+
+// SHORT: all connections go silent under traffic. Streams that are under way go on before their
+// callers take notice.
+func TestStreamsUnderWayOutlastSilentConnections(t *testing.T) {
+	for name, silence := range silences {
+		t.Run(name, func(t *testing.T) {
+			s := startSeparateStandIns(t)
+			stop := s.loadAll("all")
+			time.Sleep(calmTime)
+			silent := time.Now()
+			silence(s)
+			time.Sleep(time.Second)
+			worst := time.Duration(0)
+			resumed := 0
+			for _, r := range stop() {
+				if r.began.Before(silent) {
+					worst = max(worst, r.gap)
+					resumed += max(0, s.runsOf(r.id)-1)
+				}
+			}
+			t.Logf("%d streams went on at a server, the longest pause %s", resumed, worst)
+			assert.Positive(t, resumed)
+			assert.Less(t, worst, pauseLimit, "the longest pause of a stream under way")
+		})
+	}
+}
+
+// SHORT: all connections go silent while they rest. Streams begun in the half second after it
+// begin in time.
+func TestStreamsBeginInTimeThoughRestingConnectionsWentSilent(t *testing.T) {
+	s := startSeparateStandIns(t)
+	stop := s.loadAll("before")
+	time.Sleep(calmTime)
+	stop()
+	silent := time.Now()
+	silences["nothing is acknowledged"](s)
+	stop = s.loadAll("after")
+	time.Sleep(time.Second)
+	results := stop()
+	soon := share(results, fleet.Streaming, silent, silent.Add(500*time.Millisecond))
+	t.Logf("share of the streams begun in the first half second that was served in time: %.2f", soon)
+	assert.GreaterOrEqual(t, soon, backShare)
+}
+
+// A single stream on a single server, with nothing else to show that its connection is silent:
+// a new connection is tried, and comes up.
+func TestLoneStreamBeginsThoughItsConnectionWentSilent(t *testing.T) {
+	s := startStandIns(t, 1)
+	s.warm(fleet.Streaming, 3)
+	silences["nothing is acknowledged"](s)
+	for number := range 2 {
+		r := s.send(fleet.Streaming, fmt.Sprint("stream-", number), 5)
+		assert.Nil(t, r.refusal)
+		assert.Less(t, r.first, firstEventLimit, "the first event")
+	}
+}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -54,6 +54,8 @@
 	runs   map[string]int
 	slow   []time.Duration
 	random *rand.Rand
+	// streamsAt is the service of streams.
+	streamsAt string
 	// stopped is closed at the end, so that no server works on.
 	stopped chan struct{}
 }
@@ -61,7 +63,7 @@
 func startStandIns(t *testing.T, count int) *standIns {
 	t.Helper()
 	registry := prometheus.NewRegistry()
-	s := &standIns{t: t, registry: registry, runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 11)), stopped: make(chan struct{})}
+	s := &standIns{t: t, registry: registry, runs: map[string]int{}, random: rand.New(rand.NewPCG(7, 11)), stopped: make(chan struct{}), streamsAt: "s"}
 	bounds := fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}
 	s.forwarder = New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: registry, Bounds: bounds, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -197,6 +199,7 @@
 	}
 	if kind == fleet.Streaming {
 		request.Target, request.Deadline = fmt.Sprintf("/stream/%d", events), now.Add(siteStreamTime)
+		request.Route.Services[0].Service = s.streamsAt
 		request.Route.Target, request.Route.TargetGap, request.Route.Resumable = siteStreamTarget, siteGap, true
 	}
 	writer := &recorder{ResponseRecorder: httptest.NewRecorder(), began: now}
