The bound is looked at after a connection is made; echoes of a former life tell nothing

Cause: (1) open asked whether a version's time is nearly over only after the send, 0.2 s later, though the making of a connection takes up to 0.6 s. (2) stamps counted from the start of a process, so that the echo of one of its former life could stand for one of this life: from the future it counted as a flight of 0, from the past as one shorter than the true one.

Change: stillInTime asks right before the send; the request counts as not run. waitsBeyondBound goes by View.FirstAfter and copies nothing. Stamps begin at the clock of the process's start; flightOf takes only stamps that this life has given by now.

TestRequestIsTakenBackBeforeTheVersionsBound feeds its notice by the view, which is what the code goes by; what it asks is unchanged. That a request that waits is taken back for a version heard of later is held by TestRequestIsTakenBackForAVersionHeardOfLater.

A clock set back between two lives by more than they are apart makes flights unknown until the link is made anew, which is the safe side.

--- a/internal/catalog/horizon.go
+++ b/internal/catalog/horizon.go
@@ -128,15 +128,19 @@
 	return s.heard, now.Sub(s.heardAt).Milliseconds()
 }
 
-// stampAt is this process's stamp of a moment: the milliseconds since it started, from 1 on.
-func stampAt(started, now time.Time) int64 { return now.Sub(started).Milliseconds() + 1 }
+// stampAt is this process's stamp of a moment: the milliseconds since it started, from 1 on, after
+// those of the clock at its start, so that no stamp of a former life is one of this life.
+func stampAt(started, now time.Time) int64 {
+	return started.UnixMilli() + now.Sub(started).Milliseconds() + 1
+}
 
 // flightOf is the longest time that a message with an echo can have been on its way; false
-// without an echo. Both times are cut to milliseconds towards a longer flight.
+// without an echo of a stamp that this life of the process has given by now. Both times are cut to
+// milliseconds towards a longer flight.
 func flightOf(started time.Time, echo, heldMilliseconds int64, now time.Time) (time.Duration, bool) {
-	if echo == 0 {
+	if echo <= started.UnixMilli() || echo > stampAt(started, now) {
 		return 0, false
 	}
-	sent := started.Add(time.Duration(echo-1) * time.Millisecond)
+	sent := started.Add(time.Duration(echo-1-started.UnixMilli()) * time.Millisecond)
 	return max(0, now.Sub(sent)-time.Duration(heldMilliseconds)*time.Millisecond), true
 }
--- a/internal/catalog/horizon_test.go
+++ b/internal/catalog/horizon_test.go
@@ -140,6 +140,25 @@
 	assert.False(t, known, "nothing was returned")
 }
 
+// Seen: read in a review. Cause: stamps counted from the start of a process, so that one of its
+// former life looked like one of the present, from the future or from a moment ago.
+//
+// The echo of a stamp that a process gave in its former life tells nothing of a message's way, also
+// when that life was the longer one.
+func TestEchoOfAFormerLifeTellsNoFlight(t *testing.T) {
+	former := time.Unix(1000, 0)
+	started := former.Add(10 * time.Second)
+	for _, stamped := range []time.Duration{time.Millisecond, 4900 * time.Millisecond, 9 * time.Second, 9999 * time.Millisecond} {
+		echo := stampAt(former, former.Add(stamped))
+		for _, now := range []time.Duration{0, 5 * time.Second, 20 * time.Second} {
+			_, known := flightOf(started, echo, 0, started.Add(now))
+			assert.False(t, known, "stamped after %s of the former life, echoed after %s of this one", stamped, now)
+		}
+	}
+	_, known := flightOf(started, stampAt(started, started.Add(time.Second)), 0, started)
+	assert.False(t, known, "a stamp that has not been given yet")
+}
+
 // moodyStore is a store whose calls fail, are silent, slow on either way, cut, or tell again
 // what they have told.
 type moodyStore struct {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -103,6 +103,10 @@
 		carrier.close()
 		return nil, &failure{reason: fault.ReasonResidency, execution: fault.ExecutionNotRun, cause: errNarrowed}
 	}
+	if err := stillInTime(silence); err != nil {
+		carrier.close()
+		return nil, &failure{reason: reasonOf(err, fault.ReasonVersionBound), execution: fault.ExecutionNotRun, cause: err}
+	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
 	outgoing := f.outgoing(request, send)
@@ -117,6 +121,16 @@
 	return started, nil
 }
 
+// stillInTime asks once more, right before the send, whether the request would be taken back: the
+// making of a connection takes up to dialTimeout, and a request that is not sent needs no
+// cancelling to arrive (TestNothingIsSentWhenTheBoundNearsWhileConnecting).
+func stillInTime(silence silenceJudge) error {
+	if silence == nil {
+		return nil
+	}
+	return silence(0, 0)
+}
+
 // rested takes a kept connection for a request, or nil. One that must not run twice always gets
 // a new connection: a kept one may have been forgotten or gone silent without a word, and what
 // is lost with it can't be sent again, whereas a connection that does not come up proves that
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -242,10 +242,9 @@
 		server := scripted(t, func(net.Conn, *http.Request, int) { time.Sleep(3 * time.Second) })
 		f := testForwarder()
 		request := testRequest("late", "b")
-		w := &work{Forwarder: f, request: request, wanted: need{
-			engine: &fleet.Engine{}, versionApply: 8 * time.Second,
-			notices: []catalog.Notice{{Version: 2, Since: time.Now().Add(-7 * time.Second)}},
-		}}
+		request.Call.Model = "m"
+		f.targets.update(&catalog.View{Versions: map[string][]catalog.Notice{"m": {{Version: 2, Since: time.Now().Add(-7 * time.Second)}}}})
+		w := &work{Forwarder: f, request: request, wanted: need{engine: &fleet.Engine{}, versionApply: 8 * time.Second}}
 		judge := w.silence(server, 1)
 		w.attemptBegun = begun
 		began := time.Now()
@@ -275,3 +274,24 @@
 	f.targets.update(&catalog.View{Versions: map[string][]catalog.Notice{"m": {{Version: 2, Since: time.Now().Add(-7800 * time.Millisecond)}}}})
 	assert.ErrorIs(t, judge(time.Millisecond, time.Second), errBound)
 }
+
+// Seen: read in a review. Cause: whether a version's time is nearly over was looked at before the
+// connection was made, which takes up to dialTimeout, and then 0.2 s after the send; until then
+// only a cancelling that arrives kept the request from beginning late.
+//
+// VERSION: after the making of a connection the bound is looked at again, and nothing is sent.
+func TestNothingIsSentWhenTheBoundNearsWhileConnecting(t *testing.T) {
+	var received atomic.Int64
+	server := scripted(t, func(net.Conn, *http.Request, int) { received.Add(1) })
+	f := testForwarder()
+	w := &work{Forwarder: f, request: testRequest("late", "b"), wanted: need{engine: &fleet.Engine{}, versionApply: 8 * time.Second}}
+	w.request.Call.Model = "m"
+	judge := w.silence(server, 1)
+	f.targets.update(&catalog.View{Versions: map[string][]catalog.Notice{"m": {{Version: 2, Since: time.Now().Add(-7800 * time.Millisecond)}}}})
+	_, failed := f.open(context.Background(), w.request, fleet.SendHeader{Deadline: time.Second, Instance: "i-1"}, server, judge)
+	require.NotNil(t, failed)
+	assert.Equal(t, fault.ReasonVersionBound, failed.reason)
+	assert.Equal(t, fault.ExecutionNotRun, failed.execution)
+	time.Sleep(50 * time.Millisecond)
+	assert.Zero(t, received.Load(), "requests that reached the server")
+}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -422,12 +422,8 @@
 	if w.wanted.engine == nil || w.attemptBegun {
 		return false
 	}
-	wanted := w.wanted
-	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
-		wanted.notices = known
-	}
-	bound, bounded := wanted.boundOf(version)
-	return bounded && time.Until(bound) < takeBackMargin
+	notice, superseded := w.targets.currentView().FirstAfter(w.request.Call.Model, version)
+	return superseded && time.Until(notice.Since.Add(w.wanted.versionApply)) < takeBackMargin
 }
 
 // takeBackMargin is how long before the bound of an old version a request is taken
