Links outlast a pause of the process

Cause: keepLinks judged links by when something was last read on them, before their readers had read what came while the process stood still: after a pause of 1.5 s all links were dropped at once and their other ends suspected.

Change: pause notices that the links have not been looked at for 0.3 s (a look is due each 60 ms) and spares them for the 0.2 s in which readers catch up.

Test: TestLinksOutlastAPauseOfTheProcess, red on the code before (the link is nil right after the pause): kept right after the pause, dropped within the second when nothing has come. go test ./internal/catalog: ok.

Conclusion: mended. After 4 s of standing still the overlay counts all entries as not heard, as before: signs of life that old are gone for all.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -108,6 +108,7 @@
 	// those that others made, by IP address.
 	overlay *overlay.Overlay
 	links   map[string]*peerLink
+	pause   pause
 	// backupOf are the entries that have this agent's words from another one too.
 	backupOf  map[string]bool
 	callbacks []func(*View)
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -38,6 +38,11 @@
 	// judgeAfter is how long a replaced link may still bring something until it is counted as
 	// silent; the hub closes it soon after that.
 	judgeAfter = 900 * time.Millisecond
+	// pauseLeast is the time between two looks at the links, which are due each statusPace, after
+	// which the process itself stood still; resumeTime is what readers are given then to read
+	// what has come meanwhile.
+	pauseLeast = 300 * time.Millisecond
+	resumeTime = 200 * time.Millisecond
 	// doubtMemory is how long a link that was slow, not silent, is given more time.
 	doubtMemory = 30 * time.Second
 	// entryRecent is the age of its last sign up to which an entry counts as alive that
@@ -58,6 +63,26 @@
 	mutualPause = 400 * time.Millisecond
 )
 
+// pause notices when the process itself stood still, so that links are not judged by what their
+// readers have not read yet: without it all links are dropped after a pause of linkSilence, and
+// their other ends suspected (TestLinksOutlastAPauseOfTheProcess).
+type pause struct {
+	// looked is when the links were last looked at, resumed when the last pause ended.
+	looked  time.Time
+	resumed time.Time
+}
+
+// look notes that the links are looked at.
+func (p *pause) look(now time.Time) {
+	if !p.looked.IsZero() && now.Sub(p.looked) > pauseLeast {
+		p.resumed = now
+	}
+	p.looked = now
+}
+
+// resuming reports whether readers may not have read yet what came during a pause.
+func (p *pause) resuming(now time.Time) bool { return now.Sub(p.resumed) < resumeTime }
+
 // peerLink is the link to another process, which either of the two has made; both send
 // on it.
 type peerLink struct {
@@ -137,6 +162,7 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.pause.look(now)
 	c.overlay.Advance(now)
 	wanted := c.wantedPeers(agents)
 	for ip := range wanted {
@@ -206,7 +232,7 @@
 		}
 		return
 	}
-	broken := now.Sub(peer.link.LastHeard()) > linkSilence
+	broken := now.Sub(peer.link.LastHeard()) > linkSilence && !c.pause.resuming(now)
 	if peer.lost() || broken || (!wanted && !peer.accepted) {
 		link := peer.link
 		peer.link = nil
@@ -229,6 +255,10 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.pause.look(now)
+	if c.pause.resuming(now) {
+		return
+	}
 	for _, peer := range c.links {
 		if peer.link == nil {
 			continue
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -117,6 +117,40 @@
 	assert.False(t, peer.dialling)
 }
 
+// Seen: read in a review. Cause: links were judged by when something was last read on them, before
+// their readers had read what came while the process stood still.
+//
+// After a pause of the process links are kept until their readers have had time to read; one on
+// which nothing came by then is broken.
+func TestLinksOutlastAPauseOfTheProcess(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	other := httptest.NewServer(hub)
+	defer other.Close()
+	defer hub.Close()
+	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	c.mutex.Lock()
+	c.hearEntry("10.0.0.2", "z", 0)
+	c.peerLink("10.0.0.2").open(made, false)
+	c.mutex.Unlock()
+	held := func() *peering.Link {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.peerLink("10.0.0.2").link
+	}
+	c.keepLinks(t.Context())
+	require.Same(t, made, held(), "the link is wanted")
+	time.Sleep(linkSilence + 100*time.Millisecond) // no looks: the process stands still
+	c.keepLinks(t.Context())
+	assert.Same(t, made, held(), "right after the pause")
+	require.Eventually(t, func() bool {
+		c.keepLinks(t.Context())
+		return held() != made
+	}, time.Second, 20*time.Millisecond, "nothing has come by then")
+}
+
 func serverRecord(index int, revision uint64) mirror.Record {
 	value := fmt.Sprintf(`{"service":"m","address":"10.1.%d.%d:80","zone":"z","slots":8,"state":"ready","models":[{"name":"m","version":%d}]}`, index/250, index%250, revision)
 	return mirror.Record{Key: fmt.Sprintf("servers/s%04d", index), Value: []byte(value), Revision: revision}
