A transfer that begins anew keeps the pace of its origin

Cause: OriginInterval was set in begin only; restart, after spoilt pieces, made its fetcher without.

Change: the pace is kept with the transfer and is part of fetcherOptions, which both use.

Test: TestTransferAfterSpoiltPiecesKeepsTheOriginsPace, red without it: 60 of 60 pieces asked of the origin in the time of one, instead of at most 15. go test ./internal/rollout: ok.

--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -76,6 +76,8 @@
 	plan     dissemination.Plan
 	manifest *fleet.Manifest
 	fetcher  *dissemination.Fetcher
+	// originPace is how long the origin takes for a piece; 0 when that is not known.
+	originPace time.Duration
 	// early keeps offers that came before the manifest.
 	early []offer
 	// corrupt counts how often each piece has failed its digest.
@@ -169,9 +171,8 @@
 func (t *transfer) begin(manifest fleet.Manifest, held []bool, holders map[int][]dissemination.MachineID) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	options := t.fetcherOptions(held)
-	options.OriginInterval = t.originInterval()
-	t.fetcher = dissemination.NewFetcher(options)
+	t.originPace = t.originInterval()
+	t.fetcher = dissemination.NewFetcher(t.fetcherOptions(held))
 	t.takeHolders(holders)
 	t.fetcher.Start(t.now())
 	t.agent.log.Log(logging.TransferBegun, zap.String("model", t.model), zap.Uint64("version", t.version()),
@@ -187,7 +188,7 @@
 func (t *transfer) fetcherOptions(held []bool) dissemination.Options {
 	return dissemination.Options{
 		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held, PeersOnly: t.fallback.Load(),
-		MaximumFetches: maximumFetches, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
+		MaximumFetches: maximumFetches, OriginInterval: t.originPace, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	}
 }
 
