Load questions give the others as long again as the first answer took

Cause: once one agent had answered, the others were given 10 ms, however long the first one took. On a machine with more busy processes than cores answers differ by more, agents that answered later counted as missing and were asked last for a second, and all entries sent to the quickest.

Change: lateWait, as long again as the first answer took, 10 ms at the least and within the 40 ms of a question. A calm machine, whose first answers come within a millisecond, waits as before.

Test: TestAnswersOfABusyMachineAreWaitedFor, red with the fixed time (one answer of two); 20 runs of it and go test -race ./internal/loadquery: ok.

Conclusion: mended where answers take long together; an agent that is much slower than the first still counts as missing for a second. Not measured under load on a whole fleet.

--- a/internal/loadquery/client.go
+++ b/internal/loadquery/client.go
@@ -19,7 +19,7 @@
 	// answerTimeout is how long any answer is waited for: a tenth of the usual target to
 	// the first event, and a way to another region and back many times.
 	answerTimeout = 40 * time.Millisecond
-	// lateTimeout is how long further answers are waited for once one is there.
+	// lateTimeout is how long further answers are waited for at the least once one is there.
 	lateTimeout = 10 * time.Millisecond
 )
 
@@ -94,6 +94,7 @@
 }
 
 func collect(ctx context.Context, answers <-chan fleet.MachineStatus, sent int) []fleet.MachineStatus {
+	began := time.Now()
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
 	var collected []fleet.MachineStatus
@@ -102,7 +103,7 @@
 		case status := <-answers:
 			collected = append(collected, status)
 			if len(collected) == 1 {
-				timeout.Reset(lateTimeout)
+				timeout.Reset(lateWait(time.Since(began)))
 			}
 		case <-timeout.C:
 			return collected
@@ -159,3 +160,11 @@
 	_, err = socket.WriteToUDP(data, &net.UDPAddr{IP: net.ParseIP(host), Port: c.port})
 	return err == nil
 }
+
+// lateWait is how long further answers are waited for after a first one that took some time: as
+// long again, within answerTimeout. On a busy machine all answers take long, and those that are not
+// waited for count as missing: their servers are asked last for a second, and the others get all
+// requests.
+func lateWait(took time.Duration) time.Duration {
+	return max(lateTimeout, min(took, answerTimeout-took))
+}
--- a/internal/loadquery/loadquery_test.go
+++ b/internal/loadquery/loadquery_test.go
@@ -93,6 +93,29 @@
 	assert.Empty(t, client.waiting, "questions without an answer are forgotten")
 }
 
+// Seen: on a machine with more busy processes than cores, answers that came 10 ms after the first
+// counted as missing, and all entries sent to the few servers whose agents were the first. Cause: the
+// further answers were waited for a fixed time, however long the first one took.
+//
+// Where the first answer takes long, the others are given as long again.
+func TestAnswersOfABusyMachineAreWaitedFor(t *testing.T) {
+	const first, second = 15 * time.Millisecond, 27 * time.Millisecond
+	answers := make(chan fleet.MachineStatus, 2)
+	began := time.Now()
+	for _, after := range []time.Duration{first, second} {
+		time.AfterFunc(after, func() { answers <- fleet.MachineStatus{} })
+	}
+	collected := collect(context.Background(), answers, 2)
+	if took := time.Since(began); took < answerTimeout { // later the timers of this test were late themselves
+		assert.Len(t, collected, 2)
+	}
+	for took, wait := range map[time.Duration]time.Duration{
+		time.Millisecond: lateTimeout, 15 * time.Millisecond: 15 * time.Millisecond, 30 * time.Millisecond: lateTimeout, 39 * time.Millisecond: lateTimeout,
+	} {
+		assert.Equal(t, wait, lateWait(took), "after a first answer that took %s", took)
+	}
+}
+
 func TestAnnouncementsReachTheAgent(t *testing.T) {
 	one := &loadedServer{address: "127.0.33.1:8001"}
 	client := openClient(t, respond(t, one))
