Settings that are read again change bounds, zones and regions of a running process

Cause: a reload stored the new settings, but entries went on by the bounds, zones and regions of their start, and nothing said so; a field that can't change in a running process was taken over in part. Change: daemon.OnSettings tells the catalog and the forwarder; fields of a process's identity stay and are named in the log (PV1011), PV1006 tells which zones changed; pinevane_settings_reloads_total counts by result. A faulty file still changes nothing. Figures: go test -race -run 'Settings|Regions' ./internal/sitetest passes; without the listeners TestRegionsOfSettingsThatAreReadAgainAreInForce fails (requests go to the zone that has left the allowed region). The window of the retry budget and the addresses need a restart.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -29,6 +29,9 @@
 // New returns an empty budget.
 func New(options Options) *Budget { return &Budget{options: options} }
 
+// SetRatio changes how many repeats each request allows; what is counted stays.
+func (b *Budget) SetRatio(ratio float64) { b.options.Ratio = ratio }
+
 // Request counts a caller's request.
 func (b *Budget) Request(now time.Duration) {
 	b.advance(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -59,12 +60,15 @@
 	Hub      *peering.Hub
 	Catalog  *catalog.Catalog
 	silences *prometheus.CounterVec
+	reloads  *prometheus.CounterVec
 	// Router serves the internal port: links and what a role adds.
 	Router chi.Router
 
 	mutex    sync.Mutex
 	servers  []*http.Server
 	sections map[string]func() any
+	// onSettings are told of settings that were read again.
+	onSettings []func(fleet.Settings)
 }
 
 // New builds a process that does not listen yet.
@@ -75,7 +79,9 @@
 	}
 	d.silences = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_silent_connections_total", Help: "Open connections that had gone silent while a fresh one worked, by what they led to."}, []string{"target"})
-	d.Registry.MustRegister(d.silences)
+	d.reloads = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_settings_reloads_total", Help: "Times the settings were read again while the process ran, by whether they are in force."}, []string{"result"})
+	d.Registry.MustRegister(d.silences, d.reloads)
 	d.WatchSilence(options.Store)
 	settings := options.Settings
 	d.settings.Store(&settings)
@@ -87,6 +93,7 @@
 		VersionApply: settings.Bounds.VersionApply, Contact: settings.Bounds.Contact, Drain: settings.Bounds.Drain,
 		Zones: settings.Regions,
 	})
+	d.OnSettings(d.Catalog.SetSettings)
 	d.Router.Handle(peering.Path, d.Hub)
 	d.Section("catalog", func() any { return d.Catalog.Status() })
 	d.registerCatalog()
@@ -225,16 +232,47 @@
 	return dump
 }
 
-// Reload reads the settings again. Faulty ones change nothing.
+// Results of reading the settings again, as the metric names them.
+const (
+	reloadInForce = "in force"
+	reloadRefused = "refused"
+)
+
+// OnSettings has a function told of settings that were read again and are in force. It is called
+// by one goroutine at a time.
+func (d *Daemon) OnSettings(function func(fleet.Settings)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.onSettings = append(d.onSettings, function)
+}
+
+// Reload reads the settings again. Faulty ones change nothing. Fields that a running process
+// can't take over stay as they are, with a line in the log that names them; the others are in
+// force when it returns.
 func (d *Daemon) Reload() {
 	if d.options.Reload == nil {
 		return
 	}
 	fresh, err := d.options.Reload()
 	if err != nil {
+		d.reloads.WithLabelValues(reloadRefused).Inc()
 		d.Log.Log(logging.ReloadRefused, zap.Error(err))
 		return
 	}
+	before := d.Settings()
+	restart := before.RestartNeeded(fresh)
+	if len(restart) > 0 {
+		d.Log.Log(logging.RestartNeeded, zap.Strings("fields", restart))
+	}
+	fresh = before.KeepRunning(fresh)
 	d.settings.Store(&fresh)
-	d.Log.Log(logging.SettingsReloaded)
+	d.mutex.Lock()
+	told := slices.Clone(d.onSettings)
+	d.mutex.Unlock()
+	for _, function := range told {
+		function(fresh)
+	}
+	d.reloads.WithLabelValues(reloadInForce).Inc()
+	d.Log.Log(logging.SettingsReloaded, zap.Strings("zones_changed", fleet.ZonesChanged(before.Regions, fresh.Regions)),
+		zap.Bool("bounds_changed", before.Bounds != fresh.Bounds))
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -54,6 +55,8 @@
 	metrics *metrics
 	watch   *watch
 	started time.Time
+	// bounds are those of the settings in force.
+	bounds atomic.Pointer[fleet.Bounds]
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
@@ -71,6 +74,7 @@
 		targets: newTargets(options.Zone, options.Regions, options.Log),
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
+	f.bounds.Store(&options.Bounds)
 	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
 	registerCold(options.Registry, f.targets)
 	return f
@@ -118,7 +122,7 @@
 func (f *Forwarder) budgetOf(service string) *budget.Budget {
 	held := f.budgets[service]
 	if held == nil {
-		held = budget.New(budget.Options{Ratio: ratioShare * f.options.Bounds.RetryRatio, Window: f.options.Bounds.RetryWindow})
+		held = budget.New(budget.Options{Ratio: ratioShare * f.bounds.Load().RetryRatio, Window: f.options.Bounds.RetryWindow})
 		f.budgets[service] = held
 	}
 	return held
@@ -136,7 +140,7 @@
 	defer f.mutex.Unlock()
 	f.mostPeers = max(f.mostPeers, f.options.Peers())
 	now := time.Since(f.started)
-	slack := budget.SlackPart(int(slackShare*float64(f.options.Bounds.RetrySlack)), f.mostPeers+1, now > settleTime)
+	slack := budget.SlackPart(int(slackShare*float64(f.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
 	return f.budgetOf(service).Take(now, slack)
 }
 
@@ -246,8 +250,8 @@
 	}
 	view := w.targets.currentView()
 	w.wanted.notices = view.Versions[w.request.Call.Model]
-	w.wanted.versionApply = w.options.Bounds.VersionApply
-	w.wanted.atLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
+	w.wanted.versionApply = w.bounds.Load().VersionApply
+	w.wanted.atLeast = view.Due(w.request.Call.Model, w.wanted.versionApply-versionMargin, time.Now())
 }
 
 // expectedVersion is the version that a server is asked to check. Once the bound of
--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -78,7 +78,7 @@
 		refusal = fault.NotRun(fault.ReasonResidency, "no server in the allowed regions can serve the request now")
 	}
 	refusal.RetryAfter = t.soonestReady(wanted, now)
-	if !t.hasZoneFor(wanted.residency) {
+	if !zoneRegions(t.regions).hasAnyOf(wanted.residency) {
 		refusal.RetryAfter = noRegionRetry
 	}
 	return refusal
@@ -94,12 +94,23 @@
 	return len(t.usable(wanted, now)) > 0
 }
 
-// hasZoneFor reports whether the fleet has a zone in a region that a residency allows.
-func (t *targets) hasZoneFor(residency fleet.Residency) bool {
+// zoneRegions maps the fleet's zones to their regions. It is replaced as a whole when settings
+// are read again, never changed.
+type zoneRegions map[string]string
+
+// zoneRegions is the map in force.
+func (t *targets) zoneRegions() zoneRegions {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.regions
+}
+
+// hasAnyOf reports whether the fleet has a zone in a region that a residency allows.
+func (z zoneRegions) hasAnyOf(residency fleet.Residency) bool {
 	if !residency.Restrict() {
 		return true
 	}
-	for _, region := range t.regions {
+	for _, region := range z {
 		if residency.Allow(region) {
 			return true
 		}
@@ -107,6 +118,16 @@
 	return false
 }
 
+// has reports whether a zone of the fleet is in a region of that name.
+func (z zoneRegions) has(name string) bool {
+	for _, region := range z {
+		if region == name && name != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // regionsField tells the log which regions are allowed; it is left out where all are. An
 // empty one means that the lists which bind the request contradict each other.
 func regionsField(residency fleet.Residency) zap.Field {
@@ -136,14 +157,14 @@
 // checkRegions logs what can't be meant in a configuration's lists of allowed regions, one
 // line for each fault and region, and counts the routes and tenants that no server may serve.
 func (f *Forwarder) checkRegions(configuration *fleet.Configuration) {
-	doubts := map[doubt][]string{}
+	doubts, zones := map[doubt][]string{}, f.targets.zoneRegions()
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
-		f.targets.doubtsOf(route.AllowedRegions, "route "+route.Name, doubts)
+		zones.doubtsOf(route.AllowedRegions, "route "+route.Name, doubts)
 	}
 	for i := range configuration.Tenants {
 		tenant := &configuration.Tenants[i]
-		f.targets.doubtsOf(tenant.AllowedRegions, "tenant "+tenant.Name, doubts)
+		zones.doubtsOf(tenant.AllowedRegions, "tenant "+tenant.Name, doubts)
 	}
 	unserved := 0
 	for one, owners := range doubts {
@@ -158,7 +179,7 @@
 }
 
 // doubtsOf adds the faults of one list under the name of its owner.
-func (t *targets) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
+func (z zoneRegions) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
 	note := func(wrong, region string) {
 		one := doubt{fault: wrong, region: region}
 		doubts[one] = append(doubts[one], owner)
@@ -167,21 +188,11 @@
 		switch {
 		case slices.Contains(regions[:i], region):
 			note(faultRepeatedRegion, region)
-		case !t.isRegion(region):
+		case !z.has(region):
 			note(faultUnknownRegion, region)
 		}
 	}
-	if regions.Restrict() && !t.hasZoneFor(fleet.Residency{regions}) {
+	if regions.Restrict() && !z.hasAnyOf(fleet.Residency{regions}) {
 		note(faultNoRegion, strings.Join(regions, " "))
 	}
 }
-
-// isRegion reports whether a zone of the fleet is in a region of that name.
-func (t *targets) isRegion(name string) bool {
-	for _, region := range t.regions {
-		if region == name && name != "" {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/forward/settings.go
@@ -0,0 +1,26 @@
+package forward
+
+import "pinevane.example/pinevane/internal/fleet"
+
+// SetSettings takes over what settings that were read again say of bounds and zones. It holds for
+// every decision from then on, also on requests that are open. The window of the retry budgets
+// stays as it was at the start.
+func (f *Forwarder) SetSettings(settings fleet.Settings) {
+	bounds := settings.Bounds
+	f.bounds.Store(&bounds)
+	f.targets.setSettings(settings)
+	f.mutex.Lock()
+	for _, held := range f.budgets {
+		held.SetRatio(ratioShare * bounds.RetryRatio)
+	}
+	f.mutex.Unlock()
+	if configuration := f.targets.currentView().Configuration; configuration != nil {
+		f.checkRegions(configuration)
+	}
+}
+
+func (t *targets) setSettings(settings fleet.Settings) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.regions, t.bounds = settings.Regions, settings.Bounds
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	})
 	base.Catalog.OnChange(g.forwarder.Update)
 	base.Catalog.OnStatus(g.forwarder.TakeStatus)
+	base.OnSettings(g.forwarder.SetSettings)
 	base.Section("servers", func() any { return g.forwarder.Servers() })
 	return g
 }
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -22,6 +22,7 @@
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/gateway"
 	"pinevane.example/pinevane/internal/launch"
@@ -40,6 +41,9 @@
 	mutex     sync.Mutex
 	processes map[string]*process
 	opened    map[string]bool
+	// settings hold what a process's settings file says now, by the process's name, where it is
+	// not what the stand-in gives.
+	settings map[string][]byte
 }
 
 type process struct {
@@ -96,7 +100,7 @@
 	t.Helper()
 	running, err := site.Start(options)
 	require.NoError(t, err)
-	f := &Fleet{t: t, Site: running, Log: &Lines{}, processes: map[string]*process{}, opened: map[string]bool{}}
+	f := &Fleet{t: t, Site: running, Log: &Lines{}, processes: map[string]*process{}, opened: map[string]bool{}, settings: map[string][]byte{}}
 	t.Cleanup(f.close)
 	for zone := range options.Zones {
 		for index := range options.Entries {
@@ -148,10 +152,30 @@
 	log := logging.NewBounded(zapcore.InfoLevel, settings.Name, f.Log)
 	return daemon.New(daemon.Options{
 		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
+		Reload:      func() (fleet.Settings, error) { return platform.ParseSettings(f.settingsOf(role, zone, index)) },
 		AdminListen: settings.IP + ":0",
 	})
 }
 
+// settingsOf is what a process's settings file says now.
+func (f *Fleet) settingsOf(role string, zone, index int) []byte {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if changed, known := f.settings[Name(role, zone, index)]; known {
+		return changed
+	}
+	return f.Site.Settings(role, zone, index)
+}
+
+// Reload changes an entry's settings file and has the entry read it again.
+func (f *Fleet) Reload(zone, index int, data []byte) {
+	name := Name(catalog.RoleEntry, zone, index)
+	f.mutex.Lock()
+	f.settings[name] = data
+	f.mutex.Unlock()
+	f.Process(name).Reload()
+}
+
 func (f *Fleet) run(name string, base *daemon.Daemon, run func(<-chan struct{}) error) {
 	started := &process{daemon: base, stop: make(chan struct{}), done: make(chan struct{})}
 	f.mutex.Lock()
--- /dev/null
+++ b/internal/sitetest/settings_test.go
@@ -0,0 +1,121 @@
+package sitetest
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// changedSettings are an entry's settings with a change.
+func changedSettings(t *testing.T, f *Fleet, zone, index int, change func(map[string]any)) []byte {
+	t.Helper()
+	var settings map[string]any
+	require.NoError(t, json.Unmarshal(f.Site.Settings(site.RoleEntry, zone, index), &settings))
+	change(settings)
+	data, err := json.Marshal(settings)
+	require.NoError(t, err)
+	return data
+}
+
+// logged waits for an event with a text; lines are written a moment after they are logged.
+func (f *Fleet) logged(number, with string) {
+	f.t.Helper()
+	f.Eventually(number+" with "+with+" is logged", time.Second, func() bool { return countEvents(f, number, with) > 0 })
+}
+
+// statusOf is the status of one repeatable request to the first entry.
+func statusOf(t *testing.T, f *Fleet, id string) int {
+	t.Helper()
+	answer, err := f.Call(context.Background(), 0, 0, http.MethodGet, site.SafePrefix, id, nil, "")
+	require.NoError(t, err)
+	return answer.Status
+}
+
+// Settings that are read again change the zones and regions of a running entry: a zone that has
+// moved to another region is no longer among those that a route allows, and one that has come
+// into an allowed region is.
+func TestRegionsOfSettingsThatAreReadAgainAreInForce(t *testing.T) {
+	const home = 1
+	f := Start(t, threeRegions())
+	f.configure(restrictRoutes(site.RegionName(home)))
+	require.Equal(t, http.StatusOK, statusOf(t, f, "before"))
+	f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+		zones := settings["zones"].(map[string]any)
+		zones[site.ZoneName(home)], zones[site.ZoneName(2)] = "elsewhere", site.RegionName(home)
+	}))
+	for number := range 8 {
+		require.Equal(t, http.StatusOK, statusOf(t, f, "after-"+strconv.Itoa(number)))
+	}
+	for _, arrival := range f.Site.Ledger.Arrivals() {
+		want := site.ZoneName(2)
+		if arrival.RequestID == "before" {
+			want = site.ZoneName(home)
+		}
+		assert.Equal(t, want, arrival.Zone, arrival.RequestID)
+	}
+	f.logged("PV1006", `"zones_changed":["hall-1","hall-2"]`)
+}
+
+// A settings file that can't be read, or has a faulty field, changes nothing; the log names the
+// fault, and the entry serves on by the settings before.
+func TestFaultySettingsThatAreReadAgainChangeNothing(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	before := f.Process(Name(site.RoleEntry, 0, 0)).Settings()
+	for fault, data := range map[string][]byte{
+		"settings file": []byte(`{"nodeName": "entry`),
+		"bounds.drainMs": changedSettings(t, f, 0, 0, func(settings map[string]any) {
+			settings["bounds"].(map[string]any)["drainMs"] = 0
+		}),
+		"settings field zones": changedSettings(t, f, 0, 0, func(settings map[string]any) { settings["zones"] = "none" }),
+	} {
+		f.Reload(0, 0, data)
+		assert.Equal(t, before, f.Process(Name(site.RoleEntry, 0, 0)).Settings(), fault)
+		f.logged("PV1007", fault)
+		assert.Equal(t, http.StatusOK, statusOf(t, f, "served-"+strconv.Itoa(len(data))), fault)
+	}
+	assert.Zero(t, countEvents(f, "PV1006", ""))
+}
+
+// What a running process can't take over stays as it is, with a line that names it, and the rest
+// is in force.
+func TestSettingsThatNeedARestartAreNamed(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+		settings["ip"], settings["internalPorts"] = "127.0.0.9", []int{7900, 7915}
+		settings["bounds"].(map[string]any)["drainMs"] = 2500
+	}))
+	after := f.Process(Name(site.RoleEntry, 0, 0)).Settings()
+	assert.NotEqual(t, "127.0.0.9", after.IP)
+	assert.EqualValues(t, 2500, after.Bounds.Drain.Milliseconds())
+	f.logged("PV1011", `"fields":["ip","internal ports"]`)
+	assert.Equal(t, http.StatusOK, statusOf(t, f, "served"))
+}
+
+// Zones and bounds may change while requests run: none fails for it.
+func TestSettingsChangeUnderLoad(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	stop := mixedTraffic(f)
+	for round := range 20 {
+		f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+			settings["zones"].(map[string]any)["hall-added"] = site.RegionName(round % 2)
+			settings["bounds"].(map[string]any)["budgetSlack"] = 40 + round
+		}))
+	}
+	served := 0
+	outcomes := stop()
+	for _, one := range outcomes {
+		if one.err == nil && one.answer.Status == http.StatusOK {
+			served++
+		}
+	}
+	assert.NotZero(t, served)
+	assert.Equal(t, len(outcomes), served)
+}
