--- /dev/null
+++ b/coordination/dispatch/asking.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds of asking.
+const (
+	// askedFrom is how many servers are drawn, among which the most promising are asked:
+	// were it all of them, every entry would ask the same.
+	askedFrom = 8
+	// askedAtOnce is how many agents are asked at once. Asking six more as soon as none of
+	// the first would begin the request within half of the limit was worse, by 0.01 to 0.06
+	// of a day's worth: the few idle servers draw everybody.
+	askedAtOnce = 3
+	// unansweredTime is how long an agent that has not answered is asked last, and
+	// unansweredCost what that weighs in the choice of whom to ask: its machine's link is
+	// full or cut, or the agent stands still.
+	unansweredTime = time.Second
+	unansweredCost = 200 * time.Millisecond
+)
+
+// ToAsk picks the servers whose agents to ask: the most promising of a few, without those
+// that were asked before.
+func (c *Core) ToAsk(request *Request, before []*Candidate, now time.Time) []*Candidate {
+	c.findLeastMissing(now)
+	usable := slices.DeleteFunc(c.usable(request, now), func(k *Candidate) bool { return slices.Contains(before, k) })
+	type promise struct {
+		candidate *Candidate
+		score     time.Duration
+	}
+	var drawn [askedFrom]promise
+	promises := drawn[:0]
+	for _, one := range c.sample(usable, askedFrom) {
+		score := c.score(one, request, now)
+		if now.Sub(one.word.unansweredAt) < unansweredTime {
+			score += unansweredCost
+		}
+		promises = append(promises, promise{candidate: one, score: score})
+	}
+	slices.SortFunc(promises, func(a, b promise) int { return cmp.Compare(a.score, b.score) })
+	chosen := make([]*Candidate, 0, askedAtOnce)
+	for _, one := range promises[:min(askedAtOnce, len(promises))] {
+		chosen = append(chosen, one.candidate)
+	}
+	return chosen
+}
+
+// TakeAnswers takes over what asked agents have told, and returns their servers.
+func (c *Core) TakeAnswers(asked []*Candidate, answers []Word, now time.Time) []*Candidate {
+	for _, word := range answers {
+		c.TakeWord(word, now)
+	}
+	var answered []*Candidate
+	for _, one := range asked {
+		if slices.ContainsFunc(answers, func(word Word) bool { return word.Address == one.Address }) {
+			one.word.answeredAt = now
+			answered = append(answered, one)
+		} else {
+			one.word.unansweredAt = now
+		}
+	}
+	return answered
+}
+
+// AnyInTime reports whether one of the asked servers would begin the request in time.
+func (c *Core) AnyInTime(request *Request, now time.Time) bool {
+	limit := c.refusalLimit(request)
+	return slices.ContainsFunc(request.Asked, func(k *Candidate) bool {
+		return c.fitness(k, request, now) == Fit && (limit <= 0 || c.firstEvent(k, request, now) <= limit)
+	})
+}
--- /dev/null
+++ b/coordination/dispatch/candidate.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
+
+// Candidate is one server as an entry knows it.
+type Candidate struct {
+	ID      string
+	Address string
+	Zone    string
+
+	listing  listing
+	sends    ownSends
+	word     agentWord
+	lateness lateness
+	answers  answers
+	failures failureRecord
+	// version is the newest that the server itself has told, in an answer or on the
+	// list of servers.
+	version uint64
+	// coldWindow are the requests that this entry has sent here lately.
+	coldWindow admission.Window
+	// readmittedUntil is until when the server counts as cold because an evacuation of its
+	// zone was taken back.
+	readmittedUntil time.Time
+}
+
+// listing is what the list of servers tells of a server.
+type listing struct {
+	server Server
+	// gone servers are not sent anything any more.
+	gone bool
+	// superseded servers have ended for good: another has answered at their address.
+	superseded bool
+}
+
+// answers is how long a server's answers have taken lately.
+type answers struct {
+	// meanMilliseconds is the moving mean time of whole answers.
+	meanMilliseconds float64
+	// firstMean is the moving mean time to the first event of streams.
+	firstMean time.Duration
+}
+
+// Weights of one more answer in the means.
+const (
+	wholeMeanWeight = 0.1
+	firstMeanWeight = 0.1
+)
+
+func (a *answers) sawWhole(took time.Duration) {
+	value := float64(took) / float64(time.Millisecond)
+	if a.meanMilliseconds == 0 {
+		a.meanMilliseconds = value
+	}
+	a.meanMilliseconds += wholeMeanWeight * (value - a.meanMilliseconds)
+}
+
+func (a *answers) sawFirst(took time.Duration) {
+	if a.firstMean == 0 {
+		a.firstMean = took
+	}
+	a.firstMean += time.Duration(firstMeanWeight * float64(took-a.firstMean))
+}
+
+// SawFirstEvent notes how long a stream's first event took.
+func (c *Core) SawFirstEvent(k *Candidate, took time.Duration) { k.answers.sawFirst(took) }
+
+// UsualWait is how long the first byte of an answer usually takes: as the last ones did, or as
+// predicted, whichever is longer.
+func (c *Core) UsualWait(decision Decision, request *Request) time.Duration {
+	answers := &decision.Candidate.answers
+	usual := time.Duration(answers.meanMilliseconds * float64(time.Millisecond))
+	if request.Streaming {
+		usual = answers.firstMean
+	}
+	if usual == 0 {
+		usual = request.Target
+	}
+	return max(usual, decision.Expected)
+}
+
+// Candidates lists the servers of a service.
+func (c *Core) Candidates(service string) []*Candidate { return c.byService[service] }
+
+// Description is what is known of one server, for people.
+type Description struct {
+	Server      Server
+	InFlight    int
+	Outstanding int
+	// Version is the newest that the server itself has told.
+	Version    uint64
+	EjectedFor time.Duration
+	WordAge    time.Duration
+	// MeanMilliseconds is the moving mean time of whole answers.
+	MeanMilliseconds float64
+	// ColdFor is how much longer the server counts as cold; Evacuated servers are sent
+	// nothing new.
+	ColdFor   time.Duration
+	Evacuated bool
+}
+
+// Describe tells what is known of each server, in no order.
+func (c *Core) Describe(now time.Time) []Description {
+	descriptions := make([]Description, 0, len(c.byID))
+	for _, known := range c.byID {
+		descriptions = append(descriptions, Description{
+			Server: known.listing.server, InFlight: known.sends.inFlight, Outstanding: known.outstanding(now), Version: known.version,
+			EjectedFor: max(0, known.failures.ejectedTill.Sub(now)), WordAge: known.word.age(now),
+			MeanMilliseconds: known.answers.meanMilliseconds,
+			ColdFor:          max(0, known.listing.server.ColdUntil.Sub(now), known.readmittedUntil.Sub(now)),
+			Evacuated:        c.Evacuated(known.Zone),
+		})
+	}
+	return descriptions
+}
--- /dev/null
+++ b/coordination/dispatch/choice.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Weights of the choice.
+const (
+	// otherZoneCost and otherRegionCost are what a longer way is worth.
+	otherZoneCost   = 20 * time.Millisecond
+	otherRegionCost = 100 * time.Millisecond
+	// runningCost spreads requests over servers that would begin them equally soon.
+	runningCost = 3 * time.Millisecond
+	// jitterCost spreads the choices of entries that see the same figures.
+	jitterCost = 15 * time.Millisecond
+	// silentCost keeps requests from servers whose agent has fallen silent.
+	silentCost = 2 * time.Second
+)
+
+// Choose picks the server for a request and counts the request as in flight. A
+// refusal is proof that nothing was sent.
+func (c *Core) Choose(request *Request, now time.Time) (Decision, *Refusal) {
+	if request.Engine != nil {
+		c.findLeastMissing(now)
+	}
+	usable := askedOf(c.usable(request, now), request)
+	if len(usable) == 0 {
+		return Decision{}, c.noServer(request, now)
+	}
+	var best *Candidate
+	least := time.Duration(math.MaxInt64)
+	for _, candidate := range c.sample(usable, max(c.policy.SampleSize, len(request.Asked))) {
+		if score := c.score(candidate, request, now); score < least {
+			best, least = candidate, score
+		}
+	}
+	best, refusal := c.admit(best, usable, request, now)
+	if refusal != nil {
+		return Decision{}, refusal
+	}
+	return c.send(best, request, len(usable), now), nil
+}
+
+// send counts a request as sent to a server.
+func (c *Core) send(k *Candidate, request *Request, considered int, now time.Time) Decision {
+	decision := Decision{
+		Candidate: k, Considered: considered, Outstanding: k.outstanding(now), Load: c.load(k, request, now),
+		Expected: c.firstEvent(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
+	}
+	decision.Send = &Send{
+		candidate: k, service: request.Service, engine: request.Engine, target: request.Target,
+		sentAt: now, due: now.Add(decision.Expected), prompt: request.Prompt, nearLimit: decision.Expected > request.Target/2,
+		idle: decision.Outstanding == 0 && decision.WordAge != NoWord,
+	}
+	k.sends.add(decision.Send)
+	c.countSent(k, now)
+	return decision
+}
+
+// askedOf keeps those of the usable servers whose agents were asked, as long as there is one.
+func askedOf(usable []*Candidate, request *Request) []*Candidate {
+	var asked []*Candidate
+	for _, candidate := range usable {
+		if slices.Contains(request.Asked, candidate) {
+			asked = append(asked, candidate)
+		}
+	}
+	if len(asked) == 0 {
+		return usable
+	}
+	return asked
+}
+
+// sample draws the servers to compare: half of them from the own zone, as long as
+// it has some. Figures are some hundred milliseconds old; were all compared, all
+// entries would send to the same server until the next figures come.
+func (c *Core) sample(usable []*Candidate, sampleSize int) []*Candidate {
+	if len(usable) <= sampleSize {
+		return usable
+	}
+	c.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	var near, far []*Candidate
+	for _, candidate := range usable {
+		if candidate.Zone == c.zone {
+			near = append(near, candidate)
+		} else {
+			far = append(far, candidate)
+		}
+	}
+	fromNear := min(len(near), max(sampleSize/2, sampleSize-len(far)))
+	return append(near[:fromNear:fromNear], far[:sampleSize-fromNear]...)
+}
+
+// score is the cost of sending the request to a server.
+func (c *Core) score(k *Candidate, request *Request, now time.Time) time.Duration {
+	score := c.firstEvent(k, request, now) + c.distance(k)
+	score += time.Duration(k.outstanding(now)) * runningCost
+	score += time.Duration(c.random() * float64(jitterCost))
+	if k.word.silent(now) {
+		score += silentCost
+	}
+	return score + c.delayedSwitch(k, request, now)
+}
+
+func (c *Core) distance(k *Candidate) time.Duration {
+	switch {
+	case k.Zone == c.zone:
+		return 0
+	case c.regions[k.Zone] == c.regions[c.zone]:
+		return otherZoneCost
+	}
+	return otherRegionCost
+}
--- a/internal/forward/cold.go
+++ b/coordination/dispatch/cold.go
@@ -1,16 +1,12 @@
-package forward
+package dispatch
 
 import (
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/placement"
-	"pinevane.example/pinevane/internal/fleet"
 )
 
-// unfitCold is why a cold server is not sent a request for the moment.
-const unfitCold = "cold, and has its share"
-
 // Constants of the sharing of cold servers.
 const (
 	// coldSpan is the platform's second, with room for what lies between the choice of a
@@ -27,6 +23,8 @@
 	// cautiousMembers is how many entries are assumed until the others are known, settleTime
 	// after the start.
 	cautiousMembers = 16
+	// settleTime is how long after the start the number of entries is uncertain.
+	settleTime = 3 * time.Second
 )
 
 // coldMembers are the entries that share what cold servers may receive. They agree on the
@@ -37,8 +35,6 @@
 // moment when its machine is starting.
 type coldMembers struct {
 	self string
-	// known lists the entries lately known; nil knows of no other.
-	known func() []string
 	// seen tells when an entry was last known.
 	seen     map[string]time.Time
 	lookedAt time.Time
@@ -48,18 +44,21 @@
 	ranks map[string]int
 }
 
-func newColdMembers(self string, known func() []string) *coldMembers {
-	return &coldMembers{self: self, known: known, seen: map[string]time.Time{}, ranks: map[string]int{}, started: time.Now()}
+func newColdMembers(self string, started time.Time) *coldMembers {
+	return &coldMembers{self: self, seen: map[string]time.Time{}, ranks: map[string]int{}, started: started}
 }
 
+// EntriesDue reports whether the entries known are to be told anew, by TakeEntries.
+func (c *Core) EntriesDue(now time.Time) bool { return now.Sub(c.cold.lookedAt) >= membersPeriod }
+
+// TakeEntries takes over which other entries are lately known.
+func (c *Core) TakeEntries(known []string, now time.Time) { c.cold.look(known, now) }
+
 // look takes over which entries are known.
-func (m *coldMembers) look(now time.Time) {
-	if m.known == nil || now.Sub(m.lookedAt) < membersPeriod {
-		return
-	}
+func (m *coldMembers) look(known []string, now time.Time) {
 	m.lookedAt = now
 	clear(m.ranks)
-	for _, member := range m.known() {
+	for _, member := range known {
 		m.seen[member] = now
 	}
 	for member, at := range m.seen {
@@ -71,7 +70,6 @@
 
 // share is how many requests this entry may send a server in a second of a limit for all.
 func (m *coldMembers) share(server string, limit float64, now time.Time) int {
-	m.look(now)
 	members := len(m.seen) + 1
 	if now.Sub(m.started) < settleTime {
 		members = max(members, cautiousMembers)
@@ -94,60 +92,43 @@
 	return rank
 }
 
-// coldTime is how long a server of a service is cold after a start; the mutex is held.
-func (t *targets) coldTime(service string) time.Duration {
-	if t.view.Configuration == nil {
-		return 0
-	}
-	return t.view.Configuration.Services[service].ColdTime
-}
+// coldTime is how long a server of a service is cold after a start.
+func (c *Core) coldTime(service string) time.Duration { return c.fleet.Services[service].ColdTime }
 
 // cold reports whether a server is cold: by its own line, or because its zone has just been
 // readmitted.
-func (k *target) cold(now time.Time) bool {
-	return now.Before(k.server.ColdUntil) || now.Before(k.readmittedUntil)
+func (k *Candidate) cold(now time.Time) bool {
+	return now.Before(k.listing.server.ColdUntil) || now.Before(k.readmittedUntil)
 }
 
-// coldFull reports whether this entry has sent a cold server all that it may for now; the
-// mutex is held. A server's requests are counted while it is warm too, because it may have
-// become cold shortly before that is known.
-func (t *targets) coldFull(k *target, now time.Time) bool {
+// coldFull reports whether this entry has sent a cold server all that it may for now. A
+// server's requests are counted while it is warm too, because it may have become cold shortly
+// before that is known.
+func (c *Core) coldFull(k *Candidate, now time.Time) bool {
 	if !k.cold(now) {
 		return false
 	}
-	limit, bounded := t.coldLimit(k.server)
-	if !bounded {
+	limit := c.fleet.Services[k.listing.server.Service].ColdLimit
+	if limit <= 0 {
 		return false
 	}
-	return !k.received.Open(now.Sub(t.cold.started), t.cold.share(k.id, coldShare*limit, now))
-}
-
-// coldLimit is how many requests a server may receive in a second while it is cold; the mutex
-// is held.
-func (t *targets) coldLimit(server fleet.Server) (float64, bool) {
-	if t.view.Configuration == nil {
-		return 0, false
-	}
-	return t.bounds.ColdLimit(t.view.Configuration.Services[server.Service])
+	return !k.coldWindow.Open(now.Sub(c.cold.started), c.cold.share(k.ID, coldShare*limit, now))
 }
 
-// countSent counts a request that is being sent to a server; the mutex is held.
-func (t *targets) countSent(k *target, now time.Time) {
-	k.received.Add(now.Sub(t.cold.started))
+// countSent counts a request that is being sent to a server.
+func (c *Core) countSent(k *Candidate, now time.Time) {
+	k.coldWindow.Add(now.Sub(c.cold.started))
 	if k.cold(now) {
-		t.coldSent++
+		c.coldSent++
 	}
 }
 
-// coldCounts returns how many servers are cold, and how many requests were sent to cold ones.
-func (t *targets) coldCounts() (servers int, sent uint64) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	now := time.Now()
-	for _, known := range t.byID {
+// ColdCounts returns how many servers are cold, and how many requests were sent to cold ones.
+func (c *Core) ColdCounts(now time.Time) (servers int, sent uint64) {
+	for _, known := range c.byID {
 		if known.cold(now) {
 			servers++
 		}
 	}
-	return servers, t.coldSent
+	return servers, c.coldSent
 }
--- /dev/null
+++ b/coordination/dispatch/cold_test.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// coldFleet is what an entry knows of one service with a server in each of two zones. A cold
+// server is made for 26 requests a second, and may receive 1.5 times that and 5.
+func coldFleet(coldUntil time.Time, evacuated ...string) Fleet {
+	return Fleet{
+		Services: map[string]Service{"s": {ColdLimit: 1.5*26 + 5, ColdTime: 3 * time.Second}},
+		Servers: []Server{
+			{ID: "a", Service: "s", Address: "10.0.0.1:1", Zone: "za", Slots: 4, ColdUntil: coldUntil},
+			{ID: "b", Service: "s", Address: "10.0.0.2:1", Zone: "zb", Slots: 4},
+		},
+		Evacuated: evacuated,
+	}
+}
+
+// coldCore is the core of an entry among a number of entries, some time after its start.
+func coldCore(self string, members int) *Core {
+	core := testCore("za", nil)
+	var names []string
+	for index := range members {
+		if name := fmt.Sprintf("entry-%d", index); name != self {
+			names = append(names, name)
+		}
+	}
+	core.cold = newColdMembers(self, epoch.Add(-2*settleTime))
+	core.TakeEntries(names, epoch)
+	return core
+}
+
+func chosenServers(core *Core, count int, now time.Time) map[string]int {
+	servers := map[string]int{}
+	for range count {
+		if decision, refusal := core.Choose(&Request{Service: "s", Target: time.Second}, now); refusal == nil {
+			servers[decision.Candidate.ID]++
+			core.Release(decision.Send)
+		}
+	}
+	return servers
+}
+
+// EVAC: nothing is sent into an evacuated zone, and the zone's servers count as cold when
+// that is taken back.
+func TestEvacuatedZoneIsNotChosen(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 40)
+	core.Update(coldFleet(time.Time{}), now)
+	assert.Positive(t, chosenServers(core, 50, now)["a"])
+	core.Update(coldFleet(time.Time{}, "za"), now)
+	assert.Equal(t, map[string]int{"b": 50}, chosenServers(core, 50, now))
+	assert.True(t, core.Evacuated(core.byID["a"].Zone))
+	core.Update(coldFleet(time.Time{}), now)
+	assert.True(t, core.byID["a"].cold(now))
+	assert.False(t, core.byID["a"].cold(now.Add(3*time.Second)))
+	assert.False(t, core.byID["b"].cold(now))
+}
+
+// FAILBACK: over all entries, a cold server is sent no more in a second than it bears, also
+// when there are more entries than it bears requests, and nearly that if all have some.
+func TestEntriesShareAColdServer(t *testing.T) {
+	now := epoch
+	for _, entries := range []int{1, 3, 44, 300} {
+		total := 0
+		for index := range entries {
+			core := coldCore(fmt.Sprintf("entry-%d", index), entries)
+			core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
+			total += chosenServers(core, 60, now)["a"]
+		}
+		assert.LessOrEqual(t, total, 44, "%d entries", entries)
+		assert.Equal(t, 39, total, "%d entries use nine tenths of the bound", entries)
+	}
+}
+
+// FAILBACK: what a server was sent just before it became cold counts.
+func TestRequestsBeforeAServerBecameColdCount(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 1)
+	core.Update(coldFleet(time.Time{}, "zb"), now)
+	assert.Equal(t, 60, chosenServers(core, 60, now)["a"])
+	core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
+	assert.Empty(t, chosenServers(core, 10, now))
+}
+
+// An entry that does not know the others yet takes a cautious share; one that is heard of no
+// more keeps its share for a while.
+func TestSharesOfUnknownAndSilentEntries(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 1)
+	core.cold.started = now
+	core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
+	assert.LessOrEqual(t, chosenServers(core, 60, now)["a"], 39/cautiousMembers+1)
+
+	members := []string{"entry-1", "entry-2"}
+	cold := newColdMembers("entry-0", now.Add(-time.Minute))
+	share := func(at time.Time) int {
+		cold.look(members, at)
+		return cold.share("a", 39, at)
+	}
+	assert.Equal(t, 13, share(now))
+	members = nil
+	assert.Equal(t, 13, share(now.Add(memberMemory/2)))
+	assert.Equal(t, 39, share(now.Add(2*memberMemory)))
+}
+
+// Without a bound, cold servers are servers like others.
+func TestColdServersWithoutABound(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 10)
+	unbounded := coldFleet(now.Add(time.Minute), "zb")
+	unbounded.Services = map[string]Service{"s": {ColdTime: 3 * time.Second}}
+	core.Update(unbounded, now)
+	assert.Equal(t, 60, chosenServers(core, 60, now)["a"])
+}
--- /dev/null
+++ b/coordination/dispatch/core.go
@@ -0,0 +1,90 @@
+// Package dispatch decides which server gets a request, or that none is fit for it, from what
+// an entry knows: the list of servers, the words of the agents beside them with their ages, the
+// entry's own sends, what answers have shown, versions and their bounds. What is known comes in
+// as messages with the time; a decision with its reason and figures comes out. It does no I/O,
+// reads no clock, takes no lock and starts no goroutine; chance is injected. A Core is not safe
+// for use by several goroutines at a time.
+package dispatch
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+)
+
+// Options are what a core is made with.
+type Options struct {
+	// Zone is the entry's own; Regions are the regions of the zones.
+	Zone    string
+	Regions map[string]string
+	Policy  Policy
+	// Self is this entry's name among the entries.
+	Self string
+	// Started is when this entry began to hear of the others.
+	Started time.Time
+	// Random returns a number from 0 to less than 1; Shuffle puts things in a random order.
+	Random  func() float64
+	Shuffle func(count int, swap func(i, j int))
+}
+
+// Policy holds the weights of the mechanisms by which is decided, so that each can be measured
+// by switching it off.
+type Policy struct {
+	// RefusalShare is the weight of the limit beyond which the predicted beginning of a
+	// request is a refusal; 0 never refuses.
+	RefusalShare float64
+	// InTimeShare is the share of the requests expected just within the limit that are to
+	// begin in time; 0 keeps the limit fixed.
+	InTimeShare float64
+	// UnseenLoad is the weight of the load that other entries may have brought to a server
+	// since its agent's word.
+	UnseenLoad float64
+	// Lateness is the weight of how much later than predicted a server has begun requests
+	// lately.
+	Lateness float64
+	// SwitchWeight is the weight of the time by which a request would put off its server's
+	// change-over.
+	SwitchWeight float64
+	// SampleSize is how many servers are compared for a request.
+	SampleSize int
+}
+
+// Core is the set of servers as an entry knows it.
+type Core struct {
+	zone    string
+	regions map[string]string
+	policy  Policy
+	random  func() float64
+	shuffle func(count int, swap func(i, j int))
+
+	fleet     Fleet
+	evacuated map[string]bool
+	byID      map[string]*Candidate
+	byService map[string][]*Candidate
+	byAddress map[string]*Candidate
+	// words keeps the agents' words by the address of their server.
+	words map[string]heardWord
+	// leastMissing is how many pieces the best prepared machine lacks of each version
+	// that is being fetched, as of the last decision.
+	leastMissing map[uint64]int
+	// learned is what the answers of each service of model servers have shown.
+	learned map[string]*balance.Learned
+	// margins learn the limit of refusals of each service.
+	margins map[string]*balance.Margin
+
+	// cold are the entries that share what cold servers may receive, and coldSent counts this
+	// entry's requests to such.
+	cold     *coldMembers
+	coldSent uint64
+}
+
+// New returns a core that knows no servers yet.
+func New(options Options) *Core {
+	return &Core{
+		zone: options.Zone, regions: options.Regions, policy: options.Policy, random: options.Random, shuffle: options.Shuffle,
+		byID: map[string]*Candidate{}, byService: map[string][]*Candidate{}, byAddress: map[string]*Candidate{},
+		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
+		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
+		cold: newColdMembers(options.Self, options.Started),
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+)
+
+// epoch is when the tests begin.
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// testPolicy is what an entry runs with.
+func testPolicy() Policy {
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, SampleSize: 4}
+}
+
+// testCore is a core in a zone, whose chance repeats.
+func testCore(zone string, regions map[string]string) *Core {
+	random := rand.New(rand.NewPCG(1, 1))
+	return New(Options{Zone: zone, Regions: regions, Policy: testPolicy(), Self: "entry-0", Started: epoch, Random: random.Float64, Shuffle: random.Shuffle})
+}
+
+// modelServer is a server whose agent has just told that it serves version 1.
+func modelServer(now time.Time, missing int) *Candidate {
+	return &Candidate{
+		ID: "i-1", listing: listing{server: Server{Slots: 16}},
+		word: agentWord{Word: Word{Reachable: true, Version: 1, Missing: missing}, at: now},
+	}
+}
+
+// withFigures sets the engine of a request, of which nothing is learned.
+func withFigures(request Request, engine *Engine) *Request {
+	request.Engine, request.Figures = engine, engine.Published
+	return &request
+}
+
+// copiedEngine is one of whose versions a copy takes 2.5 s over a link like the origin's.
+func copiedEngine() *Engine {
+	return &Engine{
+		Pieces: 100, CopyTime: 2500 * time.Millisecond,
+		Published: balance.Server{StepMilliseconds: 9, Stride: 5, ReadPerSecond: 20000, UsualPrompt: 1000, UsualAnswer: 100},
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/fitness.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Fitness is whether a server may be sent a request, and why not.
+type Fitness string
+
+// Reasons for which a server is not sent a request.
+const (
+	Fit            Fitness = "usable"
+	unfitLeaving   Fitness = "leaving"
+	unfitTried     Fitness = "tried before"
+	unfitEvacuated Fitness = "zone evacuated"
+	unfitRegion    Fitness = "outside the allowed regions"
+	unfitEjected   Fitness = "ejected"
+	unfitCold      Fitness = "cold, and has its share"
+	// Those below are of model servers.
+	unfitUnreachable Fitness = "unreachable"
+	unfitEmpty       Fitness = "serves nothing"
+	unfitChanging    Fitness = "changing over"
+	unfitVersion     Fitness = "other version"
+	unfitBound       Fitness = "would begin after the version's bound"
+)
+
+// switchMargin is how long before its switch a server is sent nothing more.
+const switchMargin = 150 * time.Millisecond
+
+// fitness returns whether a server may be sent the request.
+func (c *Core) fitness(k *Candidate, request *Request, now time.Time) Fitness {
+	switch {
+	case !c.Allowed(k.Zone, request.Residency):
+		return unfitRegion
+	case k.listing.server.Draining || k.listing.gone:
+		return unfitLeaving
+	case c.Evacuated(k.Zone):
+		return unfitEvacuated
+	case slices.Contains(request.Tried, k):
+		return unfitTried
+	}
+	if request.Engine != nil {
+		if reason := c.modelFitness(k, request, now); reason != Fit {
+			return reason
+		}
+	}
+	if k.failures.ejected(now) {
+		return unfitEjected
+	}
+	if c.coldFull(k, now) {
+		return unfitCold
+	}
+	return Fit
+}
+
+// modelFitness returns whether a model server serves a fitting version now.
+func (c *Core) modelFitness(k *Candidate, request *Request, now time.Time) Fitness {
+	version := k.servedVersion(now)
+	if k.word.current(now) {
+		switch {
+		case !k.word.Reachable:
+			return unfitUnreachable
+		case k.word.SwitchPlanned && k.word.untilSwitch(now) < switchMargin:
+			return unfitChanging
+		case k.word.Version == 0:
+			return unfitEmpty
+		}
+	} else if !k.listing.server.HoldsModel {
+		return unfitEmpty
+	}
+	if (request.Exactly != 0 && version != request.Exactly) || version < request.AtLeast {
+		return unfitVersion
+	}
+	if bound, limited := request.Bounds.Of(version); limited && c.beyondBound(k, request, now, bound) {
+		return unfitBound
+	}
+	return Fit
+}
+
+// usable lists the servers that may be sent the request: ejected ones only when
+// there is no other.
+func (c *Core) usable(request *Request, now time.Time) []*Candidate {
+	all := c.byService[request.Service]
+	sound := make([]*Candidate, 0, len(all))
+	var ejected []*Candidate
+	for _, candidate := range all {
+		switch c.fitness(candidate, request, now) {
+		case Fit:
+			sound = append(sound, candidate)
+		case unfitEjected:
+			ejected = append(ejected, candidate)
+		}
+	}
+	if len(sound) == 0 {
+		return ejected
+	}
+	return sound
+}
--- /dev/null
+++ b/coordination/dispatch/fitness_test.go
@@ -0,0 +1,26 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A server that changes over, serves nothing or has not answered its agent is left
+// out, and the log tells which.
+func TestWhyAServerIsLeftOut(t *testing.T) {
+	now := epoch
+	wanted := &Request{Engine: &Engine{}}
+	changing, empty, unreachable, leaving, ejected := modelServer(now, 0), modelServer(now, 0), modelServer(now, 0), modelServer(now, 0), modelServer(now, 0)
+	changing.word.SwitchPlanned, changing.word.SwitchIn = true, 100*time.Millisecond
+	empty.word.Version = 0
+	unreachable.word.Reachable = false
+	leaving.listing.server.Draining = true
+	ejected.failures.ejectedTill = now.Add(time.Second)
+	for want, server := range map[Fitness]*Candidate{
+		unfitChanging: changing, unfitEmpty: empty, unfitUnreachable: unreachable, unfitLeaving: leaving, unfitEjected: ejected,
+	} {
+		assert.Equal(t, want, testCore("z", nil).fitness(server, wanted, now))
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/list.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
+
+// ChangeKind is what has changed with a published fleet.
+type ChangeKind int
+
+// The kinds of changes.
+const (
+	// ServerLeaving: the server is to be sent nothing new.
+	ServerLeaving ChangeKind = iota
+	// ServerGone: the server is listed no more.
+	ServerGone
+	// AddressTaken: a newer server is listed at the server's address, so that it has ended.
+	AddressTaken
+	// ZoneEvacuated: the zone is to be sent nothing new.
+	ZoneEvacuated
+	// ZoneReadmitted: it is no longer.
+	ZoneReadmitted
+)
+
+// Change is one change of the published fleet that the entry has to act on or to log.
+type Change struct {
+	Kind ChangeKind
+	// Candidate is the server, Zone the zone that has changed.
+	Candidate *Candidate
+	Zone      string
+	// Servers are those of the zone, InFlight this entry's requests there, or at the server.
+	Servers  int
+	InFlight int
+}
+
+// Update takes over a new published fleet, and returns what has changed.
+func (c *Core) Update(fleet Fleet, now time.Time) []Change {
+	old := c.fleet
+	c.fleet = fleet
+	var changes []Change
+	present := make(map[string]bool, len(fleet.Servers))
+	c.byService = map[string][]*Candidate{}
+	c.byAddress = make(map[string]*Candidate, len(fleet.Servers))
+	for _, server := range fleet.Servers {
+		present[server.ID] = true
+		known := c.candidateOf(server)
+		if !known.listing.server.Draining && server.Draining {
+			changes = append(changes, Change{Kind: ServerLeaving, Candidate: known, InFlight: known.sends.inFlight})
+		}
+		known.Zone, known.listing.server = server.Zone, server
+		known.version = max(known.version, server.Version)
+		c.byService[server.Service] = append(c.byService[server.Service], known)
+		if ended := c.holdAddress(known); ended != nil {
+			changes = append(changes, Change{Kind: AddressTaken, Candidate: ended, InFlight: ended.sends.inFlight})
+		}
+	}
+	changes = append(changes, c.drop(present)...)
+	return append(changes, c.noteEvacuations(old, now)...)
+}
+
+// drop forgets the servers that are not listed any more.
+func (c *Core) drop(present map[string]bool) []Change {
+	var gone []Change
+	for id, known := range c.byID {
+		if !present[id] {
+			known.listing.gone = true
+			gone = append(gone, Change{Kind: ServerGone, Candidate: known, InFlight: known.sends.inFlight})
+			delete(c.byID, id)
+		}
+	}
+	slices.SortFunc(gone, func(a, b Change) int { return cmp.Compare(a.Candidate.ID, b.Candidate.ID) })
+	return gone
+}
+
+// candidateOf returns what is known of a listed server.
+func (c *Core) candidateOf(server Server) *Candidate {
+	known := c.byID[server.ID]
+	if known != nil {
+		return known
+	}
+	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: *admission.NewWindow(coldSpan)}
+	c.byID[server.ID] = known
+	if told, heard := c.words[server.Address]; heard {
+		known.word.Word, known.word.at = told.word, told.at
+	}
+	return known
+}
+
+// holdAddress notes who has an address now: of several servers that are listed with
+// it, the one whose line is the newest. The others have ended, and the list will
+// drop them; one that is found so is returned.
+func (c *Core) holdAddress(known *Candidate) (ended *Candidate) {
+	holder := c.byAddress[known.Address]
+	if holder == nil || holder.listing.server.Revision < known.listing.server.Revision {
+		c.byAddress[known.Address] = known
+		known.listing.gone = known.listing.superseded
+		holder, known = known, holder
+	}
+	if known == nil {
+		return nil
+	}
+	known.listing.gone = true
+	if told, heard := c.words[holder.Address]; heard && holder.word.at.IsZero() {
+		holder.word.Word, holder.word.at = told.word, told.at
+	}
+	return known
+}
+
+// Supersede notes that another server has answered at a server's address, and reports whether
+// that is news.
+func (c *Core) Supersede(k *Candidate) bool {
+	news := !k.listing.gone
+	k.listing.gone, k.listing.superseded = true, true
+	return news
+}
--- /dev/null
+++ b/coordination/dispatch/messages.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/residency"
+)
+
+// Server is one line of the published list of servers.
+type Server struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	// Version is the newest that the line names; 0 when it names none.
+	Version uint64
+	// HoldsModel is set when the line names any model.
+	HoldsModel bool
+	// ColdUntil is when the server will be warm; a time that is past, or zero, means that it
+	// is warm.
+	ColdUntil time.Time
+	// Revision orders the lines: of two with the same address the higher is the newer.
+	Revision uint64
+}
+
+// Service is what is published of a service.
+type Service struct {
+	// ColdTime is how long a server is cold after a start.
+	ColdTime time.Duration
+	// ColdLimit is how many requests a cold server may receive in any second, over the whole
+	// fleet; 0 when there is no bound.
+	ColdLimit float64
+}
+
+// Fleet is what is published, as far as decisions need it.
+type Fleet struct {
+	Servers  []Server
+	Services map[string]Service
+	// Evacuated are the zones that are to be sent nothing new.
+	Evacuated []string
+}
+
+// Engine describes the model servers of a service, which read prompts and fetch versions.
+type Engine struct {
+	// Published are the published figures of speed and size.
+	Published balance.Server
+	// Pieces is of how many pieces a version consists; 0 when that is not known.
+	Pieces int
+	// CopyTime is how long one copy of a version takes over a link like the origin's.
+	CopyTime time.Duration
+	// Warm is the time to take a staged version into service.
+	Warm time.Duration
+}
+
+// Word is what the agent beside a model server tells of it.
+type Word struct {
+	Address string
+	// Reachable is false while the server does not answer its own machine.
+	Reachable bool
+	// Version is served whole; 0 when none is.
+	Version uint64
+	Running int
+	Waiting int
+	// UnreadTokens are the prompts of the requests that wait; 0 when the agent does not know
+	// them.
+	UnreadTokens int
+	// Pace is over 1 when the server is slow.
+	Pace float64
+	// SwitchPlanned is set when the server is to change over, SwitchIn after the word; 0
+	// means that it is changing.
+	SwitchPlanned bool
+	SwitchIn      time.Duration
+	// Wanted and Missing tell of the version being fetched, and its pieces to come.
+	Wanted  uint64
+	Missing int
+	// Link is how long a message over the machine's link and back takes; 0 while that is
+	// not known.
+	Link time.Duration
+}
+
+// Request is what a request wants of a server.
+type Request struct {
+	Service string
+	// Engine describes the service's model servers; nil for plain servers.
+	Engine *Engine
+	// Figures are those of Engine, completed and corrected by Core.Figures.
+	Figures balance.Server
+	// Target is the time to the first event, or the whole answer, that the caller is promised.
+	Target time.Duration
+	// Streaming requests are answered in events.
+	Streaming bool
+	// Others is how many other entries may be sending to the service's servers.
+	Others int
+	// Prompt and Answer are sizes in tokens.
+	Prompt int
+	Answer int
+	// Tried are the servers that the request was sent to before.
+	Tried []*Candidate
+	// Asked are the servers whose agents have just been asked; without any, all are candidates.
+	Asked []*Candidate
+	// AtLeast and Exactly bound the version; zero does not.
+	AtLeast uint64
+	Exactly uint64
+	// Bounds end the time of older versions.
+	Bounds VersionBounds
+	// Residency bounds the regions of the servers.
+	Residency residency.Residency
+	// Resumed requests are not refused for load: they have been admitted before.
+	Resumed bool
+	// SilenceFound is set after connections of all servers were found silent: agents may
+	// measure their links on such connections too, and one that has just answered has a
+	// free link.
+	SilenceFound bool
+}
+
+// VersionBound is until when a server with a version older than a named one may begin requests.
+type VersionBound struct {
+	Version uint64
+	Until   time.Time
+}
+
+// VersionBounds are the bounds of the named versions of a model, the newest last.
+type VersionBounds []VersionBound
+
+// Of returns until when a server with a version may begin requests; false when no newer version
+// is named.
+func (b VersionBounds) Of(version uint64) (time.Time, bool) {
+	for _, one := range b {
+		if one.Version > version {
+			return one.Until, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Decision is a server for a request, and what was known of it.
+type Decision struct {
+	Candidate *Candidate
+	// Send stands for the request at the server, in what is told of it later.
+	Send        *Send
+	Outstanding int
+	Load        balance.Load
+	// WordAge is the age of the agent's word; NoWord when none came.
+	WordAge time.Duration
+	// Considered is how many servers were fit.
+	Considered int
+	// Expected is the predicted time until the request begins to be answered.
+	Expected time.Duration
+	// Version is the one that the server is known to have; 0 when none is.
+	Version uint64
+}
+
+// RefusalReason is why a request is sent to no server.
+type RefusalReason int
+
+// The reasons of refusals.
+const (
+	// RefusedNoServer: no server is fit.
+	RefusedNoServer RefusalReason = iota
+	// RefusedResidency: none in the allowed regions is fit, and one elsewhere is.
+	RefusedResidency
+	// RefusedOverload: no fit server would begin the request within its target.
+	RefusedOverload
+)
+
+// Refusal is that a request is sent to no server now.
+type Refusal struct {
+	Reason RefusalReason
+	// RetryAfter is the earliest time at which the request may be served.
+	RetryAfter time.Duration
+	// Servers counts the service's servers by why they were left out.
+	Servers map[Fitness]int
+	// Soonest is when the soonest of the fit servers would begin the request, Limit what was
+	// allowed; zero unless overloaded.
+	Soonest time.Duration
+	Limit   time.Duration
+	// OldestWord is the age of the oldest word of an agent.
+	OldestWord time.Duration
+}
--- /dev/null
+++ b/coordination/dispatch/refusal.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds of refusals.
+const (
+	refusalRetryFloor = 100 * time.Millisecond
+	refusalRetryCap   = 1500 * time.Millisecond
+	// NoServerRetry is told when there is no server at all.
+	NoServerRetry = 700 * time.Millisecond
+	// noRegionRetry is told when no zone of the fleet is in an allowed region: only another
+	// configuration helps. Deployments give a published one 2 to 3 s to be in force everywhere;
+	// the rest is for an operator to write it, which is a guess. Callers that come back sooner
+	// are refused again.
+	noRegionRetry = 5 * time.Second
+)
+
+// Times until servers serve again.
+const (
+	// changeTime is how long a server takes to change over, as long as nobody knows
+	// better.
+	changeTime = 800 * time.Millisecond
+	// emptyTime is told while no agent has said how its transfer goes.
+	emptyTime = 1500 * time.Millisecond
+)
+
+// hasFreePlace reports whether a plain server could begin the request now. That its
+// last answers came late is then no reason to refuse: they may have been held up on
+// the way, and without further requests nothing would show that it is past.
+func (k *Candidate) hasFreePlace(request *Request) bool {
+	return request.Engine == nil && k.sends.inFlight < k.listing.server.Slots
+}
+
+// refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
+// admits every one.
+func (c *Core) refusalLimit(request *Request) time.Duration {
+	return time.Duration(c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target)))
+}
+
+// admit refuses a request that no server would begin within its target. When
+// only the drawn ones would not, the soonest of all is taken. One that was sent to a
+// server before has been admitted: it is not refused any more.
+func (c *Core) admit(best *Candidate, usable []*Candidate, request *Request, now time.Time) (*Candidate, *Refusal) {
+	limit := c.refusalLimit(request)
+	if request.Resumed || len(request.Tried) > 0 || limit <= 0 || best.hasFreePlace(request) || c.firstEvent(best, request, now) <= limit {
+		return best, nil
+	}
+	best = slices.MinFunc(usable, func(a, b *Candidate) int {
+		return cmp.Compare(c.firstEvent(a, request, now), c.firstEvent(b, request, now))
+	})
+	soonest := c.firstEvent(best, request, now)
+	if soonest <= limit {
+		return best, nil
+	}
+	refusal := c.refuse(RefusedOverload, request, now)
+	refusal.Soonest, refusal.Limit = soonest, limit
+	refusal.RetryAfter = min(max(soonest-limit/2, refusalRetryFloor), refusalRetryCap)
+	return nil, refusal
+}
+
+// refuse tells which servers fall out for which reason.
+func (c *Core) refuse(reason RefusalReason, request *Request, now time.Time) *Refusal {
+	refusal := &Refusal{Reason: reason, Servers: map[Fitness]int{}}
+	for _, candidate := range c.byService[request.Service] {
+		refusal.Servers[c.fitness(candidate, request, now)]++
+		refusal.OldestWord = max(refusal.OldestWord, candidate.word.age(now))
+	}
+	return refusal
+}
+
+// noServer refuses a request that no server may be sent now, with the time until one of
+// the allowed regions is expected.
+func (c *Core) noServer(request *Request, now time.Time) *Refusal {
+	reason := RefusedNoServer
+	if c.residencyDecides(request, now) {
+		reason = RefusedResidency
+	}
+	refusal := c.refuse(reason, request, now)
+	refusal.RetryAfter = c.soonestReady(request, now)
+	if !c.HasZoneFor(request.Residency) {
+		refusal.RetryAfter = noRegionRetry
+	}
+	return refusal
+}
+
+// soonestReady estimates when a server will be able to take the request, from what
+// the agents say of their transfers.
+func (c *Core) soonestReady(request *Request, now time.Time) time.Duration {
+	engine := request.Engine
+	if engine == nil || engine.Pieces == 0 {
+		return NoServerRetry
+	}
+	soonest := emptyTime + engine.CopyTime/2
+	for _, told := range c.words {
+		if !told.word.Reachable || now.Sub(told.at) > wordCurrent || !c.allowedAt(told.word.Address, request.Residency) {
+			continue
+		}
+		left := engine.CopyTime * time.Duration(told.word.Missing) / time.Duration(engine.Pieces)
+		soonest = min(soonest, left+engine.Warm+changeTime/2)
+	}
+	return max(soonest, refusalRetryFloor)
+}
--- /dev/null
+++ b/coordination/dispatch/sends.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Send is one request at one server.
+type Send struct {
+	candidate *Candidate
+	service   string
+	engine    *Engine
+	target    time.Duration
+	sentAt    time.Time
+	// due is when the first event was expected to come.
+	due    time.Time
+	prompt int
+	// nearLimit is set when it was expected so late that the limit of refusals matters.
+	nearLimit bool
+	// idle is set when the server was known to have nothing else to do.
+	idle bool
+}
+
+// ownSends are this entry's own requests at a server.
+type ownSends struct {
+	inFlight int
+	// unread counts the requests sent to a model server whose first event has not
+	// come, unreadTokens their prompts.
+	unread       int
+	unreadTokens int
+	// unbegun holds these requests.
+	unbegun []*Send
+}
+
+// counts are this entry's own part of a server's load.
+type counts struct {
+	inFlight     int
+	unread       int
+	unreadTokens int
+}
+
+// add counts a request that is being sent.
+func (s *ownSends) add(send *Send) {
+	s.inFlight++
+	if send.engine != nil {
+		s.unread++
+		s.unreadTokens += send.prompt
+		s.unbegun = append(s.unbegun, send)
+	}
+}
+
+// begun takes a request off those whose first event is waited for, and reports whether it was
+// one of them.
+func (s *ownSends) begun(send *Send) bool {
+	at := slices.Index(s.unbegun, send)
+	if at < 0 {
+		return false
+	}
+	s.unbegun = slices.Delete(s.unbegun, at, at+1)
+	s.unread--
+	s.unreadTokens -= send.prompt
+	return true
+}
+
+// seenAt is what an agent saw of the requests when it looked at a time: not those that were
+// sent later.
+func (s *ownSends) seenAt(at time.Time) counts {
+	seen := counts{inFlight: s.inFlight, unread: s.unread, unreadTokens: s.unreadTokens}
+	for _, one := range s.unbegun {
+		if one.sentAt.After(at) {
+			seen.inFlight--
+			seen.unread--
+			seen.unreadTokens -= one.prompt
+		}
+	}
+	return seen
+}
+
+// Release takes a request off a server's count. Its prompt counts as read once the
+// first event has come, which PromptRead notes.
+func (c *Core) Release(send *Send) { send.candidate.sends.inFlight-- }
+
+// PromptRead takes a request's prompt off its server's unread ones, because it has begun, or
+// has ended without that.
+func (c *Core) PromptRead(send *Send, begun bool, now time.Time) {
+	k := send.candidate
+	if !k.sends.begun(send) {
+		return
+	}
+	if begun {
+		c.learnMargin(send, now)
+		c.learnFirstEvent(send, now)
+	}
+	k.lateness.noteBegun(send.due, now)
+}
--- /dev/null
+++ b/coordination/dispatch/versions_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// VERSION: a server on a narrow link whose agent lacks more pieces than can come in time
+// is sent nothing more on the old version; one that will be prepared, and one whose
+// pieces are late for another reason, is, also after two versions in
+// quick succession, until shortly before the bound.
+func TestUnpreparedServerIsLeftOutInTime(t *testing.T) {
+	now := epoch
+	core := testCore("z", nil)
+	at := func(left time.Duration) *Request {
+		return withFigures(Request{Bounds: VersionBounds{{Version: 2, Until: now.Add(left)}}, Prompt: 1000}, copiedEngine())
+	}
+	for _, one := range []struct {
+		missing int
+		link    time.Duration
+		left    time.Duration
+		want    Fitness
+	}{
+		{missing: 80, link: narrowLink, left: 5 * time.Second, want: Fit},
+		{missing: 80, link: narrowLink, left: 3200 * time.Millisecond, want: unfitBound},
+		{missing: 20, link: narrowLink, left: 3200 * time.Millisecond, want: Fit},
+		{missing: 20, link: narrowLink, left: 1400 * time.Millisecond, want: unfitBound},
+		{missing: 0, link: narrowLink, left: 1400 * time.Millisecond, want: unfitBound},
+		{missing: 96, link: 20 * time.Millisecond, left: 1400 * time.Millisecond, want: Fit},
+		{missing: 96, link: 20 * time.Millisecond, left: 900 * time.Millisecond, want: unfitBound},
+		{missing: 0, left: 1400 * time.Millisecond, want: Fit},
+		{missing: 0, left: 900 * time.Millisecond, want: unfitBound},
+	} {
+		server := modelServer(now, one.missing)
+		server.word.Link = one.link
+		assert.Equal(t, one.want, core.fitness(server, at(one.left), now), "%d missing, link %s, %s left", one.missing, one.link, one.left)
+	}
+}
+
+// VERSION: after two versions in quick succession a server on the oldest is bound by the
+// first of them, one on the second by the third.
+func TestEachServerIsBoundByTheFirstVersionItLacks(t *testing.T) {
+	now := epoch
+	core := testCore("z", nil)
+	wanted := &Request{Engine: &Engine{}, Bounds: VersionBounds{
+		{Version: 2, Until: now.Add(900 * time.Millisecond)}, {Version: 3, Until: now.Add(2900 * time.Millisecond)},
+	}}
+	oldest, middle, newest := modelServer(now, 0), modelServer(now, 0), modelServer(now, 0)
+	middle.word.Version, newest.word.Version = 2, 3
+	assert.Equal(t, unfitBound, core.fitness(oldest, wanted, now))
+	assert.Equal(t, Fit, core.fitness(middle, wanted, now))
+	assert.Equal(t, Fit, core.fitness(newest, wanted, now))
+}
+
+// VERSION: a server whose pieces come much later than others' is on a narrow link, also
+// while messages pass it quickly; where nobody has them the origin is what is slow.
+func TestServerThatLagsBehindTheOthersIsOnANarrowLink(t *testing.T) {
+	now := epoch
+	core := testCore("z", nil)
+	wanted := withFigures(Request{Bounds: VersionBounds{{Version: 2, Until: now.Add(3 * time.Second)}}, Prompt: 1000}, copiedEngine())
+	lagging := modelServer(now, 80)
+	for othersMissing, want := range map[int]Fitness{70: Fit, 0: unfitBound} {
+		core.TakeWord(Word{Address: "10.0.0.9:1", Reachable: true, Missing: othersMissing}, now)
+		core.findLeastMissing(now)
+		assert.Equal(t, want, core.fitness(lagging, wanted, now), "others lack %d", othersMissing)
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/word.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import "time"
+
+// wordCurrent is the age up to which an agent's word is trusted: four times the 0.3 s that words
+// from other zones usually are old.
+const wordCurrent = 1200 * time.Millisecond
+
+// NoWord is the age of an agent's word that never came.
+const NoWord = -time.Second
+
+// heardWord is a word and when it was said.
+type heardWord struct {
+	word Word
+	at   time.Time
+}
+
+// agentWord is what the agent beside a server has told of it.
+type agentWord struct {
+	Word
+	at time.Time
+	// seen is this entry's own part of the load that the word tells.
+	seen counts
+	// answeredAt is when the agent last answered a question of this entry.
+	answeredAt time.Time
+	// unansweredAt is when the agent last did not answer a question.
+	unansweredAt time.Time
+}
+
+// current reports whether the agent's word is recent.
+func (w *agentWord) current(now time.Time) bool {
+	return !w.at.IsZero() && now.Sub(w.at) < wordCurrent
+}
+
+// silent reports whether the server has an agent that has fallen silent.
+func (w *agentWord) silent(now time.Time) bool {
+	return !w.at.IsZero() && now.Sub(w.at) >= wordCurrent
+}
+
+func (w *agentWord) age(now time.Time) time.Duration {
+	if w.at.IsZero() {
+		return NoWord
+	}
+	return now.Sub(w.at)
+}
+
+// untilSwitch is the time until the server changes over; it counts only when that is planned.
+func (w *agentWord) untilSwitch(now time.Time) time.Duration { return w.SwitchIn - now.Sub(w.at) }
+
+// TakeWord notes an agent's word on its server and when it was said. It reports whether the word
+// is news, and returns the server if it tells another version, or another reachability, of it.
+func (c *Core) TakeWord(word Word, at time.Time) (news bool, changed *Candidate) {
+	if c.words[word.Address].at.After(at) {
+		// An answer to a question overtakes what is told all the time.
+		return false, nil
+	}
+	c.words[word.Address] = heardWord{word: word, at: at}
+	known := c.byAddress[word.Address]
+	if known == nil {
+		return true, nil
+	}
+	if known.word.Reachable != word.Reachable || known.word.Version != word.Version {
+		changed = known
+	}
+	known.word.Word, known.word.at = word, at
+	known.word.seen = known.sends.seenAt(at)
+	known.version = max(known.version, word.Version)
+	return true, changed
+}
+
+// Suspect reports whether there is evidence against a server beside its own silence.
+func (c *Core) Suspect(k *Candidate, now time.Time) bool {
+	return k.word.silent(now) || (k.word.current(now) && !k.word.Reachable)
+}
+
+// outstanding estimates how many requests the server holds.
+func (k *Candidate) outstanding(now time.Time) int {
+	if !k.word.current(now) {
+		return k.sends.inFlight
+	}
+	others := max(0, k.word.Running+k.word.Waiting-k.word.seen.inFlight)
+	return others + k.sends.inFlight
+}
--- a/internal/forward/asking.go
+++ b/internal/forward/asking.go
@@ -1,11 +1,10 @@
 package forward
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -22,36 +21,21 @@
 	Announce(server string, promptTokens int)
 }
 
-// Bounds of asking.
-const (
-	// askedFrom is how many servers are drawn, among which the most promising are asked:
-	// were it all of them, every entry would ask the same.
-	askedFrom = 8
-	// askedAtOnce is how many agents are asked at once. Asking six more as soon as none of
-	// the first would begin the request within half of the limit was worse, by 0.01 to 0.06
-	// of a day's worth: the few idle servers draw everybody.
-	askedAtOnce = 3
-	// askingRounds is how often agents are asked: others, when none of the first servers
-	// would begin the request in time.
-	askingRounds = 2
-	// unansweredTime is how long an agent that has not answered is asked last, and
-	// unansweredCost what that weighs in the choice of whom to ask: its machine's link is
-	// full or cut, or the agent stands still.
-	unansweredTime = time.Second
-	unansweredCost = 200 * time.Millisecond
-)
+// askingRounds is how often agents are asked: others, when none of the first servers would
+// begin the request in time.
+const askingRounds = 2
 
 // askLoads asks the agents of a few servers how these do, and leaves the ones that have
 // answered as the candidates for the next attempt. Without any answer the choice goes by
 // what agents have told before.
 func (w *work) askLoads(ctx context.Context) {
-	w.wanted.candidates = nil
-	if w.options.Loads == nil || w.wanted.engine == nil {
+	w.wanted.Asked = nil
+	if w.options.Loads == nil || w.wanted.Engine == nil {
 		return
 	}
-	var asked []*target
+	var asked []*dispatch.Candidate
 	for range askingRounds {
-		next := w.targets.toAsk(w.wanted, asked)
+		next := w.targets.toAsk(&w.wanted, asked)
 		if len(next) == 0 {
 			return
 		}
@@ -60,75 +44,50 @@
 		answered := w.targets.takeAnswers(next, answers)
 		w.metrics.loadQueries.WithLabelValues(queryAnswered).Add(float64(len(answered)))
 		w.metrics.loadQueries.WithLabelValues(queryMissed).Add(float64(len(next) - len(answered)))
-		w.wanted.candidates = append(w.wanted.candidates, answered...)
-		if ctx.Err() != nil || w.targets.anyInTime(w.wanted) {
+		w.wanted.Asked = append(w.wanted.Asked, answered...)
+		if ctx.Err() != nil || w.targets.anyInTime(&w.wanted) {
 			return
 		}
 	}
 }
 
-func addressesOf(asked []*target) []string {
+func addressesOf(asked []*dispatch.Candidate) []string {
 	addresses := make([]string, 0, len(asked))
 	for _, one := range asked {
-		addresses = append(addresses, one.address)
+		addresses = append(addresses, one.Address)
 	}
 	return addresses
 }
 
 // announce tells the agent of the chosen server of the request.
 func (w *work) announce(chosen *target) {
-	if w.options.Loads != nil && w.wanted.engine != nil {
-		w.options.Loads.Announce(chosen.address, w.wanted.prompt)
+	if w.options.Loads != nil && w.wanted.Engine != nil {
+		w.options.Loads.Announce(chosen.Address, w.wanted.Prompt)
 	}
 }
 
-// toAsk picks the servers whose agents to ask: the most promising of a few, without those
-// that were asked before.
-func (t *targets) toAsk(wanted need, before []*target) []*target {
+// toAsk picks the servers whose agents to ask, without those that were asked before.
+func (t *targets) toAsk(wanted *dispatch.Request, before []*dispatch.Candidate) []*dispatch.Candidate {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	t.findLeastMissing(now)
-	usable := slices.DeleteFunc(t.usable(wanted, now), func(k *target) bool { return slices.Contains(before, k) })
-	drawn := slices.Clone(t.sample(usable, askedFrom))
-	scores := make(map[*target]time.Duration, len(drawn))
-	for _, one := range drawn {
-		scores[one] = t.score(one, wanted, now)
-		if now.Sub(one.unansweredAt) < unansweredTime {
-			scores[one] += unansweredCost
-		}
-	}
-	slices.SortFunc(drawn, func(a, b *target) int { return cmp.Compare(scores[a], scores[b]) })
-	return drawn[:min(askedAtOnce, len(drawn))]
+	t.tellEntries(now)
+	return t.core.ToAsk(wanted, before, now)
 }
 
 // takeAnswers takes over what the asked agents have told, and returns their servers.
-func (t *targets) takeAnswers(asked []*target, answers []fleet.MachineStatus) []*target {
-	now := time.Now()
-	for _, status := range answers {
-		t.takeStatus(status, now, false)
-	}
+func (t *targets) takeAnswers(asked []*dispatch.Candidate, answers []fleet.MachineStatus) []*dispatch.Candidate {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var answered []*target
-	for _, one := range asked {
-		if slices.ContainsFunc(answers, func(status fleet.MachineStatus) bool { return status.Address == one.address }) {
-			one.answeredAt = now
-			answered = append(answered, one)
-		} else {
-			one.unansweredAt = now
-		}
+	for _, status := range answers {
+		t.told[status.Address] = status
 	}
-	return answered
+	return t.core.TakeAnswers(asked, wordsOf(answers), time.Now())
 }
 
-// anyInTime reports whether one of the candidates would begin the request in time.
-func (t *targets) anyInTime(wanted need) bool {
+// anyInTime reports whether one of the asked servers would begin the request in time.
+func (t *targets) anyInTime(wanted *dispatch.Request) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	limit := t.refusalLimit(wanted)
-	return slices.ContainsFunc(wanted.candidates, func(k *target) bool {
-		return t.unfit(k, wanted, now) == unfitNot && (limit <= 0 || k.firstEvent(wanted, now) <= limit)
-	})
+	return t.core.AnyInTime(wanted, time.Now())
 }
--- a/internal/forward/asking_test.go
+++ b/internal/forward/asking_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -41,17 +43,32 @@
 
 // asking is a request at an entry that knows a few servers, all idle by their agents' words.
 func asking(agents *agentsOfTest, servers ...string) *work {
-	now := time.Now()
-	f := New(Options{Zone: "z", Log: logging.Nop(), Registry: prometheus.NewRegistry(), Loads: agents, Peers: func() int { return 0 }})
+	w := askingUnheard(agents, servers...)
 	for _, address := range servers {
-		server := modelServer(now.Add(-50*time.Millisecond), 0)
-		server.id, server.address, server.zone = address, address, "z"
-		f.targets.byService["s"] = append(f.targets.byService["s"], server)
-		f.targets.byAddress[address] = server
+		w.TakeStatus(fleet.MachineStatus{Address: address, Reachable: true, Version: 1, SwitchMilliseconds: fleet.NoSwitch}, time.Now().Add(-50*time.Millisecond), false)
 	}
-	_, _, wanted := idleServer(now, 0)
-	w := &work{Forwarder: f, request: &Request{}, wanted: wanted}
-	w.wanted.work = w
+	return w
+}
+
+// askingUnheard is the same before any agent has told of its server.
+func askingUnheard(agents *agentsOfTest, servers ...string) *work {
+	f := New(Options{
+		Zone: "z", Log: logging.Nop(), Registry: prometheus.NewRegistry(), Loads: agents, Peers: func() int { return 0 }, Policy: DefaultPolicy(),
+	})
+	view := &catalog.View{
+		Configuration: &fleet.Configuration{Services: map[string]fleet.Service{"s": {Engine: &fleet.Engine{
+			Slots: 16, StepMilliseconds: 7, Stride: 6, ReadPerSecond: 30000, UsualPrompt: 1000, UsualAnswer: 100,
+		}}}},
+		Servers: map[string][]fleet.Server{},
+	}
+	for _, address := range servers {
+		view.Servers["s"] = append(view.Servers["s"], fleet.Server{
+			ID: address, Service: "s", Address: address, Zone: "z", Slots: 16, Models: []fleet.HeldModel{{Name: "m", Version: 1}},
+		})
+	}
+	f.Update(view)
+	w := &work{Forwarder: f, request: &Request{}, wanted: dispatch.Request{Service: "s", Prompt: 1000, Target: 400 * time.Millisecond}}
+	f.targets.describe(&w.wanted)
 	return w
 }
 
@@ -65,9 +82,9 @@
 	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.1:1": full, "10.0.0.2:1": idle, "10.0.0.3:1": full}}
 	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
 	w.askLoads(context.Background())
-	chosen, refusal := w.targets.choose(w.wanted)
+	chosen, refusal := w.targets.choose(w)
 	require.Nil(t, refusal)
-	assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+	assert.Equal(t, "10.0.0.2:1", chosen.target.Address)
 	w.announce(chosen.target)
 	assert.Equal(t, map[string]int{"10.0.0.2:1": 1000}, agents.announced)
 }
@@ -83,7 +100,7 @@
 	w := asking(agents, addresses...)
 	w.askLoads(context.Background())
 	assert.ElementsMatch(t, addresses, agents.asked)
-	_, refusal := w.targets.choose(w.wanted)
+	_, refusal := w.targets.choose(w)
 	assert.NotNil(t, refusal)
 }
 
@@ -94,19 +111,19 @@
 	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1")
 	for range 3 {
 		w.askLoads(context.Background())
-		chosen, refusal := w.targets.choose(w.wanted)
+		chosen, refusal := w.targets.choose(w)
 		require.Nil(t, refusal)
-		assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+		assert.Equal(t, "10.0.0.2:1", chosen.target.Address)
 	}
-	next := w.targets.toAsk(w.wanted, nil)
-	assert.Equal(t, "10.0.0.1:1", next[len(next)-1].address)
+	next := w.targets.toAsk(&w.wanted, nil)
+	assert.Equal(t, "10.0.0.1:1", next[len(next)-1].Address)
 }
 
 // Without any answer the choice goes by what agents have told before.
 func TestWithoutAnswersTheLastWordsDecide(t *testing.T) {
 	w := asking(&agentsOfTest{}, "10.0.0.1:1", "10.0.0.2:1")
 	w.askLoads(context.Background())
-	_, refusal := w.targets.choose(w.wanted)
+	_, refusal := w.targets.choose(w)
 	assert.Nil(t, refusal)
 }
 
@@ -116,21 +133,20 @@
 	w := asking(agents, "10.0.0.1:1")
 	w.askLoads(context.Background())
 	w.targets.takeStatus(fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, Version: 1}, time.Now().Add(-time.Second), false)
-	assert.Equal(t, full.Running, w.targets.byAddress["10.0.0.1:1"].status.Running)
+	assert.Equal(t, full.Running, w.Servers()[0].Status.Running)
+	assert.Equal(t, full.Running+full.Waiting, w.Servers()[0].Outstanding)
 }
 
 // A server of which no agent has told yet is not taken for idle: its agent is asked.
 func TestServerThatNobodyTellsOfIsAsked(t *testing.T) {
 	agents := &agentsOfTest{answers: map[string]fleet.MachineStatus{"10.0.0.1:1": full, "10.0.0.2:1": {Running: 3}}}
-	w := asking(agents, "10.0.0.1:1", "10.0.0.2:1")
-	unknown := w.targets.byAddress["10.0.0.1:1"]
-	unknown.status, unknown.statusAt = fleet.MachineStatus{}, time.Time{}
-	unknown.server.Models = []fleet.HeldModel{{Name: "m", Version: 1}}
+	w := askingUnheard(agents, "10.0.0.1:1", "10.0.0.2:1")
+	w.TakeStatus(fleet.MachineStatus{Address: "10.0.0.2:1", Reachable: true, Version: 1, SwitchMilliseconds: fleet.NoSwitch}, time.Now().Add(-50*time.Millisecond), false)
 	for range 5 {
 		w.askLoads(context.Background())
 		assert.Contains(t, agents.asked, "10.0.0.1:1")
-		chosen, refusal := w.targets.choose(w.wanted)
+		chosen, refusal := w.targets.choose(w)
 		require.Nil(t, refusal)
-		assert.Equal(t, "10.0.0.2:1", chosen.target.address)
+		assert.Equal(t, "10.0.0.2:1", chosen.target.Address)
 	}
 }
--- /dev/null
+++ b/internal/forward/convert.go
@@ -0,0 +1,108 @@
+package forward
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// fleetOf is what the decisions need of a view.
+func fleetOf(view *catalog.View, bounds fleet.Bounds) dispatch.Fleet {
+	published := dispatch.Fleet{Services: map[string]dispatch.Service{}}
+	for _, servers := range view.Servers {
+		for _, server := range servers {
+			published.Servers = append(published.Servers, serverOf(server))
+		}
+	}
+	if view.Configuration != nil {
+		for name, service := range view.Configuration.Services {
+			limit, _ := bounds.ColdLimit(service)
+			published.Services[name] = dispatch.Service{ColdTime: service.ColdTime, ColdLimit: limit}
+		}
+	}
+	published.Evacuated = slices.Sorted(maps.Keys(view.Evacuations))
+	return published
+}
+
+func serverOf(server fleet.Server) dispatch.Server {
+	listed := dispatch.Server{
+		ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
+		HoldsModel: len(server.Models) > 0, ColdUntil: server.ColdUntil, Revision: server.Revision,
+	}
+	for _, model := range server.Models {
+		listed.Version = max(listed.Version, model.Version)
+	}
+	return listed
+}
+
+// enginesOf describes the model servers of a configuration, by their services.
+func enginesOf(configuration *fleet.Configuration) map[string]*dispatch.Engine {
+	engines := map[string]*dispatch.Engine{}
+	if configuration == nil {
+		return engines
+	}
+	for name, service := range configuration.Services {
+		if engine := service.Engine; engine != nil {
+			engines[name] = &dispatch.Engine{
+				Published: publishedFigures(engine), Pieces: engine.Pieces, CopyTime: engine.CopyTime(configuration.OriginRate()), Warm: engine.Warm,
+			}
+		}
+	}
+	return engines
+}
+
+func publishedFigures(engine *fleet.Engine) balance.Server {
+	return balance.Server{
+		Slots: engine.Slots, Stride: engine.Stride,
+		StepMilliseconds: engine.StepMilliseconds, PerSequence: engine.PerSequenceMilliseconds, ContextPerThousand: engine.ContextPerThousand,
+		ReadPerSecond: engine.ReadPerSecond, ReadChunk: engine.ReadChunk, UsualPrompt: engine.UsualPrompt, UsualAnswer: engine.UsualAnswer,
+	}
+}
+
+func wordOf(status fleet.MachineStatus) dispatch.Word {
+	return dispatch.Word{
+		Address: status.Address, Reachable: status.Reachable, Version: status.Version, Running: status.Running, Waiting: status.Waiting,
+		UnreadTokens: status.UnreadTokens, Pace: status.Pace,
+		SwitchPlanned: status.SwitchMilliseconds != fleet.NoSwitch, SwitchIn: time.Duration(status.SwitchMilliseconds) * time.Millisecond,
+		Wanted: status.Wanted, Missing: status.Missing, Link: time.Duration(status.LinkMilliseconds) * time.Millisecond,
+	}
+}
+
+func wordsOf(statuses []fleet.MachineStatus) []dispatch.Word {
+	words := make([]dispatch.Word, 0, len(statuses))
+	for _, status := range statuses {
+		words = append(words, wordOf(status))
+	}
+	return words
+}
+
+// boundsOf tells until when servers with older versions than the named ones may begin requests,
+// where each is to be in force some time after its naming.
+func boundsOf(notices []catalog.Notice, apply time.Duration) dispatch.VersionBounds {
+	bounds := make(dispatch.VersionBounds, 0, len(notices))
+	for _, notice := range notices {
+		bounds = append(bounds, dispatch.VersionBound{Version: notice.Version, Until: notice.Since.Add(apply)})
+	}
+	return bounds
+}
+
+// refusalOf is the answer to a request that is sent to no server.
+func refusalOf(decided *dispatch.Refusal) *fault.Refusal {
+	var refusal *fault.Refusal
+	switch decided.Reason {
+	case dispatch.RefusedOverload:
+		refusal = fault.NotRun(fault.ReasonOverloaded, "no server could begin the request within its target")
+	case dispatch.RefusedResidency:
+		refusal = fault.NotRun(fault.ReasonResidency, "no server in the allowed regions can serve the request now")
+	default:
+		refusal = fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
+	}
+	refusal.RetryAfter = decided.RetryAfter
+	return refusal
+}
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -34,16 +35,20 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	views := make([]ServerView, 0, len(t.byID))
-	for id, known := range t.byID {
-		views = append(views, ServerView{
-			ID: id, Service: known.server.Service, Address: known.address, Zone: known.zone,
-			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
-			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
-			MeanMillisecond: known.meanMilliseconds,
-			ColdFor:         max(0, known.server.ColdUntil.Sub(now).Seconds(), known.readmittedUntil.Sub(now).Seconds()),
-			Evacuated:       t.evacuated(known),
-		})
+	described := t.core.Describe(now)
+	views := make([]ServerView, 0, len(described))
+	for _, one := range described {
+		server := one.Server
+		view := ServerView{
+			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+			Draining: server.Draining, InFlight: one.InFlight, Outstanding: one.Outstanding, Version: one.Version,
+			EjectedFor: one.EjectedFor.Seconds(), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
+			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated,
+		}
+		if one.WordAge != dispatch.NoWord {
+			view.Status = t.told[server.Address]
+		}
+		views = append(views, view)
 	}
 	slices.SortFunc(views, func(a, b ServerView) int { return cmp.Compare(a.ID, b.ID) })
 	return views
--- a/internal/forward/evacuation_test.go
+++ b/internal/forward/evacuation_test.go
@@ -12,6 +12,7 @@
 
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
 )
 
 // EVAC: a request whose server's zone is evacuated while its connection is being made is not
@@ -19,9 +20,12 @@
 func TestRequestIsNotSentIntoAZoneThatWasEvacuatedMeanwhile(t *testing.T) {
 	var received atomic.Int64
 	server := scripted(t, func(net.Conn, *http.Request, int) { received.Add(1) })
-	server.zone = "z"
 	f := testForwarder()
-	f.targets.view = &catalog.View{Evacuations: map[string]time.Time{"z": time.Now()}}
+	f.Update(&catalog.View{
+		Evacuations: map[string]time.Time{"z": time.Now()},
+		Servers:     map[string][]fleet.Server{"s": {{ID: "i-1", Service: "s", Address: server.Address, Zone: "z"}}},
+	})
+	server = f.targets.targetOf(f.targets.core.Candidates("s")[0])
 	_, failed := exchangeOnce(t, f, server, testRequest("a", "b"))
 	require.NotNil(t, failed)
 	assert.Equal(t, fault.ReasonEvacuated, failed.reason)
@@ -29,9 +33,9 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Zero(t, received.Load())
 	w := &work{Forwarder: f, request: testRequest("a", "b")}
-	for range 2 * ejectAfter {
+	for range 4 {
 		w.noteFailure(server, failed, 0)
 	}
-	assert.Zero(t, server.ejectedTill)
+	assert.Zero(t, f.Servers()[0].EjectedFor)
 	assert.False(t, w.mayHaveRun)
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -83,14 +83,14 @@
 	carrier := f.rested(request, chosen)
 	if carrier == nil {
 		began := f.watch.now()
-		fresh, err := dial(ctx, chosen.address, request.Deadline)
+		fresh, err := dial(ctx, chosen.Address, request.Deadline)
 		if err != nil {
 			return nil, &failure{reason: reasonOf(err, fault.ReasonLinkLost), execution: fault.ExecutionNotRun, cause: err}
 		}
 		f.metrics.connections.Inc()
 		f.watch.add(fresh, chosen, began)
 		carrier = fresh
-		if f.targets.evacuatedNow(chosen) {
+		if f.targets.evacuated(chosen) {
 			carrier.close()
 			return nil, &failure{reason: fault.ReasonEvacuated, execution: fault.ExecutionNotRun}
 		}
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -51,11 +52,11 @@
 			go serve(connection)
 		}
 	}()
-	return &target{id: "i-1", address: listener.Addr().String(), unbegun: map[*work]unbegun{}}
+	return &target{Candidate: &dispatch.Candidate{ID: "i-1", Address: listener.Addr().String()}}
 }
 
 func testForwarder() *Forwarder {
-	return New(Options{Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(), Peers: func() int { return 0 }})
+	return New(Options{Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(), Peers: func() int { return 0 }, Policy: DefaultPolicy()})
 }
 
 func testRequest(id string, body string) *Request {
@@ -174,7 +175,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	_, failed := exchangeOnce(t, testForwarder(), &target{id: "i-1", address: address}, testRequest("r", "b"))
+	_, failed := exchangeOnce(t, testForwarder(), &target{Candidate: &dispatch.Candidate{ID: "i-1", Address: address}}, testRequest("r", "b"))
 	require.NotNil(t, failed)
 	assert.Equal(t, fault.ExecutionNotRun, failed.execution)
 }
@@ -199,7 +200,7 @@
 			time.Sleep(300 * time.Millisecond)
 		}
 	}()
-	server := &target{id: "i-1", address: listener.Addr().String()}
+	server := &target{Candidate: &dispatch.Candidate{ID: "i-1", Address: listener.Addr().String()}}
 	body, failed := exchangeOnce(t, testForwarder(), server, testRequest("r", strings.Repeat("x", 8<<20)))
 	require.Nil(t, failed)
 	assert.Equal(t, "early", body)
@@ -242,9 +243,8 @@
 		server := scripted(t, func(net.Conn, *http.Request, int) { time.Sleep(3 * time.Second) })
 		f := testForwarder()
 		request := testRequest("late", "b")
-		w := &work{Forwarder: f, request: request, wanted: need{
-			engine: &fleet.Engine{}, versionApply: 8 * time.Second,
-			notices: []catalog.Notice{{Version: 2, Since: time.Now().Add(-7 * time.Second)}},
+		w := &work{Forwarder: f, request: request, wanted: dispatch.Request{
+			Engine: &dispatch.Engine{}, Bounds: dispatch.VersionBounds{{Version: 2, Until: time.Now().Add(time.Second)}},
 		}}
 		judge := w.silence(server, 1)
 		w.attemptBegun = begun
@@ -268,7 +268,8 @@
 // VERSION: a request that waits is taken back for a version that is heard of after its send.
 func TestRequestIsTakenBackForAVersionHeardOfLater(t *testing.T) {
 	f := testForwarder()
-	w := &work{Forwarder: f, request: testRequest("early", "b"), wanted: need{engine: &fleet.Engine{}, versionApply: 8 * time.Second}}
+	f.options.Bounds.VersionApply = 8 * time.Second
+	w := &work{Forwarder: f, request: testRequest("early", "b"), wanted: dispatch.Request{Engine: &dispatch.Engine{}}}
 	w.request.Call.Model = "m"
 	judge := w.silence(&target{}, 1)
 	require.NoError(t, judge(time.Millisecond, time.Second))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,7 +10,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/budget"
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
@@ -68,10 +68,9 @@
 	started, figures := time.Now(), newMetrics(options.Registry)
 	f := &Forwarder{
 		options: options, dialect: options.Dialect, log: options.Log, started: started,
-		targets: newTargets(options.Zone, options.Regions, options.Log),
+		targets: newTargets(options, started),
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
-	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
 	registerCold(options.Registry, f.targets)
 	return f
 }
@@ -145,11 +144,13 @@
 	*Forwarder
 	request *Request
 	writer  http.ResponseWriter
-	wanted  need
+	wanted  dispatch.Request
+	// placed is the present attempt at its server, as the decisions count it.
+	placed *dispatch.Send
 	// sent counts the servers that the request was sent to.
 	sent int
 	// silentAt are servers that were tried over connections that turned out to be silent.
-	silentAt []*target
+	silentAt []*dispatch.Candidate
 	// retryReserved is set while the retry budget has been drawn on for the next attempt.
 	retryReserved bool
 	// mayHaveRun is set once a server may have run the request.
@@ -174,16 +175,13 @@
 // nothing was written; after errors in mid answer it panics with
 // http.ErrAbortHandler, so that the answer does not look complete.
 func (f *Forwarder) Serve(ctx context.Context, writer http.ResponseWriter, request *Request) *fault.Refusal {
-	view := f.targets.currentView()
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
-	w.wanted = need{work: w, service: service, route: request.Route, others: f.options.Peers(), policy: &f.options.Policy, prompt: request.Call.PromptTokens, answer: expectedAnswer(request.Call)}
-	if view.Configuration != nil {
-		w.wanted.engine = view.Configuration.Services[service].Engine
-	}
-	if w.wanted.engine != nil {
-		w.wanted.figures = f.targets.figuresOf(service, w.wanted.engine)
+	w.wanted = dispatch.Request{
+		Service: service, Target: request.Route.Target, Streaming: w.isStream(), Others: f.options.Peers(),
+		Prompt: request.Call.PromptTokens, Answer: expectedAnswer(request.Call),
 	}
+	f.targets.describe(&w.wanted)
 	f.countRequest(service)
 	refusal := w.forward(ctx)
 	if refusal != nil && refusal.RetryAfter > 0 {
@@ -229,25 +227,18 @@
 	return services[len(services)-1].Service
 }
 
-func (t *targets) currentView() *catalog.View {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.view
-}
-
 // versionMargin is how long before the bound no older version is asked for.
 const versionMargin = 500 * time.Millisecond
 
 // bindVersion sets which version the next attempt needs, and until when older ones
 // may begin it.
 func (w *work) bindVersion() {
-	if w.wanted.engine == nil {
+	if w.wanted.Engine == nil {
 		return
 	}
 	view := w.targets.currentView()
-	w.wanted.notices = view.Versions[w.request.Call.Model]
-	w.wanted.versionApply = w.options.Bounds.VersionApply
-	w.wanted.atLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
+	w.wanted.Bounds = boundsOf(view.Versions[w.request.Call.Model], w.options.Bounds.VersionApply)
+	w.wanted.AtLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
 }
 
 // expectedVersion is the version that a server is asked to check. Once the bound of
@@ -255,10 +246,10 @@
 // it is not turned away for having a newer one.
 func (w *work) expectedVersion(serving uint64) uint64 {
 	switch {
-	case w.wanted.exactly != 0:
-		return w.wanted.exactly
-	case w.wanted.atLeast != 0:
-		return max(serving, w.wanted.atLeast)
+	case w.wanted.Exactly != 0:
+		return w.wanted.Exactly
+	case w.wanted.AtLeast != 0:
+		return max(serving, w.wanted.AtLeast)
 	}
 	return 0
 }
@@ -267,7 +258,7 @@
 // it may have run there.
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
-	w.wanted.silenceFound = w.watch.foundLately()
+	w.wanted.SilenceFound = w.watch.foundLately()
 	w.bindResidency()
 	w.askLoads(ctx)
 	chosen, refusal := w.choose()
@@ -277,29 +268,29 @@
 	target := chosen.target
 	w.announce(target)
 	send := fleet.SendHeader{
-		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: w.expectedVersion(chosen.version),
+		Deadline: time.Until(w.request.Deadline), Instance: target.ID, Version: w.expectedVersion(chosen.Version),
 		Tenant: w.request.Tenant, Priority: w.request.Priority,
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
 		send.LastEventID = w.lastEvent
 	}
 	w.sent++
-	w.wanted.tried = append(w.wanted.tried, target)
+	w.wanted.Tried = append(w.wanted.Tried, target.Candidate)
 	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
-		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
-		zap.Int("running", chosen.load.Running), zap.Int("waiting", chosen.load.Waiting), zap.Int("unread_tokens", int(chosen.load.Unread)),
-		zap.Int("prompt_tokens", w.wanted.prompt),
-		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.String("server", target.ID), zap.String("zone", target.Zone), zap.Int("outstanding", chosen.Outstanding),
+		zap.Int("running", chosen.Load.Running), zap.Int("waiting", chosen.Load.Waiting), zap.Int("unread_tokens", int(chosen.Load.Unread)),
+		zap.Int("prompt_tokens", w.wanted.Prompt),
+		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.Expected), zap.Duration("status_age", chosen.WordAge), zap.Int("candidates", chosen.Considered), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	w.sentAt = began
-	w.request.usual = w.targets.usualWait(chosen, w.request.Route)
-	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.version))
+	w.request.usual = w.targets.usualWait(chosen, &w.wanted)
+	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.Version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
 	}
 	if failed != nil {
-		w.unsent(target)
+		w.unsent()
 		w.noteFailure(target, failed, time.Since(began))
 		return nil, nil, failed
 	}
@@ -307,33 +298,13 @@
 	return started, nil, nil
 }
 
-// choose picks a server, also one that was tried over a connection that was silent if there
-// is no other.
-func (w *work) choose() (choice, *fault.Refusal) {
-	chosen, refusal := w.targets.choose(w.wanted)
-	if refusal == nil || len(w.silentAt) == 0 {
-		return chosen, refusal
-	}
-	w.wanted.tried = slices.DeleteFunc(w.wanted.tried, func(k *target) bool { return slices.Contains(w.silentAt, k) })
-	w.silentAt = nil
-	return w.targets.choose(w.wanted)
-}
-
-// unsent takes an attempt that gave nothing off the server's counts.
-func (w *work) unsent(target *target) {
-	w.targets.release(target)
-	if w.wanted.engine != nil {
-		w.targets.readPrompt(target, w)
-	}
-}
-
 // judge turns an answer that is no answer to the request into a failure.
 func (w *work) judge(started *exchange, version uint64) *failure {
 	status := started.response.StatusCode
 	switch {
 	case started.head.NotRun:
 		started.drain()
-		if instance := started.head.Instance; instance != "" && instance != started.target.id {
+		if instance := started.head.Instance; instance != "" && instance != started.target.ID {
 			w.targets.supersede(started.target, instance)
 			return &failure{reason: fault.ReasonIncarnation, execution: fault.ExecutionNotRun, cause: statusError(status)}
 		}
@@ -374,7 +345,7 @@
 func (w *work) noteFailure(target *target, failed *failure, took time.Duration) {
 	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
 	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
-		zap.String("server", target.id), zap.String("reason", string(failed.reason)),
+		zap.String("server", target.ID), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
@@ -394,7 +365,7 @@
 // renew lets the next attempt use the same server again, over a connection that was opened
 // after this one fell silent, which is at least UnacknowledgedLimit ago.
 func (w *work) renew(target *target) {
-	w.silentAt = append(w.silentAt, target)
+	w.silentAt = append(w.silentAt, target.Candidate)
 	w.request.freshFrom = w.watch.now() - silence.UnacknowledgedLimit
 }
 
@@ -420,14 +391,14 @@
 // to be taken back. It goes by the versions known now: one may have been named, or heard of,
 // after the send, and a request may wait for as long as versions take to be in force.
 func (w *work) waitsBeyondBound(version uint64) bool {
-	if w.wanted.engine == nil || w.attemptBegun {
+	if w.wanted.Engine == nil || w.attemptBegun {
 		return false
 	}
-	wanted := w.wanted
+	bounds := w.wanted.Bounds
 	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
-		wanted.notices = known
+		bounds = boundsOf(known, w.options.Bounds.VersionApply)
 	}
-	bound, bounded := wanted.boundOf(version)
+	bound, bounded := bounds.Of(version)
 	return bounded && time.Until(bound) < takeBackMargin
 }
 
@@ -439,14 +410,6 @@
 // suspectSilence is the silence after which a suspect server is given up.
 const suspectSilence = 350 * time.Millisecond
 
-// suspect reports whether there is evidence against a server.
-func (t *targets) suspect(k *target) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	now := time.Now()
-	return k.silentAgent(now) || (k.current(now) && !k.status.Reachable)
-}
-
 // mayTryAgain decides whether a failed attempt is followed by another, and says
 // why not.
 func (w *work) mayTryAgain(ctx context.Context, failed *failure) bool {
@@ -460,7 +423,7 @@
 		withheld = "attempts"
 	case time.Until(w.request.Deadline) < minimumTime:
 		withheld = "time"
-	case !w.retryReserved && !w.takeRetry(w.wanted.service):
+	case !w.retryReserved && !w.takeRetry(w.wanted.Service):
 		withheld = "budget"
 	}
 	w.retryReserved = false
@@ -480,7 +443,7 @@
 func (w *work) giveUp(failed *failure) *fault.Refusal {
 	if !w.mayHaveRun {
 		refusal := fault.NotRun(failed.reason, "no server took the request")
-		refusal.RetryAfter = noServerRetry
+		refusal.RetryAfter = dispatch.NoServerRetry
 		return refusal
 	}
 	reason := failed.reason
--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -4,19 +4,15 @@
 	"errors"
 	"slices"
 	"strings"
-	"time"
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
 
 // Data residency: a request is sent only to servers in the regions that its route and its
-// tenant allow. Every way to a server goes through targets.unfit, which asks here: the
-// choice, whom to ask for the load, what follows a failed attempt, the continuation of a
-// stream, and the ejected servers that are taken when no sound one is left.
+// tenant allow; coordination/dispatch holds every choice to that.
 //
 // A request is bound by the configuration that it was admitted under and by the newest one
 // known, by both: an attempt that follows a narrowed configuration must not go by the older
@@ -26,7 +22,7 @@
 var errNarrowed = errors.New("a newer configuration does not allow the server's region")
 
 // bindResidency sets in which regions the next attempt may be served.
-func (w *work) bindResidency() { w.wanted.residency = w.targets.residencyOf(w.request) }
+func (w *work) bindResidency() { w.wanted.Residency = w.targets.residencyOf(w.request) }
 
 // residencyOf is what binds a request now.
 func (t *targets) residencyOf(request *Request) fleet.Residency {
@@ -42,69 +38,7 @@
 // stillAllowed is asked right before a request is written: a connection may have been long
 // in the making, and a configuration may have narrowed the regions meanwhile.
 func (f *Forwarder) stillAllowed(request *Request, chosen *target) bool {
-	residency := f.targets.residencyOf(request)
-	f.targets.mutex.Lock()
-	defer f.targets.mutex.Unlock()
-	return f.targets.allowed(chosen.server, residency)
-}
-
-// allowed reports whether a server may be sent a request with a residency. A server whose
-// zone the settings do not name has no region, and is in none that is allowed.
-func (t *targets) allowed(server fleet.Server, residency fleet.Residency) bool {
-	return !residency.Restrict() || residency.Allow(t.regions[server.Zone])
-}
-
-// allowedAt is the same for the server at an address; one that is not listed is nowhere.
-// The mutex is held.
-func (t *targets) allowedAt(address string, residency fleet.Residency) bool {
-	if !residency.Restrict() {
-		return true
-	}
-	holder := t.byAddress[address]
-	return holder != nil && t.allowed(holder.server, residency)
-}
-
-// noRegionRetry is told when no zone of the fleet is in an allowed region: only another
-// configuration helps. Deployments give a published one 2 to 3 s to be in force everywhere;
-// the rest is for an operator to write it, which is a guess. Callers that come back sooner
-// are refused again.
-const noRegionRetry = 5 * time.Second
-
-// noServer refuses a request that no server may be sent now, with the time until one of
-// the allowed regions is expected; the mutex is held.
-func (t *targets) noServer(wanted need, now time.Time) *fault.Refusal {
-	refusal := fault.NotRun(fault.ReasonNoReplica, "no server can serve the request now")
-	if t.residencyDecides(wanted, now) {
-		refusal = fault.NotRun(fault.ReasonResidency, "no server in the allowed regions can serve the request now")
-	}
-	refusal.RetryAfter = t.soonestReady(wanted, now)
-	if !t.hasZoneFor(wanted.residency) {
-		refusal.RetryAfter = noRegionRetry
-	}
-	return refusal
-}
-
-// residencyDecides reports whether a server of another region would be sent the request;
-// the mutex is held.
-func (t *targets) residencyDecides(wanted need, now time.Time) bool {
-	if !wanted.residency.Restrict() {
-		return false
-	}
-	wanted.residency = nil
-	return len(t.usable(wanted, now)) > 0
-}
-
-// hasZoneFor reports whether the fleet has a zone in a region that a residency allows.
-func (t *targets) hasZoneFor(residency fleet.Residency) bool {
-	if !residency.Restrict() {
-		return true
-	}
-	for _, region := range t.regions {
-		if residency.Allow(region) {
-			return true
-		}
-	}
-	return false
+	return f.targets.allowed(chosen, f.targets.residencyOf(request))
 }
 
 // regionsField tells the log which regions are allowed; it is left out where all are. An
@@ -171,7 +105,7 @@
 			note(faultUnknownRegion, region)
 		}
 	}
-	if regions.Restrict() && !t.hasZoneFor(fleet.Residency{regions}) {
+	if regions.Restrict() && !t.core.HasZoneFor(fleet.Residency{regions}) {
 		note(faultNoRegion, strings.Join(regions, " "))
 	}
 }
--- a/internal/forward/residency_test.go
+++ b/internal/forward/residency_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap/zapcore"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -157,26 +158,35 @@
 		Call: fleet.CallHeader{Key: residencyKey}, Host: residencyHost, Target: residencyPath + "?q", Route: &fleet.Route{Target: time.Second},
 		Configuration: admitted, Residency: admitted.ResidencyOf(residencyHost, residencyPath, residencyKey),
 	}}
-	c.work.wanted = need{work: c.work, service: residencyPlaces, route: c.work.request.Route}
-	for _, server := range c.forwarder.targets.byService[residencyPlaces] {
+	c.work.wanted = dispatch.Request{Service: residencyPlaces, Target: c.work.request.Route.Target}
+	for _, server := range c.servers() {
 		if d.below(3) == 0 {
-			server.ejectedTill = time.Now().Add(time.Minute)
+			c.forwarder.targets.core.Fail(server, true, time.Now().Add(time.Minute))
 		}
 		if d.below(5) == 0 {
-			c.work.wanted.tried = append(c.work.wanted.tried, server)
+			c.work.wanted.Tried = append(c.work.wanted.Tried, server)
 		}
 		if d.below(4) == 0 {
-			c.work.wanted.candidates = append(c.work.wanted.candidates, server)
+			c.work.wanted.Asked = append(c.work.wanted.Asked, server)
 		}
 	}
 	return c
 }
 
+// servers lists all servers.
+func (c residencyCase) servers() []*dispatch.Candidate {
+	return c.forwarder.targets.core.Candidates(residencyPlaces)
+}
+
 // left lists the servers that are in place and in an allowed region.
-func (c residencyCase) left() []*target {
-	var left []*target
-	for _, server := range c.forwarder.targets.byService[residencyPlaces] {
-		if !server.server.Draining && !slices.Contains(c.work.wanted.tried, server) && mayServe(c.regions[server.server.Zone], c.lists) {
+func (c residencyCase) left() []*dispatch.Candidate {
+	draining := map[string]bool{}
+	for _, server := range c.forwarder.targets.currentView().Servers[residencyPlaces] {
+		draining[server.ID] = server.Draining
+	}
+	var left []*dispatch.Candidate
+	for _, server := range c.servers() {
+		if !draining[server.ID] && !slices.Contains(c.work.wanted.Tried, server) && mayServe(c.regions[server.Zone], c.lists) {
 			left = append(left, server)
 		}
 	}
@@ -198,17 +208,17 @@
 		c := (&draws{data: data}).residencyCase()
 		c.work.bindResidency()
 		left := c.left()
-		for _, asked := range c.forwarder.targets.toAsk(c.work.wanted, nil) {
+		for _, asked := range c.forwarder.targets.toAsk(&c.work.wanted, nil) {
 			assert.Contains(t, left, asked)
 		}
-		chosen, refusal := c.forwarder.targets.choose(c.work.wanted)
+		chosen, refusal := c.forwarder.targets.choose(c.work)
 		if refusal != nil {
 			assert.Empty(t, left, "refused with %s though a server is left", refusal.Reason)
 			assert.Equal(t, fault.ExecutionNotRun, refusal.Execution)
 			assert.Positive(t, refusal.RetryAfter)
 			return
 		}
-		assert.Contains(t, left, chosen.target)
+		assert.Contains(t, left, chosen.Candidate)
 		assert.True(t, c.forwarder.stillAllowed(c.work.request, chosen.target))
 	})
 }
@@ -224,9 +234,9 @@
 		}
 		c := (&draws{data: data}).residencyCase()
 		c.work.bindResidency()
-		_, refusal := c.forwarder.targets.choose(c.work.wanted)
+		_, refusal := c.forwarder.targets.choose(c.work)
 		switch {
-		case refusal == nil && c.work.wanted.residency.Restrict():
+		case refusal == nil && c.work.wanted.Residency.Restrict():
 			sorts["sent within a residency"]++
 		case refusal == nil:
 			sorts["sent anywhere"]++
@@ -264,20 +274,21 @@
 	f.TakeStatus(fleet.MachineStatus{Address: "10.0.1.1:1", Reachable: true, Missing: 60, SwitchMilliseconds: fleet.NoSwitch}, now, false)
 	f.TakeStatus(fleet.MachineStatus{Address: "10.0.2.1:1", Reachable: true, Missing: 20, SwitchMilliseconds: fleet.NoSwitch}, now, false)
 	refused := func(regions ...string) time.Duration {
-		wanted := need{service: "s", engine: engine, route: &fleet.Route{}, work: &work{request: &Request{}}}
+		w := &work{Forwarder: f, request: &Request{}, wanted: dispatch.Request{Service: "s"}}
+		f.targets.describe(&w.wanted)
 		if len(regions) > 0 {
-			wanted.residency = fleet.Residency{regions}
+			w.wanted.Residency = fleet.Residency{regions}
 		}
-		_, refusal := f.targets.choose(wanted)
+		_, refusal := f.targets.choose(w)
 		require.NotNil(t, refusal)
 		return refusal.RetryAfter
 	}
 	// One copy takes 2.5 s over a link like the origin's.
-	const afterTransfer = 100*time.Millisecond + changeTime/2
+	const afterTransfer = 100*time.Millisecond + 800*time.Millisecond/2
 	assert.Equal(t, 1500*time.Millisecond+afterTransfer, refused("a"))
 	assert.Equal(t, 500*time.Millisecond+afterTransfer, refused("b"))
 	assert.Equal(t, refused("b"), refused(), "without residency the soonest counts")
-	assert.Equal(t, noRegionRetry, refused("c"))
+	assert.Equal(t, 5*time.Second, refused("c"))
 }
 
 // A home decides a refusal only where another region's server would have been sent the
@@ -286,12 +297,12 @@
 	f := residencyTargets(logging.Nop())
 	view := &catalog.View{Servers: map[string][]fleet.Server{residencyPlaces: {{ID: "far", Service: residencyPlaces, Address: "10.0.2.1:1", Zone: "b1", Slots: 1}}}}
 	f.Update(view)
-	wanted := need{service: residencyPlaces, route: &fleet.Route{}, work: &work{request: &Request{}}, residency: fleet.Residency{{"a"}}}
-	_, refusal := f.targets.choose(wanted)
+	w := &work{Forwarder: f, request: &Request{}, wanted: dispatch.Request{Service: residencyPlaces, Residency: fleet.Residency{{"a"}}}}
+	_, refusal := f.targets.choose(w)
 	require.NotNil(t, refusal)
 	assert.Equal(t, fault.ReasonResidency, refusal.Reason)
 	f.Update(&catalog.View{Servers: map[string][]fleet.Server{}})
-	_, refusal = f.targets.choose(wanted)
+	_, refusal = f.targets.choose(w)
 	require.NotNil(t, refusal)
 	assert.Equal(t, fault.ReasonNoReplica, refusal.Reason)
 }
@@ -322,9 +333,9 @@
 	f.Update(&catalog.View{Configuration: wide, Servers: servers})
 	request := &Request{Host: residencyHost, Target: residencyPath, Route: &wide.Routes[0], Configuration: wide, Deadline: time.Now().Add(time.Second), Header: http.Header{}}
 	w := &work{Forwarder: f, request: request}
-	w.wanted = need{work: w, service: residencyPlaces, route: request.Route}
+	w.wanted = dispatch.Request{Service: residencyPlaces}
 	w.bindResidency()
-	chosen, refusal := f.targets.choose(w.wanted)
+	chosen, refusal := f.targets.choose(w)
 	require.Nil(t, refusal)
 	f.Update(&catalog.View{Configuration: narrow, Servers: servers})
 	_, failed := f.open(t.Context(), request, fleet.SendHeader{}, chosen.target, nil)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -142,7 +142,7 @@
 	v.suspect(now, verdict.FreshOnly)
 	for _, server := range verdict.Try {
 		for _, one := range connections {
-			if one.target.address == server {
+			if one.target.Address == server {
 				go v.try(ctx, one.target)
 				break
 			}
@@ -184,7 +184,7 @@
 // try makes a new connection to a server, as a proof, and keeps it for the next request.
 func (v *watch) try(ctx context.Context, chosen *target) {
 	began := v.now()
-	fresh, err := dial(ctx, chosen.address, time.Now().Add(dialTimeout))
+	fresh, err := dial(ctx, chosen.Address, time.Now().Add(dialTimeout))
 	if err == nil {
 		v.metrics.connections.Inc()
 		v.add(fresh, chosen, began)
@@ -192,7 +192,7 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.judge.Connected(chosen.address, began, err == nil)
+	v.judge.Connected(chosen.Address, began, err == nil)
 }
 
 // giveUp ends the connections that are distrusted: resting ones are closed, requests on the
@@ -230,7 +230,7 @@
 // observe tells what the watch sees of the connection.
 func (c *connection) observe(now time.Duration) silence.Observation {
 	seen := silence.Observation{
-		ID: c.id, Server: c.target.address, Opened: c.opened, Waiting: c.carrying.Load() && !c.silent.Load(),
+		ID: c.id, Server: c.target.Address, Opened: c.opened, Waiting: c.carrying.Load() && !c.silent.Load(),
 		Asked: time.Duration(c.asked.Load()), Heard: time.Duration(c.heard.Load()), Usual: time.Duration(c.usual.Load()),
 		Expected: time.Duration(c.expected.Load()), Repeatable: c.repeatable.Load(),
 	}
@@ -259,7 +259,7 @@
 	if w.sent >= w.request.Route.Attempts || time.Until(w.request.Deadline) < max(minimumTime, w.request.usual) {
 		return false
 	}
-	w.retryReserved = w.retryReserved || w.takeRetry(w.wanted.service)
+	w.retryReserved = w.retryReserved || w.takeRetry(w.wanted.Service)
 	return w.retryReserved
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/budget"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -77,23 +78,23 @@
 			server.CloseClientConnections()
 			server.Close()
 		})
-		one := &target{id: fmt.Sprint("i-", index), address: proxy.Address(), zone: "z", unbegun: map[*work]unbegun{}, server: fleet.Server{Slots: 64}}
-		s.proxies, s.targets = append(s.proxies, proxy), append(s.targets, one)
+		s.proxies = append(s.proxies, proxy)
 	}
 	t.Cleanup(func() { close(s.stopped) })
-	s.know(s.targets...)
+	s.know()
+	for _, one := range s.forwarder.targets.core.Candidates("s") {
+		s.targets = append(s.targets, s.forwarder.targets.targetOf(one))
+	}
 	return s
 }
 
-// know makes these the servers that the forwarder knows.
-func (s *standIns) know(servers ...*target) {
-	set := s.forwarder.targets
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	set.byService["s"] = servers
-	for _, one := range servers {
-		set.byID[one.id], set.byAddress[one.address] = one, one
+// know makes the servers known to the forwarder, in their order.
+func (s *standIns) know() {
+	view := &catalog.View{Servers: map[string][]fleet.Server{}}
+	for index, proxy := range s.proxies {
+		view.Servers["s"] = append(view.Servers["s"], fleet.Server{ID: fmt.Sprint("i-", index), Service: "s", Address: proxy.Address(), Zone: "z", Slots: 64})
 	}
+	s.forwarder.Update(view)
 }
 
 func (s *standIns) handler(index int) http.Handler {
@@ -214,7 +215,7 @@
 	"nothing is acknowledged": func(s *standIns) {
 		addresses := map[netip.AddrPort]bool{}
 		for _, one := range s.targets {
-			addresses[netip.MustParseAddrPort(one.address)] = true
+			addresses[netip.MustParseAddrPort(one.Address)] = true
 		}
 		toServers := func(one netip.AddrPort) bool { return addresses[one] }
 		count, err := silencer.Silence(silencer.Between(toServers, func(netip.AddrPort) bool { return true }))
@@ -551,7 +552,7 @@
 		request := testRequest(name, "b")
 		request.Route.Attempts = 2
 		w := &work{Forwarder: s.forwarder, request: request, sent: 1}
-		w.wanted.service = "s"
+		w.wanted.Service = "s"
 		judge := w.silence(s.targets[0], 0)
 		limit(w)
 		assert.NoError(t, judge(time.Minute, time.Millisecond), name)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,8 +41,8 @@
 			return w.endStream(w.giveUp(failed))
 		}
 		if w.begun {
-			w.wanted.resumed = true
-			w.wanted.exactly = w.version
+			w.wanted.Resumed = true
+			w.wanted.Exactly = w.version
 			w.log.Log(logging.StreamResumed, zap.String("request", w.request.Call.RequestID), zap.String("after", w.lastEvent),
 				zap.Uint64("version", w.version))
 		} else {
@@ -71,13 +71,13 @@
 		return w.passOther(started)
 	}
 	settle := sync.OnceFunc(func() {
-		if w.wanted.engine != nil {
-			w.targets.readPrompt(started.target, w)
+		if w.wanted.Engine != nil {
+			w.targets.readPrompt(w.placed, w.attemptBegun)
 		}
 	})
 	defer func() {
 		settle()
-		w.targets.release(started.target)
+		w.targets.release(w.placed)
 	}()
 	splitter := &eventSplitter{source: started.response.Body}
 	for {
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -63,11 +63,11 @@
 		started.abort()
 	}
 	if err == nil {
-		w.unsent(started.target)
+		w.unsent()
 		w.targets.succeed(started.target, time.Since(w.request.Arrived))
 		return body, nil
 	}
-	w.unsent(started.target)
+	w.unsent()
 	failed := &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	w.noteFailure(started.target, failed, time.Since(began))
 	return nil, failed
@@ -125,7 +125,7 @@
 	}
 	w.metrics.answers.WithLabelValues(kind, strconv.Itoa(started.response.StatusCode)).Observe(took.Seconds())
 	w.log.Log(logging.RequestAnswered, zap.String("request", w.request.Call.RequestID), zap.Int("status", started.response.StatusCode),
-		zap.String("server", started.target.id), zap.Int("attempts", w.sent), zap.Int("events", w.events),
+		zap.String("server", started.target.ID), zap.Int("attempts", w.sent), zap.Int("events", w.events),
 		zap.Uint64("version", started.head.Version), zap.Duration("took", took), zap.Duration("first_event", w.firstAfter),
 		zap.Duration("longest_pause", w.longestPause), zap.Duration("target", w.request.Route.Target),
 		zap.Duration("target_gap", w.request.Route.TargetGap), zap.String("route", w.request.Route.Name), zap.Error(err))
