--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -123,6 +123,27 @@
 	}
 }
 
+// keepWindow keeps what a server was sent that is listed no more: its line may come again within
+// the second, and what was sent before counts.
+func (c *Core) keepWindow(known *Candidate, now time.Time) {
+	for id, window := range c.droppedWindows {
+		if window.Open(now.Sub(c.cold.started), 1) {
+			delete(c.droppedWindows, id)
+		}
+	}
+	c.droppedWindows[known.ID] = known.coldWindow
+}
+
+// windowOf returns what a server was sent lately that is newly listed.
+func (c *Core) windowOf(id string) admission.Window {
+	window, kept := c.droppedWindows[id]
+	delete(c.droppedWindows, id)
+	if !kept {
+		window = *admission.NewWindow(coldSpan)
+	}
+	return window
+}
+
 // ColdCounts returns how many servers are cold, and how many requests were sent to cold ones.
 func (c *Core) ColdCounts(now time.Time) (servers int, sent uint64) {
 	for _, known := range c.byID {
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
 )
 
@@ -76,6 +77,8 @@
 	// entry's requests to such.
 	cold     *coldMembers
 	coldSent uint64
+	// droppedWindows are what servers were sent lately that are not listed any more.
+	droppedWindows map[string]admission.Window
 }
 
 // New returns a core that knows no servers yet.
@@ -85,6 +88,6 @@
 		byID: map[string]*Candidate{}, byService: map[string][]*Candidate{}, byAddress: map[string]*Candidate{},
 		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
-		cold: newColdMembers(options.Self, options.Started),
+		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{},
 	}
 }
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -45,12 +45,13 @@
 			return reason
 		}
 	}
-	if k.failures.ejected(now) {
-		return unfitEjected
-	}
 	if c.coldFull(k, now) {
 		return unfitCold
 	}
+	// Last, because ejected servers are taken when there is no other.
+	if k.failures.ejected(now) {
+		return unfitEjected
+	}
 	return Fit
 }
 
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"pinevane.example/pinevane/coordination/admission"
 )
 
 // ChangeKind is what has changed with a published fleet.
@@ -57,17 +55,18 @@
 			changes = append(changes, Change{Kind: AddressTaken, Candidate: ended, InFlight: ended.sends.inFlight})
 		}
 	}
-	changes = append(changes, c.drop(present)...)
+	changes = append(changes, c.drop(present, now)...)
 	return append(changes, c.noteEvacuations(old, now)...)
 }
 
 // drop forgets the servers that are not listed any more.
-func (c *Core) drop(present map[string]bool) []Change {
+func (c *Core) drop(present map[string]bool, now time.Time) []Change {
 	var gone []Change
 	for id, known := range c.byID {
 		if !present[id] {
 			known.listing.gone = true
 			gone = append(gone, Change{Kind: ServerGone, Candidate: known, InFlight: known.sends.inFlight})
+			c.keepWindow(known, now)
 			delete(c.byID, id)
 		}
 	}
@@ -81,7 +80,7 @@
 	if known != nil {
 		return known
 	}
-	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: *admission.NewWindow(coldSpan)}
+	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID)}
 	c.byID[server.ID] = known
 	if told, heard := c.words[server.Address]; heard {
 		known.word.Word, known.word.at = told.word, told.at
--- /dev/null
+++ b/coordination/dispatch/property_test.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinevane.example/pinevane/coordination/residency"
+)
+
+// drawnZones are the zones of generated fleets; the last has no region.
+var drawnZones = []string{"a", "b", "c"}
+
+const (
+	drawnServers   = 6
+	drawnColdLimit = 5.0
+)
+
+// generated is a core that hears drawn messages, with what the messages said kept beside it, from
+// which decisions are judged without the code that is tested.
+type generated struct {
+	*rapid.T
+	core  *Core
+	now   time.Time
+	fleet Fleet
+	words map[string]heardWord
+	open  []Decision
+	// sentCold are the times of this entry's sends to each server while it was cold by its line.
+	sentCold map[string][]time.Time
+}
+
+func newGenerated(t *rapid.T) *generated {
+	seed := rapid.Uint64().Draw(t, "seed")
+	random := rand.New(rand.NewPCG(seed, 1))
+	g := &generated{T: t, now: epoch, words: map[string]heardWord{}, sentCold: map[string][]time.Time{}}
+	g.core = New(Options{
+		Zone: "a", Regions: map[string]string{"a": "north", "b": "south"}, Policy: testPolicy(), Self: "entry-0",
+		Started: epoch.Add(-time.Minute), Random: random.Float64, Shuffle: random.Shuffle,
+	})
+	g.core.TakeEntries([]string{"entry-1"}, g.now)
+	g.drawFleet()
+	return g
+}
+
+// drawFleet draws a list of servers, evacuations, and which servers are cold.
+func (g *generated) drawFleet() {
+	g.fleet = Fleet{Services: map[string]Service{"s": {ColdLimit: drawnColdLimit, ColdTime: time.Second}}}
+	for number := range drawnServers {
+		if rapid.IntRange(0, 5).Draw(g.T, "listed") == 0 {
+			continue
+		}
+		server := Server{
+			ID: fmt.Sprintf("i-%d", number), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", number), Zone: drawnZones[number%len(drawnZones)],
+			Slots: 4, Version: 1, HoldsModel: true, Draining: rapid.IntRange(0, 5).Draw(g.T, "draining") == 0,
+		}
+		if rapid.IntRange(0, 2).Draw(g.T, "cold") == 0 {
+			server.ColdUntil = g.now.Add(2 * time.Second)
+		}
+		g.fleet.Servers = append(g.fleet.Servers, server)
+	}
+	for _, zone := range drawnZones {
+		if rapid.IntRange(0, 4).Draw(g.T, "evacuated") == 0 {
+			g.fleet.Evacuated = append(g.fleet.Evacuated, zone)
+		}
+	}
+	g.core.Update(g.fleet, g.now)
+}
+
+// drawWord tells a word of a server, which may be old.
+func (g *generated) drawWord() {
+	word := Word{
+		Address: fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(0, drawnServers-1).Draw(g.T, "told")), Reachable: rapid.IntRange(0, 4).Draw(g.T, "reachable") > 0,
+		Version: uint64(rapid.IntRange(0, 3).Draw(g.T, "version")), Running: rapid.IntRange(0, 4).Draw(g.T, "running"), Waiting: rapid.IntRange(0, 2).Draw(g.T, "waiting"),
+		SwitchPlanned: rapid.IntRange(0, 4).Draw(g.T, "switch") == 0, SwitchIn: time.Duration(rapid.IntRange(0, 1000).Draw(g.T, "in")) * time.Millisecond,
+	}
+	at := g.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(g.T, "age")) * time.Millisecond)
+	g.core.TakeWord(word, at)
+	if !g.words[word.Address].at.After(at) {
+		g.words[word.Address] = heardWord{word: word, at: at}
+	}
+}
+
+// drawRequest draws what a request wants.
+func (g *generated) drawRequest() *Request {
+	request := &Request{
+		Service: "s", Engine: scriptEngine, Figures: g.core.Figures("s", scriptEngine), Target: 400 * time.Millisecond, Streaming: true,
+		Prompt: rapid.IntRange(1, 4000).Draw(g.T, "prompt"), Answer: 100, Others: 1,
+	}
+	for _, lists := range [][]string{{"north"}, {"south", "north"}, {"nowhere"}} {
+		if rapid.IntRange(0, 4).Draw(g.T, "list") == 0 {
+			request.Residency = request.Residency.With(residency.AllowedRegions(lists))
+		}
+	}
+	if rapid.Bool().Draw(g.T, "bounded") {
+		request.Bounds = VersionBounds{{Version: 2, Until: epoch.Add(2 * time.Second)}, {Version: 3, Until: epoch.Add(4 * time.Second)}}
+	}
+	for _, one := range g.core.Candidates("s") {
+		if rapid.IntRange(0, 5).Draw(g.T, "tried") == 0 {
+			request.Tried = append(request.Tried, one)
+		}
+	}
+	return request
+}
+
+// decide decides a request and judges the decision.
+func (g *generated) decide() {
+	request := g.drawRequest()
+	for _, asked := range g.core.ToAsk(request, nil, g.now) {
+		g.judge(request, asked)
+	}
+	decision, refusal := g.core.Choose(request, g.now)
+	if refusal != nil {
+		assert.Positive(g, refusal.RetryAfter)
+		if refusal.Reason == RefusedOverload {
+			assert.Greater(g, refusal.Soonest, refusal.Limit)
+			assert.Empty(g, request.Tried, "it had been admitted")
+		} else {
+			assert.Zero(g, refusal.Servers[Fit], "refused though a server is fit")
+		}
+		return
+	}
+	g.judge(request, decision.Candidate)
+	g.judgeCold(decision.Candidate)
+	g.open = append(g.open, decision)
+}
+
+// judge fails for a server that may not be sent a request, by the messages.
+func (g *generated) judge(request *Request, chosen *Candidate) {
+	at := slices.IndexFunc(g.fleet.Servers, func(one Server) bool { return one.ID == chosen.ID })
+	require.GreaterOrEqual(g, at, 0, "the server is listed")
+	server := g.fleet.Servers[at]
+	assert.False(g, server.Draining)
+	assert.NotContains(g, g.fleet.Evacuated, server.Zone)
+	assert.NotContains(g, request.Tried, chosen)
+	region := map[string]string{"a": "north", "b": "south"}[server.Zone]
+	for _, list := range request.Residency {
+		assert.Contains(g, list, region)
+		assert.NotEmpty(g, region)
+	}
+	told, heard := g.words[server.Address]
+	if !heard || g.now.Sub(told.at) >= wordCurrent {
+		return
+	}
+	assert.True(g, told.word.Reachable)
+	assert.NotZero(g, told.word.Version)
+	assert.False(g, told.word.SwitchPlanned && told.word.SwitchIn-g.now.Sub(told.at) < switchMargin)
+	for _, bound := range request.Bounds {
+		if told.word.Version < bound.Version {
+			assert.Less(g, g.now, bound.Until)
+		}
+	}
+}
+
+// judgeCold counts what a cold server gets: this entry's share, one of two, in any second.
+func (g *generated) judgeCold(chosen *Candidate) {
+	at := slices.IndexFunc(g.fleet.Servers, func(one Server) bool { return one.ID == chosen.ID })
+	if !g.now.Before(g.fleet.Servers[at].ColdUntil) {
+		return
+	}
+	lately := slices.DeleteFunc(g.sentCold[chosen.ID], func(sent time.Time) bool { return g.now.Sub(sent) >= time.Second })
+	g.sentCold[chosen.ID] = append(lately, g.now)
+	assert.LessOrEqual(g, float64(len(g.sentCold[chosen.ID])), drawnColdLimit/2)
+}
+
+// end ends one of the open requests, begun or not.
+func (g *generated) end(at int, begun bool) {
+	decision := g.open[at]
+	g.open = slices.Delete(g.open, at, at+1)
+	g.core.PromptRead(decision.Send, begun, g.now)
+	g.core.Release(decision.Send)
+	if begun {
+		g.core.Succeed(decision.Candidate, 500*time.Millisecond)
+	} else {
+		g.core.Fail(decision.Candidate, rapid.Bool().Draw(g.T, "hard"), g.now)
+	}
+}
+
+// Whatever is heard and decided in whatever order, no request goes, and no question, where the
+// messages forbid it; a refusal is grounded; and when all requests have ended none is counted.
+func TestDecisionsKeepToTheMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGenerated(t)
+		for range rapid.IntRange(10, 80).Draw(t, "messages") {
+			g.now = g.now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * time.Millisecond)
+			switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+			case kind == 0:
+				g.drawFleet()
+			case kind <= 3:
+				g.drawWord()
+			case kind == 4 && len(g.open) > 0:
+				g.end(rapid.IntRange(0, len(g.open)-1).Draw(t, "ends"), rapid.Bool().Draw(t, "begun"))
+			default:
+				g.decide()
+			}
+		}
+		for len(g.open) > 0 {
+			g.end(0, true)
+		}
+		for _, one := range g.core.Describe(g.now) {
+			assert.Zero(t, one.InFlight)
+			known := g.core.byID[one.Server.ID]
+			assert.Equal(t, counts{}, counts{unread: known.sends.unread, unreadTokens: known.sends.unreadTokens, inFlight: known.sends.inFlight})
+			assert.Empty(t, known.sends.unbegun)
+		}
+	})
+}
