--- a/coordination/dispatch/lateness.go
+++ b/coordination/dispatch/lateness.go
@@ -14,7 +14,11 @@
 	latenessWeight   = 0.4
 )
 
-// lateness is how much later than expected a server's first events come.
+// lateness is how much later than expected a server's first events come. It shows a server that
+// takes requests and never answers while its agent reaches it and calls it idle: of 1000 requests
+// at six servers in ten seconds such a one takes 30 to 40 where they are sent again after a second,
+// and 46 to 66 without lateness; where they wait for their deadline 4 to 12, and 15 to 47 without
+// (TestMuteServerIsLeft). On days without such a server it is worth nothing.
 type lateness struct {
 	// excess is the moving mean, as of excessAt.
 	excess   time.Duration
