The entries known are asked for only while a server is cold; a server's place never changes

Cause: since the extraction the entries were remembered all the time, not only while a server is cold, so that one which had gone before a server became cold still had a share for a minute. And the zone of a server was rewritten with its line, under the lock, while attempts read it without. Change: EntriesDue asks for them while a server with a bound is cold, as before the extraction; a line that names another zone or address under a known name is another server's, and the one before is gone. Tests: TestEntriesAreToldWhileAServerIsCold, TestServerThatIsListedElsewhereIsAnother; each red on a copy with its mechanism switched off.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -6,7 +6,8 @@
 	"pinevane.example/pinevane/coordination/admission"
 )
 
-// Candidate is one server as an entry knows it.
+// Candidate is one server as an entry knows it. Its name and place never change, so that they can
+// be read at any time.
 type Candidate struct {
 	ID      string
 	Address string
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -48,8 +48,21 @@
 	return &coldMembers{self: self, seen: map[string]time.Time{}, ranks: map[string]int{}, started: started}
 }
 
-// EntriesDue reports whether the entries known are to be told anew, by TakeEntries.
-func (c *Core) EntriesDue(now time.Time) bool { return now.Sub(c.cold.lookedAt) >= membersPeriod }
+// EntriesDue reports whether the entries known are to be told anew, by TakeEntries: from time to
+// time as long as a server is cold.
+func (c *Core) EntriesDue(now time.Time) bool {
+	return now.Sub(c.cold.lookedAt) >= membersPeriod && c.anyBounded(now)
+}
+
+// anyBounded reports whether a server is cold whose requests are bounded then.
+func (c *Core) anyBounded(now time.Time) bool {
+	for _, known := range c.byID {
+		if known.cold(now) && c.fleet.Services[known.listing.server.Service].ColdLimit > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // TakeEntries takes over which other entries are lately known.
 func (c *Core) TakeEntries(known []string, now time.Time) { c.cold.look(known, now) }
--- a/coordination/dispatch/cold_test.go
+++ b/coordination/dispatch/cold_test.go
@@ -118,3 +118,18 @@
 	core.Update(unbounded, now)
 	assert.Equal(t, 60, chosenServers(core, 60, now)["a"])
 }
+
+// Who the other entries are matters only while a server is cold, and is told a few times a second
+// then.
+func TestEntriesAreToldWhileAServerIsCold(t *testing.T) {
+	now := epoch
+	core := testCore("za", nil)
+	core.Update(coldFleet(time.Time{}), now)
+	assert.False(t, core.EntriesDue(now))
+	core.Update(coldFleet(now.Add(time.Second)), now)
+	assert.True(t, core.EntriesDue(now))
+	core.TakeEntries([]string{"entry-1"}, now)
+	assert.False(t, core.EntriesDue(now.Add(membersPeriod-1)))
+	assert.True(t, core.EntriesDue(now.Add(membersPeriod)))
+	assert.False(t, core.EntriesDue(now.Add(time.Second)), "warm again")
+}
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -44,11 +44,14 @@
 	c.byAddress = make(map[string]*Candidate, len(fleet.Servers))
 	for _, server := range fleet.Servers {
 		present[server.ID] = true
+		if known := c.byID[server.ID]; known != nil && known.elsewhere(server) {
+			changes = append(changes, c.forget(known, now))
+		}
 		known := c.candidateOf(server)
 		if !known.listing.server.Draining && server.Draining {
 			changes = append(changes, Change{Kind: ServerLeaving, Candidate: known, InFlight: known.sends.inFlight})
 		}
-		known.Zone, known.listing.server = server.Zone, server
+		known.listing.server = server
 		known.version = max(known.version, server.Version)
 		c.byService[server.Service] = append(c.byService[server.Service], known)
 		if ended := c.holdAddress(known); ended != nil {
@@ -59,21 +62,31 @@
 	return append(changes, c.noteEvacuations(old, now)...)
 }
 
+// elsewhere reports whether a line is that of another server with the same name.
+func (k *Candidate) elsewhere(server Server) bool {
+	return k.Zone != server.Zone || k.Address != server.Address
+}
+
 // drop forgets the servers that are not listed any more.
 func (c *Core) drop(present map[string]bool, now time.Time) []Change {
 	var gone []Change
 	for id, known := range c.byID {
 		if !present[id] {
-			known.listing.gone = true
-			gone = append(gone, Change{Kind: ServerGone, Candidate: known, InFlight: known.sends.inFlight})
-			c.keepWindow(known, now)
-			delete(c.byID, id)
+			gone = append(gone, c.forget(known, now))
 		}
 	}
 	slices.SortFunc(gone, func(a, b Change) int { return cmp.Compare(a.Candidate.ID, b.Candidate.ID) })
 	return gone
 }
 
+// forget drops one server.
+func (c *Core) forget(known *Candidate, now time.Time) Change {
+	known.listing.gone = true
+	c.keepWindow(known, now)
+	delete(c.byID, known.ID)
+	return Change{Kind: ServerGone, Candidate: known, InFlight: known.sends.inFlight}
+}
+
 // candidateOf returns what is known of a listed server.
 func (c *Core) candidateOf(server Server) *Candidate {
 	known := c.byID[server.ID]
--- a/coordination/dispatch/script_test.go
+++ b/coordination/dispatch/script_test.go
@@ -206,6 +206,22 @@
 	assert.False(t, s.core.AnyInTime(asked, s.now))
 }
 
+// HOME: a line that names another zone is that of another server, by whose region goes what may be
+// sent there.
+func TestServerThatIsListedElsewhereIsAnother(t *testing.T) {
+	s := newScript(t, "a1")
+	s.hear("a1", 0, Word{Version: 1})
+	request := s.request()
+	request.Residency = request.Residency.With([]string{"a"})
+	open := s.goesTo(request, "a1")
+	s.fleet.Servers[0].Zone = "b"
+	assert.Equal(t, []Change{{Kind: ServerGone, Candidate: open.Candidate, InFlight: 1}}, s.update())
+	s.refused(request, RefusedResidency)
+	s.ends(open)
+	assert.Zero(t, s.candidate("a1").sends.inFlight)
+	assert.Empty(t, s.update())
+}
+
 // VERSION: two versions are named within two seconds. Each server serves until shortly before the
 // first version that it lacks is in force; then only newer ones do, and when none is left the
 // refusal tells when the transfers end.
