--- a/internal/forward/settings.go
+++ b/internal/forward/settings.go
@@ -1,6 +1,10 @@
 package forward
 
-import "pinevane.example/pinevane/internal/fleet"
+import (
+	"time"
+
+	"pinevane.example/pinevane/internal/fleet"
+)
 
 // SetSettings takes over what settings that were read again say of bounds and zones. It holds for
 // every decision from then on, also on requests that are open. The window of the retry budgets
@@ -23,4 +27,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.regions, t.bounds = settings.Regions, settings.Bounds
+	t.core.SetRegions(settings.Regions)
+	for _, change := range t.core.Update(fleetOf(t.view, t.bounds), time.Now()) {
+		t.follow(change)
+	}
 }
