--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -402,7 +402,7 @@
 	}
 	bounds := w.wanted.Bounds
 	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
-		bounds = boundsOf(known, w.options.Bounds.VersionApply)
+		bounds = boundsOf(known, w.bounds.Load().VersionApply)
 	}
 	bound, bounded := bounds.Of(version)
 	return bounded && time.Until(bound) < takeBackMargin
