--- a/internal/forward/silence_judge_test.go
+++ b/internal/forward/silence_judge_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/silencer"
 )
@@ -35,10 +36,15 @@
 // startSeparateStandIns has streams served by other servers than calls, as on deployments.
 func startSeparateStandIns(t *testing.T) *standIns {
 	s := startStandIns(t, 2*callServers)
-	set := s.forwarder.targets
-	set.mutex.Lock()
-	defer set.mutex.Unlock()
-	set.byService["s"], set.byService["streams"] = s.targets[:callServers], s.targets[callServers:]
+	view := &catalog.View{Servers: map[string][]fleet.Server{}}
+	for index, proxy := range s.proxies {
+		service := "s"
+		if index >= callServers {
+			service = "streams"
+		}
+		view.Servers[service] = append(view.Servers[service], fleet.Server{ID: fmt.Sprint("i-", index), Service: service, Address: proxy.Address(), Zone: "z", Slots: 64})
+	}
+	s.forwarder.Update(view)
 	s.streamsAt = "streams"
 	return s
 }
@@ -118,7 +124,7 @@
 func (s *standIns) loseAll(ctx context.Context, share float64) {
 	addresses := map[netip.AddrPort]bool{}
 	for _, one := range s.targets {
-		addresses[netip.MustParseAddrPort(one.address)] = true
+		addresses[netip.MustParseAddrPort(one.Address)] = true
 	}
 	toServers := silencer.Between(func(one netip.AddrPort) bool { return addresses[one] }, func(netip.AddrPort) bool { return true })
 	for ctx.Err() == nil {
