--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -86,6 +86,18 @@
 	assert.Greater(t, c.freshSequence, before)
 }
 
+// linkOther links a process to another entry, and returns the hub of that and the link.
+func linkOther(t *testing.T, c *Catalog) (*peering.Hub, *peering.Link) {
+	t.Helper()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	other := httptest.NewServer(hub)
+	t.Cleanup(other.Close)
+	t.Cleanup(hub.Close)
+	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	return hub, made
+}
+
 // Of two entries that have each made a link to the other, one may drop its own when it needs the
 // other no more, or lose it. The one that the other has made is then used: the other listens on
 // it, and takes answers to its probes for signs that all is well.
@@ -94,17 +106,12 @@
 	own := httptest.NewServer(c.options.Hub)
 	defer own.Close()
 	defer c.options.Hub.Close()
-	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
-	other := httptest.NewServer(hub)
-	defer other.Close()
-	defer hub.Close()
-	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
-	require.NoError(t, err)
+	hub, made := linkOther(t, c)
 	c.mutex.Lock()
 	peer := c.peerLink("10.0.0.2")
 	peer.open(made, false)
 	c.mutex.Unlock()
-	_, err = hub.Link(t.Context(), own.Listener.Addr().String())
+	_, err := hub.Link(t.Context(), own.Listener.Addr().String())
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return len(c.options.Hub.Accepted()) == 1 }, time.Second, time.Millisecond)
 	require.NoError(t, made.Close())
@@ -125,12 +132,7 @@
 func TestLinksOutlastAPauseOfTheProcess(t *testing.T) {
 	c := newTestCatalog()
 	defer c.options.Hub.Close()
-	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
-	other := httptest.NewServer(hub)
-	defer other.Close()
-	defer hub.Close()
-	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
-	require.NoError(t, err)
+	_, made := linkOther(t, c)
 	c.mutex.Lock()
 	c.hearEntry("10.0.0.2", "z", 0)
 	c.peerLink("10.0.0.2").open(made, false)
