--- /dev/null
+++ b/coordination/health/health.go
@@ -0,0 +1,426 @@
+// Package health decides whether a server is sent ordinary requests, a trial, or nothing, by
+// what its answers show. It holds a bounded record for each listed server, reads no clock and
+// sends nothing: outcomes of attempts and words of the zone's other entries go in with the
+// time, states and words for the others come out.
+//
+// A server is in order, suspect (there is evidence, and requests that must not fail go
+// elsewhere), ejected (it is sent nothing for a time) or on trial (it is sent one request at a
+// time of the whole zone, until enough of them were served). What is learned by one entry holds
+// in its zone, because each entry sends a server a request only every few seconds: were each to
+// learn for itself, a failing server would cost requests of every one.
+package health
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what a server may be sent.
+type State int
+
+// The states.
+const (
+	InOrder State = iota + 1
+	Suspect
+	Ejected
+	OnTrial
+)
+
+var stateNames = [...]string{InOrder: "in order", Suspect: "suspect", Ejected: "ejected", OnTrial: "on trial"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Times of ejections and trials.
+const (
+	// firstEjection is the length of a server's first ejection; it doubles with each further one
+	// up to longestEjection. Most crashed processes are started again within a second or two.
+	firstEjection   = time.Second
+	longestEjection = 8 * time.Second
+	maximumRounds   = 4
+	// forgiveTime is the time in order after which one ejection is forgotten.
+	forgiveTime = 10 * time.Second
+	// trialTurn is how long each entry of the zone in turn may begin a trial: longer than a
+	// word takes to reach the zone, so that two do not begin one at the same time.
+	trialTurn = 300 * time.Millisecond
+	// trialLimit is how long a trial may be without an end, until another may begin.
+	trialLimit = 1500 * time.Millisecond
+	// mostTrials is how many trials in a row must be served before a server that was ejected
+	// again and again returns: one after its first ejection.
+	mostTrials = 3
+	// trialPatience is how long a server waits for a trial by a request that may be repeated;
+	// after that any request is one, so that a server with no such requests returns too.
+	trialPatience = 4 * time.Second
+	// provenTime is for how long an answer outweighs what is said of a server.
+	provenTime = 2 * time.Second
+)
+
+// longAgo is before anything that another entry may have found out: a process that starts hears
+// of what was before.
+const longAgo = -time.Hour
+
+// Bounds of what is held.
+const (
+	// mostEjectedShare is the largest part of a service's servers that failures of requests may
+	// eject at a time: what fails at more of them is no fault of the servers.
+	mostEjectedShare = 0.5
+	// mostClasses is how many classes of requests are told apart at a service.
+	mostClasses = 32
+	// mostHints is how many entries' hints are held for a server.
+	mostHints = 16
+	// recentServed is how many served attempts are held as evidence against a hint.
+	recentServed = 4
+)
+
+// Attempt is the outcome of one attempt.
+type Attempt struct {
+	Server string
+	// Class groups requests that are alike, such as those of one route.
+	Class   string
+	Outcome Outcome
+	// Sent is when the attempt was sent.
+	Sent time.Duration
+	// Repeated is set when the same request had failed elsewhere before.
+	Repeated bool
+}
+
+// Change is a change of a server's state that an attempt or a word has brought.
+type Change struct {
+	Server   string
+	From, To State
+	// By is the entry that told it; empty when this one has found out itself.
+	By string
+	// Outcome is what decided it; 0 for a word.
+	Outcome  Outcome
+	Evidence float64
+	// For is the length of an ejection, Round how many there were in a row.
+	For   time.Duration
+	Round int
+}
+
+// service is what is known of a service as a whole.
+type service struct {
+	servers []string
+	classes map[string]*rates
+}
+
+// record is what is known of one server.
+type record struct {
+	service    string
+	classes    map[string]*rates
+	evidence   float64
+	evidenceAt time.Duration
+	// since is when the present evidence began.
+	since time.Duration
+	hints map[string]hint
+	// served are when the last served attempts were sent.
+	served   []time.Duration
+	servedAt time.Duration
+	failedAt time.Duration
+
+	ejected bool
+	// by is the entry that has ejected the server; empty for this one.
+	by string
+	// mute is set when it was ejected because it answers nothing.
+	mute bool
+	// changedAt is when it was last ejected or returned, till the end of the ejection.
+	changedAt time.Duration
+	till      time.Duration
+	round     int
+	// passed counts the trials served in a row; trialAt is when the present one began, and
+	// trialOpen that it has not ended; ownTrial that it is this entry's.
+	passed    int
+	trialAt   time.Duration
+	trialOpen bool
+	ownTrial  bool
+}
+
+// Tracker holds the health of all servers for one entry. It is not safe for concurrent use.
+type Tracker struct {
+	self     string
+	services map[string]*service
+	servers  map[string]*record
+	members  []string
+	words    []Word
+	// early are words on servers that are not listed yet.
+	early []earlyWord
+}
+
+// New returns a tracker for an entry that knows no server yet.
+func New(self string) *Tracker {
+	return &Tracker{self: self, services: map[string]*service{}, servers: map[string]*record{}}
+}
+
+// SetServers takes over which servers a service has; what is held of others is forgotten.
+func (t *Tracker) SetServers(name string, ids []string) {
+	known := t.services[name]
+	if known == nil {
+		known = &service{classes: map[string]*rates{}}
+		t.services[name] = known
+	}
+	for _, id := range known.servers {
+		if held := t.servers[id]; held != nil && held.service == name && !slices.Contains(ids, id) {
+			delete(t.servers, id)
+		}
+	}
+	known.servers = slices.Clone(ids)
+	for _, id := range ids {
+		if t.servers[id] == nil {
+			t.servers[id] = &record{service: name, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo}
+		}
+	}
+	t.hearEarly()
+	if len(ids) == 0 {
+		delete(t.services, name)
+	}
+}
+
+// SetMembers takes over which other entries the zone has; they take turns with trials.
+func (t *Tracker) SetMembers(others []string) {
+	t.members = append(slices.Clone(others), t.self)
+	slices.Sort(t.members)
+	t.members = slices.Compact(t.members)
+}
+
+// State tells what a server may be sent.
+func (t *Tracker) State(server string, now time.Duration) State {
+	held := t.servers[server]
+	switch {
+	case held == nil:
+		return InOrder
+	case held.ejected && now < held.till:
+		return Ejected
+	case held.ejected:
+		return OnTrial
+	case held.against(now)+held.hinted(now) >= suspectAt:
+		return Suspect
+	}
+	return InOrder
+}
+
+// Proven reports whether a server has served an attempt lately, and failed none since. That
+// outweighs what its health check or its agent says.
+func (t *Tracker) Proven(server string, now time.Duration) bool {
+	held := t.servers[server]
+	return held != nil && !held.ejected && held.servedAt > held.failedAt && now-held.servedAt <= provenTime
+}
+
+// Mute reports whether a server is out because it answers nothing, so that requests that wait
+// there need not wait on.
+func (t *Tracker) Mute(server string) bool {
+	held := t.servers[server]
+	return held != nil && held.ejected && held.mute
+}
+
+// Observe takes in the outcome of an attempt, and returns the change that it brings.
+func (t *Tracker) Observe(attempt Attempt, now time.Duration) (Change, bool) {
+	held := t.servers[attempt.Server]
+	if held == nil {
+		return Change{}, false
+	}
+	weight := t.count(held, attempt, now)
+	if attempt.Outcome == Served {
+		return t.observeServed(held, attempt, weight, now)
+	}
+	return t.observeFailure(held, attempt, weight, now)
+}
+
+// count adds the outcome to the rates, and returns what it weighs.
+func (t *Tracker) count(held *record, attempt Attempt, now time.Duration) float64 {
+	all := classOf(t.services[held.service].classes, attempt.Class)
+	own := classOf(held.classes, attempt.Class)
+	all.forget(now)
+	own.forget(now)
+	weight := weightOf(all, own, attempt.Outcome, attempt.Repeated)
+	all.add(attempt.Outcome, now)
+	own.add(attempt.Outcome, now)
+	return weight
+}
+
+// classOf returns the rates of a class; the one that was longest unused makes room for a new one.
+func classOf(classes map[string]*rates, class string) *rates {
+	if known := classes[class]; known != nil {
+		return known
+	}
+	if len(classes) >= mostClasses {
+		oldest := ""
+		for name, one := range classes {
+			if oldest == "" || one.at < classes[oldest].at || (one.at == classes[oldest].at && name < oldest) {
+				oldest = name
+			}
+		}
+		delete(classes, oldest)
+	}
+	fresh := &rates{}
+	classes[class] = fresh
+	return fresh
+}
+
+// against is the evidence of this entry's own attempts.
+func (r *record) against(now time.Duration) float64 {
+	return r.evidence * remembered(now-r.evidenceAt, evidenceHalfLife)
+}
+
+func (r *record) weigh(weight float64, now time.Duration) {
+	before := r.against(now)
+	if before < suspectAt/2 && weight > 0 {
+		r.since = now
+	}
+	r.evidence, r.evidenceAt = min(max(0, before+weight), evidenceCap), now
+}
+
+func (t *Tracker) observeServed(held *record, attempt Attempt, weight float64, now time.Duration) (Change, bool) {
+	if held.ejected && attempt.Sent < held.changedAt {
+		// It was sent before what ejected the server.
+		return Change{}, false
+	}
+	held.weigh(weight, now)
+	held.servedAt = now
+	held.served = append(held.served, attempt.Sent)
+	if len(held.served) > recentServed {
+		held.served = held.served[1:]
+	}
+	held.forgive(now)
+	if !held.ejected || now < held.till {
+		return Change{}, false
+	}
+	held.passed++
+	held.trialOpen, held.ownTrial = false, false
+	if held.passed < min(held.round, mostTrials) {
+		t.tell(attempt.Server, held, now)
+		return Change{}, false
+	}
+	held.restore(now)
+	t.tell(attempt.Server, held, now)
+	return Change{Server: attempt.Server, From: OnTrial, To: InOrder, Outcome: Served, Round: held.round}, true
+}
+
+// restore takes a server back into order. Its ejections are forgotten later.
+func (r *record) restore(now time.Duration) {
+	r.ejected, r.trialOpen, r.ownTrial, r.by = false, false, false, ""
+	r.evidence, r.evidenceAt, r.passed, r.changedAt = 0, now, 0, now
+	clear(r.hints)
+}
+
+// forgive forgets one ejection for each forgiveTime in order.
+func (r *record) forgive(now time.Duration) {
+	for !r.ejected && r.round > 0 && now-r.changedAt >= forgiveTime {
+		r.round--
+		r.changedAt += forgiveTime
+	}
+}
+
+func (t *Tracker) observeFailure(held *record, attempt Attempt, weight float64, now time.Duration) (Change, bool) {
+	if held.round > 0 && attempt.Sent < max(held.changedAt, held.till) {
+		// It was sent before the server returned or came on trial: more of what ejected it.
+		return Change{}, false
+	}
+	if held.ejected && attempt.Outcome == Declined {
+		// It is full, or changes over: the trial has shown nothing.
+		held.trialOpen, held.ownTrial = false, false
+		t.tell(attempt.Server, held, now)
+		return Change{}, false
+	}
+	held.failedAt = now
+	held.forgive(now)
+	held.weigh(weight, now)
+	from := t.State(attempt.Server, now)
+	if !held.ejected && !t.convicts(held, attempt.Outcome, now) {
+		if held.against(now) >= suspectAt {
+			t.tell(attempt.Server, held, now)
+		}
+		return Change{}, false
+	}
+	evidence := held.against(now)
+	t.exclude(held, now)
+	held.eject(now)
+	held.mute = attempt.Outcome == Overdue || attempt.Outcome == Unreached
+	t.tell(attempt.Server, held, now)
+	return Change{
+		Server: attempt.Server, From: from, To: Ejected, Outcome: attempt.Outcome, Evidence: evidence, For: held.till - now, Round: held.round,
+	}, true
+}
+
+// convicts reports whether the evidence suffices to eject a server. One that has returned
+// lately is ejected by its first failure again.
+func (t *Tracker) convicts(held *record, outcome Outcome, now time.Duration) bool {
+	needed := float64(ejectAt)
+	if held.round > 0 {
+		needed = suspectAt
+	}
+	if held.against(now)+held.hinted(now) < needed {
+		return false
+	}
+	return outcome == Unreached || t.mayEject(held.service)
+}
+
+// mayEject reports whether one more server of a service may be ejected for what its requests
+// have met.
+func (t *Tracker) mayEject(name string) bool {
+	servers := t.services[name].servers
+	ejected := 0
+	for _, id := range servers {
+		if t.servers[id].ejected {
+			ejected++
+		}
+	}
+	return ejected+1 <= int(mostEjectedShare*float64(len(servers)))
+}
+
+// exclude takes what a server has shown out of what is usual at its service: the next one that
+// fails is not taken for sound because this one has failed.
+func (t *Tracker) exclude(held *record, now time.Duration) {
+	for class, own := range held.classes {
+		if all := t.services[held.service].classes[class]; all != nil {
+			all.forget(now)
+			own.forget(now)
+			all.remove(own)
+		}
+	}
+	clear(held.classes)
+}
+
+// eject takes a server out, for longer each time.
+func (r *record) eject(now time.Duration) {
+	r.till = now + min(firstEjection<<r.round, longestEjection)
+	r.round = min(r.round+1, maximumRounds)
+	r.ejected, r.by, r.changedAt = true, "", now
+	r.passed, r.trialOpen, r.ownTrial = 0, false, false
+	r.evidence, r.evidenceAt = 0, now
+}
+
+// View is what is held of one server, for a dump.
+type View struct {
+	State    State
+	Evidence float64
+	Hinted   float64
+	Round    int
+	// Left is what is left of an ejection.
+	Left time.Duration
+	By   string
+}
+
+// View describes one server.
+func (t *Tracker) View(server string, now time.Duration) View {
+	held := t.servers[server]
+	if held == nil {
+		return View{State: InOrder}
+	}
+	view := View{State: t.State(server, now), Evidence: held.against(now), Hinted: held.hinted(now), Round: held.round, By: held.by}
+	if held.ejected {
+		view.Left = max(0, held.till-now)
+	}
+	return view
+}
+
+// Ejected lists the servers that are ejected or on trial.
+func (t *Tracker) Ejected() []string {
+	var ejected []string
+	for id, held := range t.servers {
+		if held.ejected {
+			ejected = append(ejected, id)
+		}
+	}
+	slices.SortFunc(ejected, cmp.Compare[string])
+	return ejected
+}
--- /dev/null
+++ b/coordination/health/trial.go
@@ -0,0 +1,63 @@
+package health
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"pinevane.example/pinevane/coordination/placement"
+)
+
+// A server returns by trials. Other ways to find out were weighed: a server's health check is
+// what may be false, waits for a place as a request does, and is priced; an agent's report
+// comes by another way than requests do. What costs a caller least is one request that may be
+// sent again, at one entry of the zone at a time.
+
+// MayTry reports whether this entry may send a server on trial a request now. It has no other
+// request of the zone, and it is this entry's turn. A request that must not be repeated is a
+// trial only when no other has come for trialPatience.
+func (t *Tracker) MayTry(server string, repeatable bool, now time.Duration) bool {
+	held := t.servers[server]
+	if held == nil || !held.ejected || now < held.till {
+		return false
+	}
+	if held.trialOpen && now-held.trialAt < trialLimit {
+		return false
+	}
+	if !repeatable && now-max(held.till, held.trialAt) < trialPatience {
+		return false
+	}
+	return t.hasTurn(server, held, now)
+}
+
+// hasTurn reports whether the turn of trials has come to this entry. The zone's entries take
+// turns in an order of their own for each server, and agree on it without a message: the end
+// of an ejection was told to all of them.
+func (t *Tracker) hasTurn(server string, held *record, now time.Duration) bool {
+	if len(t.members) < 2 {
+		return true
+	}
+	order := placement.Rank(server+"/"+strconv.Itoa(held.round), t.members)
+	turn := int((now - held.till) / trialTurn)
+	return order[turn%len(order)] == t.self && slices.Contains(order, t.self)
+}
+
+// BeginTrial notes that this entry sends a server a request on trial.
+func (t *Tracker) BeginTrial(server string, now time.Duration) {
+	held := t.servers[server]
+	if held == nil {
+		return
+	}
+	held.trialAt, held.trialOpen, held.ownTrial = now, true, true
+	t.tell(server, held, now)
+}
+
+// EndTrial notes that this entry's trial has ended without showing anything.
+func (t *Tracker) EndTrial(server string, now time.Duration) {
+	held := t.servers[server]
+	if held == nil || !held.ownTrial {
+		return
+	}
+	held.trialOpen, held.ownTrial = false, false
+	t.tell(server, held, now)
+}
--- /dev/null
+++ b/coordination/health/words.go
@@ -0,0 +1,221 @@
+package health
+
+import "time"
+
+// Figures of words from other entries.
+const (
+	// hintWeight is what another entry's evidence counts of one's own: the fault may lie
+	// between it and the server.
+	hintWeight = 0.5
+	// hintCap keeps hints alone from ejecting a server.
+	hintCap = ejectAt - 1.5
+	// hintTime is how long a hint counts, less and less.
+	hintTime = 3 * time.Second
+	// mostImposedShare is the part of a service's servers, but one at the least, that one other
+	// entry may have ejected here at a time. An entry whose own connections fail takes many for
+	// failing; of two that agree each may.
+	mostImposedShare = 0.125
+	// contrary is how many attempts, sent after the evidence of another entry began, must have
+	// been served here for its ejection not to hold here.
+	contrary = 2
+	// disputed is the evidence that is left of such an ejection: it makes the server suspect.
+	disputed = ejectAt + 1
+)
+
+// Word is what an entry tells the others of its zone of one server. Times are ages and spans,
+// so that clocks need not agree.
+type Word struct {
+	Server string
+	// Entry is who found it out.
+	Entry string
+	// Ejected servers are sent nothing for Left, and then trials; otherwise Evidence is what
+	// the entry holds against the server, 0 after its return.
+	Ejected  bool
+	Returned bool
+	Evidence float64
+	// Since is for how long there has been evidence, Changed for how long the state holds.
+	Since   time.Duration
+	Changed time.Duration
+	Left    time.Duration
+	Round   int
+	// Passed counts the trials served, and Trying is set while one is under way.
+	Passed int
+	Trying bool
+	// Mute servers answer nothing.
+	Mute bool
+}
+
+// hint is another entry's evidence.
+type hint struct {
+	evidence float64
+	at       time.Duration
+}
+
+// tell notes a word for the other entries.
+func (t *Tracker) tell(server string, held *record, now time.Duration) {
+	t.words = append(t.words, Word{
+		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
+		Since: now - held.since, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
+		Passed: held.passed, Trying: held.trialOpen, Mute: held.mute,
+	})
+}
+
+// TakeWords returns what the other entries are to be told since the last call.
+func (t *Tracker) TakeWords() []Word {
+	taken := t.words
+	t.words = nil
+	return taken
+}
+
+// Hear takes in what another entry said at a time, and returns the change that it brings.
+func (t *Tracker) Hear(word Word, at, now time.Duration) (Change, bool) {
+	held := t.servers[word.Server]
+	if word.Entry == t.self {
+		return Change{}, false
+	}
+	if held == nil {
+		t.keepEarly(earlyWord{word: word, at: at})
+		return Change{}, false
+	}
+	changedAt := at - word.Changed
+	switch {
+	case word.Ejected:
+		return t.hearEjected(held, word, at, changedAt, now)
+	case word.Returned:
+		return t.hearReturned(held, word, changedAt, now)
+	}
+	held.hear(word, at)
+	return Change{}, false
+}
+
+// mostEarly is how many words on servers that are not listed yet are held.
+const mostEarly = 64
+
+// earlyWord is a word on a server that was not listed when it came: an entry that starts may be
+// told of servers' health before it has the list.
+type earlyWord struct {
+	word Word
+	at   time.Duration
+}
+
+func (t *Tracker) keepEarly(one earlyWord) {
+	t.early = append(t.early, one)
+	if len(t.early) > mostEarly {
+		t.early = t.early[1:]
+	}
+}
+
+// hearEarly takes in the words on servers that have been listed since.
+func (t *Tracker) hearEarly() {
+	var kept []earlyWord
+	for _, one := range t.early {
+		if t.servers[one.word.Server] == nil {
+			kept = append(kept, one)
+			continue
+		}
+		t.Hear(one.word, one.at, one.at)
+	}
+	t.early = kept
+}
+
+// hear notes another entry's evidence.
+func (r *record) hear(word Word, at time.Duration) {
+	if _, known := r.hints[word.Entry]; !known && len(r.hints) >= mostHints {
+		oldest := word.Entry
+		oldestAt := at
+		for entry, one := range r.hints {
+			if one.at < oldestAt || (one.at == oldestAt && entry < oldest) {
+				oldest, oldestAt = entry, one.at
+			}
+		}
+		delete(r.hints, oldest)
+		if oldest == word.Entry {
+			return
+		}
+	}
+	r.hints[word.Entry] = hint{evidence: word.Evidence, at: at}
+}
+
+// hinted is what the hints of other entries add to the evidence.
+func (r *record) hinted(now time.Duration) float64 {
+	sum := 0.0
+	for _, one := range r.hints {
+		if age := now - one.at; age < hintTime {
+			sum += hintWeight * one.evidence * (1 - max(0, float64(age)/float64(hintTime)))
+		}
+	}
+	return min(sum, hintCap)
+}
+
+// hearEjected takes over an ejection, or what has become of one that is known.
+func (t *Tracker) hearEjected(held *record, word Word, at, changedAt, now time.Duration) (Change, bool) {
+	if held.ejected {
+		if till := at + word.Left; changedAt > held.changedAt || till > held.till {
+			held.till, held.round, held.changedAt = max(held.till, till), max(held.round, word.Round), max(held.changedAt, changedAt)
+			held.passed, held.trialOpen, held.ownTrial = 0, false, false
+		}
+		held.followTrial(word, at)
+		return Change{}, false
+	}
+	if changedAt <= held.changedAt {
+		return Change{}, false
+	}
+	if !t.believes(held, word, at) {
+		held.hear(Word{Entry: word.Entry, Evidence: disputed}, at)
+		return Change{}, false
+	}
+	from := t.State(word.Server, now)
+	held.ejected, held.by, held.changedAt, held.till = true, word.Entry, changedAt, at+word.Left
+	held.round, held.mute = max(held.round, word.Round), word.Mute
+	held.passed, held.trialOpen, held.ownTrial = 0, false, false
+	held.followTrial(word, at)
+	return Change{Server: word.Server, From: from, To: Ejected, By: word.Entry, For: held.till - now, Round: held.round}, true
+}
+
+// followTrial takes over how the trials of another entry go.
+func (r *record) followTrial(word Word, at time.Duration) {
+	if at < r.till || r.ownTrial {
+		return
+	}
+	if word.Trying {
+		r.trialOpen, r.trialAt = true, at
+		return
+	}
+	r.trialOpen = false
+	r.passed = max(r.passed, word.Passed)
+}
+
+// believes reports whether another entry's ejection holds here too.
+func (t *Tracker) believes(held *record, word Word, at time.Duration) bool {
+	since, served := at-word.Since, 0
+	for _, sent := range held.served {
+		if sent > since {
+			served++
+		}
+	}
+	if served >= contrary || !t.mayEject(held.service) {
+		return false
+	}
+	if held.against(at)+held.hinted(at) >= suspectAt {
+		return true
+	}
+	servers := t.services[held.service].servers
+	imposed := 0
+	for _, id := range servers {
+		if one := t.servers[id]; one.ejected && one.by == word.Entry {
+			imposed++
+		}
+	}
+	return imposed < max(1, int(mostImposedShare*float64(len(servers))))
+}
+
+// hearReturned takes over that a server has served its trials.
+func (t *Tracker) hearReturned(held *record, word Word, changedAt, now time.Duration) (Change, bool) {
+	if !held.ejected || changedAt <= held.changedAt {
+		return Change{}, false
+	}
+	from := t.State(word.Server, now)
+	held.restore(now)
+	held.changedAt = changedAt
+	return Change{Server: word.Server, From: from, To: InOrder, By: word.Entry, Round: held.round}, true
+}
--- /dev/null
+++ b/coordination/health/words_test.go
@@ -0,0 +1,226 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// hear has an entry hear all that another has to tell, some time after it was said.
+func (s *script) hear(from *script, late time.Duration) *script {
+	for _, word := range from.tracker.TakeWords() {
+		s.tracker.Hear(word, from.now, from.now+late)
+	}
+	s.now = max(s.now, from.now+late)
+	return s
+}
+
+// another returns the script of another entry of the zone.
+func (s *script) another(name string) *script {
+	other := &script{t: s.t, tracker: New(name), now: s.now}
+	other.tracker.SetServers("service", s.tracker.services["service"].servers)
+	return other
+}
+
+// What one entry has found out holds at another that knows nothing else, and so does the
+// server's return.
+func TestEjectionAndReturnHoldInTheZone(t *testing.T) {
+	one := play(t, 8)
+	two := one.another("e1")
+	one.see("s0", Errored, Errored)
+	two.hear(one, 60*ms).is("s0", Ejected)
+	one.wait(firstEjection).try("s0", Served)
+	two.hear(one, 60*ms).is("s0", InOrder)
+}
+
+// Successes from before the fault are no reason to doubt it; those from after it began are.
+func TestOwnSuccessesOutweighAnEjectionTold(t *testing.T) {
+	one := play(t, 8)
+	before, after := one.another("e1"), one.another("e2")
+	before.see("s0", Served, Served, Served)
+	one.wait(100*ms).see("s0", Errored)
+	after.now = one.now
+	after.wait(5*ms).see("s0", Served, Served)
+	one.wait(50*ms).see("s0", Errored)
+	words := one.tracker.words
+	before.hear(one, 60*ms).is("s0", Ejected)
+	one.tracker.words = words
+	after.hear(one, 60*ms).is("s0", Suspect).wait(hintTime).is("s0", InOrder)
+}
+
+// An entry whose own connections fail can't empty the zone.
+func TestOneEntryCanNotEjectManyServersForAll(t *testing.T) {
+	one := play(t, 16)
+	two := one.another("e1")
+	for server := range 16 {
+		one.see(fmt.Sprint("s", server), Unreached)
+		two.hear(one, 60*ms)
+	}
+	assert.Len(t, two.tracker.Ejected(), 2)
+	three := one.another("e2")
+	for server := range 4 {
+		three.see(fmt.Sprint("s", 8+server), Unreached)
+		two.hear(three, 60*ms)
+	}
+	assert.Greater(t, len(two.tracker.Ejected()), 4, "two that agree are believed")
+}
+
+// An entry that starts may be told before it has the list of servers.
+func TestWordsOnServersNotListedYet(t *testing.T) {
+	one := play(t, 8)
+	late := &script{t: t, tracker: New("e1"), now: one.now}
+	for range 2 * mostEarly {
+		late.tracker.Hear(Word{Server: "elsewhere", Entry: "e2", Ejected: true}, one.now, one.now)
+	}
+	one.see("s0", Errored, Errored)
+	// The late one counts time from its own start.
+	for _, word := range one.tracker.TakeWords() {
+		late.tracker.Hear(word, -200*ms, 50*ms)
+	}
+	late.now = 60 * ms
+	assert.Len(t, late.tracker.early, mostEarly)
+	late.tracker.SetServers("service", names("s", 8))
+	late.is("s0", Ejected).is("s1", InOrder)
+	assert.Len(t, late.tracker.early, mostEarly-2, "the suspicion and the ejection are taken in")
+}
+
+// A hint counts less than an own failure, less and less, and any number of them eject nobody.
+func TestHintsCountLessAndAge(t *testing.T) {
+	two := play(t, 8)
+	for entry := range 3 * mostHints {
+		other := two.another(fmt.Sprint("e", 1+entry))
+		two.hear(other.see("s0", Errored), 0)
+	}
+	assert.Len(t, two.tracker.servers["s0"].hints, mostHints)
+	two.is("s0", Suspect)
+	assert.InDelta(t, hintCap, two.tracker.View("s0", two.now).Hinted, 0.01)
+	two.see("s0", Errored).is("s0", Ejected)
+	three := play(t, 8)
+	three.hear(three.another("e1").see("s0", Errored), 0)
+	fresh := three.tracker.View("s0", three.now).Hinted
+	assert.Less(t, fresh, suspectAt/1.5)
+	three.wait(hintTime / 2)
+	assert.Less(t, three.tracker.View("s0", three.now).Hinted, 0.6*fresh)
+	assert.Zero(t, three.wait(hintTime).tracker.View("s0", three.now).Hinted)
+}
+
+// zone plays entries that share what they learn, with words that take a while.
+type zone struct {
+	entries []*Tracker
+	now     time.Duration
+	transit []transit
+}
+
+type transit struct {
+	word     Word
+	to       int
+	said, at time.Duration
+}
+
+func newZone(entries, servers int) *zone {
+	z := &zone{now: time.Second}
+	for index := range entries {
+		tracker := New(fmt.Sprint("e", index))
+		tracker.SetServers("service", names("s", servers))
+		tracker.SetMembers(names("e", entries))
+		z.entries = append(z.entries, tracker)
+	}
+	return z
+}
+
+// step advances the time and carries words.
+func (z *zone) step(span, delay time.Duration) {
+	z.now += span
+	var kept []transit
+	for _, one := range z.transit {
+		if one.at > z.now {
+			kept = append(kept, one)
+			continue
+		}
+		z.entries[one.to].Hear(one.word, one.said, z.now)
+	}
+	z.transit = kept
+	for from, entry := range z.entries {
+		for _, word := range entry.TakeWords() {
+			for to := range z.entries {
+				if to != from {
+					z.transit = append(z.transit, transit{word: word, to: to, said: z.now, at: z.now + delay})
+				}
+			}
+		}
+	}
+}
+
+// send has an entry send one request to a server, if it may, which ends at once.
+func (z *zone) send(entry int, server string, sound bool) (sent bool) {
+	tracker := z.entries[entry]
+	switch tracker.State(server, z.now) {
+	case Ejected:
+		return false
+	case OnTrial:
+		if !tracker.MayTry(server, true, z.now) {
+			return false
+		}
+		tracker.BeginTrial(server, z.now)
+	}
+	outcome := Served
+	if !sound {
+		outcome = Errored
+	}
+	tracker.Observe(Attempt{Server: server, Class: "route", Outcome: outcome, Sent: z.now}, z.now)
+	return true
+}
+
+// Whatever has happened before, a server that fails everything gets, once it is ejected, at
+// most one request of the whole zone in each period of its ejection; and once it is sound it is
+// in use at every entry within a bounded time.
+func TestZoneTriesOneAtATimeAndServersReturn(t *testing.T) {
+	const step, servers = 20 * ms, 6
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 8).Draw(t, "entries")
+		delay := time.Duration(rapid.IntRange(0, 150).Draw(t, "delay")) * ms
+		z := newZone(entries, servers)
+		for range rapid.IntRange(0, 400).Draw(t, "history") {
+			z.send(rapid.IntRange(0, entries-1).Draw(t, "entry"), fmt.Sprint("s", rapid.IntRange(0, servers-1).Draw(t, "server")), rapid.Float64Range(0, 1).Draw(t, "luck") > 0.3)
+			z.step(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause"))*ms, delay)
+		}
+		for until := z.now + 3*longestEjection; z.now < until; z.step(step, delay) {
+			for entry := range entries {
+				z.send(entry, "s0", false)
+				z.send(entry, fmt.Sprint("s", 1+entry%(servers-1)), true)
+			}
+		}
+		var failed []time.Duration
+		for until := z.now + 4*longestEjection; z.now < until; z.step(step, delay) {
+			for entry := range entries {
+				if z.send(entry, "s0", false) {
+					failed = append(failed, z.now)
+				}
+			}
+		}
+		for index := 1; index < len(failed); index++ {
+			if pause := failed[index] - failed[index-1]; pause < longestEjection {
+				t.Fatalf("two requests within %s at %v", pause, failed)
+			}
+		}
+		// A sound server returns: it is out for the longest ejection at most, and then has to
+		// serve mostTrials trials, each within one round of turns.
+		bound := longestEjection + time.Duration(mostTrials*entries)*trialTurn + time.Second
+		for until := z.now + bound; z.now < until; z.step(step, delay) {
+			for entry := range entries {
+				z.send(entry, "s0", true)
+			}
+		}
+		for index, entry := range z.entries {
+			if state := entry.State("s0", z.now); state != InOrder {
+				t.Fatalf("%s at entry %d of %d after %s", state, index, entries, bound)
+			}
+			if len(entry.servers) != servers || len(entry.words) > 0 {
+				t.Fatalf("%d servers, %d words held", len(entry.servers), len(entry.words))
+			}
+		}
+	})
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -104,6 +104,8 @@
 	statusSequence uint64
 	onStatus       StatusFunction
 
+	health healthWords
+
 	// overlay tells whom this entry speaks with; links are what it has of that, and
 	// those that others made, by IP address.
 	overlay *overlay.Overlay
@@ -129,11 +131,13 @@
 			Recent: entryRecent, Memory: entryMemory,
 		}),
 	}
+	c.health = newHealthWords(c.started)
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
 	options.Hub.Handle(topicPull, c.handlePull)
 	options.Hub.Handle(fleet.TopicMachineStatus, c.handleStatus)
 	options.Hub.Handle(topicStatuses, c.handleStatuses)
+	options.Hub.Handle(topicHealth, c.handleHealth)
 	options.Hub.OnOpen(c.linkOpened)
 	return c
 }
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -99,6 +99,7 @@
 			case <-statusTicker.C:
 				c.checkLinks(ctx)
 				c.passStatuses()
+				c.passHealth()
 			case <-ticker.C:
 				waiting = false
 			case <-c.kick:
--- /dev/null
+++ b/internal/catalog/health.go
@@ -0,0 +1,227 @@
+package catalog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// topicHealth carries what entries have found out of servers, within a zone.
+const topicHealth = "server.health"
+
+// Bounds of what is held of servers' health.
+const (
+	// healthMemory is how long a word is kept for entries that are linked later: as long as an
+	// ejection and its trials usually last.
+	healthMemory = 10 * time.Second
+	// mostHealthWords bounds the words held; the oldest go first.
+	mostHealthWords = 2048
+)
+
+// toldHealth is an entry's word on a server as it is passed on.
+type toldHealth struct {
+	Server   string  `cbor:"1,keyasint"`
+	Entry    string  `cbor:"2,keyasint"`
+	Ejected  bool    `cbor:"3,keyasint,omitempty"`
+	Returned bool    `cbor:"4,keyasint,omitempty"`
+	Trying   bool    `cbor:"5,keyasint,omitempty"`
+	Evidence float32 `cbor:"6,keyasint,omitempty"`
+	Round    int     `cbor:"7,keyasint,omitempty"`
+	Passed   int     `cbor:"8,keyasint,omitempty"`
+	// The spans count from when the word was said, which AgeMilliseconds tells.
+	SinceMilliseconds   int64 `cbor:"9,keyasint,omitempty"`
+	ChangedMilliseconds int64 `cbor:"10,keyasint,omitempty"`
+	LeftMilliseconds    int64 `cbor:"11,keyasint,omitempty"`
+	AgeMilliseconds     int64 `cbor:"12,keyasint,omitempty"`
+	Mute                bool  `cbor:"14,keyasint,omitempty"`
+	// Number orders the words of one entry.
+	Number uint64 `cbor:"13,keyasint"`
+}
+
+// healthBatch is what one entry passes on at once.
+type healthBatch struct {
+	Words []toldHealth `cbor:"1,keyasint"`
+}
+
+// healthKey names the words of which only the newest is held.
+type healthKey struct{ entry, server string }
+
+// heldHealth is the newest word of an entry on a server.
+type heldHealth struct {
+	word health.Word
+	at   time.Time
+	// number is the teller's, sequence this process's own, for the links.
+	number   uint64
+	sequence uint64
+}
+
+// HealthFunction is told what another entry of the zone has said of a server, and when.
+type HealthFunction func(word health.Word, at time.Time)
+
+// healthWords are what the zone's entries have said of servers. The catalog's mutex guards it.
+type healthWords struct {
+	held     map[healthKey]heldHealth
+	sequence uint64
+	// number is that of this entry's last word. It begins at the time of the start, so that
+	// the words of a process that was started anew are newer than those of the one before.
+	number uint64
+	onWord HealthFunction
+}
+
+func newHealthWords(started time.Time) healthWords {
+	return healthWords{held: map[healthKey]heldHealth{}, number: uint64(started.UnixNano())}
+}
+
+// OnHealth registers a function that is called with each word of another entry. It must be
+// registered before Run.
+func (c *Catalog) OnHealth(function HealthFunction) { c.health.onWord = function }
+
+// TellHealth has the zone's other entries told what this one has found out, at the next pace.
+func (c *Catalog) TellHealth(words []health.Word) {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, word := range words {
+		c.health.number++
+		c.holdHealth(heldHealth{word: word, at: now, number: c.health.number}, now)
+	}
+}
+
+// holdHealth keeps a word if it is newer than the one held; the mutex is held.
+func (c *Catalog) holdHealth(fresh heldHealth, now time.Time) bool {
+	key := healthKey{fresh.word.Entry, fresh.word.Server}
+	held, known := c.health.held[key]
+	if known && fresh.number <= held.number && now.Sub(held.at) < healthMemory {
+		return false
+	}
+	if !known && len(c.health.held) >= mostHealthWords {
+		c.dropOldestHealth()
+	}
+	c.health.sequence++
+	fresh.sequence = c.health.sequence
+	c.health.held[key] = fresh
+	return true
+}
+
+func (c *Catalog) dropOldestHealth() {
+	var oldest healthKey
+	var at time.Time
+	for key, held := range c.health.held {
+		if at.IsZero() || held.at.Before(at) {
+			oldest, at = key, held.at
+		}
+	}
+	delete(c.health.held, oldest)
+}
+
+func (c *Catalog) handleHealth(link *peering.Link, received *message.Message) {
+	batch, err := peering.Decode[healthBatch](received)
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		return
+	}
+	if link.Remote().Zone != c.options.Zone {
+		return
+	}
+	now := time.Now()
+	var fresh []heldHealth
+	c.mutex.Lock()
+	for _, told := range batch.Words {
+		held := told.held(now)
+		if told.Entry != c.options.Self && c.holdHealth(held, now) {
+			fresh = append(fresh, held)
+		}
+	}
+	c.mutex.Unlock()
+	if c.health.onWord == nil {
+		return
+	}
+	for _, held := range fresh {
+		c.health.onWord(held.word, held.at)
+	}
+}
+
+// held is a word that was received at a time.
+func (t toldHealth) held(now time.Time) heldHealth {
+	span := func(milliseconds int64) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
+	return heldHealth{
+		at: now.Add(-span(t.AgeMilliseconds)), number: t.Number,
+		word: health.Word{
+			Server: t.Server, Entry: t.Entry, Ejected: t.Ejected, Returned: t.Returned, Trying: t.Trying, Mute: t.Mute, Evidence: float64(t.Evidence),
+			Round: t.Round, Passed: t.Passed, Since: span(t.SinceMilliseconds), Changed: span(t.ChangedMilliseconds), Left: span(t.LeftMilliseconds),
+		},
+	}
+}
+
+// told is a word as it is passed on at a time.
+func (h heldHealth) told(now time.Time) toldHealth {
+	return toldHealth{
+		Server: h.word.Server, Entry: h.word.Entry, Ejected: h.word.Ejected, Returned: h.word.Returned, Trying: h.word.Trying, Mute: h.word.Mute,
+		Evidence: float32(h.word.Evidence), Round: h.word.Round, Passed: h.word.Passed, SinceMilliseconds: h.word.Since.Milliseconds(),
+		ChangedMilliseconds: h.word.Changed.Milliseconds(), LeftMilliseconds: h.word.Left.Milliseconds(),
+		AgeMilliseconds: now.Sub(h.at).Milliseconds(), Number: h.number,
+	}
+}
+
+// passHealth sends each linked entry of the zone the words that it has not been told. What
+// others have said is passed on by relays alone: every entry is linked to each of them.
+func (c *Catalog) passHealth() {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for key, held := range c.health.held {
+		if now.Sub(held.at) > healthMemory {
+			delete(c.health.held, key)
+		}
+	}
+	rank := c.overlay.Rank()
+	isRelay := rank >= 0 && rank < relaysPerZone
+	for _, peer := range c.links {
+		if !peer.isEntry() || peer.zone() != c.options.Zone || peer.tellingHealth || peer.healthTold == c.health.sequence {
+			continue
+		}
+		words := c.healthFor(peer, isRelay, now)
+		peer.healthTold = c.health.sequence
+		if len(words) > 0 {
+			peer.tellingHealth = true
+			go c.sendHealth(peer, peer.link, words)
+		}
+	}
+}
+
+// healthFor lists the words that an entry is to be told; the mutex is held.
+func (c *Catalog) healthFor(peer *peerLink, isRelay bool, now time.Time) []toldHealth {
+	var words []toldHealth
+	for key, held := range c.health.held {
+		if held.sequence <= peer.healthTold || key.entry == peer.ip || (key.entry != c.options.Self && !isRelay) {
+			continue
+		}
+		words = append(words, held.told(now))
+	}
+	slices.SortFunc(words, func(a, b toldHealth) int { return int(b.AgeMilliseconds - a.AgeMilliseconds) })
+	return words
+}
+
+func (c *Catalog) sendHealth(peer *peerLink, link *peering.Link, words []toldHealth) {
+	payload, err := cbor.Marshal(healthBatch{Words: words})
+	if err != nil {
+		c.options.Log.Log(logging.FrameRejected, zap.Error(&fault.InvalidFrame{Field: topicHealth, Reason: err.Error()}))
+	} else {
+		err = link.Publish(topicHealth, message.NewMessage("", payload))
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	peer.tellingHealth = false
+	if err != nil && peer.link == link {
+		peer.link = nil
+		c.kickExchange()
+	}
+}
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -105,6 +105,10 @@
 	farTold   uint64
 	farToldAt time.Time
 	passing   bool
+	// healthTold is up to which word on a server's health the other was told;
+	// tellingHealth is set while it is being told.
+	healthTold    uint64
+	tellingHealth bool
 
 	// stamps tells how long the other's messages can have been on their way.
 	stamps stamps
@@ -369,6 +373,20 @@
 	return c.overlay.IDs()
 }
 
+// ZoneEntries lists the other entries of the own zone that were heard of lately.
+func (c *Catalog) ZoneEntries() []string {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var ids []string
+	for id, sign := range c.overlay.Members() {
+		if sign.Zone == c.options.Zone && now.Sub(sign.Heard) < entryRecent {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Peers returns how many other entries were heard of lately.
 func (c *Catalog) Peers() int {
 	c.mutex.Lock()
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -91,9 +91,17 @@
 	}
 	s.mutex.Unlock()
 	s.options.Ledger.add(run)
-	if faults.LoseAnswers > 0 {
+	if faults.LoseAnswers > 0 || faults.Lying == LyingResets {
 		panic(http.ErrAbortHandler)
 	}
+	switch faults.Lying {
+	case LyingHangs:
+		<-request.Context().Done()
+		return
+	case LyingErrors:
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	writer.Header().Set("Response-Seal", "seal-"+id)
 	if s.options.Weights == nil {
 		s.answerPlain(writer, request, body)
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -20,10 +20,26 @@
 	Shed int
 	// Silent takes requests and never answers; reports fail too.
 	Silent bool
+	// Lying servers report that they are well and fail every request.
+	Lying Lie
+	// FalselyIll fails every report and health check, and serves requests.
+	FalselyIll bool
 	// Surplus sends a second answer after the next ones.
 	Surplus int
 }
 
+// Lie is how a server that reports that it is well fails its requests.
+type Lie int
+
+// The lies: requests run, and are answered with a failure, or their connections are reset, or
+// they are never answered.
+const (
+	Honest Lie = iota
+	LyingErrors
+	LyingResets
+	LyingHangs
+)
+
 // ServerOptions describe a server.
 type ServerOptions struct {
 	ID      string
@@ -252,9 +268,13 @@
 
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
-	silent := s.faults.Silent
+	silent, ill := s.faults.Silent, s.faults.FalselyIll
 	s.mutex.Unlock()
 	path := request.URL.Path
+	if ill && (path == "/-/report" || path == "/healthz") {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if silent {
 		if !strings.HasPrefix(path, "/-/") {
 			_, _ = s.receive(request)
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -124,6 +124,7 @@
 	best.version = best.target.servedVersion(now)
 	best.target.inFlight++
 	t.countSent(best.target, now)
+	t.beginTrial(best.target, wanted, now)
 	if wanted.engine != nil {
 		best.target.unread++
 		best.target.unreadTokens += wanted.prompt
@@ -244,7 +245,6 @@
 	unfitChanging    = "changing over"
 	unfitVersion     = "other version"
 	unfitBound       = "would begin after the version's bound"
-	unfitEjected     = "ejected"
 	unfitRegion      = "outside the allowed regions"
 )
 
@@ -265,31 +265,21 @@
 			return reason
 		}
 	}
-	if now.Before(k.ejectedTill) {
-		return unfitEjected
-	}
 	if t.coldFull(k, now) {
 		return unfitCold
 	}
-	return unfitNot
+	return t.health.unfit(k, wanted, now)
 }
 
-// usable lists the servers that may be sent the request: ejected ones only when
-// there is no other.
+// usable lists the servers that may be sent the request.
 func (t *targets) usable(wanted need, now time.Time) []*target {
-	var sound, ejected []*target
+	t.health.lookAtMembers(now)
+	candidates := map[string][]*target{}
 	for _, candidate := range t.byService[wanted.service] {
-		switch t.unfit(candidate, wanted, now) {
-		case unfitNot:
-			sound = append(sound, candidate)
-		case unfitEjected:
-			ejected = append(ejected, candidate)
-		}
-	}
-	if len(sound) == 0 {
-		return ejected
+		reason := t.unfit(candidate, wanted, now)
+		candidates[reason] = append(candidates[reason], candidate)
 	}
-	return sound
+	return t.byHealth(candidates, wanted, now)
 }
 
 // unfitModel returns why a model server does not serve a fitting version now.
@@ -298,7 +288,7 @@
 	if k.current(now) {
 		left := time.Duration(k.status.SwitchMilliseconds)*time.Millisecond - now.Sub(k.statusAt)
 		switch {
-		case !k.status.Reachable:
+		case !k.status.Reachable && !t.health.proven(k, now):
 			return unfitUnreachable
 		case k.status.SwitchMilliseconds != fleet.NoSwitch && left < switchMargin:
 			return unfitChanging
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -111,11 +111,13 @@
 	empty.status.Version = 0
 	unreachable.status.Reachable = false
 	leaving.server.Draining = true
-	ejected.ejectedTill = now.Add(time.Second)
+	ejected.id = "i-2"
+	fleetOf := newTargets("z", nil, logging.Nop())
+	eject(fleetOf, ejected)
 	for want, server := range map[string]*target{
 		unfitChanging: changing, unfitEmpty: empty, unfitUnreachable: unreachable, unfitLeaving: leaving, unfitEjected: ejected,
 	} {
-		assert.Equal(t, want, newTargets("z", nil, logging.Nop()).unfit(server, wanted, now))
+		assert.Equal(t, want, fleetOf.unfit(server, wanted, now))
 	}
 }
 
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -18,7 +18,7 @@
 	InFlight        int                 `json:"in_flight"`
 	Outstanding     int                 `json:"outstanding"`
 	Version         uint64              `json:"version"`
-	EjectedFor      float64             `json:"ejected_for_seconds"`
+	Health          HealthView          `json:"health"`
 	Status          fleet.MachineStatus `json:"status"`
 	StatusAge       float64             `json:"status_age_seconds"`
 	MeanMillisecond float64             `json:"mean_milliseconds"`
@@ -28,6 +28,25 @@
 	Evacuated bool    `json:"evacuated"`
 }
 
+// HealthView is what the entry holds of one server's health.
+type HealthView struct {
+	State      string  `json:"state"`
+	EjectedFor float64 `json:"ejected_for_seconds"`
+	// Evidence is this entry's own, Hinted that of the zone's other entries.
+	Evidence float64 `json:"evidence"`
+	Hinted   float64 `json:"hinted"`
+	// Round counts the ejections that are not forgotten; By is the entry that told the last.
+	Round int    `json:"round"`
+	By    string `json:"by"`
+}
+
+func (h *serverHealth) view(k *target, now time.Time) HealthView {
+	held := h.tracker.View(k.id, h.at(now))
+	return HealthView{
+		State: held.State.String(), EjectedFor: held.Left.Seconds(), Evidence: held.Evidence, Hinted: held.Hinted, Round: held.Round, By: held.By,
+	}
+}
+
 // Servers lists the servers in view in order of ID.
 func (f *Forwarder) Servers() []ServerView {
 	t := f.targets
@@ -39,7 +58,7 @@
 		views = append(views, ServerView{
 			ID: id, Service: known.server.Service, Address: known.address, Zone: known.zone,
 			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
-			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
+			Health: t.health.view(known, now), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
 			MeanMillisecond: known.meanMilliseconds,
 			ColdFor:         max(0, known.server.ColdUntil.Sub(now).Seconds(), known.readmittedUntil.Sub(now).Seconds()),
 			Evacuated:       t.evacuated(known),
--- a/internal/forward/evacuation_test.go
+++ b/internal/forward/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 )
@@ -29,9 +30,10 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Zero(t, received.Load())
 	w := &work{Forwarder: f, request: testRequest("a", "b")}
-	for range 2 * ejectAfter {
+	f.targets.health.tracker.SetServers("s", []string{server.id})
+	for range 4 {
 		w.noteFailure(server, failed, 0)
 	}
-	assert.Zero(t, server.ejectedTill)
+	assert.Equal(t, health.View{State: health.InOrder}, f.targets.health.tracker.View(server.id, f.targets.health.at(time.Now())))
 	assert.False(t, w.mayHaveRun)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,6 +39,8 @@
 	// knows of none.
 	Self    string
 	Entries func() []string
+	// Health shares servers' health with the zone's other entries; nil shares with nobody.
+	Health HealthSource
 	// Loads asks agents before requests are sent; nil asks nobody.
 	Loads    LoadSource
 	Registry prometheus.Registerer
@@ -72,7 +74,9 @@
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
 	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
+	f.targets.health = newServerHealth(options.Self, options.Health, options.Log)
 	registerCold(options.Registry, f.targets)
+	registerHealth(options.Registry, f.targets)
 	return f
 }
 
@@ -159,6 +163,8 @@
 	sentAt time.Time
 	// attemptBegun is set once the present attempt has brought an event.
 	attemptBegun bool
+	// overdueNoted is set once the present attempt has counted as overdue.
+	overdueNoted bool
 	// begun is set once the head of an answer has gone to the caller.
 	begun   bool
 	events  int
@@ -378,17 +384,10 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonCanceled, fault.ReasonDeadline, fault.ReasonVersionBound, fault.ReasonResidency, fault.ReasonEvacuated:
-	case fault.ReasonConnectionSilent:
+	case fault.ReasonConnectionSilent, fault.ReasonOverdue:
 		w.renew(target)
-	case fault.ReasonOverdue:
-		w.renew(target)
-		w.targets.fail(target, string(failed.reason), false)
-	case fault.ReasonLinkLost, fault.ReasonStalled:
-		w.targets.fail(target, string(failed.reason), true)
-	default:
-		w.targets.fail(target, string(failed.reason), false)
 	}
+	w.observeFailure(target, failed)
 }
 
 // renew lets the next attempt use the same server again, over a connection that was opened
@@ -402,8 +401,9 @@
 // no reason: the agent beside it must have lost it, or fallen silent too. A request
 // that has not begun is taken back before the time of the server's version is over.
 func (w *work) silence(target *target, version uint64) silenceJudge {
-	w.attemptBegun = false
+	w.attemptBegun, w.overdueNoted = false, false
 	return func(silent, usual time.Duration) error {
+		w.observeOverdue(target, silent, usual)
 		switch {
 		case w.waitsBeyondBound(version):
 			return errBound
@@ -444,7 +444,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	return k.silentAgent(now) || (k.current(now) && !k.status.Reachable)
+	return k.silentAgent(now) || (k.current(now) && !k.status.Reachable && !t.health.proven(k, now)) || t.health.tracker.Mute(k.id)
 }
 
 // mayTryAgain decides whether a failed attempt is followed by another, and says
--- a/internal/forward/residency_test.go
+++ b/internal/forward/residency_test.go
@@ -160,7 +160,7 @@
 	c.work.wanted = need{work: c.work, service: residencyPlaces, route: c.work.request.Route}
 	for _, server := range c.forwarder.targets.byService[residencyPlaces] {
 		if d.below(3) == 0 {
-			server.ejectedTill = time.Now().Add(time.Minute)
+			eject(c.forwarder.targets, server)
 		}
 		if d.below(5) == 0 {
 			c.work.wanted.tried = append(c.work.wanted.tried, server)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -86,6 +87,7 @@
 			if !w.attemptBegun {
 				w.targets.sawFirst(started.target, time.Since(w.sentAt))
 				started.connection.startPauses()
+				w.observe(started.target, health.Served)
 			}
 			w.attemptBegun = true
 			settle()
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -14,13 +14,8 @@
 	"pinevane.example/pinevane/internal/logging"
 )
 
-// Times of ejection and of agents' words.
+// Times of agents' words.
 const (
-	// ejectAfter is how many failures in a row eject a server.
-	ejectAfter = 2
-	// ejectTime is the first ejection; it doubles up to maximumEjectTime.
-	ejectTime        = 500 * time.Millisecond
-	maximumEjectTime = 4 * time.Second
 	// statusCurrent is the age up to which an agent's word is trusted.
 	statusCurrent = 1200 * time.Millisecond
 	// switchMargin is how long before its switch a server is sent nothing more.
@@ -46,13 +41,10 @@
 	unbegun map[*work]unbegun
 	// excess is the moving mean of how much later than expected first events come,
 	// as of excessAt.
-	excess      time.Duration
-	excessAt    time.Time
-	failures    int
-	ejections   int
-	ejectedTill time.Time
-	status      fleet.MachineStatus
-	statusAt    time.Time
+	excess   time.Duration
+	excessAt time.Time
+	status   fleet.MachineStatus
+	statusAt time.Time
 	// inFlightThen, unreadThen and unreadTokensThen are this entry's own part of the
 	// status's load.
 	inFlightThen     int
@@ -114,6 +106,8 @@
 	learned map[string]*balance.Learned
 	// margins learn the limit of refusals of each service.
 	margins map[string]*balance.Margin
+	// health is what answers have shown of the servers' health.
+	health *serverHealth
 
 	// bounds are what the platform holds the fleet to; cold are the entries that share what
 	// cold servers may receive, and coldSent counts this entry's requests to such.
@@ -129,7 +123,7 @@
 
 func newTargets(zone string, regions map[string]string, log *logging.Logger) *targets {
 	return &targets{
-		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle, cold: newColdMembers("", nil),
+		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle, cold: newColdMembers("", nil), health: newServerHealth("", nil, log),
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
 		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 	}
@@ -173,6 +167,7 @@
 			delete(t.byID, id)
 		}
 	}
+	t.listHealth(old, view)
 	t.noteEvacuations(old, view)
 }
 
@@ -223,6 +218,10 @@
 		// An answer to a question overtakes what is told all the time.
 		return
 	}
+	if !status.Reachable {
+		// The agent sees no request begin there: what waits could only grow.
+		status.Waiting, status.UnreadTokens = 0, 0
+	}
 	t.statuses[status.Address] = statusAt{status: status, at: at}
 	known := t.byAddress[status.Address]
 	if known == nil {
@@ -263,32 +262,10 @@
 	return others + k.inFlight
 }
 
-// fail notes an attempt that the server spoilt.
-func (t *targets) fail(k *target, reason string, hard bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	k.failures++
-	if hard {
-		k.failures = max(k.failures, ejectAfter)
-	}
-	if k.failures < ejectAfter {
-		return
-	}
-	k.failures = 0
-	pauseTime := min(ejectTime<<min(k.ejections, 6), maximumEjectTime)
-	k.ejections++
-	k.ejectedTill = time.Now().Add(pauseTime)
-	t.log.Log(logging.ServerEjected, zap.String("server", k.id), zap.String("reason", reason), zap.Duration("for", pauseTime))
-}
-
-// succeed notes an attempt that the server carried out.
+// succeed notes how long a whole answer took.
 func (t *targets) succeed(k *target, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if k.ejections > 0 {
-		t.log.Log(logging.ServerReturned, zap.String("server", k.id))
-	}
-	k.failures, k.ejections = 0, 0
 	const weight = 0.1
 	value := float64(took) / float64(time.Millisecond)
 	if k.meanMilliseconds == 0 {
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -65,6 +65,7 @@
 	if err == nil {
 		w.unsent(started.target)
 		w.targets.succeed(started.target, time.Since(w.request.Arrived))
+		w.observeAnswer(started.target, started.response.StatusCode)
 		return body, nil
 	}
 	w.unsent(started.target)
--- /dev/null
+++ b/internal/sitetest/health_test.go
@@ -0,0 +1,215 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// healthOptions is a fleet of one zone with three entries and four servers of each service.
+func healthOptions() site.Options {
+	options := DefaultOptions()
+	options.Zones, options.Entries, options.ModelServers, options.PlainServers = 1, 3, 4, 4
+	options.BudgetSlack = 400
+	return options
+}
+
+// modelServer and plainServer return the first servers of the services.
+func (f *Fleet) modelServer(index int) *site.Server {
+	return f.Site.Models[f.Site.Options.ModelIP(0, index)]
+}
+
+func (f *Fleet) plainServer(index int) *site.Server {
+	for _, server := range f.Site.Plain {
+		if strings.HasPrefix(server.ID(), fmt.Sprintf("p-0-%d-", index)) {
+			return server
+		}
+	}
+	return nil
+}
+
+// receivedBy lists the requests that a server has received after a moment.
+func (f *Fleet) receivedBy(server *site.Server, after time.Time) []site.Delivery {
+	var received []site.Delivery
+	for _, delivery := range f.Site.Ledger.Deliveries() {
+		if delivery.Server == server.ID() && delivery.At.After(after) {
+			received = append(received, delivery)
+		}
+	}
+	return received
+}
+
+// saves sends requests that may not run twice, one after the other, through every entry, until
+// the function returned is called, which returns how many were sent and how many were not
+// served.
+func saves(f *Fleet, callers int) (stop func() (sent, lost int)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var mutex sync.Mutex
+	sent, lost := 0, 0
+	for caller := range callers {
+		running.Go(func() {
+			for number := 0; ctx.Err() == nil; number++ {
+				answer, err := f.Call(context.Background(), 0, caller%f.Site.Options.Entries, http.MethodPost, site.OncePrefix+"a",
+					fmt.Sprintf("save-%d-%d", caller, number), map[string]string{"Deadline-Ms": "600"}, "body")
+				mutex.Lock()
+				sent++
+				if err != nil || answer.Status != http.StatusOK {
+					lost++
+				}
+				mutex.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() (int, int) {
+		cancel()
+		running.Wait()
+		return sent, lost
+	}
+}
+
+// assertNoneRanTwice checks that no request that may run once only has run twice.
+func assertNoneRanTwice(t *testing.T, f *Fleet) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, run := range f.Site.Ledger.Runs() {
+		if strings.HasPrefix(run.RequestID, "save-") {
+			ran[run.RequestID]++
+			assert.Equal(t, 1, ran[run.RequestID], run.RequestID)
+		}
+	}
+}
+
+// A server that reports that it is well and fails everything costs each entry a request or two,
+// and the zone one trial each time its ejection ends; no caller of a request that may be sent
+// again sees it, and once the server is sound it is in use again.
+func TestLyingServerCostsFewRequests(t *testing.T) {
+	for name, lie := range map[string]site.Lie{"errors": site.LyingErrors, "resets": site.LyingResets, "hangs": site.LyingHangs} {
+		t.Run(name, func(t *testing.T) {
+			f := Start(t, healthOptions())
+			stop, stopSaves := busy(f, 9), saves(f, 6)
+			time.Sleep(500 * time.Millisecond)
+			model, plain := f.modelServer(0), f.plainServer(0)
+			began := time.Now()
+			model.SetFaults(site.Faults{Lying: lie})
+			plain.SetFaults(site.Faults{Lying: lie})
+			time.Sleep(4 * time.Second)
+			toModel, toPlain := len(f.receivedBy(model, began)), len(f.receivedBy(plain, began))
+			model.SetFaults(site.Faults{})
+			plain.SetFaults(site.Faults{})
+			sound := time.Now()
+			f.Eventually("both are in use again", 8*time.Second, func() bool {
+				return len(f.receivedBy(model, sound)) > 20 && len(f.receivedBy(plain, sound)) > 20
+			})
+			sent, spoilt := stop()
+			saved, lost := stopSaves()
+			t.Logf("%d streams and calls, %d saves; the lying servers received %d and %d, %d saves were lost", sent, saved, toModel, toPlain, lost)
+			assert.Zero(t, spoilt)
+			assertNoneRanTwice(t, f)
+			// Nine callers have one request each; two failures or three overdue answers decide,
+			// and there is time for two trials.
+			assert.LessOrEqual(t, toModel, 15)
+			assert.LessOrEqual(t, toPlain, 15)
+			assert.LessOrEqual(t, lost, 12)
+		})
+	}
+}
+
+// A server that goes down and up by turns is out for longer each time, and no request is spoilt
+// by it or meets two such servers.
+func TestFlappingServersCostNoRequestTwice(t *testing.T) {
+	f := Start(t, healthOptions())
+	stop := busy(f, 9)
+	time.Sleep(500 * time.Millisecond)
+	flapping := []*site.Server{f.modelServer(0), f.modelServer(1)}
+	for turn := range 12 {
+		for index, server := range flapping {
+			lie := site.Honest
+			if (turn+index)%2 == 0 {
+				lie = site.LyingResets
+			}
+			server.SetFaults(site.Faults{Lying: lie})
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for _, server := range flapping {
+		server.SetFaults(site.Faults{})
+	}
+	sent, spoilt := stop()
+	times, most := map[string]int{}, 0
+	for line := range strings.SplitSeq(f.Log.String(), "\n") {
+		if strings.Contains(line, `"event":"PV4105"`) {
+			_, id, _ := strings.Cut(line, `"request":"`)
+			id, _, _ = strings.Cut(id, `"`)
+			times[id]++
+			most = max(most, times[id])
+		}
+	}
+	t.Logf("%d requests, %d met a server that was down, one up to %d times, %d ejections", sent, len(times), most, countEvents(f, "PV4204", "server"))
+	assert.LessOrEqual(t, most, 1)
+	assert.LessOrEqual(t, len(times), 40)
+	assert.Zero(t, spoilt)
+}
+
+// A server whose reports and health checks fail, and that serves, stays in use.
+func TestServerThatIsFalselyIllStaysInUse(t *testing.T) {
+	f := Start(t, healthOptions())
+	stop := busy(f, 9)
+	time.Sleep(500 * time.Millisecond)
+	began := time.Now()
+	for index := range 2 {
+		f.modelServer(index).SetFaults(site.Faults{FalselyIll: true})
+	}
+	f.Eventually("the entries are told", 2*time.Second, func() bool { return countEvents(f, "PV4203", `"reachable":false`) >= 2 })
+	time.Sleep(2 * time.Second)
+	late := time.Now().Add(-500 * time.Millisecond)
+	sent, spoilt := stop()
+	assert.Zero(t, spoilt)
+	for index := range 2 {
+		received := len(f.receivedBy(f.modelServer(index), began))
+		t.Logf("server %d received %d of %d", index, received, sent)
+		assert.NotEmpty(t, f.receivedBy(f.modelServer(index), late), "it is in use to the end")
+		assert.Greater(t, received, sent/20)
+	}
+}
+
+// What one entry has learned of a server holds at every entry of the zone, at once, and an entry
+// that starts then hears of it too.
+func TestZoneKnowsOfAnEjectedServer(t *testing.T) {
+	f := Start(t, healthOptions())
+	model := f.modelServer(0)
+	model.SetFaults(site.Faults{Lying: site.LyingErrors})
+	for number := 0; countEvents(f, "PV4204", model.ID()) == 0; number++ {
+		answer, err := f.Stream(context.Background(), 0, 0, fmt.Sprint("learn-", number), 2)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.Status)
+	}
+	learned := time.Now()
+	f.Eventually("the zone knows", 300*time.Millisecond, func() bool {
+		return countEvents(f, "PV4204", model.ID()) == f.Site.Options.Entries
+	})
+	knows := time.Since(learned)
+	t.Logf("the zone knows after %s", knows)
+	f.Kill(Name(catalog.RoleEntry, 0, 2))
+	f.StartEntry(0, 2)
+	f.Eventually("the entry is ready", 5*time.Second, func() bool { return f.ready(0, 2) && f.seesAgents(0, 2) })
+	before := len(f.receivedBy(model, learned))
+	for number := range 60 {
+		answer, err := f.Stream(context.Background(), 0, 1+number%2, fmt.Sprint("known-", number), 2)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, answer.Status)
+	}
+	trials := countEvents(f, "PV4209", model.ID())
+	assert.LessOrEqual(t, len(f.receivedBy(model, learned))-before, trials, "only trials reach it")
+}
