--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -112,7 +112,7 @@
 	if detail := failure.text("cause"); detail != "" {
 		text += ": " + detail
 	}
-	text += ")"
+	text += ")" + healthCause(own, all, failure)
 	if line, kept := last(own, withheld); kept && !line.Time.Before(failure.Time) {
 		text += "; it was not tried again because of: " + line.text("because")
 	} else if line, none := last(own, noServer); none && !line.Time.Before(failure.Time) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -195,4 +195,6 @@
 	streamCut      = "PV4107"
 	callerLeft     = "PV4108"
 	noServer       = "PV4109"
+	serverEjected  = "PV4204"
+	serverTried    = "PV4209"
 )
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -243,7 +243,7 @@
 			w.overdueNoted = true
 			w.observe(k, health.Overdue)
 		}
-	case fault.ReasonOverloaded:
+	case fault.ReasonOverloaded, fault.ReasonWrongVersion:
 		w.observe(k, health.Declined)
 	case fault.ReasonBackendFailed:
 		if errors.As(failed.cause, &status) {
