--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -110,9 +110,8 @@
 	classes    map[string]*rates
 	evidence   float64
 	evidenceAt time.Duration
-	// since is when the present evidence began.
-	since time.Duration
-	hints map[string]hint
+	spell      spell
+	hints      map[string]hint
 	// served are when the last served attempts were sent.
 	served   []time.Duration
 	servedAt time.Duration
@@ -262,11 +261,7 @@
 }
 
 func (r *record) weigh(weight float64, now time.Duration) {
-	before := r.against(now)
-	if before < suspectAt/2 && weight > 0 {
-		r.since = now
-	}
-	r.evidence, r.evidenceAt = min(max(0, before+weight), evidenceCap), now
+	r.evidence, r.evidenceAt = min(max(0, r.against(now)+weight), evidenceCap), now
 }
 
 func (t *Tracker) observeServed(held *record, attempt Attempt, weight float64, now time.Duration) (Change, bool) {
@@ -281,7 +276,14 @@
 		held.served = held.served[1:]
 	}
 	held.forgive(now)
-	if !held.ejected || now < held.till {
+	if !held.ejected {
+		if held.spellLasts(now) && attempt.Sent > held.spell.began {
+			held.spell.served++
+			t.tell(attempt.Server, held, now)
+		}
+		return Change{}, false
+	}
+	if now < held.till {
 		return Change{}, false
 	}
 	held.passed++
@@ -298,7 +300,7 @@
 // restore takes a server back into order. Its ejections are forgotten later.
 func (r *record) restore(now time.Duration) {
 	r.ejected, r.trialOpen, r.ownTrial, r.by = false, false, false, ""
-	r.evidence, r.evidenceAt, r.passed, r.changedAt = 0, now, 0, now
+	r.evidence, r.evidenceAt, r.passed, r.changedAt, r.spell = 0, now, 0, now, spell{}
 	clear(r.hints)
 }
 
@@ -324,6 +326,8 @@
 	held.failedAt = now
 	held.forgive(now)
 	held.weigh(weight, now)
+	held.beginSpell(attempt.Sent, now)
+	held.spell.failed++
 	from := t.State(attempt.Server, now)
 	if !held.ejected && !t.convicts(held, attempt.Outcome, now) {
 		if held.against(now) >= suspectAt {
@@ -351,7 +355,7 @@
 	if held.against(now)+held.hinted(now) < needed {
 		return false
 	}
-	return outcome == Unreached || t.mayEject(held.service)
+	return outcome == Unreached || (held.mostlyFails(leastFailures, now) && t.mayEject(held.service))
 }
 
 // mayEject reports whether one more server of a service may be ejected for what its requests
--- /dev/null
+++ b/coordination/health/spell.go
@@ -0,0 +1,64 @@
+package health
+
+import "time"
+
+// mostlyFailing is the least share of failures, among what all entries have met since the first
+// one, at which a server is ejected. One that fails less serves the rest, and is suspect: a
+// service that is short of places is better off with it.
+const mostlyFailing = 0.7
+
+// leastFailures is the least of failures, at all entries, that eject a server but for connections
+// that do not come up: of two in a row at a server that fails 4 in 10 there are few.
+const leastFailures = 1.5
+
+// spell counts what a server has shown this entry since a failure here or elsewhere.
+type spell struct {
+	began          time.Duration
+	failed, served float64
+	at             time.Duration
+}
+
+// decay forgets a part of what was counted.
+func (s *spell) decay(now time.Duration) {
+	factor := remembered(now-s.at, evidenceHalfLife)
+	s.failed, s.served, s.at = s.failed*factor, s.served*factor, max(s.at, now)
+}
+
+// spellLasts reports whether failures are recent enough for successes to be counted beside them.
+func (r *record) spellLasts(now time.Duration) bool {
+	r.spell.decay(now)
+	return r.spell.failed >= 0.5 || r.hinted(now) > 0
+}
+
+// beginSpell counts successes from a failure on, also those of attempts that have ended before
+// it was known.
+func (r *record) beginSpell(began, now time.Duration) {
+	lasts := r.spellLasts(now)
+	if lasts && began >= r.spell.began {
+		return
+	}
+	served := 0.0
+	for _, sent := range r.served {
+		if sent > began {
+			served++
+		}
+	}
+	if !lasts {
+		r.spell = spell{began: began, served: served, at: now}
+		return
+	}
+	r.spell.began, r.spell.served = began, max(r.spell.served, served)
+}
+
+// mostlyFails reports whether most of the attempts at all entries, since the spell began, have
+// failed, and at the least a number of them.
+func (r *record) mostlyFails(least float64, now time.Duration) bool {
+	r.spell.decay(now)
+	failed, served := r.spell.failed, r.spell.served
+	for _, one := range r.hints {
+		if now-one.at < hintTime {
+			failed, served = failed+one.failed, served+one.served
+		}
+	}
+	return failed >= least && failed >= mostlyFailing*(failed+served)
+}
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -15,10 +15,8 @@
 	// entry may have ejected here at a time. An entry whose own connections fail takes many for
 	// failing; of two that agree each may.
 	mostImposedShare = 0.125
-	// contrary is how many attempts, sent after the evidence of another entry began, must have
-	// been served here for its ejection not to hold here.
-	contrary = 2
-	// disputed is the evidence that is left of such an ejection: it makes the server suspect.
+	// disputed is the evidence that is left of an ejection that does not hold here: it makes the
+	// server suspect.
 	disputed = ejectAt + 1
 )
 
@@ -33,7 +31,10 @@
 	Ejected  bool
 	Returned bool
 	Evidence float64
-	// Since is for how long there has been evidence, Changed for how long the state holds.
+	// Failed and Served count the entry's attempts of the last Since, with older ones forgotten
+	// by and by. Changed is for how long the state holds.
+	Failed  float64
+	Served  float64
 	Since   time.Duration
 	Changed time.Duration
 	Left    time.Duration
@@ -47,15 +48,18 @@
 
 // hint is another entry's evidence.
 type hint struct {
-	evidence float64
-	at       time.Duration
+	evidence       float64
+	failed, served float64
+	at             time.Duration
 }
 
 // tell notes a word for the other entries.
 func (t *Tracker) tell(server string, held *record, now time.Duration) {
+	held.spell.decay(now)
 	t.words = append(t.words, Word{
+		Failed: held.spell.failed, Served: held.spell.served,
 		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
-		Since: now - held.since, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
+		Since: now - held.spell.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
 		Passed: held.passed, Trying: held.trialOpen, Mute: held.mute,
 	})
 }
@@ -84,6 +88,7 @@
 	case word.Returned:
 		return t.hearReturned(held, word, changedAt, now)
 	}
+	held.beginSpell(at-word.Since, at)
 	held.hear(word, at)
 	return Change{}, false
 }
@@ -133,14 +138,17 @@
 			return
 		}
 	}
-	r.hints[word.Entry] = hint{evidence: word.Evidence, at: at}
+	r.hints[word.Entry] = hint{evidence: word.Evidence, failed: word.Failed, served: word.Served, at: at}
 }
 
 // hinted is what the hints of other entries add to the evidence.
-func (r *record) hinted(now time.Duration) float64 {
+func (r *record) hinted(now time.Duration) float64 { return r.hintedBut("", now) }
+
+// hintedBut leaves one entry out.
+func (r *record) hintedBut(entry string, now time.Duration) float64 {
 	sum := 0.0
-	for _, one := range r.hints {
-		if age := now - one.at; age < hintTime {
+	for teller, one := range r.hints {
+		if age := now - one.at; teller != entry && age < hintTime {
 			sum += hintWeight * one.evidence * (1 - max(0, float64(age)/float64(hintTime)))
 		}
 	}
@@ -161,7 +169,6 @@
 		return Change{}, false
 	}
 	if !t.believes(held, word, at) {
-		held.hear(Word{Entry: word.Entry, Evidence: disputed}, at)
 		return Change{}, false
 	}
 	from := t.State(word.Server, now)
@@ -187,16 +194,14 @@
 
 // believes reports whether another entry's ejection holds here too.
 func (t *Tracker) believes(held *record, word Word, at time.Duration) bool {
-	since, served := at-word.Since, 0
-	for _, sent := range held.served {
-		if sent > since {
-			served++
-		}
-	}
-	if served >= contrary || !t.mayEject(held.service) {
+	supported := held.against(at)+held.hintedBut(word.Entry, at) >= suspectAt
+	held.beginSpell(at-word.Since, at)
+	word.Evidence = disputed
+	held.hear(word, at)
+	if !held.mostlyFails(0, at) || !t.mayEject(held.service) {
 		return false
 	}
-	if held.against(at)+held.hinted(at) >= suspectAt {
+	if supported {
 		return true
 	}
 	servers := t.services[held.service].servers
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -174,6 +175,55 @@
 	return true
 }
 
+// play has entries send servers requests at a pace, one after the other, for a time; fails tells
+// whether a request of a server fails. It returns the failures at s0 and the part of the time in
+// which s0 was out at the first entry.
+func (z *zone) play(span time.Duration, fails func(server, number int) bool) (failures int, out float64) {
+	const pace, delay = 10 * ms, 100 * ms
+	random := rand.New(rand.NewPCG(3, 4))
+	steps, outSteps := 0, 0
+	for until := z.now + span; z.now < until; z.step(pace, delay) {
+		server := steps % 6
+		failed := fails(server, steps)
+		if z.send(random.IntN(len(z.entries)), fmt.Sprint("s", server), !failed) && failed && server == 0 {
+			failures++
+		}
+		if state := z.entries[0].State("s0", z.now); state == Ejected || state == OnTrial {
+			outSteps++
+		}
+		steps++
+	}
+	return failures, float64(outSteps) / float64(steps)
+}
+
+// Fifteen entries that each send a server about one request a second lose few to one that fails
+// all, and find it within half a second; one that fails 4 in 10 serves on, as a suspect, and
+// one server's usual failures do not take it out.
+func TestWhatAZoneLosesToAFailingServer(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	z := newZone(15, 6)
+	sound := func(int, int) bool { return false }
+	_, out := z.play(10*time.Second, sound)
+	assert.Zero(t, out)
+	failures, _ := z.play(time.Second, func(server, _ int) bool { return server == 0 })
+	assert.LessOrEqual(t, failures, 6)
+	for index, entry := range z.entries {
+		assert.NotEqual(t, InOrder.String(), entry.State("s0", z.now).String(), "entry %d", index)
+	}
+	failures, out = z.play(10*time.Second, func(server, _ int) bool { return server == 0 })
+	assert.LessOrEqual(t, failures, 4, "trials after 1, 2, 4 and 8 s")
+	assert.Greater(t, out, 0.98)
+
+	z = newZone(15, 6)
+	z.play(10*time.Second, sound)
+	_, out = z.play(10*time.Second, func(server, number int) bool { return server == 0 && random.Float64() < 0.4 })
+	assert.Less(t, out, 0.3)
+
+	z = newZone(15, 6)
+	_, out = z.play(30*time.Second, func(_, number int) bool { return random.Float64() < 0.14 })
+	assert.Less(t, out, 0.02)
+}
+
 // Whatever has happened before, a server that fails everything gets, once it is ejected, at
 // most one request of the whole zone in each period of its ejection; and once it is sound it is
 // in use at every entry within a bounded time.
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -188,7 +188,7 @@
 	if candidate.silentAgent(now) {
 		score += silentCost
 	}
-	return score + candidate.delayedSwitch(wanted, now)
+	return score + candidate.delayedSwitch(wanted, now) + t.health.cost(candidate, now)
 }
 
 // logNoChoice logs why no server was chosen: how many servers fall out for which
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// suspectCost is what using a suspect server weighs in the choice: about what a request loses
+// that fails there and begins anew elsewhere, at the share of failures that is looked for.
+const suspectCost = 50 * time.Millisecond
+
+func (h *serverHealth) cost(k *target, now time.Time) time.Duration {
+	if h.tracker.State(k.id, h.at(now)) == health.Suspect {
+		return suspectCost
+	}
+	return 0
+}
+
 // lookAtMembers takes over which entries take turns with trials.
 func (h *serverHealth) lookAtMembers(now time.Time) {
 	if h.source != nil && now.Sub(h.lookedAt) >= membersPeriod {
