--- a/coordination/health/evidence.go
+++ b/coordination/health/evidence.go
@@ -41,10 +41,13 @@
 	failingShare = 0.3
 	// suspectAt makes a server suspect: one failure where failures are rare.
 	suspectAt = 2.5
-	// ejectAt ejects it: two such failures, or one of a connection that did not come up. Of
-	// sound servers of which 14 in 100 answers are failures it ejects about one in 1,000
-	// requests' time, for the shortest ejection.
+	// ejectAt ejects it: two such failures. Where 14 in 100 answers of every server are failures,
+	// each is out for less than a fiftieth of the time.
 	ejectAt = 5
+	// trialAt makes a trial one that failed: one failure where less than about one request in
+	// ten fails so. At the limit of a fleet more answers than that are overdue at times, and a
+	// server that was well stayed out for eight seconds more.
+	trialAt = 1.5
 	// evidenceCap bounds what has to be forgotten before a sound server is believed.
 	evidenceCap = 10
 	// evidenceHalfLife is the time in which half of the evidence is forgotten: a server gets a
@@ -61,7 +64,7 @@
 
 // priorRates are the shares of each failure that are taken for usual at the least, so that one
 // failure among many requests says no more than one among few.
-var priorRates = [outcomes]float64{Errored: 0.02, Declined: 0.1, Broken: 0.02, Overdue: 0.05, Unreached: 0.002}
+var priorRates = [outcomes]float64{Errored: 0.02, Declined: 0.1, Broken: 0.02, Overdue: 0.05, Unreached: 0.01}
 
 // rates counts the outcomes of requests of a class, with older ones forgotten by and by.
 type rates struct {
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -35,9 +35,11 @@
 const (
 	// firstEjection is the length of a server's first ejection; it doubles with each further one
 	// up to longestEjection. Most crashed processes are started again within a second or two.
+	// With 8 s at the longest a fleet that was short of places refused one request in a hundred
+	// more.
 	firstEjection   = time.Second
-	longestEjection = 8 * time.Second
-	maximumRounds   = 4
+	longestEjection = 4 * time.Second
+	maximumRounds   = 3
 	// forgiveTime is the time in order after which one ejection is forgotten.
 	forgiveTime = 10 * time.Second
 	// trialTurn is how long each entry of the zone in turn may begin a trial: longer than a
@@ -47,7 +49,7 @@
 	trialLimit = 1500 * time.Millisecond
 	// mostTrials is how many trials in a row must be served before a server that was ejected
 	// again and again returns: one after its first ejection.
-	mostTrials = 3
+	mostTrials = 2
 	// trialPatience is how long a server waits for a trial by a request that may be repeated;
 	// after that any request is one, so that a server with no such requests returns too.
 	trialPatience = 4 * time.Second
@@ -329,6 +331,15 @@
 	held.beginSpell(attempt.Sent, now)
 	held.spell.failed++
 	from := t.State(attempt.Server, now)
+	if held.ejected && held.against(now) < trialAt {
+		// Such a failure is usual: it is out for as long again, not for longer.
+		evidence := held.evidence
+		held.round--
+		held.eject(now)
+		held.evidence = evidence
+		t.tell(attempt.Server, held, now)
+		return Change{}, false
+	}
 	if !held.ejected && !t.convicts(held, attempt.Outcome, now) {
 		if held.against(now) >= suspectAt {
 			t.tell(attempt.Server, held, now)
@@ -386,13 +397,17 @@
 
 // eject takes a server out, for longer each time.
 func (r *record) eject(now time.Duration) {
-	r.till = now + min(firstEjection<<r.round, longestEjection)
-	r.round = min(r.round+1, maximumRounds)
+	r.round++
+	r.till = now + r.length()
+	r.round = min(r.round, maximumRounds)
 	r.ejected, r.by, r.changedAt = true, "", now
 	r.passed, r.trialOpen, r.ownTrial = 0, false, false
 	r.evidence, r.evidenceAt = 0, now
 }
 
+// length is that of the present ejection.
+func (r *record) length() time.Duration { return min(firstEjection<<(r.round-1), longestEjection) }
+
 // View is what is held of one server, for a dump.
 type View struct {
 	State    State
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -26,11 +26,12 @@
 )
 
 // Evidence of answers that do not come, which counts before a request is given up for it: the
-// other servers' requests show whether it is usual. At three times the usual time, and a half of
-// the least patience, one in some hundred requests counts on a day at the fleet's limit.
+// other servers' requests show whether it is usual. At three times the usual time, and half of the
+// least patience, so many answers counted at a fleet's limit that servers which were well failed
+// their trials.
 const (
-	overdueEvidenceFactor = 3
-	overdueEvidenceShare  = 0.5
+	overdueEvidenceFactor = 4
+	overdueEvidenceShare  = 0.8
 )
 
 // HealthSource is what entries of a zone tell each other of servers.
