--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -37,11 +37,11 @@
 	// up to longestEjection. Most crashed processes are started again within a second or two.
 	// With 8 s at the longest a fleet that was short of places refused one request in a hundred
 	// more.
-	firstEjection   = time.Second
+	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
-	maximumRounds   = 3
+	maximumRounds   = 4
 	// forgiveTime is the time in order after which one ejection is forgotten.
-	forgiveTime = 10 * time.Second
+	forgiveTime = 5 * time.Second
 	// trialTurn is how long each entry of the zone in turn may begin a trial: longer than a
 	// word takes to reach the zone, so that two do not begin one at the same time.
 	trialTurn = 300 * time.Millisecond
@@ -167,7 +167,7 @@
 	known.servers = slices.Clone(ids)
 	for _, id := range ids {
 		if t.servers[id] == nil {
-			t.servers[id] = &record{service: name, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo}
+			t.servers[id] = &record{service: name, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo}
 		}
 	}
 	t.hearEarly()
@@ -280,7 +280,7 @@
 	held.forgive(now)
 	if !held.ejected {
 		if held.spellLasts(now) && attempt.Sent > held.spell.began {
-			held.spell.served++
+			held.spell.count(false, now)
 			t.tell(attempt.Server, held, now)
 		}
 		return Change{}, false
@@ -304,6 +304,7 @@
 	r.ejected, r.trialOpen, r.ownTrial, r.by = false, false, false, ""
 	r.evidence, r.evidenceAt, r.passed, r.changedAt, r.spell = 0, now, 0, now, spell{}
 	clear(r.hints)
+	r.failedAt = longAgo
 }
 
 // forgive forgets one ejection for each forgiveTime in order.
@@ -325,11 +326,11 @@
 		t.tell(attempt.Server, held, now)
 		return Change{}, false
 	}
-	held.failedAt = now
 	held.forgive(now)
 	held.weigh(weight, now)
 	held.beginSpell(attempt.Sent, now)
-	held.spell.failed++
+	held.spell.count(true, now)
+	held.failedAt = now
 	from := t.State(attempt.Server, now)
 	if held.ejected && held.against(now) < trialAt {
 		// Such a failure is usual: it is out for as long again, not for longer.
--- a/coordination/health/spell.go
+++ b/coordination/health/spell.go
@@ -11,6 +11,10 @@
 // that do not come up: of two in a row at a server that fails 4 in 10 there are few.
 const leastFailures = 1.5
 
+// keptCount is what each attempt leaves of the counts of those before: a server that has served
+// hundreds of requests is ejected after a few failures when it goes down again.
+const keptCount = 0.6
+
 // spell counts what a server has shown this entry since a failure here or elsewhere.
 type spell struct {
 	began          time.Duration
@@ -24,10 +28,20 @@
 	s.failed, s.served, s.at = s.failed*factor, s.served*factor, max(s.at, now)
 }
 
+func (s *spell) count(failed bool, now time.Duration) {
+	s.decay(now)
+	s.failed, s.served = s.failed*keptCount, s.served*keptCount
+	if failed {
+		s.failed++
+	} else {
+		s.served++
+	}
+}
+
 // spellLasts reports whether failures are recent enough for successes to be counted beside them.
 func (r *record) spellLasts(now time.Duration) bool {
 	r.spell.decay(now)
-	return r.spell.failed >= 0.5 || r.hinted(now) > 0
+	return now-r.failedAt < hintTime || r.hinted(now) > 0
 }
 
 // beginSpell counts successes from a failure on, also those of attempts that have ended before
