--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -312,24 +312,14 @@
 		// It was sent before the server returned or came on trial: more of what ejected it.
 		return Change{}, false
 	}
-	if held.ejected && attempt.Outcome == Declined {
-		// It is full, or changes over: the trial has shown nothing.
-		held.trialOpen, held.ownTrial = false, false
-		t.tell(attempt.Server, held, now)
-		return Change{}, false
-	}
 	held.forgive(now)
 	held.weigh(weight, now)
 	held.beginSpell(attempt.Sent, now)
 	held.spell.count(true, now)
 	held.failedAt = now
 	from := t.State(attempt.Server, now)
-	if held.ejected && held.against(now) < trialAt {
-		// Such a failure is usual: it is out for as long again, not for longer.
-		evidence := held.evidence
-		held.round--
-		held.eject(now)
-		held.evidence = evidence
+	if held.ejected && (attempt.Outcome == Declined || held.against(now) < trialAt) {
+		held.ejectAgain(now)
 		t.tell(attempt.Server, held, now)
 		return Change{}, false
 	}
@@ -349,8 +339,8 @@
 	}, true
 }
 
-// convicts reports whether the evidence suffices to eject a server. One that has returned
-// lately is ejected by its first failure again.
+// convicts reports whether the evidence suffices to eject a server: less of it where the server
+// has returned lately.
 func (t *Tracker) convicts(held *record, outcome Outcome, now time.Duration) bool {
 	needed := float64(ejectAt)
 	if held.round > 0 {
@@ -398,6 +388,15 @@
 	r.evidence, r.evidenceAt = 0, now
 }
 
+// ejectAgain takes a server out for as long as before: its trial has failed in a way that is usual,
+// or was declined because it is full or changes over.
+func (r *record) ejectAgain(now time.Duration) {
+	evidence := r.evidence
+	r.round--
+	r.eject(now)
+	r.evidence = evidence
+}
+
 // length is that of the present ejection.
 func (r *record) length() time.Duration { return min(firstEjection<<(r.round-1), longestEjection) }
 
--- a/coordination/health/health_test.go
+++ b/coordination/health/health_test.go
@@ -204,6 +204,7 @@
 	}
 	s.wait(firstEjection).try("s0", Overdue).is("s0", Ejected)
 	assert.InDelta(t, firstEjection, s.tracker.View("s0", s.now).Left, 1)
+	s.wait(firstEjection).try("s0", Declined).is("s0", Ejected)
 	s.wait(firstEjection).try("s0", Served).is("s0", InOrder)
 }
 
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -163,7 +163,7 @@
 	if held.ejected {
 		if till := at + word.Left; changedAt > held.changedAt || till > held.till {
 			held.till, held.round, held.changedAt = max(held.till, till), max(held.round, word.Round), max(held.changedAt, changedAt)
-			held.trialOpen, held.ownTrial = false, false
+			held.trialOpen, held.ownTrial, held.mute = false, false, word.Mute
 		}
 		held.followTrial(word, at)
 		return Change{}, false
@@ -175,6 +175,7 @@
 		return Change{}, false
 	}
 	from := t.State(word.Server, now)
+	t.exclude(held, now)
 	held.ejected, held.by, held.changedAt, held.till = true, word.Entry, changedAt, at+word.Left
 	held.round, held.mute = max(held.round, word.Round), word.Mute
 	held.trialOpen, held.ownTrial = false, false
