--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -18,6 +20,7 @@
 	InFlight        int                 `json:"in_flight"`
 	Outstanding     int                 `json:"outstanding"`
 	Version         uint64              `json:"version"`
+	EjectedFor      float64             `json:"ejected_for_seconds"`
 	Health          HealthView          `json:"health"`
 	Status          fleet.MachineStatus `json:"status"`
 	StatusAge       float64             `json:"status_age_seconds"`
@@ -30,8 +33,7 @@
 
 // HealthView is what the entry holds of one server's health.
 type HealthView struct {
-	State      string  `json:"state"`
-	EjectedFor float64 `json:"ejected_for_seconds"`
+	State string `json:"state"`
 	// Evidence is this entry's own, Hinted that of the zone's other entries.
 	Evidence float64 `json:"evidence"`
 	Hinted   float64 `json:"hinted"`
@@ -40,11 +42,8 @@
 	By    string `json:"by"`
 }
 
-func (h *serverHealth) view(k *target, now time.Time) HealthView {
-	held := h.tracker.View(k.id, h.at(now))
-	return HealthView{
-		State: held.State.String(), EjectedFor: held.Left.Seconds(), Evidence: held.Evidence, Hinted: held.Hinted, Round: held.Round, By: held.By,
-	}
+func healthView(held health.View) HealthView {
+	return HealthView{State: held.State.String(), Evidence: held.Evidence, Hinted: held.Hinted, Round: held.Round, By: held.By}
 }
 
 // Servers lists the servers in view in order of ID.
@@ -53,16 +52,20 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	views := make([]ServerView, 0, len(t.byID))
-	for id, known := range t.byID {
-		views = append(views, ServerView{
-			ID: id, Service: known.server.Service, Address: known.address, Zone: known.zone,
-			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
-			Health: t.health.view(known, now), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
-			MeanMillisecond: known.meanMilliseconds,
-			ColdFor:         max(0, known.server.ColdUntil.Sub(now).Seconds(), known.readmittedUntil.Sub(now).Seconds()),
-			Evacuated:       t.evacuated(known),
-		})
+	described := t.core.Describe(now)
+	views := make([]ServerView, 0, len(described))
+	for _, one := range described {
+		server := one.Server
+		view := ServerView{
+			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+			Draining: server.Draining, InFlight: one.InFlight, Outstanding: one.Outstanding, Version: one.Version,
+			EjectedFor: one.Health.Left.Seconds(), Health: healthView(one.Health), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
+			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated,
+		}
+		if one.WordAge != dispatch.NoWord {
+			view.Status = t.told[server.Address]
+		}
+		views = append(views, view)
 	}
 	slices.SortFunc(views, func(a, b ServerView) int { return cmp.Compare(a.ID, b.ID) })
 	return views
