--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
+	"pinevane.example/pinevane/coordination/health"
 )
 
 // Candidate is one server as an entry knows it. Its name and place never change, so that they can
@@ -18,7 +19,6 @@
 	word     agentWord
 	lateness lateness
 	answers  answers
-	failures failureRecord
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers.
 	version uint64
@@ -93,9 +93,9 @@
 	InFlight    int
 	Outstanding int
 	// Version is the newest that the server itself has told.
-	Version    uint64
-	EjectedFor time.Duration
-	WordAge    time.Duration
+	Version uint64
+	Health  health.View
+	WordAge time.Duration
 	// MeanMilliseconds is the moving mean time of whole answers.
 	MeanMilliseconds float64
 	// ColdFor is how much longer the server counts as cold; Evacuated servers are sent
@@ -110,7 +110,7 @@
 	for _, known := range c.byID {
 		descriptions = append(descriptions, Description{
 			Server: known.listing.server, InFlight: known.sends.inFlight, Outstanding: known.outstanding(now), Version: known.version,
-			EjectedFor: max(0, known.failures.ejectedTill.Sub(now)), WordAge: known.word.age(now),
+			Health: c.health.View(known.ID, c.since(now)), WordAge: known.word.age(now),
 			MeanMilliseconds: known.answers.meanMilliseconds,
 			ColdFor:          max(0, known.listing.server.ColdUntil.Sub(now), known.readmittedUntil.Sub(now)),
 			Evacuated:        c.Evacuated(known.Zone),
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -56,6 +56,7 @@
 	}
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
+	decision.Trial = c.beginTrial(k, now)
 	return decision
 }
 
@@ -101,7 +102,7 @@
 	if k.word.silent(now) {
 		score += silentCost
 	}
-	return score + c.delayedSwitch(k, request, now)
+	return score + c.delayedSwitch(k, request, now) + c.healthCost(k, now)
 }
 
 func (c *Core) distance(k *Candidate) time.Duration {
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -11,6 +11,7 @@
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/health"
 )
 
 // Options are what a core is made with.
@@ -73,6 +74,12 @@
 	// margins learn the limit of refusals of each service.
 	margins map[string]*balance.Margin
 
+	// health is what answers have shown of the servers' health, in time since started, and
+	// healthChanges what has not been told of it.
+	health        *health.Tracker
+	healthChanges []health.Change
+	started       time.Time
+
 	// cold are the entries that share what cold servers may receive, and coldSent counts this
 	// entry's requests to such.
 	cold     *coldMembers
@@ -88,6 +95,7 @@
 		byID: map[string]*Candidate{}, byService: map[string][]*Candidate{}, byAddress: map[string]*Candidate{},
 		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
+		health: health.New(options.Self), started: options.Started,
 		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{},
 	}
 }
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -15,7 +15,6 @@
 	unfitTried     Fitness = "tried before"
 	unfitEvacuated Fitness = "zone evacuated"
 	unfitRegion    Fitness = "outside the allowed regions"
-	unfitEjected   Fitness = "ejected"
 	unfitCold      Fitness = "cold, and has its share"
 	// Those below are of model servers.
 	unfitUnreachable Fitness = "unreachable"
@@ -48,11 +47,8 @@
 	if c.coldFull(k, now) {
 		return unfitCold
 	}
-	// Last, because ejected servers are taken when there is no other.
-	if k.failures.ejected(now) {
-		return unfitEjected
-	}
-	return Fit
+	// Last, because servers that their health leaves out are taken when there is no other.
+	return c.healthFitness(k, request, now)
 }
 
 // modelFitness returns whether a model server serves a fitting version now.
@@ -60,7 +56,7 @@
 	version := k.servedVersion(now)
 	if k.word.current(now) {
 		switch {
-		case !k.word.Reachable:
+		case !c.reachable(k, now):
 			return unfitUnreachable
 		case k.word.SwitchPlanned && k.word.untilSwitch(now) < switchMargin:
 			return unfitChanging
@@ -79,22 +75,12 @@
 	return Fit
 }
 
-// usable lists the servers that may be sent the request: ejected ones only when
-// there is no other.
+// usable lists the servers that may be sent the request.
 func (c *Core) usable(request *Request, now time.Time) []*Candidate {
-	all := c.byService[request.Service]
-	sound := make([]*Candidate, 0, len(all))
-	var ejected []*Candidate
-	for _, candidate := range all {
-		switch c.fitness(candidate, request, now) {
-		case Fit:
-			sound = append(sound, candidate)
-		case unfitEjected:
-			ejected = append(ejected, candidate)
-		}
-	}
-	if len(sound) == 0 {
-		return ejected
+	candidates := map[Fitness][]*Candidate{}
+	for _, candidate := range c.byService[request.Service] {
+		reason := c.fitness(candidate, request, now)
+		candidates[reason] = append(candidates[reason], candidate)
 	}
-	return sound
+	return c.byHealth(candidates, request, now)
 }
--- /dev/null
+++ b/coordination/dispatch/health.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/health"
+)
+
+// Reasons of servers' health for which they are not sent a request.
+const (
+	unfitEjected Fitness = "ejected"
+	unfitOnTrial Fitness = "on trial"
+	// unfitSuspect leaves a server out for requests that must not run twice, or have failed
+	// before, as long as there are others.
+	unfitSuspect Fitness = "suspect"
+	// fitForTrial is no reason against: the request is the server's trial.
+	fitForTrial Fitness = "to be tried"
+)
+
+// suspectCost is what using a suspect server weighs in the choice: about what a request loses
+// that fails there and begins anew elsewhere, at the share of failures that is looked for.
+const suspectCost = 50 * time.Millisecond
+
+// since is a moment as the health of servers counts time.
+func (c *Core) since(moment time.Time) time.Duration { return moment.Sub(c.started) }
+
+// healthFitness returns whether a server's health lets it be sent a request.
+func (c *Core) healthFitness(k *Candidate, request *Request, now time.Time) Fitness {
+	switch c.health.State(k.ID, c.since(now)) {
+	case health.Ejected:
+		return unfitEjected
+	case health.OnTrial:
+		if len(request.Tried) > 0 || !c.health.MayTry(k.ID, !request.RunsOnce, c.since(now)) {
+			return unfitOnTrial
+		}
+		return fitForTrial
+	case health.Suspect:
+		if len(request.Tried) > 0 || request.RunsOnce {
+			return unfitSuspect
+		}
+	}
+	return Fit
+}
+
+// byHealth picks among the servers that a request may be sent to, by their health: the one that
+// the request is a trial of, if it would begin there in time, or else those in order, suspect
+// ones only when there is no other, and ejected ones only when there is none of these.
+func (c *Core) byHealth(candidates map[Fitness][]*Candidate, request *Request, now time.Time) []*Candidate {
+	limit := c.refusalLimit(request)
+	for _, one := range candidates[fitForTrial] {
+		if limit <= 0 || one.hasFreePlace(request) || c.firstEvent(one, request, now) <= limit {
+			return []*Candidate{one}
+		}
+	}
+	for _, reason := range []Fitness{Fit, unfitSuspect, fitForTrial, unfitOnTrial} {
+		if len(candidates[reason]) > 0 {
+			return candidates[reason]
+		}
+	}
+	return candidates[unfitEjected]
+}
+
+// healthCost is what a server's health weighs in the choice.
+func (c *Core) healthCost(k *Candidate, now time.Time) time.Duration {
+	if c.health.State(k.ID, c.since(now)) == health.Suspect {
+		return suspectCost
+	}
+	return 0
+}
+
+// beginTrial notes that a request is being sent to a server on trial, and reports whether it is.
+func (c *Core) beginTrial(k *Candidate, now time.Time) bool {
+	if c.health.State(k.ID, c.since(now)) != health.OnTrial {
+		return false
+	}
+	c.health.BeginTrial(k.ID, c.since(now))
+	return true
+}
+
+// reachable reports whether a server that has an agent's word is to be counted as reachable: its
+// own answers outweigh an agent that does not reach it.
+func (c *Core) reachable(k *Candidate, now time.Time) bool {
+	return k.word.Reachable || c.health.Proven(k.ID, c.since(now))
+}
+
+// updateHealth takes over which servers there are.
+func (c *Core) updateHealth(old Fleet) {
+	listed := map[string][]string{}
+	for _, server := range old.Servers {
+		listed[server.Service] = nil
+	}
+	for _, server := range c.fleet.Servers {
+		listed[server.Service] = append(listed[server.Service], server.ID)
+	}
+	for service, ids := range listed {
+		c.healthChanges = append(c.healthChanges, c.health.SetServers(service, ids)...)
+	}
+}
+
+// HealthNews is what has changed with servers' health, and what the zone's other entries are to
+// be told.
+type HealthNews struct {
+	Changes []health.Change
+	Words   []health.Word
+}
+
+// TakeHealthNews returns the news since the last call.
+func (c *Core) TakeHealthNews() HealthNews {
+	news := HealthNews{Changes: c.healthChanges, Words: c.health.TakeWords()}
+	c.healthChanges = nil
+	return news
+}
+
+func (c *Core) noteHealth(change health.Change, changed bool) {
+	if changed {
+		c.healthChanges = append(c.healthChanges, change)
+	}
+}
+
+// Outcome is what an attempt at a server has shown.
+type Outcome struct {
+	health.Outcome
+	// Class groups requests that are alike, such as those of one route.
+	Class  string
+	SentAt time.Time
+	// Repeated is set when the same request had failed elsewhere before.
+	Repeated bool
+}
+
+// Observe notes what an attempt has shown of its server.
+func (c *Core) Observe(k *Candidate, outcome Outcome, now time.Time) {
+	c.noteHealth(c.health.Observe(health.Attempt{
+		Server: k.ID, Class: outcome.Class, Outcome: outcome.Outcome, Sent: c.since(outcome.SentAt), Repeated: outcome.Repeated,
+	}, c.since(now)))
+}
+
+// EndTrial notes that an attempt has ended that says nothing of its server.
+func (c *Core) EndTrial(k *Candidate, now time.Time) { c.health.EndTrial(k.ID, c.since(now)) }
+
+// HearHealth takes in what another entry of the zone said of a server at a time.
+func (c *Core) HearHealth(word health.Word, at, now time.Time) {
+	c.noteHealth(c.health.Hear(word, c.since(at), c.since(now)))
+}
+
+// TakeZone takes over which other entries the zone has: they take turns with trials.
+func (c *Core) TakeZone(entries []string) { c.health.SetMembers(entries) }
+
+// EjectedServers is how many servers are ejected or on trial.
+func (c *Core) EjectedServers() int { return len(c.health.Ejected()) }
+
+// SawWhole notes how long a whole answer took.
+func (c *Core) SawWhole(k *Candidate, took time.Duration) { k.answers.sawWhole(took) }
--- /dev/null
+++ b/coordination/dispatch/health_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/health"
+)
+
+// ejectTime is the length of a first ejection.
+const ejectTime = 250 * time.Millisecond
+
+// eject has a server ejected, as two connections that do not come up do, and returns for how long.
+func eject(c *Core, k *Candidate, now time.Time) time.Duration {
+	for range 2 {
+		c.Observe(k, Outcome{Outcome: health.Unreached, SentAt: now}, now)
+	}
+	return c.health.View(k.ID, c.since(now)).Left
+}
+
+// A suspect server is left out for requests that can't be repeated or have failed elsewhere, and
+// weighs more for others.
+func TestSuspectServersAreSparedRequestsThatMustNotFail(t *testing.T) {
+	s := newScript(t, "a1", "a2", "a3")
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 14})
+	s.hear("a3", 0, Word{Version: 1, Running: 14})
+	s.core.Observe(s.candidate("a1"), Outcome{Outcome: health.Broken, SentAt: s.now}, s.now)
+	s.hear("a2", 0, Word{Version: 1, Running: 16, Waiting: 30})
+	s.hear("a3", 0, Word{Version: 1, Running: 16, Waiting: 30})
+	s.served(s.request(), "a1")
+	again := s.request()
+	again.Tried = []*Candidate{s.candidate("a2")}
+	s.served(again, "a3")
+	again.Tried = append(again.Tried, s.candidate("a3"))
+	s.served(again, "a1")
+	s.hear("a3", 0, Word{Version: 1})
+	once := s.request()
+	once.RunsOnce = true
+	s.served(once, "a3")
+}
+
+// A server returns by one request that may be repeated, on its first attempt; what it answers
+// outweighs an agent that does not reach it.
+func TestServerReturnsByATrial(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	lost := s.candidate("a1")
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+	assert.Equal(t, ejectTime, eject(s.core, lost, s.now))
+	s.served(s.request(), "a2")
+	s.at(ejectTime)
+	once, again := s.request(), s.request()
+	once.RunsOnce = true
+	s.served(once, "a2")
+	again.Tried = []*Candidate{lost}
+	s.served(again, "a2")
+	trial := s.goesTo(s.request(), "a1")
+	assert.True(t, trial.Trial)
+	s.served(s.request(), "a2")
+	s.core.Observe(lost, Outcome{Outcome: health.Served, SentAt: s.now}, s.now)
+	s.ends(trial)
+	assert.False(t, s.goesTo(s.request(), "a1").Trial)
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.served(s.request(), "a1")
+	s.at(ejectTime + 2100*time.Millisecond)
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.hear("a2", 0, Word{Version: 1})
+	s.served(s.request(), "a2")
+}
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -59,6 +59,7 @@
 		}
 	}
 	changes = append(changes, c.drop(present, now)...)
+	c.updateHealth(old)
 	return append(changes, c.noteEvacuations(old, now)...)
 }
 
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -92,6 +92,8 @@
 	Target time.Duration
 	// Streaming requests are answered in events.
 	Streaming bool
+	// RunsOnce is set when the request must not be run twice.
+	RunsOnce bool
 	// Others is how many other entries may be sending to the service's servers.
 	Others int
 	// Prompt and Answer are sizes in tokens.
@@ -147,6 +149,8 @@
 	Expected time.Duration
 	// Version is the one that the server is known to have; 0 when none is.
 	Version uint64
+	// Trial is set when the request is to show whether a server that was ejected serves again.
+	Trial bool
 }
 
 // RefusalReason is why a request is sent to no server.
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -54,6 +54,10 @@
 		// An answer to a question overtakes what is told all the time.
 		return false, nil
 	}
+	if !word.Reachable {
+		// The agent sees no request begin there: what waits could only grow.
+		word.Waiting, word.UnreadTokens = 0, 0
+	}
 	c.words[word.Address] = heardWord{word: word, at: at}
 	known := c.byAddress[word.Address]
 	if known == nil {
@@ -70,7 +74,7 @@
 
 // Suspect reports whether there is evidence against a server beside its own silence.
 func (c *Core) Suspect(k *Candidate, now time.Time) bool {
-	return k.word.silent(now) || (k.word.current(now) && !k.word.Reachable)
+	return k.word.silent(now) || (k.word.current(now) && !c.reachable(k, now)) || c.health.Mute(k.ID)
 }
 
 // outstanding estimates how many requests the server holds.
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -37,12 +37,16 @@
 	defer t.mutex.Unlock()
 	now := time.Now()
 	t.tellEntries(now)
+	t.tellZone(now)
 	decision, refusal := t.core.Choose(&w.wanted, now)
 	if refusal != nil {
 		t.logRefusal(w, refusal)
 		return choice{}, refusalOf(refusal)
 	}
 	w.placed = decision.Send
+	if decision.Trial {
+		t.noteTrial(w, decision.Candidate)
+	}
 	return choice{Decision: decision, target: t.targetOf(decision.Candidate)}, nil
 }
 
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -20,6 +21,7 @@
 	Outstanding     int                 `json:"outstanding"`
 	Version         uint64              `json:"version"`
 	EjectedFor      float64             `json:"ejected_for_seconds"`
+	Health          HealthView          `json:"health"`
 	Status          fleet.MachineStatus `json:"status"`
 	StatusAge       float64             `json:"status_age_seconds"`
 	MeanMillisecond float64             `json:"mean_milliseconds"`
@@ -29,6 +31,21 @@
 	Evacuated bool    `json:"evacuated"`
 }
 
+// HealthView is what the entry holds of one server's health.
+type HealthView struct {
+	State string `json:"state"`
+	// Evidence is this entry's own, Hinted that of the zone's other entries.
+	Evidence float64 `json:"evidence"`
+	Hinted   float64 `json:"hinted"`
+	// Round counts the ejections that are not forgotten; By is the entry that told the last.
+	Round int    `json:"round"`
+	By    string `json:"by"`
+}
+
+func healthView(held health.View) HealthView {
+	return HealthView{State: held.State.String(), Evidence: held.Evidence, Hinted: held.Hinted, Round: held.Round, By: held.By}
+}
+
 // Servers lists the servers in view in order of ID.
 func (f *Forwarder) Servers() []ServerView {
 	t := f.targets
@@ -42,7 +59,7 @@
 		view := ServerView{
 			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Draining: server.Draining, InFlight: one.InFlight, Outstanding: one.Outstanding, Version: one.Version,
-			EjectedFor: one.EjectedFor.Seconds(), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
+			EjectedFor: one.Health.Left.Seconds(), Health: healthView(one.Health), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
 			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated,
 		}
 		if one.WordAge != dispatch.NoWord {
--- /dev/null
+++ b/internal/forward/health.go
@@ -0,0 +1,191 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// Evidence of answers that do not come, which counts before a request is given up for it: the
+// other servers' requests show whether it is usual. At three times the usual time, and half of the
+// least patience, so many answers counted at a fleet's limit that servers which were well failed
+// their trials.
+const (
+	overdueEvidenceFactor = 4
+	overdueEvidenceShare  = 0.8
+)
+
+// HealthSource is what entries of a zone tell each other of servers.
+type HealthSource interface {
+	// TellHealth has the others told.
+	TellHealth(words []health.Word)
+	// ZoneEntries lists the others.
+	ZoneEntries() []string
+}
+
+// healthReporter tells of servers' health; the mutex of the set of servers guards it.
+type healthReporter struct {
+	// source is nil in an entry that shares nothing.
+	source   HealthSource
+	lookedAt time.Time
+
+	ejections *prometheus.CounterVec
+	trials    prometheus.Counter
+}
+
+func newHealthReporter(options Options) *healthReporter {
+	return &healthReporter{
+		source: options.Health,
+		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pinevane_server_ejections_total", Help: "Ejections of servers, by what decided them; told: another entry of the zone."}, []string{"by"}),
+		trials: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pinevane_server_trials_total", Help: "Requests sent to ejected servers on trial."}),
+	}
+}
+
+// registerHealth tells of servers' health as metrics.
+func registerHealth(registry prometheus.Registerer, t *targets) {
+	registry.MustRegister(t.health.ejections, t.health.trials, prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "pinevane_ejected_servers", Help: "Servers that are ejected or on trial."},
+		func() float64 {
+			t.mutex.Lock()
+			defer t.mutex.Unlock()
+			return float64(t.core.EjectedServers())
+		}))
+}
+
+// zonePeriod is how often the entries of the zone are looked through.
+const zonePeriod = 250 * time.Millisecond
+
+// tellZone tells the decisions which entries take turns with trials; the mutex is held.
+func (t *targets) tellZone(now time.Time) {
+	if t.health.source != nil && now.Sub(t.health.lookedAt) >= zonePeriod {
+		t.health.lookedAt = now
+		t.core.TakeZone(t.health.source.ZoneEntries())
+	}
+}
+
+// noteTrial logs and counts a request that is the trial of its server; the mutex is held.
+func (t *targets) noteTrial(w *work, k *dispatch.Candidate) {
+	t.health.trials.Inc()
+	t.log.Log(logging.ServerTried, zap.String("server", k.ID), zap.String("request", w.request.Call.RequestID))
+	t.reportHealth()
+}
+
+// reportHealth logs and counts what has changed with servers' health, and has the zone told; the
+// mutex is held.
+func (t *targets) reportHealth() {
+	news := t.core.TakeHealthNews()
+	for _, change := range news.Changes {
+		t.logHealth(change)
+	}
+	if t.health.source != nil && len(news.Words) > 0 {
+		t.health.source.TellHealth(news.Words)
+	}
+}
+
+func (t *targets) logHealth(change health.Change) {
+	by := "told"
+	if change.Outcome != 0 {
+		by = change.Outcome.String()
+	}
+	fields := []zap.Field{zap.String("server", change.Server), zap.String("by", by), zap.String("entry", change.By), zap.Int("round", change.Round)}
+	if change.To == health.Ejected {
+		t.health.ejections.WithLabelValues(by).Inc()
+		t.log.Log(logging.ServerEjected, append(fields, zap.Duration("for", change.For), zap.Float64("evidence", change.Evidence))...)
+		return
+	}
+	t.log.Log(logging.ServerReturned, fields...)
+}
+
+// HearHealth takes in what another entry of the zone has said of a server, and when.
+func (f *Forwarder) HearHealth(word health.Word, at time.Time) {
+	t := f.targets
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.HearHealth(word, at, time.Now())
+	t.reportHealth()
+}
+
+// observe notes what the present attempt has shown of its server.
+func (w *work) observe(k *target, outcome health.Outcome) {
+	t := w.targets
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.Observe(k.Candidate, dispatch.Outcome{
+		Outcome: outcome, Class: w.request.Route.Name, SentAt: w.sentAt, Repeated: len(w.wanted.Tried) > 1,
+	}, time.Now())
+	t.reportHealth()
+}
+
+// observeAnswer notes what a whole answer has shown. A server's answer that the time of the
+// request is over says nothing of the server.
+func (w *work) observeAnswer(k *target, status int) {
+	switch {
+	case status == http.StatusGatewayTimeout:
+		w.endTrial(k)
+	case status >= http.StatusInternalServerError:
+		w.observe(k, health.Errored)
+	default:
+		w.observe(k, health.Served)
+	}
+}
+
+// observeOverdue notes, once an attempt, that its answer takes many times as long as usual.
+// The request itself may wait on: one that may not be run twice has to.
+func (w *work) observeOverdue(k *target, silent, usual time.Duration) {
+	if w.overdueNoted || w.attemptBegun || usual <= 0 {
+		return
+	}
+	least := time.Duration(overdueEvidenceShare * float64(patienceOf(w.request.Route)))
+	if silent < max(least, overdueEvidenceFactor*usual) {
+		return
+	}
+	w.overdueNoted = true
+	w.observe(k, health.Overdue)
+}
+
+// observeFailure notes what a failed attempt has shown.
+func (w *work) observeFailure(k *target, failed *failure) {
+	var status statusError
+	switch failed.reason {
+	case fault.ReasonLinkLost:
+		if failed.execution == fault.ExecutionNotRun {
+			w.observe(k, health.Unreached)
+			return
+		}
+		w.observe(k, health.Broken)
+	case fault.ReasonOverdue, fault.ReasonStalled:
+		if !w.overdueNoted {
+			w.overdueNoted = true
+			w.observe(k, health.Overdue)
+		}
+	case fault.ReasonOverloaded, fault.ReasonWrongVersion:
+		w.observe(k, health.Declined)
+	case fault.ReasonBackendFailed:
+		if errors.As(failed.cause, &status) {
+			// The answer has been observed.
+			return
+		}
+		w.observe(k, health.Broken)
+	default:
+		w.endTrial(k)
+	}
+}
+
+// endTrial notes that an attempt has ended that says nothing of its server.
+func (w *work) endTrial(k *target) {
+	t := w.targets
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.EndTrial(k.Candidate, time.Now())
+	t.reportHealth()
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -36,13 +36,15 @@
 	engines map[string]*dispatch.Engine
 	// known are the servers that have been sent something, or are to be, and are still listed.
 	known map[*dispatch.Candidate]*target
+	// health tells of servers' health, to people and to the zone's other entries.
+	health *healthReporter
 	// told are the agents' last words by the address of their server, for people.
 	told map[string]fleet.MachineStatus
 }
 
 func newTargets(options Options, now time.Time) *targets {
 	return &targets{
-		log: options.Log, bounds: options.Bounds, regions: options.Regions, entries: options.Entries,
+		log: options.Log, bounds: options.Bounds, health: newHealthReporter(options), regions: options.Regions, entries: options.Entries,
 		core: dispatch.New(dispatch.Options{
 			Zone: options.Zone, Regions: options.Regions, Policy: dispatch.Policy(options.Policy), Self: options.Self, Started: now,
 			Random: rand.Float64, Shuffle: rand.Shuffle,
@@ -62,6 +64,7 @@
 	for _, change := range t.core.Update(fleetOf(view, t.bounds), time.Now()) {
 		t.follow(change)
 	}
+	t.reportHealth()
 }
 
 // follow logs a change of the fleet and ends the connections to a server that gets no more
