A server that turns cold is told of at once at every hop, and by its agent

Cause: entries that read the store heard of a cold line 0.13 s after it was written, but the last of six entries 0.2 to 0.27 s after the first, and agents up to 0.7 s: what a process was told by another one went on with its next update only. The late entry went on sending, and received the requests that the others no longer took. Once cold servers were known as such, an entry reckoned with what it had sent itself and not with what the others had.

Change: that a warm server has turned cold is urgent news at each hop, like an evacuation. Agents tell that their server is cold, and how many requests have been announced to it in the last 1.1 s, in every word and in their answers to load questions; entries take a cold server for full also when this count and their own requests since are nine tenths of the limit.

Shown red on a copy: urgency off fails TestServerThatTurnsColdIsUrgentNews; the word or the count off fails TestAgentTellsThatAServerIsCold; an agent that says nothing fails TestAgentsTellOfColdServers.

Conclusion: both are kept; the first removes the late entry, the second closes what shares leave open.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -47,6 +47,23 @@
 	w.admitted = append(w.admitted, now)
 }
 
+// Count is how many events the span that ends now holds.
+func (w *Window) Count(now time.Duration) int {
+	w.forget(now)
+	return len(w.admitted)
+}
+
+// Crowded reports whether the events of all senders have used up a limit in the span that ends
+// now: told were counted at the receiver at a time, and this window's own since are not in that.
+func (w *Window) Crowded(limit float64, told int, toldAt, now time.Duration) bool {
+	w.forget(now)
+	since := 0
+	for since < len(w.admitted) && w.admitted[len(w.admitted)-1-since] > toldAt {
+		since++
+	}
+	return told+since >= int(limit)
+}
+
 func (w *Window) forget(now time.Duration) {
 	kept := 0
 	for kept < len(w.admitted) && now-w.admitted[kept] >= w.span {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -60,3 +60,30 @@
 	}
 	assert.Equal(t, 15, count)
 }
+
+// What the receiver has counted and what was sent since make up the crowd; what was sent before
+// the count is in it, and what is older than the span is in neither.
+func TestReceiversCountAndOwnEventsSince(t *testing.T) {
+	const span, limit = time.Second, 10.7
+	window := NewWindow(span)
+	window.Add(100 * time.Millisecond)
+	window.Add(500 * time.Millisecond)
+	window.Add(600 * time.Millisecond)
+	assert.Equal(t, 3, window.Count(700*time.Millisecond))
+	for _, tc := range []struct {
+		told        int
+		toldAt, now time.Duration
+		crowded     bool
+	}{
+		{told: 7, toldAt: 550 * time.Millisecond, now: 700 * time.Millisecond},
+		{told: 9, toldAt: 550 * time.Millisecond, now: 700 * time.Millisecond, crowded: true},
+		{told: 9, toldAt: 650 * time.Millisecond, now: 700 * time.Millisecond},
+		{told: 10, toldAt: 650 * time.Millisecond, now: 700 * time.Millisecond, crowded: true},
+		{told: 7, toldAt: 0, now: 700 * time.Millisecond, crowded: true},
+		{told: 7, toldAt: 0, now: 1200 * time.Millisecond},
+		{told: 0, toldAt: 0, now: 5 * time.Second},
+	} {
+		assert.Equal(t, tc.crowded, window.Crowded(limit, tc.told, tc.toldAt, tc.now), "%+v", tc)
+	}
+	assert.Zero(t, window.Count(5*time.Second))
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -217,8 +217,8 @@
 	defer c.notify.Unlock()
 	c.mutex.Lock()
 	old := c.View()
-	news := c.relevant(change())
-	c.noteChanges(from, news)
+	news, turnedCold := c.relevant(change())
+	c.noteChanges(from, news, turnedCold)
 	if len(news) > 0 {
 		c.rebuild(news)
 	}
@@ -255,8 +255,10 @@
 
 // noteChanges notes what others are to be told. What the store has told this process
 // is urgent, since others depend on it; what a peer has told goes on with the next
-// update, unless it names weights or evacuates a zone. The mutex is held.
-func (c *Catalog) noteChanges(from source, news []mirror.Record) {
+// update, unless it names weights, evacuates a zone, or says that a server in use has turned
+// cold: told with the next update, that reached a zone's last entry 0.2 s after its first and
+// agents 0.6 s after it, and both 0.02 s after it when told at once. The mutex is held.
+func (c *Catalog) noteChanges(from source, news []mirror.Record, turnedCold bool) {
 	for _, record := range news {
 		kind := c.options.Decoder.Kind(record.Key)
 		switch kind {
@@ -272,6 +274,9 @@
 			c.urgent = c.changes.Sequence()
 		}
 	}
+	if turnedCold {
+		c.urgent = c.changes.Sequence()
+	}
 }
 
 // announceHeads has the entries of the own zone told at once that a large record is newer, and
@@ -285,15 +290,23 @@
 }
 
 // relevant takes over what records say of servers, and drops the records of those
-// that changed nothing but their counter; the mutex is held.
-func (c *Catalog) relevant(news []mirror.Record) []mirror.Record {
-	kept := news[:0]
+// that changed nothing but their counter. It reports whether one has turned cold that was
+// warm. The mutex is held.
+func (c *Catalog) relevant(news []mirror.Record) (kept []mirror.Record, turnedCold bool) {
+	kept = news[:0]
+	now := time.Now()
 	for _, record := range news {
-		if c.options.Decoder.Kind(record.Key) != fleet.RecordServer || c.takeServer(record) {
+		if c.options.Decoder.Kind(record.Key) != fleet.RecordServer {
+			kept = append(kept, record)
+			continue
+		}
+		old, known := c.servers[record.Key]
+		if c.takeServer(record) {
 			kept = append(kept, record)
+			turnedCold = turnedCold || (known && !now.Before(old.ColdUntil) && now.Before(c.servers[record.Key].ColdUntil))
 		}
 	}
-	return kept
+	return kept, turnedCold
 }
 
 // takeServer takes over the record of a server, and reports whether it says anything
--- a/internal/catalog/evacuations_test.go
+++ b/internal/catalog/evacuations_test.go
@@ -68,3 +68,23 @@
 	c.takeWatched([]mirror.Record{coldRecord(6, 5*time.Second)})
 	assert.Equal(t, 4, views)
 }
+
+// That a server in use has turned cold is passed on at once, also by a process that was told
+// it by another: each hop at its usual pace would be too late.
+func TestServerThatTurnsColdIsUrgentNews(t *testing.T) {
+	c := newTestCatalog()
+	tell := func(record mirror.Record) bool {
+		before := c.urgent
+		c.takeTold([]mirror.Record{record}, nil)
+		return c.urgent > before
+	}
+	assert.False(t, tell(coldRecord(1, 0)), "a server that is new")
+	assert.True(t, tell(coldRecord(2, 3*time.Second)))
+	assert.False(t, tell(coldRecord(3, 2500*time.Millisecond)), "cold for longer")
+	assert.False(t, tell(coldRecord(4, 0)), "warm again")
+	assert.True(t, tell(coldRecord(5, time.Second)))
+
+	other := newTestCatalog()
+	other.takeTold([]mirror.Record{coldRecord(1, 3*time.Second)}, nil)
+	assert.Zero(t, other.urgent, "nobody sends to a server before its line is heard")
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -1,5 +1,12 @@
 package fleet
 
+import "time"
+
+// ColdSpan is the second over which requests to cold servers are counted, with room for what
+// lies between the choice of a server and its receiving the request: a connection is made
+// within some milliseconds.
+const ColdSpan = 1100 * time.Millisecond
+
 // TopicMachineStatus is the topic under which an agent tells entries how its
 // machine does.
 const TopicMachineStatus = "machine.status"
@@ -15,6 +22,11 @@
 // NoSwitch is the value of SwitchMilliseconds when no switch is planned.
 const NoSwitch = -1
 
+// ColdFor is how much longer the server was cold when the word was given.
+func (s MachineStatus) ColdFor() time.Duration {
+	return time.Duration(s.ColdMilliseconds) * time.Millisecond
+}
+
 // MachineStatus is an agent's word on its machine's model server.
 type MachineStatus struct {
 	// Address is the model server's.
@@ -47,4 +59,9 @@
 	// Stamp is the machine's stamp of the moment of sending, which the entry that is told
 	// directly returns with its updates; 0 for none.
 	Stamp int64 `cbor:"16,keyasint,omitempty" json:"-"`
+	// ColdMilliseconds is how much longer the server is cold; 0 when it is warm, as far as the
+	// agent knows.
+	ColdMilliseconds int64 `cbor:"17,keyasint,omitempty" json:"cold_milliseconds"`
+	// Received counts the requests that were announced to the server in the last ColdSpan.
+	Received int `cbor:"18,keyasint,omitempty" json:"received"`
 }
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -13,9 +13,9 @@
 
 // Constants of the sharing of cold servers.
 const (
-	// coldSpan is the platform's second, with room for what lies between the choice of a
-	// server and its receiving the request: a connection is made within some milliseconds.
-	coldSpan = 1100 * time.Millisecond
+	// countDelay is how long a request may be on its way to the count of the server's agent:
+	// one way between regions, of 1 to 2.8 ms where this was measured, and the wait at both ends.
+	countDelay = 5 * time.Millisecond
 	// coldShare is the part of the bound that all entries together use; the rest is for
 	// entries that have lately come and are not known to all.
 	coldShare = 0.9
@@ -102,12 +102,22 @@
 	return t.view.Configuration.Services[service].ColdTime
 }
 
-// cold reports whether a server is cold: by its own line, or because its zone has just been
-// readmitted.
-func (k *target) cold(now time.Time) bool {
-	return now.Before(k.server.ColdUntil) || now.Before(k.readmittedUntil)
+// coldUntil is when a server will be warm: by its own line, by its agent's word, which arrives
+// with the answer to a question when this entry has not heard of the line yet, or because its
+// zone has just been readmitted.
+func (k *target) coldUntil() time.Time {
+	until := k.statusAt.Add(k.status.ColdFor())
+	for _, other := range []time.Time{k.server.ColdUntil, k.readmittedUntil} {
+		if other.After(until) {
+			until = other
+		}
+	}
+	return until
 }
 
+// cold reports whether a server is cold.
+func (k *target) cold(now time.Time) bool { return now.Before(k.coldUntil()) }
+
 // coldFull reports whether this entry has sent a cold server all that it may for now; the
 // mutex is held. A server's requests are counted while it is warm too, because it may have
 // become cold shortly before that is known.
@@ -119,7 +129,13 @@
 	if !bounded {
 		return false
 	}
-	return !k.received.Open(now.Sub(t.cold.started), t.cold.share(k.id, coldShare*limit, now))
+	since := now.Sub(t.cold.started)
+	if !k.received.Open(since, t.cold.share(k.id, coldShare*limit, now)) {
+		return true
+	}
+	// Shares reckon with what each entry has sent itself. The agent's count has what all have
+	// sent, also before they heard that the server is cold.
+	return k.current(now) && k.received.Crowded(coldShare*limit, k.status.Received, k.statusAt.Sub(t.cold.started)-countDelay, since)
 }
 
 // coldLimit is how many requests a server may receive in a second while it is cold; the mutex
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -116,3 +116,29 @@
 	set.update(coldFleet(map[string]time.Time{"zb": time.Now()}, time.Now().Add(time.Minute)))
 	assert.Equal(t, 60, chosenServers(set, 60)["a"])
 }
+
+// FAILBACK: an entry that has not heard of a server's line hears from the server's agent that
+// it is cold, and what all entries have sent it.
+func TestAgentTellsThatAServerIsCold(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		received int
+		most     int
+	}{
+		{name: "nothing received", received: 0, most: 10},
+		{name: "some received", received: 33, most: 6},
+		{name: "all received", received: 39, most: 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			set := coldTargets("entry-0", 4)
+			set.update(coldFleet(map[string]time.Time{"zb": time.Now()}, time.Time{}))
+			word := fleet.MachineStatus{Address: "10.0.0.1:1", Reachable: true, ColdMilliseconds: 1000, Received: tc.received}
+			set.takeStatus(word, time.Now(), false)
+			assert.True(t, set.byID["a"].cold(time.Now()))
+			sent := chosenServers(set, 60)["a"]
+			assert.LessOrEqual(t, sent, tc.most)
+			assert.GreaterOrEqual(t, sent, tc.most-1)
+			assert.False(t, set.byID["a"].cold(time.Now().Add(time.Second)), "for as long as the agent says")
+		})
+	}
+}
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -41,7 +41,7 @@
 			Draining: known.server.Draining, InFlight: known.inFlight, Outstanding: known.outstanding(now), Version: known.version,
 			EjectedFor: max(0, known.ejectedTill.Sub(now).Seconds()), Status: known.status, StatusAge: known.statusAge(now).Seconds(),
 			MeanMillisecond: known.meanMilliseconds,
-			ColdFor:         max(0, known.server.ColdUntil.Sub(now).Seconds(), known.readmittedUntil.Sub(now).Seconds()),
+			ColdFor:         max(0, known.coldUntil().Sub(now).Seconds()),
 			Evacuated:       t.evacuated(known),
 		})
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -149,7 +149,7 @@
 			present[server.ID] = true
 			known := t.byID[server.ID]
 			if known == nil {
-				known = &target{id: server.ID, address: server.Address, zone: server.Zone, unbegun: map[*work]unbegun{}, received: *admission.NewWindow(coldSpan)}
+				known = &target{id: server.ID, address: server.Address, zone: server.Zone, unbegun: map[*work]unbegun{}, received: *admission.NewWindow(fleet.ColdSpan)}
 				t.byID[server.ID] = known
 				if told, heard := t.statuses[server.Address]; heard {
 					known.status, known.statusAt = told.status, told.at
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -73,6 +73,8 @@
 	unguarded uint64
 	// announced are the requests that entries have told to be on their way.
 	announced balance.Announced
+	// cold is what entries are told so that a cold server is not overrun.
+	cold coldWord
 }
 
 // New builds an agent that does not listen yet.
@@ -83,6 +85,7 @@
 		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort, options.Daemon.NoteSilent),
 		uploads: newUploads(uplinkShare * settings.LinkBytesPerSecond), woken: make(chan struct{}, 1),
 		roundTrips: liveness.NewRoundTrips(probePeriod), started: time.Now(),
+		cold: newColdWord(),
 	}
 	options.Daemon.WatchSilence(options.Server)
 	options.Daemon.WatchSilence(options.Origin)
@@ -232,6 +235,7 @@
 func (a *Agent) fleetChanged() {
 	a.mutex.Lock()
 	current := a.current
+	a.cold.follow(a.daemon.Catalog.View().Servers[a.daemon.Settings().Service], a.daemon.Settings().ServerAddress)
 	a.mutex.Unlock()
 	if current != nil {
 		current.rearrange()
--- a/internal/rollout/load.go
+++ b/internal/rollout/load.go
@@ -27,5 +27,7 @@
 func (a *Agent) Announce(promptTokens int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.announced.Add(time.Since(a.started), promptTokens)
+	since := time.Since(a.started)
+	a.announced.Add(since, promptTokens)
+	a.cold.received.Add(since)
 }
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -61,13 +61,16 @@
 	a.SwitchMilliseconds, b.SwitchMilliseconds = min(a.SwitchMilliseconds, 1), min(b.SwitchMilliseconds, 1)
 	a.Missing, b.Missing = 0, 0
 	a.CacheUsed, b.CacheUsed = 0, 0
+	a.ColdMilliseconds, b.ColdMilliseconds = min(a.ColdMilliseconds, 1), min(b.ColdMilliseconds, 1)
+	a.Received, b.Received = 0, 0
 	a.LinkMilliseconds, b.LinkMilliseconds = a.LinkMilliseconds/linkStep, b.LinkMilliseconds/linkStep
 	return a == b
 }
 
 // sameState compares what decides whether the server may be chosen at all.
 func sameState(a, b fleet.MachineStatus) bool {
-	return a.Reachable == b.Reachable && a.Version == b.Version && (a.SwitchMilliseconds == 0) == (b.SwitchMilliseconds == 0)
+	return a.Reachable == b.Reachable && a.Version == b.Version && (a.SwitchMilliseconds == 0) == (b.SwitchMilliseconds == 0) &&
+		(a.ColdMilliseconds > 0) == (b.ColdMilliseconds > 0)
 }
 
 func (a *Agent) readReport(ctx context.Context) {
@@ -119,6 +122,7 @@
 		Running: a.report.Running, Waiting: a.report.Waiting, CacheUsed: a.report.CacheUsed, CacheTotal: a.report.CacheTotal,
 		Pace: a.report.Pace, SwitchMilliseconds: fleet.NoSwitch,
 		LinkMilliseconds: a.roundTrips.Least(now.Sub(a.started)).Milliseconds(),
+		ColdMilliseconds: a.cold.left(now).Milliseconds(), Received: a.cold.received.Count(now.Sub(a.started)),
 	}
 	if engine != nil {
 		status.Version = servedVersion(a.report, model, engine.Layers)
--- a/internal/sitetest/evacuation_test.go
+++ b/internal/sitetest/evacuation_test.go
@@ -14,6 +14,7 @@
 
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/forward"
 )
 
 // evacuateMs is the bound of the tests' evacuations.
@@ -355,3 +356,38 @@
 		assert.False(t, server.Fallen())
 	}
 }
+
+// FAILBACK: agents tell entries that their servers are cold, and how many requests these have
+// received over all entries.
+func TestAgentsTellOfColdServers(t *testing.T) {
+	f := Start(t, evacuationOptions())
+	stop := busy(f, 4)
+	for _, server := range f.Site.Models {
+		server.SetCold(true)
+	}
+	f.Eventually("every entry has it from the agents", time.Second, func() bool {
+		for zone := range f.Site.Options.Zones {
+			for index := range f.Site.Options.Entries {
+				if !f.toldOfCold(zone, index) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	stop()
+}
+
+// toldOfCold reports whether an entry has the words of all agents that their servers are cold,
+// one of them with requests received.
+func (f *Fleet) toldOfCold(zone, index int) bool {
+	views, _ := f.Process(Name(catalog.RoleEntry, zone, index)).Dump()["servers"].([]forward.ServerView)
+	cold, received := 0, 0
+	for _, view := range views {
+		received += view.Status.Received
+		if view.Status.ColdMilliseconds > 0 {
+			cold++
+		}
+	}
+	return cold == len(f.Site.Models) && received > 0
+}
