--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,6 +62,8 @@
 	changes *mirror.Changes
 	// urgent is the sequence of the last change that others are told of at once.
 	urgent uint64
+	// turnedColdAt is when this process last heard that a server in use had turned cold.
+	turnedColdAt time.Time
 	// heads are the revisions held of large records, which others ask for; pulls are the
 	// last questions of this process for them.
 	heads map[string]uint64
@@ -275,7 +277,7 @@
 		}
 	}
 	if turnedCold {
-		c.urgent = c.changes.Sequence()
+		c.urgent, c.turnedColdAt = c.changes.Sequence(), time.Now()
 	}
 }
 
--- a/internal/catalog/evacuations_test.go
+++ b/internal/catalog/evacuations_test.go
@@ -88,3 +88,15 @@
 	other.takeTold([]mirror.Record{coldRecord(1, 3*time.Second)}, nil)
 	assert.Zero(t, other.urgent, "nobody sends to a server before its line is heard")
 }
+
+// The store is watched without a pause for a while after a server has turned cold: others of
+// its group do so too.
+func TestStoreIsWatchedCloselyWhenServersTurnCold(t *testing.T) {
+	c := newTestCatalog()
+	assert.Equal(t, watchPace, c.pace(time.Now()))
+	c.takeWatched([]mirror.Record{coldRecord(1, 0)})
+	assert.Equal(t, watchPace, c.pace(time.Now()))
+	c.takeWatched([]mirror.Record{coldRecord(2, 3*time.Second)})
+	assert.Equal(t, coldWatchPace, c.pace(time.Now()))
+	assert.Equal(t, watchPace, c.pace(time.Now().Add(coldNewsTime)))
+}
