What an answer says of how long its server is cold is taken over

Cause: answers to health checks say it, and no answer was looked at for it.

Change: platform reads the header of any answer; an entry takes the server for cold for that time, at most for what a start takes. No health check is made for it.

Shown red: with the call of sawCold off, TestAnswersTellThatAServerIsCold fails.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -209,6 +209,9 @@
 	Signed bool
 	// Version is that of the weights; zero when not said.
 	Version uint64
+	// ColdFor is how much longer the server is cold, which answers to health checks say; zero
+	// when not said.
+	ColdFor time.Duration
 }
 
 // Dialect reads and writes the platform's headers.
--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -103,11 +103,11 @@
 }
 
 // coldUntil is when a server will be warm: by its own line, by its agent's word, which arrives
-// with the answer to a question when this entry has not heard of the line yet, or because its
-// zone has just been readmitted.
+// with the answer to a question when this entry has not heard of the line yet, by an answer of
+// its own, or because its zone has just been readmitted.
 func (k *target) coldUntil() time.Time {
 	until := k.statusAt.Add(k.status.ColdFor())
-	for _, other := range []time.Time{k.server.ColdUntil, k.readmittedUntil} {
+	for _, other := range []time.Time{k.server.ColdUntil, k.answeredColdUntil, k.readmittedUntil} {
 		if other.After(until) {
 			until = other
 		}
@@ -115,6 +115,19 @@
 	return until
 }
 
+// sawCold notes what an answer has said of how much longer its server is cold. Requests that
+// callers send to a service's health path are the only health checks there are: entries and
+// agents make none, because they are priced. A faulty answer makes a server cold for no longer
+// than a start does.
+func (t *targets) sawCold(k *target, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	k.answeredColdUntil = time.Now().Add(min(left, t.coldTime(k.server.Service)))
+}
+
 // cold reports whether a server is cold.
 func (k *target) cold(now time.Time) bool { return now.Before(k.coldUntil()) }
 
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
@@ -142,3 +145,25 @@
 		})
 	}
 }
+
+// A server's own answer says that it is cold, before its line is heard; a faulty one makes it
+// cold for no longer than a start does.
+func TestAnswersTellThatAServerIsCold(t *testing.T) {
+	f := testForwarder()
+	server := scripted(t, func(connection net.Conn, request *http.Request, _ int) {
+		left := request.Header.Get("Request-Id")
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nCold-Ms: %s\r\nContent-Length: 0\r\n\r\n", left, left)
+	})
+	f.targets.view, server.server = coldFleet(nil, time.Time{}), fleet.Server{Service: "s"}
+	for _, tc := range []struct {
+		said string
+		cold time.Duration
+	}{{"0", 0}, {"soon", 0}, {"800.5", 800 * time.Millisecond}, {"50000000", 3 * time.Second}, {"1e300", 0}} {
+		server.answeredColdUntil = time.Time{}
+		_, failed := exchangeOnce(t, f, server, testRequest(tc.said, ""))
+		require.Nil(t, failed)
+		now := time.Now()
+		assert.Equal(t, tc.cold > 0, server.cold(now), tc.said)
+		assert.False(t, server.cold(now.Add(tc.cold+time.Millisecond)), tc.said)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -114,6 +114,7 @@
 		started.abort()
 		return nil, &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	}
+	f.targets.sawCold(chosen, started.head.ColdFor)
 	return started, nil
 }
 
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -76,6 +76,8 @@
 	// readmittedUntil is until when the server counts as cold because an evacuation of its
 	// zone was taken back.
 	readmittedUntil time.Time
+	// answeredColdUntil is until when the server is cold by an answer of its own.
+	answeredColdUntil time.Time
 	// superseded servers have ended for good: another has answered at their address.
 	superseded bool
 }
