Metrics and a line of how an evacuated zone becomes idle

Cause: nothing told how many requests are still open in an evacuated zone, nor when the last ended.

Change: pinevane_evacuated_requests, pinevane_evacuation_idle_seconds by zone, PV2013.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -389,6 +389,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	k.inFlight--
+	t.noteEnded(k, time.Now())
 }
 
 // readPrompt takes a request's prompt off the server's unread ones.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -73,6 +73,7 @@
 	}
 	f.targets.bounds, f.targets.cold = options.Bounds, newColdMembers(options.Self, options.Entries)
 	registerCold(options.Registry, f.targets)
+	options.Registry.MustRegister(newEvacuationCollector(f.targets))
 	return f
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -53,6 +53,37 @@
 	return m
 }
 
+// evacuationCollector tells how the evacuated zones become idle.
+type evacuationCollector struct {
+	targets *targets
+	open    *prometheus.Desc
+	took    *prometheus.Desc
+}
+
+func newEvacuationCollector(t *targets) *evacuationCollector {
+	return &evacuationCollector{
+		targets: t,
+		open:    prometheus.NewDesc("pinevane_evacuated_requests", "Requests of this entry that are open at servers of evacuated zones.", nil, nil),
+		took: prometheus.NewDesc("pinevane_evacuation_idle_seconds",
+			"Time from hearing of the newest evacuation of a zone until the last request of this entry there had ended.", []string{"zone"}, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *evacuationCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.open
+	descriptions <- c.took
+}
+
+// Collect implements prometheus.Collector.
+func (c *evacuationCollector) Collect(collected chan<- prometheus.Metric) {
+	open, took := c.targets.evacuationFigures()
+	collected <- prometheus.MustNewConstMetric(c.open, prometheus.GaugeValue, float64(open))
+	for zone, duration := range took {
+		collected <- prometheus.MustNewConstMetric(c.took, prometheus.GaugeValue, duration.Seconds(), zone)
+	}
+}
+
 // registerCold tells of cold servers as metrics.
 func registerCold(registry prometheus.Registerer, t *targets) {
 	registry.MustRegister(
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -122,6 +122,7 @@
 	bounds   fleet.Bounds
 	cold     *coldMembers
 	coldSent uint64
+	emptying emptying
 }
 
 type statusAt struct {
@@ -134,6 +135,7 @@
 		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle, cold: newColdMembers("", nil),
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
 		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
+		emptying: newEmptying(),
 	}
 }
 
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -63,6 +63,7 @@
 	ZoneReadmitted    = declare("PV2010", zap.InfoLevel, "evacuation taken back", "The servers of a zone are sent requests again, as cold ones for a while.")
 	EvacuationFaulty  = declare("PV2011", zap.WarnLevel, "evacuation faulty", "The record of an evacuation can't be read, or names a zone that the fleet does not have; one that names a zone is in force all the same.")
 	ServicesTold      = declare("PV2012", zap.InfoLevel, "services told", "An entry told this agent the services of a newer configuration.")
+	ZoneIdle          = declare("PV2013", zap.InfoLevel, "evacuated zone idle", "The last request of this entry that was open in an evacuated zone has ended.")
 	MembershipChanged = declare("PV2101", zap.DebugLevel, "membership changed", "A new membership list arrived.")
 	RelayElected      = declare("PV2102", zap.InfoLevel, "relay role changed", "This process began or ceased to read the platform for its zone.")
 	VersionNamed      = declare("PV3000", zap.InfoLevel, "weights named", "The operator has named a newer version of a model's weights.")
--- a/internal/sitetest/evacuation_test.go
+++ b/internal/sitetest/evacuation_test.go
@@ -197,6 +197,7 @@
 	open.Wait()
 	assert.Len(t, f.Site.Ledger.Runs(), streams, "no stream was moved")
 	assert.Positive(t, f.between(done.zone, done.asked.Add(-time.Second), done.asked), "some were open in the zone")
+	assert.Positive(t, countEvents(f, "PV2013", done.zone), "their entries say when the last has ended")
 	assert.Zero(t, done.late(f))
 }
 
