Agents reckon with prompts that running requests have yet to read

Cause: in the first half second after a zone is back, its servers are sent 14 requests each. The first event was expected after 0.19 s (mean) and came after 0.45 to 0.67 s, two of three late: at a server with free places requests run from their arrival, so that neither its report nor its agent counted their prompts as unread, though they are read one after the other. 231 requests were late and 43 streams paused in that second, 55 to 70 late in others.

Change: the agent reckons how much of the announced prompts is still to be read, at the published rate and with a pass for each chunk, and answers load questions with that or with what waits, whichever is more. The published figures as balance.Server move from forward to fleet, since agents use them too.

Shown red: TestPromptsThatRunningRequestsHaveYetToReadCount calls what did not exist before.

--- a/coordination/balance/announced.go
+++ b/coordination/balance/announced.go
@@ -57,6 +57,24 @@
 	return load
 }
 
+// Reading estimates how many tokens of the announced prompts are still to be read now by a
+// server that began each as soon as it arrived, and reads as fast as its figures say with a
+// number of requests running. At a server with free places requests run from their arrival on,
+// so that a report does not count them as waiting, and reports may show them late: without this
+// estimate a server that many reach at once looks idle until its first events are late.
+func (a *Announced) Reading(now time.Duration, figures Server, running int) float64 {
+	if !figures.reads() {
+		return 0
+	}
+	perSecond := figures.readingRate(running)
+	unread, at := 0.0, time.Duration(0)
+	for _, one := range a.requests {
+		unread = max(0, unread-perSecond*(one.at-at).Seconds()) + float64(one.prompt)
+		at = one.at
+	}
+	return max(0, unread-perSecond*(now-at).Seconds())
+}
+
 // forget drops the requests that were announced too long ago.
 func (a *Announced) forget(now time.Duration) {
 	a.requests = slices.DeleteFunc(a.requests, func(one announcedRequest) bool { return now-one.at > announcedMemory })
--- a/coordination/balance/announced_test.go
+++ b/coordination/balance/announced_test.go
@@ -44,3 +44,26 @@
 	announced.Load(Load{}, 0, announcedMemory+1, 1)
 	assert.Empty(t, announced.requests)
 }
+
+// Requests that reach a server with free places at once run from then on, and a report shows
+// none of them waiting; their prompts are read one after the other all the same.
+func TestPromptsThatRunningRequestsHaveYetToReadCount(t *testing.T) {
+	figures := Server{Slots: 12, Stride: 1, StepMilliseconds: 10, ReadPerSecond: 20000}
+	var announced Announced
+	assert.Zero(t, announced.Reading(0, figures, 0))
+	for request := range 10 {
+		announced.Add(time.Second+time.Duration(request)*10*time.Millisecond, 1000)
+	}
+	last := 1090 * time.Millisecond
+	assert.InDelta(t, 10000-0.090*20000, announced.Reading(last, figures, 10), 1)
+	assert.InDelta(t, 10000-0.190*20000, announced.Reading(last+100*time.Millisecond, figures, 10), 1)
+	assert.Zero(t, announced.Reading(last+time.Second, figures, 10), "all are read")
+
+	figures.ReadChunk = 500
+	assert.InDelta(t, 10000-0.090*500/0.035, announced.Reading(last, figures, 10), 1, "a chunk takes 25 ms and a pass of 10 ms")
+	assert.Zero(t, announced.Reading(last, Server{Slots: 12}, 10), "a server that reads no prompts")
+
+	// A pause in which everything is read is not saved up for what comes later.
+	announced.Add(5*time.Second, 700)
+	assert.InDelta(t, 700, announced.Reading(5*time.Second, figures, 0), 0)
+}
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -77,6 +77,16 @@
 	return tokens / float64(s.ReadChunk)
 }
 
+// readingRate is how many tokens of prompts are read in a second while requests run: each
+// chunk takes a pass beside the reading itself.
+func (s Server) readingRate(running int) float64 {
+	perToken := 1 / s.ReadPerSecond
+	if s.ReadChunk > 0 {
+		perToken += s.pass(float64(running)) / float64(s.ReadChunk) / millisecondsASecond
+	}
+	return 1 / perToken
+}
+
 // FirstEvent predicts the time until a request that is sent now begins to be
 // answered.
 func (s Server) FirstEvent(load Load, prompt int) time.Duration {
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
 )
 
 // RouteKind tells how often a request of a route may run.
@@ -75,6 +77,15 @@
 	Warm time.Duration
 }
 
+// Figures are what the predictions of load go by, as published.
+func (e *Engine) Figures() balance.Server {
+	return balance.Server{
+		Slots: e.Slots, Stride: e.Stride,
+		StepMilliseconds: e.StepMilliseconds, PerSequence: e.PerSequenceMilliseconds, ContextPerThousand: e.ContextPerThousand,
+		ReadPerSecond: e.ReadPerSecond, ReadChunk: e.ReadChunk, UsualPrompt: e.UsualPrompt, UsualAnswer: e.UsualAnswer,
+	}
+}
+
 // MissingFigures names the figures of speed and size that are not published, or can't
 // be right.
 func (e *Engine) MissingFigures() []string {
--- a/internal/forward/choice_test.go
+++ b/internal/forward/choice_test.go
@@ -31,7 +31,7 @@
 	// One copy takes 2.5 s over a link like the origin's.
 	engine := &fleet.Engine{Pieces: 100, PieceBytes: 25_000, StepMilliseconds: 9, Stride: 5, ReadPerSecond: 20000, UsualPrompt: 1000, UsualAnswer: 100}
 	at := func(left time.Duration) need {
-		return need{engine: engine, figures: publishedFigures(engine), route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: left, prompt: 1000}
+		return need{engine: engine, figures: engine.Figures(), route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: left, prompt: 1000}
 	}
 	for _, one := range []struct {
 		missing int
@@ -92,7 +92,7 @@
 		"o": {OriginAddress: "10.0.0.1:1", OriginLinkBytesPerSecond: 1e6},
 	}}}
 	engine := &fleet.Engine{Pieces: 100, PieceBytes: 25_000, StepMilliseconds: 9, Stride: 5, ReadPerSecond: 20000, UsualPrompt: 1000, UsualAnswer: 100}
-	wanted := need{engine: engine, figures: publishedFigures(engine), route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: 3 * time.Second, prompt: 1000}
+	wanted := need{engine: engine, figures: engine.Figures(), route: &fleet.Route{}, notices: []catalog.Notice{{Version: 2, Since: now}}, versionApply: 3 * time.Second, prompt: 1000}
 	lagging := modelServer(now, 80)
 	for othersMissing, want := range map[int]string{70: unfitNot, 0: unfitBound} {
 		fleetOf.statuses["10.0.0.9:1"] = statusAt{status: fleet.MachineStatus{Reachable: true, Missing: othersMissing}, at: now}
@@ -124,7 +124,7 @@
 func TestNarrowLinkIsKnownBeforeTheFirstRequest(t *testing.T) {
 	now := time.Now()
 	engine := &fleet.Engine{ReadPerSecond: 20000}
-	wanted := need{engine: engine, figures: publishedFigures(engine), route: &fleet.Route{}}
+	wanted := need{engine: engine, figures: engine.Figures(), route: &fleet.Route{}}
 	sound, narrow := modelServer(now, 0), modelServer(now, 0)
 	narrow.status.LinkMilliseconds = 900
 	assert.Equal(t, 900*time.Millisecond, narrow.firstEvent(wanted, now)-sound.firstEvent(wanted, now))
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -15,7 +15,7 @@
 func (t *targets) figuresOf(service string, engine *fleet.Engine) balance.Server {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.learnedOf(service).Complete(publishedFigures(engine))
+	return t.learnedOf(service).Complete(engine.Figures())
 }
 
 // learnedOf returns what is learned of a service; the mutex is held.
@@ -46,19 +46,11 @@
 	}
 }
 
-func publishedFigures(engine *fleet.Engine) balance.Server {
-	return balance.Server{
-		Slots: engine.Slots, Stride: engine.Stride,
-		StepMilliseconds: engine.StepMilliseconds, PerSequence: engine.PerSequenceMilliseconds, ContextPerThousand: engine.ContextPerThousand,
-		ReadPerSecond: engine.ReadPerSecond, ReadChunk: engine.ReadChunk, UsualPrompt: engine.UsualPrompt, UsualAnswer: engine.UsualAnswer,
-	}
-}
-
 // learnFirstEvent notes when a request's first event came, if the server had nothing
 // else to do; the mutex is held.
 func (t *targets) learnFirstEvent(w *work, request unbegun, now time.Time) {
 	if request.idle {
-		t.learnedOf(w.wanted.service).IdleFirstEvent(publishedFigures(w.wanted.engine), request.prompt, now.Sub(request.sentAt))
+		t.learnedOf(w.wanted.service).IdleFirstEvent(w.wanted.engine.Figures(), request.prompt, now.Sub(request.sentAt))
 	}
 }
 
--- a/internal/forward/prediction_test.go
+++ b/internal/forward/prediction_test.go
@@ -20,7 +20,7 @@
 	fleetOf.byAddress["10.0.0.1:1"] = server
 	engine := &fleet.Engine{Slots: 16, StepMilliseconds: 7, Stride: 6, ReadPerSecond: 30000, UsualPrompt: 1000, UsualAnswer: 100}
 	return fleetOf, server, need{
-		service: "s", engine: engine, figures: publishedFigures(engine), others: others, prompt: 1000, work: &work{request: &Request{}},
+		service: "s", engine: engine, figures: engine.Figures(), others: others, prompt: 1000, work: &work{request: &Request{}},
 		route: &fleet.Route{Target: 400 * time.Millisecond},
 	}
 }
--- a/internal/rollout/load.go
+++ b/internal/rollout/load.go
@@ -12,14 +12,15 @@
 func (a *Agent) LoadNow() fleet.MachineStatus {
 	now := time.Now()
 	status := a.status(now)
-	usualPrompt := 0.0
+	var figures balance.Server
 	if engine, _ := a.engine(); engine != nil {
-		usualPrompt = engine.UsualPrompt
+		figures = engine.Figures()
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	load := a.announced.Load(balance.Load{Running: status.Running, Waiting: status.Waiting}, a.reportAt.Sub(a.started), now.Sub(a.started), usualPrompt)
-	status.Waiting, status.UnreadTokens = load.Waiting, int(load.Unread)
+	load := a.announced.Load(balance.Load{Running: status.Running, Waiting: status.Waiting}, a.reportAt.Sub(a.started), now.Sub(a.started), figures.UsualPrompt)
+	unread := max(load.Unread, a.announced.Reading(now.Sub(a.started), figures, status.Running))
+	status.Waiting, status.UnreadTokens = load.Waiting, int(unread)
 	return status
 }
 
