--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -9,6 +9,11 @@
 
 import "time"
 
+// ColdSpan is the second over which requests to cold servers are counted, with room for what
+// lies between the choice of a server and its receiving the request: a connection is made
+// within some milliseconds.
+const ColdSpan = 1100 * time.Millisecond
+
 // Share is how many of a limit's whole events the member of a rank may spend in a window, 0
 // the first. The shares of all members sum to the whole part of the limit: where there are
 // fewer events than members, the last in rank have none.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -2,11 +2,6 @@
 
 import "time"
 
-// ColdSpan is the second over which requests to cold servers are counted, with room for what
-// lies between the choice of a server and its receiving the request: a connection is made
-// within some milliseconds.
-const ColdSpan = 1100 * time.Millisecond
-
 // TopicMachineStatus is the topic under which an agent tells entries how its
 // machine does.
 const TopicMachineStatus = "machine.status"
@@ -62,6 +57,7 @@
 	// ColdMilliseconds is how much longer the server is cold; 0 when it is warm, as far as the
 	// agent knows.
 	ColdMilliseconds int64 `cbor:"17,keyasint,omitempty" json:"cold_milliseconds"`
-	// Received counts the requests that were announced to the server in the last ColdSpan.
+	// Received counts the requests that were announced to the server in the last
+	// admission.ColdSpan.
 	Received int `cbor:"18,keyasint,omitempty" json:"received"`
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -77,7 +77,7 @@
 
 // Collect implements prometheus.Collector.
 func (c *evacuationCollector) Collect(collected chan<- prometheus.Metric) {
-	open, took := c.targets.evacuationFigures()
+	open, took := c.targets.evacuationCounts()
 	collected <- prometheus.MustNewConstMetric(c.open, prometheus.GaugeValue, float64(open))
 	for zone, duration := range took {
 		collected <- prometheus.MustNewConstMetric(c.took, prometheus.GaugeValue, duration.Seconds(), zone)
