--- a/internal/sitetest/evacuation_failure_test.go
+++ b/internal/sitetest/evacuation_failure_test.go
@@ -47,6 +47,13 @@
 	return whole
 }
 
+// takeBack ends a zone's evacuation and waits until the zone serves again.
+func (f *Fleet) takeBack(zone string) {
+	f.Site.EndEvacuation(zone)
+	back := time.Now()
+	f.Eventually(zone+" serves again", 3*time.Second, func() bool { return f.between(zone, back, time.Now()) > 10 })
+}
+
 // EVAC, REFUSED: an entry that starts cut off from the store and from all other entries refuses,
 // truly, until it hears, and never sends anything into the zone, whoever it hears from.
 func TestEntryThatStartsCutOffDuringAnEvacuation(t *testing.T) {
@@ -178,9 +185,7 @@
 	asked := time.Now()
 	time.Sleep((evacuateMs + 500) * time.Millisecond)
 	assert.Zero(t, f.between(first, asked.Add(newsTime), time.Now()))
-	f.Site.EndEvacuation(first)
-	back := time.Now()
-	f.Eventually("the first serves again", 3*time.Second, func() bool { return f.between(first, back, time.Now()) > 10 })
+	f.takeBack(first)
 	_, spoilt := stop()
 	assert.Zero(t, spoilt)
 	assert.Zero(t, f.between(second, asked.Add(newsTime), time.Now()))
@@ -206,9 +211,7 @@
 	asked := time.Now()
 	time.Sleep((evacuateMs + 700) * time.Millisecond)
 	assert.Zero(t, f.between(zone, asked.Add(newsTime), time.Now()))
-	f.Site.EndEvacuation(zone)
-	back := time.Now()
-	f.Eventually("the zone serves again", 3*time.Second, func() bool { return f.between(zone, back, time.Now()) > 10 })
+	f.takeBack(zone)
 	_, spoilt := stop()
 	assert.Zero(t, spoilt)
 	assert.LessOrEqual(t, f.Site.Ledger.MostWhileCold(), 15)
