A test of servers that move between services, red

Change: TestServersThatMoveBetweenServices; mayEject panics on a server that has no record. Conclusion: red, seen in one run (GOMAXPROCS=1 go test ./coordination/dispatch -run MoveBetween).

--- /dev/null
+++ b/coordination/dispatch/review_move_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/health"
+)
+
+// A server whose line moves to another service does not stop the entry, in whichever order the
+// services are told; each play draws the order anew.
+func TestServersThatMoveBetweenServices(t *testing.T) {
+	for range 20 {
+		s := newScript(t, "a1", "a2")
+		s.fleet.Servers = slices.Clone(s.fleet.Servers)
+		for index := range s.fleet.Servers {
+			s.fleet.Servers[index].Service = "r"
+		}
+		s.fleet.Servers = append(s.fleet.Servers, Server{ID: "a3", Service: "r", Address: "a3:1", Zone: "a", Slots: 16})
+		s.update()
+		s.at(time.Second)
+		if !assert.NotPanics(t, func() {
+			for range 4 {
+				s.core.Observe(s.candidate("a3"), Outcome{Outcome: health.Broken, SentAt: s.now}, s.now)
+			}
+		}) {
+			return
+		}
+	}
+}
