A play of a slow service whose server was not reached, red

Change: TestServerOfASlowServiceReturns: servers that answer after 0.5 s, one ejected by two connections that did not come up, then 10 s of requests. Conclusion: red; the server stays out, and the only one of a service serves nothing.

--- a/internal/forward/review_test.go
+++ b/internal/forward/review_test.go
@@ -1,14 +1,24 @@
 package forward
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/platform"
 )
 
 // The trial of a server that was not reached has the time that the service's answers usually
@@ -38,3 +48,51 @@
 	judge := w.silence(choice.target, 0)
 	assert.NoError(t, judge(450*time.Millisecond, 500*time.Millisecond))
 }
+
+// A service that answers after half a second gets a server back that was not reached for a
+// moment.
+func TestServerOfASlowServiceReturns(t *testing.T) {
+	for _, servers := range []int{1, 3} {
+		t.Run(fmt.Sprint(servers, " servers"), func(t *testing.T) { playSlowService(t, servers) })
+	}
+}
+
+func playSlowService(t *testing.T, servers int) {
+	t.Helper()
+	f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
+		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Policy: DefaultPolicy(), Peers: func() int { return 1 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	view := &catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{}}
+	for number := range servers {
+		server := scripted(t, func(connection net.Conn, request *http.Request, _ int) {
+			time.Sleep(500 * time.Millisecond)
+			_, _ = io.WriteString(connection, whole(request.Header.Get("Request-Id"), "b"))
+		})
+		view.Servers["s"] = append(view.Servers["s"], fleet.Server{ID: fmt.Sprint("i-", number), Service: "s", Address: server.Address, Zone: "z", Slots: 20})
+	}
+	f.Update(view)
+	refused := 0
+	play := func(span time.Duration) {
+		for began, number := time.Now(), 0; time.Since(began) < span; number++ {
+			now := time.Now()
+			id := fmt.Sprint(span, "-", number)
+			request := &Request{
+				Call: fleet.CallHeader{RequestID: id}, Method: http.MethodPost, Target: "/plain", Host: "h.example",
+				Header: http.Header{"Request-Id": {id}}, Body: []byte("b"), Arrived: now, Deadline: now.Add(3 * time.Second),
+				Route: &fleet.Route{Name: "r", Kind: fleet.Repeatable, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}, Attempts: 3, Target: 2 * time.Second},
+			}
+			if f.Serve(context.Background(), httptest.NewRecorder(), request) != nil {
+				refused++
+			}
+		}
+	}
+	play(3 * time.Second)
+	eject(f.targets, f.server("i-0").Candidate)
+	require.Equal(t, health.Ejected.String(), f.state("i-0"))
+	play(10 * time.Second)
+	t.Log(f.state("i-0"), refused)
+	assert.Zero(t, refused)
+	assert.Equal(t, health.InOrder.String(), f.state("i-0"))
+}
