--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -51,17 +51,24 @@
 // EntriesDue reports whether the entries known are to be told anew, by TakeEntries: from time to
 // time as long as a server is cold.
 func (c *Core) EntriesDue(now time.Time) bool {
-	return now.Sub(c.cold.lookedAt) >= membersPeriod && c.anyBounded(now)
+	return now.Sub(c.cold.lookedAt) >= membersPeriod && now.Before(c.coldTill)
 }
 
-// anyBounded reports whether a server is cold whose requests are bounded then.
-func (c *Core) anyBounded(now time.Time) bool {
-	for _, known := range c.byID {
-		if known.cold(now) && c.fleet.Services[known.listing.server.Service].ColdLimit > 0 {
-			return true
+// findColdTill looks until when a server is cold whose requests are bounded then.
+func (c *Core) findColdTill() {
+	c.coldTill = time.Time{}
+	for service, servers := range c.byService {
+		if c.fleet.Services[service].ColdLimit <= 0 {
+			continue
+		}
+		for _, known := range servers {
+			for _, till := range []time.Time{known.listing.server.ColdUntil, known.readmittedUntil} {
+				if till.After(c.coldTill) {
+					c.coldTill = till
+				}
+			}
 		}
 	}
-	return false
 }
 
 // TakeEntries takes over which other entries are lately known.
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -77,6 +77,8 @@
 	// entry's requests to such.
 	cold     *coldMembers
 	coldSent uint64
+	// coldTill is until when a server is cold whose requests are bounded then.
+	coldTill time.Time
 	// droppedWindows are what servers were sent lately that are not listed any more.
 	droppedWindows map[string]admission.Window
 }
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -59,7 +59,9 @@
 		}
 	}
 	changes = append(changes, c.drop(present, now)...)
-	return append(changes, c.noteEvacuations(old, now)...)
+	changes = append(changes, c.noteEvacuations(old, now)...)
+	c.findColdTill()
+	return changes
 }
 
 // elsewhere reports whether a line is that of another server with the same name.
