--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -93,3 +93,6 @@
 		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{},
 	}
 }
+
+// SetRegions replaces the regions of the zones. The map is not changed afterwards.
+func (c *Core) SetRegions(regions map[string]string) { c.regions = regions }
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -81,7 +81,7 @@
 	}
 	refusal := c.refuse(reason, request, now)
 	refusal.RetryAfter = c.soonestReady(request, now)
-	if !c.HasZoneFor(request.Residency) {
+	if !request.Residency.AnyOf(c.regions) {
 		refusal.RetryAfter = noRegionRetry
 	}
 	return refusal
--- a/coordination/dispatch/residency.go
+++ b/coordination/dispatch/residency.go
@@ -35,16 +35,3 @@
 	anywhere.Residency = nil
 	return len(c.usable(&anywhere, now)) > 0
 }
-
-// HasZoneFor reports whether the fleet has a zone in a region that a residency allows.
-func (c *Core) HasZoneFor(allowed residency.Residency) bool {
-	if !allowed.Restrict() {
-		return true
-	}
-	for _, region := range c.regions {
-		if allowed.Allow(region) {
-			return true
-		}
-	}
-	return false
-}
--- a/coordination/residency/residency.go
+++ b/coordination/residency/residency.go
@@ -50,6 +50,19 @@
 	return true
 }
 
+// AnyOf reports whether the request may be served in a region of some zones.
+func (r Residency) AnyOf(regionsOfZones map[string]string) bool {
+	if !r.Restrict() {
+		return true
+	}
+	for _, region := range regionsOfZones {
+		if r.Allow(region) {
+			return true
+		}
+	}
+	return false
+}
+
 // Regions lists the names that every list has: none, when the lists contradict each other.
 func (r Residency) Regions() []string {
 	if !r.Restrict() {
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -268,7 +268,7 @@
 // VERSION: a request that waits is taken back for a version that is heard of after its send.
 func TestRequestIsTakenBackForAVersionHeardOfLater(t *testing.T) {
 	f := testForwarder()
-	f.options.Bounds.VersionApply = 8 * time.Second
+	f.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
 	w := &work{Forwarder: f, request: testRequest("early", "b"), wanted: dispatch.Request{Engine: &dispatch.Engine{}}}
 	w.request.Call.Model = "m"
 	judge := w.silence(&target{}, 1)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -54,6 +55,8 @@
 	metrics *metrics
 	watch   *watch
 	started time.Time
+	// bounds are those of the settings in force.
+	bounds atomic.Pointer[fleet.Bounds]
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
@@ -71,6 +74,7 @@
 		targets: newTargets(options, started),
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
+	f.bounds.Store(&options.Bounds)
 	registerCold(options.Registry, f.targets)
 	return f
 }
@@ -117,7 +121,8 @@
 func (f *Forwarder) budgetOf(service string) *budget.Budget {
 	held := f.budgets[service]
 	if held == nil {
-		held = budget.New(budget.Options{Ratio: ratioShare * f.options.Bounds.RetryRatio, Window: f.options.Bounds.RetryWindow})
+		bounds := f.bounds.Load()
+		held = budget.New(budget.Options{Ratio: ratioShare * bounds.RetryRatio, Window: bounds.RetryWindow})
 		f.budgets[service] = held
 	}
 	return held
@@ -135,7 +140,7 @@
 	defer f.mutex.Unlock()
 	f.mostPeers = max(f.mostPeers, f.options.Peers())
 	now := time.Since(f.started)
-	slack := budget.SlackPart(int(slackShare*float64(f.options.Bounds.RetrySlack)), f.mostPeers+1, now > settleTime)
+	slack := budget.SlackPart(int(slackShare*float64(f.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
 	return f.budgetOf(service).Take(now, slack)
 }
 
@@ -237,8 +242,9 @@
 		return
 	}
 	view := w.targets.currentView()
-	w.wanted.Bounds = boundsOf(view.Versions[w.request.Call.Model], w.options.Bounds.VersionApply)
-	w.wanted.AtLeast = view.Due(w.request.Call.Model, w.options.Bounds.VersionApply-versionMargin, time.Now())
+	apply := w.bounds.Load().VersionApply
+	w.wanted.Bounds = boundsOf(view.Versions[w.request.Call.Model], apply)
+	w.wanted.AtLeast = view.Due(w.request.Call.Model, apply-versionMargin, time.Now())
 }
 
 // expectedVersion is the version that a server is asked to check. Once the bound of
@@ -396,7 +402,7 @@
 	}
 	bounds := w.wanted.Bounds
 	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
-		bounds = boundsOf(known, w.options.Bounds.VersionApply)
+		bounds = boundsOf(known, w.bounds.Load().VersionApply)
 	}
 	bound, bounded := bounds.Of(version)
 	return bounded && time.Until(bound) < takeBackMargin
--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -41,6 +41,27 @@
 	return f.targets.allowed(chosen, f.targets.residencyOf(request))
 }
 
+// zoneRegions maps the fleet's zones to their regions. It is replaced as a whole when settings
+// are read again, never changed.
+type zoneRegions map[string]string
+
+// zoneRegions is the map in force.
+func (t *targets) zoneRegions() zoneRegions {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.regions
+}
+
+// has reports whether a zone of the fleet is in a region of that name.
+func (z zoneRegions) has(name string) bool {
+	for _, region := range z {
+		if region == name && name != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // regionsField tells the log which regions are allowed; it is left out where all are. An
 // empty one means that the lists which bind the request contradict each other.
 func regionsField(residency fleet.Residency) zap.Field {
@@ -70,14 +91,14 @@
 // checkRegions logs what can't be meant in a configuration's lists of allowed regions, one
 // line for each fault and region, and counts the routes and tenants that no server may serve.
 func (f *Forwarder) checkRegions(configuration *fleet.Configuration) {
-	doubts := map[doubt][]string{}
+	doubts, zones := map[doubt][]string{}, f.targets.zoneRegions()
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
-		f.targets.doubtsOf(route.AllowedRegions, "route "+route.Name, doubts)
+		zones.doubtsOf(route.AllowedRegions, "route "+route.Name, doubts)
 	}
 	for i := range configuration.Tenants {
 		tenant := &configuration.Tenants[i]
-		f.targets.doubtsOf(tenant.AllowedRegions, "tenant "+tenant.Name, doubts)
+		zones.doubtsOf(tenant.AllowedRegions, "tenant "+tenant.Name, doubts)
 	}
 	unserved := 0
 	for one, owners := range doubts {
@@ -92,7 +113,7 @@
 }
 
 // doubtsOf adds the faults of one list under the name of its owner.
-func (t *targets) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
+func (z zoneRegions) doubtsOf(regions fleet.AllowedRegions, owner string, doubts map[doubt][]string) {
 	note := func(wrong, region string) {
 		one := doubt{fault: wrong, region: region}
 		doubts[one] = append(doubts[one], owner)
@@ -101,21 +122,11 @@
 		switch {
 		case slices.Contains(regions[:i], region):
 			note(faultRepeatedRegion, region)
-		case !t.isRegion(region):
+		case !z.has(region):
 			note(faultUnknownRegion, region)
 		}
 	}
-	if regions.Restrict() && !t.core.HasZoneFor(fleet.Residency{regions}) {
+	if regions.Restrict() && !(fleet.Residency{regions}).AnyOf(z) {
 		note(faultNoRegion, strings.Join(regions, " "))
 	}
 }
-
-// isRegion reports whether a zone of the fleet is in a region of that name.
-func (t *targets) isRegion(name string) bool {
-	for _, region := range t.regions {
-		if region == name && name != "" {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -543,10 +543,10 @@
 	s := startStandIns(t, 1)
 	s.warm(fleet.Repeatable, 0)
 	s.setSlow(slowFactor, 1)
-	bounds := s.forwarder.options.Bounds
+	bounds := s.forwarder.bounds.Load()
 	for name, limit := range map[string]func(*work){
 		"attempts": func(w *work) { w.request.Route.Attempts = 1 },
-		"budget":   func(w *work) { w.options.Bounds = fleet.Bounds{RetryWindow: time.Second} },
+		"budget":   func(w *work) { w.bounds.Store(&fleet.Bounds{RetryWindow: time.Second}) },
 		"time":     func(w *work) { w.request.Deadline = time.Now().Add(minimumTime / 2) },
 	} {
 		request := testRequest(name, "b")
@@ -556,7 +556,8 @@
 		judge := w.silence(s.targets[0], 0)
 		limit(w)
 		assert.NoError(t, judge(time.Minute, time.Millisecond), name)
-		s.forwarder.options.Bounds, s.forwarder.budgets = bounds, map[string]*budget.Budget{}
+		s.forwarder.bounds.Store(bounds)
+		s.forwarder.budgets = map[string]*budget.Budget{}
 	}
 	w := &work{Forwarder: s.forwarder, request: testRequest("again", "b"), sent: 1}
 	w.request.Route.Attempts = 2
