--- a/coordination/dispatch/prediction.go
+++ b/coordination/dispatch/prediction.go
@@ -75,7 +75,7 @@
 // says, and how much later than that it has lately begun others.
 func (c *Core) firstEvent(k *Candidate, request *Request, now time.Time) time.Duration {
 	late := time.Duration(c.policy.Lateness * float64(k.lateBy(now)))
-	if k.word.current(now) && !(request.SilenceFound && now.Sub(k.word.answeredAt) < answerCurrent) {
+	if k.word.current(now) {
 		late = max(late, k.word.Link)
 	}
 	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt) + late
