--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -269,7 +269,6 @@
 // it may have run there.
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
-	w.wanted.SilenceFound = w.watch.foundLately()
 	w.bindResidency()
 	w.askLoads(ctx)
 	chosen, refusal := w.choose()
@@ -399,12 +398,8 @@
 	if w.wanted.Engine == nil || w.attemptBegun {
 		return false
 	}
-	bounds := w.wanted.Bounds
-	if known := w.targets.currentView().Versions[w.request.Call.Model]; len(known) > 0 {
-		bounds = boundsOf(known, w.bounds.Load().VersionApply)
-	}
-	bound, bounded := bounds.Of(version)
-	return bounded && time.Until(bound) < takeBackMargin
+	notice, superseded := w.targets.currentView().FirstAfter(w.request.Call.Model, version)
+	return superseded && time.Until(notice.Since.Add(w.bounds.Load().VersionApply)) < takeBackMargin
 }
 
 // takeBackMargin is how long before the bound of an old version a request is taken
