Shedding: who came back is told by the time left, and goes behind while first attempts are refused

Cause: a caller that was refused once and came back takes a place like any other, though its answer is late in any case, while others whose answer could still be in time are refused. Refused callers are asked to return in the second half of the time that they heed. Load tests in virtual time.

--- /dev/null
+++ b/coordination/shedding/fake_test.go
@@ -0,0 +1,304 @@
+package shedding
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pinevane.example/pinevane/coordination/balance"
+)
+
+// The fake plays model servers, entries and callers in virtual time. It leaves out the network
+// but for its delay, versions, failures of streams, and memory.
+const (
+	tick        = time.Millisecond
+	entryCount  = 12
+	serverCount = 58
+	// drawn servers are compared for a request: agents are asked about three, and three more.
+	drawn     = 6
+	readChunk = 2000
+	// inTimeShare is the default of the entries' flag.
+	inTimeShare = 0.7
+	// lateCredit is what a late answer is worth of one in time; all streams have 0.24 to 0.25.
+	lateCredit = 0.25
+	// callerWay is the way from the caller and back.
+	callerWay = 6 * time.Millisecond
+	length    = 16 * time.Second
+)
+
+// figures are published for the model servers: 12 places, 8.87 ms a step and 0.0388 ms more
+// for each running request, 19.1 prompt tokens a ms, events of 5 tokens.
+var figures = balance.Server{
+	Slots: 12, StepMilliseconds: 8.87, PerSequence: 0.0388, Stride: 5, ReadPerSecond: 19100, ReadChunk: readChunk,
+	UsualPrompt: 940, UsualAnswer: 98,
+}
+
+// kind is a kind of request with the sizes of its prompts and answers, and rate tells how many
+// come a second.
+type kind struct {
+	rate   func(at time.Duration) float64
+	route  int
+	prompt float64
+	events float64
+	target time.Duration
+	worth  float64
+	// leastTime and mostTime are how long callers wait.
+	leastTime, mostTime time.Duration
+}
+
+type caller struct {
+	kind, prompt, events, tries, written int
+	size, worth                          float64
+	asked, until                         time.Duration
+	// entry has admitted the caller and expects its answer to begin at some time.
+	entry     *entry
+	expected  time.Duration
+	nearLimit bool
+	rank      int
+}
+
+type server struct {
+	running, reading, waiting []*caller
+	passEnds                  time.Duration
+	word                      balance.Load
+	wordAt                    time.Duration
+}
+
+type entry struct {
+	margin balance.Margin
+	usual  []Usual
+	// pressure is of the one service.
+	pressure Pressure
+	// sent are the requests sent to each server since its word.
+	sent map[*server][]*caller
+}
+
+// day is what is played.
+type day struct {
+	kinds   []kind
+	up      func(server int, at time.Duration) bool
+	wordAge time.Duration
+	seed    uint64
+}
+
+// way is how callers are admitted and told.
+type way struct {
+	limit func(f *fleet, e *entry, limit, alone time.Duration, arrival Arrival) time.Duration
+	told  func(soonest, limit time.Duration, arrival Arrival) time.Duration
+	rank  bool
+}
+
+// count is what became of a group of callers.
+type count struct {
+	asked, inTime, late, refused, twice int
+	owed, credit                        float64
+}
+
+func (c *count) served() float64 { return float64(c.inTime+c.late) / float64(max(1, c.asked)) }
+
+type outcome struct {
+	all    count
+	byKind []count
+	large  count
+	// returned counts those that come back by the second in which they do.
+	returned [32]count
+}
+
+type returning struct {
+	at time.Duration
+	*caller
+}
+type returns []returning
+
+func (r returns) Len() int           { return len(r) }
+func (r returns) Less(i, j int) bool { return r[i].at < r[j].at }
+func (r returns) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *returns) Push(x any)        { *r = append(*r, x.(returning)) }
+func (r *returns) Pop() (last any) {
+	*r, last = (*r)[:len(*r)-1], (*r)[len(*r)-1]
+	return last
+}
+
+type fleet struct {
+	day
+	way
+	random  *rand.Rand
+	servers []*server
+	entries []*entry
+	back    returns
+	now     time.Duration
+	out     outcome
+	// tokens are places for late callers, where these have a share of them.
+	tokens float64
+}
+
+func newFleet(d day, w way) *fleet {
+	f := &fleet{day: d, way: w, random: rand.New(rand.NewPCG(d.seed, 1))}
+	f.out.byKind = make([]count, len(d.kinds))
+	for i := range serverCount {
+		f.servers = append(f.servers, &server{wordAt: -time.Duration(i) * d.wordAge / serverCount})
+	}
+	for range entryCount {
+		f.entries = append(f.entries, &entry{sent: map[*server][]*caller{}, usual: make([]Usual, len(d.kinds))})
+	}
+	return f
+}
+
+// play plays a day until nobody waits any more.
+func play(d day, w way) outcome {
+	f := newFleet(d, w)
+	due := make([]float64, len(d.kinds))
+	for ; f.now < length+6*time.Second; f.now += tick {
+		for _, s := range f.servers {
+			f.step(s)
+		}
+		for len(f.back) > 0 && f.back[0].at <= f.now {
+			f.attempt(heap.Pop(&f.back).(returning).caller)
+		}
+		for i := 0; i < len(d.kinds) && f.now < length; i++ {
+			for due[i] += d.kinds[i].rate(f.now) * tick.Seconds(); due[i] >= 1; due[i]-- {
+				f.attempt(f.newCaller(i))
+			}
+		}
+	}
+	return f.out
+}
+
+// newCaller draws a caller's sizes and patience. Against the mean of its kind a request is
+// worth 0.3 + 0.7 of its size.
+func (f *fleet) newCaller(index int) *caller {
+	k := f.kinds[index]
+	size := min(3, math.Exp(0.8*f.random.NormFloat64()-0.32))
+	c := &caller{
+		kind: index, size: size, prompt: max(1, int(k.prompt*size)), events: max(1, int(k.events*math.Exp(0.7*f.random.NormFloat64()-0.245))),
+		worth: k.worth * (0.3 + 0.7*size), asked: f.now,
+		until: f.now + k.leastTime + time.Duration(f.random.Float64()*float64(k.mostTime-k.leastTime)),
+	}
+	f.each(c, func(group *count) { group.asked, group.owed = group.asked+1, group.owed+c.worth })
+	return c
+}
+
+// each updates the counts that a caller belongs to. The largest tenth are over 1.9 times the
+// usual size.
+func (f *fleet) each(c *caller, update func(*count)) {
+	update(&f.out.all)
+	update(&f.out.byKind[c.kind])
+	if c.size > 1.9 {
+		update(&f.out.large)
+	}
+}
+
+// attempt admits a caller at the soonest of a few servers, or refuses it.
+func (f *fleet) attempt(c *caller) {
+	c.tries++
+	e, target := f.entries[f.random.IntN(entryCount)], f.kinds[c.kind].target
+	arrival := Arrival{Left: c.until - f.now}
+	arrival.Missing = e.usual[f.kinds[c.kind].route].Arrived(f.now, arrival.Left)
+	full := e.margin.Limit(target)
+	limit := f.limit(f, e, full, figures.FirstEvent(balance.Load{}, c.prompt), arrival)
+	best, soonest := f.soonest(e, c)
+	if c.tries > 1 {
+		f.out.returned[f.now/time.Second].asked++
+	}
+	if soonest > limit {
+		f.refuse(e, c, arrival, f.told(soonest, limit, arrival))
+		return
+	}
+	c.entry, c.expected, c.nearLimit = e, f.now+soonest, soonest > target/2
+	if f.rank && arrival.Late(soonest, target) {
+		c.rank = 1
+	}
+	e.sent[best] = append(e.sent[best], c)
+	best.waiting = append(best.waiting, c)
+	slices.SortStableFunc(best.waiting, func(a, b *caller) int { return cmp.Compare(a.rank, b.rank) })
+}
+
+func (f *fleet) soonest(e *entry, c *caller) (*server, time.Duration) {
+	var best *server
+	soonest := time.Second
+	for range drawn {
+		i := f.random.IntN(serverCount)
+		if !f.up(i, f.now) {
+			continue
+		}
+		if expected := figures.FirstEvent(f.known(e, f.servers[i]), c.prompt); expected < soonest {
+			best, soonest = f.servers[i], expected
+		}
+	}
+	return best, soonest
+}
+
+// known is the load of a server by its last word and what the entry has sent since.
+func (f *fleet) known(e *entry, s *server) balance.Load {
+	if f.now-s.wordAt >= f.wordAge {
+		s.wordAt = f.now
+		s.word = withWaiting(balance.Load{Running: len(s.running)}, s.waiting, s.reading)
+		for _, other := range f.entries {
+			delete(other.sent, s)
+		}
+	}
+	return withWaiting(s.word, e.sent[s])
+}
+
+func withWaiting(load balance.Load, groups ...[]*caller) balance.Load {
+	for _, group := range groups {
+		load.Waiting += len(group)
+		for _, one := range group {
+			load.Unread += float64(one.prompt)
+		}
+	}
+	return load
+}
+
+// refuse tells a caller when to come back, which it does once, within a third of its time.
+func (f *fleet) refuse(e *entry, c *caller, arrival Arrival, earliest time.Duration) {
+	e.usual[f.kinds[c.kind].route].Refused(f.now, arrival.Left)
+	e.pressure.Refused(f.now, arrival)
+	f.each(c, func(group *count) { group.refused++ })
+	if c.tries > 1 {
+		f.each(c, func(group *count) { group.twice++ })
+		f.out.returned[f.now/time.Second].refused++
+		return
+	}
+	latest := arrival.Left / 3
+	told := min(latest, earliest+time.Duration(f.random.Float64()*float64(max(0, latest-earliest))))
+	heap.Push(&f.back, returning{at: f.now + told + callerWay, caller: c})
+}
+
+// step ends a server's pass, which writes an event of each running request, and begins the
+// next, which reads prompts for the free places.
+func (f *fleet) step(s *server) {
+	if f.now < s.passEnds {
+		return
+	}
+	for _, c := range s.reading {
+		f.begin(c)
+	}
+	s.running, s.reading = append(s.running, s.reading...), nil
+	s.running = slices.DeleteFunc(s.running, func(c *caller) bool { c.written++; return c.written >= c.events })
+	tokens := 0
+	for len(s.waiting) > 0 && len(s.running)+len(s.reading) < figures.Slots && tokens < readChunk {
+		s.reading = append(s.reading, s.waiting[0])
+		tokens += s.waiting[0].prompt
+		s.waiting = s.waiting[1:]
+	}
+	if len(s.running)+len(s.reading) > 0 {
+		pass := float64(figures.Stride)*(figures.StepMilliseconds+float64(len(s.running))*figures.PerSequence) + 1000*float64(tokens)/figures.ReadPerSecond
+		s.passEnds = f.now + time.Duration(pass*float64(time.Millisecond))
+	}
+}
+
+func (f *fleet) begin(c *caller) {
+	target := f.kinds[c.kind].target
+	if c.nearLimit {
+		c.entry.margin.Observe(f.now-c.expected, target, inTimeShare)
+	}
+	if f.now+callerWay-c.asked <= target {
+		f.each(c, func(group *count) { group.inTime, group.credit = group.inTime+1, group.credit+c.worth })
+		return
+	}
+	f.each(c, func(group *count) { group.late, group.credit = group.late+1, group.credit+lateCredit*c.worth })
+}
--- /dev/null
+++ b/coordination/shedding/shedding.go
@@ -0,0 +1,52 @@
+// Package shedding decides in overload which requests are admitted, and from when on a
+// refused caller is asked to come back. A request whose answer can still be in time goes
+// before one whose answer is late in any case. It does no I/O and reads no clock.
+package shedding
+
+import "time"
+
+// Arrival is what a request's arrival shows of its caller.
+type Arrival struct {
+	// Left is how long the caller waits from the arrival on; 0 is unknown.
+	Left time.Duration
+	// Missing is how long ago the caller asked for the first time, at least; 0 is a first
+	// attempt, as far as is known.
+	Missing time.Duration
+}
+
+// Limit is the latest expected beginning at which a request is admitted, where first attempts
+// are admitted up to a limit and an idle server would begin the request after a time alone.
+//
+// A caller that came back has used up the missing time of the limit. Once it can't be answered
+// in time any more, it goes behind those that can: it is admitted where it waits for others a
+// share, at most, of what a first attempt may wait. With 0 only idle servers take it, with 1
+// it is treated like a first attempt. The time alone is granted in full, so that long prompts
+// are not refused for their own length.
+func Limit(limit, alone time.Duration, arrival Arrival, share float64) time.Duration {
+	if arrival.Missing <= 0 || limit <= 0 {
+		return limit
+	}
+	late := alone + time.Duration(share*float64(limit-alone))
+	return min(limit, max(limit-arrival.Missing, late))
+}
+
+// Late reports whether a request that is expected to begin after some time begins later than
+// its target, counted from the first attempt.
+func (a Arrival) Late(expected, target time.Duration) bool {
+	return a.Missing > 0 && a.Missing+expected > target
+}
+
+// patientShare is the part of its time left that a caller refused in overload is asked to
+// wait at least. It comes back within heededShare; its answer is late in any case.
+const patientShare = 1.0 / 6
+
+// Return is the earliest time after which a refused caller is asked to come back, where the
+// soonest server would begin its request after a time and may keep others waiting for a
+// limit: when that server's queue will have come down to half of the limit, within bounds,
+// and not in the first half of the time that the caller heeds. Callers that are back sooner
+// stand before the same queue once more, and can't be told from first attempts where these
+// differ by as much.
+func Return(soonest, limit, least, most time.Duration, arrival Arrival) time.Duration {
+	queue := min(max(soonest-limit/2, least), most)
+	return max(queue, time.Duration(patientShare*float64(arrival.Left)))
+}
--- /dev/null
+++ b/coordination/shedding/usual.go
@@ -0,0 +1,97 @@
+package shedding
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of what is learned of a route's callers.
+const (
+	// samplesKept is how many first attempts the usual time left is taken from: 13 s of a
+	// route with five requests a second at an entry.
+	samplesKept = 64
+	// samplesNeeded is how few are not enough to judge anyone by.
+	samplesNeeded = 16
+	// samplesAStray is how many samples there are to each one that is left out as a stray: a
+	// caller that came back after a refusal elsewhere. A group of callers with shorter
+	// deadlines than the others is not taken for late once it makes up some 5 in 100.
+	samplesAStray = 32
+	// heededShare is the part of its time left within which a refused caller comes back.
+	heededShare = 1.0 / 3
+	// mostReturned is the share of arrivals from which on those that seem to have come back
+	// can't all have done so, since each first attempt is followed by one return at most: the
+	// deadlines of the route's callers have changed, and are learned anew.
+	mostReturned = 0.75
+	// returnedWeight is what one arrival counts for in that share: the last hundred or so.
+	returnedWeight = 0.01
+)
+
+// Usual learns how much time the callers of one route have left when they ask for the first
+// time. A caller that comes back after a refusal has less left, by the time since its first
+// attempt. Its zero value knows nothing, and takes nobody for one that came back.
+type Usual struct {
+	// left holds the times left of the last first attempts, next is the oldest of them.
+	left []time.Duration
+	next int
+	// least is the shortest time left that a first attempt is taken to have.
+	least time.Duration
+	// learnsFrom is when nobody can be coming back any more that was refused here, or, at the
+	// start of a process, before it knew of the route.
+	learnsFrom time.Duration
+	// returned is the share of the last arrivals that seem to have come back.
+	returned float64
+}
+
+// Arrived notes a request whose caller waits for a time left, 0 for one that does not say. It
+// returns how long ago the caller first asked, at least; 0 is a first attempt, as far as is
+// known.
+func (u *Usual) Arrived(now, left time.Duration) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	if u.learnsFrom == 0 {
+		u.Refused(now, left)
+	}
+	missing := u.missing(left)
+	u.countReturned(missing > 0)
+	if now >= u.learnsFrom {
+		u.learn(left)
+	}
+	return missing
+}
+
+func (u *Usual) missing(left time.Duration) time.Duration {
+	if len(u.left) < samplesNeeded {
+		return 0
+	}
+	return max(0, u.least-left)
+}
+
+// countReturned forgets what was learned when more callers seem to have come back than can.
+func (u *Usual) countReturned(returned bool) {
+	u.returned *= 1 - returnedWeight
+	if returned {
+		u.returned += returnedWeight
+	}
+	if u.returned > mostReturned {
+		*u = Usual{}
+	}
+}
+
+// learn takes a time left for that of a first attempt: nobody has been refused lately who
+// might be coming back.
+func (u *Usual) learn(left time.Duration) {
+	if len(u.left) < samplesKept {
+		u.left = append(u.left, left)
+	} else {
+		u.left[u.next] = left
+		u.next = (u.next + 1) % samplesKept
+	}
+	sorted := slices.Sorted(slices.Values(u.left))
+	u.least = sorted[len(sorted)/samplesAStray]
+}
+
+// Refused notes that a caller with a time left was refused, and may come back.
+func (u *Usual) Refused(now, left time.Duration) {
+	u.learnsFrom = max(u.learnsFrom, now+time.Duration(heededShare*float64(left)))
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/shedding"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -59,6 +60,8 @@
 	answer    int
 	// resumed requests are not refused for load: they have been admitted before.
 	resumed bool
+	// arrival tells whether the caller came back after a refusal.
+	arrival shedding.Arrival
 	// notices are the named versions of the model, the newest last. A server that has
 	// an older one than a notice names must begin the request within versionApply of
 	// that notice.
@@ -203,7 +206,7 @@
 	}
 	t.log.Log(logging.NoServerChosen, zap.String("request", wanted.work.request.Call.RequestID), zap.String("service", wanted.service),
 		zap.Any("servers", counts), zap.Duration("soonest", soonest), zap.Duration("limit", limit), zap.Duration("oldest_status", oldest),
-		zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly),
+		zap.Duration("missing", wanted.arrival.Missing), zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly),
 		regionsField(wanted.residency))
 }
 
@@ -356,12 +359,6 @@
 	return wanted.engine == nil && k.inFlight < k.server.Slots
 }
 
-// refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
-// admits every one.
-func (t *targets) refusalLimit(wanted need) time.Duration {
-	return time.Duration(wanted.rules().RefusalShare * float64(t.marginOf(wanted.service).Limit(wanted.route.Target)))
-}
-
 // overload refuses a request that no server would begin within its target. When
 // only the drawn ones would not, the soonest of all is taken. One that was sent to a
 // server before has been admitted: it is not refused any more.
@@ -379,7 +376,7 @@
 	}
 	t.logNoChoice(wanted, now, soonest, limit)
 	refusal := fault.NotRun(fault.ReasonOverloaded, "no server could begin the request within its target")
-	refusal.RetryAfter = min(max(soonest-limit/2, refusalRetryFloor), refusalRetryCap)
+	refusal.RetryAfter = shedding.Return(soonest, limit, refusalRetryFloor, refusalRetryCap, wanted.arrival)
 	return refusal
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -184,11 +184,10 @@
 	if w.wanted.engine != nil {
 		w.wanted.figures = f.targets.figuresOf(service, w.wanted.engine)
 	}
+	w.wanted.arrival = f.noteArrival(request)
 	f.countRequest(service)
 	refusal := w.forward(ctx)
-	if refusal != nil && refusal.RetryAfter > 0 {
-		refusal.RetryAfter = ReturnAfter(refusal.RetryAfter, time.Until(request.Deadline))
-	}
+	w.noteRefusal(refusal)
 	return refusal
 }
 
@@ -278,7 +277,7 @@
 	w.announce(target)
 	send := fleet.SendHeader{
 		Deadline: time.Until(w.request.Deadline), Instance: target.id, Version: w.expectedVersion(chosen.version),
-		Tenant: w.request.Tenant, Priority: w.request.Priority,
+		Tenant: w.request.Tenant, Priority: w.rank(chosen.expected),
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
 		send.LastEventID = w.lastEvent
@@ -289,7 +288,7 @@
 		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
 		zap.Int("running", chosen.load.Running), zap.Int("waiting", chosen.load.Waiting), zap.Int("unread_tokens", int(chosen.load.Unread)),
 		zap.Int("prompt_tokens", w.wanted.prompt),
-		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.Duration("time_left", send.Deadline), zap.Duration("missing", w.wanted.arrival.Missing), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	w.sentAt = began
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,8 @@
 	cut         *prometheus.CounterVec
 	silent      *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
+	arrivals    *prometheus.CounterVec
+	told        *prometheus.HistogramVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
 	// unservedOwners counts the routes and tenants of the configuration in force whose
@@ -45,11 +47,15 @@
 		Name: "pinevane_silent_server_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
 	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
+	m.arrivals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_arrivals_total", Help: "Requests that arrived, by whether their caller asked for the first time or came back after a refusal."}, []string{"attempt"})
+	m.told = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "pinevane_retry_after_seconds", Help: "Times after which refused callers were asked to come back.", Buckets: latencyBuckets}, []string{"attempt", "reason"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.arrivals, m.told, m.missingFigures, m.unservedOwners)
 	return m
 }
 
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -11,6 +11,7 @@
 type Policy struct {
 	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1" description:"weight of the limit beyond which the predicted beginning of a request is a refusal, 0 (never refuse) to 10"`
 	InTimeShare  float64 `long:"in-time-share" env:"PINEVANE_IN_TIME_SHARE" default:"0.7" description:"share of the requests expected just within the limit that are to begin in time, 0 (a fixed limit of 1.1 targets) to 0.99"`
+	LateShare    float64 `long:"late-share" env:"PINEVANE_LATE_SHARE" default:"0.15" description:"share of what a first attempt may wait that is granted to one whose answer is late in any case while first attempts are refused, 0 (idle servers only) to 1 (no difference)"`
 	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
 	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
 	SwitchWeight float64 `long:"switch-weight" env:"PINEVANE_SWITCH_WEIGHT" default:"2" description:"weight of the time by which a request would put off its server's change-over, 0 to 2"`
@@ -19,7 +20,7 @@
 
 // DefaultPolicy is what the flags' defaults say.
 func DefaultPolicy() Policy {
-	return Policy{RefusalShare: 1, InTimeShare: 0.7, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, SampleSize: 4}
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, LateShare: 0.15, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, SampleSize: 4}
 }
 
 // Bounds of the policy's figures.
@@ -27,6 +28,7 @@
 	mostWeight       = 2
 	mostRefusalShare = 10
 	mostInTimeShare  = 0.99
+	mostLateShare    = 1
 	mostSampleSize   = 64
 )
 
@@ -37,7 +39,7 @@
 		value float64
 		most  float64
 	}{
-		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--unseen-load", p.UnseenLoad, mostWeight},
+		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--late-share", p.LateShare, mostLateShare}, {"--unseen-load", p.UnseenLoad, mostWeight},
 		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight},
 	} {
 		if !(one.value >= 0 && one.value <= one.most) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -9,6 +9,7 @@
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/shedding"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -114,6 +115,11 @@
 	learned map[string]*balance.Learned
 	// margins learn the limit of refusals of each service.
 	margins map[string]*balance.Margin
+	// usual learns what time callers of each route have left at first attempts.
+	usual map[string]*shedding.Usual
+	// pressures tell whether each service is overloaded.
+	pressures map[string]*shedding.Pressure
+	started   time.Time
 
 	// bounds are what the platform holds the fleet to; cold are the entries that share what
 	// cold servers may receive, and coldSent counts this entry's requests to such.
@@ -131,7 +137,7 @@
 	return &targets{
 		zone: zone, regions: regions, log: log, random: rand.Float64, shuffle: rand.Shuffle, cold: newColdMembers("", nil),
 		byID: map[string]*target{}, byService: map[string][]*target{}, byAddress: map[string]*target{}, statuses: map[string]statusAt{},
-		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
+		view: &catalog.View{}, learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{}, usual: map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: time.Now(),
 	}
 }
 
@@ -174,6 +180,7 @@
 		}
 	}
 	t.noteEvacuations(old, view)
+	t.forgetRoutes(view.Configuration)
 }
 
 // holdAddress notes who has an address now: of several servers that are listed with
