--- /dev/null
+++ b/coordination/shedding/usual_test.go
@@ -0,0 +1,87 @@
+package shedding
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// callersOf returns what a route has learned whose callers come five times a second, each
+// with one of the times left in turn.
+func callersOf(count int, left ...time.Duration) (*Usual, time.Duration) {
+	usual, now := &Usual{}, time.Duration(0)
+	for i := range count {
+		now += 200 * time.Millisecond
+		usual.Arrived(now, left[i%len(left)])
+	}
+	return usual, now
+}
+
+// A caller that came back has less time left than any first attempt, by as much as it has
+// waited at least.
+func TestReturningCallerIsKnownByItsTimeLeft(t *testing.T) {
+	usual, now := callersOf(60, 6*time.Second, 5600*time.Millisecond, 5100*time.Millisecond)
+	assert.Equal(t, 700*time.Millisecond, usual.Arrived(now, 4400*time.Millisecond))
+	assert.Zero(t, usual.Arrived(now, 5200*time.Millisecond), "first attempts differ by as much")
+	assert.Zero(t, usual.Arrived(now, 0), "a caller that does not say")
+}
+
+func TestNobodyIsJudgedByAFewArrivals(t *testing.T) {
+	usual, now := callersOf(12, 6*time.Second)
+	assert.Zero(t, usual.Arrived(now, 3*time.Second))
+}
+
+// While refused callers may be coming back their times left are not taken for usual ones.
+func TestNothingIsLearnedWhileRefusedCallersMayComeBack(t *testing.T) {
+	usual, now := callersOf(60, 6*time.Second)
+	for i := range 40 {
+		at := now + time.Duration(i)*40*time.Millisecond
+		usual.Refused(at, 6*time.Second)
+		usual.Arrived(at, 6*time.Second)
+		usual.Arrived(at, 4500*time.Millisecond)
+	}
+	assert.Equal(t, 1500*time.Millisecond, usual.Arrived(now+2*time.Second, 4500*time.Millisecond))
+}
+
+// A process that starts in an outage does not take those who come back for first attempts.
+func TestAStartingProcessLearnsNothingAtOnce(t *testing.T) {
+	usual := &Usual{}
+	for i := range 50 {
+		usual.Arrived(time.Duration(i)*20*time.Millisecond, 4*time.Second)
+	}
+	assert.Empty(t, usual.left)
+}
+
+// One caller in a hundred that was refused elsewhere hides nobody.
+func TestAStrayIsLeftOut(t *testing.T) {
+	usual, now := callersOf(80, 6*time.Second)
+	usual.Arrived(now, 4*time.Second)
+	assert.Equal(t, time.Second, usual.Arrived(now, 5*time.Second))
+}
+
+// Callers with a shorter deadline are not taken for late ones, as soon as they are more than
+// strays.
+func TestCallersWithAShorterDeadlineAreFirstAttempts(t *testing.T) {
+	usual, now := callersOf(80, 6*time.Second, 6*time.Second, 6*time.Second, 6*time.Second, 6*time.Second, 3*time.Second)
+	assert.Zero(t, usual.Arrived(now, 3*time.Second))
+}
+
+// More callers can't have come back than have asked: when all of a route seem to, their
+// deadlines have changed, also in an overload that does not end.
+func TestChangedDeadlinesAreLearnedAnew(t *testing.T) {
+	usual, now := callersOf(60, 6*time.Second)
+	late := 0
+	for i := range 400 {
+		now += 50 * time.Millisecond
+		if i < 200 {
+			usual.Refused(now, 3*time.Second)
+		}
+		if usual.Arrived(now, 3*time.Second) > 0 {
+			late++
+		}
+	}
+	assert.Less(t, late, 200)
+	assert.Zero(t, usual.Arrived(now, 3*time.Second))
+	assert.Equal(t, time.Second, usual.Arrived(now, 2*time.Second))
+}
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -20,22 +20,22 @@
 
 // learnedOf returns what is learned of a service; the mutex is held.
 func (t *targets) learnedOf(service string) *balance.Learned {
-	learned := t.learned[service]
-	if learned == nil {
-		learned = &balance.Learned{}
-		t.learned[service] = learned
-	}
-	return learned
+	return held(t.learned, service)
 }
 
 // marginOf returns the margin of a service's refusals; the mutex is held.
 func (t *targets) marginOf(service string) *balance.Margin {
-	margin := t.margins[service]
-	if margin == nil {
-		margin = &balance.Margin{}
-		t.margins[service] = margin
+	return held(t.margins, service)
+}
+
+// held returns what is kept of a name, and begins with nothing known.
+func held[V any](kept map[string]*V, name string) *V {
+	known := kept[name]
+	if known == nil {
+		known = new(V)
+		kept[name] = known
 	}
-	return margin
+	return known
 }
 
 // learnMargin notes how much later than expected a request has begun, if it was expected
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -55,22 +55,12 @@
 
 // pressureOf tells whether a service is overloaded; the mutex is held.
 func (t *targets) pressureOf(service string) *shedding.Pressure {
-	pressure := t.pressures[service]
-	if pressure == nil {
-		pressure = &shedding.Pressure{}
-		t.pressures[service] = pressure
-	}
-	return pressure
+	return held(t.pressures, service)
 }
 
 // usualOf returns what is learned of a route's callers; the mutex is held.
 func (t *targets) usualOf(route string) *shedding.Usual {
-	usual := t.usual[route]
-	if usual == nil {
-		usual = &shedding.Usual{}
-		t.usual[route] = usual
-	}
-	return usual
+	return held(t.usual, route)
 }
 
 // refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
