Explain: the story of a request tells when its caller had come back

Cause: a returning caller showed in no line that people read. Change: the time since the first attempt is a field of the choice's lines, and part of the cause.

--- a/coordination/shedding/fake_test.go
+++ b/coordination/shedding/fake_test.go
@@ -181,7 +181,7 @@
 	c.tries++
 	e, target := f.entries[f.random.IntN(entryCount)], f.kinds[c.kind].target
 	arrival := Arrival{Left: c.until - f.now}
-	arrival.Missing = e.usual[f.kinds[c.kind].route].Arrived(f.now, arrival.Left)
+	arrival.Elapsed = e.usual[f.kinds[c.kind].route].Arrived(f.now, arrival.Left)
 	full := e.margin.Limit(target)
 	limit := f.limit(f, e, full, figures.FirstEvent(balance.Load{}, c.prompt), arrival)
 	best, soonest := f.soonest(e, c)
--- a/coordination/shedding/load_test.go
+++ b/coordination/shedding/load_test.go
@@ -24,7 +24,7 @@
 }
 
 func oneInTwenty(f *fleet, _ *entry, limit, _ time.Duration, arrival Arrival) time.Duration {
-	if arrival.Missing == 0 {
+	if arrival.Elapsed == 0 {
 		f.tokens = min(10, f.tokens+0.05)
 		return limit
 	}
--- a/coordination/shedding/pressure.go
+++ b/coordination/shedding/pressure.go
@@ -16,7 +16,7 @@
 
 // Refused notes the refusal of a request.
 func (p *Pressure) Refused(now time.Duration, arrival Arrival) {
-	if arrival.Missing == 0 {
+	if arrival.Elapsed == 0 {
 		p.refusedAt, p.refused = now, true
 	}
 }
--- a/coordination/shedding/shedding.go
+++ b/coordination/shedding/shedding.go
@@ -9,31 +9,31 @@
 type Arrival struct {
 	// Left is how long the caller waits from the arrival on; 0 is unknown.
 	Left time.Duration
-	// Missing is how long ago the caller asked for the first time, at least; 0 is a first
+	// Elapsed is how long ago the caller asked for the first time, at least; 0 is a first
 	// attempt, as far as is known.
-	Missing time.Duration
+	Elapsed time.Duration
 }
 
 // Limit is the latest expected beginning at which a request is admitted, where first attempts
 // are admitted up to a limit and an idle server would begin the request after a time alone.
 //
-// A caller that came back has used up the missing time of the limit. Once it can't be answered
+// A caller that came back has used up the elapsed time of the limit. Once it can't be answered
 // in time any more, it goes behind those that can: it is admitted where it waits for others a
 // share, at most, of what a first attempt may wait. With 0 only idle servers take it, with 1
 // it is treated like a first attempt. The time alone is granted in full, so that long prompts
 // are not refused for their own length.
 func Limit(limit, alone time.Duration, arrival Arrival, share float64) time.Duration {
-	if arrival.Missing <= 0 || limit <= 0 {
+	if arrival.Elapsed <= 0 || limit <= 0 {
 		return limit
 	}
 	late := alone + time.Duration(share*float64(limit-alone))
-	return min(limit, max(limit-arrival.Missing, late))
+	return min(limit, max(limit-arrival.Elapsed, late))
 }
 
 // Late reports whether a request that is expected to begin after some time begins later than
 // its target, counted from the first attempt.
 func (a Arrival) Late(expected, target time.Duration) bool {
-	return a.Missing > 0 && a.Missing+expected > target
+	return a.Elapsed > 0 && a.Elapsed+expected > target
 }
 
 // patientShare is the part of its time left that a caller refused in overload is asked to
--- a/coordination/shedding/shedding_test.go
+++ b/coordination/shedding/shedding_test.go
@@ -11,28 +11,28 @@
 
 func TestLimit(t *testing.T) {
 	for name, one := range map[string]struct {
-		limit, alone, missing time.Duration
+		limit, alone, elapsed time.Duration
 		share                 float64
 		want                  time.Duration
 	}{
 		"a first attempt":                         {limit: 440 * ms, alone: 90 * ms, share: 0.2, want: 440 * ms},
-		"one that is back in time":                {limit: 440 * ms, alone: 90 * ms, missing: 100 * ms, share: 0.2, want: 340 * ms},
-		"a late one waits for a share":            {limit: 440 * ms, alone: 90 * ms, missing: time.Second, share: 0.2, want: 160 * ms},
-		"only idle servers":                       {limit: 440 * ms, alone: 90 * ms, missing: time.Second, want: 90 * ms},
-		"like a first attempt":                    {limit: 440 * ms, alone: 90 * ms, missing: time.Second, share: 1, want: 440 * ms},
-		"a long prompt is not refused for itself": {limit: 440 * ms, alone: 300 * ms, missing: time.Second, share: 0, want: 300 * ms},
-		"a late one is never granted more":        {limit: 440 * ms, alone: 600 * ms, missing: time.Second, share: 0.2, want: 440 * ms},
-		"without a limit everybody is admitted":   {missing: time.Second, alone: 90 * ms, share: 0.2, want: 0},
-		"nor does a late one get one of its own":  {limit: -ms, missing: time.Second, alone: 90 * ms, share: 0.2, want: -ms},
+		"one that is back in time":                {limit: 440 * ms, alone: 90 * ms, elapsed: 100 * ms, share: 0.2, want: 340 * ms},
+		"a late one waits for a share":            {limit: 440 * ms, alone: 90 * ms, elapsed: time.Second, share: 0.2, want: 160 * ms},
+		"only idle servers":                       {limit: 440 * ms, alone: 90 * ms, elapsed: time.Second, want: 90 * ms},
+		"like a first attempt":                    {limit: 440 * ms, alone: 90 * ms, elapsed: time.Second, share: 1, want: 440 * ms},
+		"a long prompt is not refused for itself": {limit: 440 * ms, alone: 300 * ms, elapsed: time.Second, share: 0, want: 300 * ms},
+		"a late one is never granted more":        {limit: 440 * ms, alone: 600 * ms, elapsed: time.Second, share: 0.2, want: 440 * ms},
+		"without a limit everybody is admitted":   {elapsed: time.Second, alone: 90 * ms, share: 0.2, want: 0},
+		"nor does a late one get one of its own":  {limit: -ms, elapsed: time.Second, alone: 90 * ms, share: 0.2, want: -ms},
 	} {
-		assert.InDelta(t, float64(one.want), float64(Limit(one.limit, one.alone, Arrival{Missing: one.missing}, one.share)), 10, name)
+		assert.InDelta(t, float64(one.want), float64(Limit(one.limit, one.alone, Arrival{Elapsed: one.elapsed}, one.share)), 10, name)
 	}
 }
 
 func TestLateCountsFromTheFirstAttempt(t *testing.T) {
 	assert.False(t, Arrival{}.Late(600*ms, 400*ms), "a first attempt that begins late is no late caller")
-	assert.False(t, Arrival{Missing: 100 * ms}.Late(200*ms, 400*ms))
-	assert.True(t, Arrival{Missing: 300 * ms}.Late(200*ms, 400*ms))
+	assert.False(t, Arrival{Elapsed: 100 * ms}.Late(200*ms, 400*ms))
+	assert.True(t, Arrival{Elapsed: 300 * ms}.Late(200*ms, 400*ms))
 }
 
 // Refused callers come back when the queue has come down, in the second half of the time that
@@ -49,7 +49,7 @@
 func TestPressureEases(t *testing.T) {
 	var pressure Pressure
 	assert.InDelta(t, 1, pressure.Share(0, 0.2), 1e-9)
-	pressure.Refused(5*time.Second, Arrival{Missing: time.Second})
+	pressure.Refused(5*time.Second, Arrival{Elapsed: time.Second})
 	assert.InDelta(t, 1, pressure.Share(5*time.Second, 0.2), 1e-9, "a late one's refusal shows no overload of first attempts")
 	pressure.Refused(5*time.Second, Arrival{})
 	assert.InDelta(t, 0.2, pressure.Share(5*time.Second, 0.2), 1e-9)
--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -52,15 +52,15 @@
 	if u.learnsFrom == 0 {
 		u.Refused(now, left)
 	}
-	missing := u.missing(left)
-	u.countReturned(missing > 0)
+	elapsed := u.elapsed(left)
+	u.countReturned(elapsed > 0)
 	if now >= u.learnsFrom {
 		u.learn(left)
 	}
-	return missing
+	return elapsed
 }
 
-func (u *Usual) missing(left time.Duration) time.Duration {
+func (u *Usual) elapsed(left time.Duration) time.Duration {
 	if len(u.left) < samplesNeeded {
 		return 0
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -50,12 +50,24 @@
 			text += fmt.Sprintf("; %.3f s had been expected of the server, on figures %.3f s old", choice.number("expected"), choice.number("status_age"))
 		}
 	}
+	if choice, found := last(own, sent); found {
+		text += returnCause(choice)
+	}
 	if failure, found := last(own, failed); found {
 		text += "; an attempt before failed: " + failure.text("reason") + " at " + failure.text("server")
 	}
 	return text
 }
 
+// returnCause tells of a caller that had been refused before.
+func returnCause(choice Line) string {
+	since := choice.number("since_first_attempt")
+	if since <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("; the caller had come back, %.3f s or more after its first attempt", since)
+}
+
 func deniedCause(all []Line, end Line) string {
 	text := fmt.Sprintf("denied with %s by configuration %s, in force for %.3f s", end.text("status"), end.text("configuration"), end.number("configuration_age"))
 	if newest, found := last(all, accepted); found && newest.text("version") != end.text("configuration") {
@@ -71,7 +83,7 @@
 		if line.number("limit") > 0 {
 			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
 		}
-		return text + regionCause(line, end) + evacuationCause(all, line) + versionCause(all, line)
+		return text + returnCause(line) + regionCause(line, end) + evacuationCause(all, line) + versionCause(all, line)
 	}
 	if _, found := last(own, failed); found {
 		return failureCause(own, all)
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -206,7 +206,7 @@
 	}
 	t.log.Log(logging.NoServerChosen, zap.String("request", wanted.work.request.Call.RequestID), zap.String("service", wanted.service),
 		zap.Any("servers", counts), zap.Duration("soonest", soonest), zap.Duration("limit", limit), zap.Duration("oldest_status", oldest),
-		zap.Duration("missing", wanted.arrival.Missing), zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly),
+		zap.Duration("since_first_attempt", wanted.arrival.Elapsed), zap.Uint64("at_least_version", wanted.atLeast), zap.Uint64("exactly_version", wanted.exactly),
 		regionsField(wanted.residency))
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -288,7 +288,7 @@
 		zap.String("server", target.id), zap.String("zone", target.zone), zap.Int("outstanding", chosen.outstanding),
 		zap.Int("running", chosen.load.Running), zap.Int("waiting", chosen.load.Waiting), zap.Int("unread_tokens", int(chosen.load.Unread)),
 		zap.Int("prompt_tokens", w.wanted.prompt),
-		zap.Duration("time_left", send.Deadline), zap.Duration("missing", w.wanted.arrival.Missing), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
+		zap.Duration("time_left", send.Deadline), zap.Duration("since_first_attempt", w.wanted.arrival.Elapsed), zap.Duration("expected", chosen.expected), zap.Duration("status_age", chosen.statusAge), zap.Int("candidates", chosen.candidates), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	w.sentAt = began
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -18,7 +18,7 @@
 
 // attemptOf is the label of an arrival.
 func attemptOf(arrival shedding.Arrival) string {
-	if arrival.Missing > 0 {
+	if arrival.Elapsed > 0 {
 		return attemptReturned
 	}
 	return attemptFirst
@@ -29,9 +29,9 @@
 func (f *Forwarder) noteArrival(request *Request) shedding.Arrival {
 	left := request.Call.Deadline
 	f.targets.mutex.Lock()
-	missing := f.targets.usualOf(request.Route.Name).Arrived(time.Since(f.targets.started), left)
+	elapsed := f.targets.usualOf(request.Route.Name).Arrived(time.Since(f.targets.started), left)
 	f.targets.mutex.Unlock()
-	arrival := shedding.Arrival{Left: left, Missing: missing}
+	arrival := shedding.Arrival{Left: left, Elapsed: elapsed}
 	f.metrics.arrivals.WithLabelValues(attemptOf(arrival)).Inc()
 	return arrival
 }
--- a/internal/forward/shedding_test.go
+++ b/internal/forward/shedding_test.go
@@ -80,7 +80,7 @@
 	assert.Less(t, share, 0.5, "there is overload now")
 
 	back := &Request{Route: w.request.Route, Call: fleet.CallHeader{Deadline: 4500 * time.Millisecond}}
-	assert.Equal(t, 1500*time.Millisecond, w.noteArrival(back).Missing)
+	assert.Equal(t, 1500*time.Millisecond, w.noteArrival(back).Elapsed)
 	assert.Equal(t, map[string]float64{"first": 1, "returned": 1}, byAttempt(t, w.Forwarder, "pinevane_arrivals_total"))
 }
 
