Shedding: an entry knows its routes' callers after six arrivals; load alone is pressure

Refusals for want of any server counted as overload. Change: six samples are enough, with a margin for the spread that few of them leave; only refusals for load are pressure.

--- a/coordination/shedding/fake_test.go
+++ b/coordination/shedding/fake_test.go
@@ -189,6 +189,9 @@
 		f.out.returned[f.now/time.Second].asked++
 	}
 	if soonest > limit {
+		if best != nil {
+			e.pressure.Refused(f.now, arrival)
+		}
 		f.refuse(e, c, arrival, f.told(soonest, limit, arrival))
 		return
 	}
@@ -241,7 +244,6 @@
 // refuse tells a caller when to come back, which it does once, within a third of its time.
 func (f *fleet) refuse(e *entry, c *caller, arrival Arrival, earliest time.Duration) {
 	e.usual[f.kinds[c.kind].route].Refused(f.now, arrival.Left)
-	e.pressure.Refused(f.now, arrival)
 	f.each(c, func(group *count) { group.refused++ })
 	if c.tries > 1 {
 		f.each(c, func(group *count) { group.twice++ })
--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -7,11 +7,17 @@
 
 // Bounds of what is learned of a route's callers.
 const (
-	// samplesKept is how many first attempts the usual time left is taken from: 13 s of a
-	// route with five requests a second at an entry.
+	// samplesKept is how many first attempts the usual time left is taken from: half a minute
+	// of a route with two requests a second at an entry.
 	samplesKept = 64
-	// samplesNeeded is how few are not enough to judge anyone by.
-	samplesNeeded = 16
+	// samplesNeeded is how many are enough to judge others by. Entries of a fleet that is full
+	// see one or two first attempts a second of a route; at 16 most of them knew nothing yet in an
+	// overload eight seconds after their start.
+	samplesNeeded = 6
+	// sparseMargin times the spread of the samples over their number is how much shorter than
+	// the shortest of them a first attempt may still be. Spread evenly, the shortest lies once
+	// that quotient above the least possible in the mean.
+	sparseMargin = 2
 	// samplesAStray is how many samples there are to each one that is left out as a stray: a
 	// caller that came back after a refusal elsewhere. A group of callers with shorter
 	// deadlines than the others is not taken for late once it makes up some 5 in 100.
@@ -88,7 +94,9 @@
 		u.next = (u.next + 1) % samplesKept
 	}
 	sorted := slices.Sorted(slices.Values(u.left))
-	u.least = sorted[len(sorted)/samplesAStray]
+	shortest := sorted[len(sorted)/samplesAStray]
+	spread := sorted[len(sorted)-1] - shortest
+	u.least = shortest - sparseMargin*spread/time.Duration(len(sorted))
 }
 
 // Refused notes that a caller with a time left was refused, and may come back.
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -48,7 +48,7 @@
 	defer w.targets.mutex.Unlock()
 	now := time.Since(w.targets.started)
 	w.targets.usualOf(w.request.Route.Name).Refused(now, w.wanted.arrival.Left)
-	if refusal.Reason == fault.ReasonOverloaded || refusal.Reason == fault.ReasonNoReplica {
+	if refusal.Reason == fault.ReasonOverloaded {
 		w.targets.pressureOf(w.wanted.service).Refused(now, w.wanted.arrival)
 	}
 }
