--- a/coordination/shedding/shedding.go
+++ b/coordination/shedding/shedding.go
@@ -36,9 +36,14 @@
 	return a.Elapsed > 0 && a.Elapsed+expected > target
 }
 
-// patientShare is the part of its time left that a caller refused in overload is asked to
-// wait at least. It comes back within heededShare; its answer is late in any case.
-const patientShare = 1.0 / 6
+// Shares of the time left of a refused caller.
+const (
+	// HeededShare is the part for which it heeds Retry-After, as the platform publishes.
+	HeededShare = 1.0 / 3
+	// patientShare is the part that it is asked to wait at least when it is refused in
+	// overload: its answer is late in any case.
+	patientShare = HeededShare / 2
+)
 
 // Return is the earliest time after which a refused caller is asked to come back, where the
 // soonest server would begin its request after a time and may keep others waiting for a
--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -22,8 +22,6 @@
 	// caller that came back after a refusal elsewhere. A group of callers with shorter
 	// deadlines than the others is not taken for late once it makes up some 5 in 100.
 	samplesAStray = 32
-	// heededShare is the part of its time left within which a refused caller comes back.
-	heededShare = 1.0 / 3
 	// mostReturned is the share of arrivals from which on those that seem to have come back
 	// can't all have done so, since each first attempt is followed by one return at most: the
 	// deadlines of the route's callers have changed, and are learned anew.
@@ -101,5 +99,5 @@
 
 // Refused notes that a caller with a time left was refused, and may come back.
 func (u *Usual) Refused(now, left time.Duration) {
-	u.learnsFrom = max(u.learnsFrom, now+time.Duration(heededShare*float64(left)))
+	u.learnsFrom = max(u.learnsFrom, now+time.Duration(HeededShare*float64(left)))
 }
--- a/internal/forward/shedding_test.go
+++ b/internal/forward/shedding_test.go
@@ -69,9 +69,10 @@
 // the metrics tell who was refused and what it was told.
 func TestRefusedCallersAreToldAndCounted(t *testing.T) {
 	w := arriving(6 * time.Second)
-	w.targets.byService["s"][0].status.Waiting = 30
+	w.targets.byService["s"][0].status.Waiting = 6
 	_, refusal := w.targets.choose(w.wanted)
 	require.NotNil(t, refusal)
+	assert.Equal(t, time.Second, refusal.RetryAfter, "the queue alone would have come down sooner")
 	w.noteRefusal(refusal)
 	assert.GreaterOrEqual(t, refusal.RetryAfter, 990*time.Millisecond)
 	assert.LessOrEqual(t, refusal.RetryAfter, 2*time.Second)
