--- a/internal/forward/returning.go
+++ b/internal/forward/returning.go
@@ -3,10 +3,9 @@
 import (
 	"math/rand/v2"
 	"time"
-)
 
-// honouredShare is the part of its time left for which a caller heeds Retry-After.
-const honouredShare = 1.0 / 3
+	"pinevane.example/pinevane/coordination/shedding"
+)
 
 // ReturnAfter is when a refused caller is asked to come back: some time between the earliest
 // at which it may be served and the latest that it heeds. Its answer is late in any case, and
@@ -15,7 +14,7 @@
 // come back in that moment, beside those whose answers can still be in time. On days with a loss
 // of everything the spread is worth 0.01 to 0.03 of the day.
 func ReturnAfter(earliest, left time.Duration) time.Duration {
-	latest := time.Duration(honouredShare * float64(left))
+	latest := time.Duration(shedding.HeededShare * float64(left))
 	if latest <= earliest {
 		return earliest
 	}
