--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -116,10 +116,6 @@
 	Residency residency.Residency
 	// Resumed requests are not refused for load: they have been admitted before.
 	Resumed bool
-	// SilenceFound is set after connections of all servers were found silent: agents may
-	// measure their links on such connections too, and one that has just answered has a
-	// free link.
-	SilenceFound bool
 }
 
 // VersionBound is until when a server with a version older than a named one may begin requests.
