--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -51,17 +51,24 @@
 // EntriesDue reports whether the entries known are to be told anew, by TakeEntries: from time to
 // time as long as a server is cold.
 func (c *Core) EntriesDue(now time.Time) bool {
-	return now.Sub(c.cold.lookedAt) >= membersPeriod && c.anyBounded(now)
+	return now.Sub(c.cold.lookedAt) >= membersPeriod && now.Before(c.coldTill)
 }
 
-// anyBounded reports whether a server is cold whose requests are bounded then.
-func (c *Core) anyBounded(now time.Time) bool {
-	for _, known := range c.byID {
-		if known.cold(now) && c.fleet.Services[known.listing.server.Service].ColdLimit > 0 {
-			return true
+// findColdTill looks until when a server is cold whose requests are bounded then.
+func (c *Core) findColdTill() {
+	c.coldTill = time.Time{}
+	for _, servers := range c.byService {
+		for _, known := range servers {
+			c.noteCold(known)
 		}
 	}
-	return false
+}
+
+// noteCold notes until when a server is cold, if its requests are bounded then.
+func (c *Core) noteCold(k *Candidate) {
+	if until := k.coldUntil(); until.After(c.coldTill) && c.fleet.Services[k.listing.server.Service].ColdLimit > 0 {
+		c.coldTill = until
+	}
 }
 
 // TakeEntries takes over which other entries are lately known.
@@ -128,6 +135,7 @@
 func (c *Core) SawCold(k *Candidate, left time.Duration, now time.Time) {
 	if left > 0 {
 		k.answeredColdUntil = now.Add(min(left, c.coldTime(k.listing.server.Service)))
+		c.noteCold(k)
 	}
 }
 
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -64,6 +64,7 @@
 	}
 	changes = append(changes, c.drop(present, now)...)
 	changes = append(changes, c.noteEvacuations(old, now)...)
+	c.findColdTill()
 	return append(changes, c.Emptied(now)...)
 }
 
