--- a/coordination/dispatch/cold_test.go
+++ b/coordination/dispatch/cold_test.go
@@ -132,4 +132,54 @@
 	assert.False(t, core.EntriesDue(now.Add(membersPeriod-1)))
 	assert.True(t, core.EntriesDue(now.Add(membersPeriod)))
 	assert.False(t, core.EntriesDue(now.Add(time.Second)), "warm again")
+
+	later := now.Add(time.Minute)
+	core.TakeWord(Word{Address: "10.0.0.2:1", Reachable: true, ColdFor: time.Second}, later)
+	assert.True(t, core.EntriesDue(later), "by the word of an agent")
+	assert.False(t, core.EntriesDue(later.Add(time.Second)))
+	later = now.Add(2 * time.Minute)
+	core.SawCold(core.byID["b"], time.Second, later)
+	assert.True(t, core.EntriesDue(later), "by an answer")
+	assert.False(t, core.EntriesDue(later.Add(time.Second)))
+}
+
+// FAILBACK: an entry that has not heard of a server's line hears from the server's agent that
+// it is cold, and what all entries have sent it.
+func TestAgentTellsThatAServerIsCold(t *testing.T) {
+	now := epoch
+	for _, tc := range []struct {
+		name     string
+		received int
+		sent     int
+	}{
+		{name: "nothing received: its share", received: 0, sent: 10},
+		{name: "some received: what is left", received: 33, sent: 6},
+		{name: "all received", received: 39, sent: 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			core := coldCore("entry-0", 4)
+			core.Update(coldFleet(time.Time{}, "zb"), now)
+			core.TakeWord(Word{Address: "10.0.0.1:1", Reachable: true, ColdFor: time.Second, Received: tc.received}, now)
+			assert.True(t, core.byID["a"].cold(now))
+			assert.InDelta(t, tc.sent, chosenServers(core, 60, now.Add(10*time.Millisecond))["a"], 1)
+			assert.False(t, core.byID["a"].cold(now.Add(time.Second)), "for as long as the agent says")
+		})
+	}
+}
+
+// A server's own answer says that it is cold, before its line is heard; a faulty one makes it
+// cold for no longer than a start does.
+func TestAnswersTellThatAServerIsCold(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 1)
+	core.Update(coldFleet(time.Time{}), now)
+	server := core.byID["a"]
+	core.SawCold(server, 0, now)
+	assert.False(t, server.cold(now))
+	core.SawCold(server, 800*time.Millisecond, now)
+	assert.True(t, server.cold(now.Add(799*time.Millisecond)))
+	assert.False(t, server.cold(now.Add(800*time.Millisecond)))
+	core.SawCold(server, time.Hour, now)
+	assert.True(t, server.cold(now.Add(2999*time.Millisecond)))
+	assert.False(t, server.cold(now.Add(3*time.Second)))
 }
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -90,6 +90,7 @@
 	coldTill time.Time
 	// droppedWindows are what servers were sent lately that are not listed any more.
 	droppedWindows map[string]admission.Window
+	emptying       emptying
 }
 
 // New returns a core that knows no servers yet.
@@ -100,7 +101,7 @@
 		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 		usual: map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: options.Started,
-		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{},
+		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{}, emptying: newEmptying(),
 	}
 }
 
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -80,6 +80,12 @@
 	// Link is how long a message over the machine's link and back takes; 0 while that is
 	// not known.
 	Link time.Duration
+	// ColdFor is how much longer the server is cold; 0 when it is warm, as far as the agent
+	// knows.
+	ColdFor time.Duration
+	// Received counts the requests that all entries have announced to the server in the last
+	// admission.ColdSpan.
+	Received int
 }
 
 // Request is what a request wants of a server.
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -65,6 +65,7 @@
 	known.word.Word, known.word.at = word, at
 	known.word.seen = known.sends.seenAt(at)
 	known.version = max(known.version, word.Version)
+	c.noteCold(known)
 	return true, changed
 }
 
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -93,6 +93,24 @@
 	return t.core.Allowed(k.Zone, residency)
 }
 
+// sawCold notes what an answer has said of how much longer its server is cold.
+func (t *targets) sawCold(k *target, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.SawCold(k.Candidate, left, time.Now())
+}
+
+// evacuationCounts tells how many requests are open in evacuated zones, and how long the last
+// of each zone took to end.
+func (t *targets) evacuationCounts() (open int, took map[string]time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.EvacuationCounts()
+}
+
 // coldCounts returns how many servers are cold, and how many requests were sent to cold ones.
 func (t *targets) coldCounts() (servers int, sent uint64) {
 	t.mutex.Lock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -76,6 +76,7 @@
 	}
 	f.bounds.Store(&options.Bounds)
 	registerCold(options.Registry, f.targets)
+	options.Registry.MustRegister(newEvacuationCollector(f.targets))
 	return f
 }
 
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -48,6 +48,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.core.Release(send)
+	for _, change := range t.core.Emptied(time.Now()) {
+		t.follow(change)
+	}
 }
 
 // readPrompt takes a request's prompt off its server's unread ones.
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -76,6 +76,8 @@
 	case dispatch.ZoneEvacuated:
 		t.log.Log(logging.ZoneEvacuated, zap.String("zone", change.Zone), zap.Int("servers", change.Servers), zap.Int("in_flight", change.InFlight),
 			zap.Duration("bound", t.bounds.Evacuate))
+	case dispatch.ZoneIdle:
+		t.log.Log(logging.ZoneIdle, zap.String("zone", change.Zone), zap.Duration("after", change.After))
 	case dispatch.ZoneReadmitted:
 		t.log.Log(logging.ZoneReadmitted, zap.String("zone", change.Zone), zap.Int("servers", change.Servers))
 	}
--- a/internal/rollout/load.go
+++ b/internal/rollout/load.go
@@ -12,14 +12,22 @@
 func (a *Agent) LoadNow() fleet.MachineStatus {
 	now := time.Now()
 	status := a.status(now)
-	usualPrompt := 0.0
+	var figures balance.Server
 	if engine, _ := a.engine(); engine != nil {
-		usualPrompt = engine.UsualPrompt
+		figures = engine.Figures()
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	load := a.announced.Load(balance.Load{Running: status.Running, Waiting: status.Waiting}, a.reportAt.Sub(a.started), now.Sub(a.started), usualPrompt)
-	status.Waiting, status.UnreadTokens = load.Waiting, int(load.Unread)
+	return withAnnounced(status, &a.announced, a.reportAt.Sub(a.started), now.Sub(a.started), figures)
+}
+
+// withAnnounced is a status of a server with the requests that were announced to it: those that
+// its report of a time can't show yet, and the prompts that are still to be read, whether their
+// requests wait or run.
+func withAnnounced(status fleet.MachineStatus, announced *balance.Announced, reportedAt, now time.Duration, figures balance.Server) fleet.MachineStatus {
+	load := announced.Load(balance.Load{Running: status.Running, Waiting: status.Waiting}, reportedAt, now, figures.UsualPrompt)
+	unread := max(load.Unread, announced.Reading(now, figures, status.Running))
+	status.Waiting, status.UnreadTokens = load.Waiting, int(unread)
 	return status
 }
 
@@ -27,5 +35,7 @@
 func (a *Agent) Announce(promptTokens int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.announced.Add(time.Since(a.started), promptTokens)
+	since := time.Since(a.started)
+	a.announced.Add(since, promptTokens)
+	a.cold.received.Add(since)
 }
