--- a/coordination/dispatch/evacuation.go
+++ b/coordination/dispatch/evacuation.go
@@ -1,11 +1,64 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Evacuated reports whether a zone is to be sent nothing new. Requests that are open there go
 // on to their end.
 func (c *Core) Evacuated(zone string) bool { return c.evacuated[zone] }
 
+// emptying follows how the zones that are evacuated become idle: the requests of this entry
+// that are open there run to their ends.
+type emptying struct {
+	// since tells when this entry heard of the evacuation of each zone in which it has requests
+	// open; the zone is left out once they have ended.
+	since map[string]time.Time
+	// took is how long the last such request of a zone took, as of its newest evacuation.
+	took map[string]time.Duration
+}
+
+func newEmptying() emptying {
+	return emptying{since: map[string]time.Time{}, took: map[string]time.Duration{}}
+}
+
+// begin notes that a zone is evacuated in which a number of requests are open.
+func (e *emptying) begin(zone string, inFlight int, now time.Time) {
+	delete(e.took, zone)
+	if inFlight == 0 {
+		e.took[zone] = 0
+		return
+	}
+	e.since[zone] = now
+}
+
+// Emptied returns the evacuated zones in which the last request of this entry has ended since it
+// was asked before. Requests at servers that are listed no more are not counted.
+func (c *Core) Emptied(now time.Time) []Change {
+	var emptied []Change
+	for zone, since := range c.emptying.since {
+		servers, inFlight := c.zoneCounts(zone)
+		if inFlight > 0 {
+			continue
+		}
+		delete(c.emptying.since, zone)
+		c.emptying.took[zone] = now.Sub(since)
+		emptied = append(emptied, Change{Kind: ZoneIdle, Zone: zone, Servers: servers, After: now.Sub(since)})
+	}
+	return emptied
+}
+
+// EvacuationCounts tells how many requests of this entry are open in evacuated zones, and by zone
+// how long after it heard of the newest evacuation the last one there had ended.
+func (c *Core) EvacuationCounts() (open int, took map[string]time.Duration) {
+	for zone := range c.evacuated {
+		_, inFlight := c.zoneCounts(zone)
+		open += inFlight
+	}
+	return open, maps.Clone(c.emptying.took)
+}
+
 // noteEvacuations returns which zones a new fleet evacuates, and takes the servers of those
 // that it no longer evacuates for cold ones; the servers are those of the new fleet.
 func (c *Core) noteEvacuations(old Fleet, now time.Time) []Change {
@@ -16,11 +69,13 @@
 		c.evacuated[zone] = true
 		if !before[zone] {
 			servers, inFlight := c.zoneCounts(zone)
+			c.emptying.begin(zone, inFlight, now)
 			changes = append(changes, Change{Kind: ZoneEvacuated, Zone: zone, Servers: servers, InFlight: inFlight})
 		}
 	}
 	for _, zone := range old.Evacuated {
 		if !c.evacuated[zone] {
+			delete(c.emptying.since, zone)
 			c.readmit(zone, now)
 			servers, inFlight := c.zoneCounts(zone)
 			changes = append(changes, Change{Kind: ZoneReadmitted, Zone: zone, Servers: servers, InFlight: inFlight})
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -5,6 +5,7 @@
 
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/residency"
+	"pinevane.example/pinevane/coordination/shedding"
 )
 
 // Server is one line of the published list of servers.
@@ -79,11 +80,20 @@
 	// Link is how long a message over the machine's link and back takes; 0 while that is
 	// not known.
 	Link time.Duration
+	// ColdFor is how much longer the server is cold; 0 when it is warm, as far as the agent
+	// knows.
+	ColdFor time.Duration
+	// Received counts the requests that all entries have announced to the server in the last
+	// admission.ColdSpan.
+	Received int
 }
 
 // Request is what a request wants of a server.
 type Request struct {
 	Service string
+	Route   string
+	// Arrival tells whether the caller came back after a refusal.
+	Arrival shedding.Arrival
 	// Engine describes the service's model servers; nil for plain servers.
 	Engine *Engine
 	// Figures are those of Engine, completed and corrected by Core.Figures.
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -62,7 +62,7 @@
 func (t *targets) logRefusal(w *work, refusal *dispatch.Refusal) {
 	t.log.Log(logging.NoServerChosen, zap.String("request", w.request.Call.RequestID), zap.String("service", w.wanted.Service),
 		zap.Any("servers", refusal.Servers), zap.Duration("soonest", refusal.Soonest), zap.Duration("limit", refusal.Limit), zap.Duration("oldest_status", refusal.OldestWord),
-		zap.Uint64("at_least_version", w.wanted.AtLeast), zap.Uint64("exactly_version", w.wanted.Exactly),
+		zap.Duration("since_first_attempt", w.wanted.Arrival.Elapsed), zap.Uint64("at_least_version", w.wanted.AtLeast), zap.Uint64("exactly_version", w.wanted.Exactly),
 		regionsField(w.wanted.Residency))
 }
 
@@ -97,6 +97,24 @@
 	return t.core.Allowed(k.Zone, residency)
 }
 
+// sawCold notes what an answer has said of how much longer its server is cold.
+func (t *targets) sawCold(k *target, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.core.SawCold(k.Candidate, left, time.Now())
+}
+
+// evacuationCounts tells how many requests are open in evacuated zones, and how long the last
+// of each zone took to end.
+func (t *targets) evacuationCounts() (open int, took map[string]time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.EvacuationCounts()
+}
+
 // coldCounts returns how many servers are cold, and how many requests were sent to cold ones.
 func (t *targets) coldCounts() (servers int, sent uint64) {
 	t.mutex.Lock()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -79,6 +79,7 @@
 	f.bounds.Store(&options.Bounds)
 	registerCold(options.Registry, f.targets)
 	registerHealth(options.Registry, f.targets)
+	options.Registry.MustRegister(newEvacuationCollector(f.targets))
 	return f
 }
 
@@ -188,15 +189,14 @@
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
 	w.wanted = dispatch.Request{
-		Service: service, Target: request.Route.Target, Streaming: w.isStream(), RunsOnce: !request.Route.MayRepeat(), Others: f.options.Peers(),
+		Service: service, Route: request.Route.Name, Arrival: f.noteArrival(request), Target: request.Route.Target, Streaming: w.isStream(),
+		RunsOnce: !request.Route.MayRepeat(), Others: f.options.Peers(),
 		Prompt: request.Call.PromptTokens, Answer: expectedAnswer(request.Call),
 	}
 	f.targets.describe(&w.wanted)
 	f.countRequest(service)
 	refusal := w.forward(ctx)
-	if refusal != nil && refusal.RetryAfter > 0 {
-		refusal.RetryAfter = ReturnAfter(refusal.RetryAfter, time.Until(request.Deadline))
-	}
+	w.noteRefusal(refusal)
 	return refusal
 }
 
@@ -279,7 +279,7 @@
 	w.announce(target)
 	send := fleet.SendHeader{
 		Deadline: time.Until(w.request.Deadline), Instance: target.ID, Version: w.expectedVersion(chosen.Version),
-		Tenant: w.request.Tenant, Priority: w.request.Priority,
+		Tenant: w.request.Tenant, Priority: w.rank(chosen.Expected),
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
 		send.LastEventID = w.lastEvent
@@ -290,7 +290,7 @@
 		zap.String("server", target.ID), zap.String("zone", target.Zone), zap.Int("outstanding", chosen.Outstanding),
 		zap.Int("running", chosen.Load.Running), zap.Int("waiting", chosen.Load.Waiting), zap.Int("unread_tokens", int(chosen.Load.Unread)),
 		zap.Int("prompt_tokens", w.wanted.Prompt),
-		zap.Duration("time_left", send.Deadline), zap.Duration("expected", chosen.Expected), zap.Duration("status_age", chosen.WordAge), zap.Int("candidates", chosen.Considered), zap.Uint64("version", send.Version),
+		zap.Duration("time_left", send.Deadline), zap.Duration("since_first_attempt", w.wanted.Arrival.Elapsed), zap.Duration("expected", chosen.Expected), zap.Duration("status_age", chosen.WordAge), zap.Int("candidates", chosen.Considered), zap.Uint64("version", send.Version),
 		zap.String("resume_after", send.LastEventID))
 	began := time.Now()
 	w.sentAt = began
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,8 @@
 	cut         *prometheus.CounterVec
 	silent      *prometheus.CounterVec
 	loadQueries *prometheus.CounterVec
+	arrivals    *prometheus.CounterVec
+	told        *prometheus.HistogramVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
 	// unservedOwners counts the routes and tenants of the configuration in force whose
@@ -45,14 +47,49 @@
 		Name: "pinevane_silent_server_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
 	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_load_queries_total", Help: "Agents asked how their servers do before a request was sent, by outcome."}, []string{"outcome"})
+	m.arrivals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_arrivals_total", Help: "Requests that arrived, by whether their caller asked for the first time or came back after a refusal."}, []string{"attempt"})
+	m.told = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "pinevane_retry_after_seconds", Help: "Times after which refused callers were asked to come back.", Buckets: latencyBuckets}, []string{"attempt", "reason"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.arrivals, m.told, m.missingFigures, m.unservedOwners)
 	return m
 }
 
+// evacuationCollector tells how the evacuated zones become idle.
+type evacuationCollector struct {
+	targets *targets
+	open    *prometheus.Desc
+	took    *prometheus.Desc
+}
+
+func newEvacuationCollector(t *targets) *evacuationCollector {
+	return &evacuationCollector{
+		targets: t,
+		open:    prometheus.NewDesc("pinevane_evacuated_requests", "Requests of this entry that are open at servers of evacuated zones.", nil, nil),
+		took: prometheus.NewDesc("pinevane_evacuation_idle_seconds",
+			"Time from hearing of the newest evacuation of a zone until the last request of this entry there had ended.", []string{"zone"}, nil),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *evacuationCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.open
+	descriptions <- c.took
+}
+
+// Collect implements prometheus.Collector.
+func (c *evacuationCollector) Collect(collected chan<- prometheus.Metric) {
+	open, took := c.targets.evacuationCounts()
+	collected <- prometheus.MustNewConstMetric(c.open, prometheus.GaugeValue, float64(open))
+	for zone, duration := range took {
+		collected <- prometheus.MustNewConstMetric(c.took, prometheus.GaugeValue, duration.Seconds(), zone)
+	}
+}
+
 // registerCold tells of cold servers as metrics.
 func registerCold(registry prometheus.Registerer, t *targets) {
 	registry.MustRegister(
