Requests sent to a server on trial have the usual time

Cause: a server ejected because it answered nothing counted as mute on trial too, so that trials, and requests sent there for want of others, were given up after 350 ms and counted as overdue: a service slower than that never got its server back, and one with a single server stopped serving. Change: only requests sent before the ejection are given up, and only where another server of the service is in order or suspect.

--- a/coordination/dispatch/script_test.go
+++ b/coordination/dispatch/script_test.go
@@ -113,7 +113,7 @@
 	tried.Tried = []*Candidate{s.candidate("a2")}
 	decision = s.goesTo(tried, "a1")
 	assert.Equal(t, 1300*time.Millisecond, decision.WordAge)
-	assert.True(t, s.core.Suspect(s.candidate("a1"), s.now))
+	assert.True(t, s.core.Suspect(s.candidate("a1"), s.now, s.now))
 
 	s.hear("a1", 0, Word{Version: 1, SwitchPlanned: true})
 	assert.Equal(t, 1, s.refused(tried, RefusedNoServer).Servers[unfitChanging])
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"pinevane.example/pinevane/coordination/health"
+)
 
 // wordCurrent is the age up to which an agent's word is trusted: four times the 0.3 s that words
 // from other zones usually are old.
@@ -73,9 +78,19 @@
 	return true, changed
 }
 
-// Suspect reports whether there is evidence against a server beside its own silence.
-func (c *Core) Suspect(k *Candidate, now time.Time) bool {
-	return k.word.silent(now) || (k.word.current(now) && !c.reachable(k, now)) || c.health.Mute(k.ID)
+// Suspect reports whether there is evidence against a server beside its own silence, for a request
+// that was sent there at a time.
+func (c *Core) Suspect(k *Candidate, sentAt, now time.Time) bool {
+	return k.word.silent(now) || (k.word.current(now) && !c.reachable(k, now)) ||
+		(c.health.Mute(k.ID, c.since(sentAt)) && c.hasOther(k, now))
+}
+
+// hasOther reports whether the service of a server has another one that is sent ordinary requests.
+func (c *Core) hasOther(k *Candidate, now time.Time) bool {
+	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
+		state := c.health.State(other.ID, c.since(now))
+		return other != k && !other.listing.server.Draining && (state == health.InOrder || state == health.Suspect)
+	})
 }
 
 // outstanding estimates how many requests the server holds.
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -203,11 +203,12 @@
 	return held != nil && !held.ejected && held.servedAt > held.failedAt && now-held.servedAt <= provenTime
 }
 
-// Mute reports whether a server is out because it answers nothing, so that requests that wait
-// there need not wait on.
-func (t *Tracker) Mute(server string) bool {
+// Mute reports whether a server is out because it answers nothing, and was ejected after a request
+// was sent there, so that this need not wait on. A request sent later is the server's trial, or
+// has no other server: it has the usual time, or a service that is slow would never return.
+func (t *Tracker) Mute(server string, sent time.Duration) bool {
 	held := t.servers[server]
-	return held != nil && held.ejected && held.mute
+	return held != nil && held.ejected && held.mute && sent < held.changedAt
 }
 
 // Observe takes in the outcome of an attempt, and returns the change that it brings.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -382,7 +382,7 @@
 		switch {
 		case w.waitsBeyondBound(version):
 			return errBound
-		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target):
+		case w.request.Route.MayRepeat() && silent > suspectSilence && w.targets.suspect(target, w.sentAt):
 			return errStalled
 		case w.request.Route.MayRepeat() && w.overdue(silent, usual) && w.reserveRetry():
 			return errOverdue
--- a/internal/forward/outcome.go
+++ b/internal/forward/outcome.go
@@ -46,11 +46,11 @@
 	t.core.PromptRead(send, begun, time.Now())
 }
 
-// suspect reports whether there is evidence against a server.
-func (t *targets) suspect(k *target) bool {
+// suspect reports whether there is evidence against a server, for a request sent at a time.
+func (t *targets) suspect(k *target, sentAt time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.core.Suspect(k.Candidate, time.Now())
+	return t.core.Suspect(k.Candidate, sentAt, time.Now())
 }
 
 // unsent takes an attempt that gave nothing, or a whole answer, off the server's counts.
