Servers that move between services, and words without bounds, do no harm

Cause: a word of an ejection with round 0 shifted by -1 at the next failure; a line that moved to another service lost its record while that service listed it, and the count of ejected servers read nil. Change: a record is renewed with its service, services are told in order, servers without a record are passed over; a word is held to bounds where it is heard; ejected servers' attempts are not counted in the rates.

--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pinevane.example/pinevane/coordination/health"
@@ -92,8 +94,8 @@
 	for _, server := range c.fleet.Servers {
 		listed[server.Service] = append(listed[server.Service], server.ID)
 	}
-	for service, ids := range listed {
-		c.healthChanges = append(c.healthChanges, c.health.SetServers(service, ids)...)
+	for _, service := range slices.Sorted(maps.Keys(listed)) {
+		c.healthChanges = append(c.healthChanges, c.health.SetServers(service, listed[service])...)
 	}
 }
 
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -162,8 +162,9 @@
 	}
 	known.servers = slices.Clone(ids)
 	for _, id := range ids {
-		if t.servers[id] == nil {
-			t.servers[id] = &record{service: name, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo}
+		// A server that has moved here begins anew: other requests go there now.
+		if held := t.servers[id]; held == nil || held.service != name {
+			t.servers[id] = newRecord(name)
 		}
 	}
 	early := t.hearEarly()
@@ -173,6 +174,10 @@
 	return early
 }
 
+func newRecord(service string) *record {
+	return &record{service: service, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo}
+}
+
 // SetMembers takes over which other entries the zone has; they take turns with trials.
 func (t *Tracker) SetMembers(others []string) {
 	t.members = append(slices.Clone(others), t.self)
@@ -224,15 +229,18 @@
 	return t.observeFailure(held, attempt, weight, now)
 }
 
-// count adds the outcome to the rates, and returns what it weighs.
+// count adds the outcome to the rates, and returns what it weighs. What an ejected server shows is
+// not usual at its service.
 func (t *Tracker) count(held *record, attempt Attempt, now time.Duration) float64 {
 	all := classOf(t.services[held.service].classes, attempt.Class)
 	own := classOf(held.classes, attempt.Class)
 	all.forget(now)
 	own.forget(now)
 	weight := weightOf(all, own, attempt.Outcome, attempt.Repeated)
-	all.add(attempt.Outcome, now)
-	own.add(attempt.Outcome, now)
+	if !held.ejected {
+		all.add(attempt.Outcome, now)
+		own.add(attempt.Outcome, now)
+	}
 	return weight
 }
 
@@ -358,7 +366,8 @@
 	servers := t.services[name].servers
 	ejected := 0
 	for _, id := range servers {
-		if t.servers[id].ejected {
+		// A server that has moved to another service is in the list of this one until that is told.
+		if one := t.servers[id]; one != nil && one.service == name && one.ejected {
 			ejected++
 		}
 	}
@@ -398,7 +407,9 @@
 }
 
 // length is that of the present ejection.
-func (r *record) length() time.Duration { return min(firstEjection<<(r.round-1), longestEjection) }
+func (r *record) length() time.Duration {
+	return min(firstEjection<<(min(max(r.round, 1), maximumRounds)-1), longestEjection)
+}
 
 // View is what is held of one server, for a dump.
 type View struct {
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -72,10 +72,11 @@
 
 // Hear takes in what another entry said at a time, and returns the change that it brings.
 func (t *Tracker) Hear(word Word, at, now time.Duration) (Change, bool) {
-	held := t.servers[word.Server]
 	if word.Entry == t.self {
 		return Change{}, false
 	}
+	word, at = word.limited(), min(at, now)
+	held := t.servers[word.Server]
 	if held == nil {
 		t.keepEarly(earlyWord{word: word, at: at})
 		return Change{}, false
@@ -209,7 +210,7 @@
 	servers := t.services[held.service].servers
 	imposed := 0
 	for _, id := range servers {
-		if one := t.servers[id]; one.ejected && one.by == word.Entry {
+		if one := t.servers[id]; one != nil && one.service == held.service && one.ejected && one.by == word.Entry {
 			imposed++
 		}
 	}
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -275,3 +276,47 @@
 		}
 	})
 }
+
+// What an entry of this code says is within the bounds that words are held to.
+func TestWordsOfThisEntryAreSound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := New("e0")
+		tracker.SetServers("service", names("s", 4))
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "attempts") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "later")) * ms
+			server := fmt.Sprint("s", rapid.IntRange(0, 1).Draw(t, "server"))
+			if tracker.MayTry(server, true, now) {
+				tracker.BeginTrial(server, now)
+			}
+			tracker.Observe(Attempt{Server: server, Outcome: Outcome(rapid.IntRange(1, outcomes-1).Draw(t, "outcome")), Sent: now}, now)
+			for _, word := range tracker.TakeWords() {
+				assert.NoError(t, word.Check())
+				assert.Equal(t, word, word.limited())
+			}
+		}
+	})
+}
+
+// Each field of a word has its bounds.
+func TestWordsOutOfBoundsAreFaults(t *testing.T) {
+	sound := Word{Server: "s0", Entry: "e1", Ejected: true, Round: 1, Left: longestEjection, Evidence: evidenceCap}
+	assert.NoError(t, sound.Check())
+	for field, spoil := range map[string]func(*Word){
+		"since":    func(w *Word) { w.Since = -1 },
+		"changed":  func(w *Word) { w.Changed = longestSpan + 1 },
+		"left":     func(w *Word) { w.Left = longestEjection + 1 },
+		"round":    func(w *Word) { w.Round = 0 },
+		"evidence": func(w *Word) { w.Evidence = math.NaN() },
+		"failed":   func(w *Word) { w.Failed = math.Inf(1) },
+		"served":   func(w *Word) { w.Served = -1 },
+	} {
+		word := sound
+		spoil(&word)
+		var invalid *InvalidWord
+		if assert.ErrorAs(t, word.Check(), &invalid, field) {
+			assert.Equal(t, field, invalid.Field)
+		}
+		assert.NoError(t, word.limited().Check(), field)
+	}
+}
