Answers from before an agent lost its server prove nothing

Cause: an answer outweighed the agent's word for two seconds, also when it had come before the agent lost the server, so that requests that must not run twice were sent to a server that was gone. Change: only answers that have come since the first of the agent's words in a row that say so count. The end of TestServerReturnsByATrial wrote the old behaviour down, which was wrong: an answer at the time of the agent's word let requests through. It now asks that such an answer says nothing, that one which comes later does, and that losing the server anew ends it. The check in property_test.go is stricter than before: the answer must have come after the agent's word turned.

--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -80,9 +80,9 @@
 }
 
 // reachable reports whether a server that has an agent's word is to be counted as reachable: its
-// own answers outweigh an agent that does not reach it.
+// own answers outweigh an agent that does not reach it, if they have come since that lost it.
 func (c *Core) reachable(k *Candidate, now time.Time) bool {
-	return k.word.Reachable || c.health.Proven(k.ID, c.since(now))
+	return k.word.Reachable || c.health.Proven(k.ID, c.since(k.word.lostAt), c.since(now))
 }
 
 // updateHealth takes over which servers there are.
--- a/coordination/dispatch/health_test.go
+++ b/coordination/dispatch/health_test.go
@@ -43,7 +43,7 @@
 }
 
 // A server returns by one request that may be repeated, on its first attempt; what it answers
-// outweighs an agent that does not reach it.
+// after its agent has lost it outweighs that.
 func TestServerReturnsByATrial(t *testing.T) {
 	s := newScript(t, "a1", "a2")
 	lost := s.candidate("a1")
@@ -62,10 +62,20 @@
 	s.served(s.request(), "a2")
 	s.core.Observe(lost, Outcome{Outcome: health.Served, SentAt: s.now}, s.now)
 	s.ends(trial)
-	assert.False(t, s.goesTo(s.request(), "a1").Trial)
+	open := s.goesTo(s.request(), "a1")
+	assert.False(t, open.Trial)
 	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.served(s.request(), "a2") // What it answered before its agent lost it says nothing.
+	s.at(ejectTime + 100*time.Millisecond)
+	s.core.Observe(lost, Outcome{Outcome: health.Served, SentAt: open.Send.sentAt}, s.now)
+	s.ends(open)
 	s.served(s.request(), "a1")
-	s.at(ejectTime + 2100*time.Millisecond)
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.served(s.request(), "a1")
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1, Reachable: true}, s.now)
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.served(s.request(), "a2") // It has lost it anew.
+	s.at(ejectTime + 2200*time.Millisecond)
 	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
 	s.hear("a2", 0, Word{Version: 1})
 	s.served(s.request(), "a2")
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -103,7 +103,7 @@
 	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID)}
 	c.byID[server.ID] = known
 	if told, heard := c.words[server.Address]; heard {
-		known.word.Word, known.word.at = told.word, told.at
+		known.word.Word, known.word.at, known.word.lostAt = told.word, told.at, told.lostAt
 	}
 	return known
 }
--- a/coordination/dispatch/property_test.go
+++ b/coordination/dispatch/property_test.go
@@ -36,12 +36,14 @@
 	sentCold map[string][]time.Time
 	// answeredAt is when each server has last answered.
 	answeredAt map[string]time.Time
+	// lostAt is when each address was first said not to be reached, of the words in a row that say so.
+	lostAt map[string]time.Time
 }
 
 func newGenerated(t *rapid.T) *generated {
 	seed := rapid.Uint64().Draw(t, "seed")
 	random := rand.New(rand.NewPCG(seed, 1))
-	g := &generated{T: t, now: epoch, words: map[string]heardWord{}, sentCold: map[string][]time.Time{}, answeredAt: map[string]time.Time{}}
+	g := &generated{T: t, now: epoch, words: map[string]heardWord{}, sentCold: map[string][]time.Time{}, answeredAt: map[string]time.Time{}, lostAt: map[string]time.Time{}}
 	g.core = New(Options{
 		Zone: "a", Regions: map[string]string{"a": "north", "b": "south"}, Policy: testPolicy(), Self: "entry-0",
 		Started: epoch.Add(-time.Minute), Random: random.Float64, Shuffle: random.Shuffle,
@@ -85,6 +87,9 @@
 	at := g.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(g.T, "age")) * time.Millisecond)
 	g.core.TakeWord(word, at)
 	if !g.words[word.Address].at.After(at) {
+		if before, heard := g.words[word.Address]; !word.Reachable && (!heard || before.word.Reachable) {
+			g.lostAt[word.Address] = at
+		}
 		g.words[word.Address] = heardWord{word: word, at: at}
 	}
 }
@@ -150,9 +155,9 @@
 	if !heard || g.now.Sub(told.at) >= wordCurrent {
 		return
 	}
-	// An answer of the server itself outweighs its agent for two seconds.
+	// An answer of the server itself, since its agent has lost it, outweighs the agent for two seconds.
 	answered, known := g.answeredAt[chosen.ID]
-	assert.True(g, told.word.Reachable || (known && g.now.Sub(answered) <= 2*time.Second))
+	assert.True(g, told.word.Reachable || (known && answered.After(g.lostAt[server.Address]) && g.now.Sub(answered) <= 2*time.Second))
 	assert.NotZero(g, told.word.Version)
 	assert.False(g, told.word.SwitchPlanned && told.word.SwitchIn-g.now.Sub(told.at) < switchMargin)
 	for _, bound := range request.Bounds {
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -18,12 +18,16 @@
 type heardWord struct {
 	word Word
 	at   time.Time
+	// lostAt is when it was first said that the server is not reached, of the words in a row that say so.
+	lostAt time.Time
 }
 
 // agentWord is what the agent beside a server has told of it.
 type agentWord struct {
 	Word
 	at time.Time
+	// lostAt is when the agent first said that it does not reach the server, of its words in a row.
+	lostAt time.Time
 	// seen is this entry's own part of the load that the word tells.
 	seen counts
 	// answeredAt is when the agent last answered a question of this entry.
@@ -63,7 +67,15 @@
 		// The agent sees no request begin there: what waits could only grow.
 		word.Waiting, word.UnreadTokens = 0, 0
 	}
-	c.words[word.Address] = heardWord{word: word, at: at}
+	former, heard := c.words[word.Address]
+	fresh := heardWord{word: word, at: at}
+	if !word.Reachable {
+		fresh.lostAt = at
+		if heard && !former.word.Reachable {
+			fresh.lostAt = former.lostAt
+		}
+	}
+	c.words[word.Address] = fresh
 	known := c.byAddress[word.Address]
 	if known == nil {
 		return true, nil
@@ -71,7 +83,7 @@
 	if known.word.Reachable != word.Reachable || known.word.Version != word.Version {
 		changed = known
 	}
-	known.word.Word, known.word.at = word, at
+	known.word.Word, known.word.at, known.word.lostAt = word, at, fresh.lostAt
 	known.word.seen = known.sends.seenAt(at)
 	known.version = max(known.version, word.Version)
 	c.noteCold(known)
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -201,11 +201,11 @@
 	return InOrder
 }
 
-// Proven reports whether a server has served an attempt lately, and failed none since. That
-// outweighs what its health check or its agent says.
-func (t *Tracker) Proven(server string, now time.Duration) bool {
+// Proven reports whether a server has served an attempt lately, after it was said not to be
+// reached, and failed none since. That outweighs what its health check or its agent says.
+func (t *Tracker) Proven(server string, lostAt, now time.Duration) bool {
 	held := t.servers[server]
-	return held != nil && !held.ejected && held.servedAt > held.failedAt && now-held.servedAt <= provenTime
+	return held != nil && !held.ejected && held.servedAt > max(held.failedAt, lostAt) && now-held.servedAt <= provenTime
 }
 
 // Mute reports whether a server is out because it answers nothing, and was ejected after a request
--- a/coordination/health/health_test.go
+++ b/coordination/health/health_test.go
@@ -166,7 +166,7 @@
 	s.wait(firstEjection).is("s0", OnTrial)
 	assert.False(t, s.tracker.MayTry("s0", false, s.now), "not by a request that can't be sent again")
 	s.try("s0", Served).is("s0", InOrder)
-	assert.True(t, s.tracker.Proven("s0", s.now))
+	assert.True(t, s.tracker.Proven("s0", s.now-1, s.now))
 }
 
 // What was sent before the ejection says nothing of the server now, either way.
