One trial of a server at a time; faulty words on health are rejected; new servers of old names begin in order

Cause: each request that went to a server on trial for want of others was noted as its trial, and any of them that showed nothing ended it; a word of another entry on the same ejection, some milliseconds later by its way, cleared the own trial. Words were held and passed on unchecked. A new server with an old name inherited the record of the former. New: TestWordOnAKnownEjectionKeepsTheTrial, TestRenewedServerIsNotHeldForWordsOfTheFormer, TestOnlyTheTrialEndsTheTrial, TestAttemptsAtAFormerServerOfAName, TestFaultyWordsOnHealthAreRejected.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -57,6 +57,7 @@
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
 	decision.Trial = c.beginTrial(k, now)
+	decision.Send.trial = decision.Trial
 	return decision
 }
 
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -72,11 +72,7 @@
 
 // beginTrial notes that a request is being sent to a server on trial, and reports whether it is.
 func (c *Core) beginTrial(k *Candidate, now time.Time) bool {
-	if c.health.State(k.ID, c.since(now)) != health.OnTrial {
-		return false
-	}
-	c.health.BeginTrial(k.ID, c.since(now))
-	return true
+	return c.health.BeginTrial(k.ID, c.since(now))
 }
 
 // reachable reports whether a server that has an agent's word is to be counted as reachable: its
@@ -131,13 +127,22 @@
 
 // Observe notes what an attempt has shown of its server.
 func (c *Core) Observe(k *Candidate, outcome Outcome, now time.Time) {
+	if current := c.byID[k.ID]; current != nil && current != k {
+		// Another server has its name now.
+		return
+	}
 	c.noteHealth(c.health.Observe(health.Attempt{
 		Server: k.ID, Class: outcome.Class, Outcome: outcome.Outcome, Sent: c.since(outcome.SentAt), Repeated: outcome.Repeated,
 	}, c.since(now)))
 }
 
-// EndTrial notes that an attempt has ended that says nothing of its server.
-func (c *Core) EndTrial(k *Candidate, now time.Time) { c.health.EndTrial(k.ID, c.since(now)) }
+// EndTrial notes that an attempt has ended that says nothing of its server; it ends the server's
+// trial if it was that.
+func (c *Core) EndTrial(send *Send, now time.Time) {
+	if send != nil && send.trial && c.byID[send.candidate.ID] == send.candidate {
+		c.health.EndTrial(send.candidate.ID, c.since(now))
+	}
+}
 
 // HearHealth takes in what another entry of the zone said of a server at a time.
 func (c *Core) HearHealth(word health.Word, at, now time.Time) {
--- a/coordination/dispatch/health_test.go
+++ b/coordination/dispatch/health_test.go
@@ -80,3 +80,27 @@
 	s.hear("a2", 0, Word{Version: 1})
 	s.served(s.request(), "a2")
 }
+
+// A request that goes to the only server beside its trial does not end that; the trial does.
+func TestOnlyTheTrialEndsTheTrial(t *testing.T) {
+	s := newScript(t, "a1")
+	s.hear("a1", 0, Word{Version: 1})
+	eject(s.core, s.candidate("a1"), s.now)
+	s.at(ejectTime + 50*time.Millisecond)
+	trial, beside := s.goesTo(s.request(), "a1"), s.goesTo(s.request(), "a1")
+	assert.True(t, trial.Trial)
+	s.core.EndTrial(beside.Send, s.now)
+	assert.False(t, s.goesTo(s.request(), "a1").Trial)
+	s.core.EndTrial(trial.Send, s.now)
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
+// An attempt at the server that had a name before says nothing of the one that has it now.
+func TestAttemptsAtAFormerServerOfAName(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	former := s.candidate("a1")
+	s.fleet.Servers[0].Address = "other:1"
+	s.update()
+	eject(s.core, former, s.now)
+	assert.Equal(t, Fit, s.core.fitness(s.candidate("a1"), s.request(), s.now))
+}
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -50,6 +50,7 @@
 		present[server.ID] = true
 		if known := c.byID[server.ID]; known != nil && known.elsewhere(server) {
 			changes = append(changes, c.forget(known, now))
+			c.health.Renew(server.ID, c.since(now))
 		}
 		known := c.candidateOf(server)
 		if !known.listing.server.Draining && server.Draining {
--- a/coordination/dispatch/sends.go
+++ b/coordination/dispatch/sends.go
@@ -19,6 +19,8 @@
 	nearLimit bool
 	// idle is set when the server was known to have nothing else to do.
 	idle bool
+	// trial is set when it is the trial of its server.
+	trial bool
 }
 
 // ownSends are this entry's own requests at a server.
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -174,6 +174,14 @@
 	return early
 }
 
+// Renew forgets a server whose name another one has: what was found out before now does not hold.
+func (t *Tracker) Renew(server string, now time.Duration) {
+	if held := t.servers[server]; held != nil {
+		t.servers[server] = newRecord(held.service)
+		t.servers[server].changedAt = now
+	}
+}
+
 func newRecord(service string) *record {
 	return &record{service: service, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo}
 }
--- a/coordination/health/trial.go
+++ b/coordination/health/trial.go
@@ -21,7 +21,7 @@
 	if held == nil || !held.ejected || now < held.till {
 		return false
 	}
-	if held.trialOpen && now-held.trialAt < trialLimit {
+	if held.trying(now) {
 		return false
 	}
 	if !repeatable && now-max(held.till, held.trialAt) < trialPatience {
@@ -42,16 +42,21 @@
 	return order[turn%len(order)] == t.self && slices.Contains(order, t.self)
 }
 
-// BeginTrial notes that this entry sends a server a request on trial.
-func (t *Tracker) BeginTrial(server string, now time.Duration) {
+// BeginTrial notes that this entry sends a server a request, and reports whether it is the server's
+// trial: a request that goes to a server on trial for want of others, beside an open trial, is none.
+func (t *Tracker) BeginTrial(server string, now time.Duration) bool {
 	held := t.servers[server]
-	if held == nil {
-		return
+	if held == nil || !held.ejected || now < held.till || held.trying(now) {
+		return false
 	}
 	held.trialAt, held.trialOpen, held.ownTrial = now, true, true
 	t.tell(server, held, now)
+	return true
 }
 
+// trying reports whether a trial of the zone is under way.
+func (r *record) trying(now time.Duration) bool { return r.trialOpen && now-r.trialAt < trialLimit }
+
 // EndTrial notes that this entry's trial has ended without showing anything.
 func (t *Tracker) EndTrial(server string, now time.Duration) {
 	held := t.servers[server]
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -9,6 +9,10 @@
 	hintWeight = 0.5
 	// hintCap keeps hints alone from ejecting a server.
 	hintCap = ejectAt - 1.5
+	// sameEjection is by how much two entries may differ on when a server was ejected: a word takes
+	// some milliseconds on its way, which are added. It is less than firstEjection, so that two
+	// ejections are told apart.
+	sameEjection = 150 * time.Millisecond
 	// hintTime is how long a hint counts, less and less.
 	hintTime = 3 * time.Second
 	// mostImposedShare is the part of a service's servers, but one at the least, that one other
@@ -163,8 +167,11 @@
 func (t *Tracker) hearEjected(held *record, word Word, at, changedAt, now time.Duration) (Change, bool) {
 	if held.ejected {
 		if till := at + word.Left; changedAt > held.changedAt || till > held.till {
+			if word.Round > held.round || changedAt-held.changedAt > sameEjection {
+				held.trialOpen, held.ownTrial = false, false
+			}
 			held.till, held.round, held.changedAt = max(held.till, till), max(held.round, word.Round), max(held.changedAt, changedAt)
-			held.trialOpen, held.ownTrial, held.mute = false, false, word.Mute
+			held.mute = word.Mute
 		}
 		held.followTrial(word, at)
 		return Change{}, false
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -320,3 +320,40 @@
 		assert.NoError(t, word.limited().Check(), field)
 	}
 }
+
+// Another entry's word on an ejection that is known does not end this one's trial; one on a later
+// ejection does.
+func TestWordOnAKnownEjectionKeepsTheTrial(t *testing.T) {
+	one := play(t, 8)
+	two := one.another("e1")
+	one.see("s0", Errored, Errored)
+	words := one.tracker.TakeWords()
+	ejection := words[len(words)-1]
+	two.tracker.Hear(ejection, one.now, one.now)
+	two.now = one.now + firstEjection + 50*ms
+	two.is("s0", OnTrial)
+	assert.True(t, two.tracker.BeginTrial("s0", two.now))
+	assert.False(t, two.tracker.BeginTrial("s0", two.now), "one at a time")
+	echo := ejection
+	echo.Entry = "e2"
+	two.tracker.Hear(echo, one.now+40*ms, two.now)
+	assert.False(t, two.tracker.MayTry("s0", true, two.now))
+	assert.True(t, two.tracker.servers["s0"].ownTrial)
+	two.wait(100 * ms)
+	echo.Round++
+	two.tracker.Hear(echo, two.now, two.now)
+	assert.False(t, two.tracker.servers["s0"].ownTrial)
+	two.is("s0", Ejected)
+}
+
+// What is told of a server from before another one took its name says nothing of that.
+func TestRenewedServerIsNotHeldForWordsOfTheFormer(t *testing.T) {
+	one := play(t, 8)
+	two := one.another("e1")
+	one.see("s0", Errored, Errored)
+	words := one.tracker.TakeWords()
+	two.now = one.now + 100*ms
+	two.tracker.Renew("s0", two.now)
+	two.tracker.Hear(words[len(words)-1], one.now, two.now)
+	two.is("s0", InOrder)
+}
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -136,7 +137,11 @@
 	var fresh []heldHealth
 	c.mutex.Lock()
 	for _, told := range batch.Words {
-		held := told.held(now)
+		held, err := told.checked(now)
+		if err != nil {
+			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			continue
+		}
 		if told.Entry != c.options.Self && c.holdHealth(held, now) {
 			fresh = append(fresh, held)
 		}
@@ -150,6 +155,28 @@
 	}
 }
 
+// longestMilliseconds bounds the spans of words: no process runs for ten years.
+const longestMilliseconds = 10 * 365 * 24 * 3600 * 1000
+
+// checked is a word that was received at a time, if it can be meant: one faulty word does not cost
+// the others of its message.
+func (t toldHealth) checked(now time.Time) (heldHealth, error) {
+	for _, one := range []struct {
+		field        string
+		milliseconds int64
+		least        int64
+	}{
+		{"since", t.SinceMilliseconds, 0}, {"changed", t.ChangedMilliseconds, 0}, {"age", t.AgeMilliseconds, 0},
+		{"left", t.LeftMilliseconds, -longestMilliseconds},
+	} {
+		if one.milliseconds < one.least || one.milliseconds > longestMilliseconds {
+			return heldHealth{}, &fault.InvalidFrame{Field: topicHealth, Reason: fmt.Sprintf("%s of %d ms", one.field, one.milliseconds)}
+		}
+	}
+	held := t.held(now)
+	return held, held.word.Check()
+}
+
 // held is a word that was received at a time.
 func (t toldHealth) held(now time.Time) heldHealth {
 	span := func(milliseconds int64) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
--- a/internal/catalog/health_test.go
+++ b/internal/catalog/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -67,3 +68,28 @@
 	}
 	assert.Len(t, c.health.held, mostHealthWords)
 }
+
+// A word that can't be meant is not taken in, whichever of its fields is faulty.
+func TestFaultyWordsOnHealthAreRejected(t *testing.T) {
+	now := time.Now()
+	sound := heldHealth{word: ejectedWord("10.0.0.1", "i-1"), at: now, number: 9}.told(now)
+	_, err := sound.checked(now)
+	assert.NoError(t, err)
+	for name, spoil := range map[string]func(*toldHealth){
+		"an age before it was said":   func(w *toldHealth) { w.AgeMilliseconds = -1 },
+		"an age that overflows":       func(w *toldHealth) { w.AgeMilliseconds = math.MaxInt64 },
+		"a change in the future":      func(w *toldHealth) { w.ChangedMilliseconds = -1 },
+		"a spell that overflows":      func(w *toldHealth) { w.SinceMilliseconds = math.MaxInt64 / 2 },
+		"an ejection without end":     func(w *toldHealth) { w.LeftMilliseconds = 24 * 3600 * 1000 },
+		"an end that overflows":       func(w *toldHealth) { w.LeftMilliseconds = math.MinInt64 },
+		"an ejection without a round": func(w *toldHealth) { w.Round = 0 },
+		"a huge round":                func(w *toldHealth) { w.Round = 100 },
+		"no number as evidence":       func(w *toldHealth) { w.Evidence = float32(math.NaN()) },
+		"endless failures":            func(w *toldHealth) { w.Failed = float32(math.Inf(1)) },
+	} {
+		faulty := sound
+		spoil(&faulty)
+		_, err := faulty.checked(now)
+		assert.Error(t, err, name)
+	}
+}
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -131,7 +131,7 @@
 func (w *work) observeAnswer(k *target, status int) {
 	switch {
 	case status == http.StatusGatewayTimeout:
-		w.endTrial(k)
+		w.endTrial()
 	case status >= http.StatusInternalServerError:
 		w.observe(k, health.Errored)
 	default:
@@ -177,15 +177,15 @@
 		}
 		w.observe(k, health.Broken)
 	default:
-		w.endTrial(k)
+		w.endTrial()
 	}
 }
 
 // endTrial notes that an attempt has ended that says nothing of its server.
-func (w *work) endTrial(k *target) {
+func (w *work) endTrial() {
 	t := w.targets
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.core.EndTrial(k.Candidate, time.Now())
+	t.core.EndTrial(w.placed, time.Now())
 	t.reportHealth()
 }
