The order of turns is kept for each server and round; design note follows

Cause: each request ranked the zone's entries anew for each server on trial. Change: a record keeps the order until the round or the zone changes. Tests: TestTurnsFollowTheZoneAndTheRound, green before too; red with a kept order that does not follow the round.

--- a/coordination/health/benchmark_test.go
+++ b/coordination/health/benchmark_test.go
@@ -23,3 +23,21 @@
 		tracker.Observe(Attempt{Server: ids[index%len(ids)], Class: "route", Outcome: Served, Sent: now - 10*ms}, now)
 	}
 }
+
+// BenchmarkMayTry looks through 60 servers of which half are on trial, at an entry of 15.
+func BenchmarkMayTry(b *testing.B) {
+	tracker := New("e0")
+	servers := names("s", 60)
+	tracker.SetServers("service", servers)
+	tracker.SetMembers(names("e", 15))
+	for _, server := range servers[:30] {
+		for range 2 {
+			tracker.Observe(Attempt{Server: server, Outcome: Unreached, Sent: time.Second}, time.Second)
+		}
+	}
+	for b.Loop() {
+		for _, server := range servers {
+			tracker.MayTry(server, true, 2*time.Second)
+		}
+	}
+}
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -129,6 +129,10 @@
 	trialAt   time.Duration
 	trialOpen bool
 	ownTrial  bool
+	// turns is the order of the zone's entries in trials of the round turnsOf, kept because each
+	// request asks for it; nil when the zone has changed.
+	turns   []string
+	turnsOf int
 }
 
 // Tracker holds the health of all servers for one entry. It is not safe for concurrent use.
@@ -188,9 +192,16 @@
 
 // SetMembers takes over which other entries the zone has; they take turns with trials.
 func (t *Tracker) SetMembers(others []string) {
-	t.members = append(slices.Clone(others), t.self)
-	slices.Sort(t.members)
-	t.members = slices.Compact(t.members)
+	members := append(slices.Clone(others), t.self)
+	slices.Sort(members)
+	members = slices.Compact(members)
+	if slices.Equal(members, t.members) {
+		return
+	}
+	t.members = members
+	for _, held := range t.servers {
+		held.turns = nil
+	}
 }
 
 // State tells what a server may be sent.
--- a/coordination/health/trial.go
+++ b/coordination/health/trial.go
@@ -1,7 +1,6 @@
 package health
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -37,9 +36,11 @@
 	if len(t.members) < 2 {
 		return true
 	}
-	order := placement.Rank(server+"/"+strconv.Itoa(held.round), t.members)
+	if held.turns == nil || held.turnsOf != held.round {
+		held.turns, held.turnsOf = placement.Rank(server+"/"+strconv.Itoa(held.round), t.members), held.round
+	}
 	turn := int((now - held.till) / trialTurn)
-	return order[turn%len(order)] == t.self && slices.Contains(order, t.self)
+	return held.turns[turn%len(held.turns)] == t.self
 }
 
 // BeginTrial notes that this entry sends a server a request, and reports whether it is the server's
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"pinevane.example/pinevane/coordination/placement"
 )
 
 // hear has an entry hear all that another has to tell, some time after it was said.
@@ -357,3 +359,20 @@
 	two.tracker.Hear(words[len(words)-1], one.now, two.now)
 	two.is("s0", InOrder)
 }
+
+// The order of turns is that of the zone as it is, and of the ejection.
+func TestTurnsFollowTheZoneAndTheRound(t *testing.T) {
+	s := play(t, 8).see("s0", Errored, Errored).wait(firstEjection)
+	for _, others := range [][]string{names("e", 5), names("f", 7), nil} {
+		s.tracker.SetMembers(others)
+		for round := 1; round <= maximumRounds; round++ {
+			held := s.tracker.servers["s0"]
+			held.round = round
+			order := placement.Rank(fmt.Sprint("s0/", round), s.tracker.members)
+			for turn := range 2 * len(order) {
+				now := held.till + time.Duration(turn)*trialTurn
+				assert.Equal(t, order[turn%len(order)] == s.tracker.self, s.tracker.MayTry("s0", true, now))
+			}
+		}
+	}
+}
