--- a/coordination/dispatch/health_test.go
+++ b/coordination/dispatch/health_test.go
@@ -104,3 +104,20 @@
 	eject(s.core, former, s.now)
 	assert.Equal(t, Fit, s.core.fitness(s.candidate("a1"), s.request(), s.now))
 }
+
+// A request need not wait on at a server that is out and answers nothing, if it was sent before the
+// server was ejected, and there is another one to go to.
+func TestWhatWaitsAtAnEjectedServerIsGivenUpForAnother(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	before := s.now
+	s.at(100 * time.Millisecond)
+	eject(s.core, s.candidate("a1"), s.now)
+	suspect := func(sentAt time.Time) bool { return s.core.Suspect(s.candidate("a1"), sentAt, s.now) }
+	assert.True(t, suspect(before))
+	assert.False(t, suspect(s.now), "sent for want of others")
+	s.at(100*time.Millisecond + ejectTime)
+	assert.True(t, suspect(before))
+	assert.False(t, suspect(s.now), "sent as a trial")
+	eject(s.core, s.candidate("a2"), s.now)
+	assert.False(t, suspect(before), "there is no other")
+}
