Cold servers: old counts are forgotten, and an agent's word is capped

Cause: coldFull took an agent's count up to the age at which its word is trusted, 1.2 s, although the count is of the last 1.1 s; a server that nobody had sent anything since was left out. An agent's word of how much longer its server is cold was not capped by the service's cold time, as answers are. Change: counts are used while the word is younger than their span; the candidate keeps its service's cold time, which caps words and answers.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -24,6 +24,8 @@
 	version uint64
 	// coldWindow are the requests that this entry has sent here lately.
 	coldWindow admission.Window
+	// coldTime is how long a server of its service is cold after a start.
+	coldTime time.Duration
 	// readmittedUntil is until when the server counts as cold because an evacuation of its
 	// zone was taken back.
 	readmittedUntil time.Time
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -117,9 +117,10 @@
 
 // coldUntil is when a server will be warm: by its own line, by its agent's word, which arrives
 // with the answer to a question when this entry has not heard of the line yet, by an answer of
-// its own, or because its zone has just been readmitted.
+// its own, or because its zone has just been readmitted. A faulty word makes a server cold for
+// no longer than a start does.
 func (k *Candidate) coldUntil() time.Time {
-	until := k.word.at.Add(k.word.ColdFor)
+	until := k.word.at.Add(min(k.word.ColdFor, k.coldTime))
 	for _, other := range []time.Time{k.listing.server.ColdUntil, k.answeredColdUntil, k.readmittedUntil} {
 		if other.After(until) {
 			until = other
@@ -134,7 +135,7 @@
 // than a start does.
 func (c *Core) SawCold(k *Candidate, left time.Duration, now time.Time) {
 	if left > 0 {
-		k.answeredColdUntil = now.Add(min(left, c.coldTime(k.listing.server.Service)))
+		k.answeredColdUntil = now.Add(min(left, k.coldTime))
 		c.noteCold(k)
 	}
 }
@@ -159,7 +160,7 @@
 	}
 	// Shares reckon with what each entry has sent itself. The agent's count has what all have
 	// sent, also before they heard that the server is cold.
-	return k.word.current(now) && k.coldWindow.Crowded(coldShare*limit, k.word.Received, k.word.at.Sub(c.cold.started)-countDelay, since)
+	return k.word.counts(now) && k.coldWindow.Crowded(coldShare*limit, k.word.Received, k.word.at.Sub(c.cold.started)-countDelay, since)
 }
 
 // countSent counts a request that is being sent to a server.
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -56,6 +56,7 @@
 			changes = append(changes, Change{Kind: ServerLeaving, Candidate: known, InFlight: known.sends.inFlight})
 		}
 		known.listing.server = server
+		known.coldTime = c.coldTime(server.Service)
 		known.version = max(known.version, server.Version)
 		c.byService[server.Service] = append(c.byService[server.Service], known)
 		if ended := c.holdAddress(known); ended != nil {
--- /dev/null
+++ b/coordination/dispatch/review_return_test.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
+
+// What an agent counted longer ago than the span is in no span any more: a cold server that
+// nobody has sent anything since gets its share, also when its agent says nothing new.
+func TestCountsOlderThanTheirSpanAreForgotten(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 4)
+	core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
+	core.TakeWord(Word{Address: "10.0.0.1:1", Reachable: true, ColdFor: time.Minute, Received: 39}, now)
+	assert.Zero(t, chosenServers(core, 20, now.Add(10*time.Millisecond))["a"])
+	assert.Positive(t, chosenServers(core, 20, now.Add(admission.ColdSpan+10*time.Millisecond))["a"])
+}
+
+// A faulty agent makes its server cold for no longer than a start does, as a faulty answer.
+func TestFaultyAgentDoesNotMakeItsServerColdForLong(t *testing.T) {
+	now := epoch
+	core := coldCore("entry-0", 1)
+	core.Update(coldFleet(time.Time{}), now)
+	core.TakeWord(Word{Address: "10.0.0.1:1", Reachable: true, ColdFor: 24 * time.Hour}, now)
+	assert.False(t, core.byID["a"].cold(now.Add(time.Hour)))
+}
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
 
 // wordCurrent is the age up to which an agent's word is trusted: four times the 0.3 s that words
 // from other zones usually are old.
@@ -32,6 +36,11 @@
 	return !w.at.IsZero() && now.Sub(w.at) < wordCurrent
 }
 
+// counts reports whether what the agent counted can still be in the span that ends now.
+func (w *agentWord) counts(now time.Time) bool {
+	return w.current(now) && now.Sub(w.at) < admission.ColdSpan
+}
+
 // silent reports whether the server has an agent that has fallen silent.
 func (w *agentWord) silent(now time.Time) bool {
 	return !w.at.IsZero() && now.Sub(w.at) >= wordCurrent
