Evacuation: the times of gone and unknown zones are dropped

Cause: emptying.took and the label of its metric stayed for each zone name that was ever evacuated, misspelt ones included. Change: a zone without listed servers is not timed; that of a zone in use is dropped with its last server. A zone that is evacuated and whose servers were then shut down keeps its time until the record is deleted. An entry that hears of an evacuation before it hears of the zone's servers has no time for that zone; nothing was open there.

--- a/coordination/dispatch/evacuation.go
+++ b/coordination/dispatch/evacuation.go
@@ -15,7 +15,9 @@
 	// since tells when this entry heard of the evacuation of each zone in which it has requests
 	// open; the zone is left out once they have ended.
 	since map[string]time.Time
-	// took is how long the last such request of a zone took, as of its newest evacuation.
+	// took is how long the last such request of a zone took, as of its newest evacuation. Zones
+	// that have no server when they are evacuated are left out, as misspelt ones, and a zone
+	// that is in use is dropped with its last server.
 	took map[string]time.Duration
 }
 
@@ -23,9 +25,13 @@
 	return emptying{since: map[string]time.Time{}, took: map[string]time.Duration{}}
 }
 
-// begin notes that a zone is evacuated in which a number of requests are open.
-func (e *emptying) begin(zone string, inFlight int, now time.Time) {
+// begin notes that a zone of a number of servers is evacuated in which a number of requests are
+// open.
+func (e *emptying) begin(zone string, servers, inFlight int, now time.Time) {
 	delete(e.took, zone)
+	if servers == 0 {
+		return
+	}
 	if inFlight == 0 {
 		e.took[zone] = 0
 		return
@@ -69,7 +75,7 @@
 		c.evacuated[zone] = true
 		if !before[zone] {
 			servers, inFlight := c.zoneCounts(zone)
-			c.emptying.begin(zone, inFlight, now)
+			c.emptying.begin(zone, servers, inFlight, now)
 			changes = append(changes, Change{Kind: ZoneEvacuated, Zone: zone, Servers: servers, InFlight: inFlight})
 		}
 	}
@@ -81,9 +87,19 @@
 			changes = append(changes, Change{Kind: ZoneReadmitted, Zone: zone, Servers: servers, InFlight: inFlight})
 		}
 	}
+	c.dropTimesOfGoneZones()
 	return changes
 }
 
+// dropTimesOfGoneZones forgets how long zones took to become idle that are in use and have no
+// servers any more.
+func (c *Core) dropTimesOfGoneZones() {
+	maps.DeleteFunc(c.emptying.took, func(zone string, _ time.Duration) bool {
+		servers, _ := c.zoneCounts(zone)
+		return servers == 0 && !c.evacuated[zone]
+	})
+}
+
 // zoneCounts counts the servers of a zone and this entry's requests there.
 func (c *Core) zoneCounts(zone string) (servers, inFlight int) {
 	for _, known := range c.byID {
