Store: watched closely for one second of five at most

Cause: each server that turned cold had the store watched closely for another second; servers that do so one after the other kept each reader at 20 calls a second without an end. Change: a second of close watching begins at the earliest 5 s after the one before, and is not prolonged. The rule is a type of its own without I/O. TestStoreIsWatchedCloselyAgainAfterAPause fails by the rule before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -62,8 +62,8 @@
 	changes *mirror.Changes
 	// urgent is the sequence of the last change that others are told of at once.
 	urgent uint64
-	// turnedColdAt is when this process last heard that a server in use had turned cold.
-	turnedColdAt time.Time
+	// closeWatch follows that servers in use turn cold.
+	closeWatch closeWatch
 	// heads are the revisions held of large records, which others ask for; pulls are the
 	// last questions of this process for them.
 	heads map[string]uint64
@@ -280,7 +280,8 @@
 		}
 	}
 	if turnedCold {
-		c.urgent, c.turnedColdAt = c.changes.Sequence(), time.Now()
+		c.urgent = c.changes.Sequence()
+		c.closeWatch.turnedCold(time.Now())
 	}
 }
 
--- a/internal/catalog/evacuations_test.go
+++ b/internal/catalog/evacuations_test.go
@@ -100,3 +100,36 @@
 	assert.Equal(t, coldWatchPace, c.pace(time.Now()))
 	assert.Equal(t, watchPace, c.pace(time.Now().Add(coldNewsTime)))
 }
+
+// Servers that turn cold one after the other all the time do not have the store watched closely
+// all the time: each process calls it closely for a second of five at most.
+func TestStoreIsNotWatchedCloselyAllTheTime(t *testing.T) {
+	var watch closeWatch
+	start := time.Now()
+	const step, steps = 10 * time.Millisecond, 3000
+	calls, close := 0, 0
+	var called time.Time
+	for index := range steps {
+		now := start.Add(time.Duration(index) * step)
+		watch.turnedCold(now)
+		if watch.pace(now) == coldWatchPace {
+			close++
+		}
+		if now.Sub(called) >= watch.pace(now) {
+			calls, called = calls+1, now
+		}
+	}
+	assert.Equal(t, 6*time.Second, time.Duration(close)*step, "in 30 s")
+	assert.LessOrEqual(t, calls, 6*(20+4*5), "20 in each first second, 5 in each other")
+}
+
+// After a pause the next server that turns cold is news again.
+func TestStoreIsWatchedCloselyAgainAfterAPause(t *testing.T) {
+	var watch closeWatch
+	start := time.Now()
+	watch.turnedCold(start)
+	watch.turnedCold(start.Add(coldNewsTime / 2))
+	assert.Equal(t, watchPace, watch.pace(start.Add(coldNewsTime)), "it is not prolonged")
+	watch.turnedCold(start.Add(coldNewsPeriod))
+	assert.Equal(t, coldWatchPace, watch.pace(start.Add(coldNewsPeriod)))
+}
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -22,11 +22,6 @@
 	watchWait = 500 * time.Millisecond
 	// watchPace is the least time between the beginnings of two watches.
 	watchPace = 200 * time.Millisecond
-	// coldWatchPace is that for coldNewsTime after a server in use has turned cold: servers
-	// turn cold in groups, and until the others' lines are heard they are sent what the first
-	// no longer takes. Servers rewrite their lines each second, so that all have told by then.
-	coldWatchPace = 50 * time.Millisecond
-	coldNewsTime  = time.Second
 	// readRetry is the first pause after a failed call; it doubles up to
 	// maximumReadRetry, each with jitter.
 	readRetry        = 100 * time.Millisecond
@@ -101,10 +96,7 @@
 func (c *Catalog) pace(now time.Time) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if now.Sub(c.turnedColdAt) < coldNewsTime {
-		return coldWatchPace
-	}
-	return watchPace
+	return c.closeWatch.pace(now)
 }
 
 // advance moves a position to what others have told.
