Sizes in tokens that can't be are unknown

Cause: sizes that callers and entries tell were taken as they were, negative and absurd ones too; one false size kept a server unread for up to 3 s for all entries. Change: sizes are bounded where the header is decoded (fleet.MostTokens), where the agent decodes an announcement, and by the service's memory for tokens at both ends; others are unknown ones. TestAnnouncedSizesThatCannotBeAreUnknown, TestAnnouncedPromptThatTheServerCannotHoldIsOfUnknownSize (316001 tokens unread of one size) and TestPromptThatNoServerCanHoldIsOfUnknownSize each fail with the bound they name taken out. A false size within the memory for tokens still counts.

--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -50,6 +50,8 @@
 	Published balance.Server
 	// Pieces is of how many pieces a version consists; 0 when that is not known.
 	Pieces int
+	// MostPrompt is the largest prompt that a server can hold, in tokens.
+	MostPrompt int
 	// CopyTime is how long one copy of a version takes over a link like the origin's.
 	CopyTime time.Duration
 	// Warm is the time to take a staged version into service.
--- a/internal/forward/convert.go
+++ b/internal/forward/convert.go
@@ -50,6 +50,7 @@
 		if engine := service.Engine; engine != nil {
 			engines[name] = &dispatch.Engine{
 				Published: engine.Figures(), Pieces: engine.Pieces, CopyTime: engine.CopyTime(configuration.OriginRate()), Warm: engine.Warm,
+				MostPrompt: engine.MostPrompt(),
 			}
 		}
 	}
--- /dev/null
+++ b/internal/forward/sizes_test.go
@@ -0,0 +1,21 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// A prompt that a caller says is larger than the service's memory for tokens has an unknown size.
+func TestPromptThatNoServerCanHoldIsOfUnknownSize(t *testing.T) {
+	configuration := &fleet.Configuration{Services: map[string]fleet.Service{"m": {Engine: &fleet.Engine{CacheTokens: 317000}}}}
+	t1 := &targets{core: dispatch.New(dispatch.Options{}), engines: enginesOf(configuration)}
+	for told, known := range map[int]int{317000: 317000, 317001: 0, -1: 0} {
+		wanted := dispatch.Request{Service: "m", Prompt: told}
+		t1.describe(&wanted)
+		assert.Equal(t, known, wanted.Prompt)
+	}
+}
--- a/internal/loadquery/loadquery_test.go
+++ b/internal/loadquery/loadquery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"strconv"
 	"sync"
@@ -147,3 +148,14 @@
 	client.Announce("127.0.0.1:8001", 1)
 	client.Close()
 }
+
+// A datagram can hold anything: a prompt of a size that can't be counts as one of unknown size.
+func TestAnnouncedSizesThatCannotBeAreUnknown(t *testing.T) {
+	one := &loadedServer{address: "127.0.31.9:8001"}
+	client := openClient(t, respond(t, one))
+	for _, prompt := range []int{100, -5, math.MaxInt, math.MinInt, 1 << 22, 1<<22 + 1} {
+		client.Announce(one.address, prompt)
+	}
+	assert.Eventually(t, func() bool { return len(one.told()) == 6 }, 2*time.Second, time.Millisecond)
+	assert.ElementsMatch(t, []int{100, 0, 0, 0, 1 << 22, 0}, one.told())
+}
--- a/internal/rollout/load.go
+++ b/internal/rollout/load.go
@@ -33,9 +33,15 @@
 
 // Announce implements loadquery.Server.
 func (a *Agent) Announce(promptTokens int) {
+	engine, _ := a.engine()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	since := time.Since(a.started)
-	a.announced.Add(since, promptTokens)
+	a.noteAnnounced(engine, promptTokens, time.Since(a.started))
+}
+
+// noteAnnounced notes a request with a prompt of a size that an entry has told: one that the
+// server can't hold has an unknown size. The mutex is held.
+func (a *Agent) noteAnnounced(engine *fleet.Engine, promptTokens int, since time.Duration) {
+	a.announced.Add(since, fleet.KnownTokens(promptTokens, engine.MostPrompt()))
 	a.cold.received.Add(since)
 }
--- a/internal/rollout/load_test.go
+++ b/internal/rollout/load_test.go
@@ -27,3 +27,19 @@
 	assert.Equal(t, 10, waiting.Waiting)
 	assert.Equal(t, 10000, waiting.UnreadTokens)
 }
+
+// One false size does not make a server look as if it had to read for long: a prompt that is
+// larger than the service's memory for tokens is of unknown size, and counts as a request.
+func TestAnnouncedPromptThatTheServerCannotHoldIsOfUnknownSize(t *testing.T) {
+	figures := balance.Server{Slots: 12, Stride: 1, StepMilliseconds: 10, ReadPerSecond: 20000, UsualPrompt: 800}
+	engine := &fleet.Engine{CacheTokens: 317000}
+	agent := &Agent{cold: newColdWord()}
+	for _, prompt := range []int{317001, -1000, 1000} {
+		agent.noteAnnounced(engine, prompt, time.Second)
+	}
+	status := withAnnounced(fleet.MachineStatus{Running: 3}, &agent.announced, time.Second+50*time.Millisecond, time.Second+50*time.Millisecond, figures)
+	assert.Zero(t, status.UnreadTokens, "20000 tokens a second")
+	status = withAnnounced(fleet.MachineStatus{Running: 3}, &agent.announced, 1006*time.Millisecond, 1006*time.Millisecond, figures)
+	assert.InDelta(t, 880, status.UnreadTokens, 1)
+	assert.Equal(t, 3, agent.cold.received.Count(1006*time.Millisecond))
+}
