--- a/internal/fleet/sizes.go
+++ b/internal/fleet/sizes.go
@@ -1,7 +1,7 @@
 package fleet
 
-// MostTokens is the largest size of a prompt or an answer that is believed: over three times the memory
-// for tokens of the largest servers known, 1.18 million. A larger one is faulty.
+// MostTokens is the largest size of a prompt or an answer that is believed: over three times the
+// memory for tokens of the largest servers known, 1.18 million. A larger one is faulty.
 const MostTokens = 1 << 22
 
 // KnownTokens is a size that a caller or another process has told, or 0, which is unknown, when
