Full servers are taken for overload

Cause: each of many entries refuses a caller every few hundred milliseconds. Between its own refusals it learned the returns of the others' callers as first attempts, and the share granted to returns had grown back: of those served late in an overload that lasts, 225 to 265 of some 400 a ten seconds were returns taken for first attempts (log of the entries). Change: a first attempt admitted beyond 0.8 of the limit has nothing learned for as long as refused callers may take to come back, and lets an overload that has begun go on. Both new tests of dispatch are red without the call, the one of Pressure without Full.

--- a/coordination/dispatch/returns.go
+++ b/coordination/dispatch/returns.go
@@ -15,7 +15,31 @@
 }
 
 // Refused notes that a request's caller was refused, and may come back.
-func (c *Core) Refused(request *Request, now time.Time) {
+func (c *Core) Refused(request *Request, now time.Time) { c.returnsMayCome(request, now) }
+
+// fullShare is the part of the limit of refusals beyond which an expected beginning shows that
+// servers are full: other entries refuse callers then, who may come back to this one.
+const fullShare = 0.8
+
+// noteFull has nothing learned of a route's callers while servers are full, and lets an overload
+// go on. Each of many entries refuses a few callers a second only; between its own refusals it
+// took the returns of the others' callers for first attempts, which hid them, or let them in as if
+// the overload were over. With a quarter more requests than places at 79 machines, 0.69 to 0.71
+// of the requests are answered in time instead of 0.65 (two plays each).
+func (c *Core) noteFull(request *Request, expected time.Duration, now time.Time) {
+	limit := c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target))
+	if request.Engine == nil || float64(expected) <= fullShare*limit {
+		return
+	}
+	c.returnsMayCome(request, now)
+	if request.Arrival.Elapsed == 0 {
+		held(c.pressures, request.Service).Full(now.Sub(c.started))
+	}
+}
+
+// returnsMayCome has nothing learned of a route's callers for as long as those refused now may
+// take to come back.
+func (c *Core) returnsMayCome(request *Request, now time.Time) {
 	held(c.usual, request.Route).Refused(now.Sub(c.started), request.Arrival.Left)
 }
 
--- a/coordination/dispatch/returns_test.go
+++ b/coordination/dispatch/returns_test.go
@@ -100,3 +100,44 @@
 	assert.Len(t, core.usual, 1)
 	assert.Contains(t, core.usual, "r")
 }
+
+// Other entries refuse callers while servers are full, and those may come back here: their times
+// left are not taken for those of first attempts, though this entry has refused nobody.
+func TestNothingIsLearnedOfCallersWhileServersAreFull(t *testing.T) {
+	for name, running := range map[string]int{"full": 19, "idle": 0} {
+		core, server, wanted, now := returning(6*time.Second, false)
+		for range 20 {
+			now = now.Add(200 * time.Millisecond)
+			server.word.Running, server.word.at = running, now
+			server.sends = ownSends{}
+			_, refusal := core.Choose(wanted, now)
+			require.Nil(t, refusal, name)
+			core.Arrived("r", 4500*time.Millisecond, now)
+		}
+		elapsed := core.Arrived("r", 4500*time.Millisecond, now).Elapsed
+		if name == "full" {
+			assert.Equal(t, 1500*time.Millisecond, elapsed)
+		} else {
+			assert.Zero(t, elapsed, "callers with less time have come in a calm moment")
+		}
+	}
+}
+
+// An overload that this entry has met goes on while first attempts are admitted to full servers,
+// also when it refuses nobody itself for seconds.
+func TestOverloadGoesOnWhileServersAreFull(t *testing.T) {
+	core, server, wanted, now := returning(6*time.Second, true)
+	for range 15 {
+		now = now.Add(200 * time.Millisecond)
+		server.word.Running, server.word.at = 19, now
+		server.sends = ownSends{}
+		_, refusal := core.Choose(wanted, now)
+		require.Nil(t, refusal)
+	}
+	late := *wanted
+	late.Arrival = core.Arrived("r", 4500*time.Millisecond, now)
+	server.sends = ownSends{}
+	_, refusal := core.Choose(&late, now)
+	require.NotNil(t, refusal)
+	assert.Equal(t, RefusedOverload, refusal.Reason)
+}
--- a/coordination/shedding/pressure.go
+++ b/coordination/shedding/pressure.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// Full notes that a first attempt was admitted to a full server. An overload that has begun goes on
+// as long as that is so: an entry of a large fleet refuses a caller every few hundred milliseconds
+// only, and would take those that came back in between.
+func (p *Pressure) Full(now time.Duration) {
+	if p.refused && now-p.refusedAt < easeTime {
+		p.refusedAt = now
+	}
+}
+
 // Share is the share for late requests: the least one while first attempts are refused, and
 // all that a first attempt may wait once none has been for a while.
 func (p *Pressure) Share(now time.Duration, least float64) float64 {
--- a/coordination/shedding/shedding_test.go
+++ b/coordination/shedding/shedding_test.go
@@ -56,3 +56,19 @@
 	assert.InDelta(t, 0.6, pressure.Share(5500*ms, 0.2), 1e-9)
 	assert.InDelta(t, 1, pressure.Share(7*time.Second, 0.2), 1e-9)
 }
+
+// An overload lasts as long as first attempts are admitted to full servers; full servers alone are
+// none.
+func TestOverloadLastsWhileServersAreFull(t *testing.T) {
+	var pressure Pressure
+	pressure.Full(4 * time.Second)
+	assert.InDelta(t, 1, pressure.Share(4*time.Second, 0.2), 1e-9)
+	pressure.Refused(5*time.Second, Arrival{})
+	for at := 5 * time.Second; at < 8*time.Second; at += 300 * ms {
+		pressure.Full(at)
+	}
+	assert.InDelta(t, 0.2, pressure.Share(7700*ms, 0.2), 1e-9)
+	assert.InDelta(t, 1, pressure.Share(9*time.Second, 0.2), 1e-9)
+	pressure.Full(9 * time.Second)
+	assert.InDelta(t, 1, pressure.Share(9*time.Second, 0.2), 1e-9, "it has ended")
+}
