--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/health"
 )
 
@@ -41,6 +42,11 @@
 	return !w.at.IsZero() && now.Sub(w.at) < wordCurrent
 }
 
+// counts reports whether what the agent counted can still be in the span that ends now.
+func (w *agentWord) counts(now time.Time) bool {
+	return w.current(now) && now.Sub(w.at) < admission.ColdSpan
+}
+
 // silent reports whether the server has an agent that has fallen silent.
 func (w *agentWord) silent(now time.Time) bool {
 	return !w.at.IsZero() && now.Sub(w.at) >= wordCurrent
