--- a/coordination/health/review_test.go
+++ b/coordination/health/bounds_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func reviewed(servers ...string) *Tracker {
+func trackerOf(servers ...string) *Tracker {
 	t := New("e0")
 	t.SetServers("s", servers)
 	return t
@@ -16,7 +16,7 @@
 
 // A word of a faulty entry that names no round does not end the process that hears it.
 func TestWordOfAnEjectionWithoutARound(t *testing.T) {
-	tracker := reviewed("a", "b", "c", "d")
+	tracker := trackerOf("a", "b", "c", "d")
 	tracker.Hear(Word{Server: "a", Entry: "e1", Ejected: true, Left: time.Millisecond, Failed: 2}, time.Second, time.Second)
 	now := 2 * time.Second
 	assert.Equal(t, OnTrial, tracker.State("a", now))
@@ -25,14 +25,14 @@
 
 // A faulty entry can't have a server ejected for longer than an ejection lasts.
 func TestWordOfAnEjectionWithoutEnd(t *testing.T) {
-	tracker := reviewed("a", "b", "c", "d")
+	tracker := trackerOf("a", "b", "c", "d")
 	tracker.Hear(Word{Server: "a", Entry: "e1", Ejected: true, Left: 24 * time.Hour, Round: 1, Failed: 2}, time.Second, time.Second)
 	assert.NotEqual(t, Ejected, tracker.State("a", 3*time.Second))
 }
 
 // A faulty round does not make later ejections last no time at all.
 func TestWordOfAnEjectionWithAHugeRound(t *testing.T) {
-	tracker := reviewed("a", "b", "c", "d")
+	tracker := trackerOf("a", "b", "c", "d")
 	tracker.Hear(Word{Server: "a", Entry: "e1", Ejected: true, Left: time.Millisecond, Round: 100, Failed: 2}, time.Second, time.Second)
 	now := 2 * time.Second
 	tracker.Observe(Attempt{Server: "a", Outcome: Broken, Sent: now}, now)
@@ -60,7 +60,7 @@
 		for _, every := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, time.Second} {
 			worst := time.Duration(0)
 			for trial := range 20 {
-				tracker := reviewed("a", "b", "c", "d")
+				tracker := trackerOf("a", "b", "c", "d")
 				var others []string
 				for n := 1; n < members; n++ {
 					others = append(others, fmt.Sprint("e", n))
