--- a/coordination/health/spell.go
+++ b/coordination/health/failure_period.go
@@ -15,20 +15,20 @@
 // hundreds of requests is ejected after a few failures when it goes down again.
 const keptCount = 0.6
 
-// spell counts what a server has shown this entry since a failure here or elsewhere.
-type spell struct {
+// failurePeriod counts what a server has shown this entry since a failure here or elsewhere.
+type failurePeriod struct {
 	began          time.Duration
 	failed, served float64
 	at             time.Duration
 }
 
 // decay forgets a part of what was counted.
-func (s *spell) decay(now time.Duration) {
+func (s *failurePeriod) decay(now time.Duration) {
 	factor := remembered(now-s.at, evidenceHalfLife)
 	s.failed, s.served, s.at = s.failed*factor, s.served*factor, max(s.at, now)
 }
 
-func (s *spell) count(failed bool, now time.Duration) {
+func (s *failurePeriod) count(failed bool, now time.Duration) {
 	s.decay(now)
 	s.failed, s.served = s.failed*keptCount, s.served*keptCount
 	if failed {
@@ -38,17 +38,17 @@
 	}
 }
 
-// spellLasts reports whether failures are recent enough for successes to be counted beside them.
-func (r *record) spellLasts(now time.Duration) bool {
-	r.spell.decay(now)
+// failurePeriodLasts reports whether failures are recent enough for successes to be counted beside them.
+func (r *record) failurePeriodLasts(now time.Duration) bool {
+	r.failurePeriod.decay(now)
 	return now-r.failedAt < hintTime || r.hinted(now) > 0
 }
 
-// beginSpell counts successes from a failure on, also those of attempts that have ended before
+// beginFailurePeriod counts successes from a failure on, also those of attempts that have ended before
 // it was known.
-func (r *record) beginSpell(began, now time.Duration) {
-	lasts := r.spellLasts(now)
-	if lasts && began >= r.spell.began {
+func (r *record) beginFailurePeriod(began, now time.Duration) {
+	lasts := r.failurePeriodLasts(now)
+	if lasts && began >= r.failurePeriod.began {
 		return
 	}
 	served := 0.0
@@ -58,17 +58,17 @@
 		}
 	}
 	if !lasts {
-		r.spell = spell{began: began, served: served, at: now}
+		r.failurePeriod = failurePeriod{began: began, served: served, at: now}
 		return
 	}
-	r.spell.began, r.spell.served = began, max(r.spell.served, served)
+	r.failurePeriod.began, r.failurePeriod.served = began, max(r.failurePeriod.served, served)
 }
 
-// mostlyFails reports whether most of the attempts at all entries, since the spell began, have
+// mostlyFails reports whether most of the attempts at all entries, since the period began, have
 // failed, and at the least a number of them.
 func (r *record) mostlyFails(least float64, now time.Duration) bool {
-	r.spell.decay(now)
-	failed, served := r.spell.failed, r.spell.served
+	r.failurePeriod.decay(now)
+	failed, served := r.failurePeriod.failed, r.failurePeriod.served
 	for _, one := range r.hints {
 		if now-one.at < hintTime {
 			failed, served = failed+one.failed, served+one.served
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -104,12 +104,12 @@
 
 // record is what is known of one server.
 type record struct {
-	service    string
-	classes    map[string]*rates
-	evidence   float64
-	evidenceAt time.Duration
-	spell      spell
-	hints      map[string]hint
+	service       string
+	classes       map[string]*rates
+	evidence      float64
+	evidenceAt    time.Duration
+	failurePeriod failurePeriod
+	hints         map[string]hint
 	// served are when the last served attempts were sent.
 	served   []time.Duration
 	servedAt time.Duration
@@ -304,8 +304,8 @@
 	}
 	held.forgive(now)
 	if !held.ejected {
-		if held.spellLasts(now) && attempt.Sent > held.spell.began {
-			held.spell.count(false, now)
+		if held.failurePeriodLasts(now) && attempt.Sent > held.failurePeriod.began {
+			held.failurePeriod.count(false, now)
 			t.tell(attempt.Server, held, now)
 		}
 		return Change{}, false
@@ -321,7 +321,7 @@
 // restore takes a server back into order. Its ejections are forgotten later.
 func (r *record) restore(now time.Duration) {
 	r.ejected, r.trialOpen, r.ownTrial, r.by = false, false, false, ""
-	r.evidence, r.evidenceAt, r.changedAt, r.spell = 0, now, now, spell{}
+	r.evidence, r.evidenceAt, r.changedAt, r.failurePeriod = 0, now, now, failurePeriod{}
 	clear(r.hints)
 	r.failedAt = longAgo
 }
@@ -341,8 +341,8 @@
 	}
 	held.forgive(now)
 	held.weigh(weight, now)
-	held.beginSpell(attempt.Sent, now)
-	held.spell.count(true, now)
+	held.beginFailurePeriod(attempt.Sent, now)
+	held.failurePeriod.count(true, now)
 	held.failedAt = now
 	from := t.State(attempt.Server, now)
 	if held.ejected && (attempt.Outcome == Declined || held.against(now) < trialAt) {
@@ -357,7 +357,7 @@
 		return Change{}, false
 	}
 	evidence := held.against(now)
-	t.exclude(held, now)
+	t.dropFromUsual(held, now)
 	held.eject(now)
 	held.mute = attempt.Outcome == Overdue || attempt.Outcome == Unreached
 	t.tell(attempt.Server, held, now)
@@ -393,9 +393,9 @@
 	return ejected+1 <= int(mostEjectedShare*float64(len(servers)))
 }
 
-// exclude takes what a server has shown out of what is usual at its service: the next one that
+// dropFromUsual takes what a server has shown out of what is usual at its service: the next one that
 // fails is not taken for sound because this one has failed.
-func (t *Tracker) exclude(held *record, now time.Duration) {
+func (t *Tracker) dropFromUsual(held *record, now time.Duration) {
 	for class, own := range held.classes {
 		if all := t.services[held.service].classes[class]; all != nil {
 			all.forget(now)
--- a/coordination/health/limits.go
+++ b/coordination/health/limits.go
@@ -12,7 +12,7 @@
 	// longestSpan bounds ages and spans, which are no longer than an entry runs.
 	longestSpan = 10 * 365 * 24 * time.Hour
 	// mostCounted bounds the counts of attempts: keptCount makes their sum at most
-	// 1/(1-keptCount), beside the recentServed that are counted when a spell begins.
+	// 1/(1-keptCount), beside the recentServed that are counted when a period of failures begins.
 	mostCounted = 2 * recentServed
 )
 
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -58,11 +58,11 @@
 
 // tell notes a word for the other entries.
 func (t *Tracker) tell(server string, held *record, now time.Duration) {
-	held.spell.decay(now)
+	held.failurePeriod.decay(now)
 	t.words = append(t.words, Word{
-		Failed: held.spell.failed, Served: held.spell.served,
+		Failed: held.failurePeriod.failed, Served: held.failurePeriod.served,
 		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
-		Since: now - held.spell.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
+		Since: now - held.failurePeriod.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
 		Trying: held.trialOpen, Mute: held.mute,
 	})
 }
@@ -92,7 +92,7 @@
 	case word.Returned:
 		return t.hearReturned(held, word, changedAt, now)
 	}
-	held.beginSpell(at-word.Since, at)
+	held.beginFailurePeriod(at-word.Since, at)
 	held.hear(word, at)
 	return Change{}, false
 }
@@ -183,7 +183,7 @@
 		return Change{}, false
 	}
 	from := t.State(word.Server, now)
-	t.exclude(held, now)
+	t.dropFromUsual(held, now)
 	held.ejected, held.by, held.changedAt, held.till = true, word.Entry, changedAt, at+word.Left
 	held.round, held.mute = max(held.round, word.Round), word.Mute
 	held.trialOpen, held.ownTrial = false, false
@@ -205,7 +205,7 @@
 // believes reports whether another entry's ejection holds here too.
 func (t *Tracker) believes(held *record, word Word, at time.Duration) bool {
 	supported := held.against(at)+held.hintedBut(word.Entry, at) >= suspectAt
-	held.beginSpell(at-word.Since, at)
+	held.beginFailurePeriod(at-word.Since, at)
 	word.Evidence = disputed
 	held.hear(word, at)
 	if !held.mostlyFails(0, at) || !t.mayEject(held.service) {
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -36,16 +36,16 @@
 	Trying   bool    `cbor:"5,keyasint,omitempty"`
 	Evidence float32 `cbor:"6,keyasint,omitempty"`
 	Round    int     `cbor:"7,keyasint,omitempty"`
-	Failed   float32 `cbor:"14,keyasint,omitempty"`
-	Served   float32 `cbor:"15,keyasint,omitempty"`
+	Failed   float32 `cbor:"8,keyasint,omitempty"`
+	Served   float32 `cbor:"9,keyasint,omitempty"`
 	// The spans count from when the word was said, which AgeMilliseconds tells.
-	SinceMilliseconds   int64 `cbor:"8,keyasint,omitempty"`
-	ChangedMilliseconds int64 `cbor:"9,keyasint,omitempty"`
-	LeftMilliseconds    int64 `cbor:"10,keyasint,omitempty"`
-	AgeMilliseconds     int64 `cbor:"11,keyasint,omitempty"`
-	Mute                bool  `cbor:"13,keyasint,omitempty"`
+	SinceMilliseconds   int64 `cbor:"10,keyasint,omitempty"`
+	ChangedMilliseconds int64 `cbor:"11,keyasint,omitempty"`
+	LeftMilliseconds    int64 `cbor:"12,keyasint,omitempty"`
+	AgeMilliseconds     int64 `cbor:"13,keyasint,omitempty"`
+	Mute                bool  `cbor:"14,keyasint,omitempty"`
 	// Number orders the words of one entry.
-	Number uint64 `cbor:"12,keyasint"`
+	Number uint64 `cbor:"15,keyasint"`
 }
 
 // healthBatch is what one entry passes on at once.
