Decisions: one limit, one prediction a server, one record of a heard word

Cause: a read of the whole change. Change: firstAttemptLimit, soonestOf, a struct of slices made at the size that is known, heardWord embedded whole; the limit for trials is computed only where there is a trial; samples are sorted without an allocation; one constant for the longest span of a word on health. Tests: literals follow the type; no assertion changed. Conclusion: no decision changed, but for a server that takes over an address whose former server its agent had lost: it now keeps since when.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -84,7 +84,7 @@
 		return usable
 	}
 	c.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	var near, far []*Candidate
+	near, far := make([]*Candidate, 0, len(usable)), make([]*Candidate, 0, len(usable))
 	for _, candidate := range usable {
 		if candidate.Zone == c.zone {
 			near = append(near, candidate)
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -77,10 +77,10 @@
 
 // usable lists the servers that may be sent the request.
 func (c *Core) usable(request *Request, now time.Time) []*Candidate {
-	candidates := map[Fitness][]*Candidate{}
-	for _, candidate := range c.byService[request.Service] {
-		reason := c.fitness(candidate, request, now)
-		candidates[reason] = append(candidates[reason], candidate)
+	all := c.byService[request.Service]
+	candidates := byHealth{fit: make([]*Candidate, 0, len(all))}
+	for _, candidate := range all {
+		candidates.add(candidate, c.fitness(candidate, request, now))
 	}
-	return c.byHealth(candidates, request, now)
+	return c.pickByHealth(&candidates, request, now)
 }
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -44,22 +44,43 @@
 	return Fit
 }
 
-// byHealth picks among the servers that a request may be sent to, by their health: the one that
-// the request is a trial of, if it would begin there in time, or else those in order, suspect
-// ones only when there is no other, and ejected ones only when there is none of these.
-func (c *Core) byHealth(candidates map[Fitness][]*Candidate, request *Request, now time.Time) []*Candidate {
-	limit := c.refusalLimit(request, now)
-	for _, one := range candidates[fitForTrial] {
+// byHealth are the servers that a request may be sent to but for their health, by what that says.
+type byHealth struct {
+	fit, suspect, forTrial, onTrial, ejected []*Candidate
+}
+
+// add takes in a server; one that is left out for another reason is none of them.
+func (b *byHealth) add(k *Candidate, reason Fitness) {
+	switch reason {
+	case Fit:
+		b.fit = append(b.fit, k)
+	case unfitSuspect:
+		b.suspect = append(b.suspect, k)
+	case fitForTrial:
+		b.forTrial = append(b.forTrial, k)
+	case unfitOnTrial:
+		b.onTrial = append(b.onTrial, k)
+	case unfitEjected:
+		b.ejected = append(b.ejected, k)
+	}
+}
+
+// pickByHealth picks among servers by their health: the one that the request is a trial of, if it
+// would begin there in time, or else those in order, suspect ones only when there is no other, and
+// ejected ones only when there is none of these.
+func (c *Core) pickByHealth(candidates *byHealth, request *Request, now time.Time) []*Candidate {
+	for _, one := range candidates.forTrial {
+		limit := c.refusalLimit(request, now)
 		if limit <= 0 || one.hasFreePlace(request) || c.firstEvent(one, request, now) <= limit {
 			return []*Candidate{one}
 		}
 	}
-	for _, reason := range []Fitness{Fit, unfitSuspect, fitForTrial, unfitOnTrial} {
-		if len(candidates[reason]) > 0 {
-			return candidates[reason]
+	for _, some := range [...][]*Candidate{candidates.fit, candidates.suspect, candidates.forTrial, candidates.onTrial} {
+		if len(some) > 0 {
+			return some
 		}
 	}
-	return candidates[unfitEjected]
+	return candidates.ejected
 }
 
 // healthCost is what a server's health weighs in the choice.
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -105,7 +105,7 @@
 	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID)}
 	c.byID[server.ID] = known
 	if told, heard := c.words[server.Address]; heard {
-		known.word.Word, known.word.at, known.word.lostAt = told.word, told.at, told.lostAt
+		known.word.heardWord = told
 	}
 	return known
 }
@@ -125,7 +125,7 @@
 	}
 	known.listing.gone = true
 	if told, heard := c.words[holder.Address]; heard && holder.word.at.IsZero() {
-		holder.word.Word, holder.word.at = told.word, told.at
+		holder.word.heardWord = told
 	}
 	return known
 }
--- a/coordination/dispatch/property_test.go
+++ b/coordination/dispatch/property_test.go
@@ -87,10 +87,10 @@
 	at := g.now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(g.T, "age")) * time.Millisecond)
 	g.core.TakeWord(word, at)
 	if !g.words[word.Address].at.After(at) {
-		if before, heard := g.words[word.Address]; !word.Reachable && (!heard || before.word.Reachable) {
+		if before, heard := g.words[word.Address]; !word.Reachable && (!heard || before.Reachable) {
 			g.lostAt[word.Address] = at
 		}
-		g.words[word.Address] = heardWord{word: word, at: at}
+		g.words[word.Address] = heardWord{Word: word, at: at}
 	}
 }
 
@@ -157,11 +157,11 @@
 	}
 	// An answer of the server itself, since its agent has lost it, outweighs the agent for two seconds.
 	answered, known := g.answeredAt[chosen.ID]
-	assert.True(g, told.word.Reachable || (known && answered.After(g.lostAt[server.Address]) && g.now.Sub(answered) <= 2*time.Second))
-	assert.NotZero(g, told.word.Version)
-	assert.False(g, told.word.SwitchPlanned && told.word.SwitchIn-g.now.Sub(told.at) < switchMargin)
+	assert.True(g, told.Reachable || (known && answered.After(g.lostAt[server.Address]) && g.now.Sub(answered) <= 2*time.Second))
+	assert.NotZero(g, told.Version)
+	assert.False(g, told.SwitchPlanned && told.SwitchIn-g.now.Sub(told.at) < switchMargin)
 	for _, bound := range request.Bounds {
-		if told.word.Version < bound.Version {
+		if told.Version < bound.Version {
 			assert.Less(g, g.now, bound.Until)
 		}
 	}
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"pinevane.example/pinevane/coordination/shedding"
@@ -45,10 +43,7 @@
 	if request.Resumed || len(request.Tried) > 0 || limit <= 0 || best.hasFreePlace(request) || c.firstEvent(best, request, now) <= limit {
 		return best, nil
 	}
-	best = slices.MinFunc(usable, func(a, b *Candidate) int {
-		return cmp.Compare(c.firstEvent(a, request, now), c.firstEvent(b, request, now))
-	})
-	soonest := c.firstEvent(best, request, now)
+	best, soonest := c.soonestOf(usable, request, now)
 	if soonest <= limit {
 		return best, nil
 	}
@@ -59,6 +54,16 @@
 	return nil, refusal
 }
 
+// soonestOf returns the first of some servers that would begin a request soonest, and when.
+func (c *Core) soonestOf(usable []*Candidate, request *Request, now time.Time) (best *Candidate, soonest time.Duration) {
+	for _, candidate := range usable {
+		if expected := c.firstEvent(candidate, request, now); best == nil || expected < soonest {
+			best, soonest = candidate, expected
+		}
+	}
+	return best, soonest
+}
+
 // refuse tells which servers fall out for which reason.
 func (c *Core) refuse(reason RefusalReason, request *Request, now time.Time) *Refusal {
 	refusal := &Refusal{Reason: reason, Servers: map[Fitness]int{}}
@@ -93,10 +98,10 @@
 	}
 	soonest := emptyTime + engine.CopyTime/2
 	for _, told := range c.words {
-		if !told.word.Reachable || now.Sub(told.at) > wordCurrent || !c.allowedAt(told.word.Address, request.Residency) {
+		if !told.Reachable || now.Sub(told.at) > wordCurrent || !c.allowedAt(told.Address, request.Residency) {
 			continue
 		}
-		left := engine.CopyTime * time.Duration(told.word.Missing) / time.Duration(engine.Pieces)
+		left := engine.CopyTime * time.Duration(told.Missing) / time.Duration(engine.Pieces)
 		soonest = min(soonest, left+engine.Warm+changeTime/2)
 	}
 	return max(soonest, refusalRetryFloor)
--- a/coordination/dispatch/returns.go
+++ b/coordination/dispatch/returns.go
@@ -27,8 +27,7 @@
 // the overload were over. With a quarter more requests than places at 79 machines, 0.69 to 0.71
 // of the requests are answered in time instead of 0.65 (two plays each).
 func (c *Core) noteFull(request *Request, expected time.Duration, now time.Time) {
-	limit := c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target))
-	if request.Engine == nil || float64(expected) <= fullShare*limit {
+	if request.Engine == nil || float64(expected) <= fullShare*float64(c.firstAttemptLimit(request)) {
 		return
 	}
 	c.returnsMayCome(request, now)
@@ -48,10 +47,15 @@
 	maps.DeleteFunc(c.usual, func(route string, _ *shedding.Usual) bool { return !kept[route] })
 }
 
+// firstAttemptLimit is the latest predicted beginning at which a first attempt is admitted.
+func (c *Core) firstAttemptLimit(request *Request) time.Duration {
+	return time.Duration(c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target)))
+}
+
 // refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
 // admits every one.
 func (c *Core) refusalLimit(request *Request, now time.Time) time.Duration {
-	limit := time.Duration(c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target)))
+	limit := c.firstAttemptLimit(request)
 	share := held(c.pressures, request.Service).Share(now.Sub(c.started), c.policy.LateShare)
 	return shedding.Limit(limit, request.alone(), request.Arrival, share)
 }
--- a/coordination/dispatch/versions.go
+++ b/coordination/dispatch/versions.go
@@ -43,12 +43,12 @@
 func (c *Core) findLeastMissing(now time.Time) {
 	clear(c.leastMissing)
 	for _, told := range c.words {
-		if !told.word.Reachable || now.Sub(told.at) >= wordCurrent {
+		if !told.Reachable || now.Sub(told.at) >= wordCurrent {
 			continue
 		}
-		least, known := c.leastMissing[told.word.Wanted]
-		if !known || told.word.Missing < least {
-			c.leastMissing[told.word.Wanted] = told.word.Missing
+		least, known := c.leastMissing[told.Wanted]
+		if !known || told.Missing < least {
+			c.leastMissing[told.Wanted] = told.Missing
 		}
 	}
 }
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -17,18 +17,15 @@
 
 // heardWord is a word and when it was said.
 type heardWord struct {
-	word Word
-	at   time.Time
+	Word
+	at time.Time
 	// lostAt is when it was first said that the server is not reached, of the words in a row that say so.
 	lostAt time.Time
 }
 
 // agentWord is what the agent beside a server has told of it.
 type agentWord struct {
-	Word
-	at time.Time
-	// lostAt is when the agent first said that it does not reach the server, of its words in a row.
-	lostAt time.Time
+	heardWord
 	// seen is this entry's own part of the load that the word tells.
 	seen counts
 	// answeredAt is when the agent last answered a question of this entry.
@@ -74,10 +71,10 @@
 		word.Waiting, word.UnreadTokens = 0, 0
 	}
 	former, heard := c.words[word.Address]
-	fresh := heardWord{word: word, at: at}
+	fresh := heardWord{Word: word, at: at}
 	if !word.Reachable {
 		fresh.lostAt = at
-		if heard && !former.word.Reachable {
+		if heard && !former.Reachable {
 			fresh.lostAt = former.lostAt
 		}
 	}
@@ -89,7 +86,7 @@
 	if known.word.Reachable != word.Reachable || known.word.Version != word.Version {
 		changed = known
 	}
-	known.word.Word, known.word.at, known.word.lostAt = word, at, fresh.lostAt
+	known.word.heardWord = fresh
 	known.word.seen = known.sends.seenAt(at)
 	known.version = max(known.version, word.Version)
 	c.noteCold(known)
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -11,7 +11,6 @@
 package health
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -462,6 +461,6 @@
 			ejected = append(ejected, id)
 		}
 	}
-	slices.SortFunc(ejected, cmp.Compare[string])
+	slices.Sort(ejected)
 	return ejected
 }
--- a/coordination/health/limits.go
+++ b/coordination/health/limits.go
@@ -9,8 +9,8 @@
 // Limits of words: what an entry of this code can't have said is a fault of the entry, or of the
 // way here.
 const (
-	// longestSpan bounds ages and spans, which are no longer than an entry runs.
-	longestSpan = 10 * 365 * 24 * time.Hour
+	// LongestSpan bounds ages and spans, which are no longer than an entry runs.
+	LongestSpan = 10 * 365 * 24 * time.Hour
 	// mostCounted bounds the counts of attempts: keptCount makes their sum at most
 	// 1/(1-keptCount), beside the recentServed that are counted when a period of failures begins.
 	mostCounted = 2 * recentServed
@@ -39,9 +39,9 @@
 		value any
 		sound bool
 	}{
-		{"since", w.Since, 0 <= w.Since && w.Since <= longestSpan},
-		{"changed", w.Changed, 0 <= w.Changed && w.Changed <= longestSpan},
-		{"left", w.Left, -longestSpan <= w.Left && w.Left <= longestEjection},
+		{"since", w.Since, 0 <= w.Since && w.Since <= LongestSpan},
+		{"changed", w.Changed, 0 <= w.Changed && w.Changed <= LongestSpan},
+		{"left", w.Left, -LongestSpan <= w.Left && w.Left <= longestEjection},
 		{"round", w.Round, leastRound <= w.Round && w.Round <= maximumRounds},
 		{"evidence", w.Evidence, 0 <= w.Evidence && w.Evidence <= evidenceCap},
 		{"failed", w.Failed, 0 <= w.Failed && w.Failed <= mostCounted},
@@ -56,8 +56,8 @@
 
 // limited is a word within its bounds, whatever the caller has checked.
 func (w Word) limited() Word {
-	w.Since, w.Changed = clamp(w.Since, 0, longestSpan), clamp(w.Changed, 0, longestSpan)
-	w.Left = clamp(w.Left, -longestSpan, longestEjection)
+	w.Since, w.Changed = clamp(w.Since, 0, LongestSpan), clamp(w.Changed, 0, LongestSpan)
+	w.Left = clamp(w.Left, -LongestSpan, longestEjection)
 	w.Round = min(max(w.Round, 0), maximumRounds)
 	if w.Ejected {
 		w.Round = max(w.Round, 1)
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -306,7 +306,7 @@
 	assert.NoError(t, sound.Check())
 	for field, spoil := range map[string]func(*Word){
 		"since":    func(w *Word) { w.Since = -1 },
-		"changed":  func(w *Word) { w.Changed = longestSpan + 1 },
+		"changed":  func(w *Word) { w.Changed = LongestSpan + 1 },
 		"left":     func(w *Word) { w.Left = longestEjection + 1 },
 		"round":    func(w *Word) { w.Round = 0 },
 		"evidence": func(w *Word) { w.Evidence = math.NaN() },
--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -91,7 +91,9 @@
 		u.left[u.next] = left
 		u.next = (u.next + 1) % samplesKept
 	}
-	sorted := slices.Sorted(slices.Values(u.left))
+	var kept [samplesKept]time.Duration
+	sorted := kept[:copy(kept[:], u.left)]
+	slices.Sort(sorted)
 	shortest := sorted[len(sorted)/samplesAStray]
 	spread := sorted[len(sorted)-1] - shortest
 	u.least = shortest - sparseMargin*spread/time.Duration(len(sorted))
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// longestMilliseconds bounds the spans of words: no process runs for ten years.
-const longestMilliseconds = 10 * 365 * 24 * 3600 * 1000
+// longestMilliseconds keeps the spans of words within what a time.Duration holds.
+const longestMilliseconds = int64(health.LongestSpan / time.Millisecond)
 
 // checked is a word that was received at a time, if it can be meant: one faulty word does not cost
 // the others of its message.
