One place for the bounds and regions in force, one end of a send, one play of a naming amid silence

Cause: a read of the whole change. The bounds in force stood in the forwarder and in its set of servers, the regions there and in the decisions; three sends between entries ended with the same seven lines; two site tests began with the same fifteen. Change: the set of servers holds the bounds, the decisions the regions; Catalog.sent; Fleet.nameAmidSilence. Words on health are encoded by peering.Send, as other messages are. Tests set the bounds at their new place; no assertion changed. Conclusion: no behaviour changed.

--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -111,5 +111,8 @@
 	}
 }
 
+// Regions are the regions of the zones.
+func (c *Core) Regions() map[string]string { return c.regions }
+
 // SetRegions replaces the regions of the zones. The map is not changed afterwards.
 func (c *Core) SetRegions(regions map[string]string) { c.regions = regions }
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -180,10 +180,15 @@
 }
 
 func (c *Catalog) send(peer *peerLink, link *peering.Link, message update) {
-	err := peering.Send(link, topicUpdate, "", message)
+	c.sent(peer, link, &peer.sending, peering.Send(link, topicUpdate, "", message))
+}
+
+// sent notes that a send over a link has ended, of which a flag of the peer says that it was under
+// way. A link that has failed is made anew.
+func (c *Catalog) sent(peer *peerLink, link *peering.Link, underWay *bool, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	peer.sending = false
+	*underWay = false
 	if err != nil && peer.link == link {
 		peer.link = nil
 		c.kickExchange()
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/health"
@@ -240,17 +239,5 @@
 }
 
 func (c *Catalog) sendHealth(peer *peerLink, link *peering.Link, words []toldHealth) {
-	payload, err := cbor.Marshal(healthBatch{Words: words})
-	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.Error(&fault.InvalidFrame{Field: topicHealth, Reason: err.Error()}))
-	} else {
-		err = link.Publish(topicHealth, message.NewMessage("", payload))
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	peer.tellingHealth = false
-	if err != nil && peer.link == link {
-		peer.link = nil
-		c.kickExchange()
-	}
+	c.sent(peer, link, &peer.tellingHealth, peering.Send(link, topicHealth, "", healthBatch{Words: words}))
 }
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -275,14 +275,7 @@
 }
 
 func (c *Catalog) pass(peer *peerLink, link *peering.Link, payload []byte) {
-	err := link.Publish(topicStatuses, message.NewMessage("", payload))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	peer.passing = false
-	if err != nil && peer.link == link {
-		peer.link = nil
-		c.kickExchange()
-	}
+	c.sent(peer, link, &peer.passing, link.Publish(topicStatuses, message.NewMessage("", payload)))
 }
 
 // IsBackup reports whether an entry has said that another one passes on this agent's
--- a/internal/forward/convert.go
+++ b/internal/forward/convert.go
@@ -12,7 +12,7 @@
 )
 
 // fleetOf is what the decisions need of a view.
-func fleetOf(view *catalog.View, bounds fleet.Bounds) dispatch.Fleet {
+func fleetOf(view *catalog.View, bounds *fleet.Bounds) dispatch.Fleet {
 	published := dispatch.Fleet{Services: map[string]dispatch.Service{}}
 	for _, servers := range view.Servers {
 		for _, server := range servers {
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -243,7 +243,7 @@
 		server := scripted(t, func(net.Conn, *http.Request, int) { time.Sleep(3 * time.Second) })
 		f := testForwarder()
 		request := testRequest("late", "b")
-		f.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
+		f.targets.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
 		request.Call.Model = "m"
 		f.targets.update(&catalog.View{Versions: map[string][]catalog.Notice{"m": {{Version: 2, Since: time.Now().Add(-7 * time.Second)}}}})
 		w := &work{Forwarder: f, request: request, wanted: dispatch.Request{Engine: &dispatch.Engine{}}}
@@ -269,7 +269,7 @@
 // VERSION: a request that waits is taken back for a version that is heard of after its send.
 func TestRequestIsTakenBackForAVersionHeardOfLater(t *testing.T) {
 	f := testForwarder()
-	f.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
+	f.targets.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
 	w := &work{Forwarder: f, request: testRequest("early", "b"), wanted: dispatch.Request{Engine: &dispatch.Engine{}}}
 	w.request.Call.Model = "m"
 	judge := w.silence(&target{}, 1)
@@ -287,7 +287,7 @@
 	var received atomic.Int64
 	server := scripted(t, func(net.Conn, *http.Request, int) { received.Add(1) })
 	f := testForwarder()
-	f.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
+	f.targets.bounds.Store(&fleet.Bounds{VersionApply: 8 * time.Second})
 	w := &work{Forwarder: f, request: testRequest("late", "b"), wanted: dispatch.Request{Engine: &dispatch.Engine{}}}
 	w.request.Call.Model = "m"
 	judge := w.silence(server, 1)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -57,8 +56,6 @@
 	metrics *metrics
 	watch   *watch
 	started time.Time
-	// bounds are those of the settings in force.
-	bounds atomic.Pointer[fleet.Bounds]
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
@@ -76,7 +73,6 @@
 		targets: newTargets(options, started),
 		metrics: figures, watch: newWatch(options.Log, figures, started), budgets: map[string]*budget.Budget{},
 	}
-	f.bounds.Store(&options.Bounds)
 	registerCold(options.Registry, f.targets)
 	registerHealth(options.Registry, f.targets)
 	options.Registry.MustRegister(newEvacuationCollector(f.targets))
@@ -125,7 +121,7 @@
 func (f *Forwarder) budgetOf(service string) *budget.Budget {
 	held := f.budgets[service]
 	if held == nil {
-		bounds := f.bounds.Load()
+		bounds := f.targets.bounds.Load()
 		held = budget.New(budget.Options{Ratio: ratioShare * bounds.RetryRatio, Window: bounds.RetryWindow})
 		f.budgets[service] = held
 	}
@@ -144,7 +140,7 @@
 	defer f.mutex.Unlock()
 	f.mostPeers = max(f.mostPeers, f.options.Peers())
 	now := time.Since(f.started)
-	slack := budget.SlackPart(int(slackShare*float64(f.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
+	slack := budget.SlackPart(int(slackShare*float64(f.targets.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
 	return f.budgetOf(service).Take(now, slack)
 }
 
@@ -247,7 +243,7 @@
 		return
 	}
 	view := w.targets.currentView()
-	apply := w.bounds.Load().VersionApply
+	apply := w.targets.bounds.Load().VersionApply
 	w.wanted.Bounds = boundsOf(view.Versions[w.request.Call.Model], apply)
 	w.wanted.AtLeast = view.Due(w.request.Call.Model, apply-versionMargin, time.Now())
 }
@@ -399,7 +395,7 @@
 		return false
 	}
 	notice, superseded := w.targets.currentView().FirstAfter(w.request.Call.Model, version)
-	return superseded && time.Until(notice.Since.Add(w.bounds.Load().VersionApply)) < takeBackMargin
+	return superseded && time.Until(notice.Since.Add(w.targets.bounds.Load().VersionApply)) < takeBackMargin
 }
 
 // takeBackMargin is how long before the bound of an old version a request is taken
--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -49,7 +49,7 @@
 func (t *targets) zoneRegions() zoneRegions {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.regions
+	return t.core.Regions()
 }
 
 // has reports whether a zone of the fleet is in a region of that name.
--- a/internal/forward/settings.go
+++ b/internal/forward/settings.go
@@ -11,8 +11,7 @@
 // stays as it was at the start.
 func (f *Forwarder) SetSettings(settings fleet.Settings) {
 	bounds := settings.Bounds
-	f.bounds.Store(&bounds)
-	f.targets.setSettings(settings)
+	f.targets.setSettings(&bounds, settings.Regions)
 	f.mutex.Lock()
 	for _, held := range f.budgets {
 		held.SetRatio(ratioShare * bounds.RetryRatio)
@@ -23,12 +22,12 @@
 	}
 }
 
-func (t *targets) setSettings(settings fleet.Settings) {
+func (t *targets) setSettings(bounds *fleet.Bounds, regions map[string]string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.regions, t.bounds = settings.Regions, settings.Bounds
-	t.core.SetRegions(settings.Regions)
-	for _, change := range t.core.Update(fleetOf(t.view, t.bounds), time.Now()) {
+	t.bounds.Store(bounds)
+	t.core.SetRegions(regions)
+	for _, change := range t.core.Update(fleetOf(t.view, bounds), time.Now()) {
 		t.follow(change)
 	}
 }
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -546,10 +546,10 @@
 	s := startStandIns(t, 1)
 	s.warm(fleet.Repeatable, 0)
 	s.setSlow(slowFactor, 1)
-	bounds := s.forwarder.bounds.Load()
+	bounds := s.forwarder.targets.bounds.Load()
 	for name, limit := range map[string]func(*work){
 		"attempts": func(w *work) { w.request.Route.Attempts = 1 },
-		"budget":   func(w *work) { w.bounds.Store(&fleet.Bounds{RetryWindow: time.Second}) },
+		"budget":   func(w *work) { w.targets.bounds.Store(&fleet.Bounds{RetryWindow: time.Second}) },
 		"time":     func(w *work) { w.request.Deadline = time.Now().Add(minimumTime / 2) },
 	} {
 		request := testRequest(name, "b")
@@ -559,7 +559,7 @@
 		judge := w.silence(s.targets[0], 0)
 		limit(w)
 		assert.NoError(t, judge(time.Minute, time.Millisecond), name)
-		s.forwarder.bounds.Store(bounds)
+		s.forwarder.targets.bounds.Store(bounds)
 		s.forwarder.budgets = map[string]*budget.Budget{}
 	}
 	w := &work{Forwarder: s.forwarder, request: testRequest("again", "b"), sent: 1}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,10 +23,9 @@
 // targets holds the one lock around the decisions, tells them the time, logs what they change,
 // and keeps the connections of each server.
 type targets struct {
-	log    *logging.Logger
-	bounds fleet.Bounds
-	// regions are those of the zones.
-	regions map[string]string
+	log *logging.Logger
+	// bounds are those of the settings in force.
+	bounds atomic.Pointer[fleet.Bounds]
 	// entries lists the other entries lately known; nil knows of none.
 	entries func() []string
 
@@ -43,14 +43,16 @@
 }
 
 func newTargets(options Options, now time.Time) *targets {
-	return &targets{
-		log: options.Log, bounds: options.Bounds, health: newHealthReporter(options), regions: options.Regions, entries: options.Entries,
+	t := &targets{
+		log: options.Log, health: newHealthReporter(options), entries: options.Entries,
 		core: dispatch.New(dispatch.Options{
 			Zone: options.Zone, Regions: options.Regions, Policy: dispatch.Policy(options.Policy), Self: options.Self, Started: now,
 			Random: rand.Float64, Shuffle: rand.Shuffle,
 		}),
 		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, told: map[string]fleet.MachineStatus{},
 	}
+	t.bounds.Store(&options.Bounds)
+	return t
 }
 
 // update takes over a new list of servers.
@@ -62,7 +64,7 @@
 		t.keepRoutes(view.Configuration)
 	}
 	t.view = view
-	for _, change := range t.core.Update(fleetOf(view, t.bounds), time.Now()) {
+	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), time.Now()) {
 		t.follow(change)
 	}
 	t.reportHealth()
@@ -78,7 +80,7 @@
 		t.log.Log(logging.ServerGone, zap.String("server", change.Candidate.ID), zap.Int("in_flight", change.InFlight))
 	case dispatch.ZoneEvacuated:
 		t.log.Log(logging.ZoneEvacuated, zap.String("zone", change.Zone), zap.Int("servers", change.Servers), zap.Int("in_flight", change.InFlight),
-			zap.Duration("bound", t.bounds.Evacuate))
+			zap.Duration("bound", t.bounds.Load().Evacuate))
 	case dispatch.ZoneIdle:
 		t.log.Log(logging.ZoneIdle, zap.String("zone", change.Zone), zap.Duration("after", change.After))
 	case dispatch.ZoneReadmitted:
--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -150,20 +150,7 @@
 // old version after its bound.
 func TestVersionIsBoundByItsNamingWhenAllConnectionsAreSilent(t *testing.T) {
 	f := Start(t, DefaultOptions())
-	f.Site.Origin.SetAway(true)
-	stop := traffic(15*time.Millisecond, func(ctx context.Context, number int) outcome {
-		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
-		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, 4)
-		return one
-	})
-	time.Sleep(calmTime)
-	_, err := silencer.Silence(ofTheSystem)
-	require.NoError(t, err)
-	named := time.Now()
-	f.Site.NameVersion(2)
-	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
-	time.Sleep(time.Until(bound.Add(2 * time.Second)))
-	stop()
+	named, bound := f.nameAmidSilence(ofTheSystem)
 	before, late, latest := 0, 0, time.Duration(0)
 	for _, run := range f.Site.Ledger.Runs() {
 		switch {
--- a/internal/sitetest/silence_test.go
+++ b/internal/sitetest/silence_test.go
@@ -186,11 +186,10 @@
 	}
 }
 
-// VERSION: the connections to the store go silent just before a version is named, and nobody
-// can fetch it. From the bound of the naming on nothing begins on the old version, whenever the
-// entries heard of the new one.
-func TestVersionIsBoundByItsNamingWhenTheStoresConnectionsAreSilent(t *testing.T) {
-	f := Start(t, DefaultOptions())
+// nameAmidSilence sends streams, silences some connections just before version 2 is named, which
+// nobody can fetch, and returns two seconds after the bound of that naming.
+func (f *Fleet) nameAmidSilence(silenced silencer.Filter) (named, bound time.Time) {
+	f.t.Helper()
 	f.Site.Origin.SetAway(true)
 	stop := traffic(15*time.Millisecond, func(ctx context.Context, number int) outcome {
 		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
@@ -198,13 +197,22 @@
 		return one
 	})
 	time.Sleep(calmTime)
-	_, err := silencer.Silence(toTheStore)
-	require.NoError(t, err)
-	named := time.Now()
+	_, err := silencer.Silence(silenced)
+	require.NoError(f.t, err)
+	named = time.Now()
 	f.Site.NameVersion(2)
-	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	bound = named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
 	time.Sleep(time.Until(bound.Add(2 * time.Second)))
 	stop()
+	return named, bound
+}
+
+// VERSION: the connections to the store go silent just before a version is named, and nobody
+// can fetch it. From the bound of the naming on nothing begins on the old version, whenever the
+// entries heard of the new one.
+func TestVersionIsBoundByItsNamingWhenTheStoresConnectionsAreSilent(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	_, bound := f.nameAmidSilence(toTheStore)
 	late := 0
 	latest := time.Duration(0)
 	for _, run := range f.Site.Ledger.Runs() {
