One grouping of a turn's offers and one reading of CBOR bodies

Cause: both agents (internal/agent, internal/rollout) grouped offers and questions by peer, and read and answered CBOR bodies, in code of their own; messages left in the random order of a map. Change: dissemination.GroupByPeer (pure, in order), network.ReadCBOR and network.WriteCBOR; both agents use them. Conclusion: no behaviour changes but the order, which is now the fetcher's.

--- /dev/null
+++ b/coordination/dissemination/batch.go
@@ -0,0 +1,44 @@
+package dissemination
+
+// Message tells one peer of chunks that are here, or asks it for them. A peer is told of all
+// chunks of a turn at once: each is a request of its own to it otherwise.
+type Message struct {
+	Peer MachineID
+	// Ask is set for a question, and not for an offer.
+	Ask    bool
+	Chunks []int
+}
+
+// Turn is what a Fetcher wants done at a time.
+type Turn struct {
+	// Messages are the offers and questions, at most one of each for a peer, in the order in
+	// which peers were first named.
+	Messages []Message
+	// Fetches are the transfers of chunks, of kind Fetch or FetchOrigin.
+	Fetches []Action
+}
+
+// GroupByPeer joins the offers and questions to each peer.
+func GroupByPeer(actions []Action) Turn {
+	type recipient struct {
+		peer MachineID
+		ask  bool
+	}
+	var turn Turn
+	indexes := map[recipient]int{}
+	for _, action := range actions {
+		if action.Kind == Fetch || action.Kind == FetchOrigin {
+			turn.Fetches = append(turn.Fetches, action)
+			continue
+		}
+		to := recipient{peer: action.Peer, ask: action.Kind == Ask}
+		index, known := indexes[to]
+		if !known {
+			index = len(turn.Messages)
+			indexes[to] = index
+			turn.Messages = append(turn.Messages, Message{Peer: to.peer, Ask: to.ask})
+		}
+		turn.Messages[index].Chunks = append(turn.Messages[index].Chunks, action.Chunk)
+	}
+	return turn
+}
--- /dev/null
+++ b/coordination/dissemination/batch_test.go
@@ -0,0 +1,26 @@
+package dissemination
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Offers and questions to one peer go together, each kind in one message; transfers stay single.
+func TestGroupByPeer(t *testing.T) {
+	turn := GroupByPeer([]Action{
+		{Kind: Offer, Peer: "b", Chunk: 1},
+		{Kind: Fetch, Peer: "a", Chunk: 7},
+		{Kind: Ask, Peer: "b", Chunk: 2},
+		{Kind: Offer, Peer: "a", Chunk: 1},
+		{Kind: Offer, Peer: "b", Chunk: 3},
+		{Kind: FetchOrigin, Chunk: 8},
+	})
+	assert.Equal(t, []Message{
+		{Peer: "b", Chunks: []int{1, 3}},
+		{Peer: "b", Ask: true, Chunks: []int{2}},
+		{Peer: "a", Chunks: []int{1}},
+	}, turn.Messages)
+	assert.Equal(t, []Action{{Kind: Fetch, Peer: "a", Chunk: 7}, {Kind: FetchOrigin, Chunk: 8}}, turn.Fetches)
+	assert.Empty(t, GroupByPeer(nil))
+}
--- a/internal/agent/transfer.go
+++ b/internal/agent/transfer.go
@@ -262,36 +262,26 @@
 	return dissemination.Answer{}
 }
 
-// carryOut starts the fetcher's actions; offers and questions to one peer go
-// together.
+// carryOut starts the fetcher's actions.
 func (t *transfer) carryOut(ctx context.Context) {
 	t.mutex.Lock()
 	actions := t.fetcher.Take()
 	t.mutex.Unlock()
-	type batchKey struct {
-		peer dissemination.MachineID
-		ask  bool
-	}
-	batches := map[batchKey][]int{}
-	for _, action := range actions {
-		switch action.Kind {
-		case dissemination.Offer, dissemination.Ask:
-			key := batchKey{peer: action.Peer, ask: action.Kind == dissemination.Ask}
-			batches[key] = append(batches[key], action.Chunk)
-		case dissemination.Fetch, dissemination.FetchOrigin:
-			go t.fetch(ctx, action)
-		}
+	turn := dissemination.GroupByPeer(actions)
+	for _, action := range turn.Fetches {
+		go t.fetch(ctx, action)
 	}
-	for key, chunks := range batches {
-		go t.sendOffer(ctx, key.peer, chunks, key.ask)
+	for _, message := range turn.Messages {
+		go t.sendOffer(ctx, message)
 	}
 }
 
-func (t *transfer) sendOffer(ctx context.Context, peer dissemination.MachineID, chunks []int, ask bool) {
-	answer, err := t.postOffer(ctx, peer, offer{From: t.self(), Manifest: t.progress.Manifest, Chunks: chunks, Ask: ask})
+func (t *transfer) sendOffer(ctx context.Context, message dissemination.Message) {
+	body := offer{From: t.self(), Manifest: t.progress.Manifest, Chunks: message.Chunks, Ask: message.Ask}
+	answer, err := t.postOffer(ctx, message.Peer, body)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.fetcher.Delivered(peer, chunks, ask, err != nil, answer, t.now())
+	t.fetcher.Delivered(message.Peer, message.Chunks, message.Ask, err != nil, answer, t.now())
 	t.poke()
 }
 
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -20,6 +19,7 @@
 	"pinevane.example/pinevane/internal/configuration"
 	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/network"
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/weights"
 )
@@ -260,23 +260,12 @@
 }
 
 func (c *weightsController) handleOffer(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maximumOfferBytes))
-	if err != nil {
-		http.Error(writer, "body too large", http.StatusRequestEntityTooLarge)
-		return
-	}
-	var incoming offer
-	if err := cbor.Unmarshal(body, &incoming); err != nil {
-		http.Error(writer, "not a valid offer", http.StatusBadRequest)
+	incoming, received, ok := network.ReadCBOR[offer](writer, request, maximumOfferBytes)
+	if !ok {
 		return
 	}
-	data, err := cbor.Marshal(c.takeOffer(incoming))
-	if err != nil {
-		http.Error(writer, "can't encode the answer", http.StatusInternalServerError)
-		return
-	}
-	c.node.Counters.CountRequest("weights", len(data), len(body))
-	_, _ = writer.Write(data)
+	sent := network.WriteCBOR(writer, c.takeOffer(incoming))
+	c.node.Counters.CountRequest("weights", sent, received)
 }
 
 // takeOffer gives an offer to its transfer, or keeps it until the manifest is
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -223,35 +222,20 @@
 	}
 }
 
-func writeCBOR(writer http.ResponseWriter, value any) {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		http.Error(writer, "can't encode the answer", http.StatusInternalServerError)
-		return
-	}
-	_, _ = writer.Write(data)
-}
-
 func (a *Agent) handleOffer(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maximumOfferBytes))
-	if err != nil {
-		http.Error(writer, "body too large", http.StatusRequestEntityTooLarge)
-		return
-	}
-	var incoming offer
-	if err := cbor.Unmarshal(body, &incoming); err != nil {
-		http.Error(writer, "not a valid offer", http.StatusBadRequest)
+	incoming, _, ok := network.ReadCBOR[offer](writer, request, maximumOfferBytes)
+	if !ok {
 		return
 	}
 	if !a.serverSound() {
 		http.Error(writer, "the server does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	writeCBOR(writer, a.takeOffer(incoming))
+	network.WriteCBOR(writer, a.takeOffer(incoming))
 }
 
 func (a *Agent) serveInventory(writer http.ResponseWriter, _ *http.Request, t *transfer) {
-	writeCBOR(writer, inventory{Pieces: t.heldPieces()})
+	network.WriteCBOR(writer, inventory{Pieces: t.heldPieces()})
 }
 
 func (a *Agent) serveManifest(writer http.ResponseWriter, request *http.Request, t *transfer) {
@@ -260,7 +244,7 @@
 		http.Error(writer, "not here yet", http.StatusNotFound)
 		return
 	}
-	writeCBOR(writer, manifestMessage{
+	network.WriteCBOR(writer, manifestMessage{
 		Model: manifest.Model, Version: manifest.Version, Layers: manifest.Layers, PieceBytes: manifest.PieceBytes, Digests: manifest.Digests,
 	})
 }
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -248,38 +248,27 @@
 	return dissemination.Answer{}
 }
 
-// carryOut starts what the fetcher wants done; offers and questions to one peer
-// go together.
+// carryOut starts what the fetcher wants done.
 func (t *transfer) carryOut(ctx context.Context) {
 	t.mutex.Lock()
 	fetcher := t.fetcher
 	actions := fetcher.Take()
 	t.mutex.Unlock()
-	type batchKey struct {
-		peer dissemination.MachineID
-		ask  bool
-	}
-	batches := map[batchKey][]int{}
-	for _, action := range actions {
-		switch action.Kind {
-		case dissemination.Offer, dissemination.Ask:
-			key := batchKey{peer: action.Peer, ask: action.Kind == dissemination.Ask}
-			batches[key] = append(batches[key], action.Chunk)
-		case dissemination.Fetch, dissemination.FetchOrigin:
-			go t.fetch(ctx, fetcher, action)
-		}
+	turn := dissemination.GroupByPeer(actions)
+	for _, action := range turn.Fetches {
+		go t.fetch(ctx, fetcher, action)
 	}
-	for key, pieces := range batches {
-		go t.sendOffer(ctx, key.peer, pieces, key.ask)
+	for _, message := range turn.Messages {
+		go t.sendOffer(ctx, message)
 	}
 }
 
-func (t *transfer) sendOffer(ctx context.Context, peer dissemination.MachineID, pieces []int, isQuestion bool) {
-	body := offer{From: t.self(), Model: t.model, Version: t.version(), Pieces: pieces, Ask: isQuestion}
-	answer, err := t.agent.peers.offer(ctx, peer, body)
+func (t *transfer) sendOffer(ctx context.Context, message dissemination.Message) {
+	body := offer{From: t.self(), Model: t.model, Version: t.version(), Pieces: message.Chunks, Ask: message.Ask}
+	answer, err := t.agent.peers.offer(ctx, message.Peer, body)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.fetcher.Delivered(peer, pieces, isQuestion, err != nil, answer, t.now())
+	t.fetcher.Delivered(message.Peer, message.Chunks, message.Ask, err != nil, answer, t.now())
 	t.poke()
 }
 
