--- a/coordination/shedding/fake_test.go
+++ b/coordination/shedding/fake_test.go
@@ -80,7 +80,9 @@
 	kinds   []kind
 	up      func(server int, at time.Duration) bool
 	wordAge time.Duration
-	seed    uint64
+	// restarts is when all entries are started anew, and know nothing; 0 is never.
+	restarts time.Duration
+	seed     uint64
 }
 
 // way is how callers are admitted and told.
@@ -126,10 +128,16 @@
 	for i := range serverCount {
 		f.servers = append(f.servers, &server{wordAt: -time.Duration(i) * d.wordAge / serverCount})
 	}
+	f.startEntries()
+	return f
+}
+
+// startEntries starts all entries: they know of no caller, and of no load but by words.
+func (f *fleet) startEntries() {
+	f.entries = nil
 	for range entryCount {
-		f.entries = append(f.entries, &entry{sent: map[*server][]*caller{}, usual: make([]Usual, len(d.kinds))})
+		f.entries = append(f.entries, &entry{sent: map[*server][]*caller{}, usual: make([]Usual, len(f.kinds))})
 	}
-	return f
 }
 
 // play plays a day until nobody waits any more.
@@ -137,6 +145,9 @@
 	f := newFleet(d, w)
 	due := make([]float64, len(d.kinds))
 	for ; f.now < length+6*time.Second; f.now += tick {
+		if d.restarts > 0 && f.now == d.restarts {
+			f.startEntries()
+		}
 		for _, s := range f.servers {
 			f.step(s)
 		}
--- a/coordination/shedding/load_test.go
+++ b/coordination/shedding/load_test.go
@@ -186,6 +186,12 @@
 	requireFloor(t, day{kinds: streams(steady(1)), up: always, wordAge: askedAge}, 0.81)
 }
 
+// All entries start anew amid an overload that lasts: none has ever seen a calm moment to learn
+// its callers from.
+func TestEntriesThatStartInAnOverload(t *testing.T) {
+	requireFloor(t, day{kinds: streams(steady(1)), up: always, wordAge: askedAge, restarts: 6 * time.Second}, 0.81)
+}
+
 // A third of the servers is lost for six seconds, under a load that all can carry.
 func TestLossOfAThirdOfThePlaces(t *testing.T) {
 	up := func(server int, at time.Duration) bool {
@@ -239,16 +245,38 @@
 	assert.Less(t, after.refused, after.asked/4, "from a second after its end, when answers begun before still fill places")
 }
 
+// hurried plays a full fleet in which one caller in ten waits for a shorter time than the others
+// of its route, and calls compare with the counts of both for each route.
+func hurried(most, restarts time.Duration, compare func(others, short count)) {
+	usual, short := streams(steady(0.9)), streams(steady(0.1))
+	for i := range short {
+		short[i].leastTime, short[i].mostTime = most*85/100, most
+	}
+	_, out := result(day{kinds: append(usual, short...), up: always, wordAge: askedAge, restarts: restarts}, inOrder)
+	for i := range usual {
+		compare(out.byKind[i], out.byKind[i+len(usual)])
+	}
+}
+
+func (c *count) inTimeShare() float64 { return float64(c.inTime) / float64(c.asked) }
+
 // Callers of a tenant that wait for 3 s while the others of their routes wait for 6 s are
-// served in time as often as these, in an overload that lasts.
+// served in time as often as these, in an overload that lasts; also where all entries start anew
+// amid it, and for other shorter times.
 func TestShorterDeadlineIsNotTakenForALateOne(t *testing.T) {
-	others, hurried := streams(steady(0.9)), streams(steady(0.1))
-	for i := range hurried {
-		hurried[i].leastTime, hurried[i].mostTime = 2550*time.Millisecond, 3*time.Second
-	}
-	_, out := result(day{kinds: append(others, hurried...), up: always, wordAge: askedAge}, inOrder)
-	for i := range others {
-		usual, short := out.byKind[i], out.byKind[i+len(others)]
-		assert.InDelta(t, float64(usual.inTime)/float64(usual.asked), float64(short.inTime)/float64(short.asked), 0.06, "kind %d", i)
+	same := func(others, short count) { assert.InDelta(t, others.inTimeShare(), short.inTimeShare(), 0.06) }
+	hurried(3*time.Second, 0, same)
+	for most := 2 * time.Second; most <= 4*time.Second; most += time.Second {
+		hurried(most, 6*time.Second, same)
 	}
 }
+
+// After such a start callers that wait for two thirds to five sixths of the usual time can't be
+// told from those that came back. They are served as often as the others, and in time at least half
+// as often.
+func TestCallersThatLookLikeReturnsAreServed(t *testing.T) {
+	hurried(5*time.Second, 6*time.Second, func(others, short count) {
+		assert.Greater(t, short.served(), others.served()-0.05)
+		assert.Greater(t, short.inTimeShare(), others.inTimeShare()/2)
+	})
+}
--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -44,6 +44,8 @@
 	learnsFrom time.Duration
 	// returned is the share of the last arrivals that seem to have come back.
 	returned float64
+	// mixed tells callers apart as long as too few first attempts are known.
+	mixed mixed
 }
 
 // Arrived notes a request whose caller waits for a time left, 0 for one that does not say. It
@@ -56,6 +58,9 @@
 	if u.learnsFrom == 0 {
 		u.Refused(now, left)
 	}
+	if !u.known() {
+		return u.arrivedUnlearned(now, left)
+	}
 	elapsed := u.elapsed(left)
 	u.countReturned(elapsed > 0)
 	if now >= u.learnsFrom {
@@ -64,13 +69,21 @@
 	return elapsed
 }
 
-func (u *Usual) elapsed(left time.Duration) time.Duration {
-	if len(u.left) < samplesNeeded {
+// known reports whether enough first attempts are known to judge others by.
+func (u *Usual) known() bool { return len(u.left) >= samplesNeeded }
+
+// arrivedUnlearned judges a caller by those that have come since the start, returns among them.
+func (u *Usual) arrivedUnlearned(now, left time.Duration) time.Duration {
+	u.mixed.add(left)
+	if now >= u.learnsFrom {
+		u.learn(left)
 		return 0
 	}
-	return max(0, u.least-left)
+	return u.mixed.elapsed(left)
 }
 
+func (u *Usual) elapsed(left time.Duration) time.Duration { return max(0, u.least-left) }
+
 // countReturned forgets what was learned when more callers seem to have come back than can.
 func (u *Usual) countReturned(returned bool) {
 	u.returned *= 1 - returnedWeight
--- a/coordination/shedding/usual_test.go
+++ b/coordination/shedding/usual_test.go
@@ -88,3 +88,48 @@
 	assert.Zero(t, usual.Arrived(now, 3*time.Second))
 	assert.Equal(t, time.Second, usual.Arrived(now, 2*time.Second))
 }
+
+// arrivals gives a route that starts in an overload callers with times left, each of them one
+// after the other a number of times.
+func arrivals(rounds int, left ...time.Duration) *Usual {
+	usual := &Usual{}
+	for round := range rounds {
+		for _, one := range left {
+			now := time.Duration(round) * 50 * time.Millisecond
+			usual.Refused(now, one)
+			usual.Arrived(now, one)
+		}
+	}
+	return usual
+}
+
+// A process that starts in an overload knows those that come back by how long they were asked to
+// wait, counted from the longest time left.
+func TestReturnsAreKnownAfterAStartInAnOverload(t *testing.T) {
+	usual := arrivals(20, 6*time.Second, 5200*time.Millisecond, 4600*time.Millisecond)
+	assert.Empty(t, usual.left, "nothing was learned")
+	assert.InDelta(t, 0.92, usual.Arrived(time.Second, 4600*time.Millisecond).Seconds(), 0.01, "a fifth of what is left")
+	assert.Zero(t, usual.Arrived(time.Second, 5200*time.Millisecond))
+	assert.Zero(t, usual.Arrived(time.Second, 3*time.Second), "nobody waits for half of the time")
+}
+
+func TestAFewMixedArrivalsJudgeNobody(t *testing.T) {
+	usual := arrivals(3, 6*time.Second, 4600*time.Millisecond)
+	assert.Zero(t, usual.Arrived(time.Second, 4600*time.Millisecond))
+}
+
+// Fewer can have come back than have asked: where more seem to, it is their usual time.
+func TestMoreReturnsThanFirstAttemptsAreNone(t *testing.T) {
+	usual := arrivals(20, 6*time.Second, 4600*time.Millisecond, 4700*time.Millisecond, 4800*time.Millisecond)
+	assert.Zero(t, usual.Arrived(time.Second, 4600*time.Millisecond))
+}
+
+// What was learned in calm moments takes the place of the guess.
+func TestCalmMomentsReplaceTheGuess(t *testing.T) {
+	usual := arrivals(20, 6*time.Second, 4600*time.Millisecond)
+	for at := 5 * time.Second; at < 7*time.Second; at += 100 * time.Millisecond {
+		usual.Arrived(at, 6*time.Second)
+		usual.Arrived(at, 4600*time.Millisecond)
+	}
+	assert.Zero(t, usual.Arrived(7*time.Second, 4600*time.Millisecond))
+}
