--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -200,10 +200,11 @@
 }
 
 // Mutual reports whether another member wants a link with this one as this one does
-// with it, as far as is known here.
+// with it, as far as is known here. One of unknown zone was named by an operator only, and
+// need not know of this one.
 func (o *Overlay) Mutual(id string) bool {
 	known, exists := o.members[id]
-	if !exists {
+	if !exists || known.Zone == "" {
 		return false
 	}
 	if known.Zone == o.options.Zone {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,8 +32,10 @@
 	Zone string
 	// InternalPort is where every process of the fleet accepts links.
 	InternalPort int
-	// Seeds are IP addresses of entries to begin with.
-	Seeds   []string
+	// Seeds are IP addresses of other entries to begin with.
+	Seeds []string
+	// IsSeed is set when others begin with this process.
+	IsSeed  bool
 	Store   fleet.Store
 	Decoder fleet.Decoder
 	Hub     *peering.Hub
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -134,12 +133,13 @@
 }
 
 // listTime is when an entry that knows of nothing, or of too little, lists everything.
-// A seed begins at once, because others ask it.
+// A seed begins at once, because others ask it: after a loss of all entries they know of
+// the servers 65 to 125 ms after their start, instead of 560 ms (TestFleetIsReadySoonAfterAllEntriesWereKilled).
 func (c *Catalog) listTime(at *position, rank int) time.Time {
 	switch {
 	case at.forgotten != 0:
 		return at.listAt.Add(min(time.Duration(rank)*listStep, mostListWait))
-	case len(c.options.Seeds) == 0 || slices.Contains(c.options.Seeds, c.options.Self):
+	case len(c.options.Seeds) == 0 || c.options.IsSeed:
 		return c.started
 	}
 	return c.started.Add(startGrace + min(time.Duration(rank)*staleStep, mostListWait))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,7 +88,7 @@
 	hello := peering.Hello{ID: settings.IP, Incarnation: uint64(d.started.UnixNano()), Role: options.Role, Zone: settings.Zone}
 	d.Hub = peering.NewHub(hello, options.Log, peering.NewCounters(d.Registry))
 	d.Catalog = catalog.New(catalog.Options{
-		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds,
+		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds, IsSeed: settings.IsSeed,
 		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, OnSilent: d.NoteSilent,
 		VersionApply: settings.Bounds.VersionApply, Contact: settings.Bounds.Contact, Drain: settings.Bounds.Drain,
 		Zones: settings.Regions,
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -26,8 +26,10 @@
 	// InternalPort is the first of the ports kept free for pinevane's own links;
 	// it is the same on all machines.
 	InternalPort int
-	// Seeds are IP addresses of machines to learn from at start; they may be down.
+	// Seeds are IP addresses of other machines to learn from at start; they may be down.
 	Seeds []string
+	// IsSeed is set when this machine is one that others learn from at start.
+	IsSeed bool
 	// StoreAddress is the platform's store of published records.
 	StoreAddress string
 	// ServerAddress and Service name the model server of this machine, if any.
