--- a/coordination/overlay/overlay_test.go
+++ b/coordination/overlay/overlay_test.go
@@ -203,3 +203,16 @@
 		})
 	}
 }
+
+// A member that is known by its address only need not know of this one: it is not left to it to
+// make the link.
+func TestMemberOfUnknownZoneIsNotMutual(t *testing.T) {
+	o := New(options("m1", "z0"))
+	o.Hear("m0", "", start, start)
+	o.Advance(start)
+	assert.False(t, o.Mutual("m0"))
+	o.Hear("m0", "z0", start, start)
+	o.Advance(start)
+	assert.True(t, o.Mutual("m0"))
+	assert.False(t, o.Mutual("m2"), "not known at all")
+}
