An older version is served for as long as requests can be sent to it, however late the turn comes

Cause: whether a server changes over to an older version that lies at it whole was decided by comparing what that version had left with the time of the last turn before a bound (1.7 s). Of two versions named 0.2 s apart, a turn that came 0.15 s late was too late, and so was every last turn at which requests waited during the notice: the change was announced, requests were kept away for a second, and then it was declined, so that the server stood empty from its bound until the newest version came. An empty server declined a version that could still be sent requests for up to 0.7 s.

Change: turnover.ServesOlder decides by the requests that the version can still be sent: entries send none from 1 s before its bound on (now one figure for both, turnover.SendsEnd), 0.2 s must be left after it is in service, and a change that entries have been told of is carried through while they may send anything.

By arithmetic a change to a version that ends 0.2 s after the present one wins no more than these 0.2 s and costs the time of a change; the existing test asks for it, and it is not measured here.

--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -14,6 +14,16 @@
 	worthwhileService = 1500 * time.Millisecond
 )
 
+// Bounds of changing over to an older version that is here.
+const (
+	// SendsEnd is how long before the bound of a version entries send nothing to a server with it
+	// over a sound link.
+	SendsEnd = time.Second
+	// worthwhileSends is the least time for which the older version must then be sent requests: an
+	// entry hears of the change 0.1 to 0.2 s after it.
+	worthwhileSends = 200 * time.Millisecond
+)
+
 // Transfer tells how far a server that serves nothing is with the newest version.
 type Transfer struct {
 	// Pieces are those of one copy; Missing have not come, Unsourced of them are held by no
@@ -51,3 +61,15 @@
 	left, known := newest.left()
 	return !known || left-newest.CopyTime > worthwhileGain
 }
+
+// ServesOlder decides whether a server changes over to an older version that lies at it whole,
+// while the newest has not come. Older is the time for which it may still begin requests, warm that
+// of taking a version into service. A change that entries have been told of is carried through as
+// long as they may send anything: withdrawn, it would have kept requests away for nothing.
+func ServesOlder(older, warm time.Duration, announced bool) bool {
+	sends := older - warm - SendsEnd
+	if announced {
+		return sends >= 0
+	}
+	return sends >= worthwhileSends
+}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -24,6 +24,8 @@
 	// StepMilliseconds is the published time of a token step; 0 publishes assumedStep, which
 	// is shorter than most tests' EventTime.
 	StepMilliseconds float64
+	// WarmS is the published time of taking weights into service; 0 publishes assumedWarm.
+	WarmS float64
 	// Bounds in milliseconds and seconds, as the platform names them.
 	VersionMs     int
 	ConfigApplyMs int
@@ -63,6 +65,10 @@
 // assumedStep is the published time of a token step in milliseconds where a test sets none.
 const assumedStep = 1.0
 
+// assumedWarm is the published time of taking weights into service in seconds where a test sets
+// none.
+const assumedWarm = 0.05
+
 // Ports of the machines.
 const (
 	serverPort  = 8001
@@ -275,7 +281,7 @@
 				"coldStartS": s.Options.ColdStartS, "coldPerS": s.Options.ColdPerS, "engine": map[string]any{
 					"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
 					"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
-					"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
+					"models": []any{map[string]any{"name": w.Model, "warmS": cmp.Or(s.Options.WarmS, assumedWarm)}},
 				}},
 			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConnections": 400},
 			map[string]any{"name": OriginService, "origin": s.originAddress(), "linkMbps": 100.0, "maxConnections": 48},
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -161,12 +161,12 @@
 		return current, true
 	}
 	a.mutex.Lock()
-	fallback := a.fallback
+	fallback, announced := a.fallback, a.announcement.Given()
 	a.mutex.Unlock()
 	if fallback == nil || fallback.version() <= serving {
 		return current, false
 	}
 	complete, _ := fallback.state()
 	inForce, bounded := a.inForceFor(fallback.model, fallback.version())
-	return fallback, complete && (!bounded || inForce > warm+dueMargin)
+	return fallback, complete && (!bounded || turnover.ServesOlder(inForce, warm, announced))
 }
