--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -62,6 +62,24 @@
 	return !known || left-newest.CopyTime > worthwhileGain
 }
 
+// KeepsOlder decides whether a server goes on with an older version that was not here whole when a
+// newer one was named, beside the newest. InForce is the time for which the older one may still
+// begin requests, warm that of taking a version into service, and lastTurn the time until the last
+// turn at which the server may leave what it serves, 0 for one that serves nothing. The older one
+// is dropped once the newest comes, and comes in time, or when too little service is left in it.
+func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
+	// Without an end in sight what is missing still comes sooner than a whole copy.
+	olderLeft, _ := older.left()
+	if inForce-olderLeft-warm-SendsEnd < worthwhileService {
+		return false
+	}
+	if newest.Missing == newest.Pieces {
+		return true
+	}
+	newestLeft, known := newest.left()
+	return !known || newestLeft > lastTurn
+}
+
 // ServesOlder decides whether a server changes over to an older version that lies at it whole,
 // while the newest has not come. Older is the time for which it may still begin requests, warm that
 // of taking a version into service. A change that entries have been told of is carried through as
--- a/coordination/turnover/fallback_test.go
+++ b/coordination/turnover/fallback_test.go
@@ -75,3 +75,33 @@
 		assert.Equal(t, want, ServesOlder(older, warm, false), "%v left", older)
 	}
 }
+
+// A version that is on its way when a newer one is named is completed as long as the newest does
+// not come in time, and enough service is left in it.
+func TestWhenAVersionOnItsWayIsCompleted(t *testing.T) {
+	const warm = 300 * time.Millisecond
+	copyOf := func(missing, unsourced int, quiet time.Duration) Transfer {
+		return Transfer{Pieces: 64, Missing: missing, Unsourced: unsourced, Quiet: quiet, CopyTime: 2200 * time.Millisecond, OriginTime: 1700 * time.Millisecond}
+	}
+	older := copyOf(12, 0, 50*time.Millisecond)
+	nothing, coming, stalled := copyOf(64, 64, 0), copyOf(60, 50, 50*time.Millisecond), copyOf(60, 60, stallTime+1)
+	for _, one := range []struct {
+		name     string
+		newest   Transfer
+		older    Transfer
+		inForce  time.Duration
+		lastTurn time.Duration
+		want     bool
+	}{
+		{"nothing of the newest has come yet", nothing, older, 8 * time.Second, 3 * time.Second, true},
+		{"the newest comes in time", coming, older, 8 * time.Second, 3 * time.Second, false},
+		{"the newest comes too late", coming, older, 8 * time.Second, time.Second, true},
+		{"the newest has stopped", stalled, older, 8 * time.Second, 3 * time.Second, true},
+		{"the server serves nothing", coming, older, 8 * time.Second, 0, true},
+		{"the older one is about to end", nothing, older, 3 * time.Second, 3 * time.Second, false},
+		{"both have stopped", stalled, copyOf(12, 12, stallTime+1), 8 * time.Second, 3 * time.Second, true},
+		{"a whole copy of the older one is missing, too", nothing, copyOf(64, 0, 0), 4500 * time.Millisecond, 3 * time.Second, false},
+	} {
+		assert.Equal(t, one.want, KeepsOlder(one.newest, one.older, one.inForce, warm, one.lastTurn), one.name)
+	}
+}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -26,6 +26,8 @@
 	StepMilliseconds float64
 	// WarmS is the published time of taking weights into service; 0 publishes assumedWarm.
 	WarmS float64
+	// LinkMbps is the link that settings tell of each machine; 0 is 80.
+	LinkMbps float64
 	// Bounds in milliseconds and seconds, as the platform names them.
 	VersionMs     int
 	ConfigApplyMs int
@@ -69,6 +71,9 @@
 // none.
 const assumedWarm = 0.05
 
+// assumedLinkMbps is the link of a machine in Mbit/s where a test sets none.
+const assumedLinkMbps = 80.0
+
 // Ports of the machines.
 const (
 	serverPort  = 8001
@@ -339,7 +344,7 @@
 	settings := map[string]any{
 		"nodeName": fmt.Sprintf("%s-%d-%d", role, zone, index), "zone": ZoneName(zone), "region": zones[ZoneName(zone)], "zones": zones,
 		"internalPorts": []int{firstPort, lastPort}, "seeds": seeds, "unknownField": true,
-		"limits": map[string]any{"memoryMb": 150, "linkMbps": 80.0},
+		"limits": map[string]any{"memoryMb": 150, "linkMbps": cmp.Or(s.Options.LinkMbps, assumedLinkMbps)},
 		"bounds": map[string]any{
 			"drainMs": s.Options.DrainMs, "graceS": s.Options.GraceS, "configApplyMs": s.Options.ConfigApplyMs,
 			"version_ms": s.Options.VersionMs, "recoverS": 12, "reuseAfterS": 2, "retryBudgetRatio": 0.2, "retryWindowS": 10,
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -91,6 +91,7 @@
 	StagingFailed     = declare("PV3111", zap.WarnLevel, "staging failed", "The machine's own server did not take a piece that was kept in memory; it is tried again.")
 	VersionHeardLate  = declare("PV3112", zap.WarnLevel, "weights named earlier", "A naming of weights was heard of late, so that its age is known only as a bound: the time since the copy was last complete, or an assumption of a process that has just started.")
 	VersionEnded      = declare("PV3113", zap.WarnLevel, "old version ended", "The time of the version served is over and the newest one is not here whole: whole layers of it, or of a version between, are ordered, so that the server begins nothing more on the old one.")
+	OlderKept         = declare("PV3115", zap.InfoLevel, "older version kept", "A newer version is named; the older one that lies at the server, or is on its way there, is kept as long as the newest is not here.")
 	VersionUnguarded  = declare("PV3114", zap.WarnLevel, "old version not ended", "The time of the version served is over and no layer of a newer one is here whole: only the entries keep requests from the server.")
 	RequestRefused    = declare("PV4001", zap.DebugLevel, "request refused", "A request was refused; the reason code and execution are in the fields.")
 	RequestRetried    = declare("PV4002", zap.DebugLevel, "request retried", "An attempt provably did not run and was sent to another replica.")
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -128,6 +128,51 @@
 	go fallback.run(transferContext)
 }
 
+// worthCompleting decides whether a transfer goes on for which a newer version has just been named.
+func (a *Agent) worthCompleting(older *transfer, engine *fleet.Engine, serving uint64) bool {
+	nothing := turnover.Transfer{Pieces: engine.Pieces, Missing: engine.Pieces, Unsourced: engine.Pieces}
+	return a.keepsOlder(nothing, older, engine, serving)
+}
+
+// reviewOlder ends the transfer of an older version that was kept when a newer one was named, as
+// soon as it is not worth while any more. Once it is here whole it stays, as any fallback.
+func (a *Agent) reviewOlder(current *transfer, engine *fleet.Engine, serving uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	older := a.fallback
+	if older == nil || older.fallback.Load() {
+		return
+	}
+	complete, missing := older.state()
+	if complete {
+		older.fallback.Store(true)
+		return
+	}
+	newest := current.progress(engine, a.daemon.Settings().LinkBytesPerSecond, a.daemon.Catalog.View().Configuration.OriginRate())
+	if a.keepsOlder(newest, older, engine, serving) {
+		return
+	}
+	a.log.Log(logging.RolloutAborted, zap.String("model", older.model), zap.Uint64("version", older.version()), zap.Int("missing", missing),
+		zap.Uint64("wanted", current.version()))
+	a.dropFallback()
+}
+
+// keepsOlder asks turnover.KeepsOlder about an older version that is not here whole.
+func (a *Agent) keepsOlder(newest turnover.Transfer, older *transfer, engine *fleet.Engine, serving uint64) bool {
+	inForce, bounded := a.inForceFor(older.model, older.version())
+	if !bounded || !older.hasManifest() {
+		return false
+	}
+	settings := a.daemon.Settings()
+	progress := older.progress(engine, settings.LinkBytesPerSecond, a.daemon.Catalog.View().Configuration.OriginRate())
+	lastTurn := time.Duration(0)
+	if serving != 0 {
+		left, _ := a.inForceFor(older.model, serving)
+		lastTurn = left - dueMargin
+	}
+	return turnover.KeepsOlder(newest, progress, inForce, engine.Warm, lastTurn)
+}
+
 // dropFallback ends the transfer of the older version; the mutex is held.
 func (a *Agent) dropFallback() {
 	if a.fallback != nil {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -58,12 +58,13 @@
 	if newest, named := a.daemon.Catalog.View().Newest(model); named {
 		wanted = newest.Version
 	}
-	current := a.follow(ctx, engine, model, wanted)
-	wanted = max(wanted, current.version())
 	a.mutex.Lock()
 	report, reachable := a.report, a.reachable
 	a.mutex.Unlock()
 	serving := servedVersion(report, model, engine.Layers)
+	current := a.follow(ctx, engine, model, wanted, serving)
+	wanted = max(wanted, current.version())
+	a.reviewOlder(current, engine, serving)
 	next, complete := a.nextInService(current, serving, engine.Warm)
 	if reachable && !complete && !report.Busy && a.boundNear(model, serving) {
 		a.endOldVersion(ctx, current, engine, serving)
@@ -108,18 +109,18 @@
 }
 
 // follow makes the transfer of the wanted version the present one. One that is here whole
-// stays staged as the fallback; one that is not is dropped, and what both share stays at the
-// server.
-func (a *Agent) follow(ctx context.Context, engine *fleet.Engine, model string, wanted uint64) *transfer {
-	if replaced := a.replacedBy(model, wanted); replaced != nil {
-		a.layDown(ctx, replaced)
+// stays staged as the fallback, and one that is not goes on as such while that is worth while.
+// Another is dropped, and what both share stays at the server.
+func (a *Agent) follow(ctx context.Context, engine *fleet.Engine, model string, wanted, serving uint64) *transfer {
+	if older := a.replacedAndKept(engine, model, wanted, serving); older != nil {
+		a.layDown(ctx, older)
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.current != nil && a.current.model == model && (a.current.version() == wanted || wanted == 0) {
 		return a.current
 	}
-	a.replaceCurrent(engine, model, wanted)
+	a.replaceCurrent(engine, model, wanted, serving)
 	transferContext, cancel := context.WithCancel(ctx)
 	a.current = newTransfer(a, model, wanted, false, cancel)
 	if a.fallback != nil {
@@ -131,35 +132,45 @@
 	return a.current
 }
 
-// replacedBy returns the present transfer if it is whole and another version is wanted.
-func (a *Agent) replacedBy(model string, wanted uint64) *transfer {
+// replacedAndKept returns the present transfer if another version is wanted and it is to stay as
+// the fallback.
+func (a *Agent) replacedAndKept(engine *fleet.Engine, model string, wanted, serving uint64) *transfer {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.current == nil || a.current.model != model || wanted == 0 || a.current.version() == wanted {
-		return nil
-	}
-	if complete, _ := a.current.state(); !complete {
+	if a.current == nil || wanted == 0 || a.current.version() == wanted || !a.staysAsFallback(a.current, engine, model, serving) {
 		return nil
 	}
 	return a.current
 }
 
-// replaceCurrent makes a whole version that lies at the server the fallback, and ends the
-// transfer of any other; the mutex is held.
-func (a *Agent) replaceCurrent(engine *fleet.Engine, model string, wanted uint64) {
+// staysAsFallback decides whether a transfer that a newer version replaces stays as the fallback:
+// if its version is here whole, or worth completing.
+func (a *Agent) staysAsFallback(replaced *transfer, engine *fleet.Engine, model string, serving uint64) bool {
+	if replaced.model != model || !a.bufferable(engine) {
+		return false
+	}
+	complete, _ := replaced.state()
+	return complete || a.worthCompleting(replaced, engine, serving)
+}
+
+// replaceCurrent makes the present transfer the fallback if it lies at the server and is to stay,
+// and ends it otherwise; the mutex is held.
+func (a *Agent) replaceCurrent(engine *fleet.Engine, model string, wanted, serving uint64) {
 	replaced := a.current
 	if replaced == nil {
 		return
 	}
-	complete, _ := replaced.state()
-	if complete && replaced.model == model && !replaced.buffer.opened() && a.bufferable(engine) {
+	complete, missing := replaced.state()
+	event := logging.RolloutAborted
+	if !replaced.buffer.opened() && a.staysAsFallback(replaced, engine, model, serving) {
 		a.dropFallback()
 		a.fallback = replaced
-		replaced.fallback.Store(true)
-		return
+		replaced.fallback.Store(complete)
+		event = logging.OlderKept
+	} else {
+		replaced.cancel()
 	}
-	a.log.Log(logging.RolloutAborted, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Uint64("wanted", wanted))
-	replaced.cancel()
+	a.log.Log(event, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Int("missing", missing), zap.Uint64("wanted", wanted))
 }
 
 // servedVersion is the version that a server holds whole, or 0.
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -55,8 +55,9 @@
 type transfer struct {
 	agent *Agent
 	model string
-	// fallback transfers bring an older version from peers only, while it is in force: the
-	// origin's link is the newest one's.
+	// fallback transfers hold an older version while it is in force, or bring it from peers only:
+	// the origin's link is the newest one's. One that has begun as the newest goes on as such
+	// until everything is here.
 	fallback atomic.Bool
 	// distrustful transfers take the manifest from the origin only: another has been
 	// doubted, and peers may hold the same one.
--- a/internal/sitetest/fallback_test.go
+++ b/internal/sitetest/fallback_test.go
@@ -56,3 +56,33 @@
 	f.Site.Origin.SetAway(false)
 	f.Eventually("every server serves version 3", 12*time.Second, func() bool { return f.allServe(3) })
 }
+
+// Seen: of two versions named three seconds apart the first had left the origin when the origin
+// stopped, a second after the second one. Every machine still waited for an eighth of it, which its
+// peers had, and dropped it for the second version, which nobody had. So all servers were without a
+// version from the bound of the first one on, 4.5 s of a day, until the origin was back.
+//
+// A version that is on its way when a newer one is named is completed from peers, and serves until
+// the newer one can be had.
+func TestVersionOnItsWayIsCompletedWhenANewerOneIsNamed(t *testing.T) {
+	options := DefaultOptions()
+	options.VersionMs = 8000
+	// A copy takes a machine 1.6 s over its link, and leaves the origin in a fraction of it.
+	options.Weights.Pieces, options.Weights.PieceBytes, options.LinkMbps = 64, 25<<10, 8
+	f := Start(t, options)
+	f.Eventually("version 1 is verified", 6*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
+	f.Site.NameVersion(2)
+	f.Eventually("version 2 has left the origin", 3*time.Second, func() bool { return f.Site.Origin.Copies() >= 1 })
+	f.Site.Origin.SetAway(true)
+	require.Zero(t, countEvents(f, "PV3005", `"version":2`), "it is not here whole anywhere")
+	f.Site.NameVersion(3)
+	f.Eventually("version 3 is noticed", 3*time.Second, func() bool { return countEvents(f, "PV3001", `"version":3`) >= 4 })
+	f.Eventually("every server changes over to version 2", 9*time.Second, func() bool { return f.allServe(2) })
+	_, err := f.Stream(context.Background(), 0, 0, "between", 3)
+	assert.NoError(t, err)
+	f.Site.Origin.SetAway(false)
+	f.Eventually("every server serves version 3", 12*time.Second, func() bool { return f.allServe(3) })
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
