--- a/coordination/shedding/usual.go
+++ b/coordination/shedding/usual.go
@@ -112,7 +112,11 @@
 	u.least = shortest - sparseMargin*spread/time.Duration(len(sorted))
 }
 
-// Refused notes that a caller with a time left was refused, and may come back.
+// Refused notes that a caller with a time left was refused, and may come back. Of one that does
+// not say how long it waits nothing is learned when it does.
 func (u *Usual) Refused(now, left time.Duration) {
+	if left <= 0 {
+		return
+	}
 	u.learnsFrom = max(u.learnsFrom, now+time.Duration(HeededShare*float64(left)))
 }
--- a/coordination/shedding/usual_test.go
+++ b/coordination/shedding/usual_test.go
@@ -133,3 +133,13 @@
 	}
 	assert.Zero(t, usual.Arrived(7*time.Second, 4600*time.Millisecond))
 }
+
+// A caller without a deadline that is refused does not end the caution of the start.
+func TestRefusalWithoutADeadlineKeepsTheCautionOfTheStart(t *testing.T) {
+	usual := &Usual{}
+	usual.Refused(time.Millisecond, 0)
+	for i := range 20 {
+		usual.Arrived(time.Duration(i+2)*time.Millisecond, 4*time.Second)
+	}
+	assert.Empty(t, usual.left)
+}
--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -24,7 +24,7 @@
 	worthwhileSends = 200 * time.Millisecond
 )
 
-// Transfer tells how far a server that serves nothing is with the newest version.
+// Transfer tells how far a server is with a version.
 type Transfer struct {
 	// Pieces are those of one copy; Missing have not come, Unsourced of them are held by no
 	// machine known.
@@ -66,18 +66,29 @@
 // newer one was named, beside the newest. InForce is the time for which the older one may still
 // begin requests, warm that of taking a version into service, and lastTurn the time until the last
 // turn at which the server may leave what it serves, 0 for one that serves nothing. The older one
-// is dropped once the newest comes, and comes in time, or when too little service is left in it.
+// is dropped when nothing of it comes any more, when too little service is left in it, and when the
+// newest comes in time. Where the origin ends half a second before a version is named that follows
+// another by three seconds, servers go on with the other until its bound: 0.10 of the worth of such a
+// day at 99 servers.
 func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
-	// Without an end in sight what is missing still comes sooner than a whole copy.
-	olderLeft, _ := older.left()
-	if inForce-olderLeft-warm-SendsEnd < worthwhileService {
+	olderLeft, comes := older.left()
+	if !comes || inForce-olderLeft-warm-SendsEnd < worthwhileService {
 		return false
 	}
-	if newest.Missing == newest.Pieces {
+	switch newest.Missing {
+	case 0:
+		return false
+	case newest.Pieces:
+		return true
+	}
+	newestLeft, comes := newest.left()
+	if !comes {
 		return true
 	}
-	newestLeft, known := newest.left()
-	return !known || newestLeft > lastTurn
+	if lastTurn <= 0 {
+		return newestLeft-olderLeft > worthwhileGain
+	}
+	return newestLeft > lastTurn
 }
 
 // ServesOlder decides whether a server changes over to an older version that lies at it whole,
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -50,9 +50,11 @@
 
 	mutex sync.Mutex
 	// current brings the newest version; fallback holds, or brings, an older one that may
-	// still begin requests.
+	// still begin requests; older brings one, in memory, that was on its way when a newer one was
+	// named.
 	current  *transfer
 	fallback *transfer
+	older    *transfer
 	// doubted is the version whose manifest was doubted last.
 	doubted uint64
 	report  fleet.Report
@@ -234,11 +236,13 @@
 // fleetChanged follows a new view.
 func (a *Agent) fleetChanged() {
 	a.mutex.Lock()
-	current := a.current
+	current, older := a.current, a.older
 	a.cold.follow(a.daemon.Catalog.View().Servers[a.daemon.Settings().Service], a.daemon.Settings().ServerAddress)
 	a.mutex.Unlock()
-	if current != nil {
-		current.rearrange()
+	for _, one := range []*transfer{current, older} {
+		if one != nil {
+			one.rearrange()
+		}
 	}
 	a.wake()
 }
@@ -246,7 +250,7 @@
 func (a *Agent) transferOf(model string, version uint64) *transfer {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for _, one := range []*transfer{a.current, a.fallback} {
+	for _, one := range []*transfer{a.current, a.older, a.fallback} {
 		if one != nil && one.model == model && (version == 0 || one.version() == version) {
 			return one
 		}
@@ -271,6 +275,9 @@
 		t.cancel()
 		a.current, a.doubted = nil, t.version()
 	}
+	if a.older == t {
+		a.dropOlder()
+	}
 	a.wake()
 }
 
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -14,9 +14,9 @@
 	"pinevane.example/pinevane/internal/logging"
 )
 
-// bufferable reports whether a version fits into the part of the memory that is for it.
-func (a *Agent) bufferable(engine *fleet.Engine) bool {
-	size := int64(engine.Pieces) * int64(engine.PieceBytes)
+// bufferable reports whether some versions fit into the part of the memory that is for them.
+func (a *Agent) bufferable(engine *fleet.Engine, versions int64) bool {
+	size := versions * int64(engine.Pieces) * int64(engine.PieceBytes)
 	return size > 0 && float64(size) <= bufferShare*float64(a.daemon.Settings().MemoryBytes)
 }
 
@@ -74,7 +74,7 @@
 func (t *transfer) lackingHolders() (held []bool, lacks bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !t.fallback.Load() || t.now()-t.askedAt < holdersPeriod || t.fetcher.Unsourced() == 0 {
+	if !t.peersOnly.Load() || t.now()-t.askedAt < holdersPeriod || t.fetcher.Unsourced() == 0 {
 		return nil, false
 	}
 	t.askedAt = t.now()
@@ -102,7 +102,7 @@
 	a.mutex.Lock()
 	exists := a.fallback != nil
 	a.mutex.Unlock()
-	if exists || serving != 0 || !a.bufferable(engine) {
+	if exists || serving != 0 || !a.bufferable(engine, 1) {
 		return
 	}
 	version, listed := a.olderInForce(current.model, current.version())
@@ -129,38 +129,49 @@
 }
 
 // worthCompleting decides whether a transfer goes on for which a newer version has just been named.
+// What lies at the server stays there: it may be in force, and a server that crashes needs it.
 func (a *Agent) worthCompleting(older *transfer, engine *fleet.Engine, serving uint64) bool {
+	if !older.buffer.opened() || !a.bufferable(engine, 2) {
+		return false
+	}
 	nothing := turnover.Transfer{Pieces: engine.Pieces, Missing: engine.Pieces, Unsourced: engine.Pieces}
 	return a.keepsOlder(nothing, older, engine, serving)
 }
 
-// reviewOlder ends the transfer of an older version that was kept when a newer one was named, as
-// soon as it is not worth while any more. Once it is here whole it stays, as any fallback.
-func (a *Agent) reviewOlder(current *transfer, engine *fleet.Engine, serving uint64) {
+// reviewOlder makes a version that was on its way when a newer one was named the fallback once it
+// is here whole, and ends its transfer when that is not worth while any more.
+func (a *Agent) reviewOlder(ctx context.Context, current *transfer, engine *fleet.Engine, serving uint64) {
 	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	older := a.fallback
-	if older == nil || older.fallback.Load() {
+	older := a.older
+	a.mutex.Unlock()
+	if older == nil {
 		return
 	}
 	complete, missing := older.state()
-	if complete {
-		older.fallback.Store(true)
+	// The newest lies at the server once a part of it has ended the version that was served.
+	displaced := older.model != current.model || !current.buffer.opened()
+	if complete && !displaced && a.layDown(ctx, older) {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		older.peersOnly.Store(true)
+		a.older, a.fallback = nil, older
 		return
 	}
 	newest := current.progress(engine, a.daemon.Settings().LinkBytesPerSecond, a.daemon.Catalog.View().Configuration.OriginRate())
-	if a.keepsOlder(newest, older, engine, serving) {
+	if !displaced && a.keepsOlder(newest, older, engine, serving) {
 		return
 	}
 	a.log.Log(logging.RolloutAborted, zap.String("model", older.model), zap.Uint64("version", older.version()), zap.Int("missing", missing),
 		zap.Uint64("wanted", current.version()))
-	a.dropFallback()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.dropOlder()
 }
 
 // keepsOlder asks turnover.KeepsOlder about an older version that is not here whole.
 func (a *Agent) keepsOlder(newest turnover.Transfer, older *transfer, engine *fleet.Engine, serving uint64) bool {
 	inForce, bounded := a.inForceFor(older.model, older.version())
-	if !bounded || !older.hasManifest() {
+	if !bounded || !older.hasBegun() || older.version() <= serving {
 		return false
 	}
 	settings := a.daemon.Settings()
@@ -173,6 +184,14 @@
 	return turnover.KeepsOlder(newest, progress, inForce, engine.Warm, lastTurn)
 }
 
+// dropOlder ends the transfer that a newer version has replaced; the mutex is held.
+func (a *Agent) dropOlder() {
+	if a.older != nil {
+		a.older.cancel()
+		a.older = nil
+	}
+}
+
 // dropFallback ends the transfer of the older version; the mutex is held.
 func (a *Agent) dropFallback() {
 	if a.fallback != nil {
--- a/internal/rollout/keeper.go
+++ b/internal/rollout/keeper.go
@@ -64,7 +64,7 @@
 	serving := servedVersion(report, model, engine.Layers)
 	current := a.follow(ctx, engine, model, wanted, serving)
 	wanted = max(wanted, current.version())
-	a.reviewOlder(current, engine, serving)
+	a.reviewOlder(ctx, current, engine, serving)
 	next, complete := a.nextInService(current, serving, engine.Warm)
 	if reachable && !complete && !report.Busy && a.boundNear(model, serving) {
 		a.endOldVersion(ctx, current, engine, serving)
@@ -109,11 +109,11 @@
 }
 
 // follow makes the transfer of the wanted version the present one. One that is here whole
-// stays staged as the fallback, and one that is not goes on as such while that is worth while.
+// stays staged as the fallback, and one that is not goes on in memory while that is worth while.
 // Another is dropped, and what both share stays at the server.
 func (a *Agent) follow(ctx context.Context, engine *fleet.Engine, model string, wanted, serving uint64) *transfer {
-	if older := a.replacedAndKept(engine, model, wanted, serving); older != nil {
-		a.layDown(ctx, older)
+	if replaced := a.replacedBy(model, wanted); replaced != nil {
+		a.layDown(ctx, replaced)
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -132,45 +132,43 @@
 	return a.current
 }
 
-// replacedAndKept returns the present transfer if another version is wanted and it is to stay as
-// the fallback.
-func (a *Agent) replacedAndKept(engine *fleet.Engine, model string, wanted, serving uint64) *transfer {
+// replacedBy returns the present transfer if it is whole and another version is wanted.
+func (a *Agent) replacedBy(model string, wanted uint64) *transfer {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.current == nil || wanted == 0 || a.current.version() == wanted || !a.staysAsFallback(a.current, engine, model, serving) {
+	if a.current == nil || a.current.model != model || wanted == 0 || a.current.version() == wanted {
 		return nil
 	}
-	return a.current
-}
-
-// staysAsFallback decides whether a transfer that a newer version replaces stays as the fallback:
-// if its version is here whole, or worth completing.
-func (a *Agent) staysAsFallback(replaced *transfer, engine *fleet.Engine, model string, serving uint64) bool {
-	if replaced.model != model || !a.bufferable(engine) {
-		return false
+	if complete, _ := a.current.state(); !complete {
+		return nil
 	}
-	complete, _ := replaced.state()
-	return complete || a.worthCompleting(replaced, engine, serving)
+	return a.current
 }
 
-// replaceCurrent makes the present transfer the fallback if it lies at the server and is to stay,
-// and ends it otherwise; the mutex is held.
+// replaceCurrent makes a whole version that lies at the server the fallback, lets one go on that is
+// worth completing, and ends any other; the mutex is held.
 func (a *Agent) replaceCurrent(engine *fleet.Engine, model string, wanted, serving uint64) {
 	replaced := a.current
 	if replaced == nil {
 		return
 	}
 	complete, missing := replaced.state()
-	event := logging.RolloutAborted
-	if !replaced.buffer.opened() && a.staysAsFallback(replaced, engine, model, serving) {
+	if complete && replaced.model == model && !replaced.buffer.opened() && a.bufferable(engine, 1) {
 		a.dropFallback()
 		a.fallback = replaced
-		replaced.fallback.Store(complete)
-		event = logging.OlderKept
-	} else {
-		replaced.cancel()
+		replaced.peersOnly.Store(true)
+		return
+	}
+	if replaced.model == model && a.worthCompleting(replaced, engine, serving) {
+		a.dropOlder()
+		a.older = replaced
+		a.log.Log(logging.OlderKept, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Int("missing", missing),
+			zap.Uint64("wanted", wanted))
+		return
 	}
-	a.log.Log(event, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Int("missing", missing), zap.Uint64("wanted", wanted))
+	a.log.Log(logging.RolloutAborted, zap.String("model", model), zap.Uint64("version", replaced.version()), zap.Int("missing", missing),
+		zap.Uint64("wanted", wanted))
+	replaced.cancel()
 }
 
 // servedVersion is the version that a server holds whole, or 0.
--- a/internal/rollout/manifest.go
+++ b/internal/rollout/manifest.go
@@ -83,7 +83,7 @@
 // one that passes it to all others asks in each round, the next in turn one after the other,
 // and everybody, in case that all of those are gone, now and then.
 func (t *transfer) asksOrigin(now, asked time.Duration) bool {
-	if t.fallback.Load() {
+	if t.peersOnly.Load() {
 		return false
 	}
 	plan, first := t.firstAtOrigin()
@@ -109,7 +109,7 @@
 // manifestFromPeers asks those that stand before this machine in the plan; a fallback asks
 // machines that serve its version.
 func (t *transfer) manifestFromPeers(ctx context.Context) (fleet.Manifest, bool) {
-	if t.fallback.Load() {
+	if t.peersOnly.Load() {
 		return t.askManifest(ctx, t.agent.holdersOf(t.version(), manifestPeers))
 	}
 	plan, first := t.firstAtOrigin()
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -130,7 +130,7 @@
 	if a.current != nil {
 		status.Wanted = a.current.version()
 		_, status.Missing = a.current.state()
-		if engine != nil && !a.current.hasManifest() {
+		if engine != nil && !a.current.hasBegun() {
 			// Nothing is known to be here: entries tell callers when the server may be ready.
 			status.Missing = engine.Pieces
 		}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -55,10 +55,9 @@
 type transfer struct {
 	agent *Agent
 	model string
-	// fallback transfers hold an older version while it is in force, or bring it from peers only:
-	// the origin's link is the newest one's. One that has begun as the newest goes on as such
-	// until everything is here.
-	fallback atomic.Bool
+	// peersOnly is set for an older version while it is in force: the origin's link is the newest
+	// one's.
+	peersOnly atomic.Bool
 	// distrustful transfers take the manifest from the origin only: another has been
 	// doubted, and peers may hold the same one.
 	distrustful bool
@@ -94,13 +93,13 @@
 	buffer pieceBuffer
 }
 
-func newTransfer(agent *Agent, model string, version uint64, fallback bool, cancel context.CancelFunc) *transfer {
+func newTransfer(agent *Agent, model string, version uint64, peersOnly bool, cancel context.CancelFunc) *transfer {
 	t := &transfer{
 		agent: agent, model: model, began: time.Now(), cancel: cancel,
 		kick: make(chan struct{}, 1), manifestKnown: make(chan struct{}), origins: make(chan struct{}, originFetches), corrupt: map[int]int{}, pace: newFetchPace(),
 	}
 	t.number.Store(version)
-	t.fallback.Store(fallback)
+	t.peersOnly.Store(peersOnly)
 	t.plan = t.newPlan()
 	return t
 }
@@ -108,7 +107,7 @@
 // newPlan arranges the machines as they are listed now. A fallback passes nothing on by
 // itself: the others hold it, or do not want it.
 func (t *transfer) newPlan() dissemination.Plan {
-	if t.fallback.Load() {
+	if t.peersOnly.Load() {
 		return dissemination.NewPlan(dissemination.StrategyStar, t.agent.roster())
 	}
 	return dissemination.NewPlan(dissemination.StrategyRotated, t.agent.roster())
@@ -147,7 +146,7 @@
 	}
 	held := t.verifyHeld(ctx, manifest)
 	peers := t.agent.inventoryPeers()
-	if t.fallback.Load() {
+	if t.peersOnly.Load() {
 		peers = t.agent.holdersOf(t.version(), inventoriesPerZone)
 	}
 	t.begin(manifest, held, t.askInventories(ctx, manifest, held, peers))
@@ -188,7 +187,7 @@
 // fetcherOptions are those of a fetcher that has some pieces; the mutex is held.
 func (t *transfer) fetcherOptions(held []bool) dissemination.Options {
 	return dissemination.Options{
-		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held, PeersOnly: t.fallback.Load(),
+		Self: t.self(), Plan: t.plan, Chunks: len(held), Held: held, PeersOnly: t.peersOnly.Load(),
 		MaximumFetches: maximumFetches, OriginInterval: t.originPace, LagChunks: lagPieces, Patience: patience, Distrust: distrust,
 	}
 }
@@ -403,7 +402,7 @@
 }
 
 // hasManifest reports whether it is known which pieces the version consists of.
-func (t *transfer) hasManifest() bool {
+func (t *transfer) hasBegun() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.fetcher != nil
