--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -45,7 +45,7 @@
 	log := logging.NewBounded(level, settings.Name, os.Stdout)
 	defer log.Sync()
 	base := daemon.New(daemon.Options{
-		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
+		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.NewDecoder(), Log: log,
 		Reload: func() (fleet.Settings, error) { return platform.ReadSettings(f.Settings) },
 	})
 	go reloadOnChange(f.Settings, base)
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -1,7 +1,8 @@
 package fleet
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -181,7 +182,7 @@
 		c.byHost[host] = append(c.byHost[host], route)
 	}
 	for _, routes := range c.byHost {
-		sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	c.byKey = map[string]*Tenant{}
 	for i := range c.Tenants {
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -57,15 +57,15 @@
 // lastRank is the least urgent rank that servers know.
 const lastRank = 9
 
-// keepRoutes lets the decisions forget the routes that a configuration no longer has; the
-// mutex is held.
-func (t *targets) keepRoutes(configuration *fleet.Configuration) {
-	if configuration == nil {
-		return
+// routeNames are the names of a configuration's routes; nil where that is in force already. They
+// are collected without the mutex, which every request takes: of 10,000 routes that takes 1 ms.
+func (t *targets) routeNames(configuration *fleet.Configuration) map[string]bool {
+	if configuration == nil || configuration == t.currentView().Configuration {
+		return nil
 	}
-	kept := make(map[string]bool, len(configuration.Routes))
+	names := make(map[string]bool, len(configuration.Routes))
 	for i := range configuration.Routes {
-		kept[configuration.Routes[i].Name] = true
+		names[configuration.Routes[i].Name] = true
 	}
-	t.core.KeepRoutes(kept)
+	return names
 }
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -57,11 +57,14 @@
 
 // update takes over a new list of servers.
 func (t *targets) update(view *catalog.View) {
+	names := t.routeNames(view.Configuration)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if view.Configuration != t.view.Configuration {
 		t.engines = enginesOf(view.Configuration)
-		t.keepRoutes(view.Configuration)
+	}
+	if names != nil {
+		t.core.KeepRoutes(names)
 	}
 	t.view = view
 	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), time.Now()) {
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -151,7 +151,7 @@
 	}
 	log := logging.NewBounded(zapcore.InfoLevel, settings.Name, f.Log)
 	return daemon.New(daemon.Options{
-		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
+		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.NewDecoder(), Log: log,
 		Reload:      func() (fleet.Settings, error) { return platform.ParseSettings(f.settingsOf(role, zone, index)) },
 		AdminListen: settings.IP + ":0",
 	})
