Soak: evacuations, cold servers, homes, lying and flapping health, settings that change

Cause: the soak knew nothing of the parts that came last: 22 kinds of faults, none of them an evacuation, a cold server, a narrower home, a server whose health lies, or a settings file that changes; the judge looked at the end of a run only.

Change: 14 kinds of faults more, all played by the stand-in that internal/sitetest uses. Four promises more: an evacuated zone gets no new work after the bound, a cold server no more than it bears in any second, settings that change cut nothing, no process ends by itself; requests stay in the regions of a configuration that may be in force at their entry. Bounds of places hold for entries in touch, by the spans in which these, or what all depend on, were disturbed. The judge looks every 5 s while the fleet runs. The stand-in's peak of a cold server, its changed settings and its published regions are one function each, used by the tests too.

Figures: TestEachBrokenPromiseIsFound spoils a sound record in 17 ways (11 before) and the judge finds each, once; TestBoundsOfPlacesHoldForEntriesInTouch, TestRequestsUnderWayAreJudgedLater and TestSecondRunAfterALyingServerIsFound hold what is exempt and what is not.

Conclusion: the newer parts are judged by what servers and callers see, on processes.

--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -56,9 +56,24 @@
 // MostWhileCold is the most requests that any one server has received in a second in which
 // it was cold.
 func (l *Ledger) MostWhileCold() int {
-	recent := map[string][]time.Time{}
 	most := 0
-	for _, delivery := range l.Deliveries() {
+	for _, peak := range ColdPeaks(l.Deliveries()) {
+		most = max(most, peak.Requests)
+	}
+	return most
+}
+
+// ColdPeak is the most requests that a server has received in a second in which it was cold,
+// and the last of them.
+type ColdPeak struct {
+	Requests int
+	Last     Delivery
+}
+
+// ColdPeaks finds each server's peak in deliveries that are in order of time.
+func ColdPeaks(deliveries []Delivery) map[string]ColdPeak {
+	recent, peaks := map[string][]time.Time{}, map[string]ColdPeak{}
+	for _, delivery := range deliveries {
 		if !delivery.Cold {
 			continue
 		}
@@ -67,9 +82,11 @@
 			times = times[1:]
 		}
 		recent[delivery.Server] = times
-		most = max(most, len(times))
+		if len(times) > peaks[delivery.Server].Requests {
+			peaks[delivery.Server] = ColdPeak{Requests: len(times), Last: delivery}
+		}
 	}
-	return most
+	return peaks
 }
 
 func (l *Ledger) add(run Run) {
--- a/internal/emulator/site/regions.go
+++ b/internal/emulator/site/regions.go
@@ -73,14 +73,45 @@
 // RestrictTwoRoutes publishes a configuration in which streams are allowed in the first two
 // zones' regions and requests that run once in the last two's. Published before any process
 // starts, it makes every arrival elsewhere a fault, whatever is disturbed.
-func (s *Site) RestrictTwoRoutes() Residencies {
-	last := s.Options.Zones - 1
-	streams, once := []string{RegionName(0), RegionName(1)}, []string{RegionName(last - 1), RegionName(last)}
+func (s *Site) RestrictTwoRoutes() Residencies { return s.Restrict(s.Options.TwoRoutes()) }
+
+// AllowedRegions are the regions that a configuration allows for streams, for requests that
+// run once, and for everything of the tenant. Without any, a list restricts nothing.
+type AllowedRegions struct {
+	Streams, Once, Tenant []string
+}
+
+// TwoRoutes are the regions of RestrictTwoRoutes.
+func (o Options) TwoRoutes() AllowedRegions {
+	last := o.Zones - 1
+	return AllowedRegions{Streams: []string{RegionName(0), RegionName(1)}, Once: []string{RegionName(last - 1), RegionName(last)}}
+}
+
+// Restrict publishes a configuration with these regions and returns where it allows requests.
+func (s *Site) Restrict(allowed AllowedRegions) Residencies {
 	s.Configure(func(configuration map[string]any) {
-		AllowRouteRegions(configuration, streamRoute, streams...)
-		AllowRouteRegions(configuration, onceRoute, once...)
+		AllowRouteRegions(configuration, streamRoute, allowed.Streams...)
+		AllowRouteRegions(configuration, onceRoute, allowed.Once...)
+		AllowTenantRegions(configuration, Tenant, allowed.Tenant...)
 	})
-	return Residencies{StreamPrefix: streams, OncePrefix: once}
+	return allowed.residencies()
+}
+
+// residencies joins the regions of the routes and of the tenant, each of which binds.
+func (a AllowedRegions) residencies() Residencies {
+	joined := Residencies{}
+	for prefix, regions := range map[string][]string{StreamPrefix: a.Streams, OncePrefix: a.Once, SafePrefix: nil} {
+		switch {
+		case len(regions) == 0 && len(a.Tenant) == 0:
+		case len(regions) == 0:
+			joined[prefix] = a.Tenant
+		case len(a.Tenant) == 0:
+			joined[prefix] = regions
+		default:
+			joined[prefix] = slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !slices.Contains(a.Tenant, region) })
+		}
+	}
+	return joined
 }
 
 // arrivals records what has come to servers.
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -40,8 +40,8 @@
 	ColdSlack     float64
 }
 
-// coldLimit is how many requests a second a cold server bears.
-func (o Options) coldLimit() float64 { return o.ColdPerS*o.ColdOvershoot + o.ColdSlack }
+// ColdLimit is how many requests a second a cold server bears.
+func (o Options) ColdLimit() float64 { return o.ColdPerS*o.ColdOvershoot + o.ColdSlack }
 
 func (o Options) coldTime() time.Duration { return time.Duration(o.ColdStartS * float64(time.Second)) }
 
@@ -111,6 +111,9 @@
 // ModelIP returns the address of a model server's machine.
 func (o Options) ModelIP(zone, index int) string { return o.ip(zone, firstModel+index) }
 
+// PlainIP returns the address of a plain server's machine.
+func (o Options) PlainIP(zone, index int) string { return o.ip(zone, firstPlain+index) }
+
 // Start starts the store, the origin and the servers.
 func Start(options Options) (*Site, error) {
 	s := &Site{
@@ -199,7 +202,7 @@
 		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
 		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
-		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.coldLimit(),
+		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.ColdLimit(),
 	})
 	return server, s.adopt(s.Models, server)
 }
@@ -228,7 +231,7 @@
 	s.starts++
 	return s.adopt(s.Plain, NewServer(ServerOptions{
 		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone), Region: RegionName(zone),
-		Address: fmt.Sprintf("%s:%d", s.Options.ip(zone, firstPlain+index), serverPort), Slots: s.Options.Slots,
+		Address: fmt.Sprintf("%s:%d", s.Options.PlainIP(zone, index), serverPort), Slots: s.Options.Slots,
 		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
 	}))
 }
@@ -360,6 +363,20 @@
 	return data
 }
 
+// ChangedSettings returns the settings file of a machine with a change.
+func (s *Site) ChangedSettings(role string, zone, index int, change func(settings map[string]any)) []byte {
+	var settings map[string]any
+	if err := json.Unmarshal(s.Settings(role, zone, index), &settings); err != nil {
+		panic(err)
+	}
+	change(settings)
+	data, err := json.Marshal(settings)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // EntryURL is where callers reach an entry.
 func (s *Site) EntryURL(zone, index int) string {
 	return fmt.Sprintf("http://%s:%d", s.Options.EntryIP(zone, index), callersPort)
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -53,12 +53,12 @@
 		r.after(fault.For, func() error { r.site.Store.Compact(); return nil })
 	case StoreRefuses:
 		r.site.Store.Refuse(r.site.Options.EntryIP(zone, entry), r.site.Options.ModelIP(zone, agent))
-		r.disturb(fault.For)
+		r.disturb(fault.For, launch.SiteProcess(site.RoleEntry, zone, entry), launch.SiteProcess(site.RoleAgent, zone, agent))
 		r.after(fault.For, func() error { r.site.Store.Refuse(); return nil })
 	case ServersLapse:
 		r.lapse()
 	case ServerCrash, ServerUnlisted:
-		r.disturb(serverFaultTime)
+		r.disturb(serverFaultTime, server.ID())
 		if fault.Kind == ServerCrash {
 			return r.site.RestartModel(zone, agent)
 		}
@@ -66,7 +66,7 @@
 	case ServerLeaves:
 		return r.leave(zone, agent, server)
 	case PiecesRot:
-		r.disturb(serverFaultTime)
+		r.disturb(serverFaultTime, server.ID())
 		for piece := range fault.Count {
 			server.Rot(piece)
 		}
@@ -87,20 +87,52 @@
 		r.after(secondVersion, func() error { r.nameVersion(time.Now()); return nil })
 	case Reconfigure:
 		r.site.Configure(nil)
+	case Evacuate:
+		r.evacuate(zone, evacuationTime+fault.For)
+	case EvacuateTwice:
+		r.evacuateTwice(zone, fault.For, evacuationTime+fault.For)
+	case ServerCold:
+		server.SetCold(true)
+	case ServerNewCold:
+		return r.startCold(zone, agent, server)
+	case ZoneCold:
+		r.turnCold(zone)
+	case RouteNarrows:
+		r.narrowRoute(fault)
+	case TenantNarrows:
+		r.narrowTenant(fault)
+	case LieErrors:
+		r.spoilFor(r.anyServer(fault), site.Faults{Lying: site.LyingErrors}, lyingTime+fault.For)
+	case LieResets:
+		r.spoilFor(r.anyServer(fault), site.Faults{Lying: site.LyingResets}, lyingTime+fault.For)
+	case LieHangs:
+		r.spoilFor(r.anyServer(fault), site.Faults{Lying: site.LyingHangs}, lyingTime+fault.For)
+	case FalselyIll:
+		r.spoilFor(server, site.Faults{FalselyIll: true}, lyingTime+fault.For)
+	case Flap:
+		r.flap(r.anyServer(fault))
+	case SettingsChange:
+		return r.changeSettings(fault)
+	case SettingsSpoilt:
+		return r.spoilSettings(fault)
 	}
 	return nil
 }
 
-// disturb notes that something is disturbed for a time from now on.
-func (r *run) disturb(lasts time.Duration) {
+// disturb notes that some processes or servers are disturbed for a time from now on; without
+// any, it is something that all depend on.
+func (r *run) disturb(lasts time.Duration, names ...string) {
 	now := time.Now()
-	r.record.Disturbed = append(r.record.Disturbed, Span{From: now, To: now.Add(lasts)})
+	if len(names) == 0 {
+		names = []string{""}
+	}
+	for _, name := range names {
+		r.record.Disturbed = append(r.record.Disturbed, Span{From: now, To: now.Add(lasts), Name: name})
+	}
 }
 
 func (r *run) spoilServer(server *site.Server, faults site.Faults) {
-	server.SetFaults(faults)
-	r.disturb(serverFaultTime)
-	r.after(serverFaultTime, func() error { server.SetFaults(site.Faults{}); return nil })
+	r.spoilFor(server, faults, serverFaultTime)
 }
 
 func (r *run) nameVersion(now time.Time) {
@@ -116,7 +148,7 @@
 		return nil
 	}
 	r.busy[name] = true
-	r.disturb(restartPause)
+	r.disturb(restartPause, name)
 	if err := r.fleet.Group.Signal(name, syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -149,7 +181,7 @@
 		return nil
 	}
 	r.busy[name] = true
-	r.disturb(lasts)
+	r.disturb(lasts, name)
 	r.after(lasts, func() error {
 		r.busy[name] = false
 		return r.fleet.Group.Signal(name, syscall.SIGCONT)
@@ -165,7 +197,7 @@
 	}
 	r.busy[name] = true
 	now := time.Now()
-	r.record.Stops = append(r.record.Stops, Span{From: now, To: now.Add(r.record.Grace), Process: name})
+	r.record.Stops = append(r.record.Stops, Span{From: now, To: now.Add(r.record.Grace), Name: name})
 	r.after(r.record.Grace, func() error {
 		r.busy[name] = false
 		if !r.fleet.Group.WaitExit(name, stopLimit) {
@@ -208,7 +240,7 @@
 		if r.site.Models[r.site.Options.ModelIP(zone, index)] != server {
 			return nil
 		}
-		r.disturb(serverFaultTime)
+		r.disturb(serverFaultTime, server.ID())
 		return r.site.RestartModel(zone, index)
 	})
 	return nil
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -23,6 +23,10 @@
 	StopCutsNothing Promise = "a planned stop cuts nothing"
 	RecoveryInTime  Promise = "recovery in time"
 	AllowedRegions  Promise = "requests stay in their allowed regions"
+	EvacuatedIsLeft Promise = "an evacuated zone gets no new work"
+	ColdIsSpared    Promise = "cold servers get what they bear"
+	ReloadCutsNone  Promise = "changed settings cut nothing"
+	ProcessesStay   Promise = "no process ends by itself"
 )
 
 // RequestKind tells how often a request may run.
@@ -57,8 +61,8 @@
 type Span struct {
 	From time.Time
 	To   time.Time
-	// Process is the one that a planned stop concerns; empty otherwise.
-	Process string
+	// Name is the process or server that it concerns, empty for what all depend on.
+	Name string
 }
 
 // Departure is a server that has announced its end.
@@ -84,10 +88,21 @@
 	Namings    []Naming
 	// Residencies hold from before the first process starts.
 	Residencies site.Residencies
-	// VersionApply, Drain and Grace are the bounds of the platform.
-	VersionApply time.Duration
-	Drain        time.Duration
-	Grace        time.Duration
+	// Restrictions are those of the configurations, in order, the first of which was published
+	// before any process started.
+	Restrictions []Restriction
+	Deliveries   []site.Delivery
+	Evacuations  []Evacuation
+	// Reloads are the times in which changed settings come into force.
+	Reloads []Span
+	// VersionApply and those below it are the bounds of the platform.
+	VersionApply       time.Duration
+	ConfigurationApply time.Duration
+	EvacuationApply    time.Duration
+	Drain              time.Duration
+	Grace              time.Duration
+	// ColdLimit is how many requests a cold server may receive in any second.
+	ColdLimit float64
 }
 
 // Violation is one broken promise.
@@ -116,6 +131,7 @@
 	for _, attempt := range record.Attempts {
 		found = append(found, judgeAttempt(attempt, runs[attempt.ID])...)
 		found = append(found, record.judgeStop(attempt)...)
+		found = append(found, record.judgeReload(attempt)...)
 	}
 	for _, run := range record.Runs {
 		found = append(found, record.judgeRun(run)...)
@@ -127,7 +143,10 @@
 			})
 		}
 	}
-	return found
+	senders := record.senders()
+	found = append(found, record.judgeRestrictions(senders)...)
+	found = append(found, record.judgeEvacuations(senders)...)
+	return append(found, record.judgeCold()...)
 }
 
 func judgeAttempt(attempt Attempt, runs []site.Run) []Violation {
@@ -189,7 +208,7 @@
 		return nil
 	}
 	for _, stop := range r.Stops {
-		under := attempt.Entry == stop.Process && attempt.Sent.Before(stop.From) && attempt.Ended.After(stop.From) && attempt.Ended.Before(stop.From.Add(r.Grace))
+		under := attempt.Entry == stop.Name && attempt.Sent.Before(stop.From) && attempt.Ended.After(stop.From) && attempt.Ended.Before(stop.From.Add(r.Grace))
 		if under && r.calm(attempt.Sent, attempt.Ended) {
 			return []Violation{{Promise: StopCutsNothing, At: attempt.Ended, Request: attempt.ID, Detail: attempt.Entry + " cut it " + attempt.Ended.Sub(stop.From).String() + " after its stop"}}
 		}
--- /dev/null
+++ b/internal/experiment/soak/judge_place.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// Restriction is where one configuration allows requests, from when it was published.
+type Restriction struct {
+	At          time.Time
+	Residencies site.Residencies
+}
+
+// Evacuation is a time in which a zone's servers were to get nothing new; Ended is zero as long
+// as it lasts.
+type Evacuation struct {
+	Zone         string
+	Asked, Ended time.Time
+}
+
+// senders maps each request to the entry that it was sent to.
+func (r Record) senders() map[string]string {
+	senders := make(map[string]string, len(r.Attempts))
+	for _, attempt := range r.Attempts {
+		senders[attempt.ID] = attempt.Entry
+	}
+	return senders
+}
+
+// inTouch reports whether an entry, and what all depend on, has been undisturbed for a while.
+func (r Record) inTouch(entry string, at time.Time) bool {
+	for _, spans := range [][]Span{r.Disturbed, r.Stops} {
+		for _, span := range spans {
+			if (span.Name == "" || span.Name == entry) && !span.From.After(at) && span.To.Add(contact).After(at) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// judgeRestrictions judges where requests came by the configurations that may have been in force
+// at the entry that sent them. Requests whose caller still waits are judged later, and those
+// that no configuration allowed have been judged.
+func (r Record) judgeRestrictions(senders map[string]string) []Violation {
+	var found []Violation
+	for _, arrival := range r.Arrivals {
+		entry, known := senders[arrival.RequestID]
+		if known && !r.Residencies.Outside(arrival) && !r.allowed(arrival, entry) {
+			found = append(found, Violation{
+				Promise: AllowedRegions, At: arrival.At, Request: arrival.RequestID,
+				Detail: fmt.Sprintf("%s sent it to %s in %s, which no configuration allowed that may have been in force", entry, arrival.Server, arrival.Region),
+			})
+		}
+	}
+	return found
+}
+
+// allowed reports whether a configuration that may have been in force at an entry allows where a
+// request came.
+func (r Record) allowed(arrival site.Arrival, entry string) bool {
+	for index, restriction := range r.Restrictions {
+		if restriction.At.After(arrival.At) {
+			break
+		}
+		if next := index + 1; next < len(r.Restrictions) {
+			due := r.Restrictions[next].At.Add(r.ConfigurationApply + slack)
+			if arrival.At.After(due) && r.inTouch(entry, arrival.At) {
+				continue
+			}
+		}
+		if !restriction.Residencies.Outside(arrival) {
+			return true
+		}
+	}
+	return len(r.Restrictions) == 0
+}
+
+// judgeEvacuations judges what evacuated zones received after the bound.
+func (r Record) judgeEvacuations(senders map[string]string) []Violation {
+	var found []Violation
+	for _, delivery := range r.Deliveries {
+		entry, known := senders[delivery.RequestID]
+		for _, evacuation := range r.Evacuations {
+			if known && evacuation.forbids(delivery, r.EvacuationApply+slack) && r.inTouch(entry, delivery.At) {
+				found = append(found, Violation{
+					Promise: EvacuatedIsLeft, At: delivery.At, Request: delivery.RequestID,
+					Detail: fmt.Sprintf("%s sent it to %s, %s after the evacuation of %s was asked for", entry, delivery.Server, delivery.At.Sub(evacuation.Asked), evacuation.Zone),
+				})
+			}
+		}
+	}
+	return found
+}
+
+// forbids reports whether a request came to the zone after the bound and before the end.
+func (e Evacuation) forbids(delivery site.Delivery, bound time.Duration) bool {
+	lasted := e.Ended.IsZero() || delivery.At.Before(e.Ended)
+	return delivery.Zone == e.Zone && delivery.At.After(e.Asked.Add(bound)) && lasted
+}
+
+// judgeCold judges what cold servers received in any second, from all entries whether in touch
+// or not.
+func (r Record) judgeCold() []Violation {
+	var found []Violation
+	for server, peak := range site.ColdPeaks(r.Deliveries) {
+		if float64(peak.Requests) > r.ColdLimit {
+			found = append(found, Violation{
+				Promise: ColdIsSpared, At: peak.Last.At, Request: peak.Last.RequestID,
+				Detail: fmt.Sprintf("%s received %d requests in a second, and bears %g", server, peak.Requests, r.ColdLimit),
+			})
+		}
+	}
+	return found
+}
+
+// judgeReload judges a request that was under way at an entry, or came to it, while changed
+// settings were coming into force and nothing was disturbed.
+func (r Record) judgeReload(attempt Attempt) []Violation {
+	if attempt.Status != 0 && attempt.Whole {
+		return nil
+	}
+	for _, reload := range r.Reloads {
+		under := attempt.Entry == reload.Name && attempt.Sent.Before(reload.To) && attempt.Ended.After(reload.From)
+		if under && r.calm(attempt.Sent, attempt.Ended) && r.inTouch(attempt.Entry, attempt.Ended) {
+			return []Violation{{Promise: ReloadCutsNone, At: attempt.Ended, Request: attempt.ID, Detail: attempt.Entry + " cut it " + attempt.Ended.Sub(reload.From).String() + " after its settings changed"}}
+		}
+	}
+	return nil
+}
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -37,13 +37,28 @@
 	NewVersion     Kind = "new-version"
 	TwoVersions    Kind = "two-versions"
 	Reconfigure    Kind = "reconfigure"
+	Evacuate       Kind = "evacuate"
+	EvacuateTwice  Kind = "evacuate-twice"
+	ServerCold     Kind = "server-turns-cold"
+	ServerNewCold  Kind = "server-starts-cold"
+	ZoneCold       Kind = "zone-turns-cold"
+	RouteNarrows   Kind = "route-narrows"
+	TenantNarrows  Kind = "tenant-narrows"
+	LieErrors      Kind = "lie-errors"
+	LieResets      Kind = "lie-resets"
+	LieHangs       Kind = "lie-hangs"
+	FalselyIll     Kind = "falsely-ill"
+	Flap           Kind = "flap"
+	SettingsChange Kind = "settings-change"
+	SettingsSpoilt Kind = "settings-spoilt"
 )
 
 // Kinds lists every kind.
 var Kinds = []Kind{
 	KillEntry, KillAgent, KillMany, FreezeEntry, FreezeAgent, StopEntry, StoreDown, StoreForgets, StoreRefuses, ServersLapse,
 	ServerCrash, ServerUnlisted, ServerLeaves, PiecesRot, OriginSpoils, CutStreams, LoseAnswers, Shed, SurplusAnswers,
-	NewVersion, TwoVersions, Reconfigure,
+	NewVersion, TwoVersions, Reconfigure, Evacuate, EvacuateTwice, ServerCold, ServerNewCold, ZoneCold, RouteNarrows, TenantNarrows,
+	LieErrors, LieResets, LieHangs, FalselyIll, Flap, SettingsChange, SettingsSpoilt,
 }
 
 // Fault is one fault of a schedule.
--- /dev/null
+++ b/internal/experiment/soak/settings.go
@@ -0,0 +1,72 @@
+package soak
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/launch"
+)
+
+// addedZone is a zone without machines that changed settings name.
+const addedZone = "hall-added"
+
+// machine is a process of a fault: an entry or an agent.
+type machine struct {
+	role        string
+	zone, index int
+}
+
+func (m machine) name() string { return launch.SiteProcess(m.role, m.zone, m.index) }
+
+// anyProcess picks an entry or an agent.
+func (r *run) anyProcess(fault Fault) machine {
+	if fault.Count%2 == 0 {
+		return machine{role: site.RoleEntry, zone: fault.Zone, index: fault.Index % r.site.Options.Entries}
+	}
+	return machine{role: site.RoleAgent, zone: fault.Zone, index: fault.Index % r.site.Options.ModelServers}
+}
+
+// reload gives a process another settings file, unless it is stopped or about to be started.
+func (r *run) reload(process machine, settings []byte) error {
+	if r.busy[process.name()] {
+		return nil
+	}
+	now := time.Now()
+	r.record.Reloads = append(r.record.Reloads, Span{From: now, To: now.Add(r.record.ConfigurationApply), Name: process.name()})
+	return r.fleet.Reload(process.name(), settings)
+}
+
+// reloadFor gives a process other settings for a time and then its own again.
+func (r *run) reloadFor(process machine, settings []byte, lasts time.Duration) error {
+	r.after(lasts, func() error {
+		return r.reload(process, r.site.Settings(process.role, process.zone, process.index))
+	})
+	return r.reload(process, settings)
+}
+
+// changeSettings names another zone, and other bounds of repeats, in a settings file.
+func (r *run) changeSettings(fault Fault) error {
+	process := r.anyProcess(fault)
+	changed := r.site.ChangedSettings(process.role, process.zone, process.index, func(settings map[string]any) {
+		settings["zones"].(map[string]any)[addedZone] = site.RegionName(fault.Count % r.site.Options.Zones)
+		settings["bounds"].(map[string]any)["budgetSlack"] = r.site.Options.BudgetSlack + fault.Count
+	})
+	return r.reloadFor(process, changed, fault.For)
+}
+
+// spoilSettings writes a settings file that can't be taken over.
+func (r *run) spoilSettings(fault Fault) error {
+	process := r.anyProcess(fault)
+	spoilt := r.site.Settings(process.role, process.zone, process.index)
+	switch fault.Index % 3 {
+	case 0:
+		spoilt = spoilt[:len(spoilt)/2]
+	case 1:
+		spoilt = r.site.ChangedSettings(process.role, process.zone, process.index, func(settings map[string]any) {
+			settings["bounds"].(map[string]any)["drainMs"] = 0
+		})
+	default:
+		spoilt = r.site.ChangedSettings(process.role, process.zone, process.index, func(settings map[string]any) { settings["zones"] = "none" })
+	}
+	return r.reloadFor(process, spoilt, fault.For)
+}
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -32,6 +32,12 @@
 	networks      = 50
 	readyLimit    = 20 * time.Second
 	progressPause = 30 * time.Second
+	// lookPause is how often the judge looks while the fleet runs, and looks how often at most
+	// in a whole run, since each look goes through all that was seen.
+	lookPause = 5 * time.Second
+	looks     = 100
+	// endedAtOnce is how long a process is waited for that is looked after.
+	endedAtOnce = time.Millisecond
 	// settleTime follows the last fault; then the fleet must serve again.
 	settleTime = 12 * time.Second
 	// finalTime is how long requests are counted then, finalShare the part of them that
@@ -46,6 +52,10 @@
 		Weights:   site.Weights{Model: "dialect", Pieces: 48, PieceBytes: 24576, Layers: 16},
 		EventTime: 10 * time.Millisecond, Slots: 16,
 		VersionMs: 8000, ConfigApplyMs: 2000, DrainMs: 3000, GraceS: 8, BudgetSlack: 100, TimeoutMs: 6000,
+		// Entries act on an evacuation when they hear of it, so that 3 s of the platform's 5 s
+		// must be enough in a fleet this small. What a cold server bears, 26 requests in a
+		// second, is above what ordinary load sends each.
+		EvacuateMs: 3000, ColdPerS: 14, ColdStartS: 3, ColdOvershoot: 1.5, ColdSlack: 5,
 	}
 }
 
@@ -64,6 +74,9 @@
 	record   Record
 	found    []Violation
 	struck   map[Kind]int
+	allowed  site.AllowedRegions
+	// told are the violations that have been printed.
+	told map[Violation]bool
 }
 
 // step is something to do at a time.
@@ -89,13 +102,16 @@
 	bounds := fleet.Site.Options
 	r := &run{
 		options: options, fleet: fleet, site: fleet.Site, callers: &callers{site: fleet.Site},
-		busy: map[string]bool{}, version: 1, struck: map[Kind]int{},
+		busy: map[string]bool{}, version: 1, struck: map[Kind]int{}, told: map[Violation]bool{}, allowed: bounds.TwoRoutes(),
 		record: Record{
 			VersionApply: time.Duration(bounds.VersionMs) * time.Millisecond, Drain: time.Duration(bounds.DrainMs) * time.Millisecond,
-			Grace: time.Duration(bounds.GraceS * float64(time.Second)),
+			Grace:              time.Duration(bounds.GraceS * float64(time.Second)),
+			ConfigurationApply: time.Duration(bounds.ConfigApplyMs) * time.Millisecond,
+			EvacuationApply:    time.Duration(bounds.EvacuateMs) * time.Millisecond, ColdLimit: bounds.ColdLimit(),
 		},
 	}
-	r.record.Residencies = fleet.Site.RestrictTwoRoutes()
+	r.publishRegions()
+	r.record.Residencies = r.record.Restrictions[0].Residencies
 	if err := fleet.StartAll(readyLimit); err != nil {
 		return err
 	}
@@ -139,6 +155,9 @@
 	for pause := progressPause; pause < r.options.Duration; pause += progressPause {
 		r.after(pause, func() error { r.progress(began); return nil })
 	}
+	for pause := r.lookPause(); pause < r.options.Duration; pause += r.lookPause() {
+		r.after(pause, func() error { return r.look() })
+	}
 	if err := r.work(); err != nil {
 		return err
 	}
@@ -173,6 +192,53 @@
 	r.printf("%4.0f s: %d faults, %d requests", time.Since(began).Seconds(), struck, len(r.callers.all()))
 }
 
+// lookPause is how often the judge looks.
+func (r *run) lookPause() time.Duration { return max(lookPause, r.options.Duration/looks) }
+
+// look judges what was seen so far and prints what is new.
+func (r *run) look() error {
+	r.gather()
+	for _, one := range append(r.found, Judge(r.record)...) {
+		r.tell(one)
+	}
+	return r.lookAtProcesses()
+}
+
+// gather takes over what callers and servers have seen.
+func (r *run) gather() {
+	// What callers saw comes first: each request of theirs has then left its traces at servers.
+	r.record.Attempts = r.callers.all()
+	r.record.Runs, r.record.Arrivals, r.record.Deliveries = r.site.Ledger.Runs(), r.site.Ledger.Arrivals(), r.site.Ledger.Deliveries()
+}
+
+// tell prints a violation once.
+func (r *run) tell(one Violation) {
+	if r.told[one] {
+		return
+	}
+	r.told[one] = true
+	r.printf("  seed %d, %s: %s, request %q: %s", r.options.Seed, one.At.Format("15:04:05.000"), one.Promise, one.Request, one.Detail)
+}
+
+// lookAtProcesses notes processes that have ended by themselves, and starts them again.
+func (r *run) lookAtProcesses() error {
+	for zone := range r.site.Options.Zones {
+		for role, count := range map[string]int{site.RoleEntry: r.site.Options.Entries, site.RoleAgent: r.site.Options.ModelServers} {
+			for index := range count {
+				name := launch.SiteProcess(role, zone, index)
+				if r.busy[name] || !r.fleet.Group.WaitExit(name, endedAtOnce) {
+					continue
+				}
+				r.found = append(r.found, Violation{Promise: ProcessesStay, At: time.Now(), Detail: name + " has ended"})
+				if err := r.fleet.Restart(role, zone, index); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // judgeRecovery counts the requests since a moment at which all faults are long over.
 func (r *run) judgeRecovery(since time.Time) {
 	total, served := 0, 0
@@ -191,8 +257,10 @@
 
 // report judges the whole run and prints it.
 func (r *run) report() error {
-	r.record.Attempts, r.record.Runs = r.callers.all(), r.site.Ledger.Runs()
-	r.record.Arrivals = r.site.Ledger.Arrivals()
+	if err := r.lookAtProcesses(); err != nil {
+		return err
+	}
+	r.gather()
 	found := append(r.found, Judge(r.record)...)
 	answered, refused := 0, 0
 	for _, attempt := range r.record.Attempts {
@@ -212,7 +280,7 @@
 		len(r.record.Attempts)-answered-refused, len(r.record.Arrivals), len(r.record.Runs))
 	r.printf("violations: %d", len(found))
 	for _, one := range found {
-		r.printf("  seed %d, %s: %s, request %q: %s", r.options.Seed, one.At.Format("15:04:05.000"), one.Promise, one.Request, one.Detail)
+		r.tell(one)
 	}
 	if len(found) > 0 {
 		return &fault.PromiseBroken{Promise: string(found[0].Promise), Detail: found[0].Detail}
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -28,11 +28,24 @@
 			{RequestID: "once", Server: "p-1", Path: site.OncePrefix, Region: site.RegionName(1), At: at(1)},
 			{RequestID: "stream", Server: "i-1", Path: site.StreamPrefix, Region: site.RegionName(2), At: at(40)},
 		},
-		Residencies:  site.Residencies{site.OncePrefix: {site.RegionName(0), site.RegionName(1)}},
-		Namings:      []Naming{{Version: 2, At: at(20)}},
-		Departures:   []Departure{{Server: "i-2", At: at(30)}},
-		Stops:        []Span{{From: at(40.5), To: at(48.5), Process: "entry-0-0"}},
+		Residencies: site.Residencies{site.OncePrefix: {site.RegionName(0), site.RegionName(1)}},
+		Namings:     []Naming{{Version: 2, At: at(20)}},
+		Departures:  []Departure{{Server: "i-2", At: at(30)}},
+		Restrictions: []Restriction{
+			{At: at(0), Residencies: site.Residencies{site.OncePrefix: {site.RegionName(0), site.RegionName(1)}}},
+			{At: at(50), Residencies: site.Residencies{site.OncePrefix: {site.RegionName(0)}}},
+			{At: at(60), Residencies: site.Residencies{site.OncePrefix: {site.RegionName(0), site.RegionName(1)}}},
+		},
+		Deliveries: []site.Delivery{
+			{RequestID: "once", Server: "p-1", Zone: site.ZoneName(1), At: at(1)},
+			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(40)},
+			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(41)},
+		},
+		Evacuations:  []Evacuation{{Zone: site.ZoneName(2), Asked: at(30), Ended: at(38)}, {Zone: site.ZoneName(0), Asked: at(39)}},
+		Reloads:      []Span{{From: at(70), To: at(72), Name: "entry-0-0"}},
+		Stops:        []Span{{From: at(40.5), To: at(48.5), Name: "entry-0-0"}},
 		VersionApply: 8 * time.Second, Drain: 3 * time.Second, Grace: 8 * time.Second,
+		ConfigurationApply: 2 * time.Second, EvacuationApply: 3 * time.Second, ColdLimit: 1,
 	}
 }
 
@@ -55,6 +68,18 @@
 		{AllowedRegions, func(r *Record) { r.Arrivals[0].Region = site.RegionName(2) }},
 		{AllowedRegions, func(r *Record) { r.Arrivals[0].Region = "" }},
 		{StopCutsNothing, func(r *Record) { r.Attempts[1].Whole, r.Attempts[1].Own = false, false }},
+		{AllowedRegions, func(r *Record) { r.Arrivals[0].At = began.Add(55 * time.Second) }},
+		{EvacuatedIsLeft, func(r *Record) { r.Deliveries[1].At = began.Add(34 * time.Second) }},
+		{EvacuatedIsLeft, func(r *Record) {
+			r.Deliveries[2].Zone, r.Deliveries[2].At = site.ZoneName(0), began.Add(52*time.Second)
+		}},
+		{ColdIsSpared, func(r *Record) { r.Deliveries[2].At = began.Add(40900 * time.Millisecond) }},
+		{ReloadCutsNone, func(r *Record) {
+			r.Attempts[2].Sent, r.Attempts[2].Ended, r.Attempts[2].Whole = began.Add(71*time.Second), began.Add(73*time.Second), false
+		}},
+		{ReloadCutsNone, func(r *Record) {
+			r.Attempts[2].Sent, r.Attempts[2].Ended, r.Attempts[2].Status = began.Add(69*time.Second), began.Add(70100*time.Millisecond), 0
+		}},
 	} {
 		record := soundRecord(began)
 		one.spoil(&record)
@@ -76,6 +101,59 @@
 	assert.Len(t, Judge(record), 1)
 }
 
+// What was sent where a newer configuration or an evacuation forbids it counts from the bound
+// on, and only at entries that were in touch.
+func TestBoundsOfPlacesHoldForEntriesInTouch(t *testing.T) {
+	began := time.Now()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	record := soundRecord(began)
+	record.Arrivals[0].At, record.Deliveries[1].At = at(55), at(34)
+	require.Len(t, Judge(record), 2)
+	for _, one := range []struct {
+		what  string
+		spans []Span
+		found int
+	}{
+		{"the store was away shortly before", []Span{{From: at(30), To: at(32)}, {From: at(51), To: at(53)}}, 0},
+		{"the entry stood still", []Span{{From: at(33), To: at(34)}, {From: at(54), To: at(56)}}, 0},
+		{"the store came back long before", []Span{{From: at(29), To: at(30.5)}, {From: at(49), To: at(51)}}, 2},
+		{"another entry stood still", []Span{{From: at(29), To: at(60), Name: "entry-1-0"}}, 2},
+	} {
+		record.Disturbed = one.spans
+		assert.Len(t, Judge(record), one.found, one.what)
+	}
+	record = soundRecord(began)
+	record.Arrivals[0].At, record.Deliveries[1].At = at(51.5), at(32.5)
+	assert.Empty(t, Judge(record), "before the bounds")
+	record.Arrivals[0].At, record.Deliveries[1].At = at(60.5), at(38.5)
+	assert.Empty(t, Judge(record), "after they were taken back")
+}
+
+// Requests whose callers still wait are judged once it is known which entry they were sent to.
+func TestRequestsUnderWayAreJudgedLater(t *testing.T) {
+	record := soundRecord(time.Now())
+	record.Deliveries[1].At = record.Evacuations[0].Asked.Add(4 * time.Second)
+	answered := record.Attempts
+	record.Attempts = nil
+	assert.Empty(t, Judge(record))
+	record.Attempts = answered
+	assert.Len(t, Judge(record), 1)
+}
+
+// Requests of a server that lies are as bound as all others: one that may run once has not run
+// twice because the server failed it after it had begun.
+func TestSecondRunAfterALyingServerIsFound(t *testing.T) {
+	record := soundRecord(time.Now())
+	lying := record.Runs[0]
+	lying.Server = "p-lying"
+	record.Runs = append(record.Runs, lying)
+	record.Attempts[0].Status, record.Attempts[0].Own = 500, false
+	record.Disturbed = []Span{{From: lying.At, To: lying.At.Add(time.Second), Name: "p-lying"}}
+	found := Judge(record)
+	require.Len(t, found, 1)
+	assert.Equal(t, AtMostOnce, found[0].Promise)
+}
+
 // A seed always gives the same schedule, and many seeds give every kind of fault.
 func TestSchedulesComeFromTheSeed(t *testing.T) {
 	assert.Equal(t, Draw(7, time.Minute, 3, 3), Draw(7, time.Minute, 3, 3))
--- a/internal/launch/site.go
+++ b/internal/launch/site.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"pinevane.example/pinevane/internal/emulator/site"
@@ -56,11 +57,29 @@
 // Restart starts a process on a machine on which one has run.
 func (f *SiteFleet) Restart(role string, zone, index int) error {
 	name := SiteProcess(role, zone, index)
-	path := filepath.Join(f.folder, name+".json")
-	if err := os.WriteFile(path, f.Site.Settings(role, zone, index), 0o600); err != nil {
+	if err := f.writeSettings(name, f.Site.Settings(role, zone, index)); err != nil {
+		return err
+	}
+	return f.Group.Run(name, []string{role, "--settings", f.settingsPath(name)})
+}
+
+// Reload replaces the settings file of a running process and sends it the hang-up signal, at
+// which it reads the file.
+func (f *SiteFleet) Reload(name string, settings []byte) error {
+	if err := f.writeSettings(name, settings); err != nil {
+		return err
+	}
+	return f.Group.Signal(name, syscall.SIGHUP)
+}
+
+func (f *SiteFleet) settingsPath(name string) string { return filepath.Join(f.folder, name+".json") }
+
+func (f *SiteFleet) writeSettings(name string, settings []byte) error {
+	path := f.settingsPath(name)
+	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return &fault.Unavailable{Target: path, Operation: "write", Cause: err}
 	}
-	return f.Group.Run(name, []string{role, "--settings", path})
+	return nil
 }
 
 // StartAll starts every entry and agent and waits until the entries are ready.
--- a/internal/sitetest/settings_test.go
+++ b/internal/sitetest/settings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"testing"
@@ -14,17 +13,6 @@
 	"pinevane.example/pinevane/internal/emulator/site"
 )
 
-// changedSettings are an entry's settings with a change.
-func changedSettings(t *testing.T, f *Fleet, zone, index int, change func(map[string]any)) []byte {
-	t.Helper()
-	var settings map[string]any
-	require.NoError(t, json.Unmarshal(f.Site.Settings(site.RoleEntry, zone, index), &settings))
-	change(settings)
-	data, err := json.Marshal(settings)
-	require.NoError(t, err)
-	return data
-}
-
 // logged waits for an event with a text; lines are written a moment after they are logged.
 func (f *Fleet) logged(number, with string) {
 	f.t.Helper()
@@ -47,7 +35,7 @@
 	f := Start(t, threeRegions())
 	f.configure(restrictRoutes(site.RegionName(home)))
 	require.Equal(t, http.StatusOK, statusOf(t, f, "before"))
-	f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+	f.Reload(0, 0, f.Site.ChangedSettings(site.RoleEntry, 0, 0, func(settings map[string]any) {
 		zones := settings["zones"].(map[string]any)
 		zones[site.ZoneName(home)], zones[site.ZoneName(2)] = "elsewhere", site.RegionName(home)
 	}))
@@ -71,10 +59,10 @@
 	before := f.Process(Name(site.RoleEntry, 0, 0)).Settings()
 	for fault, data := range map[string][]byte{
 		"settings file": []byte(`{"nodeName": "entry`),
-		"bounds.drainMs": changedSettings(t, f, 0, 0, func(settings map[string]any) {
+		"bounds.drainMs": f.Site.ChangedSettings(site.RoleEntry, 0, 0, func(settings map[string]any) {
 			settings["bounds"].(map[string]any)["drainMs"] = 0
 		}),
-		"settings field zones": changedSettings(t, f, 0, 0, func(settings map[string]any) { settings["zones"] = "none" }),
+		"settings field zones": f.Site.ChangedSettings(site.RoleEntry, 0, 0, func(settings map[string]any) { settings["zones"] = "none" }),
 	} {
 		f.Reload(0, 0, data)
 		assert.Equal(t, before, f.Process(Name(site.RoleEntry, 0, 0)).Settings(), fault)
@@ -88,7 +76,7 @@
 // is in force.
 func TestSettingsThatNeedARestartAreNamed(t *testing.T) {
 	f := Start(t, DefaultOptions())
-	f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+	f.Reload(0, 0, f.Site.ChangedSettings(site.RoleEntry, 0, 0, func(settings map[string]any) {
 		settings["ip"], settings["internalPorts"] = "127.0.0.9", []int{7900, 7915}
 		settings["bounds"].(map[string]any)["drainMs"] = 2500
 	}))
@@ -104,7 +92,7 @@
 	f := Start(t, DefaultOptions())
 	stop := mixedTraffic(f)
 	for round := range 20 {
-		f.Reload(0, 0, changedSettings(t, f, 0, 0, func(settings map[string]any) {
+		f.Reload(0, 0, f.Site.ChangedSettings(site.RoleEntry, 0, 0, func(settings map[string]any) {
 			settings["zones"].(map[string]any)["hall-added"] = site.RegionName(round % 2)
 			settings["bounds"].(map[string]any)["budgetSlack"] = 40 + round
 		}))
