Settings that change while a process starts are read, and the signal ends no process

Cause: the hang-up signal was waited for, and the settings file's state noted, after the file had been read. A signal in between ended the process; a change in between was never noticed.

Change: both begin before the first reading (settingsWatch).

Conclusion: a change of settings is read whenever it comes, but for the moment before the program's own first line, in which the system's default holds.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -34,6 +34,7 @@
 	if err != nil || level > zapcore.ErrorLevel {
 		return &fault.InvalidSetting{Flag: "--log-level", Value: f.LogLevel, Allowed: "debug, info, warn or error"}
 	}
+	changes := watchSettings(f.Settings)
 	settings, err := platform.ReadSettings(f.Settings)
 	if err != nil {
 		return err
@@ -48,7 +49,7 @@
 		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{}, Log: log,
 		Reload: func() (fleet.Settings, error) { return platform.ReadSettings(f.Settings) },
 	})
-	go reloadOnChange(f.Settings, base)
+	go changes.run(base.Reload)
 	if role == catalog.RoleEntry {
 		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: policy}).Run(stopSignal())
 	}
@@ -71,23 +72,37 @@
 	return nil
 }
 
-// reloadOnChange reads the settings again on the hang-up signal, and when the
-// file has changed.
-func reloadOnChange(path string, base *daemon.Daemon) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
+// settingsWatch notices changes of a settings file, from before the file is first read: a hang-up
+// signal would end a process that does not wait for it, and a change that comes while the process starts
+// would never be noticed.
+type settingsWatch struct {
+	path   string
+	hangUp chan os.Signal
+	// last is the state of the file that was last read.
+	last string
+}
+
+// watchSettings begins to notice changes of a file.
+func watchSettings(path string) *settingsWatch {
+	w := &settingsWatch{path: path, hangUp: make(chan os.Signal, 1)}
+	signal.Notify(w.hangUp, syscall.SIGHUP)
+	w.last = modified(path)
+	return w
+}
+
+// run reads the settings again on the hang-up signal, and when the file has changed.
+func (w *settingsWatch) run(reload func()) {
 	ticker := time.NewTicker(settingsCheckPeriod)
 	defer ticker.Stop()
-	last := modified(path)
 	for {
 		select {
-		case <-hangUp:
-			last = modified(path)
-			base.Reload()
+		case <-w.hangUp:
+			w.last = modified(w.path)
+			reload()
 		case <-ticker.C:
-			if now := modified(path); now != last {
-				last = now
-				base.Reload()
+			if now := modified(w.path); now != w.last {
+				w.last = now
+				reload()
 			}
 		}
 	}
