Tests of what the judge of places reads: joined regions, peaks of cold servers

Cause: the stand-in joins the regions of a route and the tenant, and finds the peak of a cold server, for the judge of the soak and for internal/sitetest; nothing checked either by itself.

Change, figures: TestRegionsOfRouteAndTenantBindTogether, TestColdPeaks; both pass.

Conclusion: no change of behaviour.

--- /dev/null
+++ b/internal/emulator/site/records_test.go
@@ -0,0 +1,41 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The regions of a route and of the tenant bind together; an empty list restricts nothing, and
+// two without a common region allow none.
+func TestRegionsOfRouteAndTenantBindTogether(t *testing.T) {
+	arrival := func(path string, zone int) Arrival { return Arrival{Path: path, Region: RegionName(zone)} }
+	allowed := AllowedRegions{Streams: []string{RegionName(0), RegionName(1)}, Once: []string{RegionName(2)}}.residencies()
+	assert.False(t, allowed.Outside(arrival(StreamPrefix, 1)))
+	assert.True(t, allowed.Outside(arrival(StreamPrefix, 2)))
+	assert.False(t, allowed.Outside(arrival(SafePrefix, 2)))
+	narrower := AllowedRegions{Streams: []string{RegionName(0), RegionName(1)}, Once: []string{RegionName(2)}, Tenant: []string{RegionName(1)}}.residencies()
+	assert.False(t, narrower.Outside(arrival(StreamPrefix, 1)))
+	assert.True(t, narrower.Outside(arrival(StreamPrefix, 0)))
+	assert.True(t, narrower.Outside(arrival(SafePrefix, 0)))
+	for zone := range 3 {
+		assert.True(t, narrower.Outside(arrival(OncePrefix, zone)), zone)
+	}
+}
+
+// A cold server's peak is the most in any second, by server, and leaves out what came to it
+// while it was warm.
+func TestColdPeaks(t *testing.T) {
+	began := time.Now()
+	delivery := func(server string, milliseconds int, cold bool) Delivery {
+		return Delivery{Server: server, Cold: cold, At: began.Add(time.Duration(milliseconds) * time.Millisecond)}
+	}
+	peaks := ColdPeaks([]Delivery{
+		delivery("a", 0, true), delivery("b", 0, true), delivery("a", 600, true), delivery("a", 700, false),
+		delivery("a", 1000, true), delivery("a", 1500, true), delivery("a", 1599, true), delivery("a", 2600, true),
+	})
+	assert.Equal(t, 4, peaks["a"].Requests)
+	assert.Equal(t, began.Add(1599*time.Millisecond), peaks["a"].Last.At)
+	assert.Equal(t, 1, peaks["b"].Requests)
+}
