--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -1,7 +1,10 @@
 package command
 
 import (
+	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"pinevane.example/pinevane/internal/experiment/soak"
@@ -11,6 +14,7 @@
 type soakCommand struct {
 	Seed    int64   `long:"seed" default:"1" description:"seed of the schedule of faults, 0 to 2^53"`
 	Minutes float64 `long:"minutes" default:"1" description:"time during which faults strike, 0.15 to 600 minutes"`
+	Kinds   string  `long:"kinds" description:"kinds of faults to draw from, with commas between them; all when left out"`
 	Logs    string  `long:"logs" description:"directory for a log file a process; a new temporary one when left out"`
 }
 
@@ -29,6 +33,10 @@
 	if !(c.Minutes >= shortestSoak && c.Minutes <= longestSoak) {
 		return &fault.InvalidSetting{Flag: "--minutes", Value: duration.String(), Allowed: "0.15 to 600"}
 	}
+	kinds, err := soakKinds(c.Kinds)
+	if err != nil {
+		return err
+	}
 	executable, err := executablePath()
 	if err != nil {
 		return err
@@ -37,7 +45,23 @@
 	if err != nil {
 		return err
 	}
-	return soak.Run(soak.Options{Executable: executable, LogDirectory: logs, Seed: uint64(c.Seed), Duration: duration, Output: os.Stdout})
+	return soak.Run(soak.Options{Executable: executable, LogDirectory: logs, Seed: uint64(c.Seed), Duration: duration, Kinds: kinds, Output: os.Stdout})
+}
+
+// soakKinds reads a list of kinds of faults; all of them when it is empty.
+func soakKinds(list string) ([]soak.Kind, error) {
+	if list == "" {
+		return soak.Kinds, nil
+	}
+	var kinds []soak.Kind
+	for name := range strings.SplitSeq(list, ",") {
+		kind := soak.Kind(name)
+		if !slices.Contains(soak.Kinds, kind) {
+			return nil, &fault.InvalidSetting{Flag: "--kinds", Value: name, Allowed: fmt.Sprint(soak.Kinds)}
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
 }
 
 // logFolder makes the folder for logs, or a new temporary one.
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -89,14 +89,14 @@
 )
 
 // Draw makes the schedule of a seed: series of one to four faults that overlap, with calm
-// between them, on a fleet of zones with a number of machines.
-func Draw(seed uint64, duration time.Duration, zones, machines int) []Fault {
+// between them, of some kinds, on a fleet of zones with a number of machines.
+func Draw(seed uint64, duration time.Duration, zones, machines int, kinds []Kind) []Fault {
 	random := rand.New(rand.NewPCG(seed, seedStream))
 	var schedule []Fault
 	for begin := time.Duration(0); begin+seriesPeriod <= duration; begin += seriesPeriod {
 		for range 1 + random.IntN(mostInSeries) {
 			schedule = append(schedule, Fault{
-				Kind: Kinds[random.IntN(len(Kinds))],
+				Kind: kinds[random.IntN(len(kinds))],
 				At:   begin + time.Duration(random.Int64N(int64(seriesSpread))),
 				For:  shortest + time.Duration(random.Int64N(int64(longest-shortest))),
 				Zone: random.IntN(zones), Index: random.IntN(machines), Count: 1 + random.IntN(8),
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -23,7 +23,9 @@
 	LogDirectory string
 	Seed         uint64
 	Duration     time.Duration
-	Output       io.Writer
+	// Kinds are those that the schedule is drawn from.
+	Kinds  []Kind
+	Output io.Writer
 }
 
 // Times and sizes of a run.
@@ -166,7 +168,7 @@
 // follow plays the schedule, lets the fleet settle, and counts what it then serves.
 func (r *run) follow() error {
 	began := time.Now()
-	for _, one := range Draw(r.options.Seed, r.options.Duration, r.site.Options.Zones, r.site.Options.ModelServers) {
+	for _, one := range Draw(r.options.Seed, r.options.Duration, r.site.Options.Zones, r.site.Options.ModelServers, r.options.Kinds) {
 		r.timeline = append(r.timeline, step{at: began.Add(one.At), do: func() error {
 			r.struck[one.Kind]++
 			return r.strike(one)
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -156,16 +156,19 @@
 
 // A seed always gives the same schedule, and many seeds give every kind of fault.
 func TestSchedulesComeFromTheSeed(t *testing.T) {
-	assert.Equal(t, Draw(7, time.Minute, 3, 3), Draw(7, time.Minute, 3, 3))
+	assert.Equal(t, Draw(7, time.Minute, 3, 3, Kinds), Draw(7, time.Minute, 3, 3, Kinds))
 	struck := map[Kind]bool{}
 	for seed := range uint64(30) {
-		for _, fault := range Draw(seed, time.Minute, 3, 3) {
+		for _, fault := range Draw(seed, time.Minute, 3, 3, Kinds) {
 			struck[fault.Kind] = true
 			assert.Less(t, fault.At, time.Minute-4*time.Second)
 			assert.GreaterOrEqual(t, fault.For, shortest)
 		}
 	}
 	assert.Len(t, struck, len(Kinds))
+	for _, fault := range Draw(7, time.Minute, 3, 3, []Kind{Burst, ZoneCold}) {
+		assert.Contains(t, []Kind{Burst, ZoneCold}, fault.Kind)
+	}
 }
 
 // A stream's answer is its own only when every event is there once and in order.
