--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -37,13 +37,29 @@
 	NewVersion     Kind = "new-version"
 	TwoVersions    Kind = "two-versions"
 	Reconfigure    Kind = "reconfigure"
+	Evacuate       Kind = "evacuate"
+	EvacuateTwice  Kind = "evacuate-twice"
+	ServerCold     Kind = "server-turns-cold"
+	ServerNewCold  Kind = "server-starts-cold"
+	ZoneCold       Kind = "zone-turns-cold"
+	RouteNarrows   Kind = "route-narrows"
+	TenantNarrows  Kind = "tenant-narrows"
+	LieErrors      Kind = "lie-errors"
+	LieResets      Kind = "lie-resets"
+	LieHangs       Kind = "lie-hangs"
+	FalselyIll     Kind = "falsely-ill"
+	Flap           Kind = "flap"
+	SettingsChange Kind = "settings-change"
+	SettingsSpoilt Kind = "settings-spoilt"
+	Burst          Kind = "burst"
 )
 
 // Kinds lists every kind.
 var Kinds = []Kind{
 	KillEntry, KillAgent, KillMany, FreezeEntry, FreezeAgent, StopEntry, StoreDown, StoreForgets, StoreRefuses, ServersLapse,
 	ServerCrash, ServerUnlisted, ServerLeaves, PiecesRot, OriginSpoils, CutStreams, LoseAnswers, Shed, SurplusAnswers,
-	NewVersion, TwoVersions, Reconfigure,
+	NewVersion, TwoVersions, Reconfigure, Evacuate, EvacuateTwice, ServerCold, ServerNewCold, ZoneCold, RouteNarrows, TenantNarrows,
+	LieErrors, LieResets, LieHangs, FalselyIll, Flap, SettingsChange, SettingsSpoilt, Burst,
 }
 
 // Fault is one fault of a schedule.
@@ -73,14 +89,14 @@
 )
 
 // Draw makes the schedule of a seed: series of one to four faults that overlap, with calm
-// between them, on a fleet of zones with a number of machines.
-func Draw(seed uint64, duration time.Duration, zones, machines int) []Fault {
+// between them, of some kinds, on a fleet of zones with a number of machines.
+func Draw(seed uint64, duration time.Duration, zones, machines int, kinds []Kind) []Fault {
 	random := rand.New(rand.NewPCG(seed, seedStream))
 	var schedule []Fault
 	for begin := time.Duration(0); begin+seriesPeriod <= duration; begin += seriesPeriod {
 		for range 1 + random.IntN(mostInSeries) {
 			schedule = append(schedule, Fault{
-				Kind: Kinds[random.IntN(len(Kinds))],
+				Kind: kinds[random.IntN(len(kinds))],
 				At:   begin + time.Duration(random.Int64N(int64(seriesSpread))),
 				For:  shortest + time.Duration(random.Int64N(int64(longest-shortest))),
 				Zone: random.IntN(zones), Index: random.IntN(machines), Count: 1 + random.IntN(8),
