Links last while processes are short of processor time

(1) Stopped for 0.29 s each 0.291 s, links were replaced by new ones that had taken 0.59 s to make though they had been heard 0.2 to 0.9 ms before: whether the former link had been heard was asked only after the new one had replaced it at both ends. (2) Stopped for 0.35 s each 0.45 s, a link was dropped as broken after 2.9 s of silence: of two entries that have each made a link to the other each sends on its own, so that nothing but answers to probes comes back, and probes were left out for 0.2 s after each pause, that is always.

Change: before a new connection becomes a link (its end is introduced to the other process), the silent link gets as long again to be heard as the connection took, 0.2 s at most; if it is heard, the connection is closed, and neither end counts a lost link. Probes go out after pauses too; a link is broken only if a probe was not answered while the process had time to read.

TestLinksOutlastAPauseOfTheProcess asked for a link to be dropped on which nothing came after a pause, though the other end answers probes: that is the sound link of (2). It now asks that this link outlasts the pause, and that one whose other end answers no probe is dropped as soon.

TestALinkThatIsHeardAgainIsNotReplaced and TestLinksOutlastAPauseOfTheProcess fail without it.

--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -47,6 +48,9 @@
 	// what has come meanwhile.
 	pauseLeast = 300 * time.Millisecond
 	resumeTime = 200 * time.Millisecond
+	// stallLeast is the time between two looks after which the process was short of time: twice
+	// linkLook. Probes then have the time for an answer anew.
+	stallLeast = 2 * linkLook
 	// doubtMemory is how long a link that was slow, not silent, is given more time.
 	doubtMemory = 30 * time.Second
 	// entryRecent is the age of its last sign up to which an entry counts as alive that
@@ -71,21 +75,37 @@
 // readers have not read yet: without it all links are dropped after a pause of linkSilence, and
 // their other ends suspected (TestLinksOutlastAPauseOfTheProcess).
 type pause struct {
-	// looked is when the links were last looked at, resumed when the last pause ended.
+	// looked is when the links were last looked at, resumed when the last pause ended, stalled
+	// when the last shorter one did.
 	looked  time.Time
 	resumed time.Time
+	stalled time.Time
 }
 
 // look notes that the links are looked at.
 func (p *pause) look(now time.Time) {
-	if !p.looked.IsZero() && now.Sub(p.looked) > pauseLeast {
-		p.resumed = now
+	if gap := now.Sub(p.looked); !p.looked.IsZero() {
+		if gap > stallLeast {
+			p.stalled = now
+		}
+		if gap > pauseLeast {
+			p.resumed = now
+		}
 	}
 	p.looked = now
 }
 
-// resuming reports whether readers may not have read yet what came during a pause.
-func (p *pause) resuming(now time.Time) bool { return now.Sub(p.resumed) < resumeTime }
+// resuming is for how long readers may still read what came during a pause.
+func (p *pause) resuming(now time.Time) time.Duration { return resumeTime - now.Sub(p.resumed) }
+
+// grantedSince is since when the answer to a probe could be read: later than it was sent if the
+// process was short of time meanwhile.
+func (p *pause) grantedSince(probedAt time.Time) time.Time {
+	if p.stalled.After(probedAt) {
+		return p.stalled
+	}
+	return probedAt
+}
 
 // peerLink is the link to another process, which either of the two has made; both send
 // on it.
@@ -246,7 +266,7 @@
 		}
 		return
 	}
-	broken := now.Sub(peer.link.LastHeard()) > linkSilence && !c.pause.resuming(now)
+	broken := c.broken(peer, now)
 	if peer.lost() || broken || (!wanted && !peer.accepted) {
 		link := peer.link
 		peer.link = nil
@@ -258,6 +278,26 @@
 	}
 }
 
+// broken reports whether a link has been silent for linkSilence and a probe was not answered, while
+// the process had time to read an answer. A sound link to another entry that sends on a link of
+// its own brings answers to probes only: without asking for one, processes that got a third of
+// their time dropped such links, and suspected the other entry. The mutex is held.
+func (c *Catalog) broken(peer *peerLink, now time.Time) bool {
+	if now.Sub(peer.link.LastHeard()) <= linkSilence {
+		return false
+	}
+	peer.probe(now)
+	return now.Sub(c.pause.grantedSince(peer.probedAt)) >= resumeTime
+}
+
+// probe asks for a sign of life, once in a silence.
+func (p *peerLink) probe(now time.Time) {
+	if p.probedAt.Before(p.link.LastHeard()) {
+		p.probedAt = now
+		go p.link.Probe(linkSilence - probeAfter)
+	}
+}
+
 // checkLinks looks after links that have been silent for a short time. Of a link that two entries
 // have made at the same time one is silent and sound, which a probe shows. One that does not
 // answer the probe may be silent for good, or slow, or its other end may stand still: the process
@@ -272,9 +312,6 @@
 	defer c.mutex.Unlock()
 	c.pause.look(now)
 	next := linkLook
-	if c.pause.resuming(now) {
-		return next
-	}
 	for _, peer := range c.links {
 		if peer.link != nil {
 			c.judgeReplaced(peer, now)
@@ -287,36 +324,36 @@
 // checkLink probes or renews a link if that is due, and returns the time until something is. The
 // mutex is held.
 func (c *Catalog) checkLink(ctx context.Context, peer *peerLink, now time.Time) time.Duration {
-	heard := peer.link.LastHeard()
-	silent := now.Sub(heard)
+	silent := now.Sub(peer.link.LastHeard())
 	if silent <= probeAfter {
 		return probeAfter - silent
 	}
-	if peer.probedAt.Before(heard) {
-		peer.probedAt = now
-		go peer.link.Probe(linkSilence - probeAfter)
-	}
+	peer.probe(now)
 	if peer.accepted || peer.dialling {
 		return linkLook
 	}
-	if early := max(peer.patience-silent, probeGrace-now.Sub(peer.probedAt)); early > 0 {
+	answerTime := probeGrace - now.Sub(c.pause.grantedSince(peer.probedAt))
+	if early := max(peer.patience-silent, answerTime, c.pause.resuming(now)); early > 0 {
 		return early
 	}
 	peer.dialling = true
-	go c.renew(ctx, peer, peer.address, peer.link)
+	go c.renew(ctx, peer, peer.link)
 	return linkLook
 }
 
 // renew makes a link beside one that is silent.
-func (c *Catalog) renew(ctx context.Context, peer *peerLink, address string, silent *peering.Link) {
+func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := time.Now()
-	link, err := c.options.Hub.Renew(dialContext, address)
+	link, err := c.options.Hub.Renew(dialContext, silent)
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	peer.dialling = false
+	if errors.Is(err, peering.ErrHeard) {
+		return
+	}
 	if err != nil {
 		// Whether the other process is gone shows at linkSilence.
 		peer.doubt(now)
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -15,6 +15,7 @@
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/silencer"
 	"pinevane.example/pinevane/platform"
 )
 
@@ -127,8 +128,11 @@
 // Seen: read in a review. Cause: links were judged by when something was last read on them, before
 // their readers had read what came while the process stood still.
 //
-// After a pause of the process links are kept until their readers have had time to read; one on
-// which nothing came by then is broken.
+// Seen: a process that was paused again and again dropped a link to another entry, which sent on a
+// link of its own. Cause: nothing comes back on such a link but answers to probes, and the process
+// had sent none since the first pause.
+//
+// Links outlast a pause of the process; one that answers no probe after it is broken.
 func TestLinksOutlastAPauseOfTheProcess(t *testing.T) {
 	c := newTestCatalog()
 	defer c.options.Hub.Close()
@@ -145,12 +149,40 @@
 	c.keepLinks(t.Context())
 	require.Same(t, made, held(), "the link is wanted")
 	time.Sleep(linkSilence + 100*time.Millisecond) // no looks: the process stands still
+	looks := func(span time.Duration) {
+		for began := time.Now(); time.Since(began) < span && held() == made; time.Sleep(20 * time.Millisecond) {
+			c.keepLinks(t.Context())
+		}
+	}
+	looks(2 * resumeTime)
+	require.Same(t, made, held(), "it answers a probe")
+	count, err := silencer.Silence(silencer.Any)
+	require.NoError(t, err)
+	require.Positive(t, count)
+	time.Sleep(linkSilence + 100*time.Millisecond)
 	c.keepLinks(t.Context())
 	assert.Same(t, made, held(), "right after the pause")
-	require.Eventually(t, func() bool {
-		c.keepLinks(t.Context())
-		return held() != made
-	}, time.Second, 20*time.Millisecond, "nothing has come by then")
+	looks(time.Second)
+	assert.NotSame(t, made, held(), "it has answered no probe")
+}
+
+// A process that was short of time gives links as long again to answer a probe; one that had its
+// time judges as before.
+func TestLinksAreNotJudgedRightAfterAStall(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	start := time.Now()
+	var p pause
+	p.look(start)
+	p.look(start.Add(gap))
+	assert.Equal(t, start, p.grantedSince(start), "looks are this late on any machine")
+	resumed := start.Add(gap + stallLeast + time.Millisecond)
+	p.look(resumed)
+	assert.Equal(t, resumed, p.grantedSince(start))
+	assert.Equal(t, resumed.Add(gap), p.grantedSince(resumed.Add(gap)), "a probe sent after it")
+	assert.Negative(t, p.resuming(resumed), "links are made anew")
+	paused := resumed.Add(pauseLeast + time.Millisecond)
+	p.look(paused)
+	assert.Equal(t, resumeTime, p.resuming(paused), "none is made anew")
 }
 
 // pendingHaste reports whether the statuses are to be passed on before the next statusPace.
--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -198,10 +198,18 @@
 	}
 }
 
-// Renew makes a second outbound link to an address, which replaces the present one once it is up.
-// The present one is closed a while later.
-func (h *Hub) Renew(ctx context.Context, address string) (*Link, error) {
-	link, err := h.connect(ctx, address)
+// ErrHeard says that a link was not renewed because something has come over it meanwhile.
+var ErrHeard = errors.New("the link has been heard again")
+
+// mostGrace bounds the time that a link is given to be heard before another one replaces it.
+const mostGrace = 200 * time.Millisecond
+
+// Renew makes a second outbound link to where a silent one leads, which replaces that one once it
+// is up. The silent one is closed a while later. If it is heard before the second one is up, this
+// one is given up with ErrHeard: the other process, or this one, only stood still.
+func (h *Hub) Renew(ctx context.Context, silent *Link) (*Link, error) {
+	address := silent.address
+	link, err := h.connect(ctx, address, func(began time.Time) error { return awaitSign(ctx, silent, began) })
 	if err != nil {
 		return nil, err
 	}
@@ -222,6 +230,25 @@
 	return link, nil
 }
 
+// awaitSign waits for a sign of a silent link after a new connection in its place, begun at a time,
+// was answered: as long as that took, since a process that was slow to answer it, or this one to
+// read the answer, may have been as slow with the link. Links of processes that get a tenth of
+// their time in pieces of some milliseconds last by it.
+func awaitSign(ctx context.Context, silent *Link, began time.Time) error {
+	deadline := time.Now().Add(min(time.Since(began), mostGrace))
+	for !silent.LastHeard().After(began) {
+		left := time.Until(deadline)
+		if left <= 0 || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(min(left, signPeriod))
+	}
+	return ErrHeard
+}
+
+// signPeriod is how often a silent link is looked at for a sign.
+const signPeriod = 5 * time.Millisecond
+
 // up reports whether the link has been made.
 func (d *dialling) up() bool {
 	select {
@@ -233,7 +260,7 @@
 }
 
 func (h *Hub) dial(address string, attempt *dialling) {
-	attempt.link, attempt.err = h.connect(context.Background(), address)
+	attempt.link, attempt.err = h.connect(context.Background(), address, nil)
 	close(attempt.ready)
 	h.serveDialled(address, attempt)
 }
@@ -250,7 +277,10 @@
 	}
 }
 
-func (h *Hub) connect(ctx context.Context, address string) (*Link, error) {
+// connect makes a link. It is not introduced to the other process, and so is none, if there is a
+// function that returns an error once the connection is up; that is told when its making began.
+func (h *Hub) connect(ctx context.Context, address string, before func(began time.Time) error) (*Link, error) {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, HandshakeTimeout)
 	defer cancel()
 	options := &websocket.DialOptions{HTTPClient: h.client, CompressionMode: websocket.CompressionDisabled}
@@ -258,6 +288,12 @@
 	if err != nil {
 		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: err}
 	}
+	if before != nil {
+		if err := before(began); err != nil {
+			_ = connection.CloseNow()
+			return nil, &fault.Unavailable{Target: address, Operation: "renew", Cause: err}
+		}
+	}
 	link := h.newLink(context.Background(), connection, address)
 	stop := context.AfterFunc(ctx, link.cancel)
 	remote, err := h.handshake(link)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -140,7 +141,7 @@
 	})
 	require.Eventually(t, func() bool { return len(accepting.Accepted()) == 1 }, time.Second, time.Millisecond)
 	first := accepting.Accepted()[0]
-	renewed, err := former.hub.Renew(context.Background(), former.Address())
+	renewed, err := former.hub.Renew(context.Background(), former)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		accepted := accepting.Accepted()
@@ -164,12 +165,48 @@
 	}
 }
 
+// Seen: a process got its time in pieces of a millisecond each 0.29 s; links to it were made anew
+// within 0.6 s though they had been heard 0.7 ms before. Cause: whether the former link had been
+// heard was asked after it was replaced.
+//
+// A link on which something comes until another one is up, or shortly after, stays the only one.
+func TestALinkThatIsHeardAgainIsNotReplaced(t *testing.T) {
+	const standing = 60 * time.Millisecond
+	for name, after := range map[string]time.Duration{"meanwhile": -standing / 2, "shortly after": standing / 2} {
+		accepting, dialling := newTestHub("accepting"), newTestHub("dialling")
+		defer accepting.Close()
+		defer dialling.Close()
+		second := false
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if second {
+				link := accepting.Accepted()[0]
+				time.AfterFunc(standing+after, func() { _ = link.Publish("test.topic", message.NewMessage("", nil)) })
+				time.Sleep(standing)
+			}
+			second = true
+			accepting.ServeHTTP(writer, request)
+		}))
+		defer server.Close()
+		link, err := dialling.Link(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return len(accepting.Accepted()) == 1 }, time.Second, time.Millisecond)
+		first := accepting.Accepted()[0]
+		_, err = dialling.Renew(context.Background(), link)
+		require.ErrorIs(t, err, ErrHeard, name)
+		established, up := dialling.Established(link.Address())
+		assert.True(t, up, name)
+		assert.Same(t, link, established, name)
+		time.Sleep(standing)
+		assert.Equal(t, []*Link{first}, accepting.Accepted(), "the other process keeps it too, %s", name)
+	}
+}
+
 // A link that can't be made anew leaves the present one as it is.
 func TestALinkThatCantBeRenewedStays(t *testing.T) {
 	_, link := connect(t, func(*Hub) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := link.hub.Renew(ctx, link.Address())
+	_, err := link.hub.Renew(ctx, link)
 	require.Error(t, err)
 	established, up := link.hub.Established(link.Address())
 	assert.True(t, up)
