Connections that work speak for those of their server: losses are no silence

Cause: TestLossIsNoSilence gave up 86 connections where 85 are allowed, once in some twenty-five runs. One request that loses two packets in a row looks silent; at two servers within half a second that is a verdict on all, which takes all resting connections along. That connections as old went on bringing answers counted for nothing, though a silence would have struck them too.

Change: a server works if a connection that was open when the silent ones last showed a sign of life has shown one more than 0.1 s after the first unacknowledged byte. Its connections are spared, but for those found silent, and it does not count towards a verdict on all. Two connections to one server that are silent at once remain a verdict on that server.

Of TestAcknowledgedRequestsOutlastLosses the sign of a connection between is moved from 0.1 s to 0.05 s after the losses: after 0.1 s it now shows that the server works, which the new test asks for; all that it asserts is as before.

TestConnectionsThatWorkSpeakForThoseOfTheirServer fails without the question, and without the age.

--- a/coordination/silence/silence.go
+++ b/coordination/silence/silence.go
@@ -32,6 +32,9 @@
 	// serversLeast is at how many servers connections must be silent for those to all
 	// servers to be distrusted: at one, the fault may be the server's or on its way.
 	serversLeast = 2
+	// signLeast is how long after the first unacknowledged byte a sign of an older connection
+	// must have come to show that those of its server work: what had been on its way came before.
+	signLeast = 100 * time.Millisecond
 	// proofLeast is how many silent connections to one server let those that carry other
 	// requests to it be distrusted too.
 	proofLeast = 2
@@ -116,6 +119,9 @@
 	// RestingOnly spares the connections that carry a request, other than the proof: two
 	// packets lost in a row make a single connection look silent.
 	RestingOnly bool
+	// Working are the servers with older connections that have shown signs of life since: what
+	// looks silent there has lost packets. Their connections are spared, but for the proof.
+	Working []string
 	// ByAnswers is set when only bytes of answers count as signs of life: packets were
 	// acknowledged and not passed on. Requests that may not be repeated are spared then and
 	// keep waiting: ending one is a loss for certain, and answers prove less than packets.
@@ -127,7 +133,7 @@
 	if slices.Contains(d.Proof, o.ID) {
 		return true
 	}
-	if (d.Server != "" && d.Server != o.Server) || (d.RestingOnly && o.Waiting) {
+	if (d.Server != "" && d.Server != o.Server) || (d.RestingOnly && o.Waiting) || slices.Contains(d.Working, o.Server) {
 		return false
 	}
 	if o.Waiting && !d.coversCarrying(o) {
@@ -171,16 +177,17 @@
 	resumed time.Duration
 	trials  map[string]*trial
 	// silentAt is when a connection to a server was last found silent, askedAt when its
-	// request had been sent.
+	// request had been sent, signAt when it had last shown a sign of life.
 	silentAt map[string]time.Duration
 	askedAt  map[string]time.Duration
+	signAt   map[string]time.Duration
 	// pruned is when servers that are gone were last forgotten.
 	pruned time.Duration
 }
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{trials: map[string]*trial{}, silentAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}}
+	return &Judge{trials: map[string]*trial{}, silentAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}, signAt: map[string]time.Duration{}}
 }
 
 // Skip stands for a tick at which nothing has been awaited for long, so that there is nothing
@@ -235,16 +242,19 @@
 	j.pruned = now
 	maps.DeleteFunc(j.trials, func(_ string, one *trial) bool { return now-one.seen > memoryTime })
 	maps.DeleteFunc(j.silentAt, func(_ string, at time.Duration) bool { return now-at > memoryTime })
-	maps.DeleteFunc(j.askedAt, func(server string, _ time.Duration) bool {
+	forgotten := func(server string, _ time.Duration) bool {
 		_, known := j.silentAt[server]
 		return !known
-	})
+	}
+	maps.DeleteFunc(j.askedAt, forgotten)
+	maps.DeleteFunc(j.signAt, forgotten)
 }
 
 // judgeUnacknowledged goes by what the kernel tells: bytes that stay unacknowledged on a
 // connection while a later one to the same server came up.
 func (j *Judge) judgeUnacknowledged(now time.Duration, all []Observation, verdict *Verdict) {
 	found := map[string]*Distrust{}
+	signs := map[string]time.Duration{}
 	for _, one := range all {
 		waited := min(one.Unacknowledged, now-j.resumed)
 		if !one.Known || !one.Waiting || waited < UnacknowledgedLimit {
@@ -266,6 +276,7 @@
 		}
 		silent.Before = min(silent.Before, since)
 		silent.Proof = append(silent.Proof, one.ID)
+		signs[one.Server] = max(signs[one.Server], one.lastSign())
 	}
 	if len(found) == 0 {
 		return
@@ -279,25 +290,51 @@
 	common := Distrust{Suspect: suspects}
 	for server, silent := range found {
 		silent.Suspect = suspects
-		j.silentAt[server], j.askedAt[server] = now, silent.Before
+		j.silentAt[server], j.askedAt[server], j.signAt[server] = now, silent.Before, signs[server]
 		silent.RestingOnly = len(silent.Proof) < proofLeast
+		if silent.RestingOnly && works(server, signs[server], silent.Before, all) {
+			silent.Working = []string{server}
+		}
 		verdict.Distrust = append(verdict.Distrust, *silent)
 		common.Proof = append(common.Proof, silent.Proof...)
 	}
 	slices.Sort(common.Proof)
-	servers := 0
+	servers, sign := 0, time.Duration(0)
 	common.Before = now
 	for server, at := range j.silentAt {
-		if now-at <= provenTime {
+		if now-at <= provenTime && !works(server, j.signAt[server], j.askedAt[server], all) {
 			servers++
+			sign = max(sign, j.signAt[server])
 			common.Before = min(common.Before, j.askedAt[server])
 		}
 	}
 	if servers >= serversLeast {
+		common.Working = working(sign, common.Before, all)
 		verdict.Distrust = append(verdict.Distrust, common)
 	}
 }
 
+// works reports whether a connection to a server has shown a sign of life well after a moment, though
+// it was open when the silent ones had last shown one: a silence would have struck it too, other
+// than those made since. Where links lose one packet in twenty, up to 42 connections were given up
+// within 4 s in 20 runs without that question, in which 570 requests were sent.
+func works(server string, opened, moment time.Duration, all []Observation) bool {
+	return slices.ContainsFunc(all, func(o Observation) bool {
+		return o.Server == server && o.Opened <= opened && o.lastSign() >= moment+signLeast
+	})
+}
+
+// working are the servers that work in that sense.
+func working(opened, moment time.Duration, all []Observation) []string {
+	var servers []string
+	for _, one := range all {
+		if !slices.Contains(servers, one.Server) && works(one.Server, opened, moment, all) {
+			servers = append(servers, one.Server)
+		}
+	}
+	return servers
+}
+
 // judgeOverdue goes by the answers alone, where the kernel tells nothing or the packets are
 // acknowledged by somebody who does not pass them on: several servers owe answers on older
 // connections, none of which has brought a byte, and answer on newer ones. Only requests that
--- a/coordination/silence/silence_test.go
+++ b/coordination/silence/silence_test.go
@@ -1,6 +1,7 @@
 package silence
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -289,9 +290,11 @@
 				w.open[id-1].Acknowledged, w.open[id-1].Asked = true, w.now-200*ms
 			}
 			w.open[6].Heard = w.now
-			w.pass(100*ms, 1, 2)
-			w.askAgain(8)
+			w.pass(50*ms, 1, 2)
+			// What had been on its way before the losses: it does not show that the server works.
 			w.open[6].Heard, w.open[6].Packet = w.now, w.now
+			w.pass(50*ms, 1, 2)
+			w.askAgain(8)
 			w.pass(175*ms, 1, 2)
 			for _, server := range servers {
 				w.judge.Connected(server, w.now, true)
@@ -305,6 +308,58 @@
 	}
 }
 
+// coveredByAny reports whether one of some verdicts distrusts a connection.
+func coveredByAny(found []Distrust, o Observation) bool {
+	return slices.ContainsFunc(found, func(one Distrust) bool { return one.Covers(o) })
+}
+
+// Seen: links that lost one packet in twenty had up to 86 connections given up within four
+// seconds. Cause: two connections to two servers that each lost two packets in a row took all
+// resting ones along, though others of their age brought answers.
+//
+// Connections of a server of which an older one has shown a sign of life since are spared, but for
+// those found silent themselves; those of servers without such a sign are not.
+func TestConnectionsThatWorkSpeakForThoseOfTheirServer(t *testing.T) {
+	for name, one := range map[string]struct {
+		working []int
+		// fresh are servers with a connection that was made since those had been heard, and works.
+		fresh []string
+		// covered tells which of the connections 1 to 6 are distrusted: one to a and one to b that
+		// are unacknowledged, resting ones to a, b and c, and a second resting one to c.
+		covered []bool
+	}{
+		"none works":       {nil, nil, []bool{true, true, true, true, true, true}},
+		"fresh ones do":    {nil, []string{"a", "b", "c"}, []bool{true, true, true, true, true, true}},
+		"one to c works":   {[]int{6}, nil, []bool{true, true, true, true, false, false}},
+		"one to a works":   {[]int{3}, nil, []bool{true, true, false, true, false, false}},
+		"those to a and b": {[]int{3, 4}, nil, []bool{true, true, false, false, false, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			for _, server := range []string{"a", "b", "a", "b", "c", "c"} {
+				w.kept(server)
+			}
+			w.pass(2 * tick)
+			w.ask(1)
+			w.ask(2)
+			w.pass(signLeast+tick, 1, 2)
+			for _, id := range one.working {
+				w.open[id-1].Heard = w.now
+			}
+			for _, server := range one.fresh {
+				w.kept(server).Opened = w.open[0].Heard + time.Millisecond
+			}
+			w.pass(UnacknowledgedLimit-signLeast, 1, 2)
+			w.judge.Connected("a", w.now, true)
+			w.judge.Connected("b", w.now, true)
+			found := distrusts(w.pass(tick, 1, 2))
+			for id, distrusted := range one.covered {
+				assert.Equal(t, distrusted, coveredByAny(found, w.open[id]), "connection %d", id+1)
+			}
+		})
+	}
+}
+
 // A server that has not been seen for a minute is forgotten.
 func TestServersThatAreGoneAreForgotten(t *testing.T) {
 	w := newWorld()
@@ -321,4 +376,5 @@
 	assert.Contains(t, w.judge.trials, "b")
 	assert.Empty(t, w.judge.silentAt)
 	assert.Empty(t, w.judge.askedAt)
+	assert.Empty(t, w.judge.signAt)
 }
--- a/internal/forward/silence_judge_test.go
+++ b/internal/forward/silence_judge_test.go
@@ -143,8 +143,9 @@
 		// one packet in 400, and a request is a few.
 		mostAgain = 0.02
 		// mostGivenUp bounds the connections that are given up, by the requests. Two requests that
-		// lose two packets in a row at two servers within half a second take all resting ones
-		// along, each of which costs a new connection: 0 to 0.09 in 15 runs.
+		// lose two packets in a row at one server, or at two within half a second, take resting
+		// ones along where nothing shows that they work, each of which costs a new connection: 0
+		// to 0.04 in 40 runs.
 		mostGivenUp = 0.15
 	)
 	s := startSeparateStandIns(t)
