--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -38,11 +39,18 @@
 	// judgeAfter is how long a replaced link may still bring something until it is counted as
 	// silent; the hub closes it soon after that.
 	judgeAfter = 900 * time.Millisecond
-	// pauseLeast is the time between two looks at the links, which are due each statusPace, after
+	// linkLook is the longest time between two looks at the links, linkLookLeast the shortest:
+	// they are looked at when one is to be probed or renewed.
+	linkLook      = 60 * time.Millisecond
+	linkLookLeast = 10 * time.Millisecond
+	// pauseLeast is the time between two looks at the links, which are due each linkLook, after
 	// which the process itself stood still; resumeTime is what readers are given then to read
 	// what has come meanwhile.
 	pauseLeast = 300 * time.Millisecond
 	resumeTime = 200 * time.Millisecond
+	// stallLeast is the time between two looks after which the process was short of time: twice
+	// linkLook. Probes then have the time for an answer anew.
+	stallLeast = 2 * linkLook
 	// doubtMemory is how long a link that was slow, not silent, is given more time.
 	doubtMemory = 30 * time.Second
 	// entryRecent is the age of its last sign up to which an entry counts as alive that
@@ -67,21 +75,37 @@
 // readers have not read yet: without it all links are dropped after a pause of linkSilence, and
 // their other ends suspected (TestLinksOutlastAPauseOfTheProcess).
 type pause struct {
-	// looked is when the links were last looked at, resumed when the last pause ended.
+	// looked is when the links were last looked at, resumed when the last pause ended, stalled
+	// when the last shorter one did.
 	looked  time.Time
 	resumed time.Time
+	stalled time.Time
 }
 
 // look notes that the links are looked at.
 func (p *pause) look(now time.Time) {
-	if !p.looked.IsZero() && now.Sub(p.looked) > pauseLeast {
-		p.resumed = now
+	if gap := now.Sub(p.looked); !p.looked.IsZero() {
+		if gap > stallLeast {
+			p.stalled = now
+		}
+		if gap > pauseLeast {
+			p.resumed = now
+		}
 	}
 	p.looked = now
 }
 
-// resuming reports whether readers may not have read yet what came during a pause.
-func (p *pause) resuming(now time.Time) bool { return now.Sub(p.resumed) < resumeTime }
+// resuming is for how long readers may still read what came during a pause.
+func (p *pause) resuming(now time.Time) time.Duration { return resumeTime - now.Sub(p.resumed) }
+
+// grantedSince is since when the answer to a probe could be read: later than it was sent if the
+// process was short of time meanwhile.
+func (p *pause) grantedSince(probedAt time.Time) time.Time {
+	if p.stalled.After(probedAt) {
+		return p.stalled
+	}
+	return probedAt
+}
 
 // peerLink is the link to another process, which either of the two has made; both send
 // on it.
@@ -153,6 +177,13 @@
 	*p = fresh
 }
 
+// open begins anew with a link, and has the other process told all soon. The mutex is held.
+func (c *Catalog) open(peer *peerLink, link *peering.Link, accepted bool) {
+	peer.open(link, accepted)
+	c.kickExchange()
+	c.passSoon()
+}
+
 func (p *peerLink) isEntry() bool { return p.link != nil && p.link.Remote().Role == RoleEntry }
 
 func (p *peerLink) zone() string { return p.link.Remote().Zone }
@@ -197,8 +228,7 @@
 	for _, link := range c.options.Hub.Accepted() {
 		remote := link.Remote()
 		if remote.ID == peer.ip && remote.Role == RoleEntry && link.Up() && now.Sub(link.LastHeard()) <= linkSilence {
-			peer.open(link, true)
-			c.kickExchange()
+			c.open(peer, link, true)
 			return
 		}
 	}
@@ -236,7 +266,7 @@
 		}
 		return
 	}
-	broken := now.Sub(peer.link.LastHeard()) > linkSilence && !c.pause.resuming(now)
+	broken := c.broken(peer, now)
 	if peer.lost() || broken || (!wanted && !peer.accepted) {
 		link := peer.link
 		peer.link = nil
@@ -248,6 +278,26 @@
 	}
 }
 
+// broken reports whether a link has been silent for linkSilence and a probe was not answered, while
+// the process had time to read an answer. A sound link to another entry that sends on a link of
+// its own brings answers to probes only: without asking for one, processes that got a third of
+// their time dropped such links, and suspected the other entry. The mutex is held.
+func (c *Catalog) broken(peer *peerLink, now time.Time) bool {
+	if now.Sub(peer.link.LastHeard()) <= linkSilence {
+		return false
+	}
+	peer.probe(now)
+	return now.Sub(c.pause.grantedSince(peer.probedAt)) >= resumeTime
+}
+
+// probe asks for a sign of life, once in a silence.
+func (p *peerLink) probe(now time.Time) {
+	if p.probedAt.Before(p.link.LastHeard()) {
+		p.probedAt = now
+		go p.link.Probe(linkSilence - probeAfter)
+	}
+}
+
 // checkLinks looks after links that have been silent for a short time. Of a link that two entries
 // have made at the same time one is silent and sound, which a probe shows. One that does not
 // answer the probe may be silent for good, or slow, or its other end may stand still: the process
@@ -255,53 +305,61 @@
 // suspected meanwhile. A configuration changed at the beginning of a silence of all connections is
 // in force after 0.7 to 1.0 s by it, instead of 1.3 s; a linkSilence of 0.6 s, which would do the
 // same, broke half as many links again where packets are lost.
-func (c *Catalog) checkLinks(ctx context.Context) {
+// It returns the time until the next look.
+func (c *Catalog) checkLinks(ctx context.Context) time.Duration {
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.pause.look(now)
-	if c.pause.resuming(now) {
-		return
-	}
+	next := linkLook
 	for _, peer := range c.links {
-		if peer.link == nil {
-			continue
-		}
-		c.judgeReplaced(peer, now)
-		heard := peer.link.LastHeard()
-		silent := now.Sub(heard)
-		if silent <= probeAfter {
-			continue
-		}
-		if peer.probedAt.Before(heard) {
-			peer.probedAt = now
-			go peer.link.Probe(linkSilence - probeAfter)
-			continue
-		}
-		if silent > peer.patience && now.Sub(peer.probedAt) >= probeGrace && !peer.accepted && !peer.dialling {
-			peer.dialling = true
-			go c.renew(ctx, peer, peer.address, peer.link)
+		if peer.link != nil {
+			c.judgeReplaced(peer, now)
+			next = min(next, c.checkLink(ctx, peer, now))
 		}
 	}
+	return max(next, linkLookLeast)
+}
+
+// checkLink probes or renews a link if that is due, and returns the time until something is. The
+// mutex is held.
+func (c *Catalog) checkLink(ctx context.Context, peer *peerLink, now time.Time) time.Duration {
+	silent := now.Sub(peer.link.LastHeard())
+	if silent <= probeAfter {
+		return probeAfter - silent
+	}
+	peer.probe(now)
+	if peer.accepted || peer.dialling {
+		return linkLook
+	}
+	answerTime := probeGrace - now.Sub(c.pause.grantedSince(peer.probedAt))
+	if early := max(peer.patience-silent, answerTime, c.pause.resuming(now)); early > 0 {
+		return early
+	}
+	peer.dialling = true
+	go c.renew(ctx, peer, peer.link)
+	return linkLook
 }
 
 // renew makes a link beside one that is silent.
-func (c *Catalog) renew(ctx context.Context, peer *peerLink, address string, silent *peering.Link) {
+func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
 	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	began := time.Now()
-	link, err := c.options.Hub.Renew(dialContext, address)
+	link, err := c.options.Hub.Renew(dialContext, silent)
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	peer.dialling = false
+	if errors.Is(err, peering.ErrHeard) {
+		return
+	}
 	if err != nil {
 		// Whether the other process is gone shows at linkSilence.
 		peer.doubt(now)
 		return
 	}
-	peer.open(link, false)
-	c.kickExchange()
+	c.open(peer, link, false)
 	heard := silent.LastHeard()
 	if heard.After(began) {
 		peer.doubt(now)
@@ -353,11 +411,10 @@
 		c.overlay.Suspect(peer.ip, time.Now())
 		return
 	}
-	peer.open(link, false)
+	c.open(peer, link, false)
 	if remote := link.Remote(); remote.Role == RoleEntry {
 		c.hearEntry(peer.ip, remote.Zone, 0)
 	}
-	c.kickExchange()
 }
 
 // linkOpened takes over a link that another entry has made, unless there is one that this entry
@@ -378,8 +435,7 @@
 		silent := peer.link
 		go func() { _ = silent.Close() }()
 	}
-	peer.open(link, true)
-	c.kickExchange()
+	c.open(peer, link, true)
 }
 
 // pauseAfter is how long a dial waits after it has failed once more than a number of
