--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -261,16 +261,9 @@
 
 // close ends the idle connections and keeps no more.
 func (p *pool) close() {
-	p.mutex.Lock()
-	p.closed = true
-	p.mutex.Unlock()
-	p.drop()
-}
-
-// drop ends the idle connections.
-func (p *pool) drop() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.closed = true
 	for _, idle := range p.idle {
 		idle.close()
 	}
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -9,18 +9,20 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/network"
 )
 
 // Servers end connections that have rested, now and then at the moment when a request goes out on
-// one. Such a request is sent once more over a new connection: to another server, or to the same one
-// if there is no other, or the route allows none; attempts bound the servers that a request is sent
-// to. It says nothing of the server's health, but the next request there goes over a new connection,
-// which does. Taken for a failure of the server, every such request of a route with one attempt or
-// a service with one server was lost, and a few in a row counted against the server
-// (TestRequestsSurviveEndedIdleConnections).
+// one. Such a request is sent once more, to the same server over a new connection. It is no other
+// attempt, because attempts bound the servers that a request is sent to, and says nothing of the
+// server's health. Taken for a failure of the server, every such request of a route with one
+// attempt or a service with one server was lost, and a few of them in a row had the server ejected
+// (TestRequestsSurviveEndedIdleConnections: 0 of 8 were answered there, now all).
 
 // endedWithin is how soon after the send an ended connection shows: one way there and back, between
 // regions too. A server that ends the connection later has been at work on the request.
@@ -97,26 +99,24 @@
 }
 
 // openRenewed opens an exchange, a second time where the server ended a resting connection as the
-// request went out on it and the route allows no other server. The retry budget is drawn on, because
-// the server may have read the request all the same.
+// request went out on it. The retry budget is drawn on, because the server may have read the
+// request all the same.
 func (w *work) openRenewed(ctx context.Context, send fleet.SendHeader, chosen *target, silence silenceJudge) (*exchange, *failure) {
 	started, failed := w.open(ctx, w.request, send, chosen, silence)
-	if failed == nil || failed.reason != fault.ReasonConnectionEnded || ctx.Err() != nil || w.sent < w.request.Route.Attempts {
+	if failed == nil || failed.reason != fault.ReasonConnectionEnded || ctx.Err() != nil {
 		return started, failed
 	}
 	if failed.execution == fault.ExecutionUnknown && !w.takeRetry(w.wanted.Service) {
 		return nil, failed
 	}
+	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
+	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	w.metrics.retries.Inc()
-	w.noteFailedAttempt(chosen, failed, time.Since(w.sentAt))
-	w.distrustResting(chosen)
+	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
+		zap.String("server", chosen.ID), zap.String("reason", string(failed.reason)), zap.String("execution", string(failed.execution)),
+		zap.NamedError("cause", failed.cause), zap.Duration("took", time.Since(w.sentAt)))
+	// What rests at this server besides may have ended too.
+	w.request.freshFrom = w.watch.now()
 	send.Deadline = time.Until(w.request.Deadline)
 	return w.open(ctx, w.request, send, chosen, silence)
 }
-
-// distrustResting has the request use no connection that rests, and others none that rests at the
-// server: these may have ended too, and a new one shows whether the server itself is at fault.
-func (w *work) distrustResting(ended *target) {
-	w.request.freshFrom = w.watch.now()
-	ended.pool.drop()
-}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -349,24 +349,16 @@
 
 // noteFailure logs a failed attempt and draws the conclusion on the server.
 func (w *work) noteFailure(target *target, failed *failure, took time.Duration) {
-	w.noteFailedAttempt(target, failed, took)
-	switch failed.reason {
-	case fault.ReasonConnectionSilent, fault.ReasonOverdue:
-		w.renew(target)
-	case fault.ReasonConnectionEnded:
-		w.renew(target)
-		w.distrustResting(target)
-	}
-	w.observeFailure(target, failed)
-}
-
-// noteFailedAttempt logs and counts a failed attempt, and notes whether it may have run.
-func (w *work) noteFailedAttempt(target *target, failed *failure, took time.Duration) {
 	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
 	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.sent),
 		zap.String("server", target.ID), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
+	switch failed.reason {
+	case fault.ReasonConnectionSilent, fault.ReasonConnectionEnded, fault.ReasonOverdue:
+		w.renew(target)
+	}
+	w.observeFailure(target, failed)
 }
 
 // renew lets the next attempt use the same server again, over a connection that was opened
