--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -105,9 +105,6 @@
 	// ReasonConnectionSilent is why an attempt ended whose connection was found silent or is
 	// distrusted together with others.
 	ReasonConnectionSilent Reason = "connection-silent"
-	// ReasonConnectionEnded is why one ended whose connection had rested and was ended by the
-	// server as the request went out.
-	ReasonConnectionEnded Reason = "connection-ended"
 	// ReasonOverdue is why one ended whose answer took many times as long as usual.
 	ReasonOverdue  Reason = "overdue"
 	ReasonNotReady Reason = "not-ready"
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -63,8 +63,6 @@
 	silence  silenceJudge
 	heardAt  time.Time
 	received atomic.Int64
-	// sentBytes are those of the request that the kernel has taken over.
-	sentBytes atomic.Int64
 	// patience is the least silence after which the answer can be overdue.
 	patience time.Duration
 	// beginning is how long the answer is expected to take to begin.
@@ -84,7 +82,7 @@
 	}
 	c := &connection{net: raw}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
-	c.writer = bufio.NewWriterSize(sentCounter{Conn: raw, sent: c}, writeBufferBytes)
+	c.writer = bufio.NewWriterSize(raw, writeBufferBytes)
 	return c, nil
 }
 
@@ -94,7 +92,6 @@
 	c.ctx, c.deadline, c.silence = ctx, deadline, silence
 	c.heardAt = time.Now()
 	c.received.Store(0)
-	c.sentBytes.Store(0)
 	c.parts = 0
 	if c.watch != nil {
 		c.asked.Store(int64(c.watch.now()))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -107,20 +107,16 @@
 		carrier.close()
 		return nil, &failure{reason: reasonOf(err, fault.ReasonVersionBound), execution: fault.ExecutionNotRun, cause: err}
 	}
-	if failed := carrier.checkUnsent(); failed != nil {
-		carrier.close()
-		return nil, failed
-	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
 	outgoing := f.outgoing(request, send)
 	if err := started.write(outgoing, len(request.Body)); err != nil {
 		started.abort()
-		return nil, carrier.writeFailure(err)
+		return nil, &failure{reason: reasonOf(err, fault.ReasonLinkLost), execution: fault.ExecutionUnknown, cause: err}
 	}
 	if err := started.readHead(f.dialect, outgoing, request.Call.RequestID); err != nil {
 		started.abort()
-		return nil, carrier.headFailure(err)
+		return nil, &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	}
 	f.targets.sawCold(chosen, started.head.ColdFor)
 	return started, nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -291,7 +291,7 @@
 	began := time.Now()
 	w.sentAt = began
 	w.request.usual = w.targets.usualWait(chosen, &w.wanted)
-	started, failed := w.openRenewed(ctx, send, target, w.silence(target, chosen.Version))
+	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.Version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
 	}
@@ -355,7 +355,7 @@
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
 	switch failed.reason {
-	case fault.ReasonConnectionSilent, fault.ReasonConnectionEnded, fault.ReasonOverdue:
+	case fault.ReasonConnectionSilent, fault.ReasonOverdue:
 		w.renew(target)
 	}
 	w.observeFailure(target, failed)
