--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -14,15 +14,9 @@
 	worthwhileService = 1500 * time.Millisecond
 )
 
-// Bounds of changing over to an older version that is here.
-const (
-	// SendsEnd is how long before the bound of a version entries send nothing to a server with it
-	// over a sound link.
-	SendsEnd = time.Second
-	// worthwhileSends is the least time for which the older version must then be sent requests: an
-	// entry hears of the change 0.1 to 0.2 s after it.
-	worthwhileSends = 200 * time.Millisecond
-)
+// sendsEnd is how long before the bound of a version entries send nothing to a server with it over
+// a sound link.
+const sendsEnd = time.Second
 
 // Transfer tells how far a server is with a version.
 type Transfer struct {
@@ -72,7 +66,7 @@
 // day at 99 servers.
 func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
 	olderLeft, comes := older.left()
-	if !comes || inForce-olderLeft-warm-SendsEnd < worthwhileService {
+	if !comes || inForce-olderLeft-warm-sendsEnd < worthwhileService {
 		return false
 	}
 	switch newest.Missing {
@@ -90,15 +84,3 @@
 	}
 	return newestLeft > lastTurn
 }
-
-// ServesOlder decides whether a server changes over to an older version that lies at it whole,
-// while the newest has not come. Older is the time for which it may still begin requests, warm that
-// of taking a version into service. A change that entries have been told of is carried through as
-// long as they may send anything: withdrawn, it would have kept requests away for nothing.
-func ServesOlder(older, warm time.Duration, announced bool) bool {
-	sends := older - warm - SendsEnd
-	if announced {
-		return sends >= 0
-	}
-	return sends >= worthwhileSends
-}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -24,8 +24,6 @@
 	// StepMilliseconds is the published time of a token step; 0 publishes assumedStep, which
 	// is shorter than most tests' EventTime.
 	StepMilliseconds float64
-	// WarmS is the published time of taking weights into service; 0 publishes assumedWarm.
-	WarmS float64
 	// LinkMbps is the link that settings tell of each machine; 0 is 80.
 	LinkMbps float64
 	// Bounds in milliseconds and seconds, as the platform names them.
@@ -67,10 +65,6 @@
 // assumedStep is the published time of a token step in milliseconds where a test sets none.
 const assumedStep = 1.0
 
-// assumedWarm is the published time of taking weights into service in seconds where a test sets
-// none.
-const assumedWarm = 0.05
-
 // assumedLinkMbps is the link of a machine in Mbit/s where a test sets none.
 const assumedLinkMbps = 80.0
 
@@ -289,7 +283,7 @@
 				"coldStartS": s.Options.ColdStartS, "coldPerS": s.Options.ColdPerS, "engine": map[string]any{
 					"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
 					"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
-					"models": []any{map[string]any{"name": w.Model, "warmS": cmp.Or(s.Options.WarmS, assumedWarm)}},
+					"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
 				}},
 			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConnections": 400},
 			map[string]any{"name": OriginService, "origin": s.originAddress(), "linkMbps": 100.0, "maxConnections": 48},
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -225,12 +225,12 @@
 		return current, true
 	}
 	a.mutex.Lock()
-	fallback, announced := a.fallback, a.announcement.Given()
+	fallback := a.fallback
 	a.mutex.Unlock()
 	if fallback == nil || fallback.version() <= serving {
 		return current, false
 	}
 	complete, _ := fallback.state()
 	inForce, bounded := a.inForceFor(fallback.model, fallback.version())
-	return fallback, complete && (!bounded || turnover.ServesOlder(inForce, warm, announced))
+	return fallback, complete && (!bounded || inForce > warm+dueMargin)
 }
