--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -124,25 +124,47 @@
 // a part of the first is ordered, which begins nothing.
 func TestNothingBeginsLateWhenOnlyAVersionBetweenIsHere(t *testing.T) {
 	f := Start(t, lateCancelOptions())
+	late, _ := lateRunsOfTwoVersions(t, f)
+	assert.Empty(t, late, "requests that began on the old version, by the time after its bound")
+	assert.Zero(t, countEvents(f, "PV3114", `"serving":1,`), "servers with version 1 that were left to the entries")
+	f.Site.Origin.SetAway(false)
+	f.Eventually("every server serves version 3", 6*time.Second, func() bool { return f.allServe(3) })
+	for _, run := range f.Site.Ledger.Runs() {
+		assert.False(t, run.Spoilt)
+	}
+}
+
+// VERSION: the same, looked at from the version between. Some servers change over to it in their
+// turn, and what waits there must not begin after its own bound either.
+func TestNothingBeginsLateOnAVersionBetween(t *testing.T) {
+	f := Start(t, lateCancelOptions())
+	_, named := lateRunsOfTwoVersions(t, f)
+	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	var late []time.Duration
+	for _, run := range f.Site.Ledger.Runs() {
+		if run.Service == site.ModelService && run.Version == 2 && run.At.After(bound) {
+			late = append(late, run.At.Sub(bound))
+		}
+	}
+	assert.Empty(t, late, "requests that began on version 2, by the time after its bound")
+}
+
+// lateRunsOfTwoVersions names a third version, which nobody can fetch, as soon as the second is
+// here, and returns what began late on the first and when the third was named.
+func lateRunsOfTwoVersions(t *testing.T, f *Fleet) ([]time.Duration, time.Time) {
 	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
-	named := make(chan struct{})
+	named := make(chan time.Time)
 	go func() {
-		defer close(named)
 		for limit := time.Now().Add(2 * time.Second); time.Now().Before(limit) && countEvents(f, "PV3005", `"version":2`) < 4; {
 			time.Sleep(5 * time.Millisecond)
 		}
 		f.Site.Origin.SetAway(true)
+		now := time.Now()
 		f.Site.NameVersion(3)
+		named <- now
 	}()
 	late, _ := lateRuns(t, f)
-	<-named
-	assert.Empty(t, late, "requests that began on the old version, by the time after its bound")
-	assert.Zero(t, countEvents(f, "PV3114", `"serving":1,`), "servers with version 1 that were left to the entries")
-	f.Site.Origin.SetAway(false)
-	f.Eventually("every server serves version 3", 6*time.Second, func() bool { return f.allServe(3) })
-	for _, run := range f.Site.Ledger.Runs() {
-		assert.False(t, run.Spoilt)
-	}
+	return late, <-named
 }
 
 // VERSION: every connection of the system's processes goes silent when a version is named that
