Trials of mute servers: the usual time is that of answers, not of the server's own delays

Cause: what usually passes until an answer begins was the prediction, with how much later than predicted the server has lately begun others. A server that answers nothing delays every request by its whole patience, so that its trial was given 0.3 to 1.1 s for usual, and evidence counts at four times that and the request is given up at ten times: up to 2.9 s of the 4 s that callers wait were seen, and only the trial of another entry ended them (a trial with an expected 1.085 s would have counted after 4.3 s, its time was 3.95 s). A server that had given an entry no answer had the route's target for usual, 1 s, with the same end. That is how 2 of 1,355 requests ended unknown at their deadline.

Change: a trial goes by what answers took and by the server's load alone. A server without answers to this entry has the usual time of the service's others. A request for which no other attempt would follow, for want of attempts or time, is no trial, as one that may not be repeated is none.

The three new tests of coordination/dispatch were red without the change.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -75,19 +75,43 @@
 func (c *Core) SawFirstEvent(k *Candidate, took time.Duration) { k.answers.sawFirst(took) }
 
 // UsualWait is how long the first byte of an answer usually takes: as the last ones did, or as
-// predicted, whichever is longer.
+// predicted, whichever is longer. What a server on trial has delayed lately does not count: one that
+// answers nothing would have the time of its first victims ten times over, which is more than
+// callers wait.
 func (c *Core) UsualWait(decision Decision, request *Request) time.Duration {
-	answers := &decision.Candidate.answers
-	usual := time.Duration(answers.meanMilliseconds * float64(time.Millisecond))
-	if request.Streaming {
-		usual = answers.firstMean
-	}
-	if usual == 0 {
-		usual = request.Target
+	usual := c.usualAnswer(decision.Candidate, request)
+	if decision.Trial {
+		return max(usual, decision.byLoad)
 	}
 	return max(usual, decision.Expected)
 }
 
+// usualAnswer is how long a server's answers to such requests have taken, or those of the service's
+// others if it has given this entry none, or else the target.
+func (c *Core) usualAnswer(k *Candidate, request *Request) time.Duration {
+	if own := k.answers.usual(request.Streaming); own > 0 {
+		return own
+	}
+	sum, count := time.Duration(0), 0
+	for _, other := range c.byService[request.Service] {
+		if usual := other.answers.usual(request.Streaming); usual > 0 {
+			sum, count = sum+usual, count+1
+		}
+	}
+	if count == 0 {
+		return request.Target
+	}
+	return sum / time.Duration(count)
+}
+
+// usual is how long answers have taken to begin; 0 while there was none.
+func (a *answers) usual(streaming bool) time.Duration {
+	if streaming {
+		return a.firstMean
+	}
+	return time.Duration(a.meanMilliseconds * float64(time.Millisecond))
+}
+
 // Candidates lists the servers of a service.
 func (c *Core) Candidates(service string) []*Candidate { return c.byService[service] }
 
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -47,7 +47,7 @@
 func (c *Core) send(k *Candidate, request *Request, considered int, now time.Time) Decision {
 	decision := Decision{
 		Candidate: k, Considered: considered, Outstanding: k.outstanding(now), Load: c.load(k, request, now),
-		Expected: c.firstEvent(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
+		Expected: c.firstEvent(k, request, now), byLoad: c.byLoad(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
 	}
 	decision.Send = &Send{
 		candidate: k, service: request.Service, engine: request.Engine, target: request.Target,
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -32,7 +32,7 @@
 	case health.Ejected:
 		return unfitEjected
 	case health.OnTrial:
-		if len(request.Tried) > 0 || !c.health.MayTry(k.ID, !request.RunsOnce, c.since(now)) {
+		if len(request.Tried) > 0 || !c.health.MayTry(k.ID, request.repeatable(), c.since(now)) {
 			return unfitOnTrial
 		}
 		return fitForTrial
@@ -44,6 +44,9 @@
 	return Fit
 }
 
+// repeatable reports whether another attempt would follow one that fails.
+func (r *Request) repeatable() bool { return !r.RunsOnce && !r.LastAttempt }
+
 // byHealth are the servers that a request may be sent to but for their health, by what that says.
 type byHealth struct {
 	fit, suspect, forTrial, onTrial, ejected []*Candidate
--- a/coordination/dispatch/health_trial_test.go
+++ b/coordination/dispatch/health_trial_test.go
@@ -77,3 +77,55 @@
 	s.hear("b1", 0, Word{Version: 1})
 	s.served(s.request(), "a1")
 }
+
+// What a server that answers nothing has cost before is not what is usual at its trial: a request of
+// 4 s would wait there for its whole time.
+func TestTrialDoesNotWaitForWhatAMuteServerHasTaken(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+	mute := s.candidate("a1")
+	for range 10 {
+		s.core.SawFirstEvent(mute, 20*time.Millisecond)
+	}
+	waiting := s.goesTo(s.request(), "a1")
+	s.at(time.Second)
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+	s.core.PromptRead(waiting.Send, false, s.now)
+	s.core.Release(waiting.Send)
+	eject(s.core, mute, s.now)
+	s.at(time.Second + ejectTime)
+	request := s.request()
+	trial := s.goesTo(request, "a1")
+	assert.True(t, trial.Trial)
+	assert.Greater(t, trial.Expected, 400*time.Millisecond)
+	assert.Less(t, s.core.UsualWait(trial, request), 100*time.Millisecond)
+}
+
+// A request that would be lost at a server that fails is no trial, as long as others come.
+func TestLastAttemptIsNoTrial(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+	eject(s.core, s.candidate("a1"), s.now)
+	s.at(ejectTime)
+	last := s.request()
+	last.LastAttempt = true
+	s.served(last, "a2")
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
+// A server that has given this entry no answer has the time that those of the others take.
+func TestUsualTimeOfAServerWithoutAnswers(t *testing.T) {
+	s := newScript(t, "a1", "a2", "a3")
+	streaming, whole := s.request(), s.request()
+	whole.Streaming = false
+	assert.Equal(t, streaming.Target, s.core.UsualWait(Decision{Candidate: s.candidate("a1")}, streaming))
+	for _, id := range []string{"a2", "a3"} {
+		s.core.SawFirstEvent(s.candidate(id), 20*time.Millisecond)
+		s.core.SawWhole(s.candidate(id), 30*time.Millisecond)
+	}
+	assert.Equal(t, 20*time.Millisecond, s.core.UsualWait(Decision{Candidate: s.candidate("a1")}, streaming))
+	assert.Equal(t, 30*time.Millisecond, s.core.UsualWait(Decision{Candidate: s.candidate("a1")}, whole))
+}
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -106,6 +106,9 @@
 	Streaming bool
 	// RunsOnce is set when the request must not be run twice.
 	RunsOnce bool
+	// LastAttempt is set when no other attempt would follow one that fails, for want of time or
+	// of attempts.
+	LastAttempt bool
 	// Others is how many other entries may be sending to the service's servers.
 	Others int
 	// Prompt and Answer are sizes in tokens.
@@ -159,6 +162,8 @@
 	Considered int
 	// Expected is the predicted time until the request begins to be answered.
 	Expected time.Duration
+	// byLoad is the part of it that the server's load explains.
+	byLoad time.Duration
 	// Version is the one that the server is known to have; 0 when none is.
 	Version uint64
 	// Trial is set when the request is to show whether a server that was ejected serves again.
--- a/coordination/dispatch/prediction.go
+++ b/coordination/dispatch/prediction.go
@@ -74,9 +74,19 @@
 // firstEvent predicts when the server would begin the request: what its load
 // says, and how much later than that it has lately begun others.
 func (c *Core) firstEvent(k *Candidate, request *Request, now time.Time) time.Duration {
+	return c.byLoad(k, request, now) + c.delay(k, now)
+}
+
+// byLoad is when the server would begin the request by its load alone.
+func (c *Core) byLoad(k *Candidate, request *Request, now time.Time) time.Duration {
+	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt)
+}
+
+// delay is how much later than that the server has lately begun others, or the time of its link.
+func (c *Core) delay(k *Candidate, now time.Time) time.Duration {
 	late := time.Duration(c.policy.Lateness * float64(k.lateBy(now)))
 	if k.word.current(now) {
 		late = max(late, k.word.Link)
 	}
-	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt) + late
+	return late
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -266,6 +266,7 @@
 func (w *work) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
 	w.bindVersion()
 	w.bindResidency()
+	w.wanted.LastAttempt = w.lastAttempt()
 	w.askLoads(ctx)
 	chosen, refusal := w.choose()
 	if refusal != nil {
@@ -432,6 +433,12 @@
 	return false
 }
 
+// lastAttempt reports whether no other attempt would follow the next one if that fails, or waits for
+// an answer until it is overdue: such a request is not sent to a server to find out whether it serves.
+func (w *work) lastAttempt() bool {
+	return w.sent+1 >= w.request.Route.Attempts || time.Until(w.request.Deadline) < 2*patienceOf(w.request.Route)
+}
+
 // minimumTime is the least time for which an attempt is worth while.
 const minimumTime = 30 * time.Millisecond
 
--- a/internal/forward/health_trial_test.go
+++ b/internal/forward/health_trial_test.go
@@ -96,3 +96,20 @@
 	assert.Zero(t, refused)
 	assert.Equal(t, health.InOrder.String(), f.state("i-0"))
 }
+
+// A request for which no other attempt would follow is no trial.
+func TestTrialsLeaveTimeForAnotherAttempt(t *testing.T) {
+	for name, one := range map[string]struct {
+		attempts, sent int
+		left           time.Duration
+		last           bool
+	}{
+		"both":     {attempts: 2, left: 4 * time.Second},
+		"attempts": {attempts: 1, left: 4 * time.Second, last: true},
+		"sent":     {attempts: 2, sent: 1, left: 4 * time.Second, last: true},
+		"time":     {attempts: 2, left: 2*streamPatience - time.Millisecond, last: true},
+	} {
+		w := &work{request: &Request{Route: &fleet.Route{Kind: fleet.Streaming, Attempts: one.attempts}, Deadline: time.Now().Add(one.left)}, sent: one.sent}
+		assert.Equal(t, one.last, w.lastAttempt(), name)
+	}
+}
