The catalog is told and asked of servers' health without the forwarder's mutex

Cause: news of servers' health were told, and the entries of the zone and of the fleet asked for, with the mutex of the set of servers held. The catalog has a mutex of its own, which is held while it works through what agents and entries tell; every request would wait for that.

Change: words are kept in their order and told once the mutex is free, by whoever has found them out; a mutex of their own keeps the order. Which entries there are is asked for between two holds of the mutex, the second of which covers the decision, so that it goes by what was asked for as before.

--- a/internal/forward/asking.go
+++ b/internal/forward/asking.go
@@ -68,10 +68,8 @@
 
 // toAsk picks the servers whose agents to ask, without those that were asked before.
 func (t *targets) toAsk(wanted *dispatch.Request, before []*dispatch.Candidate) []*dispatch.Candidate {
-	t.mutex.Lock()
+	now := t.lockWithMembers()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	t.tellEntries(now)
 	return t.core.ToAsk(wanted, before, now)
 }
 
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -33,11 +33,9 @@
 // choose picks the server for a request and counts the request as in flight. A
 // refusal is proof that nothing was sent.
 func (t *targets) choose(w *work) (choice, *fault.Refusal) {
-	t.mutex.Lock()
+	defer t.tellZone()
+	now := t.lockWithMembers()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	t.tellEntries(now)
-	t.tellZone(now)
 	decision, refusal := t.core.Choose(&w.wanted, now)
 	if refusal != nil {
 		t.logRefusal(w, refusal)
@@ -50,11 +48,37 @@
 	return choice{Decision: decision, target: t.targetOf(decision.Candidate)}, nil
 }
 
-// tellEntries tells the decisions which other entries are known; the mutex is held.
-func (t *targets) tellEntries(now time.Time) {
-	if t.entries != nil && t.core.EntriesDue(now) {
-		t.core.TakeEntries(t.entries(), now)
+// lockWithMembers takes the mutex for a decision at the time returned, after the decisions were told
+// which other entries there are where that is due. It does not hold the mutex while it asks for them:
+// who knows them has a mutex of its own, which is held while it works through what all agents tell.
+func (t *targets) lockWithMembers() time.Time {
+	t.mutex.Lock()
+	now := time.Now()
+	entriesDue, zoneDue := t.entries != nil && t.core.EntriesDue(now), t.zoneDue(now)
+	if !entriesDue && !zoneDue {
+		return now
+	}
+	if zoneDue {
+		// Set at once, so that one request looks and others go on.
+		t.health.lookedAt = now
+	}
+	t.mutex.Unlock()
+	var entries, zone []string
+	if entriesDue {
+		entries = t.entries()
+	}
+	if zoneDue {
+		zone = t.health.source.ZoneEntries()
+	}
+	t.mutex.Lock()
+	now = time.Now()
+	if entriesDue {
+		t.core.TakeEntries(entries, now)
+	}
+	if zoneDue {
+		t.core.TakeZone(zone)
 	}
+	return now
 }
 
 // logRefusal logs why no server was chosen: how many servers fall out for which
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,11 +33,17 @@
 	ZoneEntries() []string
 }
 
-// healthReporter tells of servers' health; the mutex of the set of servers guards it.
+// healthReporter tells of servers' health; the mutex of the set of servers guards it but for what is
+// said otherwise.
 type healthReporter struct {
 	// source is nil in an entry that shares nothing.
 	source   HealthSource
 	lookedAt time.Time
+	// words are those that the source is still to be told, untold whether there are any.
+	words  []health.Word
+	untold atomic.Bool
+	// telling keeps the words in their order; it is taken before the mutex of the servers.
+	telling sync.Mutex
 
 	ejections *prometheus.CounterVec
 	trials    prometheus.Counter
@@ -47,7 +55,7 @@
 		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_server_ejections_total", Help: "Ejections of servers, by what decided them; told: another entry of the zone."}, []string{"by"}),
 		trials: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "pinevane_server_trials_total", Help: "Requests sent to ejected servers on trial."}),
+			Name: "pinevane_server_trials_total", Help: "Requests sent on trial to servers that were ejected, or that their agents do not reach."}),
 	}
 }
 
@@ -65,12 +73,9 @@
 // zonePeriod is how often the entries of the zone are looked through.
 const zonePeriod = 250 * time.Millisecond
 
-// tellZone tells the decisions which entries take turns with trials; the mutex is held.
-func (t *targets) tellZone(now time.Time) {
-	if t.health.source != nil && now.Sub(t.health.lookedAt) >= zonePeriod {
-		t.health.lookedAt = now
-		t.core.TakeZone(t.health.source.ZoneEntries())
-	}
+// zoneDue reports whether the entries of the zone are to be looked through; the mutex is held.
+func (t *targets) zoneDue(now time.Time) bool {
+	return t.health.source != nil && now.Sub(t.health.lookedAt) >= zonePeriod
 }
 
 // noteTrial logs and counts a request that is the trial of its server; the mutex is held.
@@ -80,16 +85,39 @@
 	t.reportHealth()
 }
 
-// reportHealth logs and counts what has changed with servers' health, and has the zone told; the
-// mutex is held.
+// reportHealth logs and counts what has changed with servers' health, and keeps what the zone is to
+// be told; the mutex is held.
 func (t *targets) reportHealth() {
 	news := t.core.TakeHealthNews()
 	for _, change := range news.Changes {
 		t.logHealth(change)
 	}
 	if t.health.source != nil && len(news.Words) > 0 {
-		t.health.source.TellHealth(news.Words)
+		t.health.words = append(t.health.words, news.Words...)
+		t.health.untold.Store(true)
+	}
+}
+
+// tellZone has the zone told what was found out. The mutex is not held: the source has one of its own,
+// which is held while it works through what thousands of agents tell.
+func (t *targets) tellZone() {
+	if !t.health.untold.Load() {
+		return
 	}
+	t.health.telling.Lock()
+	defer t.health.telling.Unlock()
+	if words := t.takeWords(); len(words) > 0 {
+		t.health.source.TellHealth(words)
+	}
+}
+
+func (t *targets) takeWords() []health.Word {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	words := t.health.words
+	t.health.words = nil
+	t.health.untold.Store(false)
+	return words
 }
 
 func (t *targets) logHealth(change health.Change) {
@@ -109,6 +137,7 @@
 // HearHealth takes in what another entry of the zone has said of a server, and when.
 func (f *Forwarder) HearHealth(word health.Word, at time.Time) {
 	t := f.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.core.HearHealth(word, at, time.Now())
@@ -118,6 +147,7 @@
 // observe notes what the present attempt has shown of its server.
 func (w *work) observe(k *target, outcome health.Outcome) {
 	t := w.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.core.Observe(k.Candidate, dispatch.Outcome{
@@ -184,6 +214,7 @@
 // endTrial notes that an attempt has ended that says nothing of its server.
 func (w *work) endTrial() {
 	t := w.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.core.EndTrial(w.placed, time.Now())
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -57,6 +57,7 @@
 
 // update takes over a new list of servers.
 func (t *targets) update(view *catalog.View) {
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if view.Configuration != t.view.Configuration {
