A server that only its agent does not reach is tried, and its answers hold in the zone

Cause: only answers that came after an agent lost its server outweigh it. Where nothing was under way there, none came, and nothing tried such a server; the proof lapsed after 2 s and was not shared.

Change: such a server is lost: one repeatable request of the zone tries it, the entries taking turns, 0.25 s after the loss or the last answer, then at pauses that grow with the time without an answer from 1.5 to 8 s, and at most one for 20 attempts of an entry at the service. Entries tell each other the ages of their last answer (twice a second at the most) and of their last trial; the newer counts. A failed trial ejects nobody, so that lost servers take no places of those that may be ejected; its request has the usual time.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -83,7 +83,7 @@
 	if len(usable) <= sampleSize {
 		return usable
 	}
-	c.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	c.mix(usable)
 	near, far := make([]*Candidate, 0, len(usable)), make([]*Candidate, 0, len(usable))
 	for _, candidate := range usable {
 		if candidate.Zone == c.zone {
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -56,7 +56,7 @@
 	version := k.servedVersion(now)
 	if k.word.current(now) {
 		switch {
-		case !c.reachable(k, now):
+		case c.lost(k, now) && !c.mayTryLost(k, request, now):
 			return unfitUnreachable
 		case k.word.SwitchPlanned && k.word.untilSwitch(now) < switchMargin:
 			return unfitChanging
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -28,6 +28,10 @@
 
 // healthFitness returns whether a server's health lets it be sent a request.
 func (c *Core) healthFitness(k *Candidate, request *Request, now time.Time) Fitness {
+	if c.lost(k, now) {
+		// It was left out before but for its trial.
+		return fitForTrial
+	}
 	switch c.health.State(k.ID, c.since(now)) {
 	case health.Ejected:
 		return unfitEjected
@@ -72,6 +76,10 @@
 // would begin there in time, or else those in order, suspect ones only when there is no other, and
 // ejected ones only when there is none of these.
 func (c *Core) pickByHealth(candidates *byHealth, request *Request, now time.Time) []*Candidate {
+	if len(candidates.forTrial) > 1 {
+		// Where trials are rare, none is passed over for those before it on the list.
+		c.mix(candidates.forTrial)
+	}
 	for _, one := range candidates.forTrial {
 		limit := c.refusalLimit(request, now)
 		if limit <= 0 || one.hasFreePlace(request) || c.firstEvent(one, request, now) <= limit {
@@ -86,6 +94,11 @@
 	return candidates.ejected
 }
 
+// mix puts servers in a random order.
+func (c *Core) mix(servers []*Candidate) {
+	c.shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+}
+
 // healthCost is what a server's health weighs in the choice.
 func (c *Core) healthCost(k *Candidate, now time.Time) time.Duration {
 	if c.health.State(k.ID, c.since(now)) == health.Suspect {
@@ -96,13 +109,24 @@
 
 // beginTrial notes that a request is being sent to a server on trial, and reports whether it is.
 func (c *Core) beginTrial(k *Candidate, now time.Time) bool {
+	if c.lost(k, now) {
+		c.health.BeginLostTrial(k.ID, c.since(now))
+		return true
+	}
 	return c.health.BeginTrial(k.ID, c.since(now))
 }
 
-// reachable reports whether a server that has an agent's word is to be counted as reachable: its
-// own answers outweigh an agent that does not reach it, if they have come since that lost it.
-func (c *Core) reachable(k *Candidate, now time.Time) bool {
-	return k.word.Reachable || c.health.Proven(k.ID, c.since(k.word.lostAt), c.since(now))
+// lost reports whether the agent beside a server does not reach it, and no answer outweighs that.
+func (c *Core) lost(k *Candidate, now time.Time) bool {
+	return k.word.current(now) && !k.word.Reachable && !c.health.Proven(k.ID, c.since(k.word.lostAt), c.since(now))
+}
+
+// mayTryLost reports whether a request may be the trial of a lost server.
+func (c *Core) mayTryLost(k *Candidate, request *Request, now time.Time) bool {
+	if !request.repeatable() || len(request.Tried) > 0 || k.word.lostAt.IsZero() {
+		return false
+	}
+	return c.health.MayTryLost(k.ID, c.since(k.word.lostAt), c.since(now))
 }
 
 // updateHealth takes over which servers there are.
@@ -157,6 +181,7 @@
 	}
 	c.noteHealth(c.health.Observe(health.Attempt{
 		Server: k.ID, Class: outcome.Class, Outcome: outcome.Outcome, Sent: c.since(outcome.SentAt), Repeated: outcome.Repeated,
+		Lost: k.word.current(now) && !k.word.Reachable, LostAt: c.since(k.word.lostAt),
 	}, c.since(now)))
 }
 
--- /dev/null
+++ b/coordination/dispatch/lost_test.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/health"
+)
+
+// attemptsBefore is how many attempts an entry sees at least before it tries a lost server.
+const attemptsBefore = 20
+
+// answersOf tells that a server has served some attempts.
+func (s *script) answersOf(id string, count int) {
+	for range count {
+		s.core.Observe(s.candidate(id), Outcome{Outcome: health.Served, SentAt: s.now}, s.now)
+	}
+}
+
+// agents has the agent of a1 say that it does not reach its server, and that of a2 that it does.
+func (s *script) agents() {
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+}
+
+// lostScript is a script of two servers, of which the agent of a1 has lost its own after that
+// answered, with nothing under way there.
+func lostScript(t *testing.T) *script {
+	s := newScript(t, "a1", "a2")
+	s.hear("a1", 0, Word{Version: 1})
+	s.hear("a2", 0, Word{Version: 1, Running: 8})
+	s.answersOf("a1", attemptsBefore)
+	s.at(10 * time.Millisecond)
+	s.agents()
+	return s
+}
+
+// A server that only its agent does not reach returns by one request that may be repeated, on its
+// first attempt; its answers keep it in use.
+func TestLostServerReturnsByATrial(t *testing.T) {
+	s := lostScript(t)
+	s.served(s.request(), "a2") // What is under way may show first whether it serves.
+	s.at(300 * time.Millisecond)
+	s.agents()
+	once, again := s.request(), s.request()
+	once.RunsOnce = true
+	s.served(once, "a2")
+	again.Tried = []*Candidate{s.candidate("a1")}
+	s.served(again, "a2")
+	trial := s.goesTo(s.request(), "a1")
+	assert.True(t, trial.Trial)
+	s.served(s.request(), "a2")
+	s.answersOf("a1", 1)
+	s.ends(trial)
+	for after := 400 * time.Millisecond; after < 5*time.Second; after += 500 * time.Millisecond {
+		s.at(after)
+		s.agents()
+		once = s.request()
+		once.RunsOnce = true
+		open := s.goesTo(once, "a1")
+		assert.False(t, open.Trial)
+		s.answersOf("a1", 1)
+		s.ends(open)
+	}
+}
+
+// An agent that loses the server after its last answer puts it back on trial.
+func TestLossAfterTheLastAnswerIsTriedAgain(t *testing.T) {
+	s := lostScript(t)
+	s.at(100 * time.Millisecond)
+	s.answersOf("a1", 1)
+	s.served(s.request(), "a1")
+	s.hear("a1", 0, Word{Version: 1})
+	s.at(110 * time.Millisecond)
+	s.agents()
+	s.served(s.request(), "a2")
+	s.answersOf("a2", attemptsBefore)
+	s.at(400 * time.Millisecond)
+	s.agents()
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
+// A proof without a new answer holds for two seconds; then the server is on trial at once.
+func TestProofOfALostServerAges(t *testing.T) {
+	s := lostScript(t)
+	s.at(100 * time.Millisecond)
+	s.answersOf("a1", 1)
+	s.at(2050 * time.Millisecond)
+	s.agents()
+	assert.False(t, s.goesTo(s.request(), "a1").Trial)
+	s.at(2150 * time.Millisecond)
+	s.agents()
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
+// What is sent to a lost server as its trial has the usual time; what was sent before is given up
+// soon.
+func TestTrialOfALostServerHasTheUsualTime(t *testing.T) {
+	s := lostScript(t)
+	before := s.now.Add(-time.Millisecond)
+	s.at(300 * time.Millisecond)
+	s.agents()
+	s.goesTo(s.request(), "a1")
+	assert.True(t, s.core.Suspect(s.candidate("a1"), before, s.now))
+	assert.False(t, s.core.Suspect(s.candidate("a1"), s.now, s.now))
+}
+
+// A lost server that does not answer is never sent a request for want of others, nor tried while
+// it is ejected.
+func TestLostServerIsNoLastResort(t *testing.T) {
+	s := lostScript(t)
+	s.at(300 * time.Millisecond)
+	s.agents()
+	eject(s.core, s.candidate("a1"), s.now)
+	failed := s.request()
+	failed.Tried = []*Candidate{s.candidate("a2")}
+	assert.Equal(t, 1, s.refused(failed, RefusedNoServer).Servers[unfitUnreachable])
+	s.served(s.request(), "a2")
+	s.at(300*time.Millisecond + ejectTime)
+	s.agents()
+	assert.Equal(t, 1, s.refused(failed, RefusedNoServer).Servers[unfitUnreachable])
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
+// What an agent counted before it lost its server says nothing of the load there now: that is taken
+// from the entry's own requests, and others are assumed to have as many each.
+func TestLoadOfALostServer(t *testing.T) {
+	s := lostScript(t)
+	s.at(50 * time.Millisecond)
+	s.answersOf("a1", 1)
+	s.core.TakeWord(Word{Address: "a1:1", Version: 1, Running: 14, Waiting: 3}, s.now)
+	request := s.request()
+	request.Others = 19
+	assert.Zero(t, s.core.load(s.candidate("a1"), request, s.now).Running)
+	first := s.goesTo(request, "a1")
+	s.core.PromptRead(first.Send, true, s.now)
+	assert.Equal(t, 20, s.core.load(s.candidate("a1"), request, s.now).Running)
+	s.served(request, "a2")
+	s.core.Release(first.Send)
+	s.served(request, "a1")
+}
--- a/coordination/dispatch/prediction.go
+++ b/coordination/dispatch/prediction.go
@@ -17,6 +17,9 @@
 	if !k.word.current(now) {
 		return load
 	}
+	if !k.word.Reachable {
+		return c.assumed(load, request)
+	}
 	word := &k.word
 	othersWaiting := max(0, word.Waiting-word.seen.unread)
 	load.Waiting += othersWaiting
@@ -33,6 +36,16 @@
 	return load
 }
 
+// assumed is the load of a server that its agent does not reach: what that has counted is from before,
+// and each other entry is taken to have as much there as this one.
+func (c *Core) assumed(own balance.Load, request *Request) balance.Load {
+	factor := 1 + c.policy.UnseenLoad*float64(request.Others)
+	own.Running = int(math.Round(factor * float64(own.Running)))
+	own.Waiting = int(math.Round(factor * float64(own.Waiting)))
+	own.Unread *= factor
+	return own
+}
+
 // addUnseen adds what other entries may have sent since the agent's word: as much each
 // as this one has. A server that has just become idle draws all entries at the same
 // time, and none sees the others' requests before the next word.
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -96,7 +96,8 @@
 // Suspect reports whether there is evidence against a server beside its own silence, for a request
 // that was sent there at a time.
 func (c *Core) Suspect(k *Candidate, sentAt, now time.Time) bool {
-	return k.word.silent(now) || (k.word.current(now) && !c.reachable(k, now)) ||
+	onTrial := c.health.OnLostTrial(k.ID, c.since(sentAt), c.since(k.word.lostAt))
+	return k.word.silent(now) || (c.lost(k, now) && !onTrial) ||
 		(c.health.Mute(k.ID, c.since(sentAt)) && c.hasOther(k, now))
 }
 
@@ -110,7 +111,7 @@
 
 // outstanding estimates how many requests the server holds.
 func (k *Candidate) outstanding(now time.Time) int {
-	if !k.word.current(now) {
+	if !k.word.current(now) || !k.word.Reachable {
 		return k.sends.inFlight
 	}
 	others := max(0, k.word.Running+k.word.Waiting-k.word.seen.inFlight)
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -48,8 +48,6 @@
 	// trialPatience is how long a server waits for a trial by a request that may be repeated;
 	// after that any request is one, so that a server with no such requests returns too.
 	trialPatience = 4 * time.Second
-	// provenTime is for how long an answer outweighs what is said of a server.
-	provenTime = 2 * time.Second
 )
 
 // longAgo is before anything that another entry may have found out: a process that starts hears
@@ -79,6 +77,9 @@
 	Sent time.Duration
 	// Repeated is set when the same request had failed elsewhere before.
 	Repeated bool
+	// Lost is set when the agent beside the server does not reach it now, LostAt since when.
+	Lost   bool
+	LostAt time.Duration
 }
 
 // Change is a change of a server's state that an attempt or a word has brought.
@@ -99,6 +100,8 @@
 type service struct {
 	servers []string
 	classes map[string]*rates
+	// sinceLostTrial counts this entry's attempts since it has last tried a lost server.
+	sinceLostTrial int
 }
 
 // record is what is known of one server.
@@ -113,6 +116,7 @@
 	served   []time.Duration
 	servedAt time.Duration
 	failedAt time.Duration
+	lost     lostRecord
 
 	ejected bool
 	// by is the entry that has ejected the server; empty for this one.
@@ -128,10 +132,7 @@
 	trialAt   time.Duration
 	trialOpen bool
 	ownTrial  bool
-	// turns is the order of the zone's entries in trials of the round turnsOf, kept because each
-	// request asks for it; nil when the zone has changed.
-	turns   []string
-	turnsOf int
+	turns     turns
 }
 
 // Tracker holds the health of all servers for one entry. It is not safe for concurrent use.
@@ -180,13 +181,14 @@
 // Renew forgets a server whose name another one has: what was found out before now does not hold.
 func (t *Tracker) Renew(server string, now time.Duration) {
 	if held := t.servers[server]; held != nil {
-		t.servers[server] = newRecord(held.service)
-		t.servers[server].changedAt = now
+		fresh := newRecord(held.service)
+		fresh.changedAt, fresh.lost.renewedAt = now, now
+		t.servers[server] = fresh
 	}
 }
 
 func newRecord(service string) *record {
-	return &record{service: service, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo}
+	return &record{service: service, classes: map[string]*rates{}, hints: map[string]hint{}, changedAt: longAgo, servedAt: longAgo, failedAt: longAgo, lost: newLostRecord()}
 }
 
 // SetMembers takes over which other entries the zone has; they take turns with trials.
@@ -199,7 +201,7 @@
 	}
 	t.members = members
 	for _, held := range t.servers {
-		held.turns = nil
+		held.turns, held.lost.turns = turns{}, turns{}
 	}
 }
 
@@ -219,13 +221,6 @@
 	return InOrder
 }
 
-// Proven reports whether a server has served an attempt lately, after it was said not to be
-// reached, and failed none since. That outweighs what its health check or its agent says.
-func (t *Tracker) Proven(server string, lostAt, now time.Duration) bool {
-	held := t.servers[server]
-	return held != nil && !held.ejected && held.servedAt > max(held.failedAt, lostAt) && now-held.servedAt <= provenTime
-}
-
 // Mute reports whether a server is out because it answers nothing, and was ejected after a request
 // was sent there, so that this need not wait on. A request sent later is the server's trial, or
 // has no other server: it has the usual time, or a service that is slow would never return.
@@ -255,6 +250,7 @@
 	all.forget(now)
 	own.forget(now)
 	weight := weightOf(all, own, attempt.Outcome, attempt.Repeated)
+	t.services[held.service].sinceLostTrial++
 	if !held.ejected {
 		all.add(attempt.Outcome, now)
 		own.add(attempt.Outcome, now)
@@ -296,15 +292,18 @@
 		return Change{}, false
 	}
 	held.weigh(weight, now)
-	held.servedAt = now
+	held.servedAt, held.lost.answeredAt = now, now
 	held.served = append(held.served, attempt.Sent)
 	if len(held.served) > recentServed {
 		held.served = held.served[1:]
 	}
 	held.forgive(now)
 	if !held.ejected {
-		if held.failurePeriodLasts(now) && attempt.Sent > held.failurePeriod.began {
+		counts := held.failurePeriodLasts(now) && attempt.Sent > held.failurePeriod.began
+		if counts {
 			held.failurePeriod.count(false, now)
+		}
+		if counts || held.provesAnew(attempt, now) {
 			t.tell(attempt.Server, held, now)
 		}
 		return Change{}, false
@@ -349,7 +348,10 @@
 		t.tell(attempt.Server, held, now)
 		return Change{}, false
 	}
-	if !held.ejected && !t.convicts(held, attempt.Outcome, now) {
+	onLostTrial := attempt.Lost && held.onLostTrial(attempt.Sent, attempt.LostAt)
+	if !held.ejected && (onLostTrial || !t.convicts(held, attempt.Outcome, now)) {
+		// A lost server that fails its trial is sent nothing anyhow; ejected, it would take the place
+		// of another one that may be.
 		if held.against(now) >= suspectAt {
 			t.tell(attempt.Server, held, now)
 		}
--- a/coordination/health/limits.go
+++ b/coordination/health/limits.go
@@ -42,6 +42,8 @@
 		{"since", w.Since, 0 <= w.Since && w.Since <= LongestSpan},
 		{"changed", w.Changed, 0 <= w.Changed && w.Changed <= LongestSpan},
 		{"left", w.Left, -LongestSpan <= w.Left && w.Left <= longestEjection},
+		{"answered", w.Answered, 0 <= w.Answered && w.Answered <= LongestSpan},
+		{"tried", w.Tried, 0 <= w.Tried && w.Tried <= LongestSpan},
 		{"round", w.Round, leastRound <= w.Round && w.Round <= maximumRounds},
 		{"evidence", w.Evidence, 0 <= w.Evidence && w.Evidence <= evidenceCap},
 		{"failed", w.Failed, 0 <= w.Failed && w.Failed <= mostCounted},
@@ -57,6 +59,7 @@
 // limited is a word within its bounds, whatever the caller has checked.
 func (w Word) limited() Word {
 	w.Since, w.Changed = clamp(w.Since, 0, LongestSpan), clamp(w.Changed, 0, LongestSpan)
+	w.Answered, w.Tried = clamp(w.Answered, 0, LongestSpan), clamp(w.Tried, 0, LongestSpan)
 	w.Left = clamp(w.Left, -LongestSpan, longestEjection)
 	w.Round = min(max(w.Round, 0), maximumRounds)
 	if w.Ejected {
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -47,6 +47,10 @@
 	Trying bool
 	// Mute servers answer nothing.
 	Mute bool
+	// Answered is the age of the last answer of the server to the entry, Tried that of the entry's
+	// last trial of it as a lost one; 0 if there was none lately.
+	Answered time.Duration
+	Tried    time.Duration
 }
 
 // hint is another entry's evidence.
@@ -63,8 +67,9 @@
 		Failed: held.failurePeriod.failed, Served: held.failurePeriod.served,
 		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
 		Since: now - held.failurePeriod.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
-		Trying: held.trialOpen, Mute: held.mute,
+		Trying: held.trialOpen, Mute: held.mute, Answered: lately(held.servedAt, now), Tried: lately(held.lost.ownTrialAt, now),
 	})
+	held.lost.toldAt = max(held.lost.toldAt, held.servedAt)
 }
 
 // TakeWords returns what the other entries are to be told since the last call.
@@ -85,6 +90,10 @@
 		t.keepEarly(earlyWord{word: word, at: at})
 		return Change{}, false
 	}
+	held.hearLost(word, at)
+	if word.onlyProof() {
+		return Change{}, false
+	}
 	changedAt := at - word.Changed
 	switch {
 	case word.Ejected:
--- a/coordination/health/words_test.go
+++ b/coordination/health/words_test.go
@@ -312,6 +312,8 @@
 		"evidence": func(w *Word) { w.Evidence = math.NaN() },
 		"failed":   func(w *Word) { w.Failed = math.Inf(1) },
 		"served":   func(w *Word) { w.Served = -1 },
+		"answered": func(w *Word) { w.Answered = -1 },
+		"tried":    func(w *Word) { w.Tried = LongestSpan + 1 },
 	} {
 		word := sound
 		spoil(&word)
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -43,6 +43,9 @@
 	LeftMilliseconds    int64 `cbor:"12,keyasint,omitempty"`
 	AgeMilliseconds     int64 `cbor:"13,keyasint,omitempty"`
 	Mute                bool  `cbor:"14,keyasint,omitempty"`
+	// Those below are 0 if there was nothing of the kind lately.
+	AnsweredMilliseconds int64 `cbor:"16,keyasint,omitempty"`
+	TriedMilliseconds    int64 `cbor:"17,keyasint,omitempty"`
 	// Number orders the words of one entry.
 	Number uint64 `cbor:"15,keyasint"`
 }
@@ -166,6 +169,7 @@
 		least        int64
 	}{
 		{"since", t.SinceMilliseconds, 0}, {"changed", t.ChangedMilliseconds, 0}, {"age", t.AgeMilliseconds, 0},
+		{"answered", t.AnsweredMilliseconds, 0}, {"tried", t.TriedMilliseconds, 0},
 		{"left", t.LeftMilliseconds, -longestMilliseconds},
 	} {
 		if one.milliseconds < one.least || one.milliseconds > longestMilliseconds {
@@ -185,6 +189,7 @@
 			Server: t.Server, Entry: t.Entry, Ejected: t.Ejected, Returned: t.Returned, Trying: t.Trying, Mute: t.Mute, Evidence: float64(t.Evidence),
 			Failed: float64(t.Failed), Served: float64(t.Served),
 			Round: t.Round, Since: span(t.SinceMilliseconds), Changed: span(t.ChangedMilliseconds), Left: span(t.LeftMilliseconds),
+			Answered: span(t.AnsweredMilliseconds), Tried: span(t.TriedMilliseconds),
 		},
 	}
 }
@@ -195,6 +200,7 @@
 		Server: h.word.Server, Entry: h.word.Entry, Ejected: h.word.Ejected, Returned: h.word.Returned, Trying: h.word.Trying, Mute: h.word.Mute,
 		Evidence: float32(h.word.Evidence), Failed: float32(h.word.Failed), Served: float32(h.word.Served), Round: h.word.Round, SinceMilliseconds: h.word.Since.Milliseconds(),
 		ChangedMilliseconds: h.word.Changed.Milliseconds(), LeftMilliseconds: h.word.Left.Milliseconds(),
+		AnsweredMilliseconds: h.word.Answered.Milliseconds(), TriedMilliseconds: h.word.Tried.Milliseconds(),
 		AgeMilliseconds: now.Sub(h.at).Milliseconds(), Number: h.number,
 	}
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -114,7 +114,7 @@
 	ServerSuperseded  = declare("PV4206", zap.InfoLevel, "server superseded", "Another server has answered at a server's address; the old one has ended.")
 	ServerLapsed      = declare("PV4207", zap.InfoLevel, "server lapsed", "The list lost a server around an outage of the store; it is kept until servers have written their lines anew.")
 	ConnectionsSilent = declare("PV4208", zap.WarnLevel, "connections silent", "Connections to servers have gone silent while new ones work; they are given up, and those as old that rest.")
-	ServerTried       = declare("PV4209", zap.InfoLevel, "server tried", "A request is sent to a server that was ejected, to find out whether it serves again; the zone sends it one at a time.")
+	ServerTried       = declare("PV4209", zap.InfoLevel, "server tried", "A request is sent to a server that was ejected, or that its agent does not reach, to find out whether it serves; the zone sends it one at a time.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
--- a/internal/sitetest/health_test.go
+++ b/internal/sitetest/health_test.go
@@ -185,6 +185,39 @@
 	}
 }
 
+// Half of the servers answer neither their agents nor requests: they get a trial now and then, no
+// caller sees it, and they are in use again once they answer.
+func TestLostServersCostFewRequests(t *testing.T) {
+	f := Start(t, healthOptions())
+	stop := busy(f, 9)
+	time.Sleep(500 * time.Millisecond)
+	for index := range 2 {
+		f.modelServer(index).SetFaults(site.Faults{Silent: true})
+	}
+	f.Eventually("the entries are told", 2*time.Second, func() bool { return countEvents(f, "PV4203", `"reachable":false`) >= 2 })
+	time.Sleep(500 * time.Millisecond)
+	sentTo := func(index int) int { return countEvents(f, "PV4101", f.modelServer(index).ID()) }
+	before := []int{sentTo(0), sentTo(1)}
+	time.Sleep(6 * time.Second)
+	for index := range 2 {
+		received := sentTo(index) - before[index]
+		t.Logf("server %d was sent %d while it was lost", index, received)
+		// Trials 1.5 s, 1.5 s and 3 s apart at the least, and one in a turn of another entry.
+		assert.Positive(t, received)
+		assert.LessOrEqual(t, received, 5)
+	}
+	for index := range 2 {
+		f.modelServer(index).SetFaults(site.Faults{})
+	}
+	sound := time.Now()
+	f.Eventually("both are in use again", 3*time.Second, func() bool {
+		return len(f.receivedBy(f.modelServer(0), sound)) > 20 && len(f.receivedBy(f.modelServer(1), sound)) > 20
+	})
+	sent, spoilt := stop()
+	t.Logf("%d requests", sent)
+	assert.Zero(t, spoilt)
+}
+
 // What one entry has learned of a server holds at every entry of the zone, at once, and an entry
 // that starts then hears of it too.
 func TestZoneKnowsOfAnEjectedServer(t *testing.T) {
