--- a/coordination/health/lost.go
+++ b/coordination/health/lost.go
@@ -35,11 +35,12 @@
 	// trial of a lost server of it, so that the loss of a large part of a fleet costs callers no
 	// more than one attempt in so many.
 	attemptsPerLostTrial = 20
-	// latelyTime is the age up to which answers and trials are told.
+	// latelyTime is the age up to which answers and trials are told: an older one changes nothing.
 	latelyTime = 2 * longestLostPause
 )
 
-// lostRecord is what is known of a server beside the loss by its agent, which comes from elsewhere.
+// lostRecord is what decides whether a lost server is sent requests. That it is lost, and since when,
+// its agent's words tell, which are kept elsewhere.
 type lostRecord struct {
 	// answeredAt is the last answer to any entry of the zone, as far as that is known, toldAt the
 	// last one that the zone knows of.
--- a/internal/explain/health.go
+++ b/internal/explain/health.go
@@ -8,7 +8,7 @@
 	server := failure.text("server")
 	for _, line := range own {
 		if line.Event == serverTried && line.text("server") == server {
-			return "; the request was the trial of that server, which had been ejected"
+			return "; the request was the trial of that server, which had been ejected, or was not reached by its agent"
 		}
 	}
 	for _, line := range all {
