Lost servers: a loss anew does not bring a trial beside one that has not ended

Cause: the pause after a trial counted only if the trial came after the loss, so that an agent that found its server for a moment let another request go there 0.25 s later, beside the one that was still waited for.

Change: an unanswered trial keeps its pause whenever the loss was told.

--- a/coordination/health/lost.go
+++ b/coordination/health/lost.go
@@ -92,10 +92,12 @@
 		answeredAt = r.servedAt
 	}
 	begin = max(lostAt, answeredAt)
-	if r.lost.trialAt <= begin {
-		return begin, begin + firstLostTrial
+	due = begin + firstLostTrial
+	if r.lost.trialAt > answeredAt {
+		// Also one from before the loss, if the agent has found the server and lost it anew since.
+		due = max(due, r.lost.trialAt+clamp(r.lost.trialAt-begin, trialLimit, longestLostPause))
 	}
-	return begin, r.lost.trialAt + clamp(r.lost.trialAt-begin, trialLimit, longestLostPause)
+	return begin, due
 }
 
 // BeginLostTrial notes that this entry sends a lost server its trial.
--- a/coordination/health/lost_test.go
+++ b/coordination/health/lost_test.go
@@ -91,6 +91,25 @@
 	assert.False(t, two.tracker.Proven("s0", answered-2*ms, two.now))
 }
 
+// An agent that finds its server and loses it anew does not bring another trial beside one that has
+// not ended.
+func TestServerLostAnewKeepsThePause(t *testing.T) {
+	z := newZone(1, 4)
+	z.warm("s1")
+	lostAt := z.now
+	z.step(firstLostTrial, 0)
+	tracker := z.entries[0]
+	require.True(t, tracker.MayTryLost("s0", lostAt, z.now))
+	tracker.BeginLostTrial("s0", z.now)
+	began := z.now
+	for ; z.now < began+trialLimit; z.step(50*ms, 0) {
+		z.warm("s1")
+		assert.False(t, tracker.MayTryLost("s0", z.now-firstLostTrial, z.now), "after %s", z.now-began)
+	}
+	z.warm("s1")
+	assert.True(t, tracker.MayTryLost("s0", z.now-firstLostTrial, z.now))
+}
+
 // A proof alone changes nothing of what is counted against a server.
 func TestProofLeavesWhatIsCounted(t *testing.T) {
 	one := play(t, 4)
