Requests do not wait while another one tells or asks the catalog

Cause: each choice ends with a look at what the zone is to be told, and waited for the mutex that a teller holds while it is inside the catalog. The entries known were due until they had come, so that all requests of that time asked for them one after the other.

Change: a request that finds another one telling leaves its words to that one, which looks again after it has let go. The look at the entries is claimed before the mutex is let go; where the last look is older than the memory of entries, those who go on meanwhile assume as many as after a start.

Conclusion: only the request that tells or asks waits for the catalog.

--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -21,7 +21,7 @@
 	// membersPeriod is how often the entries known are looked through.
 	membersPeriod = 250 * time.Millisecond
 	// cautiousMembers is how many entries are assumed until the others are known, settleTime
-	// after the start.
+	// after the start, and while they are asked for after memberMemory without a look.
 	cautiousMembers = 16
 	// settleTime is how long after the start the number of entries is uncertain.
 	settleTime = 3 * time.Second
@@ -38,7 +38,9 @@
 	// seen tells when an entry was last known.
 	seen     map[string]time.Time
 	lookedAt time.Time
-	started  time.Time
+	// asking is set while the entries known are asked for, which requests do not wait for.
+	asking  bool
+	started time.Time
 	// ranks are this entry's ranks for servers, by their names, since the entries were last
 	// looked through.
 	ranks map[string]int
@@ -49,11 +51,14 @@
 }
 
 // EntriesDue reports whether the entries known are to be told anew, by TakeEntries: from time to
-// time as long as a server is cold.
+// time as long as a server is cold, and no one asks for them already.
 func (c *Core) EntriesDue(now time.Time) bool {
-	return now.Sub(c.cold.lookedAt) >= membersPeriod && now.Before(c.coldTill)
+	return !c.cold.asking && now.Sub(c.cold.lookedAt) >= membersPeriod && now.Before(c.coldTill)
 }
 
+// BeginEntries notes that the entries known are being asked for, until TakeEntries.
+func (c *Core) BeginEntries() { c.cold.asking = true }
+
 // findColdTill looks until when a server is cold whose requests are bounded then.
 func (c *Core) findColdTill() {
 	c.coldTill = time.Time{}
@@ -76,7 +81,7 @@
 
 // look takes over which entries are known.
 func (m *coldMembers) look(known []string, now time.Time) {
-	m.lookedAt = now
+	m.lookedAt, m.asking = now, false
 	clear(m.ranks)
 	for _, member := range known {
 		m.seen[member] = now
@@ -91,7 +96,7 @@
 // share is how many requests this entry may send a server in a second of a limit for all.
 func (m *coldMembers) share(server string, limit float64, now time.Time) int {
 	members := len(m.seen) + 1
-	if now.Sub(m.started) < settleTime {
+	if now.Sub(m.started) < settleTime || (m.asking && now.Sub(m.lookedAt) > memberMemory) {
 		members = max(members, cautiousMembers)
 	}
 	return admission.Share(limit, m.rank(server), members)
--- a/coordination/dispatch/cold_test.go
+++ b/coordination/dispatch/cold_test.go
@@ -183,3 +183,19 @@
 	assert.True(t, server.cold(now.Add(2999*time.Millisecond)))
 	assert.False(t, server.cold(now.Add(3*time.Second)))
 }
+
+// Entries that are asked for after a long time are taken for as many as after a start: a request that
+// does not wait for the answer does not take a server's whole limit for its own entry's.
+func TestEntriesAskedForAfterLongAreManyAtTheLeast(t *testing.T) {
+	members := newColdMembers("entry-1", epoch)
+	later := epoch.Add(time.Hour)
+	members.asking = true
+	cautious := members.share("a1", 32, later)
+	assert.LessOrEqual(t, cautious, 2)
+	members.look([]string{"entry-2"}, later)
+	known := members.share("a1", 32, later)
+	assert.Greater(t, known, cautious)
+	members.asking = true
+	assert.Equal(t, known, members.share("a1", 32, later.Add(memberMemory)))
+	assert.Equal(t, cautious, members.share("a1", 32, later.Add(memberMemory+1)))
+}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -51,15 +51,18 @@
 // lockWithMembers takes the mutex for a decision at the time returned, after the decisions were told
 // which other entries there are where that is due. It does not hold the mutex while it asks for them:
 // who knows them has a mutex of its own, which is held while it works through what all agents tell.
+// One request asks, and others go on with the entries known before.
 func (t *targets) lockWithMembers() time.Time {
 	t.mutex.Lock()
 	now := time.Now()
-	entriesDue, zoneDue := t.entries != nil && t.core.EntriesDue(now), t.zoneDue(now)
+	entriesDue, zoneDue := t.core.EntriesDue(now), t.zoneDue(now)
 	if !entriesDue && !zoneDue {
 		return now
 	}
+	if entriesDue {
+		t.core.BeginEntries()
+	}
 	if zoneDue {
-		// Set at once, so that one request looks and others go on.
 		t.health.lookedAt = now
 	}
 	t.mutex.Unlock()
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -42,7 +42,8 @@
 	// words are those that the source is still to be told, untold whether there are any.
 	words  []health.Word
 	untold atomic.Bool
-	// telling keeps the words in their order; it is taken before the mutex of the servers.
+	// telling is held by the one request that tells the source, which keeps the words in their order; it
+	// is taken before the mutex of the servers.
 	telling sync.Mutex
 
 	ejections *prometheus.CounterVec
@@ -99,13 +100,18 @@
 }
 
 // tellZone has the zone told what was found out. The mutex is not held: the source has one of its own,
-// which is held while it works through what thousands of agents tell.
+// which is held while it works through what thousands of agents tell. Only one request waits for that at
+// a time: it tells what others find out meanwhile too, and looks again after it has let go of telling,
+// because what was found out just before has been left to it.
 func (t *targets) tellZone() {
-	if !t.health.untold.Load() {
-		return
+	for t.health.untold.Load() && t.health.telling.TryLock() {
+		t.tellWords()
+		t.health.telling.Unlock()
 	}
-	t.health.telling.Lock()
-	defer t.health.telling.Unlock()
+}
+
+// tellWords has the zone told once; telling is held.
+func (t *targets) tellWords() {
 	if words := t.takeWords(); len(words) > 0 {
 		t.health.source.TellHealth(words)
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -26,7 +26,7 @@
 	log *logging.Logger
 	// bounds are those of the settings in force.
 	bounds atomic.Pointer[fleet.Bounds]
-	// entries lists the other entries lately known; nil knows of none.
+	// entries lists the other entries lately known.
 	entries func() []string
 
 	mutex sync.Mutex
@@ -52,6 +52,9 @@
 		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, told: map[string]fleet.MachineStatus{},
 	}
 	t.bounds.Store(&options.Bounds)
+	if t.entries == nil {
+		t.entries = func() []string { return nil }
+	}
 	return t
 }
 
