The trial of a lost server leaves its caller another attempt

Cause: a trial of a server that answers nothing ended only after ten times the usual time, 5 s at a service whose answers take 0.5 s; that this was less than the caller's time, and that the retry budget had a repeat left for what follows, was not asked.

Change: a lost server's trial waits four times the usual time, or the least patience; a request that has not so much left and the usual time more is no trial of it. With an empty retry budget a request is no trial of any server. Trials of ejected servers wait as before.

Figures: usual time 0.5 s: given up after 2 s, before 5 s (TestTrialOfAMuteLostServerAtASlowService).

Conclusion: the caller of a lost server's trial has time and budget for the attempt that follows.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -54,6 +54,9 @@
 		sentAt: now, due: now.Add(decision.Expected), prompt: request.Prompt, nearLimit: decision.Expected > request.Target/2,
 		idle: decision.Outstanding == 0 && decision.WordAge != NoWord,
 	}
+	if c.lost(k, now) {
+		decision.Patience = c.lostTrialPatience(k, request, now)
+	}
 	c.noteFull(request, decision.Expected, now)
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -126,7 +126,29 @@
 	if !request.repeatable() || len(request.Tried) > 0 || k.word.lostAt.IsZero() {
 		return false
 	}
-	return c.health.MayTryLost(k.ID, c.since(k.word.lostAt), c.since(now))
+	return c.health.MayTryLost(k.ID, c.since(k.word.lostAt), c.since(now)) && c.leavesTime(k, request, now)
+}
+
+// lostTrialFactor is how many times the usual time a lost server's trial waits for its answer: as long
+// as silence takes to count as evidence elsewhere. Its agent is the second witness, so that it need not
+// be waited for as long as at other servers, which at a service whose answers take 0.5 s would be the
+// 5 s that many callers have in all (TestTrialOfAMuteLostServerAtASlowService).
+const lostTrialFactor = 4
+
+// lostTrialPatience is the silence after which a lost server's trial is given up.
+func (c *Core) lostTrialPatience(k *Candidate, request *Request, now time.Time) time.Duration {
+	return max(request.Patience, lostTrialFactor*c.usualTrial(k, request, now))
+}
+
+// usualTrial is how long the answer to a trial usually takes to begin.
+func (c *Core) usualTrial(k *Candidate, request *Request, now time.Time) time.Duration {
+	return max(c.usualAnswer(k, request), c.byLoad(k, request, now))
+}
+
+// leavesTime reports whether a trial of a lost server that stays silent leaves its request the time that
+// an answer usually takes elsewhere.
+func (c *Core) leavesTime(k *Candidate, request *Request, now time.Time) bool {
+	return request.Left <= 0 || c.lostTrialPatience(k, request, now)+c.usualTrial(k, request, now) <= request.Left
 }
 
 // updateHealth takes over which servers there are.
--- a/coordination/dispatch/lost_test.go
+++ b/coordination/dispatch/lost_test.go
@@ -107,6 +107,31 @@
 	assert.False(t, s.core.Suspect(s.candidate("a1"), s.now, s.now))
 }
 
+// The trial of a lost server that answers nothing leaves its caller time for another attempt, also where
+// answers usually take 0.5 s; a request that has less time is no trial.
+func TestTrialOfAMuteLostServerAtASlowService(t *testing.T) {
+	s := lostScript(t)
+	for range 20 {
+		s.core.SawFirstEvent(s.candidate("a2"), 500*time.Millisecond)
+	}
+	s.at(300 * time.Millisecond)
+	s.agents()
+	request := s.request()
+	request.Patience = time.Second
+	request.Left = 2 * time.Second
+	s.served(request, "a2")
+	request.Left = 4 * time.Second
+	trial := s.goesTo(request, "a1")
+	assert.True(t, trial.Trial)
+	usual := s.core.UsualWait(trial, request)
+	assert.Positive(t, trial.Patience)
+	assert.LessOrEqual(t, trial.Patience+usual, request.Left)
+	assert.GreaterOrEqual(t, trial.Patience, 4*usual, "nor is a server that serves given up early")
+	s.ends(trial)
+	ordinary := s.goesTo(request, "a2")
+	assert.Zero(t, ordinary.Patience)
+}
+
 // A lost server that does not answer is never sent a request for want of others, nor tried while
 // it is ejected.
 func TestLostServerIsNoLastResort(t *testing.T) {
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -106,9 +106,13 @@
 	Streaming bool
 	// RunsOnce is set when the request must not be run twice.
 	RunsOnce bool
-	// LastAttempt is set when no other attempt would follow one that fails, for want of time or
-	// of attempts.
+	// LastAttempt is set when no other attempt would follow one that fails, for want of time, of
+	// attempts or of the retry budget.
 	LastAttempt bool
+	// Left is what is left of the caller's time; 0 when it has no end.
+	Left time.Duration
+	// Patience is the least silence after which an answer can be overdue.
+	Patience time.Duration
 	// Others is how many other entries may be sending to the service's servers.
 	Others int
 	// Prompt and Answer are sizes in tokens.
@@ -166,8 +170,12 @@
 	byLoad time.Duration
 	// Version is the one that the server is known to have; 0 when none is.
 	Version uint64
-	// Trial is set when the request is to show whether a server that was ejected serves again.
+	// Trial is set when the request is to show whether a server serves that was ejected, or that the
+	// agent beside it does not reach.
 	Trial bool
+	// Patience is the silence after which the answer is overdue, before it has begun; 0 leaves it to the
+	// caller.
+	Patience time.Duration
 }
 
 // RefusalReason is why a request is sent to no server.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -138,10 +138,22 @@
 func (f *Forwarder) takeRetry(service string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.mostPeers = max(f.mostPeers, f.options.Peers())
 	now := time.Since(f.started)
-	slack := budget.SlackPart(int(slackShare*float64(f.targets.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
-	return f.budgetOf(service).Take(now, slack)
+	return f.budgetOf(service).Take(now, f.slackPart(now))
+}
+
+// hasRetry reports whether a service's budget has a repeat left.
+func (f *Forwarder) hasRetry(service string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Since(f.started)
+	return f.budgetOf(service).Left(now, f.slackPart(now)) >= 1
+}
+
+// slackPart is this entry's part of the slack that each service's repeats have; the mutex is held.
+func (f *Forwarder) slackPart(now time.Duration) float64 {
+	f.mostPeers = max(f.mostPeers, f.options.Peers())
+	return budget.SlackPart(int(slackShare*float64(f.targets.bounds.Load().RetrySlack)), f.mostPeers+1, now > settleTime)
 }
 
 // work is one request being forwarded.
@@ -165,6 +177,9 @@
 	sentAt time.Time
 	// attemptBegun is set once the present attempt has brought an event.
 	attemptBegun bool
+	// patience is the silence after which the present attempt is overdue as long as it has brought
+	// nothing; 0 when that follows from what is usual.
+	patience time.Duration
 	// overdueNoted is set once the present attempt has counted as overdue.
 	overdueNoted bool
 	// begun is set once the head of an answer has gone to the caller.
@@ -267,6 +282,7 @@
 	w.bindVersion()
 	w.bindResidency()
 	w.wanted.LastAttempt = w.lastAttempt()
+	w.wanted.Left, w.wanted.Patience = time.Until(w.request.Deadline), patienceOf(w.request.Route)
 	w.askLoads(ctx)
 	chosen, refusal := w.choose()
 	if refusal != nil {
@@ -292,6 +308,7 @@
 	began := time.Now()
 	w.sentAt = began
 	w.request.usual = w.targets.usualWait(chosen, &w.wanted)
+	w.patience = chosen.Patience
 	started, failed := w.open(ctx, w.request, send, target, w.silence(target, chosen.Version))
 	if failed == nil {
 		failed = w.judge(started, send.Version)
@@ -436,7 +453,11 @@
 // lastAttempt reports whether no other attempt would follow the next one if that fails, or waits for
 // an answer until it is overdue: such a request is not sent to a server to find out whether it serves.
 func (w *work) lastAttempt() bool {
-	return w.sent+1 >= w.request.Route.Attempts || time.Until(w.request.Deadline) < 2*patienceOf(w.request.Route)
+	switch {
+	case w.sent+1 >= w.request.Route.Attempts, time.Until(w.request.Deadline) < 2*patienceOf(w.request.Route):
+		return true
+	}
+	return !w.retryReserved && !w.hasRetry(w.wanted.Service)
 }
 
 // minimumTime is the least time for which an attempt is worth while.
--- a/internal/forward/health_trial_test.go
+++ b/internal/forward/health_trial_test.go
@@ -102,14 +102,36 @@
 	for name, one := range map[string]struct {
 		attempts, sent int
 		left           time.Duration
+		spent          bool
+		reserved       bool
 		last           bool
 	}{
 		"both":     {attempts: 2, left: 4 * time.Second},
 		"attempts": {attempts: 1, left: 4 * time.Second, last: true},
 		"sent":     {attempts: 2, sent: 1, left: 4 * time.Second, last: true},
 		"time":     {attempts: 2, left: 2*streamPatience - time.Millisecond, last: true},
+		"budget":   {attempts: 2, left: 4 * time.Second, spent: true, last: true},
+		"reserved": {attempts: 2, left: 4 * time.Second, spent: true, reserved: true},
 	} {
-		w := &work{request: &Request{Route: &fleet.Route{Kind: fleet.Streaming, Attempts: one.attempts}, Deadline: time.Now().Add(one.left)}, sent: one.sent}
+		f, _ := slowForwarder(false)
+		w := &work{Forwarder: f, request: &Request{Route: &fleet.Route{Kind: fleet.Streaming, Attempts: one.attempts}, Deadline: time.Now().Add(one.left)}, sent: one.sent}
+		w.wanted.Service = "s"
+		for one.spent && f.takeRetry("s") {
+		}
+		w.retryReserved = one.reserved
 		assert.Equal(t, one.last, w.lastAttempt(), name)
 	}
 }
+
+// The trial of a lost server is overdue by its own patience until it has brought an event.
+func TestPatienceOfALostServersTrial(t *testing.T) {
+	w := &work{request: &Request{Route: &fleet.Route{Kind: fleet.Streaming}}, patience: 2 * time.Second}
+	const usual = 500 * time.Millisecond
+	assert.False(t, w.overdue(2*time.Second-1, usual))
+	assert.True(t, w.overdue(2*time.Second, usual))
+	w.attemptBegun = true
+	assert.False(t, w.overdue(patienceFactor*usual-1, usual))
+	w.attemptBegun, w.patience = false, 0
+	assert.False(t, w.overdue(patienceFactor*usual-1, usual))
+	assert.True(t, w.overdue(patienceFactor*usual, usual))
+}
--- a/internal/forward/health_wait_test.go
+++ b/internal/forward/health_wait_test.go
@@ -37,7 +37,7 @@
 func slowForwarder(entries bool) (*Forwarder, *slowSource) {
 	source := &slowSource{tell: make(chan struct{}), entered: make(chan struct{}), entryCalls: make(chan struct{}, 100), hold: make(chan struct{})}
 	options := Options{Zone: "z", Self: "10.0.0.1", Log: logging.Nop(), Registry: prometheus.NewRegistry(), Policy: DefaultPolicy(),
-		Peers: func() int { return 1 }, Health: source, Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 4, ColdOvershoot: 1.3, ColdSlack: 2}}
+		Peers: func() int { return 1 }, Health: source, Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400, ColdOvershoot: 1.3, ColdSlack: 2}}
 	if entries {
 		options.Entries = source.entries
 	}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -235,5 +235,8 @@
 // overdue reports whether a repeatable request is given up after a silence; not as long as
 // nothing is known of what is usual.
 func (w *work) overdue(silent, usual time.Duration) bool {
+	if w.patience > 0 && !w.attemptBegun {
+		return silent >= w.patience
+	}
 	return usual > 0 && silent >= overdueAfter(patienceOf(w.request.Route), usual)
 }
