Lost servers are tried where a service has no others

Cause: a trial of a lost server asks for 20 attempts at its service since the last one; where all servers are lost there are none, so that the first trial was the last, or none came.

Change: the count is waived where no other server of the service gets requests, by what is published and what agents tell; the pauses and turns hold. The property of decisions and messages asks for the 20 attempts wherever another server is reached, and a test of its own does beside one that is proven: that the count held everywhere was the fault.

Conclusion: a service whose agents all err comes back.

--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -126,7 +126,25 @@
 	if !request.repeatable() || len(request.Tried) > 0 || k.word.lostAt.IsZero() {
 		return false
 	}
-	return c.health.MayTryLost(k.ID, c.since(k.word.lostAt), c.since(now)) && c.leavesTime(k, request, now)
+	due := c.health.MayTryLost
+	if !c.otherServes(k, now) {
+		due = c.health.MayTryLastLost
+	}
+	return due(k.ID, c.since(k.word.lostAt), c.since(now)) && c.leavesTime(k, request, now)
+}
+
+// otherServes reports whether the service of a model server has another one that gets requests, if only
+// for want of others, so that attempts are counted there.
+func (c *Core) otherServes(k *Candidate, now time.Time) bool {
+	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
+		switch {
+		case other == k || other.listing.server.Draining || other.listing.gone || c.Evacuated(other.Zone) || c.lost(other, now):
+			return false
+		case other.word.current(now):
+			return other.word.Version != 0
+		}
+		return other.listing.server.HoldsModel
+	})
 }
 
 // lostTrialFactor is how many times the usual time a lost server's trial waits for its answer: as long
--- a/coordination/dispatch/lost_test.go
+++ b/coordination/dispatch/lost_test.go
@@ -132,6 +132,56 @@
 	assert.Zero(t, ordinary.Patience)
 }
 
+// Where all servers of a service are lost no attempts come that would allow trials: the servers are tried
+// all the same, one request a pause each, also after one trial has failed.
+func TestServiceOfLostServersAloneIsTried(t *testing.T) {
+	for name, attempts := range map[string]int{"entry just started": 0, "entry has served": attemptsBefore} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, "a1", "a2")
+			s.hear("a1", 0, Word{Version: 1})
+			s.hear("a2", 0, Word{Version: 1})
+			s.answersOf("a1", attempts)
+			trials := 0
+			for after := 10 * time.Millisecond; after < 60*time.Second; after += 50 * time.Millisecond {
+				s.at(after)
+				s.core.TakeWord(Word{Address: "a1:1", Version: 1}, s.now)
+				s.core.TakeWord(Word{Address: "a2:1", Version: 1}, s.now)
+				decision, refusal := s.core.Choose(s.request(), s.now)
+				if refusal != nil {
+					continue
+				}
+				trials++
+				s.core.Observe(decision.Candidate, Outcome{Outcome: health.Unreached, SentAt: s.now}, s.now)
+				s.ends(decision)
+			}
+			assert.Greater(t, trials, 10)
+			assert.LessOrEqual(t, trials, 2*12)
+		})
+	}
+}
+
+// A lost server beside one whose answers outweigh its agent's words is tried for one attempt in twenty, as
+// beside one that is reached.
+func TestLostServerBesideAProvenOneIsTriedByCount(t *testing.T) {
+	for attempts, tried := range map[int]bool{attemptsBefore - 1: false, attemptsBefore: true} {
+		s := newScript(t, "a1", "a2")
+		s.hear("a1", 0, Word{Version: 1})
+		s.hear("a2", 0, Word{Version: 1})
+		s.at(10 * time.Millisecond)
+		for _, address := range []string{"a1:1", "a2:1"} {
+			s.core.TakeWord(Word{Address: address, Version: 1}, s.now)
+		}
+		s.at(300 * time.Millisecond)
+		s.answersOf("a2", attempts)
+		for _, address := range []string{"a1:1", "a2:1"} {
+			s.core.TakeWord(Word{Address: address, Version: 1}, s.now)
+		}
+		decision, refusal := s.core.Choose(s.request(), s.now)
+		assert.Nil(t, refusal)
+		assert.Equal(t, tried, decision.Trial)
+	}
+}
+
 // A lost server that does not answer is never sent a request for want of others, nor tried while
 // it is ejected.
 func TestLostServerIsNoLastResort(t *testing.T) {
--- a/coordination/dispatch/property_test.go
+++ b/coordination/dispatch/property_test.go
@@ -187,11 +187,14 @@
 }
 
 // judgeTrial fails for a request that may not be the trial of a lost server: one in twenty attempts
-// may, on its first, if it may be repeated, a while after the loss, and one at a time.
+// may, or any where no other server gets requests, on its first, if it may be repeated, a while after the
+// loss, and one at a time.
 func (g *generated) judgeTrial(request *Request, chosen *Candidate, lostAt time.Time) {
 	assert.False(g, request.RunsOnce)
 	assert.Empty(g, request.Tried)
-	assert.GreaterOrEqual(g, g.sinceTrial, 20)
+	if g.otherServes(chosen) {
+		assert.GreaterOrEqual(g, g.sinceTrial, 20)
+	}
 	assert.GreaterOrEqual(g, g.now.Sub(lostAt), 250*time.Millisecond)
 	answered, served := g.answeredAt[chosen.ID]
 	if served {
@@ -202,6 +205,20 @@
 	}
 }
 
+// otherServes reports whether the messages name another server that gets requests, and that its agent
+// reaches if that has told anything lately.
+func (g *generated) otherServes(chosen *Candidate) bool {
+	return slices.ContainsFunc(g.fleet.Servers, func(one Server) bool {
+		if one.ID == chosen.ID || one.Draining || slices.Contains(g.fleet.Evacuated, one.Zone) {
+			return false
+		}
+		if told, heard := g.words[one.Address]; heard && g.now.Sub(told.at) < wordCurrent {
+			return told.Reachable && told.Version != 0
+		}
+		return one.HoldsModel
+	})
+}
+
 // judgeCold counts what a cold server gets: this entry's share, one of two, in any second.
 func (g *generated) judgeCold(chosen *Candidate) {
 	at := slices.IndexFunc(g.fleet.Servers, func(one Server) bool { return one.ID == chosen.ID })
--- a/coordination/health/lost.go
+++ b/coordination/health/lost.go
@@ -68,7 +68,14 @@
 // MayTryLost reports whether this entry may send a lost server a trial now.
 func (t *Tracker) MayTryLost(server string, lostAt, now time.Duration) bool {
 	held := t.servers[server]
-	if held == nil || t.services[held.service].sinceLostTrial < attemptsPerLostTrial {
+	return held != nil && t.services[held.service].sinceLostTrial >= attemptsPerLostTrial && t.MayTryLastLost(server, lostAt, now)
+}
+
+// MayTryLastLost is MayTryLost for a server of a service that has no other to send requests to: there
+// are no attempts to count, and a request that is no trial is refused.
+func (t *Tracker) MayTryLastLost(server string, lostAt, now time.Duration) bool {
+	held := t.servers[server]
+	if held == nil {
 		return false
 	}
 	if held.ejected && (now < held.till || held.trying(now)) {
