A word that only proves a server counts no failures that are over

Cause: a proof was told with what was left of the counts and the evidence of failures long ago. Others took that for new failures of which the server has served others, so that ejections came late.

Change: a word of a server that is not ejected tells counts and evidence only while the failures last.

Conclusion: a proof changes nothing but that the server is proven, whoever tells it.

--- a/coordination/health/lost_test.go
+++ b/coordination/health/lost_test.go
@@ -124,6 +124,65 @@
 	assert.Empty(t, after.hints)
 }
 
+// A proof of an entry that had a failure long ago is only a proof.
+func TestProofOfAnEntryWithAFormerFailureIsOne(t *testing.T) {
+	one := play(t, 4)
+	two := one.another("e1")
+	one.see("s0", Errored)
+	one.tracker.TakeWords()
+	one.now += 60 * time.Second
+	two.now = one.now
+	one.tracker.Observe(Attempt{Server: "s0", Class: "route", Outcome: Served, Sent: one.now, Lost: true, LostAt: one.now - ms}, one.now)
+	words := one.tracker.TakeWords()
+	require.Len(t, words, 1)
+	assert.True(t, words[0].onlyProof())
+	two.tracker.Hear(words[0], two.now, two.now)
+	assert.True(t, two.tracker.Proven("s0", one.now-2*ms, two.now))
+	assert.Empty(t, two.tracker.servers["s0"].hints)
+}
+
+// A proof delays no ejection at another entry, whether or not its teller had a failure there a minute ago.
+func TestProofDelaysNoEjection(t *testing.T) {
+	needed := func(proof, former bool) int {
+		one := play(t, 4)
+		two := one.another("e1")
+		if former {
+			one.see("s0", Errored)
+		}
+		one.tracker.TakeWords()
+		two.now += 60 * time.Second
+		for range 40 {
+			two.tracker.Observe(Attempt{Server: "s1", Class: "route", Outcome: Served, Sent: two.now}, two.now)
+		}
+		for range 4 {
+			two.tracker.Observe(Attempt{Server: "s0", Class: "route", Outcome: Served, Sent: two.now}, two.now)
+			two.now += 10 * ms
+		}
+		fail := func() {
+			two.now += 10 * ms
+			two.tracker.Observe(Attempt{Server: "s0", Class: "route", Outcome: Errored, Sent: two.now}, two.now+ms)
+			two.now += ms
+		}
+		fail()
+		if proof {
+			one.now = two.now
+			one.tracker.Observe(Attempt{Server: "s0", Class: "route", Outcome: Served, Sent: one.now, Lost: true, LostAt: one.now - ms}, one.now)
+			two.hear(one, 0)
+		}
+		for count := 2; count < 40; count++ {
+			fail()
+			if two.tracker.State("s0", two.now) == Ejected {
+				return count
+			}
+		}
+		return 40
+	}
+	without := needed(false, true)
+	assert.Less(t, without, 40)
+	assert.Equal(t, without, needed(true, false))
+	assert.Equal(t, without, needed(true, true))
+}
+
 // The loss of half of a fleet's servers, which are down, costs the callers of fifteen entries that
 // send 300 requests a second at most one attempt in twenty, and each server gets one in 8 s in
 // the end.
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -60,15 +60,19 @@
 	at             time.Duration
 }
 
-// tell notes a word for the other entries.
+// tell notes a word for the other entries. Where the failures are over it counts nothing: others would
+// take what is left of the counts for new failures, and successes beside them.
 func (t *Tracker) tell(server string, held *record, now time.Duration) {
-	held.failurePeriod.decay(now)
-	t.words = append(t.words, Word{
-		Failed: held.failurePeriod.failed, Served: held.failurePeriod.served,
-		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
-		Since: now - held.failurePeriod.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
+	word := Word{
+		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now,
+		Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
 		Trying: held.trialOpen, Mute: held.mute, Answered: lately(held.servedAt, now), Tried: lately(held.lost.ownTrialAt, now),
-	})
+	}
+	if held.failurePeriodLasts(now) || held.ejected {
+		word.Failed, word.Served, word.Since = held.failurePeriod.failed, held.failurePeriod.served, now-held.failurePeriod.began
+		word.Evidence = held.against(now)
+	}
+	t.words = append(t.words, word)
 	held.lost.toldAt = max(held.lost.toldAt, held.servedAt)
 }
 
