Words on servers' health are told with the time at which they were found out

Cause: the words that wait until the catalog can be told took the time of the telling for theirs, so that ages in them were short by the wait, and an answer from before a loss could prove a server.

Change: each batch keeps the time at which it was found out, and the catalog is told it.

Conclusion: spans in words hold however long the catalog is busy.

--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -88,14 +88,14 @@
 // registered before Run.
 func (c *Catalog) OnHealth(function HealthFunction) { c.health.onWord = function }
 
-// TellHealth has the zone's other entries told what this one has found out, at the next pace.
-func (c *Catalog) TellHealth(words []health.Word) {
-	now := time.Now()
+// TellHealth has the zone's other entries told what this one has found out at a time, at the next pace.
+func (c *Catalog) TellHealth(words []health.Word, at time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	now := time.Now()
 	for _, word := range words {
 		c.health.number++
-		c.holdHealth(heldHealth{word: word, at: now, number: c.health.number}, now)
+		c.holdHealth(heldHealth{word: word, at: at, number: c.health.number}, now)
 	}
 }
 
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -43,7 +43,7 @@
 	}
 	w.placed = decision.Send
 	if decision.Trial {
-		t.noteTrial(w, decision.Candidate)
+		t.noteTrial(w, decision.Candidate, now)
 	}
 	return choice{Decision: decision, target: t.targetOf(decision.Candidate)}, nil
 }
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -27,8 +27,8 @@
 
 // HealthSource is what entries of a zone tell each other of servers.
 type HealthSource interface {
-	// TellHealth has the others told.
-	TellHealth(words []health.Word)
+	// TellHealth has the others told what was found out at a time: ages in the words are those of then.
+	TellHealth(words []health.Word, at time.Time)
 	// ZoneEntries lists the others.
 	ZoneEntries() []string
 }
@@ -39,8 +39,8 @@
 	// source is nil in an entry that shares nothing.
 	source   HealthSource
 	lookedAt time.Time
-	// words are those that the source is still to be told, untold whether there are any.
-	words  []health.Word
+	// found are the words that the source is still to be told, untold whether there are any.
+	found  []finding
 	untold atomic.Bool
 	// telling is held by the one request that tells the source, which keeps the words in their order; it
 	// is taken before the mutex of the servers.
@@ -50,6 +50,12 @@
 	trials    prometheus.Counter
 }
 
+// finding is what was found out at a time.
+type finding struct {
+	words []health.Word
+	at    time.Time
+}
+
 func newHealthReporter(options Options) *healthReporter {
 	return &healthReporter{
 		source: options.Health,
@@ -80,21 +86,21 @@
 }
 
 // noteTrial logs and counts a request that is the trial of its server; the mutex is held.
-func (t *targets) noteTrial(w *work, k *dispatch.Candidate) {
+func (t *targets) noteTrial(w *work, k *dispatch.Candidate, now time.Time) {
 	t.health.trials.Inc()
 	t.log.Log(logging.ServerTried, zap.String("server", k.ID), zap.String("request", w.request.Call.RequestID))
-	t.reportHealth()
+	t.reportHealth(now)
 }
 
-// reportHealth logs and counts what has changed with servers' health, and keeps what the zone is to
-// be told; the mutex is held.
-func (t *targets) reportHealth() {
+// reportHealth logs and counts what has changed with servers' health now, and keeps what the zone is
+// to be told of that; the mutex is held.
+func (t *targets) reportHealth(now time.Time) {
 	news := t.core.TakeHealthNews()
 	for _, change := range news.Changes {
 		t.logHealth(change)
 	}
 	if t.health.source != nil && len(news.Words) > 0 {
-		t.health.words = append(t.health.words, news.Words...)
+		t.health.found = append(t.health.found, finding{words: news.Words, at: now})
 		t.health.untold.Store(true)
 	}
 }
@@ -112,18 +118,18 @@
 
 // tellWords has the zone told once; telling is held.
 func (t *targets) tellWords() {
-	if words := t.takeWords(); len(words) > 0 {
-		t.health.source.TellHealth(words)
+	for _, one := range t.takeFindings() {
+		t.health.source.TellHealth(one.words, one.at)
 	}
 }
 
-func (t *targets) takeWords() []health.Word {
+func (t *targets) takeFindings() []finding {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	words := t.health.words
-	t.health.words = nil
+	found := t.health.found
+	t.health.found = nil
 	t.health.untold.Store(false)
-	return words
+	return found
 }
 
 func (t *targets) logHealth(change health.Change) {
@@ -146,8 +152,9 @@
 	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.core.HearHealth(word, at, time.Now())
-	t.reportHealth()
+	now := time.Now()
+	t.core.HearHealth(word, at, now)
+	t.reportHealth(now)
 }
 
 // observe notes what the present attempt has shown of its server.
@@ -156,10 +163,11 @@
 	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	now := time.Now()
 	t.core.Observe(k.Candidate, dispatch.Outcome{
 		Outcome: outcome, Class: w.request.Route.Name, SentAt: w.sentAt, Repeated: len(w.wanted.Tried) > 1,
-	}, time.Now())
-	t.reportHealth()
+	}, now)
+	t.reportHealth(now)
 }
 
 // observeAnswer notes what a whole answer has shown. A server's answer that the time of the
@@ -223,6 +231,7 @@
 	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.core.EndTrial(w.placed, time.Now())
-	t.reportHealth()
+	now := time.Now()
+	t.core.EndTrial(w.placed, now)
+	t.reportHealth(now)
 }
--- a/internal/forward/health_wait_test.go
+++ b/internal/forward/health_wait_test.go
@@ -20,11 +20,13 @@
 	once          sync.Once
 	entryCalls    chan struct{}
 	hold          chan struct{}
+	toldAt        []time.Time
 }
 
-func (s *slowSource) TellHealth(words []health.Word) {
+func (s *slowSource) TellHealth(words []health.Word, at time.Time) {
 	s.once.Do(func() { close(s.entered) })
 	<-s.tell
+	s.toldAt = append(s.toldAt, at)
 }
 func (s *slowSource) ZoneEntries() []string { return []string{"10.0.0.9"} }
 func (s *slowSource) entries() []string {
@@ -93,3 +95,25 @@
 	wait.Wait()
 	require.Equal(t, 1, calls)
 }
+
+// What waits for another request's telling is told with the time at which it was found out.
+func TestWordsAreToldWithTheirTime(t *testing.T) {
+	f, source := slowForwarder(false)
+	observe := func(server *target) {
+		_, w := healthFleet(fleet.Repeatable, 1)
+		w.Forwarder = f
+		w.observe(server, health.Unreached)
+	}
+	server := f.server("i-0")
+	told := make(chan struct{})
+	go func() { observe(server); close(told) }()
+	<-source.entered
+	observe(server)
+	found := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	close(source.tell)
+	<-told
+	require.Len(t, source.toldAt, 2)
+	require.False(t, source.toldAt[1].After(found))
+	require.True(t, source.toldAt[0].Before(source.toldAt[1]))
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -68,10 +68,11 @@
 		t.keepRoutes(view.Configuration)
 	}
 	t.view = view
-	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), time.Now()) {
+	now := time.Now()
+	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), now) {
 		t.follow(change)
 	}
-	t.reportHealth()
+	t.reportHealth(now)
 }
 
 // follow logs a change of the fleet and ends the connections to a server that gets no more
