--- a/coordination/dispatch/lost_test.go
+++ b/coordination/dispatch/lost_test.go
@@ -182,6 +182,29 @@
 	}
 }
 
+// A lost server that leaves the list and comes back begins anew, also in its pause: 522 ms after a trial
+// that has not ended it may be tried again.
+func TestLostServerListedAgainBeginsAnew(t *testing.T) {
+	s := lostScript(t)
+	s.at(560 * time.Millisecond)
+	s.agents()
+	first := s.goesTo(s.request(), "a1")
+	assert.True(t, first.Trial)
+	s.answersOf("a2", attemptsBefore)
+	s.at(1082*time.Millisecond - 1)
+	s.agents()
+	s.served(s.request(), "a2")
+	listed := s.fleet.Servers
+	s.fleet.Servers = listed[1:]
+	s.update()
+	s.served(s.request(), "a2")
+	s.fleet.Servers = listed
+	s.update()
+	s.at(1082 * time.Millisecond)
+	s.agents()
+	assert.True(t, s.goesTo(s.request(), "a1").Trial)
+}
+
 // A lost server that does not answer is never sent a request for want of others, nor tried while
 // it is ejected.
 func TestLostServerIsNoLastResort(t *testing.T) {
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -3,6 +3,9 @@
 // sends nothing: outcomes of attempts and words of the zone's other entries go in with the
 // time, states and words for the others come out.
 //
+// A server that the agent beside it does not reach is lost, whatever its state: it is sent nothing but
+// trials, until an answer has come to some entry of the zone since the loss (see lost.go).
+//
 // A server is in order, suspect (there is evidence, and requests that must not fail go
 // elsewhere), ejected (it is sent nothing for a time) or on trial (it is sent one request at a
 // time of the whole zone, until one was served). What is learned by one entry holds
--- a/coordination/health/lost.go
+++ b/coordination/health/lost.go
@@ -26,9 +26,10 @@
 	// without an answer until the last one, but trialLimit at the least: a server that is down costs
 	// the zone some four requests in the first 7 s and one in 8 s then.
 	longestLostPause = 8 * time.Second
-	// lostTurn is how long each entry in turn may begin a trial, but for the end of it, in which the
-	// word of a trial reaches the next: requests come at any time of a turn here, because the first
-	// may be due for long when it is known that the server is lost.
+	// lostTurn is how long each entry in turn may begin a trial, and lostTurnEnd the part at its end in
+	// which it may not, so that the word of a trial reaches the next entry first. A turn of trialTurn
+	// would not do: a trial may be due for long when an entry hears of the loss, so that its first
+	// request comes at any time of a turn, and not at the beginning.
 	lostTurn    = 600 * time.Millisecond
 	lostTurnEnd = 200 * time.Millisecond
 	// attemptsPerLostTrial is how many attempts at a service an entry makes at the least for each
