--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -47,13 +47,16 @@
 func (c *Core) send(k *Candidate, request *Request, considered int, now time.Time) Decision {
 	decision := Decision{
 		Candidate: k, Considered: considered, Outstanding: k.outstanding(now), Load: c.load(k, request, now),
-		Expected: c.firstEvent(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
+		Expected: c.firstEvent(k, request, now), byLoad: c.byLoad(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
 	}
 	decision.Send = &Send{
 		candidate: k, service: request.Service, engine: request.Engine, target: request.Target,
 		sentAt: now, due: now.Add(decision.Expected), prompt: request.Prompt, nearLimit: decision.Expected > request.Target/2,
 		idle: decision.Outstanding == 0 && decision.WordAge != NoWord,
 	}
+	if c.lost(k, now) {
+		decision.Patience = c.lostTrialPatience(k, request, now)
+	}
 	c.noteFull(request, decision.Expected, now)
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
@@ -83,7 +86,7 @@
 	if len(usable) <= sampleSize {
 		return usable
 	}
-	c.shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	c.mix(usable)
 	near, far := make([]*Candidate, 0, len(usable)), make([]*Candidate, 0, len(usable))
 	for _, candidate := range usable {
 		if candidate.Zone == c.zone {
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -28,11 +28,15 @@
 
 // healthFitness returns whether a server's health lets it be sent a request.
 func (c *Core) healthFitness(k *Candidate, request *Request, now time.Time) Fitness {
+	if c.lost(k, now) {
+		// It was left out before but for its trial.
+		return fitForTrial
+	}
 	switch c.health.State(k.ID, c.since(now)) {
 	case health.Ejected:
 		return unfitEjected
 	case health.OnTrial:
-		if len(request.Tried) > 0 || !c.health.MayTry(k.ID, !request.RunsOnce, c.since(now)) {
+		if len(request.Tried) > 0 || !c.health.MayTry(k.ID, request.repeatable(), c.since(now)) {
 			return unfitOnTrial
 		}
 		return fitForTrial
@@ -44,6 +48,9 @@
 	return Fit
 }
 
+// repeatable reports whether another attempt would follow one that fails.
+func (r *Request) repeatable() bool { return !r.RunsOnce && !r.LastAttempt }
+
 // byHealth are the servers that a request may be sent to but for their health, by what that says.
 type byHealth struct {
 	fit, suspect, forTrial, onTrial, ejected []*Candidate
@@ -69,6 +76,10 @@
 // would begin there in time, or else those in order, suspect ones only when there is no other, and
 // ejected ones only when there is none of these.
 func (c *Core) pickByHealth(candidates *byHealth, request *Request, now time.Time) []*Candidate {
+	if len(candidates.forTrial) > 1 {
+		// Where trials are rare, none is passed over for those before it on the list.
+		c.mix(candidates.forTrial)
+	}
 	for _, one := range candidates.forTrial {
 		limit := c.refusalLimit(request, now)
 		if limit <= 0 || one.hasFreePlace(request) || c.firstEvent(one, request, now) <= limit {
@@ -83,6 +94,11 @@
 	return candidates.ejected
 }
 
+// mix puts servers in a random order.
+func (c *Core) mix(servers []*Candidate) {
+	c.shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+}
+
 // healthCost is what a server's health weighs in the choice.
 func (c *Core) healthCost(k *Candidate, now time.Time) time.Duration {
 	if c.health.State(k.ID, c.since(now)) == health.Suspect {
@@ -93,13 +109,69 @@
 
 // beginTrial notes that a request is being sent to a server on trial, and reports whether it is.
 func (c *Core) beginTrial(k *Candidate, now time.Time) bool {
+	if c.lost(k, now) {
+		c.health.BeginLostTrial(k.ID, c.since(now))
+		return true
+	}
 	return c.health.BeginTrial(k.ID, c.since(now))
 }
 
-// reachable reports whether a server that has an agent's word is to be counted as reachable: its
-// own answers outweigh an agent that does not reach it, if they have come since that lost it.
-func (c *Core) reachable(k *Candidate, now time.Time) bool {
-	return k.word.Reachable || c.health.Proven(k.ID, c.since(k.word.lostAt), c.since(now))
+// lost reports whether the agent beside a server does not reach it, and no answer outweighs that.
+func (c *Core) lost(k *Candidate, now time.Time) bool {
+	return k.word.current(now) && !k.word.Reachable && !c.health.Proven(k.ID, c.since(k.word.lostAt), c.since(now))
+}
+
+// mayTryLost reports whether a request may be the trial of a lost server.
+func (c *Core) mayTryLost(k *Candidate, request *Request, now time.Time) bool {
+	if !request.repeatable() || len(request.Tried) > 0 || k.word.lostAt.IsZero() {
+		return false
+	}
+	due := c.health.MayTryLost
+	if !c.otherServes(k, now) {
+		due = c.health.MayTryLastLost
+	}
+	return due(k.ID, c.since(k.word.lostAt), c.since(now)) && c.leavesTime(k, request, now)
+}
+
+// otherServes reports whether the service of a model server has another one that gets requests, if only
+// for want of others, so that attempts are counted there.
+func (c *Core) otherServes(k *Candidate, now time.Time) bool {
+	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
+		switch {
+		case other == k || other.listing.server.Draining || other.listing.gone || c.Evacuated(other.Zone) || c.lost(other, now):
+			return false
+		case other.word.current(now):
+			return other.word.Version != 0
+		}
+		return other.listing.server.HoldsModel
+	})
+}
+
+// lostTrialFactor is how many times the usual time a lost server's trial waits for its answer: as long
+// as silence takes to count as evidence elsewhere. Its agent is the second witness, so that it need not
+// be waited for as long as at other servers, which at a service whose answers take 0.5 s would be the
+// 5 s that many callers have in all (TestTrialOfAMuteLostServerAtASlowService).
+const lostTrialFactor = 4
+
+// lostTrialPatience is the silence after which a lost server's trial is given up: the target, where no
+// answer has shown what is usual.
+func (c *Core) lostTrialPatience(k *Candidate, request *Request, now time.Time) time.Duration {
+	patience := max(request.Patience, lostTrialFactor*c.byLoad(k, request, now))
+	if seen := c.seenAnswer(k, request); seen > 0 {
+		return max(patience, lostTrialFactor*seen)
+	}
+	return max(patience, request.Target)
+}
+
+// usualTrial is how long the answer to a trial usually takes to begin.
+func (c *Core) usualTrial(k *Candidate, request *Request, now time.Time) time.Duration {
+	return max(c.usualAnswer(k, request), c.byLoad(k, request, now))
+}
+
+// leavesTime reports whether a trial of a lost server that stays silent leaves its request the time that
+// an answer usually takes elsewhere.
+func (c *Core) leavesTime(k *Candidate, request *Request, now time.Time) bool {
+	return request.Left <= 0 || c.lostTrialPatience(k, request, now)+c.usualTrial(k, request, now) <= request.Left
 }
 
 // updateHealth takes over which servers there are.
@@ -154,6 +226,7 @@
 	}
 	c.noteHealth(c.health.Observe(health.Attempt{
 		Server: k.ID, Class: outcome.Class, Outcome: outcome.Outcome, Sent: c.since(outcome.SentAt), Repeated: outcome.Repeated,
+		Lost: k.word.current(now) && !k.word.Reachable, LostAt: c.since(k.word.lostAt),
 	}, c.since(now)))
 }
 
--- a/coordination/dispatch/prediction.go
+++ b/coordination/dispatch/prediction.go
@@ -17,6 +17,9 @@
 	if !k.word.current(now) {
 		return load
 	}
+	if !k.word.Reachable {
+		return c.assumed(load, request)
+	}
 	word := &k.word
 	othersWaiting := max(0, word.Waiting-word.seen.unread)
 	load.Waiting += othersWaiting
@@ -33,6 +36,16 @@
 	return load
 }
 
+// assumed is the load of a server that its agent does not reach: what that has counted is from before,
+// and each other entry is taken to have as much there as this one.
+func (c *Core) assumed(own balance.Load, request *Request) balance.Load {
+	factor := 1 + c.policy.UnseenLoad*float64(request.Others)
+	own.Running = int(math.Round(factor * float64(own.Running)))
+	own.Waiting = int(math.Round(factor * float64(own.Waiting)))
+	own.Unread *= factor
+	return own
+}
+
 // addUnseen adds what other entries may have sent since the agent's word: as much each
 // as this one has. A server that has just become idle draws all entries at the same
 // time, and none sees the others' requests before the next word.
@@ -74,9 +87,19 @@
 // firstEvent predicts when the server would begin the request: what its load
 // says, and how much later than that it has lately begun others.
 func (c *Core) firstEvent(k *Candidate, request *Request, now time.Time) time.Duration {
+	return c.byLoad(k, request, now) + c.delay(k, now)
+}
+
+// byLoad is when the server would begin the request by its load alone.
+func (c *Core) byLoad(k *Candidate, request *Request, now time.Time) time.Duration {
+	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt)
+}
+
+// delay is how much later than that the server has lately begun others, or the time of its link.
+func (c *Core) delay(k *Candidate, now time.Time) time.Duration {
 	late := time.Duration(c.policy.Lateness * float64(k.lateBy(now)))
 	if k.word.current(now) {
 		late = max(late, k.word.Link)
 	}
-	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt) + late
+	return late
 }
--- a/coordination/health/words.go
+++ b/coordination/health/words.go
@@ -47,6 +47,10 @@
 	Trying bool
 	// Mute servers answer nothing.
 	Mute bool
+	// Answered is the age of the last answer of the server to the entry, Tried that of the entry's
+	// last trial of it as a lost one; 0 if there was none lately.
+	Answered time.Duration
+	Tried    time.Duration
 }
 
 // hint is another entry's evidence.
@@ -56,15 +60,20 @@
 	at             time.Duration
 }
 
-// tell notes a word for the other entries.
+// tell notes a word for the other entries. Where the failures are over it counts nothing: others would
+// take what is left of the counts for new failures, and successes beside them.
 func (t *Tracker) tell(server string, held *record, now time.Duration) {
-	held.failurePeriod.decay(now)
-	t.words = append(t.words, Word{
-		Failed: held.failurePeriod.failed, Served: held.failurePeriod.served,
-		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now, Evidence: held.against(now),
-		Since: now - held.failurePeriod.began, Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
-		Trying: held.trialOpen, Mute: held.mute,
-	})
+	word := Word{
+		Server: server, Entry: t.self, Ejected: held.ejected, Returned: !held.ejected && held.changedAt == now,
+		Changed: now - held.changedAt, Left: held.till - now, Round: held.round,
+		Trying: held.trialOpen, Mute: held.mute, Answered: lately(held.servedAt, now), Tried: lately(held.lost.ownTrialAt, now),
+	}
+	if held.failurePeriodLasts(now) || held.ejected {
+		word.Failed, word.Served, word.Since = held.failurePeriod.failed, held.failurePeriod.served, now-held.failurePeriod.began
+		word.Evidence = held.against(now)
+	}
+	t.words = append(t.words, word)
+	held.lost.toldAt = max(held.lost.toldAt, held.servedAt)
 }
 
 // TakeWords returns what the other entries are to be told since the last call.
@@ -85,6 +94,10 @@
 		t.keepEarly(earlyWord{word: word, at: at})
 		return Change{}, false
 	}
+	held.hearLost(word, at)
+	if word.onlyProof() {
+		return Change{}, false
+	}
 	changedAt := at - word.Changed
 	switch {
 	case word.Ejected:
--- a/internal/catalog/health_test.go
+++ b/internal/catalog/health_test.go
@@ -14,14 +14,15 @@
 
 func ejectedWord(entry, server string) health.Word {
 	return health.Word{Entry: entry, Server: server, Ejected: true, Left: time.Second, Round: 2, Mute: true, Evidence: 5.5,
-		Failed: 1.5, Served: 0.25, Returned: true, Trying: true, Since: 40 * time.Millisecond, Changed: 30 * time.Millisecond}
+		Failed: 1.5, Served: 0.25, Returned: true, Trying: true, Since: 40 * time.Millisecond, Changed: 30 * time.Millisecond,
+		Answered: 20 * time.Millisecond, Tried: 10 * time.Millisecond}
 }
 
 // An entry tells its own words; a relay passes on those of others too, but not to who said them.
 func TestWordsOnHealthArePassedOnByRelays(t *testing.T) {
 	c := newTestCatalog()
 	now := time.Now()
-	c.TellHealth([]health.Word{ejectedWord("10.0.0.1", "i-1")})
+	c.TellHealth([]health.Word{ejectedWord("10.0.0.1", "i-1")}, now)
 	other := toldHealth{Server: "i-2", Entry: "10.0.0.2", Ejected: true, Number: 7, AgeMilliseconds: 100}.held(now)
 	assert.True(t, c.holdHealth(other, now))
 	servers := func(ip string, isRelay bool, told uint64) []string {
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -49,13 +49,20 @@
 		Settings: settings, Role: role, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.NewDecoder(), Log: log,
 		Reload: func() (fleet.Settings, error) { return platform.ReadSettings(f.Settings) },
 	})
+	run := roleRun(role, base, policy)
+	// Not before: what is built meanwhile would keep the settings of the start.
 	go changes.run(base.Reload)
+	return run(stopSignal())
+}
+
+// roleRun builds the role's process, and returns what runs it until a channel is closed.
+func roleRun(role string, base *daemon.Daemon, policy forward.Policy) func(stop <-chan struct{}) error {
 	if role == catalog.RoleEntry {
-		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: policy}).Run(stopSignal())
+		return gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: policy}).Run
 	}
 	return rollout.New(rollout.Options{
-		Daemon: base, Server: platform.NewModelServer(settings.ServerAddress), Origin: platform.NewOrigin(),
-	}).Run(stopSignal())
+		Daemon: base, Server: platform.NewModelServer(base.Settings().ServerAddress), Origin: platform.NewOrigin(),
+	}).Run
 }
 
 // checkRole checks what the settings must hold for a role.
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -33,11 +33,9 @@
 // choose picks the server for a request and counts the request as in flight. A
 // refusal is proof that nothing was sent.
 func (t *targets) choose(w *work) (choice, *fault.Refusal) {
-	t.mutex.Lock()
+	defer t.tellZone()
+	now := t.lockWithMembers()
 	defer t.mutex.Unlock()
-	now := time.Now()
-	t.tellEntries(now)
-	t.tellZone(now)
 	decision, refusal := t.core.Choose(&w.wanted, now)
 	if refusal != nil {
 		t.logRefusal(w, refusal)
@@ -45,16 +43,45 @@
 	}
 	w.placed = decision.Send
 	if decision.Trial {
-		t.noteTrial(w, decision.Candidate)
+		t.noteTrial(w, decision.Candidate, now)
 	}
 	return choice{Decision: decision, target: t.targetOf(decision.Candidate)}, nil
 }
 
-// tellEntries tells the decisions which other entries are known; the mutex is held.
-func (t *targets) tellEntries(now time.Time) {
-	if t.entries != nil && t.core.EntriesDue(now) {
-		t.core.TakeEntries(t.entries(), now)
+// lockWithMembers takes the mutex for a decision at the time returned, after the decisions were told
+// which other entries there are where that is due. It does not hold the mutex while it asks for them:
+// who knows them has a mutex of its own, which is held while it works through what all agents tell.
+// One request asks, and others go on with the entries known before.
+func (t *targets) lockWithMembers() time.Time {
+	t.mutex.Lock()
+	now := time.Now()
+	entriesDue, zoneDue := t.core.EntriesDue(now), t.zoneDue(now)
+	if !entriesDue && !zoneDue {
+		return now
+	}
+	if entriesDue {
+		t.core.BeginEntries()
+	}
+	if zoneDue {
+		t.health.lookedAt = now
+	}
+	t.mutex.Unlock()
+	var entries, zone []string
+	if entriesDue {
+		entries = t.entries()
+	}
+	if zoneDue {
+		zone = t.health.source.ZoneEntries()
+	}
+	t.mutex.Lock()
+	now = time.Now()
+	if entriesDue {
+		t.core.TakeEntries(entries, now)
+	}
+	if zoneDue {
+		t.core.TakeZone(zone)
 	}
+	return now
 }
 
 // logRefusal logs why no server was chosen: how many servers fall out for which
--- a/internal/forward/configuration_benchmark_test.go
+++ b/internal/forward/configuration_benchmark_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/platform"
 	"pinevane.example/pinevane/platform/platformtest"
 )
@@ -64,7 +66,10 @@
 		_, _ = writer.Write([]byte("answer"))
 	}))
 	b.Cleanup(server.Close)
-	c := &changer{f: forwarderWithBudget(), decoder: platform.NewDecoder(), view: catalog.View{Servers: map[string][]fleet.Server{
+	c := &changer{f: New(Options{
+		Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(), Policy: DefaultPolicy(),
+		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Peers: func() int { return 0 },
+	}), decoder: platform.NewDecoder(), view: catalog.View{Servers: map[string][]fleet.Server{
 		platformtest.PlainService: {{ID: "i-0", Service: platformtest.PlainService, Address: server.Listener.Addr().(*net.TCPAddr).String(), Zone: "z", Slots: 64}},
 	}}}
 	for version := range 2 {
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,29 +27,42 @@
 
 // HealthSource is what entries of a zone tell each other of servers.
 type HealthSource interface {
-	// TellHealth has the others told.
-	TellHealth(words []health.Word)
+	// TellHealth has the others told what was found out at a time: ages in the words are those of then.
+	TellHealth(words []health.Word, at time.Time)
 	// ZoneEntries lists the others.
 	ZoneEntries() []string
 }
 
-// healthReporter tells of servers' health; the mutex of the set of servers guards it.
+// healthReporter tells of servers' health; the mutex of the set of servers guards it but for what is
+// said otherwise.
 type healthReporter struct {
 	// source is nil in an entry that shares nothing.
 	source   HealthSource
 	lookedAt time.Time
+	// found are the words that the source is still to be told, untold whether there are any.
+	found  []finding
+	untold atomic.Bool
+	// telling is held by the one request that tells the source, which keeps the words in their order; it
+	// is taken before the mutex of the servers.
+	telling sync.Mutex
 
 	ejections *prometheus.CounterVec
 	trials    prometheus.Counter
 }
 
+// finding is what was found out at a time.
+type finding struct {
+	words []health.Word
+	at    time.Time
+}
+
 func newHealthReporter(options Options) *healthReporter {
 	return &healthReporter{
 		source: options.Health,
 		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_server_ejections_total", Help: "Ejections of servers, by what decided them; told: another entry of the zone."}, []string{"by"}),
 		trials: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "pinevane_server_trials_total", Help: "Requests sent to ejected servers on trial."}),
+			Name: "pinevane_server_trials_total", Help: "Requests sent on trial to servers that were ejected, or that their agents do not reach."}),
 	}
 }
 
@@ -65,33 +80,58 @@
 // zonePeriod is how often the entries of the zone are looked through.
 const zonePeriod = 250 * time.Millisecond
 
-// tellZone tells the decisions which entries take turns with trials; the mutex is held.
-func (t *targets) tellZone(now time.Time) {
-	if t.health.source != nil && now.Sub(t.health.lookedAt) >= zonePeriod {
-		t.health.lookedAt = now
-		t.core.TakeZone(t.health.source.ZoneEntries())
-	}
+// zoneDue reports whether the entries of the zone are to be looked through; the mutex is held.
+func (t *targets) zoneDue(now time.Time) bool {
+	return t.health.source != nil && now.Sub(t.health.lookedAt) >= zonePeriod
 }
 
 // noteTrial logs and counts a request that is the trial of its server; the mutex is held.
-func (t *targets) noteTrial(w *work, k *dispatch.Candidate) {
+func (t *targets) noteTrial(w *work, k *dispatch.Candidate, now time.Time) {
 	t.health.trials.Inc()
 	t.log.Log(logging.ServerTried, zap.String("server", k.ID), zap.String("request", w.request.Call.RequestID))
-	t.reportHealth()
+	t.reportHealth(now)
 }
 
-// reportHealth logs and counts what has changed with servers' health, and has the zone told; the
-// mutex is held.
-func (t *targets) reportHealth() {
+// reportHealth logs and counts what has changed with servers' health now, and keeps what the zone is
+// to be told of that; the mutex is held.
+func (t *targets) reportHealth(now time.Time) {
 	news := t.core.TakeHealthNews()
 	for _, change := range news.Changes {
 		t.logHealth(change)
 	}
 	if t.health.source != nil && len(news.Words) > 0 {
-		t.health.source.TellHealth(news.Words)
+		t.health.found = append(t.health.found, finding{words: news.Words, at: now})
+		t.health.untold.Store(true)
 	}
 }
 
+// tellZone has the zone told what was found out. The mutex is not held: the source has one of its own,
+// which is held while it works through what thousands of agents tell. Only one request waits for that at
+// a time: it tells what others find out meanwhile too, and looks again after it has let go of telling,
+// because what was found out just before has been left to it.
+func (t *targets) tellZone() {
+	for t.health.untold.Load() && t.health.telling.TryLock() {
+		t.tellWords()
+		t.health.telling.Unlock()
+	}
+}
+
+// tellWords has the zone told once; telling is held.
+func (t *targets) tellWords() {
+	for _, one := range t.takeFindings() {
+		t.health.source.TellHealth(one.words, one.at)
+	}
+}
+
+func (t *targets) takeFindings() []finding {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	found := t.health.found
+	t.health.found = nil
+	t.health.untold.Store(false)
+	return found
+}
+
 func (t *targets) logHealth(change health.Change) {
 	by := "told"
 	if change.Outcome != 0 {
@@ -109,21 +149,25 @@
 // HearHealth takes in what another entry of the zone has said of a server, and when.
 func (f *Forwarder) HearHealth(word health.Word, at time.Time) {
 	t := f.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.core.HearHealth(word, at, time.Now())
-	t.reportHealth()
+	now := time.Now()
+	t.core.HearHealth(word, at, now)
+	t.reportHealth(now)
 }
 
 // observe notes what the present attempt has shown of its server.
 func (w *work) observe(k *target, outcome health.Outcome) {
 	t := w.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	now := time.Now()
 	t.core.Observe(k.Candidate, dispatch.Outcome{
 		Outcome: outcome, Class: w.request.Route.Name, SentAt: w.sentAt, Repeated: len(w.wanted.Tried) > 1,
-	}, time.Now())
-	t.reportHealth()
+	}, now)
+	t.reportHealth(now)
 }
 
 // observeAnswer notes what a whole answer has shown. A server's answer that the time of the
@@ -184,8 +228,10 @@
 // endTrial notes that an attempt has ended that says nothing of its server.
 func (w *work) endTrial() {
 	t := w.targets
+	defer t.tellZone()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.core.EndTrial(w.placed, time.Now())
-	t.reportHealth()
+	now := time.Now()
+	t.core.EndTrial(w.placed, now)
+	t.reportHealth(now)
 }
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -26,7 +26,7 @@
 	log *logging.Logger
 	// bounds are those of the settings in force.
 	bounds atomic.Pointer[fleet.Bounds]
-	// entries lists the other entries lately known; nil knows of none.
+	// entries lists the other entries lately known.
 	entries func() []string
 
 	mutex sync.Mutex
@@ -52,11 +52,15 @@
 		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, told: map[string]fleet.MachineStatus{},
 	}
 	t.bounds.Store(&options.Bounds)
+	if t.entries == nil {
+		t.entries = func() []string { return nil }
+	}
 	return t
 }
 
 // update takes over a new list of servers.
 func (t *targets) update(view *catalog.View) {
+	defer t.tellZone()
 	names := t.routeNames(view.Configuration)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -67,10 +71,11 @@
 		t.core.KeepRoutes(names)
 	}
 	t.view = view
-	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), time.Now()) {
+	now := time.Now()
+	for _, change := range t.core.Update(fleetOf(view, t.bounds.Load()), now) {
 		t.follow(change)
 	}
-	t.reportHealth()
+	t.reportHealth(now)
 }
 
 // follow logs a change of the fleet and ends the connections to a server that gets no more
