A request that may go elsewhere leaves a small region's servers to those that may not

Cause: the choice of a server knows nothing of who else can go where. A region that is the only allowed one of some requests fills with requests that could go elsewhere, and the bound ones are refused. Change: each entry keeps, by service and region, a fading sum of the server time asked for by requests that only this region may serve.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -25,6 +25,7 @@
 	if request.Engine != nil {
 		c.findLeastMissing(now)
 	}
+	c.noteBound(request, now)
 	usable := askedOf(c.usable(request, now), request)
 	if len(usable) == 0 {
 		return Decision{}, c.noServer(request, now)
@@ -104,7 +105,7 @@
 	if k.word.silent(now) {
 		score += silentCost
 	}
-	return score + c.delayedSwitch(k, request, now) + c.healthCost(k, now)
+	return score + c.delayedSwitch(k, request, now) + c.healthCost(k, now) + c.scarcityCost(k, request, now)
 }
 
 func (c *Core) distance(k *Candidate) time.Duration {
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -12,6 +12,7 @@
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/residency"
 	"pinevane.example/pinevane/coordination/shedding"
 )
 
@@ -51,6 +52,9 @@
 	// SwitchWeight is the weight of the time by which a request would put off its server's
 	// change-over.
 	SwitchWeight float64
+	// Scarcity is the weight of what a request that may be served elsewhere takes from those
+	// that only one region may serve.
+	Scarcity float64
 	// SampleSize is how many servers are compared for a request.
 	SampleSize int
 }
@@ -77,6 +81,10 @@
 	learned map[string]*balance.Learned
 	// margins learn the limit of refusals of each service.
 	margins map[string]*balance.Margin
+	// demands are what is asked of each service in a region by requests that may be served
+	// nowhere else, regionServers how many servers it has there.
+	demands       map[regionalService]*residency.Demand
+	regionServers map[regionalService]int
 	// usual learns what time callers of each route have left at first attempts, pressures
 	// whether each service is overloaded; both count time since started.
 	usual     map[string]*shedding.Usual
@@ -106,7 +114,8 @@
 		byID: map[string]*Candidate{}, byService: map[string][]*Candidate{}, byAddress: map[string]*Candidate{},
 		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
-		usual: map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: options.Started, health: health.New(options.Self),
+		demands: map[regionalService]*residency.Demand{},
+		usual:   map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: options.Started, health: health.New(options.Self),
 		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{}, emptying: newEmptying(),
 	}
 }
@@ -115,4 +124,7 @@
 func (c *Core) Regions() map[string]string { return c.regions }
 
 // SetRegions replaces the regions of the zones. The map is not changed afterwards.
-func (c *Core) SetRegions(regions map[string]string) { c.regions = regions }
+func (c *Core) SetRegions(regions map[string]string) {
+	c.regions = regions
+	c.countRegions()
+}
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -12,7 +12,7 @@
 
 // testPolicy is what an entry runs with.
 func testPolicy() Policy {
-	return Policy{RefusalShare: 1, InTimeShare: 0.7, LateShare: 0.15, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, SampleSize: 4}
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, LateShare: 0.15, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, Scarcity: 1, SampleSize: 4}
 }
 
 // testCore is a core in a zone, whose chance repeats.
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -68,6 +68,7 @@
 	c.updateHealth(old)
 	changes = append(changes, c.noteEvacuations(old, now)...)
 	c.findColdTill()
+	c.countRegions()
 	return append(changes, c.Emptied(now)...)
 }
 
--- a/coordination/dispatch/returns.go
+++ b/coordination/dispatch/returns.go
@@ -70,7 +70,7 @@
 }
 
 // held returns what is kept of a name, and begins with nothing known.
-func held[V any](kept map[string]*V, name string) *V {
+func held[K comparable, V any](kept map[K]*V, name K) *V {
 	known := kept[name]
 	if known == nil {
 		known = new(V)
--- a/internal/command/policy_test.go
+++ b/internal/command/policy_test.go
@@ -19,7 +19,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, forward.DefaultPolicy(), command.Decisions)
 	require.NoError(t, command.Decisions.Check())
-	for _, argument := range []string{"--refusal-share=11", "--in-time-share=1", "--late-share=1.1", "--late-share=-0.1", "--unseen-load=-1", "--unseen-load=3", "--lateness=NaN", "--switch-weight=2.1", "--sample-size=0"} {
+	for _, argument := range []string{"--refusal-share=11", "--in-time-share=1", "--late-share=1.1", "--late-share=-0.1", "--unseen-load=-1", "--unseen-load=3", "--lateness=NaN", "--switch-weight=2.1", "--scarcity=2.1", "--sample-size=0"} {
 		_, err := flags.NewParser(&command, flags.None).ParseArgs([]string{argument})
 		require.NoError(t, err, argument)
 		var invalid *fault.InvalidSetting
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -75,7 +75,7 @@
 	}
 	registerCold(options.Registry, f.targets)
 	registerHealth(options.Registry, f.targets)
-	options.Registry.MustRegister(newEvacuationCollector(f.targets))
+	options.Registry.MustRegister(newEvacuationCollector(f.targets), newBoundLoadCollector(f.targets))
 	return f
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -90,6 +90,28 @@
 	}
 }
 
+// boundLoadCollector tells what bound requests ask of regions.
+type boundLoadCollector struct {
+	targets *targets
+	share   *prometheus.Desc
+}
+
+func newBoundLoadCollector(t *targets) *boundLoadCollector {
+	return &boundLoadCollector{targets: t, share: prometheus.NewDesc("pinevane_bound_load",
+		"Share of a service's model servers in a region that this entry's requests keep busy which may be served in no other.",
+		[]string{"service", "region"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (c *boundLoadCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- c.share }
+
+// Collect implements prometheus.Collector.
+func (c *boundLoadCollector) Collect(collected chan<- prometheus.Metric) {
+	for _, one := range c.targets.boundLoads() {
+		collected <- prometheus.MustNewConstMetric(c.share, prometheus.GaugeValue, one.Share, one.Service, one.Region)
+	}
+}
+
 // registerCold tells of cold servers as metrics.
 func registerCold(registry prometheus.Registerer, t *targets) {
 	registry.MustRegister(
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -15,12 +15,13 @@
 	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
 	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
 	SwitchWeight float64 `long:"switch-weight" env:"PINEVANE_SWITCH_WEIGHT" default:"2" description:"weight of the time by which a request would put off its server's change-over, 0 to 2"`
+	Scarcity     float64 `long:"scarcity" env:"PINEVANE_SCARCITY" default:"1" description:"weight of what a request that may be served in several regions takes from those that only one may serve, 0 to 2"`
 	SampleSize   int     `long:"sample-size" env:"PINEVANE_SAMPLE_SIZE" default:"4" description:"servers that are compared for a request, 1 to 64"`
 }
 
 // DefaultPolicy is what the flags' defaults say.
 func DefaultPolicy() Policy {
-	return Policy{RefusalShare: 1, InTimeShare: 0.7, LateShare: 0.15, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, SampleSize: 4}
+	return Policy{RefusalShare: 1, InTimeShare: 0.7, LateShare: 0.15, UnseenLoad: 1, Lateness: 1, SwitchWeight: 2, Scarcity: 1, SampleSize: 4}
 }
 
 // Bounds of the policy's figures.
@@ -40,7 +41,7 @@
 		most  float64
 	}{
 		{"--refusal-share", p.RefusalShare, mostRefusalShare}, {"--in-time-share", p.InTimeShare, mostInTimeShare}, {"--late-share", p.LateShare, mostLateShare}, {"--unseen-load", p.UnseenLoad, mostWeight},
-		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight},
+		{"--lateness", p.Lateness, mostWeight}, {"--switch-weight", p.SwitchWeight, mostWeight}, {"--scarcity", p.Scarcity, mostWeight},
 	} {
 		if !(one.value >= 0 && one.value <= one.most) {
 			return &fault.InvalidSetting{Flag: one.flag, Value: strconv.FormatFloat(one.value, 'g', -1, 64), Allowed: "0 to " + strconv.FormatFloat(one.most, 'g', -1, 64)}
--- a/internal/forward/residency.go
+++ b/internal/forward/residency.go
@@ -4,9 +4,11 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -62,6 +64,13 @@
 	return false
 }
 
+// boundLoads tells what bound requests of this entry ask of regions.
+func (t *targets) boundLoads() []dispatch.BoundLoad {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.BoundLoads(time.Now())
+}
+
 // regionsField tells the log which regions are allowed; it is left out where all are. An
 // empty one means that the lists which bind the request contradict each other.
 func regionsField(residency fleet.Residency) zap.Field {
--- a/internal/forward/residency_test.go
+++ b/internal/forward/residency_test.go
@@ -407,3 +407,20 @@
 	t.Fatal("no gauge " + name)
 	return 0
 }
+
+// What requests that only one region may serve ask of its servers is published, by service and
+// region.
+func TestBoundLoadIsPublished(t *testing.T) {
+	f := residencyTargets(logging.Nop())
+	engine := &fleet.Engine{Pieces: 100, PieceBytes: 25_000}
+	f.Update(&catalog.View{
+		Configuration: &fleet.Configuration{Services: map[string]fleet.Service{"s": {Engine: engine}}},
+		Servers:       map[string][]fleet.Server{"s": {{ID: "near", Service: "s", Address: "10.0.1.1:1", Zone: "a1"}, {ID: "far", Service: "s", Address: "10.0.2.1:1", Zone: "b1"}}},
+	})
+	for range 10 {
+		w := &work{Forwarder: f, request: &Request{}, wanted: dispatch.Request{Service: "s", Prompt: 1000, Residency: fleet.Residency{{"b"}}}}
+		f.targets.describe(&w.wanted)
+		_, _ = f.targets.choose(w) // Refused or not, it is asked for.
+	}
+	assert.Positive(t, gaugeValue(t, f, "pinevane_bound_load"))
+}
