--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -61,26 +61,21 @@
 // begin requests, warm that of taking a version into service, and lastTurn the time until the last
 // turn at which the server may leave what it serves, 0 for one that serves nothing. The older one
 // is dropped when nothing of it comes any more, when too little service is left in it, and when the
-// newest comes in time. Where the origin ends half a second before a version is named that follows
+// newest has left the origin and comes in time. Where the origin ends half a second before a version is named that follows
 // another by three seconds, servers go on with the other until its bound: 0.10 of the worth of such a
 // day at 99 servers.
 func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
 	olderLeft, comes := older.left()
-	if !comes || inForce-olderLeft-warm-sendsEnd < worthwhileService {
+	if !comes || newest.Missing == 0 || inForce-olderLeft-warm-sendsEnd < worthwhileService {
 		return false
 	}
-	switch newest.Missing {
-	case 0:
-		return false
-	case newest.Pieces:
-		return true
-	}
 	newestLeft, comes := newest.left()
-	if !comes {
+	switch {
+	case newest.Missing == newest.Pieces || !comes:
 		return true
-	}
-	if lastTurn <= 0 {
+	case lastTurn <= 0:
 		return newestLeft-olderLeft > worthwhileGain
 	}
-	return newestLeft > lastTurn
+	// As long as the newest has not left the origin, when it comes is a guess.
+	return newest.Unsourced > 0 || newestLeft > lastTurn
 }
--- a/coordination/turnover/fallback_test.go
+++ b/coordination/turnover/fallback_test.go
@@ -45,7 +45,7 @@
 	}
 	older := copyOf(12, 0, 50*time.Millisecond)
 	nothing, coming, stalled := copyOf(64, 64, 0), copyOf(60, 50, 50*time.Millisecond), copyOf(60, 60, stallTime+1)
-	slow := coming
+	flowing, slow := copyOf(60, 0, 50*time.Millisecond), coming
 	slow.OriginTime = 9 * time.Second
 	for _, one := range []struct {
 		name     string
@@ -56,8 +56,9 @@
 		want     bool
 	}{
 		{"nothing of the newest has come yet", nothing, older, 8 * time.Second, 3 * time.Second, true},
-		{"the newest comes in time", coming, older, 8 * time.Second, 3 * time.Second, false},
-		{"the newest comes too late", coming, older, 8 * time.Second, time.Second, true},
+		{"the newest comes in time", flowing, older, 8 * time.Second, 3 * time.Second, false},
+		{"the newest comes in time, unless the origin ends", coming, older, 8 * time.Second, 3 * time.Second, true},
+		{"the newest comes too late", flowing, older, 8 * time.Second, time.Second, true},
 		{"the newest has stopped", stalled, older, 8 * time.Second, 3 * time.Second, true},
 		{"the server serves nothing, and the newest comes about as soon", coming, older, 8 * time.Second, 0, false},
 		{"the server serves nothing, and the origin is slow", slow, older, 8 * time.Second, 0, true},
