Hastened words keep a pace; only the first word after a silence is hastened

Cause: since words that end a silence are passed on after 10 ms, each such word had all entries told anew, at each hop, without any pace; words of agents whose words come 0.45 s apart each counted as the end of a silence; and a new link had everybody told, not the new one alone.

Change: the first hastened round goes after 10 ms, the next no sooner than statusPace, to other zones farHastePace (named, as long). Only the first word that comes as late as after a silence ends one. A new link alone is told soon.

TestLateWordsKeepThePaceOfOtherZones, TestHastenedWordsToOtherZonesHaveAPace and TestANewLinkAloneIsToldSoon fail without it. TestANewLinkIsToldSoon now runs the hastened round, of which it asks the same.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -105,9 +105,12 @@
 	statuses       map[string]heldStatus
 	statusSequence uint64
 	onStatus       StatusFunction
-	// hastened is set when statuses are to be passed on soon, of which haste tells.
-	hastened bool
-	haste    chan struct{}
+	// hastened is set when statuses are to be passed on soon, of which haste tells; hasteAll when
+	// they are to all entries; hastenedAt is when that was last done.
+	hastened   bool
+	hasteAll   bool
+	hastenedAt time.Time
+	haste      chan struct{}
 
 	health healthWords
 
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -104,7 +104,7 @@
 			case <-linkTimer.C:
 				linkTimer.Reset(c.checkLinks(ctx))
 			case <-c.haste:
-				c.passStatuses()
+				c.passHastened()
 			case <-ticker.C:
 				waiting = false
 			case <-c.kick:
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -154,6 +154,11 @@
 	farTold   uint64
 	farToldAt time.Time
 	passing   bool
+	// farHastened is set when a round of words to its zone was hastened, which was last done at
+	// farHastenedAt; untold when nothing has been told on the link.
+	farHastened   bool
+	farHastenedAt time.Time
+	untold        bool
 	// healthTold is up to which word on a server's health the other was told;
 	// tellingHealth is set while it is being told.
 	healthTold    uint64
@@ -167,7 +172,7 @@
 func (p *peerLink) open(link *peering.Link, accepted bool) {
 	fresh := peerLink{
 		ip: p.ip, address: p.address, wantedSince: p.wantedSince, dialling: p.dialling, link: link, accepted: accepted,
-		patience: p.patience, patientTill: p.patientTill,
+		patience: p.patience, patientTill: p.patientTill, farHastenedAt: p.farHastenedAt,
 	}
 	if now := time.Now(); now.After(fresh.patientTill) {
 		fresh.patience = renewAfter + rand.N(renewSpread)
@@ -180,6 +185,7 @@
 // open begins anew with a link, and has the other process told all soon. The mutex is held.
 func (c *Catalog) open(peer *peerLink, link *peering.Link, accepted bool) {
 	peer.open(link, accepted)
+	peer.untold = true
 	c.kickExchange()
 	c.passSoon()
 }
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -240,10 +242,106 @@
 	case <-time.After(statusPace):
 		assert.Fail(t, "later than the next statusPace")
 	}
-	c.passStatuses()
+	c.passHastened()
 	assert.False(t, pendingHaste(c))
 }
 
+// tellsOtherZone links a catalog to an entry of another zone and runs its exchange, and returns the count
+// of frames of words that the other entry receives.
+func tellsOtherZone(t *testing.T, c *Catalog) *atomic.Int64 {
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "y"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	t.Cleanup(hub.Close)
+	var frames atomic.Int64
+	hub.Handle(topicStatuses, func(*peering.Link, *message.Message) { frames.Add(1) })
+	other := httptest.NewServer(hub)
+	t.Cleanup(other.Close)
+	made, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	c.mutex.Lock()
+	c.peerLink("10.0.0.2").open(made, false)
+	c.mutex.Unlock()
+	c.hearEntry("10.0.0.2", "y", 0)
+	go c.exchange(t.Context())
+	return &frames
+}
+
+// Agents whose words come 0.45 s apart, spread, do not have another zone told all the time: only the
+// first word after a silence is hastened.
+func TestLateWordsKeepThePaceOfOtherZones(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	frames := tellsOtherZone(t, c)
+	const turns, agents = 5, 45
+	var began time.Time
+	for turn := range turns {
+		if turn == 1 {
+			frames.Store(0)
+			began = time.Now()
+		}
+		for agent := range agents {
+			c.takeStatus(heldStatus{zone: "z", direct: true, at: time.Now(), status: fleet.MachineStatus{Address: fmt.Sprintf("10.1.0.%d:80", agent)}})
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	most := int64(time.Since(began)/(farStatusPace-statusPace/4)) + 2
+	t.Log("frames:", frames.Load(), "of at most", most)
+	assert.LessOrEqual(t, frames.Load(), most)
+}
+
+// Words that each end a silence, one after the other, have another zone told at farHastePace.
+func TestHastenedWordsToOtherZonesHaveAPace(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	frames := tellsOtherZone(t, c)
+	began := time.Now()
+	for agent := range 100 {
+		c.takeStatus(heldStatus{zone: "z", direct: true, at: time.Now(), status: fleet.MachineStatus{Address: fmt.Sprintf("10.1.0.%d:80", agent)}})
+		time.Sleep(10 * time.Millisecond)
+	}
+	most := int64(time.Since(began)/farHastePace) + 2
+	t.Log("frames:", frames.Load(), "of at most", most)
+	assert.LessOrEqual(t, frames.Load(), most)
+}
+
+// A link that is made anew again and again has nobody else told more often.
+func TestANewLinkAloneIsToldSoon(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	_, made := linkOther(t, c)
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.3", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	defer hub.Close()
+	var frames atomic.Int64
+	hub.Handle(topicStatuses, func(*peering.Link, *message.Message) { frames.Add(1) })
+	other := httptest.NewServer(hub)
+	defer other.Close()
+	third, err := c.options.Hub.Link(t.Context(), other.Listener.Addr().String())
+	require.NoError(t, err)
+	c.mutex.Lock()
+	c.peerLink("10.0.0.2").open(made, false)
+	c.peerLink("10.0.0.3").open(third, false)
+	c.mutex.Unlock()
+	c.hearEntry("10.0.0.2", "z", 0)
+	c.hearEntry("10.0.0.3", "z", 0)
+	go c.exchange(t.Context())
+	var began time.Time
+	for turn := range 100 {
+		c.takeStatus(heldStatus{zone: "z", direct: true, at: time.Now(), status: fleet.MachineStatus{Address: fmt.Sprintf("10.1.0.%d:80", turn%10)}})
+		time.Sleep(10 * time.Millisecond)
+		if turn == 20 {
+			frames.Store(0)
+			began = time.Now()
+		}
+		if turn > 20 {
+			c.mutex.Lock()
+			c.open(c.links["10.0.0.2"], made, false)
+			c.mutex.Unlock()
+		}
+	}
+	most := int64(time.Since(began)/statusPace) + 2
+	t.Log("frames:", frames.Load(), "of at most", most)
+	assert.LessOrEqual(t, frames.Load(), most)
+}
+
 // Links are looked at again when one is to be probed or renewed: left to a pace, a renewal came up
 // to that much later, and the words that wait for it.
 func TestLinksAreLookedAtWhenOneIsDue(t *testing.T) {
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -35,6 +35,9 @@
 	// hastePause is how long words gather that are not left to the next statusPace: after a
 	// silence of many links they come within some ten milliseconds.
 	hastePause = 10 * time.Millisecond
+	// farHastePace is the least time between two hastened rounds of words of or to another zone.
+	// A word waits for it at two of up to three hops.
+	farHastePace = statusPace
 )
 
 // toldStatus is an agent's word as it is passed on.
@@ -62,8 +65,10 @@
 	sequence uint64
 	// passedAt is when another entry of the zone last passed on a word of the agent.
 	passedAt time.Time
-	// back is set when the word has ended a silence.
+	// back is set when the word has ended a silence, late when it came as late as after one: those of
+	// an agent whose words always come that late end none.
 	back bool
+	late bool
 }
 
 // StatusFunction is told an agent's word, when the agent said it, and whether it said
@@ -126,7 +131,7 @@
 	}
 	c.statusSequence++
 	fresh.sequence = c.statusSequence
-	fresh.back = fresh.back || c.isBack(fresh, held)
+	fresh.continues(held, c.isLate(fresh, held))
 	c.statuses[fresh.status.Address] = fresh
 	if fresh.back {
 		c.hastenStatuses()
@@ -137,10 +142,21 @@
 	}
 }
 
-// isBack reports whether a word ends a silence of its agent, or of what its words come by. The
-// word of an agent of the own zone may as well come from another entry, whose link to the agent
+// continues notes whether a word that follows another one of its agent ends a silence.
+func (h *heldStatus) continues(held heldStatus, late bool) {
+	if !h.at.After(held.at.Add(sameMoment)) {
+		// The same word, which has come by another way before.
+		h.back, h.late = h.back || held.back, held.late
+		return
+	}
+	h.late = late
+	h.back = (h.back || late) && !held.late
+}
+
+// isLate reports whether a word comes as late as after a silence of its agent, or of what its words
+// come by. The word of an agent of the own zone may as well come from another entry, whose link to the agent
 // works again before the own one.
-func (c *Catalog) isBack(fresh, held heldStatus) bool {
+func (c *Catalog) isLate(fresh, held heldStatus) bool {
 	pause := fresh.at.Sub(held.at)
 	if fresh.zone != c.options.Zone {
 		return pause > farPause
@@ -151,19 +167,32 @@
 // hastenStatuses has all entries told soon, those of other zones too: they have waited for the
 // word of an agent that had fallen silent. The mutex is held.
 func (c *Catalog) hastenStatuses() {
+	now := time.Now()
 	for _, peer := range c.links {
-		peer.farToldAt = time.Time{}
+		peer.hastenFar(now)
 	}
+	c.hasteAll = true
 	c.passSoon()
 }
 
-// passSoon has statuses passed on before the next statusPace; the mutex is held.
+// hastenFar makes a round of words to another zone due, farHastePace after the last hastened one.
+func (p *peerLink) hastenFar(now time.Time) {
+	p.farHastened = true
+	if due := p.farHastenedAt.Add(farHastePace); !due.After(now) {
+		p.farToldAt = time.Time{}
+	} else if toldAt := due.Add(-farStatusPace); toldAt.Before(p.farToldAt) {
+		p.farToldAt = toldAt
+	}
+}
+
+// passSoon has statuses passed on before the next statusPace, though no sooner than that after the
+// last time; the mutex is held.
 func (c *Catalog) passSoon() {
 	if c.hastened {
 		return
 	}
 	c.hastened = true
-	time.AfterFunc(hastePause, func() {
+	time.AfterFunc(max(hastePause, statusPace-time.Since(c.hastenedAt)), func() {
 		select {
 		case c.haste <- struct{}{}:
 		default:
@@ -171,20 +200,32 @@
 	})
 }
 
+// passHastened passes on statuses before the next statusPace: to all entries after a silence, else to
+// those alone whose links are new.
+func (c *Catalog) passHastened() {
+	c.mutex.Lock()
+	all := c.hasteAll
+	c.hastened, c.hasteAll, c.hastenedAt = false, false, time.Now()
+	c.mutex.Unlock()
+	c.pass(func(peer *peerLink) bool { return all || peer.untold })
+}
+
 // passStatuses sends each entry what it has not heard of agents: those of the own
 // zone what the agents have said here, and as the first gate what other zones' have;
 // the gates of other zones everything of the own zone.
-func (c *Catalog) passStatuses() {
+func (c *Catalog) passStatuses() { c.pass(func(*peerLink) bool { return true }) }
+
+// pass sends statuses to the entries that are wanted.
+func (c *Catalog) pass(wanted func(*peerLink) bool) {
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.hastened = false
 	c.forgetStatuses(now)
 	c.overlay.Advance(now)
 	firstGate := c.overlay.Rank() == 0
 	batches := map[batchKey][]byte{}
 	for _, peer := range c.links {
-		if !peer.isEntry() || peer.passing {
+		if !peer.isEntry() || peer.passing || !wanted(peer) {
 			continue
 		}
 		key, due := c.nextBatch(peer, firstGate, now)
@@ -200,7 +241,7 @@
 			continue
 		}
 		peer.passing = true
-		go c.pass(peer, peer.link, payload)
+		go c.passBatch(peer, peer.link, payload)
 	}
 }
 
@@ -231,6 +272,7 @@
 	isNear := peer.zone() == c.options.Zone
 	// A timer that is a little early does not put others off by a whole statusPace.
 	farDue := firstGate && now.Sub(peer.farToldAt) >= farStatusPace-statusPace/4
+	peer.untold = false
 	var key batchKey
 	switch {
 	case isNear:
@@ -249,6 +291,9 @@
 	peer.nearTold = c.statusSequence
 	if farDue {
 		peer.farToldAt = now
+		if peer.farHastened {
+			peer.farHastened, peer.farHastenedAt = false, now
+		}
 		if isNear {
 			peer.farTold = c.statusSequence
 		}
@@ -301,7 +346,7 @@
 	return main || (feeds && now.Sub(held.passedAt) > backupPause)
 }
 
-func (c *Catalog) pass(peer *peerLink, link *peering.Link, payload []byte) {
+func (c *Catalog) passBatch(peer *peerLink, link *peering.Link, payload []byte) {
 	c.sent(peer, link, &peer.passing, link.Publish(topicStatuses, message.NewMessage("", payload)))
 }
 
