Links of processes that are short of time: grants are bounded, slow links are left alone

Cause: (1) each stall of a process gave the answers to probes their time anew, so that one whose looks are always more than 0.12 s apart dropped a dead link late, and behind a middlebox that acknowledges for a lost peer not at all. (2) A link that was heard while another one was made got no more time, and was dialled for again each time. (3) A replaced link was judged right after a pause, before its reader could read. (4) A renewal waited for the silent link as long as the new connection had taken, also where that is the length of the way. (5) A probe whose time ran out in a pause was not sent again.

Change: stalls after a probe move the time for its answer up to probeTime (1.2 s) after it. A link that was heard is doubted like one that could not be made anew, with event PV1105. Replaced links are not judged while readers may still read what came in a pause. A renewal waits for as long as the new connection took longer to be answered than the silent one had. A probe older than the last pause is sent once more in a silence.

TestAStarvedProcessDropsADeadLink, ...BehindAMiddlebox, TestAProbeThatExpiredInAPauseIsSentAgain, TestAReplacedLinkIsNotJudgedRightAfterAPause, TestSlowLinksAreNotDialledForEver and TestRenewalsOverLongWaysAreNotDelayed fail without it.

A process that gets 1 ms of each 0.29 s can still lose links: a bound on the time given is a bound on that too.

--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -36,6 +38,8 @@
 	renewAfter  = 420 * time.Millisecond
 	renewSpread = 80 * time.Millisecond
 	probeGrace  = 50 * time.Millisecond
+	// probeTime is how long a probe may be answered.
+	probeTime = linkSilence - probeAfter
 	// judgeAfter is how long a replaced link may still bring something until it is counted as
 	// silent; the hub closes it soon after that.
 	judgeAfter = 900 * time.Millisecond
@@ -121,6 +125,8 @@
 	failures int
 	// probedAt is when the link was last probed.
 	probedAt time.Time
+	// probedAgain is set when that was the second time in a silence.
+	probedAgain bool
 	// patience is the silence after which a second link is made, by which it is doubled until
 	// patientTill if the first one was only slow.
 	patience    time.Duration
@@ -292,16 +298,31 @@
 	if now.Sub(peer.link.LastHeard()) <= linkSilence {
 		return false
 	}
-	peer.probe(now)
-	return now.Sub(c.pause.grantedSince(peer.probedAt)) >= resumeTime
+	peer.probe(now, c.pause.resumed)
+	return now.Sub(peer.answerable(&c.pause)) >= resumeTime
+}
+
+// probe asks for a sign of life, once in a silence, and once more after a pause of the process, in
+// which the time for the answer may have run out.
+func (p *peerLink) probe(now, resumed time.Time) {
+	again := false
+	if !p.probedAt.Before(p.link.LastHeard()) {
+		if again = !p.probedAgain && p.probedAt.Before(resumed); !again {
+			return
+		}
+	}
+	p.probedAt, p.probedAgain = now, again
+	go p.link.Probe(probeTime)
 }
 
-// probe asks for a sign of life, once in a silence.
-func (p *peerLink) probe(now time.Time) {
-	if p.probedAt.Before(p.link.LastHeard()) {
-		p.probedAt = now
-		go p.link.Probe(linkSilence - probeAfter)
+// answerable is since when the answer to the probe could be read. Stalls of the process move it up
+// to the end of probeTime: otherwise a process whose stalls go on never finds that a link is dead.
+func (p *peerLink) answerable(pause *pause) time.Time {
+	granted, last := pause.grantedSince(p.probedAt), p.probedAt.Add(probeTime)
+	if granted.After(last) {
+		return last
 	}
+	return granted
 }
 
 // checkLinks looks after links that have been silent for a short time. Of a link that two entries
@@ -334,11 +355,11 @@
 	if silent <= probeAfter {
 		return probeAfter - silent
 	}
-	peer.probe(now)
+	peer.probe(now, c.pause.resumed)
 	if peer.accepted || peer.dialling {
 		return linkLook
 	}
-	answerTime := probeGrace - now.Sub(c.pause.grantedSince(peer.probedAt))
+	answerTime := probeGrace - now.Sub(peer.answerable(&c.pause))
 	if early := max(peer.patience-silent, answerTime, c.pause.resuming(now)); early > 0 {
 		return early
 	}
@@ -357,11 +378,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	peer.dialling = false
-	if errors.Is(err, peering.ErrHeard) {
-		return
-	}
 	if err != nil {
-		// Whether the other process is gone shows at linkSilence.
+		// The link was only slow (peering.ErrHeard), or whether the other process is gone shows at
+		// linkSilence.
+		c.options.Log.Log(logging.LinkKept, zap.String("peer", peer.ip), zap.Error(err))
 		peer.doubt(now)
 		return
 	}
@@ -390,7 +410,7 @@
 		peer.doubt(now)
 		return
 	}
-	if now.Sub(peer.replacedAt) >= judgeAfter {
+	if now.Sub(peer.replacedAt) >= judgeAfter && c.pause.resuming(now) <= 0 {
 		peer.replaced = nil
 		c.options.OnSilent(peer.ip, peer.silent)
 	}
--- /dev/null
+++ b/internal/catalog/starved_test.go
@@ -0,0 +1,198 @@
+package catalog
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+	"pinevane.example/pinevane/internal/silencer"
+)
+
+const (
+	// starvedLook is the time between two looks of a process that is short of time: over stallLeast.
+	starvedLook = 130 * time.Millisecond
+	// deadFound is when such a process has dropped a link that is silent for good.
+	deadFound = 2500 * time.Millisecond
+)
+
+// linkedCatalog is a catalog with a link to another entry, of which it returns the present one.
+func linkedCatalog(link *peering.Link, c *Catalog) func() *peering.Link {
+	c.mutex.Lock()
+	peer := c.peerLink("10.0.0.2")
+	peer.address = link.Address()
+	peer.open(link, false)
+	c.mutex.Unlock()
+	c.hearEntry("10.0.0.2", "z", 0)
+	return func() *peering.Link {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return peer.link
+	}
+}
+
+// droppedByStarved looks at the links each starvedLook until one is dropped, and returns after which time.
+func droppedByStarved(t *testing.T, c *Catalog, made *peering.Link, held func() *peering.Link) time.Duration {
+	began := time.Now()
+	for ; time.Since(began) < 2*deadFound && held() == made; time.Sleep(starvedLook) {
+		c.hearEntry("10.0.0.2", "z", 0)
+		c.checkLinks(t.Context())
+		c.keepLinks(t.Context())
+	}
+	return time.Since(began)
+}
+
+// Cause: each stall of the process gave the answer to a probe its time anew.
+//
+// A process that is always short of time still finds that a link is dead.
+func TestAStarvedProcessDropsADeadLink(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	_, made := linkOther(t, c)
+	held := linkedCatalog(made, c)
+	count, err := silencer.Silence(silencer.Any)
+	require.NoError(t, err)
+	require.Positive(t, count)
+	assert.Less(t, droppedByStarved(t, c, made, held), deadFound)
+}
+
+// The same where a middlebox acknowledges for a peer that it has lost.
+func TestAStarvedProcessDropsADeadLinkBehindAMiddlebox(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	defer hub.Close()
+	other := httptest.NewServer(hub)
+	defer other.Close()
+	proxy, err := silencer.NewProxy(other.Listener.Addr().String())
+	require.NoError(t, err)
+	defer proxy.Close()
+	made, err := c.options.Hub.Link(t.Context(), proxy.Address())
+	require.NoError(t, err)
+	held := linkedCatalog(made, c)
+	require.Positive(t, proxy.Hold())
+	assert.Less(t, droppedByStarved(t, c, made, held), deadFound)
+}
+
+// A probe whose time ran out while the process stood still is sent again.
+func TestAProbeThatExpiredInAPauseIsSentAgain(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	_, made := linkOther(t, c)
+	held := linkedCatalog(made, c)
+	c.keepLinks(t.Context())
+	c.mutex.Lock()
+	c.links["10.0.0.2"].probedAt = time.Now()
+	c.mutex.Unlock()
+	time.Sleep(linkSilence + 100*time.Millisecond)
+	for began := time.Now(); time.Since(began) < 2*resumeTime && held() == made; time.Sleep(20 * time.Millisecond) {
+		c.keepLinks(t.Context())
+	}
+	assert.Same(t, made, held())
+}
+
+// After a pause a replaced link is not reported as silent before its reader could read.
+func TestAReplacedLinkIsNotJudgedRightAfterAPause(t *testing.T) {
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	_, made := linkOther(t, c)
+	linkedCatalog(made, c)
+	told := 0
+	c.options.OnSilent = func(string, time.Duration) { told++ }
+	peer := c.links["10.0.0.2"]
+	peer.replaced, peer.replacedAt = made, time.Now()
+	c.pause.look(time.Now())
+	time.Sleep(judgeAfter)
+	c.checkLinks(t.Context())
+	assert.Zero(t, told)
+	time.Sleep(resumeTime)
+	c.checkLinks(t.Context())
+	assert.Zero(t, told, "it has answered meanwhile")
+	assert.Nil(t, peer.replaced)
+}
+
+// haltingProxy passes connections on to an address, and nothing for 0.6 of each 0.65 s while on is set.
+func haltingProxy(t *testing.T, target string, on *atomic.Bool) string {
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = front.Close() })
+	start := time.Now()
+	wait := func() {
+		for on.Load() && time.Since(start)%(650*time.Millisecond) < 600*time.Millisecond {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	pump := func(to, from net.Conn) {
+		defer func() { _, _ = to.Close(), from.Close() }()
+		buffer := make([]byte, 4096)
+		for {
+			count, err := from.Read(buffer)
+			wait()
+			if err != nil {
+				return
+			}
+			if _, err := to.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			in, err := front.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				wait()
+				out, err := net.Dial("tcp", target)
+				if err != nil {
+					_ = in.Close()
+					return
+				}
+				go pump(out, in)
+				pump(in, out)
+			}()
+		}
+	}()
+	return front.Addr().String()
+}
+
+// Cause: a link that was heard while another one was made got no more time than before.
+//
+// A process that stands still for 0.6 s again and again is not dialled each time.
+func TestSlowLinksAreNotDialledForEver(t *testing.T) {
+	// span is how long the links are looked at, mostDials how often the other is dialled then.
+	const (
+		span      = 10 * time.Second
+		mostDials = 4
+	)
+	c := newTestCatalog()
+	defer c.options.Hub.Close()
+	hub := peering.NewHub(peering.Hello{ID: "10.0.0.2", Role: RoleEntry, Zone: "z"}, logging.Nop(), peering.NewCounters(prometheus.NewRegistry()))
+	defer hub.Close()
+	var dials atomic.Int64
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		dials.Add(1)
+		hub.ServeHTTP(w, r)
+	}))
+	defer back.Close()
+	var on atomic.Bool
+	made, err := c.options.Hub.Link(t.Context(), haltingProxy(t, back.Listener.Addr().String(), &on))
+	require.NoError(t, err)
+	linkedCatalog(made, c)
+	dials.Store(0)
+	on.Store(true)
+	for began := time.Now(); time.Since(began) < span; time.Sleep(20 * time.Millisecond) {
+		c.checkLinks(t.Context())
+	}
+	t.Log("dialled again:", dials.Load())
+	assert.LessOrEqual(t, dials.Load(), int64(mostDials))
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -52,6 +52,7 @@
 	PeerLost          = declare("PV1102", zap.InfoLevel, "peer lost", "A link to another process closed; the reason is in the field error.")
 	FrameRejected     = declare("PV1103", zap.WarnLevel, "frame rejected", "A message from another process could not be decoded and was dropped.")
 	ConnectionSilent  = declare("PV1104", zap.WarnLevel, "connection silent", "An open connection brought nothing while a fresh one worked; all as old as it are given up.")
+	LinkKept          = declare("PV1105", zap.DebugLevel, "link kept", "A link that was silent for a short time was not made anew; the reason is in the field error.")
 	SnapshotAccepted  = declare("PV2001", zap.InfoLevel, "configuration accepted", "A newer revision was checked whole and is in force.")
 	SnapshotRejected  = declare("PV2002", zap.ErrorLevel, "configuration rejected", "A revision has faults; the last good one stays in force.")
 	SnapshotStale     = declare("PV2003", zap.WarnLevel, "stale configuration ignored", "A source offered an older revision than the one in force.")
--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -206,13 +206,15 @@
 
 // Renew makes a second outbound link to where a silent one leads, which replaces that one once it
 // is up. The silent one is closed a while later. If it is heard before the second one is up, this
-// one is given up with ErrHeard: the other process, or this one, only stood still.
+// one is given up with ErrHeard: the other process, or this one, only stood still. The links to an
+// address keep the shortest time in which one of them was answered.
 func (h *Hub) Renew(ctx context.Context, silent *Link) (*Link, error) {
 	address := silent.address
 	link, err := h.connect(ctx, address, func(began time.Time) error { return awaitSign(ctx, silent, began) })
 	if err != nil {
 		return nil, err
 	}
+	link.answered = min(link.answered, silent.answered)
 	attempt := &dialling{ready: make(chan struct{}), link: link}
 	close(attempt.ready)
 	h.mutex.Lock()
@@ -231,11 +233,12 @@
 }
 
 // awaitSign waits for a sign of a silent link after a new connection in its place, begun at a time,
-// was answered: as long as that took, since a process that was slow to answer it, or this one to
-// read the answer, may have been as slow with the link. Links of processes that get a tenth of
-// their time in pieces of some milliseconds last by it.
+// was answered: by as much as that took longer than it had for the silent one, since a process that
+// was slow to answer it, or this one to read the answer, may have been as slow with the link. A way
+// that is long, not slow, delays no renewal. Links of processes that get their time in pieces of some
+// milliseconds last by it.
 func awaitSign(ctx context.Context, silent *Link, began time.Time) error {
-	deadline := time.Now().Add(min(time.Since(began), mostGrace))
+	deadline := time.Now().Add(min(time.Since(began)-silent.answered, mostGrace))
 	for !silent.LastHeard().After(began) {
 		left := time.Until(deadline)
 		if left <= 0 || ctx.Err() != nil {
@@ -288,6 +291,7 @@
 	if err != nil {
 		return nil, &fault.Unavailable{Target: address, Operation: "dial", Cause: err}
 	}
+	answered := time.Since(began)
 	if before != nil {
 		if err := before(began); err != nil {
 			_ = connection.CloseNow()
@@ -295,6 +299,7 @@
 		}
 	}
 	link := h.newLink(context.Background(), connection, address)
+	link.answered = answered
 	stop := context.AfterFunc(ctx, link.cancel)
 	remote, err := h.handshake(link)
 	if err != nil || !stop() {
--- a/internal/peering/link.go
+++ b/internal/peering/link.go
@@ -58,6 +58,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	lastHeard  atomic.Int64
+	// answered is how long the connection of a dialled link took to be answered.
+	answered time.Duration
 	// probing is set while an answer to a probe is waited for.
 	probing atomic.Bool
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -213,3 +213,28 @@
 	assert.Same(t, link, established)
 	assert.NoError(t, link.Publish("test.topic", message.NewMessage("", nil)))
 }
+
+// Renewals over a long way take as long as the way does: none waits for the silent link to be heard,
+// unless the new connection was slower to come up than that one had been.
+func TestRenewalsOverLongWaysAreNotDelayed(t *testing.T) {
+	// way is how long a connection takes to be answered, spare how long the rest may take.
+	const (
+		way   = 300 * time.Millisecond
+		spare = 80 * time.Millisecond
+	)
+	accepting, dialling := newTestHub("accepting"), newTestHub("dialling")
+	defer accepting.Close()
+	defer dialling.Close()
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(way)
+		accepting.ServeHTTP(writer, request)
+	}))
+	defer server.Close()
+	link, err := dialling.Link(context.Background(), strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	_, err = dialling.Renew(context.Background(), link)
+	require.NoError(t, err)
+	assert.Less(t, time.Since(began), way+spare)
+}
