A silence right after a loss is found on all connections

Cause: whether a server works was asked by a sign of life 0.1 s after its own first unacknowledged byte. After a loss on one connection another one to that server shows such a sign; when all go silent then, the server still counted as working, so that there was no verdict on all, and resting connections to it and to other servers were believed.

Change: for the verdict on all, a sign counts from 0.1 s after the latest first unacknowledged moment of the servers found silent, on a connection opened before the earliest last sign of these.

TestAcknowledgedRequestsOutlastLosses has its former timing back as cases of their own (a sign 0.1 s after the losses), with what is distrusted by connection; it asks all verdicts now, not the last one alone.

--- a/coordination/silence/silence.go
+++ b/coordination/silence/silence.go
@@ -32,7 +32,7 @@
 	// serversLeast is at how many servers connections must be silent for those to all
 	// servers to be distrusted: at one, the fault may be the server's or on its way.
 	serversLeast = 2
-	// signLeast is how long after the first unacknowledged byte a sign of an older connection
+	// signLeast is how long after the first unacknowledged byte, of several servers the latest, a sign of an older connection
 	// must have come to show that those of its server work: what had been on its way came before.
 	signLeast = 100 * time.Millisecond
 	// proofLeast is how many silent connections to one server let those that carry other
@@ -276,7 +276,9 @@
 		}
 		silent.Before = min(silent.Before, since)
 		silent.Proof = append(silent.Proof, one.ID)
-		signs[one.Server] = max(signs[one.Server], one.lastSign())
+		if sign, known := signs[one.Server]; !known || one.lastSign() < sign {
+			signs[one.Server] = one.lastSign()
+		}
 	}
 	if len(found) == 0 {
 		return
@@ -299,19 +301,47 @@
 		common.Proof = append(common.Proof, silent.Proof...)
 	}
 	slices.Sort(common.Proof)
-	servers, sign := 0, time.Duration(0)
+	silent := j.silentTogether(now, all)
+	if len(silent) < serversLeast {
+		return
+	}
 	common.Before = now
+	for _, server := range silent {
+		common.Before = min(common.Before, j.askedAt[server])
+	}
+	common.Working = working(j.earliestSign(silent), j.latestAsked(silent), all)
+	verdict.Distrust = append(verdict.Distrust, common)
+}
+
+// silentTogether are the servers with connections that were found silent a short time ago and that
+// do not work since the last of these began to be: an earlier sign of life shows nothing of a
+// silence that began after it, say right after a loss.
+func (j *Judge) silentTogether(now time.Duration, all []Observation) []string {
+	var recent []string
 	for server, at := range j.silentAt {
-		if now-at <= provenTime && !works(server, j.signAt[server], j.askedAt[server], all) {
-			servers++
-			sign = max(sign, j.signAt[server])
-			common.Before = min(common.Before, j.askedAt[server])
+		if now-at <= provenTime {
+			recent = append(recent, server)
 		}
 	}
-	if servers >= serversLeast {
-		common.Working = working(sign, common.Before, all)
-		verdict.Distrust = append(verdict.Distrust, common)
+	latest := j.latestAsked(recent)
+	return slices.DeleteFunc(recent, func(server string) bool { return works(server, j.signAt[server], latest, all) })
+}
+
+// latestAsked is when the last of some servers began to look silent.
+func (j *Judge) latestAsked(servers []string) (latest time.Duration) {
+	for _, server := range servers {
+		latest = max(latest, j.askedAt[server])
+	}
+	return latest
+}
+
+// earliestSign is when the first of some servers that look silent had last shown a sign of life.
+func (j *Judge) earliestSign(servers []string) time.Duration {
+	earliest := j.signAt[servers[0]]
+	for _, server := range servers {
+		earliest = min(earliest, j.signAt[server])
 	}
+	return earliest
 }
 
 // works reports whether a connection to a server has shown a sign of life well after a moment, though
--- a/coordination/silence/silence_test.go
+++ b/coordination/silence/silence_test.go
@@ -273,10 +273,22 @@
 // acknowledged and waits at its server is left alone, and one that may run once; one that is
 // unacknowledged too is not, nor a stream whose events are overdue.
 func TestAcknowledgedRequestsOutlastLosses(t *testing.T) {
-	for name, servers := range map[string][]string{"two servers": {"a", "b"}, "one server": {"a", "a"}} {
+	covered := []bool{true, true, false, false, true, true, false, true}
+	for name, one := range map[string]struct {
+		servers []string
+		// sign is when one to the first server shows a sign of life: at first what had been on its
+		// way before the losses, from signLeast on one that shows that the server works.
+		sign    time.Duration
+		covered []bool
+	}{
+		"two servers":                         {[]string{"a", "b"}, 50 * ms, covered},
+		"one server":                          {[]string{"a", "a"}, 50 * ms, covered},
+		"two servers, of which one works":     {[]string{"a", "b"}, signLeast, []bool{true, true, false, false, false, false, false, false}},
+		"one server, with two silent at once": {[]string{"a", "a"}, signLeast, covered},
+	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld()
-			for _, server := range append(servers, "a", "a", "a", "a", "a", "a") {
+			for _, server := range append(one.servers, "a", "a", "a", "a", "a", "a") {
 				w.kept(server)
 			}
 			w.ask(1)
@@ -290,19 +302,17 @@
 				w.open[id-1].Acknowledged, w.open[id-1].Asked = true, w.now-200*ms
 			}
 			w.open[6].Heard = w.now
-			w.pass(50*ms, 1, 2)
-			// What had been on its way before the losses: it does not show that the server works.
+			w.pass(one.sign, 1, 2)
 			w.open[6].Heard, w.open[6].Packet = w.now, w.now
-			w.pass(50*ms, 1, 2)
+			w.pass(100*ms-one.sign, 1, 2)
 			w.askAgain(8)
 			w.pass(175*ms, 1, 2)
-			for _, server := range servers {
+			for _, server := range one.servers {
 				w.judge.Connected(server, w.now, true)
 			}
 			found := distrusts(w.pass(tick, 1, 2, 8))
-			widest := found[len(found)-1]
-			for id, distrusted := range []bool{true, true, false, false, true, true, false, true} {
-				assert.Equal(t, distrusted, widest.Covers(w.open[id]), "connection %d", id+1)
+			for id, distrusted := range one.covered {
+				assert.Equal(t, distrusted, coveredByAny(found, w.open[id]), "connection %d", id+1)
 			}
 		})
 	}
@@ -360,6 +370,46 @@
 	}
 }
 
+// A silence of all connections right after a loss on one of them is found as soon, whether or not
+// another one to the server of the loss falls into it: what was heard between the loss and the
+// silence shows nothing about the silence.
+func TestASilenceAfterALossIsFoundAsSoon(t *testing.T) {
+	for name, unacknowledged := range map[string][]int{"one each": {1, 2}, "two to the first": {1, 2, 3}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld()
+			for _, server := range []string{"a", "b", "a", "a", "b", "c", "c"} {
+				w.kept(server)
+			}
+			w.pass(2 * tick)
+			w.ask(1) // its packet is lost, and the one after it falls into the silence
+			w.pass(6*tick, 1)
+			w.open[3].Heard, w.open[3].Packet = w.now, w.now
+			w.pass(tick, 1)
+			for _, id := range unacknowledged[1:] {
+				w.ask(id)
+			}
+			var found []Distrust
+			for step := range 20 {
+				if step > 2 {
+					w.judge.Connected("a", w.now, true)
+					w.judge.Connected("b", w.now, true)
+				}
+				for _, one := range distrusts(w.pass(tick, unacknowledged...)) {
+					found = append(found, one)
+					for index := range w.open {
+						if one.Covers(w.open[index]) {
+							w.open[index].Waiting = false
+						}
+					}
+				}
+			}
+			for _, id := range []int{1, 2, 3, 5, 6, 7} {
+				assert.True(t, coveredByAny(found, w.open[id-1]), "connection %d", id)
+			}
+		})
+	}
+}
+
 // A server that has not been seen for a minute is forgotten.
 func TestServersThatAreGoneAreForgotten(t *testing.T) {
 	w := newWorld()
