--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -61,9 +61,10 @@
 // begin requests, warm that of taking a version into service, and lastTurn the time until the last
 // turn at which the server may leave what it serves, 0 for one that serves nothing. The older one
 // is dropped when nothing of it comes any more, when too little service is left in it, and when the
-// newest has left the origin and comes in time. Where the origin ends half a second before a version is named that follows
-// another by three seconds, servers go on with the other until its bound: 0.10 of the worth of such a
-// day at 99 servers.
+// newest has left the origin and comes in time. Where the origin ends half a second before a version
+// is named that follows another by three seconds, servers go on with the other until its bound: 0.10
+// of the worth of such a day at 99 servers. On two days on which the origin ends half a second after
+// the naming it is worth nothing.
 func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
 	olderLeft, comes := older.left()
 	if !comes || newest.Missing == 0 || inForce-olderLeft-warm-sendsEnd < worthwhileService {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -270,12 +270,14 @@
 func (a *Agent) doubt(t *transfer) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.current == t {
+	if t == a.current || t == a.older {
 		a.log.Log(logging.ManifestDoubted, zap.String("model", t.model), zap.Uint64("version", t.version()))
+	}
+	switch t {
+	case a.current:
 		t.cancel()
 		a.current, a.doubted = nil, t.version()
-	}
-	if a.older == t {
+	case a.older:
 		a.dropOlder()
 	}
 	a.wake()
