One copy of what the reading of the change found twice

Cause: the whole change, read once more: the rates of a transfer's progress were looked up by each of three callers; the margin of a second before a version's bound stood in coordination/turnover and in coordination/dispatch; a loop stood for slices.Max; in the tests of evacuation and health two ways to send until stopped, and two counts of arrivals in a zone. Change: transfer.progress reads the rates; turnover.SendsEnd is the one figure; untilStopped serves busy and saves, Fleet.between serves evacuation.late. No assertion, bound or behaviour changes. Figures: go test ./coordination/{dispatch,shedding,turnover} ./internal/rollout, and -race -run 'Evacuat|Lying|Flap|FalselyIll|CompletedWhenANewer|EmptyServer' ./internal/sitetest pass; format-check and lint are clean.

--- a/coordination/dispatch/versions.go
+++ b/coordination/dispatch/versions.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/turnover"
+)
 
 // SawVersion notes the version that an answer of a server named; 0 for none.
 func (c *Core) SawVersion(k *Candidate, version uint64) { k.version = max(k.version, version) }
@@ -18,7 +22,7 @@
 // version and the time from which it must not begin there: over a sound link, and over
 // one that is narrow or of which nothing is known.
 const (
-	soundLinkMargin  = time.Second
+	soundLinkMargin  = turnover.SendsEnd
 	narrowLinkMargin = 1500 * time.Millisecond
 	// orderTime is what a server needs from its last piece to its order, generously.
 	orderTime = 900 * time.Millisecond
--- a/coordination/shedding/unlearned.go
+++ b/coordination/shedding/unlearned.go
@@ -1,6 +1,9 @@
 package shedding
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bounds of what is told of a route's callers that have only been seen while some of them may
 // have been coming back.
@@ -39,7 +42,7 @@
 	if len(kept) < mixedNeeded {
 		return 0
 	}
-	longest := longestOf(kept)
+	longest := slices.Max(kept)
 	firstFrom, returnedFrom := part(longest, 1-patientShare), part(longest, 1-HeededShare)
 	first, returned := 0, 0
 	for _, one := range kept {
@@ -57,14 +60,6 @@
 	return part(left, patientShare/(1-patientShare))
 }
 
-func longestOf(kept []time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for _, one := range kept {
-		longest = max(longest, one)
-	}
-	return longest
-}
-
 func part(whole time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(whole))
 }
--- a/coordination/turnover/fallback.go
+++ b/coordination/turnover/fallback.go
@@ -14,9 +14,9 @@
 	worthwhileService = 1500 * time.Millisecond
 )
 
-// sendsEnd is how long before the bound of a version entries send nothing to a server with it over
+// SendsEnd is how long before the bound of a version entries send nothing to a server with it over
 // a sound link.
-const sendsEnd = time.Second
+const SendsEnd = time.Second
 
 // Transfer tells how far a server is with a version.
 type Transfer struct {
@@ -67,7 +67,7 @@
 // the naming it is worth nothing.
 func KeepsOlder(newest, older Transfer, inForce, warm, lastTurn time.Duration) bool {
 	olderLeft, comes := older.left()
-	if !comes || newest.Missing == 0 || inForce-olderLeft-warm-sendsEnd < worthwhileService {
+	if !comes || newest.Missing == 0 || inForce-olderLeft-warm-SendsEnd < worthwhileService {
 		return false
 	}
 	newestLeft, comes := newest.left()
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -82,7 +82,9 @@
 }
 
 // progress tells how far the transfer is.
-func (t *transfer) progress(engine *fleet.Engine, linkRate, originRate float64) turnover.Transfer {
+func (t *transfer) progress(engine *fleet.Engine) turnover.Transfer {
+	linkRate := t.agent.daemon.Settings().LinkBytesPerSecond
+	originRate := t.agent.daemon.Catalog.View().Configuration.OriginRate()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	progress := turnover.Transfer{
@@ -110,8 +112,7 @@
 		return
 	}
 	inForce, bounded := a.inForceFor(current.model, version)
-	configuration := a.daemon.Catalog.View().Configuration
-	progress := current.progress(engine, a.daemon.Settings().LinkBytesPerSecond, configuration.OriginRate())
+	progress := current.progress(engine)
 	if !bounded || !turnover.TakesOlder(progress, inForce, engine.Warm) {
 		return
 	}
@@ -157,8 +158,7 @@
 		a.older, a.fallback = nil, older
 		return
 	}
-	newest := current.progress(engine, a.daemon.Settings().LinkBytesPerSecond, a.daemon.Catalog.View().Configuration.OriginRate())
-	if !displaced && a.keepsOlder(newest, older, engine, serving) {
+	if !displaced && a.keepsOlder(current.progress(engine), older, engine, serving) {
 		return
 	}
 	a.log.Log(logging.RolloutAborted, zap.String("model", older.model), zap.Uint64("version", older.version()), zap.Int("missing", missing),
@@ -174,14 +174,12 @@
 	if !bounded || !older.hasBegun() || older.version() <= serving {
 		return false
 	}
-	settings := a.daemon.Settings()
-	progress := older.progress(engine, settings.LinkBytesPerSecond, a.daemon.Catalog.View().Configuration.OriginRate())
 	lastTurn := time.Duration(0)
 	if serving != 0 {
 		left, _ := a.inForceFor(older.model, serving)
 		lastTurn = left - dueMargin
 	}
-	return turnover.KeepsOlder(newest, progress, inForce, engine.Warm, lastTurn)
+	return turnover.KeepsOlder(newest, older.progress(engine), inForce, engine.Warm, lastTurn)
 }
 
 // dropOlder ends the transfer that a newer version has replaced; the mutex is held.
--- a/internal/sitetest/evacuation_test.go
+++ b/internal/sitetest/evacuation_test.go
@@ -39,13 +39,7 @@
 // late counts the requests that reached the zone's servers after the bound and before the
 // evacuation was taken back.
 func (e evacuation) late(f *Fleet) int {
-	count := 0
-	for _, arrival := range f.Site.Ledger.Deliveries() {
-		if arrival.Zone == e.zone && arrival.At.After(e.asked.Add(evacuateMs*time.Millisecond)) && arrival.At.Before(e.ended) {
-			count++
-		}
-	}
-	return count
+	return f.between(e.zone, e.asked.Add(evacuateMs*time.Millisecond), e.ended)
 }
 
 // between counts the requests that reached a zone's servers in a span of time.
@@ -72,38 +66,54 @@
 // busy sends short streams and plain calls through every entry, until the function returned
 // is called, which returns how many were sent and how many not answered whole.
 func busy(f *Fleet, callers int) (stop func() (sent, spoilt int)) {
+	options := f.Site.Options
+	return untilStopped(callers, func(caller, number int) bool {
+		id := fmt.Sprintf("busy-%d-%d", caller, number)
+		zone, index := caller%options.Zones, caller/options.Zones%options.Entries
+		var answer Answer
+		var err error
+		if number%4 == 3 {
+			answer, err = f.Call(context.Background(), zone, index, http.MethodGet, site.SafePrefix+"a", id, nil, "")
+		} else {
+			answer, err = f.Stream(context.Background(), zone, index, id, 3)
+		}
+		if err == nil && answer.Status == http.StatusOK && answer.Whole {
+			return true
+		}
+		f.t.Logf("request %s: %v %d %s", id, err, answer.Status, answer.Body)
+		return false
+	})
+}
+
+// callerPause is the time between two requests of a caller of untilStopped.
+const callerPause = 10 * time.Millisecond
+
+// untilStopped has each of some callers send requests one after the other, until the function
+// returned is called, which returns how many were sent and how many failed. Send reports whether a
+// request was answered as it should be.
+func untilStopped(callers int, send func(caller, number int) bool) (stop func() (sent, failed int)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	var mutex sync.Mutex
-	sent, spoilt := 0, 0
-	options := f.Site.Options
+	sent, failed := 0, 0
 	for caller := range callers {
 		running.Go(func() {
 			for number := 0; ctx.Err() == nil; number++ {
-				id := fmt.Sprintf("busy-%d-%d", caller, number)
-				zone, index := caller%options.Zones, caller/options.Zones%options.Entries
-				var answer Answer
-				var err error
-				if number%4 == 3 {
-					answer, err = f.Call(context.Background(), zone, index, http.MethodGet, site.SafePrefix+"a", id, nil, "")
-				} else {
-					answer, err = f.Stream(context.Background(), zone, index, id, 3)
-				}
+				served := send(caller, number)
 				mutex.Lock()
 				sent++
-				if err != nil || answer.Status != http.StatusOK || !answer.Whole {
-					spoilt++
-					f.t.Logf("request %s: %v %d %s", id, err, answer.Status, answer.Body)
+				if !served {
+					failed++
 				}
 				mutex.Unlock()
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(callerPause)
 			}
 		})
 	}
 	return func() (int, int) {
 		cancel()
 		running.Wait()
-		return sent, spoilt
+		return sent, failed
 	}
 }
 
--- a/internal/sitetest/health_test.go
+++ b/internal/sitetest/health_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -53,30 +52,11 @@
 // the function returned is called, which returns how many were sent and how many were not
 // served.
 func saves(f *Fleet, callers int) (stop func() (sent, lost int)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	var mutex sync.Mutex
-	sent, lost := 0, 0
-	for caller := range callers {
-		running.Go(func() {
-			for number := 0; ctx.Err() == nil; number++ {
-				answer, err := f.Call(context.Background(), 0, caller%f.Site.Options.Entries, http.MethodPost, site.OncePrefix+"a",
-					fmt.Sprintf("save-%d-%d", caller, number), map[string]string{"Deadline-Ms": "600"}, "body")
-				mutex.Lock()
-				sent++
-				if err != nil || answer.Status != http.StatusOK {
-					lost++
-				}
-				mutex.Unlock()
-				time.Sleep(10 * time.Millisecond)
-			}
-		})
-	}
-	return func() (int, int) {
-		cancel()
-		running.Wait()
-		return sent, lost
-	}
+	return untilStopped(callers, func(caller, number int) bool {
+		answer, err := f.Call(context.Background(), 0, caller%f.Site.Options.Entries, http.MethodPost, site.OncePrefix+"a",
+			fmt.Sprintf("save-%d-%d", caller, number), map[string]string{"Deadline-Ms": "600"}, "body")
+		return err == nil && answer.Status == http.StatusOK
+	})
 }
 
 // assertNoneRanTwice checks that no request that may run once only has run twice.
