A version between is ended at its bound by a layer of the one before

Cause: at the bound of a version in service an agent without a layer of a newer one has no order that ends it, so that requests which wait at the server begin late when no cancelling arrives. Change: the agent keeps the first layer of the version that lay at the server before, and orders it then.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -55,6 +55,8 @@
 	current  *transfer
 	fallback *transfer
 	older    *transfer
+	// ending is kept of the version that lay at the server before the present one; nil for none.
+	ending *endingLayer
 	// doubted is the version whose manifest was doubted last.
 	doubted uint64
 	report  fleet.Report
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -48,12 +48,14 @@
 // not here whole: it orders some whole layers of a newer one, which a server turns requests away
 // with until it has the others. It costs no service, because entries send nothing to an old
 // version from a second before its bound, and what runs goes on to its end. Without a single whole
-// layer there is no order that the server could take without mixing weights; then only the entries
-// keep requests away.
+// layer of a newer version the one that was kept of the version before is ordered; an agent that has
+// started since has none, and then only the entries keep requests away.
 func (a *Agent) endOldVersion(ctx context.Context, newest *transfer, engine *fleet.Engine, serving uint64) {
 	newer, layers := a.endingLayers(newest, engine, serving)
 	if layers.Count() == 0 {
-		a.noteUnguarded(newest, serving)
+		if kept := a.takeEndingLayer(newest, serving); kept == nil || !a.orderEndingLayer(ctx, kept, engine, serving) {
+			a.noteUnguarded(newest, serving)
+		}
 		return
 	}
 	if !a.layDown(ctx, newer) {
--- a/internal/rollout/fallback.go
+++ b/internal/rollout/fallback.go
@@ -205,10 +205,12 @@
 		return true
 	}
 	a.mutex.Lock()
+	overwritten := a.fallback
 	a.dropFallback()
 	a.mutex.Unlock()
 	a.staging.Lock()
 	defer a.staging.Unlock()
+	a.keepEndingLayer(ctx, overwritten)
 	if err := t.layDown(ctx); err != nil {
 		a.log.Log(logging.StagingFailed, zap.Uint64("version", t.version()), zap.Error(err))
 		return false
