--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pinevane.example/pinevane/coordination/quarantine"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
@@ -32,6 +33,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Content identifies caller, host, target and body: the same for each try of a request.
+	Content quarantine.Content
 	// Arrived is when the request's head was read; Deadline is when its answer is
 	// due at the latest.
 	Arrived  time.Time
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/quarantine"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
@@ -70,7 +71,19 @@
 		limit = call.Deadline
 	}
 	request.Deadline = request.Arrived.Add(limit)
-	return request, readBody(writer, incoming, configuration.Limits, request)
+	hasher := quarantine.NewHasher(callerOf(request), request.Host, request.Target)
+	refusal := readBody(writer, incoming, configuration.Limits, request, hasher)
+	request.Content = hasher.Content()
+	return request, refusal
+}
+
+// callerOf names the caller for the identity of a content: its tenant, or its key where keys are
+// not looked at.
+func callerOf(request *forward.Request) string {
+	if request.Tenant != "" {
+		return request.Tenant
+	}
+	return request.Call.Key
 }
 
 // admit finds the request's route and the tenant of its key.
@@ -100,8 +113,8 @@
 	return nil
 }
 
-// readBody reads a request's body whole.
-func readBody(writer http.ResponseWriter, incoming *http.Request, limits fleet.Limits, request *forward.Request) *fault.Refusal {
+// readBody reads a request's body whole, and hashes it on its way.
+func readBody(writer http.ResponseWriter, incoming *http.Request, limits fleet.Limits, request *forward.Request, hasher io.Writer) *fault.Refusal {
 	if incoming.ContentLength == 0 {
 		return nil
 	}
@@ -109,7 +122,7 @@
 	if limits.BodyBytes > 0 {
 		source = http.MaxBytesReader(writer, source, limits.BodyBytes)
 	}
-	body, err := io.ReadAll(source)
+	body, err := io.ReadAll(io.TeeReader(source, hasher))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fault.NotRun(fault.ReasonTooLarge, "the body is too large")
