--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -91,6 +91,10 @@
 	}
 	s.mutex.Unlock()
 	s.options.Ledger.add(run)
+	if s.options.Begins != nil && s.options.Begins(s, body) {
+		<-request.Context().Done()
+		return
+	}
 	if faults.LoseAnswers > 0 || faults.Lying == LyingResets {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/internal/emulator/site/crashing.go
@@ -0,0 +1,103 @@
+package site
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Crashing describes content that ends each server which begins to run it.
+type Crashing struct {
+	// Body is the body of the requests that do so.
+	Body string
+	// After is how long such a request runs until its server ends, Away how long the server is away.
+	After time.Duration
+	Away  time.Duration
+}
+
+// End is one server that a request has ended.
+type End struct {
+	Server string
+	At     time.Time
+}
+
+// listedAfterEnd is how long the list goes on naming a server that has ended without a word: three
+// heartbeats.
+const listedAfterEnd = 1200 * time.Millisecond
+
+// crashes ends servers and starts new ones in their place.
+type crashes struct {
+	mutex    sync.Mutex
+	crashing Crashing
+	ends     []End
+	ended    map[*Server]bool
+	reborn   []*Server
+	closed   bool
+}
+
+// CrashOn makes every server end that runs a request of a kind, from now on.
+func (s *Site) CrashOn(crashing Crashing) {
+	s.crashes.mutex.Lock()
+	defer s.crashes.mutex.Unlock()
+	s.crashes.crashing = crashing
+}
+
+// Ends returns the servers that requests have ended, in order of time.
+func (s *Site) Ends() []End {
+	s.crashes.mutex.Lock()
+	defer s.crashes.mutex.Unlock()
+	return append([]End(nil), s.crashes.ends...)
+}
+
+// begins reports whether a request ends the server that has begun to run it, and sees to that.
+func (s *Site) begins(server *Server, body []byte) bool {
+	s.crashes.mutex.Lock()
+	defer s.crashes.mutex.Unlock()
+	crashing := s.crashes.crashing
+	if crashing.Body == "" || crashing.Body != string(body) {
+		return false
+	}
+	if !s.crashes.ended[server] && !s.crashes.closed {
+		s.crashes.ended[server] = true
+		time.AfterFunc(crashing.After, func() { s.end(server, crashing.Away) })
+	}
+	return true
+}
+
+func (s *Site) end(server *Server, away time.Duration) {
+	staged := server.Crash()
+	s.crashes.mutex.Lock()
+	s.crashes.ends = append(s.crashes.ends, End{Server: server.options.ID, At: time.Now()})
+	s.crashes.mutex.Unlock()
+	time.AfterFunc(listedAfterEnd, func() { s.Store.Delete("servers/" + server.options.ID) })
+	time.AfterFunc(away, func() { s.rebear(server, staged) })
+}
+
+// rebear starts a server at the place of one that has ended, with what was staged there and nothing in
+// service.
+func (s *Site) rebear(old *Server, staged map[int][]byte) {
+	s.crashes.mutex.Lock()
+	defer s.crashes.mutex.Unlock()
+	if s.crashes.closed {
+		return
+	}
+	options := old.options
+	options.ID, options.Version = fmt.Sprintf("%s+", options.ID), 0
+	fresh := NewServer(options)
+	fresh.Restage(staged)
+	if err := fresh.Start(); err != nil {
+		// The address is taken, because a test has started another server there.
+		return
+	}
+	s.crashes.reborn = append(s.crashes.reborn, fresh)
+}
+
+// close ends the servers that were started anew.
+func (c *crashes) close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closed = true
+	for _, server := range c.reborn {
+		server.Crash()
+	}
+}
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -94,6 +94,7 @@
 	configuration map[string]any
 	servers       []*http.Server
 	starts        int
+	crashes       crashes
 }
 
 func (o Options) ip(zone, machine int) string {
@@ -123,7 +124,7 @@
 func Start(options Options) (*Site, error) {
 	s := &Site{
 		Options: options, Store: NewStore(), Origin: NewOrigin(options.Weights), Ledger: &Ledger{},
-		Models: map[string]*Server{}, Plain: map[string]*Server{},
+		Models: map[string]*Server{}, Plain: map[string]*Server{}, crashes: crashes{ended: map[*Server]bool{}},
 	}
 	if err := s.listen(s.originAddress(), s.Origin.Handler()); err != nil {
 		return nil, err
@@ -157,6 +158,7 @@
 
 // Close ends everything.
 func (s *Site) Close() {
+	s.crashes.close()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -207,7 +209,7 @@
 		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
 		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
-		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.ColdLimit(),
+		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.ColdLimit(), Begins: s.begins,
 	})
 	return server, s.adopt(s.Models, server)
 }
@@ -237,7 +239,7 @@
 	return s.adopt(s.Plain, NewServer(ServerOptions{
 		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: fmt.Sprintf("%s:%d", s.Options.PlainIP(zone, index), serverPort), Slots: s.Options.Slots,
-		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
+		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger, Begins: s.begins,
 	}))
 }
 
