Operators release contents; explain names what was withheld; failures around the quarantine tested

Cause: a quarantine must be seen, explained and ended by an operator, and must not strike what is harmless. Change: pinevane release and a path of the administration address, PV4110, explain tells the content's story; tests of all entries killed, plain services, resets, a loss of all servers, a planned end, a release.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -60,6 +60,7 @@
 		{"manifest", "Make a manifest from a directory of weight files", "Cuts the files into chunks and prints the manifest's digest.", &manifestCommand{}},
 		{"explain", "Explain a request from logs", "Joins the log lines of all processes into the story of one request and names its cause.", &explainCommand{}},
 		{"losses", "Count lost requests from logs", "Counts how requests ended, in the logs of all processes: by time, route and process, with the reasons.", &lossesCommand{}},
+		{"release", "Send a quarantined content to servers again", "Ends the quarantine of a content in the whole fleet, at the administration address of any entry.", &releaseCommand{}},
 		{"dump", "Show a process's state", "Reads the state dump of the process at an administration address.", &dumpCommand{}},
 		{"version", "Show the build", "Prints the version of pinevane and of Go.", &versionCommand{}},
 	}
--- /dev/null
+++ b/internal/command/release.go
@@ -0,0 +1,36 @@
+package command
+
+import (
+	"net/http"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/gateway"
+)
+
+// releaseCommand ends the quarantine of a content.
+type releaseCommand struct {
+	Arguments struct {
+		Address string `positional-arg-name:"ADDRESS" description:"administration address of an entry, IP and port"`
+		Content string `positional-arg-name:"CONTENT" description:"the content's identity, 32 hexadecimal digits, as the dump and PV4211 name it"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute runs the command.
+func (c *releaseCommand) Execute([]string) error {
+	if err := checkAddress("ADDRESS", c.Arguments.Address); err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: dumpTimeout}
+	response, err := client.Post("http://"+c.Arguments.Address+gateway.ReleasePath+c.Arguments.Content, "", nil)
+	if err != nil {
+		return &fault.Unavailable{Target: c.Arguments.Address, Operation: "release", Cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusBadRequest:
+		return &fault.InvalidSetting{Flag: "CONTENT", Value: c.Arguments.Content, Allowed: "32 hexadecimal digits"}
+	}
+	return &fault.Unavailable{Target: c.Arguments.Address, Operation: "release", Status: response.StatusCode}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,8 @@
 	mutex    sync.Mutex
 	servers  []*http.Server
 	sections map[string]func() any
+	// actions are what an operator may have the process do at the administration address.
+	actions map[string]http.HandlerFunc
 	// onSettings are told of settings that were read again.
 	onSettings []func(fleet.Settings)
 }
@@ -75,7 +77,7 @@
 func New(options Options) *Daemon {
 	d := &Daemon{
 		options: options, started: time.Now(), Log: options.Log, Registry: prometheus.NewRegistry(),
-		Router: chi.NewRouter(), sections: map[string]func() any{},
+		Router: chi.NewRouter(), sections: map[string]func() any{}, actions: map[string]http.HandlerFunc{},
 	}
 	d.silences = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_silent_connections_total", Help: "Open connections that had gone silent while a fresh one worked, by what they led to."}, []string{"target"})
@@ -141,6 +143,10 @@
 // Section adds a part to the state dump.
 func (d *Daemon) Section(name string, describe func() any) { d.sections[name] = describe }
 
+// Action adds something that an operator may have the process do, by a POST to a path of the
+// administration address. It must be added before Start.
+func (d *Daemon) Action(path string, do http.HandlerFunc) { d.actions[path] = do }
+
 // Limits on the HTTP servers of a process. There is no write timeout, because
 // streams last.
 const (
@@ -216,6 +222,9 @@
 		encoder.SetIndent("", "  ")
 		_ = encoder.Encode(d.Dump())
 	})
+	for path, do := range d.actions {
+		router.Post(path, do)
+	}
 	return router
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -78,6 +78,9 @@
 
 // refusalCause explains a request that was sent to no server that ran it.
 func refusalCause(own, all []Line, end Line) string {
+	if line, found := last(own, withheldFor); found {
+		return contentCause(all, line)
+	}
 	if line, found := last(own, noServer); found {
 		text := "no server was chosen; servers by reason: " + line.text("servers")
 		if line.number("limit") > 0 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -148,6 +148,7 @@
 		}
 	}
 	story.Lines = addEvacuations(story.Lines, lines, processes, own[0].Time)
+	story.Lines = addContent(story.Lines, lines, own)
 	story.Lines = append(story.Lines, own...)
 	sortByTime(story.Lines)
 	story.Cause = cause(own, story.Lines)
@@ -195,6 +196,10 @@
 	streamCut      = "PV4107"
 	callerLeft     = "PV4108"
 	noServer       = "PV4109"
+	withheldFor    = "PV4110"
 	serverEjected  = "PV4204"
 	serverTried    = "PV4209"
+	serverEnded    = "PV4210"
+	contentShut    = "PV4211"
+	contentCleared = "PV4212"
 )
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -147,6 +147,8 @@
 		refusal = fault.NotRun(fault.ReasonSuspected, "servers have ended under requests with this content, among others")
 	}
 	refusal.RetryAfter = verdict.Left
+	w.log.Log(logging.ContentWithheld, zap.String("request", w.request.Call.RequestID), zap.Stringer("content", w.request.Content),
+		zap.String("reason", string(refusal.Reason)), zap.Strings("servers", verdict.Servers), zap.Duration("left", verdict.Left))
 	return refusal
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	base.Catalog.OnHealth(g.forwarder.HearHealth)
 	base.Catalog.OnQuarantine(g.forwarder.HearQuarantine)
 	base.OnSettings(g.forwarder.SetSettings)
+	base.Action(ReleasePath+"{"+contentParameter+"}", g.release)
 	base.Section("contents", func() any { return g.forwarder.Contents() })
 	base.Section("servers", func() any { return g.forwarder.Servers() })
 	return g
--- a/internal/sitetest/crashing_test.go
+++ b/internal/sitetest/crashing_test.go
@@ -13,7 +13,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/forward"
+	"pinevane.example/pinevane/internal/gateway"
 )
 
 // The incident: a request that ends each server which begins to run it was asked again and again, with a
@@ -42,6 +45,9 @@
 	// and the last server that it ended is back.
 	servedAgain = 0.95
 
+	// controlPort is that of the entries' control addresses, which serve administration too.
+	controlPort = 8000
+
 	culpritBody = "ends the server"
 	culpritID   = "culprit-"
 )
@@ -113,6 +119,7 @@
 	if back := last.Add(3 * time.Second); back.Before(ended) {
 		assert.GreaterOrEqual(t, shareServed(harmless, back, ended, time.Second), servedAgain, "harmless requests served once the servers are back")
 	}
+	assert.Equal(t, f.Site.Options.Zones*f.Site.Options.Entries, countEvents(f, "PV4211", ""), "contents quarantined, by entry: the one alone")
 	for _, one := range culprits {
 		if one.begun.Before(third.Add(endPause)) {
 			continue
@@ -121,3 +128,175 @@
 		assert.Less(t, one.took, 100*time.Millisecond, "the time to an answer that nothing is needed for")
 	}
 }
+
+// askUntilShut asks for the content that ends servers until every entry has quarantined it.
+func (f *Fleet) askUntilShut() {
+	f.t.Helper()
+	stop := f.askCulprit(askedEach)
+	defer stop()
+	entries := f.Site.Options.Zones * f.Site.Options.Entries
+	f.Eventually("every entry has quarantined the content", askedFor, func() bool { return countEvents(f, "PV4211", "") >= entries })
+}
+
+// askEverywhere asks for the content that ends servers once at each entry.
+func (f *Fleet) askEverywhere(id string) (answers []Answer) {
+	f.t.Helper()
+	for turn := range f.Site.Options.Zones * f.Site.Options.Entries {
+		answer, err := f.streamOf(context.Background(), turn, "culprit", fmt.Sprintf("%s%s-%d", culpritID, id, turn), culpritBody, 10)
+		require.NoError(f.t, err)
+		answers = append(answers, answer)
+	}
+	return answers
+}
+
+// BUDGET: all entries are killed at once and start anew, so that nobody knows the content any more but
+// the agents.
+func TestContentIsKnownWhenAllEntriesWereKilled(t *testing.T) {
+	f := Start(t, crashingOptions())
+	f.Site.CrashOn(site.Crashing{Body: culpritBody, After: 50 * time.Millisecond, Away: 500 * time.Millisecond})
+	f.askUntilShut()
+	for zone := range f.Site.Options.Zones {
+		for index := range f.Site.Options.Entries {
+			f.Kill(Name(catalog.RoleEntry, zone, index))
+		}
+	}
+	for zone := range f.Site.Options.Zones {
+		for index := range f.Site.Options.Entries {
+			f.StartEntry(zone, index)
+		}
+	}
+	f.WaitReady()
+	started := time.Now()
+	for _, answer := range f.askEverywhere("after") {
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+	}
+	assert.Empty(t, f.culpritArrivals(started))
+}
+
+// BUDGET: plain services have no agent beside them, and few servers.
+func TestContentThatEndsPlainServersIsKeptFromThem(t *testing.T) {
+	options := DefaultOptions()
+	options.PlainServers = 2
+	f := Start(t, options)
+	f.Site.CrashOn(site.Crashing{Body: culpritBody, After: 50 * time.Millisecond, Away: time.Second})
+	stop := traffic(askedEach, func(ctx context.Context, number int) outcome {
+		one := outcome{id: culpritID + strconv.Itoa(number), begun: time.Now()}
+		one.answer, one.err = f.Call(ctx, number%2, number/2%2, http.MethodPost, site.SafePrefix+"culprit", one.id, nil, culpritBody)
+		return one
+	})
+	time.Sleep(askedFor)
+	stop()
+	third := f.thirdEnd()
+	t.Logf("servers that ended: %d, sends after the third: %d", len(f.Site.Ends()), len(f.culpritArrivals(third)))
+	assert.LessOrEqual(t, len(f.culpritArrivals(third.Add(knownWithin))), latecomersAllowed, "sends after the content must be known")
+	assert.Empty(t, f.culpritArrivals(third.Add(endPause)), "sends after the content can be known")
+}
+
+// Servers that reset the connections of requests, and live on, end under no content.
+func TestResetConnectionsBlameNoContent(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	ask := func(number int) Answer {
+		answer, err := f.Call(context.Background(), number%2, number/2%2, http.MethodPost, site.SafePrefix+"same", fmt.Sprintf("same-%d", number), nil, "same")
+		require.NoError(t, err)
+		return answer
+	}
+	for _, server := range f.Site.Plain {
+		server.SetFaults(site.Faults{Lying: site.LyingResets})
+	}
+	for number := range 12 {
+		assert.NotEqual(t, http.StatusOK, ask(number).Status)
+		time.Sleep(askedEach)
+	}
+	for _, server := range f.Site.Plain {
+		server.SetFaults(site.Faults{})
+	}
+	assert.Zero(t, countEvents(f, "PV4210", ""), "servers that have ended")
+	number := 100
+	f.Eventually("the content is served", 5*time.Second, func() bool { number++; return ask(number).Status == http.StatusOK })
+}
+
+// All model servers end at once, three times, while many callers ask for the same content: it ran at
+// most of them.
+func TestLossOfAllServersBlamesNoContent(t *testing.T) {
+	options := crashingOptions()
+	f := Start(t, options)
+	stop := traffic(10*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{begun: time.Now()}
+		one.answer, one.err = f.streamOf(ctx, number, "popular", fmt.Sprintf("popular-%d", number), "popular", 20)
+		one.took = time.Since(one.begun)
+		return one
+	})
+	for range 3 {
+		time.Sleep(1500 * time.Millisecond)
+		for zone := range options.Zones {
+			for index := range options.ModelServers {
+				require.NoError(t, f.Site.RestartModel(zone, index))
+			}
+		}
+		f.Eventually("every server serves again", 5*time.Second, func() bool { return f.allServe(1) })
+	}
+	back := time.Now()
+	time.Sleep(time.Second)
+	outcomes := stop()
+	assert.Zero(t, countEvents(f, "PV4211", ""), "contents quarantined")
+	assert.GreaterOrEqual(t, shareServed(outcomes, back.Add(300*time.Millisecond), back.Add(time.Second), time.Second), servedAgain)
+}
+
+// A server that has said that it leaves ends with requests under way: no content has ended it.
+func TestPlannedEndBlamesNoContent(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	stop := traffic(50*time.Millisecond, func(ctx context.Context, number int) outcome {
+		one := outcome{begun: time.Now()}
+		one.answer, one.err = f.streamOf(ctx, number, "long", fmt.Sprintf("long-%d", number), "long", 400)
+		return one
+	})
+	time.Sleep(500 * time.Millisecond)
+	leaving := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
+	leaving.Leave()
+	time.Sleep(time.Second)
+	require.Positive(t, leaving.Running(), "requests under way at its end")
+	leaving.Crash()
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	assert.Zero(t, countEvents(f, "PV4210", ""))
+}
+
+// An operator has a content sent to servers again, at one entry, and all follow.
+func TestReleasedContentIsSentAgain(t *testing.T) {
+	f := Start(t, crashingOptions())
+	f.Site.CrashOn(site.Crashing{Body: culpritBody, After: 50 * time.Millisecond, Away: 500 * time.Millisecond})
+	f.askUntilShut()
+	for _, answer := range f.askEverywhere("shut") {
+		assert.Equal(t, http.StatusServiceUnavailable, answer.Status)
+		assert.Greater(t, retryAfter(t, answer), time.Minute, "when the caller may come back")
+	}
+	f.Site.CrashOn(site.Crashing{})
+	held, isList := f.Process(Name(catalog.RoleEntry, 0, 0)).Dump()["contents"].([]forward.ContentView)
+	require.True(t, isList)
+	require.Len(t, held, 1)
+	assert.Equal(t, "quarantined", held[0].State)
+	assert.GreaterOrEqual(t, len(held[0].Servers), endsAllowed)
+	release := func(content string) int {
+		response, err := client.Post(fmt.Sprintf("http://%s:%d%s%s", f.Site.Options.EntryIP(1, 1), controlPort, gateway.ReleasePath, content), "", nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	assert.Equal(t, http.StatusBadRequest, release("short"))
+	assert.Equal(t, http.StatusNotFound, release(strings.Repeat("0", 32)))
+	assert.Equal(t, http.StatusNoContent, release(held[0].Content))
+	f.Eventually("every entry sends the content", 2*time.Second, func() bool {
+		for _, answer := range f.askEverywhere("released") {
+			if answer.Status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func retryAfter(t *testing.T, answer Answer) time.Duration {
+	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	return time.Duration(seconds * float64(time.Second))
+}
