Rarely asked contents that end servers; refusals for a content teach nothing of load

Cause: a refusal for its content counted like one for load, so that callers' usual times were not learned on a route whose content is asked on and on; no test needed the check of a server whose connections broke. Change: such refusals are left out; a test with nothing but the rare content; the soak will start servers itself.

--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -91,7 +91,7 @@
 	}
 	s.mutex.Unlock()
 	s.options.Ledger.add(run)
-	if s.options.Begins != nil && s.options.Begins(s, body) {
+	if s.options.Begins != nil && s.options.Begins(s, id, body) {
 		<-request.Context().Done()
 		return
 	}
--- a/internal/emulator/site/crashing.go
+++ b/internal/emulator/site/crashing.go
@@ -10,7 +10,8 @@
 type Crashing struct {
 	// Body is the body of the requests that do so.
 	Body string
-	// After is how long such a request runs until its server ends, Away how long the server is away.
+	// After is how long such a request runs until its server ends, Away how long the server is away; 0
+	// leaves it to others to start it again.
 	After time.Duration
 	Away  time.Duration
 }
@@ -18,7 +19,9 @@
 // End is one server that a request has ended.
 type End struct {
 	Server string
-	At     time.Time
+	// RequestID is that of the request.
+	RequestID string
+	At        time.Time
 }
 
 // listedAfterEnd is how long the list goes on naming a server that has ended without a word: three
@@ -50,7 +53,7 @@
 }
 
 // begins reports whether a request ends the server that has begun to run it, and sees to that.
-func (s *Site) begins(server *Server, body []byte) bool {
+func (s *Site) begins(server *Server, id string, body []byte) bool {
 	s.crashes.mutex.Lock()
 	defer s.crashes.mutex.Unlock()
 	crashing := s.crashes.crashing
@@ -59,17 +62,20 @@
 	}
 	if !s.crashes.ended[server] && !s.crashes.closed {
 		s.crashes.ended[server] = true
-		time.AfterFunc(crashing.After, func() { s.end(server, crashing.Away) })
+		time.AfterFunc(crashing.After, func() { s.end(server, id, crashing.Away) })
 	}
 	return true
 }
 
-func (s *Site) end(server *Server, away time.Duration) {
+func (s *Site) end(server *Server, id string, away time.Duration) {
 	staged := server.Crash()
 	s.crashes.mutex.Lock()
-	s.crashes.ends = append(s.crashes.ends, End{Server: server.options.ID, At: time.Now()})
+	s.crashes.ends = append(s.crashes.ends, End{Server: server.options.ID, RequestID: id, At: time.Now()})
 	s.crashes.mutex.Unlock()
 	time.AfterFunc(listedAfterEnd, func() { s.Store.Delete("servers/" + server.options.ID) })
+	if away == 0 {
+		return
+	}
 	time.AfterFunc(away, func() { s.rebear(server, staged) })
 }
 
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -66,9 +66,9 @@
 	// second it then bears; 0 bears any number.
 	ColdTime  time.Duration
 	ColdLimit float64
-	// Begins is told of each request that the server begins to run, by its body, and reports
+	// Begins is told of each request that the server begins to run, by its id and body, and reports
 	// whether the server ends by it; nil for never.
-	Begins func(server *Server, body []byte) bool
+	Begins func(server *Server, id string, body []byte) bool
 }
 
 // Server is the stand-in of a model server or a plain service.
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -152,6 +152,12 @@
 	return refusal
 }
 
+// isWithheld reports whether a request was refused for its content. That says nothing of the load, and
+// its caller is not asked back.
+func isWithheld(refusal *fault.Refusal) bool {
+	return refusal.Reason == fault.ReasonQuarantined || refusal.Reason == fault.ReasonSuspected
+}
+
 // admit judges a content that is about to be sent. Nearly all are held against nothing: they need
 // no more than a look.
 func (c *contents) admit(content quarantine.Content) (verdict quarantine.Verdict) {
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -35,7 +35,7 @@
 // noteRefusal spreads the time after which a refused caller is asked to come back, and tells
 // the decisions of the refusal.
 func (w *work) noteRefusal(refusal *fault.Refusal) {
-	if refusal == nil || refusal.RetryAfter <= 0 {
+	if refusal == nil || refusal.RetryAfter <= 0 || isWithheld(refusal) {
 		return
 	}
 	refusal.RetryAfter = ReturnAfter(refusal.RetryAfter, time.Until(w.request.Deadline))
--- a/internal/sitetest/crashing_test.go
+++ b/internal/sitetest/crashing_test.go
@@ -192,6 +192,19 @@
 	assert.Empty(t, f.culpritArrivals(third.Add(endPause)), "sends after the content can be known")
 }
 
+// BUDGET: the content is asked so rarely, and nothing else is, that no other request shows that its
+// servers have ended.
+func TestContentThatIsAskedRarelyIsKeptFromServersToo(t *testing.T) {
+	f := Start(t, crashingOptions())
+	f.Site.CrashOn(site.Crashing{Body: culpritBody, After: 50 * time.Millisecond, Away: 10 * time.Second})
+	for number := range 6 {
+		_, err := f.streamOf(context.Background(), number, "culprit", culpritID+strconv.Itoa(number), culpritBody, 10)
+		require.NoError(t, err)
+		time.Sleep(1300 * time.Millisecond)
+	}
+	assert.Len(t, f.Site.Ends(), endsAllowed)
+}
+
 // Servers that reset the connections of requests, and live on, end under no content.
 func TestResetConnectionsBlameNoContent(t *testing.T) {
 	f := Start(t, DefaultOptions())
