A suspect's next attempt waits for what the last one has done to its server

Cause: a second attempt was made 0.1 ms after the first one's connection broke, before the server's end was found.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -214,7 +214,12 @@
 		w.contents.do(func(tracker *quarantine.Tracker, now time.Duration) {
 			doubted = tracker.Broke(target.ID, w.request.Content, w.contents.since(w.sentAt), now)
 		})
-		if doubted {
+		switch {
+		case w.suspect:
+			// Its next attempt needs to know: made at once it ended a fourth server before the end of the
+			// third was found.
+			w.contents.check(target.ID, target.Address)
+		case doubted:
 			go w.contents.check(target.ID, target.Address)
 		}
 	}
