The soak asks for contents that end servers

Change: a kind ending-content, which starts the ended servers again, and a promise judged from arrivals and ends.

--- a/internal/emulator/site/crashing.go
+++ b/internal/emulator/site/crashing.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
 
 // Crashing describes content that ends each server which begins to run it.
 type Crashing struct {
-	// Body is the body of the requests that do so.
+	// Body is what the bodies of the requests that do so begin with.
 	Body string
 	// After is how long such a request runs until its server ends, Away how long the server is away; 0
 	// leaves it to others to start it again.
@@ -57,7 +58,7 @@
 	s.crashes.mutex.Lock()
 	defer s.crashes.mutex.Unlock()
 	crashing := s.crashes.crashing
-	if crashing.Body == "" || crashing.Body != string(body) {
+	if crashing.Body == "" || !strings.HasPrefix(string(body), crashing.Body) {
 		return false
 	}
 	if !s.crashes.ended[server] && !s.crashes.closed {
--- a/internal/experiment/soak/callers.go
+++ b/internal/experiment/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -30,6 +31,8 @@
 
 	mutex    sync.Mutex
 	attempts []Attempt
+	// endings are the entries that requests were sent to whose content ends its servers.
+	endings map[string]string
 }
 
 func (c *callers) note(attempt Attempt) {
@@ -45,6 +48,13 @@
 	return append([]Attempt(nil), c.attempts...)
 }
 
+// allEndings returns the entries that requests were sent to whose content ends its servers.
+func (c *callers) allEndings() map[string]string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.endings)
+}
+
 // run calls the entries of one zone until the context ends, over kept connections.
 func (c *callers) run(ctx context.Context, zone, caller int, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -119,6 +119,8 @@
 		return r.spoilSettings(fault)
 	case Burst:
 		r.burst(burstTime + fault.For)
+	case EndingContent:
+		r.askEnding(fault)
 	}
 	return nil
 }
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -27,6 +27,7 @@
 	ColdIsSpared    Promise = "cold servers get what they bear"
 	ReloadCutsNone  Promise = "changed settings cut nothing"
 	ProcessesStay   Promise = "no process ends by itself"
+	EndingIsKept    Promise = "content that ends its servers is kept from them"
 )
 
 // RequestKind tells how often a request may run.
@@ -93,6 +94,9 @@
 	Restrictions []Restriction
 	Deliveries   []site.Delivery
 	Evacuations  []Evacuation
+	// Ends are the servers that requests have ended, Endings the entries that such requests were sent to.
+	Ends    []site.End
+	Endings map[string]string
 	// Reloads are the times in which changed settings come into force.
 	Reloads []Span
 	// VersionApply and those below it are the bounds of the platform.
@@ -146,6 +150,7 @@
 	senders := record.senders()
 	found = append(found, record.judgeRestrictions(senders)...)
 	found = append(found, record.judgeEvacuations(senders)...)
+	found = append(found, record.judgeEndings()...)
 	return append(found, record.judgeCold()...)
 }
 
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -87,6 +87,10 @@
 	context context.Context
 	// bursts counts the bursts of callers, whose numbers follow those of the lasting ones.
 	bursts int
+	// endings counts the faults that ask for contents which end servers; restarted are the servers
+	// that were started again since.
+	endings   int
+	restarted map[string]bool
 }
 
 // step is something to do at a time.
@@ -112,7 +116,7 @@
 	bounds := fleet.Site.Options
 	r := &run{
 		options: options, fleet: fleet, site: fleet.Site, callers: &callers{site: fleet.Site},
-		busy: map[string]bool{}, version: 1, struck: map[Kind]int{}, told: map[Violation]bool{}, allowed: bounds.TwoRoutes(),
+		busy: map[string]bool{}, version: 1, struck: map[Kind]int{}, told: map[Violation]bool{}, restarted: map[string]bool{}, allowed: bounds.TwoRoutes(),
 		record: Record{
 			VersionApply: time.Duration(bounds.VersionMs) * time.Millisecond, Drain: time.Duration(bounds.DrainMs) * time.Millisecond,
 			Grace:              time.Duration(bounds.GraceS * float64(time.Second)),
@@ -230,7 +234,8 @@
 // gather takes over what callers and servers have seen.
 func (r *run) gather() {
 	// What callers saw comes first: each request of theirs has then left its traces at servers.
-	r.record.Attempts = r.callers.all()
+	r.record.Attempts, r.record.Endings = r.callers.all(), r.callers.allEndings()
+	r.record.Ends = r.site.Ends()
 	r.record.Runs, r.record.Arrivals, r.record.Deliveries = r.site.Ledger.Runs(), r.site.Ledger.Arrivals(), r.site.Ledger.Deliveries()
 }
 
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -41,6 +41,11 @@
 			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(40)},
 			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(41)},
 		},
+		Ends: []site.End{
+			{Server: "i-7", RequestID: "ending-0-1-0", At: at(80)}, {Server: "i-8", RequestID: "ending-0-1-1", At: at(81)}, {Server: "i-9", RequestID: "ending-0-1-2", At: at(82)},
+			{Server: "i-6", RequestID: "ending-1-1-0", At: at(82)},
+		},
+		Endings:      map[string]string{"ending-0-1-3": "entry-0-0"},
 		Evacuations:  []Evacuation{{Zone: site.ZoneName(2), Asked: at(30), Ended: at(38)}, {Zone: site.ZoneName(0), Asked: at(39)}},
 		Reloads:      []Span{{From: at(70), To: at(72), Name: "entry-0-0"}},
 		Stops:        []Span{{From: at(40.5), To: at(48.5), Name: "entry-0-0"}},
@@ -80,6 +85,11 @@
 		{ReloadCutsNone, func(r *Record) {
 			r.Attempts[2].Sent, r.Attempts[2].Ended, r.Attempts[2].Status = began.Add(69*time.Second), began.Add(70100*time.Millisecond), 0
 		}},
+		{EndingIsKept, func(r *Record) {
+			for range lateAllowed + 1 {
+				r.Arrivals = append(r.Arrivals, site.Arrival{RequestID: "ending-0-1-3", Server: "i-1", Path: site.StreamPrefix, Region: site.RegionName(2), At: began.Add(86 * time.Second)})
+			}
+		}},
 	} {
 		record := soundRecord(began)
 		one.spoil(&record)
