The soak's contents are asked longer, and by each entry more rarely

Cause: with the sharing of words switched off the soak found nothing, since each entry found out by itself in time. Change: asked each 0.4 s for 6 s and more.

--- a/internal/experiment/soak/endings.go
+++ b/internal/experiment/soak/endings.go
@@ -21,9 +21,10 @@
 	endingID       = "ending-"
 	endingContents = 2
 	// endingPace is how often one is asked while the fault lasts, endingTime the least that it does;
-	// what was drawn comes on top of it.
-	endingPace = 150 * time.Millisecond
-	endingTime = 2 * time.Second
+	// what was drawn comes on top of it. An entry that hears nothing of the others is not asked often
+	// enough to find out by itself within contact of the third end.
+	endingPace = 400 * time.Millisecond
+	endingTime = 6 * time.Second
 	// endingAfter is how long a server runs such a request, endedFor how long it is away then.
 	endingAfter = 50 * time.Millisecond
 	endedFor    = 1500 * time.Millisecond
