Servers that start again under their ID are new ones; lines of another writer name no server

Change: the birth of a server is decoded from its line and its report; a line or word on a former life is dropped, a later birth makes the server a new one in the list, the decisions, the health and the agent, which reads anew what lies at it. A birth that is earlier twice in a row is a clock that was set back.

--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -51,6 +51,11 @@
 		if known := c.byID[server.ID]; known != nil && known.elsewhere(server) {
 			changes = append(changes, c.forget(known, now))
 			c.health.Renew(server.ID, c.since(now))
+			// What its former life was sent, and what was told of that, is over.
+			delete(c.droppedWindows, server.ID)
+			if c.words[server.Address].Born != server.Born {
+				delete(c.words, server.Address)
+			}
 		}
 		known := c.candidateOf(server)
 		if !known.listing.server.Draining && server.Draining {
@@ -76,9 +81,10 @@
 // more, or has ended.
 func (c *Core) Leaving(k *Candidate) bool { return k.listing.server.Draining || k.listing.gone }
 
-// elsewhere reports whether a line is that of another server with the same name.
+// elsewhere reports whether a line is that of another server with the same name, or of another life
+// of the server.
 func (k *Candidate) elsewhere(server Server) bool {
-	return k.Zone != server.Zone || k.Address != server.Address
+	return k.Zone != server.Zone || k.Address != server.Address || k.listing.server.Born.Differs(server.Born)
 }
 
 // drop forgets the servers that are not listed any more.
@@ -109,7 +115,7 @@
 	}
 	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID)}
 	c.byID[server.ID] = known
-	if told, heard := c.words[server.Address]; heard {
+	if told, heard := c.words[server.Address]; heard && !told.Born.Before(server.Born) {
 		known.word.heardWord = told
 	}
 	return known
@@ -129,7 +135,7 @@
 		return nil
 	}
 	known.listing.gone = true
-	if told, heard := c.words[holder.Address]; heard && holder.word.at.IsZero() {
+	if told, heard := c.words[holder.Address]; heard && holder.word.at.IsZero() && !told.Born.Before(holder.listing.server.Born) {
 		holder.word.heardWord = told
 	}
 	return known
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/residency"
 	"pinevane.example/pinevane/coordination/shedding"
 )
@@ -25,6 +26,8 @@
 	ColdUntil time.Time
 	// Revision orders the lines: of two with the same address the higher is the newer.
 	Revision uint64
+	// Born tells this life of the server from others under its ID.
+	Born incarnation.Born
 }
 
 // Service is what is published of a service.
@@ -88,6 +91,8 @@
 	// Received counts the requests that all entries have announced to the server in the last
 	// admission.ColdSpan.
 	Received int
+	// Born is that of the server that the word is on.
+	Born incarnation.Born
 }
 
 // Request is what a request wants of a server.
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -66,6 +66,9 @@
 		// An answer to a question overtakes what is told all the time.
 		return false, nil
 	}
+	if c.onFormerLife(word) {
+		return false, nil
+	}
 	if !word.Reachable {
 		// The agent sees no request begin there: what waits could only grow.
 		word.Waiting, word.UnreadTokens = 0, 0
@@ -74,7 +77,7 @@
 	fresh := heardWord{Word: word, at: at}
 	if !word.Reachable {
 		fresh.lostAt = at
-		if heard && !former.Reachable {
+		if heard && !former.Reachable && !former.Born.Differs(word.Born) {
 			fresh.lostAt = former.lostAt
 		}
 	}
@@ -83,6 +86,11 @@
 	if known == nil {
 		return true, nil
 	}
+	if known.listing.server.Born.Before(word.Born) {
+		// The agent knows sooner than the list that the server has started again.
+		c.Supersede(known)
+		return true, nil
+	}
 	if known.word.Reachable != word.Reachable || known.word.Version != word.Version {
 		changed = known
 	}
@@ -93,6 +101,16 @@
 	return true, changed
 }
 
+// onFormerLife reports whether a word is on a life of its server that is over, by what the list or a
+// later word tells.
+func (c *Core) onFormerLife(word Word) bool {
+	if word.Born.Before(c.words[word.Address].Born) {
+		return true
+	}
+	known := c.byAddress[word.Address]
+	return known != nil && word.Born.Before(known.listing.server.Born)
+}
+
 // Suspect reports whether there is evidence against a server beside its own silence, for a request
 // that was sent there at a time.
 func (c *Core) Suspect(k *Candidate, sentAt, now time.Time) bool {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/mirror"
 	"pinevane.example/pinevane/coordination/overlay"
 	"pinevane.example/pinevane/internal/fleet"
@@ -77,6 +78,8 @@
 	// servers are the listed servers by the keys of their records, in order of key.
 	servers    map[string]fleet.Server
 	serverKeys []string
+	// formerLives are the births of lines that were taken for late ones of a former life, by key.
+	formerLives map[string]incarnation.Born
 	// ages tells how long ago records of versions were named, by key.
 	ages map[string]versionAge
 	// fresh is when the copy was last known to be current; regained is when that was
@@ -136,7 +139,7 @@
 	}
 	c := &Catalog{
 		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{}, pulls: map[string]pull{},
-		servers: map[string]fleet.Server{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
+		servers: map[string]fleet.Server{}, formerLives: map[string]incarnation.Born{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1), haste: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
 			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
@@ -345,6 +348,14 @@
 		c.dropServer(record.Key)
 		return true
 	}
+	if known && c.isFormerLife(record.Key, server.Born, old.Born) {
+		return false
+	}
+	if held := c.statuses[server.Address]; old.Born.Differs(server.Born) && held.status.Born != server.Born {
+		// Otherwise words on the former life would be passed on, and keep out those on this one where its
+		// birth is the earlier one.
+		delete(c.statuses, server.Address)
+	}
 	if known && sameCold(old.ColdUntil, server.ColdUntil) {
 		server.ColdUntil = old.ColdUntil
 	}
@@ -356,7 +367,24 @@
 	return !known || !sameServer(old, server)
 }
 
+// isFormerLife reports whether a line is a late one of a server's former life: it began before the one
+// that is listed, and no other line has told the same. A server whose clock was set back tells it
+// with each heartbeat; one that has ended can have had one line under way. The mutex is held.
+func (c *Catalog) isFormerLife(key string, born, listed incarnation.Born) bool {
+	if !born.Before(listed) {
+		delete(c.formerLives, key)
+		return false
+	}
+	if c.formerLives[key] == born {
+		delete(c.formerLives, key)
+		return false
+	}
+	c.formerLives[key] = born
+	return true
+}
+
 func (c *Catalog) dropServer(key string) {
+	delete(c.formerLives, key)
 	if index, listed := slices.BinarySearch(c.serverKeys, key); listed {
 		c.serverKeys = slices.Delete(c.serverKeys, index, index+1)
 		delete(c.servers, key)
@@ -379,7 +407,7 @@
 }
 
 func sameServer(a, b fleet.Server) bool {
-	if a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone || a.Slots != b.Slots || a.Draining != b.Draining || !a.ColdUntil.Equal(b.ColdUntil) {
+	if a.Born != b.Born || a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone || a.Slots != b.Slots || a.Draining != b.Draining || !a.ColdUntil.Equal(b.ColdUntil) {
 		return false
 	}
 	if len(a.Models) != len(b.Models) {
--- /dev/null
+++ b/internal/catalog/reborn_test.go
@@ -0,0 +1,53 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/mirror"
+)
+
+func bornRecord(revision uint64, born int64, version int) mirror.Record {
+	value := fmt.Sprintf(`{"service":"m","address":"10.1.0.1:80","zone":"z","state":"ready","sequence":%d,"born":%d,"models":[{"name":"n","version":%d}]}`, revision, born, version)
+	return mirror.Record{Key: "servers/s", Value: []byte(value), Revision: revision}
+}
+
+// A line of a server's former life that the store takes late does not displace that of its present one.
+func TestLateLineOfAFormerLifeIsDropped(t *testing.T) {
+	c := newTestCatalog()
+	c.takeWatched([]mirror.Record{bornRecord(1, 100, 2)})
+	c.takeWatched([]mirror.Record{bornRecord(2, 200, 1)})
+	c.takeWatched([]mirror.Record{bornRecord(3, 100, 2)})
+	served := c.View().Servers["m"][0]
+	assert.EqualValues(t, 200, served.Born)
+	assert.EqualValues(t, 1, served.Models[0].Version)
+}
+
+// A server whose clock was set back between its lives tells the earlier birth with each line.
+func TestServerWhoseClockWasSetBackIsKnown(t *testing.T) {
+	c := newTestCatalog()
+	c.takeWatched([]mirror.Record{bornRecord(1, 900, 2)})
+	c.takeWatched([]mirror.Record{bornRecord(2, 200, 1)})
+	c.takeWatched([]mirror.Record{bornRecord(3, 200, 1)})
+	served := c.View().Servers["m"][0]
+	assert.EqualValues(t, 200, served.Born)
+	assert.EqualValues(t, 1, served.Models[0].Version)
+}
+
+// A line that can't be read names no server, and the others hold.
+func TestFaultyLineNamesNoServer(t *testing.T) {
+	c := newTestCatalog()
+	other := bornRecord(5, 100, 1)
+	other.Key = "servers/other"
+	c.takeWatched([]mirror.Record{bornRecord(4, 100, 1), other})
+	assert.Len(t, c.View().Servers["m"], 2)
+	faulty := bornRecord(6, 100, 1)
+	faulty.Value = []byte(`{"service":7}`)
+	c.takeWatched([]mirror.Record{faulty})
+	assert.Len(t, c.View().Servers["m"], 1)
+	assert.Equal(t, "other", c.View().Servers["m"][0].ID)
+	c.takeWatched([]mirror.Record{bornRecord(7, 100, 1)})
+	assert.Len(t, c.View().Servers["m"], 2)
+}
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -120,6 +120,10 @@
 func (c *Catalog) takeStatus(fresh heldStatus) {
 	c.mutex.Lock()
 	held, known := c.statuses[fresh.status.Address]
+	if known && fresh.status.Born.Before(held.status.Born) && !fresh.direct {
+		c.mutex.Unlock()
+		return
+	}
 	if fresh.passedAt.IsZero() {
 		fresh.passedAt = held.passedAt
 	}
--- a/internal/emulator/site/crashing.go
+++ b/internal/emulator/site/crashing.go
@@ -89,7 +89,7 @@
 		return
 	}
 	options := old.options
-	options.ID, options.Version = fmt.Sprintf("%s+", options.ID), 0
+	options.ID, options.Version, options.Born = fmt.Sprintf("%s+", options.ID), 0, time.Now().UnixMilli()
 	fresh := NewServer(options)
 	fresh.Restage(staged)
 	if err := fresh.Start(); err != nil {
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -101,3 +102,10 @@
 	defer l.mutex.Unlock()
 	return append([]Run(nil), l.runs...)
 }
+
+// RanAt reports whether a server has begun a request.
+func (l *Ledger) RanAt(server, requestID string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.ContainsFunc(l.runs, func(one Run) bool { return one.Server == server && one.RequestID == requestID })
+}
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -62,6 +62,8 @@
 	Heartbeat time.Duration
 	Store     *Store
 	Ledger    *Ledger
+	// Born is the Unix millisecond of the start, as the server tells it; 0 when it does not.
+	Born int64
 	// ColdTime is how long SetCold makes the server cold, ColdLimit how many requests a
 	// second it then bears; 0 bears any number.
 	ColdTime  time.Duration
@@ -262,6 +264,9 @@
 		"service": s.options.Service, "address": s.options.Address, "zone": s.options.Zone, "version": "v1", "slots": s.options.Slots,
 		"state": state, "coldRemainingMs": max(0, time.Until(s.coldUntil).Milliseconds()), "stage": "both", "models": s.models(), "layers": s.layers(), "sequence": s.beats,
 	}
+	if s.options.Born != 0 {
+		record["born"] = s.options.Born
+	}
 	lapsed := s.lapsed
 	s.mutex.Unlock()
 	if !lapsed {
@@ -303,6 +308,9 @@
 		"stage": "both", "models": s.models(), "layers": s.layers(), "busy": s.loading, "sequence": s.sequence,
 		"numWaiting": s.waiting, "numRunning": s.running, "kvUsed": 0, "kvTotal": 1000, "pace": 1.0,
 	}
+	if s.options.Born != 0 {
+		report["born"] = s.options.Born
+	}
 	s.mutex.Unlock()
 	writeJSON(writer, report)
 }
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -207,7 +207,7 @@
 	weights := s.Options.Weights
 	server := NewServer(ServerOptions{
 		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone), Region: RegionName(zone),
-		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version,
+		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version, Born: time.Now().UnixMilli(),
 		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
 		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.ColdLimit(), Begins: s.begins,
 	})
@@ -221,6 +221,16 @@
 	return s.RestartModelUnnoticed(zone, index)
 }
 
+// RebearModel ends a model server and starts it anew under its ID, with nothing in service and nothing
+// staged. It tells that it has started at a moment.
+func (s *Site) RebearModel(zone, index int, born time.Time) error {
+	old := s.Models[s.Options.ModelIP(zone, index)]
+	old.Crash()
+	options := old.options
+	options.Version, options.Born = 0, born.UnixMilli()
+	return s.adopt(s.Models, NewServer(options))
+}
+
 // RestartModelUnnoticed does the same while the list goes on naming the old server
 // beside the new one, as it does until it has missed three heartbeats.
 func (s *Site) RestartModelUnnoticed(zone, index int) error {
@@ -228,7 +238,7 @@
 	staged := old.Crash()
 	s.starts++
 	options := old.options
-	options.ID, options.Version = fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), 0
+	options.ID, options.Version, options.Born = fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), 0, time.Now().UnixMilli()
 	fresh := NewServer(options)
 	fresh.Restage(staged)
 	return s.adopt(s.Models, fresh)
@@ -238,7 +248,7 @@
 	s.starts++
 	return s.adopt(s.Plain, NewServer(ServerOptions{
 		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.starts), Service: PlainService, Zone: ZoneName(zone), Region: RegionName(zone),
-		Address: fmt.Sprintf("%s:%d", s.Options.PlainIP(zone, index), serverPort), Slots: s.Options.Slots,
+		Address: fmt.Sprintf("%s:%d", s.Options.PlainIP(zone, index), serverPort), Slots: s.Options.Slots, Born: time.Now().UnixMilli(),
 		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger, Begins: s.begins,
 	}))
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/mirror"
 )
 
@@ -40,6 +41,8 @@
 	ColdUntil time.Time
 	// Revision is the store's revision of the line.
 	Revision uint64
+	// Born tells this life of the server from others under its ID.
+	Born incarnation.Born
 }
 
 // NamedVersion is the newest published version of a model's weights.
@@ -115,6 +118,8 @@
 	CacheTotal int
 	// Pace is over 1 when the server is slow.
 	Pace float64
+	// Born tells this life of the server from others under its ID.
+	Born incarnation.Born
 }
 
 // StartOrder asks a server to take a staged version into service.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/incarnation"
+)
 
 // TopicMachineStatus is the topic under which an agent tells entries how its
 // machine does.
@@ -60,4 +64,6 @@
 	// Received counts the requests that were announced to the server in the last
 	// admission.ColdSpan.
 	Received int `cbor:"18,keyasint,omitempty" json:"received"`
+	// Born is that of the server that the word is on; 0 when the server does not tell it.
+	Born incarnation.Born `cbor:"19,keyasint,omitempty" json:"born"`
 }
--- a/internal/forward/convert.go
+++ b/internal/forward/convert.go
@@ -32,7 +32,7 @@
 func serverOf(server fleet.Server) dispatch.Server {
 	listed := dispatch.Server{
 		ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
-		HoldsModel: len(server.Models) > 0, ColdUntil: server.ColdUntil, Revision: server.Revision,
+		HoldsModel: len(server.Models) > 0, ColdUntil: server.ColdUntil, Revision: server.Revision, Born: server.Born,
 	}
 	for _, model := range server.Models {
 		listed.Version = max(listed.Version, model.Version)
@@ -63,7 +63,7 @@
 		UnreadTokens: status.UnreadTokens, Pace: status.Pace,
 		SwitchPlanned: status.SwitchMilliseconds != fleet.NoSwitch, SwitchIn: time.Duration(status.SwitchMilliseconds) * time.Millisecond,
 		Wanted: status.Wanted, Missing: status.Missing, Link: time.Duration(status.LinkMilliseconds) * time.Millisecond,
-		ColdFor: status.ColdFor(), Received: status.Received,
+		ColdFor: status.ColdFor(), Received: status.Received, Born: status.Born,
 	}
 }
 
--- /dev/null
+++ b/internal/rollout/reborn.go
@@ -0,0 +1,35 @@
+package rollout
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// serverReborn drops what was known of the server's former life: its load, whether it is cold, and what
+// was announced to it. What lies at it may be gone, and is read anew. The mutex is held.
+func (a *Agent) serverReborn(ctx context.Context, report fleet.Report) {
+	a.log.Log(logging.ServerReborn, zap.Int64("born", int64(report.Born)), zap.Int64("former", int64(a.report.Born)))
+	a.announced = balance.Announced{}
+	a.cold = newColdWord()
+	a.announcement.Withdraw()
+	a.unguarded = 0
+	for _, one := range []*transfer{a.current, a.fallback, a.older} {
+		if one != nil {
+			go one.readAnew(ctx)
+		}
+	}
+	// The status names this life from now on, also before the rest of the report is taken over.
+	a.report.Born = report.Born
+}
+
+// readAnew reads back what is thought to lie at the server, and fetches again what does not.
+func (t *transfer) readAnew(ctx context.Context) {
+	if bad := t.verify(ctx, t.heldPieces()); len(bad) > 0 && ctx.Err() == nil {
+		t.reportSpoilt(bad)
+	}
+}
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -90,6 +90,9 @@
 		}
 		return
 	}
+	if a.report.Born.Differs(report.Born) {
+		a.serverReborn(ctx, report)
+	}
 	if !a.reachable {
 		a.log.Log(logging.EngineReached, zap.Int("models", len(report.Models)), zap.Uint64("sequence", report.Sequence))
 		a.wake()
@@ -122,7 +125,7 @@
 		Running: a.report.Running, Waiting: a.report.Waiting, CacheUsed: a.report.CacheUsed, CacheTotal: a.report.CacheTotal,
 		Pace: a.report.Pace, SwitchMilliseconds: fleet.NoSwitch,
 		LinkMilliseconds: a.roundTrips.Least(now.Sub(a.started)).Milliseconds(),
-		ColdMilliseconds: a.cold.left(now).Milliseconds(), Received: a.cold.received.Count(now.Sub(a.started)),
+		ColdMilliseconds: a.cold.left(now).Milliseconds(), Received: a.cold.received.Count(now.Sub(a.started)), Born: a.report.Born,
 	}
 	if engine != nil {
 		status.Version = servedVersion(a.report, model, engine.Layers)
--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,6 +47,12 @@
 	// silenceBefore is how long before the bound the connections go silent: after the last
 	// request was sent, and before those that wait are taken back.
 	silenceBefore = 700 * time.Millisecond
+	// burstBefore is how long before the bound burstStreams come at once, each entry's before it hears of
+	// the others': some wait then, also when entries have learned how late servers begin. Without
+	// them nothing waited in 3 of 14 plays beside another run of the test. Entries send nothing to an
+	// old version from a second before its bound.
+	burstBefore  = 1150 * time.Millisecond
+	burstStreams = 24
 	// lookedAfter is how long after the bound the servers' records are looked at: what was
 	// under way is over then, and what waited would have begun.
 	lookedAfter = 4 * time.Second
@@ -56,14 +63,23 @@
 // and whether any was waiting when the connections went silent.
 func lateRuns(t *testing.T, f *Fleet) (late []time.Duration, waiting int) {
 	agents := serverConnections(t)
-	stop := traffic(120*time.Millisecond, func(ctx context.Context, number int) outcome {
-		one := outcome{id: fmt.Sprintf("stream-%d", number), begun: time.Now()}
-		one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, heldEvents)
-		return one
-	})
+	stream := func(kind string) func(context.Context, int) outcome {
+		return func(ctx context.Context, number int) outcome {
+			one := outcome{id: fmt.Sprintf("%s-%d", kind, number), begun: time.Now()}
+			one.answer, one.err = f.Stream(ctx, number%2, number/2%2, one.id, heldEvents)
+			return one
+		}
+	}
+	stop := traffic(120*time.Millisecond, stream("stream"))
 	named := time.Now()
 	f.Site.NameVersion(2)
 	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	time.Sleep(time.Until(bound.Add(-burstBefore)))
+	var burst sync.WaitGroup
+	for number := range burstStreams {
+		burst.Go(func() { stream("burst")(context.Background(), number) })
+	}
+	defer burst.Wait()
 	time.Sleep(time.Until(bound.Add(-silenceBefore)))
 	for _, server := range f.Site.Models {
 		waiting += server.Waiting()
