A server that is back at once has ended all the same

Cause: an end was known by a refused connection alone; a server that is back before the look is there again. Change: another server at its address, or another life under its ID, show the end too; the stand-in can do that.

--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -15,6 +15,8 @@
 	ServerLeaving ChangeKind = iota
 	// ServerGone: the server is listed no more.
 	ServerGone
+	// ServerReborn: the server has started again under its ID; Candidate is its former life.
+	ServerReborn
 	// AddressTaken: a newer server is listed at the server's address, so that it has ended.
 	AddressTaken
 	// ZoneEvacuated: the zone is to be sent nothing new.
@@ -49,7 +51,11 @@
 	for _, server := range fleet.Servers {
 		present[server.ID] = true
 		if known := c.byID[server.ID]; known != nil && known.elsewhere(server) {
-			changes = append(changes, c.forget(known, now))
+			ended := c.forget(known, now)
+			if known.listing.server.Born.Differs(server.Born) {
+				ended.Kind = ServerReborn
+			}
+			changes = append(changes, ended)
 			c.health.Renew(server.ID, c.since(now))
 			// What its former life was sent, and what was told of that, is over.
 			delete(c.droppedWindows, server.ID)
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -185,8 +185,8 @@
 	return held != nil && now-held.at <= confirmWithin
 }
 
-// Ended notes that a server has ended without a word: its machine refuses connections, or the agent
-// beside it does not reach it.
+// Ended notes that a server has ended without a word: its machine refuses connections, or another one
+// is at its address.
 func (t *Tracker) Ended(server string, now time.Duration) {
 	if held := t.broken[server]; held != nil && now-held.at <= confirmWithin {
 		t.ended(server, held.at)
--- a/internal/emulator/site/crashing.go
+++ b/internal/emulator/site/crashing.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +14,8 @@
 	// leaves it to others to start it again.
 	After time.Duration
 	Away  time.Duration
+	// SameID has the server start again under its ID.
+	SameID bool
 }
 
 // End is one server that a request has ended.
@@ -63,33 +64,36 @@
 	}
 	if !s.crashes.ended[server] && !s.crashes.closed {
 		s.crashes.ended[server] = true
-		time.AfterFunc(crashing.After, func() { s.end(server, id, crashing.Away) })
+		time.AfterFunc(crashing.After, func() { s.end(server, id, crashing) })
 	}
 	return true
 }
 
-func (s *Site) end(server *Server, id string, away time.Duration) {
+func (s *Site) end(server *Server, request string, crashing Crashing) {
 	staged := server.Crash()
 	s.crashes.mutex.Lock()
-	s.crashes.ends = append(s.crashes.ends, End{Server: server.options.ID, RequestID: id, At: time.Now()})
+	s.crashes.ends = append(s.crashes.ends, End{Server: server.options.ID, RequestID: request, At: time.Now()})
 	s.crashes.mutex.Unlock()
-	time.AfterFunc(listedAfterEnd, func() { s.Store.Delete("servers/" + server.options.ID) })
-	if away == 0 {
-		return
+	id := server.options.ID
+	if !crashing.SameID {
+		time.AfterFunc(listedAfterEnd, func() { s.Store.Delete("servers/" + id) })
+		id += "+"
+	}
+	if crashing.Away > 0 {
+		time.AfterFunc(crashing.Away, func() { s.rebear(server, id, staged) })
 	}
-	time.AfterFunc(away, func() { s.rebear(server, staged) })
 }
 
 // rebear starts a server at the place of one that has ended, with what was staged there and nothing in
 // service.
-func (s *Site) rebear(old *Server, staged map[int][]byte) {
+func (s *Site) rebear(old *Server, id string, staged map[int][]byte) {
 	s.crashes.mutex.Lock()
 	defer s.crashes.mutex.Unlock()
 	if s.crashes.closed {
 		return
 	}
 	options := old.options
-	options.ID, options.Version, options.Born = fmt.Sprintf("%s+", options.ID), 0, time.Now().UnixMilli()
+	options.ID, options.Version, options.Born = id, 0, time.Now().UnixMilli()
 	fresh := NewServer(options)
 	fresh.Restage(staged)
 	if err := fresh.Start(); err != nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -88,6 +88,9 @@
 func (f *Forwarder) Update(view *catalog.View) {
 	f.checkConfiguration(view.Configuration)
 	f.targets.update(view)
+	for _, server := range f.targets.endedServers() {
+		f.contents.serverEnded(server)
+	}
 }
 
 // TakeStatus notes an agent's word on its server, when that was said, and whether it was
@@ -343,6 +346,7 @@
 		started.drain()
 		if instance := started.head.Instance; instance != "" && instance != started.target.ID {
 			w.targets.supersede(started.target, instance)
+			w.contents.serverEnded(started.target.ID)
 			return &failure{reason: fault.ReasonIncarnation, execution: fault.ExecutionNotRun, cause: statusError(status)}
 		}
 		if status == http.StatusMisdirectedRequest {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -208,7 +208,7 @@
 func (w *work) noteEnd(target *target, failed *failure) {
 	switch {
 	case errors.Is(failed.cause, syscall.ECONNREFUSED):
-		w.contents.serverRefuses(target.ID)
+		w.contents.serverEnded(target.ID)
 	case failed.execution == fault.ExecutionUnknown && connectionEnded(failed.cause) && !w.targets.leaving(target):
 		doubted := false
 		w.contents.do(func(tracker *quarantine.Tracker, now time.Duration) {
@@ -235,7 +235,8 @@
 	return false
 }
 
-func (c *contents) serverRefuses(server string) {
+// serverEnded notes that a server has ended: its machine refuses connections, or another one is there.
+func (c *contents) serverEnded(server string) {
 	c.do(func(tracker *quarantine.Tracker, now time.Duration) { tracker.Ended(server, now) })
 }
 
@@ -251,7 +252,7 @@
 		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		cancel()
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.serverRefuses(server)
+			c.serverEnded(server)
 			return
 		}
 		if err == nil {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -38,6 +38,8 @@
 	known map[*dispatch.Candidate]*target
 	// health tells of servers' health, to people and to the zone's other entries.
 	health *healthReporter
+	// ended are servers that the list has shown to have ended, until endedServers takes them.
+	ended []string
 	// told are the agents' last words by the address of their server, for people.
 	told map[string]fleet.MachineStatus
 }
@@ -84,6 +86,8 @@
 	switch change.Kind {
 	case dispatch.ServerLeaving:
 		t.log.Log(logging.ServerLeaving, zap.String("server", change.Candidate.ID), zap.Int("in_flight", change.InFlight))
+	case dispatch.AddressTaken, dispatch.ServerReborn:
+		t.ended = append(t.ended, change.Candidate.ID)
 	case dispatch.ServerGone:
 		t.log.Log(logging.ServerGone, zap.String("server", change.Candidate.ID), zap.Int("in_flight", change.InFlight))
 	case dispatch.ZoneEvacuated:
@@ -97,11 +101,20 @@
 	if known := t.known[change.Candidate]; known != nil {
 		known.pool.close()
 	}
-	if change.Kind == dispatch.ServerGone {
+	if change.Kind == dispatch.ServerGone || change.Kind == dispatch.ServerReborn {
 		delete(t.known, change.Candidate)
 	}
 }
 
+// endedServers returns the servers that the list has shown to have ended since the last call.
+func (t *targets) endedServers() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	ended := t.ended
+	t.ended = nil
+	return ended
+}
+
 // targetOf returns the connections to a listed server; the mutex is held.
 func (t *targets) targetOf(candidate *dispatch.Candidate) *target {
 	known := t.known[candidate]
--- a/internal/sitetest/crashing_test.go
+++ b/internal/sitetest/crashing_test.go
@@ -205,6 +205,17 @@
 	assert.Len(t, f.Site.Ends(), endsAllowed)
 }
 
+// BUDGET: ended servers are back before a connection can show that they were away, under the same IDs.
+func TestContentIsKnownByServersThatAreBackAtOnce(t *testing.T) {
+	f := Start(t, crashingOptions())
+	f.Site.CrashOn(site.Crashing{Body: culpritBody, After: 50 * time.Millisecond, Away: time.Millisecond, SameID: true})
+	stop := f.askCulprit(400 * time.Millisecond)
+	time.Sleep(askedFor)
+	stop()
+	third := f.thirdEnd()
+	assert.LessOrEqual(t, len(f.culpritArrivals(third.Add(knownWithin))), latecomersAllowed, "sends after the content must be known")
+}
+
 // Servers that reset the connections of requests, and live on, end under no content.
 func TestResetConnectionsBlameNoContent(t *testing.T) {
 	f := Start(t, DefaultOptions())
