--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/mirror"
 	"pinevane.example/pinevane/coordination/overlay"
@@ -78,6 +76,7 @@
 	// servers are the listed servers by the keys of their records, in order of key.
 	servers    map[string]fleet.Server
 	serverKeys []string
+	faulty     faultyRecords
 	// formerLives are the births of lines that were taken for late ones of a former life, by key.
 	formerLives map[string]incarnation.Born
 	// ages tells how long ago records of versions were named, by key.
@@ -139,7 +138,7 @@
 	}
 	c := &Catalog{
 		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{}, pulls: map[string]pull{},
-		servers: map[string]fleet.Server{}, formerLives: map[string]incarnation.Born{}, ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
+		servers: map[string]fleet.Server{}, formerLives: map[string]incarnation.Born{}, faulty: newFaultyRecords(), ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1), haste: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
 			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
@@ -340,14 +339,16 @@
 	old, known := c.servers[record.Key]
 	if record.Gone {
 		c.dropServer(record.Key)
+		delete(c.faulty.reasons, record.Key)
 		return true
 	}
 	server, err := c.options.Decoder.Server(record, time.Now())
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.Error(err))
 		c.dropServer(record.Key)
-		return true
+		c.noteFaulty(record.Key, record.Revision, err)
+		return known
 	}
+	delete(c.faulty.reasons, record.Key)
 	if known && c.isFormerLife(record.Key, server.Born, old.Born) {
 		return false
 	}
@@ -385,9 +386,9 @@
 
 func (c *Catalog) dropServer(key string) {
 	delete(c.formerLives, key)
+	delete(c.servers, key)
 	if index, listed := slices.BinarySearch(c.serverKeys, key); listed {
 		c.serverKeys = slices.Delete(c.serverKeys, index, index+1)
-		delete(c.servers, key)
 	}
 }
 
@@ -430,8 +431,10 @@
 	Versions             map[string][]Notice `json:"versions"`
 	// EvacuatedZones are sent nothing new.
 	EvacuatedZones []string `json:"evacuated_zones"`
-	Entries        []string `json:"entries"`
-	StoreCalls     int64    `json:"store_calls"`
+	// FaultyRecords are some of the servers' records that can't be used, with the reason.
+	FaultyRecords map[string]string `json:"faulty_records,omitempty"`
+	Entries       []string          `json:"entries"`
+	StoreCalls    int64             `json:"store_calls"`
 }
 
 // Status describes what is held and how old it is.
@@ -445,6 +448,6 @@
 	for _, servers := range view.Servers {
 		status.Servers += len(servers)
 	}
-	status.Entries = c.Entries()
+	status.Entries, status.FaultyRecords = c.Entries(), c.toldFaulty()
 	return status
 }
--- /dev/null
+++ b/internal/catalog/faulty.go
@@ -0,0 +1,71 @@
+package catalog
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// mostFaulty bounds the faulty records that are remembered, at some 100 KB; more of them are counted
+// alone. mostToldFaulty bounds those that the dump names.
+const (
+	mostFaulty     = 512
+	mostToldFaulty = 32
+)
+
+// faultyRecords are the records of servers that can't be used now. The catalog's mutex guards it.
+type faultyRecords struct {
+	// reasons are by key; counts are of all that were met, by fault.
+	reasons map[string]string
+	counts  map[fault.RecordFault]uint64
+}
+
+func newFaultyRecords() faultyRecords {
+	return faultyRecords{reasons: map[string]string{}, counts: map[fault.RecordFault]uint64{}}
+}
+
+// noteFaulty counts a faulty record, and logs it unless that is known. The mutex is held.
+func (c *Catalog) noteFaulty(key string, revision uint64, err error) {
+	kind := fault.RecordUnreadable
+	var invalid *fault.InvalidRecord
+	if errors.As(err, &invalid) {
+		kind = invalid.Fault
+	}
+	c.faulty.counts[kind]++
+	if c.faulty.reasons[key] == err.Error() {
+		return
+	}
+	if _, known := c.faulty.reasons[key]; !known && len(c.faulty.reasons) >= mostFaulty {
+		return
+	}
+	c.faulty.reasons[key] = err.Error()
+	c.options.Log.Log(logging.RecordFaulty, zap.String("key", key), zap.Uint64("revision", revision), zap.String("fault", string(kind)), zap.Error(err))
+}
+
+// FaultyRecords returns how many faulty records were met, by fault.
+func (c *Catalog) FaultyRecords() map[fault.RecordFault]uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	counts := map[fault.RecordFault]uint64{fault.RecordUnreadable: 0, fault.RecordIncomplete: 0}
+	for kind, count := range c.faulty.counts {
+		counts[kind] = count
+	}
+	return counts
+}
+
+// toldFaulty are the reasons of some of the records that can't be used now, by key.
+func (c *Catalog) toldFaulty() map[string]string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	told := map[string]string{}
+	for key, reason := range c.faulty.reasons {
+		if len(told) >= mostToldFaulty {
+			break
+		}
+		told[key] = reason
+	}
+	return told
+}
--- a/internal/catalog/reborn_test.go
+++ b/internal/catalog/reborn_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/internal/fault"
 )
 
 func bornRecord(revision uint64, born int64, version int) mirror.Record {
@@ -51,3 +52,40 @@
 	c.takeWatched([]mirror.Record{bornRecord(7, 100, 1)})
 	assert.Len(t, c.View().Servers["m"], 2)
 }
+
+// A faulty record is logged once for each reason while it lasts, counted each time, and named in the
+// dump until it is sound again.
+func TestFaultyRecordIsToldOnce(t *testing.T) {
+	c := newTestCatalog()
+	faulty := func(revision uint64, value string) {
+		c.takeWatched([]mirror.Record{{Key: "servers/s", Value: []byte(value), Revision: revision}})
+	}
+	for revision := range uint64(20) {
+		faulty(revision+1, `{"service":7}`)
+	}
+	assert.Len(t, c.Status().FaultyRecords, 1)
+	assert.EqualValues(t, 20, c.FaultyRecords()[fault.RecordUnreadable])
+	faulty(30, `{"service":"m"}`)
+	assert.EqualValues(t, 1, c.FaultyRecords()[fault.RecordIncomplete])
+	assert.Contains(t, c.Status().FaultyRecords["servers/s"], "address")
+	c.takeWatched([]mirror.Record{bornRecord(31, 100, 1)})
+	assert.Empty(t, c.Status().FaultyRecords)
+	assert.Len(t, c.View().Servers["m"], 1)
+	faulty(32, `{`)
+	c.takeWatched([]mirror.Record{{Key: "servers/s", Revision: 33, Gone: true}})
+	assert.Empty(t, c.Status().FaultyRecords)
+}
+
+// Thousands of faulty records cost bounded memory and hide no sound one.
+func TestManyFaultyRecordsAreBounded(t *testing.T) {
+	c := newTestCatalog()
+	var records []mirror.Record
+	for number := range 5000 {
+		records = append(records, mirror.Record{Key: fmt.Sprintf("servers/x-%d", number), Value: []byte(`{"service":7}`), Revision: uint64(number + 2)})
+	}
+	records = append(records, bornRecord(9000, 100, 1))
+	c.takeWatched(records)
+	assert.Len(t, c.faulty.reasons, mostFaulty)
+	assert.Len(t, c.Status().FaultyRecords, mostToldFaulty)
+	assert.Len(t, c.View().Servers["m"], 1)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 			func(s catalog.Status) float64 { return s.FreshAge }),
 		gauge("pinevane_evacuated_zones", "Zones whose servers are sent nothing new, because the operator has evacuated them.",
 			func(s catalog.Status) float64 { return float64(len(s.EvacuatedZones)) }),
+		newFaultyCollector(d.Catalog),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_store_calls_total", Help: "Calls to the platform's store."},
 			func() float64 { return float64(d.Catalog.Calls()) }),
 	)
--- /dev/null
+++ b/internal/daemon/faulty.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"pinevane.example/pinevane/internal/catalog"
+)
+
+// faultyCollector tells how many records of servers could not be used, by what was wrong with them.
+type faultyCollector struct {
+	catalog     *catalog.Catalog
+	description *prometheus.Desc
+}
+
+func newFaultyCollector(held *catalog.Catalog) *faultyCollector {
+	return &faultyCollector{catalog: held, description: prometheus.NewDesc(
+		"pinevane_faulty_records_total", "Records of servers that could not be used, each time that one was read.", []string{"fault"}, nil)}
+}
+
+// Describe implements prometheus.Collector.
+func (c *faultyCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- c.description
+}
+
+// Collect implements prometheus.Collector.
+func (c *faultyCollector) Collect(metrics chan<- prometheus.Metric) {
+	for kind, count := range c.catalog.FaultyRecords() {
+		metrics <- prometheus.MustNewConstMetric(c.description, prometheus.CounterValue, float64(count), string(kind))
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -177,9 +177,21 @@
 	return fmt.Sprintf("the store has forgotten the changes of %q after %d", e.Prefix, e.After)
 }
 
-// InvalidRecord reports a published record that can't be read.
+// RecordFault is what is wrong with a published record.
+type RecordFault string
+
+// The faults of records.
+const (
+	// RecordUnreadable: the bytes are no value of the kind, or a field has another type.
+	RecordUnreadable RecordFault = "unreadable"
+	// RecordIncomplete: a field is missing, or says what can't be.
+	RecordIncomplete RecordFault = "incomplete"
+)
+
+// InvalidRecord reports a published record that can't be used.
 type InvalidRecord struct {
 	Key    string
+	Fault  RecordFault
 	Reason string
 }
 
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -66,6 +66,7 @@
 	EvacuationFaulty  = declare("PV2011", zap.WarnLevel, "evacuation faulty", "The record of an evacuation can't be read, or names a zone that the fleet does not have; one that names a zone is in force all the same.")
 	ServicesTold      = declare("PV2012", zap.InfoLevel, "services told", "An entry told this agent the services of a newer configuration.")
 	ZoneIdle          = declare("PV2013", zap.InfoLevel, "evacuated zone idle", "The last request of this entry that was open in an evacuated zone has ended.")
+	RecordFaulty      = declare("PV2014", zap.WarnLevel, "record faulty", "The record of a server can't be used and names none until it is sound; it is logged once for each reason while that lasts.")
 	MembershipChanged = declare("PV2101", zap.DebugLevel, "membership changed", "A new membership list arrived.")
 	RelayElected      = declare("PV2102", zap.InfoLevel, "relay role changed", "This process began or ceased to read the platform for its zone.")
 	VersionNamed      = declare("PV3000", zap.InfoLevel, "weights named", "The operator has named a newer version of a model's weights.")
