--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -11,6 +11,8 @@
 // An Archive holds the words from which other processes learn all that, also in processes that decide
 // nothing.
 //
+// A Tracker whose bounds are all full takes 4.1 MB of heap, one that has seen nothing some KB.
+//
 // The package does no I/O, reads no clock, takes no lock and starts no goroutine. Times are spans since
 // the process has started.
 package quarantine
--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -11,14 +11,14 @@
 	// evidenceMemory is how long an end counts. Callers come back within seconds; a content that
 	// ends a server each few minutes is found by it too.
 	evidenceMemory = 15 * time.Minute
-	// mostEnds and mostSuspects bound the memory, at 0.5 MB: of a server's suspects those are kept that were
-	// sent last, since a content ends its server soon after it has begun.
+	// mostEnds and mostSuspects bound the memory: of a server's suspects those are kept that were sent
+	// last, since a content ends its server soon after it has begun.
 	mostEnds     = 256
 	mostSuspects = 64
 	// sameEnd is by how much the moments may differ at which processes see the same end; a server is away
 	// for longer than that.
 	sameEnd = 500 * time.Millisecond
-	// mostCleared bounds the cleared contents that are remembered, at 0.3 MB.
+	// mostCleared bounds the cleared contents that are remembered.
 	mostCleared = 4096
 )
 
--- a/coordination/quarantine/recent.go
+++ b/coordination/quarantine/recent.go
@@ -6,7 +6,7 @@
 const (
 	// answeredMemory is for how long at least an answer speaks for a content, mostAnswered how many
 	// contents are remembered at once: what an entry answers in that time at ten times its share of
-	// 3,200 requests a second over 200 entries. It takes 0.7 MB.
+	// 3,200 requests a second over 200 entries.
 	answeredMemory = 30 * time.Second
 	mostAnswered   = 4800
 )
