--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -1,10 +1,6 @@
 package quarantine
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Bounds of quarantines.
 const (
@@ -37,40 +33,6 @@
 	namedServers = 5
 )
 
-// State is what may be done with a content.
-type State int
-
-// The states of contents.
-const (
-	// Free contents are sent to any server.
-	Free State = iota
-	// Suspected contents are sent to servers that have no other suspect.
-	Suspected
-	// Undecided contents are not sent until what others have to say is known.
-	Undecided
-	// Shut contents are quarantined.
-	Shut
-)
-
-// Verdict is the state of a content now.
-type Verdict struct {
-	State State
-	// Left is how long the state lasts at the most; 0 where it has no end.
-	Left time.Duration
-	// Servers are the last ones that the content has ended, as far as that is known.
-	Servers []string
-}
-
-// quarantine is one that lasts until a moment, or has lasted: from then on the content is a suspect of
-// which one more end is enough.
-type quarantine struct {
-	at, till time.Duration
-	round    int
-	servers  []string
-	// by is the entry that has told of it.
-	by string
-}
-
 // broken are the requests of this process whose connections to a server have broken lately.
 type broken struct {
 	at       time.Duration
@@ -273,118 +235,6 @@
 	}
 }
 
-// Judge decides what may be done with a content now.
-func (t *Tracker) Judge(content Content, now time.Duration) Verdict {
-	held := t.quarantines[content]
-	if held != nil && now < held.till {
-		return Verdict{State: Shut, Left: held.till - now, Servers: held.servers}
-	}
-	last := t.evidence.last(content)
-	if held == nil && last == nil {
-		return Verdict{}
-	}
-	if last != nil && t.mayBeCause(content) {
-		if settled := last.at + settleTime; now < settled {
-			return Verdict{State: Undecided, Left: settled - now, Servers: t.endsOf(content)}
-		}
-		if t.isCause(content) {
-			t.convict(content, now)
-			return t.Judge(content, now)
-		}
-	}
-	if held == nil && t.evidence.score(content) < endsForSuspicion {
-		return Verdict{}
-	}
-	if _, runs := t.running[content]; runs {
-		return Verdict{State: Undecided, Left: oneAtATime, Servers: t.endsOf(content)}
-	}
-	return Verdict{State: Suspected, Servers: t.endsOf(content)}
-}
-
-// mayBeCause reports whether enough servers have ended under a content.
-func (t *Tracker) mayBeCause(content Content) bool {
-	return t.evidence.score(content) >= t.endsNeeded(content)
-}
-
-// isCause reports whether no other content explains these ends as well.
-func (t *Tracker) isCause(content Content) bool {
-	return t.evidence.leads(content) >= t.endsNeeded(content) || t.evidence.score(content) >= endsAtMost
-}
-
-// endsNeeded is how many ends a content is quarantined after: one is enough after a quarantine.
-func (t *Tracker) endsNeeded(content Content) int {
-	if t.quarantines[content] != nil {
-		return 1
-	}
-	return endsForQuarantine
-}
-
-// convict quarantines a content, and tells the others.
-func (t *Tracker) convict(content Content, now time.Duration) {
-	fresh := &quarantine{at: t.evidence.last(content).at, servers: t.endsOf(content), by: t.self}
-	if former := t.quarantines[content]; former != nil {
-		fresh.round = former.round + 1
-	}
-	lasts := longestQuarantine
-	if fresh.round < len(quarantineTimes) {
-		lasts = quarantineTimes[fresh.round]
-	}
-	fresh.till = fresh.at + lasts
-	t.shut(content, fresh, now)
-	t.tell(Word{Kind: Quarantined, At: fresh.at, Content: content, Servers: fresh.servers, Round: fresh.round, Lasts: lasts})
-}
-
-// quarantineTimes are how long the first ones last.
-var quarantineTimes = []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine, 8 * firstQuarantine, 16 * firstQuarantine}
-
-// shut takes over a quarantine, unless one is known that lasts longer.
-func (t *Tracker) shut(content Content, fresh *quarantine, now time.Duration) {
-	held := t.quarantines[content]
-	if held != nil && held.till >= fresh.till {
-		return
-	}
-	if held == nil && len(t.quarantines) >= mostQuarantined {
-		t.evictQuarantine()
-	}
-	news := held == nil || now >= held.till
-	t.quarantines[content] = fresh
-	for _, one := range slices.Clone(t.evidence.held[content]) {
-		t.evidence.explain(one)
-	}
-	if news {
-		t.changes = append(t.changes, Change{Kind: Quarantined, Content: content, Servers: fresh.servers, Left: fresh.till - now, Round: fresh.round, By: fresh.by})
-	}
-}
-
-// evictQuarantine drops the oldest quarantine of the caller that has the most.
-func (t *Tracker) evictQuarantine() {
-	counts := map[uint64]int{}
-	for content := range t.quarantines {
-		counts[content.Caller]++
-	}
-	var oldest Content
-	var found *quarantine
-	for content, held := range t.quarantines {
-		if found != nil && (counts[content.Caller] < counts[oldest.Caller] || (counts[content.Caller] == counts[oldest.Caller] && held.at >= found.at)) {
-			continue
-		}
-		oldest, found = content, held
-	}
-	delete(t.quarantines, oldest)
-}
-
-// endsOf names the last servers that have ended under a content.
-func (t *Tracker) endsOf(content Content) []string {
-	var servers []string
-	if held := t.quarantines[content]; held != nil {
-		servers = append(servers, held.servers...)
-	}
-	for _, one := range t.evidence.held[content] {
-		servers = append(servers, one.server)
-	}
-	return servers[max(0, len(servers)-namedServers):]
-}
-
 // Admit judges a content that is about to be sent. One that is a suspect counts as under way from now
 // on until End.
 func (t *Tracker) Admit(content Content, now time.Duration) Verdict {
@@ -411,59 +261,3 @@
 	}
 	return servers
 }
-
-// Tick decides what is due by time: contents that nobody asks for are quarantined too, so that others
-// learn of it, and quarantines are forgotten a while after they have ended.
-func (t *Tracker) Tick(now time.Duration) {
-	t.evidence.expire(now)
-	for content := range t.evidence.held {
-		if t.mayBeCause(content) {
-			t.Judge(content, now)
-		}
-	}
-	for content, held := range t.quarantines {
-		if now-held.till > longestQuarantine {
-			delete(t.quarantines, content)
-		}
-	}
-}
-
-// Description is what is held against one content.
-type Description struct {
-	Content Content
-	State   State
-	Left    time.Duration
-	Round   int
-	Servers []string
-	By      string
-}
-
-// Describe lists the contents that are quarantined or suspected.
-func (t *Tracker) Describe(now time.Duration) []Description {
-	var all []Description
-	for content, held := range t.quarantines {
-		state := Suspected
-		if now < held.till {
-			state = Shut
-		}
-		all = append(all, Description{Content: content, State: state, Left: max(0, held.till-now), Round: held.round, Servers: held.servers, By: held.by})
-	}
-	for content := range t.evidence.held {
-		if t.quarantines[content] == nil && t.evidence.score(content) >= endsForSuspicion {
-			all = append(all, Description{Content: content, State: Suspected, Servers: t.endsOf(content)})
-		}
-	}
-	slices.SortFunc(all, func(a, b Description) int { return cmp.Compare(a.Content.String(), b.Content.String()) })
-	return all
-}
-
-// Quarantines counts the contents that are kept from servers now.
-func (t *Tracker) Quarantines(now time.Duration) int {
-	count := 0
-	for _, held := range t.quarantines {
-		if now < held.till {
-			count++
-		}
-	}
-	return count
-}
--- /dev/null
+++ b/coordination/quarantine/verdict.go
@@ -0,0 +1,152 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what may be done with a content.
+type State int
+
+// The states of contents.
+const (
+	// Free contents are sent to any server.
+	Free State = iota
+	// Suspected contents are sent to servers that have no other suspect.
+	Suspected
+	// Undecided contents are not sent until what others have to say is known.
+	Undecided
+	// Shut contents are quarantined.
+	Shut
+)
+
+// Verdict is the state of a content now.
+type Verdict struct {
+	State State
+	// Left is how long the state lasts at the most; 0 where it has no end.
+	Left time.Duration
+	// Servers are the last ones that the content has ended, as far as that is known.
+	Servers []string
+}
+
+// quarantine is one that lasts until a moment, or has lasted: from then on the content is a suspect of
+// which one more end is enough.
+type quarantine struct {
+	at, till time.Duration
+	round    int
+	servers  []string
+	// by is the entry that has told of it.
+	by string
+}
+
+// Judge decides what may be done with a content now.
+func (t *Tracker) Judge(content Content, now time.Duration) Verdict {
+	held := t.quarantines[content]
+	if held != nil && now < held.till {
+		return Verdict{State: Shut, Left: held.till - now, Servers: held.servers}
+	}
+	last := t.evidence.last(content)
+	if held == nil && last == nil {
+		return Verdict{}
+	}
+	if last != nil && t.mayBeCause(content) {
+		if settled := last.at + settleTime; now < settled {
+			return Verdict{State: Undecided, Left: settled - now, Servers: t.endsOf(content)}
+		}
+		if t.isCause(content) {
+			t.convict(content, now)
+			return t.Judge(content, now)
+		}
+	}
+	if held == nil && t.evidence.score(content) < endsForSuspicion {
+		return Verdict{}
+	}
+	if _, runs := t.running[content]; runs {
+		return Verdict{State: Undecided, Left: oneAtATime, Servers: t.endsOf(content)}
+	}
+	return Verdict{State: Suspected, Servers: t.endsOf(content)}
+}
+
+// mayBeCause reports whether enough servers have ended under a content.
+func (t *Tracker) mayBeCause(content Content) bool {
+	return t.evidence.score(content) >= t.endsNeeded(content)
+}
+
+// isCause reports whether no other content explains these ends as well.
+func (t *Tracker) isCause(content Content) bool {
+	return t.evidence.leads(content) >= t.endsNeeded(content) || t.evidence.score(content) >= endsAtMost
+}
+
+// endsNeeded is how many ends a content is quarantined after: one is enough after a quarantine.
+func (t *Tracker) endsNeeded(content Content) int {
+	if t.quarantines[content] != nil {
+		return 1
+	}
+	return endsForQuarantine
+}
+
+// convict quarantines a content, and tells the others.
+func (t *Tracker) convict(content Content, now time.Duration) {
+	fresh := &quarantine{at: t.evidence.last(content).at, servers: t.endsOf(content), by: t.self}
+	if former := t.quarantines[content]; former != nil {
+		fresh.round = former.round + 1
+	}
+	lasts := longestQuarantine
+	if fresh.round < len(quarantineTimes) {
+		lasts = quarantineTimes[fresh.round]
+	}
+	fresh.till = fresh.at + lasts
+	t.shut(content, fresh, now)
+	t.tell(Word{Kind: Quarantined, At: fresh.at, Content: content, Servers: fresh.servers, Round: fresh.round, Lasts: lasts})
+}
+
+// quarantineTimes are how long the first ones last.
+var quarantineTimes = []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine, 8 * firstQuarantine, 16 * firstQuarantine}
+
+// shut takes over a quarantine, unless one is known that lasts longer.
+func (t *Tracker) shut(content Content, fresh *quarantine, now time.Duration) {
+	held := t.quarantines[content]
+	if held != nil && held.till >= fresh.till {
+		return
+	}
+	if held == nil && len(t.quarantines) >= mostQuarantined {
+		t.evictQuarantine()
+	}
+	news := held == nil || now >= held.till
+	t.quarantines[content] = fresh
+	for _, one := range slices.Clone(t.evidence.held[content]) {
+		t.evidence.explain(one)
+	}
+	if news {
+		t.changes = append(t.changes, Change{Kind: Quarantined, Content: content, Servers: fresh.servers, Left: fresh.till - now, Round: fresh.round, By: fresh.by})
+	}
+}
+
+// evictQuarantine drops the oldest quarantine of the caller that has the most.
+func (t *Tracker) evictQuarantine() {
+	counts := map[uint64]int{}
+	for content := range t.quarantines {
+		counts[content.Caller]++
+	}
+	var oldest Content
+	var found *quarantine
+	for content, held := range t.quarantines {
+		if found != nil && (counts[content.Caller] < counts[oldest.Caller] || (counts[content.Caller] == counts[oldest.Caller] && held.at >= found.at)) {
+			continue
+		}
+		oldest, found = content, held
+	}
+	delete(t.quarantines, oldest)
+}
+
+// endsOf names the last servers that have ended under a content.
+func (t *Tracker) endsOf(content Content) []string {
+	var servers []string
+	if held := t.quarantines[content]; held != nil {
+		servers = append(servers, held.servers...)
+	}
+	for _, one := range t.evidence.held[content] {
+		servers = append(servers, one.server)
+	}
+	return servers[max(0, len(servers)-namedServers):]
+}
