--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -113,6 +113,17 @@
 		return err
 	}
 	defer fleet.Close()
+	r := newRun(options, fleet)
+	if err := fleet.StartAll(readyLimit); err != nil {
+		return err
+	}
+	r.printf("seed %d: %d entries and %d agents run, as processes, in %d zones; logs in %s", options.Seed,
+		r.site.Options.Zones*r.site.Options.Entries, r.site.Options.Zones*r.site.Options.ModelServers, r.site.Options.Zones, options.LogDirectory)
+	return r.play()
+}
+
+// newRun prepares a run on a fleet of which no process runs yet.
+func newRun(options Options, fleet *launch.SiteFleet) *run {
 	bounds := fleet.Site.Options
 	r := &run{
 		options: options, fleet: fleet, site: fleet.Site, callers: &callers{site: fleet.Site},
@@ -126,12 +137,7 @@
 	}
 	r.publishRegions()
 	r.record.Residencies = r.record.Restrictions[0].Residencies
-	if err := fleet.StartAll(readyLimit); err != nil {
-		return err
-	}
-	r.printf("seed %d: %d entries and %d agents run, as processes, in %d zones; logs in %s", options.Seed,
-		bounds.Zones*bounds.Entries, bounds.Zones*bounds.ModelServers, bounds.Zones, options.LogDirectory)
-	return r.play()
+	return r
 }
 
 func (r *run) printf(format string, values ...any) {
