--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -15,8 +15,8 @@
 	ServerLeaving ChangeKind = iota
 	// ServerGone: the server is listed no more.
 	ServerGone
-	// ServerReborn: the server has started again under its ID; Candidate is its former life.
-	ServerReborn
+	// ServerRestarted: the server has started again under its ID; Candidate is its former incarnation.
+	ServerRestarted
 	// AddressTaken: a newer server is listed at the server's address, so that it has ended.
 	AddressTaken
 	// ZoneEvacuated: the zone is to be sent nothing new.
@@ -53,11 +53,11 @@
 		if known := c.byID[server.ID]; known != nil && known.elsewhere(server) {
 			ended := c.forget(known, now)
 			if known.listing.server.Born.Differs(server.Born) {
-				ended.Kind = ServerReborn
+				ended.Kind = ServerRestarted
 			}
 			changes = append(changes, ended)
 			c.health.Renew(server.ID, c.since(now))
-			// What its former life was sent, and what was told of that, is over.
+			// What its former incarnation was sent, and what was told of that, is over.
 			delete(c.droppedWindows, server.ID)
 			if c.words[server.Address].Born != server.Born {
 				delete(c.words, server.Address)
--- a/coordination/dispatch/reborn_test.go
+++ b/coordination/dispatch/restarted_test.go
@@ -25,8 +25,8 @@
 }
 
 // A server that starts again under its name may hold an older version than before, and nothing counts
-// for it that its former life has told.
-func TestRebornServerIsKnownByItsOwnWordsAlone(t *testing.T) {
+// for it that its former incarnation has told.
+func TestRestartedServerIsKnownByItsOwnWordsAlone(t *testing.T) {
 	s := newScript(t, "a1", "a2")
 	s.bears("a1", 100, nil)
 	s.hear("a1", 0, Word{Version: 2, Running: 9, Waiting: 5, Born: 100, ColdFor: time.Second})
@@ -35,19 +35,19 @@
 	former := s.candidate("a1")
 	s.at(time.Second)
 	changes := s.bears("a1", 200, func(server *Server) { server.Version = 1 })
-	assert.Equal(t, []Change{{Kind: ServerReborn, Candidate: former, InFlight: 1}}, changes)
+	assert.Equal(t, []Change{{Kind: ServerRestarted, Candidate: former, InFlight: 1}}, changes)
 	fresh := s.candidate("a1")
 	assert.NotSame(t, former, fresh)
 	assert.EqualValues(t, 1, fresh.servedVersion(s.now), "an older version")
-	assert.Zero(t, fresh.sends.inFlight, "requests under way at the former life")
+	assert.Zero(t, fresh.sends.inFlight, "requests under way at the former incarnation")
 	assert.Equal(t, NoWord, fresh.word.age(s.now), "load and cold as the agent told them")
 	assert.False(t, fresh.cold(s.now))
 	s.ends(decision)
-	assert.Zero(t, fresh.sends.inFlight, "they end at the former life")
+	assert.Zero(t, fresh.sends.inFlight, "they end at the former incarnation")
 }
 
-// Words of the agent on the former life, from whomever they come, change nothing.
-func TestLateWordOnAFormerLifeIsDropped(t *testing.T) {
+// Words of the agent on the former incarnation, from whomever they come, change nothing.
+func TestLateWordOnAFormerIncarnationIsDropped(t *testing.T) {
 	s := newScript(t, "a1")
 	s.bears("a1", 100, nil)
 	s.hear("a1", 0, Word{Version: 2, Born: 100})
@@ -62,9 +62,9 @@
 	assert.Equal(t, 1, s.candidate("a1").word.Running)
 }
 
-// The agent knows before the list that its server has started again: the former life gets nothing
+// The agent knows before the list that its server has started again: the former incarnation gets nothing
 // more, and the word counts once the list follows.
-func TestAgentTellsOfANewLifeBeforeTheList(t *testing.T) {
+func TestAgentTellsOfANewIncarnationBeforeTheList(t *testing.T) {
 	s := newScript(t, "a1", "b1")
 	s.bears("a1", 100, nil)
 	s.hear("a1", 0, Word{Version: 1, Born: 100})
@@ -78,7 +78,7 @@
 }
 
 // A server that was ejected is in order in its next life.
-func TestRebornServerIsNotEjected(t *testing.T) {
+func TestRestartedServerIsNotEjected(t *testing.T) {
 	s := newScript(t, "a1", "a2", "a3", "a4")
 	s.bears("a1", 100, nil)
 	for range 40 {
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -66,7 +66,7 @@
 		// An answer to a question overtakes what is told all the time.
 		return false, nil
 	}
-	if c.onFormerLife(word) {
+	if c.onFormerIncarnation(word) {
 		return false, nil
 	}
 	if !word.Reachable {
@@ -101,9 +101,9 @@
 	return true, changed
 }
 
-// onFormerLife reports whether a word is on a life of its server that is over, by what the list or a
+// onFormerIncarnation reports whether a word is on a life of its server that is over, by what the list or a
 // later word tells.
-func (c *Core) onFormerLife(word Word) bool {
+func (c *Core) onFormerIncarnation(word Word) bool {
 	if word.Born.Before(c.words[word.Address].Born) {
 		return true
 	}
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -249,7 +249,7 @@
 		t.evidence.noteCleared(word.Content, at, lifted || word.Lifts)
 	case Quarantined:
 		if at > t.evidence.clearedAt(word.Content) && at+word.Lasts > now {
-			t.shut(word.Content, &quarantine{at: at, till: at + word.Lasts, round: word.Round, servers: word.Servers, by: word.Entry}, now)
+			t.takeQuarantine(word.Content, &quarantine{at: at, till: at + word.Lasts, round: word.Round, servers: word.Servers, by: word.Entry}, now)
 		}
 	}
 }
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -53,7 +53,7 @@
 		s.wait(time.Second)
 	}
 	verdict := s.Judge(culprit, s.now)
-	assert.Equal(t, Shut, verdict.State)
+	assert.Equal(t, InQuarantine, verdict.State)
 	assert.Equal(t, []string{"server-0", "server-1", "server-2"}, verdict.Servers)
 	for number := range endsForQuarantine {
 		assert.Equal(t, Free, s.state(named(fmt.Sprintf("harmless-%d", number))))
@@ -69,7 +69,7 @@
 	}
 	assert.Equal(t, Undecided, s.state(named("culprit")))
 	s.settled()
-	assert.Equal(t, Shut, s.state(named("culprit")))
+	assert.Equal(t, InQuarantine, s.state(named("culprit")))
 }
 
 // A harmless content was under way at each server that the culprit has ended: both run apart, and the
@@ -85,7 +85,7 @@
 	assert.Equal(t, Suspected, s.state(victim))
 	s.ends("server-3", culprit)
 	s.settled()
-	assert.Equal(t, Shut, s.state(culprit))
+	assert.Equal(t, InQuarantine, s.state(culprit))
 	assert.Equal(t, Free, s.state(victim))
 }
 
@@ -106,7 +106,7 @@
 	other.ends("server-3", culprit)
 	other.tells(one, 0)
 	one.settled()
-	assert.Equal(t, Shut, one.state(culprit))
+	assert.Equal(t, InQuarantine, one.state(culprit))
 	assert.Equal(t, Free, one.state(victim))
 }
 
@@ -117,7 +117,7 @@
 		s.ends(fmt.Sprintf("server-%d", number), named("one"), named("two"))
 		s.wait(time.Second)
 	}
-	assert.Equal(t, Shut, s.state(named("one")))
+	assert.Equal(t, InQuarantine, s.state(named("one")))
 }
 
 // Suspects run one request at a time, and the servers that have one are known.
@@ -159,9 +159,9 @@
 		one.wait(time.Second)
 		other.wait(time.Second)
 	}
-	assert.Equal(t, Shut, one.state(named("x")))
+	assert.Equal(t, InQuarantine, one.state(named("x")))
 	one.tells(other, 0)
-	assert.Equal(t, Shut, other.state(named("x")))
+	assert.Equal(t, InQuarantine, other.state(named("x")))
 	other.Answered(named("x"), other.now)
 	other.tells(one, 0)
 	assert.Equal(t, Free, one.state(named("x")))
@@ -228,7 +228,7 @@
 		s.ends(fmt.Sprintf("server-%d", number), named("x"))
 	}
 	s.settled()
-	assert.Equal(t, Shut, s.state(named("x")))
+	assert.Equal(t, InQuarantine, s.state(named("x")))
 }
 
 func TestTriesAtTheSameMomentInThreeZonesCount(t *testing.T) {
@@ -244,10 +244,10 @@
 	assert.Equal(t, Suspected, entries[0].state(named("culprit")))
 	entries[2].tells(entries[0], 0)
 	entries[0].settled()
-	assert.Equal(t, Shut, entries[0].state(named("culprit")))
+	assert.Equal(t, InQuarantine, entries[0].state(named("culprit")))
 	entries[0].tells(entries[1], 0)
 	entries[1].wait(settleTime)
-	assert.Equal(t, Shut, entries[1].state(named("culprit")))
+	assert.Equal(t, InQuarantine, entries[1].state(named("culprit")))
 }
 
 // A server that starts again under its name ends again.
@@ -257,7 +257,7 @@
 		s.ends("server", named("culprit"))
 		s.wait(2 * time.Second)
 	}
-	assert.Equal(t, Shut, s.state(named("culprit")))
+	assert.Equal(t, InQuarantine, s.state(named("culprit")))
 }
 
 // Two processes see the same end, at moments that differ a little.
@@ -288,7 +288,7 @@
 	s.ends("server-9", named("x"))
 	s.settled()
 	second := s.Judge(named("x"), s.now)
-	assert.Equal(t, Shut, second.State)
+	assert.Equal(t, InQuarantine, second.State)
 	assert.InDelta(t, 2*firstQuarantine.Seconds(), second.Left.Seconds(), 2)
 	s.wait(second.Left)
 	s.Answered(named("x"), s.now)
@@ -332,7 +332,7 @@
 		shut(attacker)
 		archive.Hold(Word{Kind: Quarantined, At: s.now, Entry: "other", Number: uint64(number) + 1, Content: attacker, Lasts: firstQuarantine}, s.now)
 	}
-	assert.Equal(t, Shut, s.state(named("x")))
+	assert.Equal(t, InQuarantine, s.state(named("x")))
 	assert.LessOrEqual(t, len(s.Describe(s.now)), mostQuarantined)
 	words := archive.Since(0)
 	assert.LessOrEqual(t, len(words), mostShutWords)
--- a/coordination/quarantine/upkeep.go
+++ b/coordination/quarantine/upkeep.go
@@ -38,7 +38,7 @@
 	for content, held := range t.quarantines {
 		state := Suspected
 		if now < held.till {
-			state = Shut
+			state = InQuarantine
 		}
 		all = append(all, Description{Content: content, State: state, Left: max(0, held.till-now), Round: held.round, Servers: held.servers, By: held.by})
 	}
--- a/coordination/quarantine/verdict.go
+++ b/coordination/quarantine/verdict.go
@@ -16,8 +16,8 @@
 	Suspected
 	// Undecided contents are not sent until what others have to say is known.
 	Undecided
-	// Shut contents are quarantined.
-	Shut
+	// InQuarantine: the content is sent to no server.
+	InQuarantine
 )
 
 // Verdict is the state of a content now.
@@ -43,7 +43,7 @@
 func (t *Tracker) Judge(content Content, now time.Duration) Verdict {
 	held := t.quarantines[content]
 	if held != nil && now < held.till {
-		return Verdict{State: Shut, Left: held.till - now, Servers: held.servers}
+		return Verdict{State: InQuarantine, Left: held.till - now, Servers: held.servers}
 	}
 	last := t.evidence.last(content)
 	if held == nil && last == nil {
@@ -54,7 +54,7 @@
 			return Verdict{State: Undecided, Left: settled - now, Servers: t.endsOf(content)}
 		}
 		if t.isCause(content) {
-			t.convict(content, now)
+			t.startQuarantine(content, now)
 			return t.Judge(content, now)
 		}
 	}
@@ -85,8 +85,8 @@
 	return endsForQuarantine
 }
 
-// convict quarantines a content, and tells the others.
-func (t *Tracker) convict(content Content, now time.Duration) {
+// startQuarantine quarantines a content, and tells the others.
+func (t *Tracker) startQuarantine(content Content, now time.Duration) {
 	fresh := &quarantine{at: t.evidence.last(content).at, servers: t.endsOf(content), by: t.self}
 	if former := t.quarantines[content]; former != nil {
 		fresh.round = former.round + 1
@@ -96,15 +96,15 @@
 		lasts = quarantineTimes[fresh.round]
 	}
 	fresh.till = fresh.at + lasts
-	t.shut(content, fresh, now)
+	t.takeQuarantine(content, fresh, now)
 	t.tell(Word{Kind: Quarantined, At: fresh.at, Content: content, Servers: fresh.servers, Round: fresh.round, Lasts: lasts})
 }
 
 // quarantineTimes are how long the first ones last.
 var quarantineTimes = []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine, 8 * firstQuarantine, 16 * firstQuarantine}
 
-// shut takes over a quarantine, unless one is known that lasts longer.
-func (t *Tracker) shut(content Content, fresh *quarantine, now time.Duration) {
+// takeQuarantine takes over a quarantine, unless one is known that lasts longer.
+func (t *Tracker) takeQuarantine(content Content, fresh *quarantine, now time.Duration) {
 	held := t.quarantines[content]
 	if held != nil && held.till >= fresh.till {
 		return
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -77,8 +77,8 @@
 	servers    map[string]fleet.Server
 	serverKeys []string
 	faulty     faultyRecords
-	// formerLives are the births of lines that were taken for late ones of a former life, by key.
-	formerLives map[string]incarnation.Born
+	// formerIncarnations are the births of lines that were taken for late ones of a former incarnation, by key.
+	formerIncarnations map[string]incarnation.Born
 	// ages tells how long ago records of versions were named, by key.
 	ages map[string]versionAge
 	// fresh is when the copy was last known to be current; regained is when that was
@@ -138,7 +138,7 @@
 	}
 	c := &Catalog{
 		options: options, started: time.Now(), agentOffset: rand.N(agentSpread), mirror: mirror.New(), changes: mirror.NewChanges(), heads: map[string]uint64{}, pulls: map[string]pull{},
-		servers: map[string]fleet.Server{}, formerLives: map[string]incarnation.Born{}, faulty: newFaultyRecords(), ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
+		servers: map[string]fleet.Server{}, formerIncarnations: map[string]incarnation.Born{}, faulty: newFaultyRecords(), ages: map[string]versionAge{}, lapsed: map[string]lapsedServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1), haste: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
 			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
@@ -349,11 +349,11 @@
 		return known
 	}
 	delete(c.faulty.reasons, record.Key)
-	if known && c.isFormerLife(record.Key, server.Born, old.Born) {
+	if known && c.isFormerIncarnation(record.Key, server.Born, old.Born) {
 		return false
 	}
 	if held := c.statuses[server.Address]; old.Born.Differs(server.Born) && held.status.Born != server.Born {
-		// Otherwise words on the former life would be passed on, and keep out those on this one where its
+		// Otherwise words on the former incarnation would be passed on, and keep out those on this one where its
 		// birth is the earlier one.
 		delete(c.statuses, server.Address)
 	}
@@ -368,24 +368,24 @@
 	return !known || !sameServer(old, server)
 }
 
-// isFormerLife reports whether a line is a late one of a server's former life: it began before the one
+// isFormerIncarnation reports whether a line is a late one of a server's former incarnation: it began before the one
 // that is listed, and no other line has told the same. A server whose clock was set back tells it
 // with each heartbeat; one that has ended can have had one line under way. The mutex is held.
-func (c *Catalog) isFormerLife(key string, born, listed incarnation.Born) bool {
+func (c *Catalog) isFormerIncarnation(key string, born, listed incarnation.Born) bool {
 	if !born.Before(listed) {
-		delete(c.formerLives, key)
+		delete(c.formerIncarnations, key)
 		return false
 	}
-	if c.formerLives[key] == born {
-		delete(c.formerLives, key)
+	if c.formerIncarnations[key] == born {
+		delete(c.formerIncarnations, key)
 		return false
 	}
-	c.formerLives[key] = born
+	c.formerIncarnations[key] = born
 	return true
 }
 
 func (c *Catalog) dropServer(key string) {
-	delete(c.formerLives, key)
+	delete(c.formerIncarnations, key)
 	delete(c.servers, key)
 	if index, listed := slices.BinarySearch(c.serverKeys, key); listed {
 		c.serverKeys = slices.Delete(c.serverKeys, index, index+1)
--- a/internal/catalog/reborn_test.go
+++ b/internal/catalog/restarted_test.go
@@ -15,8 +15,8 @@
 	return mirror.Record{Key: "servers/s", Value: []byte(value), Revision: revision}
 }
 
-// A line of a server's former life that the store takes late does not displace that of its present one.
-func TestLateLineOfAFormerLifeIsDropped(t *testing.T) {
+// A line of a server's former incarnation that the store takes late does not displace that of its present one.
+func TestLateLineOfAFormerIncarnationIsDropped(t *testing.T) {
 	c := newTestCatalog()
 	c.takeWatched([]mirror.Record{bornRecord(1, 100, 2)})
 	c.takeWatched([]mirror.Record{bornRecord(2, 200, 1)})
--- a/internal/emulator/site/crashing.go
+++ b/internal/emulator/site/crashing.go
@@ -80,13 +80,13 @@
 		id += "+"
 	}
 	if crashing.Away > 0 {
-		time.AfterFunc(crashing.Away, func() { s.rebear(server, id, staged) })
+		time.AfterFunc(crashing.Away, func() { s.restart(server, id, staged) })
 	}
 }
 
-// rebear starts a server at the place of one that has ended, with what was staged there and nothing in
+// restart starts a server at the place of one that has ended, with what was staged there and nothing in
 // service.
-func (s *Site) rebear(old *Server, id string, staged map[int][]byte) {
+func (s *Site) restart(old *Server, id string, staged map[int][]byte) {
 	s.crashes.mutex.Lock()
 	defer s.crashes.mutex.Unlock()
 	if s.crashes.closed {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -221,9 +221,9 @@
 	return s.RestartModelUnnoticed(zone, index)
 }
 
-// RebearModel ends a model server and starts it anew under its ID, with nothing in service and nothing
+// RestartModelUnderItsID ends a model server and starts it anew under its ID, with nothing in service and nothing
 // staged. It tells that it has started at a moment.
-func (s *Site) RebearModel(zone, index int, born time.Time) error {
+func (s *Site) RestartModelUnderItsID(zone, index int, born time.Time) error {
 	old := s.Models[s.Options.ModelIP(zone, index)]
 	old.Crash()
 	options := old.options
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -119,7 +119,7 @@
 		return r.spoilSettings(fault)
 	case Burst:
 		r.burst(burstTime + fault.For)
-	case EndingContent:
+	case QueryOfDeath:
 		r.askEnding(fault)
 	}
 	return nil
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -13,21 +13,21 @@
 
 // The promises that are checked.
 const (
-	WholeOwnAnswer  Promise = "whole own answer"
-	AtMostOnce      Promise = "at most once"
-	TrueRefusal     Promise = "a refusal is true"
-	SoundWeights    Promise = "no partial or mixed weights"
-	CallerIsolation Promise = "the caller's key stays here"
-	VersionInTime   Promise = "versions in time"
-	LeavingIsLeft   Promise = "a leaving server gets no new work"
-	StopCutsNothing Promise = "a planned stop cuts nothing"
-	RecoveryInTime  Promise = "recovery in time"
-	AllowedRegions  Promise = "requests stay in their allowed regions"
-	EvacuatedIsLeft Promise = "an evacuated zone gets no new work"
-	ColdIsSpared    Promise = "cold servers get what they bear"
-	ReloadCutsNone  Promise = "changed settings cut nothing"
-	ProcessesStay   Promise = "no process ends by itself"
-	EndingIsKept    Promise = "content that ends its servers is kept from them"
+	WholeOwnAnswer     Promise = "whole own answer"
+	AtMostOnce         Promise = "at most once"
+	TrueRefusal        Promise = "a refusal is true"
+	SoundWeights       Promise = "no partial or mixed weights"
+	CallerIsolation    Promise = "the caller's key stays here"
+	VersionInTime      Promise = "versions in time"
+	LeavingIsLeft      Promise = "a leaving server gets no new work"
+	StopCutsNothing    Promise = "a planned stop cuts nothing"
+	RecoveryInTime     Promise = "recovery in time"
+	AllowedRegions     Promise = "requests stay in their allowed regions"
+	EvacuatedIsLeft    Promise = "an evacuated zone gets no new work"
+	ColdIsSpared       Promise = "cold servers get what they bear"
+	ReloadCutsNone     Promise = "changed settings cut nothing"
+	ProcessesStay      Promise = "no process ends by itself"
+	QueryOfDeathIsKept Promise = "a query of death is kept from servers"
 )
 
 // RequestKind tells how often a request may run.
--- a/internal/experiment/soak/endings.go
+++ b/internal/experiment/soak/query_of_death.go
@@ -133,7 +133,7 @@
 			}
 			if late++; late > lateAllowed {
 				found = append(found, Violation{
-					Promise: EndingIsKept, At: arrival.At, Request: arrival.RequestID,
+					Promise: QueryOfDeathIsKept, At: arrival.At, Request: arrival.RequestID,
 					Detail: fmt.Sprintf("%s sent it to %s, %s after three servers had ended under its content", r.Endings[arrival.RequestID], arrival.Server, arrival.At.Sub(known)),
 				})
 			}
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -52,7 +52,7 @@
 	SettingsChange Kind = "settings-change"
 	SettingsSpoilt Kind = "settings-spoilt"
 	Burst          Kind = "burst"
-	EndingContent  Kind = "ending-content"
+	QueryOfDeath   Kind = "query-of-death"
 )
 
 // Kinds lists every kind.
@@ -60,7 +60,7 @@
 	KillEntry, KillAgent, KillMany, FreezeEntry, FreezeAgent, StopEntry, StoreDown, StoreForgets, StoreRefuses, ServersLapse,
 	ServerCrash, ServerUnlisted, ServerLeaves, PiecesRot, OriginSpoils, CutStreams, LoseAnswers, Shed, SurplusAnswers,
 	NewVersion, TwoVersions, Reconfigure, Evacuate, EvacuateTwice, ServerCold, ServerNewCold, ZoneCold, RouteNarrows, TenantNarrows,
-	LieErrors, LieResets, LieHangs, FalselyIll, Flap, SettingsChange, SettingsSpoilt, Burst, EndingContent,
+	LieErrors, LieResets, LieHangs, FalselyIll, Flap, SettingsChange, SettingsSpoilt, Burst, QueryOfDeath,
 }
 
 // Fault is one fault of a schedule.
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -85,7 +85,7 @@
 		{ReloadCutsNone, func(r *Record) {
 			r.Attempts[2].Sent, r.Attempts[2].Ended, r.Attempts[2].Status = began.Add(69*time.Second), began.Add(70100*time.Millisecond), 0
 		}},
-		{EndingIsKept, func(r *Record) {
+		{QueryOfDeathIsKept, func(r *Record) {
 			for range lateAllowed + 1 {
 				r.Arrivals = append(r.Arrivals, site.Arrival{RequestID: "ending-0-1-3", Server: "i-1", Path: site.StreamPrefix, Region: site.RegionName(2), At: began.Add(86 * time.Second)})
 			}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -141,7 +141,7 @@
 		w.suspect = true
 		w.wanted.Avoided = w.contents.occupied()
 		return nil
-	case quarantine.Shut:
+	case quarantine.InQuarantine:
 		refusal = fault.NotRun(fault.ReasonQuarantined, "servers have ended under requests with this content")
 	default:
 		refusal = fault.NotRun(fault.ReasonSuspected, "servers have ended under requests with this content, among others")
@@ -298,7 +298,7 @@
 	views := []ContentView{}
 	for _, one := range f.contents.tracker.Describe(f.contents.since(time.Now())) {
 		state := "suspected"
-		if one.State == quarantine.Shut {
+		if one.State == quarantine.InQuarantine {
 			state = "quarantined"
 		}
 		views = append(views, ContentView{Content: one.Content.String(), State: state, Left: one.Left.Seconds(), Round: one.Round, Servers: one.Servers, By: one.By})
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -86,7 +86,7 @@
 	switch change.Kind {
 	case dispatch.ServerLeaving:
 		t.log.Log(logging.ServerLeaving, zap.String("server", change.Candidate.ID), zap.Int("in_flight", change.InFlight))
-	case dispatch.AddressTaken, dispatch.ServerReborn:
+	case dispatch.AddressTaken, dispatch.ServerRestarted:
 		t.ended = append(t.ended, change.Candidate.ID)
 	case dispatch.ServerGone:
 		t.log.Log(logging.ServerGone, zap.String("server", change.Candidate.ID), zap.Int("in_flight", change.InFlight))
@@ -101,7 +101,7 @@
 	if known := t.known[change.Candidate]; known != nil {
 		known.pool.close()
 	}
-	if change.Kind == dispatch.ServerGone || change.Kind == dispatch.ServerReborn {
+	if change.Kind == dispatch.ServerGone || change.Kind == dispatch.ServerRestarted {
 		delete(t.known, change.Candidate)
 	}
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -95,7 +95,7 @@
 	VersionEnded      = declare("PV3113", zap.WarnLevel, "old version ended", "The time of the version served is over and the newest one is not here whole: whole layers of it, of a version between, or of the one before are ordered, so that the server begins nothing more on the old one.")
 	VersionUnguarded  = declare("PV3114", zap.WarnLevel, "old version not ended", "The time of the version served is over and no layer of another one is here whole: only the entries keep requests from the server.")
 	OlderKept         = declare("PV3115", zap.InfoLevel, "older version kept", "A newer version is named while an older one is on its way; its transfer goes on as long as the newest does not come in time.")
-	ServerReborn      = declare("PV3116", zap.InfoLevel, "model server reborn", "The machine's own server has started again; what was known of its former life is dropped, and what lies at it is read anew.")
+	ServerRestarted   = declare("PV3116", zap.InfoLevel, "model server restarted", "The machine's own server has started again; what was known of its former incarnation is dropped, and what lies at it is read anew.")
 	RequestRefused    = declare("PV4001", zap.DebugLevel, "request refused", "A request was refused; the reason code and execution are in the fields.")
 	RequestRetried    = declare("PV4002", zap.DebugLevel, "request retried", "An attempt provably did not run and was sent to another replica.")
 	StreamResumed     = declare("PV4003", zap.InfoLevel, "stream resumed", "A stream continues on another replica of the same version after its last delivered token.")
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if a.report.Born.Differs(report.Born) {
-		a.serverReborn(ctx, report)
+		a.serverRestarted(ctx, report)
 	}
 	if !a.reachable {
 		a.log.Log(logging.EngineReached, zap.Int("models", len(report.Models)), zap.Uint64("sequence", report.Sequence))
--- a/internal/sitetest/reborn_test.go
+++ b/internal/sitetest/restarted_test.go
@@ -16,7 +16,7 @@
 // Servers start again under their names, with nothing in service and nothing staged, one after the
 // other and one of them twice between two of its lines, while a version is in force that they had: each
 // gets it again, nothing runs on what is not there, and callers are served meanwhile.
-func TestRebornServersServeTheNewestVersionAgain(t *testing.T) {
+func TestRestartedServersServeTheNewestVersionAgain(t *testing.T) {
 	options := DefaultOptions()
 	f := Start(t, options)
 	f.Site.NameVersion(2)
@@ -30,10 +30,10 @@
 	began := time.Now()
 	for zone := range options.Zones {
 		for index := range options.ModelServers {
-			require.NoError(t, f.Site.RebearModel(zone, index, time.Now()))
+			require.NoError(t, f.Site.RestartModelUnderItsID(zone, index, time.Now()))
 			if index == 0 {
 				time.Sleep(30 * time.Millisecond)
-				require.NoError(t, f.Site.RebearModel(zone, index, time.Now()))
+				require.NoError(t, f.Site.RestartModelUnderItsID(zone, index, time.Now()))
 			}
 			f.Eventually("every server serves version 2 again", 4*time.Second, func() bool { return f.allServe(2) })
 		}
@@ -50,11 +50,11 @@
 }
 
 // A server starts again with a clock that is set back, and one whose birth is in the future before.
-func TestRebornServerWithAFalseClockIsUsed(t *testing.T) {
+func TestRestartedServerWithAFalseClockIsUsed(t *testing.T) {
 	f := Start(t, DefaultOptions())
-	require.NoError(t, f.Site.RebearModel(0, 0, time.Now().Add(time.Hour)))
+	require.NoError(t, f.Site.RestartModelUnderItsID(0, 0, time.Now().Add(time.Hour)))
 	f.Eventually("the server serves", 4*time.Second, func() bool { return f.allServe(1) })
-	require.NoError(t, f.Site.RebearModel(0, 0, time.Now().Add(-time.Hour)))
+	require.NoError(t, f.Site.RestartModelUnderItsID(0, 0, time.Now().Add(-time.Hour)))
 	f.Eventually("the server serves again", 4*time.Second, func() bool { return f.allServe(1) })
 	reborn := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
 	number := 0
