Births that never agree keep no server out

Change: an incarnation ahead of the list is waited for 2 s, and words on a former one are dropped for 10 s.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -5,6 +5,7 @@
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/incarnation"
 )
 
 // Candidate is one server as an entry knows it. Its name and place never change, so that they can
@@ -40,6 +41,12 @@
 	gone bool
 	// superseded servers have ended for good: another has answered at their address.
 	superseded bool
+	// since is when the list first named this incarnation.
+	since time.Time
+	// next is the incarnation that the agent has told and the list has not; until endedTill this one
+	// counts as ended for that.
+	next      incarnation.Born
+	endedTill time.Time
 }
 
 // answers is how long a server's answers have taken lately.
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -33,7 +33,7 @@
 	switch {
 	case !c.Allowed(k.Zone, request.Residency):
 		return unfitRegion
-	case c.Leaving(k):
+	case c.Leaving(k), now.Before(k.listing.endedTill):
 		return unfitLeaving
 	case c.Evacuated(k.Zone):
 		return unfitEvacuated
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -63,7 +63,7 @@
 				delete(c.words, server.Address)
 			}
 		}
-		known := c.candidateOf(server)
+		known := c.candidateOf(server, now)
 		if !known.listing.server.Draining && server.Draining {
 			changes = append(changes, Change{Kind: ServerLeaving, Candidate: known, InFlight: known.sends.inFlight})
 		}
@@ -114,12 +114,12 @@
 }
 
 // candidateOf returns what is known of a listed server.
-func (c *Core) candidateOf(server Server) *Candidate {
+func (c *Core) candidateOf(server Server, now time.Time) *Candidate {
 	known := c.byID[server.ID]
 	if known != nil {
 		return known
 	}
-	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID)}
+	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID), listing: listing{since: now}}
 	c.byID[server.ID] = known
 	if told, heard := c.words[server.Address]; heard && !told.Born.Before(server.Born) {
 		known.word.heardWord = told
--- a/coordination/dispatch/restarted_test.go
+++ b/coordination/dispatch/restarted_test.go
@@ -77,6 +77,20 @@
 	s.served(s.request(), "a1")
 }
 
+// A list and an agent that go on telling different births keep no server from being used for long.
+func TestBirthsThatNeverAgreeKeepNoServerOut(t *testing.T) {
+	for _, told := range []incarnation.Born{50, 200} {
+		s := newScript(t, "a1")
+		s.bears("a1", 100, nil)
+		for second := range 13 {
+			s.at(time.Duration(second) * time.Second)
+			s.hear("a1", 0, Word{Version: 1, Born: told})
+		}
+		s.served(s.request(), "a1")
+		assert.Zero(t, s.candidate("a1").word.age(s.now))
+	}
+}
+
 // A server that was ejected is in order in its next life.
 func TestRestartedServerIsNotEjected(t *testing.T) {
 	s := newScript(t, "a1", "a2", "a3", "a4")
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -66,7 +66,7 @@
 		// An answer to a question overtakes what is told all the time.
 		return false, nil
 	}
-	if c.onFormerIncarnation(word) {
+	if c.onFormerIncarnation(word, at) {
 		return false, nil
 	}
 	if !word.Reachable {
@@ -86,9 +86,7 @@
 	if known == nil {
 		return true, nil
 	}
-	if known.listing.server.Born.Before(word.Born) {
-		// The agent knows sooner than the list that the server has started again.
-		c.Supersede(known)
+	if known.aheadOfList(word, at) {
 		return true, nil
 	}
 	if known.word.Reachable != word.Reachable || known.word.Version != word.Version {
@@ -101,14 +99,37 @@
 	return true, changed
 }
 
+// Bounds of trust in births: a list and agents that go on telling different ones must not keep a server
+// from being used.
+const (
+	// formerWordTime is how long words on a former incarnation may come late: as long as agents' words
+	// are passed on.
+	formerWordTime = 10 * time.Second
+	// aheadTime is how long the list may take to name an incarnation that an agent knows: a line is
+	// written at the start, and reaches entries within a second.
+	aheadTime = 2 * time.Second
+)
+
 // onFormerIncarnation reports whether a word is on a life of its server that is over, by what the list or a
-// later word tells.
-func (c *Core) onFormerIncarnation(word Word) bool {
-	if word.Born.Before(c.words[word.Address].Born) {
+// later word has lately told.
+func (c *Core) onFormerIncarnation(word Word, at time.Time) bool {
+	if held := c.words[word.Address]; word.Born.Before(held.Born) && at.Sub(held.at) < formerWordTime {
 		return true
 	}
 	known := c.byAddress[word.Address]
-	return known != nil && word.Born.Before(known.listing.server.Born)
+	return known != nil && word.Born.Before(known.listing.server.Born) && at.Sub(known.listing.since) < formerWordTime
+}
+
+// aheadOfList reports whether a word is on an incarnation that the list does not name yet. The one that it
+// names gets nothing until the list follows, or has had the time for that.
+func (k *Candidate) aheadOfList(word Word, at time.Time) bool {
+	if !k.listing.server.Born.Before(word.Born) {
+		return false
+	}
+	if k.listing.next != word.Born {
+		k.listing.next, k.listing.endedTill = word.Born, at.Add(aheadTime)
+	}
+	return at.Before(k.listing.endedTill)
 }
 
 // Suspect reports whether there is evidence against a server beside its own silence, for a request
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -120,7 +120,7 @@
 func (c *Catalog) takeStatus(fresh heldStatus) {
 	c.mutex.Lock()
 	held, known := c.statuses[fresh.status.Address]
-	if known && fresh.status.Born.Before(held.status.Born) && !fresh.direct {
+	if known && fresh.status.Born.Before(held.status.Born) && !fresh.direct && fresh.at.Sub(held.at) < statusMemory {
 		c.mutex.Unlock()
 		return
 	}
