One copy of what the last reading found twice

Cause: read in the whole change: an order of a part stood twice, so did the adding of lines to a story (once without the check for those it has), a bound of 64 contents, and a table that a shift says; a result and an assignment had no reader. Change: orderPart, addMissing, quarantine.MostSuspects, quarantineTime; the two dropped. A story no longer repeats a line.

--- a/coordination/quarantine/evidence.go
+++ b/coordination/quarantine/evidence.go
@@ -11,10 +11,10 @@
 	// evidenceMemory is how long an end counts. Callers come back within seconds; a content that
 	// ends a server each few minutes is found by it too.
 	evidenceMemory = 15 * time.Minute
-	// mostEnds and mostSuspects bound the memory: of a server's suspects those are kept that were sent
+	// mostEnds and MostSuspects bound the memory: of a server's suspects those are kept that were sent
 	// last, since a content ends its server soon after it has begun.
 	mostEnds     = 256
-	mostSuspects = 64
+	MostSuspects = 64
 	// sameEnd is by how much the moments may differ at which processes see the same end; a server is away
 	// for longer than that.
 	sameEnd = 500 * time.Millisecond
@@ -52,19 +52,19 @@
 }
 
 // find returns the end of a server at a moment, which is made if it was not known.
-func (e *evidence) find(server string, at time.Duration) (found *end, isNew bool) {
+func (e *evidence) find(server string, at time.Duration) *end {
 	for _, one := range e.ends {
 		if one.server == server && (one.at-at).Abs() < sameEnd {
-			return one, false
+			return one
 		}
 	}
 	e.expire(at)
 	if len(e.ends) >= mostEnds {
 		e.drop(e.ends[0])
 	}
-	found = &end{server: server, at: at, suspects: map[Content]time.Duration{}}
+	found := &end{server: server, at: at, suspects: map[Content]time.Duration{}}
 	e.ends = append(e.ends, found)
-	return found, true
+	return found
 }
 
 // known returns the end of a server within confirmWithin, or nil.
@@ -83,7 +83,7 @@
 		return false
 	}
 	sent := to.at - one.Before
-	if len(to.suspects) >= mostSuspects && !e.makeRoom(to, sent) {
+	if len(to.suspects) >= MostSuspects && !e.makeRoom(to, sent) {
 		return false
 	}
 	to.suspects[one.Content] = sent
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -137,7 +137,7 @@
 		t.broken[server] = held
 	}
 	held.requests = append(held.requests, brokenRequest{content: content, sent: sent, at: now})
-	held.requests = held.requests[max(0, len(held.requests)-mostSuspects):]
+	held.requests = held.requests[max(0, len(held.requests)-MostSuspects):]
 	if known := t.evidence.known(server, now); known != nil && sent < known.at {
 		t.ended(server, known.at)
 		return false
@@ -177,7 +177,7 @@
 func (t *Tracker) ended(server string, at time.Duration) {
 	requests := t.broken[server].requests
 	delete(t.broken, server)
-	one, _ := t.evidence.find(server, at)
+	one := t.evidence.find(server, at)
 	var fresh []Suspect
 	for _, request := range requests {
 		suspect := Suspect{Content: request.content, Before: max(0, one.at-request.sent)}
@@ -237,7 +237,7 @@
 	at := min(word.At, now)
 	switch word.Kind {
 	case Ended:
-		one, _ := t.evidence.find(word.Server, at)
+		one := t.evidence.find(word.Server, at)
 		for _, suspect := range word.Suspects {
 			t.evidence.add(one, suspect)
 		}
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -195,7 +195,7 @@
 		}
 	}
 	assert.InDelta(t, 20*time.Second/checkPause, looks, 1)
-	assert.LessOrEqual(t, len(s.broken["server"].requests), mostSuspects)
+	assert.LessOrEqual(t, len(s.broken["server"].requests), MostSuspects)
 	s.Ended("server", s.now)
 	assert.Equal(t, 1, len(s.evidence.held[named("1999")]))
 	assert.Empty(t, s.evidence.held[named("1900")], "it broke 1 s before")
@@ -342,15 +342,15 @@
 func TestEvidenceIsBounded(t *testing.T) {
 	s := newScript(t, "one")
 	for number := range 4 * mostEnds {
-		contents := make([]Content, 0, 2*mostSuspects)
-		for suspect := range 2 * mostSuspects {
+		contents := make([]Content, 0, 2*MostSuspects)
+		for suspect := range 2 * MostSuspects {
 			contents = append(contents, named(fmt.Sprintf("%d-%d", number, suspect)))
 		}
 		s.wait(time.Second)
 		s.ends(fmt.Sprintf("server-%d", number), contents...)
 	}
 	assert.LessOrEqual(t, len(s.evidence.ends), mostEnds)
-	assert.LessOrEqual(t, len(s.evidence.held), mostEnds*mostSuspects)
+	assert.LessOrEqual(t, len(s.evidence.held), mostEnds*MostSuspects)
 	s.wait(2 * evidenceMemory)
 	s.Tick(s.now)
 	assert.Empty(t, s.evidence.held)
--- a/coordination/quarantine/verdict.go
+++ b/coordination/quarantine/verdict.go
@@ -91,17 +91,19 @@
 	if former := t.quarantines[content]; former != nil {
 		fresh.round = former.round + 1
 	}
-	lasts := longestQuarantine
-	if fresh.round < len(quarantineTimes) {
-		lasts = quarantineTimes[fresh.round]
-	}
+	lasts := quarantineTime(fresh.round)
 	fresh.till = fresh.at + lasts
 	t.takeQuarantine(content, fresh, now)
 	t.tell(Word{Kind: Quarantined, At: fresh.at, Content: content, Servers: fresh.servers, Round: fresh.round, Lasts: lasts})
 }
 
-// quarantineTimes are how long the first ones last.
-var quarantineTimes = []time.Duration{firstQuarantine, 2 * firstQuarantine, 4 * firstQuarantine, 8 * firstQuarantine, 16 * firstQuarantine}
+// mostDoublings is after how many the longest quarantine is reached.
+const mostDoublings = 5
+
+// quarantineTime is how long a quarantine lasts that follows a number of others of its content.
+func quarantineTime(round int) time.Duration {
+	return min(firstQuarantine<<min(round, mostDoublings), longestQuarantine)
+}
 
 // takeQuarantine takes over a quarantine, unless one is known that lasts longer.
 func (t *Tracker) takeQuarantine(content Content, fresh *quarantine, now time.Duration) {
--- a/internal/catalog/quarantine.go
+++ b/internal/catalog/quarantine.go
@@ -25,8 +25,6 @@
 	// longestWordTime bounds the spans of words: no quarantine lasts longer, and no word is held for
 	// twice as long.
 	longestWordTime = 48 * time.Hour
-	// mostWordSuspects bounds the contents of one end, as the sender bounds them.
-	mostWordSuspects = 64
 	// mostWordServers bounds the ended servers that a quarantine names.
 	mostWordServers = 16
 )
@@ -167,7 +165,7 @@
 
 // readSuspects reads the contents of an end.
 func (t toldWord) readSuspects(word *quarantine.Word) error {
-	if t.Server == "" || len(t.Suspects) > mostWordSuspects {
+	if t.Server == "" || len(t.Suspects) > quarantine.MostSuspects {
 		return &fault.InvalidFrame{Field: topicQuarantine, Reason: "an end without a server, or with too many contents"}
 	}
 	for _, told := range t.Suspects {
--- a/internal/catalog/quarantine_test.go
+++ b/internal/catalog/quarantine_test.go
@@ -49,7 +49,7 @@
 		"no server":             func(w *toldWord) { w.Server = "" },
 		"a short content":       func(w *toldWord) { w.Suspects[0].Content.ID = id[1:] },
 		"sent after its end":    func(w *toldWord) { w.Suspects[0].BeforeMilliseconds = -1 },
-		"too many contents":     func(w *toldWord) { w.Suspects = make([]toldSuspect, mostWordSuspects+1) },
+		"too many contents":     func(w *toldWord) { w.Suspects = make([]toldSuspect, quarantine.MostSuspects+1) },
 		"a kind of later":       func(w *toldWord) { w.Kind = 99 },
 		"cleared without which": func(w *toldWord) { w.Kind = int(quarantine.Cleared) },
 		"lasts for ever":        func(w *toldWord) { w.LastsMilliseconds = 1 << 60 },
--- a/internal/explain/content.go
+++ b/internal/explain/content.go
@@ -12,12 +12,13 @@
 	if !found || line.text("content") == "" {
 		return story
 	}
+	var concerning []Line
 	for _, one := range lines {
 		if concernsContent(one, line.text("content")) {
-			story = append(story, one)
+			concerning = append(concerning, one)
 		}
 	}
-	return story
+	return addMissing(story, concerning)
 }
 
 func concernsContent(line Line, content string) bool {
--- a/internal/explain/evacuation.go
+++ b/internal/explain/evacuation.go
@@ -38,7 +38,12 @@
 // addEvacuations adds to the lines of a story those of evacuations that were in force when it
 // began.
 func addEvacuations(story, lines []Line, processes map[string]bool, from time.Time) []Line {
-	for _, line := range evacuationsAt(lines, processes, from) {
+	return addMissing(story, evacuationsAt(lines, processes, from))
+}
+
+// addMissing adds the lines that a story does not have yet.
+func addMissing(story, more []Line) []Line {
+	for _, line := range more {
 		known := slices.ContainsFunc(story, func(one Line) bool {
 			return one.Event == line.Event && one.Process == line.Process && one.Time.Equal(line.Time)
 		})
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -71,14 +71,23 @@
 		newer.reportSpoilt(bad)
 		return
 	}
+	part := fleet.StartOrder{Model: newer.model, Version: newer.version(), FromLayer: layers.From, ToLayer: layers.To}
+	a.orderPart(ctx, part, engine, serving, began)
+}
+
+// orderPart orders some layers of a version, which were laid down and verified since a time, to end the
+// one that is served, and reports whether the server could be ordered. The staging lock is held for
+// writing.
+func (a *Agent) orderPart(ctx context.Context, part fleet.StartOrder, engine *fleet.Engine, serving uint64, began time.Time) bool {
 	fresh, err := a.server.Report(ctx)
 	if err != nil || fresh.Busy {
-		return
+		return false
 	}
-	a.log.Log(logging.VersionEnded, zap.String("model", newer.model), zap.Uint64("serving", serving), zap.Uint64("version", newer.version()),
-		zap.Int("from_layer", layers.From), zap.Int("to_layer", layers.To), zap.Int("layers", engine.Layers))
-	order := fleet.StartOrder{Model: newer.model, Version: newer.version(), Sequence: fresh.Sequence, FromLayer: layers.From, ToLayer: layers.To}
-	a.order(ctx, order, serving, time.Since(began))
+	a.log.Log(logging.VersionEnded, zap.String("model", part.Model), zap.Uint64("serving", serving), zap.Uint64("version", part.Version),
+		zap.Int("from_layer", part.FromLayer), zap.Int("to_layer", part.ToLayer), zap.Int("layers", engine.Layers))
+	part.Sequence = fresh.Sequence
+	a.order(ctx, part, serving, time.Since(began))
+	return true
 }
 
 // endingLayers picks the layers whose order ends the version that is served: of the newest one, or
--- a/internal/rollout/endinglayer.go
+++ b/internal/rollout/endinglayer.go
@@ -76,13 +76,6 @@
 			return false
 		}
 	}
-	fresh, err := a.server.Report(ctx)
-	if err != nil || fresh.Busy {
-		return false
-	}
-	a.log.Log(logging.VersionEnded, zap.String("model", kept.model), zap.Uint64("serving", serving), zap.Uint64("version", kept.version),
-		zap.Int("from_layer", kept.layers.From), zap.Int("to_layer", kept.layers.To), zap.Int("layers", engine.Layers))
-	order := fleet.StartOrder{Model: kept.model, Version: kept.version, Sequence: fresh.Sequence, FromLayer: kept.layers.From, ToLayer: kept.layers.To}
-	a.order(ctx, order, serving, time.Since(began))
-	return true
+	part := fleet.StartOrder{Model: kept.model, Version: kept.version, FromLayer: kept.layers.From, ToLayer: kept.layers.To}
+	return a.orderPart(ctx, part, engine, serving, began)
 }
--- a/internal/rollout/restarted.go
+++ b/internal/rollout/restarted.go
@@ -23,8 +23,6 @@
 			go one.readAnew(ctx)
 		}
 	}
-	// The status names this life from now on, also before the rest of the report is taken over.
-	a.report.Born = report.Born
 }
 
 // readAnew reads back what is thought to lie at the server, and fetches again what does not.
