A request waits at a held server, so that a test's precondition is no chance

Cause: TestNothingBeginsLateThoughNoCancellingArrives needs requests that wait at servers when their connections go silent. Entries learn how late servers begin and send no more than these bear, so that in 3 of 14 plays nothing waited: the precondition failed, no promise did. Change: the stand-in's servers begin nothing from 2.7 s before the bound until 50 ms after it. Every place is free by then, entries send, and what they send waits; what is not turned away begins the moment it is let go. Bounds and the precondition stay.

--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -28,7 +28,7 @@
 	}
 	s.waiting++
 	defer func() { s.waiting-- }()
-	for s.loading || s.running >= s.options.Slots || (s.options.Weights != nil && s.version == 0) {
+	for s.queueHeld || s.loading || s.running >= s.options.Slots || (s.options.Weights != nil && s.version == 0) {
 		if s.options.Weights != nil && s.version == 0 && !s.loading {
 			return refuse(http.StatusServiceUnavailable)
 		}
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -98,8 +98,10 @@
 	coldArrivals []time.Time
 	// fallen is set once a cold server has received more than it bears.
 	fallen bool
-	server *http.Server
-	stop   context.CancelFunc
+	// queueHeld is set while nothing that waits begins.
+	queueHeld bool
+	server    *http.Server
+	stop      context.CancelFunc
 }
 
 // NewServer returns a server that does not listen yet; one that serves a version
@@ -210,6 +212,15 @@
 	}
 }
 
+// HoldQueue has every request wait from now on, whatever place is free, or lets what waits begin.
+// Requests under way go on.
+func (s *Server) HoldQueue(held bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.queueHeld = held
+	s.wake()
+}
+
 // Fallen reports whether the server has received more than it bears while it was cold.
 func (s *Server) Fallen() bool {
 	s.mutex.Lock()
--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -47,10 +47,13 @@
 	// silenceBefore is how long before the bound the connections go silent: after the last
 	// request was sent, and before those that wait are taken back.
 	silenceBefore = 700 * time.Millisecond
+	// holdBefore is how long before the bound the servers begin nothing more, until releasedAfter it. By
+	// then every place has become free, so that entries that have learned how late servers begin send
+	// to them again, and what they send waits. All that is not turned away begins when it is let go.
+	holdBefore    = 2700 * time.Millisecond
+	releasedAfter = 50 * time.Millisecond
 	// burstBefore is how long before the bound burstStreams come at once, each entry's before it hears of
-	// the others': some wait then, also when entries have learned how late servers begin. Without
-	// them nothing waited in 3 of 14 plays beside another run of the test. Entries send nothing to an
-	// old version from a second before its bound.
+	// the others'. Entries send nothing to an old version from a second before its bound.
 	burstBefore  = 1150 * time.Millisecond
 	burstStreams = 24
 	// lookedAfter is how long after the bound the servers' records are looked at: what was
@@ -58,6 +61,12 @@
 	lookedAfter = 4 * time.Second
 )
 
+func holdQueues(f *Fleet, held bool) {
+	for _, server := range f.Site.Models {
+		server.HoldQueue(held)
+	}
+}
+
 // lateRuns names version 2 under load, silences the connections between entries and servers
 // while requests wait there, and returns the requests that began on version 1 after its bound
 // and whether any was waiting when the connections went silent.
@@ -74,6 +83,8 @@
 	named := time.Now()
 	f.Site.NameVersion(2)
 	bound := named.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
+	time.Sleep(time.Until(bound.Add(-holdBefore)))
+	holdQueues(f, true)
 	time.Sleep(time.Until(bound.Add(-burstBefore)))
 	var burst sync.WaitGroup
 	for number := range burstStreams {
@@ -88,6 +99,8 @@
 		return (c.Local.Port() == modelPort || c.Remote.Port() == modelPort) && !agents[c]
 	})
 	require.NoError(t, err)
+	time.Sleep(time.Until(bound.Add(releasedAfter)))
+	holdQueues(f, false)
 	time.Sleep(time.Until(bound.Add(lookedAfter)))
 	stop()
 	for _, run := range f.Site.Ledger.Runs() {
