What an entry holds for slow callers is bounded, in bytes and in time

A body was read without end in time or, over all callers, in bytes: a caller that stopped in the midst of its body held its connection for ever, without the final answer that its route's time asks for; one that read nothing any more held its request and the connection to its server until it left; 2,000 bodies of a megabyte were 2 GB. A body has until its request's deadline, each 4 KiB of an answer 8 s. Answers that can't be held are passed on as they come. Answers that were to be tried elsewhere no longer leave a connection open when they are long.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -116,6 +116,8 @@
 	// ReasonSuspected, that it may be such a one, which is being found out.
 	ReasonQuarantined Reason = "content-quarantined"
 	ReasonSuspected   Reason = "content-suspected"
+	// ReasonMemory is why a request is refused whose body the process has no room for.
+	ReasonMemory Reason = "memory"
 )
 
 // Refusal is the failure of a caller's request.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"pinevane.example/pinevane/coordination/bytequota"
 )
 
 // event is one whole event of a stream, with the blank line that ends it.
@@ -17,6 +19,9 @@
 const (
 	eventBufferBytes  = 1 << 10
 	maximumEventBytes = 1 << 20
+	// usualEventBytes is the part of an event, or of several that came together, that is not charged to
+	// the caller.
+	usualEventBytes = 16 << 10
 )
 
 var (
@@ -29,6 +34,9 @@
 	source  io.Reader
 	pending []byte
 	failure error
+	// memory is charged with what is pending beyond usualEventBytes, charged is how much was.
+	memory  *bytequota.Account
+	charged int
 }
 
 // next returns the next whole event. The error io.EOF means that the stream is
@@ -65,6 +73,13 @@
 }
 
 func (s *eventSplitter) read() {
+	if len(s.pending) >= usualEventBytes+s.charged {
+		if !s.memory.Take(usualEventBytes) {
+			s.failure = bytequota.ErrExhausted
+			return
+		}
+		s.charged += usualEventBytes
+	}
 	buffer := make([]byte, eventBufferBytes)
 	count, err := s.source.Read(buffer)
 	s.pending = append(s.pending[:len(s.pending):len(s.pending)], buffer[:count]...)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/coordination/quarantine"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -33,6 +34,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Memory is charged with what is held of the request and its answer; nil is bounded by nothing.
+	Memory *bytequota.Account
 	// Content identifies caller, host, target and body: the same for each try of a request.
 	Content quarantine.Content
 	// Arrived is when the request's head was read; Deadline is when its answer is
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,7 +80,7 @@
 		settle()
 		w.targets.release(w.placed)
 	}()
-	splitter := &eventSplitter{source: started.response.Body}
+	splitter := &eventSplitter{source: started.response.Body, memory: w.request.Memory}
 	for {
 		event, err := splitter.next()
 		if len(event.bytes) > 0 {
@@ -126,6 +126,7 @@
 	retriable := status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && w.request.Route.MayRepeat()
 	if w.begun || (retriable && w.sent < w.request.Route.Attempts) {
 		failed = &failure{reason: fault.ReasonBackendFailed, execution: fault.ExecutionUnknown, cause: statusError(status)}
+		started.abort()
 		w.noteFailure(started.target, failed, 0)
 		return failed
 	}
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -16,9 +18,16 @@
 )
 
 // maximumBuffered is the largest answer that is read whole before any of it is
-// passed on; a longer one is passed on as it comes.
+// passed on; a longer one, or one that can't be held, is passed on as it comes.
 const maximumBuffered = 1 << 20
 
+// answerBody is what was read of an answer before any of it is passed on.
+type answerBody struct {
+	bytes []byte
+	// whole is set when that is all of it; otherwise the rest is still to be read.
+	whole bool
+}
+
 // whole forwards a request whose answer has an end that is soon reached. The
 // answer is read before it is passed on, so that a broken one can be replaced.
 func (w *work) whole(ctx context.Context) *fault.Refusal {
@@ -27,7 +36,7 @@
 		if refusal != nil {
 			return w.refuseAfter(refusal)
 		}
-		var body []byte
+		var body answerBody
 		if failed == nil {
 			body, failed = w.readWhole(started)
 		}
@@ -53,28 +62,38 @@
 	return refusal
 }
 
-// readWhole reads an answer's body to its end.
-func (w *work) readWhole(started *exchange) ([]byte, *failure) {
+// readWhole reads an answer's body to its end, if it can be held: the server's place is free then,
+// however slowly the caller reads.
+func (w *work) readWhole(started *exchange) (answerBody, *failure) {
 	began := time.Now()
-	body, err := io.ReadAll(io.LimitReader(started.response.Body, maximumBuffered+1))
-	if err == nil && len(body) <= maximumBuffered {
+	body, err := w.buffer(started.response)
+	if err == nil && body.whole {
 		started.finish()
 	} else if err != nil {
 		started.abort()
 	}
+	w.unsent()
 	if err == nil {
-		w.unsent()
 		w.targets.succeed(started.target, time.Since(w.request.Arrived))
 		w.observeAnswer(started.target, started.response.StatusCode)
-		if len(body) <= maximumBuffered {
+		if body.whole {
 			w.contentAnswered()
 		}
 		return body, nil
 	}
-	w.unsent()
 	failed := &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	w.noteFailure(started.target, failed, time.Since(began))
-	return nil, failed
+	return answerBody{}, failed
+}
+
+// buffer reads an answer as far as it may be held.
+func (w *work) buffer(response *http.Response) (answerBody, error) {
+	size := min(response.ContentLength, maximumBuffered+1)
+	bytes, err := bytequota.ReadAll(io.LimitReader(response.Body, maximumBuffered+1), size, w.request.Memory)
+	if errors.Is(err, bytequota.ErrExhausted) {
+		return answerBody{bytes: bytes}, nil
+	}
+	return answerBody{bytes: bytes, whole: len(bytes) <= maximumBuffered}, err
 }
 
 // retryServerError decides whether a server's own failure is tried elsewhere.
@@ -84,20 +103,20 @@
 	if !w.request.Route.MayRepeat() || status == http.StatusGatewayTimeout {
 		return false
 	}
+	started.abort()
 	w.noteFailure(started.target, failed, 0)
 	return w.mayTryAgain(ctx, failed)
 }
 
 // pass writes a server's answer to the caller.
-func (w *work) pass(started *exchange, body []byte) {
+func (w *work) pass(started *exchange, body answerBody) {
 	w.copyHead(started)
-	long := len(body) > maximumBuffered
-	if !long && started.response.Header.Get("Content-Length") == "" {
-		w.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if body.whole && started.response.Header.Get("Content-Length") == "" {
+		w.writer.Header().Set("Content-Length", strconv.Itoa(len(body.bytes)))
 	}
 	w.writer.WriteHeader(started.response.StatusCode)
-	_, err := w.writer.Write(body)
-	if long {
+	_, err := w.writer.Write(body.bytes)
+	if !body.whole {
 		_, err = io.Copy(w.writer, started.response.Body)
 		started.finish()
 		if err != nil {
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/coordination/quarantine"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -21,6 +23,8 @@
 const (
 	unconfiguredRetry = 500 * time.Millisecond
 	stoppingRetry     = 50 * time.Millisecond
+	// memoryRetry is about how long an answer takes, after which what it held is free.
+	memoryRetry = 500 * time.Millisecond
 )
 
 // take serves one request of a caller.
@@ -30,12 +34,15 @@
 	if _, stopping := g.stoppingFor(); stopping {
 		writer.Header().Set("Connection", "close")
 	}
+	caller := newCallerWriter(writer, writeTime)
+	defer caller.extend()
 	request, refusal := g.read(writer, incoming)
+	defer request.Memory.Close()
 	if refusal == nil {
-		refusal = g.forwarder.Serve(incoming.Context(), writer, request)
+		refusal = g.forwarder.Serve(incoming.Context(), caller, request)
 	}
 	if refusal != nil {
-		g.refuse(writer, request, refusal)
+		g.refuse(caller, request, refusal)
 	}
 }
 
@@ -72,6 +79,7 @@
 	}
 	request.Deadline = request.Arrived.Add(limit)
 	hasher := quarantine.NewHasher(callerOf(request), request.Host, request.Target)
+	request.Memory = g.memory.Open(callerOf(request))
 	refusal := readBody(writer, incoming, configuration.Limits, request, hasher)
 	request.Content = hasher.Content()
 	return request, refusal
@@ -113,7 +121,8 @@
 	return nil
 }
 
-// readBody reads a request's body whole, and hashes it on its way.
+// readBody reads a request's body whole, and hashes it on its way. A caller that is slow to send has
+// until the request's deadline, after which it waits for no answer.
 func readBody(writer http.ResponseWriter, incoming *http.Request, limits fleet.Limits, request *forward.Request, hasher io.Writer) *fault.Refusal {
 	if incoming.ContentLength == 0 {
 		return nil
@@ -122,17 +131,37 @@
 	if limits.BodyBytes > 0 {
 		source = http.MaxBytesReader(writer, source, limits.BodyBytes)
 	}
-	body, err := io.ReadAll(io.TeeReader(source, hasher))
+	control := http.NewResponseController(writer)
+	// Without a deadline a caller that stops in the midst of its body holds its connection for ever; one
+	// that is left set would end the watch for the caller's leaving.
+	_ = control.SetReadDeadline(request.Deadline)
+	body, err := bytequota.ReadAll(io.TeeReader(source, hasher), incoming.ContentLength, request.Memory)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
+		request.Body = body
+		return nil
+	case errors.As(err, &tooLarge):
 		return fault.NotRun(fault.ReasonTooLarge, "the body is too large")
-	}
-	if err != nil {
+	case errors.Is(err, bytequota.ErrExhausted):
+		return refuseUnread(writer, fault.ReasonMemory, "too much is held for callers", memoryRetry)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuseUnread(writer, fault.ReasonDeadline, "the body did not come within the time of the request", 0)
+	default:
 		// The caller has broken off; there is nobody to answer.
+		request.Memory.Close()
 		panic(http.ErrAbortHandler)
 	}
-	request.Body = body
-	return nil
+}
+
+// refuseUnread refuses a request whose body was not read whole. What follows on its connection is no
+// request, so that the connection ends with the answer.
+func refuseUnread(writer http.ResponseWriter, reason fault.Reason, detail string, retryAfter time.Duration) *fault.Refusal {
+	writer.Header().Set("Connection", "close")
+	refusal := fault.NotRun(reason, detail)
+	refusal.RetryAfter = retryAfter
+	return refusal
 }
 
 // statuses of refusals that are certain not to have run; others are 503.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -34,7 +35,9 @@
 	forwarder *forward.Forwarder
 	loads     *loadquery.Client
 	metrics   *metrics
-	open      atomic.Int64
+	// memory bounds what is held for callers.
+	memory *bytequota.Quota
+	open   atomic.Int64
 	// stopping is the time of the stop signal in nanoseconds, 0 before it.
 	stopping atomic.Int64
 }
@@ -45,8 +48,10 @@
 	settings := base.Settings()
 	g := &Gateway{
 		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
-		loads: loadquery.NewClient(settings.InternalPort, base.Log),
+		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
+	base.Registry.MustRegister(newMemoryCollector(g.memory))
+	base.Section("callers", func() any { return g.memory.Status() })
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
 		Peers: base.Catalog.Peers, Self: settings.IP, Entries: base.Catalog.Entries, Health: base.Catalog, Quarantine: base.Catalog, Loads: g.loads,
