Entries that know the same entries exchange one age a zone, not lists

Cause: each link carried the list of all entries each 0.9 s in both directions: entries x entries. With 327 entries a list is 11 kB; a relay has 65 such links and more, and gates send them between regions. Change: coordination/overlay.Roster, a digest of the entries present with one bound on their age a zone and the ages of those that fell behind. Who holds the same digest refreshes its signs by it; anybody else, and a build that tells no roster, is sent the list as before. A property test holds that no exchange of rosters makes a member younger than it is; an update has the same size at 30 and at 1,200 entries.

--- a/coordination/overlay/overlay.go
+++ b/coordination/overlay/overlay.go
@@ -8,6 +8,7 @@
 package overlay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -31,6 +32,8 @@
 	Recent time.Duration
 	// Memory is how long a member without signs is remembered.
 	Memory time.Duration
+	// Capacity is this member's own, as in Sign.
+	Capacity int
 }
 
 // Sign is what is known of a member: its zone, which is empty for one of which only
@@ -38,14 +41,20 @@
 type Sign struct {
 	Zone  string
 	Heard time.Time
+	// Capacity ranks members by what their machines can carry, higher first; 0 is unknown.
+	Capacity int
 }
 
 type member struct {
 	Sign
 	// suspectedAt is when the member last failed to answer this process.
 	suspectedAt time.Time
-	// alive is whether it counted as alive at the last Advance.
-	alive bool
+	// alive is whether it counted as alive at the last Advance, listed whether it was present
+	// for the roster.
+	alive  bool
+	listed bool
+	// identity is the member's part of the digest.
+	identity uint64
 }
 
 // Overlay is one member's picture. It is not safe for concurrent use.
@@ -54,8 +63,10 @@
 	members map[string]*member
 	// arrivals counts the members that were new.
 	arrivals uint64
-	// moved is set when the zone of a member has become known since the last Advance.
+	// moved is set when more has become known of a member's zone or capacity since the last Advance.
 	moved bool
+	// digest identifies the members present at the last Advance.
+	digest uint64
 	// zones holds the members alive of each zone, in the order of their ranks; this
 	// member is always among those of its own.
 	zones map[string][]string
@@ -70,35 +81,49 @@
 // New returns the overlay of a member that knows nobody.
 func New(options Options) *Overlay {
 	o := &Overlay{options: options, members: map[string]*member{}}
+	o.digest = o.ownIdentity()
 	o.rank()
 	return o
 }
 
 // Hear notes a sign of a member at a time, and reports whether the member was not
-// known before. An empty zone leaves the one that is known.
-func (o *Overlay) Hear(id, zone string, at, now time.Time) bool {
+// known before. An empty zone or an unknown capacity leaves what is known.
+func (o *Overlay) Hear(id string, sign Sign, now time.Time) bool {
 	if id == o.options.Self || id == "" {
 		return false
 	}
 	known, exists := o.members[id]
 	if !exists {
-		if now.Sub(at) > o.options.Memory {
+		if now.Sub(sign.Heard) > o.options.Memory {
 			return false
 		}
 		known = &member{}
 		o.members[id] = known
 		o.arrivals++
 	}
-	if zone != "" && zone != known.Zone {
-		known.Zone = zone
-		o.moved = true
-	}
-	if at.After(known.Heard) {
-		known.Heard = at
+	known.learn(id, sign, o)
+	if sign.Heard.After(known.Heard) {
+		known.Heard = sign.Heard
 	}
 	return !exists
 }
 
+// learn takes over what a sign tells of a member besides the time.
+func (m *member) learn(id string, sign Sign, o *Overlay) {
+	before := m.Sign
+	m.Zone = cmp.Or(sign.Zone, before.Zone)
+	m.Capacity = cmp.Or(sign.Capacity, before.Capacity)
+	if m.Zone == before.Zone && m.Capacity == before.Capacity {
+		return
+	}
+	m.identity = identity(id, m.Sign)
+	o.moved = true
+}
+
+func (o *Overlay) ownIdentity() uint64 {
+	return identity(o.options.Self, Sign{Zone: o.options.Zone, Capacity: o.options.Capacity})
+}
+
 // Suspect notes that a member has not answered this process. It does not count as
 // alive until a later sign of it is heard.
 func (o *Overlay) Suspect(id string, now time.Time) {
@@ -112,6 +137,7 @@
 func (o *Overlay) Advance(now time.Time) {
 	changed := o.moved
 	o.moved = false
+	o.digest = o.ownIdentity()
 	for id, known := range o.members {
 		if now.Sub(known.Heard) > o.options.Memory {
 			delete(o.members, id)
@@ -121,6 +147,10 @@
 		alive := known.Zone != "" && now.Sub(known.Heard) < o.options.Recent && known.Heard.After(known.suspectedAt)
 		changed = changed || alive != known.alive
 		known.alive = alive
+		known.listed = o.present(known, now)
+		if known.listed {
+			o.digest ^= known.identity
+		}
 	}
 	if changed {
 		o.rank()
--- /dev/null
+++ b/coordination/overlay/roster_test.go
@@ -0,0 +1,95 @@
+package overlay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// Two processes that know the same members refresh each other's signs by one bound a zone.
+func TestRosterRefreshesTheSameMembers(t *testing.T) {
+	all := pictures(zonesOf(3, 3))
+	teller, told := all["m0-00"], all["m0-01"]
+	now := start.Add(2 * time.Second)
+	for _, id := range []string{"m0-01", "m0-02", "m1-00", "m1-01", "m1-02"} {
+		teller.Hear(id, Sign{Heard: now.Add(-100 * time.Millisecond)}, now)
+	}
+	teller.Advance(now)
+	told.Advance(now)
+	assert.Equal(t, teller.Digest(), told.Digest())
+	roster := teller.Roster(now)
+	assert.Equal(t, []time.Duration{100 * time.Millisecond, 100 * time.Millisecond}, roster.Ages)
+	assert.Empty(t, roster.Late)
+	assert.True(t, told.Refresh(roster, now))
+	for _, id := range []string{"m0-00", "m0-02", "m1-00", "m1-01", "m1-02"} {
+		assert.Equal(t, now.Add(-100*time.Millisecond), told.Members()[id].Heard, id)
+	}
+}
+
+// A member that is not heard any more does not age the others, and is not refreshed with them.
+func TestLateMemberIsToldByItself(t *testing.T) {
+	all := pictures(zonesOf(5))
+	teller, told := all["m0-00"], all["m0-01"]
+	now := start.Add(3 * time.Second)
+	for _, id := range []string{"m0-01", "m0-02", "m0-03"} {
+		teller.Hear(id, Sign{Heard: now}, now)
+	}
+	teller.Advance(now)
+	told.Advance(now)
+	roster := teller.Roster(now)
+	assert.Equal(t, map[string]time.Duration{"m0-04": 3 * time.Second}, roster.Late)
+	assert.True(t, told.Refresh(roster, now))
+	assert.Equal(t, now, told.Members()["m0-02"].Heard)
+	assert.Equal(t, start, told.Members()["m0-04"].Heard)
+}
+
+// Processes that know different members, or the same one otherwise, do not take each other's ages.
+func TestRosterOfOthersIsNotTaken(t *testing.T) {
+	now := start.Add(time.Second)
+	for name, change := range map[string]func(*Overlay){
+		"one more":         func(o *Overlay) { o.Hear("m0-09", Sign{Zone: "z0", Heard: now}, now) },
+		"another zone":     func(o *Overlay) { o.Hear("m0-02", Sign{Zone: "z1", Heard: now}, now) },
+		"another capacity": func(o *Overlay) { o.Hear("m0-02", Sign{Capacity: 4, Heard: now}, now) },
+	} {
+		all := pictures(zonesOf(3))
+		teller, told := all["m0-00"], all["m0-01"]
+		change(teller)
+		teller.Advance(now)
+		told.Advance(now)
+		assert.False(t, told.Refresh(teller.Roster(now), now), name)
+		assert.Equal(t, start, told.Members()["m0-02"].Heard, name)
+	}
+}
+
+// However processes refresh each other, none takes a member for younger than it is, so that one that
+// is gone is forgotten everywhere.
+func TestRostersNeverMakeAMemberYounger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := zonesOf(3, 2)
+		all := pictures(zones)
+		gone := "m1-01"
+		delete(all, gone)
+		heard := map[string]time.Time{gone: start}
+		now := start
+		ids := []string{"m0-00", "m0-01", "m0-02", "m1-00"}
+		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "pause")) * time.Millisecond)
+			from, to := rapid.SampledFrom(ids).Draw(t, "from"), rapid.SampledFrom(ids).Draw(t, "to")
+			if from == to {
+				continue
+			}
+			heard[from] = now
+			all[to].Hear(from, Sign{Zone: zones[from], Heard: now}, now)
+			all[from].Advance(now)
+			all[to].Advance(now)
+			all[to].Refresh(all[from].Roster(now), now)
+			for id, sign := range all[to].Members() {
+				if last, known := heard[id]; known {
+					assert.False(t, sign.Heard.After(last), "%s takes %s for heard at %s, last word at %s", to, id, sign.Heard, last)
+				}
+			}
+		}
+	})
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,8 @@
 	Drain time.Duration
 	// Zones are the fleet's zones and their regions.
 	Zones map[string]string
+	// LinkBytesPerSecond is what the machine's link carries; 0 when that is not known.
+	LinkBytesPerSecond float64
 }
 
 // Catalog is the copy. It is safe for concurrent use.
@@ -119,6 +121,8 @@
 	health     healthWords
 	quarantine quarantineWords
 
+	// capacity is the class of the own machine's link.
+	capacity int
 	// overlay tells whom this entry speaks with; links are what it has of that, and
 	// those that others made, by IP address.
 	overlay *overlay.Overlay
@@ -142,8 +146,9 @@
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, kick: make(chan struct{}, 1), haste: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
 			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
-			Recent: entryRecent, Memory: entryMemory,
+			Recent: entryRecent, Memory: entryMemory, Capacity: capacityOf(options.LinkBytesPerSecond),
 		}),
+		capacity: capacityOf(options.LinkBytesPerSecond),
 	}
 	c.health, c.quarantine = newHealthWords(c.started), newQuarantineWords()
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
--- /dev/null
+++ b/internal/catalog/entries_test.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// catalogAmong is the catalog of an entry that has just heard of a number of others.
+func catalogAmong(entries int) *Catalog {
+	c := newTestCatalog()
+	for index := range entries {
+		c.hearEntry(fmt.Sprintf("10.1.%d.%d", index/250, index%250), entrySign{Zone: fmt.Sprintf("zone-%d", index%5), Capacity: 3})
+	}
+	c.overlay.Advance(time.Now())
+	return c
+}
+
+// updateBytes is the size of an update with what is told of entries.
+func updateBytes(t *testing.T, c *Catalog, peer *peerLink) int {
+	now := time.Now()
+	message := c.compose(peer)
+	c.addEntries(&message, peer, now, func() *roster { return rosterOf(c.overlay.Roster(now)) })
+	encoded, err := cbor.Marshal(message)
+	require.NoError(t, err)
+	return len(encoded)
+}
+
+// What entries that know the same tell each other of the others does not grow with the fleet: one age a
+// zone in place of a list.
+func TestUpdatesDoNotGrowWithTheFleet(t *testing.T) {
+	sizes := map[int]int{}
+	for _, entries := range []int{30, 327, 1200} {
+		c := catalogAmong(entries)
+		sizes[entries] = updateBytes(t, c, &peerLink{roster: c.overlay.Digest()})
+	}
+	assert.LessOrEqual(t, sizes[1200], sizes[30]+16, "bytes at 30 and 1,200 entries: %v", sizes)
+}
+
+// Who knows other entries, or tells no roster because it is of a build without, is sent the list, and
+// hears of all from it.
+func TestListGoesToWhoKnowsOthers(t *testing.T) {
+	c := catalogAmong(40)
+	for name, peer := range map[string]*peerLink{"others": {roster: 1}, "no roster": {}} {
+		now := time.Now()
+		message := c.compose(peer)
+		c.addEntries(&message, peer, now, func() *roster { return rosterOf(c.overlay.Roster(now)) })
+		assert.Len(t, message.Entries, 40, name)
+		assert.Equal(t, entrySign{Zone: "zone-1", Capacity: 3, AgeMilliseconds: message.Entries["10.1.0.1"].AgeMilliseconds}, message.Entries["10.1.0.1"], name)
+		assert.Empty(t, message.Roster.AgesMilliseconds, name)
+	}
+}
+
+// Links of about the same rate are of one class, those of a much larger one of a higher.
+func TestCapacityOfLinks(t *testing.T) {
+	const megabit = 1e6 / 8
+	assert.Zero(t, capacityOf(0))
+	assert.Equal(t, capacityOf(40*megabit), capacityOf(50*megabit))
+	assert.Less(t, capacityOf(40*megabit), capacityOf(100*megabit))
+	assert.Less(t, capacityOf(100*megabit), capacityOf(1000*megabit))
+}
--- a/internal/catalog/evacuations_test.go
+++ b/internal/catalog/evacuations_test.go
@@ -37,7 +37,7 @@
 	c := newTestCatalog()
 	c.takeWatched([]mirror.Record{evacuationRecord("a", 5)})
 	c.mutex.Lock()
-	message := c.compose(&peerLink{compared: true}, false)
+	message := c.compose(&peerLink{compared: true})
 	c.mutex.Unlock()
 	assert.True(t, slices.ContainsFunc(message.Records, func(r mirror.Record) bool { return r.Key == "op/evacuate/a" }))
 }
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -28,7 +29,8 @@
 	// Urgent changes are sent at once.
 	updatePeriod      = 300 * time.Millisecond
 	agentUpdatePeriod = 600 * time.Millisecond
-	// listPeriod is how often the list of entries is sent on a link.
+	// listPeriod is how often the list of entries is sent on a link whose other end does not know
+	// the same ones.
 	listPeriod = 900 * time.Millisecond
 	// newListPause is the least time between two lists on a link while entries are new.
 	newListPause = 100 * time.Millisecond
@@ -70,11 +72,11 @@
 	Namings []naming `cbor:"14,keyasint,omitempty"`
 	// Services tell an agent the part of the newest configuration that it acts on.
 	Services *publishedServices `cbor:"15,keyasint,omitempty"`
-}
-
-type entrySign struct {
-	Zone            string `cbor:"1,keyasint"`
-	AgeMilliseconds int64  `cbor:"2,keyasint"`
+	// Roster sums up the entries that the sender knows, in place of Entries between processes
+	// that know the same; nil from builds that always send the list.
+	Roster *roster `cbor:"16,keyasint,omitempty"`
+	// Capacity is the sender's, as in entrySign.
+	Capacity int `cbor:"17,keyasint,omitempty"`
 }
 
 // exchange keeps the links and sends the news. Agents only listen.
@@ -84,7 +86,7 @@
 	}
 	c.mutex.Lock()
 	for _, seed := range c.options.Seeds {
-		c.hearEntry(seed, "", 0)
+		c.hearEntry(seed, entrySign{})
 	}
 	c.mutex.Unlock()
 	ticker := time.NewTicker(updatePeriod)
@@ -133,16 +135,15 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	aged := sync.OnceValue(func() *roster { return rosterOf(c.overlay.Roster(now)) })
 	for ip, peer := range c.links {
 		if peer.link == nil || peer.sending || !c.updateDue(peer, now) {
 			continue
 		}
-		withList := peer.isEntry() && c.listDue(peer, now)
-		if withList {
-			peer.listedAt, peer.listedArrivals = now, c.overlay.Arrivals()
-		}
-		message := c.compose(peer, withList)
-		if !peer.isEntry() {
+		message := c.compose(peer)
+		if peer.isEntry() {
+			c.addEntries(&message, peer, now, aged)
+		} else {
 			_, main := c.overlay.Feeds(ip, peer.zone())
 			message.Backup = !main
 			message.Services = c.servicesFor(peer)
@@ -177,17 +178,6 @@
 	return (peer.compared && c.urgent > peer.sequence) || c.freshSequence > peer.freshTold || c.newEntriesDue(peer, now)
 }
 
-// listDue reports whether a link is to be sent the list of entries: from time to time,
-// and soon after an entry was new, so that entries that start together know each other
-// quickly; the mutex is held.
-func (c *Catalog) listDue(peer *peerLink, now time.Time) bool {
-	return now.Sub(peer.listedAt) > listPeriod || c.newEntriesDue(peer, now)
-}
-
-func (c *Catalog) newEntriesDue(peer *peerLink, now time.Time) bool {
-	return peer.listedArrivals != c.overlay.Arrivals() && now.Sub(peer.listedAt) > newListPause
-}
-
 func (c *Catalog) send(peer *peerLink, link *peering.Link, message update) {
 	c.sent(peer, link, &peer.sending, peering.Send(link, topicUpdate, "", message))
 }
@@ -206,7 +196,7 @@
 
 // compose builds an update with every change that a link was not told, once it is
 // known how far the other process's records differ; the mutex is held.
-func (c *Catalog) compose(peer *peerLink, withList bool) update {
+func (c *Catalog) compose(peer *peerLink) update {
 	now := time.Now()
 	message := update{FreshMilliseconds: now.Sub(c.fresh).Milliseconds(), Heads: maps.Clone(c.heads), Digest: c.changes.Digest(), Complete: c.complete}
 	message.Stamp = c.stamp(now)
@@ -221,12 +211,6 @@
 	if peer.compared {
 		c.addChanges(&message, peer.sequence)
 	}
-	if withList {
-		message.Entries = map[string]entrySign{}
-		for ip, sign := range c.overlay.Members() {
-			message.Entries[ip] = entrySign{Zone: sign.Zone, AgeMilliseconds: time.Since(sign.Heard).Milliseconds()}
-		}
-	}
 	return message
 }
 
@@ -276,10 +260,7 @@
 	c.mutex.Lock()
 	c.noteStamp(link.Remote().ID, news.Stamp, now)
 	c.backupOf[link.Remote().ID] = news.Backup
-	c.hearEntry(link.Remote().ID, link.Remote().Zone, 0)
-	for ip, sign := range news.Entries {
-		c.hearEntry(ip, sign.Zone, time.Duration(sign.AgeMilliseconds)*time.Millisecond)
-	}
+	c.takeEntries(link.Remote(), news, now)
 	c.toldAt = time.Now()
 	c.noteToldFresh(link.Remote().Zone, c.toldAt.Add(-time.Duration(news.FreshMilliseconds)*time.Millisecond))
 	lacking := c.lacking(news.Heads)
--- a/internal/catalog/horizon_test.go
+++ b/internal/catalog/horizon_test.go
@@ -372,7 +372,7 @@
 	peer.known.advance(now.Add(-500 * time.Millisecond))
 	peer.takeWatched([]mirror.Record{versionRecord(3, 5)})
 	peer.mutex.Lock()
-	told := peer.compose(&peerLink{compared: true}, false)
+	told := peer.compose(&peerLink{compared: true})
 	peer.mutex.Unlock()
 	for _, missed := range []string{"started later", "out of touch over both"} {
 		t.Run(missed, func(t *testing.T) {
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -150,9 +150,11 @@
 	// servicesTold is the version of the configuration whose services an agent was told.
 	servicesTold uint64
 	// listedAt is when the other was last sent the list of entries, listedArrivals how
-	// many entries had been new by then.
+	// many entries had been new by then; roster identifies the entries that the other has last
+	// told to know, 0 until it has told any.
 	listedAt       time.Time
 	listedArrivals uint64
+	roster         uint64
 
 	// nearTold and farTold are up to which status the other was told of agents of the
 	// own and of other zones; farToldAt is when. passing is set while it is being told.
@@ -443,7 +445,7 @@
 	}
 	c.open(peer, link, false)
 	if remote := link.Remote(); remote.Role == RoleEntry {
-		c.hearEntry(peer.ip, remote.Zone, 0)
+		c.hearEntry(peer.ip, entrySign{Zone: remote.Zone})
 	}
 }
 
@@ -456,7 +458,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.hearEntry(remote.ID, remote.Zone, 0)
+	c.hearEntry(remote.ID, entrySign{Zone: remote.Zone})
 	peer := c.peerLink(remote.ID)
 	if peer.link != nil && !peer.lost() && !peer.accepted && time.Since(peer.link.LastHeard()) <= probeAfter {
 		return
@@ -474,10 +476,10 @@
 	return min(firstDialPause<<min(failures, maximumDialDoublings), dialPause)
 }
 
-// hearEntry notes a sign of an entry of an age; the mutex is held.
-func (c *Catalog) hearEntry(ip, zone string, age time.Duration) {
+// hearEntry notes a sign of an entry; the mutex is held.
+func (c *Catalog) hearEntry(ip string, sign entrySign) {
 	now := time.Now()
-	if c.overlay.Hear(ip, zone, now.Add(-age), now) {
+	if c.overlay.Hear(ip, sign.at(now), now) {
 		c.kickExchange()
 	}
 }
--- a/internal/catalog/links_test.go
+++ b/internal/catalog/links_test.go
@@ -34,11 +34,11 @@
 	now := time.Now()
 	listed := &peerLink{listedAt: now.Add(-2 * newListPause)}
 	assert.False(t, c.listDue(listed, now), "nothing is new")
-	c.hearEntry("10.0.0.2", "z", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
 	assert.True(t, c.listDue(listed, now))
 	assert.Len(t, c.kick, 1, "it is told at once")
 	listed.listedArrivals = c.overlay.Arrivals()
-	c.hearEntry("10.0.0.2", "z", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
 	assert.False(t, c.listDue(listed, now), "it is known")
 	assert.False(t, c.listDue(&peerLink{listedAt: now}, now), "lists do not follow each other closely")
 }
@@ -140,7 +140,7 @@
 	defer c.options.Hub.Close()
 	_, made := linkOther(t, c)
 	c.mutex.Lock()
-	c.hearEntry("10.0.0.2", "z", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
 	c.peerLink("10.0.0.2").open(made, false)
 	c.mutex.Unlock()
 	held := func() *peering.Link {
@@ -260,7 +260,7 @@
 	c.mutex.Lock()
 	c.peerLink("10.0.0.2").open(made, false)
 	c.mutex.Unlock()
-	c.hearEntry("10.0.0.2", "y", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "y"})
 	go c.exchange(t.Context())
 	return &frames
 }
@@ -320,8 +320,8 @@
 	c.peerLink("10.0.0.2").open(made, false)
 	c.peerLink("10.0.0.3").open(third, false)
 	c.mutex.Unlock()
-	c.hearEntry("10.0.0.2", "z", 0)
-	c.hearEntry("10.0.0.3", "z", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
+	c.hearEntry("10.0.0.3", entrySign{Zone: "z"})
 	go c.exchange(t.Context())
 	var began time.Time
 	for turn := range 100 {
@@ -404,22 +404,22 @@
 	c := newTestCatalog()
 	c.takeWatched([]mirror.Record{serverRecord(1, 1), serverRecord(2, 2)})
 	peer := c.peerLink("10.0.0.2")
-	assert.Empty(t, c.compose(peer, false).Records, "nothing is sent before records were compared")
+	assert.Empty(t, c.compose(peer).Records, "nothing is sent before records were compared")
 	c.compare("10.0.0.2", update{Digest: c.changes.Digest()})
-	assert.Empty(t, c.compose(peer, false).Records, "it holds the same")
+	assert.Empty(t, c.compose(peer).Records, "it holds the same")
 	c.takeWatched([]mirror.Record{serverRecord(3, 3)})
-	assert.Len(t, c.compose(peer, false).Records, 1, "it lacks one")
+	assert.Len(t, c.compose(peer).Records, 1, "it lacks one")
 
 	other := c.peerLink("10.0.0.3")
 	c.compare("10.0.0.3", update{})
-	assert.Len(t, c.compose(other, false).Records, 3, "it holds nothing")
+	assert.Len(t, c.compose(other).Records, 3, "it holds nothing")
 }
 
 // The backup of an agent's main feeder passes its words on when nobody else does.
 func TestBackupPassesOnWhatTheMainFeederDoesNot(t *testing.T) {
 	c := newTestCatalog()
 	for index := 2; index <= 3; index++ {
-		c.hearEntry(fmt.Sprintf("10.0.0.%d", index), "z", 0)
+		c.hearEntry(fmt.Sprintf("10.0.0.%d", index), entrySign{Zone: "z"})
 	}
 	now := time.Now()
 	c.overlay.Advance(now)
@@ -468,7 +468,7 @@
 		b.Run(fmt.Sprint(entries), func(b *testing.B) {
 			c := newTestCatalog()
 			for index := range entries {
-				c.hearEntry(fmt.Sprintf("10.2.%d.%d", index/250, index%250), fmt.Sprintf("z%d", index%5), 0)
+				c.hearEntry(fmt.Sprintf("10.2.%d.%d", index/250, index%250), entrySign{Zone: fmt.Sprintf("z%d", index%5)})
 			}
 			now := time.Now()
 			c.overlay.Advance(now)
--- a/internal/catalog/starved_test.go
+++ b/internal/catalog/starved_test.go
@@ -31,7 +31,7 @@
 	peer.address = link.Address()
 	peer.open(link, false)
 	c.mutex.Unlock()
-	c.hearEntry("10.0.0.2", "z", 0)
+	c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
 	return func() *peering.Link {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
@@ -43,7 +43,7 @@
 func droppedByStarved(t *testing.T, c *Catalog, made *peering.Link, held func() *peering.Link) time.Duration {
 	began := time.Now()
 	for ; time.Since(began) < 2*deadFound && held() == made; time.Sleep(starvedLook) {
-		c.hearEntry("10.0.0.2", "z", 0)
+		c.hearEntry("10.0.0.2", entrySign{Zone: "z"})
 		c.checkLinks(t.Context())
 		c.keepLinks(t.Context())
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,7 +93,7 @@
 		Self: settings.IP, Role: options.Role, Zone: settings.Zone, InternalPort: settings.InternalPort, Seeds: settings.Seeds, IsSeed: settings.IsSeed,
 		Store: options.Store, Decoder: options.Decoder, Hub: d.Hub, Log: options.Log, OnSilent: d.NoteSilent,
 		VersionApply: settings.Bounds.VersionApply, Contact: settings.Bounds.Contact, Drain: settings.Bounds.Drain,
-		Zones: settings.Regions,
+		Zones: settings.Regions, LinkBytesPerSecond: settings.LinkBytesPerSecond,
 	})
 	d.OnSettings(d.Catalog.SetSettings)
 	d.Router.Handle(peering.Path, d.Hub)
