--- a/internal/catalog/entries.go
+++ b/internal/catalog/entries.go
@@ -8,6 +8,16 @@
 	"pinevane.example/pinevane/internal/peering"
 )
 
+// Times of what is known of entries.
+const (
+	// entryRecent is the age of its last sign up to which an entry counts as alive that
+	// has not failed to answer this one: lists of entries bring signs of up to two list
+	// periods and a link's silence.
+	entryRecent = 4 * time.Second
+	// entryMemory is how long an entry that nobody hears is remembered.
+	entryMemory = 12 * time.Second
+)
+
 // entrySign is what one process tells another of an entry.
 type entrySign struct {
 	Zone            string `cbor:"1,keyasint"`
@@ -114,3 +124,39 @@
 func (c *Catalog) newEntriesDue(peer *peerLink, now time.Time) bool {
 	return peer.listedArrivals != c.overlay.Arrivals() && now.Sub(peer.listedAt) > newListPause
 }
+
+// hearEntry notes a sign of an entry; the mutex is held.
+func (c *Catalog) hearEntry(ip string, sign entrySign) {
+	now := time.Now()
+	if c.overlay.Hear(ip, sign.at(now), now) {
+		c.kickExchange()
+	}
+}
+
+// Entries lists the other entries heard of lately.
+func (c *Catalog) Entries() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.overlay.IDs()
+}
+
+// ZoneEntries lists the other entries of the own zone that were heard of lately.
+func (c *Catalog) ZoneEntries() []string {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var ids []string
+	for id, sign := range c.overlay.Members() {
+		if sign.Zone == c.options.Zone && now.Sub(sign.Heard) < entryRecent {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Peers returns how many other entries were heard of lately.
+func (c *Catalog) Peers() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.overlay.Count()
+}
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -7,9 +7,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
-	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -29,40 +26,10 @@
 	// linkSilence is the silence after which a link is taken for broken, and its other end for
 	// gone.
 	linkSilence = 1500 * time.Millisecond
-	// probeAfter is the silence after which a link is probed: somewhat more than the time
-	// between two updates, or two words of an agent.
-	probeAfter = 350 * time.Millisecond
-	// renewAfter is the silence after which a second link is made beside one whose probe is not
-	// answered within probeGrace, a few times the way to another region and back. Each link
-	// adds up to renewSpread, so that links which fall silent together are not made together.
-	renewAfter  = 420 * time.Millisecond
-	renewSpread = 80 * time.Millisecond
-	probeGrace  = 50 * time.Millisecond
-	// probeTime is how long a probe may be answered.
-	probeTime = linkSilence - probeAfter
-	// judgeAfter is how long a replaced link may still bring something until it is counted as
-	// silent; the hub closes it soon after that.
-	judgeAfter = 900 * time.Millisecond
 	// linkLook is the longest time between two looks at the links, linkLookLeast the shortest:
 	// they are looked at when one is to be probed or renewed.
 	linkLook      = 60 * time.Millisecond
 	linkLookLeast = 10 * time.Millisecond
-	// pauseLeast is the time between two looks at the links, which are due each linkLook, after
-	// which the process itself stood still; resumeTime is what readers are given then to read
-	// what has come meanwhile.
-	pauseLeast = 300 * time.Millisecond
-	resumeTime = 200 * time.Millisecond
-	// stallLeast is the time between two looks after which the process was short of time: twice
-	// linkLook. Probes then have the time for an answer anew.
-	stallLeast = 2 * linkLook
-	// doubtMemory is how long a link that was slow, not silent, is given more time.
-	doubtMemory = 30 * time.Second
-	// entryRecent is the age of its last sign up to which an entry counts as alive that
-	// has not failed to answer this one: lists of entries bring signs of up to two list
-	// periods and a link's silence.
-	entryRecent = 4 * time.Second
-	// entryMemory is how long an entry that nobody hears is remembered.
-	entryMemory = 12 * time.Second
 	// dialTimeout bounds the making of a link. After the first failure, which at the
 	// start means that the other does not listen yet, firstDialPause goes by until the
 	// next try; it doubles up to dialPause.
@@ -75,42 +42,6 @@
 	mutualPause = 400 * time.Millisecond
 )
 
-// pause notices when the process itself stood still, so that links are not judged by what their
-// readers have not read yet: without it all links are dropped after a pause of linkSilence, and
-// their other ends suspected (TestLinksOutlastAPauseOfTheProcess).
-type pause struct {
-	// looked is when the links were last looked at, resumed when the last pause ended, stalled
-	// when the last shorter one did.
-	looked  time.Time
-	resumed time.Time
-	stalled time.Time
-}
-
-// look notes that the links are looked at.
-func (p *pause) look(now time.Time) {
-	if gap := now.Sub(p.looked); !p.looked.IsZero() {
-		if gap > stallLeast {
-			p.stalled = now
-		}
-		if gap > pauseLeast {
-			p.resumed = now
-		}
-	}
-	p.looked = now
-}
-
-// resuming is for how long readers may still read what came during a pause.
-func (p *pause) resuming(now time.Time) time.Duration { return resumeTime - now.Sub(p.resumed) }
-
-// grantedSince is since when the answer to a probe could be read: later than it was sent if the
-// process was short of time meanwhile.
-func (p *pause) grantedSince(probedAt time.Time) time.Time {
-	if p.stalled.After(probedAt) {
-		return p.stalled
-	}
-	return probedAt
-}
-
 // peerLink is the link to another process, which either of the two has made; both send
 // on it.
 type peerLink struct {
@@ -296,132 +227,6 @@
 	}
 }
 
-// broken reports whether a link has been silent for linkSilence and a probe was not answered, while
-// the process had time to read an answer. A sound link to another entry that sends on a link of
-// its own brings answers to probes only: without asking for one, processes that got a third of
-// their time dropped such links, and suspected the other entry. The mutex is held.
-func (c *Catalog) broken(peer *peerLink, now time.Time) bool {
-	if now.Sub(peer.link.LastHeard()) <= linkSilence {
-		return false
-	}
-	peer.probe(now, c.pause.resumed)
-	return now.Sub(peer.answerable(&c.pause)) >= resumeTime
-}
-
-// probe asks for a sign of life, once in a silence, and once more after a pause of the process, in
-// which the time for the answer may have run out.
-func (p *peerLink) probe(now, resumed time.Time) {
-	again := false
-	if !p.probedAt.Before(p.link.LastHeard()) {
-		if again = !p.probedAgain && p.probedAt.Before(resumed); !again {
-			return
-		}
-	}
-	p.probedAt, p.probedAgain = now, again
-	go p.link.Probe(probeTime)
-}
-
-// answerable is since when the answer to the probe could be read. Stalls of the process move it up
-// to the end of probeTime: otherwise a process whose stalls go on never finds that a link is dead.
-func (p *peerLink) answerable(pause *pause) time.Time {
-	granted, last := pause.grantedSince(p.probedAt), p.probedAt.Add(probeTime)
-	if granted.After(last) {
-		return last
-	}
-	return granted
-}
-
-// checkLinks looks after links that have been silent for a short time. Of a link that two entries
-// have made at the same time one is silent and sound, which a probe shows. One that does not
-// answer the probe may be silent for good, or slow, or its other end may stand still: the process
-// that made it makes another one beside it, and goes over to that when it is up. Nobody is
-// suspected meanwhile. A configuration changed at the beginning of a silence of all connections is
-// in force after 0.7 to 1.0 s by it, instead of 1.3 s; a linkSilence of 0.6 s, which would do the
-// same, broke half as many links again where packets are lost.
-// It returns the time until the next look.
-func (c *Catalog) checkLinks(ctx context.Context) time.Duration {
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.pause.look(now)
-	next := linkLook
-	for _, peer := range c.links {
-		if peer.link != nil {
-			c.judgeReplaced(peer, now)
-			next = min(next, c.checkLink(ctx, peer, now))
-		}
-	}
-	return max(next, linkLookLeast)
-}
-
-// checkLink probes or renews a link if that is due, and returns the time until something is. The
-// mutex is held.
-func (c *Catalog) checkLink(ctx context.Context, peer *peerLink, now time.Time) time.Duration {
-	silent := now.Sub(peer.link.LastHeard())
-	if silent <= probeAfter {
-		return probeAfter - silent
-	}
-	peer.probe(now, c.pause.resumed)
-	if peer.accepted || peer.dialling {
-		return linkLook
-	}
-	answerTime := probeGrace - now.Sub(peer.answerable(&c.pause))
-	if early := max(peer.patience-silent, answerTime, c.pause.resuming(now)); early > 0 {
-		return early
-	}
-	peer.dialling = true
-	go c.renew(ctx, peer, peer.link)
-	return linkLook
-}
-
-// renew makes a link beside one that is silent.
-func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
-	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	began := time.Now()
-	link, err := c.options.Hub.Renew(dialContext, silent)
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	peer.dialling = false
-	if err != nil {
-		// The link was only slow (peering.ErrHeard), or whether the other process is gone shows at
-		// linkSilence.
-		c.options.Log.Log(logging.LinkKept, zap.String("peer", peer.ip), zap.Error(err))
-		peer.doubt(now)
-		return
-	}
-	c.open(peer, link, false)
-	heard := silent.LastHeard()
-	if heard.After(began) {
-		peer.doubt(now)
-		return
-	}
-	peer.replaced, peer.replacedAt, peer.silent = silent, now, now.Sub(heard)
-}
-
-// doubt gives a link more time before it is made anew.
-func (p *peerLink) doubt(now time.Time) {
-	p.patience, p.patientTill = min(2*p.patience, linkSilence), now.Add(doubtMemory)
-}
-
-// judgeReplaced tells whether a link that was replaced had gone silent: until it is closed it
-// may still bring something, and then it was only slow. The mutex is held.
-func (c *Catalog) judgeReplaced(peer *peerLink, now time.Time) {
-	if peer.replaced == nil {
-		return
-	}
-	if peer.replaced.LastHeard().After(peer.replacedAt) {
-		peer.replaced = nil
-		peer.doubt(now)
-		return
-	}
-	if now.Sub(peer.replacedAt) >= judgeAfter && c.pause.resuming(now) <= 0 {
-		peer.replaced = nil
-		c.options.OnSilent(peer.ip, peer.silent)
-	}
-}
-
 // waitsForOther reports whether the link is for the other process to make, at first;
 // the mutex is held.
 func (c *Catalog) waitsForOther(peer *peerLink, now time.Time) bool {
@@ -475,39 +280,3 @@
 func pauseAfter(failures int) time.Duration {
 	return min(firstDialPause<<min(failures, maximumDialDoublings), dialPause)
 }
-
-// hearEntry notes a sign of an entry; the mutex is held.
-func (c *Catalog) hearEntry(ip string, sign entrySign) {
-	now := time.Now()
-	if c.overlay.Hear(ip, sign.at(now), now) {
-		c.kickExchange()
-	}
-}
-
-// Entries lists the other entries heard of lately.
-func (c *Catalog) Entries() []string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.overlay.IDs()
-}
-
-// ZoneEntries lists the other entries of the own zone that were heard of lately.
-func (c *Catalog) ZoneEntries() []string {
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var ids []string
-	for id, sign := range c.overlay.Members() {
-		if sign.Zone == c.options.Zone && now.Sub(sign.Heard) < entryRecent {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// Peers returns how many other entries were heard of lately.
-func (c *Catalog) Peers() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.overlay.Count()
-}
--- /dev/null
+++ b/internal/catalog/silentlinks.go
@@ -0,0 +1,158 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/peering"
+)
+
+// Links that fall silent are probed, and replaced by a second one that is made beside them, before they
+// are taken for broken.
+
+// Times of links that are silent.
+const (
+	// probeAfter is the silence after which a link is probed: somewhat more than the time
+	// between two updates, or two words of an agent.
+	probeAfter = 350 * time.Millisecond
+	// renewAfter is the silence after which a second link is made beside one whose probe is not
+	// answered within probeGrace, a few times the way to another region and back. Each link
+	// adds up to renewSpread, so that links which fall silent together are not made together.
+	renewAfter  = 420 * time.Millisecond
+	renewSpread = 80 * time.Millisecond
+	probeGrace  = 50 * time.Millisecond
+	// probeTime is how long a probe may be answered.
+	probeTime = linkSilence - probeAfter
+	// judgeAfter is how long a replaced link may still bring something until it is counted as
+	// silent; the hub closes it soon after that.
+	judgeAfter = 900 * time.Millisecond
+	// doubtMemory is how long a link that was slow, not silent, is given more time.
+	doubtMemory = 30 * time.Second
+)
+
+// broken reports whether a link has been silent for linkSilence and a probe was not answered, while
+// the process had time to read an answer. A sound link to another entry that sends on a link of
+// its own brings answers to probes only: without asking for one, processes that got a third of
+// their time dropped such links, and suspected the other entry. The mutex is held.
+func (c *Catalog) broken(peer *peerLink, now time.Time) bool {
+	if now.Sub(peer.link.LastHeard()) <= linkSilence {
+		return false
+	}
+	peer.probe(now, c.pause.resumed)
+	return now.Sub(peer.answerable(&c.pause)) >= resumeTime
+}
+
+// probe asks for a sign of life, once in a silence, and once more after a pause of the process, in
+// which the time for the answer may have run out.
+func (p *peerLink) probe(now, resumed time.Time) {
+	again := false
+	if !p.probedAt.Before(p.link.LastHeard()) {
+		if again = !p.probedAgain && p.probedAt.Before(resumed); !again {
+			return
+		}
+	}
+	p.probedAt, p.probedAgain = now, again
+	go p.link.Probe(probeTime)
+}
+
+// answerable is since when the answer to the probe could be read. Stalls of the process move it up
+// to the end of probeTime: otherwise a process whose stalls go on never finds that a link is dead.
+func (p *peerLink) answerable(pause *pause) time.Time {
+	granted, last := pause.grantedSince(p.probedAt), p.probedAt.Add(probeTime)
+	if granted.After(last) {
+		return last
+	}
+	return granted
+}
+
+// checkLinks looks after links that have been silent for a short time. Of a link that two entries
+// have made at the same time one is silent and sound, which a probe shows. One that does not
+// answer the probe may be silent for good, or slow, or its other end may stand still: the process
+// that made it makes another one beside it, and goes over to that when it is up. Nobody is
+// suspected meanwhile: a shorter linkSilence would find silences as soon, and break more links where
+// packets are lost. It returns the time until the next look.
+func (c *Catalog) checkLinks(ctx context.Context) time.Duration {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.pause.look(now)
+	next := linkLook
+	for _, peer := range c.links {
+		if peer.link != nil {
+			c.judgeReplaced(peer, now)
+			next = min(next, c.checkLink(ctx, peer, now))
+		}
+	}
+	return max(next, linkLookLeast)
+}
+
+// checkLink probes or renews a link if that is due, and returns the time until something is. The
+// mutex is held.
+func (c *Catalog) checkLink(ctx context.Context, peer *peerLink, now time.Time) time.Duration {
+	silent := now.Sub(peer.link.LastHeard())
+	if silent <= probeAfter {
+		return probeAfter - silent
+	}
+	peer.probe(now, c.pause.resumed)
+	if peer.accepted || peer.dialling {
+		return linkLook
+	}
+	answerTime := probeGrace - now.Sub(peer.answerable(&c.pause))
+	if early := max(peer.patience-silent, answerTime, c.pause.resuming(now)); early > 0 {
+		return early
+	}
+	peer.dialling = true
+	go c.renew(ctx, peer, peer.link)
+	return linkLook
+}
+
+// renew makes a link beside one that is silent.
+func (c *Catalog) renew(ctx context.Context, peer *peerLink, silent *peering.Link) {
+	dialContext, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	began := time.Now()
+	link, err := c.options.Hub.Renew(dialContext, silent)
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	peer.dialling = false
+	if err != nil {
+		// The link was only slow (peering.ErrHeard), or whether the other process is gone shows at
+		// linkSilence.
+		c.options.Log.Log(logging.LinkKept, zap.String("peer", peer.ip), zap.Error(err))
+		peer.doubt(now)
+		return
+	}
+	c.open(peer, link, false)
+	heard := silent.LastHeard()
+	if heard.After(began) {
+		peer.doubt(now)
+		return
+	}
+	peer.replaced, peer.replacedAt, peer.silent = silent, now, now.Sub(heard)
+}
+
+// doubt gives a link more time before it is made anew.
+func (p *peerLink) doubt(now time.Time) {
+	p.patience, p.patientTill = min(2*p.patience, linkSilence), now.Add(doubtMemory)
+}
+
+// judgeReplaced tells whether a link that was replaced had gone silent: until it is closed it
+// may still bring something, and then it was only slow. The mutex is held.
+func (c *Catalog) judgeReplaced(peer *peerLink, now time.Time) {
+	if peer.replaced == nil {
+		return
+	}
+	if peer.replaced.LastHeard().After(peer.replacedAt) {
+		peer.replaced = nil
+		peer.doubt(now)
+		return
+	}
+	if now.Sub(peer.replacedAt) >= judgeAfter && c.pause.resuming(now) <= 0 {
+		peer.replaced = nil
+		c.options.OnSilent(peer.ip, peer.silent)
+	}
+}
