An ordinary link ranks like one that is not told; rosters without ages are not looked through

Cause: builds that tell no capacity ranked behind all others, so that two builds side by side disagreed on the relays of every zone, also where all links are alike. A roster tells its ages each 0.9 s only, and the updates between were looked through for nothing. Change: classes begin above 128 Mbit/s; the ranks of the fleet of 587 machines (40 and 1,000 Mbit/s) are as before.

--- a/coordination/overlay/roster.go
+++ b/coordination/overlay/roster.go
@@ -20,7 +20,8 @@
 	// Digest identifies the members with what is known of each; equal ones tell of the same
 	// members.
 	Digest uint64
-	// Ages bound how long ago the members of each zone were heard, zones in order of name.
+	// Ages bound how long ago the members of each zone were heard, zones in order of name; none are told
+	// by a process that only says whom it knows.
 	Ages []time.Duration
 	// Late are the ages of members that are not within their zone's.
 	Late map[string]time.Duration
@@ -89,6 +90,9 @@
 	if roster.Digest != o.digest {
 		return false
 	}
+	if len(roster.Ages) == 0 {
+		return true
+	}
 	ages := map[string]time.Duration{}
 	zones := o.presentByZone(now)
 	for index, zone := range slices.Sorted(maps.Keys(zones)) {
--- a/internal/catalog/entries.go
+++ b/internal/catalog/entries.go
@@ -37,8 +37,9 @@
 	return bits.Len64(uint64(max(0, bytesPerSecond)) / leastLinkBytes)
 }
 
-// leastLinkBytes a second is the link up to which all machines are of one class.
-const leastLinkBytes = 1 << 20
+// leastLinkBytes a second is the link up to which all machines are of one class, and of that of machines
+// whose link is not known: builds that tell none agree with others on the relays of a zone of such.
+const leastLinkBytes = 16 << 20
 
 // roster is an overlay.Roster on the wire. Without ages it tells only which entries are known.
 type roster struct {
@@ -79,9 +80,8 @@
 }
 
 // addEntries adds what this entry knows of the others: to a process that has told the same roster the
-// ages of its members, to any other the list. Lists alone cost a fleet entries x entries on each link:
-// with 327 entries half of what an entry heard. Builds that tell no roster are sent lists. The mutex is
-// held.
+// ages of its members, to any other the list, whose size grows with the fleet. Builds that tell no roster
+// are sent lists. The mutex is held.
 func (c *Catalog) addEntries(message *update, peer *peerLink, now time.Time, aged func() *roster) {
 	message.Capacity = c.capacity
 	message.Roster = &roster{Digest: c.overlay.Digest()}
