A stall guard's look waits until its timer is known

Cause: the guard's function reads the timer that time.AfterFunc is about to return; on a busy machine the look comes first. Change: a mutex around both. Before: TestStallGuardOfAShortWindow red under the race detector; after: green.

--- a/internal/agent/transfer_reader.go
+++ b/internal/agent/transfer_reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,8 +35,12 @@
 type stallGuard struct {
 	reader   io.Reader
 	received atomic.Int64
-	timer    *time.Timer
 	done     atomic.Bool
+
+	// mutex has a look at the progress wait until its timer is known here: of a short window it comes
+	// before time.AfterFunc has returned.
+	mutex sync.Mutex
+	timer *time.Timer
 }
 
 // busyWindows is how many windows a source may take to begin: it sends few
@@ -46,7 +51,11 @@
 	guard := &stallGuard{}
 	var before int64
 	windows := 0
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
 	guard.timer = time.AfterFunc(window, func() {
+		guard.mutex.Lock()
+		defer guard.mutex.Unlock()
 		received := guard.received.Load()
 		if guard.done.Load() {
 			return
