The test of corrupt chunks waits until the entry offers the new version alone

Cause: TestCorruptChunksAreNeverServed waited until the engines held version 2, and asked at once. An engine holds a version before its agent has proven it and told the entries; until then the one before takes requests, as it should. Change: it waits until the entry is offered version 2 alone as well, and asks for the same then: the answer is whole and of version 2. Replaced, not eased: nothing corrupt may be served at any time, as before.

--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -259,6 +259,28 @@
 	})
 }
 
+// WaitOffered waits until an entry sends new requests to no other version of the model: the engines hold
+// a version before their agents have proven it and say so, and until then the one before takes requests.
+func (f *Fleet) WaitOffered(process *Process, version string) {
+	f.t.Helper()
+	f.Wait("version "+version+" alone offered by every replica", func() bool {
+		views, _ := blackboard.Read(process.Node.Board, entry.ReplicasKey)
+		offering := 0
+		for _, view := range views {
+			for _, served := range view.Status.Served {
+				switch {
+				case served.Retiring:
+				case served.Version != version:
+					return false
+				default:
+					offering++
+				}
+			}
+		}
+		return offering >= len(f.Engines)
+	})
+}
+
 // waitEntries waits until every entry sees every back end.
 func (f *Fleet) waitEntries() {
 	f.Wait("every entry to see every back end", func() bool {
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -293,6 +293,7 @@
 	f.Origin.SetFaults(emulator.Faults{CorruptShare: 0.3})
 	f.PublishVersion("2")
 	f.WaitServed("2")
+	f.WaitOffered(f.Entries[0], "2")
 	result := f.Do(f.Entries[0], Stream("clean", 16))
 	assert.True(t, result.Answered, "%+v", result)
 	assert.Equal(t, "2", result.Version)
