The byte quota leaves coordination; its metrics and the link's class lose their second copies

Cause: coordination holds state machines without locks and I/O, and the quota has a mutex and reads bodies; its metrics had a collector of their own where gauge and counter functions do, as for the catalog; the class of the own link was kept beside the settings that it follows from. Change: coordination/bytequota is internal/bytequota; registerMemory in place of memoryCollector; the field goes. Names of metrics, bounds and tests are as before.

--- a/coordination/bytequota/quota.go
+++ b/internal/bytequota/quota.go
@@ -1,7 +1,7 @@
 // Package bytequota bounds the bytes that a process holds for its callers (bodies that came in, answers
 // that go out), and shares them among tenants by dynamic thresholds: each may hold as many bytes as are
 // free. One tenant alone gets half of the bound, and the more tenants hold much the less each may, so
-// that there is room for one that holds nothing. The package does no I/O and reads no clock.
+// that there is room for one that holds nothing.
 package bytequota
 
 import "sync"
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -123,8 +123,6 @@
 	health     healthWords
 	quarantine quarantineWords
 
-	// capacity is the class of the own machine's link.
-	capacity int
 	// overlay tells whom this entry speaks with; links are what it has of that, and
 	// those that others made, by IP address.
 	overlay *overlay.Overlay
@@ -150,7 +148,6 @@
 			Self: options.Self, Zone: options.Zone, Relays: relaysPerZone, Gates: gatesPerZone, Feeders: feedersPerAgent,
 			Recent: entryRecent, Memory: entryMemory, Capacity: capacityOf(options.LinkBytesPerSecond),
 		}),
-		capacity: capacityOf(options.LinkBytesPerSecond),
 	}
 	c.health, c.quarantine = newHealthWords(c.started), newQuarantineWords()
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
--- a/internal/catalog/entries.go
+++ b/internal/catalog/entries.go
@@ -83,7 +83,7 @@
 // ages of its members, to any other the list, whose size grows with the fleet. Builds that tell no roster
 // are sent lists. The mutex is held.
 func (c *Catalog) addEntries(message *update, peer *peerLink, now time.Time, aged func() *roster) {
-	message.Capacity = c.capacity
+	message.Capacity = capacityOf(c.options.LinkBytesPerSecond)
 	message.Roster = &roster{Digest: c.overlay.Digest()}
 	if !c.listDue(peer, now) {
 		return
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -6,7 +6,7 @@
 	"io"
 	"strconv"
 
-	"pinevane.example/pinevane/coordination/bytequota"
+	"pinevane.example/pinevane/internal/bytequota"
 )
 
 // event is one whole event of a stream, with the blank line that ends it.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/coordination/quarantine"
+	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/bytequota"
+	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/bytequota"
 	"pinevane.example/pinevane/coordination/quarantine"
+	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,7 @@
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/bytequota"
+	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -50,7 +50,7 @@
 		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
-	base.Registry.MustRegister(newMemoryCollector(g.memory))
+	registerMemory(base.Registry, g.memory)
 	base.Section("callers", func() any { return g.memory.Status() })
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -6,7 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"pinevane.example/pinevane/coordination/bytequota"
+	"pinevane.example/pinevane/internal/bytequota"
 )
 
 // Bounds on what is kept for callers that are slow.
@@ -70,32 +70,14 @@
 // writes.
 func (w *callerWriter) extend() { _ = w.control.SetWriteDeadline(time.Now().Add(w.pieceTime)) }
 
-// memoryCollector tells what is held for callers.
-type memoryCollector struct {
-	memory *bytequota.Quota
-	held   *prometheus.Desc
-	bound  *prometheus.Desc
-	refuse *prometheus.Desc
-}
-
-func newMemoryCollector(memory *bytequota.Quota) prometheus.Collector {
-	return &memoryCollector{
-		memory: memory,
-		held:   prometheus.NewDesc("pinevane_caller_held_bytes", "Bodies and answers that are held for callers.", nil, nil),
-		bound:  prometheus.NewDesc("pinevane_caller_held_bound_bytes", "The most that may be held for callers.", nil, nil),
-		refuse: prometheus.NewDesc("pinevane_caller_memory_refusals_total", "Times that a body or an answer could not be held.", nil, nil),
-	}
-}
-
-// Describe implements prometheus.Collector.
-func (m *memoryCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	prometheus.DescribeByCollect(m, descriptions)
-}
-
-// Collect implements prometheus.Collector.
-func (m *memoryCollector) Collect(metrics chan<- prometheus.Metric) {
-	status := m.memory.Status()
-	metrics <- prometheus.MustNewConstMetric(m.held, prometheus.GaugeValue, float64(status.Held))
-	metrics <- prometheus.MustNewConstMetric(m.bound, prometheus.GaugeValue, float64(status.Bound))
-	metrics <- prometheus.MustNewConstMetric(m.refuse, prometheus.CounterValue, float64(status.Refused))
+// registerMemory tells what is held for callers as metrics.
+func registerMemory(registry prometheus.Registerer, memory *bytequota.Quota) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pinevane_caller_held_bytes", Help: "Bodies and answers that are held for callers."},
+			func() float64 { return float64(memory.Status().Held) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pinevane_caller_held_bound_bytes", Help: "The most that may be held for callers."},
+			func() float64 { return float64(memory.Status().Bound) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_caller_memory_refusals_total", Help: "Times that a body or an answer could not be held."},
+			func() float64 { return float64(memory.Status().Refused) }),
+	)
 }
