What answers say of their server's limit is read, logged and shown

PV4213 tells which entry heard which rate, when, and what its part of it would be; PV4101 has the sends after that. Nothing is decided by it yet.

An answer can end one that was named only if its request was sent after that. What bounds a server outlasts a lapse of its line, as the count of sends did, unless it is another life of it. The window of sends holds 4.2 s for that; cold servers are judged over 1.1 s of it as before. The stand-in can add headers to its servers' answers. Metrics pinevane_limited_servers, pinevane_limited_requests_total; the dump's servers have a limit.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -14,6 +14,10 @@
 // within some milliseconds.
 const ColdSpan = 1100 * time.Millisecond
 
+// LimitSpan is the span over which requests to servers that name a limit are counted: the longest over
+// which they judge it, with the same room. Over a second a low limit has no whole request for any sender.
+const LimitSpan = 4200 * time.Millisecond
+
 // Share is how many of a limit's whole events the member of a rank may spend in a window, 0
 // the first. The shares of all members sum to the whole part of the limit: where there are
 // fewer events than members, the last in rank have none.
@@ -46,6 +50,44 @@
 	return len(w.admitted) < most
 }
 
+// OpenWithin reports whether another event would leave at most a number of them in a span that ends now,
+// no longer than the window's.
+func (w *Window) OpenWithin(span, now time.Duration, most int) bool {
+	w.forget(now)
+	return w.within(span, now) < most
+}
+
+// within is how many events a span that ends now holds.
+func (w *Window) within(span, now time.Duration) int {
+	count := 0
+	for count < len(w.admitted) && now-w.admitted[len(w.admitted)-1-count] < span {
+		count++
+	}
+	return count
+}
+
+// OpensIn is how long it takes until a span that ends then holds fewer events than a number, if nothing
+// is added; 0 when it does now.
+func (w *Window) OpensIn(span, now time.Duration, most int) time.Duration {
+	w.forget(now)
+	if most <= 0 {
+		return span
+	}
+	if w.within(span, now) < most {
+		return 0
+	}
+	return w.admitted[len(w.admitted)-most] + span - now
+}
+
+// Last is when the last event of the window was, and whether there is one.
+func (w *Window) Last(now time.Duration) (at time.Duration, any bool) {
+	w.forget(now)
+	if len(w.admitted) == 0 {
+		return 0, false
+	}
+	return w.admitted[len(w.admitted)-1], true
+}
+
 // Add counts an event.
 func (w *Window) Add(now time.Duration) {
 	w.forget(now)
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -23,8 +23,10 @@
 	// version is the newest that the server itself has told, in an answer or on the
 	// list of servers.
 	version uint64
-	// coldWindow are the requests that this entry has sent here lately.
-	coldWindow admission.Window
+	// sent are the requests that this entry has sent here in the last admission.LimitSpan.
+	sent admission.Window
+	// limit is the rate that the server names in its answers.
+	limit namedLimit
 	// coldTime is how long a server of its service is cold after a start.
 	coldTime time.Duration
 	// readmittedUntil is until when the server counts as cold because an evacuation of its
@@ -145,6 +147,8 @@
 	// nothing new.
 	ColdFor   time.Duration
 	Evacuated bool
+	// Limit is the rate that the server has named.
+	Limit LimitView
 }
 
 // Describe tells what is known of each server, in no order.
@@ -157,6 +161,7 @@
 			MeanMilliseconds: known.answers.meanMilliseconds,
 			ColdFor:          max(0, known.coldUntil().Sub(now)),
 			Evacuated:        c.Evacuated(known.Zone),
+			Limit:            c.limitView(known, now),
 		})
 	}
 	return descriptions
--- a/coordination/dispatch/cold_test.go
+++ b/coordination/dispatch/cold_test.go
@@ -30,7 +30,7 @@
 			names = append(names, name)
 		}
 	}
-	core.cold = newColdMembers(self, epoch.Add(-2*settleTime))
+	core.bounded = newMembers(self, epoch.Add(-2*settleTime))
 	core.TakeEntries(names, epoch)
 	return core
 }
@@ -93,12 +93,12 @@
 func TestSharesOfUnknownAndSilentEntries(t *testing.T) {
 	now := epoch
 	core := coldCore("entry-0", 1)
-	core.cold.started = now
+	core.bounded.started = now
 	core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
 	assert.LessOrEqual(t, chosenServers(core, 60, now)["a"], 39/cautiousMembers+1)
 
 	members := []string{"entry-1", "entry-2"}
-	cold := newColdMembers("entry-0", now.Add(-time.Minute))
+	cold := newMembers("entry-0", now.Add(-time.Minute))
 	share := func(at time.Time) int {
 		cold.look(members, at)
 		return cold.share("a", 39, at)
@@ -187,7 +187,7 @@
 // Entries that are asked for after a long time are taken for as many as after a start: a request that
 // does not wait for the answer does not take a server's whole limit for its own entry's.
 func TestEntriesAskedForAfterLongAreManyAtTheLeast(t *testing.T) {
-	members := newColdMembers("entry-1", epoch)
+	members := newMembers("entry-1", epoch)
 	later := epoch.Add(time.Hour)
 	members.asking = true
 	cautious := members.share("a1", 32, later)
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -9,7 +9,6 @@
 import (
 	"time"
 
-	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/coordination/residency"
@@ -98,15 +97,16 @@
 	health        *health.Tracker
 	healthChanges []health.Change
 
-	// cold are the entries that share what cold servers may receive, and coldSent counts this
-	// entry's requests to such.
-	cold     *coldMembers
-	coldSent uint64
-	// coldTill is until when a server is cold whose requests are bounded then.
-	coldTill time.Time
-	// droppedWindows are what servers were sent lately that are not listed any more.
-	droppedWindows map[string]admission.Window
-	emptying       emptying
+	// bounded are the entries that share what cold servers, and such that name a limit, may receive;
+	// boundedTill is until when there is such a server. coldSent and limitedSent count this entry's
+	// requests to them.
+	bounded     *members
+	boundedTill time.Time
+	coldSent    uint64
+	limitedSent uint64
+	// kept is what is held of servers that are not listed any more.
+	kept     map[string]keptServer
+	emptying emptying
 }
 
 // New returns a core that knows no servers yet.
@@ -118,7 +118,7 @@
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 		demands: map[regionalService]*residency.Demand{}, scarce: map[string]float64{},
 		usual: map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: options.Started, health: health.New(options.Self),
-		cold: newColdMembers(options.Self, options.Started), droppedWindows: map[string]admission.Window{}, emptying: newEmptying(),
+		bounded: newMembers(options.Self, options.Started), kept: map[string]keptServer{}, emptying: newEmptying(),
 	}
 }
 
--- /dev/null
+++ b/coordination/dispatch/limit.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
+
+// A server in need names in its answers how many requests a second it takes from all entries together.
+// The entries share that as they share what cold servers may receive, by ranks and without a message: a
+// server that says it is in need can't be asked for grants.
+
+// limitSeconds is the time over which a named rate is held: over a second a rate below the number of
+// entries leaves most of them nothing.
+const limitSeconds = 4
+
+// namedLimit is the rate that a server names.
+type namedLimit struct {
+	perSecond float64
+	// since is when an answer first named this rate, namedAt when one last did; both are zero while no
+	// limit is in force.
+	since, namedAt time.Time
+	// tryAt is when an entry without a share may find out whether the limit is still in force.
+	tryAt time.Time
+}
+
+func (l *namedLimit) inForce() bool { return !l.namedAt.IsZero() }
+
+// LimitNews is what an answer has changed of its server's limit.
+type LimitNews struct {
+	Changed bool
+	// InForce is whether there is a limit now, PerSecond the rate, Former the one before.
+	InForce           bool
+	PerSecond, Former float64
+	// Share is what this entry may send in limitSeconds, Entries how many share.
+	Share, Entries int
+}
+
+// LimitView is a server's limit, for people.
+type LimitView struct {
+	InForce   bool
+	PerSecond float64
+	// Named is how long ago an answer last named it.
+	Named time.Duration
+	Share int
+}
+
+// SawLimit notes the rate that an answer has named, whose request was sent at a time. Answers overtake each
+// other: one to a request that was sent before the present rate was first named can lower the rate only.
+func (c *Core) SawLimit(k *Candidate, perSecond float64, sentAt, now time.Time) LimitNews {
+	held := &k.limit
+	if held.inForce() && sentAt.Before(held.since) && perSecond > held.perSecond {
+		return LimitNews{}
+	}
+	former, changed := held.perSecond, !held.inForce() || held.perSecond != perSecond
+	if changed {
+		held.since = now
+	}
+	held.perSecond, held.namedAt = perSecond, now
+	held.tryAt = now.Add(c.tryPause())
+	c.noteLimited(k)
+	return LimitNews{Changed: changed, InForce: true, PerSecond: perSecond, Former: former, Share: c.limitShare(k, now), Entries: c.bounded.count(now)}
+}
+
+// SawNoLimit notes that an answer has named no rate. One to a request that was sent before the rate was
+// last named may be older than that.
+func (c *Core) SawNoLimit(k *Candidate, sentAt, now time.Time) LimitNews {
+	if !k.limit.inForce() || !sentAt.After(k.limit.namedAt) {
+		return LimitNews{}
+	}
+	former := k.limit.perSecond
+	k.limit = namedLimit{}
+	return LimitNews{Changed: true, Former: former}
+}
+
+// noteLimited notes until when the other entries matter for a server's limit: what was known of them then
+// is used after that.
+func (c *Core) noteLimited(k *Candidate) {
+	if k.limit.inForce() {
+		c.boundedTill = later(c.boundedTill, k.limit.namedAt.Add(memberMemory))
+	}
+}
+
+// limitShare is how many requests this entry may send a server in limitSeconds. A rate too low for one
+// leaves one all the same: without any nobody would hear that the limit is over.
+func (c *Core) limitShare(k *Candidate, now time.Time) int {
+	return c.bounded.share(k.ID, math.Max(1, limitSeconds*k.limit.perSecond), now)
+}
+
+// tryPause is when an entry without a share of a server's limit sends one request to find out whether that
+// is in force. All of them together send about one in limitSeconds, at moments that chance spreads.
+func (c *Core) tryPause() time.Duration {
+	return time.Duration((0.5 + c.random()) * float64(len(c.bounded.seen)+1) * float64(admission.LimitSpan))
+}
+
+// limitOpensIn is when this entry may send a server the next request under its limit; 0 is now.
+func (c *Core) limitOpensIn(k *Candidate, now time.Time) time.Duration {
+	if !k.limit.inForce() {
+		return 0
+	}
+	share := c.limitShare(k, now)
+	if share == 0 {
+		return max(0, k.limit.tryAt.Sub(now))
+	}
+	since, inASecond := c.bounded.since(now), (share+limitSeconds-1)/limitSeconds
+	return max(k.sent.OpensIn(admission.LimitSpan, since, share), k.sent.OpensIn(admission.ColdSpan, since, inASecond))
+}
+
+// countLimited notes that a request is being sent to a server under its limit.
+func (c *Core) countLimited(k *Candidate, now time.Time) {
+	if k.limit.inForce() {
+		c.limitedSent++
+		k.limit.tryAt = now.Add(c.tryPause())
+	}
+}
+
+// LimitCounts returns how many servers name a limit, and how many requests were sent to such.
+func (c *Core) LimitCounts() (servers int, sent uint64) {
+	for _, known := range c.byID {
+		if known.limit.inForce() {
+			servers++
+		}
+	}
+	return servers, c.limitedSent
+}
+
+func (c *Core) limitView(k *Candidate, now time.Time) LimitView {
+	if !k.limit.inForce() {
+		return LimitView{}
+	}
+	return LimitView{InForce: true, PerSecond: k.limit.perSecond, Named: now.Sub(k.limit.namedAt), Share: c.limitShare(k, now)}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -58,7 +58,7 @@
 			changes = append(changes, ended)
 			c.health.Renew(server.ID, c.since(now))
 			// What its former incarnation was sent, and what was told of that, is over.
-			delete(c.droppedWindows, server.ID)
+			delete(c.kept, server.ID)
 			if c.words[server.Address].Born != server.Born {
 				delete(c.words, server.Address)
 			}
@@ -78,7 +78,7 @@
 	changes = append(changes, c.drop(present, now)...)
 	c.updateHealth(old)
 	changes = append(changes, c.noteEvacuations(old, now)...)
-	c.findColdTill()
+	c.findBoundedTill()
 	c.countRegions()
 	return append(changes, c.Emptied(now)...)
 }
@@ -108,7 +108,7 @@
 // forget drops one server.
 func (c *Core) forget(known *Candidate, now time.Time) Change {
 	known.listing.gone = true
-	c.keepWindow(known, now)
+	c.keep(known, now)
 	delete(c.byID, known.ID)
 	return Change{Kind: ServerGone, Candidate: known, InFlight: known.sends.inFlight}
 }
@@ -119,7 +119,8 @@
 	if known != nil {
 		return known
 	}
-	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, coldWindow: c.windowOf(server.ID), listing: listing{since: now}}
+	known = &Candidate{ID: server.ID, Address: server.Address, Zone: server.Zone, listing: listing{since: now}}
+	c.restore(known, server)
 	c.byID[server.ID] = known
 	if told, heard := c.words[server.Address]; heard && !told.Born.Before(server.Born) {
 		known.word.heardWord = told
--- /dev/null
+++ b/coordination/dispatch/members.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+	"pinevane.example/pinevane/coordination/placement"
+)
+
+// Constants of the entries that share bounds on servers.
+const (
+	// memberMemory is how long an entry that is heard of no more keeps its share: one that is
+	// cut off from the others still sends.
+	memberMemory = time.Minute
+	// membersPeriod is how often the entries known are looked through.
+	membersPeriod = 250 * time.Millisecond
+	// cautiousMembers is how many entries are assumed until the others are known, settleTime
+	// after the start, and while they are asked for after memberMemory without a look.
+	cautiousMembers = 16
+	// settleTime is how long after the start the number of entries is uncertain.
+	settleTime = 3 * time.Second
+)
+
+// members are the entries that share what cold servers, and such that name a limit, may receive.
+// They agree on the shares without a message: each ranks all entries for a server by the same
+// hashing. Where a server may receive fewer requests than there are entries, the first in its rank
+// have one each. Shares that are handed out by the server's agent as they are asked for would
+// follow the callers more closely; they depend on the server's link, which is narrow, at the
+// moment when its machine is starting.
+type members struct {
+	self string
+	// seen tells when an entry was last known.
+	seen     map[string]time.Time
+	lookedAt time.Time
+	// asking is set while the entries known are asked for, which requests do not wait for.
+	asking  bool
+	started time.Time
+	// ranks are this entry's ranks for servers, by their names, since the entries were last
+	// looked through.
+	ranks map[string]int
+}
+
+func newMembers(self string, started time.Time) *members {
+	return &members{self: self, seen: map[string]time.Time{}, ranks: map[string]int{}, started: started}
+}
+
+// look takes over which entries are known.
+func (m *members) look(known []string, now time.Time) {
+	m.lookedAt, m.asking = now, false
+	clear(m.ranks)
+	for _, member := range known {
+		m.seen[member] = now
+	}
+	for member, at := range m.seen {
+		if now.Sub(at) > memberMemory {
+			delete(m.seen, member)
+		}
+	}
+}
+
+// share is how many requests this entry may send a server of a limit for all.
+func (m *members) share(server string, limit float64, now time.Time) int {
+	return admission.Share(limit, m.rank(server), m.count(now))
+}
+
+// count is how many entries share, this one included.
+func (m *members) count(now time.Time) int {
+	count := len(m.seen) + 1
+	if now.Sub(m.started) < settleTime || (m.asking && now.Sub(m.lookedAt) > memberMemory) {
+		return max(count, cautiousMembers)
+	}
+	return count
+}
+
+// since is a moment as windows of what was sent count time.
+func (m *members) since(now time.Time) time.Duration { return now.Sub(m.started) }
+
+// rank is how many of the other entries come before this one for a server.
+func (m *members) rank(server string) int {
+	if rank, known := m.ranks[server]; known {
+		return rank
+	}
+	rank, own := 0, placement.Score(server, m.self)
+	for member := range m.seen {
+		if placement.Score(server, member) > own {
+			rank++
+		}
+	}
+	m.ranks[server] = rank
+	return rank
+}
+
+// EntriesDue reports whether the entries known are to be told anew, by TakeEntries: from time to
+// time as long as a server is cold or names a limit, and no one asks for them already.
+func (c *Core) EntriesDue(now time.Time) bool {
+	return !c.bounded.asking && now.Sub(c.bounded.lookedAt) >= membersPeriod && now.Before(c.boundedTill)
+}
+
+// BeginEntries notes that the entries known are being asked for, until TakeEntries.
+func (c *Core) BeginEntries() { c.bounded.asking = true }
+
+// TakeEntries takes over which other entries are lately known.
+func (c *Core) TakeEntries(known []string, now time.Time) { c.bounded.look(known, now) }
--- a/coordination/dispatch/script_test.go
+++ b/coordination/dispatch/script_test.go
@@ -305,7 +305,7 @@
 // goes elsewhere, and the share is there again a second later; once warm it has no bound.
 func TestColdShareOfOneEntry(t *testing.T) {
 	s := newScript(t, "a1", "b1")
-	s.core.cold.started = epoch.Add(-time.Minute)
+	s.core.bounded.started = epoch.Add(-time.Minute)
 	s.core.TakeEntries([]string{"entry-1", "entry-2"}, s.now)
 	s.fleet.Services = map[string]Service{"s": {ColdLimit: 10, ColdTime: 3 * time.Second}}
 	s.fleet.Servers[0].ColdUntil = epoch.Add(3 * time.Second)
@@ -340,7 +340,7 @@
 // nothing new begins, and afterwards its servers are cold by the entry's own word.
 func TestEvacuationAndItsReturn(t *testing.T) {
 	s := newScript(t, "a1", "b1")
-	s.core.cold.started = epoch.Add(-time.Minute)
+	s.core.bounded.started = epoch.Add(-time.Minute)
 	s.fleet.Services = map[string]Service{"s": {ColdLimit: 3, ColdTime: 3 * time.Second}}
 	s.update()
 	s.hear("a1", 0, Word{Version: 1})
@@ -397,7 +397,7 @@
 // entry.
 func coldScript(t *testing.T) *script {
 	s := newScript(t, "a1")
-	s.core.cold.started = epoch.Add(-time.Minute)
+	s.core.bounded.started = epoch.Add(-time.Minute)
 	s.fleet.Services = map[string]Service{"s": {ColdLimit: 3, ColdTime: 3 * time.Second}}
 	s.fleet.Servers[0].ColdUntil = epoch.Add(5 * time.Second)
 	s.update()
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -98,6 +98,8 @@
 	coldArrivals []time.Time
 	// fallen is set once a cold server has received more than it bears.
 	fallen bool
+	// answerHeader is added to every answer, also to reports.
+	answerHeader map[string]string
 	// queueHeld is set while nothing that waits begins.
 	queueHeld bool
 	server    *http.Server
@@ -189,6 +191,13 @@
 	s.faults = faults
 }
 
+// SetAnswerHeader replaces what every answer of the server says beside the usual, such as a limit.
+func (s *Server) SetAnswerHeader(header map[string]string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.answerHeader = header
+}
+
 // Rot turns a staged piece bad.
 func (s *Server) Rot(index int) {
 	s.mutex.Lock()
@@ -288,6 +297,9 @@
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
 	silent, ill := s.faults.Silent, s.faults.FalselyIll
+	for name, value := range s.answerHeader {
+		writer.Header().Set(name, value)
+	}
 	s.mutex.Unlock()
 	path := request.URL.Path
 	if ill && (path == "/-/report" || path == "/healthz") {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -217,6 +217,27 @@
 	// ColdFor is how much longer the server is cold, which answers to health checks say; zero
 	// when not said.
 	ColdFor time.Duration
+	// Limit is what the server says of how many requests it takes.
+	Limit RequestLimit
+}
+
+// LimitWord is what an answer says of its server's limit.
+type LimitWord int
+
+// The words on limits.
+const (
+	// NoLimit: the answer names none.
+	NoLimit LimitWord = iota
+	// LimitNamed: it names one.
+	LimitNamed
+	// LimitUnreadable: it names something that is no rate. The limit known before holds on.
+	LimitUnreadable
+)
+
+// RequestLimit is how many requests a second a server takes from all entries together.
+type RequestLimit struct {
+	Word      LimitWord
+	PerSecond float64
 }
 
 // Dialect reads and writes the platform's headers.
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -29,6 +29,16 @@
 	// nothing new.
 	ColdFor   float64 `json:"cold_for_seconds"`
 	Evacuated bool    `json:"evacuated"`
+	// Limit is the rate that the server names in its answers; nil when it names none.
+	Limit *LimitView `json:"limit,omitempty"`
+}
+
+// LimitView is a rate that a server has named.
+type LimitView struct {
+	PerSecond float64 `json:"per_second"`
+	Age       float64 `json:"age_seconds"`
+	// Share is how many requests this entry may send in four seconds.
+	Share int `json:"share"`
 }
 
 // HealthView is what the entry holds of one server's health.
@@ -62,6 +72,9 @@
 			EjectedFor: one.Health.Left.Seconds(), Health: healthView(one.Health), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
 			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated,
 		}
+		if one.Limit.InForce {
+			view.Limit = &LimitView{PerSecond: one.Limit.PerSecond, Age: one.Limit.Named.Seconds(), Share: one.Limit.Share}
+		}
 		if one.WordAge != dispatch.NoWord {
 			view.Status = t.told[server.Address]
 		}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -115,6 +115,7 @@
 	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, silence)
+	sentAt := time.Now()
 	outgoing := f.outgoing(request, send)
 	if err := started.write(outgoing, len(request.Body)); err != nil {
 		started.abort()
@@ -125,6 +126,7 @@
 		return nil, &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	}
 	f.targets.sawCold(chosen, started.head.ColdFor)
+	f.targets.sawLimit(chosen, started.head, sentAt)
 	return started, nil
 }
 
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -40,6 +40,9 @@
 	health *healthReporter
 	// ended are servers that the list has shown to have ended, until endedServers takes them.
 	ended []string
+	// unreadable are the servers of which an answer has said something that could not be read: it is
+	// logged once.
+	unreadable map[string]bool
 	// told are the agents' last words by the address of their server, for people.
 	told map[string]fleet.MachineStatus
 }
@@ -51,7 +54,7 @@
 			Zone: options.Zone, Regions: options.Regions, Policy: dispatch.Policy(options.Policy), Self: options.Self, Started: now,
 			Random: rand.Float64, Shuffle: rand.Shuffle,
 		}),
-		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, told: map[string]fleet.MachineStatus{},
+		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, unreadable: map[string]bool{}, told: map[string]fleet.MachineStatus{},
 	}
 	t.bounds.Store(&options.Bounds)
 	if t.entries == nil {
@@ -103,6 +106,7 @@
 	}
 	if change.Kind == dispatch.ServerGone || change.Kind == dispatch.ServerRestarted {
 		delete(t.known, change.Candidate)
+		delete(t.unreadable, change.Candidate.ID)
 	}
 }
 
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -123,6 +123,8 @@
 	ServerEnded       = declare("PV4210", zap.WarnLevel, "server ended under requests", "Connections to a server broke and its machine refuses new ones; the contents that this entry had under way there are suspects of having ended it.")
 	ContentShut       = declare("PV4211", zap.WarnLevel, "content quarantined", "A content has ended the servers that ran it and is sent to none until the time given; the fields name the last servers, and the entry that found it out.")
 	ContentCleared    = declare("PV4212", zap.InfoLevel, "content cleared", "A quarantine has ended before its time: a server has answered the content, or an operator has released it.")
+	ServerLimit       = declare("PV4213", zap.InfoLevel, "server limit", "A server names in its answers how many requests a second it takes from all entries together, names another rate, or none any more; share is what this entry may send it in four seconds.")
+	AnswerUnreadable  = declare("PV4214", zap.WarnLevel, "answer unreadable", "A field in a server's answer says something that can't be meant; what was known of the server holds on. Logged once a server.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
