Tests of servers that name a limit, red

What callers of the service saw is nothing: the servers bore it. What the servers saw: requests as before, from entries that they had told how many they take.

--- /dev/null
+++ b/internal/sitetest/limit_test.go
@@ -0,0 +1,134 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// The incident: servers in need named in their answers how many requests a second they take from all entries
+// together. Entries that had passed such answers on went on sending as before: 25 requests in 4 s
+// where 1.6 a second were named.
+
+const (
+	headerLimit = "Server-Limit"
+	// limitJudgedOver is the span over which a named limit is judged, limitOvershoot and limitSlack what it
+	// may be exceeded by.
+	limitJudgedOver = 4 * time.Second
+	limitOvershoot  = 1.5
+	limitSlack      = 5
+	// limitKnown is how long after a limit was named every entry has passed on an answer that names it, at a
+	// pace at which each entry sends each server some requests a second, and half a second more.
+	limitKnown = 1500 * time.Millisecond
+)
+
+// limitOptions are six entries, each of which is asked enough to use every server.
+func limitOptions() site.Options {
+	options := DefaultOptions()
+	options.Zones, options.Entries, options.ModelServers = 3, 2, 2
+	return options
+}
+
+// limitAllows is the most that a server which names a rate may get in limitJudgedOver.
+func limitAllows(perSecond float64) int {
+	return int(limitOvershoot*perSecond*limitJudgedOver.Seconds() + limitSlack)
+}
+
+// arrivedAt are the moments at which requests came to a server, in order.
+func (f *Fleet) arrivedAt(server string, after time.Time) (moments []time.Time) {
+	for _, arrival := range f.Site.Ledger.Arrivals() {
+		if arrival.Server == server && arrival.At.After(after) {
+			moments = append(moments, arrival.At)
+		}
+	}
+	return moments
+}
+
+// mostWithin is the most of some moments in order that lie within a span.
+func mostWithin(moments []time.Time, span time.Duration) (most int) {
+	first := 0
+	for last, at := range moments {
+		for at.Sub(moments[first]) >= span {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// plainTraffic asks a plain service at all entries in turn.
+func (f *Fleet) plainTraffic(pace time.Duration) (stop func() []outcome) {
+	options := f.Site.Options
+	return traffic(pace, func(ctx context.Context, number int) outcome {
+		one := outcome{id: fmt.Sprintf("plain-%d", number), begun: time.Now()}
+		one.answer, one.err = f.Call(ctx, number%options.Zones, number/options.Zones%options.Entries, http.MethodGet, site.SafePrefix+"a", one.id, nil, "")
+		one.took = time.Since(one.begun)
+		return one
+	})
+}
+
+// LIMIT: guards against entries that go on sending a server what they like after its answers have named how
+// many requests a second it takes. The server is used up to that, and as before once it names none.
+func TestServerThatNamesALimitIsHeldToIt(t *testing.T) {
+	const rate = 1.5
+	f := Start(t, limitOptions())
+	limited := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
+	stop := f.harmless(10 * time.Millisecond)
+	time.Sleep(time.Second)
+	limited.SetAnswerHeader(map[string]string{headerLimit: strconv.FormatFloat(rate, 'f', -1, 64)})
+	named := time.Now()
+	time.Sleep(10 * time.Second)
+	held := f.arrivedAt(limited.ID(), named.Add(limitKnown))
+	limited.SetAnswerHeader(nil)
+	over := time.Now()
+	time.Sleep(7 * time.Second)
+	outcomes := stop()
+	most := mostWithin(held, limitJudgedOver)
+	t.Logf("most requests in %s: %d, in all of %s: %d", limitJudgedOver, most, over.Sub(named)-limitKnown, len(held))
+	assert.LessOrEqual(t, most, limitAllows(rate))
+	assert.GreaterOrEqual(t, len(held), int(rate*(over.Sub(named)-limitKnown).Seconds()/2), "half of what the server takes is used")
+	assert.GreaterOrEqual(t, len(f.arrivedAt(limited.ID(), over.Add(5*time.Second))), 20, "requests in 2 s, 5 s after the end of the limit")
+	assert.GreaterOrEqual(t, shareServed(outcomes, named, over.Add(7*time.Second), time.Second), servedAgain)
+}
+
+// LIMIT: the same for a service whose only server names one. What it can't take is refused at once, and the
+// callers are told when to come back.
+func TestOnlyServerOfAServiceNamesALimit(t *testing.T) {
+	const rate = 5.0
+	options := limitOptions()
+	options.PlainServers = 1
+	f := Start(t, options)
+	for zone := 1; zone < options.Zones; zone++ {
+		f.Site.Plain[options.PlainIP(zone, 0)].Leave()
+	}
+	only := f.Site.Plain[options.PlainIP(0, 0)]
+	time.Sleep(time.Second)
+	only.SetAnswerHeader(map[string]string{headerLimit: strconv.FormatFloat(rate, 'f', -1, 64)})
+	named := time.Now()
+	stop := f.plainTraffic(20 * time.Millisecond)
+	time.Sleep(8 * time.Second)
+	outcomes := stop()
+	held := f.arrivedAt(only.ID(), named.Add(limitKnown))
+	t.Logf("most requests in %s: %d, in all: %d", limitJudgedOver, mostWithin(held, limitJudgedOver), len(held))
+	assert.LessOrEqual(t, mostWithin(held, limitJudgedOver), limitAllows(rate))
+	assert.GreaterOrEqual(t, len(held), int(rate*(8*time.Second-limitKnown).Seconds()/2), "half of what the server takes is used")
+	refused := 0
+	for _, one := range outcomes {
+		if one.begun.Before(named.Add(limitKnown)) || one.answer.Status == http.StatusOK {
+			continue
+		}
+		refused++
+		assert.Equal(t, http.StatusServiceUnavailable, one.answer.Status)
+		assert.Less(t, one.took, 200*time.Millisecond, "the time to an answer that nothing is needed for")
+		assert.Positive(t, retryAfter(t, one.answer))
+		assert.LessOrEqual(t, retryAfter(t, one.answer), 5*time.Second)
+	}
+	assert.Positive(t, refused)
+}
