Entries share what a server that names a limit may receive

What callers saw: nothing; the server got up to three times what it had named, from all entries together.

Cause: what an answer says of its server's limit was read by nobody, so that each entry chose the server as before, and a limit of one server over many entries had no owner.

Change: a server that names a rate is sent by all entries together in any 4.2 s what that allows in 4 s, as whole requests by rank, with the entries, the ranks and the window that cold servers have (members.go). What was sent before counts. Where there are more entries than requests, those without a share try one by one whether the limit holds. A limit ends with a signed answer that names none to a request that was sent after it was last named. If nothing else is left a request is refused at once, with the time at which the window has room.

--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -17,6 +17,7 @@
 	unfitEvacuated Fitness = "zone evacuated"
 	unfitRegion    Fitness = "outside the allowed regions"
 	unfitCold      Fitness = "cold, and has its share"
+	unfitLimited   Fitness = "names a limit, and has its share"
 	// Those below are of model servers.
 	unfitUnreachable Fitness = "unreachable"
 	unfitEmpty       Fitness = "serves nothing"
@@ -50,6 +51,9 @@
 	if c.coldFull(k, now) {
 		return unfitCold
 	}
+	if c.limitOpensIn(k, now) > 0 {
+		return unfitLimited
+	}
 	// Last, because servers that their health leaves out are taken when there is no other.
 	return c.healthFitness(k, request, now)
 }
--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
@@ -15,6 +14,10 @@
 // entries leaves most of them nothing.
 const limitSeconds = 4
 
+// scarceTurns is how many spans of the window lie between two tries of entries without a share, where the
+// limit leaves one request a span or none.
+const scarceTurns = 5
+
 // namedLimit is the rate that a server names.
 type namedLimit struct {
 	perSecond float64
@@ -57,8 +60,10 @@
 	if changed {
 		held.since = now
 	}
+	if !held.inForce() {
+		held.tryAt = c.firstTry(k, perSecond, now)
+	}
 	held.perSecond, held.namedAt = perSecond, now
-	held.tryAt = now.Add(c.tryPause())
 	c.noteLimited(k)
 	return LimitNews{Changed: changed, InForce: true, PerSecond: perSecond, Former: former, Share: c.limitShare(k, now), Entries: c.bounded.count(now)}
 }
@@ -82,16 +87,40 @@
 	}
 }
 
-// limitShare is how many requests this entry may send a server in limitSeconds. A rate too low for one
-// leaves one all the same: without any nobody would hear that the limit is over.
+// limitShare is how many requests this entry may send a server in limitSeconds.
 func (c *Core) limitShare(k *Candidate, now time.Time) int {
-	return c.bounded.share(k.ID, math.Max(1, limitSeconds*k.limit.perSecond), now)
+	return c.bounded.share(k.ID, float64(c.sharedPart(k.limit.perSecond, now)), now)
+}
+
+// sharedPart is what the entries that have a share of a limit may send in limitSeconds, one request at least:
+// without any nobody would hear that the limit is over. Where there are more entries than requests, one of
+// these is for the others' tries.
+func (c *Core) sharedPart(perSecond float64, now time.Time) int {
+	total := int(limitSeconds * perSecond)
+	if total > 1 && total < c.bounded.count(now) {
+		total--
+	}
+	return max(1, total)
+}
+
+// tryTurn is how far apart entries without a share of a limit send one request each, to find out whether it
+// is still in force: one of limitSeconds is left for that, or hardly any.
+func tryTurn(perSecond float64) time.Duration {
+	if limitSeconds*perSecond >= 2 {
+		return admission.LimitSpan
+	}
+	return scarceTurns * admission.LimitSpan
+}
+
+// firstTry is when such an entry does so after it has heard of the limit; they take turns by their ranks.
+func (c *Core) firstTry(k *Candidate, perSecond float64, now time.Time) time.Time {
+	turn := c.bounded.rank(k.ID) - c.sharedPart(perSecond, now) + 1
+	return now.Add(time.Duration(max(1, turn)) * tryTurn(perSecond))
 }
 
-// tryPause is when an entry without a share of a server's limit sends one request to find out whether that
-// is in force. All of them together send about one in limitSeconds, at moments that chance spreads.
-func (c *Core) tryPause() time.Duration {
-	return time.Duration((0.5 + c.random()) * float64(len(c.bounded.seen)+1) * float64(admission.LimitSpan))
+// nextTry is when it does so again.
+func (c *Core) nextTry(perSecond float64, now time.Time) time.Time {
+	return now.Add(time.Duration(c.bounded.count(now)) * tryTurn(perSecond))
 }
 
 // limitOpensIn is when this entry may send a server the next request under its limit; 0 is now.
@@ -107,11 +136,24 @@
 	return max(k.sent.OpensIn(admission.LimitSpan, since, share), k.sent.OpensIn(admission.ColdSpan, since, inASecond))
 }
 
+// soonestOpen is when the first of the servers that only their limits keep from a request may be sent one,
+// if there is such a server. Where this entry has no share another may have: its caller is not told to wait
+// for longer than shares last.
+func (c *Core) soonestOpen(request *Request, now time.Time) (soonest time.Duration, found bool) {
+	soonest = admission.LimitSpan
+	for _, candidate := range c.byService[request.Service] {
+		if c.fitness(candidate, request, now) == unfitLimited {
+			soonest, found = min(soonest, c.limitOpensIn(candidate, now)), true
+		}
+	}
+	return soonest, found
+}
+
 // countLimited notes that a request is being sent to a server under its limit.
 func (c *Core) countLimited(k *Candidate, now time.Time) {
 	if k.limit.inForce() {
 		c.limitedSent++
-		k.limit.tryAt = now.Add(c.tryPause())
+		k.limit.tryAt = c.nextTry(k.limit.perSecond, now)
 	}
 }
 
--- /dev/null
+++ b/coordination/dispatch/limit_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// limitedFleet plays entries that ask the one server of a service at its limit, on a clock of its own.
+type limitedFleet struct {
+	entries []*Core
+	now     time.Time
+	// arrived are the moments at which the server got a request.
+	arrived []time.Time
+}
+
+// limitTarget is the time within which the service's requests are to be answered.
+const limitTarget = time.Second
+
+func newLimitedFleet(entries int) *limitedFleet {
+	f := &limitedFleet{now: epoch}
+	for index := range entries {
+		core := coldCore(fmt.Sprintf("entry-%d", index), entries)
+		core.Update(Fleet{Servers: []Server{{ID: "only", Service: "s", Address: "10.0.0.1:1", Zone: "za", Slots: 1000}}}, epoch)
+		f.entries = append(f.entries, core)
+	}
+	return f
+}
+
+// named has every entry hear that the server names a rate.
+func (f *limitedFleet) named(perSecond float64) {
+	for _, core := range f.entries {
+		core.SawLimit(core.byID["only"], perSecond, f.now, f.now)
+	}
+}
+
+// asks has every entry decide a request at each tick for a while; each request that is sent is answered at
+// once, by a server that names a rate, or none where it is negative.
+func (f *limitedFleet) asks(span, tick time.Duration, perSecond float64) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(tick) {
+		for _, core := range f.entries {
+			decision, refusal := core.Choose(&Request{Service: "s", Target: limitTarget}, f.now)
+			if refusal != nil {
+				continue
+			}
+			f.arrived = append(f.arrived, f.now)
+			core.Release(decision.Send)
+			if perSecond < 0 {
+				core.SawNoLimit(decision.Candidate, f.now, f.now.Add(time.Microsecond))
+				continue
+			}
+			core.SawLimit(decision.Candidate, perSecond, f.now, f.now)
+		}
+	}
+}
+
+// mostIn is the most arrivals within a span.
+func (f *limitedFleet) mostIn(span time.Duration) (most int) {
+	first := 0
+	for last, at := range f.arrived {
+		for at.Sub(f.arrived[first]) >= span {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// LIMIT: over all entries a server that names a rate gets no more in any four seconds than that allows,
+// and most of it, from 6 entries to 330, from rates below one request for all to some for each.
+func TestEntriesShareANamedLimit(t *testing.T) {
+	for _, entries := range []int{6, 90, 330} {
+		for _, rate := range []float64{0.2, 0.25, 1.4, 7.9, 50} {
+			t.Run(fmt.Sprintf("%d entries, %v a second", entries, rate), func(t *testing.T) {
+				f := newLimitedFleet(entries)
+				f.named(rate)
+				f.asks(40*time.Second, 20*time.Millisecond, rate)
+				most, used := f.mostIn(limitSeconds*time.Second), float64(len(f.arrived))/(40*rate)
+				t.Logf("most in 4 s: %d, used: %.2f", most, used)
+				assert.LessOrEqual(t, float64(most), 1.5*limitSeconds*rate+5)
+				assert.GreaterOrEqual(t, used, 0.7)
+				assert.LessOrEqual(t, used, 1.5)
+			})
+		}
+	}
+}
+
+// What was sent before the limit was heard counts: the first seconds after it hold it too.
+func TestRequestsBeforeALimitWasNamedCount(t *testing.T) {
+	s := newScript(t, "a1")
+	s.core.bounded.started = epoch.Add(-time.Minute)
+	for range 8 {
+		s.served(s.request(), "a1")
+	}
+	s.core.SawLimit(s.candidate("a1"), 1.5, s.now, s.now)
+	s.at(4 * time.Second)
+	refusal := s.refused(s.request(), RefusedNoServer)
+	assert.Equal(t, 1, refusal.Servers[unfitLimited])
+	assert.Equal(t, 200*time.Millisecond, refusal.RetryAfter, "when the window has room")
+	s.at(4200 * time.Millisecond)
+	s.served(s.request(), "a1")
+}
+
+// A limit ends with an answer that names none to a request that was sent after it was last named. Older
+// answers that come late neither end it nor raise it.
+func TestLimitEndsWithANewerAnswer(t *testing.T) {
+	s := newScript(t, "a1")
+	k := s.candidate("a1")
+	s.at(time.Second)
+	require.True(t, s.core.SawLimit(k, 2, s.now, s.now).Changed)
+	s.at(1100 * time.Millisecond)
+	s.core.SawNoLimit(k, epoch.Add(900*time.Millisecond), s.now)
+	assert.True(t, k.limit.inForce(), "sent before")
+	s.core.SawLimit(k, 9, epoch.Add(900*time.Millisecond), s.now)
+	assert.InDelta(t, 2, k.limit.perSecond, 0, "an older rate")
+	s.core.SawLimit(k, 1, epoch.Add(900*time.Millisecond), s.now)
+	assert.InDelta(t, 1, k.limit.perSecond, 0, "a lower one holds: whether it is older can't be told")
+	s.at(2 * time.Second)
+	news := s.core.SawNoLimit(k, epoch.Add(1900*time.Millisecond), s.now)
+	assert.True(t, news.Changed)
+	assert.False(t, k.limit.inForce())
+}
+
+// The line of a server lapses and comes again: its limit and what it was sent hold on. Another life of the
+// server has neither.
+func TestLimitOutlastsItsServersLine(t *testing.T) {
+	s := newScript(t, "a1")
+	s.core.bounded.started = epoch.Add(-time.Minute)
+	s.core.SawLimit(s.candidate("a1"), 0.25, s.now, s.now)
+	s.served(s.request(), "a1")
+	lines := s.fleet.Servers
+	s.fleet.Servers = nil
+	s.update()
+	s.at(2 * time.Second)
+	s.fleet.Servers = lines
+	s.update()
+	assert.Equal(t, 1, s.refused(s.request(), RefusedNoServer).Servers[unfitLimited])
+	s.fleet.Servers[0].Born = 5
+	s.update()
+	s.fleet.Servers[0].Born = 6
+	s.update()
+	s.served(s.request(), "a1")
+	assert.False(t, s.candidate("a1").limit.inForce())
+}
+
+// A limit of nothing leaves one request in four seconds over all entries, which finds out when it is over;
+// entries without a share find out by themselves too, one by one.
+func TestEndOfALimitOfNothingIsFound(t *testing.T) {
+	for _, entries := range []int{6, 90} {
+		f := newLimitedFleet(entries)
+		f.named(0)
+		f.asks(30*time.Second, 100*time.Millisecond, 0)
+		assert.LessOrEqual(t, f.mostIn(limitSeconds*time.Second), 5, "%d entries", entries)
+		f.asks(time.Duration(entries+1)*tryTurn(0), 100*time.Millisecond, -1)
+		for _, core := range f.entries {
+			assert.False(t, core.byID["only"].limit.inForce(), "%d entries", entries)
+		}
+	}
+}
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -87,6 +87,9 @@
 	}
 	refusal := c.refuse(reason, request, now)
 	refusal.RetryAfter = c.soonestReady(request, now)
+	if opens, found := c.soonestOpen(request, now); found {
+		refusal.RetryAfter = max(opens, refusalRetryFloor)
+	}
 	if !request.Residency.AnyOf(c.regions) {
 		refusal.RetryAfter = noRegionRetry
 	}
