What answers say of their server's leaving and of rest is read, logged and shown

PV4215 and PV4216 do; pinevane_rests_asked_total, pinevane_resting_servers and the dump's servers show it. The stand-in's servers can ask for rest as they shed.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -27,6 +27,7 @@
 	sent admission.Window
 	// limit is the rate that the server names in its answers.
 	limit namedLimit
+	asked asked
 	// coldTime is how long a server of its service is cold after a start.
 	coldTime time.Duration
 	// readmittedUntil is until when the server counts as cold because an evacuation of its
@@ -147,8 +148,11 @@
 	// nothing new.
 	ColdFor   time.Duration
 	Evacuated bool
-	// Limit is the rate that the server has named.
-	Limit LimitView
+	// Limit is the rate that the server has named, RestLeft for how much longer it wants nothing.
+	Limit    LimitView
+	RestLeft time.Duration
+	// SaidLeaving is set when an answer has said that the server is about to end.
+	SaidLeaving bool
 }
 
 // Describe tells what is known of each server, in no order.
@@ -162,6 +166,8 @@
 			ColdFor:          max(0, known.coldUntil().Sub(now)),
 			Evacuated:        c.Evacuated(known.Zone),
 			Limit:            c.limitView(known, now),
+			RestLeft:         known.restLeft(now),
+			SaidLeaving:      known.asked.leaving,
 		})
 	}
 	return descriptions
--- a/coordination/dispatch/kept.go
+++ b/coordination/dispatch/kept.go
@@ -17,6 +17,7 @@
 	at    time.Time
 	sent  admission.Window
 	limit namedLimit
+	asked asked
 }
 
 // keep holds what bounds a server whose line has gone.
@@ -26,7 +27,7 @@
 			delete(c.kept, id)
 		}
 	}
-	c.kept[known.ID] = keptServer{born: known.listing.server.Born, at: now, sent: known.sent, limit: known.limit}
+	c.kept[known.ID] = keptServer{born: known.listing.server.Born, at: now, sent: known.sent, limit: known.limit, asked: known.asked}
 }
 
 // restore gives a newly listed server what was held of it, unless that was another life of it.
@@ -37,5 +38,5 @@
 		known.sent = *admission.NewWindow(admission.LimitSpan)
 		return
 	}
-	known.sent, known.limit = held.sent, held.limit
+	known.sent, known.limit, known.asked = held.sent, held.limit, held.asked
 }
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -24,6 +24,9 @@
 	s.arrive(request.Header.Get("Request-Id"))
 	if s.faults.Shed > 0 {
 		s.faults.Shed--
+		if s.faults.ShedRest > 0 {
+			writer.Header().Set("Retry-After", strconv.FormatFloat(s.faults.ShedRest.Seconds(), 'f', -1, 64))
+		}
 		return refuse(http.StatusServiceUnavailable)
 	}
 	s.waiting++
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -16,8 +16,9 @@
 	CutCount int
 	// LoseAnswers runs requests and closes the connection without an answer.
 	LoseAnswers int
-	// Shed answers 503 without running.
-	Shed int
+	// Shed answers 503 without running, and asks for ShedRest where that is set.
+	Shed     int
+	ShedRest time.Duration
 	// Silent takes requests and never answers; reports fail too.
 	Silent bool
 	// Lying servers report that they are well and fail every request.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -219,6 +219,17 @@
 	ColdFor time.Duration
 	// Limit is what the server says of how many requests it takes.
 	Limit RequestLimit
+	// Leaving is set when the server says that it is about to end.
+	Leaving bool
+	// Rest is for how long the server wants nothing more from this process; zero when it does not say.
+	Rest Rest
+}
+
+// Rest is what an answer says of a time in which its server wants no requests.
+type Rest struct {
+	For time.Duration
+	// Unreadable is set when the answer names something that is no time.
+	Unreadable bool
 }
 
 // LimitWord is what an answer says of its server's limit.
--- /dev/null
+++ b/internal/forward/asked.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+)
+
+// sawAsked notes what an answer says its server asks for. An answer of another server says nothing of this
+// one.
+func (t *targets) sawAsked(k *target, head fleet.AnswerHeader, sentAt time.Time) {
+	if head.Instance != "" && head.Instance != k.ID {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	t.sawLimit(k, head, sentAt, now)
+	if head.Leaving {
+		t.sawLeaving(k)
+	}
+	switch {
+	case head.Rest.For > 0:
+		t.rests.Inc()
+		if t.core.SawRest(k.Candidate, head.Rest.For, now) {
+			t.log.Log(logging.ServerRests, zap.String("server", k.ID), zap.Duration("for", head.Rest.For))
+		}
+	case head.Rest.Unreadable:
+		t.logUnreadable(k, "rest")
+	}
+}
+
+// sawLimit notes what an answer says of how many requests its server takes. One without a signature can
+// name a limit but not end it: it may come from something else on the way. The mutex is held.
+func (t *targets) sawLimit(k *target, head fleet.AnswerHeader, sentAt, now time.Time) {
+	switch {
+	case head.Limit.Word == fleet.LimitNamed:
+		t.logLimit(k, t.core.SawLimit(k.Candidate, head.Limit.PerSecond, sentAt, now))
+	case head.Limit.Word == fleet.LimitUnreadable:
+		t.logUnreadable(k, "limit")
+	case head.Signed:
+		t.logLimit(k, t.core.SawNoLimit(k.Candidate, sentAt, now))
+	}
+}
+
+// sawLeaving notes that a server has said that it is about to end; the mutex is held.
+func (t *targets) sawLeaving(k *target) {
+	change, news := t.core.SawLeaving(k.Candidate)
+	if news {
+		t.log.Log(logging.ServerSaidLeaving, zap.String("server", k.ID), zap.Int("in_flight", change.InFlight))
+	}
+}
+
+// logUnreadable logs once a server and field that an answer says what can't be meant; the mutex is held.
+func (t *targets) logUnreadable(k *target, field string) {
+	key := unreadableField{server: k.ID, field: field}
+	if t.unreadable[key] {
+		return
+	}
+	t.unreadable[key] = true
+	t.log.Log(logging.AnswerUnreadable, zap.String("server", k.ID), zap.String("field", field))
+}
+
+// unreadableField is a field of a server's answers that could not be read.
+type unreadableField struct{ server, field string }
+
+func (t *targets) logLimit(k *target, news dispatch.LimitNews) {
+	if !news.Changed {
+		return
+	}
+	t.log.Log(logging.ServerLimit, zap.String("server", k.ID), zap.Bool("in_force", news.InForce), zap.Float64("per_second", news.PerSecond),
+		zap.Float64("former", news.Former), zap.Int("share", news.Share), zap.Int("entries", news.Entries))
+}
+
+// limitCounts returns how many servers name a limit, and how many requests were sent to such.
+func (t *targets) limitCounts() (servers int, sent uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.LimitCounts()
+}
+
+func (t *targets) restingServers() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.RestingServers(time.Now())
+}
+
+func newRestsCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "pinevane_rests_asked_total", Help: "Answers by which a server has turned a request away and asked this entry for rest."})
+}
+
+// registerAsked tells of what servers ask for as metrics.
+func registerAsked(registry prometheus.Registerer, t *targets) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pinevane_limited_servers", Help: "Servers that name in their answers how many requests they take."},
+			func() float64 { servers, _ := t.limitCounts(); return float64(servers) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "pinevane_resting_servers", Help: "Servers that want nothing from this entry for a while."},
+			func() float64 { return float64(t.restingServers()) }),
+		t.rests,
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pinevane_limited_requests_total", Help: "Requests sent to servers while they named a limit."},
+			func() float64 { _, sent := t.limitCounts(); return float64(sent) }),
+	)
+}
--- a/internal/forward/dump.go
+++ b/internal/forward/dump.go
@@ -31,6 +31,10 @@
 	Evacuated bool    `json:"evacuated"`
 	// Limit is the rate that the server names in its answers; nil when it names none.
 	Limit *LimitView `json:"limit,omitempty"`
+	// RestLeft is for how much longer the server wants nothing from this entry; SaidLeaving is set when an
+	// answer has said that it is about to end.
+	RestLeft    float64 `json:"rest_seconds"`
+	SaidLeaving bool    `json:"said_leaving"`
 }
 
 // LimitView is a rate that a server has named.
@@ -70,7 +74,7 @@
 			ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
 			Draining: server.Draining, InFlight: one.InFlight, Outstanding: one.Outstanding, Version: one.Version,
 			EjectedFor: one.Health.Left.Seconds(), Health: healthView(one.Health), StatusAge: one.WordAge.Seconds(), MeanMillisecond: one.MeanMilliseconds,
-			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated,
+			ColdFor: one.ColdFor.Seconds(), Evacuated: one.Evacuated, RestLeft: one.RestLeft.Seconds(), SaidLeaving: one.SaidLeaving,
 		}
 		if one.Limit.InForce {
 			view.Limit = &LimitView{PerSecond: one.Limit.PerSecond, Age: one.Limit.Named.Seconds(), Share: one.Limit.Share}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -126,7 +126,7 @@
 		return nil, &failure{reason: reasonOf(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	}
 	f.targets.sawCold(chosen, started.head.ColdFor)
-	f.targets.sawLimit(chosen, started.head, sentAt)
+	f.targets.sawAsked(chosen, started.head, sentAt)
 	return started, nil
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -74,7 +74,7 @@
 		contents: newContents(options, started),
 	}
 	registerCold(options.Registry, f.targets)
-	registerLimits(options.Registry, f.targets)
+	registerAsked(options.Registry, f.targets)
 	registerHealth(options.Registry, f.targets)
 	options.Registry.MustRegister(newEvacuationCollector(f.targets), newBoundLoadCollector(f.targets))
 	return f
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
@@ -40,9 +42,10 @@
 	health *healthReporter
 	// ended are servers that the list has shown to have ended, until endedServers takes them.
 	ended []string
-	// unreadable are the servers of which an answer has said something that could not be read: it is
-	// logged once.
-	unreadable map[string]bool
+	// unreadable are the fields of servers' answers that could not be read: that is logged once.
+	unreadable map[unreadableField]bool
+	// rests counts the answers that have asked for rest.
+	rests prometheus.Counter
 	// told are the agents' last words by the address of their server, for people.
 	told map[string]fleet.MachineStatus
 }
@@ -54,7 +57,7 @@
 			Zone: options.Zone, Regions: options.Regions, Policy: dispatch.Policy(options.Policy), Self: options.Self, Started: now,
 			Random: rand.Float64, Shuffle: rand.Shuffle,
 		}),
-		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, unreadable: map[string]bool{}, told: map[string]fleet.MachineStatus{},
+		view: &catalog.View{}, engines: map[string]*dispatch.Engine{}, known: map[*dispatch.Candidate]*target{}, unreadable: map[unreadableField]bool{}, rests: newRestsCounter(), told: map[string]fleet.MachineStatus{},
 	}
 	t.bounds.Store(&options.Bounds)
 	if t.entries == nil {
@@ -106,7 +109,7 @@
 	}
 	if change.Kind == dispatch.ServerGone || change.Kind == dispatch.ServerRestarted {
 		delete(t.known, change.Candidate)
-		delete(t.unreadable, change.Candidate.ID)
+		maps.DeleteFunc(t.unreadable, func(one unreadableField, _ bool) bool { return one.server == change.Candidate.ID })
 	}
 }
 
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -125,6 +125,8 @@
 	ContentCleared    = declare("PV4212", zap.InfoLevel, "content cleared", "A quarantine has ended before its time: a server has answered the content, or an operator has released it.")
 	ServerLimit       = declare("PV4213", zap.InfoLevel, "server limit", "A server names in its answers how many requests a second it takes from all entries together, names another rate, or none any more; share is what this entry may send it in four seconds.")
 	AnswerUnreadable  = declare("PV4214", zap.WarnLevel, "answer unreadable", "A field in a server's answer says something that can't be meant; what was known of the server holds on. Logged once a server.")
+	ServerSaidLeaving = declare("PV4215", zap.InfoLevel, "server says it leaves", "A server has said in an answer that it is about to end; it is sent nothing more.")
+	ServerRests       = declare("PV4216", zap.InfoLevel, "server asks for rest", "A server has turned a request away and asked this entry to send it nothing for the time given.")
 	StandInStarted    = declare("PV5001", zap.InfoLevel, "stand-in started", "An emulated platform service or machine listens.")
 	FaultInjected     = declare("PV5002", zap.InfoLevel, "fault injected", "An experiment changed the fault state of a stand-in.")
 )
