A server that says in an answer that it leaves is sent nothing more

What callers saw: nothing yet; a request that reaches a server too late is lost when it ends.

Cause: a server left for an entry when its line said so.

Change: an answer that says so makes its server leaving at the entry at once, for that life of the server: its line does not take that back, nor does a lapse of the line. Resting connections there are closed, requests under way end in peace. A request whose connection was being made when the word came is not written (server-unwilling, not run).

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -27,6 +27,9 @@
 	return news
 }
 
+// Unwilling reports whether a server wants nothing more from this entry, for good or for now.
+func (c *Core) Unwilling(k *Candidate) bool { return c.Leaving(k) }
+
 // restLeft is how much longer a server wants nothing from this entry.
 func (k *Candidate) restLeft(now time.Time) time.Duration { return max(0, k.asked.restUntil.Sub(now)) }
 
--- /dev/null
+++ b/coordination/dispatch/asked_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// DRAIN: a server that has said in an answer that it leaves is sent nothing more, whatever its line says; another life
+// of it is.
+func TestServerThatSaysItLeavesGetsNothing(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	s.core.bounded.started = epoch.Add(-time.Minute)
+	change, news := s.core.SawLeaving(s.candidate("a1"))
+	assert.True(t, news)
+	assert.Equal(t, Change{Kind: ServerLeaving, Candidate: s.candidate("a1")}, change)
+	_, news = s.core.SawLeaving(s.candidate("a1"))
+	assert.False(t, news, "known already")
+	for range 20 {
+		s.served(s.request(), "a2")
+	}
+	lines := s.fleet.Servers
+	assert.Empty(t, s.update(), "its line says that it is ready")
+	s.fleet.Servers = lines[1:]
+	s.update()
+	s.at(time.Second)
+	s.fleet.Servers = lines
+	s.update()
+	assert.True(t, s.core.Leaving(s.candidate("a1")), "its line lapsed and came again")
+	s.fleet.Servers[0].Draining = true
+	assert.Empty(t, s.update(), "no news")
+	s.fleet.Servers[0] = Server{ID: "a1", Service: "s", Address: "a1:1", Zone: "a", Slots: 16, Version: 1, HoldsModel: true, Born: 7}
+	s.update()
+	s.fleet.Servers[0].Born = 9
+	s.update()
+	assert.False(t, s.core.Leaving(s.candidate("a1")), "another life")
+}
+
+// All servers of a service leave: requests are refused at once.
+func TestServiceWhoseServersAllLeave(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	for _, id := range []string{"a1", "a2"} {
+		s.core.SawLeaving(s.candidate(id))
+	}
+	assert.Equal(t, 2, s.refused(s.request(), RefusedNoServer).Servers[unfitLeaving])
+}
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -138,7 +138,7 @@
 func (c *Core) otherServes(k *Candidate, now time.Time) bool {
 	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
 		switch {
-		case other == k || other.listing.server.Draining || other.listing.gone || c.Evacuated(other.Zone) || c.lost(other, now):
+		case other == k || c.Leaving(other) || c.Evacuated(other.Zone) || c.lost(other, now):
 			return false
 		case other.word.current(now):
 			return other.word.Version != 0
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -64,7 +64,7 @@
 			}
 		}
 		known := c.candidateOf(server, now)
-		if !known.listing.server.Draining && server.Draining {
+		if !known.listing.server.Draining && !known.asked.leaving && server.Draining {
 			changes = append(changes, Change{Kind: ServerLeaving, Candidate: known, InFlight: known.sends.inFlight})
 		}
 		known.listing.server = server
@@ -83,9 +83,11 @@
 	return append(changes, c.Emptied(now)...)
 }
 
-// Leaving reports whether a server is to be sent nothing more, because it has said so, is listed no
-// more, or has ended.
-func (c *Core) Leaving(k *Candidate) bool { return k.listing.server.Draining || k.listing.gone }
+// Leaving reports whether a server is to be sent nothing more, because its line or an answer has said so, it is
+// listed no more, or has ended.
+func (c *Core) Leaving(k *Candidate) bool {
+	return k.listing.server.Draining || k.asked.leaving || k.listing.gone
+}
 
 // elsewhere reports whether a line is that of another server with the same name, or of another life
 // of the server.
--- a/coordination/dispatch/scarcity.go
+++ b/coordination/dispatch/scarcity.go
@@ -84,7 +84,7 @@
 	for service, servers := range c.byService {
 		counts := map[string]int{}
 		for _, one := range servers {
-			if !one.listing.server.Draining && !one.listing.gone && !c.Evacuated(one.Zone) {
+			if !c.Leaving(one) && !c.Evacuated(one.Zone) {
 				counts[c.regions[one.Zone]]++
 			}
 		}
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -144,7 +144,7 @@
 func (c *Core) hasOther(k *Candidate, now time.Time) bool {
 	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
 		state := c.health.State(other.ID, c.since(now))
-		return other != k && !other.listing.server.Draining && (state == health.InOrder || state == health.Suspect)
+		return other != k && !c.Leaving(other) && (state == health.InOrder || state == health.Suspect)
 	})
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -96,6 +96,9 @@
 	// ReasonVersionBound is why a request is taken back that has not begun on an old
 	// version of the weights before that version's time was over.
 	ReasonVersionBound Reason = "version-bound"
+	// ReasonServerUnwilling is why a request that was about to be sent was not: its server has said
+	// meanwhile that it wants nothing more, for now or because it is about to end.
+	ReasonServerUnwilling Reason = "server-unwilling"
 	// ReasonEvacuated is why a request that was about to be sent was not: the zone of its
 	// server has been evacuated meanwhile.
 	ReasonEvacuated Reason = "zone-evacuated"
--- a/internal/forward/asked.go
+++ b/internal/forward/asked.go
@@ -48,14 +48,24 @@
 	}
 }
 
-// sawLeaving notes that a server has said that it is about to end; the mutex is held.
+// sawLeaving notes that a server has said that it is about to end; the mutex is held. Its resting connections are
+// closed: nothing more goes there.
 func (t *targets) sawLeaving(k *target) {
 	change, news := t.core.SawLeaving(k.Candidate)
 	if news {
+		k.pool.close()
 		t.log.Log(logging.ServerSaidLeaving, zap.String("server", k.ID), zap.Int("in_flight", change.InFlight))
 	}
 }
 
+// unwilling is asked right before a request is written: the making of a connection takes a while, in which
+// another answer of the server may have said that it wants nothing more.
+func (t *targets) unwilling(k *target) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.Unwilling(k.Candidate)
+}
+
 // logUnreadable logs once a server and field that an answer says what can't be meant; the mutex is held.
 func (t *targets) logUnreadable(k *target, field string) {
 	key := unreadableField{server: k.ID, field: field}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -109,6 +109,10 @@
 		carrier.close()
 		return nil, &failure{reason: fault.ReasonResidency, execution: fault.ExecutionNotRun, cause: errNarrowed}
 	}
+	if f.targets.unwilling(chosen) {
+		carrier.close()
+		return nil, &failure{reason: fault.ReasonServerUnwilling, execution: fault.ExecutionNotRun}
+	}
 	if err := stillInTime(silence); err != nil {
 		carrier.close()
 		return nil, &failure{reason: reasonOf(err, fault.ReasonVersionBound), execution: fault.ExecutionNotRun, cause: err}
--- a/internal/sitetest/leaving_test.go
+++ b/internal/sitetest/leaving_test.go
@@ -65,4 +65,3 @@
 	stop()
 	assert.Empty(t, f.arrivedAt(leaving.ID(), said.Add(leftAlone)))
 }
-
