--- /dev/null
+++ b/internal/sitetest/rest_test.go
@@ -0,0 +1,77 @@
+package sitetest
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// The incident: a server turned a request of an entry away and asked it for 3 s of rest. The entry sent it up to
+// seven requests more in that time, each of which was turned away too.
+
+const (
+	// restAsked is the rest that servers ask for, restGrace how long after that requests may still arrive,
+	// restAllowed how many may later.
+	restAsked   = 3 * time.Second
+	restGrace   = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// oneEntryOptions are a fleet with one entry, so that what comes to a server comes from that.
+func oneEntryOptions() site.Options {
+	options := DefaultOptions()
+	options.Zones, options.Entries, options.ModelServers, options.PlainServers = 1, 1, 4, 2
+	return options
+}
+
+// BUDGET: guards against requests to a server that has turned some away and asked for rest. The requests are
+// served elsewhere, and the server is used again after its rest.
+func TestServerThatAsksForRestGetsIt(t *testing.T) {
+	f := Start(t, oneEntryOptions())
+	stop := f.harmless(5 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	resting := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
+	resting.SetFaults(site.Faults{Shed: 2, ShedRest: restAsked})
+	asked := time.Now()
+	time.Sleep(6 * time.Second)
+	outcomes := stop()
+	moments := f.arrivedAt(resting.ID(), asked)
+	during := 0
+	for _, at := range moments {
+		if since := at.Sub(moments[0]); since > restGrace && since < restAsked {
+			during++
+		}
+	}
+	t.Logf("requests in the rest: %d, in all since: %d", during, len(moments))
+	assert.LessOrEqual(t, during, restAllowed)
+	assert.GreaterOrEqual(t, len(f.arrivedAt(resting.ID(), asked.Add(restAsked+time.Second))), 10, "requests after the rest")
+	assert.GreaterOrEqual(t, shareServed(outcomes, asked, asked.Add(6*time.Second), time.Second), servedAgain)
+}
+
+// BUDGET: all servers of a service ask for rest. Requests are refused at once, and the callers told when the first
+// rest ends.
+func TestAllServersAskForRest(t *testing.T) {
+	f := Start(t, oneEntryOptions())
+	for _, server := range f.Site.Plain {
+		server.SetFaults(site.Faults{Shed: 1000, ShedRest: restAsked})
+	}
+	started := time.Now()
+	stop := f.plainTraffic(20 * time.Millisecond)
+	time.Sleep(2500 * time.Millisecond)
+	outcomes := stop()
+	for _, server := range f.Site.Plain {
+		assert.LessOrEqual(t, len(f.arrivedAt(server.ID(), started.Add(restGrace))), restAllowed)
+	}
+	for _, one := range outcomes {
+		assert.Equal(t, http.StatusServiceUnavailable, one.answer.Status)
+		if one.begun.Before(started.Add(restGrace)) {
+			continue
+		}
+		assert.Less(t, one.took, 100*time.Millisecond, "the time to an answer that nothing is needed for")
+		assert.GreaterOrEqual(t, retryAfter(t, one.answer), restAsked-one.begun.Sub(started)-200*time.Millisecond, "until the first rest ends")
+	}
+}
