A server that asks an entry for rest is sent nothing by it until that is over

What callers saw: requests lost an attempt at a server that turned them away, and were refused where the second one did the same, while most servers turned nobody away.

Cause: the Retry-After of a server's 503 was thrown away with the answer; the next request chose the server again.

Change: a server rests, for this entry, from the answer on for as long as it asks; it is taken neither for want of another nor for a trial, and a request whose connection was being made then is not written. That it has turned a request away counts against the server's health as before: one that asks for hundredths of a second each time would take every request's first attempt otherwise.

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"pinevane.example/pinevane/coordination/admission"
+)
 
 // asked is what a server has asked for in its answers, beside a rate.
 type asked struct {
@@ -28,7 +32,9 @@
 }
 
 // Unwilling reports whether a server wants nothing more from this entry, for good or for now.
-func (c *Core) Unwilling(k *Candidate) bool { return c.Leaving(k) }
+func (c *Core) Unwilling(k *Candidate, now time.Time) bool {
+	return c.Leaving(k) || k.restLeft(now) > 0
+}
 
 // restLeft is how much longer a server wants nothing from this entry.
 func (k *Candidate) restLeft(now time.Time) time.Duration { return max(0, k.asked.restUntil.Sub(now)) }
@@ -43,3 +49,17 @@
 	}
 	return count
 }
+
+// soonestOpen is when the first of the servers that only what they have asked for keeps from a request may be sent
+// one, if there is such a server. Another entry may have a share, or not be asked for rest: a caller is not
+// told to wait for longer than shares last.
+func (c *Core) soonestOpen(request *Request, now time.Time) (soonest time.Duration, found bool) {
+	soonest = admission.LimitSpan
+	for _, candidate := range c.byService[request.Service] {
+		switch c.fitness(candidate, request, now) {
+		case unfitResting, unfitLimited:
+			soonest, found = min(soonest, max(candidate.restLeft(now), c.limitOpensIn(candidate, now))), true
+		}
+	}
+	return soonest, found
+}
--- a/coordination/dispatch/asked_test.go
+++ b/coordination/dispatch/asked_test.go
@@ -45,3 +45,31 @@
 	}
 	assert.Equal(t, 2, s.refused(s.request(), RefusedNoServer).Servers[unfitLeaving])
 }
+
+// BUDGET: a server that has asked for rest is sent nothing until that is over, and no shorter rest asked for later
+// ends it. What it is asked at the end of it is an ordinary request.
+func TestServerThatAsksForRestGetsNothing(t *testing.T) {
+	s := newScript(t, "a1", "a2")
+	s.core.bounded.started = epoch.Add(-time.Minute)
+	assert.True(t, s.core.SawRest(s.candidate("a1"), 3*time.Second, s.now))
+	s.at(time.Second)
+	assert.False(t, s.core.SawRest(s.candidate("a1"), time.Second, s.now), "it rests already")
+	s.at(2900 * time.Millisecond)
+	for range 20 {
+		s.served(s.request(), "a2")
+	}
+	tried := s.request()
+	tried.Tried = []*Candidate{s.candidate("a2")}
+	refusal := s.refused(tried, RefusedNoServer)
+	assert.Equal(t, 1, refusal.Servers[unfitResting])
+	assert.Equal(t, 100*time.Millisecond, refusal.RetryAfter, "the rest of the rest")
+	s.at(3 * time.Second)
+	s.served(tried, "a1")
+}
+
+// A server that rests is no candidate for the want of another either: not as an ejected one, nor for its trial.
+func TestRestGoesBeforeHealth(t *testing.T) {
+	s := newScript(t, "a1")
+	s.core.SawRest(s.candidate("a1"), time.Second, s.now)
+	assert.Equal(t, 1, s.refused(s.request(), RefusedNoServer).Servers[unfitResting])
+}
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -18,6 +18,7 @@
 	unfitRegion    Fitness = "outside the allowed regions"
 	unfitCold      Fitness = "cold, and has its share"
 	unfitLimited   Fitness = "names a limit, and has its share"
+	unfitResting   Fitness = "has asked for rest"
 	// Those below are of model servers.
 	unfitUnreachable Fitness = "unreachable"
 	unfitEmpty       Fitness = "serves nothing"
@@ -51,6 +52,9 @@
 	if c.coldFull(k, now) {
 		return unfitCold
 	}
+	if k.restLeft(now) > 0 {
+		return unfitResting
+	}
 	if c.limitOpensIn(k, now) > 0 {
 		return unfitLimited
 	}
--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -136,19 +136,6 @@
 	return max(k.sent.OpensIn(admission.LimitSpan, since, share), k.sent.OpensIn(admission.ColdSpan, since, inASecond))
 }
 
-// soonestOpen is when the first of the servers that only their limits keep from a request may be sent one,
-// if there is such a server. Where this entry has no share another may have: its caller is not told to wait
-// for longer than shares last.
-func (c *Core) soonestOpen(request *Request, now time.Time) (soonest time.Duration, found bool) {
-	soonest = admission.LimitSpan
-	for _, candidate := range c.byService[request.Service] {
-		if c.fitness(candidate, request, now) == unfitLimited {
-			soonest, found = min(soonest, c.limitOpensIn(candidate, now)), true
-		}
-	}
-	return soonest, found
-}
-
 // countLimited notes that a request is being sent to a server under its limit.
 func (c *Core) countLimited(k *Candidate, now time.Time) {
 	if k.limit.inForce() {
--- a/internal/forward/asked.go
+++ b/internal/forward/asked.go
@@ -63,7 +63,7 @@
 func (t *targets) unwilling(k *target) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.core.Unwilling(k.Candidate)
+	return t.core.Unwilling(k.Candidate, time.Now())
 }
 
 // logUnreadable logs once a server and field that an answer says what can't be meant; the mutex is held.
