Entries tell each other what servers ask in their answers

Cause: that a server leaves, or names a rate, was known to those entries alone which had had an answer that said so. All others went on sending it requests until their first one; and entries without a share of a low limit heard of its end after minutes.

Change: an entry tells all others at once, over the links and relays that words on contents take, that a server leaves, which rate it names, and that it names none any more.

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
+	"pinevane.example/pinevane/coordination/incarnation"
 )
 
 // asked is what a server has asked for in its answers, beside a rate.
@@ -36,6 +37,64 @@
 	return c.Leaving(k) || k.restLeft(now) > 0
 }
 
+// Ask is what a server asks of all entries, as another one has told it.
+type Ask struct {
+	Server string
+	Born   incarnation.Born
+	// Leaving is set when the server is about to end.
+	Leaving bool
+	// Limited is set while the server names a rate, PerSecond.
+	Limited   bool
+	PerSecond float64
+}
+
+// AskOf is what a server asks of all entries now.
+func (c *Core) AskOf(k *Candidate) Ask {
+	return Ask{
+		Server: k.ID, Born: k.listing.server.Born, Leaving: k.asked.leaving, Limited: k.limit.inForce(), PerSecond: k.limit.perSecond,
+	}
+}
+
+// HearAsk takes in what a server has asked of another entry at a time. One on a server that is not listed is kept
+// until it is: an entry that starts may hear it before the list.
+func (c *Core) HearAsk(ask Ask, at, now time.Time) (limit LimitNews, leaving bool) {
+	k := c.byID[ask.Server]
+	if k == nil {
+		c.keepAsk(ask, at, now)
+		return LimitNews{}, false
+	}
+	if k.listing.server.Born.Differs(ask.Born) {
+		return LimitNews{}, false
+	}
+	if ask.Leaving {
+		_, leaving = c.SawLeaving(k)
+	}
+	if ask.Limited {
+		return c.SawLimit(k, ask.PerSecond, at, now), leaving
+	}
+	return c.SawNoLimit(k, at, now), leaving
+}
+
+// keepAsk holds a word on a server that is not listed yet, or no more.
+func (c *Core) keepAsk(ask Ask, at, now time.Time) {
+	held, found := c.kept[ask.Server]
+	if !found {
+		held = keptServer{born: ask.Born, sent: *admission.NewWindow(admission.LimitSpan)}
+	}
+	if held.born.Differs(ask.Born) {
+		return
+	}
+	unlisted := &Candidate{ID: ask.Server, limit: held.limit, asked: held.asked}
+	unlisted.asked.leaving = unlisted.asked.leaving || ask.Leaving
+	if ask.Limited {
+		c.SawLimit(unlisted, ask.PerSecond, at, now)
+	} else {
+		c.SawNoLimit(unlisted, at, now)
+	}
+	held.at, held.limit, held.asked = now, unlisted.limit, unlisted.asked
+	c.kept[ask.Server] = held
+}
+
 // restLeft is how much longer a server wants nothing from this entry.
 func (k *Candidate) restLeft(now time.Time) time.Duration { return max(0, k.asked.restUntil.Sub(now)) }
 
--- a/coordination/dispatch/asked_test.go
+++ b/coordination/dispatch/asked_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/coordination/incarnation"
 )
 
 // DRAIN: a server that has said in an answer that it leaves is sent nothing more, whatever its line says; another life
@@ -73,3 +75,43 @@
 	s.core.SawRest(s.candidate("a1"), time.Second, s.now)
 	assert.Equal(t, 1, s.refused(s.request(), RefusedNoServer).Servers[unfitResting])
 }
+
+// What another entry tells holds like an answer of one's own, in the order in which servers have said it.
+func TestWordsOfOthersOnWhatAServerAsks(t *testing.T) {
+	s := newScript(t, "a1")
+	k := s.candidate("a1")
+	at := func(after time.Duration) time.Time { return epoch.Add(after) }
+	s.at(2 * time.Second)
+	limit, _ := s.core.HearAsk(Ask{Server: "a1", Limited: true, PerSecond: 2}, at(time.Second), s.now)
+	assert.True(t, limit.Changed)
+	s.at(4 * time.Second)
+	s.core.HearAsk(Ask{Server: "a1"}, at(3*time.Second), s.now)
+	assert.False(t, k.limit.inForce(), "over")
+	s.core.HearAsk(Ask{Server: "a1", Limited: true, PerSecond: 2}, at(1500*time.Millisecond), s.now)
+	assert.False(t, k.limit.inForce(), "an older word by a longer way")
+	s.core.HearAsk(Ask{Server: "a1", Limited: true, PerSecond: 2}, at(3500*time.Millisecond), s.now)
+	assert.True(t, k.limit.inForce(), "a newer one")
+	_, leaving := s.core.HearAsk(Ask{Server: "a1", Leaving: true, Limited: true, PerSecond: 2}, at(3900*time.Millisecond), s.now)
+	assert.True(t, leaving)
+	_, leaving = s.core.HearAsk(Ask{Server: "a1", Limited: true, PerSecond: 2}, at(3950*time.Millisecond), s.now)
+	assert.False(t, leaving)
+	assert.True(t, s.core.Leaving(k), "not taken back by an entry that has not heard of it")
+}
+
+// An entry that starts hears what servers ask before it has the list; words on another life of a server say nothing.
+func TestWordsOnServersThatAreNotListedYet(t *testing.T) {
+	s := newScript(t)
+	s.core.bounded.started = epoch.Add(-time.Minute)
+	s.core.HearAsk(Ask{Server: "a1", Born: 5, Leaving: true}, s.now, s.now)
+	s.core.HearAsk(Ask{Server: "a2", Born: 5, Leaving: true}, s.now, s.now)
+	s.core.HearAsk(Ask{Server: "a3", Limited: true, PerSecond: 1}, s.now, s.now)
+	for id, born := range map[string]incarnation.Born{"a1": 5, "a2": 6, "a3": 0} {
+		s.fleet.Servers = append(s.fleet.Servers, Server{ID: id, Service: "s", Address: id + ":1", Zone: "a", Slots: 16, Version: 1, HoldsModel: true, Born: born})
+	}
+	s.update()
+	assert.True(t, s.core.Leaving(s.candidate("a1")))
+	assert.False(t, s.core.Leaving(s.candidate("a2")))
+	assert.True(t, s.candidate("a3").limit.inForce())
+	s.core.HearAsk(Ask{Server: "a2", Born: 5, Leaving: true}, s.now, s.now)
+	assert.False(t, s.core.Leaving(s.candidate("a2")))
+}
--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -24,15 +24,23 @@
 	// since is when an answer first named this rate, namedAt when one last did; both are zero while no
 	// limit is in force.
 	since, namedAt time.Time
+	// endedAt is when the last request was sent whose answer has named none, toldAt when the others were last
+	// told of the rate.
+	endedAt, toldAt time.Time
 	// tryAt is when an entry without a share may find out whether the limit is still in force.
 	tryAt time.Time
 }
 
 func (l *namedLimit) inForce() bool { return !l.namedAt.IsZero() }
 
+// tellAgain is how often the others are told of a rate that holds on, for entries that have started since.
+const tellAgain = 5 * time.Minute
+
 // LimitNews is what an answer has changed of its server's limit.
 type LimitNews struct {
 	Changed bool
+	// Tell is set when the other entries are to be told.
+	Tell bool
 	// InForce is whether there is a limit now, PerSecond the rate, Former the one before.
 	InForce           bool
 	PerSecond, Former float64
@@ -50,10 +58,11 @@
 }
 
 // SawLimit notes the rate that an answer has named, whose request was sent at a time. Answers overtake each
-// other: one to a request that was sent before the present rate was first named can lower the rate only.
+// other: one to a request that was sent before the present rate was first named can lower the rate only, and
+// one to a request that was sent before the limit ended can't bring it back.
 func (c *Core) SawLimit(k *Candidate, perSecond float64, sentAt, now time.Time) LimitNews {
 	held := &k.limit
-	if held.inForce() && sentAt.Before(held.since) && perSecond > held.perSecond {
+	if sentAt.Before(held.endedAt) || (held.inForce() && sentAt.Before(held.since) && perSecond > held.perSecond) {
 		return LimitNews{}
 	}
 	former, changed := held.perSecond, !held.inForce() || held.perSecond != perSecond
@@ -65,18 +74,25 @@
 	}
 	held.perSecond, held.namedAt = perSecond, now
 	c.noteLimited(k)
-	return LimitNews{Changed: changed, InForce: true, PerSecond: perSecond, Former: former, Share: c.limitShare(k, now), Entries: c.bounded.count(now)}
+	tell := changed || now.Sub(held.toldAt) >= tellAgain
+	if tell {
+		held.toldAt = now
+	}
+	return LimitNews{Changed: changed, Tell: tell, InForce: true, PerSecond: perSecond, Former: former, Share: c.limitShare(k, now), Entries: c.bounded.count(now)}
 }
 
 // SawNoLimit notes that an answer has named no rate. One to a request that was sent before the rate was
 // last named may be older than that.
 func (c *Core) SawNoLimit(k *Candidate, sentAt, now time.Time) LimitNews {
+	if sentAt.After(k.limit.endedAt) {
+		k.limit.endedAt = sentAt
+	}
 	if !k.limit.inForce() || !sentAt.After(k.limit.namedAt) {
 		return LimitNews{}
 	}
 	former := k.limit.perSecond
-	k.limit = namedLimit{}
-	return LimitNews{Changed: true, Former: former}
+	k.limit = namedLimit{endedAt: sentAt}
+	return LimitNews{Changed: true, Tell: true, Former: former}
 }
 
 // noteLimited notes until when the other entries matter for a server's limit: what was known of them then
--- /dev/null
+++ b/internal/catalog/asks_test.go
@@ -0,0 +1,64 @@
+package catalog
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// A word is the same when another process has it, with its age.
+func TestWordsOnWhatServersAskAreToldWhole(t *testing.T) {
+	said := time.Unix(1000, 0)
+	one := heldAsk{ask: fleet.ServerAsk{Server: "i-1", Born: 7, Leaving: true, Limited: true, PerSecond: 1.4}, at: said, number: 3}
+	sent, err := cbor.Marshal(one.told("10.0.0.1", said.Add(2*time.Second)))
+	require.NoError(t, err)
+	var told toldAsk
+	require.NoError(t, cbor.Unmarshal(sent, &told))
+	require.NoError(t, told.check())
+	assert.Equal(t, "10.0.0.1", told.Entry)
+	assert.Equal(t, one, told.held(said.Add(2*time.Second)))
+}
+
+func TestFaultyWordsOnWhatServersAskAreRejected(t *testing.T) {
+	sound := toldAsk{Server: "i-1", Entry: "10.0.0.1", Number: 1, Limited: true, PerSecond: 2}
+	require.NoError(t, sound.check())
+	for what, change := range map[string]func(*toldAsk){
+		"no server":            func(a *toldAsk) { a.Server = "" },
+		"no teller":            func(a *toldAsk) { a.Entry = "" },
+		"said in the future":   func(a *toldAsk) { a.AgeMilliseconds = -1 },
+		"said years ago":       func(a *toldAsk) { a.AgeMilliseconds = 1 << 60 },
+		"born before all time": func(a *toldAsk) { a.Born = -1 },
+		"a rate below 0":       func(a *toldAsk) { a.PerSecond = -1 },
+		"no rate":              func(a *toldAsk) { a.PerSecond = math.NaN() },
+		"a rate without end":   func(a *toldAsk) { a.PerSecond = math.Inf(1) },
+	} {
+		faulty := sound
+		change(&faulty)
+		var invalid *fault.InvalidFrame
+		require.ErrorAs(t, faulty.check(), &invalid, what)
+	}
+}
+
+// Of an entry's words on a server the newest holds, in whatever order they come, and they are bounded.
+func TestHeldWordsOnWhatServersAsk(t *testing.T) {
+	c := &Catalog{asks: newServerAsks(time.Unix(0, 0))}
+	word := func(server string, number uint64) heldAsk {
+		return heldAsk{ask: fleet.ServerAsk{Server: server, PerSecond: float64(number)}, at: time.Unix(int64(number), 0), number: number}
+	}
+	assert.True(t, c.holdAsk("a", word("i-1", 2)))
+	assert.False(t, c.holdAsk("a", word("i-1", 1)), "an older one")
+	assert.False(t, c.holdAsk("a", word("i-1", 2)), "the same once more")
+	assert.True(t, c.holdAsk("b", word("i-1", 1)), "another entry's")
+	for number := range uint64(2 * mostAsks) {
+		c.holdAsk("a", word("many", number+10))
+		c.holdAsk(time.Duration(number).String(), word("i-2", number+10))
+	}
+	assert.Len(t, c.asks.held, mostAsks)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -122,6 +122,7 @@
 
 	health     healthWords
 	quarantine quarantineWords
+	asks       serverAsks
 
 	// overlay tells whom this entry speaks with; links are what it has of that, and
 	// those that others made, by IP address.
@@ -149,7 +150,7 @@
 			Recent: entryRecent, Memory: entryMemory, Capacity: capacityOf(options.LinkBytesPerSecond),
 		}),
 	}
-	c.health, c.quarantine = newHealthWords(c.started), newQuarantineWords()
+	c.health, c.quarantine, c.asks = newHealthWords(c.started), newQuarantineWords(), newServerAsks(c.started)
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]Notice{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
 	options.Hub.Handle(topicPull, c.handlePull)
@@ -157,6 +158,7 @@
 	options.Hub.Handle(topicStatuses, c.handleStatuses)
 	options.Hub.Handle(topicHealth, c.handleHealth)
 	options.Hub.Handle(topicQuarantine, c.handleQuarantine)
+	options.Hub.Handle(topicAsks, c.handleAsks)
 	options.Hub.OnOpen(c.linkOpened)
 	options.Hub.OnOpen(c.greetQuarantine)
 	return c
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -101,6 +101,7 @@
 		c.keepLinks(ctx)
 		// First, so that an entry that starts hears of it before it has servers to send to.
 		c.passQuarantine()
+		c.passAsks()
 		c.sendUpdates()
 		for waiting := true; waiting; {
 			select {
@@ -113,6 +114,8 @@
 				c.passHastened()
 			case <-c.quarantine.fresh:
 				c.passQuarantine()
+			case <-c.asks.fresh:
+				c.passAsks()
 			case <-ticker.C:
 				waiting = false
 			case <-c.kick:
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -106,6 +106,9 @@
 	// tellingQuarantine is set while it is being told.
 	quarantineTold    uint64
 	tellingQuarantine bool
+	// asksTold and tellingAsks are the same for what servers have asked.
+	asksTold    uint64
+	tellingAsks bool
 
 	// stamps tells how long the other's messages can have been on their way.
 	stamps stamps
--- a/internal/forward/asked.go
+++ b/internal/forward/asked.go
@@ -11,6 +11,12 @@
 	"pinevane.example/pinevane/internal/logging"
 )
 
+// AskSource is what entries tell each other of what servers ask in their answers.
+type AskSource interface {
+	// TellAsk has the others told what a server has asked at a time.
+	TellAsk(ask fleet.ServerAsk, at time.Time)
+}
+
 // sawAsked notes what an answer says its server asks for. An answer of another server says nothing of this
 // one.
 func (t *targets) sawAsked(k *target, head fleet.AnswerHeader, sentAt time.Time) {
@@ -18,11 +24,21 @@
 		return
 	}
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	now := time.Now()
+	t.noteAsked(k, head, sentAt, time.Now())
+	untold := t.untold
+	t.untold = nil
+	t.mutex.Unlock()
+	// The source has a mutex of its own, which is not to be waited for under this one.
+	for _, one := range untold {
+		t.asks.TellAsk(one.ask, one.at)
+	}
+}
+
+// noteAsked notes each of these; the mutex is held.
+func (t *targets) noteAsked(k *target, head fleet.AnswerHeader, sentAt, now time.Time) {
 	t.sawLimit(k, head, sentAt, now)
 	if head.Leaving {
-		t.sawLeaving(k)
+		t.sawLeaving(k, now)
 	}
 	switch {
 	case head.Rest.For > 0:
@@ -40,21 +56,58 @@
 func (t *targets) sawLimit(k *target, head fleet.AnswerHeader, sentAt, now time.Time) {
 	switch {
 	case head.Limit.Word == fleet.LimitNamed:
-		t.logLimit(k, t.core.SawLimit(k.Candidate, head.Limit.PerSecond, sentAt, now))
+		t.noteLimit(k, t.core.SawLimit(k.Candidate, head.Limit.PerSecond, sentAt, now), now)
 	case head.Limit.Word == fleet.LimitUnreadable:
 		t.logUnreadable(k, "limit")
 	case head.Signed:
-		t.logLimit(k, t.core.SawNoLimit(k.Candidate, sentAt, now))
+		t.noteLimit(k, t.core.SawNoLimit(k.Candidate, sentAt, now), sentAt)
 	}
 }
 
 // sawLeaving notes that a server has said that it is about to end; the mutex is held. Its resting connections are
 // closed: nothing more goes there.
-func (t *targets) sawLeaving(k *target) {
+func (t *targets) sawLeaving(k *target, now time.Time) {
 	change, news := t.core.SawLeaving(k.Candidate)
 	if news {
 		k.pool.close()
 		t.log.Log(logging.ServerSaidLeaving, zap.String("server", k.ID), zap.Int("in_flight", change.InFlight))
+		t.toTell(k, now)
+	}
+}
+
+// noteLimit logs what an answer has changed of its server's limit, and has the others told of what it said at
+// a time; the mutex is held.
+func (t *targets) noteLimit(k *target, news dispatch.LimitNews, at time.Time) {
+	t.logLimit(k.ID, news, "")
+	if news.Tell {
+		t.toTell(k, at)
+	}
+}
+
+// askNews is what a server has asked at a time, for the other entries.
+type askNews struct {
+	ask fleet.ServerAsk
+	at  time.Time
+}
+
+// toTell keeps what a server asks now until the source is told; the mutex is held.
+func (t *targets) toTell(k *target, at time.Time) {
+	if t.asks == nil {
+		return
+	}
+	ask := t.core.AskOf(k.Candidate)
+	t.untold = append(t.untold, askNews{ask: fleet.ServerAsk(ask), at: at})
+}
+
+// HearAsk takes in what a server has asked of another entry, and when.
+func (f *Forwarder) HearAsk(ask fleet.ServerAsk, entry string, at time.Time) {
+	t := f.targets
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	limit, leaving := t.core.HearAsk(dispatch.Ask(ask), at, time.Now())
+	t.logLimit(ask.Server, limit, entry)
+	if leaving {
+		t.log.Log(logging.ServerSaidLeaving, zap.String("server", ask.Server), zap.String("entry", entry))
 	}
 }
 
@@ -79,11 +132,12 @@
 // unreadableField is a field of a server's answers that could not be read.
 type unreadableField struct{ server, field string }
 
-func (t *targets) logLimit(k *target, news dispatch.LimitNews) {
+// logLimit tells what has changed of a server's limit, by an answer or by the word of another entry.
+func (t *targets) logLimit(server string, news dispatch.LimitNews, entry string) {
 	if !news.Changed {
 		return
 	}
-	t.log.Log(logging.ServerLimit, zap.String("server", k.ID), zap.Bool("in_force", news.InForce), zap.Float64("per_second", news.PerSecond),
+	t.log.Log(logging.ServerLimit, zap.String("server", server), zap.String("entry", entry), zap.Bool("in_force", news.InForce), zap.Float64("per_second", news.PerSecond),
 		zap.Float64("former", news.Former), zap.Int("share", news.Share), zap.Int("entries", news.Entries))
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -38,6 +38,8 @@
 	Health HealthSource
 	// Quarantine shares which contents end servers with the other processes; nil with nobody.
 	Quarantine QuarantineSource
+	// Asks shares what servers ask in their answers with the other entries; nil with nobody.
+	Asks AskSource
 	// Loads asks agents before requests are sent; nil asks nobody.
 	Loads    LoadSource
 	Registry prometheus.Registerer
--- /dev/null
+++ b/internal/sitetest/told_asks_test.go
@@ -0,0 +1,87 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/emulator/site"
+	"pinevane.example/pinevane/internal/forward"
+)
+
+// toldWithin is how long it takes until all entries know what a server has asked of one: three hops, each at once.
+const toldWithin = time.Second
+
+// viewAt is what an entry believes of a server.
+func (f *Fleet) viewAt(zone, index int, server string) forward.ServerView {
+	views, isList := f.Process(Name(catalog.RoleEntry, zone, index)).Dump()["servers"].([]forward.ServerView)
+	require.True(f.t, isList)
+	for _, one := range views {
+		if one.ID == server {
+			return one
+		}
+	}
+	return forward.ServerView{}
+}
+
+// everyEntry reports whether what each entry believes of a server fulfils a condition.
+func (f *Fleet) everyEntry(server string, condition func(forward.ServerView) bool) bool {
+	for zone := range f.Site.Options.Zones {
+		for index := range f.Site.Options.Entries {
+			if !condition(f.viewAt(zone, index, server)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// askPlainAt asks a plain service at one entry until a server has answered.
+func (f *Fleet) askPlainAt(zone, index int, server, id string) {
+	f.t.Helper()
+	number := 0
+	f.Eventually("the server has answered", 5*time.Second, func() bool {
+		number++
+		begun := time.Now()
+		_, err := f.Call(context.Background(), zone, index, http.MethodGet, site.SafePrefix+"a", fmt.Sprintf("%s-%d", id, number), nil, "")
+		return err == nil && len(f.arrivedAt(server, begun)) > 0
+	})
+}
+
+// DRAIN, LIMIT: what a server has asked of one entry in an answer all know, and one that starts knows it
+// before it has had an answer itself.
+func TestWhatAServerAsksIsToldToAllEntries(t *testing.T) {
+	options := limitOptions()
+	options.PlainServers = 2
+	f := Start(t, options)
+	leaving, limited := f.Site.Plain[options.PlainIP(0, 0)], f.Site.Plain[options.PlainIP(0, 1)]
+	leaving.SetAnswerHeader(map[string]string{headerLeaving: "1"})
+	f.askPlainAt(0, 0, leaving.ID(), "leaving")
+	f.Eventually("all know that it leaves", toldWithin, func() bool {
+		return f.everyEntry(leaving.ID(), func(view forward.ServerView) bool { return view.SaidLeaving })
+	})
+	limited.SetAnswerHeader(map[string]string{headerLimit: "3"})
+	f.askPlainAt(0, 1, limited.ID(), "limited")
+	named := func(view forward.ServerView) bool { return view.Limit != nil && view.Limit.PerSecond == 3 }
+	f.Eventually("all know the limit", toldWithin, func() bool { return f.everyEntry(limited.ID(), named) })
+
+	f.Kill(Name(catalog.RoleEntry, 2, 1))
+	f.StartEntry(2, 1)
+	f.WaitReady()
+	f.Eventually("the new entry knows both", toldWithin, func() bool {
+		return f.viewAt(2, 1, leaving.ID()).SaidLeaving && named(f.viewAt(2, 1, limited.ID()))
+	})
+
+	limited.SetAnswerHeader(nil)
+	f.askPlainAt(0, 0, limited.ID(), "over")
+	f.Eventually("all know that the limit is over", toldWithin, func() bool {
+		return f.everyEntry(limited.ID(), func(view forward.ServerView) bool { return view.Limit == nil })
+	})
+	assert.Len(t, f.arrivedAt(leaving.ID(), time.Time{}), 1, "requests to the server that leaves")
+}
