The soak has servers that name a limit, say that they leave and ask for rest

Three kinds and two promises (a limit, rest); 'a leaving server gets no new work' is judged by answers too. The stand-in's ledger keeps what each answer has asked for, so that the judge knows which entry was told when; one that was stopped, killed or frozen since is excused.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,9 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 MOST_KNOWN_RED := 3
 # The soak that every check plays: its schedule has evacuations, cold servers, narrower regions,
-# servers that hang and flap, settings that are spoilt, a burst of callers and two versions.
-SOAK_SEED ?= 20179
+# servers that hang and flap, that name a limit, ask for rest and say that they leave, settings that are
+# spoilt, a burst of callers and two versions.
+SOAK_SEED ?= 67083181
 SOAK_MINUTES ?= 0.6
 
 .PHONY: setup build demo test known-red lint format-check scenarios soak model-check regression bench clean
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -11,6 +11,7 @@
 
 // admit waits for a place; it answers itself when there is none.
 func (s *Server) admit(writer http.ResponseWriter, request *http.Request) bool {
+	id := request.Header.Get("Request-Id")
 	refuse := func(status int) bool {
 		writer.Header().Set("Not-Executed", "1")
 		writer.WriteHeader(status)
@@ -21,12 +22,10 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.arrive(request.Header.Get("Request-Id"))
+	s.arrive(id)
 	if s.faults.Shed > 0 {
 		s.faults.Shed--
-		if s.faults.ShedRest > 0 {
-			writer.Header().Set("Retry-After", strconv.FormatFloat(s.faults.ShedRest.Seconds(), 'f', -1, 64))
-		}
+		s.ask(writer.Header(), id, s.faults.ShedRest)
 		return refuse(http.StatusServiceUnavailable)
 	}
 	s.waiting++
@@ -56,6 +55,26 @@
 	return true
 }
 
+// ask writes into the head of an answer what the server asks for now, and records it; the mutex is held. Reports
+// have no request.
+func (s *Server) ask(header http.Header, request string, rest time.Duration) {
+	asked := Ask{RequestID: request, Server: s.options.ID, At: time.Now(), Leaving: s.leaving, Rest: rest}
+	if s.leaving {
+		header.Set("Server-Leaving", "1")
+	}
+	if s.limit != "" {
+		header.Set("Server-Limit", s.limit)
+		rate, err := strconv.ParseFloat(s.limit, 64)
+		asked.Limited, asked.PerSecond = err == nil, rate
+	}
+	if rest > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	}
+	if request != "" && (asked.Leaving || asked.Limited || rest > 0) {
+		s.options.Ledger.asked(asked)
+	}
+}
+
 // receive reads a request's body and records where it came.
 func (s *Server) receive(request *http.Request) ([]byte, error) {
 	body, err := io.ReadAll(request.Body)
@@ -110,6 +129,9 @@
 		return
 	}
 	writer.Header().Set("Response-Seal", "seal-"+id)
+	s.mutex.Lock()
+	s.ask(writer.Header(), id, 0)
+	s.mutex.Unlock()
 	if s.options.Weights == nil {
 		s.answerPlain(writer, request, body)
 		return
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -39,6 +39,33 @@
 	runs       []Run
 	deliveries []Delivery
 	arrivals   arrivals
+	asks       []Ask
+}
+
+// Ask is what a server has asked of the one that sent a request, in its answer to that.
+type Ask struct {
+	RequestID string
+	Server    string
+	At        time.Time
+	// Leaving is set when the server said that it leaves, Limited when it named a rate, PerSecond.
+	Leaving   bool
+	Limited   bool
+	PerSecond float64
+	// Rest is for how long it wanted nothing more.
+	Rest time.Duration
+}
+
+func (l *Ledger) asked(ask Ask) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.asks = append(l.asks, ask)
+}
+
+// Asks returns everything that servers have asked for, in order of time.
+func (l *Ledger) Asks() []Ask {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Ask(nil), l.asks...)
 }
 
 func (l *Ledger) delivered(delivery Delivery) {
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -99,8 +99,9 @@
 	coldArrivals []time.Time
 	// fallen is set once a cold server has received more than it bears.
 	fallen bool
-	// answerHeader is added to every answer, also to reports.
-	answerHeader map[string]string
+	// limit and leaving are what every answer says, also reports: the rate as a text, empty for none.
+	limit   string
+	leaving bool
 	// queueHeld is set while nothing that waits begins.
 	queueHeld bool
 	server    *http.Server
@@ -192,11 +193,18 @@
 	s.faults = faults
 }
 
-// SetAnswerHeader replaces what every answer of the server says beside the usual, such as a limit.
-func (s *Server) SetAnswerHeader(header map[string]string) {
+// NameLimit has every answer name how many requests a second the server takes; an empty text names none.
+func (s *Server) NameLimit(perSecond string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.answerHeader = header
+	s.limit = perSecond
+}
+
+// SayLeaving has every answer say that the server leaves, or not; its line says nothing of it.
+func (s *Server) SayLeaving(leaving bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leaving = leaving
 }
 
 // Rot turns a staged piece bad.
@@ -298,9 +306,6 @@
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	s.mutex.Lock()
 	silent, ill := s.faults.Silent, s.faults.FalselyIll
-	for name, value := range s.answerHeader {
-		writer.Header().Set(name, value)
-	}
 	s.mutex.Unlock()
 	path := request.URL.Path
 	if ill && (path == "/-/report" || path == "/healthz") {
@@ -328,6 +333,7 @@
 
 func (s *Server) serveReport(writer http.ResponseWriter) {
 	s.mutex.Lock()
+	s.ask(writer.Header(), "", 0)
 	report := map[string]any{
 		"stage": "both", "models": s.models(), "layers": s.layers(), "busy": s.loading, "sequence": s.sequence,
 		"numWaiting": s.waiting, "numRunning": s.running, "kvUsed": 0, "kvTotal": 1000, "pace": 1.0,
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -121,6 +121,12 @@
 		r.burst(burstTime + fault.For)
 	case QueryOfDeath:
 		r.askEnding(fault)
+	case ServerLimits:
+		r.nameLimit(r.anyServer(fault), fault)
+	case ServerSaysGone:
+		return r.sayLeaving(zone, agent, server)
+	case ServerRests:
+		r.askForRest(r.anyServer(fault), fault)
 	}
 	return nil
 }
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -28,6 +28,8 @@
 	ReloadCutsNone     Promise = "changed settings cut nothing"
 	ProcessesStay      Promise = "no process ends by itself"
 	QueryOfDeathIsKept Promise = "a query of death is kept from servers"
+	RestIsKept         Promise = "a server that asks for rest gets it"
+	LimitIsKept        Promise = "a server gets no more than it names"
 )
 
 // RequestKind tells how often a request may run.
@@ -93,7 +95,9 @@
 	// before any process started.
 	Restrictions []Restriction
 	Deliveries   []site.Delivery
-	Evacuations  []Evacuation
+	// Asks are what servers have asked for in their answers.
+	Asks        []site.Ask
+	Evacuations []Evacuation
 	// Ends are the servers that requests have ended, Endings the entries that such requests were sent to.
 	Ends    []site.End
 	Endings map[string]string
@@ -151,6 +155,7 @@
 	found = append(found, record.judgeRestrictions(senders)...)
 	found = append(found, record.judgeEvacuations(senders)...)
 	found = append(found, record.judgeEndings()...)
+	found = append(found, record.judgeAsks(senders)...)
 	return append(found, record.judgeCold()...)
 }
 
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -53,6 +53,9 @@
 	SettingsSpoilt Kind = "settings-spoilt"
 	Burst          Kind = "burst"
 	QueryOfDeath   Kind = "query-of-death"
+	ServerLimits   Kind = "server-names-limit"
+	ServerSaysGone Kind = "server-says-it-leaves"
+	ServerRests    Kind = "server-asks-for-rest"
 )
 
 // Kinds lists every kind.
@@ -61,6 +64,7 @@
 	ServerCrash, ServerUnlisted, ServerLeaves, PiecesRot, OriginSpoils, CutStreams, LoseAnswers, Shed, SurplusAnswers,
 	NewVersion, TwoVersions, Reconfigure, Evacuate, EvacuateTwice, ServerCold, ServerNewCold, ZoneCold, RouteNarrows, TenantNarrows,
 	LieErrors, LieResets, LieHangs, FalselyIll, Flap, SettingsChange, SettingsSpoilt, Burst, QueryOfDeath,
+	ServerLimits, ServerSaysGone, ServerRests,
 }
 
 // Fault is one fault of a schedule.
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -243,6 +243,7 @@
 	r.record.Attempts, r.record.Endings = r.callers.all(), r.callers.allEndings()
 	r.record.Ends = r.site.Ends()
 	r.record.Runs, r.record.Arrivals, r.record.Deliveries = r.site.Ledger.Runs(), r.site.Ledger.Arrivals(), r.site.Ledger.Deliveries()
+	r.record.Asks = r.site.Ledger.Asks()
 }
 
 // tell prints a violation once.
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -40,6 +40,16 @@
 			{RequestID: "once", Server: "p-1", Zone: site.ZoneName(1), At: at(1)},
 			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(40)},
 			{RequestID: "stream", Server: "i-1", Zone: site.ZoneName(2), Cold: true, At: at(41)},
+			{RequestID: "once", Server: "i-4", Zone: site.ZoneName(1), At: at(90.4)},
+			{RequestID: "once", Server: "i-4", Zone: site.ZoneName(1), At: at(90.6)},
+			{RequestID: "once", Server: "i-4", Zone: site.ZoneName(1), At: at(90.7)},
+			{RequestID: "once", Server: "i-5", Zone: site.ZoneName(1), At: at(96.5)}, {RequestID: "once", Server: "i-5", Zone: site.ZoneName(1), At: at(96.6)},
+			{RequestID: "once", Server: "i-5", Zone: site.ZoneName(1), At: at(96.7)},
+		},
+		Asks: []site.Ask{
+			{RequestID: "stream", Server: "i-1", At: at(39), Leaving: true},
+			{RequestID: "once", Server: "i-4", At: at(90), Rest: 2 * time.Second},
+			{RequestID: "once", Server: "i-5", At: at(93), Limited: true, PerSecond: 0.5}, {RequestID: "once", Server: "i-5", At: at(99), Limited: true, PerSecond: 0.5},
 		},
 		Ends: []site.End{
 			{Server: "i-7", RequestID: "ending-0-1-0", At: at(80)}, {Server: "i-8", RequestID: "ending-0-1-1", At: at(81)}, {Server: "i-9", RequestID: "ending-0-1-2", At: at(82)},
@@ -58,6 +68,9 @@
 func TestEachBrokenPromiseIsFound(t *testing.T) {
 	began := time.Now()
 	require.Empty(t, Judge(soundRecord(began)))
+	deliver := func(server string, seconds float64) site.Delivery {
+		return site.Delivery{RequestID: "once", Server: server, Zone: site.ZoneName(1), At: began.Add(time.Duration(seconds * float64(time.Second)))}
+	}
 	for _, one := range []struct {
 		promise Promise
 		spoil   func(*Record)
@@ -90,6 +103,13 @@
 				r.Arrivals = append(r.Arrivals, site.Arrival{RequestID: "ending-0-1-3", Server: "i-1", Path: site.StreamPrefix, Region: site.RegionName(2), At: began.Add(86 * time.Second)})
 			}
 		}},
+		{LeavingIsLeft, func(r *Record) { r.Asks[0].At = began.Add(31 * time.Second) }},
+		{RestIsKept, func(r *Record) { r.Deliveries = append(r.Deliveries, deliver("i-4", 91)) }},
+		{LimitIsKept, func(r *Record) {
+			for range limitSlack + 1 {
+				r.Deliveries = append(r.Deliveries, deliver("i-5", 97))
+			}
+		}},
 	} {
 		record := soundRecord(began)
 		one.spoil(&record)
--- a/internal/sitetest/leaving_test.go
+++ b/internal/sitetest/leaving_test.go
@@ -15,7 +15,6 @@
 // not answer.
 
 const (
-	headerLeaving = "Server-Leaving"
 	// leftAlone is how long after the first answer that said so every entry has had one.
 	leftAlone = 700 * time.Millisecond
 )
@@ -31,7 +30,7 @@
 	leaving := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
 	plain := f.Site.Plain[f.Site.Options.PlainIP(1, 0)]
 	for _, server := range []*site.Server{leaving, plain} {
-		server.SetAnswerHeader(map[string]string{headerLeaving: "1"})
+		server.SayLeaving(true)
 	}
 	said := time.Now()
 	time.Sleep(4 * time.Second)
@@ -53,10 +52,10 @@
 	stop := f.harmless(5 * time.Millisecond)
 	time.Sleep(500 * time.Millisecond)
 	leaving := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
-	leaving.SetAnswerHeader(map[string]string{headerLeaving: "1"})
+	leaving.SayLeaving(true)
 	said := time.Now()
 	time.Sleep(leftAlone)
-	leaving.SetAnswerHeader(nil)
+	leaving.SayLeaving(false)
 	time.Sleep(time.Second)
 	leaving.Lapse()
 	time.Sleep(time.Second)
--- a/internal/sitetest/limit_test.go
+++ b/internal/sitetest/limit_test.go
@@ -18,7 +18,6 @@
 // where 1.6 a second were named.
 
 const (
-	headerLimit = "Server-Limit"
 	// limitJudgedOver is the span over which a named limit is judged, limitOvershoot and limitSlack what it
 	// may be exceeded by.
 	limitJudgedOver = 4 * time.Second
@@ -82,11 +81,11 @@
 	limited := f.Site.Models[f.Site.Options.ModelIP(0, 0)]
 	stop := f.harmless(10 * time.Millisecond)
 	time.Sleep(time.Second)
-	limited.SetAnswerHeader(map[string]string{headerLimit: strconv.FormatFloat(rate, 'f', -1, 64)})
+	limited.NameLimit(strconv.FormatFloat(rate, 'f', -1, 64))
 	named := time.Now()
 	time.Sleep(10 * time.Second)
 	held := f.arrivedAt(limited.ID(), named.Add(limitKnown))
-	limited.SetAnswerHeader(nil)
+	limited.NameLimit("")
 	over := time.Now()
 	time.Sleep(7 * time.Second)
 	outcomes := stop()
@@ -110,7 +109,7 @@
 	}
 	only := f.Site.Plain[options.PlainIP(0, 0)]
 	time.Sleep(time.Second)
-	only.SetAnswerHeader(map[string]string{headerLimit: strconv.FormatFloat(rate, 'f', -1, 64)})
+	only.NameLimit(strconv.FormatFloat(rate, 'f', -1, 64))
 	named := time.Now()
 	stop := f.plainTraffic(20 * time.Millisecond)
 	time.Sleep(8 * time.Second)
@@ -139,7 +138,7 @@
 	const rate = 2.5
 	f := Start(t, limitOptions())
 	for _, server := range f.Site.Models {
-		server.SetAnswerHeader(map[string]string{headerLimit: strconv.FormatFloat(rate, 'f', -1, 64)})
+		server.NameLimit(strconv.FormatFloat(rate, 'f', -1, 64))
 	}
 	stop := f.harmless(20 * time.Millisecond)
 	named := time.Now()
