--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -27,14 +27,14 @@
 // reports whether it wanted something until now. A shorter rest asked for later does not end a longer one:
 // answers overtake each other.
 func (c *Core) SawRest(k *Candidate, lasts time.Duration, now time.Time) (news bool) {
-	news = k.restLeft(now) == 0
+	news = !k.asked.rests(now)
 	k.asked.restUntil = later(k.asked.restUntil, now.Add(lasts))
 	return news
 }
 
 // Unwilling reports whether a server wants nothing more from this entry, for good or for now.
 func (c *Core) Unwilling(k *Candidate, now time.Time) bool {
-	return c.Leaving(k) || k.restLeft(now) > 0
+	return c.Leaving(k) || k.asked.rests(now)
 }
 
 // Ask is what a server asks of all entries, as another one has told it.
@@ -95,6 +95,9 @@
 	c.kept[ask.Server] = held
 }
 
+// rests reports whether a server wants nothing from this entry now.
+func (a *asked) rests(now time.Time) bool { return !a.restUntil.IsZero() && now.Before(a.restUntil) }
+
 // restLeft is how much longer a server wants nothing from this entry.
 func (k *Candidate) restLeft(now time.Time) time.Duration { return max(0, k.asked.restUntil.Sub(now)) }
 
@@ -102,7 +105,7 @@
 func (c *Core) RestingServers(now time.Time) int {
 	count := 0
 	for _, known := range c.byID {
-		if known.restLeft(now) > 0 {
+		if known.asked.rests(now) {
 			count++
 		}
 	}
--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -15,7 +15,10 @@
 	Address string
 	Zone    string
 
-	listing  listing
+	listing listing
+	asked   asked
+	// limit is the rate that the server names in its answers.
+	limit    namedLimit
 	sends    ownSends
 	word     agentWord
 	lateness lateness
@@ -25,9 +28,6 @@
 	version uint64
 	// sent are the requests that this entry has sent here in the last admission.LimitSpan.
 	sent admission.Window
-	// limit is the rate that the server names in its answers.
-	limit namedLimit
-	asked asked
 	// coldTime is how long a server of its service is cold after a start.
 	coldTime time.Duration
 	// readmittedUntil is until when the server counts as cold because an evacuation of its
--- a/coordination/dispatch/fitness.go
+++ b/coordination/dispatch/fitness.go
@@ -52,10 +52,10 @@
 	if c.coldFull(k, now) {
 		return unfitCold
 	}
-	if k.restLeft(now) > 0 {
+	if k.asked.rests(now) {
 		return unfitResting
 	}
-	if c.limitOpensIn(k, now) > 0 {
+	if k.limit.inForce() && c.limitOpensIn(k, now) > 0 {
 		return unfitLimited
 	}
 	// Last, because servers that their health leaves out are taken when there is no other.
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 
 // RunSystem runs entries and agents as processes against the stand-in of the
 // users' platform: it answers requests, brings a version into service everywhere,
-// adds an empty server, changes the configuration, stops an entry as planned, and
+// adds an empty server, has servers ask to be spared, changes the configuration, stops an entry as planned, and
 // checks from the servers' own ledger that the promises held.
 func RunSystem(options SystemOptions) error {
 	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, systemFleet())
@@ -119,6 +120,7 @@
 		return err
 	}
 	d.printf("an empty server serves %.1f s after it came; the origin has sent %.2f copies", time.Since(came).Seconds(), d.site.Origin.Copies())
+	d.serversAsk()
 	d.site.Configure(nil)
 	stopped := launch.SiteProcess(site.RoleEntry, 0, 0)
 	began := time.Now()
@@ -132,6 +134,41 @@
 	return nil
 }
 
+// Shape of what servers ask for in their answers.
+const (
+	// askedRate is what one server names, in requests a second.
+	askedRate = 2
+	// askKnown is how long it takes until every entry knows, askTime how long it is looked at after that.
+	askKnown = time.Second
+	askTime  = 3 * time.Second
+)
+
+// serversAsk has one server say in its answers that it leaves and another one name a limit, and counts what they
+// get after that.
+func (d *systemDemo) serversAsk() {
+	leaving, limited := d.site.Models[d.site.Options.ModelIP(0, 0)], d.site.Models[d.site.Options.ModelIP(1, 0)]
+	leaving.SayLeaving(true)
+	limited.NameLimit(strconv.Itoa(askedRate))
+	time.Sleep(askKnown)
+	from := time.Now()
+	time.Sleep(askTime)
+	limited.NameLimit("")
+	got := map[string]int{}
+	for _, delivery := range d.site.Ledger.Deliveries() {
+		if delivery.At.After(from) {
+			got[delivery.Server]++
+		}
+	}
+	seconds := int(askTime / time.Second)
+	d.printf("a server that says it leaves got %d requests in %d s after that, one that takes %d a second got %d", got[leaving.ID()], seconds, askedRate, got[limited.ID()])
+	if got[leaving.ID()] > 0 {
+		d.violation("%s got %d requests though it had said that it leaves", leaving.ID(), got[leaving.ID()])
+	}
+	if most := askedRate*seconds*3/2 + 5; got[limited.ID()] > most {
+		d.violation("%s got %d requests in %d s, and takes %d a second", limited.ID(), got[limited.ID()], seconds, askedRate)
+	}
+}
+
 func (d *systemDemo) allServe(version uint64) bool {
 	for _, server := range d.site.Models {
 		if server.Version() != version {
