Entries use what servers that name a limit take, not four fifths of it

Cause: what all entries may send in 4.2 s was cut off to the next lower whole number of 4 s, and one of that kept for tries: 0.79 of a rate of 1.4 was used at six entries.

Change: the whole number that comes nearest to the rate over the window; tries of entries without a share come on top, each 8.4 s instead of 4.2.

--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
@@ -10,13 +11,16 @@
 // The entries share that as they share what cold servers may receive, by ranks and without a message: a
 // server that says it is in need can't be asked for grants.
 
-// limitSeconds is the time over which a named rate is held: over a second a rate below the number of
-// entries leaves most of them nothing.
+// limitSeconds is over how many seconds servers judge what they get, and an entry spreads its share: over one
+// second a rate below the number of entries leaves most of them nothing.
 const limitSeconds = 4
 
-// scarceTurns is how many spans of the window lie between two tries of entries without a share, where the
-// limit leaves one request a span or none.
-const scarceTurns = 5
+// turns is how many spans of the window lie between two tries of entries without a share; scarceTurns where the limit
+// leaves one request a span or none.
+const (
+	turns       = 2
+	scarceTurns = 5
+)
 
 // namedLimit is the rate that a server names.
 type namedLimit struct {
@@ -44,7 +48,7 @@
 	// InForce is whether there is a limit now, PerSecond the rate, Former the one before.
 	InForce           bool
 	PerSecond, Former float64
-	// Share is what this entry may send in limitSeconds, Entries how many share.
+	// Share is what this entry may send in admission.LimitSpan, Entries how many share.
 	Share, Entries int
 }
 
@@ -103,34 +107,29 @@
 	}
 }
 
-// limitShare is how many requests this entry may send a server in limitSeconds.
+// limitShare is how many requests this entry may send a server in admission.LimitSpan.
 func (c *Core) limitShare(k *Candidate, now time.Time) int {
-	return c.bounded.share(k.ID, float64(c.sharedPart(k.limit.perSecond, now)), now)
+	return c.bounded.share(k.ID, float64(sharedPart(k.limit.perSecond)), now)
 }
 
-// sharedPart is what the entries that have a share of a limit may send in limitSeconds, one request at least:
-// without any nobody would hear that the limit is over. Where there are more entries than requests, one of
-// these is for the others' tries.
-func (c *Core) sharedPart(perSecond float64, now time.Time) int {
-	total := int(limitSeconds * perSecond)
-	if total > 1 && total < c.bounded.count(now) {
-		total--
-	}
-	return max(1, total)
+// sharedPart is what the entries that have a share of a limit may send in admission.LimitSpan: the whole number
+// of requests that comes nearest to the rate, and one at least. Without any nobody would hear that the limit is over.
+func sharedPart(perSecond float64) int {
+	return max(1, int(math.Round(perSecond*admission.LimitSpan.Seconds())))
 }
 
-// tryTurn is how far apart entries without a share of a limit send one request each, to find out whether it
-// is still in force: one of limitSeconds is left for that, or hardly any.
+// tryTurn is how far apart entries without a share of a limit send one request each, to find out whether it is still
+// in force. It comes on top of the rate, so that it is rarer where that is low.
 func tryTurn(perSecond float64) time.Duration {
-	if limitSeconds*perSecond >= 2 {
-		return admission.LimitSpan
+	if sharedPart(perSecond) > 1 {
+		return turns * admission.LimitSpan
 	}
 	return scarceTurns * admission.LimitSpan
 }
 
 // firstTry is when such an entry does so after it has heard of the limit; they take turns by their ranks.
 func (c *Core) firstTry(k *Candidate, perSecond float64, now time.Time) time.Time {
-	turn := c.bounded.rank(k.ID) - c.sharedPart(perSecond, now) + 1
+	turn := c.bounded.rank(k.ID) - sharedPart(perSecond) + 1
 	return now.Add(time.Duration(max(1, turn)) * tryTurn(perSecond))
 }
 
