Entries that hear of a limit before they know each other take turns all the same

Cause: an entry without a share of a limit reckoned its turn to try at the moment at which it heard of the limit. Who the other entries are is asked for only while a limit is in force, so that each took itself for the first, and all tried at once.

Change: the turn is reckoned when it is asked for, from when the entry heard of the limit. A word that a server leaves says nothing of its limit, which the teller may not know.

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -66,13 +66,14 @@
 	if k.listing.server.Born.Differs(ask.Born) {
 		return LimitNews{}, false
 	}
-	if ask.Leaving {
+	switch {
+	case ask.Leaving:
 		_, leaving = c.SawLeaving(k)
+		return LimitNews{}, leaving
+	case ask.Limited:
+		return c.SawLimit(k, ask.PerSecond, at, now), false
 	}
-	if ask.Limited {
-		return c.SawLimit(k, ask.PerSecond, at, now), leaving
-	}
-	return c.SawNoLimit(k, at, now), leaving
+	return c.SawNoLimit(k, at, now), false
 }
 
 // keepAsk holds a word on a server that is not listed yet, or no more.
@@ -85,10 +86,12 @@
 		return
 	}
 	unlisted := &Candidate{ID: ask.Server, limit: held.limit, asked: held.asked}
-	unlisted.asked.leaving = unlisted.asked.leaving || ask.Leaving
-	if ask.Limited {
+	switch {
+	case ask.Leaving:
+		unlisted.asked.leaving = true
+	case ask.Limited:
 		c.SawLimit(unlisted, ask.PerSecond, at, now)
-	} else {
+	default:
 		c.SawNoLimit(unlisted, at, now)
 	}
 	held.at, held.limit, held.asked = now, unlisted.limit, unlisted.asked
--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -25,14 +25,14 @@
 // namedLimit is the rate that a server names.
 type namedLimit struct {
 	perSecond float64
-	// since is when an answer first named this rate, namedAt when one last did; both are zero while no
-	// limit is in force.
-	since, namedAt time.Time
+	// begunAt is when a limit was first heard of, since when this rate was, namedAt when one was last; all are zero
+	// while no limit is in force.
+	begunAt, since, namedAt time.Time
 	// endedAt is when the last request was sent whose answer has named none, toldAt when the others were last
 	// told of the rate.
 	endedAt, toldAt time.Time
-	// tryAt is when an entry without a share may find out whether the limit is still in force.
-	tryAt time.Time
+	// sentAt is when this entry last sent a request under the limit; zero if it has not.
+	sentAt time.Time
 }
 
 func (l *namedLimit) inForce() bool { return !l.namedAt.IsZero() }
@@ -74,7 +74,7 @@
 		held.since = now
 	}
 	if !held.inForce() {
-		held.tryAt = c.firstTry(k, perSecond, now)
+		held.begunAt = now
 	}
 	held.perSecond, held.namedAt = perSecond, now
 	c.noteLimited(k)
@@ -127,15 +127,15 @@
 	return scarceTurns * admission.LimitSpan
 }
 
-// firstTry is when such an entry does so after it has heard of the limit; they take turns by their ranks.
-func (c *Core) firstTry(k *Candidate, perSecond float64, now time.Time) time.Time {
-	turn := c.bounded.rank(k.ID) - sharedPart(perSecond) + 1
-	return now.Add(time.Duration(max(1, turn)) * tryTurn(perSecond))
-}
-
-// nextTry is when it does so again.
-func (c *Core) nextTry(perSecond float64, now time.Time) time.Time {
-	return now.Add(time.Duration(c.bounded.count(now)) * tryTurn(perSecond))
+// tryAt is when such an entry may do so: they take turns by their ranks from when they have heard of the limit, and
+// each comes again after all others.
+func (c *Core) tryAt(k *Candidate, now time.Time) time.Time {
+	turn := tryTurn(k.limit.perSecond)
+	if !k.limit.sentAt.IsZero() {
+		return k.limit.sentAt.Add(time.Duration(c.bounded.count(now)) * turn)
+	}
+	place := c.bounded.rank(k.ID) - sharedPart(k.limit.perSecond) + 1
+	return k.limit.begunAt.Add(time.Duration(max(1, place)) * turn)
 }
 
 // limitOpensIn is when this entry may send a server the next request under its limit; 0 is now.
@@ -145,7 +145,7 @@
 	}
 	share := c.limitShare(k, now)
 	if share == 0 {
-		return max(0, k.limit.tryAt.Sub(now))
+		return max(0, c.tryAt(k, now).Sub(now))
 	}
 	since, inASecond := c.bounded.since(now), (share+limitSeconds-1)/limitSeconds
 	return max(k.sent.OpensIn(admission.LimitSpan, since, share), k.sent.OpensIn(admission.ColdSpan, since, inASecond))
@@ -155,7 +155,7 @@
 func (c *Core) countLimited(k *Candidate, now time.Time) {
 	if k.limit.inForce() {
 		c.limitedSent++
-		k.limit.tryAt = c.nextTry(k.limit.perSecond, now)
+		k.limit.sentAt = now
 	}
 }
 
--- a/coordination/dispatch/limit_test.go
+++ b/coordination/dispatch/limit_test.go
@@ -190,6 +190,19 @@
 	assert.LessOrEqual(t, float64(most), 1.5*limitSeconds*rate+5)
 }
 
+// Guards against a fleet of entries that hear of a limit before they know each other, as they do: who they are is
+// asked for only while a limit is in force. All of them without a share sent their tries at the same moment.
+func TestEntriesThatHearOfALimitBeforeTheyKnowEachOther(t *testing.T) {
+	f := newLimitedFleet(90)
+	for index, core := range f.entries {
+		core.bounded = newMembers(fmt.Sprintf("entry-%d", index), epoch.Add(-2*settleTime))
+	}
+	f.named(1.4)
+	f.knowEachOther(f.entries)
+	f.asks(40*time.Second, 20*time.Millisecond, 1.4)
+	assert.LessOrEqual(t, f.mostIn(limitSeconds*time.Second), 13)
+}
+
 // knowEachOther tells some entries of each other, and of no others.
 func (f *limitedFleet) knowEachOther(some []*Core) {
 	for _, core := range some {
