Words of entries on servers are held in one place

What is held of servers' health and of what servers ask had the same code twice: a bound, an order by the teller's number, what a link is still to be told.

--- a/internal/catalog/asks.go
+++ b/internal/catalog/asks.go
@@ -47,35 +47,19 @@
 	Asks []toldAsk `cbor:"1,keyasint"`
 }
 
-// askKey names the words of which only the newest is held.
-type askKey struct{ entry, server string }
-
-// heldAsk is the newest word of an entry on a server, and when the server has said that.
-type heldAsk struct {
-	ask fleet.ServerAsk
-	at  time.Time
-	// number is the teller's, sequence this process's own, for the links.
-	number   uint64
-	sequence uint64
-}
-
 // AskFunction is told what a server has asked of another entry, and when.
 type AskFunction func(ask fleet.ServerAsk, entry string, at time.Time)
 
 // serverAsks are the words of all entries. The catalog's mutex guards it.
 type serverAsks struct {
-	held     map[askKey]heldAsk
-	sequence uint64
-	// number is that of this entry's last word. It begins at the time of the start, so that the words of a process
-	// that was started anew are newer than those of the one before.
-	number uint64
+	heldWords[fleet.ServerAsk]
 	onWord AskFunction
 	// fresh is signalled when there is something to pass on.
 	fresh chan struct{}
 }
 
 func newServerAsks(started time.Time) serverAsks {
-	return serverAsks{held: map[askKey]heldAsk{}, number: uint64(started.UnixNano()), fresh: make(chan struct{}, 1)}
+	return serverAsks{heldWords: newHeldWords[fleet.ServerAsk](started, askMemory, mostAsks), fresh: make(chan struct{}, 1)}
 }
 
 // OnAsk registers a function that is called with each word of another entry. It must be registered before Run.
@@ -84,8 +68,8 @@
 // TellAsk has the other entries told at once what a server has asked of this one at a time.
 func (c *Catalog) TellAsk(ask fleet.ServerAsk, at time.Time) {
 	c.mutex.Lock()
-	c.asks.number++
-	c.holdAsk(c.options.Self, heldAsk{ask: ask, at: at, number: c.asks.number})
+	word := heldWord[fleet.ServerAsk]{word: ask, at: at, number: c.asks.nextNumber()}
+	c.asks.hold(wordKey{entry: c.options.Self, server: ask.Server}, word, time.Now())
 	c.mutex.Unlock()
 	c.passAsksSoon()
 }
@@ -97,33 +81,6 @@
 	}
 }
 
-// holdAsk keeps a word if it is newer than the one held; the mutex is held.
-func (c *Catalog) holdAsk(entry string, fresh heldAsk) bool {
-	key := askKey{entry, fresh.ask.Server}
-	held, known := c.asks.held[key]
-	if known && fresh.number <= held.number {
-		return false
-	}
-	if !known && len(c.asks.held) >= mostAsks {
-		c.dropOldestAsk()
-	}
-	c.asks.sequence++
-	fresh.sequence = c.asks.sequence
-	c.asks.held[key] = fresh
-	return true
-}
-
-func (c *Catalog) dropOldestAsk() {
-	var oldest askKey
-	var at time.Time
-	for key, held := range c.asks.held {
-		if at.IsZero() || held.at.Before(at) {
-			oldest, at = key, held.at
-		}
-	}
-	delete(c.asks.held, oldest)
-}
-
 func (c *Catalog) handleAsks(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[askBatch](received)
 	if err != nil {
@@ -137,7 +94,7 @@
 			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 			continue
 		}
-		if told.Entry != c.options.Self && c.holdAsk(told.Entry, told.held(now)) {
+		if told.Entry != c.options.Self && c.asks.hold(wordKey{entry: told.Entry, server: told.Server}, told.held(now), now) {
 			news = append(news, told)
 		}
 	}
@@ -151,7 +108,7 @@
 	}
 	for _, told := range news {
 		held := told.held(now)
-		c.asks.onWord(held.ask, told.Entry, held.at)
+		c.asks.onWord(held.word, told.Entry, held.at)
 	}
 }
 
@@ -174,18 +131,18 @@
 }
 
 // held is a word that was received at a time.
-func (t toldAsk) held(now time.Time) heldAsk {
-	return heldAsk{
-		ask: fleet.ServerAsk{Server: t.Server, Born: t.Born, Leaving: t.Leaving, Limited: t.Limited, PerSecond: t.PerSecond},
-		at:  now.Add(-time.Duration(t.AgeMilliseconds) * time.Millisecond), number: t.Number,
+func (t toldAsk) held(now time.Time) heldWord[fleet.ServerAsk] {
+	return heldWord[fleet.ServerAsk]{
+		word: fleet.ServerAsk{Server: t.Server, Born: t.Born, Leaving: t.Leaving, Limited: t.Limited, PerSecond: t.PerSecond},
+		at:   now.Add(-time.Duration(t.AgeMilliseconds) * time.Millisecond), number: t.Number,
 	}
 }
 
-// told is a word as it is passed on at a time.
-func (h heldAsk) told(entry string, now time.Time) toldAsk {
+// toldAskOf is an entry's word as it is passed on at a time.
+func toldAskOf(entry string, held heldWord[fleet.ServerAsk], now time.Time) toldAsk {
 	return toldAsk{
-		Server: h.ask.Server, Entry: entry, Number: h.number, AgeMilliseconds: max(0, now.Sub(h.at).Milliseconds()), Born: h.ask.Born,
-		Leaving: h.ask.Leaving, Limited: h.ask.Limited, PerSecond: h.ask.PerSecond,
+		Server: held.word.Server, Entry: entry, Number: held.number, AgeMilliseconds: max(0, now.Sub(held.at).Milliseconds()), Born: held.word.Born,
+		Leaving: held.word.Leaving, Limited: held.word.Limited, PerSecond: held.word.PerSecond,
 	}
 }
 
@@ -195,11 +152,7 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for key, held := range c.asks.held {
-		if now.Sub(held.at) > askMemory {
-			delete(c.asks.held, key)
-		}
-	}
+	c.asks.expire(now)
 	rank := c.overlay.Rank()
 	isRelay := rank >= 0 && rank < relaysPerZone
 	for _, peer := range c.links {
@@ -218,11 +171,8 @@
 // asksFor lists the words that an entry is to be told; the mutex is held.
 func (c *Catalog) asksFor(peer *peerLink, isRelay bool, now time.Time) []toldAsk {
 	var asks []toldAsk
-	for key, held := range c.asks.held {
-		if held.sequence <= peer.asksTold || key.entry == peer.ip || (key.entry != c.options.Self && !isRelay) {
-			continue
-		}
-		asks = append(asks, held.told(key.entry, now))
+	for key, held := range c.asks.untold(peer.asksTold, peer.ip, c.options.Self, isRelay) {
+		asks = append(asks, toldAskOf(key.entry, held, now))
 	}
 	return asks
 }
--- a/internal/catalog/asks_test.go
+++ b/internal/catalog/asks_test.go
@@ -16,8 +16,8 @@
 // A word is the same when another process has it, with its age.
 func TestWordsOnWhatServersAskAreToldWhole(t *testing.T) {
 	said := time.Unix(1000, 0)
-	one := heldAsk{ask: fleet.ServerAsk{Server: "i-1", Born: 7, Leaving: true, Limited: true, PerSecond: 1.4}, at: said, number: 3}
-	sent, err := cbor.Marshal(one.told("10.0.0.1", said.Add(2*time.Second)))
+	one := heldWord[fleet.ServerAsk]{word: fleet.ServerAsk{Server: "i-1", Born: 7, Leaving: true, Limited: true, PerSecond: 1.4}, at: said, number: 3}
+	sent, err := cbor.Marshal(toldAskOf("10.0.0.1", one, said.Add(2*time.Second)))
 	require.NoError(t, err)
 	var told toldAsk
 	require.NoError(t, cbor.Unmarshal(sent, &told))
@@ -48,17 +48,18 @@
 
 // Of an entry's words on a server the newest holds, in whatever order they come, and they are bounded.
 func TestHeldWordsOnWhatServersAsk(t *testing.T) {
-	c := &Catalog{asks: newServerAsks(time.Unix(0, 0))}
-	word := func(server string, number uint64) heldAsk {
-		return heldAsk{ask: fleet.ServerAsk{Server: server, PerSecond: float64(number)}, at: time.Unix(int64(number), 0), number: number}
+	asks := newServerAsks(time.Unix(0, 0))
+	now := time.Unix(0, 0)
+	hold := func(entry, server string, number uint64) bool {
+		return asks.hold(wordKey{entry: entry, server: server}, heldWord[fleet.ServerAsk]{at: time.Unix(int64(number), 0), number: number}, now)
 	}
-	assert.True(t, c.holdAsk("a", word("i-1", 2)))
-	assert.False(t, c.holdAsk("a", word("i-1", 1)), "an older one")
-	assert.False(t, c.holdAsk("a", word("i-1", 2)), "the same once more")
-	assert.True(t, c.holdAsk("b", word("i-1", 1)), "another entry's")
+	assert.True(t, hold("a", "i-1", 2))
+	assert.False(t, hold("a", "i-1", 1), "an older one")
+	assert.False(t, hold("a", "i-1", 2), "the same once more")
+	assert.True(t, hold("b", "i-1", 1), "another entry's")
 	for number := range uint64(2 * mostAsks) {
-		c.holdAsk("a", word("many", number+10))
-		c.holdAsk(time.Duration(number).String(), word("i-2", number+10))
+		hold("a", "many", number+10)
+		hold(time.Duration(number).String(), "i-2", number+10)
 	}
-	assert.Len(t, c.asks.held, mostAsks)
+	assert.Len(t, asks.held, mostAsks)
 }
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -55,33 +55,20 @@
 	Words []toldHealth `cbor:"1,keyasint"`
 }
 
-// healthKey names the words of which only the newest is held.
-type healthKey struct{ entry, server string }
-
 // heldHealth is the newest word of an entry on a server.
-type heldHealth struct {
-	word health.Word
-	at   time.Time
-	// number is the teller's, sequence this process's own, for the links.
-	number   uint64
-	sequence uint64
-}
+type heldHealth = heldWord[health.Word]
 
 // HealthFunction is told what another entry of the zone has said of a server, and when.
 type HealthFunction func(word health.Word, at time.Time)
 
 // healthWords are what the zone's entries have said of servers. The catalog's mutex guards it.
 type healthWords struct {
-	held     map[healthKey]heldHealth
-	sequence uint64
-	// number is that of this entry's last word. It begins at the time of the start, so that
-	// the words of a process that was started anew are newer than those of the one before.
-	number uint64
+	heldWords[health.Word]
 	onWord HealthFunction
 }
 
 func newHealthWords(started time.Time) healthWords {
-	return healthWords{held: map[healthKey]heldHealth{}, number: uint64(started.UnixNano())}
+	return healthWords{heldWords: newHeldWords[health.Word](started, healthMemory, mostHealthWords)}
 }
 
 // OnHealth registers a function that is called with each word of another entry. It must be
@@ -94,36 +81,13 @@
 	defer c.mutex.Unlock()
 	now := time.Now()
 	for _, word := range words {
-		c.health.number++
-		c.holdHealth(heldHealth{word: word, at: at, number: c.health.number}, now)
+		c.holdHealth(heldHealth{word: word, at: at, number: c.health.nextNumber()}, now)
 	}
 }
 
 // holdHealth keeps a word if it is newer than the one held; the mutex is held.
 func (c *Catalog) holdHealth(fresh heldHealth, now time.Time) bool {
-	key := healthKey{fresh.word.Entry, fresh.word.Server}
-	held, known := c.health.held[key]
-	if known && fresh.number <= held.number && now.Sub(held.at) < healthMemory {
-		return false
-	}
-	if !known && len(c.health.held) >= mostHealthWords {
-		c.dropOldestHealth()
-	}
-	c.health.sequence++
-	fresh.sequence = c.health.sequence
-	c.health.held[key] = fresh
-	return true
-}
-
-func (c *Catalog) dropOldestHealth() {
-	var oldest healthKey
-	var at time.Time
-	for key, held := range c.health.held {
-		if at.IsZero() || held.at.Before(at) {
-			oldest, at = key, held.at
-		}
-	}
-	delete(c.health.held, oldest)
+	return c.health.hold(wordKey{entry: fresh.word.Entry, server: fresh.word.Server}, fresh, now)
 }
 
 func (c *Catalog) handleHealth(link *peering.Link, received *message.Message) {
@@ -194,8 +158,8 @@
 	}
 }
 
-// told is a word as it is passed on at a time.
-func (h heldHealth) told(now time.Time) toldHealth {
+// toldHealthOf is a word as it is passed on at a time.
+func toldHealthOf(h heldHealth, now time.Time) toldHealth {
 	return toldHealth{
 		Server: h.word.Server, Entry: h.word.Entry, Ejected: h.word.Ejected, Returned: h.word.Returned, Trying: h.word.Trying, Mute: h.word.Mute,
 		Evidence: float32(h.word.Evidence), Failed: float32(h.word.Failed), Served: float32(h.word.Served), Round: h.word.Round, SinceMilliseconds: h.word.Since.Milliseconds(),
@@ -211,11 +175,7 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for key, held := range c.health.held {
-		if now.Sub(held.at) > healthMemory {
-			delete(c.health.held, key)
-		}
-	}
+	c.health.expire(now)
 	rank := c.overlay.Rank()
 	isRelay := rank >= 0 && rank < relaysPerZone
 	for _, peer := range c.links {
@@ -234,11 +194,8 @@
 // healthFor lists the words that an entry is to be told; the mutex is held.
 func (c *Catalog) healthFor(peer *peerLink, isRelay bool, now time.Time) []toldHealth {
 	var words []toldHealth
-	for key, held := range c.health.held {
-		if held.sequence <= peer.healthTold || key.entry == peer.ip || (key.entry != c.options.Self && !isRelay) {
-			continue
-		}
-		words = append(words, held.told(now))
+	for _, held := range c.health.untold(peer.healthTold, peer.ip, c.options.Self, isRelay) {
+		words = append(words, toldHealthOf(held, now))
 	}
 	slices.SortFunc(words, func(a, b toldHealth) int { return int(b.AgeMilliseconds - a.AgeMilliseconds) })
 	return words
--- a/internal/catalog/health_test.go
+++ b/internal/catalog/health_test.go
@@ -42,7 +42,7 @@
 func TestWordOnHealthKeepsItsSpans(t *testing.T) {
 	now := time.Now()
 	said := heldHealth{word: ejectedWord("10.0.0.1", "i-1"), at: now.Add(-300 * time.Millisecond), number: 9}
-	heard := said.told(now).held(now.Add(time.Second))
+	heard := toldHealthOf(said, now).held(now.Add(time.Second))
 	assert.Equal(t, said.word, heard.word)
 	word := reflect.ValueOf(said.word)
 	for field := range word.NumField() {
@@ -73,7 +73,7 @@
 // A word that can't be meant is not taken in, whichever of its fields is faulty.
 func TestFaultyWordsOnHealthAreRejected(t *testing.T) {
 	now := time.Now()
-	sound := heldHealth{word: ejectedWord("10.0.0.1", "i-1"), at: now, number: 9}.told(now)
+	sound := toldHealthOf(heldHealth{word: ejectedWord("10.0.0.1", "i-1"), at: now, number: 9}, now)
 	_, err := sound.checked(now)
 	assert.NoError(t, err)
 	for name, spoil := range map[string]func(*toldHealth){
