Fleets of tests take their networks in turn, so that none runs out

Cause: each test took the next free network after the last one's, up to wherever that led. Two whole runs at the same time pass over each other's and came to 127.256: ten and eleven tests of internal/sitetest failed at once in both, none of them in what it tests.

Change: the networks from 61 to 139 are used in turn, and a run begins at one by its process number.

--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -74,20 +74,24 @@
 
 var (
 	networkMutex sync.Mutex
-	nextNetwork  = 60
+	// nextNetwork is where the next free network is looked for. Runs of these tests at the same time begin at
+	// different ones.
+	nextNetwork = os.Getpid()
 )
 
-// networkRange is how many networks are looked at for one on which no other run of these
-// tests has its stand-in. Demos and soaks take theirs from 140 on.
-const networkRange = 20
+// Networks of these tests' stand-ins, which are used in turn. Demos and soaks take theirs from 140 on.
+const (
+	firstNetwork = 61
+	networks     = 79
+)
 
 // DefaultOptions is a fleet of two zones with bounds that suit a test.
 func DefaultOptions() site.Options {
 	networkMutex.Lock()
 	defer networkMutex.Unlock()
-	nextNetwork = site.FreeNetwork(nextNetwork+1, networkRange, 0)
+	nextNetwork++
 	return site.Options{
-		Network: nextNetwork, Zones: 2, Entries: 2, ModelServers: 2, PlainServers: 1,
+		Network: site.FreeNetwork(firstNetwork, networks, nextNetwork), Zones: 2, Entries: 2, ModelServers: 2, PlainServers: 1,
 		Weights:   site.Weights{Model: "m", Pieces: 24, PieceBytes: 4096, Layers: 4},
 		EventTime: 5 * time.Millisecond, Slots: 8,
 		VersionMs: 4000, ConfigApplyMs: 2000, DrainMs: 2000, GraceS: 6, BudgetSlack: 40, TimeoutMs: 4000,
