What is held of unlisted servers expires once a list, not once a server

Cause: each server whose line goes looked through all that is held of unlisted ones.

Change: it is looked through once for each list.

--- a/coordination/dispatch/kept.go
+++ b/coordination/dispatch/kept.go
@@ -20,13 +20,17 @@
 	asked asked
 }
 
-// keep holds what bounds a server whose line has gone.
-func (c *Core) keep(known *Candidate, now time.Time) {
+// expireKept drops what has been held for too long, once a list: the lines of all servers may go at once.
+func (c *Core) expireKept(now time.Time) {
 	for id, one := range c.kept {
 		if now.Sub(one.at) > keptMemory {
 			delete(c.kept, id)
 		}
 	}
+}
+
+// keep holds what bounds a server whose line has gone.
+func (c *Core) keep(known *Candidate, now time.Time) {
 	c.kept[known.ID] = keptServer{born: known.listing.server.Born, at: now, sent: known.sent, limit: known.limit, asked: known.asked}
 }
 
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -44,6 +44,7 @@
 func (c *Core) Update(fleet Fleet, now time.Time) []Change {
 	old := c.fleet
 	c.fleet = fleet
+	c.expireKept(now)
 	var changes []Change
 	present := make(map[string]bool, len(fleet.Servers))
 	c.byService = map[string][]*Candidate{}
--- /dev/null
+++ b/coordination/dispatch/list_benchmark_test.go
@@ -0,0 +1,23 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkAllLinesLapse is what requests wait for when the store loses the lines of all servers, and they come again.
+func BenchmarkAllLinesLapse(b *testing.B) {
+	core, now := testCore("a", nil), epoch
+	var fleet Fleet
+	for number := range 3000 {
+		fleet.Servers = append(fleet.Servers, Server{
+			ID: fmt.Sprint("server-", number), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:1", number/200, number%200), Zone: "a", Slots: 16,
+		})
+	}
+	for b.Loop() {
+		core.Update(fleet, now)
+		now = now.Add(time.Second)
+		core.Update(Fleet{}, now)
+	}
+}
