A window of sends counts in one way

Open takes the span that is meant, and one function counts what came after a moment, for the receiver's count too. coldUntil uses the later of two times that is there. Behaviour as before; the tests of windows name the span and keep their assertions.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -43,24 +43,17 @@
 // NewWindow returns a window of a length in which nothing has happened.
 func NewWindow(span time.Duration) *Window { return &Window{span: span} }
 
-// Open reports whether another event would leave at most a number of them in the span that
-// ends now.
-func (w *Window) Open(now time.Duration, most int) bool {
+// Open reports whether another event would leave at most a number of them in a span that ends now, no
+// longer than the window's.
+func (w *Window) Open(span, now time.Duration, most int) bool {
 	w.forget(now)
-	return len(w.admitted) < most
+	return w.after(now-span) < most
 }
 
-// OpenWithin reports whether another event would leave at most a number of them in a span that ends now,
-// no longer than the window's.
-func (w *Window) OpenWithin(span, now time.Duration, most int) bool {
-	w.forget(now)
-	return w.within(span, now) < most
-}
-
-// within is how many events a span that ends now holds.
-func (w *Window) within(span, now time.Duration) int {
+// after is how many events there were later than a moment.
+func (w *Window) after(moment time.Duration) int {
 	count := 0
-	for count < len(w.admitted) && now-w.admitted[len(w.admitted)-1-count] < span {
+	for count < len(w.admitted) && w.admitted[len(w.admitted)-1-count] > moment {
 		count++
 	}
 	return count
@@ -73,21 +66,12 @@
 	if most <= 0 {
 		return span
 	}
-	if w.within(span, now) < most {
+	if w.after(now-span) < most {
 		return 0
 	}
 	return w.admitted[len(w.admitted)-most] + span - now
 }
 
-// Last is when the last event of the window was, and whether there is one.
-func (w *Window) Last(now time.Duration) (at time.Duration, any bool) {
-	w.forget(now)
-	if len(w.admitted) == 0 {
-		return 0, false
-	}
-	return w.admitted[len(w.admitted)-1], true
-}
-
 // Add counts an event.
 func (w *Window) Add(now time.Duration) {
 	w.forget(now)
@@ -104,11 +88,7 @@
 // now: told were counted at the receiver at a time, and this window's own since are not in that.
 func (w *Window) Crowded(limit float64, told int, toldAt, now time.Duration) bool {
 	w.forget(now)
-	since := 0
-	for since < len(w.admitted) && w.admitted[len(w.admitted)-1-since] > toldAt {
-		since++
-	}
-	return told+since >= int(limit)
+	return told+w.after(toldAt) >= int(limit)
 }
 
 func (w *Window) forget(now time.Duration) {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -42,7 +42,7 @@
 		var admitted []time.Duration
 		for range rapid.IntRange(1, 200).Draw(t, "asked") {
 			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond
-			if window.Open(now, most) {
+			if window.Open(span, now, most) {
 				window.Add(now)
 				admitted = append(admitted, now)
 			}
@@ -53,7 +53,7 @@
 	})
 	window, count := NewWindow(span), 0
 	for now := time.Duration(0); now < 3*span; now += 10 * time.Millisecond {
-		if window.Open(now, 5) {
+		if window.Open(span, now, 5) {
 			window.Add(now)
 			count++
 		}
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -45,9 +45,7 @@
 func (k *Candidate) coldUntil() time.Time {
 	until := k.word.at.Add(min(k.word.ColdFor, k.coldTime))
 	for _, other := range []time.Time{k.listing.server.ColdUntil, k.answeredColdUntil, k.readmittedUntil} {
-		if other.After(until) {
-			until = other
-		}
+		until = later(until, other)
 	}
 	return until
 }
@@ -78,7 +76,7 @@
 		return false
 	}
 	since := c.bounded.since(now)
-	if !k.sent.OpenWithin(admission.ColdSpan, since, c.bounded.share(k.ID, coldShare*limit, now)) {
+	if !k.sent.Open(admission.ColdSpan, since, c.bounded.share(k.ID, coldShare*limit, now)) {
 		return true
 	}
 	// Shares reckon with what each entry has sent itself. The agent's count has what all have
