A refusal looks at each server once; words of others on a server are taken in one way

A request without a server had the fitness of all its service's servers reckoned twice, for the reasons and for the moment at which the first one has room, while servers are overloaded or in need. The loop that counts the reasons notes both. Words on servers that are listed, and on such that are not yet, had the same three cases each; takeAsk has them. Behaviour as before.

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -59,13 +59,18 @@
 // until it is: an entry that starts may hear it before the list.
 func (c *Core) HearAsk(ask Ask, at, now time.Time) (limit LimitNews, leaving bool) {
 	k := c.byID[ask.Server]
-	if k == nil {
+	switch {
+	case k == nil:
 		c.keepAsk(ask, at, now)
 		return LimitNews{}, false
-	}
-	if k.listing.server.Born.Differs(ask.Born) {
+	case k.listing.server.Born.Differs(ask.Born):
 		return LimitNews{}, false
 	}
+	return c.takeAsk(k, ask, at, now)
+}
+
+// takeAsk notes a word on a server. One that it leaves says nothing of its limit, which the teller may not know.
+func (c *Core) takeAsk(k *Candidate, ask Ask, at, now time.Time) (limit LimitNews, leaving bool) {
 	switch {
 	case ask.Leaving:
 		_, leaving = c.SawLeaving(k)
@@ -86,14 +91,7 @@
 		return
 	}
 	unlisted := &Candidate{ID: ask.Server, limit: held.limit, asked: held.asked}
-	switch {
-	case ask.Leaving:
-		unlisted.asked.leaving = true
-	case ask.Limited:
-		c.SawLimit(unlisted, ask.PerSecond, at, now)
-	default:
-		c.SawNoLimit(unlisted, at, now)
-	}
+	c.takeAsk(unlisted, ask, at, now)
 	held.at, held.limit, held.asked = now, unlisted.limit, unlisted.asked
 	c.kept[ask.Server] = held
 }
@@ -115,16 +113,17 @@
 	return count
 }
 
-// soonestOpen is when the first of the servers that only what they have asked for keeps from a request may be sent
-// one, if there is such a server. Another entry may have a share, or not be asked for rest: a caller is not
-// told to wait for longer than shares last.
-func (c *Core) soonestOpen(request *Request, now time.Time) (soonest time.Duration, found bool) {
-	soonest = admission.LimitSpan
-	for _, candidate := range c.byService[request.Service] {
-		switch c.fitness(candidate, request, now) {
-		case unfitResting, unfitLimited:
-			soonest, found = min(soonest, max(candidate.restLeft(now), c.limitOpensIn(candidate, now))), true
-		}
-	}
-	return soonest, found
+// longestClosed bounds when a server counts as open that has asked for something: another entry may have a share, or not
+// be asked for rest, so that a caller is not told to wait for longer than shares last.
+const longestClosed = admission.LimitSpan
+
+// opensIn is when a server may be sent a request that only what it has asked for keeps from it; 0 is now.
+func (c *Core) opensIn(k *Candidate, now time.Time) time.Duration {
+	return max(k.restLeft(now), c.limitOpensIn(k, now))
 }
+
+// asked reports whether a server is not sent a request only because of what it has asked for.
+func (f Fitness) asked() bool { return f == unfitResting || f == unfitLimited }
+
+// anyAsked reports whether there is such a server.
+func (r *Refusal) anyAsked() bool { return r.Servers[unfitResting]+r.Servers[unfitLimited] > 0 }
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -211,4 +211,6 @@
 	Limit   time.Duration
 	// OldestWord is the age of the oldest word of an agent.
 	OldestWord time.Duration
+	// opensIn is when the first of the servers is open that only what they have asked for keeps from the request.
+	opensIn time.Duration
 }
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -68,11 +68,16 @@
 	return best, soonest
 }
 
-// refuse tells which servers fall out for which reason.
+// refuse tells which servers fall out for which reason, and when the first is open of those that only what
+// they have asked for keeps from the request.
 func (c *Core) refuse(reason RefusalReason, request *Request, now time.Time) *Refusal {
-	refusal := &Refusal{Reason: reason, Servers: map[Fitness]int{}}
+	refusal := &Refusal{Reason: reason, Servers: map[Fitness]int{}, opensIn: longestClosed}
 	for _, candidate := range c.byService[request.Service] {
-		refusal.Servers[c.fitness(candidate, request, now)]++
+		unfit := c.fitness(candidate, request, now)
+		refusal.Servers[unfit]++
+		if unfit.asked() {
+			refusal.opensIn = min(refusal.opensIn, c.opensIn(candidate, now))
+		}
 		refusal.OldestWord = max(refusal.OldestWord, candidate.word.age(now))
 	}
 	return refusal
@@ -87,8 +92,8 @@
 	}
 	refusal := c.refuse(reason, request, now)
 	refusal.RetryAfter = c.soonestReady(request, now)
-	if opens, found := c.soonestOpen(request, now); found {
-		refusal.RetryAfter = max(opens, refusalRetryFloor)
+	if refusal.anyAsked() {
+		refusal.RetryAfter = max(refusal.opensIn, refusalRetryFloor)
 	}
 	if !request.Residency.AnyOf(c.regions) {
 		refusal.RetryAfter = noRegionRetry
