One type for what a server asks

fleet.ServerAsk and dispatch.Ask had the same fields and were converted into each other. The core's is used by those who pass it on, as they do with words on health. Behaviour as before.

--- a/coordination/dispatch/asked.go
+++ b/coordination/dispatch/asked.go
@@ -37,7 +37,7 @@
 	return c.Leaving(k) || k.asked.rests(now)
 }
 
-// Ask is what a server asks of all entries, as another one has told it.
+// Ask is what a server asks of all entries in its answers, as these tell each other.
 type Ask struct {
 	Server string
 	Born   incarnation.Born
--- a/internal/catalog/asks.go
+++ b/internal/catalog/asks.go
@@ -8,6 +8,7 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -28,7 +29,7 @@
 	mostAsks = 2048
 )
 
-// toldAsk is an entry's word on what a server asks, as it is passed on; fleet.ServerAsk tells what the fields
+// toldAsk is an entry's word on what a server asks, as it is passed on; dispatch.Ask tells what the fields
 // mean.
 type toldAsk struct {
 	Server string `cbor:"1,keyasint"`
@@ -48,27 +49,27 @@
 }
 
 // AskFunction is told what a server has asked of another entry, and when.
-type AskFunction func(ask fleet.ServerAsk, entry string, at time.Time)
+type AskFunction func(ask dispatch.Ask, entry string, at time.Time)
 
 // serverAsks are the words of all entries. The catalog's mutex guards it.
 type serverAsks struct {
-	heldWords[fleet.ServerAsk]
+	heldWords[dispatch.Ask]
 	onWord AskFunction
 	// fresh is signalled when there is something to pass on.
 	fresh chan struct{}
 }
 
 func newServerAsks(started time.Time) serverAsks {
-	return serverAsks{heldWords: newHeldWords[fleet.ServerAsk](started, askMemory, mostAsks), fresh: make(chan struct{}, 1)}
+	return serverAsks{heldWords: newHeldWords[dispatch.Ask](started, askMemory, mostAsks), fresh: make(chan struct{}, 1)}
 }
 
 // OnAsk registers a function that is called with each word of another entry. It must be registered before Run.
 func (c *Catalog) OnAsk(function AskFunction) { c.asks.onWord = function }
 
 // TellAsk has the other entries told at once what a server has asked of this one at a time.
-func (c *Catalog) TellAsk(ask fleet.ServerAsk, at time.Time) {
+func (c *Catalog) TellAsk(ask dispatch.Ask, at time.Time) {
 	c.mutex.Lock()
-	word := heldWord[fleet.ServerAsk]{word: ask, at: at, number: c.asks.nextNumber()}
+	word := heldWord[dispatch.Ask]{word: ask, at: at, number: c.asks.nextNumber()}
 	c.asks.hold(wordKey{entry: c.options.Self, server: ask.Server}, word, time.Now())
 	c.mutex.Unlock()
 	c.passAsksSoon()
@@ -131,15 +132,15 @@
 }
 
 // held is a word that was received at a time.
-func (t toldAsk) held(now time.Time) heldWord[fleet.ServerAsk] {
-	return heldWord[fleet.ServerAsk]{
-		word: fleet.ServerAsk{Server: t.Server, Born: t.Born, Leaving: t.Leaving, Limited: t.Limited, PerSecond: t.PerSecond},
+func (t toldAsk) held(now time.Time) heldWord[dispatch.Ask] {
+	return heldWord[dispatch.Ask]{
+		word: dispatch.Ask{Server: t.Server, Born: t.Born, Leaving: t.Leaving, Limited: t.Limited, PerSecond: t.PerSecond},
 		at:   now.Add(-time.Duration(t.AgeMilliseconds) * time.Millisecond), number: t.Number,
 	}
 }
 
 // toldAskOf is an entry's word as it is passed on at a time.
-func toldAskOf(entry string, held heldWord[fleet.ServerAsk], now time.Time) toldAsk {
+func toldAskOf(entry string, held heldWord[dispatch.Ask], now time.Time) toldAsk {
 	return toldAsk{
 		Server: held.word.Server, Entry: entry, Number: held.number, AgeMilliseconds: max(0, now.Sub(held.at).Milliseconds()), Born: held.word.Born,
 		Leaving: held.word.Leaving, Limited: held.word.Limited, PerSecond: held.word.PerSecond,
--- a/internal/catalog/asks_test.go
+++ b/internal/catalog/asks_test.go
@@ -9,14 +9,14 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/fleet"
 )
 
 // A word is the same when another process has it, with its age.
 func TestWordsOnWhatServersAskAreToldWhole(t *testing.T) {
 	said := time.Unix(1000, 0)
-	one := heldWord[fleet.ServerAsk]{word: fleet.ServerAsk{Server: "i-1", Born: 7, Leaving: true, Limited: true, PerSecond: 1.4}, at: said, number: 3}
+	one := heldWord[dispatch.Ask]{word: dispatch.Ask{Server: "i-1", Born: 7, Leaving: true, Limited: true, PerSecond: 1.4}, at: said, number: 3}
 	sent, err := cbor.Marshal(toldAskOf("10.0.0.1", one, said.Add(2*time.Second)))
 	require.NoError(t, err)
 	var told toldAsk
@@ -51,7 +51,7 @@
 	asks := newServerAsks(time.Unix(0, 0))
 	now := time.Unix(0, 0)
 	hold := func(entry, server string, number uint64) bool {
-		return asks.hold(wordKey{entry: entry, server: server}, heldWord[fleet.ServerAsk]{at: time.Unix(int64(number), 0), number: number}, now)
+		return asks.hold(wordKey{entry: entry, server: server}, heldWord[dispatch.Ask]{at: time.Unix(int64(number), 0), number: number}, now)
 	}
 	assert.True(t, hold("a", "i-1", 2))
 	assert.False(t, hold("a", "i-1", 1), "an older one")
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -254,18 +254,6 @@
 	PerSecond float64
 }
 
-// ServerAsk is what a server asks of all entries in its answers, as these tell each other.
-type ServerAsk struct {
-	Server string
-	// Born is the life of the server that it is on; 0 when that is not known.
-	Born incarnation.Born
-	// Leaving is set when the server is about to end.
-	Leaving bool
-	// Limited is set while the server names a rate, PerSecond.
-	Limited   bool
-	PerSecond float64
-}
-
 // Dialect reads and writes the platform's headers.
 type Dialect interface {
 	ReadCall(header http.Header) (CallHeader, error)
--- a/internal/forward/asked.go
+++ b/internal/forward/asked.go
@@ -14,7 +14,7 @@
 // AskSource is what entries tell each other of what servers ask in their answers.
 type AskSource interface {
 	// TellAsk has the others told what a server has asked at a time.
-	TellAsk(ask fleet.ServerAsk, at time.Time)
+	TellAsk(ask dispatch.Ask, at time.Time)
 }
 
 // sawAsked notes what an answer says its server asks for. An answer of another server says nothing of this
@@ -86,7 +86,7 @@
 
 // askNews is what a server has asked at a time, for the other entries.
 type askNews struct {
-	ask fleet.ServerAsk
+	ask dispatch.Ask
 	at  time.Time
 }
 
@@ -95,16 +95,15 @@
 	if t.asks == nil {
 		return
 	}
-	ask := t.core.AskOf(k.Candidate)
-	t.untold = append(t.untold, askNews{ask: fleet.ServerAsk(ask), at: at})
+	t.untold = append(t.untold, askNews{ask: t.core.AskOf(k.Candidate), at: at})
 }
 
 // HearAsk takes in what a server has asked of another entry, and when.
-func (f *Forwarder) HearAsk(ask fleet.ServerAsk, entry string, at time.Time) {
+func (f *Forwarder) HearAsk(ask dispatch.Ask, entry string, at time.Time) {
 	t := f.targets
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	limit, leaving := t.core.HearAsk(dispatch.Ask(ask), at, time.Now())
+	limit, leaving := t.core.HearAsk(ask, at, time.Now())
 	t.logLimit(ask.Server, limit, entry)
 	if leaving {
 		t.log.Log(logging.ServerSaidLeaving, zap.String("server", ask.Server), zap.String("entry", entry))
