What entries find out is told in one way, in the order in which it was found out

The words on what servers ask collected under the servers' mutex and told without it, as words on health do, in a copy of its own that lacked what the other has: one teller at a time. Two answers at the same moment could be told in the other order, and the others hold, and pass on to entries that start, what is numbered last: a limit that is over. Entries that run were not misled, since they go by when the server has said it.

outbox has it for both.

--- a/internal/forward/asked.go
+++ b/internal/forward/asked.go
@@ -23,19 +23,10 @@
 	if head.Instance != "" && head.Instance != k.ID {
 		return
 	}
+	defer t.news.deliver(&t.mutex, func(one askNews) { t.asks.TellAsk(one.ask, one.at) })
 	t.mutex.Lock()
-	t.noteAsked(k, head, sentAt, time.Now())
-	untold := t.untold
-	t.untold = nil
-	t.mutex.Unlock()
-	// The source has a mutex of its own, which is not to be waited for under this one.
-	for _, one := range untold {
-		t.asks.TellAsk(one.ask, one.at)
-	}
-}
-
-// noteAsked notes each of these; the mutex is held.
-func (t *targets) noteAsked(k *target, head fleet.AnswerHeader, sentAt, now time.Time) {
+	defer t.mutex.Unlock()
+	now := time.Now()
 	t.sawLimit(k, head, sentAt, now)
 	if head.Leaving {
 		t.sawLeaving(k, now)
@@ -95,7 +86,7 @@
 	if t.asks == nil {
 		return
 	}
-	t.untold = append(t.untold, askNews{ask: t.core.AskOf(k.Candidate), at: at})
+	t.news.add(askNews{ask: t.core.AskOf(k.Candidate), at: at})
 }
 
 // HearAsk takes in what a server has asked of another entry, and when.
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,12 +37,8 @@
 	// source is nil in an entry that shares nothing.
 	source   HealthSource
 	lookedAt time.Time
-	// found are the words that the source is still to be told, untold whether there are any.
-	found  []finding
-	untold atomic.Bool
-	// telling is held by the one request that tells the source, which keeps the words in their order; it
-	// is taken before the mutex of the servers.
-	telling sync.Mutex
+	// findings are what the source is still to be told.
+	findings outbox[finding]
 
 	ejections *prometheus.CounterVec
 	trials    prometheus.Counter
@@ -100,36 +94,13 @@
 		t.logHealth(change)
 	}
 	if t.health.source != nil && len(news.Words) > 0 {
-		t.health.found = append(t.health.found, finding{words: news.Words, at: now})
-		t.health.untold.Store(true)
+		t.health.findings.add(finding{words: news.Words, at: now})
 	}
 }
 
-// tellZone has the zone told what was found out. The mutex is not held: the source has one of its own,
-// which is held while it works through what thousands of agents tell. Only one request waits for that at
-// a time: it tells what others find out meanwhile too, and looks again after it has let go of telling,
-// because what was found out just before has been left to it.
+// tellZone has the zone told what was found out; the mutex is not held.
 func (t *targets) tellZone() {
-	for t.health.untold.Load() && t.health.telling.TryLock() {
-		t.tellWords()
-		t.health.telling.Unlock()
-	}
-}
-
-// tellWords has the zone told once; telling is held.
-func (t *targets) tellWords() {
-	for _, one := range t.takeFindings() {
-		t.health.source.TellHealth(one.words, one.at)
-	}
-}
-
-func (t *targets) takeFindings() []finding {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	found := t.health.found
-	t.health.found = nil
-	t.health.untold.Store(false)
-	return found
+	t.health.findings.deliver(&t.mutex, func(one finding) { t.health.source.TellHealth(one.words, one.at) })
 }
 
 func (t *targets) logHealth(change health.Change) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -44,9 +44,9 @@
 	ended []string
 	// unreadable are the fields of servers' answers that could not be read: that is logged once.
 	unreadable map[unreadableField]bool
-	// asks is nil in an entry that shares nothing; untold is what it is still to be told.
-	asks   AskSource
-	untold []askNews
+	// asks is nil in an entry that shares nothing; news is what it is still to be told.
+	asks AskSource
+	news outbox[askNews]
 	// rests counts the answers that have asked for rest.
 	rests prometheus.Counter
 	// told are the agents' last words by the address of their server, for people.
