The catalog has one way to signal, and one to say whether it is a relay

Whether this process passes on what others have said was reckoned in three places, and a signal on a channel of one place written out in four; the words on what servers ask had added one of each. A received word was decoded twice when it was news. Behaviour as before.

--- a/internal/catalog/asks.go
+++ b/internal/catalog/asks.go
@@ -75,12 +75,7 @@
 	c.passAsksSoon()
 }
 
-func (c *Catalog) passAsksSoon() {
-	select {
-	case c.asks.fresh <- struct{}{}:
-	default:
-	}
-}
+func (c *Catalog) passAsksSoon() { signal(c.asks.fresh) }
 
 func (c *Catalog) handleAsks(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[askBatch](received)
@@ -88,15 +83,16 @@
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		return
 	}
-	now, news := time.Now(), []toldAsk{}
+	now, news := time.Now(), []freshAsk{}
 	c.mutex.Lock()
 	for _, told := range batch.Asks {
 		if err := told.check(); err != nil {
 			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 			continue
 		}
-		if told.Entry != c.options.Self && c.asks.hold(wordKey{entry: told.Entry, server: told.Server}, told.held(now), now) {
-			news = append(news, told)
+		fresh := freshAsk{heldWord: told.held(now), entry: told.Entry}
+		if told.Entry != c.options.Self && c.asks.hold(wordKey{entry: told.Entry, server: told.Server}, fresh.heldWord, now) {
+			news = append(news, fresh)
 		}
 	}
 	c.mutex.Unlock()
@@ -107,12 +103,17 @@
 	if c.asks.onWord == nil {
 		return
 	}
-	for _, told := range news {
-		held := told.held(now)
-		c.asks.onWord(held.word, told.Entry, held.at)
+	for _, one := range news {
+		c.asks.onWord(one.word, one.entry, one.at)
 	}
 }
 
+// freshAsk is a word that is news here, and who has told it.
+type freshAsk struct {
+	heldWord[dispatch.Ask]
+	entry string
+}
+
 // check rejects a word that can't be meant: one faulty word does not cost the others of its message.
 func (t toldAsk) check() error {
 	reason := ""
@@ -154,8 +155,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.asks.expire(now)
-	rank := c.overlay.Rank()
-	isRelay := rank >= 0 && rank < relaysPerZone
+	isRelay := c.isRelay()
 	for _, peer := range c.links {
 		if peer.link == nil || !peer.isEntry() || peer.tellingAsks || peer.asksTold == c.asks.sequence {
 			continue
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -128,13 +128,22 @@
 }
 
 // kickExchange has the links looked after and the urgent news sent at once.
-func (c *Catalog) kickExchange() {
+func (c *Catalog) kickExchange() { signal(c.kick) }
+
+// signal wakes who waits on a channel of one place, once for any number of signals.
+func signal(channel chan<- struct{}) {
 	select {
-	case c.kick <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
+// isRelay reports whether this process passes on what others of its zone have said; the mutex is held.
+func (c *Catalog) isRelay() bool {
+	rank := c.overlay.Rank()
+	return rank >= 0 && rank < relaysPerZone
+}
+
 // sendUpdates sends each link that is due what it lacks, or a sign of life.
 func (c *Catalog) sendUpdates() {
 	now := time.Now()
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -176,8 +176,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.health.expire(now)
-	rank := c.overlay.Rank()
-	isRelay := rank >= 0 && rank < relaysPerZone
+	isRelay := c.isRelay()
 	for _, peer := range c.links {
 		if !peer.isEntry() || peer.zone() != c.options.Zone || peer.tellingHealth || peer.healthTold == c.health.sequence {
 			continue
--- a/internal/catalog/quarantine.go
+++ b/internal/catalog/quarantine.go
@@ -93,12 +93,7 @@
 	c.passQuarantineSoon()
 }
 
-func (c *Catalog) passQuarantineSoon() {
-	select {
-	case c.quarantine.fresh <- struct{}{}:
-	default:
-	}
-}
+func (c *Catalog) passQuarantineSoon() { signal(c.quarantine.fresh) }
 
 func (c *Catalog) handleQuarantine(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[quarantineBatch](received)
@@ -220,8 +215,7 @@
 	now := time.Since(c.started)
 	c.quarantine.archive.Expire(now)
 	sequence := c.quarantine.archive.Sequence()
-	rank := c.overlay.Rank()
-	isRelay := rank >= 0 && rank < relaysPerZone
+	isRelay := c.isRelay()
 	for _, peer := range c.links {
 		if peer.link == nil || peer.tellingQuarantine || peer.quarantineTold == sequence {
 			continue
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -204,10 +204,7 @@
 	}
 	c.hastened = true
 	time.AfterFunc(max(hastePause, statusPace-time.Since(c.hastenedAt)), func() {
-		select {
-		case c.haste <- struct{}{}:
-		default:
-		}
+		signal(c.haste)
 	})
 }
 
