The stand-in's ledger keeps its four kinds of entries in one way

Asks, the fourth kind, came with the third copy of a list under a mutex, beside arrivals, which had a type of its own. Behaviour as before, but that each kind has its own mutex.

--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -71,7 +71,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
 	}
 	if request != "" && (asked.Leaving || asked.Limited || rest > 0) {
-		s.options.Ledger.asked(asked)
+		s.options.Ledger.asks.add(asked)
 	}
 }
 
@@ -112,7 +112,7 @@
 		s.faults.CutCount--
 	}
 	s.mutex.Unlock()
-	s.options.Ledger.add(run)
+	s.options.Ledger.runs.add(run)
 	if s.options.Begins != nil && s.options.Begins(s, id, body) {
 		<-request.Context().Done()
 		return
--- a/internal/emulator/site/ledger.go
+++ b/internal/emulator/site/ledger.go
@@ -35,11 +35,34 @@
 // Ledger records what came to servers, what was delivered to the one that it was meant for,
 // and what ran, over all of them.
 type Ledger struct {
-	mutex      sync.Mutex
-	runs       []Run
-	deliveries []Delivery
-	arrivals   arrivals
-	asks       []Ask
+	runs       entries[Run]
+	deliveries entries[Delivery]
+	arrivals   entries[Arrival]
+	asks       entries[Ask]
+}
+
+// entries are one kind of the ledger's, in order of time.
+type entries[T any] struct {
+	mutex sync.Mutex
+	held  []T
+}
+
+func (e *entries[T]) add(one T) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.held = append(e.held, one)
+}
+
+func (e *entries[T]) all() []T {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.held)
+}
+
+func (e *entries[T]) contain(match func(T) bool) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.ContainsFunc(e.held, match)
 }
 
 // Ask is what a server has asked of the one that sent a request, in its answer to that.
@@ -55,31 +78,14 @@
 	Rest time.Duration
 }
 
-func (l *Ledger) asked(ask Ask) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.asks = append(l.asks, ask)
-}
-
 // Asks returns everything that servers have asked for, in order of time.
-func (l *Ledger) Asks() []Ask {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return append([]Ask(nil), l.asks...)
-}
-
-func (l *Ledger) delivered(delivery Delivery) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.deliveries = append(l.deliveries, delivery)
-}
+func (l *Ledger) Asks() []Ask { return l.asks.all() }
 
 // Deliveries returns everything that has reached a server, in order of time.
-func (l *Ledger) Deliveries() []Delivery {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return append([]Delivery(nil), l.deliveries...)
-}
+func (l *Ledger) Deliveries() []Delivery { return l.deliveries.all() }
+
+// Arrivals returns everything that has come to a server.
+func (l *Ledger) Arrivals() []Arrival { return l.arrivals.all() }
 
 // MostWhileCold is the most requests that any one server has received in a second in which
 // it was cold.
@@ -117,22 +123,10 @@
 	return peaks
 }
 
-func (l *Ledger) add(run Run) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.runs = append(l.runs, run)
-}
-
 // Runs returns everything that ran.
-func (l *Ledger) Runs() []Run {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return append([]Run(nil), l.runs...)
-}
+func (l *Ledger) Runs() []Run { return l.runs.all() }
 
 // RanAt reports whether a server has begun a request.
 func (l *Ledger) RanAt(server, requestID string) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return slices.ContainsFunc(l.runs, func(one Run) bool { return one.Server == server && one.RequestID == requestID })
+	return l.runs.contain(func(one Run) bool { return one.Server == server && one.RequestID == requestID })
 }
--- a/internal/emulator/site/regions.go
+++ b/internal/emulator/site/regions.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -114,24 +113,5 @@
 	return joined
 }
 
-// arrivals records what has come to servers.
-type arrivals struct {
-	mutex sync.Mutex
-	all   []Arrival
-}
-
-func (a *arrivals) add(arrival Arrival) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.all = append(a.all, arrival)
-}
-
-// Arrivals returns everything that has come to a server.
-func (l *Ledger) Arrivals() []Arrival {
-	l.arrivals.mutex.Lock()
-	defer l.arrivals.mutex.Unlock()
-	return append([]Arrival(nil), l.arrivals.all...)
-}
-
 // Zone returns the name of the server's zone.
 func (s *Server) Zone() string { return s.options.Zone }
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -252,7 +252,7 @@
 func (s *Server) arrive(id string) {
 	now := time.Now()
 	cold := now.Before(s.coldUntil)
-	s.options.Ledger.delivered(Delivery{RequestID: id, Server: s.options.ID, Zone: s.options.Zone, Cold: cold, At: now})
+	s.options.Ledger.deliveries.add(Delivery{RequestID: id, Server: s.options.ID, Zone: s.options.Zone, Cold: cold, At: now})
 	if !cold || s.options.ColdLimit == 0 {
 		return
 	}
