The rule of limits stands once, with the stand-in; servers that leave are replaced in one way

What a server that names a limit bears was written out in the soak's judge, in the tests and in the demo, there over 3 s; all use the stand-in's now, over the 4 s of the rule. The soak replaced a server that says it leaves by a copy of what replaces one whose line says so, and had the overlap of a disturbance with a time twice. Bounds and assertions are as they were.

--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -138,9 +138,8 @@
 const (
 	// askedRate is what one server names, in requests a second.
 	askedRate = 2
-	// askKnown is how long it takes until every entry knows, askTime how long it is looked at after that.
+	// askKnown is how long it takes until every entry knows.
 	askKnown = time.Second
-	askTime  = 3 * time.Second
 )
 
 // serversAsk has one server say in its answers that it leaves and another one name a limit, and counts what they
@@ -151,7 +150,7 @@
 	limited.NameLimit(strconv.Itoa(askedRate))
 	time.Sleep(askKnown)
 	from := time.Now()
-	time.Sleep(askTime)
+	time.Sleep(site.LimitSpan)
 	limited.NameLimit("")
 	got := map[string]int{}
 	for _, delivery := range d.site.Ledger.Deliveries() {
@@ -159,13 +158,12 @@
 			got[delivery.Server]++
 		}
 	}
-	seconds := int(askTime / time.Second)
-	d.printf("a server that says it leaves got %d requests in %d s after that, one that takes %d a second got %d", got[leaving.ID()], seconds, askedRate, got[limited.ID()])
+	d.printf("a server that says it leaves got %d requests in %s after that, one that takes %d a second got %d", got[leaving.ID()], site.LimitSpan, askedRate, got[limited.ID()])
 	if got[leaving.ID()] > 0 {
 		d.violation("%s got %d requests though it had said that it leaves", leaving.ID(), got[leaving.ID()])
 	}
-	if most := askedRate*seconds*3/2 + 5; got[limited.ID()] > most {
-		d.violation("%s got %d requests in %d s, and takes %d a second", limited.ID(), got[limited.ID()], seconds, askedRate)
+	if float64(got[limited.ID()]) > site.LimitBears(askedRate) {
+		d.violation("%s got %d requests in %s, and takes %d a second", limited.ID(), got[limited.ID()], site.LimitSpan, askedRate)
 	}
 }
 
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -55,6 +55,19 @@
 	return true
 }
 
+// What a server that names a limit bears in LimitSpan: LimitOvershoot times what the limit allows, and LimitSlack
+// requests.
+const (
+	LimitSpan      = 4 * time.Second
+	LimitOvershoot = 1.5
+	LimitSlack     = 5
+)
+
+// LimitBears is the most that a server which names a rate bears in LimitSpan.
+func LimitBears(perSecond float64) float64 {
+	return LimitOvershoot*perSecond*LimitSpan.Seconds() + LimitSlack
+}
+
 // ask writes into the head of an answer what the server asks for now, and records it; the mutex is held. Reports
 // have no request.
 func (s *Server) ask(header http.Header, request string, rest time.Duration) {
--- a/internal/experiment/soak/asks.go
+++ b/internal/experiment/soak/asks.go
@@ -20,15 +20,12 @@
 
 // Bounds of what servers that ask for something may get all the same.
 const (
-	limitSpan      = 4 * time.Second
-	limitOvershoot = 1.5
-	limitSlack     = 5
 	// askKnown is how long after an answer its wish binds the entry that has passed it on.
 	askKnown    = 500 * time.Millisecond
 	restAllowed = 2
 )
 
-// nameLimit has a server name one to four requests a second for a while.
+// nameLimit has a server name half a request to four a second for a while.
 func (r *run) nameLimit(server *site.Server, fault Fault) {
 	server.NameLimit(strconv.FormatFloat(float64(fault.Count)/2, 'f', -1, 64))
 	r.after(limitTime+fault.For, func() error { server.NameLimit(""); return nil })
@@ -36,20 +33,13 @@
 
 // sayLeaving has a server say in its answers that it leaves, while its line says nothing of that, and puts an empty
 // one in its place after it.
-func (r *run) sayLeaving(zone, index int, server *site.Server) error {
+func (r *run) sayLeaving(zone, index int, server *site.Server) {
 	if r.busy[server.ID()] {
-		return nil
+		return
 	}
 	r.busy[server.ID()] = true
 	server.SayLeaving(true)
-	r.after(r.record.Drain+2*time.Second, func() error {
-		if r.site.Models[r.site.Options.ModelIP(zone, index)] != server {
-			return nil
-		}
-		r.disturb(serverFaultTime, server.ID())
-		return r.site.RestartModel(zone, index)
-	})
-	return nil
+	r.restartAfterDrain(zone, index, server)
 }
 
 // askForRest has a server turn some requests away and ask for rest.
@@ -62,7 +52,7 @@
 func (r Record) untouched(entry string, from, to time.Time) bool {
 	for _, spans := range [][]Span{r.Disturbed, r.Stops} {
 		for _, span := range spans {
-			if span.Name == entry && span.From.Before(to) && span.To.Add(contact).After(from) {
+			if span.Name == entry && span.disturbs(from, to) {
 				return false
 			}
 		}
@@ -172,7 +162,7 @@
 	for _, ask := range named {
 		most = max(most, ask.PerSecond)
 	}
-	allowed := limitOvershoot*most*limitSpan.Seconds() + limitSlack
+	allowed := site.LimitBears(most)
 	var counted []site.Delivery
 	for _, delivery := range deliveries {
 		entry := senders[delivery.RequestID]
@@ -181,13 +171,13 @@
 			continue
 		}
 		counted = append(counted, delivery)
-		for delivery.At.Sub(counted[0].At) >= limitSpan {
+		for delivery.At.Sub(counted[0].At) >= site.LimitSpan {
 			counted = counted[1:]
 		}
 		if float64(len(counted)) > allowed {
 			return []Violation{{
 				Promise: LimitIsKept, At: delivery.At, Request: delivery.RequestID,
-				Detail: fmt.Sprintf("%s got %d requests in %s from entries that it had told, and had named %g a second", delivery.Server, len(counted), limitSpan, most),
+				Detail: fmt.Sprintf("%s got %d requests in %s from entries that it had told, and had named %g a second", delivery.Server, len(counted), site.LimitSpan, most),
 			}}
 		}
 	}
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -66,7 +66,7 @@
 		}
 		return r.site.RestartModelUnnoticed(zone, agent)
 	case ServerLeaves:
-		return r.leave(zone, agent, server)
+		r.leave(zone, agent, server)
 	case PiecesRot:
 		r.disturb(serverFaultTime, server.ID())
 		for piece := range fault.Count {
@@ -124,7 +124,7 @@
 	case ServerLimits:
 		r.nameLimit(r.anyServer(fault), fault)
 	case ServerSaysGone:
-		return r.sayLeaving(zone, agent, server)
+		r.sayLeaving(zone, agent, server)
 	case ServerRests:
 		r.askForRest(r.anyServer(fault), fault)
 	}
@@ -241,19 +241,26 @@
 }
 
 // leave has a server announce its end, and puts an empty one in its place after it.
-func (r *run) leave(zone, index int, server *site.Server) error {
+func (r *run) leave(zone, index int, server *site.Server) {
 	if r.busy[server.ID()] {
-		return nil
+		return
 	}
 	r.busy[server.ID()] = true
 	server.Leave()
 	r.record.Departures = append(r.record.Departures, Departure{Server: server.ID(), At: time.Now()})
-	r.after(r.record.Drain+2*time.Second, func() error {
+	r.restartAfterDrain(zone, index, server)
+}
+
+// leavingServesOn is how long a server that leaves serves on after its drain.
+const leavingServesOn = 2 * time.Second
+
+// restartAfterDrain puts an empty server in the place of one that leaves, unless that has been replaced meanwhile.
+func (r *run) restartAfterDrain(zone, index int, server *site.Server) {
+	r.after(r.record.Drain+leavingServesOn, func() error {
 		if r.site.Models[r.site.Options.ModelIP(zone, index)] != server {
 			return nil
 		}
 		r.disturb(serverFaultTime, server.ID())
 		return r.site.RestartModel(zone, index)
 	})
-	return nil
 }
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -68,6 +68,11 @@
 	Name string
 }
 
+// disturbs reports whether what was disturbed, or is shortly after it, lies between two moments.
+func (s Span) disturbs(from, to time.Time) bool {
+	return s.From.Before(to) && s.To.Add(contact).After(from)
+}
+
 // Departure is a server that has announced its end.
 type Departure struct {
 	Server string
@@ -229,7 +234,7 @@
 // calm reports whether nothing was disturbed from a while before one moment to another.
 func (r Record) calm(from, to time.Time) bool {
 	for _, span := range r.Disturbed {
-		if span.From.Before(to) && span.To.Add(contact).After(from) {
+		if span.disturbs(from, to) {
 			return false
 		}
 	}
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -106,7 +106,7 @@
 		{LeavingIsLeft, func(r *Record) { r.Asks[0].At = began.Add(31 * time.Second) }},
 		{RestIsKept, func(r *Record) { r.Deliveries = append(r.Deliveries, deliver("i-4", 91)) }},
 		{LimitIsKept, func(r *Record) {
-			for range limitSlack + 1 {
+			for range site.LimitSlack + 1 {
 				r.Deliveries = append(r.Deliveries, deliver("i-5", 97))
 			}
 		}},
--- a/internal/sitetest/limit_test.go
+++ b/internal/sitetest/limit_test.go
@@ -19,11 +19,6 @@
 // where 1.6 a second were named.
 
 const (
-	// limitJudgedOver is the span over which a named limit is judged, limitOvershoot and limitSlack what it
-	// may be exceeded by.
-	limitJudgedOver = 4 * time.Second
-	limitOvershoot  = 1.5
-	limitSlack      = 5
 	// limitKnown is how long after a limit was named every entry has passed on an answer that names it, at a
 	// pace at which each entry sends each server some requests a second, and half a second more.
 	limitKnown = 1500 * time.Millisecond
@@ -39,11 +34,6 @@
 	return options
 }
 
-// limitAllows is the most that a server which names a rate may get in limitJudgedOver.
-func limitAllows(perSecond float64) int {
-	return int(limitOvershoot*perSecond*limitJudgedOver.Seconds() + limitSlack)
-}
-
 // arrivedAt are the moments at which requests came to a server, in order.
 func (f *Fleet) arrivedAt(server string, after time.Time) (moments []time.Time) {
 	for _, arrival := range f.Site.Ledger.Arrivals() {
@@ -93,9 +83,9 @@
 	over := time.Now()
 	time.Sleep(limitOver + 2*time.Second)
 	outcomes := stop()
-	most := mostWithin(held, limitJudgedOver)
-	t.Logf("most requests in %s: %d, in all of %s: %d", limitJudgedOver, most, over.Sub(named)-limitKnown, len(held))
-	assert.LessOrEqual(t, most, limitAllows(rate))
+	most := mostWithin(held, site.LimitSpan)
+	t.Logf("most requests in %s: %d, in all of %s: %d", site.LimitSpan, most, over.Sub(named)-limitKnown, len(held))
+	assert.LessOrEqual(t, float64(most), site.LimitBears(rate))
 	assert.GreaterOrEqual(t, len(held), 3, "the two entries of its zone go on using it")
 	assert.GreaterOrEqual(t, len(f.arrivedAt(limited.ID(), over.Add(limitOver))), 20, "requests in 2 s once all know that the limit is over")
 	assert.GreaterOrEqual(t, shareServed(outcomes, named, over.Add(limitOver+2*time.Second), time.Second), servedAgain)
@@ -119,8 +109,8 @@
 	time.Sleep(8 * time.Second)
 	outcomes := stop()
 	held := f.arrivedAt(only.ID(), named.Add(limitKnown))
-	t.Logf("most requests in %s: %d, in all: %d", limitJudgedOver, mostWithin(held, limitJudgedOver), len(held))
-	assert.LessOrEqual(t, mostWithin(held, limitJudgedOver), limitAllows(rate))
+	t.Logf("most requests in %s: %d, in all: %d", site.LimitSpan, mostWithin(held, site.LimitSpan), len(held))
+	assert.LessOrEqual(t, float64(mostWithin(held, site.LimitSpan)), site.LimitBears(rate))
 	assert.GreaterOrEqual(t, len(held), int(rate*(8*time.Second-limitKnown).Seconds()/2), "half of what the server takes is used")
 	refused := 0
 	for _, one := range outcomes {
@@ -152,7 +142,7 @@
 	for _, server := range f.Site.Models {
 		held := f.arrivedAt(server.ID(), named.Add(limitKnown))
 		total += len(held)
-		assert.LessOrEqual(t, mostWithin(held, limitJudgedOver), limitAllows(rate), server.ID())
+		assert.LessOrEqual(t, float64(mostWithin(held, site.LimitSpan)), site.LimitBears(rate), server.ID())
 		assert.GreaterOrEqual(t, len(held), int(rate*asked.Seconds()/2), "half of what %s takes is used", server.ID())
 	}
 	t.Logf("used: %.2f", float64(total)/(rate*asked.Seconds()*float64(len(f.Site.Models))))
