A silence of links has the watch of the store looked at too

Traced: all links were made anew within 0.5 s of the silence and no link had been granted more patience (a first idea, refuted by the trace). What was late is the watch of the first entry: its answer may be held back for 0.5 s, and on a busy machine the time after which its call is hedged grows from 0.15 to 0.45 s. The first entry of the other zone reads with the same grown time.

Change: when links to two processes have been found silent within half a second, the catalog tells the store's client, which hedges the calls that wait now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -107,6 +107,8 @@
 	agentOffset time.Duration
 	// lapsed holds servers that were lost from the list around an outage, by ID.
 	lapsed map[string]lapsedServer
+	// storeSuspectedAt is when the store's connections were last suspected to be silent.
+	storeSuspectedAt time.Time
 	// calls counts the calls to the store.
 	calls atomic.Int64
 
--- a/internal/catalog/silentlinks.go
+++ b/internal/catalog/silentlinks.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
@@ -29,6 +30,10 @@
 	// judgeAfter is how long a replaced link may still bring something until it is counted as
 	// silent; the hub closes it soon after that.
 	judgeAfter = 900 * time.Millisecond
+	// suspectPause is within which two links must have been found silent for the store's connections to
+	// be suspected, and the least time between two suspicions. A silence is found on all links within
+	// renewSpread and the time between two updates.
+	suspectPause = 500 * time.Millisecond
 	// doubtMemory is how long a link that was slow, not silent, is given more time.
 	doubtMemory = 30 * time.Second
 )
@@ -133,6 +138,24 @@
 		return
 	}
 	peer.replaced, peer.replacedAt, peer.silent = silent, now, now.Sub(heard)
+	c.suspectStore(peer, now)
+}
+
+// suspectStore tells the store's client of silent links to several processes: what struck them may have struck
+// the watch too, which by itself finds that out after its wait and several times the usual time of an
+// answer, 0.95 s on a busy machine. The mutex is held.
+func (c *Catalog) suspectStore(latest *peerLink, now time.Time) {
+	hearer, hears := c.options.Store.(fleet.SilenceHearer)
+	if !hears || now.Sub(c.storeSuspectedAt) < suspectPause {
+		return
+	}
+	for _, peer := range c.links {
+		if peer != latest && peer.replaced != nil && now.Sub(peer.replacedAt) < suspectPause {
+			c.storeSuspectedAt = now
+			hearer.SuspectSilence()
+			return
+		}
+	}
 }
 
 // doubt gives a link more time before it is made anew.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -106,6 +106,12 @@
 	OnSilent(function func(target string, silent time.Duration))
 }
 
+// SilenceHearer is implemented by clients that look at their open connections when those to other
+// processes have turned out to be silent.
+type SilenceHearer interface {
+	SuspectSilence()
+}
+
 // Report is a model server's word on itself.
 type Report struct {
 	Models   []HeldModel
--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -96,11 +96,13 @@
 	// candidate is what hedges go over, which replaces trusted if one of them shows it silent.
 	candidate *generation
 	times     answerTimes
+	// suspected is closed, and replaced, when something else shows that open connections may be silent.
+	suspected chan struct{}
 }
 
 // NewClient returns a client without connections.
 func NewClient(options ClientOptions) *Client {
-	c := &Client{options: options}
+	c := &Client{options: options, suspected: make(chan struct{})}
 	c.trusted = c.newGeneration()
 	return c
 }
@@ -108,6 +110,15 @@
 // OnSilent sets the function that is told of silences, before the first call.
 func (c *Client) OnSilent(function func(silent time.Duration)) { c.options.OnSilent = function }
 
+// Suspect has the calls that wait for an answer hedged now, because connections to other processes have
+// turned out to be silent. Calls that are begun later are not concerned.
+func (c *Client) Suspect() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	close(c.suspected)
+	c.suspected = make(chan struct{})
+}
+
 func (c *Client) newGeneration() *generation {
 	return &generation{
 		transport: &http.Transport{
@@ -174,6 +185,7 @@
 	quiet := c.quiet(call)
 	timer := time.NewTimer(quiet)
 	defer timer.Stop()
+	suspected := c.suspicion()
 	for {
 		select {
 		case result := <-first.done:
@@ -181,6 +193,8 @@
 			return result, true
 		case <-first.generation.distrusted:
 			return callResult{}, false
+		case <-suspected:
+			return callResult{}, false
 		case <-timer.C:
 			left := first.untilQuiet(call.Hold+quiet, c.options.SuspectsNew)
 			if left <= 0 {
@@ -191,6 +205,12 @@
 	}
 }
 
+func (c *Client) suspicion() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.suspected
+}
+
 // hedge sends a call once more and returns the result that comes first, unless it is an error
 // and the other one is still to come. A write, a call with PUT, waits for the end of both sends:
 // one that is carried out after the call has returned could overwrite what a later call wrote.
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -136,6 +136,52 @@
 	assert.LessOrEqual(t, connections.dialled.Load(), before+calls)
 }
 
+// A call over a silent connection whose answer may be held back for long is answered as soon as something
+// else shows a silence, and not only after that time.
+func TestSuspectedCallsAreHedgedAtOnce(t *testing.T) {
+	client, connections, silences, call := newTestClient(t, func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("answer"))
+	})
+	_, err := client.Do(context.Background(), call)
+	require.NoError(t, err)
+	connections.silence()
+	call.Hold = time.Second
+	time.AfterFunc(2*testQuiet, client.Suspect)
+	began := time.Now()
+	answer, err := client.Do(context.Background(), call)
+	require.NoError(t, err)
+	assert.Equal(t, "answer", string(answer.Body))
+	assert.Less(t, time.Since(began), call.Hold)
+	assert.Equal(t, int64(1), silences.Load())
+}
+
+// A suspected connection that works is kept, and its answer is used.
+func TestSuspectedConnectionThatAnswersIsKept(t *testing.T) {
+	var asked atomic.Int64
+	first := make(chan struct{})
+	client, connections, silences, call := newTestClient(t, func(writer http.ResponseWriter, _ *http.Request) {
+		switch asked.Add(1) {
+		case 2:
+			<-first
+		case 3:
+			close(first)
+			time.Sleep(2 * testQuiet)
+		}
+		_, _ = writer.Write([]byte("answer"))
+	})
+	_, err := client.Do(context.Background(), call)
+	require.NoError(t, err)
+	call.Hold = time.Second
+	time.AfterFunc(testQuiet, client.Suspect)
+	_, err = client.Do(context.Background(), call)
+	require.NoError(t, err)
+	assert.Zero(t, silences.Load())
+	before := connections.dialled.Load()
+	_, err = client.Do(context.Background(), call)
+	require.NoError(t, err)
+	assert.Equal(t, before, connections.dialled.Load(), "the kept connection serves on")
+}
+
 // A callee that answers late is not taken for silent: its answer is used, its connection kept.
 func TestALateAnswerOverAKeptConnectionIsUsed(t *testing.T) {
 	var number atomic.Int64
