Endings tell the size of their request and what it was admitted by; losses are split by size

Cause: a refusal named neither the size of its request nor how long the request alone takes, so that no log could show whether large requests are refused more often, nor tell the hypotheses of docs/incidents/large-requests.md apart.

Change: the lines PV4102, PV4103, PV4104, PV4107 and PV4108 tell prompt, answer and body sizes, the time at an idle server, the expected beginning and the part of it that is lateness, the limit and the margin; PV4109 tells the same. A counter pinevane_generations_ended_total by size and ending. `pinevane losses` prints the served share, and splits generations by size within each route; `explain` names the time at an idle server. No decision is changed.

Conclusion: what was refused can be read by its size.

--- a/coordination/balance/margin.go
+++ b/coordination/balance/margin.go
@@ -29,15 +29,16 @@
 		return
 	}
 	step := marginStep * inTime
-	if float64(excess)/float64(target) < m.share() {
+	if float64(excess)/float64(target) < m.Share() {
 		step = -marginStep * (1 - inTime)
 	}
 	m.above = min(max(m.above+step, 0), mostMargin-leastMargin)
 }
 
-func (m *Margin) share() float64 { return leastMargin + m.above }
+// Share is the margin as a share of the target.
+func (m *Margin) Share() float64 { return leastMargin + m.above }
 
 // Limit is the latest time to begin at which a request with a target is admitted.
 func (m *Margin) Limit(target time.Duration) time.Duration {
-	return time.Duration((1 - m.share()) * float64(target))
+	return time.Duration((1 - m.Share()) * float64(target))
 }
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -60,6 +60,7 @@
 	if c.lost(k, now) {
 		decision.Patience = c.lostTrialPatience(k, request, now)
 	}
+	decision.Admission = c.admission(k, request, c.refusalLimit(request, now), now)
 	c.noteFull(request, decision.Expected, now)
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -182,7 +182,21 @@
 	Trial bool
 	// Patience is the silence after which the answer is overdue, before it has begun; 0 leaves it to the
 	// caller.
-	Patience time.Duration
+	Patience  time.Duration
+	Admission Admission
+}
+
+// Admission is what a request was admitted or refused by.
+type Admission struct {
+	// Alone is when an idle server would begin the request, Expected when the chosen or soonest server
+	// would, and Late the part of that by which it has lately begun others late. Limit is the latest that was
+	// allowed; zero without a limit.
+	Alone    time.Duration
+	Expected time.Duration
+	Late     time.Duration
+	Limit    time.Duration
+	// Margin is what is learned of late beginnings, as a share of the target.
+	Margin float64
 }
 
 // RefusalReason is why a request is sent to no server.
@@ -205,10 +219,8 @@
 	RetryAfter time.Duration
 	// Servers counts the service's servers by why they were left out.
 	Servers map[Fitness]int
-	// Soonest is when the soonest of the fit servers would begin the request, Limit what was
-	// allowed; zero unless overloaded.
-	Soonest time.Duration
-	Limit   time.Duration
+	// Admission tells when the soonest of the fit servers would begin the request; zero unless overloaded.
+	Admission Admission
 	// OldestWord is the age of the oldest word of an agent.
 	OldestWord time.Duration
 	// opensIn is when the first of the servers is open that only what they have asked for keeps from the request.
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -52,12 +52,20 @@
 		return scarce, nil
 	}
 	refusal := c.refuse(RefusedOverload, request, now)
-	refusal.Soonest, refusal.Limit = soonest, limit
+	refusal.Admission = c.admission(best, request, limit, now)
 	refusal.RetryAfter = shedding.Return(soonest, limit, refusalRetryFloor, refusalRetryCap, request.Arrival)
 	held(c.pressures, request.Service).Refused(now.Sub(c.started), request.Arrival)
 	return nil, refusal
 }
 
+// admission tells what a request is admitted or refused by at a server.
+func (c *Core) admission(k *Candidate, request *Request, limit time.Duration, now time.Time) Admission {
+	return Admission{
+		Alone: request.alone(), Expected: c.firstEvent(k, request, now), Late: c.delay(k, now),
+		Limit: limit, Margin: c.marginOf(request.Service).Share(),
+	}
+}
+
 // soonestOf returns the first of some servers that would begin a request soonest, and when.
 func (c *Core) soonestOf(usable []*Candidate, request *Request, now time.Time) (best *Candidate, soonest time.Duration) {
 	for _, candidate := range usable {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -85,6 +85,7 @@
 		text := "no server was chosen; servers by reason: " + line.text("servers")
 		if line.number("limit") > 0 {
 			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
+			text += fmt.Sprintf("; an idle server would have begun its %s prompt tokens after %.3f s", line.text("prompt_tokens"), line.number("alone"))
 		}
 		return text + returnCause(line) + regionCause(line, end) + evacuationCause(all, line) + versionCause(all, line)
 	}
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -8,6 +8,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"pinevane.example/pinevane/internal/fleet"
 )
 
 // Outcome is how one request ended, as its entry saw it.
@@ -31,6 +33,8 @@
 	route   string
 	process string
 	outcome Outcome
+	// size is that of a generation, and 0 for other requests.
+	size float64
 }
 
 // Losses counts how requests ended: by time, route and process.
@@ -44,7 +48,10 @@
 	for _, line := range lines {
 		if outcome := outcomeOf(line); outcome != "" {
 			began := line.Time.Add(-time.Duration(line.number("took") * float64(time.Second)))
-			losses.endings = append(losses.endings, ending{at: began, route: line.text("route"), process: line.Process, outcome: outcome})
+			losses.endings = append(losses.endings, ending{
+				at: began, route: line.text("route"), process: line.Process, outcome: outcome,
+				size: fleet.GenerationSize(line.number("prompt_tokens"), line.number("answer_tokens")),
+			})
 		}
 	}
 	slices.SortFunc(losses.endings, func(a, b ending) int { return a.at.Compare(b.at) })
@@ -86,7 +93,7 @@
 	return OutcomeInTime
 }
 
-// Write prints the counts by window of time, by route and by process.
+// Write prints the counts by window of time, by route, by process, and by size within each route.
 func (l Losses) Write(output io.Writer, window time.Duration) error {
 	if len(l.endings) == 0 {
 		_, err := fmt.Fprintln(output, "no request ended in the logs")
@@ -99,15 +106,22 @@
 	})
 	l.section(table, "route", func(e ending) string { return e.route })
 	l.section(table, "process", func(e ending) string { return e.process })
+	labels := l.sizeLabels()
+	if len(labels) > 0 {
+		l.section(table, "size", func(e ending) string { return labels[sizeKey{route: e.route, size: e.size}] })
+	}
 	return table.Flush()
 }
 
-// section prints one table: requests, the share in time, and every other outcome with
-// its count, the most frequent first.
+// section prints one table: requests, the share that was served, also late, the share in time, and every
+// other outcome with its count, the most frequent first. Endings without a key are left out.
 func (l Losses) section(output io.Writer, title string, keyOf func(ending) string) {
 	groups := map[string]map[Outcome]int{}
 	for _, one := range l.endings {
 		key := keyOf(one)
+		if key == "" {
+			continue
+		}
 		if groups[key] == nil {
 			groups[key] = map[Outcome]int{}
 		}
@@ -118,13 +132,15 @@
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
-	_, _ = fmt.Fprintf(output, "%s\trequests\tin time\tothers\n", title)
+	_, _ = fmt.Fprintf(output, "%s\trequests\tserved\tin time\tothers\n", title)
 	for _, key := range keys {
 		total := 0
 		for _, count := range groups[key] {
 			total += count
 		}
-		_, _ = fmt.Fprintf(output, "%s\t%d\t%.2f\t%s\n", key, total, float64(groups[key][OutcomeInTime])/float64(total), others(groups[key]))
+		inTime := groups[key][OutcomeInTime]
+		served := inTime + groups[key][OutcomeLate] + groups[key][OutcomePaused]
+		_, _ = fmt.Fprintf(output, "%s\t%d\t%.2f\t%.2f\t%s\n", key, total, float64(served)/float64(total), float64(inTime)/float64(total), others(groups[key]))
 	}
 	_, _ = fmt.Fprintln(output)
 }
--- a/internal/fleet/sizes.go
+++ b/internal/fleet/sizes.go
@@ -13,6 +13,14 @@
 	return told
 }
 
+// answerWeight is what a token of an answer counts against one of a prompt: it takes a step of its own.
+const answerWeight = 10
+
+// GenerationSize is how much work a generation is, in tokens of prompts: its prompt and its answer.
+func GenerationSize(promptTokens, answerTokens float64) float64 {
+	return promptTokens + answerWeight*answerTokens
+}
+
 // MostPrompt is the largest prompt that the service's servers can hold, in tokens: their memory
 // for tokens. Where that is not published, or the service has no engine, it is MostTokens.
 func (e *Engine) MostPrompt() int {
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -38,10 +38,11 @@
 	defer t.mutex.Unlock()
 	decision, refusal := t.core.Choose(&w.wanted, now)
 	if refusal != nil {
+		w.request.Admission = refusal.Admission
 		t.logRefusal(w, refusal)
 		return choice{}, refusalOf(refusal)
 	}
-	w.placed = decision.Send
+	w.placed, w.request.Admission = decision.Send, decision.Admission
 	if decision.Trial {
 		t.noteTrial(w, decision.Candidate, now)
 	}
@@ -88,7 +89,8 @@
 // reason, and how soon the soonest of the others would begin the request.
 func (t *targets) logRefusal(w *work, refusal *dispatch.Refusal) {
 	t.log.Log(logging.NoServerChosen, zap.String("request", w.request.Call.RequestID), zap.String("service", w.wanted.Service),
-		zap.Any("servers", refusal.Servers), zap.Duration("soonest", refusal.Soonest), zap.Duration("limit", refusal.Limit), zap.Duration("oldest_status", refusal.OldestWord),
+		zap.Any("servers", refusal.Servers), zap.Duration("soonest", refusal.Admission.Expected), zap.Duration("limit", refusal.Admission.Limit), zap.Duration("oldest_status", refusal.OldestWord),
+		zap.Int("prompt_tokens", w.wanted.Prompt), zap.Duration("alone", refusal.Admission.Alone), zap.Duration("late", refusal.Admission.Late), zap.Float64("margin", refusal.Admission.Margin),
 		zap.Duration("since_first_attempt", w.wanted.Arrival.Elapsed), zap.Uint64("at_least_version", w.wanted.AtLeast), zap.Uint64("exactly_version", w.wanted.Exactly),
 		regionsField(w.wanted.Residency))
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/quarantine"
 	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/fault"
@@ -43,6 +44,9 @@
 	Arrived  time.Time
 	Deadline time.Time
 
+	// Admission is what the last decision on the request went by.
+	Admission dispatch.Admission
+
 	// usual is how long the first byte of the answer usually takes at the server chosen.
 	usual time.Duration
 	// freshFrom is set once an attempt has ended on a connection that was silent: others
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -217,6 +217,9 @@
 	f.countRequest(service)
 	defer w.endSuspect()
 	refusal := w.forward(ctx)
+	if refusal != nil {
+		w.countEnding(endingOf(refusal))
+	}
 	w.noteRefusal(refusal)
 	return refusal
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,6 +13,7 @@
 	loadQueries *prometheus.CounterVec
 	arrivals    *prometheus.CounterVec
 	told        *prometheus.HistogramVec
+	endings     *prometheus.CounterVec
 	// missingFigures counts what the configuration in force does not tell of model servers.
 	missingFigures prometheus.Gauge
 	// unservedOwners counts the routes and tenants of the configuration in force whose
@@ -51,11 +52,13 @@
 		Name: "pinevane_arrivals_total", Help: "Requests that arrived, by whether their caller asked for the first time or came back after a refusal."}, []string{"attempt"})
 	m.told = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "pinevane_retry_after_seconds", Help: "Times after which refused callers were asked to come back.", Buckets: latencyBuckets}, []string{"attempt", "reason"})
+	m.endings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_generations_ended_total", Help: "Generations that have ended, by their size against the usual one of their service, and how they ended."}, []string{"size", "ending"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.arrivals, m.told, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cut, m.silent, m.loadQueries, m.arrivals, m.told, m.endings, m.missingFigures, m.unservedOwners)
 	return m
 }
 
--- a/internal/forward/sizes_test.go
+++ b/internal/forward/sizes_test.go
@@ -19,3 +19,10 @@
 		assert.Equal(t, known, wanted.Prompt)
 	}
 }
+
+// Endings are told by size, in classes around the usual one of the service.
+func TestSizeLabels(t *testing.T) {
+	for ofUsual, label := range map[float64]string{0: sizeUnderHalf, 0.49: sizeUnderHalf, 0.5: sizeUnderUsual, 1: sizeUnderDouble, 2: sizeOverDouble} {
+		assert.Equal(t, label, sizeLabel(ofUsual))
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,8 +59,10 @@
 		return refusal
 	}
 	w.metrics.cut.WithLabelValues(string(refusal.Reason)).Inc()
-	w.log.Log(logging.StreamCut, zap.String("request", w.request.Call.RequestID), zap.String("reason", string(refusal.Reason)),
-		zap.Int("events", w.events), zap.String("last_event", w.lastEvent), zap.Int("attempts", w.sent))
+	w.countEnding(endingCut)
+	w.log.Log(logging.StreamCut, append(w.request.SizeFields(),
+		zap.String("request", w.request.Call.RequestID), zap.String("route", w.request.Route.Name), zap.String("reason", string(refusal.Reason)),
+		zap.Int("events", w.events), zap.String("last_event", w.lastEvent), zap.Int("attempts", w.sent))...)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/forward/whole.go
+++ b/internal/forward/whole.go
@@ -148,9 +148,11 @@
 		kind = "stream"
 	}
 	w.metrics.answers.WithLabelValues(kind, strconv.Itoa(started.response.StatusCode)).Observe(took.Seconds())
-	w.log.Log(logging.RequestAnswered, zap.String("request", w.request.Call.RequestID), zap.Int("status", started.response.StatusCode),
+	w.countEnding(endingAnswered)
+	w.log.Log(logging.RequestAnswered, append(w.request.SizeFields(),
+		zap.String("request", w.request.Call.RequestID), zap.Int("status", started.response.StatusCode),
 		zap.String("server", started.target.ID), zap.Int("attempts", w.sent), zap.Int("events", w.events),
 		zap.Uint64("version", started.head.Version), zap.Duration("took", took), zap.Duration("first_event", w.firstAfter),
 		zap.Duration("longest_pause", w.longestPause), zap.Duration("target", w.request.Route.Target),
-		zap.Duration("target_gap", w.request.Route.TargetGap), zap.String("route", w.request.Route.Name), zap.Error(err))
+		zap.Duration("target_gap", w.request.Route.TargetGap), zap.String("route", w.request.Route.Name), zap.Error(err))...)
 }
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -211,11 +211,12 @@
 	if view.Configuration != nil {
 		configured = view.Configuration.Version
 	}
-	g.log.Log(event, zap.String("request", request.Call.RequestID), zap.String("route", route), zap.String("host", request.Host),
+	g.log.Log(event, append(request.SizeFields(),
+		zap.String("request", request.Call.RequestID), zap.String("route", route), zap.String("host", request.Host),
 		zap.String("tenant", request.Tenant), zap.Int("status", status), zap.String("reason", string(refusal.Reason)),
 		zap.String("execution", string(refusal.Execution)), zap.Duration("retry_after", refusal.RetryAfter),
 		zap.Duration("took", time.Since(request.Arrived)), zap.Uint64("configuration", configured),
-		zap.Duration("configuration_age", time.Since(view.ConfigurationSince)))
+		zap.Duration("configuration_age", time.Since(view.ConfigurationSince)))...)
 	g.metrics.refusals.WithLabelValues(string(refusal.Reason), string(refusal.Execution)).Inc()
 	header := writer.Header()
 	g.dialect.RefusalHeader(header, request.Call.RequestID, refusal.RetryAfter)
