--- a/coordination/shedding/fake_test.go
+++ b/coordination/shedding/fake_test.go
@@ -14,7 +14,6 @@
 // but for its delay, versions, failures of streams, and memory.
 const (
 	tick        = time.Millisecond
-	entryCount  = 44
 	serverCount = 58
 	// drawn servers are compared for a request: agents are asked about three, and three more.
 	drawn     = 6
@@ -82,9 +81,13 @@
 	wordAge time.Duration
 	// restarts is when all entries are started anew, and know nothing; 0 is never.
 	restarts time.Duration
-	seed     uint64
+	// entries is how many there are; 0 is usualEntries.
+	entries int
+	seed    uint64
 }
 
+const usualEntries = 44
+
 // way is how callers are admitted and told.
 type way struct {
 	limit func(f *fleet, e *entry, limit, alone time.Duration, arrival Arrival) time.Duration
@@ -104,10 +107,34 @@
 	all    count
 	byKind []count
 	large  count
+	// bySize counts the parts of each kind by size.
+	bySize [sizeParts][]count
 	// returned counts those that come back by the second in which they do.
 	returned [32]count
 }
 
+// Parts of a kind by size, of prompts that are distributed as newCaller draws them.
+const (
+	largestTenth = iota
+	fifthBelow
+	middlePart
+	smallestTenth
+	sizeParts
+)
+
+// partOf is the part of its kind in which a size lies: the bounds are those of a lognormal size of mean 1.
+func partOf(size float64) int {
+	switch {
+	case size > 2.02:
+		return largestTenth
+	case size > 1.105:
+		return fifthBelow
+	case size > 0.26:
+		return middlePart
+	}
+	return smallestTenth
+}
+
 type fleet struct {
 	day
 	way
@@ -124,7 +151,13 @@
 
 func newFleet(d day, w way) *fleet {
 	f := &fleet{day: d, way: w, random: rand.New(rand.NewPCG(d.seed, 1)), back: map[time.Duration][]*caller{}}
+	if f.day.entries == 0 {
+		f.day.entries = usualEntries
+	}
 	f.out.byKind = make([]count, len(d.kinds))
+	for part := range f.out.bySize {
+		f.out.bySize[part] = make([]count, len(d.kinds))
+	}
 	for i := range serverCount {
 		f.servers = append(f.servers, &server{wordAt: -time.Duration(i) * d.wordAge / serverCount})
 	}
@@ -135,7 +168,7 @@
 // startEntries starts all entries: they know of no caller, and of no load but by words.
 func (f *fleet) startEntries() {
 	f.entries = nil
-	for range entryCount {
+	for range f.day.entries {
 		f.entries = append(f.entries, &entry{sent: map[*server][]*caller{}, usual: make([]Usual, len(f.kinds))})
 	}
 }
@@ -182,6 +215,7 @@
 func (f *fleet) each(c *caller, update func(*count)) {
 	update(&f.out.all)
 	update(&f.out.byKind[c.kind])
+	update(&f.out.bySize[partOf(c.size)][c.kind])
 	if c.size > 1.9 {
 		update(&f.out.large)
 	}
@@ -190,7 +224,7 @@
 // attempt admits a caller at the soonest of a few servers, or refuses it.
 func (f *fleet) attempt(c *caller) {
 	c.tries++
-	e, target := f.entries[f.random.IntN(entryCount)], f.kinds[c.kind].target
+	e, target := f.entries[f.random.IntN(len(f.entries))], f.kinds[c.kind].target
 	arrival := Arrival{Left: c.until - f.now}
 	arrival.Elapsed = e.usual[f.kinds[c.kind].route].Arrived(f.now, arrival.Left)
 	full := e.margin.Limit(target)
--- a/coordination/shedding/load_test.go
+++ b/coordination/shedding/load_test.go
@@ -140,12 +140,18 @@
 // result is the mean share of the best credit over the seeds, and the sum of the counts.
 func result(d day, w way) (float64, outcome) {
 	sum := outcome{byKind: make([]count, len(d.kinds))}
+	for part := range sum.bySize {
+		sum.bySize[part] = make([]count, len(d.kinds))
+	}
 	for d.seed = range seeds {
 		one := play(d, w)
 		sum.all.add(one.all)
 		sum.large.add(one.large)
 		for i := range one.byKind {
 			sum.byKind[i].add(one.byKind[i])
+			for part := range sum.bySize {
+				sum.bySize[part][i].add(one.bySize[part][i])
+			}
 		}
 		for second := range one.returned {
 			sum.returned[second].add(one.returned[second])
