Limits of tokens admit large requests as often as small ones

What callers saw: a tenant that asks for twice its tokens a second had all of its small requests (100 tokens) admitted and 0.09 of its large ones (1,100 tokens, one in ten).

Change: a bucket that holds anything admits a request, which may overdraw it; the following ones wait for that. Over time the limit is as before, at most one request more at once.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -165,7 +165,7 @@
 	}
 	if tokens > 0 {
 		charged := min(tokens, share.tokens.Burst())
-		if refusal := take(share.tokens, now, charged, fault.ReasonLimitTokens, "the tenant is over its tokens a second"); refusal != nil {
+		if refusal := overdraw(share.tokens, now, charged, fault.ReasonLimitTokens, "the tenant is over its tokens a second"); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -195,6 +195,16 @@
 	return refusal
 }
 
+// overdraw draws from a bucket that holds anything, also more than it holds, which the next ones wait for. A
+// large request that had to find its whole size in the bucket would not be admitted beside small ones that take what comes in.
+func overdraw(bucket *rate.Limiter, now time.Time, count int, reason fault.Reason, detail string) *fault.Refusal {
+	if refusal := take(bucket, now, 1, reason, detail); refusal != nil {
+		return refusal
+	}
+	bucket.ReserveN(now, count-1)
+	return nil
+}
+
 // Borrowing starts when demand comes near to what is usable, and asks for what
 // demand needs with a reserve.
 const (
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -60,6 +60,37 @@
 	assert.Equal(t, fault.ReasonLimitConcurrency, refused.Reason)
 }
 
+// Guards against large requests being left unserved: a tenant that asks for twice its tokens a second has its large
+// requests, one in ten, admitted as often as its small ones, and no more tokens than its limit over time.
+func TestTokensAreTakenWhateverTheSize(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	limits := newLimiter(clock.read)
+	limits.configure(&configuration.Snapshot{Tenants: map[string]configuration.Tenant{
+		"t": {Name: "t", RequestsPerSecond: 1000, TokensPerSecond: 1000, Concurrency: 1000},
+	}}, 1)
+	clock.wait(raiseDelay)
+	const seconds, largeTokens, smallTokens = 600, 1100, 100
+	asked, admitted, tokens := map[int]int{}, map[int]int{}, 0
+	for number := range 10 * seconds {
+		size := smallTokens
+		if number%10 == 0 {
+			size = largeTokens
+		}
+		clock.wait(100 * time.Millisecond)
+		asked[size]++
+		if release, refused := limits.admit("t", size); refused == nil {
+			admitted[size]++
+			tokens += size
+			release()
+		}
+	}
+	share := func(size int) float64 { return float64(admitted[size]) / float64(asked[size]) }
+	t.Logf("admitted: %.2f of the small, %.2f of the large", share(smallTokens), share(largeTokens))
+	assert.GreaterOrEqual(t, share(largeTokens), 0.75*share(smallTokens))
+	assert.LessOrEqual(t, tokens, 1000*(seconds+burstSeconds)+largeTokens)
+	assert.GreaterOrEqual(t, tokens, 950*seconds, "the limit is used")
+}
+
 func TestNothingIsAdmittedBeforeTheShareIsInForce(t *testing.T) {
 	clock := &manualClock{now: time.Unix(1000, 0)}
 	limits := newLimiter(clock.read)
