What a request waits for others decides on its admission, not its size

What callers saw: amid more load than the places can do, the largest tenth of a kind of request was served less than half as often as the kind; with a low limit an idle server was sent no long prompt at all.

Cause: the limit held for the whole expected beginning, the reading of the request's own prompt included. While more comes than fits, the expected beginning stands at the limit; what becomes free goes to the next request that needs little. Requests with the longer target took the places of those with the shorter one in the same way. Class of fault: one limit on a sum that contains the applicant's own cost.

Change: a request is admitted where it would wait for others no longer than a usual one may, by balance.Server.Wait and MostWait, whatever its size; an idle server takes every one, also one whose own reading takes longer than its target, which is answered late. The target that bounds the wait is the request's own or the typical one of its service, where that is shorter. Callers that came back wait for a share of it. Asking, trials, fullness and the margin go by the wait too. Lines and explain tell alone, wait, most_wait, late and margin.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -110,6 +110,18 @@
 	return milliseconds(delay)
 }
 
+// Wait predicts how long a request that is sent now waits for others. It is the same for all sizes: reckoned with a
+// request's own size it would be longer for large ones, whose reading others slow down.
+func (s Server) Wait(load Load) time.Duration {
+	usual := int(s.UsualPrompt)
+	return s.FirstEvent(load, usual) - s.FirstEvent(Load{Pace: load.Pace}, usual)
+}
+
+// MostWait is how long requests may wait for others where a usual one is to begin within a limit.
+func (s Server) MostWait(limit time.Duration) time.Duration {
+	return max(0, limit-s.FirstEvent(Load{}, int(s.UsualPrompt)))
+}
+
 // Duration predicts the time in which an answer of a number of tokens is written.
 func (s Server) Duration(load Load, prompt, answer int) time.Duration {
 	step := s.step(float64(load.Running+1)) * max(1, load.Pace)
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -52,3 +52,22 @@
 	server.ReadChunk = 0
 	assert.Equal(t, reading+2*60*time.Millisecond, server.FirstEvent(load, 1000), "as long as no chunk is published")
 }
+
+// The wait for others grows with the load and with the pace of a slow server; an idle one makes nobody wait,
+// however slow it is. What may be waited is what a usual prompt leaves of a limit.
+func TestWaitForOthers(t *testing.T) {
+	server := Server{Slots: 16, StepMilliseconds: 7, Stride: 6, ReadPerSecond: 30000, ReadChunk: 2048, UsualPrompt: 1000, UsualAnswer: 100}
+	for _, pace := range []float64{0, 1, 4} {
+		assert.Zero(t, server.Wait(Load{Pace: pace}))
+	}
+	busy := Load{Running: 16, Waiting: 2, Unread: 3000}
+	assert.Greater(t, server.Wait(busy), server.Wait(Load{Running: 16}))
+	busy.Pace = 2
+	assert.Greater(t, server.Wait(busy), server.Wait(Load{Running: 16, Waiting: 2, Unread: 3000}))
+	limit := 400 * time.Millisecond
+	assert.Equal(t, limit-server.FirstEvent(Load{}, 1000), server.MostWait(limit))
+	assert.Zero(t, server.MostWait(10*time.Millisecond))
+	plain := Server{Slots: 4, WholeMilliseconds: 60}
+	assert.Zero(t, plain.Wait(Load{Running: 3}))
+	assert.Equal(t, 15*time.Millisecond, plain.Wait(Load{Running: 4}))
+}
--- a/coordination/dispatch/asking.go
+++ b/coordination/dispatch/asking.go
@@ -72,8 +72,7 @@
 
 // AnyInTime reports whether one of the asked servers would begin the request in time.
 func (c *Core) AnyInTime(request *Request, now time.Time) bool {
-	limit := c.refusalLimit(request, now)
 	return slices.ContainsFunc(request.Asked, func(k *Candidate) bool {
-		return c.fitness(k, request, now) == Fit && (limit <= 0 || c.firstEvent(k, request, now) <= limit)
+		return c.fitness(k, request, now) == Fit && c.admits(k, request, now)
 	})
 }
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -51,17 +51,17 @@
 	decision := Decision{
 		Candidate: k, Considered: considered, Outstanding: k.outstanding(now), Load: c.load(k, request, now),
 		Expected: c.firstEvent(k, request, now), byLoad: c.byLoad(k, request, now), WordAge: k.word.age(now), Version: k.servedVersion(now),
+		Admission: c.admission(k, request, now),
 	}
 	decision.Send = &Send{
 		candidate: k, service: request.Service, engine: request.Engine, target: request.Target,
-		sentAt: now, due: now.Add(decision.Expected), prompt: request.Prompt, nearLimit: decision.Expected > request.Target/2,
+		sentAt: now, due: now.Add(decision.Expected), prompt: request.Prompt, nearLimit: decision.Admission.Wait >= c.firstAttemptWait(k, request)/2,
 		idle: decision.Outstanding == 0 && decision.WordAge != NoWord,
 	}
 	if c.lost(k, now) {
 		decision.Patience = c.lostTrialPatience(k, request, now)
 	}
-	decision.Admission = c.admission(k, request, c.refusalLimit(request, now), now)
-	c.noteFull(request, decision.Expected, now)
+	c.noteFull(k, request, now)
 	k.sends.add(decision.Send)
 	c.countSent(k, now)
 	decision.Trial = c.beginTrial(k, now)
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -88,7 +88,9 @@
 	scarce map[string]float64
 	// usual learns what time callers of each route have left at first attempts, pressures
 	// whether each service is overloaded; both count time since started.
-	usual     map[string]*shedding.Usual
+	usual map[string]*shedding.Usual
+	// targets learns the typical target of each service.
+	targets   map[string]*shedding.Targets
 	pressures map[string]*shedding.Pressure
 	started   time.Time
 
@@ -117,7 +119,7 @@
 		words: map[string]heardWord{}, leastMissing: map[uint64]int{},
 		learned: map[string]*balance.Learned{}, margins: map[string]*balance.Margin{},
 		demands: map[regionalService]*residency.Demand{}, scarce: map[string]float64{},
-		usual: map[string]*shedding.Usual{}, pressures: map[string]*shedding.Pressure{}, started: options.Started, health: health.New(options.Self),
+		usual: map[string]*shedding.Usual{}, targets: map[string]*shedding.Targets{}, pressures: map[string]*shedding.Pressure{}, started: options.Started, health: health.New(options.Self),
 		bounded: newMembers(options.Self, options.Started), kept: map[string]keptServer{}, emptying: newEmptying(),
 	}
 }
--- a/coordination/dispatch/health.go
+++ b/coordination/dispatch/health.go
@@ -81,8 +81,7 @@
 		c.mix(candidates.forTrial)
 	}
 	for _, one := range candidates.forTrial {
-		limit := c.refusalLimit(request, now)
-		if limit <= 0 || one.hasFreePlace(request) || c.firstEvent(one, request, now) <= limit {
+		if c.admits(one, request, now) {
 			return []*Candidate{one}
 		}
 	}
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -186,15 +186,15 @@
 	Admission Admission
 }
 
-// Admission is what a request was admitted or refused by.
+// Admission is what a request was admitted or refused by at the chosen or soonest server.
 type Admission struct {
-	// Alone is when an idle server would begin the request, Expected when the chosen or soonest server
-	// would, and Late the part of that by which it has lately begun others late. Limit is the latest that was
-	// allowed; zero without a limit.
-	Alone    time.Duration
-	Expected time.Duration
+	// Alone is when the server would begin the request if it were idle.
+	Alone time.Duration
+	// Wait is how long the request would wait for others there, and Late the part of that by which the server has
+	// lately begun others late; MostWait is how long it may.
+	Wait     time.Duration
 	Late     time.Duration
-	Limit    time.Duration
+	MostWait time.Duration
 	// Margin is what is learned of late beginnings, as a share of the target.
 	Margin float64
 }
@@ -208,7 +208,7 @@
 	RefusedNoServer RefusalReason = iota
 	// RefusedResidency: none in the allowed regions is fit, and one elsewhere is.
 	RefusedResidency
-	// RefusedOverload: no fit server would begin the request within its target.
+	// RefusedOverload: at each fit server the request would wait for others for too long.
 	RefusedOverload
 )
 
@@ -219,7 +219,7 @@
 	RetryAfter time.Duration
 	// Servers counts the service's servers by why they were left out.
 	Servers map[Fitness]int
-	// Admission tells when the soonest of the fit servers would begin the request; zero unless overloaded.
+	// Admission tells what the soonest of the fit servers would have it wait; zero unless overloaded.
 	Admission Admission
 	// OldestWord is the age of the oldest word of an agent.
 	OldestWord time.Duration
--- a/coordination/dispatch/prediction.go
+++ b/coordination/dispatch/prediction.go
@@ -90,6 +90,12 @@
 	return c.byLoad(k, request, now) + c.delay(k, now)
 }
 
+// wait predicts how long the server would have the request wait for others: by its load, and by how late it has lately
+// begun them.
+func (c *Core) wait(k *Candidate, request *Request, now time.Time) time.Duration {
+	return k.model(request).Wait(c.load(k, request, now)) + c.delay(k, now)
+}
+
 // byLoad is when the server would begin the request by its load alone.
 func (c *Core) byLoad(k *Candidate, request *Request, now time.Time) time.Duration {
 	return k.model(request).FirstEvent(c.load(k, request, now), request.Prompt)
--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/shedding"
 )
 
@@ -35,45 +36,45 @@
 	return request.Engine == nil && k.sends.inFlight < k.listing.server.Slots
 }
 
-// admit refuses a request that no server would begin within its target. When
-// only the drawn ones would not, the soonest of all is taken. One that was sent to a
+// admit refuses a request that would wait for others for too long at every server. When
+// only at the drawn ones it would, the soonest of all is taken. One that was sent to a
 // server before has been admitted: it is not refused any more. Servers that were not asked because
 // they are left to others count before a refusal.
 func (c *Core) admit(best *Candidate, usable, all []*Candidate, request *Request, now time.Time) (*Candidate, *Refusal) {
-	limit := c.refusalLimit(request, now)
-	if request.Resumed || len(request.Tried) > 0 || limit <= 0 || best.hasFreePlace(request) || c.firstEvent(best, request, now) <= limit {
+	if request.Resumed || len(request.Tried) > 0 || c.admits(best, request, now) {
 		return best, nil
 	}
-	best, soonest := c.soonestOf(usable, request, now)
-	if soonest <= limit {
+	best = c.soonestOf(usable, request, now)
+	if c.admits(best, request, now) {
 		return best, nil
 	}
-	if scarce, expected := c.soonestOf(c.scarceOf(all), request, now); scarce != nil && expected <= limit {
+	if scarce := c.soonestOf(c.scarceOf(all), request, now); scarce != nil && c.admits(scarce, request, now) {
 		return scarce, nil
 	}
 	refusal := c.refuse(RefusedOverload, request, now)
-	refusal.Admission = c.admission(best, request, limit, now)
-	refusal.RetryAfter = shedding.Return(soonest, limit, refusalRetryFloor, refusalRetryCap, request.Arrival)
+	refusal.Admission = c.admission(best, request, now)
+	refusal.RetryAfter = shedding.Return(refusal.Admission.Wait, refusal.Admission.MostWait, refusalRetryFloor, refusalRetryCap, request.Arrival)
 	held(c.pressures, request.Service).Refused(now.Sub(c.started), request.Arrival)
 	return nil, refusal
 }
 
 // admission tells what a request is admitted or refused by at a server.
-func (c *Core) admission(k *Candidate, request *Request, limit time.Duration, now time.Time) Admission {
+func (c *Core) admission(k *Candidate, request *Request, now time.Time) Admission {
 	return Admission{
-		Alone: request.alone(), Expected: c.firstEvent(k, request, now), Late: c.delay(k, now),
-		Limit: limit, Margin: c.marginOf(request.Service).Share(),
+		Alone: k.model(request).FirstEvent(balance.Load{}, request.Prompt), Wait: c.wait(k, request, now), Late: c.delay(k, now),
+		MostWait: c.mostWait(k, request, now), Margin: c.marginOf(request.Service).Share(),
 	}
 }
 
-// soonestOf returns the first of some servers that would begin a request soonest, and when.
-func (c *Core) soonestOf(usable []*Candidate, request *Request, now time.Time) (best *Candidate, soonest time.Duration) {
+// soonestOf returns the first of some servers that would begin a request soonest; nil without any.
+func (c *Core) soonestOf(usable []*Candidate, request *Request, now time.Time) (best *Candidate) {
+	var soonest time.Duration
 	for _, candidate := range usable {
 		if expected := c.firstEvent(candidate, request, now); best == nil || expected < soonest {
 			best, soonest = candidate, expected
 		}
 	}
-	return best, soonest
+	return best
 }
 
 // refuse tells which servers fall out for which reason, and when the first is open of those that only what
--- a/coordination/dispatch/returns.go
+++ b/coordination/dispatch/returns.go
@@ -4,21 +4,21 @@
 	"maps"
 	"time"
 
-	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/shedding"
 )
 
-// Arrived notes a request of a route whose caller waits for a time left, 0 for one that does
-// not say, and tells whether it came back after a refusal.
-func (c *Core) Arrived(route string, left time.Duration, now time.Time) shedding.Arrival {
-	return shedding.Arrival{Left: left, Elapsed: held(c.usual, route).Arrived(now.Sub(c.started), left)}
+// Arrived notes a request whose caller waits for a time left, 0 for one that does not say, and tells whether
+// it came back after a refusal.
+func (c *Core) Arrived(request *Request, left time.Duration, now time.Time) shedding.Arrival {
+	held(c.targets, request.Service).Arrived(request.Target)
+	return shedding.Arrival{Left: left, Elapsed: held(c.usual, request.Route).Arrived(now.Sub(c.started), left)}
 }
 
 // Refused notes that a request's caller was refused, and may come back.
 func (c *Core) Refused(request *Request, now time.Time) { c.returnsMayCome(request, now) }
 
-// fullShare is the part of the limit of refusals beyond which an expected beginning shows that
-// servers are full: other entries refuse callers then, who may come back to this one.
+// fullShare is the part of the longest wait beyond which an expected one shows that servers are full:
+// other entries refuse callers then, who may come back to this one.
 const fullShare = 0.8
 
 // noteFull has nothing learned of a route's callers while servers are full, and lets an overload
@@ -26,8 +26,8 @@
 // took the returns of the others' callers for first attempts, which hid them, or let them in as if
 // the overload were over. With a quarter more requests than places at 79 machines, 0.69 to 0.71
 // of the requests are answered in time instead of 0.65 (two plays each).
-func (c *Core) noteFull(request *Request, expected time.Duration, now time.Time) {
-	if request.Engine == nil || float64(expected) <= fullShare*float64(c.firstAttemptLimit(request)) {
+func (c *Core) noteFull(k *Candidate, request *Request, now time.Time) {
+	if request.Engine == nil || float64(c.wait(k, request, now)) <= fullShare*float64(c.firstAttemptWait(k, request)) {
 		return
 	}
 	c.returnsMayCome(request, now)
@@ -47,26 +47,27 @@
 	maps.DeleteFunc(c.usual, func(route string, _ *shedding.Usual) bool { return !kept[route] })
 }
 
-// firstAttemptLimit is the latest predicted beginning at which a first attempt is admitted.
-func (c *Core) firstAttemptLimit(request *Request) time.Duration {
-	return time.Duration(c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(request.Target)))
+// limit is the latest predicted beginning of a request of usual size; 0 or less where none is refused for load.
+func (c *Core) limit(request *Request) time.Duration {
+	target := held(c.targets, request.Service).Common(request.Target)
+	return time.Duration(c.policy.RefusalShare * float64(c.marginOf(request.Service).Limit(target)))
 }
 
-// refusalLimit is the latest predicted beginning at which a request is admitted; 0 or less
-// admits every one.
-func (c *Core) refusalLimit(request *Request, now time.Time) time.Duration {
-	limit := c.firstAttemptLimit(request)
+// firstAttemptWait is how long a first attempt may wait for others at a server.
+func (c *Core) firstAttemptWait(k *Candidate, request *Request) time.Duration {
+	return k.model(request).MostWait(c.limit(request))
+}
+
+// mostWait is how long a request may wait for others at a server.
+func (c *Core) mostWait(k *Candidate, request *Request, now time.Time) time.Duration {
 	share := held(c.pressures, request.Service).Share(now.Sub(c.started), c.policy.LateShare)
-	return shedding.Limit(limit, request.alone(), request.Arrival, share)
+	return shedding.Wait(c.firstAttemptWait(k, request), request.Arrival, share)
 }
 
-// alone is when an idle server would begin the request. A plain server with a free place is
-// never overloaded, which grants as much.
-func (r *Request) alone() time.Duration {
-	if r.Engine == nil {
-		return 0
-	}
-	return r.Figures.FirstEvent(balance.Load{}, r.Prompt)
+// admits reports whether a server would have the request wait for others no longer than it may. It goes by the wait
+// alone: see shedding.Wait.
+func (c *Core) admits(k *Candidate, request *Request, now time.Time) bool {
+	return c.limit(request) <= 0 || k.hasFreePlace(request) || c.wait(k, request, now) <= c.mostWait(k, request, now)
 }
 
 // held returns what is kept of a name, and begins with nothing known.
--- a/coordination/dispatch/scarcity.go
+++ b/coordination/dispatch/scarcity.go
@@ -135,7 +135,7 @@
 	full := min(1, float64(k.outstanding(now))/float64(max(1, model.Slots)))
 	hold := float64(model.ServiceTime()) * float64(model.Slots)
 	most := mostScarcity
-	if limit := c.firstAttemptLimit(request); limit > 0 {
+	if limit := c.limit(request); limit > 0 {
 		most = min(most, limit)
 	}
 	return min(most, time.Duration(share*full*hold))
--- a/coordination/dispatch/sends.go
+++ b/coordination/dispatch/sends.go
@@ -15,7 +15,7 @@
 	// due is when the first event was expected to come.
 	due    time.Time
 	prompt int
-	// nearLimit is set when it was expected so late that the limit of refusals matters.
+	// nearLimit is set when it was expected to wait for so long that the limit of refusals matters.
 	nearLimit bool
 	// idle is set when the server was known to have nothing else to do.
 	idle bool
--- a/coordination/dispatch/sizes_test.go
+++ b/coordination/dispatch/sizes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -26,3 +27,26 @@
 		}
 	}
 }
+
+// Guards against large requests being left unserved: whatever the size of its prompt, a request is admitted at the
+// same load of a server.
+func TestLoadAtWhichARequestIsRefusedDoesNotDependOnItsSize(t *testing.T) {
+	refusedFrom := func(prompt int) (waiting int) {
+		for ; waiting < 100; waiting++ {
+			s := newScript(t, "a1")
+			s.hear("a1", 0, Word{Version: 1, Running: 16, Waiting: waiting})
+			request := s.request()
+			request.Prompt = prompt
+			if _, refusal := s.core.Choose(request, s.now); refusal != nil {
+				return waiting
+			}
+		}
+		return waiting
+	}
+	usual := refusedFrom(1000)
+	assert.Positive(t, usual)
+	assert.Less(t, usual, 100)
+	for _, prompt := range []int{1, 200, 3000, 8000} {
+		assert.Equal(t, usual, refusedFrom(prompt), "%d tokens", prompt)
+	}
+}
--- a/coordination/shedding/shedding.go
+++ b/coordination/shedding/shedding.go
@@ -19,20 +19,18 @@
 	Elapsed time.Duration
 }
 
-// Limit is the latest expected beginning at which a request is admitted, where first attempts
-// are admitted up to a limit and an idle server would begin the request after a time alone.
+// Wait is how long a request may wait for others, where first attempts may wait for a time at most. What the
+// request takes by itself does not count: a limit of both leaves the room that there is in overload to the requests
+// that need least of it, and large ones unserved.
 //
-// A caller that came back has used up the elapsed time of the limit. Once it can't be answered
-// in time any more, it goes behind those that can: it is admitted where it waits for others a
-// share, at most, of what a first attempt may wait. With 0 only idle servers take it, with 1
-// it is treated like a first attempt. The time alone is granted in full, so that long prompts
-// are not refused for their own length.
-func Limit(limit, alone time.Duration, arrival Arrival, share float64) time.Duration {
-	if arrival.Elapsed <= 0 || limit <= 0 {
-		return limit
+// A caller that came back has used up the elapsed time of the wait. Once it can't be answered in time any more, it
+// goes behind those that can: it waits for a share, at most, of what a first attempt may wait. With 0 only
+// idle servers take it, with 1 it is treated like a first attempt.
+func Wait(most time.Duration, arrival Arrival, share float64) time.Duration {
+	if arrival.Elapsed <= 0 {
+		return most
 	}
-	late := alone + time.Duration(share*float64(limit-alone))
-	return min(limit, max(limit-arrival.Elapsed, late))
+	return max(most-arrival.Elapsed, time.Duration(share*float64(most)))
 }
 
 // Late reports whether a request that is expected to begin after some time begins later than
@@ -51,12 +49,12 @@
 )
 
 // Return is the earliest time after which a refused caller is asked to come back, where the
-// soonest server would begin its request after a time and may keep others waiting for a
+// soonest server would have it wait for others for a time and may keep them waiting for a
 // limit: when that server's queue will have come down to half of the limit, within bounds,
 // and not in the first half of the time that the caller heeds. Callers that are back sooner
 // stand before the same queue once more, and can't be told from first attempts where these
 // differ by as much.
-func Return(soonest, limit, least, most time.Duration, arrival Arrival) time.Duration {
-	queue := min(max(soonest-limit/2, least), most)
+func Return(wait, limit, least, most time.Duration, arrival Arrival) time.Duration {
+	queue := min(max(wait-limit/2, least), most)
 	return max(queue, time.Duration(patientShare*float64(arrival.Left)))
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -83,8 +83,8 @@
 	}
 	if line, found := last(own, noServer); found {
 		text := "no server was chosen; servers by reason: " + line.text("servers")
-		if line.number("limit") > 0 {
-			text += fmt.Sprintf("; the soonest would have begun after %.3f s, the limit is %.3f s", line.number("soonest"), line.number("limit"))
+		if line.number("wait") > 0 {
+			text += fmt.Sprintf("; at the soonest it would have waited for others for %.3f s, %.3f s are allowed", line.number("wait"), line.number("most_wait"))
 			text += fmt.Sprintf("; an idle server would have begun its %s prompt tokens after %.3f s", line.text("prompt_tokens"), line.number("alone"))
 		}
 		return text + returnCause(line) + regionCause(line, end) + evacuationCause(all, line) + versionCause(all, line)
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -86,11 +86,11 @@
 }
 
 // logRefusal logs why no server was chosen: how many servers fall out for which
-// reason, and how soon the soonest of the others would begin the request.
+// reason, and how long the soonest of the others would have the request wait.
 func (t *targets) logRefusal(w *work, refusal *dispatch.Refusal) {
 	t.log.Log(logging.NoServerChosen, zap.String("request", w.request.Call.RequestID), zap.String("service", w.wanted.Service),
-		zap.Any("servers", refusal.Servers), zap.Duration("soonest", refusal.Admission.Expected), zap.Duration("limit", refusal.Admission.Limit), zap.Duration("oldest_status", refusal.OldestWord),
-		zap.Int("prompt_tokens", w.wanted.Prompt), zap.Duration("alone", refusal.Admission.Alone), zap.Duration("late", refusal.Admission.Late), zap.Float64("margin", refusal.Admission.Margin),
+		zap.Any("servers", refusal.Servers), zap.Duration("oldest_status", refusal.OldestWord),
+		zap.Int("prompt_tokens", w.wanted.Prompt), zap.Inline(admissionFields(refusal.Admission)),
 		zap.Duration("since_first_attempt", w.wanted.Arrival.Elapsed), zap.Uint64("at_least_version", w.wanted.AtLeast), zap.Uint64("exactly_version", w.wanted.Exactly),
 		regionsField(w.wanted.Residency))
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -209,10 +209,11 @@
 	service := pickService(request.Route.Services)
 	w := &work{Forwarder: f, request: request, writer: writer, lastEvent: request.Call.LastEventID}
 	w.wanted = dispatch.Request{
-		Service: service, Route: request.Route.Name, Arrival: f.noteArrival(request), Target: request.Route.Target, Streaming: w.isStream(),
+		Service: service, Route: request.Route.Name, Target: request.Route.Target, Streaming: w.isStream(),
 		RunsOnce: !request.Route.MayRepeat(), Others: f.options.Peers(),
 		Prompt: request.Call.PromptTokens, Answer: expectedAnswer(request.Call),
 	}
+	w.wanted.Arrival = f.noteArrival(&w.wanted, request.Call.Deadline)
 	f.targets.describe(&w.wanted)
 	f.countRequest(service)
 	defer w.endSuspect()
--- a/internal/forward/shedding.go
+++ b/internal/forward/shedding.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/shedding"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -24,10 +25,10 @@
 
 // noteArrival tells the decisions of a request that has arrived, and whether its caller came
 // back after a refusal.
-func (f *Forwarder) noteArrival(request *Request) shedding.Arrival {
+func (f *Forwarder) noteArrival(wanted *dispatch.Request, left time.Duration) shedding.Arrival {
 	f.targets.mutex.Lock()
 	defer f.targets.mutex.Unlock()
-	arrival := f.targets.core.Arrived(request.Route.Name, request.Call.Deadline, time.Now())
+	arrival := f.targets.core.Arrived(wanted, left, time.Now())
 	f.metrics.arrivals.WithLabelValues(attemptOf(arrival)).Inc()
 	return arrival
 }
--- a/internal/forward/sizing.go
+++ b/internal/forward/sizing.go
@@ -2,7 +2,9 @@
 
 import (
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
@@ -12,11 +14,23 @@
 func (r *Request) SizeFields() []zap.Field {
 	return []zap.Field{
 		zap.Int("prompt_tokens", r.Call.PromptTokens), zap.Int("answer_tokens", r.Call.AnswerTokens), zap.Int("body_bytes", len(r.Body)),
-		zap.Duration("alone", r.Admission.Alone), zap.Duration("expected", r.Admission.Expected), zap.Duration("late", r.Admission.Late),
-		zap.Duration("limit", r.Admission.Limit), zap.Float64("margin", r.Admission.Margin),
+		zap.Inline(admissionFields(r.Admission)),
 	}
 }
 
+// admissionFields are the fields of what a request was admitted or refused by.
+type admissionFields dispatch.Admission
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (a admissionFields) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddDuration("alone", a.Alone)
+	encoder.AddDuration("wait", a.Wait)
+	encoder.AddDuration("late", a.Late)
+	encoder.AddDuration("most_wait", a.MostWait)
+	encoder.AddFloat64("margin", a.Margin)
+	return nil
+}
+
 // Endings of generations, as labels.
 const (
 	endingAnswered = "answered"
