--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -109,7 +109,7 @@
 	RetryWithheld     = declare("PV4106", zap.InfoLevel, "retry withheld", "A request was not sent again: attempts, budget or time are used up, or it may have run.")
 	StreamCut         = declare("PV4107", zap.WarnLevel, "stream cut", "A stream ended before its last event and could not be resumed.")
 	CallerLeft        = declare("PV4108", zap.InfoLevel, "caller left", "The caller closed its connection; the work at the server is stopped.")
-	NoServerChosen    = declare("PV4109", zap.InfoLevel, "no server chosen", "No server was sent a request; the fields count the servers by why not, and tell how soon the soonest would have begun.")
+	NoServerChosen    = declare("PV4109", zap.InfoLevel, "no server chosen", "No server was sent a request; the fields count the servers by why not, and tell how long the soonest would have had it wait.")
 	ContentWithheld   = declare("PV4110", zap.InfoLevel, "content withheld", "A request was sent to no server because servers have ended under its content; the fields tell its state, which servers, and for how long.")
 	ServerLeaving     = declare("PV4201", zap.InfoLevel, "server leaving", "The list of servers says that a server drains; it is sent nothing more.")
 	ServerGone        = declare("PV4202", zap.InfoLevel, "server gone", "A server has left the list; it is sent nothing more.")
