--- a/internal/catalog/silentlinks.go
+++ b/internal/catalog/silentlinks.go
@@ -142,8 +142,8 @@
 }
 
 // suspectStore tells the store's client of silent links to several processes: what struck them may have struck
-// the watch too, which by itself finds that out after its wait and several times the usual time of an
-// answer, 0.95 s on a busy machine. The mutex is held.
+// the watch too, which by itself finds that out only after its wait and several times the usual time of an
+// answer. The mutex is held.
 func (c *Catalog) suspectStore(latest *peerLink, now time.Time) {
 	hearer, hears := c.options.Store.(fleet.SilenceHearer)
 	if !hears || now.Sub(c.storeSuspectedAt) < suspectPause {
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -153,9 +153,25 @@
 	if faults.CutCount > 0 {
 		cutAfter = faults.CutAfter
 	}
+	s.readPrompt(request)
 	s.answerStream(writer, request, run, cutAfter)
 }
 
+// readPrompt takes as long as the server needs to read the request's prompt, after those before it.
+func (s *Server) readPrompt(request *http.Request) {
+	if s.options.ReadPerSecond <= 0 {
+		return
+	}
+	prompt, _, _ := strings.Cut(request.Header.Get("Token-Usage"), ",")
+	tokens, err := strconv.Atoi(prompt)
+	if err != nil {
+		return
+	}
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	time.Sleep(time.Duration(float64(tokens) / s.options.ReadPerSecond * float64(time.Second)))
+}
+
 func (s *Server) answerPlain(writer http.ResponseWriter, request *http.Request, body []byte) {
 	time.Sleep(s.options.EventTime)
 	_, _ = fmt.Fprintf(writer, "%s %s %s", request.Method, request.RequestURI, body)
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -72,6 +72,8 @@
 	// Begins is told of each request that the server begins to run, by its id and body, and reports
 	// whether the server ends by it; nil for never.
 	Begins func(server *Server, id string, body []byte) bool
+	// ReadPerSecond is how many tokens of prompts a model server reads in a second; 0 reads in no time.
+	ReadPerSecond float64
 }
 
 // Server is the stand-in of a model server or a plain service.
@@ -104,8 +106,10 @@
 	leaving bool
 	// queueHeld is set while nothing that waits begins.
 	queueHeld bool
-	server    *http.Server
-	stop      context.CancelFunc
+	// reading is held while a prompt is read.
+	reading sync.Mutex
+	server  *http.Server
+	stop    context.CancelFunc
 }
 
 // NewServer returns a server that does not listen yet; one that serves a version
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -24,6 +24,10 @@
 	// StepMilliseconds is the published time of a token step; 0 publishes assumedStep, which
 	// is shorter than most tests' EventTime.
 	StepMilliseconds float64
+	// ReadPerSecond is how many tokens of prompts a model server reads in a second, one prompt after the other, and
+	// UsualPrompt the published size of prompts; 0 reads in no time, and publishes assumed figures.
+	ReadPerSecond float64
+	UsualPrompt   int
 	// LinkMbps is the link that settings tell of each machine; 0 is 80.
 	LinkMbps float64
 	// Bounds in milliseconds and seconds, as the platform names them.
@@ -65,6 +69,13 @@
 // assumedStep is the published time of a token step in milliseconds where a test sets none.
 const assumedStep = 1.0
 
+// assumedReadPerSecond and assumedPrompt are the published reading rate of prompts, in tokens, and their usual size
+// where a test sets none.
+const (
+	assumedReadPerSecond = 1e6
+	assumedPrompt        = 10
+)
+
 // assumedLinkMbps is the link of a machine in Mbit/s where a test sets none.
 const assumedLinkMbps = 80.0
 
@@ -208,7 +219,7 @@
 	server := NewServer(ServerOptions{
 		ID: fmt.Sprintf("i-%d-%d-%d", zone, index, s.starts), Service: ModelService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: s.ModelAddress(zone, index), Slots: s.Options.Slots, Weights: &weights, Version: version, Born: time.Now().UnixMilli(),
-		EventTime: s.Options.EventTime, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
+		EventTime: s.Options.EventTime, ReadPerSecond: s.Options.ReadPerSecond, Warm: 50 * time.Millisecond, Heartbeat: 400 * time.Millisecond, Store: s.Store, Ledger: s.Ledger,
 		ColdTime: s.Options.coldTime(), ColdLimit: s.Options.ColdLimit(), Begins: s.begins,
 	})
 	return server, s.adopt(s.Models, server)
@@ -293,8 +304,8 @@
 		"services": []any{
 			map[string]any{"name": ModelService, "healthPath": "/healthz", "maxConnections": 400,
 				"coldStartS": s.Options.ColdStartS, "coldPerS": s.Options.ColdPerS, "engine": map[string]any{
-					"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": 1e6, "chunk": 2048, "layers": w.Layers,
-					"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": 10, "answer": 10},
+					"slots": s.Options.Slots, "stride": 1, "step_ms": cmp.Or(s.Options.StepMilliseconds, assumedStep), "read_per_s": cmp.Or(s.Options.ReadPerSecond, assumedReadPerSecond), "chunk": 2048, "layers": w.Layers,
+					"chunks": w.Pieces, "chunkBytes": w.PieceBytes, "usual": map[string]any{"prompt": cmp.Or(s.Options.UsualPrompt, assumedPrompt), "answer": 10},
 					"models": []any{map[string]any{"name": w.Model, "warmS": 0.05}},
 				}},
 			map[string]any{"name": PlainService, "healthPath": "/healthz", "maxConnections": 400},
--- a/internal/forward/policy.go
+++ b/internal/forward/policy.go
@@ -9,8 +9,8 @@
 // Policy holds the mechanisms by which an entry decides, so that each can be measured
 // by switching it off. The tags make flags of the entry command of the fields.
 type Policy struct {
-	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1" description:"weight of the limit beyond which the predicted beginning of a request is a refusal, 0 (never refuse) to 10"`
-	InTimeShare  float64 `long:"in-time-share" env:"PINEVANE_IN_TIME_SHARE" default:"0.7" description:"share of the requests expected just within the limit that are to begin in time, 0 (a fixed limit of 1.1 targets) to 0.99"`
+	RefusalShare float64 `long:"refusal-share" env:"PINEVANE_REFUSAL_SHARE" default:"1" description:"weight of the limit within which a request of usual size is to begin; what it leaves is how long any request may wait for others, 0 (never refuse) to 10"`
+	InTimeShare  float64 `long:"in-time-share" env:"PINEVANE_IN_TIME_SHARE" default:"0.7" description:"share of the requests that wait for nearly as long as they may that are to begin in time, 0 (a fixed limit of 1.1 targets) to 0.99"`
 	LateShare    float64 `long:"late-share" env:"PINEVANE_LATE_SHARE" default:"0.15" description:"share of what a first attempt may wait that is granted to one whose answer is late in any case while first attempts are refused, 0 (idle servers only) to 1 (no difference)"`
 	UnseenLoad   float64 `long:"unseen-load" env:"PINEVANE_UNSEEN_LOAD" default:"1" description:"weight of the load that other entries may have brought to a server since its agent's word, 0 to 2"`
 	Lateness     float64 `long:"lateness" env:"PINEVANE_LATENESS" default:"1" description:"weight of how much later than predicted a server has begun requests lately, 0 to 2"`
