A margin that leaves no time to wait is shown to come back

Change: a test of the decisions: with the margin at its end and a target of 100 ms nobody may wait; requests that idle servers begin as predicted bring it back.

Conclusion: the statement holds.

--- a/coordination/dispatch/sizes_test.go
+++ b/coordination/dispatch/sizes_test.go
@@ -50,3 +50,27 @@
 		assert.Equal(t, usual, refusedFrom(prompt), "%d tokens", prompt)
 	}
 }
+
+// Guards against large requests being left unserved: a margin that leaves no time to wait comes back once servers begin
+// requests as predicted, though only idle ones are sent any.
+func TestMarginComesBackWhenNobodyMayWait(t *testing.T) {
+	s := newScript(t, "a1")
+	const target = 100 * time.Millisecond
+	for range 200 {
+		s.core.marginOf("s").Observe(time.Second, target, 0.7)
+	}
+	request := func() *Request {
+		request := s.request()
+		request.Target = target
+		return request
+	}
+	assert.Zero(t, s.core.firstAttemptWait(s.candidate("a1"), request()))
+	for step := range 400 {
+		s.at(time.Duration(step) * 100 * time.Millisecond)
+		s.hear("a1", 0, Word{Version: 1})
+		decision := s.goesTo(request(), "a1")
+		s.at(time.Duration(step)*100*time.Millisecond + decision.Expected)
+		s.ends(decision)
+	}
+	assert.Positive(t, s.core.firstAttemptWait(s.candidate("a1"), request()))
+}
