--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -81,6 +81,10 @@
 	servers    map[string]fleet.Server
 	serverKeys []string
 	faulty     faultyRecords
+	// epoch is the store's epoch as this process last learned it, 0 if it knows none.
+	epoch uint64
+	// olderRecords counts the records from the store that were older than the ones held.
+	olderRecords atomic.Uint64
 	// formerIncarnations are the start times, by record key, of records that were rejected as late
 	// ones of a former incarnation.
 	formerIncarnations map[string]incarnation.StartTime
@@ -445,6 +449,12 @@
 	FaultyRecords map[string]string `json:"faulty_records,omitempty"`
 	Entries       []string          `json:"entries"`
 	StoreCalls    int64             `json:"store_calls"`
+	// StoreEpoch is the store's epoch, 0 if unknown; CompleteRevision is the store revision up to
+	// which every change was received.
+	StoreEpoch       uint64 `json:"store_epoch"`
+	CompleteRevision uint64 `json:"complete_revision"`
+	// OlderRecords is how many records from the store were older than the ones held.
+	OlderRecords uint64 `json:"older_records"`
 }
 
 // Status describes what the catalog holds and how old it is.
@@ -459,5 +469,9 @@
 		status.Servers += len(servers)
 	}
 	status.Entries, status.FaultyRecords = c.Entries(), c.reportedFaulty()
+	status.OlderRecords = c.olderRecords.Load()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	status.StoreEpoch, status.CompleteRevision = c.epoch, c.completeRevision
 	return status
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -186,6 +186,8 @@
 		changes, err = c.options.Store.Watch(ctx, position.prefix, position.revision, wait)
 		if err == nil {
 			call.receivedAt, call.changes = time.Now(), len(changes.Records)
+			c.observeEpoch(changes)
+			c.reportOlder(changes)
 			c.recordAnswered()
 			c.applyWatched(changes.Records)
 			c.recordComplete(call)
@@ -198,7 +200,7 @@
 	case err == nil:
 		c.recordSuccess(position)
 	case errors.As(err, &historyCompacted):
-		c.options.Log.Log(logging.HistoryCompacted, zap.String("prefix", position.prefix), zap.Uint64("after", position.revision))
+		c.options.Log.Log(logging.HistoryCompacted, zap.String("prefix", position.prefix), zap.Uint64("after", position.revision), zap.Uint64("epoch", historyCompacted.Epoch))
 		position.forgottenRevision, position.historyLostAt = max(position.revision, 1), time.Now()
 		position.revision = 0
 	case ctx.Err() == nil:
@@ -213,6 +215,8 @@
 	if err != nil {
 		return err
 	}
+	c.observeEpoch(listing)
+	c.reportOlder(listing)
 	c.recordAnswered()
 	c.applyListing(position.prefix, listing)
 	call.receivedAt, call.changes = time.Now(), len(listing.Records)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -158,6 +158,8 @@
 	Operation string
 	// Status is the HTTP status, or zero when no response arrived.
 	Status int
+	// Epoch is the store's epoch that the response states, 0 if it states none.
+	Epoch uint64
 	// Cause is the underlying failure, if any.
 	Cause error
 }
@@ -177,6 +179,8 @@
 type HistoryCompacted struct {
 	Prefix string
 	After  uint64
+	// Epoch is the store's epoch that the response states, 0 if it states none.
+	Epoch uint64
 }
 
 func (e *HistoryCompacted) Error() string {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -90,6 +90,11 @@
 	Records []mirror.Record
 	// Revision is the revision from which a watch continues.
 	Revision uint64
+	// Epoch rises each time the store is restored from a copy of itself: its revisions rise within
+	// an epoch, and with a new one go back and are given out again. It is 0 if the store states
+	// none; EpochFault is then why a stated one is invalid, if it is.
+	Epoch      uint64
+	EpochFault error
 }
 
 // Store reads the platform's published records. Errors are *fault.Unavailable
--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -74,6 +74,7 @@
 // Answer is the result of a call. Status is 0 if no answer has begun.
 type Answer struct {
 	Status int
+	Header http.Header
 	Body   []byte
 	// BodyTime is how long the body took once the answer had begun.
 	BodyTime time.Duration
@@ -393,7 +394,7 @@
 	began := time.Now()
 	body := progressReader{body: response.Body, owner: a, stallTimer: stallTimer, timeout: call.Timeout}
 	data, err := io.ReadAll(io.LimitReader(body, call.MaxBytes))
-	return Answer{Status: response.StatusCode, Body: data, BodyTime: time.Since(began)}, err
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: data, BodyTime: time.Since(began)}, err
 }
 
 func newRequest(ctx context.Context, call Call, url string) (*http.Request, error) {
