--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -299,9 +300,11 @@
 	if s.draining {
 		state = "draining"
 	}
+	coldRemaining := max(0, time.Until(s.coldUntil).Milliseconds())
+	content := fmt.Sprint(state, coldRemaining, s.models(), s.layers())
 	record := map[string]any{
 		"service": s.options.Service, "address": s.options.Address, "zone": s.options.Zone, "version": "v1", "slots": s.options.Slots,
-		"state": state, "coldRemainingMs": max(0, time.Until(s.coldUntil).Milliseconds()), "stage": "both", "models": s.models(), "layers": s.layers(), "sequence": s.heartbeats,
+		"state": state, "coldRemainingMs": coldRemaining, "stage": "both", "models": s.models(), "layers": s.layers(), "sequence": s.heartbeats,
 	}
 	if s.options.StartTime != 0 {
 		record["born"] = s.options.StartTime
@@ -309,7 +312,7 @@
 	stopped := s.heartbeatsStopped
 	s.mutex.Unlock()
 	if !stopped {
-		s.options.Store.Put("servers/"+s.options.ID, record)
+		s.options.Store.PutHeartbeat("servers/"+s.options.ID, record, content)
 	}
 }
 
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -48,11 +48,19 @@
 	// the time at which the link has sent everything queued.
 	bandwidth  float64
 	linkFreeAt time.Time
+	// epoch is stated in every answer unless hidesEpoch is set; writes are all writes of the
+	// present epoch and those that it was restored from.
+	epoch      uint64
+	hidesEpoch bool
+	writes     []timedWrite
+	// heartbeats are the last contents of servers' records, for quietHeartbeats.
+	heartbeats      map[string]string
+	quietHeartbeats bool
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]record{}, changed: make(chan struct{}), refused: map[string]bool{}, pageSize: 500}
+	return &Store{items: map[string]record{}, changed: make(chan struct{}), refused: map[string]bool{}, pageSize: 500, epoch: firstEpoch, heartbeats: map[string]string{}}
 }
 
 // Put writes a record as JSON and returns its revision.
@@ -85,13 +93,19 @@
 	s.revision++
 	update.Revision = s.revision
 	s.history = append(s.history, update)
+	s.writes = append(s.writes, timedWrite{record: update, at: time.Now()})
+	s.setItem(update)
+	s.notifyWatches()
+	return s.revision
+}
+
+// setItem applies a write to the items. The mutex must be held.
+func (s *Store) setItem(update record) {
 	if update.Removed {
 		delete(s.items, update.Key)
-	} else {
-		s.items[update.Key] = update
+		return
 	}
-	s.notifyWatches()
-	return s.revision
+	s.items[update.Key] = update
 }
 
 // notifyWatches wakes waiting watches. The mutex must be held.
@@ -216,6 +230,7 @@
 	prefix, after := request.URL.Query().Get("pathPrefix"), request.URL.Query().Get("after")
 	s.mutex.Lock()
 	s.calls++
+	s.stateEpoch(writer.Header())
 	if s.rejects(request) {
 		s.mutex.Unlock()
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -250,6 +265,7 @@
 		}
 		status, events := s.changesAfter(request, query.Get("pathPrefix"), after)
 		at, changed, blocked, delay := s.revision, s.changed, s.watchesBlocked, s.delay
+		s.stateEpoch(writer.Header())
 		s.mutex.Unlock()
 		if status != http.StatusOK {
 			writer.WriteHeader(status)
@@ -280,7 +296,7 @@
 	if s.rejects(request) {
 		return http.StatusServiceUnavailable, nil
 	}
-	if after < s.compactedTo {
+	if after < s.compactedTo || after > s.revision {
 		return http.StatusGone, nil
 	}
 	var events []record
