Records and positions are ordered by the store's epoch and revision, not by the revision alone

Callers saw: routes, keys and time-outs of an older configuration for seconds or for good, and requests to a server 3 s after it had said that it leaves, after the store had come back from a copy of itself.

Cause: a revision was taken for the order of time. The mirror dropped what the store wrote after its return, because it had lower revisions than what was held; the position of the watch and the completeness of a copy only grew, so that a reader got 410 and listed until the store's counter had passed its position, and then missed what lay between; peers' freshness, heads, requests, caches and digests compared the same number.

Change: one order, (epoch, revision) in monotonic.Version, for records, positions, completeness, configurations, caches and the lists' order of servers with one address. The epoch is the store's own count of its restores. It is learned from any answer of the store and from peers; an answer of an earlier epoch changes nothing and is a typed error; an implausible one (lower, or more than 1,000 ahead) is believed after the store has stated nothing else for 2 s, and never from a peer. A copy's former state of a key does not replace a later one: by the number that the writer gave it (a server's heartbeats, a configuration's version), or because the later one deleted exactly that record; configurations and versions of weights stay until their writer says otherwise; the rest for 4 s, after which one reader lists everything again and that is true. A copy that is current in another epoch no longer counts as current, nor one of a process that knows no epochs. Processes that know none are sent what they were sent before; what they send is ordered by the writer's number. Zones that are to list at the same time begin 0.15 s apart, and a process that others keep current lists only when it must read.

--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -135,7 +135,7 @@
 // others have stopped, and the list will drop them; if one is found here, it is returned.
 func (c *Core) claimAddress(candidate *Candidate) (ended *Candidate) {
 	holder := c.byAddress[candidate.Address]
-	if holder == nil || holder.listing.server.Revision < candidate.listing.server.Revision {
+	if holder == nil || holder.listing.server.WrittenAt.Compare(candidate.listing.server.WrittenAt) < 0 {
 		c.byAddress[candidate.Address] = candidate
 		candidate.listing.removed = candidate.listing.superseded
 		holder, candidate = candidate, holder
--- a/coordination/dispatch/messages.go
+++ b/coordination/dispatch/messages.go
@@ -5,6 +5,7 @@
 
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/incarnation"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/coordination/residency"
 	"pinevane.example/pinevane/coordination/shedding"
 )
@@ -23,8 +24,8 @@
 	HoldsModel bool
 	// ColdUntil is when the server will be warm. If it is past or zero, the server is warm.
 	ColdUntil time.Time
-	// Revision orders list entries: of two with the same address, the higher one is newer.
-	Revision uint64
+	// WrittenAt orders list entries: of two with the same address, the later one is newer.
+	WrittenAt monotonic.Version
 	// StartTime distinguishes this incarnation from others with the same ID.
 	StartTime incarnation.StartTime
 }
--- a/coordination/dispatch/restarted_test.go
+++ b/coordination/dispatch/restarted_test.go
@@ -15,7 +15,7 @@
 	for index := range s.fleet.Servers {
 		if server := &s.fleet.Servers[index]; server.ID == id {
 			server.StartTime = startTime
-			server.Revision++
+			server.WrittenAt.Revision++
 			if change != nil {
 				change(server)
 			}
--- a/coordination/dispatch/script_test.go
+++ b/coordination/dispatch/script_test.go
@@ -9,6 +9,7 @@
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/balance"
+	"pinevane.example/pinevane/coordination/monotonic"
 )
 
 // script plays a sequence of messages to an entry, with decisions in between.
@@ -177,7 +178,7 @@
 	s := newScript(t, "a1")
 	s.report("a1", 0, LoadReport{Version: 1})
 	open := s.goesTo(s.request(), "a1")
-	s.fleet.Servers = append(s.fleet.Servers, Server{ID: "a9", Service: "s", Address: "a1:1", Zone: "a", Slots: 16, Version: 1, HoldsModel: true, Revision: 7})
+	s.fleet.Servers = append(s.fleet.Servers, Server{ID: "a9", Service: "s", Address: "a1:1", Zone: "a", Slots: 16, Version: 1, HoldsModel: true, WrittenAt: monotonic.Version{Revision: 7}})
 	changes := s.update()
 	require.Len(t, changes, 1)
 	assert.Equal(t, Change{Kind: AddressTaken, Candidate: open.Candidate, InFlight: 1}, changes[0])
--- a/coordination/mirror/changes_test.go
+++ b/coordination/mirror/changes_test.go
@@ -11,7 +11,7 @@
 func TestKeysAreOrderedByTheirLastChange(t *testing.T) {
 	changes := NewChangeLog()
 	for revision, key := range []string{"a", "b", "a", "c"} {
-		changes.Add(Record{Key: key, Revision: uint64(revision + 1)})
+		changes.Add(Record{Key: key, Revision: uint64(revision + 1)}, 0)
 	}
 	assert.Equal(t, []string{"b", "a", "c"}, changes.After(0))
 	assert.Equal(t, []string{"a", "c"}, changes.After(2))
@@ -27,15 +27,15 @@
 		for revision := range steps {
 			key := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "key"))
 			record := Record{Key: key, Revision: uint64(revision + 1), Deleted: rapid.Bool().Draw(t, "gone")}
-			first.Add(record)
+			first.Add(record, 0)
 			final[key] = record
 		}
 		for _, record := range final {
-			second.Add(record)
+			second.Add(record, 0)
 		}
 		assert.Equal(t, first.Digest(), second.Digest())
 		assert.Len(t, first.After(0), len(final))
-		second.Add(Record{Key: "new", Revision: uint64(steps + 1)})
+		second.Add(Record{Key: "new", Revision: uint64(steps + 1)}, 0)
 		assert.NotEqual(t, first.Digest(), second.Digest())
 	})
 }
--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -1,7 +1,11 @@
 // Package mirror keeps a copy of a store's records, received from many sources. Every
-// record carries the store revision of its last change, and the newer revision wins,
+// record carries the store's epoch and the revision of its last change, and the newer one wins,
 // so that copies converge whatever the order in which updates arrive, and no key ever
 // reverts to an older value. It does no I/O and reads no clock.
+//
+// A store that is restored from a copy of itself begins a new epoch: it has lost its last changes,
+// and gives out their revisions again. What the copy shows is then not always newer than what is
+// held; see Mirror.Advance.
 package mirror
 
 import (
@@ -9,6 +13,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"pinevane.example/pinevane/coordination/monotonic"
 )
 
 // Record is the state of one key of the store as of a revision.
@@ -18,6 +24,15 @@
 	Revision uint64 `cbor:"3,keyasint" json:"revision"`
 	// Deleted marks a key that was deleted at the revision.
 	Deleted bool `cbor:"4,keyasint,omitempty" json:"gone,omitempty"`
+	// Epoch is the store's epoch in which the record was read, 0 if the store states none.
+	Epoch uint64 `cbor:"5,keyasint,omitempty" json:"epoch,omitempty"`
+	// Sequence is the number that the record's writer raises with each write, and Incarnation that
+	// of the writer's present life; 0 if there is none. Unlike revisions they don't go back when
+	// the store is restored. Those of a deletion are of the record that it deleted.
+	Incarnation uint64 `cbor:"6,keyasint,omitempty" json:"incarnation,omitempty"`
+	Sequence    uint64 `cbor:"7,keyasint,omitempty" json:"sequence,omitempty"`
+	// DeletedRevision is the revision of the record that a deletion deleted, 0 if unknown.
+	DeletedRevision uint64 `cbor:"8,keyasint,omitempty" json:"deleted_revision,omitempty"`
 }
 
 // maxTombstones bounds the deleted keys that are kept.
@@ -27,19 +42,64 @@
 type Mirror struct {
 	records    map[string]Record
 	tombstones int
+	isDurable  func(key string) bool
+	// epoch is the store's epoch. It is settled once the writers have had the time to write again
+	// what the store has lost.
+	epoch   uint64
+	settled bool
+}
+
+// New returns an empty mirror. Durable records stay in the order of their writer's sequence in all
+// epochs, and a listing of a later epoch does not remove them.
+func New(isDurable func(key string) bool) *Mirror {
+	return &Mirror{records: map[string]Record{}, isDurable: isDurable, settled: true}
 }
 
-// New returns an empty mirror.
-func New() *Mirror { return &Mirror{records: map[string]Record{}} }
+// Advance begins a later epoch. Until Settle, a copy's former state of a key does not replace a later
+// one, as far as the two can be told apart.
+func (m *Mirror) Advance(epoch uint64) { m.epoch, m.settled = epoch, false }
+
+// Settle ends the time in which what the store has lost may be missing there. From now on what the
+// store shows is true for all but durable records.
+func (m *Mirror) Settle() { m.settled = true }
+
+// Settled reports whether the present epoch is settled.
+func (m *Mirror) Settled() bool { return m.settled }
+
+// Confirm marks all records as those of the present epoch. It is called for a copy that is known to
+// hold what the store holds, so that what others still have from before replaces none of them.
+func (m *Mirror) Confirm() {
+	for key, held := range m.records {
+		if held.Epoch < m.epoch {
+			held.Epoch = m.epoch
+			m.records[key] = held
+		}
+	}
+}
+
+// Rebase begins an epoch that is in no order with the records held: any record of it replaces them.
+func (m *Mirror) Rebase(epoch uint64) {
+	m.epoch, m.settled = epoch, true
+	for key, held := range m.records {
+		held.Epoch = 0
+		m.records[key] = held
+	}
+}
 
 // Merge applies records and returns those that were newer than the copy, in the order given.
 func (m *Mirror) Merge(records []Record) []Record {
 	var updated []Record
 	for _, record := range records {
 		held, known := m.records[record.Key]
-		if known && held.Revision >= record.Revision {
+		if !m.Supersedes(record) {
+			if known && held.Deleted {
+				m.records[record.Key] = held.deleting(record)
+			}
 			continue
 		}
+		if known && record.Deleted {
+			record = record.deleting(held)
+		}
 		m.put(held, known, record)
 		updated = append(updated, record)
 	}
@@ -47,18 +107,18 @@
 	return updated
 }
 
-// Replace applies a listing of every key under a prefix that began at a revision, and
+// Replace applies a listing of every key under a prefix that began at a version, and
 // returns the records that changed. Keys that the listing lacks are deleted unless they
-// changed later.
-func (m *Mirror) Replace(prefix string, listed []Record, at uint64) []Record {
+// changed later, or are kept for the time after a restore.
+func (m *Mirror) Replace(prefix string, listed []Record, at monotonic.Version) []Record {
 	present := make(map[string]bool, len(listed))
 	for _, record := range listed {
 		present[record.Key] = true
 	}
 	update := slices.Clone(listed)
 	for _, held := range m.Select(prefix) {
-		if !present[held.Key] && held.Revision < at {
-			update = append(update, Record{Key: held.Key, Revision: at, Deleted: true})
+		if !present[held.Key] && m.removedBy(held, at) {
+			update = append(update, Record{Key: held.Key, Epoch: at.Epoch, Revision: at.Revision, Deleted: true})
 		}
 	}
 	return m.Merge(update)
@@ -109,7 +169,7 @@
 		return
 	}
 	deleted := slices.DeleteFunc(slices.Collect(maps.Values(m.records)), func(record Record) bool { return !record.Deleted })
-	slices.SortFunc(deleted, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(deleted, func(a, b Record) int { return a.Version().Compare(b.Version()) })
 	for _, record := range deleted[:len(deleted)/2] {
 		delete(m.records, record.Key)
 		m.tombstones--
--- a/coordination/mirror/mirror_test.go
+++ b/coordination/mirror/mirror_test.go
@@ -3,19 +3,29 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"pinevane.example/pinevane/coordination/monotonic"
 )
 
+// durablePrefix begins the keys of durable records in these tests.
+const durablePrefix = "durable/"
+
+func newMirror() *Mirror {
+	return New(func(key string) bool { return strings.HasPrefix(key, durablePrefix) })
+}
+
 func record(key string, revision uint64) Record {
 	return Record{Key: key, Value: fmt.Appendf(nil, "%s@%d", key, revision), Revision: revision}
 }
 
 // An update that arrives late from a slower source changes nothing.
 func TestOlderRecordIsIgnored(t *testing.T) {
-	m := New()
+	m := newMirror()
 	assert.Len(t, m.Merge([]Record{record("a", 7)}), 1)
 	assert.Empty(t, m.Merge([]Record{record("a", 5), record("a", 7)}))
 	held, present := m.Get("a")
@@ -25,7 +35,7 @@
 
 // A deletion that arrives first is not undone by an older write.
 func TestDeletedKeyStaysDeleted(t *testing.T) {
-	m := New()
+	m := newMirror()
 	m.Merge([]Record{{Key: "a", Revision: 9, Deleted: true}})
 	m.Merge([]Record{record("a", 8)})
 	_, present := m.Get("a")
@@ -37,9 +47,9 @@
 
 // A listing deletes the keys it lacks, except those that changed after it began.
 func TestListingRemovesWhatItLacks(t *testing.T) {
-	m := New()
+	m := newMirror()
 	m.Merge([]Record{record("s/a", 3), record("s/b", 4), record("s/c", 20), record("other", 1)})
-	updated := m.Replace("s/", []Record{record("s/b", 4), record("s/d", 9)}, 10)
+	updated := m.Replace("s/", []Record{record("s/b", 4), record("s/d", 9)}, monotonic.Version{Revision: 10})
 	assert.Len(t, updated, 2)
 	var keys []string
 	for _, held := range m.Select("") {
@@ -59,7 +69,7 @@
 			updates = append(updates, update)
 		}
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		first, second := New(), New()
+		first, second := newMirror(), newMirror()
 		first.Merge(updates)
 		for _, index := range random.Perm(count) {
 			second.Merge(updates[index : index+1])
@@ -71,7 +81,7 @@
 
 // The number of deleted keys kept is bounded, and present keys are never removed.
 func TestDeletedKeysAreBounded(t *testing.T) {
-	m := New()
+	m := newMirror()
 	m.Merge([]Record{record("kept", 1)})
 	for index := range 3 * maxTombstones {
 		m.Merge([]Record{{Key: fmt.Sprint(index), Revision: uint64(index + 2), Deleted: true}})
--- a/internal/catalog/ages.go
+++ b/internal/catalog/ages.go
@@ -135,7 +135,7 @@
 		if c.options.Decoder.Kind(record.Key) != fleet.RecordVersion {
 			continue
 		}
-		if held, known := c.mirror.Get(record.Key); known && held.Revision >= record.Revision {
+		if !c.mirror.Supersedes(record) {
 			continue
 		}
 		age := ageOf(record)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/coordination/overlay"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -67,22 +68,22 @@
 	urgentSequence uint64
 	// watchPacer shortens the watch interval when a server in use turns cold.
 	watchPacer watchPacer
-	// heads are the revisions held of large records, which peers request; pulls are the last
-	// requests of this process for them.
-	heads map[string]uint64
-	// servicesRevision is the revision of the configuration whose services this agent was sent by
-	// entries.
-	servicesRevision uint64
-	pulls            map[string]pendingPull
-	packs            packCache
+	// heads are the large records held, without their values, which peers request; pulls are the
+	// last requests of this process for them.
+	heads map[string]recordHead
+	// servicesHead is the configuration whose services this agent was sent by entries.
+	servicesHead recordHead
+	pulls        map[string]pendingPull
+	packs        packCache
 	// lastBundle is the bundle sent last.
 	lastBundle bundle
 	// servers are the listed servers by record key; serverKeys are the keys in order.
 	servers    map[string]fleet.Server
 	serverKeys []string
 	faulty     faultyRecords
-	// epoch is the store's epoch as this process last learned it, 0 if it knows none.
-	epoch uint64
+	// epochs tracks the store's epoch; restore is the state of the last restore of the store.
+	epochs  mirror.EpochTracker
+	restore restoreState
 	// olderRecords counts the records from the store that were older than the ones held.
 	olderRecords atomic.Uint64
 	// formerIncarnations are the start times, by record key, of records that were rejected as late
@@ -104,11 +105,12 @@
 	// its value at the last answer of the store to this process.
 	freshSequence      uint64
 	storeFreshSequence uint64
-	// completeRevision is the store revision up to which every change was received; lastUpdateAt is
-	// when the last update of a peer arrived.
-	completeRevision uint64
-	lastUpdateAt     time.Time
-	started          time.Time
+	// complete is the version of the store up to which every change was received; its revision is 0
+	// if that is not known in the present epoch. lastUpdateAt is when the last update of a peer
+	// arrived.
+	complete     monotonic.Version
+	lastUpdateAt time.Time
+	started      time.Time
 	// agentReadDelay spreads agents that start to read the store themselves.
 	agentReadDelay time.Duration
 	// expired holds servers that expired from the list around an outage of the store, by ID.
@@ -150,7 +152,7 @@
 		options.OnSilent = func(string, time.Duration) {}
 	}
 	c := &Catalog{
-		options: options, started: time.Now(), agentReadDelay: rand.N(agentReadJitter), mirror: mirror.New(), changes: mirror.NewChangeLog(), heads: map[string]uint64{}, pulls: map[string]pendingPull{},
+		options: options, started: time.Now(), agentReadDelay: rand.N(agentReadJitter), changes: mirror.NewChangeLog(), heads: map[string]recordHead{}, pulls: map[string]pendingPull{},
 		servers: map[string]fleet.Server{}, formerIncarnations: map[string]incarnation.StartTime{}, faulty: newFaultyRecords(), versionAges: map[string]versionAge{}, expired: map[string]expiredServer{},
 		statuses: map[string]heldStatus{}, links: map[string]*peerLink{}, backupOf: map[string]bool{}, wake: make(chan struct{}, 1), flush: make(chan struct{}, 1),
 		overlay: overlay.New(overlay.Options{
@@ -158,6 +160,7 @@
 			AliveTimeout: entryTimeout, MemberTTL: entryTTL, Capacity: capacityClass(options.LinkBytesPerSecond),
 		}),
 	}
+	c.mirror = mirror.New(c.isDurable)
 	c.health, c.quarantine, c.notices = newHealthReports(c.started), newQuarantineReports(), newServerNotices(c.started)
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]VersionAnnouncement{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
@@ -210,6 +213,7 @@
 // applyReceived merges records from a peer, with the ages of the versions among them as far as the
 // peer knows them.
 func (c *Catalog) applyReceived(records []mirror.Record, ages map[string]peerAge) {
+	c.addMissingOrders(records)
 	c.apply(fromPeer, func() []mirror.Record {
 		c.recordAges(records, func(record mirror.Record) versionAge {
 			reported, known := ages[record.Key]
@@ -232,7 +236,7 @@
 	c.apply(fromStore, func() []mirror.Record {
 		age := c.ageOfUnseen()
 		c.recordAges(listing.Records, func(mirror.Record) versionAge { return age })
-		return c.mirror.Replace(prefix, listing.Records, listing.Revision)
+		return c.mirror.Replace(prefix, listing.Records, monotonic.Version{Epoch: listing.Epoch, Revision: listing.Revision})
 	})
 }
 
@@ -299,10 +303,10 @@
 		kind := c.options.Decoder.Kind(record.Key)
 		switch kind {
 		case fleet.RecordConfiguration:
-			c.heads[record.Key] = record.Revision
+			c.heads[record.Key] = headOf(record)
 			c.announceHeads(from)
 		case fleet.RecordServer, fleet.RecordVersion, fleet.RecordEvacuation:
-			c.changes.Add(record)
+			c.changes.Add(record, c.contentOf(record))
 		case fleet.RecordOther:
 			continue
 		}
@@ -453,6 +457,9 @@
 	// which every change was received.
 	StoreEpoch       uint64 `json:"store_epoch"`
 	CompleteRevision uint64 `json:"complete_revision"`
+	// RestoreSettled is false for some seconds after a restore of the store, while what it has lost
+	// is kept.
+	RestoreSettled bool `json:"restore_settled"`
 	// OlderRecords is how many records from the store were older than the ones held.
 	OlderRecords uint64 `json:"older_records"`
 }
@@ -472,6 +479,6 @@
 	status.OlderRecords = c.olderRecords.Load()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	status.StoreEpoch, status.CompleteRevision = c.epoch, c.completeRevision
+	status.StoreEpoch, status.CompleteRevision, status.RestoreSettled = c.epochs.Current(), c.complete.Revision, c.mirror.Settled()
 	return status
 }
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/compression"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -78,6 +79,16 @@
 	Capacity int `cbor:"17,keyasint,omitempty"`
 	// Bundle are records compressed together, for processes that support packingProtocol.
 	Bundle []byte `cbor:"18,keyasint,omitempty"`
+	// Epoch is the store's epoch known to the sender; Complete is a revision of it. A process that
+	// knows no epochs sends none.
+	Epoch uint64 `cbor:"19,keyasint,omitempty"`
+	// LargeRecords are the large records held, without their values. Heads has their revisions for
+	// processes that know no epochs.
+	LargeRecords map[string]recordHead `cbor:"20,keyasint,omitempty"`
+	// ContentDigest is the digest of the sender's records and their contents, without the large ones.
+	ContentDigest uint64 `cbor:"21,keyasint,omitempty"`
+	// Confirmed is set when the sender's copy holds what the store has shown since the epoch settled.
+	Confirmed bool `cbor:"22,keyasint,omitempty"`
 }
 
 // exchange maintains the links and sends updates. Agents only listen.
@@ -212,7 +223,8 @@
 // the peer's records differ. The mutex must be held.
 func (c *Catalog) composeUpdate(peer *peerLink) update {
 	now := time.Now()
-	message := update{FreshMilliseconds: now.Sub(c.freshAt).Milliseconds(), Heads: maps.Clone(c.heads), Digest: c.changes.Digest(), Complete: c.completeRevision}
+	message := update{FreshMilliseconds: now.Sub(c.freshAt).Milliseconds(), Heads: c.headRevisions(), Digest: c.changes.Digest(), Complete: c.complete.Revision}
+	message.Epoch, message.LargeRecords, message.ContentDigest, message.Confirmed = c.epochs.Current(), maps.Clone(c.heads), c.changes.ContentDigest(), c.restore.confirmed
 	message.Stamp = c.stamp(now)
 	message.Echo, message.EchoHeld = peer.stamps.echo(now)
 	if since, known := c.watermark.maxAge(now); known {
@@ -277,8 +289,10 @@
 	c.backupOf[link.Remote().ID] = peerUpdate.Backup
 	c.applyEntries(link.Remote(), peerUpdate, now)
 	c.lastUpdateAt = time.Now()
-	c.recordPeerFresh(link.Remote().Zone, c.lastUpdateAt.Add(-time.Duration(peerUpdate.FreshMilliseconds)*time.Millisecond))
-	missing := c.missingHeads(peerUpdate.Heads)
+	if c.observePeerEpoch(link.Remote().ID, peerUpdate.Epoch) && statesEpochs(link, peerUpdate) {
+		c.recordPeerFresh(link.Remote().Zone, c.lastUpdateAt.Add(-time.Duration(peerUpdate.FreshMilliseconds)*time.Millisecond))
+	}
+	missing := c.missingHeads(peerUpdate.peerHeads())
 	c.mutex.Unlock()
 	if peerUpdate.Records, err = peerUpdate.unbundle(); err != nil {
 		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
@@ -331,21 +345,47 @@
 func (c *Catalog) compareRecords(ip string, peerUpdate update) (complete bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	same := peerUpdate.Digest == c.changes.Digest()
-	complete = same && len(c.newerHeads(peerUpdate.Heads)) == 0
+	same := peerUpdate.ContentDigest == c.changes.ContentDigest()
+	if peerUpdate.LargeRecords == nil {
+		same = peerUpdate.Digest == c.changes.Digest()
+	}
+	complete = same && peerUpdate.Epoch == c.epochs.Current() && len(c.newerHeads(peerUpdate.peerHeads())) == 0
 	if complete {
-		c.completeRevision = max(c.completeRevision, peerUpdate.Complete)
+		c.recordCompleteVersion(monotonic.Version{Epoch: peerUpdate.Epoch, Revision: peerUpdate.Complete})
+		if peerUpdate.Confirmed {
+			c.confirm()
+		}
 	}
 	peer, linked := c.links[ip]
 	if !linked {
 		return complete
 	}
-	if same {
+	switch {
+	case same:
 		peer.sentSequence = c.changes.Sequence()
-	} else if !peer.compared {
+		peer.recheck, peer.mismatches = false, 0
+	case !peer.compared:
 		peer.updatedAt = time.Time{}
 		c.wakeExchange()
+	case peer.recheck:
+		c.resendIfDifferent(peer)
 	}
 	peer.compared = true
 	return complete
 }
+
+// maxMismatches is the number of updates in a row in which a peer's records may differ from those of this
+// process because changes are under way.
+const maxMismatches = 2
+
+// resendIfDifferent has a peer sent all records again if its records differ for longer than changes are
+// under way. The mutex must be held.
+func (c *Catalog) resendIfDifferent(peer *peerLink) {
+	peer.mismatches++
+	if peer.mismatches <= maxMismatches {
+		return
+	}
+	peer.recheck, peer.mismatches = false, 0
+	peer.sentSequence, peer.updatedAt = 0, time.Time{}
+	c.wakeExchange()
+}
--- a/internal/catalog/history_loss_test.go
+++ b/internal/catalog/history_loss_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/peering"
@@ -58,9 +59,9 @@
 	reader.options.Store = historyLossStore{}
 	reader.watermark.advance(time.Now())
 	receiveUpdate(t, peer, update{CompleteMilliseconds: 1, Digest: peer.changes.Digest()})
-	position := &watchPosition{prefix: "op/", revision: 3}
+	position := &watchPosition{prefix: "op/", version: monotonic.Version{Revision: 3}}
 	reader.readStore(t.Context(), position, watchWait)
-	require.Zero(t, position.revision, "the history is lost")
+	require.Zero(t, position.version, "the history is lost")
 	receiveUpdate(t, reader, update{CompleteMilliseconds: 1, Digest: reader.changes.Digest()})
 	reader.readStore(t.Context(), position, watchWait)
 	assert.GreaterOrEqual(t, ageOfNewest(t, reader), historyLossMargin, "listed")
@@ -128,7 +129,7 @@
 			c.options.Store = store
 			c.watermark.advance(time.Now().Add(-outage))
 			c.freshAt = time.Now().Add(-one.served)
-			position := &watchPosition{prefix: "op/", revision: revision}
+			position := &watchPosition{prefix: "op/", version: monotonic.Version{Revision: revision}}
 			c.readStore(t.Context(), position, watchWait)
 			store.err = nil
 			c.readStore(t.Context(), position, watchWait)
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -73,8 +73,12 @@
 	// sent changes after sentSequence.
 	compared     bool
 	sentSequence uint64
-	sending      bool
-	updatedAt    time.Time
+	// recheck is set after the store was restored, until the peer's records are the same or were sent
+	// once more; mismatches counts the updates since in which they differed.
+	recheck    bool
+	mismatches int
+	sending    bool
+	updatedAt  time.Time
 	// freshSent is the freshSequence that the peer was sent.
 	freshSent uint64
 	// servicesSent is the version of the configuration whose services an agent was sent.
--- a/internal/catalog/packing.go
+++ b/internal/catalog/packing.go
@@ -17,8 +17,10 @@
 const (
 	// packingProtocol reads statusBatch.Packed and update.Bundle.
 	packingProtocol = 1
+	// epochProtocol states the store's epoch in update and pullRequest.
+	epochProtocol = 2
 	// ProtocolVersion is the version that processes of this build announce in peering.Hello.
-	ProtocolVersion = packingProtocol
+	ProtocolVersion = epochProtocol
 )
 
 // readsPacked reports whether the peer of a link reads compressed messages.
--- a/internal/catalog/pulls.go
+++ b/internal/catalog/pulls.go
@@ -8,12 +8,13 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/compression"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
 
-// Large records, which are configurations, are announced by their revisions. A process that lacks
+// Large records, which are configurations, are announced by their heads. A process that lacks
 // one requests it from a process that announced it.
 
 // storeHeadStart is how long the store is given to return what a peer already has.
@@ -36,19 +37,19 @@
 
 // missingHeads returns the large records to request. Agents request none: they are sent the part
 // that they use. The mutex must be held.
-func (c *Catalog) missingHeads(heads map[string]uint64) map[string]uint64 {
+func (c *Catalog) missingHeads(heads map[string]recordHead) map[string]recordHead {
 	if c.options.Role == RoleAgent {
 		return nil
 	}
 	return c.newerHeads(heads)
 }
 
-// newerHeads returns the large records of which a peer has newer revisions. The mutex must be held.
-func (c *Catalog) newerHeads(heads map[string]uint64) map[string]uint64 {
-	newer := map[string]uint64{}
-	for key, revision := range heads {
-		if held, _ := c.mirror.Get(key); max(held.Revision, c.servicesRevision) < revision {
-			newer[key] = revision
+// newerHeads returns the large records of which a peer has newer ones. The mutex must be held.
+func (c *Catalog) newerHeads(heads map[string]recordHead) map[string]recordHead {
+	newer := map[string]recordHead{}
+	for key, head := range heads {
+		if c.mirror.Supersedes(head.record(key)) && (c.servicesHead == recordHead{} || c.mirror.Newer(head.record(key), c.servicesHead.record(key))) {
+			newer[key] = head
 		}
 	}
 	return newer
@@ -60,34 +61,38 @@
 
 // pendingPull is a request for a large record.
 type pendingPull struct {
-	revision    uint64
+	head        recordHead
 	requestedAt time.Time
 }
 
 // pullFrom requests from a peer the large records that are still older here, unless another peer
 // was just asked for them.
-func (c *Catalog) pullFrom(link *peering.Link, heads map[string]uint64) {
+func (c *Catalog) pullFrom(link *peering.Link, heads map[string]recordHead) {
 	now := time.Now()
+	request := pullRequest{Held: map[string]uint64{}, Heads: map[string]recordHead{}}
 	c.mutex.Lock()
-	wanted := map[string]uint64{}
-	for key, revision := range heads {
-		held, _ := c.mirror.Get(key)
-		pending := c.pulls[key]
-		if held.Revision >= revision || (pending.revision >= revision && now.Sub(pending.requestedAt) < pullTimeout) {
+	for key, head := range heads {
+		pending, requested := c.pulls[key]
+		covered := requested && !c.mirror.Newer(head.record(key), pending.head.record(key))
+		if !c.mirror.Supersedes(head.record(key)) || (covered && now.Sub(pending.requestedAt) < pullTimeout) {
 			continue
 		}
-		wanted[key] = held.Revision
-		c.pulls[key] = pendingPull{revision: revision, requestedAt: now}
+		held, _ := c.mirror.Get(key)
+		request.Held[key], request.Heads[key] = held.Revision, headOf(held)
+		c.pulls[key] = pendingPull{head: head, requestedAt: now}
 	}
 	c.mutex.Unlock()
-	if len(wanted) > 0 {
-		_ = peering.Send(link, topicPull, "", pullRequest{Held: wanted})
+	if len(request.Held) > 0 {
+		_ = peering.Send(link, topicPull, "", request)
 	}
 }
 
 // pullRequest requests records newer than those held.
 type pullRequest struct {
+	// Held are the revisions held, for processes that know no epochs.
 	Held map[string]uint64 `cbor:"1,keyasint"`
+	// Heads are the records held, nil from processes that know no epochs.
+	Heads map[string]recordHead `cbor:"2,keyasint,omitempty"`
 }
 
 func (c *Catalog) handlePull(link *peering.Link, received *message.Message) {
@@ -105,7 +110,12 @@
 	var records []mirror.Record
 	c.mutex.Lock()
 	for key, revision := range request.Held {
-		if held, present := c.mirror.Get(key); present && held.Revision > revision {
+		held, present := c.mirror.Get(key)
+		newer := held.Revision > revision
+		if head, stated := request.Heads[key]; stated {
+			newer = c.mirror.Newer(held, head.record(key))
+		}
+		if present && newer {
 			records = append(records, held)
 		}
 	}
@@ -132,15 +142,15 @@
 }
 
 type packedRecord struct {
-	revision uint64
-	data     []byte
+	version monotonic.Version
+	data    []byte
 }
 
 // pack encodes and compresses a record; compression.Decode reads it.
 func (p *packCache) pack(record mirror.Record) ([]byte, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if known, held := p.newest[record.Key]; held && known.revision == record.Revision {
+	if known, held := p.newest[record.Key]; held && known.version == record.Version() {
 		return known.data, nil
 	}
 	data, err := compression.Encode(record)
@@ -150,6 +160,6 @@
 	if p.newest == nil {
 		p.newest = map[string]packedRecord{}
 	}
-	p.newest[record.Key] = packedRecord{revision: record.Revision, data: data}
+	p.newest[record.Key] = packedRecord{version: record.Version(), data: data}
 	return data, nil
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/waiting"
 )
@@ -47,8 +47,10 @@
 	// listStagger is multiplied by the rank to delay an entry before it lists everything again: a
 	// listing of half a megabyte takes that long over a shared link of 20 Mbit/s, and the first
 	// entries send it to the others. maxListWait bounds the delay.
-	listStagger = 600 * time.Millisecond
-	maxListWait = 3 * time.Second
+	// zoneListStagger is the same for the rank of the zone.
+	listStagger     = 600 * time.Millisecond
+	zoneListStagger = 150 * time.Millisecond
+	maxListWait     = 3 * time.Second
 	// minIdle is the minimum time between two checks by a process that does not read the store
 	// whether it must; rankCheckInterval is the maximum for an entry, which may have become the
 	// first of its zone.
@@ -59,16 +61,16 @@
 // watchPosition is the position of a watch on a prefix.
 type watchPosition struct {
 	prefix string
-	// revision is the revision up to which everything was received, 0 if everything is to be
-	// listed.
-	revision uint64
-	// forgottenRevision is the position at which the store reported its history lost, historyLostAt
-	// when it did. The process then lists everything after a delay, unless a peer has sent more by
-	// then.
-	forgottenRevision uint64
-	historyLostAt     time.Time
-	backoff           time.Duration
-	failed            bool
+	// version is the version of the store up to which everything was received, zero if everything
+	// is to be listed.
+	version monotonic.Version
+	// forgotten is the position at which the store reported its history lost, or that it had in a
+	// former epoch; historyLostAt is when that was learned. The process then lists everything after
+	// a delay, unless a peer has sent more by then.
+	forgotten     monotonic.Version
+	historyLostAt time.Time
+	backoff       time.Duration
+	failed        bool
 }
 
 // followStore lists the store's records unless another process has sent them, and watches them
@@ -103,9 +105,21 @@
 func (c *Catalog) advancePosition(position *watchPosition) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.completeRevision > position.forgottenRevision {
-		position.revision = max(position.revision, c.completeRevision)
+	if position.version.Epoch != c.epochs.Current() && !position.version.IsZero() {
+		position.forget(time.Now())
 	}
+	if c.complete.Revision > 0 && c.complete.Compare(position.forgotten) > 0 && c.complete.Compare(position.version) > 0 {
+		position.version = c.complete
+	}
+	if c.restore.listingDue(time.Now()) {
+		position.version = monotonic.Version{}
+	}
+}
+
+// forget gives up a position that the store no longer knows.
+func (p *watchPosition) forget(now time.Time) {
+	p.forgotten, p.historyLostAt = p.version, now
+	p.version = monotonic.Version{}
 }
 
 // untilReading returns how long this process need not read the store, unless an update arrives in
@@ -115,10 +129,16 @@
 		return c.untilAgentReads()
 	}
 	rank, zoneRank := c.ranks()
-	if position.revision == 0 {
-		return min(time.Until(c.listTime(position, rank)), rankCheckInterval)
+	untilStale := maxCopyAge(rank, zoneRank) - time.Since(c.FreshAt())
+	if position.version.IsZero() {
+		untilList := time.Until(c.listTime(position, rank, zoneRank))
+		if !position.forgotten.IsZero() {
+			// Whoever reads the store lists it and sends the others what it says.
+			untilList = max(untilList, untilStale)
+		}
+		return min(untilList, rankCheckInterval)
 	}
-	return min(maxCopyAge(rank, zoneRank)-time.Since(c.FreshAt()), rankCheckInterval)
+	return min(untilStale, rankCheckInterval)
 }
 
 // maxCopyAge returns the age of its copy at which an entry reads the store, by its rank in the zone
@@ -136,10 +156,10 @@
 // listTime returns when an entry that knows nothing, or too little, lists everything. A seed starts
 // at once, because others depend on it: after a loss of all entries they know the servers 65 to 125
 // ms after their start, instead of 560 ms (TestFleetIsReadySoonAfterAllEntriesWereKilled).
-func (c *Catalog) listTime(position *watchPosition, rank int) time.Time {
+func (c *Catalog) listTime(position *watchPosition, rank, zoneRank int) time.Time {
 	switch {
-	case position.forgottenRevision != 0:
-		return position.historyLostAt.Add(min(time.Duration(rank)*listStagger, maxListWait))
+	case !position.forgotten.IsZero():
+		return position.historyLostAt.Add(min(time.Duration(rank)*listStagger+time.Duration(zoneRank)*zoneListStagger, maxListWait))
 	case len(c.options.Seeds) == 0 || c.options.IsSeed:
 		return c.started
 	}
@@ -178,65 +198,89 @@
 	c.storeCalls.Add(1)
 	began := time.Now()
 	var err error
-	if position.revision == 0 {
+	if position.version.IsZero() {
 		err = c.listStore(ctx, position)
 	} else {
-		call := storeCall{sentAt: time.Now(), wait: wait}
-		var changes fleet.Listing
-		changes, err = c.options.Store.Watch(ctx, position.prefix, position.revision, wait)
-		if err == nil {
-			call.receivedAt, call.changes = time.Now(), len(changes.Records)
-			c.observeEpoch(changes)
-			c.reportOlder(changes)
-			c.recordAnswered()
-			c.applyWatched(changes.Records)
-			c.recordComplete(call)
-			position.revision = max(position.revision, changes.Revision)
-			c.recordRead(position.revision)
-		}
+		err = c.watchStore(ctx, position, wait)
 	}
+	c.observeRefusedEpoch(err)
 	var historyCompacted *fault.HistoryCompacted
 	switch {
 	case err == nil:
 		c.recordSuccess(position)
 	case errors.As(err, &historyCompacted):
-		c.options.Log.Log(logging.HistoryCompacted, zap.String("prefix", position.prefix), zap.Uint64("after", position.revision), zap.Uint64("epoch", historyCompacted.Epoch))
-		position.forgottenRevision, position.historyLostAt = max(position.revision, 1), time.Now()
-		position.revision = 0
+		c.options.Log.Log(logging.HistoryCompacted, zap.String("prefix", position.prefix), zap.Uint64("after", position.version.Revision), zap.Uint64("epoch", historyCompacted.Epoch))
+		position.forget(time.Now())
 	case ctx.Err() == nil:
 		c.recordRefused(began, err)
 		c.recordFailure(ctx, position, err)
 	}
 }
 
+// watchStore waits for changes and applies them. Changes of a later epoch do not continue the records
+// held: everything is to be listed.
+func (c *Catalog) watchStore(ctx context.Context, position *watchPosition, wait time.Duration) error {
+	call := storeCall{sentAt: time.Now(), wait: wait}
+	changes, err := c.options.Store.Watch(ctx, position.prefix, position.version.Revision, wait)
+	if err != nil {
+		return err
+	}
+	if err := c.observeAnswer(&changes); err != nil {
+		return err
+	}
+	if changes.Epoch != position.version.Epoch {
+		return nil
+	}
+	call.receivedAt, call.changes = time.Now(), len(changes.Records)
+	c.reportOlder(changes)
+	c.recordAnswered()
+	c.applyWatched(changes.Records)
+	c.recordComplete(call)
+	position.version.Revision = max(position.version.Revision, changes.Revision)
+	c.recordRead(position.version)
+	return nil
+}
+
+// listStore lists everything and applies it.
 func (c *Catalog) listStore(ctx context.Context, position *watchPosition) error {
 	call := storeCall{sentAt: time.Now()}
 	listing, err := c.options.Store.List(ctx, position.prefix)
 	if err != nil {
 		return err
 	}
-	c.observeEpoch(listing)
+	if err := c.observeAnswer(&listing); err != nil {
+		return err
+	}
 	c.reportOlder(listing)
 	c.recordAnswered()
 	c.applyListing(position.prefix, listing)
 	call.receivedAt, call.changes = time.Now(), len(listing.Records)
 	c.recordComplete(call)
-	position.revision, position.forgottenRevision = listing.Revision, 0
-	c.recordRead(position.revision)
+	position.version, position.forgotten = monotonic.Version{Epoch: listing.Epoch, Revision: listing.Revision}, monotonic.Version{}
+	c.recordListed()
+	c.recordRead(position.version)
 	return nil
 }
 
-// recordRead records that every change up to a revision was received from the store, and has all
+// recordRead records that every change up to a version was received from the store, and has all
 // peers sent how fresh the copy is.
-func (c *Catalog) recordRead(revision uint64) {
+func (c *Catalog) recordRead(version monotonic.Version) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.completeRevision = max(c.completeRevision, revision)
+	c.recordCompleteVersion(version)
 	c.freshSequence++
 	c.storeFreshSequence = c.freshSequence
 	c.wakeExchange()
 }
 
+// recordCompleteVersion records that every change up to a version was received. The mutex must be held.
+func (c *Catalog) recordCompleteVersion(version monotonic.Version) {
+	if version.Epoch != c.epochs.Current() || version.Compare(c.complete) <= 0 {
+		return
+	}
+	c.complete = version
+}
+
 func (c *Catalog) recordSuccess(position *watchPosition) {
 	if position.failed {
 		c.options.Log.Log(logging.ServiceRecovered, zap.String("prefix", position.prefix))
--- a/internal/catalog/services.go
+++ b/internal/catalog/services.go
@@ -20,6 +20,8 @@
 	Version  uint64                   `cbor:"1,keyasint"`
 	Revision uint64                   `cbor:"2,keyasint"`
 	Services map[string]fleet.Service `cbor:"3,keyasint"`
+	// Epoch is the store's epoch of the record.
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // servicesFor returns the services to send to an agent, or nil if it has them. The mutex must be
@@ -30,15 +32,17 @@
 		return nil
 	}
 	peer.servicesSent = configuration.Version
-	return &publishedServices{Version: configuration.Version, Revision: c.configurationRevision(), Services: configuration.Services}
+	head := c.configurationHead()
+	return &publishedServices{Version: configuration.Version, Revision: head.Revision, Epoch: head.Epoch, Services: configuration.Services}
 }
 
-// configurationRevision returns the revision of the newest configuration's record. The mutex must
-// be held.
-func (c *Catalog) configurationRevision() uint64 {
-	newest := uint64(0)
-	for _, revision := range c.heads {
-		newest = max(newest, revision)
+// configurationHead returns the newest configuration's record. The mutex must be held.
+func (c *Catalog) configurationHead() recordHead {
+	var newest recordHead
+	for key, head := range c.heads {
+		if newest == (recordHead{}) || c.mirror.Newer(head.record(key), newest.record(key)) {
+			newest = head
+		}
 	}
 	return newest
 }
@@ -50,7 +54,10 @@
 		return
 	}
 	c.updateView(func(next *View) bool {
-		c.servicesRevision = max(c.servicesRevision, published.Revision)
+		head := recordHead{Epoch: published.Epoch, Revision: published.Revision, Sequence: published.Version}
+		if c.servicesHead == (recordHead{}) || c.mirror.Newer(head.record(""), c.servicesHead.record("")) {
+			c.servicesHead = head
+		}
 		if next.Configuration != nil && next.Configuration.Version >= published.Version {
 			return false
 		}
--- a/internal/catalog/services_test.go
+++ b/internal/catalog/services_test.go
@@ -45,9 +45,9 @@
 	assert.Empty(t, configuration.Tenants)
 	agent.mutex.Lock()
 	defer agent.mutex.Unlock()
-	assert.Empty(t, agent.missingHeads(map[string]uint64{"op/config": 9}))
-	assert.Empty(t, agent.newerHeads(map[string]uint64{"op/config": 7}), "it holds the part that it uses")
-	assert.NotEmpty(t, agent.newerHeads(map[string]uint64{"op/config": 8}))
+	assert.Empty(t, agent.missingHeads(map[string]recordHead{"op/config": {Revision: 9}}))
+	assert.Empty(t, agent.newerHeads(map[string]recordHead{"op/config": {Revision: 7}}), "it holds the part that it uses")
+	assert.NotEmpty(t, agent.newerHeads(map[string]recordHead{"op/config": {Revision: 8}}))
 }
 
 // A configuration that an agent has is not replaced by the services of an older one.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -140,28 +141,28 @@
 	err           error
 }
 
-// decodeConfigurations decodes the configurations among changed records, by record revision. It
+// decodeConfigurations decodes the configurations among changed records, by record version. It
 // runs without the mutex, which every request takes: a configuration of 10,000 routes takes 35 ms
 // of a whole core to decode (BenchmarkConfiguration), and several times as long on a fraction of
 // one.
-func (c *Catalog) decodeConfigurations(changed []mirror.Record) map[uint64]decodedConfiguration {
-	var decoded map[uint64]decodedConfiguration
+func (c *Catalog) decodeConfigurations(changed []mirror.Record) map[monotonic.Version]decodedConfiguration {
+	var decoded map[monotonic.Version]decodedConfiguration
 	for _, record := range changed {
 		if record.Deleted || c.options.Decoder.Kind(record.Key) != fleet.RecordConfiguration {
 			continue
 		}
 		if decoded == nil {
-			decoded = map[uint64]decodedConfiguration{}
+			decoded = map[monotonic.Version]decodedConfiguration{}
 		}
 		configuration, err := c.options.Decoder.Configuration(record.Value)
-		decoded[record.Revision] = decodedConfiguration{configuration: configuration, err: err}
+		decoded[record.Version()] = decodedConfiguration{configuration: configuration, err: err}
 	}
 	return decoded
 }
 
 // rebuildView builds a view from changed records and their decoded configurations, and publishes
 // it. The mutex must be held.
-func (c *Catalog) rebuildView(changed []mirror.Record, decoded map[uint64]decodedConfiguration) {
+func (c *Catalog) rebuildView(changed []mirror.Record, decoded map[monotonic.Version]decodedConfiguration) {
 	old := c.view.Load()
 	next := &View{
 		Configuration: old.Configuration, ConfigurationSince: old.ConfigurationSince,
@@ -171,7 +172,7 @@
 	for _, record := range changed {
 		switch c.options.Decoder.Kind(record.Key) {
 		case fleet.RecordConfiguration:
-			c.applyConfiguration(next, record, decoded[record.Revision])
+			c.applyConfiguration(next, record, decoded[record.Version()])
 		case fleet.RecordVersion:
 			c.applyVersion(next, record)
 		case fleet.RecordEvacuation:
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -187,6 +187,16 @@
 	return fmt.Sprintf("the store no longer has the changes of %q after revision %d", e.Prefix, e.After)
 }
 
+// StaleEpoch reports an answer of the store from another epoch than the one that is in force.
+type StaleEpoch struct {
+	Current uint64
+	Offered uint64
+}
+
+func (e *StaleEpoch) Error() string {
+	return fmt.Sprintf("the store answers from epoch %d, the present one is %d", e.Offered, e.Current)
+}
+
 // RecordFault classifies the fault of a published record.
 type RecordFault string
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -7,6 +7,7 @@
 
 	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/mirror"
+	"pinevane.example/pinevane/coordination/monotonic"
 )
 
 // HeldModel is a model that a server holds completely or in part.
@@ -39,8 +40,8 @@
 	// ColdUntil is when the server will be warm, computed when the record was read. A time that is
 	// past, or zero, means that the server is warm.
 	ColdUntil time.Time
-	// Revision is the store's revision of the record.
-	Revision uint64
+	// WrittenAt is the place of the record in the order of the store's writes.
+	WrittenAt monotonic.Version
 	// StartTime distinguishes this incarnation of the server from others with its ID.
 	StartTime incarnation.StartTime
 }
@@ -76,6 +77,9 @@
 	// Prefix is the common key prefix of all records to read.
 	Prefix() string
 	Kind(key string) RecordKind
+	// Order returns the number that the record's writer raises with each write, and that of the
+	// writer's life; 0 where there is none, or the value can't be decoded.
+	Order(key string, value []byte) (incarnation, sequence uint64)
 	Configuration(value []byte) (*Configuration, error)
 	// Server decodes a server's record. Its relative times count from at.
 	Server(record mirror.Record, at time.Time) (Server, error)
--- a/internal/forward/convert.go
+++ b/internal/forward/convert.go
@@ -32,7 +32,7 @@
 func serverOf(server fleet.Server) dispatch.Server {
 	listed := dispatch.Server{
 		ID: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone, Slots: server.Slots, Draining: server.Draining,
-		HoldsModel: len(server.Models) > 0, ColdUntil: server.ColdUntil, Revision: server.Revision, StartTime: server.StartTime,
+		HoldsModel: len(server.Models) > 0, ColdUntil: server.ColdUntil, WrittenAt: server.WrittenAt, StartTime: server.StartTime,
 	}
 	for _, model := range server.Models {
 		listed.Version = max(listed.Version, model.Version)
--- a/internal/rollout/cold.go
+++ b/internal/rollout/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -19,12 +20,12 @@
 func newColdState() coldState { return coldState{received: admission.NewWindow(admission.ColdWindow)} }
 
 // update adopts the record of the server at an address. A crashed server's record may still be
-// listed there, so the newest revision counts.
+// listed there, so the newest one counts.
 func (c *coldState) update(servers []fleet.Server, address string) {
-	revision := uint64(0)
+	var newest monotonic.Version
 	for _, server := range servers {
-		if server.Address == address && server.Revision >= revision {
-			revision, c.until = server.Revision, server.ColdUntil
+		if server.Address == address && server.WrittenAt.Compare(newest) >= 0 {
+			newest, c.until = server.WrittenAt, server.ColdUntil
 		}
 	}
 }
--- a/internal/rollout/cold_test.go
+++ b/internal/rollout/cold_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
@@ -16,13 +17,13 @@
 	state := newColdState()
 	assert.Zero(t, state.remaining(now))
 	state.update([]fleet.Server{
-		{ID: "other", Address: "10.0.0.2:1", Revision: 9, ColdUntil: now.Add(time.Minute)},
-		{ID: "ended", Address: address, Revision: 3, ColdUntil: now.Add(time.Hour)},
-		{ID: "own", Address: address, Revision: 5, ColdUntil: now.Add(2 * time.Second)},
+		{ID: "other", Address: "10.0.0.2:1", WrittenAt: monotonic.Version{Revision: 9}, ColdUntil: now.Add(time.Minute)},
+		{ID: "ended", Address: address, WrittenAt: monotonic.Version{Revision: 3}, ColdUntil: now.Add(time.Hour)},
+		{ID: "own", Address: address, WrittenAt: monotonic.Version{Revision: 5}, ColdUntil: now.Add(2 * time.Second)},
 	}, address)
 	assert.Equal(t, 2*time.Second, state.remaining(now))
 	assert.Zero(t, state.remaining(now.Add(3*time.Second)))
-	state.update([]fleet.Server{{ID: "own", Address: address, Revision: 7}}, address)
+	state.update([]fleet.Server{{ID: "own", Address: address, WrittenAt: monotonic.Version{Revision: 7}}}, address)
 	assert.Zero(t, state.remaining(now))
 }
 
