--- a/spec/check.sh
+++ b/spec/check.sh
@@ -21,8 +21,9 @@
   )
 }
 
+# check MODEL PROPERTY [DEFINE] fails unless the property holds in the model, or its part DEFINE.
 check() {
-  read -r errors states cut < <(explore "$1" "$2")
+  read -r errors states cut < <(explore "$1" "$2" "${3:-}")
   if [ "$errors" -ne 0 ] || [ "$states" -eq 0 ] || [ "$cut" -ne 0 ]; then
     echo "FAIL  $1: $2: $errors errors in $states states"
     failed=1
@@ -56,4 +57,6 @@
 check spread all_hold_the_newest
 broken spread all_hold_the_newest BROKEN_COMPARE
 broken spread all_hold_the_newest BROKEN_RESET
+check spread all_hold_what_the_store_holds RESTORE
+broken spread all_hold_what_the_store_holds BROKEN_EPOCH
 exit "$failed"
--- a/spec/spread.pml
+++ b/spec/spread.pml
@@ -1,21 +1,37 @@
 /* Replication of records between entries (internal/catalog, coordination/mirror).
  *
  * Three entries are linked in a full mesh. A store publishes revisions 1 and 2 of a
- * record; entries 0 and 1 may read it at any time. On a link each side sends updates:
+ * record; entries 0 and 1 may read it at any time. With RESTORE there are two entries, and
+ * the store may come back once from a copy that holds revision 1: it then begins its
+ * second epoch and gives out revision 2 again. On a link each side sends updates:
  * the revision that it holds (as the digest), and the record itself unless the other side
  * is known to have it. A side sends no record before it has compared the other's digest
  * with its own; if both are equal, the other is considered up to date. One link may fail
  * together with its messages in flight, and both sides then start over.
  *
- * Property: two rounds of updates after the last failure all entries hold the newest
- * revision that any of them had read.
+ * Properties: two rounds of updates after the last failure all entries hold the newest
+ * record that any of them had read; and two rounds after entry 0 has read the store they
+ * hold what the store holds.
  *
  * BROKEN_COMPARE: the other is considered up to date after the first comparison, whether
  * the digests were equal or not.
  * BROKEN_RESET: what was sent on a failed link is considered received on the next one.
+ * BROKEN_EPOCH: records are ordered by their revisions alone.
  */
-#define NEWEST 2
-#ifdef BROKEN_RESET
+/* a record is its epoch and its revision in one number; 0 is none */
+#define RECORD(epoch, revision) ((epoch) * 4 + (revision))
+#define REVISION(record) ((record) % 4)
+#ifdef BROKEN_EPOCH
+#define LATER(one, other) (REVISION(one) > REVISION(other))
+#else
+#define LATER(one, other) ((one) > (other))
+#endif
+#ifdef BROKEN_EPOCH
+#define RESTORE
+#endif
+#ifdef RESTORE
+#define ENTRIES 2
+#elif defined(BROKEN_RESET)
 /* with three entries the third one compensates for a failed link */
 #define ENTRIES 2
 #else
@@ -25,7 +41,7 @@
 /* maximum number of updates in flight, to keep the model small */
 #define IN_FLIGHT 2
 
-byte service = 1;
+byte service = RECORD(1, 1);
 byte held[ENTRIES];
 /* state of the directed link between two entries, at index from * ENTRIES + to */
 byte told[9];
@@ -35,6 +51,7 @@
 byte record[9];
 bool final = false;
 bool converged = true;
+bool current = true;
 byte losses = 0;
 byte inFlight = 0;
 
@@ -45,7 +62,7 @@
     digest[WAY(from, to)] = held[from];
     record[WAY(from, to)] = 0;
     if
-    :: compared[WAY(from, to)] && held[from] > told[WAY(from, to)] -> record[WAY(from, to)] = held[from]
+    :: compared[WAY(from, to)] && LATER(held[from], told[WAY(from, to)]) -> record[WAY(from, to)] = held[from]
     :: else -> skip
     fi;
     if
@@ -70,7 +87,7 @@
 inline receive(from, to)
 {
     if
-    :: record[WAY(from, to)] > held[to] -> held[to] = record[WAY(from, to)]
+    :: LATER(record[WAY(from, to)], held[to]) -> held[to] = record[WAY(from, to)]
     :: else -> skip
     fi;
     if
@@ -128,9 +145,12 @@
 {
     byte from, to, newest;
     do
-    :: atomic { service < NEWEST -> service++ }
-    :: atomic { held[0] < service -> held[0] = service }
-    :: atomic { held[1] < service -> held[1] = service }
+    :: atomic { REVISION(service) == 1 -> service++ }
+#ifdef RESTORE
+    :: atomic { service == RECORD(1, 2) -> service = RECORD(2, 1) }
+#endif
+    :: atomic { LATER(service, held[0]) -> held[0] = service }
+    :: atomic { LATER(service, held[1]) -> held[1] = service }
     :: atomic {
         if
         :: from = 0; to = 1
@@ -159,8 +179,18 @@
         round();
         round();
         converged = (held[0] == newest && held[1] == newest && held[ENTRIES - 1] == newest);
+#ifdef RESTORE
+        if
+        :: LATER(service, held[0]) -> held[0] = service
+        :: else -> skip
+        fi;
+        round();
+        round();
+        current = (held[0] == service && held[1] == service);
+#endif
         final = true
     }
 }
 
 ltl all_hold_the_newest { [] (!final || converged) }
+ltl all_hold_what_the_store_holds { [] (!final || current) }
