--- a/internal/catalog/epoch.go
+++ b/internal/catalog/epoch.go
@@ -30,6 +30,10 @@
 	// settleMargin is how much later the reader lists: by then every process that learned of the
 	// restore from it has settled, and takes what the listing says.
 	settleMargin = time.Second
+	// confirmTimeout is how long after that listing a process whose copy still differs from those of
+	// its peers lists everything itself, for each rank one more time: it may hold a record that
+	// the store has lost and that nobody who read the store ever knew.
+	confirmTimeout = 3 * time.Second
 )
 
 // restoreState is the state of the last restore of the store.
@@ -45,6 +49,12 @@
 	return !r.confirmed && !r.listAt.IsZero() && !now.Before(r.listAt)
 }
 
+// ownListingDue reports whether a process of a rank is to list everything itself, though others keep it
+// current.
+func (r restoreState) ownListingDue(now time.Time, rank int) bool {
+	return r.listingDue(now) && now.Sub(r.listAt) >= time.Duration(rank+1)*confirmTimeout
+}
+
 // OlderRecords returns how many records from the store were older than the ones held.
 func (c *Catalog) OlderRecords() uint64 { return c.olderRecords.Load() }
 
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -130,6 +130,9 @@
 	}
 	rank, zoneRank := c.ranks()
 	untilStale := maxCopyAge(rank, zoneRank) - time.Since(c.FreshAt())
+	if c.ownListingDue(rank) {
+		return 0
+	}
 	if position.version.IsZero() {
 		untilList := time.Until(c.listTime(position, rank, zoneRank))
 		if !position.forgotten.IsZero() {
@@ -141,6 +144,13 @@
 	return min(untilStale, rankCheckInterval)
 }
 
+// ownListingDue reports whether this process is to list everything itself after a restore of the store.
+func (c *Catalog) ownListingDue(rank int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.restore.ownListingDue(time.Now(), rank)
+}
+
 // maxCopyAge returns the age of its copy at which an entry reads the store, by its rank in the zone
 // and the rank of the zone. The first entry of the first zone always reads.
 func maxCopyAge(rank, zoneRank int) time.Duration {
