Soak: the store comes back from a copy, alone and after an outage

Cause: the soak had no fault that lets the store's revisions go back.

Promises of their own, checked despite the restore: the route is known at every entry in time and stays known, the leaving server gets nothing new.

--- a/internal/emulator/site/restore.go
+++ b/internal/emulator/site/restore.go
@@ -29,7 +29,7 @@
 	until := time.Now().Add(-age)
 	kept, _ := slices.BinarySearchFunc(s.writes, until, func(write timedWrite, until time.Time) int { return write.at.Compare(until) })
 	lost := lastOfEachKey(s.writes[kept:])
-	s.writes = s.writes[:kept]
+	s.writes, s.restoredWrites = s.writes[:kept], kept
 	s.items, s.history, s.revision = map[string]record{}, nil, 0
 	for _, write := range s.writes {
 		s.revision = write.record.Revision
@@ -61,10 +61,19 @@
 	return lost
 }
 
-// Rewrite writes again what was lost, as its writers do after a restore.
+// Rewrite writes again what was lost, as its writers do after a restore, but for keys that have been
+// written since.
 func (s *Store) Rewrite(lost []LostWrite) {
+	s.mutex.Lock()
+	since := map[string]bool{}
+	for _, write := range s.writes[min(s.restoredWrites, len(s.writes)):] {
+		since[write.record.Key] = true
+	}
+	s.mutex.Unlock()
 	for _, write := range lost {
-		s.write(record{Key: write.Key, Value: write.Value, Removed: write.Value == nil})
+		if !since[write.Key] {
+			s.write(record{Key: write.Key, Value: write.Value, Removed: write.Value == nil})
+		}
 	}
 }
 
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -288,6 +289,16 @@
 	return s.version
 }
 
+// AddRoute publishes a configuration with a further route to the plain service.
+func (s *Site) AddRoute(prefix string) uint64 {
+	return s.Configure(func(configuration map[string]any) {
+		routes := configuration["routes"].([]any)
+		route := maps.Clone(routes[len(routes)-1].(map[string]any))
+		route["name"], route["pathPrefix"] = prefix, prefix
+		configuration["routes"] = append(routes, route)
+	})
+}
+
 func (s *Site) firstConfiguration() map[string]any {
 	route := func(name, prefix, kind, service string, resume bool) map[string]any {
 		return map[string]any{
--- a/internal/emulator/site/store.go
+++ b/internal/emulator/site/store.go
@@ -53,6 +53,8 @@
 	epoch      uint64
 	hidesEpoch bool
 	writes     []timedWrite
+	// restoredWrites is how many of the writes are those of the last restore's copy.
+	restoredWrites int
 	// heartbeats are the last contents of servers' records, for quietHeartbeats.
 	heartbeats      map[string]string
 	quietHeartbeats bool
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -53,6 +53,10 @@
 		r.site.Store.BlockWatches()
 		r.recordDisturbance(fault.Duration)
 		r.schedule(fault.Duration, func() error { r.site.Store.Compact(); return nil })
+	case StoreRestored:
+		r.restoreStore(fault, server, 0)
+	case StoreRestoredAfterOutage:
+		r.restoreStore(fault, server, restoreOutage)
 	case StoreRefuses:
 		r.site.Store.Refuse(r.site.Options.EntryIP(zone, entry), r.site.Options.ModelIP(zone, agent))
 		r.recordDisturbance(fault.Duration, launch.SiteProcessName(site.RoleEntry, zone, entry), launch.SiteProcessName(site.RoleAgent, zone, agent))
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -30,6 +30,7 @@
 	QueryOfDeathContained Guarantee = "a query of death is kept from servers"
 	BackoffKept           Guarantee = "a server that asks for rest gets it"
 	RateLimitKept         Guarantee = "a server gets no more than it names"
+	ChangeAfterRestore    Guarantee = "a change after a restore of the store is in force"
 )
 
 // RequestKind says how often a request may run.
@@ -77,6 +78,8 @@
 type Departure struct {
 	Server string
 	At     time.Time
+	// AfterRestore is set when the store had just come back from a copy.
+	AfterRestore bool
 }
 
 // VersionAnnouncement is the announcement of a version of the weights.
@@ -106,6 +109,8 @@
 	// Crashes are the servers that requests have crashed, CrashSenders the entries that such requests were sent to.
 	Crashes      []site.ServerCrash
 	CrashSenders map[string]string
+	// RouteProbes are requests on routes that were published after a restore of the store.
+	RouteProbes []RouteProbe
 	// Reloads are the intervals in which changed settings take effect.
 	Reloads []Interval
 	// VersionApply and the durations below are the platform's time limits.
@@ -160,6 +165,7 @@
 	found = append(found, record.checkRestrictions(senders)...)
 	found = append(found, record.checkEvacuations(senders)...)
 	found = append(found, record.checkCrashes()...)
+	found = append(found, record.checkProbes()...)
 	found = append(found, record.checkNotices(senders)...)
 	return append(found, record.checkCold()...)
 }
@@ -209,7 +215,11 @@
 		}
 	}
 	for _, departure := range r.Departures {
-		if run.Server == departure.Server && run.At.After(departure.At.Add(r.Drain+slack)) && r.nothingDisturbed(departure.At, run.At) {
+		undisturbed := r.nothingDisturbed
+		if departure.AfterRestore {
+			undisturbed = r.nothingElseDisturbed
+		}
+		if run.Server == departure.Server && run.At.After(departure.At.Add(r.Drain+slack)) && undisturbed(departure.At, run.At) {
 			add(NoWorkToLeaving, fmt.Sprintf("it ran %s after the server announced that it leaves", run.At.Sub(departure.At)))
 		}
 	}
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -67,6 +67,16 @@
 	ServerNoticeLimit, ServerNoticeLeaving, ServerNoticeBackoff,
 }
 
+// Kinds that are drawn only where they are named, so that the schedules of seeds that draw from Kinds
+// stay as they are.
+const (
+	StoreRestored            Kind = "store-restored"
+	StoreRestoredAfterOutage Kind = "store-restored-after-outage"
+)
+
+// NamedKinds lists every kind, with those that are drawn only where they are named.
+var NamedKinds = append(slices.Clone(Kinds), StoreRestored, StoreRestoredAfterOutage)
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	Kind Kind
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -93,6 +93,8 @@
 	// crashed servers that have been restarted.
 	crashFaults int
 	restarted   map[string]bool
+	// probedRoutes counts the routes that were published after restores of the store.
+	probedRoutes int
 }
 
 // step is an action scheduled for a time.
@@ -311,7 +313,7 @@
 			refused++
 		}
 	}
-	for _, kind := range Kinds {
+	for _, kind := range NamedKinds {
 		if count := r.faultCounts[kind]; count > 0 {
 			r.printf("  %-24s %d", kind, count)
 		}
