--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,10 @@
 # of callers and two versions.
 SOAK_SEED ?= 67083181
 SOAK_MINUTES ?= 0.6
+# A second soak, in which the store comes back from copies of itself, restarts and changes beside it.
+RESTORE_SOAK_SEED ?= 57007
+RESTORE_SOAK_MINUTES ?= 0.4
+RESTORE_SOAK_KINDS ?= store-restored,store-restored-after-outage,kill-entry,stop-entry,reconfigure,new-version
 
 .PHONY: setup build demo test known-red lint format-check scenarios soak model-check regression bench clean
 
@@ -49,6 +53,7 @@
 
 soak: build
 	$(BINARY) experiment soak --seed $(SOAK_SEED) --minutes $(SOAK_MINUTES)
+	$(BINARY) experiment soak --seed $(RESTORE_SOAK_SEED) --minutes $(RESTORE_SOAK_MINUTES) --kinds $(RESTORE_SOAK_KINDS)
 
 regression:
 	BENCH="$(BENCH)" SITE="$(SITE)" bash scenarios/days/play.sh
--- a/internal/experiment/soak/restore.go
+++ b/internal/experiment/soak/restore.go
@@ -17,6 +17,9 @@
 	rewriteDelay = 900 * time.Millisecond
 	// restoreOutage is how long the store is down before a restore, if it is.
 	restoreOutage = 1500 * time.Millisecond
+	// lostChangeTime is how long before a restore a change is published that the store loses: long
+	// enough for every entry to hold it.
+	lostChangeTime = 250 * time.Millisecond
 	// probeRounds is how often the new route is probed, every probePeriod from when it must be in force.
 	probeRounds  = 3
 	probePeriod  = 700 * time.Millisecond
@@ -34,8 +37,8 @@
 	Status    int
 }
 
-// restoreStore has the store come back from a copy of a given age, after an outage if that is not zero. Shortly
-// after it a route is published and a server announces that it leaves; then what was lost is written again.
+// restoreStore has the store come back from a copy of a given age, after an outage if that is not zero. A
+// configuration is published right before, and lost. Shortly after the restore a route is published and a server announces that it leaves; then what was lost is written again.
 func (r *run) restoreStore(fault Fault, server *site.Server, outage time.Duration) {
 	if r.busy[restoreName] {
 		return
@@ -43,12 +46,14 @@
 	r.busy[restoreName] = true
 	store := r.site.Store
 	store.SetQuietHeartbeats(true)
+	// The store loses this change: the revision that entries hold of the configuration is then ahead.
+	r.site.Configure(nil)
 	if outage > 0 {
 		store.SetDown(true)
 	}
-	r.recordDisturbance(outage+rewriteDelay, restoreName)
-	r.schedule(outage, func() error {
-		lost := store.Restore(fault.Duration)
+	r.recordDisturbance(max(outage, lostChangeTime)+rewriteDelay, restoreName)
+	r.schedule(max(outage, lostChangeTime), func() error {
+		lost := store.Restore(outage + fault.Duration)
 		r.schedule(rewriteDelay, func() error { store.Rewrite(lost); r.busy[restoreName] = false; return nil })
 		r.schedule(changeDelay, func() error {
 			r.publishProbedRoute()
