Early offers of an unassigned manifest make room for later ones

Cause: an agent keeps offers for manifests that it does not know yet; those for a manifest that is never assigned to it stayed for good, and once there were maxEarlyChunks of them every later early offer was dropped.

Change: earlyOffers in a file of its own; when there is no room, the offers for the manifest that was first offered the longest ago go.

Conclusion: a transfer that starts before its manifest is known keeps its early offers.

--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -95,25 +95,22 @@
 	transfers map[weights.Digest]*transfer
 	manifests map[weights.Digest][]byte
 	staged    map[weights.Digest]StagedVersion
-	// earlyOffers holds offers for manifests that are not known yet; earlyChunkCount is the
-	// number of chunks in them.
-	earlyOffers     map[weights.Digest][]offer
-	earlyChunkCount int
+	early     *earlyOffers
 }
 
 func newWeightsController(base *node.Node, options Options) *weightsController {
 	controller := &weightsController{
 		node: base, options: options,
-		origin:      external.NewHTTPOrigin(options.OriginAddress),
-		store:       external.NewHTTPStore(options.StoreAddress),
-		peers:       external.NewHTTPPeerStore(),
-		downlink:    newLinkLimiter(options.LinkBytesPerSecond, 1),
-		uplink:      newLinkLimiter(options.LinkBytesPerSecond, 1),
-		uploads:     make(chan struct{}, maxUploads),
-		transfers:   map[weights.Digest]*transfer{},
-		manifests:   map[weights.Digest][]byte{},
-		staged:      map[weights.Digest]StagedVersion{},
-		earlyOffers: map[weights.Digest][]offer{},
+		origin:    external.NewHTTPOrigin(options.OriginAddress),
+		store:     external.NewHTTPStore(options.StoreAddress),
+		peers:     external.NewHTTPPeerStore(),
+		downlink:  newLinkLimiter(options.LinkBytesPerSecond, 1),
+		uplink:    newLinkLimiter(options.LinkBytesPerSecond, 1),
+		uploads:   make(chan struct{}, maxUploads),
+		transfers: map[weights.Digest]*transfer{},
+		manifests: map[weights.Digest][]byte{},
+		staged:    map[weights.Digest]StagedVersion{},
+		early:     newEarlyOffers(),
 		received: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_weights_received_bytes_total",
 			Help: "Weight bytes received, by source (peer or origin).",
@@ -253,12 +250,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.manifests[digest] = data
-	early := c.earlyOffers[digest]
-	delete(c.earlyOffers, digest)
-	for _, pending := range early {
-		c.earlyChunkCount -= len(pending.Chunks)
-	}
-	return early
+	return c.early.take(digest)
 }
 
 func (c *weightsController) handleOffer(writer http.ResponseWriter, request *http.Request) {
@@ -277,10 +269,7 @@
 	existing, running := c.transfers[incoming.Manifest]
 	_, manifestKnown := c.manifests[incoming.Manifest]
 	if !running || !manifestKnown {
-		if c.earlyChunkCount+len(incoming.Chunks) <= maxEarlyChunks {
-			c.earlyOffers[incoming.Manifest] = append(c.earlyOffers[incoming.Manifest], incoming)
-			c.earlyChunkCount += len(incoming.Chunks)
-		}
+		c.early.add(incoming)
 		c.mutex.Unlock()
 		return dissemination.QueryReply{}
 	}
