Staged versions of one model have one order

Cause: the comparison that sorts them returned 1 both ways for equal models, so that their order came from the map.

Conclusion: what is published does not change by itself.

--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -208,17 +210,14 @@
 
 // publishStaged writes the staged versions to the blackboard. The mutex must be held.
 func (c *weightsController) publishStaged() {
-	staged := make([]StagedVersion, 0, len(c.staged))
-	for _, version := range c.staged {
-		staged = append(staged, version)
-	}
-	slices.SortFunc(staged, func(a, b StagedVersion) int {
-		if a.Model < b.Model {
-			return -1
-		}
-		return 1
+	blackboard.Write(c.node.Board, StagedKey, sortedVersions(c.staged))
+}
+
+// sortedVersions returns the versions in the order of their model and version.
+func sortedVersions(staged map[weights.Digest]StagedVersion) []StagedVersion {
+	return slices.SortedFunc(maps.Values(staged), func(a, b StagedVersion) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version), cmp.Compare(a.Digest, b.Digest))
 	})
-	blackboard.Write(c.node.Board, StagedKey, staged)
 }
 
 // publishProgress writes the progress of all transfers to the blackboard.
