A failed delete in the weight store is reported

Cause: HTTPStore.Delete did not look at the answer's status, so that chunks which the store kept counted as deleted; its caller dropped the error, too.

Change: any status but 2xx and 404 is a *fault.Unavailable; the agent logs it as PV3011.

Conclusion: a store that fills up can be seen.

--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -339,5 +339,8 @@
 		return
 	}
 	unwanted := slices.DeleteFunc(held, func(digest weights.Digest) bool { return wanted[digest] })
-	_ = c.store.Delete(ctx, unwanted)
+	if err := c.store.Delete(ctx, unwanted); err != nil {
+		// What is left is deleted after the next version is unloaded.
+		c.node.Log.Log(logging.ChunksNotDeleted, zap.Int("unwanted", len(unwanted)), zap.Error(err))
+	}
 }
--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -292,6 +292,10 @@
 			return err
 		}
 		drain(response)
+		// A chunk that is not there needs no delete.
+		if response.StatusCode/100 != 2 && response.StatusCode != http.StatusNotFound {
+			return &fault.Unavailable{Target: s.endpoint.name, Operation: "DELETE chunk", Status: response.StatusCode}
+		}
 	}
 	return nil
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -83,6 +83,7 @@
 	VersionLive            = define("PV3008", zap.InfoLevel, "version live", "The engine answered a probe with the new version; requests are admitted to it.")
 	RolloutReplaced        = define("PV3009", zap.WarnLevel, "rollout replaced", "The configuration names another version; the transfer is abandoned and shared chunks are kept.")
 	EngineRestarted        = define("PV3010", zap.WarnLevel, "engine restarted", "The engine reports a new incarnation; its models are loaded again.")
+	ChunksNotDeleted       = define("PV3011", zap.WarnLevel, "chunks not deleted", "The weight store did not delete all chunks that no version needs; they are deleted after the next version is unloaded.")
 	TransferStarted        = define("PV3101", zap.InfoLevel, "transfer started", "The manifest is known and the pieces staged at the server are verified; the remaining ones are being fetched.")
 	OriginFailed           = define("PV3102", zap.WarnLevel, "origin failed", "The origin of weights returned no manifest; the request is retried.")
 	ManifestMismatch       = define("PV3103", zap.WarnLevel, "manifest mismatch", "The origin's pieces do not match the manifest, which is fetched again.")
