explain counts servers that were ordered, not orders

Cause: versionCause counted lines, so that a repeated order counted as a further server.

Change: the processes that sent one are counted.

Conclusion: the text says what it counts.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -144,16 +144,16 @@
 	if !found || announced.Time.After(at.Time) {
 		return ""
 	}
-	orders := 0
+	ordered := map[string]bool{}
 	for _, line := range all {
 		if line.Event == orderSent && line.text("version") == announced.text("version") && !line.Time.After(at.Time) {
-			orders++
+			ordered[line.Process] = true
 		}
 	}
 	var text strings.Builder
 	fmt.Fprintf(&text, "; version %s had been named %.3f s before", announced.text("version"), at.Time.Sub(announced.Time).Seconds())
-	if orders > 0 {
-		fmt.Fprintf(&text, ", and %d servers had been ordered to switch", orders)
+	if len(ordered) > 0 {
+		fmt.Fprintf(&text, ", and %d servers had been ordered to switch", len(ordered))
 	}
 	return text.String()
 }
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -24,3 +24,17 @@
 	assert.Contains(t, Explain(lines, "answered").Cause, "the caller had retried, 1.500 s or more")
 	assert.NotContains(t, Explain(lines, "first").Cause, "retried")
 }
+
+const orderLines = `{"ts":"2026-12-02T10:00:00Z","process":"entry-1","event":"PV3000","msg":"x","model":"m","version":2}
+{"ts":"2026-12-02T10:00:01Z","process":"agent-1","event":"PV3006","msg":"x","version":2}
+{"ts":"2026-12-02T10:00:02Z","process":"agent-1","event":"PV3006","msg":"x","version":2}
+{"ts":"2026-12-02T10:00:03Z","process":"entry-1","event":"PV4109","msg":"x","request":"refused","servers":{"usable":2},"soonest":0.3,"limit":0.2}
+{"ts":"2026-12-02T10:00:03Z","process":"entry-1","event":"PV4104","msg":"x","request":"refused","execution":"not-run","reason":"overloaded","status":503}
+`
+
+// Guards against a server that is ordered twice and counts as two.
+func TestRepeatedOrderCountsOneServer(t *testing.T) {
+	lines, err := Read(strings.NewReader(orderLines))
+	require.NoError(t, err)
+	assert.Contains(t, Explain(lines, "refused").Cause, "1 servers had been ordered")
+}
