A report of the maximum age promises no time of return

Cause: soonestReady still used a report that was exactly reportTTL old, which no choice of a server does.

Change: >= as everywhere.

Figures: TestReportOfTheMaximumAgePromisesNothing.

Conclusion: one bound for the age of reports.

--- a/coordination/dispatch/refusal.go
+++ b/coordination/dispatch/refusal.go
@@ -115,7 +115,7 @@
 	}
 	earliest := unknownTransferTime + engine.CopyTime/2
 	for _, reported := range c.reports {
-		if !reported.Reachable || now.Sub(reported.at) > reportTTL || !c.allowedAt(reported.Address, request.Residency) {
+		if !reported.Reachable || now.Sub(reported.at) >= reportTTL || !c.allowedAt(reported.Address, request.Residency) {
 			continue
 		}
 		remaining := engine.CopyTime * time.Duration(reported.MissingPieces) / time.Duration(engine.Pieces)
--- a/coordination/dispatch/refusal_test.go
+++ b/coordination/dispatch/refusal_test.go
@@ -24,3 +24,16 @@
 	_, refusal = core.Choose(request, now)
 	assert.Nil(t, refusal, "a request that was admitted once is not refused for load")
 }
+
+// Guards against a report that counts in one place when it has just become too old for all others: the time of
+// a refusal came from a transfer that no choice considered any more.
+func TestReportOfTheMaximumAgePromisesNothing(t *testing.T) {
+	now := epoch
+	core := testCore("z", nil)
+	request := &Request{Service: "s", Engine: &Engine{Pieces: 10, CopyTime: 4 * time.Second}}
+	unknown := core.soonestReady(request, now)
+	core.reports["10.0.0.1:1"] = timedReport{LoadReport: LoadReport{Address: "10.0.0.1:1", Reachable: true}, at: now.Add(-reportTTL)}
+	assert.Equal(t, unknown, core.soonestReady(request, now))
+	core.reports["10.0.0.1:1"] = timedReport{LoadReport: LoadReport{Address: "10.0.0.1:1", Reachable: true}, at: now.Add(-reportTTL + 1)}
+	assert.Less(t, core.soonestReady(request, now), unknown)
+}
