A version of weights that is announced once more keeps its age on the wire

Cause: the announcement kept the revision of the first record; ages are sent and taken over for the revision of the record, so that after a restore, or any second writing, a process that starts was told no age and assumed one.

Change: a further announcement of the newest version updates the revision and nothing else.

Conclusion: the version counts from its first announcement at every process.

--- a/internal/catalog/epoch_test.go
+++ b/internal/catalog/epoch_test.go
@@ -199,7 +199,9 @@
 	version := func(revision, number uint64) mirror.Record {
 		return mirror.Record{Key: "op/version/m", Value: fmt.Appendf(nil, `{"model":"m","version":%d}`, number), Revision: revision}
 	}
-	c, store, position := newReader(t, 39, version(39, 3))
+	c, store, position := newReader(t, 38)
+	store.watch = fleet.Listing{Records: []mirror.Record{version(39, 3)}, Revision: 39, Epoch: 1}
+	c.readStore(t.Context(), position, watchWait)
 	newest, _ := c.View().Newest("m")
 	restoreTo(t, c, store, position, 20, version(10, 2))
 	held, _ := c.View().Newest("m")
@@ -208,6 +210,10 @@
 	c.readStore(t.Context(), position, watchWait)
 	held, _ = c.View().Newest("m")
 	assert.Equal(t, newest.Since, held.Since)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	message := c.composeUpdate(&peerLink{compared: true})
+	assert.Contains(t, message.AgesMilliseconds, "op/version/m", "peers that start now are sent its age")
 }
 
 // What a process that knows no epochs sends is ordered by the number that its writer gave it: it neither
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -214,6 +214,7 @@
 		return
 	}
 	if held, known := next.Newest(named.Model); known && held.Version >= named.Version {
+		next.reannounce(named)
 		return
 	}
 	age := c.versionAges[record.Key]
@@ -230,6 +231,19 @@
 	}
 }
 
+// reannounce records the revision of a further announcement of the newest version, which counts from the
+// first one: peers send ages with the revision of the record.
+func (v *View) reannounce(named fleet.PublishedVersion) {
+	announcements := slices.Clone(v.Versions[named.Model])
+	newest := &announcements[len(announcements)-1]
+	if newest.Version != named.Version || newest.Revision == named.Revision {
+		return
+	}
+	newest.Revision = named.Revision
+	v.Versions = maps.Clone(v.Versions)
+	v.Versions[named.Model] = announcements
+}
+
 // rebuildServers lists the servers again from their decoded records. The mutex must be held.
 func (c *Catalog) rebuildServers(next *View) {
 	next.Servers = map[string][]fleet.Server{}
