--- a/internal/catalog/epoch.go
+++ b/internal/catalog/epoch.go
@@ -71,6 +71,10 @@
 	if answer.EpochFault != nil {
 		c.options.Log.Log(logging.StoreEpochInvalid, zap.Error(answer.EpochFault))
 	}
+	// Without the mutex, which every request takes: a large configuration takes milliseconds to scan.
+	for index := range answer.Records {
+		c.addOrder(&answer.Records[index])
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	before := c.epochs.Current()
@@ -81,9 +85,7 @@
 	c.adoptEpoch(verdict, before, "store")
 	answer.Epoch = c.epochs.Current()
 	for index := range answer.Records {
-		record := &answer.Records[index]
-		record.Epoch = answer.Epoch
-		c.addOrder(record)
+		answer.Records[index].Epoch = answer.Epoch
 	}
 	return nil
 }
