Offers of pieces that arrive before the announcement of their version are kept

Cause, traced: pieces and news take different ways. A zone whose entries hear of a version 0.07 s later than another is offered pieces of it before its agents know it; they dropped those offers, which are made once, and a transfer that begins without them asks for the pieces only after progressTimeout, 0.3 s, once or twice: 'took' of slow zones is 0.43 or 0.75 s, that of others 0.1 s, in the same plays, and no connection between agents is found silent in them. It needs no silence, only news that come at different times.

Change: an agent keeps the offers for the newest version that it has not heard of, 512 at most, and hands them to the transfer. Queries are answered as before. Logs of subtests are written.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -76,6 +76,8 @@
 	unretiredLogged uint64
 	// announcedRequests are the requests that entries have announced as sent.
 	announcedRequests balance.Announcements
+	// early keeps offers for a version that is not known yet.
+	early earlyOffers
 	// cold tracks how long the server stays cold and how many requests were announced to it.
 	cold coldState
 }
@@ -262,11 +264,16 @@
 }
 
 func (a *Agent) applyOffer(incoming offer) dissemination.QueryReply {
-	found := a.findTransfer(incoming.Model, incoming.Version)
-	if found == nil {
+	if found := a.findTransfer(incoming.Model, incoming.Version); found != nil {
+		return found.applyOffer(incoming)
+	}
+	if incoming.Query {
 		return dissemination.QueryReply{Missing: incoming.Pieces}
 	}
-	return found.applyOffer(incoming)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.early.add(incoming)
+	return dissemination.QueryReply{}
 }
 
 // rejectManifest drops a transfer whose pieces from the origin do not match its manifest.
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -125,6 +125,7 @@
 	a.replaceCurrent(engine, model, wanted, serving)
 	transferContext, cancel := context.WithCancel(ctx)
 	a.current = newTransfer(a, model, wanted, false, cancel)
+	a.current.earlyOffers = a.early.take(model, wanted)
 	if a.fallback != nil {
 		a.current.buffer.open()
 	}
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -124,6 +124,10 @@
 func (f *Fleet) close() {
 	if folder := os.Getenv(logDirectoryVariable); folder != "" {
 		path := filepath.Join(folder, f.t.Name()+".log")
+		// The names of subtests have slashes.
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			f.t.Log(err)
+		}
 		if err := os.WriteFile(path, []byte(f.Log.String()), 0o600); err != nil {
 			f.t.Log(err)
 		}
