--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,8 +71,6 @@
 	actions map[string]http.HandlerFunc
 	// onSettings are called with reloaded settings.
 	onSettings []func(fleet.Settings)
-	// onSilence are called when a connection has been found silent.
-	onSilence []func()
 }
 
 // New creates a daemon that does not listen yet.
@@ -142,15 +140,8 @@
 	}
 	d.silentConnections.WithLabelValues(kind).Inc()
 	d.Log.Log(logging.ConnectionSilent, zap.String("target", target), zap.Duration("silent", silent))
-	for _, function := range d.onSilence {
-		function()
-	}
 }
 
-// OnSilence registers a function that is called when a connection has been found silent: other idle ones
-// may have gone silent at the same time. It must be registered before the daemon runs.
-func (d *Daemon) OnSilence(function func()) { d.onSilence = append(d.onSilence, function) }
-
 // Settings returns the settings in force.
 func (d *Daemon) Settings() fleet.Settings { return *d.settings.Load() }
 
--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -119,19 +119,6 @@
 	c.hedgeNow = make(chan struct{})
 }
 
-// RetireIdle has later calls use new connections, and closes the idle ones. Calls that await an answer
-// are not affected. It is for when a connection to another process has been found silent.
-func (c *Client) RetireIdle() {
-	c.mutex.Lock()
-	retired := c.active
-	c.active, c.candidate = c.candidate, nil
-	if c.active == nil {
-		c.active = c.newPool()
-	}
-	c.mutex.Unlock()
-	retired.transport.CloseIdleConnections()
-}
-
 func (c *Client) newPool() *connectionPool {
 	return &connectionPool{
 		transport: &http.Transport{
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -155,23 +155,6 @@
 	assert.Equal(t, int64(1), silences.Load())
 }
 
-// A call after RetireIdle uses no connection that was idle before, which may have gone silent.
-func TestRetiredConnectionsAreNotUsed(t *testing.T) {
-	client, connections, silences, call := newTestClient(t, func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = writer.Write([]byte("answer"))
-	})
-	_, err := client.Do(context.Background(), call)
-	require.NoError(t, err)
-	connections.silence()
-	client.RetireIdle()
-	began := time.Now()
-	answer, err := client.Do(context.Background(), call)
-	require.NoError(t, err)
-	assert.Equal(t, "answer", string(answer.Body))
-	assert.Less(t, time.Since(began), testHedgeDelay, "no hedge is needed")
-	assert.Zero(t, silences.Load())
-}
-
 // A connection that answers after its call was hedged is kept, and its answer is used.
 func TestHedgedConnectionThatAnswersIsKept(t *testing.T) {
 	var received atomic.Int64
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -92,7 +92,6 @@
 		roundTrips: liveness.NewRoundTrips(probeInterval), started: time.Now(),
 		cold: newColdState(),
 	}
-	options.Daemon.OnSilence(func() { a.peers.retireIdle(time.Now()) })
 	options.Daemon.ObserveSilence(options.Server)
 	options.Daemon.ObserveSilence(options.Origin)
 	options.Daemon.Hub.Handle(fleet.TopicStatusEcho, a.handleEcho)
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -92,10 +92,8 @@
 
 	mutex   sync.Mutex
 	clients map[dissemination.MachineID]*cachedClient
-	// prunedAt is when unused clients were last removed, retiredAt when idle connections were last
-	// retired.
-	prunedAt  time.Time
-	retiredAt time.Time
+	// prunedAt is when unused clients were last removed.
+	prunedAt time.Time
 }
 
 // cachedClient is a machine's client and the time of its last use.
@@ -127,24 +125,6 @@
 	return known.client
 }
 
-// retireInterval is the minimum time between two retirements of idle connections: one silence is found at
-// several connections, one after the other.
-const retireInterval = 500 * time.Millisecond
-
-// retireIdle gives up the idle connections to all machines. A piece would wait for pieceMinSilence on one that
-// has gone silent.
-func (p *peerClient) retireIdle(now time.Time) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if now.Sub(p.retiredAt) < retireInterval {
-		return
-	}
-	p.retiredAt = now
-	for _, known := range p.clients {
-		known.client.RetireIdle()
-	}
-}
-
 // prune removes the clients that were not used for peerClientTTL; their idle connections have been
 // closed by then. The caller holds the mutex.
 func (p *peerClient) prune(now time.Time) {
