What is kept against a restored store gives way to later writes

Cause, found by reading the diff: a confirmed copy marked all its records as written in the present epoch, with the revisions of the former one.

Change: Confirm marks only records up to the revision that the copy is known to be complete for; what is beyond it gives way to any later write.

Conclusion: the property test had looked at the state after the listing only.

--- a/coordination/mirror/mirror.go
+++ b/coordination/mirror/mirror.go
@@ -66,11 +66,13 @@
 // Settled reports whether the present epoch is settled.
 func (m *Mirror) Settled() bool { return m.settled }
 
-// Confirm marks all records as those of the present epoch. It is called for a copy that is known to
-// hold what the store holds, so that what others still have from before replaces none of them.
-func (m *Mirror) Confirm() {
+// Confirm marks records as those of the present epoch, so that what others still have from before
+// replaces none of them. It is called for a copy that is known to hold what the store holds up to a
+// revision. Records of a greater one, which the store has lost and which are kept, are not marked:
+// the store will give out that revision again for another write.
+func (m *Mirror) Confirm(revision uint64) {
 	for key, held := range m.records {
-		if held.Epoch < m.epoch {
+		if held.Epoch < m.epoch && held.Revision <= revision {
 			held.Epoch = m.epoch
 			m.records[key] = held
 		}
--- a/coordination/mirror/restore_test.go
+++ b/coordination/mirror/restore_test.go
@@ -85,10 +85,24 @@
 	m.Merge([]Record{{Key: "a", Epoch: 1, Revision: 10}})
 	m.Advance(2)
 	m.Settle()
-	m.Confirm()
+	m.Confirm(20)
 	assert.Empty(t, m.Merge([]Record{{Key: "a", Epoch: 1, Revision: 30}}))
 }
 
+// Guards against what is kept against a restored store and counts as written in its present epoch: the next
+// write of its key has a lower revision.
+func TestKeptRecordsGiveWayToLaterWrites(t *testing.T) {
+	m := newMirror()
+	kept, ended := durablePrefix+"kept", "ended"
+	m.Merge([]Record{{Key: kept, Epoch: 1, Revision: 39, Sequence: 28}, {Key: ended, Epoch: 1, Revision: 40, Deleted: true}})
+	m.Advance(2)
+	m.Replace("", nil, monotonic.Version{Epoch: 2, Revision: 20})
+	m.Settle()
+	m.Replace("", nil, monotonic.Version{Epoch: 2, Revision: 21})
+	m.Confirm(21)
+	assert.Len(t, m.Merge([]Record{{Key: kept, Epoch: 2, Revision: 22, Sequence: 29}, {Key: ended, Epoch: 2, Revision: 23}}), 2)
+}
+
 // After an implausible epoch was replaced, every record of the store counts as newer.
 func TestRebasedCopyTakesEveryRecord(t *testing.T) {
 	m := newMirror()
@@ -217,20 +231,31 @@
 		}
 		for index := range mirrors {
 			list(index)
-			mirrors[index].Confirm()
+			mirrors[index].Confirm(store.revision)
 			exchange()
 		}
-		listed, _ := store.list()
-		for _, one := range mirrors {
-			present := map[string]uint64{}
-			for _, held := range one.Select("") {
-				present[held.Key] = held.Revision
-			}
+		assertHeld := func() {
+			listed, _ := store.list()
 			want := map[string]uint64{}
 			for _, item := range listed {
 				want[item.Key] = item.Revision
 			}
-			assert.Equal(t, want, present)
+			for _, one := range mirrors {
+				present := map[string]uint64{}
+				for _, held := range one.Select("") {
+					present[held.Key] = held.Revision
+				}
+				assert.Equal(t, want, present)
+			}
+		}
+		assertHeld()
+		// Later writes, which one copy watches, reach all.
+		for _, key := range []string{"server", "zone", durablePrefix + "c"} {
+			sequences[key]++
+			store.write(Record{Key: key, Sequence: sequences[key]})
+			mirrors[0].Merge([]Record{store.items[key]})
 		}
+		exchange()
+		assertHeld()
 	})
 }
--- a/internal/catalog/epoch.go
+++ b/internal/catalog/epoch.go
@@ -188,7 +188,7 @@
 }
 
 // recordListed records a listing: after the epoch has settled it confirms the copy. It must be called
-// after the listing was applied.
+// after the listing was applied and its version recorded.
 func (c *Catalog) recordListed() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -202,7 +202,7 @@
 		return
 	}
 	c.restore.confirmed = true
-	c.mirror.Confirm()
+	c.mirror.Confirm(c.complete.Revision)
 }
 
 // contentOf identifies what a record says to this process, the same in all processes. The mutex must be
--- a/internal/catalog/epoch_test.go
+++ b/internal/catalog/epoch_test.go
@@ -243,4 +243,7 @@
 	c.advancePosition(position)
 	assert.NotZero(t, position.version, "the copy is confirmed")
 	assert.True(t, c.restore.confirmed)
+	store.watchErr, store.watch = nil, fleet.Listing{Records: []mirror.Record{numberedConfiguration(21, 29, "b")}, Revision: 21, Epoch: 2}
+	c.readStore(t.Context(), position, watchWait)
+	assert.True(t, keyKnown(c, "b"), "a change after that is in force, though its revision is lower than the one kept")
 }
--- a/internal/catalog/reader.go
+++ b/internal/catalog/reader.go
@@ -267,8 +267,8 @@
 	call.receivedAt, call.changes = time.Now(), len(listing.Records)
 	c.recordComplete(call)
 	position.version, position.forgotten = monotonic.Version{Epoch: listing.Epoch, Revision: listing.Revision}, monotonic.Version{}
-	c.recordListed()
 	c.recordRead(position.version)
+	c.recordListed()
 	return nil
 }
 
