Sight on requests that end without an answer: PV4111, PV4112, pinevane_unanswered_requests_total

Cause: a connection that is closed under a request left no line and no metric: a cut at the end of a stop, a handler that panics (the library's line is at debug), an aborted response.

Change: each such ending is logged and counted by cause, with the request's id; a panic is logged at error with its stack. The connection ends as before, no decision changes.

Conclusion: tells the hypotheses of a stop and of a failing handler from those of silence.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -38,6 +38,9 @@
 	defer caller.extendDeadline()
 	request, refusal := g.readRequest(writer, incoming)
 	defer request.Memory.Close()
+	g.requests.add(request)
+	defer g.requests.remove(request)
+	defer g.reportPanic(request)
 	if refusal == nil {
 		refusal = g.forwarder.Serve(incoming.Context(), caller, request)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	// memory bounds the request and response bytes held for callers.
 	memory *bytequota.Quota
 	open   atomic.Int64
+	// requests are the open requests that have been read.
+	requests *openRequests
 	// stopSignalAt is the Unix time of the stop signal in nanoseconds, 0 before the signal.
 	stopSignalAt atomic.Int64
 }
@@ -47,7 +49,7 @@
 	base := options.Daemon
 	settings := base.Settings()
 	g := &Gateway{
-		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
+		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry), requests: newOpenRequests(),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
 	registerMemory(base.Registry, g.memory)
@@ -128,6 +130,9 @@
 		time.Sleep(stopPollInterval)
 	}
 	g.log.Log(logging.ProcessDraining, zap.Int64("open", g.open.Load()))
+	for _, request := range g.requests.list() {
+		g.recordUnanswered(request, causeStop)
+	}
 }
 
 // timeSinceStopSignal returns how long ago the stop signal arrived, and whether it has.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,13 +3,16 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 type metrics struct {
-	refusals *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	unanswered *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_refusals_total", Help: "Requests answered by the entry itself, by reason and whether they may have run.",
-	}, []string{"reason", "execution"})}
-	registry.MustRegister(m.refusals)
+	}, []string{"reason", "execution"}), unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_unanswered_requests_total", Help: "Requests whose callers' connections ended without a complete response, by cause.",
+	}, []string{"cause"})}
+	registry.MustRegister(m.refusals, m.unanswered)
 	return m
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -115,6 +115,8 @@
 	CallerLeft             = define("PV4108", zap.InfoLevel, "caller disconnected", "The caller closed its connection; the work at the server is canceled.")
 	NoServerChosen         = define("PV4109", zap.InfoLevel, "no server chosen", "A request was sent to no server; the fields count the servers by the reason of their exclusion, and hold the shortest estimated wait.")
 	RequestQuarantined     = define("PV4110", zap.InfoLevel, "request quarantined", "A request was sent to no server because servers have crashed under its fingerprint; the fields hold its state, which servers, and for how long.")
+	RequestUnanswered      = define("PV4111", zap.WarnLevel, "request unanswered", "A caller's connection ends without a complete response; the field cause says why: aborted, panic or stop.")
+	HandlerPanicked        = define("PV4112", zap.ErrorLevel, "request handler panicked", "A request's handler ended by a panic, which is a bug; the fields hold the panic and its stack.")
 	ServerLeaving          = define("PV4201", zap.InfoLevel, "server leaving", "The server list shows that a server is draining; it is sent no more requests.")
 	ServerRemoved          = define("PV4202", zap.InfoLevel, "server removed", "A server was removed from the list; it is sent no more requests.")
 	ServerStatus           = define("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server; logged by the entries that the agent reports to.")
