--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -180,6 +180,7 @@
 
 func (s *Server) answerPlain(writer http.ResponseWriter, request *http.Request, body []byte) {
 	time.Sleep(s.options.EventTime)
+	s.waitWhilePaused(request.Context())
 	_, _ = fmt.Fprintf(writer, "%s %s %s", request.Method, request.RequestURI, body)
 }
 
@@ -199,6 +200,7 @@
 		case <-request.Context().Done():
 			return
 		}
+		s.waitWhilePaused(request.Context())
 		if cutAfter >= 0 && sent >= cutAfter {
 			_, _ = fmt.Fprintf(writer, "id: %d\nda", event)
 			flusher.Flush()
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -113,6 +113,8 @@
 	leaving bool
 	// queueHeld keeps waiting requests from starting.
 	queueHeld bool
+	// pausedUntil is when the server sends something again; see Pause.
+	pausedUntil time.Time
 	// readMutex serializes prefills.
 	readMutex sync.Mutex
 	server    *http.Server
@@ -149,6 +151,7 @@
 		for {
 			select {
 			case <-ticker.C:
+				s.waitWhilePaused(ctx)
 				s.writeHeartbeat()
 			case <-ctx.Done():
 				return
@@ -317,6 +320,7 @@
 }
 
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
+	s.waitWhilePaused(request.Context())
 	s.mutex.Lock()
 	silent, unhealthy := s.faults.Silent, s.faults.FailHealthChecks
 	s.mutex.Unlock()
