--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,12 +44,48 @@
 	return 0
 }
 
+// plan is an attempt that is about to be made.
+type plan struct {
+	chosen choice
+	send   fleet.SendHeader
+}
+
+// nextAttempt returns the open second attempt if there is one, and otherwise makes an attempt.
+func (w *forwarding) nextAttempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
+	if w.hedge != nil {
+		started, failed := w.adoptHedge(ctx)
+		return started, nil, failed
+	}
+	return w.attempt(ctx)
+}
+
 // attempt sends the request to one server. The failure's execution says whether the request may
 // have run there.
 func (w *forwarding) attempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
-	if refusal := w.admitFingerprint(); refusal != nil {
+	next, refusal := w.planAttempt(ctx)
+	if refusal != nil {
 		return nil, refusal, nil
 	}
+	target := next.chosen.target
+	started, failed := w.send(ctx, next, w.newAttemptGuard(ctx, target, next.chosen.Version))
+	if failed != nil {
+		w.releaseAttempt()
+		w.recordFailure(target, failed, time.Since(w.sentAt))
+		return nil, nil, failed
+	}
+	w.targets.recordVersion(target, started.head.Version)
+	if !w.isStream() {
+		w.cancelHedge()
+	}
+	return started, nil, nil
+}
+
+// planAttempt chooses the server of the next attempt and counts the attempt. A refusal means that
+// nothing is sent.
+func (w *forwarding) planAttempt(ctx context.Context) (*plan, *fault.Refusal) {
+	if refusal := w.admitFingerprint(); refusal != nil {
+		return nil, refusal
+	}
 	w.bindVersion()
 	w.bindResidency()
 	w.criteria.LastAttempt = w.isLastAttempt()
@@ -57,41 +93,47 @@
 	w.queryLoads(ctx)
 	chosen, refusal := w.choose()
 	if refusal != nil {
-		return nil, refusal, nil
+		return nil, refusal
 	}
-	target := chosen.target
-	w.recordSuspectSend(target)
-	w.announce(target)
 	send := fleet.SendHeader{
-		Deadline: time.Until(w.request.Deadline), Instance: target.ID, Version: w.expectedVersion(chosen.Version),
+		Deadline: time.Until(w.request.Deadline), Instance: chosen.target.ID, Version: w.expectedVersion(chosen.Version),
 		Tenant: w.request.Tenant, Priority: w.priorityFor(chosen.Expected),
 	}
 	if w.lastEvent != w.request.Call.LastEventID {
 		send.LastEventID = w.lastEvent
 	}
 	w.attempts++
-	w.criteria.Tried = append(w.criteria.Tried, target.Candidate)
-	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.attempts),
-		zap.String("server", target.ID), zap.String("zone", target.Zone), zap.Stringer("content", w.request.Fingerprint), zap.Int("outstanding", chosen.Outstanding),
+	w.attemptState = attemptState{number: w.attempts, currentSend: w.currentSend, sentAt: time.Now(), overdueTimeout: chosen.OverdueAfter}
+	w.request.typicalWait = w.targets.typicalWait(chosen, &w.criteria)
+	w.criteria.Tried = append(w.criteria.Tried, chosen.target.Candidate)
+	return &plan{chosen: chosen, send: send}, nil
+}
+
+// logSend logs an attempt with the figures that its server was chosen by.
+func (w *forwarding) logSend(next *plan, because string) {
+	chosen, send := next.chosen, next.send
+	reason := zap.Skip()
+	if because != "" {
+		reason = zap.String("beside_silent", because)
+	}
+	w.log.Log(logging.RequestSent, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.number),
+		zap.String("server", chosen.target.ID), zap.String("zone", chosen.target.Zone), zap.Stringer("content", w.request.Fingerprint), zap.Int("outstanding", chosen.Outstanding),
 		zap.Int("running", chosen.Load.Running), zap.Int("waiting", chosen.Load.Waiting), zap.Int("unread_tokens", int(chosen.Load.Unread)),
 		zap.Int("prompt_tokens", w.criteria.Prompt),
 		zap.Duration("time_left", send.Deadline), zap.Duration("since_first_attempt", w.criteria.Arrival.Elapsed), zap.Duration("expected", chosen.Expected), zap.Duration("status_age", chosen.ReportAge), zap.Int("candidates", chosen.Considered), zap.Uint64("version", send.Version),
-		zap.String("resume_after", send.LastEventID))
-	began := time.Now()
-	w.sentAt = began
-	w.request.typicalWait = w.targets.typicalWait(chosen, &w.criteria)
-	w.overdueTimeout = chosen.OverdueAfter
-	started, failed := w.open(ctx, w.request, send, target, w.newSilenceCheck(target, chosen.Version))
-	if failed == nil {
-		failed = w.classifyAnswer(started, send.Version)
-	}
+		zap.String("resume_after", send.LastEventID), reason)
+}
+
+// send sends a planned attempt and reads the head of the answer.
+func (w *forwarding) send(ctx context.Context, next *plan, guard guard) (*exchange, *failure) {
+	w.recordSuspectSend(next.chosen.target)
+	w.announce(next.chosen.target)
+	w.logSend(next, "")
+	started, failed := w.open(ctx, w.request, next.send, next.chosen.target, guard)
 	if failed != nil {
-		w.releaseAttempt()
-		w.recordFailure(target, failed, time.Since(began))
-		return nil, nil, failed
+		return nil, failed
 	}
-	w.targets.recordVersion(target, started.head.Version)
-	return started, nil, nil
+	return started, w.classifyAnswer(started, next.send.Version)
 }
 
 // classifyAnswer returns a failure if an answer rejects the request, is unsigned or has an old
@@ -142,7 +184,7 @@
 // recordFailure logs a failed attempt and updates the server's health.
 func (w *forwarding) recordFailure(target *target, failed *failure, took time.Duration) {
 	w.mayHaveRun = w.mayHaveRun || failed.execution == fault.ExecutionUnknown
-	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.attempts),
+	w.log.Log(logging.AttemptFailed, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", w.number),
 		zap.String("server", target.ID), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
@@ -162,8 +204,9 @@
 	w.request.openedAfter = w.watcher.now() - silence.UnacknowledgedLimit
 }
 
-// newSilenceCheck returns the check that decides when an attempt at a silent server is abandoned.
-// Slowness alone is no reason: the server's agent must have lost it, or be silent too. A request
+// newSilenceCheck returns the check for evidence that an attempt's server has fallen silent.
+// Slowness alone is none: the server's agent must have lost it, or be silent too, or the answer takes
+// many times the typical wait. The evidence ends no attempt, apart from errVersionDeadline: a request
 // that the server has not begun is withdrawn before the deadline of the server's version.
 func (w *forwarding) newSilenceCheck(target *target, version uint64) silenceCheck {
 	w.attemptBegun, w.overdueRecorded = false, false
@@ -174,7 +217,7 @@
 			return errVersionDeadline
 		case w.request.Route.MayRepeat() && silent > suspectTimeout && w.targets.isSuspect(target, w.sentAt):
 			return errStalled
-		case w.request.Route.MayRepeat() && w.overdue(silent, typical) && w.reserveRetry():
+		case w.request.Route.MayRepeat() && w.overdue(silent, typical):
 			return errOverdue
 		}
 		return nil
@@ -185,7 +228,7 @@
 // because of the server's version. It uses the versions known now: one may have been announced, or
 // received here, after the send, and a request may wait for as long as it takes to apply a version.
 func (w *forwarding) pastVersionDeadline(version uint64) bool {
-	if w.criteria.Engine == nil || w.attemptBegun {
+	if w.criteria.Engine == nil || w.attemptBegun || w.committed {
 		return false
 	}
 	announcement, superseded := w.targets.currentView().FirstAfter(w.request.Call.Model, version)
@@ -196,7 +239,7 @@
 // server that has not begun it. Silent connections are checked every silenceCheckPeriod.
 const withdrawMargin = 2 * silenceCheckPeriod
 
-// suspectTimeout is the silence after which an attempt at a suspect server is abandoned.
+// suspectTimeout is the silence after which another server is tried beside a suspect one.
 const suspectTimeout = 350 * time.Millisecond
 
 // mayRetry reports whether a failed attempt may be followed by another, and logs the reason if not.
@@ -211,10 +254,9 @@
 		withheld = "attempts"
 	case time.Until(w.request.Deadline) < minAttemptTime:
 		withheld = "time"
-	case !w.retryReserved && !w.spendRetry(w.criteria.Service):
+	case !w.spendRetry(w.criteria.Service):
 		withheld = "budget"
 	}
-	w.retryReserved = false
 	if withheld == "" {
 		w.metrics.retries.Inc()
 		return true
@@ -231,7 +273,7 @@
 	case w.attempts+1 >= w.request.Route.Attempts, time.Until(w.request.Deadline) < 2*minOverdueOf(w.request.Route):
 		return true
 	}
-	return !w.retryReserved && !w.retryAvailable(w.criteria.Service)
+	return !w.retryAvailable(w.criteria.Service)
 }
 
 // minAttemptTime is the minimum remaining time for which an attempt is worthwhile.
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -32,7 +32,7 @@
 // that a broken one can be replaced.
 func (w *forwarding) serveBuffered(ctx context.Context) *fault.Refusal {
 	for {
-		started, refusal, failed := w.attempt(ctx)
+		started, refusal, failed := w.nextAttempt(ctx)
 		if refusal != nil {
 			return w.adjustRefusal(refusal)
 		}
@@ -47,7 +47,7 @@
 			w.writeAnswer(started, body)
 			return nil
 		}
-		if !w.mayRetry(ctx, failed) {
+		if w.hedge == nil && !w.mayRetry(ctx, failed) {
 			return w.finalRefusal(failed)
 		}
 	}
@@ -115,8 +115,10 @@
 		w.writer.Header().Set("Content-Length", strconv.Itoa(len(body.bytes)))
 	}
 	w.writer.WriteHeader(started.response.StatusCode)
+	w.cancelHedge()
 	_, err := w.writer.Write(body.bytes)
 	if !body.complete {
+		w.committed = true
 		_, err = io.Copy(w.writer, started.response.Body)
 		started.finish()
 		if err != nil {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -40,10 +40,19 @@
 	errOverdue         = errors.New("answer is overdue: it takes many times the typical wait")
 )
 
-// silenceCheck returns why an attempt is abandoned after a silence of the server, given the typical
-// wait, or nil if it is not.
+// silenceCheck returns the evidence that a server has fallen silent after it has returned nothing
+// for a time, given the typical wait, or nil if there is none.
 type silenceCheck func(silent, typical time.Duration) error
 
+// guard decides whether an attempt goes on.
+type guard interface {
+	// beforeSend is called right before the request is written.
+	beforeSend() error
+	// whileSilent is called from time to time while the server returns nothing. The attempt ends
+	// with the error, or goes on if that is nil.
+	whileSilent(c *connection, silent time.Duration) error
+}
+
 // connection is a persistent connection to a server. It carries one request at a time, and no
 // request is sent twice on it.
 type connection struct {
@@ -58,11 +67,13 @@
 	requestsCarried int
 
 	// The fields below belong to the request being carried.
-	ctx          context.Context
-	deadline     time.Time
-	checkSilence silenceCheck
-	lastRead     time.Time
-	received     atomic.Int64
+	ctx      context.Context
+	deadline time.Time
+	guard    guard
+	lastRead time.Time
+	received atomic.Int64
+	// interrupted is set to have the guard called at once.
+	interrupted atomic.Bool
 	// minOverdue is the minimum silence after which the answer can be overdue.
 	minOverdue time.Duration
 	// expectedStart is how long the answer is expected to take to begin.
@@ -86,10 +97,10 @@
 	return c, nil
 }
 
-// begin assigns the connection to a request. The silence check is called from time to time to
-// decide whether an attempt at a silent server is abandoned.
-func (c *connection) begin(ctx context.Context, deadline time.Time, check silenceCheck) (release func()) {
-	c.ctx, c.deadline, c.checkSilence = ctx, deadline, check
+// begin assigns the connection to a request. A nil guard lets the attempt go on until the deadline.
+func (c *connection) begin(ctx context.Context, deadline time.Time, guard guard) (release func()) {
+	c.ctx, c.deadline, c.guard = ctx, deadline, guard
+	c.interrupted.Store(false)
 	c.lastRead = time.Now()
 	c.received.Store(0)
 	c.reads = 0
@@ -102,8 +113,7 @@
 	return func() { stop() }
 }
 
-// Read implements io.Reader and observes the deadline, context and silence check of the current
-// request.
+// Read implements io.Reader and observes the deadline, context and guard of the current request.
 func (c *connection) Read(buffer []byte) (int, error) {
 	for {
 		now := time.Now()
@@ -111,30 +121,41 @@
 		if c.ctx.Err() != nil {
 			return 0, errCallerLeft
 		}
-		if c.silent.Load() {
-			return 0, errSilent
-		}
-		count, err := c.net.Read(buffer)
-		if count > 0 {
-			c.recordRead(count)
-			return count, nil
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return 0, err
-		}
-		switch now = time.Now(); {
-		case c.ctx.Err() != nil:
-			return 0, errCallerLeft
-		case !now.Before(c.deadline):
-			return 0, errDeadline
-		case c.silent.Load():
-			return 0, errSilent
-		case c.checkSilence != nil:
-			if err := c.checkSilence(now.Sub(c.lastRead), time.Duration(c.typicalWait.Load())); err != nil {
+		if !c.interrupted.Swap(false) {
+			count, err := c.net.Read(buffer)
+			if count > 0 {
+				c.recordRead(count)
+				return count, nil
+			}
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return 0, err
 			}
 		}
+		if err := c.checkWait(time.Now()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// checkWait returns why the request stops waiting for bytes, or nil if it goes on.
+func (c *connection) checkWait(now time.Time) error {
+	switch {
+	case c.ctx.Err() != nil:
+		return errCallerLeft
+	case !now.Before(c.deadline):
+		return errDeadline
+	case c.guard != nil:
+		return c.guard.whileSilent(c, now.Sub(c.lastRead))
+	case c.silent.Load():
+		return errSilent
 	}
+	return nil
+}
+
+// interrupt has the guard called at once. It may be called while the connection is read.
+func (c *connection) interrupt() {
+	c.interrupted.Store(true)
+	_ = c.net.SetReadDeadline(time.Unix(1, 0))
 }
 
 // nextSilenceCheck is when a silent connection is checked next: after silenceCheckPeriod, or when
@@ -166,6 +187,7 @@
 	}
 	c.reads++
 	c.lastRead = now
+	c.silent.Store(false)
 	c.received.Add(int64(count))
 	if c.watcher != nil {
 		c.readAt.Store(int64(c.watcher.now()))
@@ -248,7 +270,7 @@
 	c.idleUntil = c.idleSince.Add(keepFor)
 	// The deadlines of the last request would fail the health check of the idle connection.
 	_ = c.net.SetDeadline(time.Time{})
-	c.ctx, c.checkSilence = context.Background(), nil
+	c.ctx, c.guard = context.Background(), nil
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed || len(p.idle) >= maxIdleConnections {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 
 	"pinevane.example/pinevane/internal/bytequota"
@@ -58,6 +59,11 @@
 	}
 }
 
+// unread puts the event back that next has just returned.
+func (s *eventSplitter) unread(last event) {
+	s.pending = slices.Concat(last.bytes, s.pending)
+}
+
 // finish ends the stream. Remaining data that is no complete event means that the stream was
 // truncated.
 func (s *eventSplitter) finish() (event, error) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -79,7 +79,9 @@
 	head       fleet.AnswerHeader
 	// written receives the result of sending the request.
 	written chan error
-	done    bool
+	// events splits the answer if it is a stream whose first event was read ahead; nil otherwise.
+	events *eventSplitter
+	done   bool
 }
 
 // asyncBodyBytes is the size from which a body is sent concurrently with reading the answer,
@@ -90,7 +92,7 @@
 const maxSkippedAnswers = 3
 
 // open sends a request to a server and reads the head of its answer.
-func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, check silenceCheck) (*exchange, *failure) {
+func (f *Forwarder) open(ctx context.Context, request *Request, send fleet.SendHeader, chosen *target, guard guard) (*exchange, *failure) {
 	carrier := f.idleConnection(request, chosen)
 	if carrier == nil {
 		began := f.watcher.now()
@@ -118,12 +120,12 @@
 		carrier.close()
 		return nil, &failure{reason: fault.ReasonServerUnwilling, execution: fault.ExecutionNotRun}
 	}
-	if err := checkBeforeSend(check); err != nil {
+	if err := checkBeforeSend(guard); err != nil {
 		carrier.close()
 		return nil, &failure{reason: failureReason(err, fault.ReasonVersionDeadline), execution: fault.ExecutionNotRun, cause: err}
 	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
-	started.release = carrier.begin(ctx, request.Deadline, check)
+	started.release = carrier.begin(ctx, request.Deadline, guard)
 	sentAt := time.Now()
 	outgoing := f.outgoing(request, send)
 	if err := started.write(outgoing, len(request.Body)); err != nil {
@@ -139,14 +141,14 @@
 	return started, nil
 }
 
-// checkBeforeSend runs the silence check again right before the send. Connecting takes up to
+// checkBeforeSend asks the guard of an attempt right before the send. Connecting takes up to
 // dialTimeout, and a request that is not sent needs no cancellation that may fail to arrive
 // (TestNothingIsSentWhenTheVersionDeadlineNearsWhileConnecting).
-func checkBeforeSend(check silenceCheck) error {
-	if check == nil {
+func checkBeforeSend(guard guard) error {
+	if guard == nil {
 		return nil
 	}
-	return check(0, 0)
+	return guard.beforeSend()
 }
 
 // idleConnection takes an idle connection from the pool for a request, or returns nil. A request
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -14,6 +14,7 @@
 
 	"pinevane.example/pinevane/coordination/budget"
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/hedging"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -163,6 +164,22 @@
 	return budget.SlackShare(int(retrySlackFraction*float64(f.targets.bounds.Load().RetrySlack)), f.maxPeers+1, now > settleTime)
 }
 
+// attemptState is the state of one attempt.
+type attemptState struct {
+	// number is 1 for the request's first attempt.
+	number int
+	// currentSend is the attempt as dispatch counts it.
+	currentSend *dispatch.Send
+	sentAt      time.Time
+	// attemptBegun is set once the attempt has returned an event.
+	attemptBegun bool
+	// overdueTimeout is the silence after which the attempt is overdue as long as it has returned
+	// nothing; 0 if that follows from the typical wait.
+	overdueTimeout time.Duration
+	// overdueRecorded is set once the attempt has been recorded as overdue.
+	overdueRecorded bool
+}
+
 // forwarding is the state of one request being forwarded.
 type forwarding struct {
 	*Forwarder
@@ -171,26 +188,20 @@
 	criteria dispatch.Request
 	// isSuspect is set while an attempt is in flight whose fingerprint may crash its server.
 	isSuspect bool
-	// currentSend is the current attempt as dispatch counts it.
-	currentSend *dispatch.Send
+	attemptState
+	// hedge is the second attempt that is open beside the current one, nil if there is none, and
+	// hedging decides which of the two goes on.
+	hedge   *hedge
+	hedging hedging.Machine
+	// committed is set once only the current server can supply the rest of the answer.
+	committed bool
 	// attempts counts the servers that the request was sent to.
 	attempts int
 	// silentServers are servers that were tried over connections that turned out to be silent.
 	silentServers []*dispatch.Candidate
-	// retryReserved is set while the retry budget has been charged for the next attempt.
-	retryReserved bool
 	// mayHaveRun is set once a server may have run the request.
 	mayHaveRun bool
 	lastEvent  string
-	// sentAt is when the current attempt was sent.
-	sentAt time.Time
-	// attemptBegun is set once the current attempt has returned an event.
-	attemptBegun bool
-	// overdueTimeout is the silence after which the current attempt is overdue as long as it has
-	// returned nothing; 0 if that follows from the typical wait.
-	overdueTimeout time.Duration
-	// overdueRecorded is set once the current attempt has been recorded as overdue.
-	overdueRecorded bool
 	// headSent is set once the head of an answer has been sent to the caller.
 	headSent bool
 	events   int
@@ -217,6 +228,9 @@
 	f.targets.fillEngine(&w.criteria)
 	f.countRequest(service)
 	defer w.endSuspect()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer w.cancelHedge()
 	refusal := w.forward(ctx)
 	if refusal != nil {
 		w.countEnding(endingLabel(refusal))
--- /dev/null
+++ b/internal/forward/hedge_test.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// Guards against a request that may run once being given up because its connection has been silent for
+// a while: its server may go on, and the caller would not learn what became of it.
+func TestSilentConnectionOfARequestThatMayRunOnceIsAwaited(t *testing.T) {
+	s := startTestFleet(t, 2)
+	s.warm(fleet.AtMostOnce, 0)
+	s.setSlow(slowFactor, 2)
+	result := make(chan result, 1)
+	go func() { result <- s.send(fleet.AtMostOnce, "once", 0) }()
+	require.Eventually(t, func() bool { return s.runCount("once") == 1 }, siteTimeout, time.Millisecond)
+	s.forwarder.watcher.mutex.Lock()
+	for conn := range s.forwarder.watcher.connections {
+		conn.silent.Store(true)
+		conn.interrupt()
+	}
+	s.forwarder.watcher.mutex.Unlock()
+	r := <-result
+	assert.Nil(t, r.refusal)
+	assert.Equal(t, "answer to once", r.text)
+	assert.Equal(t, 1, s.runCount("once"))
+}
+
+// Guards against two answers to one stream: a server falls silent and goes on before, while and after a
+// second one begins, and the caller gets each event once, in order.
+func TestStreamContinuesFromOneServerAtATime(t *testing.T) {
+	for _, silent := range []time.Duration{900 * time.Millisecond, 1050 * time.Millisecond, 1100 * time.Millisecond, 1150 * time.Millisecond, 1300 * time.Millisecond} {
+		t.Run(silent.String(), func(t *testing.T) {
+			s := startTestFleet(t, 2)
+			s.warm(fleet.Streaming, 3)
+			results := make(chan result, 4)
+			for number := range cap(results) {
+				go func() { results <- s.send(fleet.Streaming, fmt.Sprint("stream-", number), 40) }()
+			}
+			time.Sleep(siteFirstEvent + 10*siteEvent)
+			s.pause(silent)
+			for range cap(results) {
+				r := <-results
+				assert.Nil(t, r.refusal)
+				assert.False(t, r.cut, r.id)
+				assertEveryEventOnce(t, r.text, 40)
+			}
+		})
+	}
+}
+
+// assertEveryEventOnce requires that a stream has each event once, in order.
+func assertEveryEventOnce(t *testing.T, text string, events int) {
+	t.Helper()
+	next := 0
+	for line := range strings.SplitSeq(text, "\n") {
+		if strings.HasPrefix(line, "id: ") {
+			next++
+			assert.Equal(t, "id: "+strconv.Itoa(next), line)
+		}
+	}
+	assert.Equal(t, events, next)
+}
+
+// Guards against a refusal that is not true: a second attempt that was canceled may have run.
+func TestCanceledSecondAttemptMayHaveRun(t *testing.T) {
+	s := startTestFleet(t, 2)
+	s.warm(fleet.Repeatable, 0)
+	request := testRequest("both", "b")
+	request.Route.Attempts = 2
+	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
+	w.criteria.Service = "s"
+	w.considerHedge(t.Context(), s.targets[0], &connection{}, errStalled)
+	require.NotNil(t, w.hedge)
+	w.cancelHedge()
+	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
+	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
+}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -7,6 +7,7 @@
 	firstEvent        prometheus.Histogram
 	attempts          *prometheus.CounterVec
 	retries           prometheus.Counter
+	hedges            *prometheus.CounterVec
 	connections       prometheus.Counter
 	cutStreams        *prometheus.CounterVec
 	silentConnections *prometheus.CounterVec
@@ -44,6 +45,8 @@
 		cutStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
+	m.hedges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_hedges_total", Help: "Second attempts beside one whose server had fallen silent, by outcome; no place: none was made."}, []string{"outcome"})
 	m.silentConnections = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_silent_server_connections_total", Help: "Connections to servers that were found silent, or are distrusted with those, by what showed it."}, []string{"by"})
 	m.loadQueries = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -58,7 +61,7 @@
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.hedges, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.missingFigures, m.unservedOwners)
 	return m
 }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -64,7 +64,7 @@
 	repeatable atomic.Bool
 	// awaiting is set while an answer is awaited.
 	awaiting atomic.Bool
-	// silent is set once the connection has been found silent.
+	// silent is set while the connection counts as silent: until something is read from it.
 	silent atomic.Bool
 }
 
@@ -155,8 +155,8 @@
 	v.detector.RecordProbe(chosen.Address, began, err == nil)
 }
 
-// closeSilent marks connections as silent, which closes idle ones and fails the requests on the
-// others. The mutex must be held.
+// closeSilent marks connections as silent, which closes idle ones and lets the requests on the others
+// be sent to a server over a new connection. The mutex must be held.
 func (v *silenceWatcher) closeSilent(now time.Duration, silent silence.SilentSet, observations []silence.Observation, connections []*connection) {
 	idle, carrying := 0, 0
 	for index, conn := range connections {
@@ -165,9 +165,10 @@
 		}
 		if observations[index].Waiting {
 			carrying++
-		} else {
-			idle++
+			conn.interrupt()
+			continue
 		}
+		idle++
 		_ = conn.net.SetDeadline(time.Unix(1, 0))
 	}
 	if idle+carrying == 0 {
@@ -201,9 +202,9 @@
 	return observed
 }
 
-// Minimum times after which a repeatable request is abandoned on a connection that returns nothing,
-// without other evidence: for a plain request until the complete answer, for a stream until the
-// next event. They are far beyond the typical times, because the work of a server that was merely
+// Minimum times after which another server is tried for a repeatable request on a connection that
+// returns nothing, without other evidence: for a plain request until the complete answer, for a stream
+// until the next event. They are far beyond the typical times, because the work of a server that was merely
 // slow is wasted.
 const (
 	overdueFactor    = 10
@@ -211,16 +212,6 @@
 	streamMinOverdue = time.Second
 )
 
-// reserveRetry reports whether the request may be sent again, and charges the retry budget for it:
-// a late answer is not abandoned unless a retry can follow.
-func (w *forwarding) reserveRetry() bool {
-	if w.attempts >= w.request.Route.Attempts || time.Until(w.request.Deadline) < max(minAttemptTime, w.request.typicalWait) {
-		return false
-	}
-	w.retryReserved = w.retryReserved || w.spendRetry(w.criteria.Service)
-	return w.retryReserved
-}
-
 // minOverdueOf is the minimum time after which an answer of a route can be overdue.
 func minOverdueOf(route *fleet.Route) time.Duration {
 	if route.Kind == fleet.Streaming {
@@ -235,7 +226,7 @@
 	return max(minimum, overdueFactor*typical)
 }
 
-// overdue reports whether a repeatable request is abandoned after a silence. It is not as long as
+// overdue reports whether a repeatable request's answer is overdue after a silence. It is not as long as
 // the typical wait is unknown.
 func (w *forwarding) overdue(silent, typical time.Duration) bool {
 	if w.overdueTimeout > 0 && !w.attemptBegun {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 func (w *forwarding) serveStream(ctx context.Context) *fault.Refusal {
 	var first *exchange
 	for {
-		started, refusal, failed := w.attempt(ctx)
+		started, refusal, failed := w.nextAttempt(ctx)
 		if refusal != nil {
 			return w.endStream(w.adjustRefusal(refusal))
 		}
@@ -38,12 +38,11 @@
 		if failed.reason == fault.ReasonCanceled && ctx.Err() != nil {
 			return w.endStream(fault.Unknown(fault.ReasonCanceled, "the caller left"))
 		}
-		if !w.mayRetry(ctx, failed) {
+		if w.hedge == nil && !w.mayRetry(ctx, failed) {
 			return w.endStream(w.finalRefusal(failed))
 		}
 		if w.headSent {
-			w.criteria.Resumed = true
-			w.criteria.ExactVersion = w.version
+			w.bindResumption()
 			w.log.Log(logging.StreamResumed, zap.String("request", w.request.Call.RequestID), zap.String("after", w.lastEvent),
 				zap.Uint64("version", w.version))
 		} else {
@@ -52,6 +51,14 @@
 	}
 }
 
+// bindResumption restricts the next attempt of a stream whose head was sent to the version that the
+// stream began with.
+func (w *forwarding) bindResumption() {
+	if w.headSent {
+		w.criteria.Resumed, w.criteria.ExactVersion = true, w.version
+	}
+}
+
 // endStream ends a stream that can't be continued. If it has begun, the connection is cut so that
 // the answer does not look complete.
 func (w *forwarding) endStream(refusal *fault.Refusal) *fault.Refusal {
@@ -82,7 +89,10 @@
 		promptRead()
 		w.targets.release(w.currentSend)
 	}()
-	splitter := &eventSplitter{source: started.response.Body, memory: w.request.Memory}
+	splitter := started.events
+	if splitter == nil {
+		splitter = &eventSplitter{source: started.response.Body, memory: w.request.Memory}
+	}
 	for {
 		event, err := splitter.next()
 		if len(event.bytes) > 0 {
@@ -161,6 +171,7 @@
 	if flusher, ok := w.writer.(http.Flusher); ok {
 		flusher.Flush()
 	}
+	w.cancelHedge()
 	w.events++
 	w.recordEventTimes(time.Now())
 	if event.id != "" {
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -117,6 +117,7 @@
 	RequestQuarantined     = define("PV4110", zap.InfoLevel, "request quarantined", "A request was sent to no server because servers have crashed under its fingerprint; the fields hold its state, which servers, and for how long.")
 	RequestUnanswered      = define("PV4111", zap.WarnLevel, "request unanswered", "A caller's connection ends without a complete response; the field cause says why: aborted, panic or stop.")
 	HandlerPanicked        = define("PV4112", zap.ErrorLevel, "request handler panicked", "A request's handler ended by a panic, which is a bug; the fields hold the panic and its stack.")
+	HedgeCanceled          = define("PV4113", zap.InfoLevel, "second attempt canceled", "A second attempt, made beside one whose server had fallen silent, has ended because the first server has gone on or the request has ended.")
 	ServerLeaving          = define("PV4201", zap.InfoLevel, "server leaving", "The server list shows that a server is draining; it is sent no more requests.")
 	ServerRemoved          = define("PV4202", zap.InfoLevel, "server removed", "A server was removed from the list; it is sent no more requests.")
 	ServerStatus           = define("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server; logged by the entries that the agent reports to.")
