--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -10,10 +10,28 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
+// Guards against the cut of an interrupted stream that finds no server at that moment, though one is
+// listed again before its caller gives up.
+func TestInterruptedStreamWaitsForAServer(t *testing.T) {
+	s := startTestFleet(t, 2)
+	both := s.proxies
+	s.proxies = both[:1]
+	s.publish()
+	time.AfterFunc(siteFirstEvent+10*siteEvent, both[0].Close)
+	time.AfterFunc(siteFirstEvent+10*siteEvent+500*time.Millisecond, func() {
+		s.forwarder.Update(&catalog.View{Servers: map[string][]fleet.Server{"s": {{ID: "i-1", Service: "s", Address: both[1].Address(), Zone: "z", Slots: 64}}}})
+	})
+	r := s.send(fleet.Streaming, "stream", 40)
+	assert.Nil(t, r.refusal)
+	assert.False(t, r.cut)
+	assert.Equal(t, 40, strings.Count(r.text, "id: "))
+}
+
 // Guards against a request that may run once being given up because its connection has been silent for
 // a while: its server may go on, and the caller would not learn what became of it.
 func TestSilentConnectionOfARequestThatMayRunOnceIsAwaited(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,6 +22,9 @@
 	var first *exchange
 	for {
 		started, refusal, failed := w.nextAttempt(ctx)
+		if refusal != nil && w.awaitPlace(ctx, refusal) {
+			continue
+		}
 		if refusal != nil {
 			return w.endStream(w.adjustRefusal(refusal))
 		}
@@ -51,6 +54,29 @@
 	}
 }
 
+// Times of the wait for a server that can continue an interrupted stream.
+const (
+	// placeRetryInterval is the time between two searches for a place.
+	placeRetryInterval = 100 * time.Millisecond
+	// maxPlaceWait is how long after its last event a stream waits for a place: about as long as
+	// callers wait for an event.
+	maxPlaceWait = 1800 * time.Millisecond
+)
+
+// awaitPlace waits for a moment if an interrupted stream found no place, and reports whether to search
+// again. A stream that has not begun is refused instead, so that its caller can go elsewhere.
+func (w *forwarding) awaitPlace(ctx context.Context, refusal *fault.Refusal) bool {
+	if !w.headSent || refusal.Reason != fault.ReasonNoReplica || time.Since(w.lastEventAt) > maxPlaceWait || time.Until(w.request.Deadline) < placeRetryInterval+minAttemptTime {
+		return false
+	}
+	select {
+	case <-time.After(placeRetryInterval):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // bindResumption restricts the next attempt of a stream whose head was sent to the version that the
 // stream began with.
 func (w *forwarding) bindResumption() {
