--- a/internal/sitetest/paused_measure_test.go
+++ b/internal/sitetest/paused_measure_test.go
@@ -18,6 +18,9 @@
 // measurePausesVariable switches the measurement of pauses on.
 const measurePausesVariable = "PINEVANE_MEASURE_PAUSES"
 
+// logFlushTime is the time after which the processes have written their log lines.
+const logFlushTime = 300 * time.Millisecond
+
 // forGood stands for connections that stay silent while new ones work.
 const forGood = time.Duration(0)
 
@@ -120,6 +123,7 @@
 			lateCount++
 		}
 	}
+	time.Sleep(logFlushTime)
 	log := f.Log.String()
 	sent := strings.Count(log, `"PV4101"`)
 	requests := len(streams) + len(calls) + len(once) + len(late) + warmUpStreams
