Soak: servers, agents and entries pause and go on where they stopped

Cause: no kind of fault was a sound server that falls silent for a second and goes on, alone or beside changes, stops and versions, nor agents that stand still while their servers work.

Change: eight kinds, drawn only where they are named: one server, a zone's or all pause for 0.4 to 2 s; agents or an entry are suspended for as long; servers pause beside a configuration every 0.2 to 0.3 s with hang-up signals, beside stops of entries in turn, and beside a new version. A server's pause is no disturbance: every guarantee holds meanwhile. Pauses of one server do not add up.

--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -131,6 +131,22 @@
 		r.announceLeavingInResponses(zone, agent, server)
 	case ServerNoticeBackoff:
 		r.requestBackoff(r.pickServer(fault), fault)
+	case ServerPause:
+		r.pauseServers(r.pausedServers(oneServer, fault), pauseTime(fault))
+	case ZonePause:
+		r.pauseServers(r.pausedServers(zoneServers, fault), pauseTime(fault))
+	case AllServersPause:
+		r.pauseServers(r.pausedServers(allServers, fault), pauseTime(fault))
+	case AgentsPause:
+		return r.pauseAgents(fault)
+	case EntryPause:
+		return r.freeze(launch.SiteProcessName(site.RoleEntry, zone, entry), pauseTime(fault))
+	case PauseBesideChanges:
+		r.pauseBesideChanges(fault)
+	case PauseBesideStops:
+		r.pauseBesideStops(fault)
+	case PauseBesideVersion:
+		r.pauseBesideVersion(fault)
 	}
 	return nil
 }
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -72,10 +72,23 @@
 const (
 	StoreRestored            Kind = "store-restored"
 	StoreRestoredAfterOutage Kind = "store-restored-after-outage"
+	ServerPause              Kind = "server-pause"
+	ZonePause                Kind = "zone-pause"
+	AllServersPause          Kind = "all-servers-pause"
+	AgentsPause              Kind = "agents-pause"
+	EntryPause               Kind = "entry-pause"
+	PauseBesideChanges       Kind = "pause-beside-changes"
+	PauseBesideStops         Kind = "pause-beside-stops"
+	PauseBesideVersion       Kind = "pause-beside-version"
 )
 
+// PauseKinds lists the kinds in which servers or processes pause and go on where they stopped.
+var PauseKinds = []Kind{
+	ServerPause, ZonePause, AllServersPause, AgentsPause, EntryPause, PauseBesideChanges, PauseBesideStops, PauseBesideVersion,
+}
+
 // NamedKinds lists every kind, with those that are drawn only where they are named.
-var NamedKinds = append(slices.Clone(Kinds), StoreRestored, StoreRestoredAfterOutage)
+var NamedKinds = slices.Concat(Kinds, []Kind{StoreRestored, StoreRestoredAfterOutage}, PauseKinds)
 
 // Fault is one fault of a schedule.
 type Fault struct {
