Soak: every request that was read ends with an answer or a refusal

Cause: the judge looked at requests without an answer only beside planned stops and changed settings, and only while nothing else was disturbed. A request that was cut at any other time was no violation.

Change: a request that was sent as a whole and ends without a status or with an incomplete body is a violation, unless its deadline had passed, its entry was killed meanwhile, the server at which it last ran crashed or broke off after a part of the answer had been sent, or it crossed the close of its connection by a stopping entry. Each excuse says why it is right; silent servers, suspended entries and an unreachable store are none. The checks of stops and changed settings stay as they are.

The tests have a case for each excuse and for what is next to it.

--- a/internal/experiment/soak/callers.go
+++ b/internal/experiment/soak/callers.go
@@ -7,8 +7,11 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pinevane.example/pinevane/internal/emulator/site"
@@ -82,26 +85,59 @@
 	}
 }
 
-// send sends one request. It returns false when the entry refused the connection, so that
-// nothing was sent.
-func (c *callers) send(client *http.Client, zone, index int, attempt *Attempt, events int) bool {
-	method, path := http.MethodPost, site.OncePrefix+"save"
-	body := "words of " + attempt.ID
+// callerRequest is a request of one attempt, with what its answer must contain.
+type callerRequest struct {
+	*http.Request
+	method, path, body string
+	events             int
+}
+
+// newRequest returns the request of an attempt. Only streams have events.
+func (c *callers) newRequest(zone, index int, attempt Attempt, events int) (callerRequest, error) {
+	made := callerRequest{method: http.MethodPost, path: site.OncePrefix + "save", body: "words of " + attempt.ID}
 	switch attempt.Kind {
 	case CallSafe:
-		method, path = http.MethodGet, site.SafePrefix+attempt.ID
+		made.method, made.path = http.MethodGet, site.SafePrefix+attempt.ID
 	case CallStream:
-		path = site.StreamPrefix + "gloss"
+		made.path, made.events = site.StreamPrefix+"gloss", events
 	}
-	if attempt.Kind != CallStream {
-		events = 0
-	}
-	request, err := c.site.NewRequest(zone, index, method, path, attempt.ID, body, events)
+	request, err := c.site.NewRequest(zone, index, made.method, made.path, attempt.ID, made.body, made.events)
+	made.Request = request
+	return made, err
+}
+
+// deadline returns the time that the request gives the entry.
+func (r callerRequest) deadline() time.Duration {
+	milliseconds, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// isAnsweredBy reports whether an answer is the complete answer to an attempt of the request.
+func (r callerRequest) isAnsweredBy(attempt Attempt, answer string) bool {
+	return isCorrect(attempt, answer, r.method, r.path, r.body, r.events)
+}
+
+// send sends one request. It returns false when the entry refused the connection, so that
+// nothing was sent.
+func (c *callers) send(client *http.Client, zone, index int, attempt *Attempt, events int) bool {
+	request, err := c.newRequest(zone, index, *attempt, events)
 	if err != nil {
 		return false
 	}
+	// The client may return before it has written the request.
+	var written atomic.Pointer[time.Time]
+	trace := &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			now := time.Now()
+			written.Store(&now)
+		}
+	}}
 	attempt.Sent = time.Now()
-	response, err := client.Do(request)
+	attempt.Deadline = attempt.Sent.Add(request.deadline())
+	response, err := client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if at := written.Load(); at != nil {
+		attempt.Written = *at
+	}
 	if err != nil {
 		attempt.Ended = time.Now()
 		return !strings.Contains(err.Error(), "connection refused")
@@ -109,7 +145,7 @@
 	answer, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	attempt.Ended, attempt.Status, attempt.Complete = time.Now(), response.StatusCode, err == nil
-	attempt.Correct = isCorrect(*attempt, string(answer), method, path, body, events)
+	attempt.Correct = request.isAnsweredBy(*attempt, string(answer))
 	return true
 }
 
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -65,6 +65,7 @@
 		r.expireServers()
 	case ServerCrash, ServerCrashUnnoticed:
 		r.recordDisturbance(serverFaultPeriod, server.ID())
+		r.recordBreakOff(server, slack)
 		if fault.Kind == ServerCrash {
 			return r.site.RestartModel(zone, agent)
 		}
@@ -163,6 +164,12 @@
 	}
 }
 
+// recordBreakOff records that a server crashes, or may break off connections for a time.
+func (r *run) recordBreakOff(server *site.Server, duration time.Duration) {
+	now := time.Now()
+	r.record.BreakOffs = append(r.record.BreakOffs, Interval{From: now, To: now.Add(duration), Name: server.ID()})
+}
+
 func (r *run) setServerFaults(server *site.Server, faults site.Faults) {
 	r.setServerFaultsFor(server, faults, serverFaultPeriod)
 }
@@ -181,6 +188,8 @@
 	}
 	r.busy[name] = true
 	r.recordDisturbance(restartDelay, name)
+	now := time.Now()
+	r.record.Kills = append(r.record.Kills, Interval{From: now, To: now.Add(restartDelay), Name: name})
 	if err := r.fleet.Group.Signal(name, syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -282,6 +291,7 @@
 			return nil
 		}
 		r.recordDisturbance(serverFaultPeriod, server.ID())
+		r.recordBreakOff(server, slack)
 		return r.site.RestartModel(zone, index)
 	})
 }
--- a/internal/experiment/soak/health.go
+++ b/internal/experiment/soak/health.go
@@ -30,6 +30,9 @@
 // requests that it accepted in that time until their timeout.
 func (r *run) setServerFaultsFor(server *site.Server, faults site.Faults, duration time.Duration) {
 	server.SetFaults(faults)
+	if faults.CutCount > 0 || faults.LoseAnswers > 0 || faults.Failure == site.FailWithResets {
+		r.recordBreakOff(server, duration)
+	}
 	held := time.Duration(0)
 	if faults.Failure == site.FailWithHangs {
 		held = time.Duration(r.site.Options.TimeoutMs) * time.Millisecond
@@ -41,6 +44,7 @@
 // flap has a server alternate between resetting every connection and serving.
 func (r *run) flap(server *site.Server) {
 	r.recordDisturbance(flapTurns*flapPeriod, server.ID())
+	r.recordBreakOff(server, flapTurns*flapPeriod)
 	for turn := range flapTurns {
 		faults := site.Faults{}
 		if turn%2 == 0 {
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -31,6 +31,7 @@
 	BackoffKept           Guarantee = "a server that asks for rest gets it"
 	RateLimitKept         Guarantee = "a server gets no more than it names"
 	ChangeAfterRestore    Guarantee = "a change after a restore of the store is in force"
+	EveryRequestEnds      Guarantee = "every request that was read ends with an answer or a refusal"
 )
 
 // RequestKind says how often a request may run.
@@ -53,6 +54,10 @@
 	Entry string
 	Sent  time.Time
 	Ended time.Time
+	// Written is when the last byte of the request was sent; zero if that failed. Deadline is the end
+	// of the time that the request gives the entry.
+	Written  time.Time
+	Deadline time.Time
 	// Status is 0 when no response header was received.
 	Status int
 	// Complete is set when the answer was read to its end, Correct when it is the answer to
@@ -90,11 +95,15 @@
 
 // Record is everything that a run has recorded.
 type Record struct {
-	Attempts             []Attempt
-	Runs                 []site.Run
-	Arrivals             []site.Arrival
-	Disturbances         []Interval
-	Stops                []Interval
+	Attempts     []Attempt
+	Runs         []site.Run
+	Arrivals     []site.Arrival
+	Disturbances []Interval
+	Stops        []Interval
+	// Kills are the times in which entries and agents were killed and not yet started again. BreakOffs are
+	// the times in which servers crashed or could break off connections.
+	Kills                []Interval
+	BreakOffs            []Interval
 	Departures           []Departure
 	VersionAnnouncements []VersionAnnouncement
 	// Residencies apply from before the first process starts.
@@ -146,7 +155,9 @@
 	for _, run := range record.Runs {
 		runs[run.RequestID] = append(runs[run.RequestID], run)
 	}
+	arrived := record.arrivedIDs()
 	for _, attempt := range record.Attempts {
+		found = append(found, record.checkUnanswered(attempt, runs[attempt.ID], arrived[attempt.ID])...)
 		found = append(found, checkAttempt(attempt, runs[attempt.ID])...)
 		found = append(found, record.checkStop(attempt)...)
 		found = append(found, record.checkReload(attempt)...)
--- /dev/null
+++ b/internal/experiment/soak/unanswered.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// crossingTime is how long after the last byte of a request its connection may end because the stopping entry had
+// closed it before it read the request. It is the platform's allowance for a close and a request that cross
+// each other.
+const crossingTime = 200 * time.Millisecond
+
+// checkUnanswered checks that a request which an entry could read as a whole has ended with an answer or a refusal. What
+// ends with a status and a complete body is either, whatever the status. Servers that pause excuse nothing: they are sound and
+// go on.
+func (r Record) checkUnanswered(attempt Attempt, runs []site.Run, arrived bool) []Violation {
+	if attempt.Written.IsZero() || (attempt.Status != 0 && attempt.Complete) {
+		return nil
+	}
+	last, ran := lastRun(attempt, runs)
+	if attempt.reachedDeadline() || r.entryKilled(attempt) || r.crossedClose(attempt, arrived) || (ran && r.serverBrokeOff(attempt, last)) {
+		return nil
+	}
+	detail := fmt.Sprintf("%s ended it %s after it was sent, with status %d", attempt.Entry, attempt.Ended.Sub(attempt.Sent).Round(time.Millisecond), attempt.Status)
+	if ran {
+		detail += fmt.Sprintf("; it last began at %s, %s before", last.Server, attempt.Ended.Sub(last.At).Round(time.Millisecond))
+	}
+	return []Violation{{Guarantee: EveryRequestEnds, At: attempt.Ended, Request: attempt.ID, Detail: detail}}
+}
+
+// lastRun returns the last execution of a request that began before the request ended.
+func lastRun(attempt Attempt, runs []site.Run) (site.Run, bool) {
+	var last site.Run
+	for _, run := range runs {
+		if run.At.Before(attempt.Ended) && !run.At.Before(last.At) {
+			last = run
+		}
+	}
+	return last, !last.At.IsZero()
+}
+
+// reachedDeadline reports whether the request's own deadline had passed when it ended. After it the caller has no use
+// for an answer, and a stream that is under way can end only by the close of its connection. The caller's clock
+// runs from before the request was sent, so that an entry which ends it at the deadline never does so earlier
+// than this.
+func (a Attempt) reachedDeadline() bool { return !a.Ended.Before(a.Deadline) }
+
+// entryKilled reports whether the request's entry was killed while the request was open. The kernel closes the
+// connections of a killed process, which the process can't prevent. An entry that was suspended is no excuse: its
+// connections stay open, and it goes on where it stopped.
+func (r Record) entryKilled(attempt Attempt) bool {
+	for _, kill := range r.Kills {
+		if kill.Name == attempt.Entry && kill.includes(attempt.Sent, attempt.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+// includes reports whether the interval overlaps the period between two times, without a margin.
+func (s Interval) includes(from, to time.Time) bool { return !s.From.After(to) && !s.To.Before(from) }
+
+// crossedClose reports whether the request crossed the close of its connection by an entry that was told to stop:
+// no byte of an answer came, no server received the request, and the connection ended at once. Such an entry
+// closes idle connections, and in the end its listener with what it has not accepted, before it has read a byte
+// of what is still on its way. At any other time entries keep the callers' connections open for longer than these
+// callers leave them idle, so that no close can cross a request.
+func (r Record) crossedClose(attempt Attempt, arrived bool) bool {
+	if attempt.Status != 0 || arrived || attempt.Ended.Sub(attempt.Written) > crossingTime {
+		return false
+	}
+	for _, stop := range r.Stops {
+		if stop.Name == attempt.Entry && stop.includes(attempt.Written, attempt.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+// serverBrokeOff reports whether the server at which the request last ran crashed or cut connections before the
+// request ended. With a part of the answer sent, the entry can then only continue it elsewhere or close the
+// connection. Only the last run counts: if it was continued on a sound server, what the former one did
+// excuses nothing. Nor does it excuse a request without any answer, for which the entry can still report an
+// error.
+func (r Record) serverBrokeOff(attempt Attempt, last site.Run) bool {
+	if attempt.Status == 0 {
+		return false
+	}
+	for _, broken := range r.BreakOffs {
+		if broken.Name == last.Server && broken.includes(last.At, attempt.Ended) {
+			return true
+		}
+	}
+	for _, crash := range r.Crashes {
+		// The crash is recorded when it is complete, shortly after connections begin to close.
+		crashed := Interval{From: crash.At.Add(-slack), To: crash.At}
+		if crash.Server == last.Server && crashed.includes(last.At, attempt.Ended) {
+			return true
+		}
+	}
+	return false
+}
+
+// arrivedIDs returns the IDs of the requests that reached a server.
+func (r Record) arrivedIDs() map[string]bool {
+	arrived := make(map[string]bool, len(r.Arrivals))
+	for _, arrival := range r.Arrivals {
+		arrived[arrival.RequestID] = true
+	}
+	return arrived
+}
--- a/internal/experiment/soak/zones.go
+++ b/internal/experiment/soak/zones.go
@@ -56,6 +56,7 @@
 // restartCold crashes a server and restarts it cold.
 func (r *run) restartCold(zone, index int, server *site.Server) error {
 	r.recordDisturbance(serverFaultPeriod, server.ID())
+	r.recordBreakOff(server, slack)
 	if err := r.site.RestartModel(zone, index); err != nil {
 		return err
 	}
