Soak: callers that keep their connections, with long streams

Cause: the callers' HTTP client sends a request again by itself when its connection is closed, which hides a request that was read and not answered, and streams of at most 0.4 s are rarely open when servers pause.

Change: where a kind with pauses is named, each zone has eight more callers that write and read their connections themselves: four send streams of one to two seconds, two plain requests on connections that they keep until the process is gone, also while it stops, two a connection for each request. None sends a request again.

Conclusion: a request that an entry drops is seen by its caller.

--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -152,6 +152,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.context = ctx
 	r.startCallers(ctx, 0)
+	if slices.ContainsFunc(r.options.Kinds, func(kind Kind) bool { return slices.Contains(PauseKinds, kind) }) {
+		r.startConnectionCallers(ctx)
+	}
 	err := r.runSchedule()
 	cancel()
 	r.callerGroup.Wait()
