--- a/internal/experiment/soak/connections.go
+++ b/internal/experiment/soak/connections.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"pinevane.example/pinevane/internal/emulator/site"
@@ -84,16 +85,28 @@
 	return err == nil && !response.Close
 }
 
-// startConnectionCallers starts the callers that manage their own connections in every zone.
-func (r *run) startConnectionCallers(ctx context.Context) {
-	for zone := range r.site.Options.Zones {
+// startOnConnections starts the callers that manage their own connections in every zone, until the context ends.
+func (c *callers) startOnConnections(ctx context.Context, seed uint64, group *sync.WaitGroup) {
+	for zone := range c.site.Options.Zones {
 		for caller := range connectionCallers {
-			random := rand.New(rand.NewPCG(r.options.Seed, connectionSeedStream+uint64(zone+caller*r.site.Options.Zones)))
-			r.callerGroup.Go(func() { r.callers.runOnConnections(ctx, zone, caller, random) })
+			random := rand.New(rand.NewPCG(seed, connectionSeedStream+uint64(zone+caller*c.site.Options.Zones)))
+			group.Go(func() { c.runOnConnections(ctx, zone, caller, random) })
 		}
 	}
 }
 
+// StartCallers starts the callers that manage their own connections at the entries of a site. When the context has ended,
+// the returned function waits for the last answers and returns what the callers saw.
+func StartCallers(ctx context.Context, emulated *site.Site, seed uint64) func() []Attempt {
+	started := &callers{site: emulated}
+	var group sync.WaitGroup
+	started.startOnConnections(ctx, seed, &group)
+	return func() []Attempt {
+		group.Wait()
+		return started.allAttempts()
+	}
+}
+
 // runOnConnections sends requests to one entry until the context ends. It goes on using the entry and its connection
 // while the entry stops, until the process is gone, and then waits for the next process.
 func (c *callers) runOnConnections(ctx context.Context, zone, caller int, random *rand.Rand) {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -153,7 +153,7 @@
 	r.context = ctx
 	r.startCallers(ctx, 0)
 	if slices.ContainsFunc(r.options.Kinds, func(kind Kind) bool { return slices.Contains(PauseKinds, kind) }) {
-		r.startConnectionCallers(ctx)
+		r.callers.startOnConnections(ctx, r.options.Seed, &r.callerGroup)
 	}
 	err := r.runSchedule()
 	cancel()
