--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -14,7 +14,7 @@
 type soakCommand struct {
 	Seed    int64   `long:"seed" default:"1" description:"seed of the schedule of faults, 0 to 2^53"`
 	Minutes float64 `long:"minutes" default:"1" description:"time during which faults are injected, 0.15 to 600 minutes"`
-	Kinds   string  `long:"kinds" description:"comma-separated kinds of faults to draw from; if omitted, all but store-restored and store-restored-after-outage"`
+	Kinds   string  `long:"kinds" description:"comma-separated kinds of faults to draw from; if omitted, all but those of restores of the store and of pauses"`
 	Logs    string  `long:"logs" description:"directory for one log file per process; a new temporary one if omitted"`
 }
 
--- a/internal/experiment/soak/unanswered.go
+++ b/internal/experiment/soak/unanswered.go
@@ -65,8 +65,8 @@
 // crossedClose reports whether the request crossed the close of its connection by an entry that was told to stop:
 // no byte of an answer came, no server received the request, and the connection ended at once. Such an entry
 // closes idle connections, and in the end its listener with what it has not accepted, before it has read a byte
-// of what is still on its way. At any other time entries keep the callers' connections open for longer than these
-// callers leave them idle, so that no close can cross a request.
+// of what is still on its way. At any other time entries close only connections that were idle for longer than callers
+// usually leave them, which is no excuse here.
 func (r Record) crossedClose(attempt Attempt, arrived bool) bool {
 	if attempt.Status != 0 || arrived || attempt.Ended.Sub(attempt.Written) > crossingTime {
 		return false
