Soak: the report counts what is excused, by reason

Cause: a request that ends with neither an answer nor a refusal and is excused left no trace in the report.

Change: the report says how many there were of each excuse.

Conclusion: an excuse that grows is seen.

--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -151,11 +151,7 @@
 // Check returns every violated guarantee in a record.
 func Check(record Record) []Violation {
 	var found []Violation
-	runs := map[string][]site.Run{}
-	for _, run := range record.Runs {
-		runs[run.RequestID] = append(runs[run.RequestID], run)
-	}
-	arrived := record.arrivedIDs()
+	runs, arrived := record.runsByRequest(), record.arrivedIDs()
 	for _, attempt := range record.Attempts {
 		found = append(found, record.checkUnanswered(attempt, runs[attempt.ID], arrived[attempt.ID])...)
 		found = append(found, checkAttempt(attempt, runs[attempt.ID])...)
@@ -181,6 +177,15 @@
 	return append(found, record.checkCold()...)
 }
 
+// runsByRequest returns the executions of each request.
+func (r Record) runsByRequest() map[string][]site.Run {
+	runs := map[string][]site.Run{}
+	for _, run := range r.Runs {
+		runs[run.RequestID] = append(runs[run.RequestID], run)
+	}
+	return runs
+}
+
 func checkAttempt(attempt Attempt, runs []site.Run) []Violation {
 	var found []Violation
 	add := func(guarantee Guarantee, detail string) {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -323,6 +323,12 @@
 	}
 	r.printf("requests checked: %d answered, %d refused, %d failed; %d arrivals and %d runs at servers", answered, refused,
 		len(r.record.Attempts)-answered-refused, len(r.record.Arrivals), len(r.record.Runs))
+	excused := r.record.excused()
+	for _, reason := range excuses {
+		if count := excused[reason]; count > 0 {
+			r.printf("  %d ended with neither an answer nor a refusal, which is no violation: %s", count, reason)
+		}
+	}
 	r.printf("cold servers received up to %d requests in a second, limit %g", r.site.Requests.MaxWhileCold(), r.record.ColdLimit)
 	r.printf("violations: %d", len(found))
 	for _, violation := range found {
--- a/internal/experiment/soak/unanswered.go
+++ b/internal/experiment/soak/unanswered.go
@@ -12,24 +12,67 @@
 // each other.
 const crossingTime = 200 * time.Millisecond
 
-// checkUnanswered checks that a request which an entry could read as a whole has ended with an answer or a refusal. What
-// ends with a status and a complete body is either, whatever the status. Servers that pause excuse nothing: they are sound and
-// go on.
-func (r Record) checkUnanswered(attempt Attempt, runs []site.Run, arrived bool) []Violation {
-	if attempt.Written.IsZero() || (attempt.Status != 0 && attempt.Complete) {
-		return nil
-	}
+// excuse is why a request may end with neither an answer nor a refusal.
+type excuse string
+
+// The excuses. Servers that pause are none: they are sound and go on.
+const (
+	noExcuse     excuse = ""
+	deadlinePast excuse = "its deadline had passed"
+	entryKilled  excuse = "its entry was killed"
+	closeCrossed excuse = "it crossed the close of its connection"
+	serverBroke  excuse = "its server broke off"
+	notSentWhole excuse = "it was not sent as a whole"
+)
+
+var excuses = []excuse{deadlinePast, entryKilled, closeCrossed, serverBroke, notSentWhole}
+
+// endedWithout reports whether the request has ended with neither an answer nor a refusal. What ends with a status
+// and a complete body is either, whatever the status.
+func (a Attempt) endedWithout() bool { return a.Status == 0 || !a.Complete }
+
+// excuseOf returns why a request could end with neither an answer nor a refusal.
+func (r Record) excuseOf(attempt Attempt, runs []site.Run, arrived bool) excuse {
 	last, ran := lastRun(attempt, runs)
-	if attempt.reachedDeadline() || r.entryKilled(attempt) || r.crossedClose(attempt, arrived) || (ran && r.serverBrokeOff(attempt, last)) {
+	switch {
+	case attempt.Written.IsZero():
+		return notSentWhole
+	case attempt.reachedDeadline():
+		return deadlinePast
+	case r.entryKilled(attempt):
+		return entryKilled
+	case r.crossedClose(attempt, arrived):
+		return closeCrossed
+	case ran && r.serverBrokeOff(attempt, last):
+		return serverBroke
+	}
+	return noExcuse
+}
+
+// checkUnanswered checks that a request which an entry could read as a whole has ended with an answer or a refusal.
+func (r Record) checkUnanswered(attempt Attempt, runs []site.Run, arrived bool) []Violation {
+	if !attempt.endedWithout() || r.excuseOf(attempt, runs, arrived) != noExcuse {
 		return nil
 	}
 	detail := fmt.Sprintf("%s ended it %s after it was sent, with status %d", attempt.Entry, attempt.Ended.Sub(attempt.Sent).Round(time.Millisecond), attempt.Status)
-	if ran {
+	if last, ran := lastRun(attempt, runs); ran {
 		detail += fmt.Sprintf("; it last began at %s, %s before", last.Server, attempt.Ended.Sub(last.At).Round(time.Millisecond))
 	}
 	return []Violation{{Guarantee: EveryRequestEnds, At: attempt.Ended, Request: attempt.ID, Detail: detail}}
 }
 
+// excused counts the requests of the record that ended with neither an answer nor a refusal, by their excuses.
+func (r Record) excused() map[excuse]int {
+	runs, arrived := r.runsByRequest(), r.arrivedIDs()
+	counts := map[excuse]int{}
+	for _, attempt := range r.Attempts {
+		if attempt.endedWithout() {
+			counts[r.excuseOf(attempt, runs[attempt.ID], arrived[attempt.ID])]++
+		}
+	}
+	return counts
+}
+
 // lastRun returns the last execution of a request that began before the request ended.
 func lastRun(attempt Attempt, runs []site.Run) (site.Run, bool) {
 	var last site.Run
--- a/internal/experiment/soak/unanswered_test.go
+++ b/internal/experiment/soak/unanswered_test.go
@@ -141,3 +141,18 @@
 	record.Runs = append(record.Runs, site.Run{RequestID: "cut", Server: "i-11", Version: 2, Tenant: site.Tenant, At: start.Add(102 * time.Second)})
 	assert.Equal(t, before, Check(record))
 }
+
+// Each request that ends with neither an answer nor a refusal has one excuse, or none.
+func TestExcusesAreCounted(t *testing.T) {
+	record := cutRecord(time.Now())
+	assert.Equal(t, map[excuse]int{noExcuse: 1}, record.excused())
+	cut := &record.Attempts[len(record.Attempts)-1]
+	record.BreakOffs = []Interval{{From: cut.Sent, To: cut.Ended, Name: "i-3"}}
+	assert.Equal(t, map[excuse]int{serverBroke: 1}, record.excused())
+	record.Kills = []Interval{{From: cut.Sent, To: cut.Ended, Name: cut.Entry}}
+	assert.Equal(t, map[excuse]int{entryKilled: 1}, record.excused())
+	cut.Deadline = cut.Ended
+	assert.Equal(t, map[excuse]int{deadlinePast: 1}, record.excused())
+	cut.Written = time.Time{}
+	assert.Equal(t, map[excuse]int{notSentWhole: 1}, record.excused())
+}
