--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -105,6 +105,7 @@
 		errors.As(err, &notSent)
 		return false, notSent
 	}
+	defer started.abandon()
 	return g.awaitEvents(ctx, chosen, started)
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -6,9 +6,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -63,6 +65,8 @@
 	arrivedAt  time.Time
 	// streamStarted is set once the header of a streamed answer has been written.
 	streamStarted bool
+	// headerWritten is set before the header of any other answer is written.
+	headerWritten bool
 }
 
 type handler func(ctx context.Context, writer http.ResponseWriter, request *http.Request, c *call) *fault.Refusal
@@ -77,17 +81,43 @@
 		defer e.requests.add(-1)
 		c := &call{id: newRequestID(), arrivedAt: time.Now()}
 		writer.Header().Set(HeaderRequestID, c.id)
-		refusal := e.identify(request, c)
-		if refusal == nil {
-			refusal = e.withDeadline(writer, request, c, next)
-		}
+		refusal := e.serve(writer, request, c, next)
 		e.metrics.observe(c, refusal)
-		if refusal != nil && !c.streamStarted {
+		switch {
+		case refusal == nil || c.streamStarted:
+		case c.headerWritten:
+			// Nothing but the end of the connection tells the caller that the answer is not complete.
+			panic(http.ErrAbortHandler)
+		default:
 			e.writeRefusal(writer, c.id, refusal)
 		}
 	}
 }
 
+// serve runs the handler of a request. If the handler panics the request is refused as an internal
+// error.
+func (e *Entry) serve(writer http.ResponseWriter, request *http.Request, c *call, next handler) (refusal *fault.Refusal) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			refusal = e.refusePanicked(writer, c, reason)
+		}
+	}()
+	if refusal := e.identify(request, c); refusal != nil {
+		return refusal
+	}
+	return e.withDeadline(writer, request, c, next)
+}
+
+// refusePanicked logs a handler's panic and returns the refusal of its request. The refusal is sent at
+// once if the answer is a stream that has begun.
+func (e *Entry) refusePanicked(writer http.ResponseWriter, c *call, reason any) *fault.Refusal {
+	e.node.Log.Log(logging.HandlerPanicked, zap.String("request", c.id), zap.String("panic", fmt.Sprint(reason)),
+		zap.ByteString("stack", debug.Stack()))
+	refusal := fault.Unknown(fault.ReasonInternal, "the request failed because of an error in this process")
+	stream := &streamingAnswer{writer: writer, call: c}
+	return stream.close(refusal)
+}
+
 func (e *Entry) withDeadline(writer http.ResponseWriter, request *http.Request, c *call, next handler) *fault.Refusal {
 	deadline := e.options.DefaultDeadline
 	if text := request.Header.Get(HeaderDeadline); text != "" {
@@ -187,6 +217,7 @@
 	fault.ReasonLimitConcurrency: http.StatusTooManyRequests,
 	fault.ReasonDuplicate:        http.StatusConflict,
 	fault.ReasonDeadline:         http.StatusGatewayTimeout,
+	fault.ReasonInternal:         http.StatusInternalServerError,
 	fault.ReasonBackendFailed:    http.StatusBadGateway,
 	fault.ReasonWrongVersion:     http.StatusBadGateway,
 	fault.ReasonLinkLost:         http.StatusBadGateway,
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -168,6 +168,7 @@
 			list.Data = append(list.Data, modelEntry{ID: name + ":" + adapter.Name, Object: "model", OwnedBy: "pinevane"})
 		}
 	}
+	c.headerWritten = true
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(list)
 	return nil
@@ -249,6 +250,7 @@
 		result.Object = "chat.completion"
 		result.Choices = []completionChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: a.reason}}
 	}
+	c.headerWritten = true
 	writer.Header().Set("Content-Type", "application/json")
 	writer.Header().Set(HeaderModelVersion, a.version)
 	_ = json.NewEncoder(writer).Encode(result)
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -347,6 +347,8 @@
 	link   *peering.Link
 	id     attempt.ID
 	events chan protocol.Event
+	// ended is guarded by the set's mutex.
+	ended bool
 }
 
 // cancel asks the back end to stop the attempt.
@@ -355,9 +357,14 @@
 }
 
 // end removes the attempt and records whether the back end succeeded. Consecutive failures eject it.
+// Only the first call counts.
 func (r *runningAttempt) end(succeeded bool) {
 	r.set.mutex.Lock()
 	defer r.set.mutex.Unlock()
+	if r.ended {
+		return
+	}
+	r.ended = true
 	delete(r.set.pending, r.id)
 	r.target.inFlight--
 	if succeeded {
@@ -371,6 +378,17 @@
 	}
 }
 
+// abandon cancels an attempt that has not ended when its handler returns, which only a panic causes.
+func (r *runningAttempt) abandon() {
+	r.set.mutex.Lock()
+	ended := r.ended
+	r.set.mutex.Unlock()
+	if !ended {
+		r.cancel()
+		r.end(true)
+	}
+}
+
 // mayEject reports whether another ejection stays within maxEjectedRatio. The mutex must be
 // held.
 func (s *replicaSet) mayEject() bool {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -45,6 +45,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	c.headerWritten = true
 	if answer.ContentType != "" {
 		writer.Header().Set("Content-Type", answer.ContentType)
 	}
@@ -121,6 +122,7 @@
 		errors.As(err, &notSent)
 		return nil, notSent
 	}
+	defer started.abandon()
 	select {
 	case event := <-started.events:
 		return finishAttempt(started, event)
