--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,8 @@
 	server    *http.Server
 	admin     *http.Server
 	listener  net.Listener
+	// answering are the connections of the process's own address that carry a request.
+	answering *activeConnections
 }
 
 // New creates a node; Run starts it.
@@ -111,6 +113,7 @@
 		parser:      configuration.NewParser(),
 		ready:       func() bool { return true },
 		openCount:   func() int { return 0 },
+		answering:   newActiveConnections(),
 	}
 	hello := peering.Hello{ID: options.ID, Incarnation: node.incarnation, Role: string(options.Role), Zone: options.Zone}
 	node.Hub = peering.NewHub(hello, log, node.Counters)
@@ -271,6 +274,17 @@
 	}
 }
 
+// endConnectionsOnStop has each answer of a stopping process tell that its connection ends, so that
+// callers send their next requests elsewhere and few idle connections are left to close.
+func (n *Node) endConnectionsOnStop(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if n.Leaving() {
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 // Listen opens the process's addresses.
 func (n *Node) Listen() error {
 	listener, err := net.Listen("tcp", n.options.Listen)
@@ -278,7 +292,8 @@
 		return &fault.Unavailable{Target: n.options.Listen, Operation: "listen", Cause: err}
 	}
 	n.listener = listener
-	n.server = newServer(n.Router)
+	n.server = newServer(n.endConnectionsOnStop(n.Router))
+	n.server.ConnState = n.answering.track
 	go func() { _ = n.server.Serve(listener) }()
 	if n.options.AdminListen == "" {
 		return nil
@@ -314,6 +329,7 @@
 	}
 	<-stop
 	n.leave()
+	n.finishAnswers()
 	cancel()
 	n.Close()
 	n.Log.Log(logging.ProcessStopped)
@@ -339,6 +355,26 @@
 	}
 }
 
+// maxFinishTime bounds the wait for answers that are still being sent when no request is open any more:
+// a caller that reads slowly, or a peer that fetches a chunk of weights.
+const maxFinishTime = 5 * time.Second
+
+// finishPollInterval is how often finishAnswers checks the connections.
+const finishPollInterval = 5 * time.Millisecond
+
+// finishAnswers accepts no more connections and waits until every request that was read has its whole
+// answer. The links stay up meanwhile.
+func (n *Node) finishAnswers() {
+	_ = n.listener.Close()
+	n.server.SetKeepAlivesEnabled(false)
+	for began := time.Now(); n.answering.count() > 0; time.Sleep(finishPollInterval) {
+		if time.Since(began) > maxFinishTime {
+			n.Log.Log(logging.ProcessDraining, zap.Int("connections", n.answering.count()))
+			return
+		}
+	}
+}
+
 // Close closes the servers and links immediately.
 func (n *Node) Close() {
 	n.Hub.Close()
