A call whose link was lost is waited for while its back end works on it (LOST)

Cause: when the link to the back end of a call that may run once is lost, the entry inquires about the call over a new link. It gave up 3 s after the loss, also when the back end kept answering that the call was running: the caller got 502 "unknown", although its time was not over and the answer came. Until then it inquired without a pause between inquiries.

Change: the 3 s bound the time without an answer to inquiries; while the back end answers "running", the request's deadline bounds the wait. An inquiry follows an answer after 0.1 s. A generation that may run once, whose tokens can't be delivered any more, takes "running" as its result at once instead of after 3 s. The emulated engines and services learn to pause.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -131,10 +131,13 @@
 // SetFaults replaces the injected faults.
 func (e *Engine) SetFaults(faults Faults) { e.faults.set(faults) }
 
+// Pause makes the engine send nothing for a time, after which it goes on where it stopped.
+func (e *Engine) Pause(duration time.Duration) { e.faults.pause(duration) }
+
 // Handler serves the engine and its machine's store.
 func (e *Engine) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Use(e.faults.rejectWhenDown)
+	router.Use(e.faults.holdWhilePaused, e.faults.rejectWhenDown)
 	e.faults.mount(router)
 	e.store.mount(router)
 	e.mountCache(router)
@@ -148,14 +151,17 @@
 	router.Get("/records", func(writer http.ResponseWriter, _ *http.Request) {
 		writeJSON(writer, e.Records())
 	})
-	router.Get("/orders", func(writer http.ResponseWriter, _ *http.Request) {
-		e.mutex.Lock()
-		defer e.mutex.Unlock()
-		writeJSON(writer, e.orders)
-	})
+	router.Get("/orders", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, e.Orders()) })
 	return router
 }
 
+// Orders returns a copy of the order records.
+func (e *Engine) Orders() []OrderRecord {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.orders)
+}
+
 // Records returns a copy of the generation records.
 func (e *Engine) Records() []GenerationRecord {
 	e.mutex.Lock()
@@ -284,6 +290,9 @@
 	encoder := json.NewEncoder(writer)
 	flusher := http.NewResponseController(writer)
 	for event := range events {
+		if !e.faults.waitWhilePaused(request.Context()) {
+			return
+		}
 		if e.faults.get().Stalled {
 			<-request.Context().Done()
 			return
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -5,6 +5,7 @@
 package emulator
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
@@ -29,8 +30,46 @@
 }
 
 type faultState struct {
-	mutex   sync.RWMutex
-	current Faults
+	mutex       sync.RWMutex
+	current     Faults
+	pausedUntil time.Time
+}
+
+// pause makes the component send nothing for a time, after which it goes on where it stopped, as a
+// process that the machine does not schedule. Connections stay open and are accepted. A pause that is
+// already in progress is never shortened.
+func (f *faultState) pause(duration time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if until := time.Now().Add(duration); until.After(f.pausedUntil) {
+		f.pausedUntil = until
+	}
+}
+
+// waitWhilePaused waits until the component is not paused, and returns false if the context ends first.
+func (f *faultState) waitWhilePaused(ctx context.Context) bool {
+	for {
+		f.mutex.RLock()
+		remaining := time.Until(f.pausedUntil)
+		f.mutex.RUnlock()
+		if remaining <= 0 {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-time.After(remaining):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// holdWhilePaused makes calls wait while the component is paused.
+func (f *faultState) holdWhilePaused(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == FaultPath || f.waitWhilePaused(request.Context()) {
+			next.ServeHTTP(writer, request)
+		}
+	})
 }
 
 func (f *faultState) get() Faults {
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -30,6 +30,9 @@
 // SetFaults replaces the injected faults.
 func (s *Service) SetFaults(faults Faults) { s.faults.set(faults) }
 
+// Pause makes the service send nothing for a time, after which it goes on where it stopped.
+func (s *Service) Pause(duration time.Duration) { s.faults.pause(duration) }
+
 // Runs returns the number of executions of each request ID.
 func (s *Service) Runs() map[string]int {
 	s.mutex.Lock()
@@ -40,7 +43,7 @@
 // Handler serves the service.
 func (s *Service) Handler() http.Handler {
 	router := chi.NewRouter()
-	router.Use(s.faults.rejectWhenDown)
+	router.Use(s.faults.holdWhilePaused, s.faults.rejectWhenDown)
 	s.faults.mount(router)
 	router.Get("/records", func(writer http.ResponseWriter, _ *http.Request) { writeJSON(writer, s.Runs()) })
 	router.HandleFunc("/*", s.call)
@@ -70,7 +73,7 @@
 		<-request.Context().Done()
 		return
 	}
-	if !sleep(request, s.delay) {
+	if !sleep(request, s.delay) || !s.faults.waitWhilePaused(request.Context()) {
 		return
 	}
 	writeJSON(writer, ServiceEcho{Service: s.name, ID: id, Method: request.Method, Path: request.URL.Path, Body: string(body)})
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -224,7 +224,7 @@
 	}
 	started.end(false)
 	lost := fault.Unknown(fault.ReasonLinkLost, "the link to the back end was lost")
-	if g.nextIndex == 0 && !g.call.repeatable && started.inquire(ctx).Outcome == attempt.NotRun {
+	if g.nextIndex == 0 && !g.call.repeatable && started.inquire(ctx, false).Outcome == attempt.NotRun {
 		return false, fault.NotRun(fault.ReasonLinkLost, lost.Detail)
 	}
 	return g.attemptFailed(chosen, lost)
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -19,6 +19,7 @@
 	"pinevane.example/pinevane/internal/node"
 	"pinevane.example/pinevane/internal/peering"
 	"pinevane.example/pinevane/internal/protocol"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // Intervals and limits of the replica set.
@@ -404,16 +405,16 @@
 
 // Timeout and interval of inquiries.
 const (
+	// inquiryTimeout bounds the time without an answer to inquiries. While the back end answers that
+	// the attempt is running, only the request's deadline bounds the wait.
 	inquiryTimeout  = 3 * time.Second
 	inquiryInterval = 100 * time.Millisecond
 )
 
 // inquire requests the outcome of an attempt, whose link was lost, from its back end over a new link.
-// Unknown means that the back end could not be reached or has no record of the attempt.
-func (r *runningAttempt) inquire(ctx context.Context) protocol.Resolved {
-	unknown := protocol.Resolved{ID: r.id, Outcome: attempt.Unknown}
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-	defer cancel()
+// With awaitEnd it waits for the end of an attempt that is running. Unknown means that the back end
+// could not be reached or has no record of the attempt.
+func (r *runningAttempt) inquire(ctx context.Context, awaitEnd bool) protocol.Resolved {
 	answers := make(chan protocol.Resolved, 1)
 	r.set.mutex.Lock()
 	r.set.inquiries[r.id] = answers
@@ -423,24 +424,36 @@
 		delete(r.set.inquiries, r.id)
 		r.set.mutex.Unlock()
 	}()
-	for ctx.Err() == nil {
-		link, err := r.set.node.Hub.Link(ctx, r.target.member.Address)
-		if err == nil && link.Remote().Incarnation != r.id.Incarnation {
-			return unknown
-		}
-		if err == nil {
-			_ = peering.Send(link, protocol.TopicInquire, "", protocol.AttemptRef{ID: r.id})
-		}
+	deadline := time.Now().Add(inquiryTimeout)
+	for ctx.Err() == nil && time.Now().Before(deadline) && r.sendInquiry(ctx, deadline) {
 		select {
 		case resolved := <-answers:
-			if resolved.Outcome != attempt.Running {
+			if resolved.Outcome != attempt.Running || !awaitEnd {
 				return resolved
 			}
+			deadline = time.Now().Add(inquiryTimeout)
+			waiting.For(ctx, inquiryInterval)
 		case <-time.After(inquiryInterval):
 		case <-ctx.Done():
 		}
 	}
-	return unknown
+	return protocol.Resolved{ID: r.id, Outcome: attempt.Unknown}
+}
+
+// sendInquiry sends an inquiry if there is a link to the back end or one is made before a deadline. It
+// returns false if the back end has restarted, and thus has no record of the attempt.
+func (r *runningAttempt) sendInquiry(ctx context.Context, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	link, err := r.set.node.Hub.Link(ctx, r.target.member.Address)
+	if err != nil {
+		return true
+	}
+	if link.Remote().Incarnation != r.id.Incarnation {
+		return false
+	}
+	_ = peering.Send(link, protocol.TopicInquire, "", protocol.AttemptRef{ID: r.id})
+	return true
 }
 
 // publish writes the state of the back ends to the blackboard.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -177,7 +177,7 @@
 	if c.repeatable {
 		return nil, lost
 	}
-	resolved := started.inquire(ctx)
+	resolved := started.inquire(ctx, true)
 	switch {
 	case resolved.Outcome == attempt.NotRun:
 		lost.Execution = fault.ExecutionNotRun
--- /dev/null
+++ b/internal/fleettest/paused_test.go
@@ -0,0 +1,74 @@
+package fleettest
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"pinevane.example/pinevane/internal/workload"
+)
+
+// Streams of the tests of paused engines are long enough that all are under way when the engines
+// pause.
+const (
+	pausedStreams = 8
+	pausedTokens  = 200
+)
+
+// streamsWhile runs streams, calls disturb while all are under way, and returns when they have ended.
+func streamsWhile(f *Fleet, disturb func()) {
+	var group sync.WaitGroup
+	for i := range pausedStreams {
+		group.Go(func() { f.Do(f.Entries[0], Stream(fmt.Sprint("paused ", i), pausedTokens)) })
+	}
+	f.Wait("the streams are under way", func() bool {
+		running := 0
+		for _, machine := range f.Engines {
+			running += machine.Engine.Status().Running
+		}
+		return running == pausedStreams
+	})
+	disturb()
+	group.Wait()
+}
+
+// Guards against streams that are cut because every engine falls silent for up to two seconds and goes
+// on: nothing better is at hand than to wait.
+func TestPauseOfAllEnginesCutsNoStream(t *testing.T) {
+	t.Parallel()
+	for _, duration := range []time.Duration{400 * time.Millisecond, time.Second, 2 * time.Second} {
+		t.Run(duration.String(), func(t *testing.T) {
+			t.Parallel()
+			f := New(t, 2, 0, 1)
+			streamsWhile(f, func() {
+				for _, machine := range f.Engines {
+					machine.Engine.Pause(duration)
+				}
+			})
+			summary := workload.Summarize(f.Recorder.Results())
+			assert.Equal(t, pausedStreams, summary.Answered, "%+v", summary)
+			assert.Empty(t, f.Violations())
+		})
+	}
+}
+
+// Guards against an answer that is given up though its back end works on it: the outcome of a call
+// whose link was lost is inquired, and "running" is an answer for which the caller can wait.
+func TestCallWithLostLinkIsAnsweredWhenItTakesLong(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 1, 1)
+	service := f.Services[0]
+	results := make(chan workload.Result, 1)
+	go func() { results <- f.Do(f.Entries[0], Call("takes long")) }()
+	f.Wait("the call runs", func() bool { return len(service.Service.Runs()) > 0 })
+	service.Service.Pause(5 * time.Second)
+	for _, link := range service.Node.Hub.Accepted() {
+		_ = link.Close()
+	}
+	result := <-results
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Empty(t, f.Violations())
+}
