An engine that was silent goes on with the versions it serves (LOST)

Cause: one status query that an engine did not answer within 2 s made its agent forget everything that the engine serves. When the engine went on, the agent loaded the current version again and probed it, as after a restart; old versions that were to be unloaded stayed in the engine for good, and took the room of the next ones.

Change: while the engine does not answer, the agent admits nothing new, as before, and keeps what it knows. The next answer tells a silence (the same incarnation, and the versions are admitted at once) from a restart (another incarnation).

Conclusion: an evidence of lateness alone no longer drops what is at hand.

--- a/internal/agent/activation.go
+++ b/internal/agent/activation.go
@@ -82,6 +82,8 @@
 
 	mutex       sync.Mutex
 	incarnation uint64
+	// unreachable is set while the engine does not answer status queries.
+	unreachable bool
 	served      []servedVersion
 	refused     []RefusedVersion
 	// unreachableSince records since when all earlier machines have been unreachable.
@@ -133,36 +135,42 @@
 	c.retire(ctx)
 }
 
-// handleEngineLost stops admitting requests while the engine does not answer.
+// handleEngineLost stops admitting requests while the engine does not answer. What it serves stays
+// known: an engine that was only silent goes on with it.
 func (c *activationController) handleEngineLost() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.served) == 0 {
+	if c.unreachable {
 		return
 	}
-	c.served = nil
+	c.unreachable = true
 	c.publish()
 }
 
-// applyStatus records the engine's status and clears the served versions when the
-// engine has restarted.
+// applyStatus records the engine's status. It admits requests again after the engine was silent, and
+// clears the served versions when the engine has restarted.
 func (c *activationController) applyStatus(status external.EngineStatus) {
 	blackboard.Write(c.node.Board, EngineKey, status)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	changed := c.unreachable
+	c.unreachable = false
 	if c.incarnation != 0 && c.incarnation != status.Incarnation {
 		c.node.Log.Log(logging.EngineRestarted, zap.Uint64("incarnation", status.Incarnation))
 		c.served = nil
-		c.publish()
+		changed = true
 	}
 	c.incarnation = status.Incarnation
+	if changed {
+		c.publish()
+	}
 }
 
 // publish writes the admitted versions to the blackboard. The mutex must be held.
 func (c *activationController) publish() {
 	admitted := make([]protocol.ServedVersion, 0, len(c.served))
 	for _, version := range c.served {
-		if !version.removed {
+		if !version.removed && !c.unreachable {
 			admitted = append(admitted, version.ServedVersion)
 		}
 	}
--- a/internal/fleettest/paused_test.go
+++ b/internal/fleettest/paused_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"pinevane.example/pinevane/internal/external"
 	"pinevane.example/pinevane/internal/workload"
 )
 
@@ -72,3 +73,28 @@
 	assert.True(t, result.Answered, "%+v", result)
 	assert.Empty(t, f.Violations())
 }
+
+// Guards against a version that is loaded again, and old ones that are never unloaded, because one
+// status query to the engine went unanswered.
+func TestPauseOfEngineLoadsNothingAgain(t *testing.T) {
+	t.Parallel()
+	f := New(t, 2, 0, 1)
+	f.PublishVersion("2")
+	f.WaitServing("2")
+	paused := f.Engines[0]
+	paused.Engine.Pause(2500 * time.Millisecond)
+	f.Wait("the agent admits nothing to its silent engine", func() bool { return !paused.Serves("2") })
+	assert.True(t, f.Do(f.Entries[0], Stream("during the pause", 8)).Answered)
+	f.Wait("the engine is used again", func() bool { return paused.Serves("2") })
+	f.Wait("the old version is unloaded", func() bool {
+		loaded := paused.Engine.Status().Loaded
+		return len(loaded) == 1 && loaded[0].Version == "2"
+	})
+	loads := map[string]int{}
+	for _, record := range paused.Engine.Orders() {
+		if record.Order.Action == external.ActionLoad {
+			loads[record.Order.Version]++
+		}
+	}
+	assert.Equal(t, map[string]int{"1": 1, "2": 1}, loads)
+}
