--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -45,6 +45,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	c.headerWritten = true
 	if answer.ContentType != "" {
 		writer.Header().Set("Content-Type", answer.ContentType)
 	}
@@ -121,6 +122,7 @@
 		errors.As(err, &notSent)
 		return nil, notSent
 	}
+	defer started.abandon()
 	select {
 	case event := <-started.events:
 		return finishAttempt(started, event)
@@ -175,7 +177,7 @@
 	if c.repeatable {
 		return nil, lost
 	}
-	resolved := started.inquire(ctx)
+	resolved := started.inquire(ctx, true)
 	switch {
 	case resolved.Outcome == attempt.NotRun:
 		lost.Execution = fault.ExecutionNotRun
