--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -179,7 +179,9 @@
 }
 
 func (s *Server) answerPlain(writer http.ResponseWriter, request *http.Request, body []byte) {
-	time.Sleep(s.options.EventTime)
+	if !s.work(request.Context(), s.options.EventTime) {
+		return
+	}
 	s.waitWhilePaused(request.Context())
 	_, _ = fmt.Fprintf(writer, "%s %s %s", request.Method, request.RequestURI, body)
 }
@@ -195,9 +197,7 @@
 	flusher, _ := writer.(http.Flusher)
 	sent := 0
 	for event := last + 1; event <= events; event++ {
-		select {
-		case <-time.After(s.options.EventTime):
-		case <-request.Context().Done():
+		if !s.work(request.Context(), s.options.EventTime) {
 			return
 		}
 		s.waitWhilePaused(request.Context())
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -115,6 +115,8 @@
 	queueHeld bool
 	// pausedUntil is when the server sends something again; see Pause.
 	pausedUntil time.Time
+	// brokenOff is closed when the server breaks off its answers; see BreakOff.
+	brokenOff chan struct{}
 	// readMutex serializes prefills.
 	readMutex sync.Mutex
 	server    *http.Server
@@ -124,7 +126,7 @@
 // NewServer returns a server that does not listen yet. The pieces of its initial version are
 // staged.
 func NewServer(options ServerOptions) *Server {
-	s := &Server{options: options, version: options.Version, staged: map[int][]byte{}, slotFreed: make(chan struct{})}
+	s := &Server{options: options, version: options.Version, staged: map[int][]byte{}, slotFreed: make(chan struct{}), brokenOff: make(chan struct{})}
 	if options.Weights != nil && options.Version > 0 {
 		s.loadedLayers = s.allLayers()
 		for index := range options.Weights.Pieces {
--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -21,7 +21,9 @@
 	PlainServers int
 	Weights      Weights
 	EventTime    time.Duration
-	Slots        int
+	// PlainTime is the time that a plain server's answer takes; 0 means EventTime.
+	PlainTime time.Duration
+	Slots     int
 	// StepMilliseconds is the published time of a decoding step; 0 publishes
 	// defaultStepMilliseconds, which is shorter than most tests' EventTime.
 	StepMilliseconds float64
@@ -53,6 +55,8 @@
 
 func (o Options) coldTime() time.Duration { return time.Duration(o.ColdStartS * float64(time.Second)) }
 
+func (o Options) plainTime() time.Duration { return cmp.Or(o.PlainTime, o.EventTime) }
+
 // Names of the emulated services, routes and keys.
 const (
 	ModelService  = "language"
@@ -262,7 +266,7 @@
 	return s.startServer(s.Plain, NewServer(ServerOptions{
 		ID: fmt.Sprintf("p-%d-%d-%d", zone, index, s.startCount), Service: PlainService, Zone: ZoneName(zone), Region: RegionName(zone),
 		Address: fmt.Sprintf("%s:%d", s.Options.PlainIP(zone, index), serverPort), Slots: s.Options.Slots, StartTime: time.Now().UnixMilli(),
-		EventTime: s.Options.EventTime, Heartbeat: 400 * time.Millisecond, Store: s.Store, Requests: s.Requests, OnBegin: s.crashesOn,
+		EventTime: s.Options.plainTime(), Heartbeat: 400 * time.Millisecond, Store: s.Store, Requests: s.Requests, OnBegin: s.crashesOn,
 	}))
 }
 
