A delisted server's agent is not taken for silent (LOST)

Cause: entries link only to agents of listed servers. When the list dropped a server that works on, its agent's reports ended with the link, and 1.2 s later that counted as evidence against the server: a request that had received nothing for 0.35 s was given up as stalled.

Change: the silence of such an agent is no evidence, unless its reports had stopped before the list dropped the server or another server is listed at the address. A server that was dropped and listed again is judged by its new reports.

Conclusion: a server that leaves without notice ends no request by leaving the list.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -44,6 +44,9 @@
 	removed bool
 	// superseded servers have stopped for good: another server has answered at their address.
 	superseded bool
+	// agentCurrent is set if the agent's reports had not stopped when the list dropped the server. Entries
+	// then close their links to the agent, so that the end of its reports says nothing about the server.
+	agentCurrent bool
 	// firstListed is when the list first named this incarnation.
 	firstListed time.Time
 	// nextStart is the start time of an incarnation that the agent reports and the list does not name yet.
--- a/coordination/dispatch/list.go
+++ b/coordination/dispatch/list.go
@@ -101,6 +101,7 @@
 	var removed []Change
 	for id, candidate := range c.byID {
 		if !present[id] {
+			candidate.listing.agentCurrent = !candidate.report.at.IsZero() && now.Sub(candidate.report.at) < reportTTL/2
 			removed = append(removed, c.remove(candidate, now))
 		}
 	}
--- a/coordination/dispatch/word.go
+++ b/coordination/dispatch/word.go
@@ -137,10 +137,25 @@
 // sent there at sentAt.
 func (c *Core) FailureSuspected(k *Candidate, sentAt, now time.Time) bool {
 	onTrial := c.health.IsLostTrial(k.ID, c.elapsed(sentAt), c.elapsed(k.report.unreachableSince))
-	return k.report.silent(now) || (c.lost(k, now) && !onTrial) ||
+	return c.agentSilent(k, now) || (c.lost(k, now) && !onTrial) ||
 		(c.health.Unresponsive(k.ID, c.elapsed(sentAt)) && c.hasAlternative(k, now))
 }
 
+// agentSilent reports whether the silence of a server's agent is evidence against the server. It is not if the
+// reports ended because the server is no longer listed, unless another one is listed at its address: it has
+// stopped then.
+func (c *Core) agentSilent(k *Candidate, now time.Time) bool {
+	holder := c.byAddress[k.Address]
+	switch {
+	case holder == nil && k.listing.agentCurrent:
+		return false
+	case holder != nil && holder.ID == k.ID && !holder.listing.server.StartTime.Differs(k.listing.server.StartTime):
+		// The server may have been dropped and listed again, which makes another Candidate of it.
+		return holder.report.silent(now)
+	}
+	return k.report.silent(now)
+}
+
 // hasAlternative reports whether the service of a server has another one that is sent ordinary requests.
 func (c *Core) hasAlternative(k *Candidate, now time.Time) bool {
 	return slices.ContainsFunc(c.byService[k.listing.server.Service], func(other *Candidate) bool {
--- a/internal/sitetest/underway_fleet_test.go
+++ b/internal/sitetest/underway_fleet_test.go
@@ -58,6 +58,9 @@
 func (f *Fleet) send(ctx context.Context, kind string, zone, index int, id string) outcome {
 	result := outcome{id: id, startedAt: time.Now()}
 	switch kind {
+	case "patient-stream":
+		header := map[string]string{"Model": f.Site.Options.Weights.Model, "Token-Usage": fmt.Sprintf("%d,%d", shortPrompt, underWayEvents), "Deadline-Ms": "8000"}
+		result.answer, result.err = f.Call(ctx, zone, index, http.MethodPost, site.StreamPrefix+"a", id, header, "prompt")
 	case "stream":
 		result.answer, result.err = f.Stream(ctx, zone, index, id, underWayEvents)
 	case "safe":
--- /dev/null
+++ b/internal/sitetest/underway_longprompt_test.go
@@ -0,0 +1,32 @@
+package sitetest
+
+import (
+	"testing"
+
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// startLongPromptFleet starts a fleet whose model servers read a prompt for longer than an agent's
+// reports may stop before the agent counts as silent.
+func startLongPromptFleet(t *testing.T) *Fleet {
+	options := underWayOptions()
+	options.ReadPerSecond, options.TimeoutMs = shortPrompt/1.7, 8000
+	f := Start(t, options)
+	f.configure(func(configuration map[string]any) {
+		site.ChangeRoutes(configuration, func(route map[string]any) { route["targetLatencyMs"] = 4000 })
+	})
+	return f
+}
+
+// Guards against streams that are given up, before their first event, because their servers are no
+// longer listed: the entries then closed their links to the agents, and took that for the agents'
+// silence.
+func TestDelistedServersLetStreamsWithLongPromptsFinish(t *testing.T) {
+	f := startLongPromptFleet(t)
+	opened := openRequests(f, "open", 4, "patient-stream")
+	for _, server := range f.Site.Models {
+		server.StopHeartbeats()
+	}
+	assertAnswered(t, f, opened.outcomes())
+	assertNotRunTwice(t, f, "patient-stream")
+}
