--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -55,6 +55,8 @@
 	Evacuations map[string]time.Time
 	// agents maps the IP addresses of machines with model servers to their zones.
 	agents map[string]string
+	// engineServices are the services of the agents.
+	engineServices map[string]bool
 }
 
 // maxAnnouncements bounds the version announcements kept for each model. It exceeds the number that
@@ -116,23 +118,35 @@
 // has an agent. The map must not be modified.
 func (v *View) Agents() map[string]string { return v.agents }
 
-// collectAgents sets the agents of a view under construction.
+// collectAgents sets the agents of a view under construction, which is still a copy of the previous one.
 func (v *View) collectAgents() {
-	v.agents = map[string]string{}
+	agents, services := map[string]string{}, map[string]bool{}
 	for name, servers := range v.Servers {
 		if !v.hasEngine(name) {
 			continue
 		}
+		services[name] = true
 		for _, server := range servers {
 			if host, _, err := net.SplitHostPort(server.Address); err == nil {
-				v.agents[host] = server.Zone
+				agents[host] = server.Zone
 			}
 		}
 	}
+	v.agents, v.engineServices = agents, services
 }
 
-func (v *View) hasEngine(service string) bool {
-	return v.Configuration != nil && v.Configuration.Services[service].Engine != nil
+// hasEngine reports whether a service has model servers. One that is removed from the configuration
+// keeps its agents while servers of it are listed: requests are still under way there, and without
+// reports of the agents they would be given up.
+func (v *View) hasEngine(name string) bool {
+	if v.Configuration == nil {
+		return false
+	}
+	service, published := v.Configuration.Services[name]
+	if !published {
+		return v.engineServices[name]
+	}
+	return service.Engine != nil
 }
 
 // decodedConfiguration is a decoded configuration, or the error of decoding it.
@@ -166,7 +180,7 @@
 	old := c.view.Load()
 	next := &View{
 		Configuration: old.Configuration, ConfigurationSince: old.ConfigurationSince,
-		Servers: old.Servers, Versions: old.Versions, Evacuations: old.Evacuations, agents: old.agents,
+		Servers: old.Servers, Versions: old.Versions, Evacuations: old.Evacuations, agents: old.agents, engineServices: old.engineServices,
 	}
 	var serversChanged bool
 	for _, record := range changed {
--- a/internal/sitetest/underway_longprompt_test.go
+++ b/internal/sitetest/underway_longprompt_test.go
@@ -30,3 +30,13 @@
 	assertAnswered(t, f, opened.outcomes())
 	assertNotRunTwice(t, f, "patient-stream")
 }
+
+// Guards against streams that are given up, before their first event, because their service is
+// removed: the entries then closed their links to its agents, and took that for the agents' silence.
+func TestRemovedServiceLetsStreamsWithLongPromptsFinish(t *testing.T) {
+	f := startLongPromptFleet(t)
+	opened := openRequests(f, "open", 4, "patient-stream")
+	f.configure(func(configuration map[string]any) { site.RemoveNamed(configuration, "services", site.ModelService) })
+	assertAnswered(t, f, opened.outcomes())
+	assertNotRunTwice(t, f, "patient-stream")
+}
