--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -242,21 +242,19 @@
 	return call.AnswerTokens
 }
 
-// pickService picks one of a route's services at random, by weight.
+// pickService picks one of a route's services at random, by weight: the first one if no weight is
+// positive, and none, which has no servers, if there are no services.
 func pickService(services []fleet.WeightedService) string {
-	total := 0
-	for _, service := range services {
-		total += max(0, service.Weight)
-	}
-	if total == 0 {
-		return services[0].Service
+	if len(services) == 0 {
+		return ""
 	}
-	drawn := rand.IntN(total)
+	picked, total := services[0].Service, 0.0
 	for _, service := range services {
-		drawn -= max(0, service.Weight)
-		if drawn < 0 {
-			return service.Service
+		weight := float64(max(0, service.Weight))
+		total += weight
+		if rand.Float64()*total < weight {
+			picked = service.Service
 		}
 	}
-	return services[len(services)-1].Service
+	return picked
 }
