A stream that ends normally ends its second attempt before its connection rests

Cause: an outcome of the second attempt could interrupt the first connection after that had gone back to the pool.

Change: the second attempt is canceled before the connection is put back.

Conclusion: harmless so far (one early check for the next request on it), but it named the wrong request's connection.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -138,6 +138,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
+			w.cancelHedge()
 			started.finish()
 			if !w.headSent {
 				w.beginStream(first)
