The end of a stop ends every open request with an answer (LOST)

Requests that were open got neither an answer nor a refusal. A handler's return was taken for the end of its response, which the HTTP library writes later. A request read between the last look and the close was lost. Requests were taken after the stop signal with deadlines beyond the end of the process.

Requests that arrive after the signal have deadlines of at most 0.7 s before the end of the grace period; streams are taken for 2.8 s, others for 3.2 s as before; what comes later, or too late in a short grace period, is refused as not run. 0.7 s before the end the contexts of the open requests are canceled with forward.ErrStopping: 503 if the request certainly has not run, 502 otherwise, a cut only for a response whose head is out, logged as "leaving" and counted with the cause "stop". Then the listener is closed, and the process exits when no caller's connection is open, or 0.3 s before the end. Connections that carry no request are closed and hold nothing up. Responses that begin during a stop carry Connection: close.

Figures: before, TestStopAnswersRequestsThatServersLeaveOpen and TestStopAnswersRequestsOfLengthenedRoute fail with EOF for the open requests, TestStopCutsOnlyStreamsTakenEarly fails as streams sent 2.9 to 3.1 s after the signal are taken and cut and no line tells of it; now they pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -203,6 +203,8 @@
 func (w *forwarding) mayRetry(ctx context.Context, failed *failure) bool {
 	withheld := ""
 	switch {
+	case canceledByStop(ctx):
+		withheld = "stopping"
 	case ctx.Err() != nil || failed.reason == fault.ReasonCanceled:
 		withheld = "caller left"
 	case w.mayHaveRun && !w.request.Route.MayRepeat():
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -77,6 +77,9 @@
 		return nil, errDeadline
 	}
 	raw, err := network.Dialer(timeout).DialContext(ctx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, cancellation(ctx)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +112,7 @@
 		now := time.Now()
 		_ = c.net.SetReadDeadline(minTime(c.deadline, c.nextSilenceCheck(now)))
 		if c.ctx.Err() != nil {
-			return 0, errCallerLeft
+			return 0, cancellation(c.ctx)
 		}
 		if c.silent.Load() {
 			return 0, errSilent
@@ -124,7 +127,7 @@
 		}
 		switch now = time.Now(); {
 		case c.ctx.Err() != nil:
-			return 0, errCallerLeft
+			return 0, cancellation(c.ctx)
 		case !now.Before(c.deadline):
 			return 0, errDeadline
 		case c.silent.Load():
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -166,6 +166,8 @@
 	switch {
 	case errors.Is(err, errCallerLeft), errors.Is(err, context.Canceled):
 		return fault.ReasonCanceled
+	case errors.Is(err, ErrStopping):
+		return fault.ReasonLeaving
 	case errors.Is(err, errDeadline):
 		return fault.ReasonDeadline
 	case errors.Is(err, errSilent):
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -218,6 +218,11 @@
 	f.countRequest(service)
 	defer w.endSuspect()
 	refusal := w.forward(ctx)
+	if refusal != nil && canceledByStop(ctx) {
+		refusal = StoppingRefusal(w.mayHaveRun)
+		w.countEnding(endingLabel(refusal))
+		return refusal
+	}
 	if refusal != nil {
 		w.countEnding(endingLabel(refusal))
 	}
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -22,70 +22,72 @@
 // Retry-After times of refusals.
 const (
 	unconfiguredRetry = 500 * time.Millisecond
-	stoppingRetry     = 50 * time.Millisecond
 	// memoryRetry is about the duration of a response, after which the memory it held is free.
 	memoryRetry = 500 * time.Millisecond
 )
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(writer http.ResponseWriter, incoming *http.Request) {
-	g.open.Add(1)
-	defer g.open.Add(-1)
-	if _, stopping := g.timeSinceStopSignal(); stopping {
-		writer.Header().Set("Connection", "close")
-	}
+	ctx, release := g.requestContext(incoming.Context())
+	defer release()
+	incoming = incoming.WithContext(ctx)
 	caller := newCallerWriter(writer, writeTimeout)
+	caller.lastResponse = g.stopping
 	defer caller.extendDeadline()
-	request, refusal := g.readRequest(writer, incoming)
-	defer request.Memory.Close()
-	g.requests.add(request)
-	defer g.requests.remove(request)
-	defer g.reportPanic(request)
+	request := &forward.Request{Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: incoming.Header, Arrived: time.Now()}
+	connection := g.callers.from(incoming.RemoteAddr)
+	connection.begin(request)
+	defer connection.handled()
+	defer func() { request.Memory.Close() }()
+	defer g.reportPanic(ctx, connection, request)
+	refusal := g.readRequest(writer, incoming, request)
 	if refusal == nil {
-		refusal = g.forwarder.Serve(incoming.Context(), caller, request)
+		refusal = g.forwarder.Serve(ctx, caller, request)
 	}
 	if refusal != nil {
 		g.refuse(caller, request, refusal)
 	}
 }
 
-// readRequest turns an incoming request into one to forward. Beside a refusal it returns
-// the request with the fields set so far.
-func (g *Gateway) readRequest(writer http.ResponseWriter, incoming *http.Request) (*forward.Request, *fault.Refusal) {
+// readRequest reads an incoming request and resolves where it goes. Beside a refusal, the fields are
+// set that are known so far.
+func (g *Gateway) readRequest(writer http.ResponseWriter, incoming *http.Request, request *forward.Request) *fault.Refusal {
 	call, err := g.dialect.ReadCall(incoming.Header)
-	request := &forward.Request{
-		Call: call, Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: incoming.Header, Arrived: time.Now(),
-	}
+	request.Call = call
 	if err != nil {
-		return request, fault.NotRun(fault.ReasonBadRequest, err.Error())
+		return fault.NotRun(fault.ReasonBadRequest, err.Error())
 	}
 	if !strings.HasPrefix(request.Target, "/") || strings.HasPrefix(request.Target, "//") {
-		return request, fault.NotRun(fault.ReasonUnknownService, "the request's target is no path")
+		return fault.NotRun(fault.ReasonUnknownService, "the request's target is no path")
 	}
-	if since, stopping := g.timeSinceStopSignal(); stopping && since > readinessDelay {
-		refusal := fault.NotRun(fault.ReasonLeaving, "the process is stopping")
-		refusal.RetryAfter = stoppingRetry
-		return request, refusal
+	if refusal := g.limitToStop(request); refusal != nil {
+		return refusal
 	}
 	configuration := g.daemon.Catalog.View().Configuration
 	if configuration == nil {
 		refusal := fault.NotRun(fault.ReasonNotReady, "no configuration is known yet")
 		refusal.RetryAfter = forward.SpreadRetryAfter(unconfiguredRetry, call.Deadline)
-		return request, refusal
+		return refusal
 	}
 	if refusal := admit(configuration, request); refusal != nil {
-		return request, refusal
+		return refusal
 	}
 	limit := request.Route.Timeout
 	if call.Deadline > 0 && (limit == 0 || call.Deadline < limit) {
 		limit = call.Deadline
 	}
 	request.Deadline = request.Arrived.Add(limit)
+	if refusal := g.limitToStop(request); refusal != nil {
+		return refusal
+	}
 	hasher := quarantine.NewHasher(callerIdentity(request), request.Host, request.Target)
 	request.Memory = g.memory.Open(callerIdentity(request))
-	refusal := readBody(writer, incoming, configuration.Limits, request, hasher)
+	if refusal := readBody(writer, incoming, configuration.Limits, request, hasher); refusal != nil {
+		return refusal
+	}
 	request.Fingerprint = hasher.Fingerprint()
-	return request, refusal
+	// The stop signal may have arrived while the body was read.
+	return g.limitToStop(request)
 }
 
 // callerIdentity identifies the caller in a request's fingerprint: by its tenant, or by its key where
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"pinevane.example/pinevane/internal/bytequota"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
@@ -37,11 +35,13 @@
 	metrics   *metrics
 	// memory bounds the request and response bytes held for callers.
 	memory *bytequota.Quota
-	open   atomic.Int64
-	// requests are the open requests that have been read.
-	requests *openRequests
-	// stopSignalAt is the Unix time of the stop signal in nanoseconds, 0 before the signal.
-	stopSignalAt atomic.Int64
+	// callers tracks the callers' connections.
+	callers *callerListener
+	// stop is nil before the stop signal.
+	stop atomic.Pointer[stopPlan]
+	// serving is canceled by endRequests when a stop ends the requests that are still open.
+	serving     context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // New returns an entry that does not listen yet.
@@ -49,9 +49,10 @@
 	base := options.Daemon
 	settings := base.Settings()
 	g := &Gateway{
-		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry), requests: newOpenRequests(),
+		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
+	g.serving, g.endRequests = context.WithCancelCause(context.Background())
 	registerMemory(base.Registry, g.memory)
 	base.AddSection("callers", func() any { return g.memory.Status() })
 	g.forwarder = forward.New(forward.Options{
@@ -71,18 +72,6 @@
 	return g
 }
 
-// Delays of a graceful shutdown.
-const (
-	// readinessDelay is how long the platform may still send new connections after readiness is off.
-	readinessDelay = 3200 * time.Millisecond
-	// closeIdleDelay is the time after which the callers' idle connections are closed,
-	// so that their next requests go to another entry.
-	closeIdleDelay = 2200 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for the exit of the process.
-	stopMargin       = 400 * time.Millisecond
-	stopPollInterval = 20 * time.Millisecond
-)
-
 // Run serves until stop is closed, then drains open requests within the grace period.
 func (g *Gateway) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -102,52 +91,20 @@
 	if err != nil {
 		return &fault.Unavailable{Target: settings.Callers, Operation: "listen", Cause: err}
 	}
-	callers := newCallerListener(listener)
-	g.daemon.ServeOn(callers, http.HandlerFunc(g.serve), callers.trackState)
+	g.callers = newCallerListener(listener)
+	g.daemon.ServeOn(g.callers, http.HandlerFunc(g.serve), g.callers.trackState)
 	go g.forwarder.Run(ctx)
 	<-stop
-	g.drain(callers)
+	g.drain(newStopPlan(time.Now(), g.daemon.Settings().Bounds.Grace))
 	cancel()
 	g.daemon.Close()
 	g.log.Log(logging.ProcessStopped)
 	return nil
 }
 
-// drain turns readiness off, serves until the platform has certainly noticed, and
-// waits for the open requests to finish.
-func (g *Gateway) drain(callers *callerListener) {
-	began := time.Now()
-	g.stopSignalAt.Store(began.UnixNano())
-	g.log.Log(logging.ProcessStopping, zap.Int64("open", g.open.Load()))
-	grace := g.daemon.Settings().Bounds.Grace - stopMargin
-	for time.Since(began) < grace {
-		if time.Since(began) > closeIdleDelay {
-			callers.closeIdle()
-		}
-		if time.Since(began) > readinessDelay && g.open.Load() == 0 {
-			return
-		}
-		time.Sleep(stopPollInterval)
-	}
-	g.log.Log(logging.ProcessDraining, zap.Int64("open", g.open.Load()))
-	for _, request := range g.requests.list() {
-		g.recordUnanswered(request, causeStop)
-	}
-}
-
-// timeSinceStopSignal returns how long ago the stop signal arrived, and whether it has.
-func (g *Gateway) timeSinceStopSignal() (time.Duration, bool) {
-	at := g.stopSignalAt.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return time.Since(time.Unix(0, at)), true
-}
-
 func (g *Gateway) ready() bool {
 	view := g.daemon.Catalog.View()
-	_, stopping := g.timeSinceStopSignal()
-	return !stopping && view.Configuration != nil && len(view.Servers) > 0
+	return !g.stopping() && view.Configuration != nil && len(view.Servers) > 0
 }
 
 func (g *Gateway) serveReady(writer http.ResponseWriter, request *http.Request) {
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -4,31 +4,39 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"pinevane.example/pinevane/internal/forward"
 )
 
 type connectionState int
 
 // States of a caller's connection.
 const (
-	stateActive connectionState = iota
+	// stateNew means that no byte has been read yet.
+	stateNew connectionState = iota
+	stateActive
 	// stateIdle means that the server waits for the first byte of the next request.
 	stateIdle
-	// stateClosing means that the idle connection is being closed. If the first byte of a
+	// stateClosing means that the unused connection is being closed. If the first byte of a
 	// request is read before that has happened, the request is still served.
 	stateClosing
 )
 
-// callerConnection is a caller's connection that can be closed only while it is idle.
+// callerConnection is a caller's connection that can be closed only while it carries no request.
 // The HTTP library's own shutdown can close a connection from which a request was just
 // read, so that the caller gets no response.
 type callerConnection struct {
 	net.Conn
 	mutex sync.Mutex
 	state connectionState
+	// request is the one whose response has not been written completely.
+	request *forward.Request
+	// returned is set once the request's handler has returned, after which the HTTP library writes
+	// the end of the response; writing is set during each write.
+	returned, writing bool
 }
 
 // Read implements net.Conn.
@@ -50,70 +58,90 @@
 	return count, err
 }
 
-// setIdle marks the connection as waiting for its next request.
-func (c *callerConnection) setIdle() {
+// Write implements net.Conn.
+func (c *callerConnection) Write(data []byte) (int, error) {
+	c.setWriting(true)
+	defer c.setWriting(false)
+	return c.Conn.Write(data)
+}
+
+func (c *callerConnection) setWriting(writing bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.state = stateIdle
+	c.writing = writing
 }
 
-// closeIdle ends the wait for the next request if the connection is idle. It may be
-// called repeatedly, because the server sets a deadline of its own when a connection
-// becomes idle.
-func (c *callerConnection) closeIdle() {
+// begin records the request that the connection carries.
+func (c *callerConnection) begin(request *forward.Request) {
+	if c == nil {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state != stateActive {
-		c.state = stateClosing
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	}
+	c.request, c.returned = request, false
 }
 
-// callerListener tracks the accepted connections of callers.
-type callerListener struct {
-	net.Listener
-	mutex       sync.Mutex
-	connections map[*callerConnection]struct{}
+// handled records that the request's handler has returned.
+func (c *callerConnection) handled() {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.returned = true
 }
 
-func newCallerListener(listener net.Listener) *callerListener {
-	return &callerListener{Listener: listener, connections: map[*callerConnection]struct{}{}}
+// openRequest returns the request whose response has not been written completely, or nil.
+func (c *callerConnection) openRequest() *forward.Request {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.returned && !c.writing {
+		return nil
+	}
+	return c.request
 }
 
-// Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// end records that the request's outcome is known. It reports whether that is new.
+func (c *callerConnection) end() bool {
+	if c == nil {
+		return true
 	}
-	connection := &callerConnection{Conn: accepted}
-	l.mutex.Lock()
-	l.connections[connection] = struct{}{}
-	l.mutex.Unlock()
-	return connection, nil
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	isNew := c.request != nil
+	c.request = nil
+	return isNew
 }
 
-// trackState records the HTTP server's state changes of a connection.
-func (l *callerListener) trackState(raw net.Conn, state http.ConnState) {
-	connection, tracked := raw.(*callerConnection)
-	if !tracked {
-		return
-	}
-	switch state {
-	case http.StateIdle:
-		connection.setIdle()
-	case http.StateClosed, http.StateHijacked:
-		l.mutex.Lock()
-		delete(l.connections, connection)
-		l.mutex.Unlock()
+// setIdle marks the connection as waiting for its next request.
+func (c *callerConnection) setIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state, c.request = stateIdle, nil
+}
+
+// closeIdle ends the wait for the next request if the connection is idle. It may be
+// called repeatedly, because the server sets a deadline of its own when a connection
+// becomes idle.
+func (c *callerConnection) closeIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state == stateIdle || c.state == stateClosing {
+		c.endWait()
 	}
 }
 
-// closeIdle closes the connections that are idle now.
-func (l *callerListener) closeIdle() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for connection := range l.connections {
-		connection.closeIdle()
+// closeUnused does the same as closeIdle also if the connection has never carried a request.
+func (c *callerConnection) closeUnused() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state != stateActive {
+		c.endWait()
 	}
 }
+
+// endWait ends the wait for the first byte of a request. The mutex must be held.
+func (c *callerConnection) endWait() {
+	c.state = stateClosing
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -35,6 +35,10 @@
 	control *http.ResponseController
 	// chunkTimeout is the time that the caller has for each writeChunkBytes.
 	chunkTimeout time.Duration
+	// lastResponse reports whether the connection is to be closed after the response; nil means that
+	// it is not.
+	lastResponse func() bool
+	headSent     bool
 }
 
 // newCallerWriter returns a writer without a deadline until the first write, as a response may begin late.
@@ -47,8 +51,20 @@
 // Unwrap lets http.ResponseController reach the methods that callerWriter does not implement.
 func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader implements http.ResponseWriter.
+func (w *callerWriter) WriteHeader(status int) {
+	w.headSent = true
+	if w.lastResponse != nil && w.lastResponse() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write implements io.Writer.
 func (w *callerWriter) Write(data []byte) (int, error) {
+	if !w.headSent {
+		w.WriteHeader(http.StatusOK)
+	}
 	written := 0
 	for {
 		chunk := data[written:min(len(data), written+writeChunkBytes)]
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,42 +23,10 @@
 	// its body.
 	causeAborted unansweredCause = "aborted"
 	causePanic   unansweredCause = "panic"
-	// causeStop is the end of the process while the request was open.
+	// causeStop is a response that ends because the process stops.
 	causeStop unansweredCause = "stop"
 )
 
-// openRequests are the requests whose handlers run.
-type openRequests struct {
-	mutex    sync.Mutex
-	requests map[*forward.Request]struct{}
-}
-
-func newOpenRequests() *openRequests {
-	return &openRequests{requests: map[*forward.Request]struct{}{}}
-}
-
-func (o *openRequests) add(request *forward.Request) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	o.requests[request] = struct{}{}
-}
-
-func (o *openRequests) remove(request *forward.Request) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	delete(o.requests, request)
-}
-
-func (o *openRequests) list() []*forward.Request {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	listed := make([]*forward.Request, 0, len(o.requests))
-	for request := range o.requests {
-		listed = append(listed, request)
-	}
-	return listed
-}
-
 // recordUnanswered logs and counts a request whose connection ends without a complete response.
 func (g *Gateway) recordUnanswered(request *forward.Request, cause unansweredCause, fields ...zap.Field) {
 	g.metrics.unanswered.WithLabelValues(string(cause)).Inc()
@@ -72,13 +40,15 @@
 
 // reportPanic records the end of a handler by a panic and panics again, so that the connection is
 // closed. It is deferred.
-func (g *Gateway) reportPanic(request *forward.Request) {
+func (g *Gateway) reportPanic(ctx context.Context, connection *callerConnection, request *forward.Request) {
 	reason := recover()
 	if reason == nil {
 		return
 	}
 	if err, isError := reason.(error); isError && errors.Is(err, http.ErrAbortHandler) {
-		g.recordUnanswered(request, causeAborted)
+		if connection.end() {
+			g.recordUnanswered(request, abortCause(ctx))
+		}
 		panic(http.ErrAbortHandler)
 	}
 	g.log.Log(logging.HandlerPanicked, zap.String("request", request.Call.RequestID), zap.String("panic", fmt.Sprint(reason)),
@@ -86,3 +56,11 @@
 	g.recordUnanswered(request, causePanic)
 	panic(http.ErrAbortHandler)
 }
+
+// abortCause returns why a handler ends without a complete response.
+func abortCause(ctx context.Context) unansweredCause {
+	if errors.Is(context.Cause(ctx), forward.ErrStopping) {
+		return causeStop
+	}
+	return causeAborted
+}
--- /dev/null
+++ b/internal/sitetest/stop_test.go
@@ -0,0 +1,215 @@
+package sitetest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/catalog"
+	"pinevane.example/pinevane/internal/emulator/site"
+)
+
+// Incident: an entry that was stopped while requests were open closed their connections at the end
+// of its grace period, without an answer.
+
+// stopGraceS is the grace period of the tests of stops in seconds. The caller's deadline and the
+// route's timeout are beyond it.
+const (
+	stopGraceS     = 5.0
+	stopTimeoutMs  = 20_000
+	stopDeadlineMs = "20000"
+)
+
+func stopOptions() site.Options {
+	options := DefaultOptions()
+	options.GraceS, options.TimeoutMs = stopGraceS, stopTimeoutMs
+	return options
+}
+
+// silenceServers makes all servers of a kind accept requests and never answer.
+func silenceServers(servers map[string]*site.Server) {
+	for _, server := range servers {
+		server.SetFaults(site.Faults{Silent: true})
+	}
+}
+
+// beginStop begins a planned stop of the entry that the tests of stops use, and returns a function
+// that waits for its end and its last log line and returns how long the stop took.
+func beginStop(f *Fleet) func() time.Duration {
+	began, took := time.Now(), make(chan time.Duration, 1)
+	go func() {
+		f.Stop(ProcessName(catalog.RoleEntry, 0, 0))
+		took <- time.Since(began)
+	}()
+	return func() time.Duration {
+		f.Eventually("the process has logged its end", 2*stopGraceS*time.Second, func() bool { return countEvents(f, "PV1004", "") == 1 })
+		return <-took
+	}
+}
+
+// stopCalls are calls to a stopping entry.
+type stopCalls struct {
+	fleet    *Fleet
+	running  sync.WaitGroup
+	mutex    sync.Mutex
+	outcomes []outcome
+}
+
+// send sends a call that need not end before the grace period does.
+func (c *stopCalls) send(id, method, path string, header map[string]string) {
+	all := map[string]string{"Deadline-Ms": stopDeadlineMs}
+	for name, value := range header {
+		all[name] = value
+	}
+	c.running.Go(func() {
+		began := time.Now()
+		answer, err := c.fleet.Call(context.Background(), 0, 0, method, path, id, all, "body")
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.outcomes = append(c.outcomes, outcome{id: id, startedAt: began, duration: time.Since(began), answer: answer, err: err})
+	})
+}
+
+func (c *stopCalls) sendStream(id string, events int) {
+	header := map[string]string{"Model": c.fleet.Site.Options.Weights.Model, "Token-Usage": fmt.Sprintf("%d,%d", shortPrompt, events)}
+	c.send(id, http.MethodPost, site.StreamPrefix+"a", header)
+}
+
+func (c *stopCalls) wait() []outcome {
+	c.running.Wait()
+	return c.outcomes
+}
+
+// arrived reports whether a request has reached a server.
+func arrived(f *Fleet, id string) bool {
+	for _, arrival := range f.Site.Requests.Arrivals() {
+		if arrival.RequestID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// assertAnswered requires a complete answer to each call, which promises that the request has not run
+// only if no server has received it.
+func assertAnswered(t *testing.T, f *Fleet, outcomes []outcome) {
+	t.Helper()
+	for _, result := range outcomes {
+		if !assert.NoError(t, result.err, "%s got no answer", result.id) {
+			continue
+		}
+		assert.True(t, result.answer.Complete, "%s was cut", result.id)
+		if arrived(f, result.id) {
+			assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, result.answer.Status, result.id)
+		} else {
+			assert.Equal(t, http.StatusServiceUnavailable, result.answer.Status, result.id)
+			assert.NotEmpty(t, result.answer.Header.Get("Retry-After"), result.id)
+		}
+	}
+}
+
+// LOST: guards against requests that end without an answer because they are open when the grace
+// period of a stop is over, sent before the stop signal and up to 3.2 s after it.
+func TestStopAnswersRequestsThatServersLeaveOpen(t *testing.T) {
+	f := Start(t, stopOptions())
+	silenceServers(f.Site.Plain)
+	silenceServers(f.Site.Models)
+	calls := &stopCalls{fleet: f}
+	sendAll := func(moment string) {
+		calls.send("once-"+moment, http.MethodPost, site.OncePrefix, nil)
+		calls.send("safe-"+moment, http.MethodGet, site.SafePrefix, nil)
+		calls.sendStream("stream-"+moment, 10)
+	}
+	sendAll("before")
+	time.Sleep(200 * time.Millisecond)
+	waitStopped := beginStop(f)
+	for number := range 18 {
+		time.Sleep(200 * time.Millisecond)
+		sendAll(fmt.Sprintf("after-%d", 200*(number+1)))
+	}
+	outcomes := calls.wait()
+	assert.Less(t, waitStopped(), time.Duration(stopGraceS*float64(time.Second)))
+	assertAnswered(t, f, outcomes)
+	assert.Zero(t, countEvents(f, "PV4111", ""), "requests without an answer")
+}
+
+// LOST: guards against requests whose time limit a new configuration moves beyond the end of the
+// grace period after the stop signal.
+func TestStopAnswersRequestsOfLengthenedRoute(t *testing.T) {
+	options := stopOptions()
+	options.TimeoutMs = 1000
+	f := Start(t, options)
+	silenceServers(f.Site.Plain)
+	waitStopped := beginStop(f)
+	f.Site.Configure(func(configuration map[string]any) {
+		for _, route := range configuration["routes"].([]any) {
+			route.(map[string]any)["timeoutMs"] = stopTimeoutMs
+		}
+	})
+	calls := &stopCalls{fleet: f}
+	for number := range 13 {
+		time.Sleep(200 * time.Millisecond)
+		calls.send(fmt.Sprintf("once-%d", number), http.MethodPost, site.OncePrefix, nil)
+	}
+	outcomes := calls.wait()
+	assert.Less(t, waitStopped(), time.Duration(stopGraceS*float64(time.Second)))
+	assertAnswered(t, f, outcomes)
+	longest := time.Duration(0)
+	for _, result := range outcomes {
+		longest = max(longest, result.duration)
+	}
+	assert.Greater(t, longest, 1500*time.Millisecond, "the new timeout was in force")
+}
+
+// LOST: guards against streams that are taken shortly before the end of a stop and then cut, and
+// against cuts that no log line and no metric tell of. A stream that was taken earlier and lasts
+// longer than the grace period is cut in its last sixth.
+func TestStopCutsOnlyStreamsTakenEarly(t *testing.T) {
+	options := stopOptions()
+	options.EventTime = 50 * time.Millisecond
+	f := Start(t, options)
+	const events = 1000
+	calls := &stopCalls{fleet: f}
+	calls.sendStream("early", events)
+	time.Sleep(200 * time.Millisecond)
+	signaled := time.Now()
+	waitStopped := beginStop(f)
+	time.Sleep(2900 * time.Millisecond)
+	for number := range 6 {
+		calls.sendStream(fmt.Sprintf("late-%d", number), events)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, result := range calls.wait() {
+		if !assert.NoError(t, result.err, result.id) {
+			continue
+		}
+		if result.id == "early" {
+			assert.False(t, result.answer.Complete)
+			assert.Greater(t, result.startedAt.Add(result.duration).Sub(signaled).Seconds(), stopGraceS*5/6)
+			continue
+		}
+		assert.Equal(t, http.StatusServiceUnavailable, result.answer.Status, result.id)
+		assert.False(t, arrived(f, result.id), result.id)
+	}
+	assert.Less(t, waitStopped(), time.Duration(stopGraceS*float64(time.Second)))
+	assert.Equal(t, 1, countEvents(f, "PV4107", `"leaving"`), "streams cut")
+	assert.Equal(t, 1, countEvents(f, "PV4111", `"cause":"stop"`), "requests without a complete answer")
+}
+
+// Guards against a stop that waits for callers' connections that carry no request.
+func TestStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	f := Start(t, stopOptions())
+	connection, err := net.Dial("tcp", strings.TrimPrefix(f.Site.EntryURL(0, 0), "http://"))
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	time.Sleep(100 * time.Millisecond)
+	assert.Less(t, beginStop(f)(), 3700*time.Millisecond)
+}
