--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -88,6 +88,9 @@
 		return nil, errDeadline
 	}
 	raw, err := network.Dialer(timeout).DialContext(ctx, "tcp", address)
+	if err != nil && ctx.Err() != nil {
+		return nil, cancellation(ctx)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -119,7 +122,7 @@
 		now := time.Now()
 		_ = c.net.SetReadDeadline(minTime(c.deadline, c.nextSilenceCheck(now)))
 		if c.ctx.Err() != nil {
-			return 0, errCallerLeft
+			return 0, cancellation(c.ctx)
 		}
 		if !c.interrupted.Swap(false) {
 			count, err := c.net.Read(buffer)
@@ -141,7 +144,7 @@
 func (c *connection) checkWait(now time.Time) error {
 	switch {
 	case c.ctx.Err() != nil:
-		return errCallerLeft
+		return cancellation(c.ctx)
 	case !now.Before(c.deadline):
 		return errDeadline
 	case c.guard != nil:
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -232,6 +232,11 @@
 	defer cancel()
 	defer w.cancelHedge()
 	refusal := w.forward(ctx)
+	if refusal != nil && canceledByStop(ctx) {
+		refusal = StoppingRefusal(w.mayHaveRun)
+		w.countEnding(endingLabel(refusal))
+		return refusal
+	}
 	if refusal != nil {
 		w.countEnding(endingLabel(refusal))
 	}
