A second attempt uses a fresh connection, and ends if that is held silent too

Cause: connections that rest in the pool may have gone silent with the first one; a second attempt over such a one hung beside the first, and no third was made.

Change: a second attempt takes only connections opened within the last moments, or a new one; if its own connection is held silent it ends, and the first attempt may be given another second one.

Conclusion: costs a connection for each second attempt.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/hedging"
+	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -85,7 +86,8 @@
 	return nil
 }
 
-// hedgeGuard guards a second attempt, which ends early only for the deadline of its server's version.
+// hedgeGuard guards a second attempt. It ends early for the deadline of its server's version, and when
+// its connection is held silent too: the first attempt goes on, and may be given another second one.
 type hedgeGuard struct {
 	attempt *forwarding
 	version uint64
@@ -98,7 +100,12 @@
 	return nil
 }
 
-func (g *hedgeGuard) whileSilent(*connection, time.Duration) error { return g.beforeSend() }
+func (g *hedgeGuard) whileSilent(c *connection, _ time.Duration) error {
+	if c.silent.Load() {
+		return errSilent
+	}
+	return g.beforeSend()
+}
 
 // considerHedge makes a second attempt if the conditions for one are met and a server has a place.
 func (w *forwarding) considerHedge(ctx context.Context, silent *target, first *connection, evidence error) {
@@ -107,6 +114,7 @@
 		return
 	}
 	second := w.fork()
+	second.request.openedAfter = w.watcher.now() - silence.UnacknowledgedLimit
 	if !errors.Is(evidence, errStalled) {
 		second.allowSameServer(silent)
 	}
