--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -122,6 +122,8 @@
 	ReasonSuspected   Reason = "content-suspected"
 	// ReasonMemory refuses a request whose body does not fit into the process's memory limit.
 	ReasonMemory Reason = "memory"
+	// ReasonInternal fails a request whose handler ended by a fault of this process.
+	ReasonInternal Reason = "internal"
 )
 
 // Refusal is the error with which a caller's request is refused or fails.
--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -39,10 +39,10 @@
 	connection.begin(request)
 	defer connection.handled()
 	defer func() { request.Memory.Close() }()
-	defer g.reportPanic(ctx, connection, request)
+	defer g.endPanic(ctx, caller, connection, request)
 	refusal := g.readRequest(writer, incoming, request)
 	if refusal == nil {
-		refusal = g.forwarder.Serve(ctx, caller, request)
+		refusal = g.forward(ctx, caller, request)
 	}
 	if refusal != nil {
 		g.refuse(caller, request, refusal)
@@ -63,7 +63,7 @@
 	if refusal := g.limitToStop(request); refusal != nil {
 		return refusal
 	}
-	configuration := g.daemon.Catalog.View().Configuration
+	configuration := g.view().Configuration
 	if configuration == nil {
 		refusal := fault.NotRun(fault.ReasonNotReady, "no configuration is known yet")
 		refusal.RetryAfter = forward.SpreadRetryAfter(unconfiguredRetry, call.Deadline)
@@ -184,8 +184,11 @@
 		}
 		return http.StatusServiceUnavailable
 	}
-	if refusal.Reason == fault.ReasonDeadline {
+	switch refusal.Reason {
+	case fault.ReasonDeadline:
 		return http.StatusGatewayTimeout
+	case fault.ReasonInternal:
+		return http.StatusInternalServerError
 	}
 	return http.StatusBadGateway
 }
@@ -211,7 +214,7 @@
 	if request.Route != nil {
 		route = request.Route.Name
 	}
-	view := g.daemon.Catalog.View()
+	view := g.view()
 	configured := uint64(0)
 	if view.Configuration != nil {
 		configured = view.Configuration.Version
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinevane.example/pinevane/internal/bytequota"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -31,8 +32,12 @@
 	dialect   fleet.Dialect
 	log       *logging.Logger
 	forwarder *forward.Forwarder
-	loads     *loadquery.Client
-	metrics   *metrics
+	// forward forwards a request, as forward.Forwarder.Serve.
+	forward func(ctx context.Context, writer http.ResponseWriter, request *forward.Request) *fault.Refusal
+	// view returns the current view of the fleet.
+	view    func() *catalog.View
+	loads   *loadquery.Client
+	metrics *metrics
 	// memory bounds the request and response bytes held for callers.
 	memory *bytequota.Quota
 	// callers tracks the callers' connections.
@@ -49,7 +54,7 @@
 	base := options.Daemon
 	settings := base.Settings()
 	g := &Gateway{
-		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
+		daemon: base, view: base.Catalog.View, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
@@ -60,6 +65,7 @@
 		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.Entries, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy,
 	})
+	g.forward = g.forwarder.Serve
 	base.Catalog.OnChange(g.forwarder.Update)
 	base.Catalog.OnStatus(g.forwarder.ApplyStatus)
 	base.Catalog.OnHealth(g.forwarder.ReceiveHealth)
@@ -103,7 +109,7 @@
 }
 
 func (g *Gateway) ready() bool {
-	view := g.daemon.Catalog.View()
+	view := g.view()
 	return !g.stopping() && view.Configuration != nil && len(view.Servers) > 0
 }
 
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/forward"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -19,10 +20,12 @@
 
 // The causes, as label values.
 const (
-	// causeAborted is a response that can't be continued, or a caller that disconnected while it sent
-	// its body.
+	// causeAborted is a response that can't be continued.
 	causeAborted unansweredCause = "aborted"
-	causePanic   unansweredCause = "panic"
+	// causeCallerLeft is a caller that disconnected.
+	causeCallerLeft unansweredCause = "caller left"
+	// causePanic is a panic after the response has begun.
+	causePanic unansweredCause = "panic"
 	// causeStop is a response that ends because the process stops.
 	causeStop unansweredCause = "stop"
 )
@@ -38,23 +41,37 @@
 		zap.String("cause", string(cause)), zap.Duration("took", time.Since(request.Arrived)))...)
 }
 
-// reportPanic records the end of a handler by a panic and panics again, so that the connection is
-// closed. It is deferred.
-func (g *Gateway) reportPanic(ctx context.Context, connection *callerConnection, request *forward.Request) {
+// endPanic ends a handler that has panicked. It is deferred. An intended abort closes the connection.
+// After any other panic the caller gets a failure, unless a response has begun, which must not look
+// complete.
+func (g *Gateway) endPanic(ctx context.Context, caller *callerWriter, connection *callerConnection, request *forward.Request) {
 	reason := recover()
 	if reason == nil {
 		return
 	}
 	if err, isError := reason.(error); isError && errors.Is(err, http.ErrAbortHandler) {
-		if connection.end() {
-			g.recordUnanswered(request, abortCause(ctx))
-		}
+		g.endUnanswered(connection, request, abortCause(ctx))
 		panic(http.ErrAbortHandler)
 	}
+	g.metrics.panics.Inc()
 	g.log.Log(logging.HandlerPanicked, zap.String("request", request.Call.RequestID), zap.String("panic", fmt.Sprint(reason)),
 		zap.ByteString("stack", debug.Stack()))
-	g.recordUnanswered(request, causePanic)
-	panic(http.ErrAbortHandler)
+	if caller.headSent {
+		g.endUnanswered(connection, request, causePanic)
+		panic(http.ErrAbortHandler)
+	}
+	// The header may hold fields of a response that was not sent.
+	clear(caller.Header())
+	caller.Header().Set("Connection", "close")
+	g.refuse(caller, request, fault.Unknown(fault.ReasonInternal, "the request's handler failed"))
+}
+
+// endUnanswered records that a connection ends without a complete response, unless that has been
+// recorded.
+func (g *Gateway) endUnanswered(connection *callerConnection, request *forward.Request, cause unansweredCause) {
+	if connection.end() {
+		g.recordUnanswered(request, cause)
+	}
 }
 
 // abortCause returns why a handler ends without a complete response.
@@ -62,5 +79,8 @@
 	if errors.Is(context.Cause(ctx), forward.ErrStopping) {
 		return causeStop
 	}
+	if ctx.Err() != nil {
+		return causeCallerLeft
+	}
 	return causeAborted
 }
