A response that its caller stops reading is counted as a write timeout (LOST)

Change: the connection remembers its first failed write. PV4111 and pinevane_unanswered_requests_total have the cause "write timeout", once for each request, wherever the write was; other failed writes count as "caller left".

Figures: before, TestCallerThatStopsReadingIsCounted fails in its three parts: no line for a handler that returns and for the end of a response, "caller left" for a handler that aborts.

Conclusion: every write that fails under a response now has a line and a cause.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -31,7 +31,7 @@
 	ctx, release := g.requestContext(incoming.Context())
 	defer release()
 	incoming = incoming.WithContext(ctx)
-	caller := newCallerWriter(writer, writeTimeout)
+	caller := newCallerWriter(writer, g.chunkTimeout)
 	caller.lastResponse = g.stopping
 	defer caller.extendDeadline()
 	request := &forward.Request{Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: incoming.Header, Arrived: time.Now()}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	metrics *metrics
 	// memory bounds the request and response bytes held for callers.
 	memory *bytequota.Quota
+	// chunkTimeout is the time that a caller has to read each writeChunkBytes of a response.
+	chunkTimeout time.Duration
 	// callers tracks the callers' connections.
 	callers *callerListener
 	// stop is nil before the stop signal.
@@ -54,7 +56,7 @@
 	base := options.Daemon
 	settings := base.Settings()
 	g := &Gateway{
-		daemon: base, view: base.Catalog.View, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
+		daemon: base, view: base.Catalog.View, chunkTimeout: writeTimeout, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
@@ -97,7 +99,7 @@
 	if err != nil {
 		return &fault.Unavailable{Target: settings.Callers, Operation: "listen", Cause: err}
 	}
-	g.callers = newCallerListener(listener)
+	g.callers = newCallerListener(listener, g.recordUnwritten)
 	g.daemon.ServeOn(g.callers, http.HandlerFunc(g.serve), g.callers.trackState)
 	go g.forwarder.Run(ctx)
 	<-stop
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -37,6 +37,8 @@
 	// returned is set once the request's handler has returned, after which the HTTP library writes
 	// the end of the response; writing is set during each write.
 	returned, writing bool
+	// writeError is the first error of a write, after which the connection is closed.
+	writeError error
 }
 
 // Read implements net.Conn.
@@ -60,15 +62,31 @@
 
 // Write implements net.Conn.
 func (c *callerConnection) Write(data []byte) (int, error) {
-	c.setWriting(true)
-	defer c.setWriting(false)
-	return c.Conn.Write(data)
+	c.beginWrite()
+	count, err := c.Conn.Write(data)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writing = false
+	if c.writeError == nil {
+		c.writeError = err
+	}
+	return count, err
 }
 
-func (c *callerConnection) setWriting(writing bool) {
+func (c *callerConnection) beginWrite() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writing = true
+}
+
+// writeFailure returns the first error of a write.
+func (c *callerConnection) writeFailure() error {
+	if c == nil {
+		return nil
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.writing = writing
+	return c.writeError
 }
 
 // begin records the request that the connection carries.
@@ -95,7 +113,7 @@
 func (c *callerConnection) openRequest() *forward.Request {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.returned && !c.writing {
+	if c.returned && !c.writing && c.writeError == nil {
 		return nil
 	}
 	return c.request
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -11,6 +11,9 @@
 // callerListener tracks the accepted connections of callers.
 type callerListener struct {
 	net.Listener
+	// onUnwritten is called when a connection is closed after a write has failed.
+	onUnwritten func(connection *callerConnection)
+
 	mutex       sync.Mutex
 	connections map[*callerConnection]struct{}
 	// byAddress holds the newest connection from each remote address.
@@ -19,8 +22,11 @@
 	stopped bool
 }
 
-func newCallerListener(listener net.Listener) *callerListener {
-	return &callerListener{Listener: listener, connections: map[*callerConnection]struct{}{}, byAddress: map[string]*callerConnection{}}
+func newCallerListener(listener net.Listener, onUnwritten func(*callerConnection)) *callerListener {
+	return &callerListener{
+		Listener: listener, onUnwritten: onUnwritten,
+		connections: map[*callerConnection]struct{}{}, byAddress: map[string]*callerConnection{},
+	}
 }
 
 // Accept implements net.Listener.
@@ -70,6 +76,9 @@
 		connection.setIdle()
 	case http.StateClosed, http.StateHijacked:
 		l.remove(connection)
+		if connection.writeFailure() != nil {
+			l.onUnwritten(connection)
+		}
 	}
 }
 
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -28,7 +28,8 @@
 // server of its callers, which passes requests to the handler.
 func newTestGateway(t *testing.T, listener net.Listener, handler http.HandlerFunc) (*Gateway, *http.Server) {
 	t.Helper()
-	g := &Gateway{log: logging.Nop(), metrics: newMetrics(prometheus.NewRegistry()), callers: newCallerListener(listener)}
+	g := &Gateway{log: logging.Nop(), metrics: newMetrics(prometheus.NewRegistry())}
+	g.callers = newCallerListener(listener, g.recordUnwritten)
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
 	server := &http.Server{ConnState: g.callers.trackState, ReadHeaderTimeout: testGrace, Handler: http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
 		connection := g.callers.from(incoming.RemoteAddr)
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -28,6 +29,8 @@
 	causePanic unansweredCause = "panic"
 	// causeStop is a response that ends because the process stops.
 	causeStop unansweredCause = "stop"
+	// causeWriteTimeout is a caller that has stopped reading its response.
+	causeWriteTimeout unansweredCause = "write timeout"
 )
 
 // recordUnanswered logs and counts a request whose connection ends without a complete response.
@@ -50,7 +53,7 @@
 		return
 	}
 	if err, isError := reason.(error); isError && errors.Is(err, http.ErrAbortHandler) {
-		g.endUnanswered(connection, request, abortCause(ctx))
+		g.endUnanswered(connection, request, abortCause(ctx, connection))
 		panic(http.ErrAbortHandler)
 	}
 	g.metrics.panics.Inc()
@@ -74,8 +77,20 @@
 	}
 }
 
-// abortCause returns why a handler ends without a complete response.
-func abortCause(ctx context.Context) unansweredCause {
+// recordUnwritten records a response that could not be written completely and whose handler did not
+// end because of that: the HTTP library writes the end of a response after its handler.
+func (g *Gateway) recordUnwritten(connection *callerConnection) {
+	if request := connection.openRequest(); request != nil {
+		g.endUnanswered(connection, request, writeCause(connection.writeFailure()))
+	}
+}
+
+// abortCause returns why a handler ends without a complete response. A failed write comes first,
+// because it cancels the context too.
+func abortCause(ctx context.Context, connection *callerConnection) unansweredCause {
+	if err := connection.writeFailure(); err != nil {
+		return writeCause(err)
+	}
 	if errors.Is(context.Cause(ctx), forward.ErrStopping) {
 		return causeStop
 	}
@@ -84,3 +99,11 @@
 	}
 	return causeAborted
 }
+
+// writeCause returns why a write to a caller has failed.
+func writeCause(err error) unansweredCause {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return causeWriteTimeout
+	}
+	return causeCallerLeft
+}
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -90,6 +90,14 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return startGatewayOn(t, listener, forwarder)
+}
+
+// testChunkTimeout is the time that callers have for each chunk of a response.
+const testChunkTimeout = 250 * time.Millisecond
+
+func startGatewayOn(t *testing.T, listener net.Listener, forwarder forwardFunction) *servingGateway {
+	t.Helper()
 	served := &servingGateway{address: listener.Addr().String()}
 	configuration := &fleet.Configuration{Routes: []fleet.Route{
 		{Name: "all", Host: "h", Prefix: "/", Kind: fleet.AtMostOnce, Timeout: 5 * time.Second, Attempts: 1},
@@ -98,10 +106,11 @@
 	view := &catalog.View{Configuration: configuration}
 	served.registry = prometheus.NewRegistry()
 	g := &Gateway{
-		log: logging.NewBounded(zapcore.InfoLevel, "test", &served.lines), dialect: platform.Dialect{}, metrics: newMetrics(served.registry), memory: newMemory(0),
-		callers: newCallerListener(listener), forward: forwarder, view: func() *catalog.View { return view },
+		log: logging.NewBounded(zapcore.InfoLevel, "test", &served.lines), dialect: platform.Dialect{}, metrics: newMetrics(served.registry), memory: newMemory(0), chunkTimeout: testChunkTimeout,
+		forward: forwarder, view: func() *catalog.View { return view },
 	}
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
+	g.callers = newCallerListener(listener, g.recordUnwritten)
 	served.Gateway = g
 	server := &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.callers.trackState, ReadHeaderTimeout: testGrace}
 	go func() { _ = server.Serve(g.callers) }()
@@ -207,6 +216,57 @@
 	})
 }
 
+// Guards against responses that end unlogged because their callers have stopped reading: in the middle
+// of a response, whose handler may abort it, and at its end, which the HTTP library writes.
+func TestCallerThatStopsReadingIsCounted(t *testing.T) {
+	write := func(ignoreErrors bool) forwardFunction {
+		return func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+			if _, err := writer.Write(make([]byte, longResponse)); err != nil && !ignoreErrors {
+				panic(http.ErrAbortHandler)
+			}
+			return nil
+		}
+	}
+	t.Run("handler returns", func(t *testing.T) {
+		g := startGateway(t, write(true))
+		sendRequest(t, g.address, "GET / HTTP/1.1", "")
+		g.assertUnanswered(t, causeWriteTimeout)
+	})
+	t.Run("handler aborts", func(t *testing.T) {
+		g := startGateway(t, write(false))
+		sendRequest(t, g.address, "GET / HTTP/1.1", "")
+		g.assertUnanswered(t, causeWriteTimeout)
+	})
+	t.Run("end of the response", func(t *testing.T) {
+		listener := &pipeListener{accepted: make(chan net.Conn, 1), closed: make(chan struct{})}
+		g := startGatewayOn(t, listener, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+			_, _ = io.WriteString(writer, "response")
+			return nil
+		})
+		near, far := net.Pipe()
+		listener.accepted <- far
+		_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\n\r\n")
+		require.NoError(t, err)
+		g.assertUnanswered(t, causeWriteTimeout)
+	})
+}
+
+// Guards against a complete response that is counted as unanswered.
+func TestCompleteResponsesAreNotCounted(t *testing.T) {
+	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+		_, _ = io.WriteString(writer, "response")
+		return nil
+	})
+	for _, rest := range []string{"", "Connection: close\r\n\r\n"} {
+		connection := sendRequest(t, g.address, "GET / HTTP/1.1", rest)
+		_, body := readResponse(t, connection)
+		assert.Equal(t, "response", body)
+		require.NoError(t, connection.Close())
+	}
+	require.Eventually(t, func() bool { return g.callers.count() == 0 }, time.Second, time.Millisecond)
+	g.assertUnanswered(t, "")
+}
+
 // sendRequest sends a request, given its request line and what follows its Request-Id.
 func sendRequest(t *testing.T, address, line, rest string) net.Conn {
 	t.Helper()
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -115,7 +115,7 @@
 	CallerLeft             = define("PV4108", zap.InfoLevel, "caller disconnected", "The caller closed its connection; the work at the server is canceled.")
 	NoServerChosen         = define("PV4109", zap.InfoLevel, "no server chosen", "A request was sent to no server; the fields count the servers by the reason of their exclusion, and hold the shortest estimated wait.")
 	RequestQuarantined     = define("PV4110", zap.InfoLevel, "request quarantined", "A request was sent to no server because servers have crashed under its fingerprint; the fields hold its state, which servers, and for how long.")
-	RequestUnanswered      = define("PV4111", zap.WarnLevel, "request unanswered", "A caller's connection ends without a complete response; the field cause says why: aborted, caller left, panic or stop.")
+	RequestUnanswered      = define("PV4111", zap.WarnLevel, "request unanswered", "A caller's connection ends without a complete response; the field cause says why: aborted, caller left, panic, stop or write timeout.")
 	HandlerPanicked        = define("PV4112", zap.ErrorLevel, "request handler panicked", "A request's handler ended by a panic, which is a bug; the fields hold the panic and its stack. The caller gets 500, or its connection is closed if a response has begun.")
 	ServerLeaving          = define("PV4201", zap.InfoLevel, "server leaving", "The server list shows that a server is draining; it is sent no more requests.")
 	ServerRemoved          = define("PV4202", zap.InfoLevel, "server removed", "A server was removed from the list; it is sent no more requests.")
