A caller that reads slowly but steadily is not cut off (LOST)

The kernel buffers megabytes for a connection and admits more only when a third of that is free, which takes a slow reader longer. The bound of half a kilobyte a second was not kept.

Change: a write deadline that passes is renewed if the caller's machine has acknowledged 4 KiB since (TCP_INFO). network.TCPState has the count of acknowledged bytes.

TestSteadySlowReaderIsNotCutOff fails without the renewal: write timeout after 1 s.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -39,6 +39,8 @@
 	returned, writing bool
 	// writeError is the first error of a write, after which the connection is closed.
 	writeError error
+	// writeAllowance is the time that the write deadline gave when it was set, 0 for none.
+	writeAllowance time.Duration
 }
 
 // Read implements net.Conn.
@@ -63,7 +65,7 @@
 // Write implements net.Conn.
 func (c *callerConnection) Write(data []byte) (int, error) {
 	c.beginWrite()
-	count, err := c.Conn.Write(data)
+	count, err := c.writeWhileRead(data)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.writing = false
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"pinevane.example/pinevane/internal/bytequota"
+	"pinevane.example/pinevane/internal/network"
 )
 
 // Limits on the resources held for slow callers.
@@ -89,6 +92,58 @@
 	_ = w.control.SetWriteDeadline(time.Now().Add(w.chunkTimeout))
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *callerConnection) SetWriteDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	c.writeAllowance = 0
+	if !deadline.IsZero() {
+		c.writeAllowance = time.Until(deadline)
+	}
+	c.mutex.Unlock()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// writeWhileRead writes data and renews the write deadline as long as the caller keeps reading. That a
+// write waits does not show that it has stopped: the kernel buffers megabytes for a connection, and
+// admits more only when a third of that is free, which takes a slow reader minutes.
+func (c *callerConnection) writeWhileRead(data []byte) (int, error) {
+	written := 0
+	acknowledged := uint64(0)
+	if len(data) >= writeChunkBytes {
+		// Shorter writes seldom wait. For them the question would cost more than one needless renewal.
+		acknowledged = c.acknowledged()
+	}
+	for {
+		count, err := c.Conn.Write(data[written:])
+		written += count
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+		before := acknowledged
+		acknowledged = c.acknowledged()
+		if acknowledged < before+writeChunkBytes {
+			return written, err
+		}
+		c.renewWriteDeadline()
+	}
+}
+
+func (c *callerConnection) renewWriteDeadline() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.writeAllowance))
+}
+
+// acknowledged returns how many bytes the caller's machine has acknowledged, which it does only while
+// there is room in its buffer; 0 if that is unknown.
+func (c *callerConnection) acknowledged() uint64 {
+	state, known := network.ReadTCPState(c.Conn)
+	if !known {
+		return 0
+	}
+	return state.BytesAcknowledged
+}
+
 // registerMemory registers metrics of the memory held for callers.
 func registerMemory(registry prometheus.Registerer, memory *bytequota.Quota) {
 	registry.MustRegister(
--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/forward"
 )
@@ -84,6 +86,34 @@
 	assert.NoError(t, <-ended)
 }
 
+// Guards against the cut of a caller that reads steadily, but so slowly that the kernel's buffers admit
+// no further byte for many times the timeout of a chunk.
+func TestSteadySlowReaderIsNotCutOff(t *testing.T) {
+	const (
+		chunkTimeout = time.Second
+		readBytes    = 3200
+		readPeriod   = 50 * time.Millisecond
+		readFor      = 6 * time.Second
+		// readBufferBytes lets the caller's kernel report room in small steps, as over a network.
+		readBufferBytes = 4 << 10
+	)
+	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+		_, _ = writer.Write(make([]byte, longResponse))
+		return nil
+	})
+	g.chunkTimeout = chunkTimeout
+	connection := sendRequest(t, g.address, "GET / HTTP/1.1", "")
+	require.NoError(t, connection.(*net.TCPConn).SetReadBuffer(readBufferBytes))
+	response, err := http.ReadResponse(bufio.NewReaderSize(connection, 16), nil)
+	require.NoError(t, err)
+	for began := time.Now(); time.Since(began) < readFor; {
+		time.Sleep(readPeriod)
+		_, err := io.CopyN(io.Discard, response.Body, readBytes)
+		require.NoError(t, err)
+	}
+	g.assertUnanswered(t, "")
+}
+
 // serveBodies serves requests whose bodies are read as a Gateway reads them, within a deadline and a memory limit.
 func serveBodies(tb testing.TB, within time.Duration, memoryBytes int64) string {
 	memory := newMemory(memoryBytes)
--- a/internal/network/tcpstate.go
+++ b/internal/network/tcpstate.go
@@ -17,6 +17,8 @@
 	Probing bool
 	// SinceReceived is how long ago the last acknowledgement or data arrived.
 	SinceReceived time.Duration
+	// BytesAcknowledged counts the sent bytes that the peer has acknowledged.
+	BytesAcknowledged uint64
 }
 
 // ReadTCPState returns the kernel's state of a connection, or false if it is not available.
@@ -40,6 +42,7 @@
 	sinceReceived := time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond
 	return TCPState{
 		AwaitingAck: info.Unacked > 0 || info.Probes > 0, Probing: info.Unacked == 0 && info.Probes > 0, SinceReceived: sinceReceived,
+		BytesAcknowledged: info.Bytes_acked,
 	}, true
 }
 
