--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinevane.example/pinevane/internal/bytequota"
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -31,10 +32,16 @@
 	dialect   fleet.Dialect
 	log       *logging.Logger
 	forwarder *forward.Forwarder
-	loads     *loadquery.Client
-	metrics   *metrics
+	// forward forwards a request, as forward.Forwarder.Serve.
+	forward func(ctx context.Context, writer http.ResponseWriter, request *forward.Request) *fault.Refusal
+	// view returns the current view of the fleet.
+	view    func() *catalog.View
+	loads   *loadquery.Client
+	metrics *metrics
 	// memory bounds the request and response bytes held for callers.
 	memory *bytequota.Quota
+	// chunkTimeout is the time that a caller has to read each writeChunkBytes of a response.
+	chunkTimeout time.Duration
 	// callers tracks the callers' connections.
 	callers *callerListener
 	// stop is nil before the stop signal.
@@ -49,7 +56,7 @@
 	base := options.Daemon
 	settings := base.Settings()
 	g := &Gateway{
-		daemon: base, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
+		daemon: base, view: base.Catalog.View, chunkTimeout: writeTimeout, dialect: options.Dialect, log: base.Log, metrics: newMetrics(base.Registry),
 		loads: loadquery.NewClient(settings.InternalPort, base.Log), memory: newMemory(settings.MemoryBytes),
 	}
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
@@ -60,6 +67,7 @@
 		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.Entries, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy,
 	})
+	g.forward = g.forwarder.Serve
 	base.Catalog.OnChange(g.forwarder.Update)
 	base.Catalog.OnStatus(g.forwarder.ApplyStatus)
 	base.Catalog.OnHealth(g.forwarder.ReceiveHealth)
@@ -91,7 +99,7 @@
 	if err != nil {
 		return &fault.Unavailable{Target: settings.Callers, Operation: "listen", Cause: err}
 	}
-	g.callers = newCallerListener(listener)
+	g.callers = newCallerListener(listener, g.recordUnwritten)
 	g.daemon.ServeOn(g.callers, http.HandlerFunc(g.serve), g.callers.trackState)
 	go g.forwarder.Run(ctx)
 	<-stop
@@ -103,7 +111,7 @@
 }
 
 func (g *Gateway) ready() bool {
-	view := g.daemon.Catalog.View()
+	view := g.view()
 	return !g.stopping() && view.Configuration != nil && len(view.Servers) > 0
 }
 
