--- a/internal/sitetest/underway_changes_test.go
+++ b/internal/sitetest/underway_changes_test.go
@@ -67,6 +67,18 @@
 	assertNoUnanswered(t, f)
 }
 
+// Guards against requests that are refused as late on arrival, because neither their route nor their
+// caller states how long they may take.
+func TestRouteWithoutTimeoutServesRequestsWithoutDeadline(t *testing.T) {
+	f := Start(t, DefaultOptions())
+	f.configure(func(configuration map[string]any) {
+		site.ChangeRoutes(configuration, func(route map[string]any) { delete(route, "timeoutMs") })
+	})
+	answer, err := f.Call(t.Context(), 0, 0, http.MethodGet, site.SafePrefix, "patient", map[string]string{"Deadline-Ms": ""}, "")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, answer.Status)
+}
+
 // Guards against requests that are lost when their route allows fewer attempts.
 func TestLoweredAttemptsLetOpenRequestsFinish(t *testing.T) {
 	f := startUnderWayFleet(t, underWayOptions())
