--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 )
 
@@ -137,6 +138,13 @@
 	return s.TimeToFirstEvent(load, prompt) + milliseconds(readingFactor*step*float64(answer))
 }
 
+// maxPrediction bounds every prediction: figures that are published wrong, or that are not finite
+// together, must not give times that overflow or lie in the past.
+const maxPrediction = time.Hour
+
 func milliseconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Millisecond))
+	if math.IsNaN(value) {
+		return maxPrediction
+	}
+	return time.Duration(min(max(value, 0), float64(maxPrediction/time.Millisecond)) * float64(time.Millisecond))
 }
