--- a/internal/emulator/site/services.go
+++ b/internal/emulator/site/services.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -22,6 +23,23 @@
 	return server, s.startServer(s.Plain, server)
 }
 
+// ConfigureOnce publishes a configuration with a change that later ones do not have, and returns its
+// version and the revision of its record.
+func (s *Site) ConfigureOnce(change func(configuration map[string]any)) (version, revision uint64) {
+	s.version += 3
+	s.configuration["version"] = s.version
+	data, err := json.Marshal(s.configuration)
+	if err != nil {
+		panic(err)
+	}
+	var copied map[string]any
+	if err := json.Unmarshal(data, &copied); err != nil {
+		panic(err)
+	}
+	change(copied)
+	return s.version, s.Store.Put("op/config", copied)
+}
+
 // AddService adds a plain service to a configuration.
 func AddService(configuration map[string]any, service string) {
 	configuration["services"] = append(configuration["services"].([]any), map[string]any{"name": service, "healthPath": "/healthz", "maxConnections": 400})
