--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -100,7 +100,28 @@
 func (t *targets) fillEngine(criteria *dispatch.Request) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	criteria.Engine = t.engines[criteria.Service]
+	t.useEngine(criteria, t.engines[criteria.Service])
+}
+
+// fillEngineOfAdmission is fillEngine where the configuration in force has no description, from the one that the
+// request was admitted under: the service may have been removed while the request's body was read, or
+// added by a configuration that is not in force here yet.
+func (t *targets) fillEngineOfAdmission(criteria *dispatch.Request, admitted *fleet.Configuration) {
+	if criteria.Engine != nil {
+		return
+	}
+	engine := engineOf(admitted, criteria.Service)
+	if engine == nil {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.useEngine(criteria, engine)
+}
+
+// useEngine fills in the description of a model server, nil if there is none. The mutex must be held.
+func (t *targets) useEngine(criteria *dispatch.Request, engine *dispatch.Engine) {
+	criteria.Engine = engine
 	if criteria.Engine != nil {
 		criteria.Figures = t.core.Figures(criteria.Service, criteria.Engine)
 		criteria.Prompt = fleet.ValidTokens(criteria.Prompt, criteria.Engine.MaxPrompt)
--- a/internal/forward/convert.go
+++ b/internal/forward/convert.go
@@ -46,17 +46,29 @@
 	if configuration == nil {
 		return engines
 	}
-	for name, service := range configuration.Services {
-		if engine := service.Engine; engine != nil {
-			engines[name] = &dispatch.Engine{
-				Published: engine.Parameters(), Pieces: engine.Pieces, CopyTime: engine.CopyTime(configuration.OriginRate()), ActivationTime: engine.Warm,
-				MaxPrompt: engine.MaxPrompt(),
-			}
+	for name := range configuration.Services {
+		if engine := engineOf(configuration, name); engine != nil {
+			engines[name] = engine
 		}
 	}
 	return engines
 }
 
+// engineOf returns the model server description of a service, or nil if it has no model servers.
+func engineOf(configuration *fleet.Configuration, service string) *dispatch.Engine {
+	if configuration == nil {
+		return nil
+	}
+	engine := configuration.Services[service].Engine
+	if engine == nil {
+		return nil
+	}
+	return &dispatch.Engine{
+		Published: engine.Parameters(), Pieces: engine.Pieces, CopyTime: engine.CopyTime(configuration.OriginRate()), ActivationTime: engine.Warm,
+		MaxPrompt: engine.MaxPrompt(),
+	}
+}
+
 func loadReportOf(status fleet.MachineStatus) dispatch.LoadReport {
 	return dispatch.LoadReport{
 		Address: status.Address, Reachable: status.Reachable, Version: status.Version, Running: status.Running, Waiting: status.Waiting,
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -215,6 +215,7 @@
 	}
 	w.criteria.Arrival = f.recordArrival(&w.criteria, request.Call.Deadline)
 	f.targets.fillEngine(&w.criteria)
+	f.targets.fillEngineOfAdmission(&w.criteria, request.Configuration)
 	f.countRequest(service)
 	defer w.endSuspect()
 	refusal := w.forward(ctx)
