A server that is silent for a moment has not lost its staged pieces (LOST)

Cause: an agent that reads a staged piece back took every failure, also a server that did not answer within 1.5 s, for a corrupt piece (PV3104): it dropped the piece, replaced the whole fetcher and fetched the piece from peers or the origin again. It did so before the order to switch (the server then waited 1.5 s for each piece in turn), after a restart of the server, at its own start, and when a peer asked for the piece, which was then told that there is none.

Change: a piece counts as lost or corrupt when the server says that it lacks it, or by its digest. Without an answer nothing is known: the switch is tried again with the next reconciliation, the checks after a restart and at the start wait, a peer gets 503.

Figures (go test -race ./internal/rollout): TestSilenceOfServerDoesNotMakePiecesCorrupt, one unanswered read in each of four places: before, pieces are fetched again in three of them and the peer gets 404; after, none, 5 of 5 runs. TestLostAndCorruptPiecesAreFetchedAgain passes before and after.

Noticed by users as a version that is late when a server pauses for more than 1.5 s around its switch; shorter pauses did no harm.

--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -66,7 +66,11 @@
 		return
 	}
 	began := time.Now()
-	if corrupt := newer.verify(ctx, layers.Pieces(len(newer.held()), engine.Layers)); len(corrupt) > 0 {
+	corrupt, err := newer.verify(ctx, layers.Pieces(len(newer.held()), engine.Layers))
+	if err != nil {
+		return
+	}
+	if len(corrupt) > 0 {
 		newer.refetchCorrupt(corrupt)
 		return
 	}
--- a/internal/rollout/buffer.go
+++ b/internal/rollout/buffer.go
@@ -102,8 +102,9 @@
 	t.buffer.open()
 	var corrupt []int
 	for _, index := range t.heldPieces() {
-		content, valid := t.readPiece(ctx, index)
-		if !valid {
+		content, err := t.readPiece(ctx, index)
+		if err != nil {
+			// A piece that can't be read now is about to be overwritten.
 			corrupt = append(corrupt, index)
 			continue
 		}
--- a/internal/rollout/endinglayer.go
+++ b/internal/rollout/endinglayer.go
@@ -37,8 +37,8 @@
 		model: overwritten.model, version: overwritten.version(), layers: turnover.Layers{From: 0, To: 1}, pieces: map[int][]byte{},
 	}
 	for _, index := range saved.layers.Pieces(len(overwritten.held()), engine.Layers) {
-		content, valid := overwritten.readPiece(ctx, index)
-		if !valid {
+		content, err := overwritten.readPiece(ctx, index)
+		if err != nil {
 			return
 		}
 		saved.pieces[index] = content
--- a/internal/rollout/peers.go
+++ b/internal/rollout/peers.go
@@ -271,11 +271,15 @@
 		http.Error(writer, "the wait was given up", http.StatusServiceUnavailable)
 		return
 	}
-	content, held := t.readPiece(request.Context(), index)
-	if !held {
+	content, err := t.readPiece(request.Context(), index)
+	switch {
+	case isCorrupt(err):
 		t.refetchPiece(request.Context(), index)
 		http.Error(writer, "no such piece", http.StatusNotFound)
 		return
+	case err != nil:
+		http.Error(writer, "the server does not answer", http.StatusServiceUnavailable)
+		return
 	}
 	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = writer.Write(content)
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -223,7 +223,11 @@
 		return
 	}
 	began := time.Now()
-	if corrupt := current.verifyAll(ctx); len(corrupt) > 0 {
+	corrupt, err := current.verifyAll(ctx)
+	if err != nil {
+		return
+	}
+	if len(corrupt) > 0 {
 		current.refetchCorrupt(corrupt)
 		return
 	}
--- a/internal/rollout/restarted.go
+++ b/internal/rollout/restarted.go
@@ -8,6 +8,7 @@
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // handleServerRestart discards the state of the server's previous incarnation: its load, whether it
@@ -26,9 +27,18 @@
 	}
 }
 
-// reverify verifies the pieces that are believed to be staged, and fetches missing ones again.
+// reverify verifies the pieces that are believed to be staged, and fetches missing ones again. It waits
+// while the server does not answer, as long as the transfer is in use.
 func (t *transfer) reverify(ctx context.Context) {
-	if corrupt := t.verify(ctx, t.heldPieces()); len(corrupt) > 0 && ctx.Err() == nil {
-		t.refetchCorrupt(corrupt)
+	for ctx.Err() == nil && t.agent.findTransfer(t.model, t.version()) == t {
+		corrupt, err := t.verify(ctx, t.heldPieces())
+		if err != nil {
+			waiting.For(ctx, serverRetryInterval)
+			continue
+		}
+		if len(corrupt) > 0 {
+			t.refetchCorrupt(corrupt)
+		}
+		return
 	}
 }
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -3,16 +3,25 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
+	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/waiting"
 )
 
-// verifyHeld reads back the pieces staged at the server and marks those that match the manifest.
+// serverRetryInterval is the delay after a call that the machine's own server did not answer, before the
+// same is tried again.
+const serverRetryInterval = 100 * time.Millisecond
+
+// verifyHeld reads back the pieces staged at the server and marks those that match the manifest. It waits
+// while the server does not answer.
 func (t *transfer) verifyHeld(ctx context.Context, manifest fleet.Manifest) []bool {
 	held := make([]bool, len(manifest.Digests))
 	for ctx.Err() == nil {
@@ -25,7 +34,11 @@
 			if index < 0 || index >= len(held) {
 				continue
 			}
-			content, err := t.agent.server.Piece(ctx, t.model, index)
+			var content []byte
+			err := retryWhileSilent(ctx, func() (err error) {
+				content, err = t.agent.server.Piece(ctx, t.model, index)
+				return err
+			})
 			held[index] = err == nil && sha256.Sum256(content) == manifest.Digests[index]
 		}
 		return held
@@ -33,27 +46,58 @@
 	return held
 }
 
-// readPiece returns a piece from the buffer, or reads it back from the server and verifies it.
-func (t *transfer) readPiece(ctx context.Context, index int) ([]byte, bool) {
+// retryWhileSilent calls the server until it answers or the context ends, and returns the last error.
+func retryWhileSilent(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if err == nil || ctx.Err() != nil || refused(err) {
+			return err
+		}
+		waiting.For(ctx, serverRetryInterval)
+	}
+}
+
+// refused reports whether an error is the server's answer to the call itself. Otherwise the call may
+// succeed when it is made again.
+func refused(err error) bool {
+	var unavailable *fault.Unavailable
+	return errors.As(err, &unavailable) && unavailable.Status != 0 && unavailable.Status < http.StatusInternalServerError
+}
+
+// readPiece returns a piece from the buffer, or reads it back from the server and verifies it. The error
+// is a *fault.Corrupt if the piece is certainly missing or corrupt. Any other error only says that the
+// server gave no answer.
+func (t *transfer) readPiece(ctx context.Context, index int) ([]byte, error) {
 	manifest, known := t.knownManifest()
 	if !known || index < 0 || index >= len(manifest.Digests) {
-		return nil, false
+		return nil, &fault.Corrupt{Source: serverSource}
 	}
 	if content, buffered := t.buffer.get(index); buffered {
-		return content, true
+		return content, nil
 	}
 	content, err := t.agent.server.Piece(ctx, t.model, index)
-	if err != nil || sha256.Sum256(content) != manifest.Digests[index] {
-		return nil, false
+	switch {
+	case err != nil && !refused(err):
+		return nil, err
+	case err != nil || sha256.Sum256(content) != manifest.Digests[index]:
+		return nil, &fault.Corrupt{Source: serverSource}
 	}
-	return content, true
+	return content, nil
+}
+
+// serverSource names the machine's own server in errors.
+const serverSource = "model server"
+
+func isCorrupt(err error) bool {
+	var corrupt *fault.Corrupt
+	return errors.As(err, &corrupt)
 }
 
-// verifyAll reads back all pieces and returns those that do not match.
-func (t *transfer) verifyAll(ctx context.Context) []int {
+// verifyAll reads back all pieces and returns those that do not match; see verify.
+func (t *transfer) verifyAll(ctx context.Context) ([]int, error) {
 	manifest, known := t.knownManifest()
 	if !known {
-		return nil
+		return nil, nil
 	}
 	all := make([]int, 0, len(manifest.Digests))
 	for index := range manifest.Digests {
@@ -62,15 +106,20 @@
 	return t.verify(ctx, all)
 }
 
-// verify reads back some pieces and returns those that do not match.
-func (t *transfer) verify(ctx context.Context, pieces []int) []int {
+// verify reads back some pieces and returns those that do not match. An error means that the server did
+// not answer, so that nothing is known of some pieces.
+func (t *transfer) verify(ctx context.Context, pieces []int) ([]int, error) {
 	var corrupt []int
 	for _, index := range pieces {
-		if _, valid := t.readPiece(ctx, index); !valid {
+		_, err := t.readPiece(ctx, index)
+		switch {
+		case isCorrupt(err):
 			corrupt = append(corrupt, index)
+		case err != nil:
+			return nil, err
 		}
 	}
-	return corrupt
+	return corrupt, nil
 }
 
 // refetchCorrupt fetches pieces again that have turned corrupt at the server.
