An attempt that panics in an agent fails alone (LOST)

Cause: a panic in the goroutine of one attempt ended the agent's process, and with it every attempt that was open at the machine: streams were resumed elsewhere or refused, calls that may run once ended as unknown.

Change: the attempt fails, as one that may have run; PV4112 holds the stack.

--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -208,8 +210,16 @@
 	}
 }
 
+// run runs an attempt. If it panics only this attempt fails, and may have run.
 func (g *gate) run(ctx context.Context, link *peering.Link, submit protocol.Submit) {
 	defer g.finish(submit.ID)
+	defer func() {
+		if reason := recover(); reason != nil {
+			g.node.Log.Log(logging.HandlerPanicked, zap.String("request", submit.RequestID), zap.String("panic", fmt.Sprint(reason)),
+				zap.ByteString("stack", debug.Stack()))
+			g.reportFailure(ctx, link, submit.ID, fault.Unknown(fault.ReasonInternal, "the agent failed while it ran the attempt"))
+		}
+	}()
 	if submit.Generate != nil {
 		g.generate(ctx, link, submit)
 		return
