What is open at the end of an entry's stop is refused (LOST)

Cause: a stopping entry of the product's own interface waits for its open requests for as long as they take, and the platform's kill ends them without an answer or a refusal.

A second before that, and a second before the end of the wait for the last answers, an entry refuses what is open: reason "leaving", 503 with Retry-After, an error event in a stream that has begun, execution "unknown" where an attempt has begun.

--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -28,6 +28,7 @@
 	Seeds         []string      `long:"seed" env:"PINEVANE_SEEDS" env-delim:"," description:"IP address and port of a peer to learn from when the platform is unreachable; may be repeated"`
 	StartJitter   time.Duration `long:"start-jitter" env:"PINEVANE_START_JITTER" default:"200ms" description:"maximum random delay of the first read of the platform, 0s to 60s"`
 	SettleTime    time.Duration `long:"settle-time" env:"PINEVANE_SETTLE_TIME" default:"2s" description:"time to keep answering after the readiness check fails, 0s to 10m"`
+	GraceTime     time.Duration `long:"grace-time" env:"PINEVANE_GRACE_TIME" default:"0s" description:"time within which a stopping process ends and refuses what is still open, longer than the settle time and shorter than the time after which the platform kills it, up to 24h; 0s waits for as long as requests take"`
 	LogLevel      string        `long:"log-level" env:"PINEVANE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 	Profile       bool          `long:"profile" env:"PINEVANE_PROFILE" description:"serve pprof on the administration address"`
 }
@@ -56,9 +57,19 @@
 	if err := checkDuration("--start-jitter", f.StartJitter, 0, time.Minute); err != nil {
 		return err
 	}
-	return checkDuration("--settle-time", f.SettleTime, 0, 10*time.Minute)
+	if err := checkDuration("--settle-time", f.SettleTime, 0, 10*time.Minute); err != nil {
+		return err
+	}
+	if f.GraceTime == 0 {
+		return nil
+	}
+	return checkDuration("--grace-time", f.GraceTime, f.SettleTime+minGraceBeyondSettle, 24*time.Hour)
 }
 
+// minGraceBeyondSettle is how much longer than the settle time a grace period must be, so that requests
+// that are taken until then have some time.
+const minGraceBeyondSettle = 2 * time.Second
+
 func (f *processFlags) logger() (*logging.Logger, error) {
 	level, err := zapcore.ParseLevel(f.LogLevel)
 	if err != nil || level > zapcore.ErrorLevel {
@@ -71,7 +82,7 @@
 	return node.Options{
 		ID: f.ID, Role: role, Zone: f.Zone, Region: f.Region, Listen: f.Listen, AdminListen: f.AdminListen,
 		ConfigurationAddress: f.Configuration, MembershipAddress: f.Membership, Seeds: f.Seeds,
-		StartJitter: f.StartJitter, SettleTime: f.SettleTime, Profile: f.Profile,
+		StartJitter: f.StartJitter, SettleTime: f.SettleTime, Grace: f.GraceTime, Profile: f.Profile,
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,8 @@
 	limits   *limiter
 	metrics  *metrics
 	requests *requestCounter
+	// graceOver ends when the requests that are still open are to be refused.
+	graceOver context.Context
 }
 
 // New returns an entry that is not running yet.
@@ -78,6 +80,9 @@
 		metrics:  newMetrics(base.Registry),
 		requests: &requestCounter{},
 	}
+	graceOver, refuseOpen := context.WithCancel(context.Background())
+	entry.graceOver = graceOver
+	base.OnGraceOver(refuseOpen)
 	entry.router = newRouter(entry.replicas, base.Zone(), options.Policy)
 	base.SetOpenCount(entry.requests.open)
 	base.SetReady(entry.limits.ready)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -120,6 +120,9 @@
 func timeRemaining(ctx context.Context) (time.Duration, *fault.Refusal) {
 	deadline, _ := ctx.Deadline()
 	remaining := time.Until(deadline)
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return 0, fault.NotRun(fault.ReasonLeaving, errStopping.Error())
+	}
 	if ctx.Err() != nil || remaining < time.Millisecond {
 		return 0, fault.NotRun(fault.ReasonDeadline, "the request's time is over")
 	}
@@ -147,7 +150,13 @@
 	}
 }
 
+// contextRefusal returns the refusal of a request whose context has ended.
 func contextRefusal(ctx context.Context) *fault.Refusal {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		refusal := fault.Unknown(fault.ReasonLeaving, errStopping.Error())
+		refusal.RetryAfter = retryAfterNoReplica
+		return refusal
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return fault.Unknown(fault.ReasonDeadline, "the request's time is over")
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -127,11 +127,17 @@
 		}
 		deadline = time.Duration(milliseconds) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), deadline)
+	timed, cancel := context.WithTimeout(request.Context(), deadline)
 	defer cancel()
+	ctx, cancelOpen := context.WithCancelCause(timed)
+	defer cancelOpen(nil)
+	defer context.AfterFunc(e.graceOver, func() { cancelOpen(errStopping) })()
 	return next(ctx, writer, request, c)
 }
 
+// errStopping is the cause with which the context of an open request ends at the end of a stop.
+var errStopping = errors.New("the process is stopping")
+
 // identify sets the fields that every request has: tenant, idempotency key and repeatability.
 func (e *Entry) identify(request *http.Request, c *call) *fault.Refusal {
 	snapshot, configured := blackboard.Read(e.node.Board, node.SnapshotKey)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,9 @@
 	// SettleTime is the minimum time that a stopping process keeps answering after its
 	// readiness is off.
 	SettleTime time.Duration
+	// Grace is the time within which a stopping process ends, 0 for as long as its requests take. The
+	// platform must not kill the process before.
+	Grace time.Duration
 }
 
 // Node is the common part of a process.
@@ -90,9 +93,11 @@
 	ready     func() bool
 	openCount func() int
 	onLeave   []func()
-	server    *http.Server
-	admin     *http.Server
-	listener  net.Listener
+	// onGraceOver are called when requests are still open shortly before the process ends.
+	onGraceOver []func()
+	server      *http.Server
+	admin       *http.Server
+	listener    net.Listener
 	// answering are the connections of the process's own address that carry a request.
 	answering *activeConnections
 }
@@ -174,6 +179,10 @@
 // OnLeave registers a function that is called when the graceful shutdown begins.
 func (n *Node) OnLeave(function func()) { n.onLeave = append(n.onLeave, function) }
 
+// OnGraceOver registers a function that is called when requests are still open shortly before the
+// process ends. It has them refused, and may be called repeatedly.
+func (n *Node) OnGraceOver(function func()) { n.onGraceOver = append(n.onGraceOver, function) }
+
 // applyPublication writes each new state of a publication to the blackboard.
 func (n *Node) applyPublication(kind relay.Kind, version monotonic.Version, documents map[string][]byte) {
 	if kind == relay.Membership {
@@ -307,8 +316,12 @@
 	return nil
 }
 
-// drainLogPeriod is the period of log events while the process drains.
-const drainLogPeriod = 2 * time.Second
+// drainPollInterval is how often a process that drains checks its open requests, drainLogPeriod the
+// period of its log events.
+const (
+	drainPollInterval = 50 * time.Millisecond
+	drainLogPeriod    = 2 * time.Second
+)
 
 // Run serves until stop is closed and then shuts down gracefully: readiness goes
 // off, open requests finish, and the process keeps answering until the settle time
@@ -328,31 +341,63 @@
 		go controller(ctx)
 	}
 	<-stop
-	n.leave()
-	n.finishAnswers()
+	n.finishAnswers(n.leave())
 	cancel()
 	n.Close()
 	n.Log.Log(logging.ProcessStopped)
 	return nil
 }
 
-// leave begins the graceful shutdown. It returns when no request is open and the
-// settle time has passed.
-func (n *Node) leave() {
+// refusalMargin is the last part of the grace period, in which the requests that are still open are
+// refused: several times what it takes to confirm that a canceled attempt did not run. A grace period
+// that is shorter than twice as long is halved.
+const refusalMargin = time.Second
+
+// gracePeriod is the time within which a stopping process ends.
+type gracePeriod struct {
+	began    time.Time
+	duration time.Duration
+}
+
+// refusalDue reports whether the requests that are still open are to be refused.
+func (g gracePeriod) refusalDue() bool {
+	return g.duration > 0 && time.Since(g.began) >= g.duration-min(refusalMargin, g.duration/2)
+}
+
+func (g gracePeriod) over() bool { return g.duration > 0 && time.Since(g.began) >= g.duration }
+
+// leave begins the graceful shutdown. It returns when no request is open and the settle time has
+// passed, or when the grace period is over.
+func (n *Node) leave() gracePeriod {
+	grace := gracePeriod{began: time.Now(), duration: n.options.Grace}
 	n.leaving.Store(true)
 	n.Log.Log(logging.ProcessStopping, zap.Int("open", n.openCount()))
 	for _, function := range n.onLeave {
 		function()
 	}
-	leftAt := time.Now()
-	loggedAt := leftAt
-	for n.openCount() > 0 || time.Since(leftAt) < n.options.SettleTime {
-		time.Sleep(50 * time.Millisecond)
+	loggedAt := grace.began
+	for (n.openCount() > 0 || time.Since(grace.began) < n.options.SettleTime) && !grace.refusalDue() {
+		time.Sleep(drainPollInterval)
 		if time.Since(loggedAt) >= drainLogPeriod {
 			loggedAt = time.Now()
 			n.Log.Log(logging.ProcessDraining, zap.Int("open", n.openCount()))
 		}
 	}
+	if n.openCount() > 0 {
+		n.refuseOpen()
+	}
+	for n.openCount() > 0 && !grace.over() {
+		time.Sleep(finishPollInterval)
+	}
+	return grace
+}
+
+// refuseOpen has the requests that are still open refused. It may be called repeatedly.
+func (n *Node) refuseOpen() {
+	n.Log.Log(logging.ProcessDraining, zap.Int("open", n.openCount()))
+	for _, function := range n.onGraceOver {
+		function()
+	}
 }
 
 // maxFinishTime bounds the wait for answers that are still being sent when no request is open any more:
@@ -362,13 +407,19 @@
 // finishPollInterval is how often finishAnswers checks the connections.
 const finishPollInterval = 5 * time.Millisecond
 
-// finishAnswers accepts no more connections and waits until every request that was read has its whole
-// answer. The links stay up meanwhile.
-func (n *Node) finishAnswers() {
+// finishAnswers accepts no more connections and waits, within the grace period, until every request that
+// was read has its whole answer. Requests that arrived last and take too long are refused. The links
+// stay up meanwhile.
+func (n *Node) finishAnswers(grace gracePeriod) {
 	_ = n.listener.Close()
 	n.server.SetKeepAlivesEnabled(false)
-	for began := time.Now(); n.answering.count() > 0; time.Sleep(finishPollInterval) {
-		if time.Since(began) > maxFinishTime {
+	finish := gracePeriod{began: time.Now(), duration: maxFinishTime}
+	for refused := false; n.answering.count() > 0; time.Sleep(finishPollInterval) {
+		if !refused && finish.refusalDue() {
+			refused = true
+			n.refuseOpen()
+		}
+		if finish.over() || grace.over() {
 			n.Log.Log(logging.ProcessDraining, zap.Int("connections", n.answering.count()))
 			return
 		}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -97,3 +97,24 @@
 	assert.Equal(t, "answer", during.body)
 	assert.True(t, during.closed)
 }
+
+// Guards against a request that was read last in a stop and is cut with neither answer nor refusal
+// because it takes longer than the process waits: it is refused in time.
+func TestRequestThatArrivesLastInStopIsRefused(t *testing.T) {
+	t.Parallel()
+	begun, refused := make(chan struct{}), make(chan struct{})
+	started, beginStop, wait := startNode(t, Options{}, func(writer http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-refused
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})
+	started.OnGraceOver(func() { close(refused) })
+	results := make(chan outcome, 1)
+	go func() { results <- get(&http.Client{Transport: &http.Transport{}}, "http://"+started.Address()+"/work") }()
+	<-begun
+	beginStop()
+	result := <-results
+	wait()
+	require.NoError(t, result.err)
+	assert.Equal(t, http.StatusServiceUnavailable, result.status)
+}
