--- a/internal/rollout/silent_server_test.go
+++ b/internal/rollout/silent_server_test.go
@@ -3,16 +3,19 @@
 import (
 	"context"
 	"crypto/sha256"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/dissemination"
 	"pinevane.example/pinevane/internal/fault"
@@ -165,3 +168,30 @@
 	_, missing := one.state()
 	assert.Equal(t, 2, missing)
 }
+
+// Guards against a peer that is avoided, and a verified piece that is fetched again, because the own
+// server was silent when the piece was to be staged.
+func TestVerifiedPieceIsStagedAfterSilenceOfServer(t *testing.T) {
+	var served atomic.Int64
+	peer := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		_, _ = writer.Write(testPiece(0))
+	}))
+	defer peer.Close()
+	_, port, err := net.SplitHostPort(peer.Listener.Addr().String())
+	require.NoError(t, err)
+	number, err := strconv.Atoi(port)
+	require.NoError(t, err)
+	server := stagedServer(0)
+	server.silence(2)
+	one := newTestTransfer(server, []bool{false}, number)
+	one.fetcher.Start(0)
+	one.fetcher.RecordOffer("127.0.0.1", 0, 0)
+	actions := one.fetcher.TakeActions()
+	require.Len(t, actions, 1)
+	one.fetch(context.Background(), one.fetcher, actions[0])
+	complete, _ := one.state()
+	assert.True(t, complete)
+	assert.Equal(t, testPiece(0), server.pieces[0])
+	assert.Equal(t, int64(1), served.Load())
+}
--- a/internal/rollout/transfer.go
+++ b/internal/rollout/transfer.go
@@ -280,7 +280,7 @@
 		err = &fault.Corrupt{Source: string(action.Peer)}
 	}
 	if err == nil {
-		err = t.store(ctx, action.Chunk, content)
+		err = t.storeFetched(ctx, action.Chunk, content)
 	}
 	if ctx.Err() != nil {
 		return
@@ -306,6 +306,20 @@
 	t.fetcher.RecordFetched(action.Peer, action.Chunk, t.now())
 }
 
+// storeFetched stores a verified piece, and tries again while the machine's own server does not answer:
+// the silence says nothing about the source, and the piece need not be fetched a second time.
+func (t *transfer) storeFetched(ctx context.Context, index int, content []byte) error {
+	logged := false
+	return retryWhileSilent(ctx, func() error {
+		err := t.store(ctx, index, content)
+		if err != nil && ctx.Err() == nil && !logged {
+			logged = true
+			t.agent.log.Log(logging.StagingFailed, zap.Uint64("version", t.version()), zap.Int("piece", index), zap.Error(err))
+		}
+		return err
+	})
+}
+
 func (t *transfer) readFrom(ctx context.Context, action dissemination.Action) ([]byte, error) {
 	if err := t.limiter.acquire(ctx); err != nil {
 		return nil, err
