--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -11,6 +11,7 @@
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/protocol"
+	"pinevane.example/pinevane/internal/waiting"
 )
 
 // retryAfterNoReplica is the Retry-After time while no back end can serve a request.
@@ -35,12 +36,14 @@
 func (e *Entry) generate(ctx context.Context, c *call, parsedRequest generationRequest, out answerWriter) *fault.Refusal {
 	g := &generation{entry: e, call: c, request: parsedRequest, out: out}
 	for attempts := 1; ; attempts++ {
-		chosen, found := e.router.choose(requirements{model: parsedRequest.model, adapter: parsedRequest.adapter, version: g.pinnedVersion, prefix: promptPrefix(parsedRequest.prompt), excluded: g.tried})
+		chosen, found := e.router.choose(g.requirements())
 		if !found {
 			if attempts < e.options.MaximumAttempts && g.restart() {
 				continue
 			}
-			return g.refuseNoReplica()
+			if chosen, found = g.awaitReplica(ctx); !found {
+				return g.refuseNoReplica()
+			}
 		}
 		done, refusal := g.attempt(ctx, chosen)
 		if done {
@@ -56,6 +59,37 @@
 	}
 }
 
+// requirements returns what a back end must offer to get the next attempt.
+func (g *generation) requirements() requirements {
+	return requirements{
+		model: g.request.model, adapter: g.request.adapter, version: g.pinnedVersion,
+		prefix: promptPrefix(g.request.prompt), excluded: g.tried,
+	}
+}
+
+// Wait for a back end that can continue a stream whose caller has received some of it, and can't send the
+// request again without losing that.
+const (
+	// maxReplicaWait is longer than redialInterval with its jitter and the handshake of a link.
+	maxReplicaWait      = 2 * time.Second
+	replicaPollInterval = 50 * time.Millisecond
+)
+
+// awaitReplica waits for a back end that can continue a stream, which may be one that was tried. It gives
+// up at once if the caller has received nothing.
+func (g *generation) awaitReplica(ctx context.Context) (choice, bool) {
+	if g.out.reset() {
+		return choice{}, false
+	}
+	g.tried = nil
+	for deadline := time.Now().Add(maxReplicaWait); time.Now().Before(deadline) && waiting.For(ctx, replicaPollInterval); {
+		if chosen, found := g.entry.router.choose(g.requirements()); found {
+			return chosen, true
+		}
+	}
+	return choice{}, false
+}
+
 // restart drops the pinned version if the caller has received nothing of it.
 func (g *generation) restart() bool {
 	if g.pinnedVersion == "" || !g.out.reset() {
--- a/internal/fleettest/paused_test.go
+++ b/internal/fleettest/paused_test.go
@@ -98,3 +98,19 @@
 	}
 	assert.Equal(t, map[string]int{"1": 1, "2": 1}, loads)
 }
+
+// Guards against a stream that is cut because its only engine is out of reach for the moment in which
+// the link to its agent is made again.
+func TestStreamGoesOnWhenItsOnlyLinkIsMadeAgain(t *testing.T) {
+	t.Parallel()
+	f := New(t, 1, 0, 1)
+	results := make(chan workload.Result, 1)
+	go func() { results <- f.Do(f.Entries[0], Stream("one engine", 400)) }()
+	f.Wait("the stream is under way", func() bool { return f.Engines[0].Engine.Status().Running == 1 })
+	for _, link := range f.Engines[0].Node.Hub.Accepted() {
+		_ = link.Close()
+	}
+	result := <-results
+	assert.True(t, result.Answered, "%+v", result)
+	assert.Empty(t, f.Violations())
+}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -110,7 +110,9 @@
 	})
 	started.OnGraceOver(func() { close(refused) })
 	results := make(chan outcome, 1)
-	go func() { results <- get(&http.Client{Transport: &http.Transport{}}, "http://"+started.Address()+"/work") }()
+	go func() {
+		results <- get(&http.Client{Transport: &http.Transport{}}, "http://"+started.Address()+"/work")
+	}()
 	<-begun
 	beginStop()
 	result := <-results
