explain names why a request ended without an answer

Cause: PV4111 and PV4112 were not read by explain, which said that lines are missing.

Change: a request whose only ending is PV4111 is explained by its cause, and by the panic of its handler.

Figures: TestRequestWithoutAnAnswerIsExplained fails before ("the logs contain no end of the request").

Conclusion: sight for operators.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -24,7 +24,7 @@
 func cause(own, all []Line) string {
 	end, ended := lastLine(own, requestAnswered, requestDenied, requestGivenUp, streamCut, callerLeft)
 	if !ended {
-		return "the logs contain no end of the request: its process stopped, or lines are missing"
+		return unansweredCause(own)
 	}
 	switch end.Event {
 	case requestAnswered:
@@ -42,6 +42,19 @@
 	return "given up, and it may have run: " + failureCause(own, all)
 }
 
+// unansweredCause explains why a request without an answer or a refusal has ended.
+func unansweredCause(own []Line) string {
+	end, found := lastLine(own, requestUnanswered)
+	if !found {
+		return "the logs contain no end of the request: its process was killed, or lines are missing"
+	}
+	text := fmt.Sprintf("the caller's connection ended without a complete answer after %.3f s: %s", end.number("took"), end.text("cause"))
+	if panicked, found := lastLine(own, handlerPanicked); found {
+		text += "; its handler panicked: " + panicked.text("panic")
+	}
+	return text
+}
+
 func answeredCause(own []Line, end Line) string {
 	text := fmt.Sprintf("answered with status %s by server %s after %.3f s", end.text("status"), end.text("server"), end.number("took"))
 	if first, target := end.number("first_event"), end.number("target"); target > 0 && first > target {
--- a/internal/explain/cause_test.go
+++ b/internal/explain/cause_test.go
@@ -38,3 +38,18 @@
 	require.NoError(t, err)
 	assert.Contains(t, Explain(lines, "refused").Cause, "1 servers had been ordered")
 }
+
+const unansweredLines = `{"ts":"2026-12-02T10:00:00Z","process":"entry-1","event":"PV4101","msg":"x","request":"panicked"}
+{"ts":"2026-12-02T10:00:01Z","process":"entry-1","event":"PV4112","msg":"x","request":"panicked","panic":"broken"}
+{"ts":"2026-12-02T10:00:01Z","process":"entry-1","event":"PV4111","msg":"x","request":"panicked","cause":"panic","took":1.25}
+{"ts":"2026-12-02T10:00:00Z","process":"entry-1","event":"PV4101","msg":"x","request":"stopped"}
+{"ts":"2026-12-02T10:00:01Z","process":"entry-1","event":"PV4111","msg":"x","request":"stopped","cause":"stop","took":0.5}
+`
+
+// Guards against a request without an ending whose cause nobody can tell.
+func TestRequestWithoutAnAnswerIsExplained(t *testing.T) {
+	lines, err := Read(strings.NewReader(unansweredLines))
+	require.NoError(t, err)
+	assert.Contains(t, Explain(lines, "panicked").Cause, "without a complete answer after 1.250 s: panic; its handler panicked: broken")
+	assert.Contains(t, Explain(lines, "stopped").Cause, "after 0.500 s: stop")
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -197,6 +197,8 @@
 	callerLeft             = "PV4108"
 	noServerChosen         = "PV4109"
 	contentWithheld        = "PV4110"
+	requestUnanswered      = "PV4111"
+	handlerPanicked        = "PV4112"
 	serverEjected          = "PV4204"
 	serverTrial            = "PV4209"
 	serverCrashed          = "PV4210"
