A body that can't be read is answered with 400; only callers that are gone get no answer (LOST)

Cause: each error of reading a body but three was taken for a caller that had disconnected, and its connection was closed without an answer.

Change: an end of the connection or an error of it means that the caller is gone, counted as "caller left"; any other error, such as malformed chunks, is refused with 400, not run, Connection: close. A stop ends the reading of a body: 503, not run, "leaving".

Figures: before, TestUnreadableBodiesAreRefused fails in its three parts of malformed chunks with an unexpected EOF or a reset, TestStopRefusesRequestsWhoseBodiesAreIncomplete gets its refusal only at the request's deadline, 5 s later.

Conclusion: no request that reaches serve ends without an answer while its caller is there, but for aborts, which are counted.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -140,6 +142,8 @@
 	// Without a deadline, a caller that stops in the middle of its body would hold its connection forever.
 	// A deadline left set would end the server's detection of the caller's disconnect.
 	_ = control.SetReadDeadline(request.Deadline)
+	release := context.AfterFunc(incoming.Context(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer release()
 	body, err := bytequota.ReadAll(io.TeeReader(source, hasher), incoming.ContentLength, request.Memory)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -151,15 +155,27 @@
 		return fault.NotRun(fault.ReasonTooLarge, "the body is too large")
 	case errors.Is(err, bytequota.ErrExhausted):
 		return refuseUnread(writer, fault.ReasonMemory, "too much is held for callers", memoryRetry)
+	case errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(incoming.Context()), forward.ErrStopping):
+		writer.Header().Set("Connection", "close")
+		return forward.StoppingRefusal(false)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuseUnread(writer, fault.ReasonDeadline, "the body did not come within the time of the request", 0)
-	default:
-		// The caller has disconnected, so no response can be sent.
+	case isDisconnect(err):
+		// No response can be sent.
 		request.Memory.Close()
 		panic(http.ErrAbortHandler)
+	default:
+		return refuseUnread(writer, fault.ReasonBadRequest, "the body can't be read: "+err.Error(), 0)
 	}
 }
 
+// isDisconnect reports whether reading a body failed because the caller's connection has ended: before
+// the end of the body, or with an error of the connection.
+func isDisconnect(err error) bool {
+	var broken *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
+}
+
 // refuseUnread refuses a request whose body was not read completely. The remaining bytes on the
 // connection are not a request, so the connection is closed after the response.
 func refuseUnread(writer http.ResponseWriter, reason fault.Reason, detail string, retryAfter time.Duration) *fault.Refusal {
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -37,6 +37,9 @@
 	// returned is set once the request's handler has returned, after which the HTTP library writes
 	// the end of the response; writing is set during each write.
 	returned, writing bool
+	// disconnected is set once a read shows that the caller has closed the connection or that it is
+	// broken.
+	disconnected bool
 	// writeError is the first error of a write, after which the connection is closed.
 	writeError error
 	// writeAllowance is the time that the write deadline gave when it was set, 0 for none.
@@ -56,7 +59,11 @@
 		c.state = stateActive
 		return count, err
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.state == stateClosing {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.disconnected = c.disconnected || err != nil
+		return count, err
+	}
+	if c.state == stateClosing {
 		return 0, io.EOF
 	}
 	return count, err
@@ -91,6 +98,16 @@
 	return c.writeError
 }
 
+// callerLeft reports whether a read has shown that the caller is gone.
+func (c *callerConnection) callerLeft() bool {
+	if c == nil {
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.disconnected
+}
+
 // begin records the request that the connection carries.
 func (c *callerConnection) begin(request *forward.Request) {
 	if c == nil {
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -94,7 +94,7 @@
 	if errors.Is(context.Cause(ctx), forward.ErrStopping) {
 		return causeStop
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || connection.callerLeft() {
 		return causeCallerLeft
 	}
 	return causeAborted
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -251,6 +251,47 @@
 	})
 }
 
+// Guards against requests whose bodies can't be read and whose callers get no answer although they are
+// still there, and against callers that have disconnected and are counted under another cause.
+func TestUnreadableBodiesAreRefused(t *testing.T) {
+	forwarded := func(context.Context, http.ResponseWriter, *forward.Request) *fault.Refusal {
+		return fault.NotRun(fault.ReasonOverloaded, "forwarded")
+	}
+	for what, body := range map[string]string{
+		"chunk length": "zz\r\n", "chunk end": "2\r\nabcdef\r\n", "chunk extension": "2;" + strings.Repeat("x", 8<<10) + "\r\n",
+	} {
+		t.Run(what, func(t *testing.T) {
+			g := startGateway(t, forwarded)
+			connection := sendRequest(t, g.address, "POST / HTTP/1.1", "Transfer-Encoding: chunked\r\n\r\n"+body)
+			response := readHead(t, connection)
+			text, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+			assert.True(t, response.Close)
+			assert.Contains(t, string(text), `"reason":"bad-request","execution":"not-run"`)
+			g.assertUnanswered(t, "")
+		})
+	}
+	t.Run("caller left", func(t *testing.T) {
+		g := startGateway(t, forwarded)
+		connection := sendRequest(t, g.address, "POST / HTTP/1.1", "Content-Length: 10\r\n\r\nabc")
+		require.Eventually(t, func() bool { return g.callers.openRequests() == 1 }, time.Second, time.Millisecond)
+		require.NoError(t, connection.Close())
+		g.assertUnanswered(t, causeCallerLeft)
+	})
+}
+
+// Guards against a stop that closes the connection of a caller that is still sending its body.
+func TestStopRefusesRequestsWhoseBodiesAreIncomplete(t *testing.T) {
+	g := startGateway(t, nil)
+	connection := sendRequest(t, g.address, "POST / HTTP/1.1", "Content-Length: 10\r\n\r\nabc")
+	require.Eventually(t, func() bool { return g.callers.openRequests() == 1 }, time.Second, time.Millisecond)
+	g.endRequests(forward.ErrStopping)
+	status, body := readResponse(t, connection)
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.Contains(t, body, `"reason":"leaving","execution":"not-run"`)
+}
+
 // Guards against a complete response that is counted as unanswered.
 func TestCompleteResponsesAreNotCounted(t *testing.T) {
 	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
