Requests taken during a stop end by the stop, not by their limited deadline

Cause: the deadline of a request that arrives after the stop signal was limited to the moment at which the stop ends the open requests, so that either might end it first: one ending was logged as a deadline, the other as a stop.

Change: the limit is halfway between that moment and the exit of the process.

Conclusion: the order is now certain.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -43,6 +43,9 @@
 	signaled time.Time
 	// answerBy is when requests that are still open are ended with a refusal.
 	answerBy time.Time
+	// lastDeadline limits the deadlines of requests that arrive after the signal. It is after answerBy,
+	// so that their ending tells of the stop.
+	lastDeadline time.Time
 	// exitBy is when the process exits even if callers' connections are still open.
 	exitBy time.Time
 }
@@ -51,11 +54,9 @@
 	margin := func(longest time.Duration, fraction float64) time.Duration {
 		return min(longest, time.Duration(fraction*float64(grace)))
 	}
-	return &stopPlan{
-		signaled: signaled,
-		answerBy: signaled.Add(grace - margin(answerMargin, answerMarginFraction)),
-		exitBy:   signaled.Add(grace - margin(exitMargin, exitMarginFraction)),
-	}
+	answerBy := signaled.Add(grace - margin(answerMargin, answerMarginFraction))
+	exitBy := signaled.Add(grace - margin(exitMargin, exitMarginFraction))
+	return &stopPlan{signaled: signaled, answerBy: answerBy, lastDeadline: answerBy.Add(exitBy.Sub(answerBy) / 2), exitBy: exitBy}
 }
 
 // admits reports whether a request that has been read by now is still taken.
@@ -84,8 +85,8 @@
 	if !plan.admits(kind, time.Now()) {
 		return forward.StoppingRefusal(false)
 	}
-	if request.Deadline.After(plan.answerBy) {
-		request.Deadline = plan.answerBy
+	if request.Deadline.After(plan.lastDeadline) {
+		request.Deadline = plan.lastDeadline
 	}
 	return nil
 }
