Demo: every server pauses as well

Change: after the pause of one server, every server pauses for a second under the same load. The requests' IDs of the soak's callers hold their seed, so that two loads on one site are told apart.

--- a/internal/demo/pause.go
+++ b/internal/demo/pause.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"pinevane.example/pinevane/internal/emulator/site"
@@ -16,25 +18,36 @@
 	// streams are under way at every server when it pauses.
 	beforePause = 800 * time.Millisecond
 	afterPause  = 500 * time.Millisecond
-	// pauseSeed is the seed of these callers' requests.
-	pauseSeed = 1
+	// The seeds of these callers' requests beside the two pauses.
+	onePauseSeed = 1
+	allPauseSeed = 2
 )
 
-// checkPause has the busiest model server send nothing for a time under load, and checks that every request that was
-// read ends with an answer or a refusal.
-func (d *systemDemo) checkPause() {
+// checkPauses has the busiest model server, and then every server, send nothing for a time under load, and checks that
+// every request that was read ends with an answer or a refusal.
+func (d *systemDemo) checkPauses() {
+	d.checkPause("a server", onePauseSeed, func() []*site.Server { return []*site.Server{d.busiestServer()} })
+	d.checkPause("every server", allPauseSeed, func() []*site.Server {
+		return slices.Concat(slices.Collect(maps.Values(d.site.Models)), slices.Collect(maps.Values(d.site.Plain)))
+	})
+}
+
+// checkPause pauses servers, which are chosen when the load runs.
+func (d *systemDemo) checkPause(who string, seed uint64, choose func() []*site.Server) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	attempts := soak.StartCallers(ctx, d.site, pauseSeed)
+	attempts := soak.StartCallers(ctx, d.site, seed)
 	time.Sleep(beforePause)
-	paused := d.busiestServer()
-	running := paused.Running()
-	paused.Pause(serverPause)
+	running := 0
+	for _, paused := range choose() {
+		running += paused.Running()
+		paused.Pause(serverPause)
+	}
 	time.Sleep(serverPause + afterPause)
 	cancel()
 	record := soak.Record{Attempts: attempts(), Runs: d.site.Requests.Runs(), Arrivals: d.site.Requests.Arrivals()}
 	violations := soak.Check(record)
-	d.printf("a server with %d open requests paused for %s; %d requests sent meanwhile, %d of them without an answer or a refusal", running,
+	d.printf("%s with %d open requests paused for %s; of %d requests sent meanwhile %d had neither an answer nor a refusal", who, running,
 		serverPause, len(record.Attempts), countUnanswered(violations))
 	for _, violation := range violations {
 		d.recordViolation("%s: %s, %s", violation.Request, violation.Guarantee, violation.Detail)
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -62,7 +62,7 @@
 
 // RunSystem runs entries and agents as processes on an emulation of the users' platform. It sends
 // requests, rolls out a version, adds an empty server, has servers announce that they leave or
-// limit their rate, restores the store from a copy, pauses a server, changes the configuration, stops an entry gracefully, and verifies the
+// limit their rate, restores the store from a copy, pauses one server and then all, changes the configuration, stops an entry gracefully, and verifies the
 // guarantees from the servers' request log.
 func RunSystem(options SystemOptions) error {
 	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, systemFleet())
@@ -122,7 +122,7 @@
 	d.printf("an empty server is in service %.1f s after it was added; the origin has sent %.2f copies", time.Since(added).Seconds(), d.site.Origin.Copies())
 	d.checkServerNotices()
 	d.checkStoreRestore()
-	d.checkPause()
+	d.checkPauses()
 	d.site.Configure(nil)
 	stopped := launch.SiteProcessName(site.RoleEntry, 0, 0)
 	stopping := time.Now()
--- a/internal/experiment/soak/connections.go
+++ b/internal/experiment/soak/connections.go
@@ -90,12 +90,14 @@
 	for zone := range c.site.Options.Zones {
 		for caller := range connectionCallers {
 			random := rand.New(rand.NewPCG(seed, connectionSeedStream+uint64(zone+caller*c.site.Options.Zones)))
-			group.Go(func() { c.runOnConnections(ctx, zone, caller, random) })
+			name := fmt.Sprintf("kept-%d-%d-%d", seed, zone, caller)
+			group.Go(func() { c.runOnConnections(ctx, name, zone, caller, random) })
 		}
 	}
 }
 
-// StartCallers starts the callers that manage their own connections at the entries of a site. When the context has ended,
+// StartCallers starts the callers that manage their own connections at the entries of a site. Each start needs another
+// seed, which is a part of the requests' IDs. When the context has ended,
 // the returned function waits for the last answers and returns what the callers saw.
 func StartCallers(ctx context.Context, emulated *site.Site, seed uint64) func() []Attempt {
 	started := &callers{site: emulated}
@@ -108,8 +110,8 @@
 }
 
 // runOnConnections sends requests to one entry until the context ends. It goes on using the entry and its connection
-// while the entry stops, until the process is gone, and then waits for the next process.
-func (c *callers) runOnConnections(ctx context.Context, zone, caller int, random *rand.Rand) {
+// while the entry stops, until the process is gone, and then waits for the next process. The requests' IDs begin with name.
+func (c *callers) runOnConnections(ctx context.Context, name string, zone, caller int, random *rand.Rand) {
 	index := caller % c.site.Options.Entries
 	keeps := caller < streamCallers || caller/c.site.Options.Entries%2 == 0
 	var current *connection
@@ -127,7 +129,7 @@
 			}
 			current = opened
 		}
-		attempt := Attempt{ID: fmt.Sprintf("kept-%d-%d-%d", zone, caller, number), Entry: launch.SiteProcessName(site.RoleEntry, zone, index), Kind: CallStream}
+		attempt := Attempt{ID: fmt.Sprintf("%s-%d", name, number), Entry: launch.SiteProcessName(site.RoleEntry, zone, index), Kind: CallStream}
 		if caller >= streamCallers {
 			attempt.Kind = []RequestKind{CallOnce, CallSafe}[number%2]
 		}
--- a/internal/experiment/soak/connections_test.go
+++ b/internal/experiment/soak/connections_test.go
@@ -124,7 +124,7 @@
 		requests.Store(0)
 		sent := &callers{site: emulated}
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-		sent.runOnConnections(ctx, 0, test.caller, rand.New(rand.NewPCG(1, 1)))
+		sent.runOnConnections(ctx, "kept", 0, test.caller, rand.New(rand.NewPCG(1, 1)))
 		cancel()
 		require.GreaterOrEqual(t, len(sent.allAttempts()), 3, test.caller)
 		assert.EqualValues(t, len(sent.allAttempts()), requests.Load(), test.caller)
