Soak: servers pause at the end of an entry's grace period

Cause: no kind left requests open when a stopping entry has to exit, since servers go on within two seconds.

Change: a kind, drawn only where it is named, in which servers pause when a stopping entry is about to take no new requests and again until its grace period is over. A request that had got a part of its answer and was sent up to 3 s after the stop signal is excused in the last sixth of the grace period; one without any answer, or sent later, is not.

--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -148,6 +148,9 @@
 		r.pauseBesideStops(fault)
 	case PauseBesideVersion:
 		r.pauseBesideVersion(fault)
+	case PauseToEndOfStop:
+		r.pauseToEndOfStop(fault)
+		return r.stop(zone, entry)
 	}
 	return nil
 }
--- a/internal/experiment/soak/pause.go
+++ b/internal/experiment/soak/pause.go
@@ -29,6 +29,9 @@
 	// pauseLateInStop is how long after the first stop signal servers pause once more: shortly before
 	// a stopping entry takes no new requests.
 	pauseLateInStop = 3 * time.Second
+	// pauseAtEndOfStop is how long after a stop signal servers pause so that they are still silent at the end of
+	// the grace period. The pause before it is over by then, and its gap.
+	pauseAtEndOfStop = pauseLateInStop + maxPauseTime + pauseGap + 300*time.Millisecond
 	// pausedSuffix marks servers that pause in run.busy.
 	pausedSuffix = " paused"
 	// changedPrefix is the path of the route that the changes beside a pause add and remove.
@@ -171,3 +174,12 @@
 	r.announceVersion(time.Now())
 	r.pauseLater(pauseAfterChange, pauseScope(fault.Count%int(scopes)), fault)
 }
+
+// pauseToEndOfStop has servers pause twice in a stop of an entry: when it is about to take no new requests, and again
+// until its grace period is over, so that requests are still open then.
+func (r *run) pauseToEndOfStop(fault Fault) {
+	fault.Duration = maxFaultDuration
+	scope := pauseScope(fault.Count % int(scopes))
+	r.pauseLater(pauseLateInStop, scope, fault)
+	r.pauseLater(pauseAtEndOfStop, scope, fault)
+}
--- a/internal/experiment/soak/pause_test.go
+++ b/internal/experiment/soak/pause_test.go
@@ -242,3 +242,15 @@
 	assert.Len(t, r.record.VersionAnnouncements, 1)
 	assert.Equal(t, []time.Duration{pauseAfterChange}, r.delays(began))
 }
+
+// An entry stops, and servers pause late in the stop and again until its grace period is over.
+func TestPauseToEndOfStop(t *testing.T) {
+	r := newIdleRun(t)
+	began := time.Now()
+	require.NoError(t, r.inject(Fault{Kind: PauseToEndOfStop, Zone: 1, Count: 2, Duration: minFaultDuration}))
+	require.Len(t, r.record.Stops, 1)
+	assert.Equal(t, "entry-1-0", r.record.Stops[0].Name)
+	assert.Equal(t, []time.Duration{pauseLateInStop, pauseAtEndOfStop, r.record.Grace}, r.delays(began))
+	assert.Greater(t, pauseAtEndOfStop+maxPauseTime, r.record.Grace)
+	assert.Greater(t, pauseAtEndOfStop, pauseLateInStop+maxPauseTime+pauseGap)
+}
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -80,11 +80,13 @@
 	PauseBesideChanges       Kind = "pause-beside-changes"
 	PauseBesideStops         Kind = "pause-beside-stops"
 	PauseBesideVersion       Kind = "pause-beside-version"
+	PauseToEndOfStop         Kind = "pause-to-end-of-stop"
 )
 
 // PauseKinds lists the kinds in which servers or processes pause and go on where they stopped.
 var PauseKinds = []Kind{
 	ServerPause, ZonePause, AllServersPause, AgentsPause, EntryPause, PauseBesideChanges, PauseBesideStops, PauseBesideVersion,
+	PauseToEndOfStop,
 }
 
 // NamedKinds lists every kind, with those that are drawn only where they are named.
--- a/internal/experiment/soak/unanswered_test.go
+++ b/internal/experiment/soak/unanswered_test.go
@@ -116,6 +116,35 @@
 			last(r).Status = 0
 			r.Stops = append(r.Stops, stop)
 		}},
+
+		{"half answered in the last part of its entry's grace period", 0, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(97.1), To: at(105.1), Name: "entry-1-0"})
+			last(r).Ended = at(104)
+		}},
+		{"the same, sent before the stop", 0, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(100.2), To: at(108.2), Name: "entry-1-0"})
+			last(r).Deadline, last(r).Ended = at(110), at(108)
+		}},
+		{"the same, without any answer", 1, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(97.1), To: at(105.1), Name: "entry-1-0"})
+			last(r).Ended, last(r).Status = at(104), 0
+		}},
+		{"the same, sent more than 3 s after the stop signal", 1, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(96.9), To: at(104.9), Name: "entry-1-0"})
+			last(r).Ended = at(104)
+		}},
+		{"the same, before the last part", 1, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(97.1), To: at(105.1), Name: "entry-1-0"})
+			last(r).Ended = at(103.7)
+		}},
+		{"the same, after the grace period", 1, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(97.1), To: at(105.1), Name: "entry-1-0"})
+			last(r).Ended = at(105.2)
+		}},
+		{"the same, while another entry stops", 1, func(r *Record) {
+			r.Stops = append(r.Stops, Interval{From: at(97.1), To: at(105.1), Name: "entry-1-1"})
+			last(r).Ended = at(104)
+		}},
 	} {
 		record := cutRecord(start)
 		test.prepare(&record)
