--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -62,7 +62,7 @@
 
 // RunSystem runs entries and agents as processes on an emulation of the users' platform. It sends
 // requests, rolls out a version, adds an empty server, has servers announce that they leave or
-// limit their rate, restores the store from a copy, pauses a server, changes the configuration, stops an entry gracefully, and verifies the
+// limit their rate, restores the store from a copy, pauses one server and then all, changes the configuration, stops an entry gracefully, and verifies the
 // guarantees from the servers' request log.
 func RunSystem(options SystemOptions) error {
 	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, systemFleet())
@@ -122,7 +122,7 @@
 	d.printf("an empty server is in service %.1f s after it was added; the origin has sent %.2f copies", time.Since(added).Seconds(), d.site.Origin.Copies())
 	d.checkServerNotices()
 	d.checkStoreRestore()
-	d.checkPause()
+	d.checkPauses()
 	d.site.Configure(nil)
 	stopped := launch.SiteProcessName(site.RoleEntry, 0, 0)
 	stopping := time.Now()
@@ -233,6 +233,10 @@
 
 // report verifies the guarantees from the servers' request log and prints the result.
 func (d *systemDemo) report() error {
+	once := map[string]bool{}
+	for _, arrival := range d.site.Requests.Arrivals() {
+		once[arrival.RequestID] = strings.HasPrefix(arrival.Path, site.OncePrefix)
+	}
 	runs := map[string]int{}
 	for _, run := range d.site.Requests.Runs() {
 		if run.Corrupt {
@@ -241,7 +245,7 @@
 		if run.KeyReceived || run.Tenant != site.Tenant {
 			d.recordViolation("%s reached %s with the caller's key or a wrong tenant", run.RequestID, run.Server)
 		}
-		if run.Service == site.PlainService {
+		if once[run.RequestID] {
 			runs[run.RequestID]++
 		}
 	}
