TestNoLateStartsWhenCancellationsAreLost takes its times from the deadline that the processes assume

Cause: the test counted its hold, burst and silence from the announcement. A process counts a version as announced since its copy was last known to be complete, so that requests are withdrawn earlier by that difference. Where it exceeds 0.3 s nothing waits any more when the connections go silent, 0.7 s before the deadline. It is 0.12 to 0.32 s in a fleet that runs, and 1.75 to 2 s in one that has just started: version 1 is verified 0.2 s after the start on a fast play, and the test announced version 2 then. The rule was not broken, the precondition failed.

Change: the fleet settles first, and the times count from the earliest deadline that an entry or an agent assumes. The servers still release their queues 50 ms after the real deadline, and late starts are counted from the real one. No bound changes, the number of waiting requests is logged.

--- a/internal/sitetest/late_cancel_test.go
+++ b/internal/sitetest/late_cancel_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/emulator/site"
 	"pinevane.example/pinevane/internal/silencer"
 )
@@ -44,11 +45,11 @@
 const (
 	// longStreamEvents at 100 ms each take longer than the time from the silence to the deadline.
 	longStreamEvents = 25
-	// silenceBefore is how long before the deadline the connections go silent: after the last
+	// silenceBefore is how long before the assumed deadline the connections go silent: after the last
 	// request was sent, and before queued requests are cancelled.
 	silenceBefore = 700 * time.Millisecond
-	// holdBefore is how long before the deadline the servers stop starting requests, until
-	// releasedAfter it. By then every slot is free, so that entries that have learned how late
+	// holdBefore is how long before the assumed deadline the servers stop starting requests, until
+	// releasedAfter the deadline. By then every slot is free, so that entries that have learned how late
 	// servers start requests send to them again, and these requests queue. All requests that are not
 	// refused start when the queues are released.
 	holdBefore    = 2700 * time.Millisecond
@@ -69,6 +70,37 @@
 	}
 }
 
+// assumedDeadline returns the earliest deadline of version 1 that any process assumes, once all have
+// received a later version. It is not after the real one: a process counts a version as announced since
+// its copy was last known to be complete. Requests are sent, and cancelled, with regard to it.
+func (f *Fleet) assumedDeadline() time.Time {
+	options := f.Site.Options
+	var names []string
+	for zone := range options.Zones {
+		for index := range options.Entries {
+			names = append(names, ProcessName(catalog.RoleEntry, zone, index))
+		}
+		for index := range options.ModelServers {
+			names = append(names, ProcessName(catalog.RoleAgent, zone, index))
+		}
+	}
+	var earliest time.Time
+	f.Eventually("every process has received the version", time.Second, func() bool {
+		earliest = time.Time{}
+		for _, name := range names {
+			announcement, received := f.Process(name).Catalog.View().FirstAfter(options.Weights.Model, 1)
+			if !received {
+				return false
+			}
+			if earliest.IsZero() || announcement.Since.Before(earliest) {
+				earliest = announcement.Since
+			}
+		}
+		return true
+	})
+	return earliest.Add(time.Duration(options.VersionMs) * time.Millisecond)
+}
+
 // lateStarts announces version 2 under load and silences the connections between entries and servers
 // while requests are queued there. It returns how long after the deadline of version 1 requests started
 // on it, one duration a request, and how many requests were queued when the connections went silent.
@@ -81,19 +113,22 @@
 			return result
 		}
 	}
+	time.Sleep(settleTime)
 	stop := startTraffic(120*time.Millisecond, stream("stream"))
 	announcedAt := time.Now()
 	f.Site.AnnounceVersion(2)
 	deadline := announcedAt.Add(time.Duration(f.Site.Options.VersionMs) * time.Millisecond)
-	time.Sleep(time.Until(deadline.Add(-holdBefore)))
+	assumed := f.assumedDeadline()
+	t.Logf("version 1 is assumed to end %s before its deadline", deadline.Sub(assumed))
+	time.Sleep(time.Until(assumed.Add(-holdBefore)))
 	holdQueues(f, true)
-	time.Sleep(time.Until(deadline.Add(-burstBefore)))
+	time.Sleep(time.Until(assumed.Add(-burstBefore)))
 	var burst sync.WaitGroup
 	for number := range burstStreams {
 		burst.Go(func() { stream("burst")(context.Background(), number) })
 	}
 	defer burst.Wait()
-	time.Sleep(time.Until(deadline.Add(-silenceBefore)))
+	time.Sleep(time.Until(assumed.Add(-silenceBefore)))
 	for _, server := range f.Site.Models {
 		waiting += server.Waiting()
 	}
@@ -121,6 +156,7 @@
 	f.Eventually("version 1 is verified", 3*time.Second, func() bool { return countEvents(f, "PV3005", "") >= 4 })
 	f.Site.Origin.Withhold(f.Site.Options.Weights.Pieces - 1)
 	late, waiting := lateStarts(t, f)
+	t.Logf("%d requests queued at servers when the connections went silent", waiting)
 	assert.Positive(t, waiting, "requests queued at servers when the connections went silent")
 	assert.Empty(t, late, "requests that started on the old version, by the time after its deadline")
 	f.Site.Origin.Withhold()
