A stopping entry refuses fewer streams: those that end before the stop does are taken as long as other requests

Cause: each stream from 2.8 s after the stop signal on was refused, also one whose deadline is before the end of the stop.

Change: up to 3.2 s after the signal a stream is refused only if its deadline is after the moment at which the open requests are ended, and only from 2.9 s on.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -17,9 +17,10 @@
 	// closeIdleDelay is the time after which the callers' idle connections are closed, so that their
 	// next requests go to another entry.
 	closeIdleDelay = 2200 * time.Millisecond
-	// lastStreamDelay is how long new streams are taken. A stream that is still open when the grace
-	// period ends can only be cut, which callers have to expect for the first 3 s after the signal.
-	lastStreamDelay = 2800 * time.Millisecond
+	// lastStreamDelay is how long streams are taken whose deadline is after the stop. One that is still
+	// open when the grace period ends can only be cut, which callers expect only if they sent it within
+	// 3 s of the signal. The rest covers the time until the signal is handled.
+	lastStreamDelay = 2900 * time.Millisecond
 	// readinessDelay is how long the platform may still send new connections after readiness is off.
 	readinessDelay   = 3200 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
@@ -59,13 +60,14 @@
 	return &stopPlan{signaled: signaled, answerBy: answerBy, lastDeadline: answerBy.Add(exitBy.Sub(answerBy) / 2), exitBy: exitBy}
 }
 
-// admits reports whether a request that has been read by now is still taken.
-func (p *stopPlan) admits(kind fleet.RouteKind, now time.Time) bool {
-	delay := readinessDelay
-	if kind == fleet.Streaming {
-		delay = lastStreamDelay
+// admits reports whether a request is still taken. Its route and deadline may not be known yet.
+func (p *stopPlan) admits(request *forward.Request, now time.Time) bool {
+	since := now.Sub(p.signaled)
+	if since > readinessDelay || p.answerBy.Sub(now) < minServeTime {
+		return false
 	}
-	return now.Sub(p.signaled) <= delay && p.answerBy.Sub(now) >= minServeTime
+	isStream := request.Route != nil && request.Route.Kind == fleet.Streaming
+	return !isStream || since <= lastStreamDelay || !request.Deadline.After(p.answerBy)
 }
 
 // stopping reports whether the stop signal has arrived.
@@ -78,11 +80,7 @@
 	if plan == nil {
 		return nil
 	}
-	var kind fleet.RouteKind
-	if request.Route != nil {
-		kind = request.Route.Kind
-	}
-	if !plan.admits(kind, time.Now()) {
+	if !plan.admits(request, time.Now()) {
 		return forward.StoppingRefusal(false)
 	}
 	if request.Deadline.After(plan.lastDeadline) {
