Tests: a stop beside busy callers loses no request; a response that the exit cuts short is counted once (LOST)

Cause: the tests of a stop had calls at fixed times only, and none of a caller that reads nothing. Change: TestStopLosesNoRequestOfBusyCallers, TestResponseOpenAtExitIsCountedOnce.

--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -54,6 +54,7 @@
 type servingGateway struct {
 	*Gateway
 	address string
+	server  *http.Server
 	lines   logLines
 	// registry holds the gateway's metrics.
 	registry *prometheus.Registry
@@ -112,9 +113,9 @@
 	g.serving, g.endRequests = context.WithCancelCause(context.Background())
 	g.callers = newCallerListener(listener, g.recordUnwritten)
 	served.Gateway = g
-	server := &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.callers.trackState, ReadHeaderTimeout: testGrace}
-	go func() { _ = server.Serve(g.callers) }()
-	t.Cleanup(func() { _ = server.Close() })
+	served.server = &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.callers.trackState, ReadHeaderTimeout: testGrace}
+	go func() { _ = served.server.Serve(g.callers) }()
+	t.Cleanup(func() { _ = served.server.Close() })
 	return served
 }
 
@@ -292,6 +293,30 @@
 	assert.Contains(t, body, `"reason":"leaving","execution":"not-run"`)
 }
 
+// Guards against a response that the exit of the process cuts short and that is counted not at all, or
+// once more when its write fails.
+func TestResponseOpenAtExitIsCountedOnce(t *testing.T) {
+	ended := make(chan struct{})
+	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+		defer close(ended)
+		if _, err := writer.Write(make([]byte, longResponse)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		return nil
+	})
+	g.chunkTimeout = time.Minute
+	sendRequest(t, g.address, "GET / HTTP/1.1", "")
+	require.Eventually(t, func() bool { return g.callers.openRequests() == 1 }, time.Second, time.Millisecond)
+	g.drain(planSignaledAgo(readinessDelay))
+	require.NoError(t, g.server.Close())
+	<-ended
+	require.Eventually(t, func() bool { return g.callers.count() == 0 }, time.Second, time.Millisecond)
+	g.assertUnanswered(t, causeStop)
+	g.log.Sync()
+	require.Len(t, g.lines.with(`"event":"PV1003"`), 1)
+	assert.Contains(t, g.lines.with(`"event":"PV1003"`)[0], `"open":1`)
+}
+
 // Guards against a complete response that is counted as unanswered.
 func TestCompleteResponsesAreNotCounted(t *testing.T) {
 	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
--- a/internal/sitetest/stop_test.go
+++ b/internal/sitetest/stop_test.go
@@ -215,3 +215,54 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Less(t, beginStop(f)(), 3700*time.Millisecond)
 }
+
+// LOST: guards against requests that are lost between the refusal of new ones and the exit of the process.
+// Callers go on sending until the entry is gone, while half of the plain servers answer nothing.
+func TestStopLosesNoRequestOfBusyCallers(t *testing.T) {
+	const (
+		callers = 8
+		// period and streamEvents keep the model servers at about half of their slots, so that no stream
+		// waits until the stop cuts it.
+		period       = 50 * time.Millisecond
+		streamEvents = 4
+	)
+	options := stopOptions()
+	options.EventTime = 50 * time.Millisecond
+	f := Start(t, options)
+	f.Site.Plain[f.Site.Options.PlainIP(0, 0)].SetFaults(site.Faults{Silent: true})
+	calls := &stopCalls{fleet: f}
+	stopped := make(chan struct{})
+	var sending sync.WaitGroup
+	for number := range callers {
+		sending.Go(func() {
+			for count := 0; ; count++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(period):
+					id := fmt.Sprintf("%d-%d", number, count)
+					if number%2 == 0 {
+						calls.send("once-"+id, http.MethodPost, site.OncePrefix, nil)
+					} else {
+						calls.sendStream("stream-"+id, streamEvents)
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	assert.Less(t, beginStop(f)(), time.Duration(stopGraceS*float64(time.Second)))
+	close(stopped)
+	sending.Wait()
+	answered := 0
+	for _, result := range calls.wait() {
+		if result.err != nil {
+			assert.False(t, arrived(f, result.id), "%s reached a server and got no answer: %v", result.id, result.err)
+			continue
+		}
+		answered++
+		assert.True(t, result.answer.Complete, "%s was cut", result.id)
+	}
+	assert.Greater(t, answered, 10*callers)
+	assert.Zero(t, countEvents(f, "PV4111", ""), "requests without an answer")
+}
