Tests: streams with long pauses under a removed service, at delisted servers (LOST)

Change: streams with an event every 0.5 s, whose service is removed or whose servers are no longer listed.

--- a/internal/sitetest/underway_fleet_test.go
+++ b/internal/sitetest/underway_fleet_test.go
@@ -24,6 +24,9 @@
 	underWayEventTime = 40 * time.Millisecond
 	underWayPlainTime = underWayEvents * underWayEventTime
 	underWaySlots     = 16
+	// A slow stream has slowStreamEvents events, one every slowStreamEventTime.
+	slowStreamEvents    = 6
+	slowStreamEventTime = 500 * time.Millisecond
 	// underWayCount is how many requests of each kind are open.
 	underWayCount = 8
 	// secondService is a plain service that routes can be moved to.
@@ -61,6 +64,8 @@
 	case "patient-stream":
 		header := map[string]string{"Model": f.Site.Options.Weights.Model, "Token-Usage": fmt.Sprintf("%d,%d", shortPrompt, underWayEvents), "Deadline-Ms": "8000"}
 		result.answer, result.err = f.Call(ctx, zone, index, http.MethodPost, site.StreamPrefix+"a", id, header, "prompt")
+	case "slow-stream":
+		result.answer, result.err = f.Stream(ctx, zone, index, id, slowStreamEvents)
 	case "stream":
 		result.answer, result.err = f.Stream(ctx, zone, index, id, underWayEvents)
 	case "safe":
@@ -121,7 +126,10 @@
 		if !assert.True(t, result.answeredCompletely(), "%s after %s: status %d, error %v, %d events", result.id, result.duration, result.answer.Status, result.err, len(result.answer.Events)) {
 			continue
 		}
-		if strings.Contains(result.id, "-stream-") {
+		switch {
+		case strings.Contains(result.id, "-slow-stream-"):
+			assert.Equal(t, consecutive(slowStreamEvents), result.answer.Events, result.id)
+		case strings.Contains(result.id, "stream-"):
 			assert.Equal(t, consecutive(underWayEvents), result.answer.Events, result.id)
 		}
 	}
--- a/internal/sitetest/underway_longprompt_test.go
+++ b/internal/sitetest/underway_longprompt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pinevane.example/pinevane/internal/emulator/site"
 )
@@ -40,3 +41,33 @@
 	assertAnswered(t, f, opened.outcomes())
 	assertNotRunTwice(t, f, "patient-stream")
 }
+
+// startSlowStreams starts a fleet and streams that have an event every half a second, which is longer
+// than an attempt at a server under suspicion may be silent.
+func startSlowStreams(t *testing.T) (*Fleet, *openedRequests) {
+	options := underWayOptions()
+	options.EventTime = slowStreamEventTime
+	f := Start(t, options)
+	opened := openRequests(f, "open", underWayCount, "slow-stream")
+	time.Sleep(slowStreamEventTime + 100*time.Millisecond)
+	return f, opened
+}
+
+// Guards against callers of streams under way whose connections are closed in the middle, without an
+// end, because the service of the streams is removed.
+func TestRemovedServiceLetsSlowStreamsFinish(t *testing.T) {
+	f, opened := startSlowStreams(t)
+	f.configure(func(configuration map[string]any) { site.RemoveNamed(configuration, "services", site.ModelService) })
+	assertAnswered(t, f, opened.outcomes())
+	assertNotRunTwice(t, f, "slow-stream")
+}
+
+// Guards against the same cut because the servers of the streams are no longer listed.
+func TestDelistedServersLetSlowStreamsFinish(t *testing.T) {
+	f, opened := startSlowStreams(t)
+	for _, server := range f.Site.Models {
+		server.StopHeartbeats()
+	}
+	assertAnswered(t, f, opened.outcomes())
+	assertNotRunTwice(t, f, "slow-stream")
+}
