--- a/internal/sitetest/underway_storm_test.go
+++ b/internal/sitetest/underway_storm_test.go
@@ -89,17 +89,18 @@
 	assertNoUnanswered(t, f)
 }
 
-// Guards against requests that end, or are refused, in a storm of changes of the configuration with
-// reloads of the settings in between.
-func TestStormOfChangesAndReloadsEndsNoRequest(t *testing.T) {
-	const duration, apart = 3 * time.Second, 200 * time.Millisecond
-	f := startUnderWayFleet(t, underWayOptions())
-	startSecondService(t, f)
-	opened := openRequests(f, "first", underWayCount, requestKinds...)
-	stop := startOpenTraffic(f)
-	for round := range int(duration / apart) {
+// A storm is a change of the configuration every stormApart, with a reload of the settings of all
+// processes in between.
+const (
+	stormDuration = 3 * time.Second
+	stormApart    = 200 * time.Millisecond
+)
+
+// storm plays a storm. Each reload changes the settings of the entries.
+func storm(f *Fleet) {
+	for round := range int(stormDuration / stormApart) {
 		f.Site.Configure(harmlessChanges[round%len(harmlessChanges)])
-		time.Sleep(apart / 2)
+		time.Sleep(stormApart / 2)
 		for zone := range f.Site.Options.Zones {
 			for index := range f.Site.Options.Entries {
 				f.Reload(zone, index, f.Site.ChangedSettings(site.RoleEntry, zone, index, func(settings map[string]any) {
@@ -107,13 +108,36 @@
 					settings["bounds"].(map[string]any)["budgetSlack"] = 200 + round
 				}))
 			}
+			for index := range f.Site.Options.ModelServers {
+				f.Process(ProcessName(site.RoleAgent, zone, index)).Reload()
+			}
 		}
-		time.Sleep(apart / 2)
+		time.Sleep(stormApart / 2)
 	}
+}
+
+// Guards against requests that end, or are refused, in a storm of changes of the configuration and
+// reloads of the settings.
+func TestStormOfChangesAndReloadsEndsNoRequest(t *testing.T) {
+	f := startUnderWayFleet(t, underWayOptions())
+	startSecondService(t, f)
+	opened := openRequests(f, "first", underWayCount, requestKinds...)
+	stop := startOpenTraffic(f)
+	storm(f)
 	assertAnswered(t, f, append(stop(), opened.outcomes()...))
 	assertNotRunTwice(t, f, "once")
 }
 
+// Guards against streams with long pauses that are given up in such a storm, because it passes for a
+// silence of the servers or their agents.
+func TestStormOfChangesAndReloadsLetsSlowStreamsFinish(t *testing.T) {
+	f, opened := startSlowStreams(t)
+	startSecondService(t, f)
+	storm(f)
+	assertAnswered(t, f, opened.outcomes())
+	assertNotRunTwice(t, f, "slow-stream")
+}
+
 // Guards against requests that are refused, or that go nowhere, because they arrive in the moment in
 // which a configuration comes into force.
 func TestRequestsThatArriveWithAChangeAreAnswered(t *testing.T) {
