Nothing else is staged before the outcome of an order is known (LOST)

Cause: after an order without a response the agent waited 2 s for a report of its server, and then went on, although a silent server may still execute the order: pieces of another version that are staged meanwhile could be read by it.

Change: it waits until the server answers, until its machine refuses connections, which shows that the process has ended, or until the agent stops. A stopping agent waits 2 s for an order in flight, as before.

Figures: TestOutcomeOfOrderIsAwaitedWhileServerIsSilent (30 unanswered reports): given up after 2.01 s before, awaited after. go test -race ./internal/rollout and go test ./internal/sitetest -run 'Order|Version|Restart|Stop' (185 s on a busy machine) pass.

Conclusion: given up on lateness with the outcome at hand at the server; harmless for pauses below 3.5 s, and never seen.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -129,10 +129,7 @@
 	work.Go(func() { a.reconcileLoop(ctx) })
 	<-stop
 	a.log.Log(logging.ProcessStopping)
-	// Wait for an order in flight, so that its outcome is known.
-	a.staging.Lock()
-	cancel()
-	a.staging.Unlock()
+	a.finishOrder(cancel)
 	work.Wait()
 	a.daemon.Close()
 	a.log.Log(logging.ProcessStopped)
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,7 +32,7 @@
 	fallbackWindow = 2 * time.Second
 	// orderRetryDelay is the pause after an order that the server refused as conflicting.
 	orderRetryDelay = 300 * time.Millisecond
-	// orderOutcomeTimeout bounds the wait for the outcome of an unanswered order.
+	// orderOutcomeTimeout bounds how long a stopping agent waits for the outcome of an order.
 	orderOutcomeTimeout = 2 * time.Second
 )
 
@@ -263,19 +265,32 @@
 }
 
 // awaitOrderOutcome waits until the server answers again after an unanswered order, so that the
-// outcome is known before anything else is staged.
+// outcome is known before anything else is staged: a server that was silent may still execute the
+// order. One whose machine refuses connections has ended and won't.
 func (a *Agent) awaitOrderOutcome(ctx context.Context, order fleet.StartOrder) {
-	deadline := time.Now().Add(orderOutcomeTimeout)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
+	for ctx.Err() == nil {
 		report, err := a.server.Report(ctx)
 		if err == nil {
 			a.log.Log(logging.OrderResolved, zap.Uint64("version", order.Version), zap.Bool("taken", report.Sequence > order.Sequence))
 			return
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
 		waiting.For(ctx, reconcileInterval)
 	}
 }
 
+// finishOrder cancels the agent's work when no order is in flight, or its outcome was awaited for
+// orderOutcomeTimeout.
+func (a *Agent) finishOrder(cancel context.CancelFunc) {
+	timer := time.AfterFunc(orderOutcomeTimeout, cancel)
+	defer timer.Stop()
+	a.staging.Lock()
+	defer a.staging.Unlock()
+	cancel()
+}
+
 func (a *Agent) setOrdering(ordering bool) {
 	a.mutex.Lock()
 	a.ordering = ordering
--- a/internal/rollout/silent_server_test.go
+++ b/internal/rollout/silent_server_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,8 +30,10 @@
 type silentServer struct {
 	mutex  sync.Mutex
 	pieces map[int][]byte
-	// silentCalls is how many of the next calls fail.
+	// silentCalls is how many of the next calls fail, with cause or as at their timeout.
 	silentCalls int
+	cause       error
+	sequence    uint64
 }
 
 var _ fleet.ModelServer = (*silentServer)(nil)
@@ -47,11 +51,14 @@
 		return nil
 	}
 	s.silentCalls--
-	return &fault.Unavailable{Target: "model server", Operation: "test", Cause: context.DeadlineExceeded}
+	return &fault.Unavailable{Target: "model server", Operation: "test", Cause: cmp.Or(s.cause, context.DeadlineExceeded)}
 }
 
 func (s *silentServer) Report(context.Context) (fleet.Report, error) {
-	return fleet.Report{}, &fault.Unavailable{Target: "model server", Operation: "report", Cause: context.DeadlineExceeded}
+	if err := s.answers(); err != nil {
+		return fleet.Report{}, err
+	}
+	return fleet.Report{Sequence: s.sequence}, nil
 }
 
 func (s *silentServer) Start(context.Context, fleet.StartOrder) (fleet.OrderOutcome, error) {
@@ -195,3 +202,35 @@
 	assert.Equal(t, testPiece(0), server.pieces[0])
 	assert.Equal(t, int64(1), served.Load())
 }
+
+// Guards against weights of two versions in one server: until it is known whether a silent server has
+// executed an order, nothing else may be staged there.
+func TestOutcomeOfOrderIsAwaitedWhileServerIsSilent(t *testing.T) {
+	const silentCalls = 30
+	server := stagedServer(0)
+	server.silence(silentCalls)
+	one := newTestTransfer(server, []bool{false}, 0)
+	began := time.Now()
+	one.agent.awaitOrderOutcome(context.Background(), fleet.StartOrder{Model: "m", Version: 2})
+	assert.Zero(t, server.silentCalls, "given up after %s", time.Since(began))
+}
+
+// Guards against an agent that waits for the outcome of an order at a server that has ended, which
+// can't execute it any more, or beyond its own stop.
+func TestOutcomeOfOrderIsNotAwaitedInVain(t *testing.T) {
+	server := stagedServer(0)
+	one := newTestTransfer(server, []bool{false}, 0)
+	server.silence(1 << 30)
+	server.cause = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	one.agent.awaitOrderOutcome(context.Background(), fleet.StartOrder{Model: "m", Version: 2})
+	server.cause = nil
+	ctx, cancel := context.WithCancel(context.Background())
+	one.agent.staging.Lock()
+	go func() {
+		defer one.agent.staging.Unlock()
+		one.agent.awaitOrderOutcome(ctx, fleet.StartOrder{Model: "m", Version: 2})
+	}()
+	began := time.Now()
+	one.agent.finishOrder(cancel)
+	assert.InDelta(t, orderOutcomeTimeout.Seconds(), time.Since(began).Seconds(), 1)
+}
