--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -29,6 +29,8 @@
 	tried         []*replica
 	// mayHaveRun is set once an attempt has ended without confirmation that it did not run.
 	mayHaveRun bool
+	// overflowed is set while the rest of an answer that did not fit into the buffer is to be requested.
+	overflowed bool
 }
 
 // generate runs attempts at a request until its answer is complete, it is refused, or it must not
@@ -49,6 +51,11 @@
 		if done {
 			return refusal
 		}
+		if g.overflowed {
+			g.overflowed = false
+			attempts--
+			continue
+		}
 		if attempts >= e.options.MaximumAttempts || !e.metrics.retries.withdraw() {
 			g.correctExecution(refusal)
 			return refusal
@@ -144,11 +151,11 @@
 }
 
 // maxBufferedEvents bounds the events of one attempt that are buffered for the caller. If a
-// slow caller fills the buffer, events are dropped, and the attempt is cancelled and resumed at the
-// first missing token.
+// slow caller fills the buffer, the attempt's further events are dropped; once the caller has read the
+// buffered ones, the attempt is cancelled and resumed at the first missing token.
 const maxBufferedEvents = 4 << 10
 
-func eventBufferSize(tokens int) int { return min(tokens, maxBufferedEvents) }
+func eventBufferSize(tokens int) int { return min(max(tokens, 0), maxBufferedEvents) }
 
 // timeRemaining returns the time remaining until the deadline.
 func timeRemaining(ctx context.Context) (time.Duration, *fault.Refusal) {
@@ -168,7 +175,10 @@
 func (g *generation) awaitEvents(ctx context.Context, chosen choice, started *runningAttempt) (done bool, refusal *fault.Refusal) {
 	for {
 		select {
-		case event := <-started.events:
+		case event, open := <-started.events:
+			if !open {
+				return g.resumeOverflowed(chosen, started)
+			}
 			done, refusal, ended := g.handleEvent(started, chosen, event)
 			if ended {
 				return done, refusal
@@ -184,6 +194,17 @@
 	}
 }
 
+// resumeOverflowed ends an attempt whose tokens came faster than the caller reads, and did not fit into the
+// buffer. The rest is requested again, which counts as no failure of the back end and as no attempt:
+// the caller has received all that was buffered.
+func (g *generation) resumeOverflowed(chosen choice, started *runningAttempt) (done bool, refusal *fault.Refusal) {
+	started.cancel()
+	started.end(true)
+	done, refusal = g.attemptFailed(chosen, fault.Unknown(fault.ReasonCanceled, "the caller reads too slowly"))
+	g.overflowed = !done
+	return done, refusal
+}
+
 // contextRefusal returns the refusal of a request whose context has ended.
 func contextRefusal(ctx context.Context) *fault.Refusal {
 	if errors.Is(context.Cause(ctx), errStopping) {
@@ -255,7 +276,10 @@
 func (g *generation) linkLost(ctx context.Context, chosen choice, started *runningAttempt) (bool, *fault.Refusal) {
 	for {
 		select {
-		case event := <-started.events:
+		case event, open := <-started.events:
+			if !open {
+				return g.resumeOverflowed(chosen, started)
+			}
 			done, refusal, ended := g.handleEvent(started, chosen, event)
 			if ended {
 				return done, refusal
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -272,17 +272,20 @@
 		return
 	}
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	channel := s.pending[event.ID]
-	if channel != nil {
-		// This must not block. Events that exceed the channel's capacity are dropped: those of a
-		// peer that sends more than was requested, and of an answer that the caller reads too
-		// slowly.
-		select {
-		case channel <- event:
-		default:
-		}
+	if channel == nil {
+		return
+	}
+	// This must not block. Events that exceed the channel's capacity are dropped: those of a peer that
+	// sends more than was requested, and of an answer that the caller reads too slowly. The end of the
+	// channel tells the reader.
+	select {
+	case channel <- event:
+	default:
+		close(channel)
+		delete(s.pending, event.ID)
 	}
-	s.mutex.Unlock()
 }
 
 func (s *replicaSet) handleResolved(link *peering.Link, received *message.Message) {
@@ -347,6 +350,7 @@
 	target *replica
 	link   *peering.Link
 	id     attempt.ID
+	// events is closed before its last event if the events did not fit.
 	events chan protocol.Event
 	// ended is guarded by the set's mutex.
 	ended bool
