Soak: a request that was passed on was read as a whole

Cause: the callers' HTTP client may return before it reports that a request was written; such a request was not judged, though a server may have received it.

Change: only a request that no server received is excused as not sent as a whole.

Conclusion: the excuse covers only what no server has seen.

--- a/internal/experiment/soak/unanswered.go
+++ b/internal/experiment/soak/unanswered.go
@@ -36,7 +36,7 @@
 func (r Record) excuseOf(attempt Attempt, runs []site.Run, arrived bool) excuse {
 	last, ran := lastRun(attempt, runs)
 	switch {
-	case attempt.Written.IsZero():
+	case attempt.Written.IsZero() && !arrived:
 		return notSentWhole
 	case attempt.reachedDeadline():
 		return deadlinePast
--- a/internal/experiment/soak/unanswered_test.go
+++ b/internal/experiment/soak/unanswered_test.go
@@ -56,7 +56,11 @@
 			last(r).Status, last(r).Complete = 503, true
 		}},
 		{"answered with an error", 0, func(r *Record) { last(r).Status, last(r).Complete = 502, true }},
-		{"not sent as a whole", 0, func(r *Record) { last(r).Written, last(r).Status = time.Time{}, 0 }},
+		{"not sent as a whole", 0, func(r *Record) {
+			notPassedOn(r, time.Second)
+			last(r).Written = time.Time{}
+		}},
+		{"passed on, though the caller could not tell that it was sent as a whole", 1, func(r *Record) { last(r).Written, last(r).Status = time.Time{}, 0 }},
 
 		{"at its deadline", 0, func(r *Record) { last(r).Ended = at(106) }},
 		{"shortly before its deadline", 1, func(r *Record) { last(r).Ended = at(105.999) }},
@@ -182,6 +186,6 @@
 	assert.Equal(t, map[excuse]int{entryKilled: 1}, record.excused())
 	cut.Deadline = cut.Ended
 	assert.Equal(t, map[excuse]int{deadlinePast: 1}, record.excused())
-	cut.Written = time.Time{}
+	cut.Written, record.Arrivals = time.Time{}, nil
 	assert.Equal(t, map[excuse]int{notSentWhole: 1}, record.excused())
 }
