--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -21,9 +22,9 @@
 // answer. If that is the hedge's, all connections of the silent one's pool are retired: they get
 // no further calls, and the calls in flight on them are hedged at once.
 
-// bodyHedgeDelay is the pause within an answer after which the call is hedged. Packets are
+// defaultMaxPause is the pause within an answer after which the call is hedged. Packets are
 // delayed by over half a second on links that carry pieces of weights.
-const bodyHedgeDelay = time.Second
+const defaultMaxPause = time.Second
 
 // ClientOptions configures a Client.
 type ClientOptions struct {
@@ -38,6 +39,8 @@
 	// these bounds the delay follows the measured answer times.
 	MinHedgeDelay time.Duration
 	MaxHedgeDelay time.Duration
+	// MaxPause is the pause within an answer after which the call is hedged, defaultMaxPause if 0.
+	MaxPause time.Duration
 	// HedgeNewConnections also hedges calls over connections that have carried no answer yet.
 	HedgeNewConnections bool
 	// OnSilent is called for each connection that a hedge has shown to be silent. It may be nil.
@@ -102,6 +105,7 @@
 
 // NewClient returns a client that has no connections yet.
 func NewClient(options ClientOptions) *Client {
+	options.MaxPause = cmp.Or(options.MaxPause, defaultMaxPause)
 	c := &Client{options: options, hedgeNow: make(chan struct{})}
 	c.active = c.newPool()
 	return c
@@ -196,7 +200,7 @@
 		case <-hedgeNow:
 			return callResult{}, false
 		case <-timer.C:
-			remaining := first.hedgeDelayRemaining(call.MaxHold+delay, c.options.HedgeNewConnections)
+			remaining := first.hedgeDelayRemaining(call.MaxHold+delay, c.options)
 			if remaining <= 0 {
 				return callResult{}, false
 			}
@@ -345,12 +349,12 @@
 }
 
 // hedgeDelayRemaining returns how much longer the attempt may be silent before it is hedged.
-func (a *attempt) hedgeDelayRemaining(delay time.Duration, hedgeNewConnections bool) time.Duration {
+func (a *attempt) hedgeDelayRemaining(delay time.Duration, options ClientOptions) time.Duration {
 	answered := a.answeredAt.Load() != 0
 	if answered {
-		return max(delay, bodyHedgeDelay) - a.silentFor()
+		return max(delay, options.MaxPause) - a.silentFor()
 	}
-	if !a.connected.Load() || (!a.reused.Load() && !hedgeNewConnections) {
+	if !a.connected.Load() || (!a.reused.Load() && !options.HedgeNewConnections) {
 		return delay
 	}
 	return delay - a.silentFor()
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -216,7 +216,7 @@
 	answer, err := client.Do(context.Background(), call)
 	require.NoError(t, err)
 	assert.Equal(t, "begun", string(answer.Body))
-	assert.Less(t, time.Since(began), bodyHedgeDelay+4*testHedgeDelay)
+	assert.Less(t, time.Since(began), defaultMaxPause+4*testHedgeDelay)
 	assert.Equal(t, int64(1), silences.Load())
 }
 
