--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -108,14 +108,18 @@
 	return c.disconnected
 }
 
-// begin records the request that the connection carries.
+// begin records the request that the connection carries. A pipelined request may have been read together
+// with the one before, so that no Read has shown it.
 func (c *callerConnection) begin(request *forward.Request) {
 	if c == nil {
 		return
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.request, c.returned = request, false
+	if c.state == stateClosing {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	c.state, c.request, c.returned = stateActive, request, false
 }
 
 // handled records that the request's handler has returned.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -232,3 +233,46 @@
 	g.stop.Store(newStopPlan(time.Now(), minServeTime))
 	assert.Equal(t, forward.StoppingRefusal(false), g.limitToStop(request(fleet.AtMostOnce)), "a short grace period")
 }
+
+// Guards against a stop that ends a pipelined request: it was read together with the one before, so that
+// no read shows that the connection carries a request again.
+func TestStopLeavesPipelinedRequestsOpen(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	began, goOn := make(chan struct{}, 2), make(chan struct{}, 2)
+	g, _ := newTestGateway(t, listener, func(writer http.ResponseWriter, incoming *http.Request) {
+		began <- struct{}{}
+		select {
+		case <-goOn:
+			_, _ = io.WriteString(writer, "response")
+		case <-incoming.Context().Done():
+		}
+	})
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	_, err = io.WriteString(caller, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	require.NoError(t, err)
+	responses := bufio.NewReader(caller)
+	readOne := func() {
+		t.Helper()
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		assert.Equal(t, "response", string(body))
+	}
+	<-began
+	goOn <- struct{}{}
+	readOne()
+	<-began
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		g.drain(planSignaledAgo(readinessDelay - 100*time.Millisecond))
+	}()
+	time.Sleep(300 * time.Millisecond)
+	goOn <- struct{}{}
+	readOne()
+	<-stopped
+}
