--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -167,19 +169,31 @@
 }
 
 // run sends the second attempt and waits for the beginning of its answer.
-func (h *hedge) run(ctx context.Context) {
+func (h *hedge) run(ctx context.Context) { h.finish(h.send(ctx)) }
+
+// send sends the second attempt and reads the beginning of its answer. If it panics, only this attempt
+// fails: in a goroutine of its own, a panic would end the process.
+func (h *hedge) send(ctx context.Context) (outcome hedgeOutcome) {
 	w := h.attempt
-	started, failed := w.open(ctx, w.request, h.plan.send, h.plan.chosen.target, &hedgeGuard{attempt: w, version: h.plan.chosen.Version})
-	if failed == nil {
-		failed = w.classifyAnswer(started, h.plan.send.Version)
-	}
-	if failed == nil {
-		failed = w.readBeginning(started)
+	defer func() {
+		if reason := recover(); reason != nil {
+			w.log.Log(logging.HandlerPanicked, zap.String("request", w.request.Call.RequestID), zap.String("panic", fmt.Sprint(reason)),
+				zap.ByteString("stack", debug.Stack()))
+			outcome.failed = &failure{reason: fault.ReasonInternal, execution: fault.ExecutionUnknown}
+		}
+		if outcome.failed != nil && outcome.started != nil {
+			outcome.started.abort()
+		}
+	}()
+	guard := &hedgeGuard{attempt: w, version: h.plan.chosen.Version}
+	outcome.started, outcome.failed = w.open(ctx, w.request, h.plan.send, h.plan.chosen.target, guard)
+	if outcome.failed == nil {
+		outcome.failed = w.classifyAnswer(outcome.started, h.plan.send.Version)
 	}
-	if failed != nil && started != nil {
-		started.abort()
+	if outcome.failed == nil {
+		outcome.failed = w.readBeginning(outcome.started)
 	}
-	h.finish(hedgeOutcome{started: started, failed: failed})
+	return outcome
 }
 
 // finish reports the outcome, or ends the exchange if nobody wants it any more.
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +105,31 @@
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
 	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
 }
+
+// secondSendPanics is a dialect that panics when a request is sent for the second time.
+type secondSendPanics struct {
+	fleet.Dialect
+	sends atomic.Int64
+}
+
+func (d *secondSendPanics) WriteSend(header http.Header, send fleet.SendHeader) {
+	if header.Get("Request-Id") == "late" && d.sends.Add(1) == 2 {
+		panic("second send")
+	}
+	d.Dialect.WriteSend(header, send)
+}
+
+// Guards against the end of the process, and of all its requests, by a second attempt that panics: the
+// first attempt goes on.
+func TestSecondAttemptThatPanicsFailsAlone(t *testing.T) {
+	s := startTestFleet(t, 2)
+	s.warm(fleet.Streaming, 3)
+	dialect := &secondSendPanics{Dialect: s.forwarder.dialect}
+	s.forwarder.dialect = dialect
+	s.pause(streamMinOverdue + 300*time.Millisecond)
+	r := s.send(fleet.Streaming, "late", 10)
+	assert.Nil(t, r.refusal)
+	assert.False(t, r.cut)
+	assertEveryEventOnce(t, r.text, 10)
+	assert.Equal(t, int64(2), dialect.sends.Load())
+}
