An error that answers a second attempt counts for its server

Cause: a failure with an error status is taken to have been observed when its answer was read. The answer of a second attempt is not read but fails as a whole, so that the error was not held against the server, and a trial that it ended stayed open until its timeout of 1.5 s.

Change: the status is observed when the failure of a second attempt is recorded. The test of canceled second attempts uses a connection that can be interrupted: the second attempt may answer before it is canceled.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -282,12 +282,22 @@
 	w.hedge = nil
 	h.cancel()
 	w.hedging.HedgeFailed(w.watcher.now())
-	h.attempt.releaseAttempt()
-	h.attempt.recordFailure(h.plan.chosen.target, failed, time.Since(h.attempt.sentAt))
+	h.attempt.recordHedgeFailure(h.plan.chosen.target, failed)
 	w.mayHaveRun = w.mayHaveRun || h.attempt.mayHaveRun
 	w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
 }
 
+// recordHedgeFailure records the failure of a second attempt, whose state this is. Unlike that of a first
+// attempt, an answer that counts as a failure has not been observed when it was read.
+func (w *forwarding) recordHedgeFailure(target *target, failed *failure) {
+	w.releaseAttempt()
+	w.recordFailure(target, failed, time.Since(w.sentAt))
+	var status statusError
+	if failed.reason == fault.ReasonBackendFailed && errors.As(failed.cause, &status) {
+		w.observeAnswer(target, int(status))
+	}
+}
+
 // cancelHedge ends the second attempt, if there is one, because the first one goes on or the request
 // has ended.
 func (w *forwarding) cancelHedge() {
@@ -319,8 +329,7 @@
 	if outcome.failed != nil {
 		h.cancel()
 		w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
-		w.releaseAttempt()
-		w.recordFailure(target, outcome.failed, time.Since(w.sentAt))
+		w.recordHedgeFailure(target, outcome.failed)
 		return nil, outcome.failed
 	}
 	w.metrics.hedges.WithLabelValues(hedgeTookOver).Inc()
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -2,19 +2,27 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/platform"
 )
 
 // Guards against the cut of an interrupted stream that finds no server at that moment, though one is
@@ -99,7 +107,8 @@
 	request.Route.Attempts = 2
 	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
 	w.criteria.Service = "s"
-	w.considerHedge(t.Context(), s.targets[0], &connection{}, errStalled)
+	silent, _ := net.Pipe()
+	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
 	require.NotNil(t, w.hedge)
 	w.cancelHedge()
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
@@ -133,3 +142,68 @@
 	assertEveryEventOnce(t, r.text, 10)
 	assert.Equal(t, int64(2), dialect.sends.Load())
 }
+
+// scriptedFleet is a fleet whose servers answer by the number of the attempt, from 1, of all requests.
+type scriptedFleet struct {
+	*Forwarder
+	t *testing.T
+}
+
+func startScriptedFleet(t *testing.T, servers int, answer func(connection net.Conn, id string, attempt int)) *scriptedFleet {
+	t.Helper()
+	f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
+		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
+	var attempts atomic.Int64
+	view := &catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{}}
+	for number := range servers {
+		server := startScriptedServer(t, func(connection net.Conn, request *http.Request, _ int) {
+			answer(connection, request.Header.Get("Request-Id"), int(attempts.Add(1)))
+		})
+		view.Servers["s"] = append(view.Servers["s"], fleet.Server{ID: fmt.Sprint("i-", number), Service: "s", Address: server.Address, Zone: "z", Slots: 64})
+	}
+	f.Update(view)
+	return &scriptedFleet{Forwarder: f, t: t}
+}
+
+// silenceAll holds the open connections silent, as the detector does.
+func (f *scriptedFleet) silenceAll() {
+	f.watcher.mutex.Lock()
+	defer f.watcher.mutex.Unlock()
+	for conn := range f.watcher.connections {
+		conn.silent.Store(true)
+		conn.interrupt()
+	}
+}
+
+// serve forwards a request of the kind that may be sent to so many servers.
+func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
+	request := testRequest("r", "b")
+	request.Configuration = &fleet.Configuration{}
+	request.Route = &fleet.Route{Kind: kind, Resumable: true, Attempts: attempts, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}}
+	recorded := httptest.NewRecorder()
+	return recorded, f.Serve(f.t.Context(), recorded, request)
+}
+
+func errorAnswer(id string) string {
+	return "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\nContent-Length: 1\r\n\r\nx"
+}
+
+// Guards against a server whose error is not held against it, and whose trial stays open, because the
+// error answered a second attempt.
+func TestErrorOfSecondAttemptCountsForItsServer(t *testing.T) {
+	f := startScriptedFleet(t, 2, func(connection net.Conn, id string, _ int) { _, _ = io.WriteString(connection, errorAnswer(id)) })
+	silent, ejected := f.server("i-0"), f.server("i-1")
+	eject(f.targets, ejected.Candidate)
+	time.Sleep(300 * time.Millisecond)
+	request := testRequest("r", "b")
+	request.Route.Attempts = 3
+	w := &forwarding{Forwarder: f.Forwarder, request: request, attempts: 1}
+	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{silent.Candidate}
+	near, _ := net.Pipe()
+	w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
+	require.NotNil(t, w.hedge)
+	require.Equal(t, ejected, w.hedge.plan.chosen.target)
+	require.True(t, w.hedge.plan.chosen.Trial)
+	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
+	assert.Equal(t, health.Ejected.String(), f.state("i-1"), "the trial has ended")
+}
