An error beside an open second attempt does not end the request

Cause: the first server answered with an error while the second attempt was open. Whether another attempt may follow was asked of the attempts and the retry budget, both of which the second attempt had been charged to already: without any left, the caller got the error and the second attempt, which might have answered, was canceled. With some left, a retry was charged that was not made, since the second attempt took its place.

Change: with a second attempt open, it is awaited.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -96,7 +96,8 @@
 	return answerBody{bytes: bytes, complete: len(bytes) <= maxBufferedBytes}, err
 }
 
-// retryServerError reports whether a server error is retried at another server.
+// retryServerError reports whether a server error is retried at another server, or a second attempt is
+// open that may still answer.
 func (w *forwarding) retryServerError(ctx context.Context, started *exchange) bool {
 	status := started.response.StatusCode
 	failed := &failure{reason: fault.ReasonBackendFailed, execution: fault.ExecutionUnknown, cause: statusError(status)}
@@ -105,7 +106,7 @@
 	}
 	started.abort()
 	w.recordFailure(started.target, failed, 0)
-	return w.mayRetry(ctx, failed)
+	return w.hedge != nil || w.mayRetry(ctx, failed)
 }
 
 // writeAnswer writes a server's answer to the caller.
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -207,3 +207,42 @@
 	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
 	assert.Equal(t, health.Ejected.String(), f.state("i-1"), "the trial has ended")
 }
+
+// Guards against an error that ends a request while a second attempt is open, which may still answer, and
+// against a retry that is charged but not made.
+func TestErrorBesideSecondAttemptAwaitsIt(t *testing.T) {
+	for kind, second := range map[fleet.RouteKind]string{fleet.Repeatable: "answer", fleet.Streaming: "id: 1\ndata: x\n\n"} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			reached, sent := make(chan struct{}), make(chan struct{})
+			f := startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+				if attempt > 1 {
+					close(sent)
+					time.Sleep(300 * time.Millisecond)
+					_, _ = io.WriteString(connection, completeAnswer(id, second))
+					return
+				}
+				head, end := errorAnswer(id), ""
+				if kind == fleet.Repeatable {
+					// The head would end the second attempt.
+					end = head[len(head)-1:]
+					_, _ = io.WriteString(connection, head[:len(head)-1])
+					time.Sleep(50 * time.Millisecond)
+					head = ""
+				}
+				close(reached)
+				<-sent
+				_, _ = io.WriteString(connection, head+end)
+			})
+			go func() {
+				<-reached
+				f.silenceAll()
+			}()
+			recorded, refusal := f.serve(kind, 2)
+			assert.Nil(t, refusal)
+			assert.Equal(t, http.StatusOK, recorded.Code)
+			assert.Equal(t, second, recorded.Body.String())
+			const ofOneRequest = retryRatioFraction * 0.2
+			assert.InDelta(t, ofOneRequest-1, f.budgets["s"].Remaining(time.Since(f.started), 0), 0.01, "one retry was spent")
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -163,7 +163,7 @@
 	}
 	status := started.response.StatusCode
 	retriable := status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && w.request.Route.MayRepeat()
-	if w.headSent || (retriable && w.attempts < w.request.Route.Attempts) {
+	if w.headSent || (retriable && (w.hedge != nil || w.attempts < w.request.Route.Attempts)) {
 		failed = &failure{reason: fault.ReasonBackendFailed, execution: fault.ExecutionUnknown, cause: statusError(status)}
 		started.abort()
 		w.recordFailure(started.target, failed, 0)
