The connection of an interrupted answer is not reused

Cause: an answer that is too long to be held is written as it comes. When reading it failed, such as at the request's deadline, its connection went back to the idle ones all the same if nothing was buffered at that moment. The rest of the body then came in place of the next request's answer, which failed.

Change: the connection is closed.

--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -121,10 +121,11 @@
 	if !body.complete {
 		w.committed = true
 		_, err = io.Copy(w.writer, started.response.Body)
-		started.finish()
 		if err != nil {
+			started.abort()
 			panic(http.ErrAbortHandler)
 		}
+		started.finish()
 		w.confirmFingerprint()
 	}
 	w.recordAnswered(started, err)
--- a/internal/forward/exchange_test.go
+++ b/internal/forward/exchange_test.go
@@ -339,3 +339,13 @@
 	f.targets.applyNotice(listed, fleet.AnswerHeader{Signed: true}, time.Now().Add(time.Second))
 	assert.Zero(t, limits())
 }
+
+// Guards against a connection that is kept although the rest of an answer is still to come on it, in place
+// of the next request's.
+func TestConnectionOfAnInterruptedAnswerIsNotReused(t *testing.T) {
+	f := startScriptedFleet(t, 1, func(connection net.Conn, id string, _ int) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, 3*maxBufferedBytes, strings.Repeat("x", 2*maxBufferedBytes))
+	})
+	assert.PanicsWithValue(t, http.ErrAbortHandler, func() { _, _ = f.serve(fleet.Repeatable, 3) })
+	assert.Empty(t, f.server("i-0").pool.idle)
+}
