A second attempt whose server hangs is not the last one

Cause: once the first attempt had ended, the second one was awaited without asking whether its server was silent too: only a connection that was held silent, or the deadline of a version, ended it. At a server that hangs the request waited until its deadline, though other servers were free and attempts and retry budget were left. A first attempt at such a server is never awaited alone.

Change: the awaited attempt is guarded like a first one, with a further attempt beside it on evidence of silence.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -317,15 +317,17 @@
 }
 
 // adoptHedge makes the second attempt the current one, after the first has ended, and waits until it
-// has begun to answer.
+// has begun to answer. If its server falls silent too, a further attempt is made beside it.
 func (w *forwarding) adoptHedge(ctx context.Context) (*exchange, *failure) {
 	h := w.hedge
 	w.hedge = nil
 	w.hedging.FirstEnded()
 	h.detach()
-	outcome := <-h.outcome
-	w.attemptState, w.request = h.attempt.attemptState, h.attempt.request
+	// The second attempt may still be sent, so that its request is not modified.
+	request := *h.attempt.request
+	w.attemptState, w.request = h.attempt.attemptState, &request
 	target := h.plan.chosen.target
+	outcome := w.awaitHedge(ctx, h)
 	if outcome.failed != nil {
 		h.cancel()
 		w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
@@ -333,7 +335,39 @@
 		return nil, outcome.failed
 	}
 	w.metrics.hedges.WithLabelValues(hedgeTookOver).Inc()
+	if !w.isStream() {
+		w.cancelHedge()
+	}
 	outcome.started.connection.guard = w.newAttemptGuard(ctx, target, h.plan.chosen.Version)
 	w.targets.recordVersion(target, outcome.started.head.Version)
 	return outcome.started, nil
 }
+
+// awaitHedge waits for the outcome of a second attempt that has become the current one. It ends the
+// attempt when a further one has begun to answer.
+func (w *forwarding) awaitHedge(ctx context.Context, h *hedge) hedgeOutcome {
+	guard := w.newAttemptGuard(ctx, h.plan.chosen.target, h.plan.chosen.Version)
+	ticker := time.NewTicker(silenceCheckPeriod)
+	defer ticker.Stop()
+	for {
+		var further chan hedgeOutcome
+		if w.hedge != nil {
+			further = w.hedge.outcome
+		}
+		select {
+		case outcome := <-h.outcome:
+			return outcome
+		case outcome := <-further:
+			further <- outcome
+		case <-ticker.C:
+		}
+		if w.hedgeBegun() {
+			h.abandon()
+			return hedgeOutcome{failed: &failure{reason: failureReason(w.hedge.evidence, fault.ReasonOverdue), execution: fault.ExecutionUnknown, cause: w.hedge.evidence}}
+		}
+		evidence := guard.evidence(time.Since(w.sentAt), w.request.typicalWait)
+		if evidence != nil && !errors.Is(evidence, errVersionDeadline) {
+			w.considerHedge(ctx, h.plan.chosen.target, nil, evidence)
+		}
+	}
+}
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -246,3 +246,42 @@
 		})
 	}
 }
+
+// Guards against a request that waits until its deadline for a second attempt whose server hangs, after
+// its first server has closed the connection: a third server is tried beside the second.
+func TestHangingSecondAttemptIsNotTheLast(t *testing.T) {
+	reached, sent := make(chan struct{}), make(chan struct{})
+	warming := atomic.Bool{}
+	warming.Store(true)
+	var late atomic.Int64
+	f := startScriptedFleet(t, 3, func(connection net.Conn, id string, _ int) {
+		if warming.Load() {
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(connection, completeAnswer(id, "answer"))
+			return
+		}
+		switch late.Add(1) {
+		case 1:
+			close(reached)
+			<-sent
+			_ = connection.Close()
+		case 2:
+			close(sent)
+			time.Sleep(5 * time.Second)
+		default:
+			_, _ = io.WriteString(connection, completeAnswer(id, "answer"))
+		}
+	})
+	for range 20 {
+		_, refusal := f.serve(fleet.Repeatable, 3)
+		require.Nil(t, refusal)
+	}
+	warming.Store(false)
+	go func() {
+		<-reached
+		f.silenceAll()
+	}()
+	recorded, refusal := f.serve(fleet.Repeatable, 3)
+	assert.Nil(t, refusal)
+	assert.Equal(t, "answer", recorded.Body.String())
+}
