--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -167,19 +169,31 @@
 }
 
 // run sends the second attempt and waits for the beginning of its answer.
-func (h *hedge) run(ctx context.Context) {
+func (h *hedge) run(ctx context.Context) { h.finish(h.send(ctx)) }
+
+// send sends the second attempt and reads the beginning of its answer. If it panics, only this attempt
+// fails: in a goroutine of its own, a panic would end the process.
+func (h *hedge) send(ctx context.Context) (outcome hedgeOutcome) {
 	w := h.attempt
-	started, failed := w.open(ctx, w.request, h.plan.send, h.plan.chosen.target, &hedgeGuard{attempt: w, version: h.plan.chosen.Version})
-	if failed == nil {
-		failed = w.classifyAnswer(started, h.plan.send.Version)
-	}
-	if failed == nil {
-		failed = w.readBeginning(started)
+	defer func() {
+		if reason := recover(); reason != nil {
+			w.log.Log(logging.HandlerPanicked, zap.String("request", w.request.Call.RequestID), zap.String("panic", fmt.Sprint(reason)),
+				zap.ByteString("stack", debug.Stack()))
+			outcome.failed = &failure{reason: fault.ReasonInternal, execution: fault.ExecutionUnknown}
+		}
+		if outcome.failed != nil && outcome.started != nil {
+			outcome.started.abort()
+		}
+	}()
+	guard := &hedgeGuard{attempt: w, version: h.plan.chosen.Version}
+	outcome.started, outcome.failed = w.open(ctx, w.request, h.plan.send, h.plan.chosen.target, guard)
+	if outcome.failed == nil {
+		outcome.failed = w.classifyAnswer(outcome.started, h.plan.send.Version)
 	}
-	if failed != nil && started != nil {
-		started.abort()
+	if outcome.failed == nil {
+		outcome.failed = w.readBeginning(outcome.started)
 	}
-	h.finish(hedgeOutcome{started: started, failed: failed})
+	return outcome
 }
 
 // finish reports the outcome, or ends the exchange if nobody wants it any more.
@@ -268,12 +282,22 @@
 	w.hedge = nil
 	h.cancel()
 	w.hedging.HedgeFailed(w.watcher.now())
-	h.attempt.releaseAttempt()
-	h.attempt.recordFailure(h.plan.chosen.target, failed, time.Since(h.attempt.sentAt))
+	h.attempt.recordHedgeFailure(h.plan.chosen.target, failed)
 	w.mayHaveRun = w.mayHaveRun || h.attempt.mayHaveRun
 	w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
 }
 
+// recordHedgeFailure records the failure of a second attempt, whose state this is. Unlike that of a first
+// attempt, an answer that counts as a failure has not been observed when it was read.
+func (w *forwarding) recordHedgeFailure(target *target, failed *failure) {
+	w.releaseAttempt()
+	w.recordFailure(target, failed, time.Since(w.sentAt))
+	var status statusError
+	if failed.reason == fault.ReasonBackendFailed && errors.As(failed.cause, &status) {
+		w.observeAnswer(target, int(status))
+	}
+}
+
 // cancelHedge ends the second attempt, if there is one, because the first one goes on or the request
 // has ended.
 func (w *forwarding) cancelHedge() {
@@ -293,24 +317,57 @@
 }
 
 // adoptHedge makes the second attempt the current one, after the first has ended, and waits until it
-// has begun to answer.
+// has begun to answer. If its server falls silent too, a further attempt is made beside it.
 func (w *forwarding) adoptHedge(ctx context.Context) (*exchange, *failure) {
 	h := w.hedge
 	w.hedge = nil
 	w.hedging.FirstEnded()
 	h.detach()
-	outcome := <-h.outcome
-	w.attemptState, w.request = h.attempt.attemptState, h.attempt.request
+	// The second attempt may still be sent, so that its request is not modified.
+	request := *h.attempt.request
+	w.attemptState, w.request = h.attempt.attemptState, &request
 	target := h.plan.chosen.target
+	outcome := w.awaitHedge(ctx, h)
 	if outcome.failed != nil {
 		h.cancel()
 		w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
-		w.releaseAttempt()
-		w.recordFailure(target, outcome.failed, time.Since(w.sentAt))
+		w.recordHedgeFailure(target, outcome.failed)
 		return nil, outcome.failed
 	}
 	w.metrics.hedges.WithLabelValues(hedgeTookOver).Inc()
+	if !w.isStream() {
+		w.cancelHedge()
+	}
 	outcome.started.connection.guard = w.newAttemptGuard(ctx, target, h.plan.chosen.Version)
 	w.targets.recordVersion(target, outcome.started.head.Version)
 	return outcome.started, nil
 }
+
+// awaitHedge waits for the outcome of a second attempt that has become the current one. It ends the
+// attempt when a further one has begun to answer.
+func (w *forwarding) awaitHedge(ctx context.Context, h *hedge) hedgeOutcome {
+	guard := w.newAttemptGuard(ctx, h.plan.chosen.target, h.plan.chosen.Version)
+	ticker := time.NewTicker(silenceCheckPeriod)
+	defer ticker.Stop()
+	for {
+		var further chan hedgeOutcome
+		if w.hedge != nil {
+			further = w.hedge.outcome
+		}
+		select {
+		case outcome := <-h.outcome:
+			return outcome
+		case outcome := <-further:
+			further <- outcome
+		case <-ticker.C:
+		}
+		if w.hedgeBegun() {
+			h.abandon()
+			return hedgeOutcome{failed: &failure{reason: failureReason(w.hedge.evidence, fault.ReasonOverdue), execution: fault.ExecutionUnknown, cause: w.hedge.evidence}}
+		}
+		evidence := guard.evidence(time.Since(w.sentAt), w.request.typicalWait)
+		if evidence != nil && !errors.Is(evidence, errVersionDeadline) {
+			w.considerHedge(ctx, h.plan.chosen.target, nil, evidence)
+		}
+	}
+}
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -2,17 +2,27 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
+	"pinevane.example/pinevane/platform"
 )
 
 // Guards against the cut of an interrupted stream that finds no server at that moment, though one is
@@ -97,9 +107,181 @@
 	request.Route.Attempts = 2
 	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
 	w.criteria.Service = "s"
-	w.considerHedge(t.Context(), s.targets[0], &connection{}, errStalled)
+	silent, _ := net.Pipe()
+	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
 	require.NotNil(t, w.hedge)
 	w.cancelHedge()
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
 	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
 }
+
+// secondSendPanics is a dialect that panics when a request is sent for the second time.
+type secondSendPanics struct {
+	fleet.Dialect
+	sends atomic.Int64
+}
+
+func (d *secondSendPanics) WriteSend(header http.Header, send fleet.SendHeader) {
+	if header.Get("Request-Id") == "late" && d.sends.Add(1) == 2 {
+		panic("second send")
+	}
+	d.Dialect.WriteSend(header, send)
+}
+
+// Guards against the end of the process, and of all its requests, by a second attempt that panics: the
+// first attempt goes on.
+func TestSecondAttemptThatPanicsFailsAlone(t *testing.T) {
+	s := startTestFleet(t, 2)
+	s.warm(fleet.Streaming, 3)
+	dialect := &secondSendPanics{Dialect: s.forwarder.dialect}
+	s.forwarder.dialect = dialect
+	s.pause(streamMinOverdue + 300*time.Millisecond)
+	r := s.send(fleet.Streaming, "late", 10)
+	assert.Nil(t, r.refusal)
+	assert.False(t, r.cut)
+	assertEveryEventOnce(t, r.text, 10)
+	assert.Equal(t, int64(2), dialect.sends.Load())
+}
+
+// scriptedFleet is a fleet whose servers answer by the number of the attempt, from 1, of all requests.
+type scriptedFleet struct {
+	*Forwarder
+	t *testing.T
+}
+
+func startScriptedFleet(t *testing.T, servers int, answer func(connection net.Conn, id string, attempt int)) *scriptedFleet {
+	t.Helper()
+	f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
+		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
+	var attempts atomic.Int64
+	view := &catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{}}
+	for number := range servers {
+		server := startScriptedServer(t, func(connection net.Conn, request *http.Request, _ int) {
+			answer(connection, request.Header.Get("Request-Id"), int(attempts.Add(1)))
+		})
+		view.Servers["s"] = append(view.Servers["s"], fleet.Server{ID: fmt.Sprint("i-", number), Service: "s", Address: server.Address, Zone: "z", Slots: 64})
+	}
+	f.Update(view)
+	return &scriptedFleet{Forwarder: f, t: t}
+}
+
+// silenceAll holds the open connections silent, as the detector does.
+func (f *scriptedFleet) silenceAll() {
+	f.watcher.mutex.Lock()
+	defer f.watcher.mutex.Unlock()
+	for conn := range f.watcher.connections {
+		conn.silent.Store(true)
+		conn.interrupt()
+	}
+}
+
+// serve forwards a request of the kind that may be sent to so many servers.
+func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
+	request := testRequest("r", "b")
+	request.Configuration = &fleet.Configuration{}
+	request.Route = &fleet.Route{Kind: kind, Resumable: true, Attempts: attempts, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}}
+	recorded := httptest.NewRecorder()
+	return recorded, f.Serve(f.t.Context(), recorded, request)
+}
+
+func errorAnswer(id string) string {
+	return "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\nContent-Length: 1\r\n\r\nx"
+}
+
+// Guards against a server whose error is not held against it, and whose trial stays open, because the
+// error answered a second attempt.
+func TestErrorOfSecondAttemptCountsForItsServer(t *testing.T) {
+	f := startScriptedFleet(t, 2, func(connection net.Conn, id string, _ int) { _, _ = io.WriteString(connection, errorAnswer(id)) })
+	silent, ejected := f.server("i-0"), f.server("i-1")
+	eject(f.targets, ejected.Candidate)
+	time.Sleep(300 * time.Millisecond)
+	request := testRequest("r", "b")
+	request.Route.Attempts = 3
+	w := &forwarding{Forwarder: f.Forwarder, request: request, attempts: 1}
+	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{silent.Candidate}
+	near, _ := net.Pipe()
+	w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
+	require.NotNil(t, w.hedge)
+	require.Equal(t, ejected, w.hedge.plan.chosen.target)
+	require.True(t, w.hedge.plan.chosen.Trial)
+	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
+	assert.Equal(t, health.Ejected.String(), f.state("i-1"), "the trial has ended")
+}
+
+// Guards against an error that ends a request while a second attempt is open, which may still answer, and
+// against a retry that is charged but not made.
+func TestErrorBesideSecondAttemptAwaitsIt(t *testing.T) {
+	for kind, second := range map[fleet.RouteKind]string{fleet.Repeatable: "answer", fleet.Streaming: "id: 1\ndata: x\n\n"} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			reached, sent := make(chan struct{}), make(chan struct{})
+			f := startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+				if attempt > 1 {
+					close(sent)
+					time.Sleep(300 * time.Millisecond)
+					_, _ = io.WriteString(connection, completeAnswer(id, second))
+					return
+				}
+				head, end := errorAnswer(id), ""
+				if kind == fleet.Repeatable {
+					// The head would end the second attempt.
+					end = head[len(head)-1:]
+					_, _ = io.WriteString(connection, head[:len(head)-1])
+					time.Sleep(50 * time.Millisecond)
+					head = ""
+				}
+				close(reached)
+				<-sent
+				_, _ = io.WriteString(connection, head+end)
+			})
+			go func() {
+				<-reached
+				f.silenceAll()
+			}()
+			recorded, refusal := f.serve(kind, 2)
+			assert.Nil(t, refusal)
+			assert.Equal(t, http.StatusOK, recorded.Code)
+			assert.Equal(t, second, recorded.Body.String())
+			const ofOneRequest = retryRatioFraction * 0.2
+			assert.InDelta(t, ofOneRequest-1, f.budgets["s"].Remaining(time.Since(f.started), 0), 0.01, "one retry was spent")
+		})
+	}
+}
+
+// Guards against a request that waits until its deadline for a second attempt whose server hangs, after
+// its first server has closed the connection: a third server is tried beside the second.
+func TestHangingSecondAttemptIsNotTheLast(t *testing.T) {
+	reached, sent := make(chan struct{}), make(chan struct{})
+	warming := atomic.Bool{}
+	warming.Store(true)
+	var late atomic.Int64
+	f := startScriptedFleet(t, 3, func(connection net.Conn, id string, _ int) {
+		if warming.Load() {
+			time.Sleep(10 * time.Millisecond)
+			_, _ = io.WriteString(connection, completeAnswer(id, "answer"))
+			return
+		}
+		switch late.Add(1) {
+		case 1:
+			close(reached)
+			<-sent
+			_ = connection.Close()
+		case 2:
+			close(sent)
+			time.Sleep(5 * time.Second)
+		default:
+			_, _ = io.WriteString(connection, completeAnswer(id, "answer"))
+		}
+	})
+	for range 20 {
+		_, refusal := f.serve(fleet.Repeatable, 3)
+		require.Nil(t, refusal)
+	}
+	warming.Store(false)
+	go func() {
+		<-reached
+		f.silenceAll()
+	}()
+	recorded, refusal := f.serve(fleet.Repeatable, 3)
+	assert.Nil(t, refusal)
+	assert.Equal(t, "answer", recorded.Body.String())
+}
