--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,8 @@
 
 	uploads *uploadQueue
 	wakeup  chan struct{}
+	// lastEngine is the engine that was last published for this machine's service.
+	lastEngine atomic.Pointer[fleet.Engine]
 	// staging is read-locked while a piece is staged and write-locked while an order is sent, so
 	// that the server loads exactly the pieces that were verified.
 	staging sync.RWMutex
@@ -149,13 +152,21 @@
 	}
 }
 
-// engine returns the engine of this machine's service and the name of its model.
+// engine returns the engine of this machine's service and the name of its model. They stay as they
+// were when the service is removed from the configuration: its server goes on with the requests it
+// has, and a status report without its version would keep their further attempts away.
 func (a *Agent) engine() (*fleet.Engine, string) {
 	view := a.daemon.Catalog.View()
 	if view.Configuration == nil {
 		return nil, ""
 	}
-	engine := view.Configuration.Services[a.daemon.Settings().Service].Engine
+	service, published := view.Configuration.Services[a.daemon.Settings().Service]
+	engine := service.Engine
+	if published {
+		a.lastEngine.Store(engine)
+	} else {
+		engine = a.lastEngine.Load()
+	}
 	if engine == nil || len(engine.Models) == 0 {
 		return nil, ""
 	}
--- a/internal/sitetest/underway_attempts_test.go
+++ b/internal/sitetest/underway_attempts_test.go
@@ -196,3 +196,16 @@
 		assert.Equal(t, site.RegionName(0), arrival.Region, arrival.RequestID)
 	}
 }
+
+// Guards against streams that are cut because the agents of a removed service report, some time after
+// its removal, that their servers hold no weights.
+func TestLaterFurtherAttemptsAfterRemovalOfServices(t *testing.T) {
+	f := startUnderWayFleet(t, underWayOptions())
+	opened := openRequests(f, "open", underWayCount, "stream")
+	f.configure(func(configuration map[string]any) { site.RemoveNamed(configuration, "services", site.ModelService) })
+	time.Sleep(600 * time.Millisecond)
+	brokenAt := time.Now()
+	breakOffZone(f, 0)
+	assertAnswered(t, f, opened.outcomes())
+	assert.NotEmpty(t, furtherAttempts(f, "stream", brokenAt))
+}
