Soak: a stop is counted from when its signal has been sent

Cause: the time of a stop was taken before the signal was sent. On a machine with a load of 39 a stopping entry began its stop some 0.1 s after it, and a request that was sent 2.91 s after the entry's own line was more than 3 s after the recorded time.

Change: the time is taken after the signal. The checks are the same; a request in between now counts as open at the stop.

Conclusion: what the harness waits is no part of the stop.

--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -240,6 +240,11 @@
 		return nil
 	}
 	r.busy[name] = true
+	if err := r.fleet.Group.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	// The stop is counted from when the signal has been sent: on a busy machine this process may have waited
+	// before it.
 	now := time.Now()
 	r.record.Stops = append(r.record.Stops, Interval{From: now, To: now.Add(r.record.Grace), Name: name})
 	r.schedule(r.record.Grace, func() error {
@@ -250,7 +255,7 @@
 		}
 		return r.fleet.Restart(site.RoleEntry, zone, index)
 	})
-	return r.fleet.Group.Signal(name, syscall.SIGTERM)
+	return nil
 }
 
 // expireServers has every model server's record in the store expire while the store is down;
