Soak of every check: a third run, with pauses

Cause: no check plays servers that fall silent and go on.

Change: make soak plays of all kinds with pauses for 18 s.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,11 @@
 RESTORE_SOAK_SEED ?= 57001
 RESTORE_SOAK_MINUTES ?= 0.4
 RESTORE_SOAK_KINDS ?= store-restored,store-restored-after-outage,reconfigure,new-version
+# A third one, in which servers, agents and entries fall silent and go on, beside changes, stops and versions. Its first
+# series has changes, stops of entries in turn and a stop with silence to its end, its second one all servers at once.
+PAUSE_SOAK_SEED ?= 832613
+PAUSE_SOAK_MINUTES ?= 0.3
+PAUSE_SOAK_KINDS ?= server-pause,zone-pause,all-servers-pause,agents-pause,entry-pause,pause-beside-changes,pause-beside-stops,pause-beside-version,pause-to-end-of-stop
 
 .PHONY: setup build demo test known-red lint format-check scenarios soak model-check regression bench clean
 
@@ -54,6 +59,7 @@
 soak: build
 	$(BINARY) experiment soak --seed $(SOAK_SEED) --minutes $(SOAK_MINUTES)
 	$(BINARY) experiment soak --seed $(RESTORE_SOAK_SEED) --minutes $(RESTORE_SOAK_MINUTES) --kinds $(RESTORE_SOAK_KINDS)
+	$(BINARY) experiment soak --seed $(PAUSE_SOAK_SEED) --minutes $(PAUSE_SOAK_MINUTES) --kinds $(PAUSE_SOAK_KINDS)
 
 regression:
 	BENCH="$(BENCH)" SITE="$(SITE)" bash scenarios/days/play.sh
