The network of a test's fleet is free for others only when all its ports are

Cause: site.FreeNetwork takes a network for free when nothing listens at its origin. Site.Close closed the origin first, and a fleet did not wait for its killed agents, which hold the socket for load queries until they have ended; between the search and the start nothing listened there either. Two processes with tests side by side took one network: "an entry is ready" not within 10 s, because an agent could not listen at 127.87.1.100:7700 (its error stands in the test's output).

Change: FreeNetwork keeps its listener until Start takes it over, a fleet waits for its agents before it closes the site, and the origin closes last.

--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -7,6 +7,8 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -139,9 +141,11 @@
 		Options: options, Store: NewStore(), Origin: NewOrigin(options.Weights), Requests: &RequestLog{},
 		Models: map[string]*Server{}, Plain: map[string]*Server{}, tracker: crashTracker{crashed: map[*Server]bool{}},
 	}
-	if err := s.listen(s.originAddress(), s.Origin.Handler()); err != nil {
+	origin, err := listenAtOrigin(options)
+	if err != nil {
 		return nil, err
 	}
+	s.serve(origin, s.Origin.Handler())
 	s.Configure(nil)
 	for zone := range options.Zones {
 		for index := range options.ModelServers {
@@ -163,23 +167,28 @@
 	if err != nil {
 		return err
 	}
+	s.serve(listener, handler)
+	return nil
+}
+
+func (s *Site) serve(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(listener) }()
-	return nil
 }
 
-// Close stops all servers.
+// Close stops all servers. The origin is the last, because FreeNetwork takes a network without one for
+// free.
 func (s *Site) Close() {
 	s.tracker.close()
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
 	for _, servers := range []map[string]*Server{s.Models, s.Plain} {
 		for _, server := range servers {
 			server.Crash()
 		}
 	}
+	for _, server := range slices.Backward(s.servers) {
+		_ = server.Close()
+	}
 }
 
 // storeAddress returns the address at which a machine reaches the store.
@@ -191,24 +200,52 @@
 	return fmt.Sprintf("%s:%d", s.Options.ip(100+zone, machine), storePort)
 }
 
-func (s *Site) originAddress() string { return s.Options.originAddress() }
+func (s *Site) originAddress() string { return s.Options.OriginAddress() }
+
+// OriginAddress returns the address of the origin. A network counts as in use while something listens there.
+func (o Options) OriginAddress() string { return fmt.Sprintf("%s:%d", o.ip(200, 2), originPort) }
 
-func (o Options) originAddress() string { return fmt.Sprintf("%s:%d", o.ip(200, 2), originPort) }
+// reservation holds the network that FreeNetwork found last, until Start takes it.
+var reservation struct {
+	mutex    sync.Mutex
+	network  int
+	listener net.Listener
+}
 
 // FreeNetwork returns the number of a loopback network that no other emulation uses. It tries count
 // networks from first on, starting at offset begin, and returns the network at that offset if none is free.
+// Other processes do not find the network free until this one has found another or closed the emulation
+// that it starts there.
 func FreeNetwork(first, count, begin int) int {
+	reservation.mutex.Lock()
+	defer reservation.mutex.Unlock()
+	if reservation.listener != nil {
+		_ = reservation.listener.Close()
+		reservation.listener = nil
+	}
 	for offset := range count {
 		network := first + (begin+offset)%count
-		listener, err := net.Listen("tcp", Options{Network: network}.originAddress())
+		listener, err := net.Listen("tcp", Options{Network: network}.OriginAddress())
 		if err == nil {
-			_ = listener.Close()
+			reservation.network, reservation.listener = network, listener
 			return network
 		}
 	}
 	return first + begin%count
 }
 
+// listenAtOrigin returns the reserved listener of a network's origin, or a new one.
+func listenAtOrigin(options Options) (net.Listener, error) {
+	reservation.mutex.Lock()
+	defer reservation.mutex.Unlock()
+	if reservation.listener == nil || reservation.network != options.Network {
+		return net.Listen("tcp", options.OriginAddress())
+	}
+	listener := reservation.listener
+	reservation.listener = nil
+	return listener, nil
+}
+
 // ModelAddress returns the address of a model server.
 func (s *Site) ModelAddress(zone, index int) string {
 	return fmt.Sprintf("%s:%d", s.Options.ModelIP(zone, index), serverPort)
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -42,6 +42,8 @@
 	mutex        sync.Mutex
 	processes    map[string]*process
 	openedStores map[string]bool
+	// agents counts the agents that have not ended.
+	agents sync.WaitGroup
 	// settingsOverrides holds the settings files, by process name, that differ from those that the
 	// site generates.
 	settingsOverrides map[string][]byte
@@ -141,6 +143,8 @@
 	for _, name := range names {
 		f.Kill(name)
 	}
+	// Agents close the socket for load queries when they have ended. The network must not be free before.
+	f.agents.Wait()
 	f.Site.Close()
 }
 
@@ -211,7 +215,15 @@
 	agent := rollout.New(rollout.Options{
 		Daemon: base, Server: platform.NewModelServer(f.Site.ModelAddress(zone, index)), Origin: platform.NewOrigin(),
 	})
-	f.runProcess(ProcessName(catalog.RoleAgent, zone, index), base, agent.Run)
+	f.runAgent(ProcessName(catalog.RoleAgent, zone, index), base, agent)
+}
+
+func (f *Fleet) runAgent(name string, base *daemon.Daemon, agent *rollout.Agent) {
+	f.agents.Add(1)
+	f.runProcess(name, base, func(stop <-chan struct{}) error {
+		defer f.agents.Done()
+		return agent.Run(stop)
+	})
 }
 
 // Stop performs a planned stop of a process and waits until it is complete.
--- a/internal/sitetest/recovery_test.go
+++ b/internal/sitetest/recovery_test.go
@@ -165,7 +165,7 @@
 	f.StartEntry(0, 0)
 	base := f.newDaemon(catalog.RoleAgent, 0, 0)
 	agent := rollout.New(rollout.Options{Daemon: base, Server: platform.NewModelServer(proxy.address), Origin: platform.NewOrigin()})
-	f.runProcess(ProcessName(catalog.RoleAgent, 0, 0), base, agent.Run)
+	f.runAgent(ProcessName(catalog.RoleAgent, 0, 0), base, agent)
 	f.WaitReady()
 	time.Sleep(settleTime)
 	return f, proxy
