--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -147,11 +147,13 @@
 type scriptedFleet struct {
 	*Forwarder
 	t *testing.T
+	// residency restricts the requests; the servers are in the region "here".
+	residency fleet.Residency
 }
 
 func startScriptedFleet(t *testing.T, servers int, answer func(connection net.Conn, id string, attempt int)) *scriptedFleet {
 	t.Helper()
-	f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
+	f := New(Options{Zone: "z", Regions: map[string]string{"z": "here", "y": "there"}, Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
 		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
 	var attempts atomic.Int64
 	view := &catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{}}
@@ -178,7 +180,7 @@
 // serve forwards a request of the kind that may be sent to so many servers.
 func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
 	request := testRequest("r", "b")
-	request.Configuration = &fleet.Configuration{}
+	request.Configuration, request.Residency = &fleet.Configuration{}, f.residency
 	request.Route = &fleet.Route{Kind: kind, Resumable: true, Attempts: attempts, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}}
 	recorded := httptest.NewRecorder()
 	return recorded, f.Serve(f.t.Context(), recorded, request)
@@ -285,3 +287,32 @@
 	assert.Nil(t, refusal)
 	assert.Equal(t, "answer", recorded.Body.String())
 }
+
+// Guards against the cut of an interrupted stream whose region has no server at that moment: one in a
+// region that is not allowed is no reason not to wait.
+func TestInterruptedStreamWaitsForAServerInItsRegion(t *testing.T) {
+	const whole, events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", 2
+	var f *scriptedFleet
+	list := func(servers ...fleet.Server) {
+		f.Update(&catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{"s": servers}})
+	}
+	there := fleet.Server{ID: "there", Service: "s", Address: "127.0.0.1:9", Zone: "y", Slots: 64}
+	second := startScriptedServer(t, func(connection net.Conn, request *http.Request, _ int) {
+		_, _ = io.WriteString(connection, completeAnswer(request.Header.Get("Request-Id"), whole[len(whole)/events:]))
+	})
+	f = startScriptedFleet(t, 1, func(connection net.Conn, id string, _ int) {
+		answer := completeAnswer(id, whole)
+		_, _ = io.WriteString(connection, answer[:len(answer)-len(whole)/events])
+		list(there)
+		time.AfterFunc(500*time.Millisecond, func() {
+			list(there, fleet.Server{ID: "i-1", Service: "s", Address: second.Address, Zone: "z", Slots: 64})
+		})
+		_ = connection.Close()
+	})
+	f.residency = fleet.Residency{{"here"}}
+	require.NotPanics(t, func() {
+		recorded, refusal := f.serve(fleet.Streaming, 3)
+		assert.Nil(t, refusal)
+		assertEveryEventOnce(t, recorded.Body.String(), events)
+	}, "the stream was cut")
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -66,7 +66,9 @@
 // awaitPlace waits for a moment if an interrupted stream found no place, and reports whether to search
 // again. A stream that has not begun is refused instead, so that its caller can go elsewhere.
 func (w *forwarding) awaitPlace(ctx context.Context, refusal *fault.Refusal) bool {
-	if !w.headSent || refusal.Reason != fault.ReasonNoReplica || time.Since(w.lastEventAt) > maxPlaceWait || time.Until(w.request.Deadline) < placeRetryInterval+minAttemptTime {
+	// A server in a region that is not allowed does not matter: one in an allowed region may be back in time.
+	noPlace := refusal.Reason == fault.ReasonNoReplica || refusal.Reason == fault.ReasonResidency
+	if !w.headSent || !noPlace || time.Since(w.lastEventAt) > maxPlaceWait || time.Until(w.request.Deadline) < placeRetryInterval+minAttemptTime {
 		return false
 	}
 	select {
