Tests: second attempts end with the first server's progress, and use fresh connections

Cause: with the cancellation of a second attempt at the first server's next event taken out, all tests passed, since a repeated event is dropped by its id; so they did without the fresh connection of a second attempt, without the permission to use the same server over one, and without the end of a second attempt on a silent connection.

Change: a test for the first, and one for the others.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -18,6 +18,7 @@
 
 	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -316,3 +317,67 @@
 		assertEveryEventOnce(t, recorded.Body.String(), events)
 	}, "the stream was cut")
 }
+
+// Guards against a second attempt that goes on reading a prompt for nobody: it ends as soon as the first
+// server goes on, not with the request.
+func TestProgressOfTheFirstServerEndsTheSecondAttempt(t *testing.T) {
+	const event = "id: %d\ndata: x\n\n"
+	reached, sent, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	f := startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+		if attempt > 1 {
+			close(sent)
+			_, _ = connection.Read(make([]byte, 1))
+			close(ended)
+			return
+		}
+		answer := completeAnswer(id, fmt.Sprintf(event+event+event, 1, 2, 3))
+		eventBytes := len(fmt.Sprintf(event, 1))
+		_, _ = io.WriteString(connection, answer[:len(answer)-2*eventBytes])
+		close(reached)
+		<-sent
+		_, _ = io.WriteString(connection, answer[len(answer)-2*eventBytes:len(answer)-eventBytes])
+		select {
+		case <-ended:
+		case <-time.After(siteTimeout):
+			assert.Fail(t, "the second attempt is still open")
+		}
+		_, _ = io.WriteString(connection, answer[len(answer)-eventBytes:])
+	})
+	go func() {
+		<-reached
+		f.silenceAll()
+	}()
+	recorded, refusal := f.serve(fleet.Streaming, 3)
+	assert.Nil(t, refusal)
+	assertEveryEventOnce(t, recorded.Body.String(), 3)
+}
+
+// Guards against a second attempt over a connection that is as silent as the first one's, and against one
+// that keeps the place of another while its own connection is held silent.
+func TestSecondAttemptUsesAFreshConnection(t *testing.T) {
+	hedgeOf := func(s *testFleet, evidence error) *hedge {
+		request := testRequest("r", "b")
+		request.Route.Attempts = 3
+		w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
+		w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
+		silent, _ := net.Pipe()
+		w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, evidence)
+		t.Cleanup(w.cancelHedge)
+		return w.hedge
+	}
+	alone, two := startTestFleet(t, 1), startTestFleet(t, 2)
+	alone.warm(fleet.Repeatable, 0)
+	time.Sleep(silence.UnacknowledgedLimit)
+	assert.Nil(t, hedgeOf(alone, errStalled), "the only server is silent itself")
+	h := hedgeOf(alone, errSilent)
+	require.NotNil(t, h, "only the connection is silent")
+	assert.Nil(t, h.attempt.idleConnection(h.attempt.request, alone.targets[0]))
+	h = hedgeOf(two, errStalled)
+	require.NotNil(t, h)
+	assert.Positive(t, h.attempt.request.openedAfter, "the connections to the other server may be silent too")
+	fresh := &connection{}
+	guard := &hedgeGuard{attempt: h.attempt}
+	assert.NoError(t, guard.whileSilent(fresh, time.Minute))
+	fresh.silent.Store(true)
+	assert.ErrorIs(t, guard.whileSilent(fresh, time.Minute), errSilent)
+}
