Tests: ended requests hold no place and no connection

Change: these tests require that no server counts a request and that no connection carries one at the end; one test more for a second attempt that has begun to answer and is canceled.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -83,10 +83,34 @@
 				assert.False(t, r.cut, r.id)
 				assertEveryEventOnce(t, r.text, 40)
 			}
+			assertNothingHeld(t, s.forwarder)
 		})
 	}
 }
 
+// assertNothingHeld requires that the ended requests hold no place at a server and no connection, which
+// ones that rest for further requests do not count for.
+func assertNothingHeld(t *testing.T, f *Forwarder) {
+	t.Helper()
+	held := func() (requests, connections int) {
+		for _, server := range f.Servers() {
+			requests += server.InFlight
+		}
+		f.watcher.mutex.Lock()
+		defer f.watcher.mutex.Unlock()
+		for conn := range f.watcher.connections {
+			if conn.awaiting.Load() {
+				connections++
+			}
+		}
+		return requests, connections
+	}
+	assert.Eventually(t, func() bool { requests, connections := held(); return requests == 0 && connections == 0 }, siteTimeout, time.Millisecond)
+	requests, connections := held()
+	assert.Zero(t, requests, "places")
+	assert.Zero(t, connections, "connections")
+}
+
 // assertEveryEventOnce requires that a stream has each event once, in order.
 func assertEveryEventOnce(t *testing.T, text string, events int) {
 	t.Helper()
@@ -245,6 +269,7 @@
 			assert.Equal(t, http.StatusOK, recorded.Code)
 			assert.Equal(t, second, recorded.Body.String())
 			const ofOneRequest = retryRatioFraction * 0.2
+			assertNothingHeld(t, f.Forwarder)
 			assert.InDelta(t, ofOneRequest-1, f.budgets["s"].Remaining(time.Since(f.started), 0), 0.01, "one retry was spent")
 		})
 	}
@@ -287,6 +312,7 @@
 	recorded, refusal := f.serve(fleet.Repeatable, 3)
 	assert.Nil(t, refusal)
 	assert.Equal(t, "answer", recorded.Body.String())
+	assertNothingHeld(t, f.Forwarder)
 }
 
 // Guards against the cut of an interrupted stream whose region has no server at that moment: one in a
@@ -350,6 +376,23 @@
 	recorded, refusal := f.serve(fleet.Streaming, 3)
 	assert.Nil(t, refusal)
 	assertEveryEventOnce(t, recorded.Body.String(), 3)
+	assertNothingHeld(t, f.Forwarder)
+}
+
+// Guards against the connection and the place of a second attempt that has begun to answer when the first
+// server goes on, and is not wanted any more.
+func TestSecondAttemptThatHasBegunIsEnded(t *testing.T) {
+	s := startTestFleet(t, 2)
+	request := testRequest("r", "b")
+	request.Route.Attempts = 3
+	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
+	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
+	silent, _ := net.Pipe()
+	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
+	require.NotNil(t, w.hedge)
+	require.Eventually(t, w.hedgeBegun, siteTimeout, time.Millisecond)
+	w.cancelHedge()
+	assertNothingHeld(t, s.forwarder)
 }
 
 // Guards against a second attempt over a connection that is as silent as the first one's, and against one
