Test: the trial of a canceled second attempt ends

Cause: with the end of the trial taken out of the cancellation, all tests passed.

Figures: TestCanceledTrialMakesRoomForAnother fails with that piece taken out (1 run), passes with it, 3 of 3 runs with -race.

Conclusion: no fault.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -424,3 +424,23 @@
 	fresh.silent.Store(true)
 	assert.ErrorIs(t, guard.whileSilent(fresh, time.Minute), errSilent)
 }
+
+// Guards against a server whose trial stays open after the second attempt that was its trial has been
+// canceled.
+func TestCanceledTrialMakesRoomForAnother(t *testing.T) {
+	f := startScriptedFleet(t, 2, func(connection net.Conn, _ string, _ int) { _, _ = connection.Read(make([]byte, 1)) })
+	silent := f.server("i-0")
+	eject(f.targets, f.server("i-1").Candidate)
+	time.Sleep(300 * time.Millisecond)
+	for range 2 {
+		request := testRequest("r", "b")
+		request.Route.Attempts = 3
+		w := &forwarding{Forwarder: f.Forwarder, request: request, attempts: 1}
+		w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{silent.Candidate}
+		near, _ := net.Pipe()
+		w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
+		require.NotNil(t, w.hedge)
+		assert.True(t, w.hedge.plan.chosen.Trial)
+		w.cancelHedge()
+	}
+}
