--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -18,6 +18,7 @@
 
 	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -82,10 +83,34 @@
 				assert.False(t, r.cut, r.id)
 				assertEveryEventOnce(t, r.text, 40)
 			}
+			assertNothingHeld(t, s.forwarder)
 		})
 	}
 }
 
+// assertNothingHeld requires that the ended requests hold no place at a server and no connection, which
+// ones that rest for further requests do not count for.
+func assertNothingHeld(t *testing.T, f *Forwarder) {
+	t.Helper()
+	held := func() (requests, connections int) {
+		for _, server := range f.Servers() {
+			requests += server.InFlight
+		}
+		f.watcher.mutex.Lock()
+		defer f.watcher.mutex.Unlock()
+		for conn := range f.watcher.connections {
+			if conn.awaiting.Load() {
+				connections++
+			}
+		}
+		return requests, connections
+	}
+	assert.Eventually(t, func() bool { requests, connections := held(); return requests == 0 && connections == 0 }, siteTimeout, time.Millisecond)
+	requests, connections := held()
+	assert.Zero(t, requests, "places")
+	assert.Zero(t, connections, "connections")
+}
+
 // assertEveryEventOnce requires that a stream has each event once, in order.
 func assertEveryEventOnce(t *testing.T, text string, events int) {
 	t.Helper()
@@ -147,11 +172,13 @@
 type scriptedFleet struct {
 	*Forwarder
 	t *testing.T
+	// residency restricts the requests; the servers are in the region "here".
+	residency fleet.Residency
 }
 
 func startScriptedFleet(t *testing.T, servers int, answer func(connection net.Conn, id string, attempt int)) *scriptedFleet {
 	t.Helper()
-	f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
+	f := New(Options{Zone: "z", Regions: map[string]string{"z": "here", "y": "there"}, Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
 		Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 400}, Policy: DefaultPolicy(), Peers: func() int { return 0 }})
 	var attempts atomic.Int64
 	view := &catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{}}
@@ -178,7 +205,7 @@
 // serve forwards a request of the kind that may be sent to so many servers.
 func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
 	request := testRequest("r", "b")
-	request.Configuration = &fleet.Configuration{}
+	request.Configuration, request.Residency = &fleet.Configuration{}, f.residency
 	request.Route = &fleet.Route{Kind: kind, Resumable: true, Attempts: attempts, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}}
 	recorded := httptest.NewRecorder()
 	return recorded, f.Serve(f.t.Context(), recorded, request)
@@ -242,6 +269,7 @@
 			assert.Equal(t, http.StatusOK, recorded.Code)
 			assert.Equal(t, second, recorded.Body.String())
 			const ofOneRequest = retryRatioFraction * 0.2
+			assertNothingHeld(t, f.Forwarder)
 			assert.InDelta(t, ofOneRequest-1, f.budgets["s"].Remaining(time.Since(f.started), 0), 0.01, "one retry was spent")
 		})
 	}
@@ -284,4 +312,135 @@
 	recorded, refusal := f.serve(fleet.Repeatable, 3)
 	assert.Nil(t, refusal)
 	assert.Equal(t, "answer", recorded.Body.String())
+	assertNothingHeld(t, f.Forwarder)
+}
+
+// Guards against the cut of an interrupted stream whose region has no server at that moment: one in a
+// region that is not allowed is no reason not to wait.
+func TestInterruptedStreamWaitsForAServerInItsRegion(t *testing.T) {
+	const whole, events = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", 2
+	var f *scriptedFleet
+	list := func(servers ...fleet.Server) {
+		f.Update(&catalog.View{Configuration: &fleet.Configuration{}, Servers: map[string][]fleet.Server{"s": servers}})
+	}
+	there := fleet.Server{ID: "there", Service: "s", Address: "127.0.0.1:9", Zone: "y", Slots: 64}
+	second := startScriptedServer(t, func(connection net.Conn, request *http.Request, _ int) {
+		_, _ = io.WriteString(connection, completeAnswer(request.Header.Get("Request-Id"), whole[len(whole)/events:]))
+	})
+	f = startScriptedFleet(t, 1, func(connection net.Conn, id string, _ int) {
+		answer := completeAnswer(id, whole)
+		_, _ = io.WriteString(connection, answer[:len(answer)-len(whole)/events])
+		list(there)
+		time.AfterFunc(500*time.Millisecond, func() {
+			list(there, fleet.Server{ID: "i-1", Service: "s", Address: second.Address, Zone: "z", Slots: 64})
+		})
+		_ = connection.Close()
+	})
+	f.residency = fleet.Residency{{"here"}}
+	require.NotPanics(t, func() {
+		recorded, refusal := f.serve(fleet.Streaming, 3)
+		assert.Nil(t, refusal)
+		assertEveryEventOnce(t, recorded.Body.String(), events)
+	}, "the stream was cut")
+}
+
+// Guards against a second attempt that goes on reading a prompt for nobody: it ends as soon as the first
+// server goes on, not with the request.
+func TestProgressOfTheFirstServerEndsTheSecondAttempt(t *testing.T) {
+	const event = "id: %d\ndata: x\n\n"
+	reached, sent, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	f := startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+		if attempt > 1 {
+			close(sent)
+			_, _ = connection.Read(make([]byte, 1))
+			close(ended)
+			return
+		}
+		answer := completeAnswer(id, fmt.Sprintf(event+event+event, 1, 2, 3))
+		eventBytes := len(fmt.Sprintf(event, 1))
+		_, _ = io.WriteString(connection, answer[:len(answer)-2*eventBytes])
+		close(reached)
+		<-sent
+		_, _ = io.WriteString(connection, answer[len(answer)-2*eventBytes:len(answer)-eventBytes])
+		select {
+		case <-ended:
+		case <-time.After(siteTimeout):
+			assert.Fail(t, "the second attempt is still open")
+		}
+		_, _ = io.WriteString(connection, answer[len(answer)-eventBytes:])
+	})
+	go func() {
+		<-reached
+		f.silenceAll()
+	}()
+	recorded, refusal := f.serve(fleet.Streaming, 3)
+	assert.Nil(t, refusal)
+	assertEveryEventOnce(t, recorded.Body.String(), 3)
+	assertNothingHeld(t, f.Forwarder)
+}
+
+// Guards against the connection and the place of a second attempt that has begun to answer when the first
+// server goes on, and is not wanted any more.
+func TestSecondAttemptThatHasBegunIsEnded(t *testing.T) {
+	s := startTestFleet(t, 2)
+	request := testRequest("r", "b")
+	request.Route.Attempts = 3
+	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
+	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
+	silent, _ := net.Pipe()
+	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
+	require.NotNil(t, w.hedge)
+	require.Eventually(t, w.hedgeBegun, siteTimeout, time.Millisecond)
+	w.cancelHedge()
+	assertNothingHeld(t, s.forwarder)
+}
+
+// Guards against a second attempt over a connection that is as silent as the first one's, and against one
+// that keeps the place of another while its own connection is held silent.
+func TestSecondAttemptUsesAFreshConnection(t *testing.T) {
+	hedgeOf := func(s *testFleet, evidence error) *hedge {
+		request := testRequest("r", "b")
+		request.Route.Attempts = 3
+		w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
+		w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
+		silent, _ := net.Pipe()
+		w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, evidence)
+		t.Cleanup(w.cancelHedge)
+		return w.hedge
+	}
+	alone, two := startTestFleet(t, 1), startTestFleet(t, 2)
+	alone.warm(fleet.Repeatable, 0)
+	time.Sleep(silence.UnacknowledgedLimit)
+	assert.Nil(t, hedgeOf(alone, errStalled), "the only server is silent itself")
+	h := hedgeOf(alone, errSilent)
+	require.NotNil(t, h, "only the connection is silent")
+	assert.Nil(t, h.attempt.idleConnection(h.attempt.request, alone.targets[0]))
+	h = hedgeOf(two, errStalled)
+	require.NotNil(t, h)
+	assert.Positive(t, h.attempt.request.openedAfter, "the connections to the other server may be silent too")
+	fresh := &connection{}
+	guard := &hedgeGuard{attempt: h.attempt}
+	assert.NoError(t, guard.whileSilent(fresh, time.Minute))
+	fresh.silent.Store(true)
+	assert.ErrorIs(t, guard.whileSilent(fresh, time.Minute), errSilent)
+}
+
+// Guards against a server whose trial stays open after the second attempt that was its trial has been
+// canceled.
+func TestCanceledTrialMakesRoomForAnother(t *testing.T) {
+	f := startScriptedFleet(t, 2, func(connection net.Conn, _ string, _ int) { _, _ = connection.Read(make([]byte, 1)) })
+	silent := f.server("i-0")
+	eject(f.targets, f.server("i-1").Candidate)
+	time.Sleep(300 * time.Millisecond)
+	for range 2 {
+		request := testRequest("r", "b")
+		request.Route.Attempts = 3
+		w := &forwarding{Forwarder: f.Forwarder, request: request, attempts: 1}
+		w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{silent.Candidate}
+		near, _ := net.Pipe()
+		w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
+		require.NotNil(t, w.hedge)
+		assert.True(t, w.hedge.plan.chosen.Trial)
+		w.cancelHedge()
+	}
 }
