TestStreamGoesOnWhenItsOnlyLinkIsMadeAgain closes the link after the caller has received something

Cause: the test closed the link as soon as the engine ran the stream. If no token had reached the caller by then, the entry refuses the stream at once (503, no-replica, after 19 ms), as it should: its caller can go elsewhere.

Change: the test waits for the first byte of the response. The assertion is the same.

Conclusion: a precondition that now holds by construction.

--- a/internal/fleettest/paused_test.go
+++ b/internal/fleettest/paused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -104,13 +105,18 @@
 func TestStreamGoesOnWhenItsOnlyLinkIsMadeAgain(t *testing.T) {
 	t.Parallel()
 	f := New(t, 1, 0, 1)
+	begun := make(chan struct{})
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotFirstResponseByte: func() { close(begun) }})
+	request := Stream("one engine", 400)
+	request.Key = Key
 	results := make(chan workload.Result, 1)
-	go func() { results <- f.Do(f.Entries[0], Stream("one engine", 400)) }()
-	f.Wait("the stream is under way", func() bool { return f.Engines[0].Engine.Status().Running == 1 })
+	go func() { results <- f.Client.Do(ctx, f.Entries[0].Address, request) }()
+	<-begun
 	for _, link := range f.Engines[0].Node.Hub.Accepted() {
 		_ = link.Close()
 	}
 	result := <-results
+	f.Recorder.Add(result)
 	assert.True(t, result.Answered, "%+v", result)
 	assert.Empty(t, f.Violations())
 }
