A request that may have run is not answered with 503 and a time to come back

Cause: an entry answered each reason without a status of its own with 503, also where a back end may have run the request: at the end of a stop, which came with the refusal of open requests, and where no back end was left for another attempt. With Retry-After in addition, common clients send such a request again; only the execution header told otherwise.

Change: such refusals get 502 and no time to come back, as those of the gateway do.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -110,7 +110,7 @@
 // correctExecution sets a refusal's execution to unknown if any attempt may have run.
 func (g *generation) correctExecution(refusal *fault.Refusal) {
 	if g.mayHaveRun {
-		refusal.Execution = fault.ExecutionUnknown
+		refusal.Execution, refusal.RetryAfter = fault.ExecutionUnknown, 0
 	}
 }
 
@@ -187,9 +187,7 @@
 // contextRefusal returns the refusal of a request whose context has ended.
 func contextRefusal(ctx context.Context) *fault.Refusal {
 	if errors.Is(context.Cause(ctx), errStopping) {
-		refusal := fault.Unknown(fault.ReasonLeaving, errStopping.Error())
-		refusal.RetryAfter = retryAfterNoReplica
-		return refusal
+		return fault.Unknown(fault.ReasonLeaving, errStopping.Error())
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return fault.Unknown(fault.ReasonDeadline, "the request's time is over")
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -229,21 +229,30 @@
 	fault.ReasonLinkLost:         http.StatusBadGateway,
 }
 
+// statusOf returns the status of a refusal. One that allows the caller to send the request again is only
+// for requests that have not run.
+func statusOf(refusal *fault.Refusal) int {
+	status, listed := statusOfReason[refusal.Reason]
+	switch {
+	case listed:
+		return status
+	case refusal.Execution == fault.ExecutionUnknown:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
 // writeRefusal answers a request with a refusal.
 func (e *Entry) writeRefusal(writer http.ResponseWriter, requestID string, refusal *fault.Refusal) {
 	e.node.Log.Log(logging.RequestRefused, zap.String("request", requestID),
 		zap.String("reason", string(refusal.Reason)), zap.String("execution", string(refusal.Execution)))
-	status, listed := statusOfReason[refusal.Reason]
-	if !listed {
-		status = http.StatusServiceUnavailable
-	}
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderExecution, string(refusal.Execution))
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
-	writer.WriteHeader(status)
+	writer.WriteHeader(statusOf(refusal))
 	_ = json.NewEncoder(writer).Encode(newErrorBody(requestID, refusal))
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -100,7 +100,7 @@
 
 func withExecution(refusal *fault.Refusal, mayHaveRun bool) *fault.Refusal {
 	if mayHaveRun {
-		refusal.Execution = fault.ExecutionUnknown
+		refusal.Execution, refusal.RetryAfter = fault.ExecutionUnknown, 0
 	}
 	return refusal
 }
