--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -204,11 +205,16 @@
 
 // serve forwards a request of the kind that may be sent to so many servers.
 func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
+	return f.serveUntil(f.t.Context(), kind, attempts)
+}
+
+// serveUntil is serve for a caller that leaves when the context ends.
+func (f *scriptedFleet) serveUntil(ctx context.Context, kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
 	request := testRequest("r", "b")
 	request.Configuration, request.Residency = &fleet.Configuration{}, f.residency
 	request.Route = &fleet.Route{Kind: kind, Resumable: true, Attempts: attempts, Services: []fleet.WeightedService{{Service: "s", Weight: 1}}}
 	recorded := httptest.NewRecorder()
-	return recorded, f.Serve(f.t.Context(), recorded, request)
+	return recorded, f.Serve(ctx, recorded, request)
 }
 
 func errorAnswer(id string) string {
@@ -444,3 +450,46 @@
 		w.cancelHedge()
 	}
 }
+
+// Guards against the place and the connection of a second attempt whose caller has left.
+func TestSecondAttemptEndsWithItsCaller(t *testing.T) {
+	for _, kind := range []fleet.RouteKind{fleet.Repeatable, fleet.Streaming} {
+		t.Run(fmt.Sprint(kind), func(t *testing.T) {
+			reached := make(chan struct{})
+			ctx, leave := context.WithCancel(t.Context())
+			f := startScriptedFleet(t, 2, func(connection net.Conn, _ string, attempt int) {
+				if attempt == 1 {
+					close(reached)
+				} else {
+					leave()
+				}
+				_, _ = connection.Read(make([]byte, 1))
+			})
+			go func() {
+				<-reached
+				f.silenceAll()
+			}()
+			_, refusal := f.serveUntil(ctx, kind, 3)
+			require.NotNil(t, refusal)
+			assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
+			assertNothingHeld(t, f.Forwarder)
+		})
+	}
+}
+
+// Guards against a refusal that is not true: a second attempt that failed may have run, though the first
+// one did not.
+func TestFailedSecondAttemptMayHaveRun(t *testing.T) {
+	f := startScriptedFleet(t, 2, func(connection net.Conn, _ string, _ int) { _ = connection.Close() })
+	silent := f.server("i-0")
+	request := testRequest("r", "b")
+	request.Route.Attempts = 2
+	w := &forwarding{Forwarder: f.Forwarder, request: request, attempts: 1}
+	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{silent.Candidate}
+	near, _ := net.Pipe()
+	w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
+	require.NotNil(t, w.hedge)
+	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
+	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
+	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
+}
