Test: a body that arrives across the stop signal

Cause: with the limit taken out that a request gets after its body has been read, all tests of stops passed; so they did without the close of a connection after its response during a stop.

Change: a test for both, with a body that arrives in time and one that arrives too late.

Conclusion: no fault.

--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -329,3 +329,40 @@
 	require.NoError(t, err)
 	return response
 }
+
+// Guards against a request whose body arrives across the stop signal and that is taken as if there were
+// no stop: until after the end of the process, or so late that it can't be answered.
+func TestBodyThatArrivesAfterTheSignalIsLimitedToTheStop(t *testing.T) {
+	for name, one := range map[string]struct {
+		signaledAgo time.Duration
+		status      int
+	}{
+		"in time":  {status: http.StatusOK},
+		"too late": {signaledAgo: readinessDelay + time.Millisecond, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			deadlines := make(chan time.Time, 1)
+			g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, request *forward.Request) *fault.Refusal {
+				deadlines <- request.Deadline
+				_, _ = io.WriteString(writer, "response")
+				return nil
+			})
+			connection := sendRequest(t, g.address, "POST / HTTP/1.1", "Content-Length: 10\r\n\r\nabc")
+			require.Eventually(t, func() bool { return g.callers.openRequests() == 1 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+			plan := planSignaledAgo(one.signaledAgo)
+			g.stop.Store(plan)
+			_, err := io.WriteString(connection, "defghij")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			assert.Equal(t, one.status, response.StatusCode)
+			assert.True(t, response.Close, "the caller's next request goes elsewhere")
+			if one.status == http.StatusOK {
+				assert.Equal(t, plan.lastDeadline, <-deadlines)
+			}
+			assert.Empty(t, deadlines)
+		})
+	}
+}
