A lost SYN packet does not fail a connection to a server

What callers saw: 503 (no-replica) for a request whose only allowed server was sound.

Cause: connecting was given up after 0.6 s; the kernel sends a lost SYN packet again after 1 s. The machine had dropped 11 SYN packets at listeners since its start.

Change: connections to servers are made with network.HedgedDialer, as links between processes are, within the same 0.6 s.

--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -82,12 +82,15 @@
 	reads int
 }
 
+// dial connects to a server. A lost SYN packet costs a fraction of dialTimeout, not all of it.
 func dial(ctx context.Context, address string, deadline time.Time) (*connection, error) {
 	timeout := min(dialTimeout, time.Until(deadline))
 	if timeout <= 0 {
 		return nil, errDeadline
 	}
-	raw, err := network.Dialer(timeout).DialContext(ctx, "tcp", address)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	raw, err := network.HedgedDialer(timeout)(bounded, "tcp", address)
 	if err != nil && ctx.Err() != nil {
 		return nil, cancellation(ctx)
 	}
