Tests: what the first attempt learns of a second one

Cause: with the interruption of the first attempt by the second one's answer taken out, or with the second one's server or its count not noted, all tests passed.

Change: the tests of second attempts that have begun and that failed require them. The test of errors beside second attempts waits for the head of the answer instead of for a time.

Conclusion: no fault.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -203,6 +203,18 @@
 	}
 }
 
+// received reports whether the open connections have returned something.
+func (f *scriptedFleet) received() bool {
+	f.watcher.mutex.Lock()
+	defer f.watcher.mutex.Unlock()
+	for conn := range f.watcher.connections {
+		if conn.received.Load() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // serve forwards a request of the kind that may be sent to so many servers.
 func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
 	return f.serveUntil(f.t.Context(), kind, attempts)
@@ -259,7 +271,6 @@
 					// The head would end the second attempt.
 					end = head[len(head)-1:]
 					_, _ = io.WriteString(connection, head[:len(head)-1])
-					time.Sleep(50 * time.Millisecond)
 					head = ""
 				}
 				close(reached)
@@ -268,6 +279,7 @@
 			})
 			go func() {
 				<-reached
+				assert.Eventually(t, func() bool { return kind != fleet.Repeatable || f.received() }, siteTimeout, time.Millisecond)
 				f.silenceAll()
 			}()
 			recorded, refusal := f.serve(kind, 2)
@@ -394,9 +406,11 @@
 	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
 	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
 	silent, _ := net.Pipe()
-	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
+	first := &connection{net: silent}
+	w.considerHedge(t.Context(), s.targets[0], first, errStalled)
 	require.NotNil(t, w.hedge)
 	require.Eventually(t, w.hedgeBegun, siteTimeout, time.Millisecond)
+	require.Eventually(t, first.interrupted.Load, siteTimeout, time.Millisecond, "the first attempt learns of it at once")
 	w.cancelHedge()
 	assertNothingHeld(t, s.forwarder)
 }
@@ -490,6 +504,8 @@
 	w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
 	require.NotNil(t, w.hedge)
 	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
+	assert.Equal(t, 2, w.attempts)
+	assert.Contains(t, w.criteria.Tried, f.server("i-1").Candidate, "the next attempt goes elsewhere")
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
 	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
 }
