--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -203,16 +203,14 @@
 	}
 }
 
-// received reports whether the open connections have returned something.
-func (f *scriptedFleet) received() bool {
+// received returns how many bytes the open connections have returned.
+func (f *scriptedFleet) received() (count int64) {
 	f.watcher.mutex.Lock()
 	defer f.watcher.mutex.Unlock()
 	for conn := range f.watcher.connections {
-		if conn.received.Load() == 0 {
-			return false
-		}
+		count += conn.received.Load()
 	}
-	return true
+	return count
 }
 
 // serve forwards a request of the kind that may be sent to so many servers.
@@ -279,7 +277,7 @@
 			})
 			go func() {
 				<-reached
-				assert.Eventually(t, func() bool { return kind != fleet.Repeatable || f.received() }, siteTimeout, time.Millisecond)
+				assert.Eventually(t, func() bool { return kind != fleet.Repeatable || f.received() > 0 }, siteTimeout, time.Millisecond)
 				f.silenceAll()
 			}()
 			recorded, refusal := f.serve(kind, 2)
@@ -509,3 +507,33 @@
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
 	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
 }
+
+// Guards against the cut of a long answer whose server falls silent after a part of it has been passed on:
+// another server can't supply the rest.
+func TestLongAnswerIsAwaitedOnceItHasBegun(t *testing.T) {
+	body := strings.Repeat("x", 2*maxBufferedBytes)
+	var sends atomic.Int64
+	var f *scriptedFleet
+	f = startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+		sends.Add(1)
+		answer := completeAnswer(id, body)
+		if attempt > 1 {
+			_, _ = io.WriteString(connection, answer)
+			return
+		}
+		half := len(answer) - maxBufferedBytes/2
+		_, _ = io.WriteString(connection, answer[:half])
+		assert.Eventually(t, func() bool { return f.received() == int64(half) }, siteTimeout, time.Millisecond)
+		for range 2 {
+			f.silenceAll()
+			time.Sleep(silenceCheckPeriod)
+		}
+		_, _ = io.WriteString(connection, answer[half:])
+	})
+	require.NotPanics(t, func() {
+		recorded, refusal := f.serve(fleet.Repeatable, 3)
+		assert.Nil(t, refusal)
+		assert.Len(t, recorded.Body.String(), len(body))
+	}, "the answer was cut")
+	assert.Equal(t, int64(1), sends.Load())
+}
