--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -203,6 +203,16 @@
 	}
 }
 
+// received returns how many bytes the open connections have returned.
+func (f *scriptedFleet) received() (count int64) {
+	f.watcher.mutex.Lock()
+	defer f.watcher.mutex.Unlock()
+	for conn := range f.watcher.connections {
+		count += conn.received.Load()
+	}
+	return count
+}
+
 // serve forwards a request of the kind that may be sent to so many servers.
 func (f *scriptedFleet) serve(kind fleet.RouteKind, attempts int) (*httptest.ResponseRecorder, *fault.Refusal) {
 	return f.serveUntil(f.t.Context(), kind, attempts)
@@ -259,7 +269,6 @@
 					// The head would end the second attempt.
 					end = head[len(head)-1:]
 					_, _ = io.WriteString(connection, head[:len(head)-1])
-					time.Sleep(50 * time.Millisecond)
 					head = ""
 				}
 				close(reached)
@@ -268,6 +277,7 @@
 			})
 			go func() {
 				<-reached
+				assert.Eventually(t, func() bool { return kind != fleet.Repeatable || f.received() > 0 }, siteTimeout, time.Millisecond)
 				f.silenceAll()
 			}()
 			recorded, refusal := f.serve(kind, 2)
@@ -394,9 +404,11 @@
 	w := &forwarding{Forwarder: s.forwarder, request: request, attempts: 1}
 	w.criteria.Service, w.criteria.Tried = "s", []*dispatch.Candidate{s.targets[0].Candidate}
 	silent, _ := net.Pipe()
-	w.considerHedge(t.Context(), s.targets[0], &connection{net: silent}, errStalled)
+	first := &connection{net: silent}
+	w.considerHedge(t.Context(), s.targets[0], first, errStalled)
 	require.NotNil(t, w.hedge)
 	require.Eventually(t, w.hedgeBegun, siteTimeout, time.Millisecond)
+	require.Eventually(t, first.interrupted.Load, siteTimeout, time.Millisecond, "the first attempt learns of it at once")
 	w.cancelHedge()
 	assertNothingHeld(t, s.forwarder)
 }
@@ -490,6 +502,38 @@
 	w.considerHedge(t.Context(), silent, &connection{net: near}, errStalled)
 	require.NotNil(t, w.hedge)
 	require.Eventually(t, func() bool { return !w.hedgeBegun() && w.hedge == nil }, siteTimeout, time.Millisecond)
+	assert.Equal(t, 2, w.attempts)
+	assert.Contains(t, w.criteria.Tried, f.server("i-1").Candidate, "the next attempt goes elsewhere")
 	refusal := w.finalRefusal(&failure{reason: fault.ReasonOverloaded, execution: fault.ExecutionNotRun})
 	assert.Equal(t, fault.ExecutionUnknown, refusal.Execution)
 }
+
+// Guards against the cut of a long answer whose server falls silent after a part of it has been passed on:
+// another server can't supply the rest.
+func TestLongAnswerIsAwaitedOnceItHasBegun(t *testing.T) {
+	body := strings.Repeat("x", 2*maxBufferedBytes)
+	var sends atomic.Int64
+	var f *scriptedFleet
+	f = startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+		sends.Add(1)
+		answer := completeAnswer(id, body)
+		if attempt > 1 {
+			_, _ = io.WriteString(connection, answer)
+			return
+		}
+		half := len(answer) - maxBufferedBytes/2
+		_, _ = io.WriteString(connection, answer[:half])
+		assert.Eventually(t, func() bool { return f.received() == int64(half) }, siteTimeout, time.Millisecond)
+		for range 2 {
+			f.silenceAll()
+			time.Sleep(silenceCheckPeriod)
+		}
+		_, _ = io.WriteString(connection, answer[half:])
+	})
+	require.NotPanics(t, func() {
+		recorded, refusal := f.serve(fleet.Repeatable, 3)
+		assert.Nil(t, refusal)
+		assert.Len(t, recorded.Body.String(), len(body))
+	}, "the answer was cut")
+	assert.Equal(t, int64(1), sends.Load())
+}
