--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -68,6 +68,7 @@
 	began := time.Now()
 	body, err := w.buffer(started.response)
 	if err == nil && body.complete {
+		w.detachHedge()
 		started.finish()
 	} else if err != nil {
 		started.abort()
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -21,7 +21,7 @@
 
 // A server that has fallen silent may go on at any moment, so that its attempt is not given up for
 // silence. Another server is tried beside it, and whichever of the two delivers the next part of the
-// answer first goes on; package coordination/hedging decides. Otherwise a request whose second
+// answer first goes on. Package coordination/hedging decides when. Otherwise a request whose second
 // attempt finds no place ends without an answer, though its first server is sound.
 
 // hedge is the second attempt of a request.
@@ -220,6 +220,14 @@
 	h.first = nil
 }
 
+// detachHedge ends the interruption of the current connection by the second attempt, if there is one,
+// before the connection goes back to the pool.
+func (w *forwarding) detachHedge() {
+	if w.hedge != nil {
+		w.hedge.detach()
+	}
+}
+
 // abandon ends the second attempt.
 func (h *hedge) abandon() {
 	h.mutex.Lock()
