Decisions on second attempts are those of coordination/hedging throughout

Change: taking over, canceling and awaiting follow the machine's decisions; a second attempt's copy of the request's state is named second.

--- a/coordination/hedging/hedging.go
+++ b/coordination/hedging/hedging.go
@@ -87,7 +87,7 @@
 
 // HedgeBegun records that the second attempt has begun to answer. The first one ends.
 func (m *Machine) HedgeBegun() Decision {
-	if m.state != pending {
+	if m.state == single {
 		return Wait
 	}
 	m.state = begun
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/hedging"
 	"pinevane.example/pinevane/coordination/silence"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -52,7 +53,7 @@
 
 // nextAttempt returns the open second attempt if there is one, and otherwise makes an attempt.
 func (w *forwarding) nextAttempt(ctx context.Context) (*exchange, *fault.Refusal, *failure) {
-	if w.hedge != nil {
+	if w.hedging.FirstEnded() == hedging.AwaitHedge {
 		started, failed := w.adoptHedge(ctx)
 		return started, nil, failed
 	}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -21,16 +21,16 @@
 
 // A server that has fallen silent may go on at any moment, so that its attempt is not given up for
 // silence. Another server is tried beside it, and whichever of the two delivers the next part of the
-// answer first goes on. Package coordination/hedging decides when. Otherwise a request whose second
+// answer first goes on. Package coordination/hedging decides. Otherwise a request whose second
 // attempt finds no place ends without an answer, though its first server is sound.
 
 // hedge is the second attempt of a request.
 type hedge struct {
-	// attempt is the state of the second attempt: a copy of the request's state in which the attempt
-	// was planned. Only the goroutine that sends it uses it until outcome is received.
-	attempt *forwarding
-	plan    *plan
-	cancel  context.CancelFunc
+	// second is a copy of the request's state in which the second attempt was planned. Only the
+	// goroutine that sends it uses it until outcome is received.
+	second *forwarding
+	plan   *plan
+	cancel context.CancelFunc
 	// evidence is why the second attempt was made.
 	evidence error
 	// outcome receives the outcome of the second attempt, once.
@@ -91,12 +91,12 @@
 // hedgeGuard guards a second attempt. It ends early for the deadline of its server's version, and when
 // its connection is held silent too: the first attempt goes on, and may be given another second one.
 type hedgeGuard struct {
-	attempt *forwarding
+	second  *forwarding
 	version uint64
 }
 
 func (g *hedgeGuard) beforeSend() error {
-	if g.attempt.pastVersionDeadline(g.version) {
+	if g.second.pastVersionDeadline(g.version) {
 		return errVersionDeadline
 	}
 	return nil
@@ -129,7 +129,7 @@
 	}
 	w.attempts, w.criteria.Tried = second.attempts, slices.Clone(second.criteria.Tried)
 	w.metrics.retries.Inc()
-	w.startHedge(ctx, &hedge{attempt: second, plan: next, evidence: evidence, first: first, outcome: make(chan hedgeOutcome, 1)})
+	w.startHedge(ctx, &hedge{second: second, plan: next, evidence: evidence, first: first, outcome: make(chan hedgeOutcome, 1)})
 }
 
 // hedgeConditions returns what the present state of the request allows.
@@ -163,8 +163,8 @@
 	ctx, h.cancel = context.WithCancel(ctx)
 	w.hedge = h
 	w.hedging.HedgeStarted()
-	h.attempt.announce(h.plan.chosen.target)
-	h.attempt.logSend(h.plan, h.evidence.Error())
+	h.second.announce(h.plan.chosen.target)
+	h.second.logSend(h.plan, h.evidence.Error())
 	go h.run(ctx)
 }
 
@@ -174,7 +174,7 @@
 // send sends the second attempt and reads the beginning of its answer. If it panics, only this attempt
 // fails: in a goroutine of its own, a panic would end the process.
 func (h *hedge) send(ctx context.Context) (outcome hedgeOutcome) {
-	w := h.attempt
+	w := h.second
 	defer func() {
 		if reason := recover(); reason != nil {
 			w.log.Log(logging.HandlerPanicked, zap.String("request", w.request.Call.RequestID), zap.String("panic", fmt.Sprint(reason)),
@@ -185,7 +185,7 @@
 			outcome.started.abort()
 		}
 	}()
-	guard := &hedgeGuard{attempt: w, version: h.plan.chosen.Version}
+	guard := &hedgeGuard{second: w, version: h.plan.chosen.Version}
 	outcome.started, outcome.failed = w.open(ctx, w.request, h.plan.send, h.plan.chosen.target, guard)
 	if outcome.failed == nil {
 		outcome.failed = w.classifyAnswer(outcome.started, h.plan.send.Version)
@@ -277,8 +277,7 @@
 			return false
 		}
 		w.hedge.outcome <- outcome
-		w.hedging.HedgeBegun()
-		return true
+		return w.hedging.HedgeBegun() == hedging.TakeOver
 	default:
 		return false
 	}
@@ -290,8 +289,8 @@
 	w.hedge = nil
 	h.cancel()
 	w.hedging.HedgeFailed(w.watcher.now())
-	h.attempt.recordHedgeFailure(h.plan.chosen.target, failed)
-	w.mayHaveRun = w.mayHaveRun || h.attempt.mayHaveRun
+	h.second.recordHedgeFailure(h.plan.chosen.target, failed)
+	w.mayHaveRun = w.mayHaveRun || h.second.mayHaveRun
 	w.metrics.hedges.WithLabelValues(hedgeFailed).Inc()
 }
 
@@ -309,19 +308,18 @@
 // cancelHedge ends the second attempt, if there is one, because the first one goes on or the request
 // has ended.
 func (w *forwarding) cancelHedge() {
-	h := w.hedge
-	if h == nil {
+	if w.hedging.FirstProgressed() != hedging.CancelHedge {
 		return
 	}
+	h := w.hedge
 	w.hedge = nil
-	w.hedging.FirstProgressed()
 	h.abandon()
 	w.mayHaveRun = true
-	h.attempt.releaseAttempt()
-	h.attempt.endTrial()
+	h.second.releaseAttempt()
+	h.second.endTrial()
 	w.metrics.hedges.WithLabelValues(hedgeCanceled).Inc()
-	w.log.Log(logging.HedgeCanceled, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", h.attempt.number),
-		zap.String("server", h.plan.chosen.target.ID), zap.Duration("after", time.Since(h.attempt.sentAt)))
+	w.log.Log(logging.HedgeCanceled, zap.String("request", w.request.Call.RequestID), zap.Int("attempt", h.second.number),
+		zap.String("server", h.plan.chosen.target.ID), zap.Duration("after", time.Since(h.second.sentAt)))
 }
 
 // adoptHedge makes the second attempt the current one, after the first has ended, and waits until it
@@ -329,11 +327,10 @@
 func (w *forwarding) adoptHedge(ctx context.Context) (*exchange, *failure) {
 	h := w.hedge
 	w.hedge = nil
-	w.hedging.FirstEnded()
 	h.detach()
 	// The second attempt may still be sent, so that its request is not modified.
-	request := *h.attempt.request
-	w.attemptState, w.request = h.attempt.attemptState, &request
+	request := *h.second.request
+	w.attemptState, w.request = h.second.attemptState, &request
 	target := h.plan.chosen.target
 	outcome := w.awaitHedge(ctx, h)
 	if outcome.failed != nil {
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -432,12 +432,12 @@
 	assert.Nil(t, hedgeOf(alone, errStalled), "the only server is silent itself")
 	h := hedgeOf(alone, errSilent)
 	require.NotNil(t, h, "only the connection is silent")
-	assert.Nil(t, h.attempt.idleConnection(h.attempt.request, alone.targets[0]))
+	assert.Nil(t, h.second.idleConnection(h.second.request, alone.targets[0]))
 	h = hedgeOf(two, errStalled)
 	require.NotNil(t, h)
-	assert.Positive(t, h.attempt.request.openedAfter, "the connections to the other server may be silent too")
+	assert.Positive(t, h.second.request.openedAfter, "the connections to the other server may be silent too")
 	fresh := &connection{}
-	guard := &hedgeGuard{attempt: h.attempt}
+	guard := &hedgeGuard{second: h.second}
 	assert.NoError(t, guard.whileSilent(fresh, time.Minute))
 	fresh.silent.Store(true)
 	assert.ErrorIs(t, guard.whileSilent(fresh, time.Minute), errSilent)
