Review case 2: without its last tenant a service is open to everybody

Cause: an empty list of tenants is decoded like a missing one (Decoder.Configuration in platform/records.go), and a configuration without tenants needs no keys (NeedsKeys in internal/fleet/configuration.go). A version that takes the last tenant away so lets every request run, which breaks ROUTE and CONFIG.

Change: a script that sends requests with the held key, one that was never held and none, before and after such a version. Nothing is mended.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -53,7 +53,8 @@
 
 // cases maps the name of each case to its function, which reports whether the rule was broken.
 var cases = map[string]func(c *caseRun) (broken bool){
-	"verified-then-frozen": verifiedThenFrozen,
+	"verified-then-frozen":   verifiedThenFrozen,
+	"last-tenant-taken-away": lastTenantTakenAway,
 }
 
 func main() {
