Review case 1: a faulty server's endless answer ends entries and loses requests

Cause: an entry reads the head of a server's answer without a bound (readHead in internal/forward/exchange.go), so that a server that sends bytes that are no answer fills its memory until it is killed. Requests that sound servers are working on end without an answer, which breaks LOST.

Change: a script in which one of three servers spoils one in twenty of its answers in this way, at half the rate of an edge machine's link. Nothing is mended.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -55,6 +55,7 @@
 var cases = map[string]func(c *caseRun) (broken bool){
 	"verified-then-frozen":   verifiedThenFrozen,
 	"last-tenant-taken-away": lastTenantTakenAway,
+	"endless-head":           endlessHead,
 }
 
 func main() {
@@ -105,7 +106,7 @@
 	return site.Options{
 		Network: site.FreeNetwork(firstNetwork, networkCount, os.Getpid()), Zones: zones, Entries: entries, ModelServers: modelServers, PlainServers: 1,
 		Weights:   site.Weights{Model: "dialect", Pieces: 96, PieceBytes: 24576, Layers: 16},
-		EventTime: 10 * time.Millisecond, Slots: 16, LinkMbps: 7.3,
+		EventTime: 10 * time.Millisecond, Slots: 16,
 		VersionMs: 8000, ConfigApplyMs: 2000, DrainMs: 2000, GraceS: 8, BudgetSlack: 102, TimeoutMs: 6000,
 	}
 }
@@ -132,12 +133,30 @@
 	return all
 }
 
+// Limits of the users' machines.
+const (
+	entryMemoryMb, entryLinkMbps = 284, 1000.0
+	agentMemoryMb, agentLinkMbps = 152, 7.3
+	contactMs                    = 3000
+)
+
+// settingsOf returns the settings of a process, with the limits of the users' small sites.
+func settingsOf(running *site.Site, one machine) []byte {
+	return running.ChangedSettings(one.role, one.zone, one.index, func(settings map[string]any) {
+		settings["limits"] = map[string]any{"memoryMb": entryMemoryMb, "linkMbps": entryLinkMbps}
+		if one.role == site.RoleAgent {
+			settings["limits"] = map[string]any{"memoryMb": agentMemoryMb, "linkMbps": agentLinkMbps}
+		}
+		settings["bounds"].(map[string]any)["contactMs"] = contactMs
+	})
+}
+
 // startProcesses writes the settings of every process, lets the script start them, and returns their process
 // IDs by name.
 func (c *caseRun) startProcesses(running *site.Site, all []machine) map[string]int {
 	for _, one := range all {
 		must(running.OpenStore(one.role, one.zone, one.index))
-		must(os.WriteFile(filepath.Join(c.folder, one.name()+".json"), running.Settings(one.role, one.zone, one.index), 0o600))
+		must(os.WriteFile(filepath.Join(c.folder, one.name()+".json"), settingsOf(running, one), 0o600))
 	}
 	must(os.WriteFile(filepath.Join(c.folder, "settings-written"), nil, 0o600))
 	pids := map[string]int{}
--- a/review/common.sh
+++ b/review/common.sh
@@ -1,15 +1,27 @@
 # Shared by the scripts of the cases; it is sourced with the case's name in $case and its folder in $folder.
 # The stand-in writes one settings file for each process into a temporary folder. Each process is started
-# with the command of the deploy file, and the stand-in is told its process ID.
+# with the command of the deploy file, and again after a short delay when it has ended; the stand-in reads its
+# process ID from a file.
 cd "$folder/../.."
 [ -x target/review/standin ] && [ -x target/pinevane ] || sh review/build.sh || exit 2
 work=$(mktemp -d) || exit 2
-pids=""
+supervisors=""
+supervise() {
+	for start in $(seq 20); do
+		[ -e "$work/ended" ] && break
+		PINEVANE_CONFIG="$work/$1.json" target/pinevane "${1%%-*}" >>"$work/$1.log" 2>&1 &
+		echo $! >"$work/$1.pid.new" && mv "$work/$1.pid.new" "$work/$1.pid"
+		wait $!
+		sleep 0.5
+	done
+}
 finish() {
-	for pid in $pids; do
-		kill -CONT "$pid" 2>/dev/null
-		kill -KILL "$pid" 2>/dev/null
+	: >"$work/ended"
+	for file in "$work"/*.pid; do
+		[ -e "$file" ] || continue
+		kill -KILL "$(cat "$file")" 2>/dev/null
 	done
+	kill -KILL "$standin" $supervisors 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$work"
 }
@@ -17,7 +29,6 @@
 trap 'exit 2' INT TERM
 timeout -k 2 110 target/review/standin "$case" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
 standin=$!
-pids="$standin"
 for attempt in $(seq 100); do
 	[ -e "$work/settings-written" ] && break
 	kill -0 "$standin" 2>/dev/null || break
@@ -25,11 +36,8 @@
 done
 [ -e "$work/settings-written" ] || exit 2
 for settings in "$work"/*.json; do
-	name=$(basename "$settings" .json)
-	role=${name%%-*}
-	PINEVANE_CONFIG="$settings" target/pinevane "$role" >"$work/$name.log" 2>&1 &
-	pids="$pids $!"
-	echo $! >"$work/$name.pid.new" && mv "$work/$name.pid.new" "$work/$name.pid"
+	supervise "$(basename "$settings" .json)" 2>/dev/null &
+	supervisors="$supervisors $!"
 done
 wait "$standin"
 code=$?
