--- a/review/_standin/main_test.go
+++ b/review/_standin/main_test.go
@@ -24,6 +24,9 @@
 	notRun     = 2
 )
 
+// timeLimit bounds a case; a script may take 120 s.
+const timeLimit = 100 * time.Second
+
 // caseRun is one run of a case.
 type caseRun struct {
 	folder  string
@@ -74,6 +77,10 @@
 		os.Exit(notRun)
 	}
 	run := &caseRun{folder: os.Args[2], trouble: os.Args[4] != "0", crashOnly: os.Args[4] == "crash", started: time.Now(), record: record}
+	time.AfterFunc(timeLimit, func() {
+		run.note("the case could not run: it took %s", timeLimit)
+		os.Exit(notRun)
+	})
 	run.note("case %s, with the disruption: %v", os.Args[1], run.trouble)
 	code := run.execute(cases[os.Args[1]])
 	run.note("exit code %d", code)
--- a/review/common.sh
+++ b/review/common.sh
@@ -6,28 +6,27 @@
 [ -x target/review/standin ] && [ -x target/pinevane ] || sh review/build.sh || exit 2
 work=$(mktemp -d) || exit 2
 supervisors=""
+standin=""
+# supervise runs one process, and kills it when it is told to end.
 supervise() {
+	trap 'kill -KILL $! 2>/dev/null; wait; exit' TERM
 	for start in $(seq 20); do
-		[ -e "$work/ended" ] && break
 		PINEVANE_CONFIG="$work/$1.json" target/pinevane "${1%%-*}" >>"$work/$1.log" 2>&1 &
 		echo $! >"$work/$1.pid.new" && mv "$work/$1.pid.new" "$work/$1.pid"
 		wait $!
-		sleep 0.5
+		sleep 0.5 &
+		wait $!
 	done
 }
 finish() {
-	: >"$work/ended"
-	for file in "$work"/*.pid; do
-		[ -e "$file" ] || continue
-		kill -KILL "$(cat "$file")" 2>/dev/null
-	done
-	kill -KILL "$standin" $supervisors 2>/dev/null
+	[ -n "$standin" ] && kill -KILL "$standin" 2>/dev/null
+	[ -n "$supervisors" ] && kill -TERM $supervisors 2>/dev/null
 	wait 2>/dev/null
 	rm -rf "$work"
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-timeout -k 2 110 target/review/standin "$case" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
+target/review/standin "$case" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
 standin=$!
 for attempt in $(seq 100); do
 	[ -e "$work/settings-written" ] && break
