--- a/internal/emulator/site/site.go
+++ b/internal/emulator/site/site.go
@@ -420,7 +420,7 @@
 		"limits": map[string]any{"memoryMb": 150, "linkMbps": cmp.Or(s.Options.LinkMbps, defaultLinkMbps)},
 		"bounds": map[string]any{
 			"drainMs": s.Options.DrainMs, "graceS": s.Options.GraceS, "configApplyMs": s.Options.ConfigApplyMs,
-			"version_ms": s.Options.VersionMs, "recoverS": 12, "reuseAfterS": 2, "retryBudgetRatio": 0.2, "retryWindowS": 10,
+			"version_ms": s.Options.VersionMs, "recoverS": 12, "reuseAfterS": 2, "retryBudgetRatio": retryRatio, "retryWindowS": retryWindow.Seconds(),
 			"budgetSlack": s.Options.BudgetSlack, "evacuateMs": s.Options.EvacuateMs,
 			"coldOvershoot": s.Options.ColdOvershoot, "coldSlack": s.Options.ColdSlack,
 		},
