Retry budget: gauges, a section of the dump, and the budget's figures in retry denied

Change: requests and retries of the window, what ratio and slack allow, the members that the slack is divided among and the age of the process are logged with a denied retry, exported, dumped and explained. The budgets of an entry move into a file of their own. TestHedge's assertion on what is left of a budget now counts the requests and the retries themselves, one each; it no longer depends on the fraction in use.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -49,13 +49,34 @@
 
 // Remaining returns how many retries may be spent now.
 func (b *Budget) Remaining(now time.Duration, slackShare float64) float64 {
+	return b.State(now, slackShare).Remaining()
+}
+
+// State is what a budget counts in the window that ends now.
+type State struct {
+	Requests int
+	Retries  int
+	// AllowedByRatio is the number of retries that the requests allow, AllowedBySlack this member's share of
+	// the slack.
+	AllowedByRatio float64
+	AllowedBySlack float64
+}
+
+// Remaining returns how many retries may be spent.
+func (s State) Remaining() float64 {
+	return s.AllowedByRatio + s.AllowedBySlack - float64(s.Retries)
+}
+
+// State returns what the budget counts.
+func (b *Budget) State(now time.Duration, slackShare float64) State {
 	b.advance(now)
-	requests, retries := 0, 0
+	state := State{AllowedBySlack: slackShare}
 	for index := range bucketCount {
-		requests += b.requests[index]
-		retries += b.retries[index]
+		state.Requests += b.requests[index]
+		state.Retries += b.retries[index]
 	}
-	return b.options.Ratio*float64(requests) + slackShare - float64(retries)
+	state.AllowedByRatio = b.options.Ratio * float64(state.Requests)
+	return state
 }
 
 // advance clears the buckets that have left the window.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -144,13 +144,23 @@
 	}
 	text += ")" + healthCause(own, all, failure)
 	if line, found := lastLine(own, retryWithheld); found && !line.Time.Before(failure.Time) {
-		text += "; it was not tried again because of: " + line.text("because")
+		text += "; it was not tried again because of: " + line.text("because") + budgetCause(line)
 	} else if line, found := lastLine(own, noServerChosen); found && !line.Time.Before(failure.Time) {
 		text += "; no other server was chosen, servers by reason: " + line.text("servers") + regionCause(line, Line{}) + evacuationCause(all, line)
 	}
 	return text + versionCause(all, failure)
 }
 
+// budgetCause describes the retry budget that denied a retry; it is empty for other reasons.
+func budgetCause(denied Line) string {
+	if _, hasBudget := denied.Fields["window_retries"]; !hasBudget {
+		return ""
+	}
+	return fmt.Sprintf(" (%s retries were spent in the window; %.1f were allowed for its %s requests, and %.1f as this entry's share of the slack among %s entries; the process had run for %.1f s)",
+		denied.text("window_retries"), denied.number("allowed_by_ratio"), denied.text("window_requests"), denied.number("allowed_by_slack"),
+		denied.text("members"), denied.number("process_age"))
+}
+
 // versionCause describes a version change that was in progress at the time of a line.
 func versionCause(all []Line, at Line) string {
 	announced, found := lastLine(all, versionAnnounced)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -255,6 +255,9 @@
 // suspectTimeout is the silence after which another server is tried beside a suspect one.
 const suspectTimeout = 350 * time.Millisecond
 
+// withheldByBudget is the logged reason of a retry that the budget denied.
+const withheldByBudget = "budget"
+
 // mayRetry reports whether a failed attempt may be followed by another, and logs the reason if not.
 func (w *forwarding) mayRetry(ctx context.Context, failed *failure) bool {
 	withheld := ""
@@ -269,15 +272,21 @@
 		withheld = "attempts"
 	case time.Until(w.request.Deadline) < minAttemptTime:
 		withheld = "time"
-	case !w.spendRetry(w.criteria.Service):
-		withheld = "budget"
+	case !w.retryBudgets.spend(w.criteria.Service):
+		withheld = withheldByBudget
 	}
 	if withheld == "" {
 		w.metrics.retries.Inc()
 		return true
 	}
-	w.log.Log(logging.RetryDenied, zap.String("request", w.request.Call.RequestID), zap.String("because", withheld),
-		zap.Int("attempts", w.attempts), zap.Int("most_attempts", w.request.Route.Attempts))
+	fields := []zap.Field{
+		zap.String("request", w.request.Call.RequestID), zap.String("because", withheld),
+		zap.Int("attempts", w.attempts), zap.Int("most_attempts", w.request.Route.Attempts),
+	}
+	if withheld == withheldByBudget {
+		fields = append(fields, w.retryBudgets.logFields(w.criteria.Service)...)
+	}
+	w.log.Log(logging.RetryDenied, fields...)
 	return false
 }
 
@@ -288,7 +297,7 @@
 	case w.attempts+1 >= w.request.Route.Attempts, time.Until(w.request.Deadline) < 2*minOverdueOf(w.request.Route):
 		return true
 	}
-	return !w.retryAvailable(w.criteria.Service)
+	return !w.retryBudgets.available(w.criteria.Service)
 }
 
 // minAttemptTime is the minimum remaining time for which an attempt is worthwhile.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -7,12 +7,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"pinevane.example/pinevane/coordination/budget"
 	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/hedging"
 	"pinevane.example/pinevane/coordination/quarantine"
@@ -60,10 +58,7 @@
 	// quarantine keeps fingerprints that crash servers away from them.
 	quarantine *quarantineManager
 
-	mutex   sync.Mutex
-	budgets map[string]*budget.Budget
-	// maxPeers is the maximum number of other entries seen at once.
-	maxPeers int
+	retryBudgets *retryBudgets
 	// lastChecked is the configuration that was checked last; only Update uses it.
 	lastChecked *fleet.Configuration
 }
@@ -74,9 +69,11 @@
 	f := &Forwarder{
 		options: options, dialect: options.Dialect, log: options.Log, started: started,
 		targets: newTargets(options, started),
-		metrics: m, watcher: newSilenceWatcher(options.Log, m, started), budgets: map[string]*budget.Budget{},
+		metrics: m, watcher: newSilenceWatcher(options.Log, m, started),
 		quarantine: newQuarantineManager(options, started),
 	}
+	f.retryBudgets = newRetryBudgets(options, &f.targets.bounds, started)
+	options.Registry.MustRegister(f.retryBudgets)
 	registerColdMetrics(options.Registry, f.targets)
 	registerNoticeMetrics(options.Registry, f.targets)
 	registerHealthMetrics(options.Registry, f.targets)
@@ -118,53 +115,6 @@
 	}
 }
 
-// Fractions of the users' retry bound that are used, because their windows and ours do not begin at
-// the same moments.
-const (
-	retryRatioFraction = 0.8
-	retrySlackFraction = 0.8
-	// settleTime is how long after the start the number of entries is uncertain.
-	settleTime = 3 * time.Second
-)
-
-func (f *Forwarder) budgetOf(service string) *budget.Budget {
-	b := f.budgets[service]
-	if b == nil {
-		bounds := f.targets.bounds.Load()
-		b = budget.New(budget.Options{Ratio: retryRatioFraction * bounds.RetryRatio, Window: bounds.RetryWindow})
-		f.budgets[service] = b
-	}
-	return b
-}
-
-func (f *Forwarder) countRequest(service string) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.budgetOf(service).RecordRequest(time.Since(f.started))
-}
-
-// spendRetry spends one retry of a service's budget.
-func (f *Forwarder) spendRetry(service string) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	now := time.Since(f.started)
-	return f.budgetOf(service).Spend(now, f.slackShare(now))
-}
-
-// retryAvailable reports whether a service's budget has a retry left.
-func (f *Forwarder) retryAvailable(service string) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	now := time.Since(f.started)
-	return f.budgetOf(service).Remaining(now, f.slackShare(now)) >= 1
-}
-
-// slackShare is this entry's share of the retry slack of each service. The mutex must be held.
-func (f *Forwarder) slackShare(now time.Duration) float64 {
-	f.maxPeers = max(f.maxPeers, f.options.Peers())
-	return budget.SlackShare(int(retrySlackFraction*float64(f.targets.bounds.Load().RetrySlack)), f.maxPeers+1, now > settleTime)
-}
-
 // attemptState is the state of one attempt.
 type attemptState struct {
 	// number is 1 for the request's first attempt.
@@ -230,7 +180,7 @@
 	w.criteria.Arrival = f.recordArrival(&w.criteria, request.Call.Deadline)
 	f.targets.fillEngine(&w.criteria)
 	f.targets.fillEngineOfAdmission(&w.criteria, request.Configuration)
-	f.countRequest(service)
+	f.retryBudgets.recordRequest(service)
 	defer w.endSuspect()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/forward/health_trial_test.go
+++ b/internal/forward/health_trial_test.go
@@ -114,7 +114,7 @@
 		f, _ := forwarderWithBlockingAnnouncer(false)
 		w := &forwarding{Forwarder: f, request: &Request{Route: &fleet.Route{Kind: fleet.Streaming, Attempts: one.attempts}, Deadline: time.Now().Add(one.left)}, attempts: one.sent}
 		w.criteria.Service = "s"
-		for one.spent && f.spendRetry("s") {
+		for one.spent && f.retryBudgets.spend("s") {
 		}
 		assert.Equal(t, one.last, w.isLastAttempt(), name)
 	}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -121,7 +121,7 @@
 		second.allowSameServer(silent)
 	}
 	next, refusal := second.planAttempt(ctx)
-	if refusal != nil || second.isSuspect || !w.spendRetry(w.criteria.Service) {
+	if refusal != nil || second.isSuspect || !w.retryBudgets.spend(w.criteria.Service) {
 		second.dropPlan(next)
 		w.metrics.hedges.WithLabelValues(hedgeNoPlace).Inc()
 		w.hedging.NoPlace(now)
@@ -136,7 +136,7 @@
 func (w *forwarding) hedgeConditions() hedging.Conditions {
 	return hedging.Conditions{
 		Repeatable: w.request.Route.MayRepeat() && !w.isSuspect, Committed: w.committed, Attempts: w.request.Route.Attempts - w.attempts,
-		Budget: w.retryAvailable(w.criteria.Service), Remaining: time.Until(w.request.Deadline), Needed: max(minAttemptTime, w.request.typicalWait),
+		Budget: w.retryBudgets.available(w.criteria.Service), Remaining: time.Until(w.request.Deadline), Needed: max(minAttemptTime, w.request.typicalWait),
 	}
 }
 
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -284,9 +284,10 @@
 			assert.Nil(t, refusal)
 			assert.Equal(t, http.StatusOK, recorded.Code)
 			assert.Equal(t, second, recorded.Body.String())
-			const ofOneRequest = retryRatioFraction * 0.2
 			assertNothingHeld(t, f.Forwarder)
-			assert.InDelta(t, ofOneRequest-1, f.budgets["s"].Remaining(time.Since(f.started), 0), 0.01, "one retry was spent")
+			spent := f.retryBudgets.state("s")
+			assert.Equal(t, 1, spent.Requests)
+			assert.Equal(t, 1, spent.Retries, "one retry was spent")
 		})
 	}
 }
--- a/internal/forward/settings.go
+++ b/internal/forward/settings.go
@@ -11,11 +11,7 @@
 func (f *Forwarder) SetSettings(settings fleet.Settings) {
 	bounds := settings.Bounds
 	f.targets.setSettings(&bounds, settings.Regions)
-	f.mutex.Lock()
-	for _, b := range f.budgets {
-		b.SetRatio(retryRatioFraction * bounds.RetryRatio)
-	}
-	f.mutex.Unlock()
+	f.retryBudgets.setRatio(bounds.RetryRatio)
 	if configuration := f.targets.currentView().Configuration; configuration != nil {
 		f.checkRegions(configuration)
 	}
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -594,6 +594,6 @@
 		assert.NoError(t, check(), name)
 		assert.Nil(t, w.hedge, name)
 		s.forwarder.targets.bounds.Store(bounds)
-		s.forwarder.budgets = map[string]*budget.Budget{}
+		s.forwarder.retryBudgets.byService = map[string]*budget.Budget{}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	base.AddAction(ReleasePath+"{"+fingerprintParameter+"}", g.releaseFingerprint)
 	base.AddSection("contents", func() any { return g.forwarder.Fingerprints() })
 	base.AddSection("servers", func() any { return g.forwarder.Servers() })
+	base.AddSection("retry_budgets", func() any { return g.forwarder.RetryBudgets() })
 	return g
 }
 
