Retry budget: a restarted entry retries little until its predecessor's retries have left the window

Cause: each life of an entry spent the whole of its share: it began with an empty window, so that neither the retries of its predecessor counted any more, nor the requests that had bought them. The sum over lives had no bound. Change: the limit is divided by age as well as by members. An entry that has counted for a whole window spends 0.8 of the ratio and of its share of the slack, as before; one that started within the window 0.2, of which the slack accrues with its age. At most one life of an entry is established in a window, and the ages of the others sum to no more than the window, so that the sum is bounded whatever the number of kills. Requests are counted over a window at most, retries over one at least (both over 9.5 to 10 s before). Entries of a new fleet in tests count as established; restarted ones not. Conclusion: the limit holds by construction.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -1,57 +1,67 @@
-// Package budget limits the retries that a service receives to a ratio of its requests. The limit
-// holds over a whole fleet without shared state: each member spends a ratio of its own requests and
-// a fixed share of the slack. The package does no I/O and reads no clock.
+// Package budget limits the retries that a service receives to a ratio of its requests and a slack. The
+// limit holds in any window over a whole fleet without shared state: each member spends a ratio of its own
+// requests and a fixed share of the slack.
+//
+// A member that restarts has forgotten what it spent before. So the limit is divided by age as well:
+// members that have counted for a whole window spend establishedFraction of it, and those that started
+// within the window startingFraction, of which the slack accrues with their age. Whatever the number of
+// lives in a window, one of them at most was established at its beginning, and the ages of all others sum to
+// no more than the window. The package does no I/O and reads no clock.
 package budget
 
 import "time"
 
-// bucketCount is the number of buckets that a window is divided into.
+// Fractions of the limit; their sum is at most 1.
+const (
+	establishedFraction = 0.8
+	startingFraction    = 0.2
+)
+
+// bucketCount is the number of buckets that a window is divided into. Requests are counted in the newest
+// bucketCount buckets, which cover a window at most, and retries in one more, which cover it at least.
 const bucketCount = 20
 
 // Options configures a Budget.
 type Options struct {
-	// Ratio is the number of retries allowed per request.
+	// Ratio is the number of retries that the fleet may make per request, Slack the number beside these.
 	Ratio float64
+	Slack int
 	// Window is the time over which requests and retries are counted.
 	Window time.Duration
 }
 
-// Budget counts the requests and retries of one service at one member.
+// Budget counts the requests and retries of one service at one member. Times are since the start of the
+// member's process.
 type Budget struct {
 	options  Options
-	requests [bucketCount]int
-	retries  [bucketCount]int
-	// newest is the number of the newest bucket, counted from the clock's zero.
+	requests [bucketCount + 1]int
+	retries  [bucketCount + 1]int
+	// newest is the number of the newest bucket, counted from the start.
 	newest int64
 }
 
 // New returns an empty budget.
 func New(options Options) *Budget { return &Budget{options: options} }
 
-// SetRatio changes the number of retries allowed per request; counts are kept.
-func (b *Budget) SetRatio(ratio float64) { b.options.Ratio = ratio }
+// SetLimit changes the ratio and the slack; counts are kept.
+func (b *Budget) SetLimit(ratio float64, slack int) { b.options.Ratio, b.options.Slack = ratio, slack }
 
 // RecordRequest counts a caller's request.
 func (b *Budget) RecordRequest(now time.Duration) {
 	b.advance(now)
-	b.requests[b.newest%bucketCount]++
+	b.requests[b.index(b.newest)]++
 }
 
-// Spend spends one retry and reports whether there was one: the retries of the window must stay
-// within the ratio of its requests plus this member's share of the slack.
-func (b *Budget) Spend(now time.Duration, slackShare float64) bool {
-	if b.Remaining(now, slackShare) < 1 {
+// Spend spends one retry and reports whether there was one. The slack is divided among the given number of
+// members.
+func (b *Budget) Spend(now time.Duration, members int) bool {
+	if b.State(now, members).Remaining() < 1 {
 		return false
 	}
-	b.retries[b.newest%bucketCount]++
+	b.retries[b.index(b.newest)]++
 	return true
 }
 
-// Remaining returns how many retries may be spent now.
-func (b *Budget) Remaining(now time.Duration, slackShare float64) float64 {
-	return b.State(now, slackShare).Remaining()
-}
-
 // State is what a budget counts in the window that ends now.
 type State struct {
 	Requests int
@@ -60,6 +70,8 @@
 	// the slack.
 	AllowedByRatio float64
 	AllowedBySlack float64
+	// Established is set once the member has counted for a whole window.
+	Established bool
 }
 
 // Remaining returns how many retries may be spent.
@@ -68,41 +80,43 @@
 }
 
 // State returns what the budget counts.
-func (b *Budget) State(now time.Duration, slackShare float64) State {
+func (b *Budget) State(now time.Duration, members int) State {
 	b.advance(now)
-	state := State{AllowedBySlack: slackShare}
-	for index := range bucketCount {
-		state.Requests += b.requests[index]
-		state.Retries += b.retries[index]
+	state := State{Established: now >= b.options.Window}
+	for number := b.newest; number > b.newest-bucketCount; number-- {
+		state.Requests += b.requests[b.index(number)]
 	}
-	state.AllowedByRatio = b.options.Ratio * float64(state.Requests)
+	for _, retries := range b.retries {
+		state.Retries += retries
+	}
+	// One member more is assumed, so that a member that joins finds its share unspent.
+	fraction, slackShare := establishedFraction, float64(b.options.Slack)/float64(members+1)
+	if !state.Established {
+		fraction = startingFraction
+		slackShare *= float64(now) / float64(b.options.Window)
+	}
+	state.AllowedByRatio = fraction * b.options.Ratio * float64(state.Requests)
+	state.AllowedBySlack = fraction * slackShare
 	return state
 }
 
+// index returns the position of a bucket.
+func (b *Budget) index(number int64) int64 {
+	const length = bucketCount + 1
+	return (number%length + length) % length
+}
+
 // advance clears the buckets that have left the window.
 func (b *Budget) advance(now time.Duration) {
 	current := int64(now / (b.options.Window / bucketCount))
-	if current-b.newest >= bucketCount {
-		b.requests, b.retries = [bucketCount]int{}, [bucketCount]int{}
+	if current-b.newest > bucketCount {
+		clear(b.requests[:])
+		clear(b.retries[:])
 		b.newest = current
 		return
 	}
 	for b.newest < current {
 		b.newest++
-		b.requests[b.newest%bucketCount], b.retries[b.newest%bucketCount] = 0, 0
-	}
-}
-
-// assumedMembers is the number of members assumed until the others are known.
-const assumedMembers = 16
-
-// SlackShare returns a member's share of the slack of all members. maxMembers is the largest number
-// of members known at a time; membersKnown is false for a member that has just started and may not
-// know all others. One member more is assumed, so that a member that joins finds its share unspent.
-func SlackShare(slack, maxMembers int, membersKnown bool) float64 {
-	members := maxMembers + 1
-	if !membersKnown {
-		members = max(members, assumedMembers)
+		b.requests[b.index(b.newest)], b.retries[b.index(b.newest)] = 0, 0
 	}
-	return float64(slack) / float64(members)
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -156,9 +156,13 @@
 	if _, hasBudget := denied.Fields["window_retries"]; !hasBudget {
 		return ""
 	}
-	return fmt.Sprintf(" (%s retries were spent in the window; %.1f were allowed for its %s requests, and %.1f as this entry's share of the slack among %s entries; the process had run for %.1f s)",
+	text := fmt.Sprintf(" (%s retries were spent in the window; %.1f were allowed for its %s requests, and %.1f as this entry's share of the slack among %s entries; the process had run for %.1f s",
 		denied.text("window_retries"), denied.number("allowed_by_ratio"), denied.text("window_requests"), denied.number("allowed_by_slack"),
 		denied.text("members"), denied.number("process_age"))
+	if denied.text("established") == "false" {
+		text += "; it spends less until a whole window has passed, since a former process of this entry may have spent the rest"
+	}
+	return text + ")"
 }
 
 // versionCause describes a version change that was in progress at the time of a line.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -44,6 +44,9 @@
 	Loads    LoadQuerier
 	Registry prometheus.Registerer
 	Policy   Policy
+	// RetriesSince is when this entry began to count requests and retries; zero means now. An entry that
+	// has counted for less than the retry window retries less.
+	RetriesSince time.Time
 }
 
 // Forwarder forwards the requests of an entry.
--- a/internal/forward/retries.go
+++ b/internal/forward/retries.go
@@ -14,19 +14,18 @@
 	"pinevane.example/pinevane/internal/fleet"
 )
 
-// Fractions of the users' retry bound that are used, because their windows and ours do not begin at
-// the same moments.
 const (
-	retryRatioFraction = 0.8
-	retrySlackFraction = 0.8
 	// settleTime is how long after the start the number of entries is uncertain.
 	settleTime = 3 * time.Second
+	// assumedMembers is the minimum number of entries assumed until then.
+	assumedMembers = 16
 )
 
 // retryBudgets limits the retries of each service. It implements prometheus.Collector.
 type retryBudgets struct {
-	bounds  *atomic.Pointer[fleet.Bounds]
-	peers   func() int
+	bounds *atomic.Pointer[fleet.Bounds]
+	peers  func() int
+	// started is when the budgets began to count.
 	started time.Time
 
 	mutex     sync.Mutex
@@ -38,6 +37,9 @@
 }
 
 func newRetryBudgets(options Options, bounds *atomic.Pointer[fleet.Bounds], started time.Time) *retryBudgets {
+	if !options.RetriesSince.IsZero() {
+		started = options.RetriesSince
+	}
 	return &retryBudgets{
 		bounds: bounds, peers: options.Peers, started: started, byService: map[string]*budget.Budget{},
 		allowed: prometheus.NewDesc("pinevane_retry_budget_allowed",
@@ -47,25 +49,19 @@
 	}
 }
 
-// budgetOf returns a service's budget. The mutex must be held.
+// budgetOf returns a service's budget, under the limits of the current settings. Its window stays as it was at
+// the start. The mutex must be held.
 func (r *retryBudgets) budgetOf(service string) *budget.Budget {
+	bounds := r.bounds.Load()
 	b := r.byService[service]
 	if b == nil {
-		bounds := r.bounds.Load()
-		b = budget.New(budget.Options{Ratio: retryRatioFraction * bounds.RetryRatio, Window: bounds.RetryWindow})
+		b = budget.New(budget.Options{Window: bounds.RetryWindow})
 		r.byService[service] = b
 	}
+	b.SetLimit(bounds.RetryRatio, bounds.RetrySlack)
 	return b
 }
 
-func (r *retryBudgets) setRatio(ratio float64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, b := range r.byService {
-		b.SetRatio(retryRatioFraction * ratio)
-	}
-}
-
 func (r *retryBudgets) recordRequest(service string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -77,7 +73,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Since(r.started)
-	return r.budgetOf(service).Spend(now, r.slackShare(now))
+	return r.budgetOf(service).Spend(now, r.memberCount(now))
 }
 
 // available reports whether a service's budget has a retry left.
@@ -89,18 +85,15 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Since(r.started)
-	return r.budgetOf(service).State(now, r.slackShare(now))
-}
-
-// slackShare is this entry's share of the retry slack of each service. The mutex must be held.
-func (r *retryBudgets) slackShare(now time.Duration) float64 {
-	slack := int(retrySlackFraction * float64(r.bounds.Load().RetrySlack))
-	return budget.SlackShare(slack, r.memberCount(), now > settleTime)
+	return r.budgetOf(service).State(now, r.memberCount(now))
 }
 
 // memberCount returns the number of entries that share the slack. The mutex must be held.
-func (r *retryBudgets) memberCount() int {
+func (r *retryBudgets) memberCount(now time.Duration) int {
 	r.maxPeers = max(r.maxPeers, r.peers())
+	if now < settleTime {
+		return max(r.maxPeers+1, assumedMembers)
+	}
 	return r.maxPeers + 1
 }
 
@@ -109,7 +102,7 @@
 	view := r.view(service)
 	return []zap.Field{
 		zap.Int("window_requests", view.Requests), zap.Int("window_retries", view.Retries), zap.Float64("allowed_by_ratio", view.AllowedByRatio),
-		zap.Float64("allowed_by_slack", view.AllowedBySlack), zap.Int("members", view.Members), zap.Float64("process_age", view.ProcessAge),
+		zap.Float64("allowed_by_slack", view.AllowedBySlack), zap.Int("members", view.Members), zap.Float64("process_age", view.ProcessAge), zap.Bool("established", view.Established),
 	}
 }
 
@@ -122,18 +115,22 @@
 	AllowedByRatio float64 `json:"allowed_by_ratio"`
 	AllowedBySlack float64 `json:"allowed_by_slack"`
 	// Members is the number of entries that the slack is divided among. ProcessAge is the time since this process
-	// began to count, in seconds.
-	Members    int     `json:"members"`
-	ProcessAge float64 `json:"process_age_seconds"`
+	// began to count, in seconds. Established is set once that is a whole window: until then less is allowed,
+	// since a former process of this entry may have spent the rest.
+	Members     int     `json:"members"`
+	ProcessAge  float64 `json:"process_age_seconds"`
+	Established bool    `json:"established"`
 }
 
 func (r *retryBudgets) view(service string) RetryBudgetView {
-	state := r.state(service)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	now := time.Since(r.started)
+	members := r.memberCount(now)
+	state := r.budgetOf(service).State(now, members)
 	return RetryBudgetView{
 		Service: service, Requests: state.Requests, Retries: state.Retries, AllowedByRatio: state.AllowedByRatio, AllowedBySlack: state.AllowedBySlack,
-		Members: r.memberCount(), ProcessAge: time.Since(r.started).Seconds(),
+		Members: members, ProcessAge: now.Seconds(), Established: state.Established,
 	}
 }
 
@@ -172,7 +169,7 @@
 		collected <- prometheus.MustNewConstMetric(r.spent, prometheus.GaugeValue, float64(view.Retries), view.Service)
 	}
 	r.mutex.Lock()
-	members := r.memberCount()
+	members := r.memberCount(time.Since(r.started))
 	r.mutex.Unlock()
 	collected <- prometheus.MustNewConstMetric(r.members, prometheus.GaugeValue, float64(members))
 }
--- a/internal/forward/settings.go
+++ b/internal/forward/settings.go
@@ -11,7 +11,6 @@
 func (f *Forwarder) SetSettings(settings fleet.Settings) {
 	bounds := settings.Bounds
 	f.targets.setSettings(&bounds, settings.Regions)
-	f.retryBudgets.setRatio(bounds.RetryRatio)
 	if configuration := f.targets.currentView().Configuration; configuration != nil {
 		f.checkRegions(configuration)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,8 @@
 	Daemon  *daemon.Daemon
 	Dialect fleet.Dialect
 	Policy  forward.Policy
+	// RetriesSince is as in forward.Options.
+	RetriesSince time.Time
 }
 
 // Gateway accepts, admits and forwards the requests of one entry process.
@@ -65,7 +67,7 @@
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
 		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.Entries, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
-		Registry: base.Registry, Policy: options.Policy,
+		Registry: base.Registry, Policy: options.Policy, RetriesSince: options.RetriesSince,
 	})
 	g.forward = g.forwarder.Serve
 	base.Catalog.OnChange(g.forwarder.Update)
--- a/internal/sitetest/fleet.go
+++ b/internal/sitetest/fleet.go
@@ -110,7 +110,7 @@
 	t.Cleanup(f.close)
 	for zone := range options.Zones {
 		for index := range options.Entries {
-			f.StartEntry(zone, index)
+			f.startEntry(zone, index, time.Now().Add(-options.RetryLimit().Window))
 		}
 		for index := range options.ModelServers {
 			f.StartAgent(zone, index)
@@ -203,10 +203,16 @@
 	}()
 }
 
-// StartEntry starts an entry.
-func (f *Fleet) StartEntry(zone, index int) {
+// StartEntry starts an entry that retries little at first, as after a restart.
+func (f *Fleet) StartEntry(zone, index int) { f.startEntry(zone, index, time.Time{}) }
+
+// startEntry starts an entry that counts for its retry budget since a time. Entries of a new fleet count as if
+// they had run for a whole window, so that tests need not wait for it.
+func (f *Fleet) startEntry(zone, index int, retriesSince time.Time) {
 	base := f.newDaemon(catalog.RoleEntry, zone, index)
-	f.runProcess(ProcessName(catalog.RoleEntry, zone, index), base, gateway.New(gateway.Options{Daemon: base, Dialect: platform.Dialect{}, Policy: forward.DefaultPolicy()}).Run)
+	f.runProcess(ProcessName(catalog.RoleEntry, zone, index), base, gateway.New(gateway.Options{
+		Daemon: base, Dialect: platform.Dialect{}, Policy: forward.DefaultPolicy(), RetriesSince: retriesSince,
+	}).Run)
 }
 
 // StartAgent starts the agent on a model server's machine.
