Soak: retries of each service are judged against ratio and slack; kills of all entries beside failing servers

Cause: no judge counted arrivals beyond the first of each request, so that no soak could find the incident. Change: a promise of the judge (any 10 s, all entries and lives, nothing excuses it), shown to be found by TestEachViolationIsFound; a kind of fault, drawn only where it is named, so that other seeds keep their schedules; make soak plays a fifth seed.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 PART_SOAK_SEED ?= 63112
 PART_SOAK_MINUTES ?= 0.35
 PART_SOAK_KINDS ?= crashing-part,reconfigure,stop-entry,new-version
+# A fifth one, in which all entries are killed again and again while servers fail, beside changes and stops.
+KILL_SOAK_SEED ?= 69001
+KILL_SOAK_MINUTES ?= 0.35
+KILL_SOAK_KINDS ?= entry-kills-beside-failures,reconfigure,stop-entry
 
 .PHONY: setup build demo test known-red lint format-check scenarios soak model-check regression bench clean
 
@@ -65,6 +69,7 @@
 	$(BINARY) experiment soak --seed $(RESTORE_SOAK_SEED) --minutes $(RESTORE_SOAK_MINUTES) --kinds $(RESTORE_SOAK_KINDS)
 	$(BINARY) experiment soak --seed $(PAUSE_SOAK_SEED) --minutes $(PAUSE_SOAK_MINUTES) --kinds $(PAUSE_SOAK_KINDS)
 	$(BINARY) experiment soak --seed $(PART_SOAK_SEED) --minutes $(PART_SOAK_MINUTES) --kinds $(PART_SOAK_KINDS)
+	$(BINARY) experiment soak --seed $(KILL_SOAK_SEED) --minutes $(KILL_SOAK_MINUTES) --kinds $(KILL_SOAK_KINDS)
 
 regression:
 	BENCH="$(BENCH)" SITE="$(SITE)" bash scenarios/days/play.sh
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -150,6 +150,8 @@
 		r.pauseBesideStops(fault)
 	case PauseBesideVersion:
 		r.pauseBesideVersion(fault)
+	case EntryKillsBesideFailures:
+		r.killEntriesBesideFailures(fault)
 	case PauseToEndOfStop:
 		r.pauseToEndOfStop(fault)
 		return r.stop(zone, entry)
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -33,6 +33,7 @@
 	BackoffKept           Guarantee = "a server that asks for rest gets it"
 	RateLimitKept         Guarantee = "a server gets no more than it names"
 	ChangeAfterRestore    Guarantee = "a change after a restore of the store is in force"
+	RetryLimitKept        Guarantee = "a service receives no more retries than the limit allows"
 	EveryRequestEnds      Guarantee = "every request that was read ends with an answer or a refusal"
 )
 
@@ -134,6 +135,8 @@
 	Grace              time.Duration
 	// ColdLimit is how many requests a cold server may receive in any second.
 	ColdLimit float64
+	// RetryLimit is how many retries a service may receive in a window.
+	RetryLimit site.RetryLimit
 }
 
 // Violation is one violated guarantee.
@@ -179,6 +182,7 @@
 	found = append(found, record.checkServedBesideParts(runs)...)
 	found = append(found, record.checkProbes()...)
 	found = append(found, record.checkNotices(senders)...)
+	found = append(found, record.checkRetries()...)
 	return append(found, record.checkCold()...)
 }
 
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -71,6 +71,7 @@
 // stay as they are.
 const (
 	CrashingPart             Kind = "crashing-part"
+	EntryKillsBesideFailures Kind = "entry-kills-beside-failures"
 	StoreRestored            Kind = "store-restored"
 	StoreRestoredAfterOutage Kind = "store-restored-after-outage"
 	ServerPause              Kind = "server-pause"
@@ -91,7 +92,7 @@
 }
 
 // NamedKinds lists every kind, with those that are drawn only where they are named.
-var NamedKinds = slices.Concat(Kinds, []Kind{CrashingPart, StoreRestored, StoreRestoredAfterOutage}, PauseKinds)
+var NamedKinds = slices.Concat(Kinds, []Kind{CrashingPart, StoreRestored, StoreRestoredAfterOutage}, PauseKinds, []Kind{EntryKillsBesideFailures})
 
 // Fault is one fault of a schedule.
 type Fault struct {
--- a/internal/experiment/soak/soak.go
+++ b/internal/experiment/soak/soak.go
@@ -112,7 +112,7 @@
 // Run executes the fault schedule of a seed and reports the violations. A violated guarantee
 // is returned as a *fault.GuaranteeViolated.
 func Run(options Options) error {
-	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, siteOptions())
+	fleet, err := launch.NewSiteFleet(options.Executable, options.LogDirectory, fleetOptions(options.Kinds))
 	if err != nil {
 		return err
 	}
@@ -137,6 +137,7 @@
 			Grace:              time.Duration(bounds.GraceS * float64(time.Second)),
 			ConfigurationApply: time.Duration(bounds.ConfigApplyMs) * time.Millisecond,
 			EvacuationApply:    time.Duration(bounds.EvacuateMs) * time.Millisecond, ColdLimit: bounds.ColdLimit(),
+			RetryLimit: bounds.RetryLimit(),
 		},
 	}
 	r.publishRegions()
--- a/internal/experiment/soak/soak_test.go
+++ b/internal/experiment/soak/soak_test.go
@@ -62,6 +62,7 @@
 		Stops:        []Interval{{From: at(40.5), To: at(48.5), Name: "entry-0-0"}},
 		VersionApply: 8 * time.Second, Drain: 3 * time.Second, Grace: 8 * time.Second,
 		ConfigurationApply: 2 * time.Second, EvacuationApply: 3 * time.Second, ColdLimit: 1,
+		RetryLimit: site.RetryLimit{Ratio: 0.2, Slack: 3, Window: 10 * time.Second},
 	}
 }
 
@@ -124,6 +125,11 @@
 		}},
 		{NoWorkToLeaving, func(r *Record) { r.Notices[0].At = start.Add(31 * time.Second) }},
 		{BackoffKept, func(r *Record) { r.Deliveries = append(r.Deliveries, deliver("i-4", 91)) }},
+		{RetryLimitKept, func(r *Record) {
+			for range r.RetryLimit.Slack + 1 {
+				r.Arrivals = append(r.Arrivals, r.Arrivals[1])
+			}
+		}},
 		{RateLimitKept, func(r *Record) {
 			for range site.LimitSlack + 1 {
 				r.Deliveries = append(r.Deliveries, deliver("i-5", 97))
