Sharing: one count of the members that share a limit; unknown zones are assumed to have entries

The rates of cold and rate-limited servers were divided by a second copy of the same count. Change: coordination/sharing counts for both. A zone of the settings without a known entry counts as many as the largest known one, and 16 are assumed while there is such a zone. Entries are looked up every 0.25 s, without the mutex of the budgets. Scripts of coordination/dispatch name the zones of their entries, or say that there is one entry only; what they ask for is unchanged.

--- a/coordination/dispatch/cold_test.go
+++ b/coordination/dispatch/cold_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"pinevane.example/pinevane/coordination/sharing"
 )
 
 // coldFleet returns a service with a server in each of two zones. Each has a capacity of 26 requests a
@@ -30,11 +31,22 @@
 			names = append(names, name)
 		}
 	}
-	core.members = newMemberSet(self, epoch.Add(-2*settleTime))
-	core.SetEntries(names, epoch)
+	core.members = newMemberSet(sharing.Member{ID: self}, epoch.Add(-2*sharing.SettleTime))
+	core.SetEntries(membersOf(names...), epoch)
 	return core
 }
 
+// membersOf returns entries by their names. The first two are in the zones of the scripts that have no other
+// entry.
+func membersOf(names ...string) []sharing.Member {
+	zones := map[string]string{"entry-1": "b", "entry-2": "c"}
+	members := make([]sharing.Member, 0, len(names))
+	for _, name := range names {
+		members = append(members, sharing.Member{ID: name, Zone: zones[name]})
+	}
+	return members
+}
+
 func chosenServers(core *Core, count int, now time.Time) map[string]int {
 	servers := map[string]int{}
 	for range count {
@@ -94,18 +106,18 @@
 	core := coldCore("entry-0", 1)
 	core.members.started = now
 	core.Update(coldFleet(now.Add(time.Minute), "zb"), now)
-	assert.LessOrEqual(t, chosenServers(core, 60, now)["a"], 39/assumedMembers+1)
+	assert.LessOrEqual(t, chosenServers(core, 60, now)["a"], 39/sharing.AssumedMembers+1)
 
-	members := []string{"entry-1", "entry-2"}
-	cold := newMemberSet("entry-0", now.Add(-time.Minute))
+	members := membersOf("entry-1", "entry-2")
+	cold := newMemberSet(sharing.Member{ID: "entry-0"}, now.Add(-time.Minute))
 	share := func(at time.Time) int {
 		cold.update(members, at)
 		return cold.share("a", 39, at)
 	}
 	assert.Equal(t, 13, share(now))
 	members = nil
-	assert.Equal(t, 13, share(now.Add(memberTTL/2)))
-	assert.Equal(t, 39, share(now.Add(2*memberTTL)))
+	assert.Equal(t, 13, share(now.Add(sharing.MemberTTL/2)))
+	assert.Equal(t, 39, share(now.Add(2*sharing.MemberTTL)))
 }
 
 // Without a cold rate, cold servers are treated like others.
@@ -126,9 +138,9 @@
 	assert.False(t, core.EntryLookupDue(now))
 	core.Update(coldFleet(now.Add(time.Second)), now)
 	assert.True(t, core.EntryLookupDue(now))
-	core.SetEntries([]string{"entry-1"}, now)
-	assert.False(t, core.EntryLookupDue(now.Add(lookupInterval-1)))
-	assert.True(t, core.EntryLookupDue(now.Add(lookupInterval)))
+	core.SetEntries(membersOf("entry-1"), now)
+	assert.False(t, core.EntryLookupDue(now.Add(sharing.LookupInterval-1)))
+	assert.True(t, core.EntryLookupDue(now.Add(sharing.LookupInterval)))
 	assert.False(t, core.EntryLookupDue(now.Add(time.Second)), "warm again")
 
 	later := now.Add(time.Minute)
@@ -185,15 +197,15 @@
 // While entries are looked up after a long time, as many are assumed as after a start: requests do not wait
 // for the lookup, and one must not take a server's whole limit for its own entry's share.
 func TestPendingLookupAfterLongAssumesManyEntries(t *testing.T) {
-	members := newMemberSet("entry-1", epoch)
+	members := newMemberSet(sharing.Member{ID: "entry-1"}, epoch)
 	later := epoch.Add(time.Hour)
-	members.lookupPending = true
+	members.members.BeginLookup()
 	cautiousShare := members.share("a1", 32, later)
 	assert.LessOrEqual(t, cautiousShare, 2)
-	members.update([]string{"entry-2"}, later)
+	members.update(membersOf("entry-2"), later)
 	knownShare := members.share("a1", 32, later)
 	assert.Greater(t, knownShare, cautiousShare)
-	members.lookupPending = true
-	assert.Equal(t, knownShare, members.share("a1", 32, later.Add(memberTTL)))
-	assert.Equal(t, cautiousShare, members.share("a1", 32, later.Add(memberTTL+1)))
+	members.members.BeginLookup()
+	assert.Equal(t, knownShare, members.share("a1", 32, later.Add(sharing.MemberTTL)))
+	assert.Equal(t, cautiousShare, members.share("a1", 32, later.Add(sharing.MemberTTL+1)))
 }
--- a/coordination/dispatch/core.go
+++ b/coordination/dispatch/core.go
@@ -11,6 +11,7 @@
 	"pinevane.example/pinevane/coordination/balance"
 	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/coordination/residency"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/coordination/shedding"
 )
 
@@ -108,15 +109,17 @@
 
 // New returns a Core without any servers.
 func New(options Options) *Core {
-	return &Core{
+	c := &Core{
 		zone: options.Zone, regions: options.Regions, policy: options.Policy, random: options.Random, shuffle: options.Shuffle,
 		byID: map[string]*Candidate{}, byService: map[string][]*Candidate{}, byAddress: map[string]*Candidate{},
 		reports: map[string]timedReport{}, minMissing: map[uint64]int{},
 		learned: map[string]*balance.Estimator{}, margins: map[string]*balance.Margin{},
 		demands: map[regionalService]*residency.Demand{}, scarce: map[string]float64{},
 		retryDetectors: map[string]*shedding.RetryDetector{}, targets: map[string]*shedding.TargetEstimator{}, overloadDetectors: map[string]*shedding.OverloadDetector{}, started: options.Started, health: health.New(options.Self),
-		members: newMemberSet(options.Self, options.Started), retained: map[string]retainedServer{}, draining: newZoneDrain(),
+		members: newMemberSet(sharing.Member{ID: options.Self, Zone: options.Zone}, options.Started), retained: map[string]retainedServer{}, draining: newZoneDrain(),
 	}
+	c.members.setZones(options.Regions)
+	return c
 }
 
 // Regions returns the regions by zone.
@@ -125,5 +128,6 @@
 // SetRegions replaces the regions by zone. The map must not be changed afterwards.
 func (c *Core) SetRegions(regions map[string]string) {
 	c.regions = regions
+	c.members.setZones(regions)
 	c.countRegions()
 }
--- a/coordination/dispatch/limit.go
+++ b/coordination/dispatch/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
+	"pinevane.example/pinevane/coordination/sharing"
 )
 
 // A server under load names in its answers the requests per second that it accepts from all entries together.
@@ -103,7 +104,7 @@
 // are used.
 func (c *Core) extendForRateLimit(k *Candidate) {
 	if k.rateLimit.inForce() {
-		c.limitsUntil = later(c.limitsUntil, k.rateLimit.lastNamedAt.Add(memberTTL))
+		c.limitsUntil = later(c.limitsUntil, k.rateLimit.lastNamedAt.Add(sharing.MemberTTL))
 	}
 }
 
--- a/coordination/dispatch/limit_test.go
+++ b/coordination/dispatch/limit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pinevane.example/pinevane/coordination/sharing"
 )
 
 // limitedFleet simulates entries that send to the one server of a service at its rate limit, on its own
@@ -180,7 +181,7 @@
 		if index < len(f.entries) {
 			continue
 		}
-		core.members = newMemberSet(fmt.Sprintf("entry-%d", index), f.now)
+		core.members = newMemberSet(sharing.Member{ID: fmt.Sprintf("entry-%d", index)}, f.now)
 		core.RecordRateLimit(core.byID["only"], rate, f.now, f.now)
 		f.entries = append(f.entries, core)
 	}
@@ -202,7 +203,7 @@
 func TestRateLimitReceivedBeforeOtherEntriesAreKnown(t *testing.T) {
 	f := newLimitedFleet(90)
 	for index, core := range f.entries {
-		core.members = newMemberSet(fmt.Sprintf("entry-%d", index), epoch.Add(-2*settleTime))
+		core.members = newMemberSet(sharing.Member{ID: fmt.Sprintf("entry-%d", index)}, epoch.Add(-2*sharing.SettleTime))
 	}
 	f.recordRateLimit(1.4)
 	f.setEntries(f.entries)
@@ -219,6 +220,6 @@
 				others = append(others, other.members.self)
 			}
 		}
-		core.SetEntries(others, f.now)
+		core.SetEntries(membersOf(others...), f.now)
 	}
 }
--- a/coordination/dispatch/members.go
+++ b/coordination/dispatch/members.go
@@ -1,24 +1,13 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pinevane.example/pinevane/coordination/admission"
 	"pinevane.example/pinevane/coordination/placement"
-)
-
-// Parameters of the entries that share limits.
-const (
-	// memberTTL is how long an entry keeps its share after it was last seen: an entry that is cut off from
-	// the others still sends requests.
-	memberTTL = time.Minute
-	// lookupInterval is how often the known entries are looked up.
-	lookupInterval = 250 * time.Millisecond
-	// assumedMembers is the minimum number of entries assumed during settleTime after the start, and while a
-	// lookup is pending and the last one is older than memberTTL.
-	assumedMembers = 16
-	// settleTime is how long after the start the number of entries is uncertain.
-	settleTime = 3 * time.Second
+	"pinevane.example/pinevane/coordination/sharing"
 )
 
 // memberSet holds the entries that share the rates of cold and rate-limited servers. They agree on shares
@@ -27,33 +16,26 @@
 // server's agent on request would follow demand more closely, but would depend on the server's link, which is
 // narrow while its machine is starting.
 type memberSet struct {
-	self string
-	// lastSeen holds when each entry was last known.
-	lastSeen  map[string]time.Time
-	updatedAt time.Time
-	// lookupPending is set while the known entries are being looked up; requests do not wait for this.
-	lookupPending bool
-	started       time.Time
+	self    string
+	members *sharing.Members
+	started time.Time
 	// ranks caches this entry's rank by server ID since the last lookup.
 	ranks map[string]int
 }
 
-func newMemberSet(self string, started time.Time) *memberSet {
-	return &memberSet{self: self, lastSeen: map[string]time.Time{}, ranks: map[string]int{}, started: started}
+func newMemberSet(self sharing.Member, started time.Time) *memberSet {
+	return &memberSet{self: self.ID, members: sharing.New(self), started: started, ranks: map[string]int{}}
+}
+
+// setZones sets the zones, which all have entries, by the regions that they map to.
+func (m *memberSet) setZones(regions map[string]string) {
+	m.members.SetZones(slices.Collect(maps.Keys(regions)))
 }
 
 // update applies the result of a lookup.
-func (m *memberSet) update(known []string, now time.Time) {
-	m.updatedAt, m.lookupPending = now, false
+func (m *memberSet) update(known []sharing.Member, now time.Time) {
 	clear(m.ranks)
-	for _, member := range known {
-		m.lastSeen[member] = now
-	}
-	for member, at := range m.lastSeen {
-		if now.Sub(at) > memberTTL {
-			delete(m.lastSeen, member)
-		}
-	}
+	m.members.Update(known, now)
 }
 
 // share returns how many requests of a server's common limit this entry may send.
@@ -62,13 +44,7 @@
 }
 
 // count returns the number of entries that share limits, this one included.
-func (m *memberSet) count(now time.Time) int {
-	count := len(m.lastSeen) + 1
-	if now.Sub(m.started) < settleTime || (m.lookupPending && now.Sub(m.updatedAt) > memberTTL) {
-		return max(count, assumedMembers)
-	}
-	return count
-}
+func (m *memberSet) count(now time.Time) int { return m.members.Count(now, m.elapsed(now)) }
 
 // elapsed converts a time to the time of the request windows, which counts from the start.
 func (m *memberSet) elapsed(now time.Time) time.Duration { return now.Sub(m.started) }
@@ -79,11 +55,11 @@
 		return rank
 	}
 	rank, own := 0, placement.Score(server, m.self)
-	for member := range m.lastSeen {
+	m.members.Others(func(member string) {
 		if placement.Score(server, member) > own {
 			rank++
 		}
-	}
+	})
 	m.ranks[server] = rank
 	return rank
 }
@@ -91,11 +67,11 @@
 // EntryLookupDue reports whether the known entries should be looked up and passed to SetEntries: periodically
 // while a server is cold or rate limited, unless a lookup is pending.
 func (c *Core) EntryLookupDue(now time.Time) bool {
-	return !c.members.lookupPending && now.Sub(c.members.updatedAt) >= lookupInterval && now.Before(c.limitsUntil)
+	return c.members.members.LookupDue(now) && now.Before(c.limitsUntil)
 }
 
 // BeginEntryLookup marks a lookup as pending until SetEntries is called.
-func (c *Core) BeginEntryLookup() { c.members.lookupPending = true }
+func (c *Core) BeginEntryLookup() { c.members.members.BeginLookup() }
 
 // SetEntries sets the other entries that are currently known.
-func (c *Core) SetEntries(known []string, now time.Time) { c.members.update(known, now) }
+func (c *Core) SetEntries(known []sharing.Member, now time.Time) { c.members.update(known, now) }
--- a/coordination/dispatch/property_test.go
+++ b/coordination/dispatch/property_test.go
@@ -54,7 +54,7 @@
 		Zone: "a", Regions: map[string]string{"a": "north", "b": "south"}, Policy: testPolicy(), Self: "entry-0",
 		Started: epoch.Add(-time.Minute), Random: random.Float64, Shuffle: random.Shuffle,
 	})
-	g.core.SetEntries([]string{"entry-1"}, g.now)
+	g.core.SetEntries(membersOf("entry-1"), g.now)
 	g.drawFleet()
 	return g
 }
--- a/coordination/dispatch/script_test.go
+++ b/coordination/dispatch/script_test.go
@@ -39,6 +39,13 @@
 	return s
 }
 
+// isOnlyEntry makes this entry the only one, some time after its start.
+func (s *script) isOnlyEntry() {
+	s.core.members.started = epoch.Add(-time.Minute)
+	s.core.members.members.SetZones(nil)
+	s.core.SetEntries(nil, s.now)
+}
+
 // update applies the present fleet.
 func (s *script) update() []Change { return s.core.Update(s.fleet, s.now) }
 
@@ -307,7 +314,7 @@
 func TestColdShareOfOneEntry(t *testing.T) {
 	s := newScript(t, "a1", "b1")
 	s.core.members.started = epoch.Add(-time.Minute)
-	s.core.SetEntries([]string{"entry-1", "entry-2"}, s.now)
+	s.core.SetEntries(membersOf("entry-1", "entry-2"), s.now)
 	s.fleet.Services = map[string]Service{"s": {ColdRate: 10, ColdTime: 3 * time.Second}}
 	s.fleet.Servers[0].ColdUntil = epoch.Add(3 * time.Second)
 	s.update()
@@ -341,7 +348,7 @@
 // ones begin, and afterwards this entry treats the zone's servers as cold.
 func TestEvacuationAndItsReturn(t *testing.T) {
 	s := newScript(t, "a1", "b1")
-	s.core.members.started = epoch.Add(-time.Minute)
+	s.isOnlyEntry()
 	s.fleet.Services = map[string]Service{"s": {ColdRate: 3, ColdTime: 3 * time.Second}}
 	s.update()
 	s.report("a1", 0, LoadReport{Version: 1})
@@ -397,7 +404,7 @@
 // coldScript returns a script with one cold server, a1, that this entry may send two requests a second.
 func coldScript(t *testing.T) *script {
 	s := newScript(t, "a1")
-	s.core.members.started = epoch.Add(-time.Minute)
+	s.isOnlyEntry()
 	s.fleet.Services = map[string]Service{"s": {ColdRate: 3, ColdTime: 3 * time.Second}}
 	s.fleet.Servers[0].ColdUntil = epoch.Add(5 * time.Second)
 	s.update()
--- a/internal/catalog/entries.go
+++ b/internal/catalog/entries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pinevane.example/pinevane/coordination/overlay"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -142,6 +143,18 @@
 	return c.overlay.IDs()
 }
 
+// EntryMembers returns the other entries with a recent heartbeat, with their zones.
+func (c *Catalog) EntryMembers() []sharing.Member {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := c.overlay.Members()
+	members := make([]sharing.Member, 0, len(known))
+	for id, heartbeat := range known {
+		members = append(members, sharing.Member{ID: id, Zone: heartbeat.Zone})
+	}
+	return members
+}
+
 // ZoneEntries returns the other entries of the local zone with a recent heartbeat.
 func (c *Catalog) ZoneEntries() []string {
 	now := time.Now()
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -67,7 +68,8 @@
 		t.health.zoneRefreshedAt = now
 	}
 	t.mutex.Unlock()
-	var entries, zone []string
+	var entries []sharing.Member
+	var zone []string
 	if entriesDue {
 		entries = t.entries()
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/hedging"
 	"pinevane.example/pinevane/coordination/quarantine"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
@@ -32,7 +33,7 @@
 	// Self is this entry's name among the entries, and Entries lists the other known ones; nil if
 	// none are known.
 	Self    string
-	Entries func() []string
+	Entries func() []sharing.Member
 	// Health shares health reports on servers with the zone's other entries; nil shares nothing.
 	Health HealthAnnouncer
 	// Quarantine shares which fingerprints crash servers with the other processes; nil shares
--- a/internal/forward/health_lock_test.go
+++ b/internal/forward/health_lock_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -41,9 +42,9 @@
 	return []string{"10.0.0.9"}
 }
 
-func (s *lockCheckingAnnouncer) entries() []string {
+func (s *lockCheckingAnnouncer) entries() []sharing.Member {
 	s.record("entries")
-	return []string{"10.0.0.9"}
+	return []sharing.Member{{ID: "10.0.0.9", Zone: "z"}}
 }
 
 // The catalog is called without the forwarder's mutex, because otherwise every request would wait
--- a/internal/forward/health_wait_test.go
+++ b/internal/forward/health_wait_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/health"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -29,10 +30,10 @@
 	s.announcedAt = append(s.announcedAt, at)
 }
 func (s *blockingAnnouncer) ZoneEntries() []string { return []string{"10.0.0.9"} }
-func (s *blockingAnnouncer) entries() []string {
+func (s *blockingAnnouncer) entries() []sharing.Member {
 	s.entryCalls <- struct{}{}
 	<-s.entriesProceed
-	return []string{"10.0.0.9"}
+	return []sharing.Member{{ID: "10.0.0.9", Zone: "z"}}
 }
 
 // forwarderWithBlockingAnnouncer returns a forwarder of two servers with a blockingAnnouncer, which
--- a/internal/forward/retries.go
+++ b/internal/forward/retries.go
@@ -11,41 +11,38 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/budget"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/fleet"
 )
 
-const (
-	// settleTime is how long after the start the number of entries is uncertain.
-	settleTime = 3 * time.Second
-	// assumedMembers is the minimum number of entries assumed until then.
-	assumedMembers = 16
-)
-
 // retryBudgets limits the retries of each service. It implements prometheus.Collector.
 type retryBudgets struct {
 	bounds *atomic.Pointer[fleet.Bounds]
-	peers  func() int
+	// entries lists the other entries that were known recently; nil if none are known.
+	entries func() []sharing.Member
 	// started is when the budgets began to count.
 	started time.Time
 
 	mutex     sync.Mutex
 	byService map[string]*budget.Budget
-	// maxPeers is the maximum number of other entries seen at once.
-	maxPeers int
+	// members are the entries that share the slack.
+	members *sharing.Members
 
-	allowed, spent, members *prometheus.Desc
+	allowed, spent, memberCount *prometheus.Desc
 }
 
 func newRetryBudgets(options Options, bounds *atomic.Pointer[fleet.Bounds], started time.Time) *retryBudgets {
 	if !options.RetriesSince.IsZero() {
 		started = options.RetriesSince
 	}
+	members := sharing.New(sharing.Member{ID: options.Self, Zone: options.Zone})
+	members.SetZones(slices.Collect(maps.Keys(options.Regions)))
 	return &retryBudgets{
-		bounds: bounds, peers: options.Peers, started: started, byService: map[string]*budget.Budget{},
+		bounds: bounds, entries: options.Entries, started: started, members: members, byService: map[string]*budget.Budget{},
 		allowed: prometheus.NewDesc("pinevane_retry_budget_allowed",
 			"Retries that this entry may make in the retry window, by what allows them: the ratio of its requests, or its share of the slack.", []string{"service", "by"}, nil),
-		spent:   prometheus.NewDesc("pinevane_retry_budget_spent", "Retries that this entry has made in the retry window.", []string{"service"}, nil),
-		members: prometheus.NewDesc("pinevane_retry_budget_members", "Entries that this entry divides the slack of the retry budget among.", nil, nil),
+		spent:       prometheus.NewDesc("pinevane_retry_budget_spent", "Retries that this entry has made in the retry window.", []string{"service"}, nil),
+		memberCount: prometheus.NewDesc("pinevane_retry_budget_members", "Entries that this entry divides the slack of the retry budget among.", nil, nil),
 	}
 }
 
@@ -68,12 +65,20 @@
 	r.budgetOf(service).RecordRequest(time.Since(r.started))
 }
 
+// setZones sets the zones that have entries, by the regions that they map to.
+func (r *retryBudgets) setZones(regions map[string]string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.members.SetZones(slices.Collect(maps.Keys(regions)))
+}
+
 // spend spends one retry of a service's budget, and reports whether there was one.
 func (r *retryBudgets) spend(service string) bool {
+	r.refreshMembers()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Since(r.started)
-	return r.budgetOf(service).Spend(now, r.memberCount(now))
+	age, members := r.ageAndMembers()
+	return r.budgetOf(service).Spend(age, members)
 }
 
 // available reports whether a service's budget has a retry left.
@@ -82,19 +87,37 @@
 }
 
 func (r *retryBudgets) state(service string) budget.State {
+	r.refreshMembers()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Since(r.started)
-	return r.budgetOf(service).State(now, r.memberCount(now))
+	age, members := r.ageAndMembers()
+	return r.budgetOf(service).State(age, members)
 }
 
-// memberCount returns the number of entries that share the slack. The mutex must be held.
-func (r *retryBudgets) memberCount(now time.Duration) int {
-	r.maxPeers = max(r.maxPeers, r.peers())
-	if now < settleTime {
-		return max(r.maxPeers+1, assumedMembers)
+// refreshMembers looks the other entries up where that is due. The mutex is not held during the lookup, and
+// others go on with the entries known before.
+func (r *retryBudgets) refreshMembers() {
+	r.mutex.Lock()
+	isDue := r.entries != nil && r.members.LookupDue(time.Now())
+	if isDue {
+		r.members.BeginLookup()
+	}
+	r.mutex.Unlock()
+	if !isDue {
+		return
 	}
-	return r.maxPeers + 1
+	known := r.entries()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.members.Update(known, time.Now())
+}
+
+// ageAndMembers returns the time since the budgets began to count and the number of entries that share the slack.
+// The mutex must be held.
+func (r *retryBudgets) ageAndMembers() (time.Duration, int) {
+	now := time.Now()
+	age := now.Sub(r.started)
+	return age, r.members.Count(now, age)
 }
 
 // logFields describes a service's budget.
@@ -123,14 +146,14 @@
 }
 
 func (r *retryBudgets) view(service string) RetryBudgetView {
+	r.refreshMembers()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	now := time.Since(r.started)
-	members := r.memberCount(now)
-	state := r.budgetOf(service).State(now, members)
+	age, members := r.ageAndMembers()
+	state := r.budgetOf(service).State(age, members)
 	return RetryBudgetView{
 		Service: service, Requests: state.Requests, Retries: state.Retries, AllowedByRatio: state.AllowedByRatio, AllowedBySlack: state.AllowedBySlack,
-		Members: members, ProcessAge: now.Seconds(), Established: state.Established,
+		Members: members, ProcessAge: age.Seconds(), Established: state.Established,
 	}
 }
 
@@ -152,7 +175,7 @@
 func (r *retryBudgets) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- r.allowed
 	descriptions <- r.spent
-	descriptions <- r.members
+	descriptions <- r.memberCount
 }
 
 // Label values of what allows retries.
@@ -169,7 +192,7 @@
 		collected <- prometheus.MustNewConstMetric(r.spent, prometheus.GaugeValue, float64(view.Retries), view.Service)
 	}
 	r.mutex.Lock()
-	members := r.memberCount(time.Since(r.started))
+	_, members := r.ageAndMembers()
 	r.mutex.Unlock()
-	collected <- prometheus.MustNewConstMetric(r.members, prometheus.GaugeValue, float64(members))
+	collected <- prometheus.MustNewConstMetric(r.memberCount, prometheus.GaugeValue, float64(members))
 }
--- a/internal/forward/retries_test.go
+++ b/internal/forward/retries_test.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/platform"
@@ -20,7 +21,8 @@
 func TestStartedEntryRetriesLessThanARunningOne(t *testing.T) {
 	spendable := func(since time.Time) (count int) {
 		f := New(Options{Zone: "z", Dialect: platform.Dialect{}, Log: logging.Nop(), Registry: prometheus.NewRegistry(),
-			Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}, Policy: DefaultPolicy(), Peers: func() int { return 1 }, RetriesSince: since})
+			Bounds: fleet.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100}, Policy: DefaultPolicy(), Peers: func() int { return 1 }, RetriesSince: since,
+			Entries: func() []sharing.Member { return []sharing.Member{{ID: "10.0.0.9", Zone: "z"}} }})
 		for range 100 {
 			f.retryBudgets.recordRequest("s")
 		}
--- a/internal/forward/settings.go
+++ b/internal/forward/settings.go
@@ -11,6 +11,7 @@
 func (f *Forwarder) SetSettings(settings fleet.Settings) {
 	bounds := settings.Bounds
 	f.targets.setSettings(&bounds, settings.Regions)
+	f.retryBudgets.setZones(settings.Regions)
 	if configuration := f.targets.currentView().Configuration; configuration != nil {
 		f.checkRegions(configuration)
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -29,7 +30,7 @@
 	// bounds are those of the current settings.
 	bounds atomic.Pointer[fleet.Bounds]
 	// entries lists the other entries that were known recently.
-	entries func() []string
+	entries func() []sharing.Member
 
 	mutex sync.Mutex
 	core  *dispatch.Core
@@ -66,7 +67,7 @@
 	}
 	t.bounds.Store(&options.Bounds)
 	if t.entries == nil {
-		t.entries = func() []string { return nil }
+		t.entries = func() []sharing.Member { return nil }
 	}
 	return t
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	base.AddSection("callers", func() any { return g.memory.Status() })
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
-		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.Entries, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
+		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.EntryMembers, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy, RetriesSince: options.RetriesSince,
 	})
 	g.forward = g.forwarder.Serve
