Forwarding: the head of a server's answer is bounded, and what goes beyond ends that server's connection alone

Cause: a length that another process decides had no bound. net/http reads a status line and a header that it is handed without one; bodies and events were bounded already, lines between chunks and trailers are by the reader's buffer.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -201,6 +201,12 @@
 		zap.String("server", target.ID), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
+	switch {
+	case errors.Is(failed.cause, errHeadTooLong):
+		w.metrics.oversized.WithLabelValues(oversizedHead).Inc()
+	case errors.Is(failed.cause, errEventTooLong):
+		w.metrics.oversized.WithLabelValues(oversizedEvent).Inc()
+	}
 	switch failed.reason {
 	case fault.ReasonConnectionSilent, fault.ReasonOverdue:
 		w.allowSameServer(target)
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -29,6 +29,9 @@
 	silenceCheckPeriod = 200 * time.Millisecond
 	readBufferBytes    = 4 << 10
 	writeBufferBytes   = 2 << 10
+	// maxHeadBytes bounds the head of an answer, with the interim answers before it. net/http bounds the
+	// lines between chunks and the trailer by readBufferBytes.
+	maxHeadBytes = 64 << 10
 )
 
 var (
@@ -37,6 +40,7 @@
 	errCallerLeft      = errors.New("caller disconnected")
 	errVersionDeadline = errors.New("deadline of the server's version reached")
 	errSilent          = errors.New("connection is silent")
+	errHeadTooLong     = errors.New("head of the answer is too long")
 	errOverdue         = errors.New("answer is overdue: it takes many times the typical wait")
 )
 
@@ -80,6 +84,10 @@
 	expectedStart time.Duration
 	// reads counts the reads that returned bytes.
 	reads int
+	// readingHead is set while the head of an answer is read, and headBytes counts the bytes that have arrived
+	// meanwhile.
+	readingHead bool
+	headBytes   int
 }
 
 // dial connects to a server. A lost SYN packet costs a fraction of dialTimeout, not all of it.
@@ -131,7 +139,7 @@
 			count, err := c.net.Read(buffer)
 			if count > 0 {
 				c.recordRead(count)
-				return count, nil
+				return count, c.checkHead(count)
 			}
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return 0, err
@@ -143,6 +151,23 @@
 	}
 }
 
+// beginHead bounds the bytes that are read until endHead.
+func (c *connection) beginHead() { c.readingHead, c.headBytes = true, 0 }
+
+func (c *connection) endHead() { c.readingHead = false }
+
+// checkHead returns an error if the head being read has become too long. net/http would keep all of it.
+func (c *connection) checkHead(count int) error {
+	if !c.readingHead {
+		return nil
+	}
+	c.headBytes += count
+	if c.headBytes > maxHeadBytes {
+		return errHeadTooLong
+	}
+	return nil
+}
+
 // checkWait returns why the request stops waiting for bytes, or nil if it goes on.
 func (c *connection) checkWait(now time.Time) error {
 	switch {
--- /dev/null
+++ b/internal/forward/endless_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pinevane.example/pinevane/internal/fleet"
+)
+
+// endlessAnswers are beginnings of answers that never end, by the part that has no end, each with what is
+// repeated after it.
+var endlessAnswers = map[string]struct{ begin, repeat string }{
+	"status line":     {"", "~"},
+	"header line":     {"HTTP/1.1 200 OK\r\nA: ", "~"},
+	"header":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	"chunk line":      {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"trailer":         {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+}
+
+// maxEndlessBytes is the most that may be read of such an answer: the bound of a head, and what sockets hold.
+
+const maxEndlessBytes = maxHeadBytes + 8<<20
+
+// endlessWriteBytes is the size of one write of the server.
+const endlessWriteBytes = 64 << 10
+
+// Guards against a faulty server whose endless answer is kept in memory until the process is killed: its
+// connection ends, and the request is served by another server.
+func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
+	for name, endless := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			f := startScriptedFleet(t, 2, func(connection net.Conn, id string, attempt int) {
+				if attempt > 1 {
+					_, _ = io.WriteString(connection, completeAnswer(id, "answer"))
+					return
+				}
+				_, err := io.WriteString(connection, strings.ReplaceAll(endless.begin, "ID", id))
+				noise := strings.Repeat(endless.repeat, endlessWriteBytes/len(endless.repeat))
+				for err == nil {
+					var count int
+					count, err = io.WriteString(connection, noise)
+					sent.Add(int64(count))
+				}
+			})
+			before := heapBytes()
+			recorded, refusal := f.serve(fleet.Repeatable, 2)
+			require.Nil(t, refusal)
+			assert.Equal(t, http.StatusOK, recorded.Code)
+			assert.Equal(t, "answer", recorded.Body.String())
+			time.Sleep(100 * time.Millisecond)
+			assert.Less(t, sent.Load(), int64(maxEndlessBytes))
+			assert.Less(t, heapBytes()-before, int64(16<<20))
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -227,6 +227,8 @@
 // readHead reads up to the head of the answer that belongs to the request. Answers to earlier
 // requests on the connection, which a server may send late, are skipped.
 func (x *exchange) readHead(dialect fleet.Dialect, outgoing *http.Request, requestID string) error {
+	x.connection.beginHead()
+	defer x.connection.endHead()
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(x.connection.reader, outgoing)
 		if err != nil {
@@ -235,6 +237,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		x.connection.endHead()
 		x.response = response
 		x.head = dialect.ReadAnswer(response.StatusCode, response.Header)
 		if x.head.RequestID == requestID {
@@ -250,6 +253,7 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return err
 		}
+		x.connection.beginHead()
 	}
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -10,6 +10,7 @@
 	hedges            *prometheus.CounterVec
 	connections       prometheus.Counter
 	cutStreams        *prometheus.CounterVec
+	oversized         *prometheus.CounterVec
 	silentConnections *prometheus.CounterVec
 	loadQueries       *prometheus.CounterVec
 	arrivals          *prometheus.CounterVec
@@ -28,6 +29,12 @@
 	queryMissed   = "missed"
 )
 
+// Parts of answers that may be too long, as label values.
+const (
+	oversizedHead  = "head"
+	oversizedEvent = "event"
+)
+
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8}
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -45,6 +52,8 @@
 		cutStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pinevane_cut_streams_total", Help: "Streams that ended before their last event, by reason."}, []string{"reason"}),
 	}
+	m.oversized = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pinevane_oversized_answers_total", Help: "Answers of servers that were given up because a part of them was too long, by part."}, []string{"part"})
 	m.hedges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_hedges_total", Help: "Second attempts beside one whose server had fallen silent, by outcome; no place: none was made."}, []string{"outcome"})
 	m.silentConnections = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -61,7 +70,7 @@
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.firstEvent, m.attempts, m.retries, m.hedges, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.oversized, m.firstEvent, m.attempts, m.retries, m.hedges, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.missingFigures, m.unservedOwners)
 	return m
 }
 
