Agents: an order rests on a verification of at most 2 s

Cause: what was checked was acted on however long ago that was. The agent's machine froze between reading the staged pieces and sending the order, and pieces that it had read turned corrupt meanwhile. Same class at the two other places that order (retirement of an old version, the previous layer), which share the mend. Change: orders carry when their verification began, by a clock that also sees suspensions (CLOCK_BOOTTIME). One older than 2 s is withheld (PV3117, outcome 'withheld' of pinevane_orders_total) and the pieces are read again with the next reconciliation. Conclusion: what is left is a standstill between the check of the age and the write of the order, microseconds, unless a connection has to be made for it.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -71,7 +71,9 @@
 	// roundTrips measures round-trip times to the entries; its times are relative to started.
 	roundTrips *liveness.RoundTrips
 	started    time.Time
-	switchAt   time.Time
+	// sinceBoot is the clock that verifications are timed by.
+	sinceBoot func() time.Duration
+	switchAt  time.Time
 	// switchAnnouncement is the announcement to the entries of an imminent switch.
 	switchAnnouncement turnover.Announcement
 	ordering           bool
@@ -92,7 +94,7 @@
 		daemon: options.Daemon, log: options.Daemon.Log, server: options.Server, origin: options.Origin,
 		self: dissemination.MachineID(settings.IP), metrics: newMetrics(options.Daemon.Registry), peers: newPeerClient(settings.InternalPort, options.Daemon.RecordSilentConnection),
 		uploads: newUploadQueue(uplinkFraction * settings.LinkBytesPerSecond), wakeup: make(chan struct{}, 1),
-		roundTrips: liveness.NewRoundTrips(probeInterval), started: time.Now(),
+		roundTrips: liveness.NewRoundTrips(probeInterval), started: time.Now(), sinceBoot: sinceBoot,
 		cold: newColdState(),
 	}
 	options.Daemon.ObserveSilence(options.Server)
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -65,7 +65,7 @@
 	if a.findTransfer(newer.model, newer.version()) != newer || ctx.Err() != nil {
 		return
 	}
-	began := time.Now()
+	verified := a.beginVerification()
 	corrupt, err := newer.verify(ctx, layers.Pieces(len(newer.held()), engine.Layers))
 	if err != nil {
 		return
@@ -75,13 +75,13 @@
 		return
 	}
 	order := fleet.StartOrder{Model: newer.model, Version: newer.version(), FromLayer: layers.From, ToLayer: layers.To}
-	a.orderPart(ctx, order, engine, serving, began)
+	a.orderPart(ctx, order, engine, serving, verified)
 }
 
 // orderPart orders some layers of a version to retire the served one, and reports whether the server
-// could be ordered. The layers have been staged and verified since began. The caller holds the
+// could be ordered. The layers have been verified. The caller holds the
 // staging lock for writing.
-func (a *Agent) orderPart(ctx context.Context, order fleet.StartOrder, engine *fleet.Engine, serving uint64, began time.Time) bool {
+func (a *Agent) orderPart(ctx context.Context, order fleet.StartOrder, engine *fleet.Engine, serving uint64, verified verification) bool {
 	fresh, err := a.server.Report(ctx)
 	if err != nil || fresh.Busy {
 		return false
@@ -89,7 +89,7 @@
 	a.log.Log(logging.VersionExpired, zap.String("model", order.Model), zap.Uint64("serving", serving), zap.Uint64("version", order.Version),
 		zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Int("layers", engine.Layers))
 	order.Sequence = fresh.Sequence
-	a.sendOrder(ctx, order, serving, time.Since(began))
+	a.sendOrder(ctx, order, serving, verified)
 	return true
 }
 
--- a/internal/rollout/endinglayer.go
+++ b/internal/rollout/endinglayer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -70,7 +69,7 @@
 	a.mutex.Unlock()
 	a.staging.Lock()
 	defer a.staging.Unlock()
-	began := time.Now()
+	verified := a.beginVerification()
 	for index, content := range saved.pieces {
 		if err := a.server.Stage(ctx, saved.model, index, content); err != nil {
 			a.log.Log(logging.StagingFailed, zap.Uint64("version", saved.version), zap.Error(err))
@@ -78,5 +77,5 @@
 		}
 	}
 	order := fleet.StartOrder{Model: saved.model, Version: saved.version, FromLayer: saved.layers.From, ToLayer: saved.layers.To}
-	return a.orderPart(ctx, order, engine, serving, began)
+	return a.orderPart(ctx, order, engine, serving, verified)
 }
--- a/internal/rollout/metrics.go
+++ b/internal/rollout/metrics.go
@@ -9,6 +9,7 @@
 	outcomeTaken      = "taken"
 	outcomeRefused    = "refused"
 	outcomeUnanswered = "unanswered"
+	outcomeWithheld   = "withheld"
 )
 
 type metrics struct {
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -224,7 +224,7 @@
 	if a.findTransfer(current.model, current.version()) != current || ctx.Err() != nil {
 		return
 	}
-	began := time.Now()
+	verified := a.beginVerification()
 	corrupt, err := current.verifyAll(ctx)
 	if err != nil {
 		return
@@ -237,16 +237,22 @@
 	if err != nil || fresh.Busy {
 		return
 	}
-	a.sendOrder(ctx, fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}, serving, time.Since(began))
+	a.sendOrder(ctx, fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}, serving, verified)
 }
 
-// sendOrder sends the server an order whose pieces were just verified, and determines its outcome.
+// sendOrder sends the server an order whose pieces were just verified, and determines its outcome. If the agent has
+// stood still since they were read, it sends nothing, and they are verified again with the next reconciliation.
 // The caller holds the staging lock for writing.
-func (a *Agent) sendOrder(ctx context.Context, order fleet.StartOrder, serving uint64, verifiedIn time.Duration) {
+func (a *Agent) sendOrder(ctx context.Context, order fleet.StartOrder, serving uint64, verified verification) {
+	if !a.isFresh(verified) {
+		a.metrics.orders.WithLabelValues(outcomeWithheld).Inc()
+		a.log.Log(logging.OrderWithheld, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Duration("verified_in", a.age(verified)))
+		return
+	}
 	a.setOrdering(true)
 	defer a.setOrdering(false)
 	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
-		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", verifiedIn))
+		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", a.age(verified)))
 	outcome, err := a.server.Start(ctx, order)
 	switch {
 	case err != nil:
--- a/internal/rollout/silent_server_test.go
+++ b/internal/rollout/silent_server_test.go
@@ -108,7 +108,7 @@
 func newTestTransfer(server fleet.ModelServer, held []bool, port int) *transfer {
 	agent := &Agent{
 		self: "a", metrics: newMetrics(prometheus.NewRegistry()), log: logging.Nop(), server: server, reachable: true,
-		peers: newPeerClient(port, func(string, time.Duration) {}), wakeup: make(chan struct{}, 1), uploads: newUploadQueue(1 << 30),
+		sinceBoot: sinceBoot, peers: newPeerClient(port, func(string, time.Duration) {}), wakeup: make(chan struct{}, 1), uploads: newUploadQueue(1 << 30),
 	}
 	manifest := &fleet.Manifest{Model: "m", Version: 2, PieceBytes: 64}
 	for index := range held {
