Forwarding: an answer without a marked end is whole only if no other instance has its server's place

Cause: that something listens at an address was taken for proof that the server which sent the answer still runs. Change: after such an end the entry asks the service's health path and names the instance that it expects; a 421 or another id is proof of a crash, as a refused connection is. The health path is decoded from the configuration. The emulated servers answer health checks with their id. The check moves into a file of its own.

--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -342,6 +342,8 @@
 	switch {
 	case path == "/-/report":
 		s.serveReport(writer)
+	case path == "/healthz":
+		s.serveHealth(writer, request)
 	case path == "/-/order":
 		s.serveOrder(writer, request)
 	case strings.HasPrefix(path, "/-/stage-"):
@@ -351,6 +353,14 @@
 	}
 }
 
+// serveHealth answers a health check, which takes no slot here.
+func (s *Server) serveHealth(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Instance-Id", s.options.ID)
+	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != s.options.ID {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+	}
+}
+
 func (s *Server) serveReport(writer http.ResponseWriter) {
 	s.mutex.Lock()
 	s.writeNotice(writer.Header(), "", 0)
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -125,7 +125,9 @@
 
 // Service is a set of interchangeable servers.
 type Service struct {
-	Name               string
+	Name string
+	// HealthPath is the path of the servers' health check, empty if there is none.
+	HealthPath         string
 	MaximumConnections int
 	// Engine is set for services of model servers.
 	Engine *Engine
--- a/internal/forward/buffered.go
+++ b/internal/forward/buffered.go
@@ -68,7 +68,7 @@
 	began := time.Now()
 	body, err := w.buffer(started.response)
 	if err == nil && body.complete {
-		err = checkEnd(ctx, started)
+		err = w.checkEnd(ctx, started)
 	}
 	if err == nil && body.complete {
 		w.detachHedge()
@@ -126,7 +126,7 @@
 		w.committed = true
 		_, err = io.Copy(w.writer, started.response.Body)
 		if err == nil {
-			err = checkEnd(ctx, started)
+			err = w.checkEnd(ctx, started)
 		}
 		if err != nil {
 			started.abort()
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -273,18 +273,6 @@
 	}
 }
 
-// errEndedByCrash means that an answer whose end is not marked has ended with the crash of its server.
-var errEndedByCrash = errors.New("the server has crashed and the answer's end is not marked")
-
-// checkEnd returns errEndedByCrash if an answer that has ended without an error was cut by the crash of
-// its server.
-func checkEnd(ctx context.Context, started *exchange) error {
-	if !started.endIsMarked() && refusesConnections(ctx, started.target.Address) {
-		return errEndedByCrash
-	}
-	return nil
-}
-
 // closedByPeer reports whether an error means that the peer has closed or reset the connection.
 func closedByPeer(err error) bool {
 	for _, closeError := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errEndedByCrash} {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			err = checkEnd(ctx, started)
+			err = w.checkEnd(ctx, started)
 		}
 		if err == nil {
 			w.cancelHedge()
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -119,6 +119,7 @@
 	RequestUnanswered      = define("PV4111", zap.WarnLevel, "request unanswered", "A caller's connection ends without a complete response; the field cause says why: aborted, caller left, panic, stop or write timeout.")
 	HandlerPanicked        = define("PV4112", zap.ErrorLevel, "request handler panicked", "A request's handler ended by a panic, which is a bug; the fields hold the panic and its stack. The caller gets 500, or its connection is closed if a response has begun.")
 	HedgeCanceled          = define("PV4113", zap.InfoLevel, "second attempt canceled", "A second attempt, made beside one whose server had fallen silent, has ended because the first server has gone on or the request has ended.")
+	UnmarkedEnd            = define("PV4114", zap.WarnLevel, "answer cut by a crash", "An answer without a length has ended with its connection, and its server has ended too: its machine refuses connections, or another instance answers there. The answer counts as cut.")
 	ServerLeaving          = define("PV4201", zap.InfoLevel, "server leaving", "The server list shows that a server is draining; it is sent no more requests.")
 	ServerRemoved          = define("PV4202", zap.InfoLevel, "server removed", "A server was removed from the list; it is sent no more requests.")
 	ServerStatus           = define("PV4203", zap.InfoLevel, "server status changed", "An agent reports another version or reachability of its server; logged by the entries that the agent reports to.")
