Retry budget: windows exact to 0.1 s

Cause: since retries are counted over a whole window at least, a budget that was used up came back up to 0.5 s later than before. Change: 100 buckets instead of 20.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -19,7 +19,7 @@
 
 // bucketCount is the number of buckets that a window is divided into. Requests are counted in the newest
 // bucketCount buckets, which cover a window at most, and retries in one more, which cover it at least.
-const bucketCount = 20
+const bucketCount = 100
 
 // Options configures a Budget.
 type Options struct {
