Sharing: entries that are cut off for long keep the largest count

Change: while no member of some zone is known, the count is not below the largest one before. Figures: TestMembersCutOffForLongKeepTheLargestCount fails without it (16 instead of 40).

--- a/coordination/sharing/members.go
+++ b/coordination/sharing/members.go
@@ -37,6 +37,8 @@
 	// count is the number of members as of the last update, and complete is set if each zone had one.
 	count    int
 	complete bool
+	// largest is the largest number counted while each zone had a known member.
+	largest int
 }
 
 // sighting is when a member was last known, and where.
@@ -89,10 +91,14 @@
 
 // Count returns the number of members to divide a limit among. Age is the time since this member's process
 // started. The number is at least AssumedMembers shortly after the start, while no member of some zone is known, and
-// while a lookup is pending and the last one is older than MemberTTL.
+// while a lookup is pending and the last one is older than MemberTTL. While no member of some zone is known it is not
+// below the largest number counted before: members that are each cut off for longer than MemberTTL don't share anew.
 func (m *Members) Count(now time.Time, age time.Duration) int {
 	outdated := m.lookupPending && now.Sub(m.updatedAt) > MemberTTL
-	if !m.complete || outdated || age < SettleTime {
+	switch {
+	case !m.complete:
+		return max(m.count, m.largest, AssumedMembers)
+	case outdated, age < SettleTime:
 		return max(m.count, AssumedMembers)
 	}
 	return m.count
@@ -116,4 +122,7 @@
 			m.complete = false
 		}
 	}
+	if m.complete {
+		m.largest = max(m.largest, m.count)
+	}
 }
--- a/coordination/sharing/members_test.go
+++ b/coordination/sharing/members_test.go
@@ -85,3 +85,17 @@
 	m.Update([]Member{{ID: "b-0", Zone: "b"}, {ID: "c-0", Zone: "c"}}, start)
 	assert.Equal(t, 3, m.Count(start, time.Hour))
 }
+
+// Guards against many members that are each cut off from all others for longer than the TTL and then divide a limit
+// among few.
+func TestMembersCutOffForLongKeepTheLargestCount(t *testing.T) {
+	m := New(Member{ID: "a-0", Zone: "a"})
+	m.SetZones([]string{"a", "b"})
+	m.Update(append(membersOf("a", 20)[1:], membersOf("b", 20)...), start)
+	assert.Equal(t, 40, m.Count(start, time.Hour))
+	later := start.Add(2 * MemberTTL)
+	m.Update(nil, later)
+	assert.Equal(t, 40, m.Count(later, time.Hour), "nobody of the other zone is known")
+	m.Update(append(membersOf("a", 3)[1:], membersOf("b", 2)...), later)
+	assert.Equal(t, 5, m.Count(later, time.Hour), "the others have left")
+}
