Demo on the users' platform: the judge's record has the retry limit

Cause: the demo hands the soak's judge a record of its own, without the limit that the judge now applies; a window of no length ran past the first retry and panicked. Change: the record has the limit, and a window has its first retry whatever its length. TestWorstRetryWindowWithoutALimit.

--- a/internal/demo/pause.go
+++ b/internal/demo/pause.go
@@ -45,7 +45,7 @@
 	}
 	time.Sleep(serverPause + afterPause)
 	cancel()
-	record := soak.Record{Attempts: attempts(), Runs: d.site.Requests.Runs(), Arrivals: d.site.Requests.Arrivals()}
+	record := soak.Record{Attempts: attempts(), Runs: d.site.Requests.Runs(), Arrivals: d.site.Requests.Arrivals(), RetryLimit: d.site.Options.RetryLimit()}
 	violations := soak.Check(record)
 	d.printf("%s with %d open requests paused for %s; of %d requests sent meanwhile %d had neither an answer nor a refusal", who, running,
 		serverPause, len(record.Attempts), countUnanswered(violations))
--- a/internal/emulator/site/retries.go
+++ b/internal/emulator/site/retries.go
@@ -54,7 +54,7 @@
 	requests := requestTimes(service, sent)
 	worst, found := RetryWindow{}, false
 	for index, first := range retries {
-		end := index
+		end := index + 1
 		for end < len(retries) && retries[end].At.Before(first.At.Add(limit.Window)) {
 			end++
 		}
--- a/internal/emulator/site/retries_test.go
+++ b/internal/emulator/site/retries_test.go
@@ -62,3 +62,12 @@
 	assert.Equal(t, 100, worst.Requests)
 	assert.LessOrEqual(t, worst.Excess(), 0.0)
 }
+
+// Guards against a judge that panics on a record without a limit: every retry is then one too many.
+func TestWorstRetryWindowWithoutALimit(t *testing.T) {
+	arrivals, sent := retryRecord(time.Now(), time.Second)
+	worst, found := WorstRetryWindow(ModelService, append(arrivals, arrivals[0]), sent, RetryLimit{})
+	require.True(t, found)
+	assert.Equal(t, 1, worst.Retries)
+	assert.InDelta(t, 1, worst.Excess(), 1e-9)
+}
