Forwarding: a head over the bound delivers nothing more, and is counted as such

Cause: the bound returned the bytes beyond it together with its error. net/http drops errors beside bytes, so that a line cut after its carriage return passed for the end of the head: the attempt failed as an answer to another request, or as a malformed line, and pinevane_oversized_answers_total missed it. Change: over the bound nothing is delivered, the error stays, and it decides whatever net/http makes of the rest. Chunk lines that are too long are counted too.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -201,11 +201,8 @@
 		zap.String("server", target.ID), zap.String("reason", string(failed.reason)),
 		zap.String("execution", string(failed.execution)), zap.NamedError("cause", failed.cause), zap.Duration("took", took))
 	w.metrics.attempts.WithLabelValues(string(failed.reason)).Inc()
-	switch {
-	case errors.Is(failed.cause, errHeadTooLong):
-		w.metrics.oversized.WithLabelValues(oversizedHead).Inc()
-	case errors.Is(failed.cause, errEventTooLong):
-		w.metrics.oversized.WithLabelValues(oversizedEvent).Inc()
+	if part := oversizedPart(failed.cause); part != "" {
+		w.metrics.oversized.WithLabelValues(part).Inc()
 	}
 	switch failed.reason {
 	case fault.ReasonConnectionSilent, fault.ReasonOverdue:
@@ -215,6 +212,19 @@
 	w.observeFailure(target, failed)
 }
 
+// oversizedPart returns the part of an answer that was too long, or "" if none was.
+func oversizedPart(cause error) string {
+	switch {
+	case errors.Is(cause, errHeadTooLong):
+		return oversizedHead
+	case errors.Is(cause, http.ErrLineTooLong):
+		return oversizedChunkLine
+	case errors.Is(cause, errEventTooLong):
+		return oversizedEvent
+	}
+	return ""
+}
+
 // allowSameServer lets the next attempt use the same server again, over a connection that was
 // opened after this one fell silent, which is at least the silence detector's limit for
 // unacknowledged data ago.
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -135,11 +135,14 @@
 		if c.ctx.Err() != nil {
 			return 0, cancellation(c.ctx)
 		}
+		if err := c.headError(nil); err != nil {
+			return 0, err
+		}
 		if !c.interrupted.Swap(false) {
 			count, err := c.net.Read(buffer)
 			if count > 0 {
 				c.recordRead(count)
-				return count, c.checkHead(count)
+				return c.countHead(count)
 			}
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				return 0, err
@@ -156,16 +159,26 @@
 
 func (c *connection) endHead() { c.readingHead = false }
 
-// checkHead returns an error if the head being read has become too long. net/http would keep all of it.
-func (c *connection) checkHead(count int) error {
+// countHead counts the bytes that have arrived while a head is read, and delivers them unless the head has become
+// too long: net/http would keep all of it, and take a line that is cut after its carriage return for the end.
+func (c *connection) countHead(count int) (int, error) {
 	if !c.readingHead {
-		return nil
+		return count, nil
 	}
 	c.headBytes += count
-	if c.headBytes > maxHeadBytes {
+	if err := c.headError(nil); err != nil {
+		return 0, err
+	}
+	return count, nil
+}
+
+// headError returns errHeadTooLong if the head being read has become too long, and the given error otherwise.
+// net/http may report a line that is cut by the bound as malformed, or not at all.
+func (c *connection) headError(err error) error {
+	if c.readingHead && c.headBytes > maxHeadBytes {
 		return errHeadTooLong
 	}
-	return nil
+	return err
 }
 
 // checkWait returns why the request stops waiting for bytes, or nil if it goes on.
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -17,20 +17,23 @@
 )
 
 // endlessAnswers are beginnings of answers that never end, by the part that has no end, each with what is
-// repeated after it.
-var endlessAnswers = map[string]struct{ begin, repeat string }{
-	"status line":     {"", "~"},
-	"header line":     {"HTTP/1.1 200 OK\r\nA: ", "~"},
-	"header":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
-	"chunk line":      {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-	"trailer":         {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+// repeated after it and the part that is counted as too long; net/http has no error of its own for a trailer.
+var endlessAnswers = map[string]struct{ begin, repeat, counted string }{
+	"status line":     {"", "~", oversizedHead},
+	"header line":     {"HTTP/1.1 200 OK\r\nA: ", "~", oversizedHead},
+	"header":          {"HTTP/1.1 200 OK\r\n", "A: b\r\n", oversizedHead},
+	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", oversizedHead},
+	"chunk line":      {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "0", oversizedChunkLine},
+	"trailer":         {"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", ""},
 }
 
 // maxEndlessBytes is the most that may be read of such an answer: the bound of a head, and what sockets hold.
 
 const maxEndlessBytes = maxHeadBytes + 8<<20
 
+// maxHeapGrowth is the most that the heap may grow by such an answer, in bytes.
+const maxHeapGrowth = 16 << 20
+
 // endlessWriteBytes is the size of one write of the server.
 const endlessWriteBytes = 64 << 10
 
@@ -60,7 +63,10 @@
 			assert.Equal(t, "answer", recorded.Body.String())
 			time.Sleep(100 * time.Millisecond)
 			assert.Less(t, sent.Load(), int64(maxEndlessBytes))
-			assert.Less(t, heapBytes()-before, int64(16<<20))
+			if endless.counted != "" {
+				assert.Equal(t, map[string]float64{endless.counted: 1}, countsByLabel(t, f.Forwarder, "pinevane_oversized_answers_total", "part"))
+			}
+			assert.Less(t, heapBytes()-before, int64(maxHeapGrowth))
 		})
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -231,7 +231,7 @@
 	defer x.connection.endHead()
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(x.connection.reader, outgoing)
-		if err != nil {
+		if err := x.connection.headError(err); err != nil {
 			return err
 		}
 		if response.StatusCode < http.StatusOK {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -31,8 +31,9 @@
 
 // Parts of answers that may be too long, as label values.
 const (
-	oversizedHead  = "head"
-	oversizedEvent = "event"
+	oversizedHead      = "head"
+	oversizedChunkLine = "chunk line"
+	oversizedEvent     = "event"
 )
 
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8}
--- a/internal/forward/shedding_test.go
+++ b/internal/forward/shedding_test.go
@@ -74,6 +74,12 @@
 
 // byAttempt returns the counts of a metric by its attempt label.
 func byAttempt(t *testing.T, f *Forwarder, name string) map[string]float64 {
+	t.Helper()
+	return countsByLabel(t, f, name, "attempt")
+}
+
+// countsByLabel returns the counts of a metric by one of its labels.
+func countsByLabel(t *testing.T, f *Forwarder, name, by string) map[string]float64 {
 	t.Helper()
 	families, err := f.options.Registry.(*prometheus.Registry).Gather()
 	require.NoError(t, err)
@@ -81,7 +87,7 @@
 	for _, family := range families {
 		for _, metric := range family.GetMetric() {
 			for _, label := range metric.GetLabel() {
-				if family.GetName() == name && label.GetName() == "attempt" {
+				if family.GetName() == name && label.GetName() == by {
 					counts[label.GetValue()] += metric.GetCounter().GetValue() + float64(metric.GetHistogram().GetSampleCount())
 				}
 			}
