--- a/coordination/budget/lives_test.go
+++ b/coordination/budget/lives_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,33 +53,43 @@
 	return true
 }
 
-// worstExcess returns by how much the retries in any window exceed the fleet's limit. The limit counts the
-// requests of this window, of the one before it or of the one half a window earlier, whichever has the most.
-func (h *fleetHistory) worstExcess() float64 {
-	worst := float64(-h.options.Slack)
-	for index, from := range h.retries {
-		retries := countFrom(h.retries[index:], from, h.options.Window)
+// fleetWindow is what the fleet spent in one window.
+type fleetWindow struct {
+	retries int
+	// allowed is the fleet's limit.
+	allowed float64
+}
+
+func (w fleetWindow) excess() float64 { return float64(w.retries) - w.allowed }
+
+// utilization is the part of the limit that was spent; over 1 it was exceeded.
+func (w fleetWindow) utilization() float64 { return float64(w.retries) / w.allowed }
+
+// worstWindow returns the window in which the largest part of the fleet's limit was spent.
+// The limit counts the requests of this window, of the one before it or of the one half a window earlier, whichever
+// has the most.
+func (h *fleetHistory) worstWindow() fleetWindow {
+	worst := fleetWindow{allowed: 1}
+	for _, from := range h.retries {
 		requests := 0
 		for _, shift := range []time.Duration{0, h.options.Window / 2, h.options.Window} {
 			requests = max(requests, countFrom(h.requests, from-shift, h.options.Window))
 		}
-		worst = max(worst, float64(retries)-h.options.Ratio*float64(requests)-float64(h.options.Slack))
+		window := fleetWindow{retries: countFrom(h.retries, from, h.options.Window), allowed: h.options.Ratio*float64(requests) + float64(h.options.Slack)}
+		if window.utilization() > worst.utilization() {
+			worst = window
+		}
 	}
 	return worst
 }
 
+func (h *fleetHistory) worstExcess() float64 { return h.worstWindow().excess() }
+
 // countFrom counts the sorted times in a window.
 func countFrom(times []time.Duration, from, window time.Duration) int {
-	count := 0
-	for _, at := range times {
-		if at >= from+window {
-			break
-		}
-		if at >= from {
-			count++
-		}
-	}
-	return count
+	first, _ := slices.BinarySearch(times, from)
+	last, _ := slices.BinarySearch(times, from+window)
+	return last - first
 }
 
 // Guards against members that spend the whole budget in each of their lives: in no window may members and
