Agents: an order's age is looked at when its connection is made, and one that is taken late is reviewed

Cause: the age was looked at once, before the log line and the connection of the order; and nothing bounded or looked at the time from the write until the server took it. Change: the order's connection asks for leave right before it writes the only packet of the order (network.Call.BeforeWrite); the last thing done before the write is the look at the clock. An order whose outcome becomes known more than 3 s after its pieces were read has them read again; if some are corrupt, entries are told that the server is switching, and the server is ordered to hold one layer of an older version and then the whole version again (PV3118, outcome 'corrupt'). An unanswered order counts as lost only if a silent server still has not taken it 0.2 s after its first answer. Conclusion: what remains between the look and the write is one system call; an order that leaves in it is noticed and its weights are loaded again. Comments of bound.go and endinglayer.go no longer tell figures of their tuning.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -164,8 +164,10 @@
 // ModelServer is a client of the model server on the process's own machine.
 type ModelServer interface {
 	Report(ctx context.Context) (Report, error)
-	// Start sends the order; after an error the server may still have accepted it.
-	Start(ctx context.Context, order StartOrder) (OrderOutcome, error)
+	// Start sends the order; after an error the server may still have accepted it. beforeSend is asked once the
+	// server is connected, right before the order is written. If it returns an error the order is not sent, and
+	// Start returns that error.
+	Start(ctx context.Context, order StartOrder, beforeSend func() error) (OrderOutcome, error)
 	// HeldPieces lists the staged pieces, which are unverified and may be of any version.
 	HeldPieces(ctx context.Context, model string) ([]int, error)
 	Piece(ctx context.Context, model string, index int) ([]byte, error)
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -101,6 +101,7 @@
 	OlderTransferKept      = define("PV3115", zap.InfoLevel, "older transfer kept", "A newer version was announced during the transfer of an older one, which continues as long as the newest would not arrive in time.")
 	ServerRestarted        = define("PV3116", zap.InfoLevel, "model server restarted", "The machine's own server has restarted; the state of its previous incarnation is dropped, and what is staged at it is read again.")
 	OrderWithheld          = define("PV3117", zap.WarnLevel, "order withheld", "The agent stood still between reading the staged pieces and sending the order, so that they may have turned corrupt since; they are verified again.")
+	OrderReviewed          = define("PV3118", zap.WarnLevel, "late order reviewed", "An order was taken more than 3 s after its pieces were read, because the agent or the server stood still, so that they were read again. If some are corrupt, or can't be read, the server is kept from requests until it has loaded them anew.")
 	RequestRefused         = define("PV4001", zap.DebugLevel, "request refused", "A request was refused; the reason code and execution are in the fields.")
 	RequestRetried         = define("PV4002", zap.DebugLevel, "request retried", "An attempt that certainly did not run was sent to another replica.")
 	StreamResumed          = define("PV4003", zap.InfoLevel, "stream resumed", "A stream continues on another replica of the same version after its last delivered token.")
--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -72,6 +72,9 @@
 	// SendOnce forbids a second send. Such a call goes over a new connection, which can't have
 	// gone silent before.
 	SendOnce bool
+	// BeforeWrite, if set, is asked right before the request is written to its connection; an error
+	// keeps the request back and becomes the call's error. It is for calls with SendOnce.
+	BeforeWrite func() error
 }
 
 // Answer is the result of a call. Status is 0 if no answer has begun.
@@ -155,10 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout+call.ExtraTime)
 	defer cancel()
 	if call.SendOnce {
-		pool := c.newPool()
-		defer pool.transport.CloseIdleConnections()
-		result := <-c.start(ctx, call, call.URL, pool).done
-		return result.answer, result.err
+		return c.sendOnce(ctx, call)
 	}
 	first := c.start(ctx, call, call.URL, c.activePool())
 	for {
@@ -171,6 +171,23 @@
 	}
 }
 
+// sendOnce makes a call over a connection of its own.
+func (c *Client) sendOnce(ctx context.Context, call Call) (Answer, error) {
+	pool := c.newPool()
+	defer pool.transport.CloseIdleConnections()
+	if call.BeforeWrite == nil {
+		result := <-c.start(ctx, call, call.URL, pool).done
+		return result.answer, result.err
+	}
+	dialer := &withholdingDialer{dial: c.options.Dial, check: call.BeforeWrite}
+	pool.transport.DialContext = dialer.DialContext
+	result := <-c.start(ctx, call, call.URL, pool).done
+	if result.err != nil {
+		result.err = dialer.err(result.err)
+	}
+	return result.answer, result.err
+}
+
 // probeOvertakes reports whether a probe that is sent now is answered before anything more of the
 // call's answer arrives. A failed probe shows nothing.
 func (c *Client) probeOvertakes(ctx context.Context, call Call, first *attempt) bool {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -60,6 +60,8 @@
 	older    *transfer
 	// previous is one layer of the version that was staged before the present one, or nil.
 	previous *previousLayer
+	// suspect are the weights in the server that may be corrupt, or nil.
+	suspect *suspectWeights
 	// rejectedVersion is the version whose manifest was rejected last.
 	rejectedVersion uint64
 	report          fleet.Report
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -65,13 +65,8 @@
 	if a.findTransfer(newer.model, newer.version()) != newer || ctx.Err() != nil {
 		return
 	}
-	verified := a.beginVerification()
-	corrupt, err := newer.verify(ctx, layers.Pieces(len(newer.held()), engine.Layers))
-	if err != nil {
-		return
-	}
-	if len(corrupt) > 0 {
-		newer.refetchCorrupt(corrupt)
+	verified, usable := a.verifyForOrder(ctx, newer, layers.Pieces(len(newer.held()), engine.Layers))
+	if !usable {
 		return
 	}
 	order := fleet.StartOrder{Model: newer.model, Version: newer.version(), FromLayer: layers.From, ToLayer: layers.To}
@@ -96,8 +91,7 @@
 // retirementLayers picks the layers to order so that the served version is retired: of the newest
 // version, or of an intermediate version that is staged but expires too soon to be served. Of an
 // intermediate version one layer is left out, so that the server begins nothing on it after its own
-// deadline. Without this, 3 of the requests waiting at four servers began up to 3.9 s late (tests
-// of late cancellations in internal/sitetest).
+// deadline.
 func (a *Agent) retirementLayers(newest *transfer, engine *fleet.Engine, serving uint64) (*transfer, turnover.Layers) {
 	if layers := turnover.CompleteLayers(newest.held(), engine.Layers); layers.Count() > 0 {
 		return newest, layers
--- a/internal/rollout/endinglayer.go
+++ b/internal/rollout/endinglayer.go
@@ -12,9 +12,7 @@
 
 // previousLayer is one layer, kept in memory, of the version that was staged before the present
 // one. A server ordered to hold only that layer begins no requests, which retires the served
-// version when no layer of a newer one is complete. Without it, 2 to 3 of the requests waiting at
-// four servers began up to 3.5 s after their version's deadline (tests of late cancellations in
-// internal/sitetest). It costs the memory of one layer.
+// version when no layer of a newer one is complete. It costs the memory of one layer.
 type previousLayer struct {
 	model   string
 	version uint64
@@ -69,7 +67,7 @@
 	a.mutex.Unlock()
 	a.staging.Lock()
 	defer a.staging.Unlock()
-	verified := a.beginVerification()
+	verified := a.beginVerification(nil, nil)
 	for index, content := range saved.pieces {
 		if err := a.server.Stage(ctx, saved.model, index, content); err != nil {
 			a.log.Log(logging.StagingFailed, zap.Uint64("version", saved.version), zap.Error(err))
--- a/internal/rollout/metrics.go
+++ b/internal/rollout/metrics.go
@@ -10,6 +10,8 @@
 	outcomeRefused    = "refused"
 	outcomeUnanswered = "unanswered"
 	outcomeWithheld   = "withheld"
+	// outcomeCorrupt is counted beside taken or unanswered, for an order that may have loaded corrupt pieces.
+	outcomeCorrupt = "corrupt"
 )
 
 type metrics struct {
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -32,6 +32,9 @@
 	fallbackWindow = 2 * time.Second
 	// orderRetryDelay is the pause after an order that the server refused as conflicting.
 	orderRetryDelay = 300 * time.Millisecond
+	// orderSettleTime is how long after a silent server's first answer an order that it has not taken is
+	// taken to be lost.
+	orderSettleTime = 200 * time.Millisecond
 	// orderOutcomeTimeout bounds how long a stopping agent waits for the outcome of an order.
 	orderOutcomeTimeout = 2 * time.Second
 )
@@ -64,6 +67,9 @@
 	a.mutex.Lock()
 	report, reachable := a.report, a.reachable
 	a.mutex.Unlock()
+	if a.dropSuspectWeights(ctx, engine, report, reachable) {
+		return
+	}
 	serving := servedVersion(report, model, engine.Layers)
 	current := a.ensureCurrent(ctx, engine, model, wanted, serving)
 	wanted = max(wanted, current.version())
@@ -224,13 +230,8 @@
 	if a.findTransfer(current.model, current.version()) != current || ctx.Err() != nil {
 		return
 	}
-	verified := a.beginVerification()
-	corrupt, err := current.verifyAll(ctx)
-	if err != nil {
-		return
-	}
-	if len(corrupt) > 0 {
-		current.refetchCorrupt(corrupt)
+	verified, usable := a.verifyForOrder(ctx, current, current.allPieces())
+	if !usable {
 		return
 	}
 	fresh, err := a.server.Report(ctx)
@@ -244,21 +245,20 @@
 // stood still since they were read, it sends nothing, and they are verified again with the next reconciliation.
 // The caller holds the staging lock for writing.
 func (a *Agent) sendOrder(ctx context.Context, order fleet.StartOrder, serving uint64, verified verification) {
-	if !a.isFresh(verified) {
-		a.metrics.orders.WithLabelValues(outcomeWithheld).Inc()
-		a.log.Log(logging.OrderWithheld, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Duration("verified_in", a.age(verified)))
-		return
-	}
 	a.setOrdering(true)
 	defer a.setOrdering(false)
-	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
-		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", a.age(verified)))
-	outcome, err := a.server.Start(ctx, order)
+	outcome, err := a.server.Start(ctx, order, func() error { return a.releaseOrder(order, serving, verified) })
 	switch {
+	case errors.Is(err, errVerificationTooOld):
+		a.metrics.orders.WithLabelValues(outcomeWithheld).Inc()
+		a.log.Log(logging.OrderWithheld, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Duration("verified_in", a.age(verified)))
+		return
 	case err != nil:
 		a.metrics.orders.WithLabelValues(outcomeUnanswered).Inc()
 		a.log.Log(logging.OrderUnanswered, zap.Uint64("version", order.Version), zap.Error(err))
-		a.awaitOrderOutcome(ctx, order)
+		if a.awaitOrderOutcome(ctx, order) {
+			a.reviewOrder(ctx, order, serving, verified)
+		}
 	case outcome == fleet.OrderConflict:
 		a.metrics.orders.WithLabelValues(outcomeRefused).Inc()
 		a.log.Log(logging.OrderRefused, zap.Uint64("version", order.Version), zap.Uint64("sequence", order.Sequence))
@@ -266,25 +266,44 @@
 	default:
 		a.metrics.orders.WithLabelValues(outcomeTaken).Inc()
 		a.log.Log(logging.OrderAccepted, zap.Uint64("version", order.Version), zap.Bool("holds_already", outcome == fleet.OrderAlreadyHeld))
+		a.reviewOrder(ctx, order, serving, verified)
 	}
 	a.readReport(ctx)
 }
 
+// releaseOrder is asked when the server is connected, right before the order is written: it logs the order and returns
+// errVerificationTooOld if the agent has stood still since the pieces were read. Nothing follows its last look at the clock.
+func (a *Agent) releaseOrder(order fleet.StartOrder, serving uint64, verified verification) error {
+	if err := a.checkFresh(verified); err != nil {
+		return err
+	}
+	a.log.Log(logging.OrderSent, zap.String("model", order.Model), zap.Uint64("version", order.Version), zap.Uint64("serving", serving),
+		zap.Uint64("sequence", order.Sequence), zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Duration("verified_in", a.age(verified)))
+	return a.checkFresh(verified)
+}
+
 // awaitOrderOutcome waits until the server answers again after an unanswered order, so that the
 // outcome is known before anything else is staged: a server that was silent may still execute the
-// order. One whose machine refuses connections has ended and won't.
-func (a *Agent) awaitOrderOutcome(ctx context.Context, order fleet.StartOrder) {
+// order, also shortly after it has answered something else. One whose machine refuses connections has ended and won't.
+// It reports whether the order was taken.
+func (a *Agent) awaitOrderOutcome(ctx context.Context, order fleet.StartOrder) bool {
+	var answeredAt time.Time
 	for ctx.Err() == nil {
 		report, err := a.server.Report(ctx)
-		if err == nil {
-			a.log.Log(logging.OrderResolved, zap.Uint64("version", order.Version), zap.Bool("taken", report.Sequence > order.Sequence))
-			return
+		taken := err == nil && report.Sequence > order.Sequence
+		if taken || (err == nil && !answeredAt.IsZero() && time.Since(answeredAt) >= orderSettleTime) {
+			a.log.Log(logging.OrderResolved, zap.Uint64("version", order.Version), zap.Bool("taken", taken))
+			return taken
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return
+			return false
+		}
+		if err == nil && answeredAt.IsZero() {
+			answeredAt = time.Now()
 		}
 		waiting.For(ctx, reconcileInterval)
 	}
+	return false
 }
 
 // finishOrder cancels the agent's work when no order is in flight, or its outcome was awaited for
--- a/internal/rollout/restarted.go
+++ b/internal/rollout/restarted.go
@@ -20,6 +20,7 @@
 	a.cold = newColdState()
 	a.switchAnnouncement.Withdraw()
 	a.unretiredLogged = 0
+	a.suspect = nil
 	for _, t := range []*transfer{a.current, a.fallback, a.older} {
 		if t != nil {
 			go t.reverify(ctx)
--- a/internal/rollout/silent_server_test.go
+++ b/internal/rollout/silent_server_test.go
@@ -20,6 +20,8 @@
 	"github.com/stretchr/testify/require"
 
 	"pinevane.example/pinevane/coordination/dissemination"
+	"pinevane.example/pinevane/coordination/liveness"
+	"pinevane.example/pinevane/internal/daemon"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
@@ -61,7 +63,7 @@
 	return fleet.Report{Sequence: s.sequence}, nil
 }
 
-func (s *silentServer) Start(context.Context, fleet.StartOrder) (fleet.OrderOutcome, error) {
+func (s *silentServer) Start(context.Context, fleet.StartOrder, func() error) (fleet.OrderOutcome, error) {
 	panic("no order is sent without a report")
 }
 
@@ -108,6 +110,7 @@
 func newTestTransfer(server fleet.ModelServer, held []bool, port int) *transfer {
 	agent := &Agent{
 		self: "a", metrics: newMetrics(prometheus.NewRegistry()), log: logging.Nop(), server: server, reachable: true,
+		daemon: daemon.New(daemon.Options{Role: "agent", Log: logging.Nop()}), roundTrips: liveness.NewRoundTrips(probeInterval), cold: newColdState(), started: time.Now(),
 		sinceBoot: sinceBoot, peers: newPeerClient(port, func(string, time.Duration) {}), wakeup: make(chan struct{}, 1), uploads: newUploadQueue(1 << 30),
 	}
 	manifest := &fleet.Manifest{Model: "m", Version: 2, PieceBytes: 64}
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -132,6 +132,9 @@
 	if engine != nil {
 		status.Version = servedVersion(a.report, model, engine.Layers)
 	}
+	if a.suspect != nil {
+		status.Version = 0
+	}
 	if a.current != nil {
 		status.FetchingVersion = a.current.version()
 		_, status.MissingPieces = a.current.state()
@@ -141,7 +144,7 @@
 		}
 	}
 	switch {
-	case a.ordering || a.report.Busy || a.switchAnnouncement.Active():
+	case a.ordering || a.suspect != nil || a.report.Busy || a.switchAnnouncement.Active():
 		status.SwitchMilliseconds = 0
 	case !a.switchAt.IsZero() && status.Version != 0 && status.Version < status.FetchingVersion:
 		// The switch cannot happen before the missing pieces have arrived.
--- a/internal/rollout/verify.go
+++ b/internal/rollout/verify.go
@@ -93,17 +93,14 @@
 	return errors.As(err, &corrupt)
 }
 
-// verifyAll reads back all pieces and returns those that do not match; see verify.
-func (t *transfer) verifyAll(ctx context.Context) ([]int, error) {
-	manifest, known := t.knownManifest()
-	if !known {
-		return nil, nil
-	}
-	all := make([]int, 0, len(manifest.Digests))
-	for index := range manifest.Digests {
-		all = append(all, index)
+// allPieces returns the indexes of the version's pieces; none before its manifest is known.
+func (t *transfer) allPieces() []int {
+	manifest, _ := t.knownManifest()
+	all := make([]int, len(manifest.Digests))
+	for index := range all {
+		all[index] = index
 	}
-	return t.verify(ctx, all)
+	return all
 }
 
 // verify reads back some pieces and returns those that do not match. An error means that the server did
