Forwarding: an answer without a marked end is whole only if its server is known to run after the end

Cause: the answer counted as cut only on proof of a crash, so that whatever was not learned passed for "the server goes on"; an id passed for an identity; and a crash that was proved by another instance was not recorded as one. Change: an answer whose end is not marked is whole only after proof that its server has answered something that was sent later: any answer on a connection that it had answered on before, an answer on a new connection that names it or is signed for it, or an answer to another request of this entry. The question is repeated, after 1 s another attempt is made if there may be one, otherwise it goes on until the deadline. Where ids may be those of several starts, only a connection from before the request counts. Conclusion: no proof is no longer taken for success; what it costs sound servers is measured next.

--- a/coordination/dispatch/candidate.go
+++ b/coordination/dispatch/candidate.go
@@ -55,6 +55,9 @@
 	presumedEndedUntil time.Time
 }
 
+// StartTime returns the start time that the list names for a server, 0 if it names none.
+func (c *Core) StartTime(k *Candidate) incarnation.StartTime { return k.listing.server.StartTime }
+
 // answerTimes holds moving means of a server's answer times.
 type answerTimes struct {
 	// meanMilliseconds is the moving mean time of complete answers.
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -69,6 +69,9 @@
 	idleUntil time.Time
 	// requestsCarried counts the earlier requests.
 	requestsCarried int
+	// answeredAt is when the expected server first answered on the connection, zero before. The connection is known
+	// to be that server's own from then on.
+	answeredAt time.Time
 
 	// The fields below belong to the request being carried.
 	ctx      context.Context
@@ -272,8 +275,21 @@
 // get returns the most recently used idle connection that is healthy, has been idle for at most
 // maxIdle and was opened after openedAfter, or nil.
 func (p *pool) get(maxIdle, openedAfter time.Duration) *connection {
+	return p.getWhere(maxIdle, func(candidate *connection) bool { return openedAfter == 0 || candidate.opened >= openedAfter })
+}
+
+// getAnswered is get for a connection on which the server had answered before a time.
+func (p *pool) getAnswered(maxIdle time.Duration, before time.Time) *connection {
+	return p.getWhere(maxIdle, func(candidate *connection) bool {
+		return !candidate.answeredAt.IsZero() && candidate.answeredAt.Before(before)
+	})
+}
+
+// getWhere returns the most recently used idle connection that is healthy, has been idle for at most maxIdle
+// and meets a condition, or nil.
+func (p *pool) getWhere(maxIdle time.Duration, condition func(*connection) bool) *connection {
 	for {
-		candidate := p.pick(maxIdle, openedAfter)
+		candidate := p.pick(maxIdle, condition)
 		if candidate == nil {
 			return nil
 		}
@@ -284,16 +300,16 @@
 	}
 }
 
-// pick removes and returns a connection that meets the conditions of get, except that its health is
+// pick removes and returns a connection that meets the conditions of getWhere, except that its health is
 // not checked.
-func (p *pool) pick(maxIdle, openedAfter time.Duration) *connection {
+func (p *pool) pick(maxIdle time.Duration, condition func(*connection) bool) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for index, candidate := range slices.Backward(p.idle) {
 		if time.Since(candidate.idleSince) > maxIdle {
 			return nil
 		}
-		if openedAfter == 0 || candidate.opened >= openedAfter {
+		if condition(candidate) {
 			p.idle = slices.Delete(p.idle, index, index+1)
 			return candidate
 		}
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,64 +16,267 @@
 )
 
 // An answer may have neither a length nor chunks and end with its connection. That end does not show that
-// the answer is whole: the connections of a server that crashes end too. So the entry asks the server's address
-// after the end who is there. Whether something listens there is not enough: the machine of the entry may have
-// stood still while the server crashed and another instance took its place.
+// the answer is whole: the connections of a server that crashes end too, and the machine of the entry may have
+// stood still while the server crashed and another instance took its place. The answer counts as whole only if its server is
+// known to run after the end: it has answered something that was sent later.
 
-// errEndedByCrash means that an answer whose end is not marked has ended with the crash of its server.
-var errEndedByCrash = errors.New("the server has crashed and the answer's end is not marked")
+// Limits of the questions to a server whose answer has ended with its connection.
+const (
+	// maxEndWait bounds the time without proof after which a request is sent elsewhere, if it may be.
+	maxEndWait = time.Second
+	// The pause between two questions begins with minQuestionPause and doubles up to maxQuestionPause.
+	minQuestionPause = 50 * time.Millisecond
+	maxQuestionPause = 400 * time.Millisecond
+)
+
+var (
+	// errEndedByCrash means that an answer whose end is not marked has ended with the crash of its server.
+	errEndedByCrash = errors.New("the server has crashed and the answer's end is not marked")
+	// errUnconfirmedEnd means that nothing has shown in time that the server has not crashed.
+	errUnconfirmedEnd = errors.New("the answer's end is not marked and the server has not shown that it still runs")
+)
+
+// endProof is what is known of a server after an answer has ended with its connection.
+type endProof string
 
-// checkEnd returns errEndedByCrash if an answer that has ended without an error was cut by the crash of its
-// server.
+// The proofs, which are also label values and log fields.
+const (
+	// endUnconfirmed is the absence of proof.
+	endUnconfirmed endProof = "unconfirmed"
+	// endCrashed: the server's machine refuses connections, or another instance answers at its address.
+	endCrashed endProof = "crashed"
+	// endSameConnection: the server has answered on a connection that it had answered on before the end.
+	endSameConnection endProof = "same connection"
+	// endSameInstance: the instance has answered under its own id.
+	endSameInstance endProof = "same instance"
+	// endOtherRequest: the server has answered another request, which was sent after the end.
+	endOtherRequest endProof = "other request"
+)
+
+// checkEnd returns nil if an answer that has ended without an error is whole. If its end is not marked, it waits for
+// proof that the server runs on, and returns errEndedByCrash or errUnconfirmedEnd otherwise.
 func (w *forwarding) checkEnd(ctx context.Context, started *exchange) error {
-	if started.endIsMarked() || !w.hasEnded(ctx, started.target) {
+	if started.endIsMarked() {
+		return nil
+	}
+	ended := time.Now()
+	proof := w.awaitProof(ctx, started, ended)
+	took := time.Since(ended)
+	w.metrics.unmarkedEnds.WithLabelValues(string(proof)).Observe(took.Seconds())
+	if proof != endCrashed && proof != endUnconfirmed {
 		return nil
 	}
-	w.log.Log(logging.UnmarkedEnd, zap.String("request", w.request.Call.RequestID), zap.String("server", started.target.ID))
-	return errEndedByCrash
+	w.log.Log(logging.UnmarkedEnd, zap.String("request", w.request.Call.RequestID), zap.String("server", started.target.ID),
+		zap.String("proof", string(proof)), zap.Duration("took", took))
+	if proof == endCrashed {
+		return errEndedByCrash
+	}
+	return errUnconfirmedEnd
 }
 
-// hasEnded reports whether there is proof that a server no longer runs: its machine refuses connections, or
-// another instance answers at its address. A server that is too busy to say who it is, or that can't be reached,
-// counts as running.
-func (w *forwarding) hasEnded(ctx context.Context, target *target) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// awaitProof asks a server until there is proof that it runs or has ended, or until the answer is better given up.
+func (w *forwarding) awaitProof(ctx context.Context, started *exchange, ended time.Time) endProof {
+	ctx, cancel := context.WithDeadline(ctx, w.proofDeadline(ended))
 	defer cancel()
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", target.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	questions := serverQuestions{forwarding: w, target: started.target, idIsUnique: !w.targets.restartsUnderItsID(started.target), knownBefore: ended}
+	if !questions.idIsUnique {
+		// A connection that had answered before the request was sent, and still answers, shows that one process has
+		// listened there all the time.
+		questions.knownBefore = started.sentAt
+	}
+	answered := started.target.answers.after(ended)
+	defer started.target.answers.forget(answered)
+	if !questions.idIsUnique {
+		answered = nil
+	}
+	asked := make(chan endProof, 1)
+	go func() { asked <- questions.askRepeatedly(ctx, w.healthPath()) }()
+	select {
+	case proof := <-asked:
+		return proof
+	case <-answered:
+		return endOtherRequest
+	case <-ctx.Done():
+		return endUnconfirmed
+	}
+}
+
+// proofDeadline is when an answer without proof is given up: early enough for another attempt if the request may have one,
+// otherwise shortly before its deadline.
+func (w *forwarding) proofDeadline(ended time.Time) time.Time {
+	last := w.request.Deadline.Add(-minAttemptTime)
+	if w.request.Route.MayRepeat() && w.attempts < w.request.Route.Attempts {
+		return minTime(last, ended.Add(maxEndWait))
 	}
-	defer func() { _ = connection.Close() }()
-	_ = connection.SetDeadline(time.Now().Add(probeTimeout))
-	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	return w.isOtherInstance(connection, target.ID)
+	return last
 }
 
-// isOtherInstance asks for the health of the server at the other end of a connection and reports whether it is
-// another one than expected. A server rejects a request that expects another instance.
-func (w *forwarding) isOtherInstance(connection net.Conn, expected string) bool {
-	path, err := url.ParseRequestURI(w.healthPath())
+// serverQuestions asks a server, after an answer of its has ended, who it is.
+type serverQuestions struct {
+	*forwarding
+	target *target
+	// idIsUnique is set if each start of the server has an id of its own.
+	idIsUnique bool
+	// knownBefore is the time before which a connection must have carried an answer of the server to be known as its own.
+	knownBefore time.Time
+}
+
+// askRepeatedly asks until an answer is proof or the context ends.
+func (q *serverQuestions) askRepeatedly(ctx context.Context, healthPath string) endProof {
+	path, err := url.ParseRequestURI(healthPath)
 	if err != nil {
-		return false
+		<-ctx.Done()
+		return endUnconfirmed
 	}
-	header := http.Header{}
-	w.dialect.WriteSend(header, fleet.SendHeader{Instance: expected, Deadline: probeTimeout})
-	header["User-Agent"] = []string{""}
-	probe := &http.Request{Method: http.MethodGet, URL: path, Host: connection.RemoteAddr().String(), Header: header, Close: true}
-	if err := probe.Write(connection); err != nil {
-		return false
+	for pause := minQuestionPause; ; pause = min(2*pause, maxQuestionPause) {
+		proof := q.askKnownConnection(ctx, path)
+		if proof == endUnconfirmed {
+			proof = q.askNewConnection(ctx, path)
+		}
+		if proof != endUnconfirmed {
+			return proof
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return endUnconfirmed
+		}
+	}
+}
+
+// askKnownConnection asks over an idle connection that is known to be the server's own. Whatever comes back there is
+// from the same process, also if that is too busy to say more.
+func (q *serverQuestions) askKnownConnection(ctx context.Context, path *url.URL) endProof {
+	carrier := q.target.pool.getAnswered(maxReuseIdle, q.knownBefore)
+	if carrier == nil {
+		return endUnconfirmed
+	}
+	question := q.ask(ctx, carrier, path)
+	switch {
+	case question == nil:
+		return endUnconfirmed
+	case q.isOtherInstance(question):
+		return endCrashed
+	}
+	return endSameConnection
+}
+
+// askNewConnection asks over a new connection. An answer that names no instance may be that of another one.
+func (q *serverQuestions) askNewConnection(ctx context.Context, path *url.URL) endProof {
+	began := q.watcher.now()
+	carrier, err := dial(ctx, q.target.Address, time.Now().Add(probeTimeout))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return endCrashed
 	}
-	response, err := http.ReadResponse(bufio.NewReaderSize(io.LimitReader(connection, maxHeadBytes), readBufferBytes), probe)
 	if err != nil {
+		return endUnconfirmed
+	}
+	q.metrics.connections.Inc()
+	q.watcher.add(carrier, q.target, began)
+	question := q.ask(ctx, carrier, path)
+	switch {
+	case question == nil:
+		return endUnconfirmed
+	case q.isOtherInstance(question):
+		return endCrashed
+	case q.idIsUnique && answeredByItself(question):
+		return endSameInstance
+	}
+	return endUnconfirmed
+}
+
+// ask sends the health check of the request's service, for one instance only. It returns the answer, which has been read, or
+// nil if there was none.
+func (q *serverQuestions) ask(ctx context.Context, carrier *connection, path *url.URL) *exchange {
+	question := &exchange{target: q.target, connection: carrier, written: make(chan error, 1), sentAt: time.Now()}
+	question.release = carrier.begin(ctx, question.sentAt.Add(probeTimeout), nil)
+	header := http.Header{"User-Agent": {""}}
+	q.dialect.WriteSend(header, fleet.SendHeader{Instance: q.target.ID, Deadline: probeTimeout})
+	outgoing := &http.Request{Method: http.MethodGet, URL: path, Host: q.target.Address, Header: header}
+	if err := question.write(outgoing, 0); err != nil {
+		question.abort()
+		return nil
+	}
+	if err := question.readHead(q.dialect, outgoing, ""); err != nil {
+		question.abort()
+		return nil
+	}
+	question.recordIdentity()
+	question.drain()
+	return question
+}
+
+// isOtherInstance reports whether another instance has answered, and records that if it has.
+func (q *serverQuestions) isOtherInstance(question *exchange) bool {
+	instance := question.head.Instance
+	if instance == q.target.ID || (instance == "" && question.response.StatusCode != http.StatusMisdirectedRequest) {
 		return false
 	}
-	_ = response.Body.Close()
-	answer := w.dialect.ReadAnswer(response.StatusCode, response.Header)
-	if answer.Instance != "" {
-		return answer.Instance != expected
+	q.targets.supersede(q.target, instance)
+	return true
+}
+
+// answeredByItself reports whether an answer can only be that of the instance that was asked: it names it, or is the
+// signed answer to a request that any other instance rejects.
+func answeredByItself(x *exchange) bool {
+	if x.head.Instance != "" {
+		return x.head.Instance == x.target.ID
+	}
+	return x.head.Signed && x.response.StatusCode/100 == 2
+}
+
+// recordIdentity records an answer that only the expected instance can have given: it runs, and the connection is its own.
+func (x *exchange) recordIdentity() {
+	if !answeredByItself(x) {
+		return
+	}
+	if x.connection.answeredAt.IsZero() {
+		x.connection.answeredAt = time.Now()
+	}
+	x.target.answers.record(x.sentAt)
+}
+
+// answerWatch tells waiters that a server has answered a request that was sent after a given time. The zero value is ready
+// for use.
+type answerWatch struct {
+	mutex   sync.Mutex
+	waiters map[<-chan struct{}]answerWaiter
+}
+
+type answerWaiter struct {
+	after    time.Time
+	answered chan struct{}
+}
+
+// after returns a channel that is closed when a request that was sent after a time has been answered. The caller must
+// forget it.
+func (a *answerWatch) after(earliest time.Time) <-chan struct{} {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.waiters == nil {
+		a.waiters = map[<-chan struct{}]answerWaiter{}
+	}
+	answered := make(chan struct{})
+	a.waiters[answered] = answerWaiter{after: earliest, answered: answered}
+	return answered
+}
+
+func (a *answerWatch) forget(answered <-chan struct{}) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.waiters, answered)
+}
+
+// record records that a request sent at a time has been answered.
+func (a *answerWatch) record(sentAt time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for key, waiter := range a.waiters {
+		if sentAt.After(waiter.after) {
+			close(waiter.answered)
+			delete(a.waiters, key)
+		}
 	}
-	return response.StatusCode == http.StatusMisdirectedRequest
 }
 
 // healthPath returns the health path of the request's service; "" if it has none.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -75,8 +75,10 @@
 	target     *target
 	connection *connection
 	release    func()
-	response   *http.Response
-	head       fleet.AnswerHeader
+	// sentAt is right before the request was written.
+	sentAt   time.Time
+	response *http.Response
+	head     fleet.AnswerHeader
 	// written receives the result of sending the request.
 	written chan error
 	// events splits the answer if it is a stream whose first event was read ahead; nil otherwise.
@@ -132,7 +134,7 @@
 	}
 	started := &exchange{target: chosen, connection: carrier, written: make(chan error, 1)}
 	started.release = carrier.begin(ctx, request.Deadline, guard)
-	sentAt := time.Now()
+	started.sentAt = time.Now()
 	outgoing := f.outgoing(request, send)
 	if err := started.write(outgoing, len(request.Body)); err != nil {
 		started.abort()
@@ -142,8 +144,9 @@
 		started.abort()
 		return nil, &failure{reason: failureReason(err, fault.ReasonBackendFailed), execution: fault.ExecutionUnknown, cause: err}
 	}
+	started.recordIdentity()
 	f.targets.applyCold(chosen, started.head.ColdFor)
-	f.targets.applyNotice(chosen, started.head, sentAt)
+	f.targets.applyNotice(chosen, started.head, started.sentAt)
 	return started, nil
 }
 
--- a/internal/forward/health.go
+++ b/internal/forward/health.go
@@ -191,6 +191,10 @@
 			// The answer was observed when it was read.
 			return
 		}
+		if errors.Is(failed.cause, errUnconfirmedEnd) {
+			w.endTrial()
+			return
+		}
 		w.observe(k, health.Broken)
 	default:
 		w.endTrial()
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,7 @@
 	arrivals          *prometheus.CounterVec
 	retryAfter        *prometheus.HistogramVec
 	endings           *prometheus.CounterVec
+	unmarkedEnds      *prometheus.HistogramVec
 	// missingFigures counts the model server parameters that the current configuration lacks.
 	missingFigures prometheus.Gauge
 	// unservedOwners counts the routes and tenants of the current configuration whose allowed
@@ -67,11 +68,13 @@
 		Name: "pinevane_retry_after_seconds", Help: "Times after which refused callers were asked to come back.", Buckets: latencyBuckets}, []string{"attempt", "reason"})
 	m.endings = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pinevane_generations_ended_total", Help: "Generations that have ended, by their size against the usual one of their service, and how they ended."}, []string{"size", "ending"})
+	m.unmarkedEnds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "pinevane_unmarked_end_seconds", Help: "Time from the end of an answer without a length until it was known whether its server runs on, by what showed it.", Buckets: latencyBuckets}, []string{"proof"})
 	m.missingFigures = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_missing_figures", Help: "Figures of model servers that the configuration in force lacks."})
 	m.unservedOwners = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "pinevane_unserved_residencies", Help: "Routes and tenants of the configuration in force whose allowed regions have no zone."})
-	registry.MustRegister(m.answers, m.oversized, m.firstEvent, m.attempts, m.retries, m.hedges, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.missingFigures, m.unservedOwners)
+	registry.MustRegister(m.answers, m.oversized, m.firstEvent, m.attempts, m.retries, m.hedges, m.connections, m.cutStreams, m.silentConnections, m.loadQueries, m.arrivals, m.retryAfter, m.endings, m.unmarkedEnds, m.missingFigures, m.unservedOwners)
 	return m
 }
 
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -263,6 +263,8 @@
 			crashSuspected = tracker.RecordBrokenConnection(target.ID, w.request.Identity, w.quarantine.since(w.sentAt), now)
 		})
 		switch {
+		case errors.Is(failed.cause, errEndedByCrash):
+			w.quarantine.serverCrashed(target.ID)
 		case w.isSuspect:
 			// The next attempt of a suspect has to wait for the result: when it was made at once,
 			// it crashed a fourth server before the crash of the third was detected.
@@ -275,7 +277,7 @@
 
 // closedByPeer reports whether an error means that the peer has closed or reset the connection.
 func closedByPeer(err error) bool {
-	for _, closeError := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errEndedByCrash} {
+	for _, closeError := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errEndedByCrash, errUnconfirmedEnd} {
 		if errors.Is(err, closeError) {
 			return true
 		}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -21,6 +21,8 @@
 type target struct {
 	*dispatch.Candidate
 	pool pool
+	// answers tells that the server runs after the end of an answer.
+	answers answerWatch
 }
 
 // targets guards dispatch with one mutex, supplies it with the time, logs its changes, and keeps
@@ -148,6 +150,13 @@
 	k.pool.close()
 }
 
+// restartsUnderItsID reports whether a server's id may be that of several starts of it: its start time is told beside the id.
+func (t *targets) restartsUnderItsID(k *target) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.core.StartTime(k.Candidate) != 0
+}
+
 // applyStatus applies an agent's status report on its server. Only an entry that received it from
 // the agent itself logs the change, so that the fleet logs it once or twice.
 func (t *targets) applyStatus(status fleet.MachineStatus, at time.Time, direct bool) {
