Forwarding: a model server that tells when it has started is recognised by its report

Cause: where the id may be that of several starts, only a connection from before the request was proof, so that a sound server without an idle connection got no answer without a marked end through. Change: such a model server is asked for its report, which takes no place there and tells the start; another start is proof of a crash. Conclusion: plain services whose records tell a start still need the connection; the report record is decoded in one place.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -287,4 +287,7 @@
 	// RefusalHeader adds to the header of an answer that the entry itself gives.
 	RefusalHeader(header http.Header, requestID string, retryAfter time.Duration)
 	ReadyPath() string
+	// ReportPath is the path of a model server's status report, which ReadReport parses.
+	ReportPath() string
+	ReadReport(body []byte) (Report, error)
 }
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/url"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -78,16 +80,13 @@
 func (w *forwarding) awaitProof(ctx context.Context, started *exchange, ended time.Time) endProof {
 	ctx, cancel := context.WithDeadline(ctx, w.proofDeadline(ended))
 	defer cancel()
-	questions := serverQuestions{forwarding: w, target: started.target, idIsUnique: !w.targets.restartsUnderItsID(started.target), knownBefore: ended}
-	if !questions.idIsUnique {
-		// A connection that had answered before the request was sent, and still answers, shows that one process has
-		// listened there all the time.
-		questions.knownBefore = started.sentAt
-	}
+	questions := serverQuestions{forwarding: w, target: started.target, started: w.targets.startTime(started.target), knownBefore: ended}
 	answered := started.target.answers.after(ended)
 	defer started.target.answers.forget(answered)
-	if !questions.idIsUnique {
-		answered = nil
+	if questions.started != 0 {
+		// A connection that had answered before the request was sent, and still answers, shows that one process has
+		// listened there all the time. Another request may have been answered by a later start.
+		questions.knownBefore, answered = started.sentAt, nil
 	}
 	asked := make(chan endProof, 1)
 	go func() { asked <- questions.askRepeatedly(ctx, w.healthPath()) }()
@@ -115,8 +114,9 @@
 type serverQuestions struct {
 	*forwarding
 	target *target
-	// idIsUnique is set if each start of the server has an id of its own.
-	idIsUnique bool
+	// started is when the server started, if that is told; its id may be that of several starts then. 0 means that each start
+	// has an id of its own.
+	started incarnation.StartTime
 	// knownBefore is the time before which a connection must have carried an answer of the server to be known as its own.
 	knownBefore time.Time
 }
@@ -151,7 +151,7 @@
 	if carrier == nil {
 		return endUnconfirmed
 	}
-	question := q.ask(ctx, carrier, path)
+	question, _ := q.ask(ctx, carrier, path)
 	switch {
 	case question == nil:
 		return endUnconfirmed
@@ -161,8 +161,13 @@
 	return endSameConnection
 }
 
-// askNewConnection asks over a new connection. An answer that names no instance may be that of another one.
+// askNewConnection asks over a new connection. An answer that names no instance may be that of another one. Of a server
+// that tells when it has started only the report shows which start it is.
 func (q *serverQuestions) askNewConnection(ctx context.Context, path *url.URL) endProof {
+	isReport := q.started != 0 && q.criteria.Engine != nil
+	if isReport {
+		path = &url.URL{Path: q.dialect.ReportPath()}
+	}
 	began := q.watcher.now()
 	carrier, err := dial(ctx, q.target.Address, time.Now().Add(probeTimeout))
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -173,21 +178,38 @@
 	}
 	q.metrics.connections.Inc()
 	q.watcher.add(carrier, q.target, began)
-	question := q.ask(ctx, carrier, path)
+	question, body := q.ask(ctx, carrier, path)
 	switch {
 	case question == nil:
 		return endUnconfirmed
 	case q.isOtherInstance(question):
 		return endCrashed
-	case q.idIsUnique && answeredByItself(question):
+	case isReport:
+		return q.compareStart(question.response.StatusCode, body)
+	case q.started == 0 && answeredByItself(question):
 		return endSameInstance
 	}
 	return endUnconfirmed
 }
 
-// ask sends the health check of the request's service, for one instance only. It returns the answer, which has been read, or
-// nil if there was none.
-func (q *serverQuestions) ask(ctx context.Context, carrier *connection, path *url.URL) *exchange {
+// compareStart compares the start time that a server's report tells with that of the expected start.
+func (q *serverQuestions) compareStart(status int, body []byte) endProof {
+	if status != http.StatusOK {
+		return endUnconfirmed
+	}
+	report, err := q.dialect.ReadReport(body)
+	switch {
+	case err != nil || report.StartTime == 0:
+		// A report that can't be read, or doesn't tell the start, shows nothing.
+		return endUnconfirmed
+	case report.StartTime.Differs(q.started):
+		return endCrashed
+	}
+	return endSameInstance
+}
+
+// ask sends a GET request for one instance only. It returns the answer and its body, or nil if there was none.
+func (q *serverQuestions) ask(ctx context.Context, carrier *connection, path *url.URL) (*exchange, []byte) {
 	question := &exchange{target: q.target, connection: carrier, written: make(chan error, 1), sentAt: time.Now()}
 	question.release = carrier.begin(ctx, question.sentAt.Add(probeTimeout), nil)
 	header := http.Header{"User-Agent": {""}}
@@ -195,15 +217,20 @@
 	outgoing := &http.Request{Method: http.MethodGet, URL: path, Host: q.target.Address, Header: header}
 	if err := question.write(outgoing, 0); err != nil {
 		question.abort()
-		return nil
+		return nil, nil
 	}
 	if err := question.readHead(q.dialect, outgoing, ""); err != nil {
 		question.abort()
-		return nil
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(question.response.Body, maxDrainedBytes))
+	if err != nil || len(body) == maxDrainedBytes {
+		question.abort()
+		return nil, nil
 	}
 	question.recordIdentity()
-	question.drain()
-	return question
+	question.finish()
+	return question, body
 }
 
 // isOtherInstance reports whether another instance has answered, and records that if it has.
--- a/internal/forward/end_test.go
+++ b/internal/forward/end_test.go
@@ -167,6 +167,17 @@
 	assert.NotNil(t, refusal)
 }
 
+// Guards against a report that is taken for proof although it tells another start, or none.
+func TestOnlyTheSameStartIsProof(t *testing.T) {
+	questions := serverQuestions{forwarding: &forwarding{Forwarder: testForwarder()}, started: 7}
+	for body, proof := range map[string]endProof{
+		`{"born":7}`: endSameInstance, `{"born":8}`: endCrashed, `{}`: endUnconfirmed, `{"born":`: endUnconfirmed, `{"born":"x"}`: endUnconfirmed,
+	} {
+		assert.Equal(t, proof, questions.compareStart(http.StatusOK, []byte(body)), body)
+	}
+	assert.Equal(t, endUnconfirmed, questions.compareStart(http.StatusServiceUnavailable, []byte(`{"born":7}`)))
+}
+
 // Guards against a crash that counts for nothing because another instance listens when it is looked at.
 func TestCrashShownByAnotherInstanceIsRecorded(t *testing.T) {
 	f := startUnmarkedFleet(t, say(otherInstance))
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
+	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/catalog"
 	"pinevane.example/pinevane/internal/fleet"
@@ -150,11 +151,11 @@
 	k.pool.close()
 }
 
-// restartsUnderItsID reports whether a server's id may be that of several starts of it: its start time is told beside the id.
-func (t *targets) restartsUnderItsID(k *target) bool {
+// startTime returns when a server has started, 0 if that is not told.
+func (t *targets) startTime(k *target) incarnation.StartTime {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.core.StartTime(k.Candidate) != 0
+	return t.core.StartTime(k.Candidate)
 }
 
 // applyStatus applies an agent's status report on its server. Only an entry that received it from
