--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 KILL_SOAK_SEED ?= 69001
 KILL_SOAK_MINUTES ?= 0.35
 KILL_SOAK_KINDS ?= entry-kills-beside-failures,reconfigure,stop-entry
+# A sixth one, in which processes and servers stand still while a server crashes or an order is on its way.
+STANDSTILL_SOAK_SEED ?= 73003
+STANDSTILL_SOAK_MINUTES ?= 0.35
+STANDSTILL_SOAK_KINDS ?= crash-beside-frozen-entry,order-taken-late,reconfigure,new-version,stop-entry
 
 .PHONY: setup build demo test known-red lint format-check scenarios soak model-check regression bench clean
 
@@ -70,6 +74,7 @@
 	$(BINARY) experiment soak --seed $(PAUSE_SOAK_SEED) --minutes $(PAUSE_SOAK_MINUTES) --kinds $(PAUSE_SOAK_KINDS)
 	$(BINARY) experiment soak --seed $(PART_SOAK_SEED) --minutes $(PART_SOAK_MINUTES) --kinds $(PART_SOAK_KINDS)
 	$(BINARY) experiment soak --seed $(KILL_SOAK_SEED) --minutes $(KILL_SOAK_MINUTES) --kinds $(KILL_SOAK_KINDS)
+	$(BINARY) experiment soak --seed $(STANDSTILL_SOAK_SEED) --minutes $(STANDSTILL_SOAK_MINUTES) --kinds $(STANDSTILL_SOAK_KINDS)
 
 regression:
 	BENCH="$(BENCH)" SITE="$(SITE)" bash scenarios/days/play.sh
--- a/internal/emulator/site/answers.go
+++ b/internal/emulator/site/answers.go
@@ -144,6 +144,10 @@
 		return
 	}
 	writer.Header().Set("Response-Seal", "seal-"+id)
+	if faults.UnmarkedEnds {
+		// Go's server sends a body with this encoding without chunks and closes the connection after it.
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
 	s.mutex.Lock()
 	s.writeNotice(writer.Header(), id, 0)
 	s.mutex.Unlock()
--- a/internal/emulator/site/orders.go
+++ b/internal/emulator/site/orders.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -63,6 +64,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.pauseAtOrder()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	requested, exists := order.layers(s.allLayers())
@@ -83,6 +85,23 @@
 	}
 }
 
+// pauseAtOrder pauses the server before it takes an order, if it is to. The order is taken after the pause even if its
+// sender has given up.
+func (s *Server) pauseAtOrder() {
+	s.mutex.Lock()
+	pause, corrupt := s.faults.PauseAtOrder, s.faults.CorruptAtOrder
+	s.faults.PauseAtOrder = 0
+	s.mutex.Unlock()
+	if pause == 0 {
+		return
+	}
+	for piece := range corrupt {
+		s.CorruptStaged(piece)
+	}
+	s.Pause(pause)
+	s.waitWhilePaused(context.Background())
+}
+
 // stagedCorrupt reports whether a staged piece of the layers is missing or corrupt. The mutex
 // must be held. A piece that two layers share belongs to both.
 func (s *Server) stagedCorrupt(version uint64, layers layerRange) bool {
--- a/internal/emulator/site/server.go
+++ b/internal/emulator/site/server.go
@@ -30,8 +30,27 @@
 	FailHealthChecks bool
 	// ExtraAnswers sends a second answer after each of the next ones.
 	ExtraAnswers int
+	// UnmarkedEnds has answers come with neither a length nor chunks and end with their connection.
+	UnmarkedEnds bool
+	// HealthChecks is how health checks fail, also those for another instance.
+	HealthChecks HealthCheckFailure
+	// PauseAtOrder pauses the server when an order comes, before the order is taken, and corrupts the first
+	// CorruptAtOrder staged pieces then. Later orders are taken at once.
+	PauseAtOrder   time.Duration
+	CorruptAtOrder int
 }
 
+// HealthCheckFailure is how health checks fail at a server that serves requests.
+type HealthCheckFailure int
+
+// Failures of health checks: they are rejected as at a full server, not answered, or have their connection reset.
+const (
+	HealthChecksAnswered HealthCheckFailure = iota
+	HealthChecksRejected
+	HealthChecksHang
+	HealthChecksReset
+)
+
 // FailureMode is how requests fail at a server that reports that it is healthy.
 type FailureMode int
 
@@ -355,6 +374,20 @@
 
 // serveHealth answers a health check, which takes no slot here.
 func (s *Server) serveHealth(writer http.ResponseWriter, request *http.Request) {
+	s.mutex.Lock()
+	failure := s.faults.HealthChecks
+	s.mutex.Unlock()
+	switch failure {
+	case HealthChecksRejected:
+		writer.Header().Set("Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case HealthChecksHang:
+		<-request.Context().Done()
+		return
+	case HealthChecksReset:
+		panic(http.ErrAbortHandler)
+	}
 	writer.Header().Set("Instance-Id", s.options.ID)
 	if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != s.options.ID {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/experiment/soak/faults.go
+++ b/internal/experiment/soak/faults.go
@@ -150,6 +150,10 @@
 		r.pauseBesideStops(fault)
 	case PauseBesideVersion:
 		r.pauseBesideVersion(fault)
+	case CrashBesideFrozenEntry:
+		return r.crashBesideFrozenEntry(fault)
+	case OrderTakenLate:
+		r.takeOrderLate(server, fault)
 	case EntryKillsBesideFailures:
 		r.killEntriesBesideFailures(fault)
 	case PauseToEndOfStop:
--- a/internal/experiment/soak/schedule.go
+++ b/internal/experiment/soak/schedule.go
@@ -70,6 +70,8 @@
 // Kinds that are drawn only where they are named, so that the schedules of seeds that draw from Kinds
 // stay as they are.
 const (
+	CrashBesideFrozenEntry   Kind = "crash-beside-frozen-entry"
+	OrderTakenLate           Kind = "order-taken-late"
 	CrashingPart             Kind = "crashing-part"
 	EntryKillsBesideFailures Kind = "entry-kills-beside-failures"
 	StoreRestored            Kind = "store-restored"
@@ -92,7 +94,7 @@
 }
 
 // NamedKinds lists every kind, with those that are drawn only where they are named.
-var NamedKinds = slices.Concat(Kinds, []Kind{CrashingPart, StoreRestored, StoreRestoredAfterOutage}, PauseKinds, []Kind{EntryKillsBesideFailures})
+var NamedKinds = slices.Concat(Kinds, []Kind{CrashingPart, StoreRestored, StoreRestoredAfterOutage}, PauseKinds, []Kind{EntryKillsBesideFailures, CrashBesideFrozenEntry, OrderTakenLate})
 
 // Fault is one fault of a schedule.
 type Fault struct {
--- a/internal/rollout/bound.go
+++ b/internal/rollout/bound.go
@@ -77,14 +77,11 @@
 // could be ordered. The layers have been verified. The caller holds the
 // staging lock for writing.
 func (a *Agent) orderPart(ctx context.Context, order fleet.StartOrder, engine *fleet.Engine, serving uint64, verified verification) bool {
-	fresh, err := a.server.Report(ctx)
-	if err != nil || fresh.Busy {
+	if !a.orderUnlessBusy(ctx, order, serving, verified) {
 		return false
 	}
 	a.log.Log(logging.VersionExpired, zap.String("model", order.Model), zap.Uint64("serving", serving), zap.Uint64("version", order.Version),
 		zap.Int("from_layer", order.FromLayer), zap.Int("to_layer", order.ToLayer), zap.Int("layers", engine.Layers))
-	order.Sequence = fresh.Sequence
-	a.sendOrder(ctx, order, serving, verified)
 	return true
 }
 
--- a/internal/rollout/freshness_test.go
+++ b/internal/rollout/freshness_test.go
@@ -102,10 +102,16 @@
 	assert.Equal(t, 2, missing, "corrupt pieces are fetched again")
 	assert.Zero(t, agent.status(time.Now()).SwitchMilliseconds, "entries send nothing")
 	server.freezeTaking = false
-	assert.True(t, agent.dropSuspectWeights(context.Background(), engine, fleet.Report{Models: server.models}, true))
+	before := fleet.Report{Models: []fleet.HeldModel{{Name: "m", Version: 1}}}
+	assert.False(t, agent.dropSuspectWeights(context.Background(), engine, before, true), "a report from before the order")
+	assert.Zero(t, agent.status(time.Now()).SwitchMilliseconds)
+	report := fleet.Report{Models: server.models, Sequence: 1}
+	assert.True(t, agent.dropSuspectWeights(context.Background(), engine, report, true))
 	require.Len(t, server.orders, 2)
 	assert.Equal(t, fleet.StartOrder{Model: "m", Version: 1, ToLayer: 1}, server.orders[1], "another version has the server drop the layers")
-	assert.False(t, agent.dropSuspectWeights(context.Background(), engine, fleet.Report{Models: server.models}, true))
+	assert.False(t, agent.dropSuspectWeights(context.Background(), engine, report, true), "a refused order is not repeated at once")
+	report.Models, report.Sequence = server.models, 2
+	assert.False(t, agent.dropSuspectWeights(context.Background(), engine, report, true))
 	assert.Equal(t, int64(fleet.NoSwitch), agent.status(time.Now()).SwitchMilliseconds)
 }
 
--- a/internal/rollout/lateorder.go
+++ b/internal/rollout/lateorder.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
-	"pinevane.example/pinevane/coordination/turnover"
 	"pinevane.example/pinevane/internal/fleet"
 	"pinevane.example/pinevane/internal/logging"
 )
@@ -16,12 +16,19 @@
 // is switching until it has loaded the layers again. It drops layers only for another version, so it is ordered to
 // hold a single layer of an older one, on which no request begins, and then the whole version.
 
+// dropRetryInterval is the time between two orders to drop weights, which a server may refuse.
+const dropRetryInterval = 2 * time.Second
+
 // suspectWeights are loaded weights that may be corrupt.
 type suspectWeights struct {
 	model   string
 	version uint64
 	// older is the version that a layer is ordered of to have the weights dropped; 0 if there is none.
 	older uint64
+	// sequence is that of the first report after the order that loaded them.
+	sequence uint64
+	// orderedAt is when they were last ordered to be dropped; zero before.
+	orderedAt time.Time
 }
 
 // reviewOrder checks a taken order whose verification had become too old before its outcome was known. The caller
@@ -47,7 +54,7 @@
 		older = order.Version - 1
 	}
 	a.mutex.Lock()
-	a.suspect = &suspectWeights{model: order.Model, version: order.Version, older: older}
+	a.suspect = &suspectWeights{model: order.Model, version: order.Version, older: older, sequence: order.Sequence + 1}
 	a.mutex.Unlock()
 	a.pushStatus()
 	if len(corrupt) > 0 {
@@ -55,33 +62,39 @@
 	}
 }
 
-// dropSuspectWeights has the server drop weights that may be corrupt, and reports whether it still holds them. The caller
-// is the reconcile loop.
+// dropSuspectWeights orders the server to drop weights that may be corrupt, and reports whether it has sent an order. Where
+// there is no older version, or only one layer, they stay until a newer version replaces them.
 func (a *Agent) dropSuspectWeights(ctx context.Context, engine *fleet.Engine, report fleet.Report, reachable bool) bool {
-	a.mutex.Lock()
-	suspect := a.suspect
-	a.mutex.Unlock()
-	if suspect == nil {
+	suspect := a.dueSuspect(report, reachable)
+	if suspect == nil || suspect.older == 0 || engine.Layers < 2 {
 		return false
 	}
-	if !reachable || report.Busy {
-		return true
+	a.staging.Lock()
+	defer a.staging.Unlock()
+	order := fleet.StartOrder{Model: suspect.model, Version: suspect.older, FromLayer: 0, ToLayer: 1}
+	return a.orderUnlessBusy(ctx, order, suspect.version, a.beginVerification(nil, nil))
+}
+
+// dueSuspect returns the weights that are to be dropped now, or nil. It forgets those that the server no longer holds.
+func (a *Agent) dueSuspect(report fleet.Report, reachable bool) *suspectWeights {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.suspect == nil || !reachable || report.Busy {
+		return nil
 	}
-	if !holds(report, suspect) {
-		a.mutex.Lock()
-		a.suspect = nil
-		a.mutex.Unlock()
-		return false
+	if !holds(report, a.suspect) {
+		// A report from before the order does not show them yet. A restarted server holds nothing.
+		if report.Sequence >= a.suspect.sequence || len(report.Models) == 0 {
+			a.suspect = nil
+		}
+		return nil
 	}
-	if suspect.older == 0 || engine.Layers < 2 {
-		return true
+	if time.Since(a.suspect.orderedAt) < dropRetryInterval {
+		return nil
 	}
-	a.staging.Lock()
-	defer a.staging.Unlock()
-	layers := turnover.Layers{From: 0, To: 1}
-	order := fleet.StartOrder{Model: suspect.model, Version: suspect.older, FromLayer: layers.From, ToLayer: layers.To}
-	a.orderPart(ctx, order, engine, suspect.version, a.beginVerification(nil, nil))
-	return true
+	a.suspect.orderedAt = time.Now()
+	due := *a.suspect
+	return &due
 }
 
 // holds reports whether a server holds layers of weights.
--- a/internal/rollout/reconcile.go
+++ b/internal/rollout/reconcile.go
@@ -234,11 +234,19 @@
 	if !usable {
 		return
 	}
+	a.orderUnlessBusy(ctx, fleet.StartOrder{Model: current.model, Version: current.version()}, serving, verified)
+}
+
+// orderUnlessBusy sends an order with the number of orders that the server has taken, and reports whether it could be
+// sent: the server answers and executes none. The caller holds the staging lock for writing.
+func (a *Agent) orderUnlessBusy(ctx context.Context, order fleet.StartOrder, serving uint64, verified verification) bool {
 	fresh, err := a.server.Report(ctx)
 	if err != nil || fresh.Busy {
-		return
+		return false
 	}
-	a.sendOrder(ctx, fleet.StartOrder{Model: current.model, Version: current.version(), Sequence: fresh.Sequence}, serving, verified)
+	order.Sequence = fresh.Sequence
+	a.sendOrder(ctx, order, serving, verified)
+	return true
 }
 
 // sendOrder sends the server an order whose pieces were just verified, and determines its outcome. If the agent has
