Service client: an answer with neither a length nor chunks is no answer

Callers of the product's own plain services could get half of a body as a whole answer when the service crashed in the middle of it. Change: such an answer fails the call as one that may have run; it is repeated elsewhere if it may be. Lengths and chunks mark the end.

--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -411,11 +412,23 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readBounded(response.Body, maxServiceAnswerBytes)
+	if err == nil && !endIsMarked(response) {
+		err = errUnmarkedEnd
+	}
 	if err != nil {
 		return ServiceAnswer{}, &fault.Unavailable{Target: e.name, Operation: "read answer", Cause: err}
 	}
 	return ServiceAnswer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// errUnmarkedEnd means that an answer has neither a length nor chunks, so that the crash of its service would end it as
+// its regular end does.
+var errUnmarkedEnd = errors.New("the answer has neither a length nor chunks and may have been cut")
+
+// endIsMarked reports whether the end of an answer can be told from that of its connection.
+func endIsMarked(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed || response.Body == http.NoBody
+}
+
 // maxServiceAnswerBytes bounds the size of a plain service's answer.
 const maxServiceAnswerBytes = 8 << 20
