Gateway: a cut response without chunks ends with a reset

Callers of HTTP/1.0 got a part of a response that looked complete when it was cut: such responses have no chunks, and end with their connection. Change: where the caller speaks HTTP/1.0 and the response has begun, the connection is reset instead of closed. Callers of HTTP/1.1 are not touched.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -39,6 +39,7 @@
 	request := &forward.Request{Method: incoming.Method, Target: incoming.RequestURI, Host: incoming.Host, Header: incoming.Header, Arrived: time.Now()}
 	connection := g.callers.from(incoming.RemoteAddr)
 	connection.begin(request)
+	connection.setUnframed(!incoming.ProtoAtLeast(1, 1))
 	defer connection.handled()
 	defer func() { request.Memory.Close() }()
 	defer g.endPanic(ctx, caller, connection, request)
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -40,12 +40,31 @@
 	// disconnected is set once a read shows that the caller has closed the connection or that it is
 	// broken.
 	disconnected bool
+	// unframed is set while the caller speaks HTTP/1.0, in which a response without a length ends with its connection.
+	unframed bool
 	// writeError is the first error of a write, after which the connection is closed.
 	writeError error
 	// writeAllowance is the time that the write deadline gave when it was set, 0 for none.
 	writeAllowance time.Duration
 }
 
+func (c *callerConnection) setUnframed(unframed bool) {
+	if c != nil {
+		c.unframed = unframed
+	}
+}
+
+// resetUnframed has the connection end with a reset if its close would make a response look complete that is not.
+func (c *callerConnection) resetUnframed() {
+	if c == nil || !c.unframed {
+		return
+	}
+	if plain, ok := c.Conn.(*net.TCPConn); ok {
+		// Without the option the caller can't tell that the response is incomplete; the log says so.
+		_ = plain.SetLinger(0)
+	}
+}
+
 // Read implements net.Conn.
 func (c *callerConnection) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -52,6 +52,9 @@
 	if reason == nil {
 		return
 	}
+	if caller.headSent {
+		connection.resetUnframed()
+	}
 	if err, isError := reason.(error); isError && errors.Is(err, http.ErrAbortHandler) {
 		g.endUnanswered(connection, request, abortCause(ctx, connection))
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,6 +186,18 @@
 	assert.EqualValues(t, 1, g.counted(t, panicsMetric, ""))
 }
 
+// Guards against a response that is cut and looks complete to a caller of HTTP/1.0, which knows no chunks.
+func TestAbortResetsConnectionWithoutChunks(t *testing.T) {
+	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
+		_, _ = io.WriteString(writer, "begun")
+		writer.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	connection := sendRequest(t, g.address, "GET / HTTP/1.0", "")
+	_, err := io.ReadAll(connection)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against an intended abort that is taken for a panic, and against one that hides its cause.
 func TestAbortIsCountedByCause(t *testing.T) {
 	abort := func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
