Soak: a limit is judged within each time in which a server announces it

Change: the run records when a server announces a limit, and the notices are divided by these times; a second time with a lower rate is judged by its own rate, which is stricter than before.

--- a/internal/experiment/soak/asks.go
+++ b/internal/experiment/soak/asks.go
@@ -28,6 +28,8 @@
 // announceRateLimit has a server announce a limit of 0.5 to 4 requests a second for a time.
 func (r *run) announceRateLimit(server *site.Server, fault Fault) {
 	server.AnnounceLimit(strconv.FormatFloat(float64(fault.Count)/2, 'f', -1, 64))
+	now := time.Now()
+	r.record.LimitTimes = append(r.record.LimitTimes, Interval{From: now, To: now.Add(minLimitTime + fault.Duration), Name: server.ID()})
 	r.schedule(minLimitTime+fault.Duration, func() error { server.AnnounceLimit(""); return nil })
 }
 
@@ -91,7 +93,9 @@
 	for server, received := range byServer {
 		found = append(found, r.checkLeavingNotices(received, deliveries[server], senders)...)
 		found = append(found, r.checkBackoffs(received, deliveries[server], senders)...)
-		found = append(found, r.checkRateLimit(received, deliveries[server], senders)...)
+		for _, spell := range r.limitTimes(server, received) {
+			found = append(found, r.checkRateLimit(spell, deliveries[server], senders)...)
+		}
 	}
 	return found
 }
@@ -143,6 +147,28 @@
 	return found
 }
 
+// limitTimes divides the notices of a server by the times in which it announced a limit: between two of them its
+// responses name none, which lifts the limit. Without such times on record all its notices are of one.
+func (r Record) limitTimes(server string, received *serverNotices) []*serverNotices {
+	var divided []*serverNotices
+	for _, announced := range r.LimitTimes {
+		if announced.Name != server {
+			continue
+		}
+		within := &serverNotices{}
+		for index, notice := range received.notices {
+			if !notice.At.Before(announced.From) && !notice.At.After(announced.To.Add(slack)) {
+				within.notices, within.entries = append(within.notices, notice), append(within.entries, received.entries[index])
+			}
+		}
+		divided = append(divided, within)
+	}
+	if divided == nil {
+		return []*serverNotices{received}
+	}
+	return divided
+}
+
 // checkRateLimit finds the first interval in which a server received more than its announced rate from entries that
 // had received the announcement.
 func (r Record) checkRateLimit(received *serverNotices, deliveries []site.Delivery, senders map[string]string) []Violation {
--- a/internal/experiment/soak/judge.go
+++ b/internal/experiment/soak/judge.go
@@ -115,8 +115,9 @@
 	// first was published before any process started.
 	Restrictions []Restriction
 	Deliveries   []site.Delivery
-	// Notices are the server notices in responses.
+	// Notices are the server notices in responses. LimitTimes are the times in which servers announced a rate limit.
 	Notices     []site.ServerNotice
+	LimitTimes  []Interval
 	Evacuations []Evacuation
 	// Crashes are the servers that requests have crashed, CrashSenders the entries that such requests were sent to.
 	Crashes      []site.ServerCrash
--- a/internal/network/withhold_test.go
+++ b/internal/network/withhold_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,3 +40,43 @@
 	assert.Equal(t, http.StatusOK, answer.Status)
 	assert.Equal(t, int64(1), received.Load())
 }
+
+// timedConnection calls a function after each write.
+type timedConnection struct {
+	net.Conn
+	written func()
+}
+
+func (c timedConnection) Write(bytes []byte) (int, error) {
+	count, err := c.Conn.Write(bytes)
+	c.written()
+	return count, err
+}
+
+// BenchmarkWithheldWrite measures the time from the last look of a check until the request is with the kernel.
+func BenchmarkWithheldWrite(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	var looked time.Time
+	windows := make(chan time.Duration, 1)
+	client := NewClient(ClientOptions{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := Dialer(time.Second).DialContext(ctx, network, address)
+		return timedConnection{Conn: connection, written: func() { windows <- time.Since(looked) }}, err
+	}})
+	call := Call{Method: http.MethodPost, URL: server.URL, Body: []byte("order"), Timeout: time.Second, MaxBytes: 1 << 10, SendOnce: true}
+	call.BeforeWrite = func() error {
+		looked = time.Now()
+		return nil
+	}
+	var measured []time.Duration
+	for b.Loop() {
+		if _, err := client.Do(b.Context(), call); err != nil {
+			b.Fatal(err)
+		}
+		measured = append(measured, <-windows)
+	}
+	slices.Sort(measured)
+	b.ReportMetric(float64(measured[len(measured)/2].Nanoseconds())/1000, "µs-p50")
+	b.ReportMetric(float64(measured[len(measured)*99/100].Nanoseconds())/1000, "µs-p99")
+	b.ReportMetric(float64(measured[len(measured)-1].Nanoseconds())/1000, "µs-longest")
+}
