--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -124,7 +124,7 @@
 		if tenant.Priority != nil {
 			request.Priority = *tenant.Priority
 		}
-	case !route.Anonymous:
+	case !route.Anonymous || request.Call.Key != "":
 		return fault.NotRun(fault.ReasonUnauthorized, "the key is not known")
 	}
 	return nil
