Test of a steady slow reader: the read buffer has its size before the connection

The project's checks failed once in TestSteadySlowReaderIsNotCutOff: the entry cut the caller off after 1.05 s.

Cause: in the test, not in the entry. It made the caller's read buffer smaller after it had sent the request. When the response was faster than that call, some 64 KB stood in a buffer of 4 KB by then, and the caller's kernel reported no room until they were read, which takes a second at 64 KB/s, as long as a chunk's timeout. A caller of the test's description acknowledges in small steps from the start.

Change: the buffer has its size before the connection is made. Time limits, rates and checks stay.

--- a/internal/gateway/slow_test.go
+++ b/internal/gateway/slow_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,13 +99,21 @@
 		// readBufferBytes lets the caller's kernel report room in small steps, as over a network.
 		readBufferBytes = 4 << 10
 	)
+	// The buffer has its size before the first byte arrives: one that is made smaller later reports no room until
+	// all that it holds beyond the new size has been read.
+	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(descriptor uintptr) {
+			err = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBufferBytes)
+		})
+		return errors.Join(controlErr, err)
+	}}
 	g := startGateway(t, func(_ context.Context, writer http.ResponseWriter, _ *forward.Request) *fault.Refusal {
 		_, _ = writer.Write(make([]byte, longResponse))
 		return nil
 	})
 	g.chunkTimeout = chunkTimeout
-	connection := sendRequest(t, g.address, "GET / HTTP/1.1", "")
-	require.NoError(t, connection.(*net.TCPConn).SetReadBuffer(readBufferBytes))
+	connection := sendRequestOver(t, dialer, g.address, "GET / HTTP/1.1", "")
 	response, err := http.ReadResponse(bufio.NewReaderSize(connection, 16), nil)
 	require.NoError(t, err)
 	for began := time.Now(); time.Since(began) < readFor; {
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -349,7 +349,12 @@
 // sendRequest sends a request, given its request line and what follows its Request-Id.
 func sendRequest(t *testing.T, address, line, rest string) net.Conn {
 	t.Helper()
-	connection, err := net.Dial("tcp", address)
+	return sendRequestOver(t, &net.Dialer{}, address, line, rest)
+}
+
+func sendRequestOver(t *testing.T, dialer *net.Dialer, address, line, rest string) net.Conn {
+	t.Helper()
+	connection, err := dialer.Dial("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = connection.Close() })
 	if rest == "" {
