A started entry goes on with what its former process has spent of the retry budget (BUDGET)

What callers saw: after a kill of entries amid failing servers, requests that failed were not retried for 10 s, though the service could have taken the retries: an entry that starts spends a quarter of what it may later, since nobody told it what its former process had spent.

Change: coordination/budget makes accounts (requests and retries by age, how far back they reach, a reserve of a quarter of what remains) and goes on with one. internal/catalog carries them to the zone's relays, which have three agents each hold them beyond a loss of all entries, and back to the entry's next process. Sight: PV4115, pinevane_retry_accounts_total, 'resumed' in the dump and in PV4106.

Why it holds: what the former life spent after its account is in the reserve; an account made more than 1.5 s before the start is not used; the time that accounts cover is handed on, so that a chain of short lives stays young until a whole window is known. TestResumedLivesStayWithinTheLimit plays late and lost accounts and lives that end untold, at 1 to 330 entries.

The tests fail with their part taken out: reserve not counted, gap unchecked, covered time ignored, retries not carried, resumed twice.

Tried and not kept: all that remained counts as spent.

Not covered: the milliseconds between half of the reserve and the account's arrival.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -9,7 +9,10 @@
 // no more than the window. The package does no I/O and reads no clock.
 package budget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Fractions of the limit; their sum is at most 1.
 const (
@@ -38,6 +41,12 @@
 	retries  [bucketCount + 1]int
 	// newest is the number of the newest bucket, counted from the start.
 	newest int64
+	// resumed is set once the budget goes on with the account of a former life; coveredBefore is how far that
+	// reaches back before the start.
+	resumed       bool
+	coveredBefore time.Duration
+	// reserve is that of the last account, sinceAccount the number of retries since then.
+	reserve, sinceAccount int
 }
 
 // New returns an empty budget.
@@ -59,6 +68,7 @@
 		return false
 	}
 	b.retries[b.index(b.newest)]++
+	b.sinceAccount++
 	return true
 }
 
@@ -72,6 +82,8 @@
 	AllowedBySlack float64
 	// Established is set once the member has counted for a whole window.
 	Established bool
+	// Resumed is set if the budget goes on with the account of a former life.
+	Resumed bool
 }
 
 // Remaining returns how many retries may be spent.
@@ -82,7 +94,7 @@
 // State returns what the budget counts.
 func (b *Budget) State(now time.Duration, members int) State {
 	b.advance(now)
-	state := State{Established: now >= b.options.Window}
+	state := State{Established: b.covered(now) >= b.options.Window, Resumed: b.resumed}
 	for number := b.newest; number > b.newest-bucketCount; number-- {
 		state.Requests += b.requests[b.index(number)]
 	}
@@ -93,13 +105,21 @@
 	fraction, slackShare := establishedFraction, float64(b.options.Slack)/float64(members+1)
 	if !state.Established {
 		fraction = startingFraction
-		slackShare *= float64(now) / float64(b.options.Window)
+		slackShare *= float64(b.covered(now)) / float64(b.options.Window)
 	}
 	state.AllowedByRatio = fraction * b.options.Ratio * float64(state.Requests)
 	state.AllowedBySlack = fraction * slackShare
 	return state
 }
 
+// covered returns the time for which the member's requests and retries are counted.
+func (b *Budget) covered(now time.Duration) time.Duration { return now + b.coveredBefore }
+
+// number returns the number of the bucket of a time.
+func (b *Budget) number(at time.Duration) int64 {
+	return int64(math.Floor(float64(at) / float64(b.options.Window/bucketCount)))
+}
+
 // index returns the position of a bucket.
 func (b *Budget) index(number int64) int64 {
 	const length = bucketCount + 1
@@ -108,7 +128,7 @@
 
 // advance clears the buckets that have left the window.
 func (b *Budget) advance(now time.Duration) {
-	current := int64(now / (b.options.Window / bucketCount))
+	current := b.number(now)
 	if current-b.newest > bucketCount {
 		clear(b.requests[:])
 		clear(b.retries[:])
--- a/coordination/budget/lives_test.go
+++ b/coordination/budget/lives_test.go
@@ -19,16 +19,25 @@
 
 // fleetHistory plays members whose processes are killed and started again, in virtual time.
 type fleetHistory struct {
-	options  Options
-	members  []*life
+	options Options
+	members []*life
+	// accounts are the last accounts of each member that others hold.
+	accounts []heldAccount
 	requests []time.Duration
 	retries  []time.Duration
 	// denied counts the retries that were wanted and denied.
 	denied int
 }
 
+// heldAccount is an account that others hold since a time.
+type heldAccount struct {
+	account Account
+	at      time.Duration
+	held    bool
+}
+
 func newFleetHistory(options Options, members int) *fleetHistory {
-	history := &fleetHistory{options: options}
+	history := &fleetHistory{options: options, accounts: make([]heldAccount, members)}
 	for range members {
 		history.members = append(history.members, &life{budget: New(options)})
 	}
@@ -39,6 +48,23 @@
 	h.members[member] = &life{budget: New(h.options), started: now}
 }
 
+// tell has a member make an account, which others hold unless it is lost.
+func (h *fleetHistory) tell(member int, now time.Duration, lost bool) {
+	one := h.members[member]
+	account := one.budget.Account(now-one.started, len(h.members))
+	if !lost {
+		h.accounts[member] = heldAccount{account: account, at: now, held: true}
+	}
+}
+
+// resume has a member's new life go on with the account that others hold, if there is one.
+func (h *fleetHistory) resume(member int, now time.Duration) {
+	one, held := h.members[member], h.accounts[member]
+	if held.held {
+		one.budget.Resume(held.account, now-held.at, now-one.started)
+	}
+}
+
 func (h *fleetHistory) request(member int, now time.Duration) {
 	h.members[member].budget.RecordRequest(now - h.members[member].started)
 	h.requests = append(h.requests, now)
@@ -109,7 +135,45 @@
 	playLength = 45 * time.Second
 )
 
-func playLives(t *rapid.T, members int) {
+// Guards against lives that go on with what their predecessors told others and spend what these have spent since, or
+// what an earlier life had spent that nobody has told them: accounts come late or not at all, and lives end before
+// they have told anything.
+func TestResumedLivesStayWithinTheLimit(t *testing.T) {
+	for _, members := range []int{1, 3, 9, 60, 330} {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				telling := &telling{
+					lost:   rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "share of accounts lost"),
+					period: time.Duration(rapid.IntRange(1, 24).Draw(t, "telling period")) * playStep,
+					delay:  time.Duration(rapid.IntRange(0, 40).Draw(t, "time until a life resumes")) * playStep,
+				}
+				playLivesThat(t, members, telling)
+			})
+		})
+	}
+}
+
+// telling is how members tell others what they have spent, and how late a new life hears of it.
+type telling struct {
+	lost          float64
+	period, delay time.Duration
+}
+
+func (s *telling) step(h *fleetHistory, random *rand.Rand, now time.Duration) {
+	for member, one := range h.members {
+		if now-one.started == s.delay && one.started > 0 {
+			h.resume(member, now)
+		}
+		if now%s.period == 0 || one.budget.AccountDue() {
+			h.tell(member, now, random.Float64() < s.lost)
+		}
+	}
+}
+
+func playLives(t *rapid.T, members int) { playLivesThat(t, members, nil) }
+
+// playLivesThat plays members that tell others what they have spent, or nothing at all.
+func playLivesThat(t *rapid.T, members int, telling *telling) {
 	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 	h := newFleetHistory(Options{Ratio: 0.2, Slack: rapid.IntRange(0, 2*members+100).Draw(t, "slack"), Window: window}, members)
 	perStep := rapid.Float64Range(0, 8).Draw(t, "requests a step")
@@ -141,6 +205,9 @@
 				h.retry(member, now)
 			}
 		}
+		if telling != nil {
+			telling.step(h, random, now)
+		}
 	}
 	assert.LessOrEqual(t, h.worstExcess(), 0.0)
 }
@@ -173,3 +240,66 @@
 		assert.LessOrEqual(t, h.worstExcess(), 0.0, "%d lives", lives)
 	}
 }
+
+// A life that goes on with an account spends what its former life had left, without the reserve.
+func TestResumedBudgetGoesOnWithTheFormerOne(t *testing.T) {
+	former, now := established(Options{Ratio: 0.25, Slack: 40, Window: window})
+	for range 100 {
+		former.RecordRequest(now - window/2)
+	}
+	for range 12 {
+		former.Spend(now, 1)
+	}
+	left := int(former.State(now, 1).Remaining())
+	account := former.Account(now, 1)
+	assert.Equal(t, 24, left, "0.8 x (0.25 x 100 + 40/2) - 12")
+	assert.Equal(t, 6, account.Reserve)
+	next := New(Options{Ratio: 0.25, Slack: 40, Window: window})
+	assert.True(t, next.Resume(account, 400*time.Millisecond, 100*time.Millisecond))
+	state := next.State(100*time.Millisecond, 1)
+	assert.True(t, state.Established)
+	assert.Equal(t, 100, state.Requests)
+	assert.Equal(t, 12+account.Reserve, state.Retries)
+	assert.False(t, next.Resume(account, 400*time.Millisecond, 100*time.Millisecond), "once")
+	afterwards := next.State(window+200*time.Millisecond, 1)
+	assert.Zero(t, afterwards.Retries)
+	assert.Zero(t, afterwards.Requests)
+}
+
+// Guards against a life that goes on with an account of long before its start, since which the former life may have
+// spent its whole budget again, or with one of its own.
+func TestOldAccountIsNotResumed(t *testing.T) {
+	former, now := established(Options{Slack: 100, Window: window})
+	account := former.Account(now, 1)
+	const age = time.Second
+	for _, ago := range []time.Duration{age - 1, age + MaxAccountGap + 1} {
+		next := New(Options{Slack: 100, Window: window})
+		assert.False(t, next.Resume(account, ago, age))
+		assert.False(t, next.State(age, 1).Established)
+	}
+}
+
+// Guards against a chain of short lives that counts as established though what was spent before it is unknown.
+func TestResumedLifeCoversNoMoreThanItsAccounts(t *testing.T) {
+	options := Options{Slack: 100, Window: window}
+	first := New(options)
+	second := New(options)
+	assert.True(t, second.Resume(first.Account(2*time.Second, 1), time.Second, 0))
+	assert.False(t, second.State(window-3*time.Second-1, 1).Established)
+	assert.True(t, second.State(window-3*time.Second, 1).Established)
+}
+
+// A member makes an account with its first retry, and whenever half of its reserve is spent.
+func TestAccountIsDueWhenHalfOfTheReserveIsSpent(t *testing.T) {
+	b, now := established(Options{Slack: 100, Window: window})
+	assert.False(t, b.AccountDue())
+	assert.True(t, b.Spend(now, 1))
+	assert.True(t, b.AccountDue())
+	reserve := b.Account(now, 1).Reserve
+	assert.Equal(t, 10, reserve, "a quarter of what remains of 0.8 x 100/2")
+	for spent := 1; spent <= reserve/2; spent++ {
+		assert.False(t, b.AccountDue())
+		assert.True(t, b.Spend(now, 1))
+	}
+	assert.True(t, b.AccountDue())
+}
--- a/coordination/budget/measure_test.go
+++ b/coordination/budget/measure_test.go
@@ -16,16 +16,22 @@
 const (
 	// forgets: each life spends the established fraction of an empty window, as entries once did.
 	forgets succession = iota
-	// waits: the package as it is.
+	// waits: the package as it is, with nobody who tells a new life anything.
 	waits
-	// learns: the new life goes on with what its predecessor reported last, at most reportInterval ago.
+	// learns: the new life goes on with all that its predecessor counted until reportInterval ago at most, as if it had
+	// spent nothing since.
 	learns
+	// resumes: the package as it is, with others who hold the accounts.
+	resumes
 	// remembers: the new life goes on with all that its predecessor spent, which nobody can tell it.
 	remembers
 )
 
-// reportInterval is the time between two reports of what a member has spent.
-const reportInterval = 250 * time.Millisecond
+// Times between two reports of what a member has spent: of a whole copy, and of an account.
+const (
+	reportInterval = 250 * time.Millisecond
+	accountPeriod  = MaxAccountGap / 2
+)
 
 // Parameters of the measured plays: the traffic of the target size for each entry, of which half fails for a time.
 const (
@@ -80,6 +86,11 @@
 				reported[member] = *one.budget
 			}
 		}
+		for member, one := range h.members {
+			if now%accountPeriod == 0 || one.budget.AccountDue() {
+				h.tell(member, now, false)
+			}
+		}
 		for count := float64(measuredRate*p.members) * playStep.Seconds(); count > random.Float64(); count-- {
 			member := random.IntN(p.members)
 			h.request(member, now)
@@ -103,6 +114,9 @@
 		h.members[member] = &life{budget: New(h.options), started: now - window}
 	case waits:
 		h.restart(member, now)
+	case resumes:
+		h.restart(member, now)
+		h.resume(member, now)
 	case learns:
 		h.members[member] = &life{budget: &reported, started: former.started}
 	case remembers:
@@ -112,9 +126,9 @@
 // TestMeasureRetriesAcrossLives compares what a new life may know of its predecessor, for fleets of 3 to 330 members of
 // which all, half, a third or one are killed five times. The package's own way must keep the limit in each.
 func TestMeasureRetriesAcrossLives(t *testing.T) {
-	names := map[succession]string{forgets: "forgets", waits: "waits", learns: "learns", remembers: "remembers"}
+	names := map[succession]string{forgets: "forgets", waits: "waits", learns: "learns", resumes: "resumes", remembers: "remembers"}
 	measure := func(what string, play measuredPlay) {
-		for _, play.succession = range []succession{forgets, waits, learns, remembers} {
+		for _, play.succession = range []succession{forgets, waits, learns, resumes, remembers} {
 			worst, served := measuredResult{}, 0.0
 			for seed := range uint64(measuredSeeds) {
 				result := play.run(seed)
@@ -124,7 +138,7 @@
 				}
 			}
 			t.Logf("| %d | %s | %s | %d of %.0f | %.3f |", play.members, what, names[play.succession], worst.retries, worst.allowed, served)
-			if play.succession == waits {
+			if play.succession == waits || play.succession == resumes {
 				assert.LessOrEqual(t, worst.excess(), 0.0, "%d members, %s", play.members, what)
 			}
 		}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -133,6 +133,7 @@
 	health     healthReports
 	quarantine quarantineReports
 	notices    serverNotices
+	accounts   retryAccounts
 
 	// overlay decides which entries and agents this entry links to; links holds the state of those
 	// links and of accepted ones, by IP address.
@@ -161,7 +162,7 @@
 		}),
 	}
 	c.mirror = mirror.New(c.isDurable)
-	c.health, c.quarantine, c.notices = newHealthReports(c.started), newQuarantineReports(), newServerNotices(c.started)
+	c.health, c.quarantine, c.notices, c.accounts = newHealthReports(c.started), newQuarantineReports(), newServerNotices(c.started), newRetryAccounts(c.started)
 	c.view.Store(&View{Servers: map[string][]fleet.Server{}, Versions: map[string][]VersionAnnouncement{}})
 	options.Hub.Handle(topicUpdate, c.handleUpdate)
 	options.Hub.Handle(topicPull, c.handlePull)
@@ -170,8 +171,10 @@
 	options.Hub.Handle(topicHealth, c.handleHealth)
 	options.Hub.Handle(topicQuarantine, c.handleQuarantine)
 	options.Hub.Handle(topicServerNotices, c.handleServerNotices)
+	options.Hub.Handle(topicRetryAccounts, c.handleRetryAccounts)
 	options.Hub.OnOpen(c.linkOpened)
 	options.Hub.OnOpen(c.sendHeldQuarantine)
+	options.Hub.OnOpen(c.sendHeldAccounts)
 	return c
 }
 
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -113,6 +113,7 @@
 		// to send to.
 		c.sendPendingQuarantine()
 		c.sendPendingNotices()
+		c.sendPendingAccounts()
 		c.sendUpdates()
 		for waiting := true; waiting; {
 			select {
@@ -127,6 +128,8 @@
 				c.sendPendingQuarantine()
 			case <-c.notices.pending:
 				c.sendPendingNotices()
+			case <-c.accounts.pending:
+				c.sendPendingAccounts()
 			case <-ticker.C:
 				waiting = false
 			case <-c.wake:
--- a/internal/catalog/links.go
+++ b/internal/catalog/links.go
@@ -113,6 +113,9 @@
 	// noticesSent and sendingNotices are the same for server notices.
 	noticesSent    uint64
 	sendingNotices bool
+	// accountsSent and sendingAccounts are the same for accounts of retries.
+	accountsSent    uint64
+	sendingAccounts bool
 
 	// stamps bounds the transit time of the peer's messages.
 	stamps peerStamps
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -41,6 +41,8 @@
 	Quarantine QuarantineAnnouncer
 	// Notices shares server notices with the other entries; nil shares nothing.
 	Notices NoticeAnnouncer
+	// Accounts tells others what this entry has counted for its retry budgets; nil tells nobody.
+	Accounts RetryAccountAnnouncer
 	// Loads queries agents before requests are sent; nil sends no load queries.
 	Loads    LoadQuerier
 	Registry prometheus.Registerer
@@ -109,8 +111,12 @@
 	go f.watcher.Run(ctx)
 	ticker := time.NewTicker(sweepPeriod)
 	defer ticker.Stop()
+	accounts := time.NewTicker(accountInterval)
+	defer accounts.Stop()
 	for {
 		select {
+		case <-accounts.C:
+			f.retryBudgets.announceRetried()
 		case <-ticker.C:
 			f.targets.sweep()
 			f.quarantine.tick()
--- a/internal/forward/retries.go
+++ b/internal/forward/retries.go
@@ -13,6 +13,7 @@
 	"pinevane.example/pinevane/coordination/budget"
 	"pinevane.example/pinevane/coordination/sharing"
 	"pinevane.example/pinevane/internal/fleet"
+	"pinevane.example/pinevane/internal/logging"
 )
 
 // retryBudgets limits the retries of each service. It implements prometheus.Collector.
@@ -23,14 +24,36 @@
 	// started is when the budgets began to count.
 	started time.Time
 
+	// announcer tells others what this entry has counted; nil tells nobody. announcing keeps the accounts in order.
+	announcer  RetryAccountAnnouncer
+	announcing sync.Mutex
+	log        *logging.Logger
+
 	mutex     sync.Mutex
 	byService map[string]*budget.Budget
 	// members are the entries that share the slack.
 	members *sharing.Members
 
 	allowed, spent, memberCount *prometheus.Desc
+	accounts                    *prometheus.CounterVec
+}
+
+// RetryAccountAnnouncer tells others what an entry has counted for its retry budgets, for its next process.
+type RetryAccountAnnouncer interface {
+	// AnnounceRetryAccount tells what was counted for a service until now.
+	AnnounceRetryAccount(service string, account budget.Account)
 }
 
+// accountInterval is the maximum time between two accounts of a service that was retried within the window. It leaves a
+// process as long to restart.
+const accountInterval = budget.MaxAccountGap / 2
+
+// What became of an account of the former process.
+const (
+	accountResumed = "resumed"
+	accountTooOld  = "too old"
+)
+
 func newRetryBudgets(options Options, bounds *atomic.Pointer[fleet.Bounds], started time.Time) *retryBudgets {
 	if !options.RetriesSince.IsZero() {
 		started = options.RetriesSince
@@ -39,10 +62,13 @@
 	members.SetZones(slices.Collect(maps.Keys(options.Regions)))
 	return &retryBudgets{
 		bounds: bounds, entries: options.Entries, started: started, members: members, byService: map[string]*budget.Budget{},
+		announcer: options.Accounts, log: options.Log,
 		allowed: prometheus.NewDesc("pinevane_retry_budget_allowed",
 			"Retries that this entry may make in the retry window, by what allows them: the ratio of its requests, or its share of the slack.", []string{"service", "by"}, nil),
 		spent:       prometheus.NewDesc("pinevane_retry_budget_spent", "Retries that this entry has made in the retry window.", []string{"service"}, nil),
 		memberCount: prometheus.NewDesc("pinevane_retry_budget_members", "Entries that this entry divides the slack of the retry budget among.", nil, nil),
+		accounts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pinevane_retry_accounts_total", Help: "Accounts of the former process's retries that others have told this one, by whether the budget goes on with them."}, []string{"result"}),
 	}
 }
 
@@ -74,10 +100,54 @@
 
 // spend spends one retry of a service's budget, and reports whether there was one.
 func (r *retryBudgets) spend(service string) (spent bool) {
-	r.use(service, func(b *budget.Budget, age time.Duration, members int) { spent = b.Spend(age, members) })
+	accountDue := false
+	r.use(service, func(b *budget.Budget, age time.Duration, members int) {
+		spent = b.Spend(age, members)
+		accountDue = b.AccountDue()
+	})
+	if spent && accountDue {
+		r.announce(service)
+	}
 	return spent
 }
 
+// announce tells others what was counted for a service.
+func (r *retryBudgets) announce(service string) {
+	if r.announcer == nil {
+		return
+	}
+	r.announcing.Lock()
+	defer r.announcing.Unlock()
+	var account budget.Account
+	r.use(service, func(b *budget.Budget, age time.Duration, members int) { account = b.Account(age, members) })
+	r.announcer.AnnounceRetryAccount(service, account)
+}
+
+// announceRetried tells others what was counted for the services that were retried within the window.
+func (r *retryBudgets) announceRetried() {
+	for _, view := range r.views() {
+		if view.Retries > 0 {
+			r.announce(view.Service)
+		}
+	}
+}
+
+// resume goes on with what the former process of this entry had counted for a service until the given time.
+func (r *retryBudgets) resume(service string, account budget.Account, at time.Time) {
+	result, isNew := accountTooOld, false
+	if r.started.Sub(at) <= budget.MaxAccountGap {
+		r.use(service, func(b *budget.Budget, age time.Duration, _ int) {
+			result, isNew = accountResumed, b.Resume(account, time.Since(at), age)
+		})
+		if !isNew {
+			return
+		}
+	}
+	r.accounts.WithLabelValues(result).Inc()
+	r.log.Log(logging.RetryAccountReceived, append(r.logFields(service), zap.String("service", service), zap.String("result", result),
+		zap.Duration("before_start", r.started.Sub(at)), zap.Int("reserve", account.Reserve), zap.Duration("covered", account.Covered))...)
+}
+
 // available reports whether a service's budget has a retry left.
 func (r *retryBudgets) available(service string) bool {
 	return r.state(service).Remaining() >= 1
@@ -129,7 +199,7 @@
 	view := r.view(service)
 	return []zap.Field{
 		zap.Int("window_requests", view.Requests), zap.Int("window_retries", view.Retries), zap.Float64("allowed_by_ratio", view.AllowedByRatio),
-		zap.Float64("allowed_by_slack", view.AllowedBySlack), zap.Int("members", view.Members), zap.Float64("process_age", view.ProcessAge), zap.Bool("established", view.Established),
+		zap.Float64("allowed_by_slack", view.AllowedBySlack), zap.Int("members", view.Members), zap.Float64("process_age", view.ProcessAge), zap.Bool("resumed", view.Resumed), zap.Bool("established", view.Established),
 	}
 }
 
@@ -142,10 +212,11 @@
 	AllowedByRatio float64 `json:"allowed_by_ratio"`
 	AllowedBySlack float64 `json:"allowed_by_slack"`
 	// Members is the number of entries that the slack is divided among. ProcessAge is the time since this process
-	// began to count, in seconds. Established is set once that is a whole window: until then less is allowed,
-	// since a former process of this entry may have spent the rest.
+	// began to count, in seconds. Resumed is set if the counts go on with those of the former process. Established is
+	// set once they cover a whole window: until then less is allowed, since a former process may have spent the rest.
 	Members     int     `json:"members"`
 	ProcessAge  float64 `json:"process_age_seconds"`
+	Resumed     bool    `json:"resumed"`
 	Established bool    `json:"established"`
 }
 
@@ -154,7 +225,7 @@
 		state := b.State(age, members)
 		view = RetryBudgetView{
 			Service: service, Requests: state.Requests, Retries: state.Retries, AllowedByRatio: state.AllowedByRatio, AllowedBySlack: state.AllowedBySlack,
-			Members: members, ProcessAge: age.Seconds(), Established: state.Established,
+			Members: members, ProcessAge: age.Seconds(), Resumed: state.Resumed, Established: state.Established,
 		}
 	})
 	return view
@@ -171,6 +242,11 @@
 	return views
 }
 
+// ReceiveRetryAccount applies what the former process of this entry had counted for a service until the given time.
+func (f *Forwarder) ReceiveRetryAccount(service string, account budget.Account, at time.Time) {
+	f.retryBudgets.resume(service, account, at)
+}
+
 // RetryBudgets lists the retry budgets of the services that had requests, ordered by service.
 func (f *Forwarder) RetryBudgets() []RetryBudgetView { return f.retryBudgets.views() }
 
@@ -179,6 +255,7 @@
 	descriptions <- r.allowed
 	descriptions <- r.spent
 	descriptions <- r.memberCount
+	r.accounts.Describe(descriptions)
 }
 
 // Label values of what allows retries.
@@ -194,6 +271,7 @@
 		collected <- prometheus.MustNewConstMetric(r.allowed, prometheus.GaugeValue, view.AllowedBySlack, view.Service, allowedBySlack)
 		collected <- prometheus.MustNewConstMetric(r.spent, prometheus.GaugeValue, float64(view.Retries), view.Service)
 	}
+	r.accounts.Collect(collected)
 	r.mutex.Lock()
 	_, members := r.ageAndMembers()
 	r.mutex.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,7 +66,7 @@
 	base.AddSection("callers", func() any { return g.memory.Status() })
 	g.forwarder = forward.New(forward.Options{
 		Zone: settings.Zone, Regions: settings.Regions, Bounds: settings.Bounds, Dialect: options.Dialect, Log: base.Log,
-		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.EntryMembers, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Loads: g.loads,
+		Peers: base.Catalog.EntryCount, Self: settings.IP, Entries: base.Catalog.EntryMembers, Health: base.Catalog, Quarantine: base.Catalog, Notices: base.Catalog, Accounts: base.Catalog, Loads: g.loads,
 		Registry: base.Registry, Policy: options.Policy, RetriesSince: options.RetriesSince,
 	})
 	g.forward = g.forwarder.Serve
@@ -75,6 +75,7 @@
 	base.Catalog.OnHealth(g.forwarder.ReceiveHealth)
 	base.Catalog.OnQuarantine(g.forwarder.ReceiveQuarantine)
 	base.Catalog.OnServerNotice(g.forwarder.ReceiveNotice)
+	base.Catalog.OnRetryAccount(g.forwarder.ReceiveRetryAccount)
 	base.OnSettings(g.forwarder.SetSettings)
 	base.AddAction(ReleasePath+"{"+fingerprintParameter+"}", g.releaseFingerprint)
 	base.AddSection("contents", func() any { return g.forwarder.Fingerprints() })
