Heads of answers are bounded wherever they are read; an answer over its bound is no answer

What was seen: a faulty store, model server, agent or origin whose head of an answer has no end has 22 MB of it read by one call of an agent or entry (TestHeadWithoutEndIsGivenUp, red: 22,056,960 bytes sent, 8,454,144 allowed), whose processes have 24 MB. An answer longer than the reader's bound was cut there and passed for the whole one (TestAnswerOverItsBoundIsNoAnswer, red: no error).

Change: network.MaxHeadBytes, 64 KiB, for all clients (internal/network, internal/external, internal/peering, internal/forward); network.AnswerTooLong for a body over its bound.

Why it works: the transport ends the connection at the bound, and the call fails with a cause that the existing lines name (PV2004, PV3108). Both tests pass; a head within the bound and a body of exactly its bound are read as before.

--- a/internal/external/http.go
+++ b/internal/external/http.go
@@ -15,6 +15,7 @@
 
 	"pinevane.example/pinevane/coordination/monotonic"
 	"pinevane.example/pinevane/internal/fault"
+	"pinevane.example/pinevane/internal/network"
 	"pinevane.example/pinevane/internal/weights"
 )
 
@@ -33,12 +34,13 @@
 // NewOneShotTransport.
 func NewTransport(idlePerHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: idlePerHost,
-		MaxIdleConns:        idlePerHost * 4,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      16 << 10,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost:    idlePerHost,
+		MaxIdleConns:           idlePerHost * 4,
+		IdleConnTimeout:        30 * time.Second,
+		ReadBufferSize:         16 << 10,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: network.MaxHeadBytes,
 	}
 }
 
@@ -142,7 +144,7 @@
 	if response.StatusCode != http.StatusOK {
 		return monotonic.Update{}, false, p.endpoint.statusError("watch", response)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	data, err := readBounded(response.Body, maxAnswerBytes)
 	if err != nil {
 		return monotonic.Update{}, false, &fault.Unavailable{Target: p.endpoint.name, Operation: "watch", Cause: err}
 	}
@@ -192,7 +194,7 @@
 		return nil, err
 	}
 	if int64(len(data)) > limit {
-		return nil, io.ErrShortBuffer
+		return nil, &network.AnswerTooLong{MaxBytes: limit}
 	}
 	return data, nil
 }
@@ -245,7 +247,7 @@
 		return nil, e.statusError("POST "+path, response)
 	}
 	defer drain(response)
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	data, err := readBounded(response.Body, maxLineBytes)
 	if err != nil {
 		return nil, &fault.Unavailable{Target: e.name, Operation: "POST " + path, Cause: err}
 	}
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -29,9 +29,9 @@
 	silenceCheckPeriod = 200 * time.Millisecond
 	readBufferBytes    = 4 << 10
 	writeBufferBytes   = 2 << 10
-	// maxHeadBytes bounds the head of an answer, with the interim answers before it. net/http bounds the
-	// lines between chunks and the trailer by readBufferBytes.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes bounds the head of an answer. net/http bounds the lines between chunks and the trailer by
+	// readBufferBytes.
+	maxHeadBytes = network.MaxHeadBytes
 )
 
 var (
--- a/internal/network/client.go
+++ b/internal/network/client.go
@@ -57,7 +57,7 @@
 	// take ExtraTime longer than Timeout.
 	Timeout   time.Duration
 	ExtraTime time.Duration
-	// MaxBytes bounds the bytes of the answer that are read.
+	// MaxBytes bounds the body of the answer. A longer one counts as truncated.
 	MaxBytes int64
 	// MaxHold is how long the server may hold back its answer, as in long polling.
 	MaxHold time.Duration
@@ -146,7 +146,7 @@
 		transport: &http.Transport{
 			DialContext: c.options.Dial, MaxIdleConnsPerHost: c.options.MaxIdle, IdleConnTimeout: c.options.IdleTimeout,
 			DisableKeepAlives: c.options.MaxIdle == 0, DisableCompression: true,
-			ReadBufferSize: c.options.ReadBuffer, WriteBufferSize: c.options.WriteBuffer,
+			ReadBufferSize: c.options.ReadBuffer, WriteBufferSize: c.options.WriteBuffer, MaxResponseHeaderBytes: MaxHeadBytes,
 		},
 		silent: make(chan struct{}),
 	}
@@ -444,7 +444,10 @@
 	a.recordActivity()
 	began := time.Now()
 	body := progressReader{body: response.Body, owner: a, stallTimer: stallTimer, timeout: call.Timeout}
-	data, err := io.ReadAll(io.LimitReader(body, call.MaxBytes))
+	data, err := io.ReadAll(io.LimitReader(body, call.MaxBytes+1))
+	if int64(len(data)) > call.MaxBytes {
+		data, err = data[:call.MaxBytes], &AnswerTooLong{MaxBytes: call.MaxBytes}
+	}
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: data, BodyTime: time.Since(began)}, err
 }
 
--- a/internal/peering/hub.go
+++ b/internal/peering/hub.go
@@ -58,10 +58,13 @@
 
 // NewHub returns a hub that sends self in its handshakes.
 func NewHub(self Hello, log *logging.Logger, counters *Counters) *Hub {
+	transport := &http.Transport{
+		DialContext: network.HedgedDialer(HandshakeTimeout), ReadBufferSize: 2048, WriteBufferSize: 2048, MaxResponseHeaderBytes: network.MaxHeadBytes,
+	}
 	return &Hub{
 		self:     self,
 		log:      log,
-		client:   &http.Client{Transport: &http.Transport{DialContext: network.HedgedDialer(HandshakeTimeout), ReadBufferSize: 2048, WriteBufferSize: 2048}},
+		client:   &http.Client{Transport: transport},
 		handlers: map[string]Handler{},
 		counters: counters,
 		accepted: map[*Link]struct{}{},
