Catalog: reports are on a subject, a server or a service; glossary of accounts

Cause: the accounts of retries used the field 'server' of a report's key for a service; a constant and a method had one name. Change: the field is 'subject', the constant holdersPerRelay; a row of the glossary. Conclusion: read as a newcomer, the key says what it holds.

--- a/internal/catalog/accounts.go
+++ b/internal/catalog/accounts.go
@@ -27,8 +27,8 @@
 	maxAccounts = 2048
 	// maxAccountCount bounds the counts in a message.
 	maxAccountCount = 1 << 24
-	// accountHolders is how many of its agents a relay sends the accounts of its zone.
-	accountHolders = 3
+	// holdersPerRelay is how many of its agents a relay sends the accounts of its zone.
+	holdersPerRelay = 3
 )
 
 // accountMessage is the wire form of what an entry has counted for a service; package budget documents
@@ -78,7 +78,7 @@
 func (c *Catalog) AnnounceRetryAccount(service string, account budget.Account) {
 	now := time.Now()
 	c.mutex.Lock()
-	c.accounts.add(reportKey{entry: c.options.Self, server: service}, heldAccount{report: account, at: now, number: c.accounts.nextNumber()}, now)
+	c.accounts.add(reportKey{entry: c.options.Self, subject: service}, heldAccount{report: account, at: now, number: c.accounts.nextNumber()}, now)
 	c.mutex.Unlock()
 	c.scheduleAccounts()
 }
@@ -102,7 +102,7 @@
 			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
 		case wire.Entry != c.options.Self:
 			c.mutex.Lock()
-			c.accounts.add(reportKey{entry: wire.Entry, server: wire.Service}, held, now)
+			c.accounts.add(reportKey{entry: wire.Entry, subject: wire.Service}, held, now)
 			c.mutex.Unlock()
 		case c.accounts.onAccount != nil && held.at.Before(c.started):
 			c.accounts.onAccount(wire.Service, held.report, held.at)
@@ -141,7 +141,7 @@
 // newAccountMessage converts an entry's account to its wire form.
 func newAccountMessage(key reportKey, held heldAccount, now time.Time) accountMessage {
 	return accountMessage{
-		Entry: key.entry, Service: key.server, Number: held.number, AgeMilliseconds: max(0, now.Sub(held.at).Milliseconds()),
+		Entry: key.entry, Service: key.subject, Number: held.number, AgeMilliseconds: max(0, now.Sub(held.at).Milliseconds()),
 		Requests: held.report.Requests[:], Retries: held.report.Retries[:], Reserve: held.report.Reserve, CoveredMilliseconds: held.report.Covered.Milliseconds(),
 	}
 }
@@ -182,7 +182,7 @@
 		}
 	}
 	slices.Sort(agents)
-	return agents[:min(len(agents), accountHolders)]
+	return agents[:min(len(agents), holdersPerRelay)]
 }
 
 // accountsFor returns the accounts after a sequence to send to a process: this entry's own, those of the
--- a/internal/catalog/accounts_test.go
+++ b/internal/catalog/accounts_test.go
@@ -27,7 +27,7 @@
 func TestRetryAccountsRoundTrip(t *testing.T) {
 	madeAt := time.Unix(1000, 0)
 	held := heldAccount{report: accountOf(5), at: madeAt, number: 3}
-	sent, err := cbor.Marshal(newAccountMessage(reportKey{entry: "10.0.0.1", server: "s"}, held, madeAt.Add(400*time.Millisecond)))
+	sent, err := cbor.Marshal(newAccountMessage(reportKey{entry: "10.0.0.1", subject: "s"}, held, madeAt.Add(400*time.Millisecond)))
 	require.NoError(t, err)
 	var decoded accountMessage
 	require.NoError(t, cbor.Unmarshal(sent, &decoded))
@@ -52,7 +52,7 @@
 		"negative count":   func(m *accountMessage) { m.Retries[0] = -1 },
 		"count too large":  func(m *accountMessage) { m.Requests[0] = 1 << 40 },
 	} {
-		malformed := newAccountMessage(reportKey{entry: "10.0.0.1", server: "s"}, heldAccount{report: accountOf(5)}, time.Time{})
+		malformed := newAccountMessage(reportKey{entry: "10.0.0.1", subject: "s"}, heldAccount{report: accountOf(5)}, time.Time{})
 		malformed.Requests, malformed.Retries = slices.Clone(malformed.Requests), slices.Clone(malformed.Retries)
 		_, err := malformed.validated(time.Now())
 		require.NoError(t, err)
@@ -70,7 +70,7 @@
 	now := time.Now()
 	const number = 100
 	c.AnnounceRetryAccount("own", accountOf(1))
-	c.accounts.add(reportKey{entry: "10.0.0.2", server: "other"}, heldAccount{report: accountOf(2), at: now, number: number}, now)
+	c.accounts.add(reportKey{entry: "10.0.0.2", subject: "other"}, heldAccount{report: accountOf(2), at: now, number: number}, now)
 	sent := func(id, role string, incarnation uint64, isRelay bool) (services []string) {
 		for _, account := range c.accountsFor(peering.Hello{ID: id, Role: role, Incarnation: incarnation}, 0, isRelay, now) {
 			services = append(services, account.Service)
@@ -95,7 +95,7 @@
 	time.Sleep(10 * time.Millisecond)
 	now := time.Now()
 	messageOf := func(entry, service string, at time.Time) accountMessage {
-		return newAccountMessage(reportKey{entry: entry, server: service}, heldAccount{report: accountOf(5), at: at}, now)
+		return newAccountMessage(reportKey{entry: entry, subject: service}, heldAccount{report: accountOf(5), at: at}, now)
 	}
 	payload, err := cbor.Marshal(accountBatch{Accounts: []accountMessage{
 		messageOf("10.0.0.1", "former", c.started.Add(-time.Second)), messageOf("10.0.0.1", "own", now),
--- a/internal/catalog/asks.go
+++ b/internal/catalog/asks.go
@@ -73,7 +73,7 @@
 func (c *Catalog) AnnounceNotice(notice dispatch.ServerNotice, at time.Time) {
 	c.mutex.Lock()
 	report := heldReport[dispatch.ServerNotice]{report: notice, at: at, number: c.notices.nextNumber()}
-	c.notices.add(reportKey{entry: c.options.Self, server: notice.Server}, report, time.Now())
+	c.notices.add(reportKey{entry: c.options.Self, subject: notice.Server}, report, time.Now())
 	c.mutex.Unlock()
 	c.scheduleNotices()
 }
@@ -94,7 +94,7 @@
 			continue
 		}
 		fresh := receivedNotice{heldReport: notice.toReport(now), entry: notice.Entry}
-		if notice.Entry != c.options.Self && c.notices.add(reportKey{entry: notice.Entry, server: notice.Server}, fresh.heldReport, now) {
+		if notice.Entry != c.options.Self && c.notices.add(reportKey{entry: notice.Entry, subject: notice.Server}, fresh.heldReport, now) {
 			added = append(added, fresh)
 		}
 	}
--- a/internal/catalog/asks_test.go
+++ b/internal/catalog/asks_test.go
@@ -52,7 +52,7 @@
 	notices := newServerNotices(time.Unix(0, 0))
 	now := time.Unix(0, 0)
 	add := func(entry, server string, number uint64) bool {
-		return notices.add(reportKey{entry: entry, server: server}, heldReport[dispatch.ServerNotice]{at: time.Unix(int64(number), 0), number: number}, now)
+		return notices.add(reportKey{entry: entry, subject: server}, heldReport[dispatch.ServerNotice]{at: time.Unix(int64(number), 0), number: number}, now)
 	}
 	assert.True(t, add("a", "i-1", 2))
 	assert.False(t, add("a", "i-1", 1), "an older notice")
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -88,7 +88,7 @@
 
 // addHealth stores a report if it is newer than the one held. The mutex must be held.
 func (c *Catalog) addHealth(fresh heldHealthReport, now time.Time) bool {
-	return c.health.add(reportKey{entry: fresh.report.Entry, server: fresh.report.Server}, fresh, now)
+	return c.health.add(reportKey{entry: fresh.report.Entry, subject: fresh.report.Server}, fresh, now)
 }
 
 func (c *Catalog) handleHealth(link *peering.Link, received *message.Message) {
--- a/internal/catalog/words.go
+++ b/internal/catalog/words.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// reportKey identifies the reports of which only the newest is kept.
-type reportKey struct{ entry, server string }
+// reportKey identifies the reports of which only the newest is kept: those of an entry on a subject, a server or a service.
+type reportKey struct{ entry, subject string }
 
-// heldReport is the newest report of an entry on a server, and when it was made.
+// heldReport is the newest report of an entry on a subject, and when it was made.
 type heldReport[R any] struct {
 	report R
 	at     time.Time
@@ -15,7 +15,7 @@
 	sequence uint64
 }
 
-// reportStore holds the newest report of each entry on each server, of one kind, for entries that
+// reportStore holds the newest report of each entry on each subject, of one kind, for entries that
 // link later. The catalog's mutex guards it.
 type reportStore[R any] struct {
 	reports map[reportKey]heldReport[R]
