--- a/coordination/budget/lives_test.go
+++ b/coordination/budget/lives_test.go
@@ -144,7 +144,7 @@
 			rapid.Check(t, func(t *rapid.T) {
 				telling := &telling{
 					lost:   rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "share of accounts lost"),
-					period: time.Duration(rapid.IntRange(1, 24).Draw(t, "telling period")) * playStep,
+					period: time.Duration(rapid.IntRange(8, 48).Draw(t, "telling period")) * playStep,
 					delay:  time.Duration(rapid.IntRange(0, 40).Draw(t, "time until a life resumes")) * playStep,
 				}
 				playLivesThat(t, members, telling)
