Budget: a comment says why an account has a maximum age

Cause: read as a newcomer, the comment of MaxAccountGap didn't say what a longer gap means. Change: it does. Conclusion: nothing else changes.

--- a/coordination/budget/account.go
+++ b/coordination/budget/account.go
@@ -11,8 +11,8 @@
 	accountSteps = 20
 	// reserveFraction is the part of what remains that an account reserves for the time until the next one.
 	reserveFraction = 0.25
-	// MaxAccountGap is the maximum time between an account and the start of the life that goes on with it. A member that
-	// retries makes an account more often than that, so that a later end of the former life went untold.
+	// MaxAccountGap is the maximum time between an account and the start of the life that goes on with it. Members that
+	// retry make accounts more often than that: after a longer time, later ones may have been lost.
 	MaxAccountGap = 1500 * time.Millisecond
 )
 
