Catalog: one place that logs a frame that can't be decoded

Cause: read as a newcomer, each handler of internal/catalog wrote the same log line, the new one for accounts of retries too.

--- a/internal/catalog/accounts.go
+++ b/internal/catalog/accounts.go
@@ -88,7 +88,7 @@
 func (c *Catalog) handleRetryAccounts(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[accountBatch](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	if link.Remote().Zone != c.options.Zone {
@@ -99,7 +99,7 @@
 		held, err := wire.validated(now)
 		switch {
 		case err != nil:
-			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			c.rejectFrame(link, err)
 		case wire.Entry != c.options.Self:
 			c.mutex.Lock()
 			c.accounts.add(reportKey{entry: wire.Entry, subject: wire.Service}, held, now)
--- a/internal/catalog/asks.go
+++ b/internal/catalog/asks.go
@@ -6,13 +6,11 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
-	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/dispatch"
 	"pinevane.example/pinevane/coordination/incarnation"
 	"pinevane.example/pinevane/internal/fault"
 	"pinevane.example/pinevane/internal/fleet"
-	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -83,14 +81,14 @@
 func (c *Catalog) handleServerNotices(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[noticeBatch](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	now, added := time.Now(), []receivedNotice{}
 	c.mutex.Lock()
 	for _, notice := range batch.Notices {
 		if err := notice.validate(); err != nil {
-			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			c.rejectFrame(link, err)
 			continue
 		}
 		fresh := receivedNotice{heldReport: notice.toReport(now), entry: notice.Entry}
--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -278,7 +278,7 @@
 func (c *Catalog) handleUpdate(link *peering.Link, received *message.Message) {
 	peerUpdate, err := peering.Decode[update](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	now := time.Now()
@@ -298,12 +298,12 @@
 	missing := c.missingHeads(peerUpdate.peerHeads())
 	c.mutex.Unlock()
 	if peerUpdate.Records, err = peerUpdate.unbundle(); err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 	}
 	for _, packed := range peerUpdate.Packed {
 		record, err := compression.Decode[mirror.Record](packed)
 		if err != nil {
-			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			c.rejectFrame(link, err)
 			continue
 		}
 		peerUpdate.Records = append(peerUpdate.Records, record)
@@ -392,3 +392,8 @@
 	peer.sentSequence, peer.updatedAt = 0, time.Time{}
 	c.wakeExchange()
 }
+
+// rejectFrame logs a message of another process, or a part of one, that could not be decoded and is dropped.
+func (c *Catalog) rejectFrame(link *peering.Link, err error) {
+	c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+}
--- a/internal/catalog/health.go
+++ b/internal/catalog/health.go
@@ -6,11 +6,9 @@
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
-	"go.uber.org/zap"
 
 	"pinevane.example/pinevane/coordination/health"
 	"pinevane.example/pinevane/internal/fault"
-	"pinevane.example/pinevane/internal/logging"
 	"pinevane.example/pinevane/internal/peering"
 )
 
@@ -94,7 +92,7 @@
 func (c *Catalog) handleHealth(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[healthBatch](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	if link.Remote().Zone != c.options.Zone {
@@ -106,7 +104,7 @@
 	for _, report := range batch.Reports {
 		held, err := report.validated(now)
 		if err != nil {
-			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			c.rejectFrame(link, err)
 			continue
 		}
 		if report.Entry != c.options.Self && c.addHealth(held, now) {
--- a/internal/catalog/pulls.go
+++ b/internal/catalog/pulls.go
@@ -98,7 +98,7 @@
 func (c *Catalog) handlePull(link *peering.Link, received *message.Message) {
 	request, err := peering.Decode[pullRequest](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	go c.answerPull(link, request)
--- a/internal/catalog/quarantine.go
+++ b/internal/catalog/quarantine.go
@@ -122,7 +122,7 @@
 func (c *Catalog) handleQuarantine(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[quarantineBatch](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	now := time.Since(c.started)
@@ -130,7 +130,7 @@
 	for _, wire := range batch.Reports {
 		report, err := wire.validated(now)
 		if err != nil {
-			c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+			c.rejectFrame(link, err)
 			continue
 		}
 		c.mutex.Lock()
--- a/internal/catalog/statuses.go
+++ b/internal/catalog/statuses.go
@@ -84,7 +84,7 @@
 func (c *Catalog) handleStatus(link *peering.Link, received *message.Message) {
 	status, err := peering.Decode[fleet.MachineStatus](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	c.mutex.Lock()
@@ -101,12 +101,12 @@
 func (c *Catalog) handleStatuses(link *peering.Link, received *message.Message) {
 	batch, err := peering.Decode[statusBatch](received)
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	statuses, err := batch.unpack()
 	if err != nil {
-		c.options.Log.Log(logging.FrameRejected, zap.String("peer", link.Remote().ID), zap.Error(err))
+		c.rejectFrame(link, err)
 		return
 	}
 	now := time.Now()
