--- a/review/_site2/client.go
+++ b/review/_site2/client.go
@@ -15,18 +15,21 @@
 	body     string
 	events   int
 	deadline time.Duration
+	// isLater is set for requests on routes that were added later.
+	isLater bool
 }
 
 // answer is what a client has seen of one request.
 type answer struct {
-	id     string
-	kind   string
-	status int
-	seal   string
-	body   string
-	err    error
-	sentAt time.Time
-	took   time.Duration
+	id      string
+	kind    string
+	isLater bool
+	status  int
+	seal    string
+	body    string
+	err     error
+	sentAt  time.Time
+	took    time.Duration
 }
 
 // served reports whether a request was answered with a signed success.
@@ -34,7 +37,7 @@
 
 // send sends one request to an entry and reads the whole answer.
 func (c *play) send(client *http.Client, zone, entry int, k kind, id string) answer {
-	a := answer{id: id, kind: k.name, sentAt: time.Now()}
+	a := answer{id: id, kind: k.name, isLater: k.isLater, sentAt: time.Now()}
 	request, err := c.site.NewRequest(zone, entry, k.method, k.prefix+id, id, k.body, k.events)
 	if err != nil {
 		a.err = err
@@ -54,6 +57,6 @@
 
 // logAnswer writes what was sent and answered to the record.
 func (c *play) logAnswer(zone, entry int, a answer) {
-	c.record.line("sent %-7s %s to entry %d-%d at %.3f: status %d, sealed %t, %d bytes, error %v, after %d ms", a.kind, a.id, zone, entry,
+	c.record.line("sent %-10s %s to entry %d-%d at %.3f: status %d, sealed %t, %d bytes, error %v, after %d ms", a.kind, a.id, zone, entry,
 		a.sentAt.Sub(c.record.started).Seconds(), a.status, a.seal != "", len(a.body), a.err, a.took.Milliseconds())
 }
--- a/review/_site2/closing.go
+++ b/review/_site2/closing.go
@@ -23,6 +23,7 @@
 // does. Without lengths its answers have neither a length nor chunks.
 type closingServer struct {
 	id      string
+	service string
 	zone    string
 	address string
 	runTime time.Duration
@@ -37,9 +38,9 @@
 	runs        map[string]int
 }
 
-func newClosingServer(store *site.Store, id, zone, ip string, runTime time.Duration) *closingServer {
+func newClosingServer(store *site.Store, id, service, zone, ip string, runTime time.Duration) *closingServer {
 	return &closingServer{
-		id: id, zone: zone, address: net.JoinHostPort(ip, strconv.Itoa(closingPort)), runTime: runTime, store: store,
+		id: id, service: service, zone: zone, address: net.JoinHostPort(ip, strconv.Itoa(closingPort)), runTime: runTime, store: store,
 		born: time.Now().UnixMilli(), slots: make(chan struct{}, closingSlots), runs: map[string]int{},
 	}
 }
@@ -66,7 +67,7 @@
 	s.mutex.Lock()
 	s.heartbeats++
 	record := map[string]any{
-		"service": site.PlainService, "address": s.address, "zone": s.zone, "version": "v1", "slots": closingSlots,
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": closingSlots,
 		"state": "ready", "coldRemainingMs": 0, "sequence": s.heartbeats, "born": s.born,
 	}
 	s.mutex.Unlock()
