--- a/review/_site2/later_route.go
+++ b/review/_site2/later_route.go
@@ -17,6 +17,8 @@
 	laterSafePrefix = "/later-safe/"
 	// laterMachine is the number of the later service's machine in each zone.
 	laterMachine = 5
+	// laterConnections is how many connections a server of the later service accepts, if that doesn't matter.
+	laterConnections = 96
 	// minLaterRequests and minLaterRatio are those of the rule CONFIG on routes that were added later.
 	minLaterRequests = 20
 	minLaterRatio    = 0.25
@@ -59,11 +61,13 @@
 	return servers, nil
 }
 
-// addLaterRoutes publishes a configuration with the later service and its routes, and waits until it is in
-// force.
-func (c *play) addLaterRoutes() {
+// addLaterRoutes publishes a configuration with the later service, each of whose servers accepts a number of
+// connections, and its routes, and waits until it is in force.
+func (c *play) addLaterRoutes(maxConnections int) {
 	c.site.Configure(func(configuration map[string]any) {
 		site.AddService(configuration, laterService)
+		services := configuration["services"].([]any)
+		services[len(services)-1].(map[string]any)["maxConnections"] = maxConnections
 		routes := configuration["routes"].([]any)
 		first := routes[len(routes)-1].(map[string]any)
 		for prefix, kind := range map[string]string{laterOncePrefix: "non_idempotent", laterSafePrefix: "idempotent"} {
@@ -76,20 +80,40 @@
 	time.Sleep(settleTime)
 }
 
-// sendToAllRoutes sends requests on the first and on the later routes for a time.
-func (c *play) sendToAllRoutes(length time.Duration) []answer {
-	traffic := newTraffic(c)
+// addFirstTraffic adds the requests on the first routes.
+func (c *play) addFirstTraffic(traffic *traffic) {
 	traffic.add(kind{name: "stream", method: http.MethodPost, prefix: site.StreamPrefix, body: "prompt", events: streamEvents, deadline: streamDeadline}, streamInterval)
 	traffic.add(kind{name: "once", method: http.MethodPost, prefix: site.OncePrefix, body: "a small body", deadline: plainDeadline}, firstInterval)
 	traffic.add(kind{name: "safe", method: http.MethodGet, prefix: site.SafePrefix, deadline: plainDeadline}, firstInterval)
+}
+
+// sendToAllRoutes sends requests on the first and on the later routes for a time.
+func (c *play) sendToAllRoutes(length time.Duration) []answer {
+	traffic := newTraffic(c)
+	c.addFirstTraffic(traffic)
 	traffic.add(kind{name: "later-once", method: http.MethodPost, prefix: laterOncePrefix, body: "a small body", deadline: plainDeadline, isLater: true}, onceInterval)
 	traffic.add(kind{name: "later-safe", method: http.MethodGet, prefix: laterSafePrefix, deadline: plainDeadline, isLater: true}, safeInterval)
 	return traffic.run(length)
 }
 
+// laterServer is a server of the later service.
+type laterServer interface {
+	// ranTimes returns how often a request has run at the server.
+	ranTimes(id string) int
+}
+
+// asLater returns closing servers as servers of the later service.
+func asLater(servers []*closingServer) []laterServer {
+	later := make([]laterServer, 0, len(servers))
+	for _, server := range servers {
+		later = append(later, server)
+	}
+	return later
+}
+
 // judgeLaterRoutes reports whether the rule CONFIG on routes that were added later is broken: at least 20
 // requests came on them, and they were served less than a quarter as often as those on the first routes.
-func (c *play) judgeLaterRoutes(answers []answer, later []*closingServer) bool {
+func (c *play) judgeLaterRoutes(answers []answer, later []laterServer) bool {
 	ran := map[string]int{}
 	for _, run := range c.site.Requests.Runs() {
 		ran[run.RequestID]++
--- a/review/_site2/other_writer.go
+++ b/review/_site2/other_writer.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return false, err
 	}
-	c.addLaterRoutes()
+	c.addLaterRoutes(laterConnections)
 	if c.trouble {
 		for zone, server := range servers {
 			value, err := json.Marshal(map[string]any{"service": unnamedService, "address": server.address, "zone": server.zone, "state": "ready"})
@@ -34,5 +34,5 @@
 		}
 	}
 	time.Sleep(settleTime)
-	return c.judgeLaterRoutes(c.sendToAllRoutes(otherWriterLength), servers), nil
+	return c.judgeLaterRoutes(c.sendToAllRoutes(otherWriterLength), asLater(servers)), nil
 }
--- a/review/_site2/unmarked.go
+++ b/review/_site2/unmarked.go
@@ -15,6 +15,6 @@
 	for _, server := range servers {
 		server.setWithoutEnds(c.trouble)
 	}
-	c.addLaterRoutes()
-	return c.judgeLaterRoutes(c.sendToAllRoutes(unmarkedLength), servers), nil
+	c.addLaterRoutes(laterConnections)
+	return c.judgeLaterRoutes(c.sendToAllRoutes(unmarkedLength), asLater(servers)), nil
 }
