--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -15,7 +15,11 @@
 # supervise starts a process, and starts it again when it has ended, as the platform does.
 supervise() {
 	while [ -e "$directory/running" ]; do
-		PINEVANE_CONFIG="$directory/$2.json" "$program" "$1" >>"$directory/$2.log" 2>&1 &
+		(
+			# The deploy file limits the descriptors of a process (maxFds).
+			[ "$1" = entry ] && [ -n "$ENTRY_DESCRIPTORS" ] && ulimit -n "$ENTRY_DESCRIPTORS"
+			PINEVANE_CONFIG="$directory/$2.json" exec "$program" "$1"
+		) >>"$directory/$2.log" 2>&1 &
 		echo $! >"$directory/$2.pid"
 		wait $!
 		[ -e "$directory/running" ] && sleep 0.5
