Review: the stand-in of the second review is a test binary

Change: its files are test files, as those of the earlier review's stand-in are, and review/build-2.sh builds them with go test -c.

--- a/review/_site2/hoarded.go
+++ b/review/_site2/hoarded_test.go
@@ -1,4 +1,4 @@
-package main
+package site2
 
 import (
 	"net/http"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-in of the cases 4 and on, after the build of the deploy file.
 cd "$(dirname "$0")/.." || exit 2
 mkdir -p target
-go build -o target/review-site2 ./review/_site2
+go test -c -o target/review-site2 ./review/_site2
